--- /dev/null
+++ b/Makefile
@@ -0,0 +1,89 @@
+# Build of sapphireshift; reads from top to bottom.
+#   make             the programs, the library, the stand-ins
+#   make test        all tests, from build/
+#   make asan        all tests with the address and undefined sanitizers
+#   make fuzz        fuzz targets with a fixed seed and a bounded count
+#   make lint        formatter and linters
+#   make install     PREFIX=/usr/local DESTDIR=
+
+VERSION := 0.1.0
+BUILD ?= build
+PREFIX ?= /usr/local
+SAN ?=
+PKGS := libevent evhtp msgpack popt log4c glib-2.0 json-c libxxhash
+
+CC ?= gcc
+CXX ?= g++
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wpointer-arith
+CPPFLAGS := -Iinclude -D_GNU_SOURCE -DSS_VERSION='"$(VERSION)"' \
+	$(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PKGS)))
+CFLAGS := -std=gnu11 -O2 -g -fPIC -fno-omit-frame-pointer $(WARN) $(SAN)
+CXXFLAGS := -std=gnu++17 -O1 -g -Wall $(SAN)
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -lm
+LDFLAGS := $(SAN)
+
+# The library: decisions and base, no sockets.
+LIB_SRC := $(sort $(wildcard src/base/*.c src/core/*.c src/disk/*.c))
+# Everything that the daemon adds to it.
+NET_SRC := $(sort $(wildcard src/net/*.c src/node/*.c src/caller/*.c src/engine/*.c \
+	src/service/*.c src/store/*.c src/platform/*.c src/operator/*.c))
+DAEMON_SRC := $(sort $(wildcard src/daemon/*.c))
+CTL_SRC := $(sort $(wildcard src/ctl/*.c))
+STANDIN_SRC := $(sort $(wildcard src/standin/*.c))
+MEASURE_SRC := $(sort $(wildcard measure/*.c))
+
+obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
+LIB := $(BUILD)/libsapphireshift.a
+SHLIB := $(BUILD)/libsapphireshift.so
+PROGS := $(BUILD)/sapphireshiftd $(BUILD)/sapphireshiftctl \
+	$(BUILD)/standin $(patsubst measure/%.c,$(BUILD)/measure-%,$(MEASURE_SRC)) \
+	$(BUILD)/example-embed
+TESTS := $(patsubst test/test_%.c,$(BUILD)/test_%,$(wildcard test/test_*.c)) \
+	$(patsubst test/prop_%.cc,$(BUILD)/prop_%,$(wildcard test/prop_*.cc))
+
+.PHONY: all test asan fuzz lint format install clean
+.SECONDARY:
+all: $(LIB) $(SHLIB) $(PROGS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(call obj,$(LIB_SRC))
+	rm -f $@ && ar rcs $@ $^
+
+$(SHLIB): $(call obj,$(LIB_SRC))
+	$(CC) -shared $(LDFLAGS) -Wl,-soname,libsapphireshift.so.0 $^ -o $@ $(LDLIBS)
+
+$(BUILD)/sapphireshiftd: $(call obj,$(DAEMON_SRC) $(NET_SRC)) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/sapphireshiftctl: $(call obj,$(CTL_SRC) src/net/http.c) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/standin: $(call obj,$(STANDIN_SRC) src/net/http.c) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/measure-%: $(BUILD)/measure/%.o $(call obj,$(NET_SRC)) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/example-embed: $(BUILD)/docs/example/embed.o $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+
+$(BUILD)/test_%: $(BUILD)/test/test_%.o $(call obj,$(NET_SRC)) $(LIB)
+	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS) -lcmocka
+
+$(BUILD)/prop_%: test/prop_%.cc $(LIB)
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $< $(LIB) -o $@ $(LDLIBS) -lrapidcheck
+
+test: all $(TESTS)
+	test/run.sh $(BUILD)
+
+asan:
+	$(MAKE) BUILD=build/asan SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" test
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/caller/caller.c
@@ -0,0 +1,339 @@
+/* Callers' HTTP. */
+#include "caller.h"
+
+#include "../net/http.h"
+
+#include <errno.h>
+#include <evhtp.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#define BACKLOG 1024
+#define SWEEP_MS 500
+
+struct caller {
+	struct caller_options o;
+	evhtp_t *htp;
+	struct event *sweep;
+	GQueue conns;	     /* struct caller_conn */
+	GHashTable *by_conn; /* evhtp_connection_t -> struct caller_conn */
+};
+
+struct caller_conn {
+	struct caller *c;
+	evhtp_connection_t *conn;
+	struct caller_req *req; /* the one being answered */
+	int64_t since_ms;	/* begin of a request not read whole yet */
+	bool reading;
+	GList link;
+};
+
+struct caller_req {
+	struct caller_conn *cc;
+	evhtp_request_t *req;
+	bool started;
+	void *data;
+};
+
+static evhtp_res on_request_fini(evhtp_request_t *req, void *arg)
+{
+	struct caller_req *r = arg;
+	struct caller *c = r->cc->c;
+
+	(void)req;
+	r->cc->req = NULL;
+	c->o.ops->gone(c->o.arg, r);
+	g_free(r);
+	return EVHTP_RES_OK;
+}
+
+static int collect_header(evhtp_kv_t *kv, void *arg)
+{
+	struct header h = { { kv->key, kv->klen }, { kv->val, kv->vlen } };
+
+	g_array_append_val((GArray *)arg, h);
+	return 0;
+}
+
+static const char *const method_names[] = {
+	[htp_method_GET] = "GET",	[htp_method_HEAD] = "HEAD",
+	[htp_method_POST] = "POST",	[htp_method_PUT] = "PUT",
+	[htp_method_DELETE] = "DELETE", [htp_method_OPTIONS] = "OPTIONS",
+	[htp_method_PATCH] = "PATCH",
+};
+
+static struct ss_str method_of(evhtp_request_t *req)
+{
+	htp_method m = evhtp_request_get_method(req);
+
+	if ((size_t)m >= G_N_ELEMENTS(method_names) || !method_names[m])
+		return SS_LIT("");
+	return ss_str(method_names[m]);
+}
+
+static void deliver_request(struct caller_req *r, evhtp_request_t *req)
+{
+	struct caller *c = r->cc->c;
+	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct header));
+	GString *path = g_string_new(req->uri->path->full);
+	size_t n = evbuffer_get_length(req->buffer_in);
+	struct caller_head h = { .method = method_of(req) };
+
+	if (req->uri->query_raw && *req->uri->query_raw)
+		g_string_append_printf(path, "?%s",
+				       (const char *)req->uri->query_raw);
+	evhtp_kvs_for_each(req->headers_in, collect_header, headers);
+	h.path = ss_str_gs(path);
+	h.headers = (struct header *)headers->data;
+	h.n_headers = headers->len;
+	h.body.p = n ? (char *)evbuffer_pullup(req->buffer_in, -1) : "";
+	h.body.n = n;
+	c->o.ops->request(c->o.arg, r, &h);
+	g_array_unref(headers);
+	g_string_free(path, TRUE);
+}
+
+static void on_request(evhtp_request_t *req, void *arg)
+{
+	struct caller *c = arg;
+	evhtp_connection_t *conn = evhtp_request_get_connection(req);
+	struct caller_conn *cc = g_hash_table_lookup(c->by_conn, conn);
+	struct caller_req *r;
+
+	if (!cc) {
+		evhtp_send_reply(req, EVHTP_RES_SERVERR);
+		return;
+	}
+	cc->reading = false;
+	r = g_new0(struct caller_req, 1);
+	r->cc = cc;
+	r->req = req;
+	cc->req = r;
+	evhtp_request_set_hook(req, evhtp_hook_on_request_fini,
+			       (evhtp_hook)on_request_fini, r);
+	deliver_request(r, req);
+}
+
+static evhtp_res on_headers_start(evhtp_request_t *req, void *arg)
+{
+	struct caller_conn *cc = arg;
+
+	(void)req;
+	cc->reading = true;
+	cc->since_ms = ss_clock_now(cc->c->o.clock);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_conn_fini(evhtp_connection_t *conn, void *arg)
+{
+	struct caller_conn *cc = arg;
+
+	g_hash_table_remove(cc->c->by_conn, conn);
+	g_queue_unlink(&cc->c->conns, &cc->link);
+	g_free(cc);
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_accept(evhtp_connection_t *conn, void *arg)
+{
+	struct caller *c = arg;
+	struct caller_conn *cc = g_new0(struct caller_conn, 1);
+	int one = 1;
+
+	setsockopt(conn->sock, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	cc->c = c;
+	cc->conn = conn;
+	cc->link.data = cc;
+	/* A connection that sends nothing at all is swept as well. */
+	cc->reading = true;
+	cc->since_ms = ss_clock_now(c->o.clock);
+	g_queue_push_tail_link(&c->conns, &cc->link);
+	g_hash_table_insert(c->by_conn, conn, cc);
+	evhtp_connection_set_hook(conn, evhtp_hook_on_headers_start,
+				  (evhtp_hook)on_headers_start, cc);
+	evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
+				  (evhtp_hook)on_conn_fini, cc);
+	return EVHTP_RES_OK;
+}
+
+/* End connections whose request does not arrive whole in time. */
+static void on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	struct caller *c = arg;
+	int64_t now = ss_clock_now(c->o.clock);
+	GList *next;
+
+	(void)fd;
+	(void)what;
+	for (GList *p = c->conns.head; p; p = next) {
+		struct caller_conn *cc = p->data;
+
+		next = p->next;
+		if (!cc->reading || now - cc->since_ms < c->o.receive_ms)
+			continue;
+		c->o.ops->refused(c->o.arg, SS_ERROR_DEADLINE);
+		evhtp_connection_free(cc->conn);
+	}
+}
+
+struct caller *caller_new(const struct caller_options *o, GError **error)
+{
+	struct caller *c = g_new0(struct caller, 1);
+	struct timeval tv = { 0, SWEEP_MS * 1000 };
+	char *ip = NULL;
+	uint16_t port = 0;
+	int rc;
+
+	c->o = *o;
+	g_queue_init(&c->conns);
+	c->by_conn = g_hash_table_new(NULL, NULL);
+	c->htp = evhtp_new(o->base, NULL);
+	evhtp_set_max_body_size(c->htp, o->max_body);
+	evhtp_set_gencb(c->htp, on_request, c);
+	evhtp_set_post_accept_cb(c->htp, on_accept, c);
+	http_split_addr(o->addr, &ip, &port);
+	rc = evhtp_bind_socket(c->htp, ip, port, BACKLOG);
+	g_free(ip);
+	if (rc == 0) {
+		c->sweep = event_new(o->base, -1, EV_PERSIST, on_sweep, c);
+		event_add(c->sweep, &tv);
+		return c;
+	}
+	g_set_error(error, SS_ERROR, SS_ERROR_IO, "listen on %s: %s", o->addr,
+		    g_strerror(errno));
+	evhtp_free(c->htp);
+	g_hash_table_unref(c->by_conn);
+	g_free(c);
+	return NULL;
+}
+
+void caller_close(struct caller *c)
+{
+	if (c->htp->server)
+		evhtp_unbind_socket(c->htp);
+}
+
+void caller_free(struct caller *c)
+{
+	if (!c)
+		return;
+	while (c->conns.head) {
+		struct caller_conn *cc = c->conns.head->data;
+
+		evhtp_connection_free(cc->conn);
+	}
+	event_free(c->sweep);
+	evhtp_free(c->htp);
+	g_hash_table_unref(c->by_conn);
+	g_free(c);
+}
+
+uint16_t caller_port(const struct caller *c)
+{
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+
+	getsockname(evconnlistener_get_fd(c->htp->server),
+		    (struct sockaddr *)&sin, &len);
+	return ntohs(sin.sin_port);
+}
+
+size_t caller_connections(const struct caller *c)
+{
+	return c->conns.length;
+}
+
+const char *caller_header(const struct caller_head *h, const char *name)
+{
+	size_t n = strlen(name);
+
+	for (size_t i = 0; i < h->n_headers; i++)
+		if (h->headers[i].name.n == n &&
+		    !g_ascii_strncasecmp(h->headers[i].name.p, name, n))
+			return h->headers[i].value.p;
+	return NULL;
+}
+
+static void add_headers(struct caller_req *r, const struct header *h, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		char *name = ss_str_dup(h[i].name);
+		char *value = ss_str_dup(h[i].value);
+
+		evhtp_headers_add_header(r->req->headers_out,
+					 evhtp_header_new(name, value, 1, 1));
+		g_free(name);
+		g_free(value);
+	}
+}
+
+/* The library may free the request at its end; from here on it is gone. */
+static void detach(struct caller_req *r)
+{
+	evhtp_request_unset_hook(r->req, evhtp_hook_on_request_fini);
+	r->cc->req = NULL;
+}
+
+void caller_reply(struct caller_req *r, int status, const struct header *h,
+		  size_t n, struct ss_str body)
+{
+	add_headers(r, h, n);
+	evbuffer_add(r->req->buffer_out, body.p, body.n);
+	detach(r);
+	evhtp_send_reply(r->req, (evhtp_res)status);
+	g_free(r);
+}
+
+void caller_start(struct caller_req *r, int status, const struct header *h,
+		  size_t n)
+{
+	add_headers(r, h, n);
+	r->started = true;
+	evhtp_send_reply_chunk_start(r->req, (evhtp_res)status);
+}
+
+void caller_chunk(struct caller_req *r, struct ss_str data)
+{
+	struct evbuffer *buf;
+
+	if (data.n == 0)
+		return;
+	buf = evbuffer_new();
+	evbuffer_add(buf, data.p, data.n);
+	evhtp_send_reply_chunk(r->req, buf);
+	evbuffer_free(buf);
+}
+
+void caller_end(struct caller_req *r, bool whole)
+{
+	detach(r);
+	if (whole) {
+		evhtp_send_reply_chunk_end(r->req);
+	} else {
+		/* No last chunk: the body ends before it is complete. */
+		evhtp_request_set_keepalive(r->req, 0);
+		evhtp_send_reply_end(r->req);
+	}
+	g_free(r);
+}
+
+bool caller_started(const struct caller_req *r)
+{
+	return r->started;
+}
+
+size_t caller_backlog(const struct caller_req *r)
+{
+	return evbuffer_get_length(
+		bufferevent_get_output(evhtp_request_get_bev(r->req)));
+}
+
+void caller_set_data(struct caller_req *r, void *data)
+{
+	r->data = data;
+}
+
+void *caller_data(const struct caller_req *r)
+{
+	return r->data;
+}
--- /dev/null
+++ b/src/core/choose.c
@@ -0,0 +1,63 @@
+/* Choosing a replica. */
+#include "choose.h"
+
+/* In shares of a replica's slots. */
+#define FAR_PENALTY 0.25
+#define PREFIX_BONUS 0.5
+/* Above this load locality is no reason to wait behind others. */
+#define PREFIX_LOAD_MAX 0.75
+
+uint64_t target_load(const struct target *t)
+{
+	return MAX(t->own, t->reported + t->sent_since);
+}
+
+static uint64_t usable_slots(const struct target *t)
+{
+	uint64_t n;
+
+	if (t->age_ms >= CHOOSE_SLOW_START_MS)
+		return t->slots;
+	n = t->slots * (uint64_t)MAX(t->age_ms, 0) / CHOOSE_SLOW_START_MS;
+	return MAX(n, 1);
+}
+
+uint64_t target_room(const struct target *t)
+{
+	uint64_t slots = usable_slots(t);
+	uint64_t load = target_load(t);
+
+	return t->usable && load < slots ? slots - load : 0;
+}
+
+static double score(const struct target *t)
+{
+	double load = (double)target_load(t) / (double)MAX(t->slots, 1);
+	double s = load;
+
+	if (!t->same_domain)
+		s += FAR_PENALTY;
+	if (t->prefix && load < PREFIX_LOAD_MAX)
+		s -= PREFIX_BONUS;
+	return s;
+}
+
+int choose_target(const struct target *t, size_t n, uint64_t tie)
+{
+	int best = -1;
+	double best_score = 0;
+
+	for (size_t k = 0; k < n; k++) {
+		size_t i = (k + tie) % n;
+		double s;
+
+		if (target_room(&t[i]) == 0)
+			continue;
+		s = score(&t[i]);
+		if (best < 0 || s < best_score) {
+			best = (int)i;
+			best_score = s;
+		}
+	}
+	return best;
+}
--- /dev/null
+++ b/src/core/keep.c
@@ -0,0 +1,160 @@
+/* Keeping and waking by arrival history. */
+#include <sapphireshift/keep.h>
+
+#include <math.h>
+#include <time.h>
+
+#define GAP_FIRST_MS 1000.0
+#define GAP_STEPS 4 /* in each doubling */
+/* Old gaps count less, so that a change of habit shows within some days. */
+#define GAP_DECAY 0.98f
+/* How many arrivals the gaps of all models count for. */
+#define PRIOR_ARRIVALS 3.0
+#define SLOT_MS (15 * 60 * 1000)
+#define DAY_SLOTS SS_KEEP_SLOTS
+#define SLOT_ALPHA 0.3f
+/* Days of a kind before a slot's share is believed. */
+#define DAYS_MIN 2
+/*
+ * What a caller's second in a cold start is worth in seconds of a held
+ * accelerator, at equal weights.
+ */
+#define COLD_WORTH 30.0
+
+static size_t gap_bucket(double gap_ms)
+{
+	double b;
+
+	if (gap_ms <= GAP_FIRST_MS)
+		return 0;
+	b = log2(gap_ms / GAP_FIRST_MS) * GAP_STEPS + 1;
+	return b >= SS_KEEP_GAPS - 1 ? SS_KEEP_GAPS - 1 : (size_t)b;
+}
+
+/* The longest gap that a bucket holds. */
+static double gap_top(size_t b)
+{
+	return GAP_FIRST_MS * exp2((double)b / GAP_STEPS);
+}
+
+struct slot {
+	int kind; /* 0: workday */
+	int day;  /* counted from some start */
+	int slot;
+};
+
+static struct slot slot_at(int64_t wall_ms)
+{
+	time_t sec = (time_t)(wall_ms / 1000);
+	struct tm tm;
+	struct slot s;
+
+	localtime_r(&sec, &tm);
+	s.kind = tm.tm_wday == 0 || tm.tm_wday == 6;
+	s.day = tm.tm_year * 366 + tm.tm_yday;
+	s.slot = (tm.tm_hour * 60 + tm.tm_min) / 15;
+	return s;
+}
+
+/*
+ * Shares are updated when a slot gets its first arrival of a day, by the
+ * number of days of that kind that have passed without one.
+ */
+static void add_slot(struct ss_arrivals *a, int64_t wall_ms)
+{
+	struct slot s = slot_at(wall_ms);
+	int32_t code = s.day * DAY_SLOTS + s.slot;
+	float *share = &a->slots[s.kind][s.slot];
+
+	if (a->first_day == 0)
+		a->first_day = s.day;
+	if (code == a->slot_day)
+		return;
+	if (a->slot_day / DAY_SLOTS != s.day || a->slot_day == 0) {
+		/* A new day: all slots of its kind age by one. */
+		for (int i = 0; i < DAY_SLOTS; i++)
+			a->slots[s.kind][i] *= 1 - SLOT_ALPHA;
+		if (a->days[s.kind] < UINT16_MAX)
+			a->days[s.kind]++;
+	}
+	*share += SLOT_ALPHA;
+	a->slot_day = code;
+}
+
+static void add_gap(struct ss_arrivals *a, int64_t gap_ms)
+{
+	for (size_t i = 0; i < SS_KEEP_GAPS; i++)
+		a->gaps[i] *= GAP_DECAY;
+	a->total = a->total * GAP_DECAY + 1;
+	a->gaps[gap_bucket((double)gap_ms)] += 1;
+}
+
+void ss_arrivals_add(struct ss_arrivals *a, struct ss_arrivals *all,
+		     int64_t wall_ms)
+{
+	if (a->last_ms && wall_ms > a->last_ms) {
+		add_gap(a, wall_ms - a->last_ms);
+		if (all)
+			add_gap(all, wall_ms - a->last_ms);
+	}
+	a->last_ms = MAX(a->last_ms, wall_ms);
+	add_slot(a, wall_ms);
+}
+
+int64_t ss_keep_ms(const struct ss_arrivals *a, const struct ss_arrivals *prior,
+		   const struct ss_keep_costs *c)
+{
+	double p[SS_KEEP_GAPS];
+	double sum = 0, beyond, held = 0, best_cost;
+	double idle_rate = (1 - c->cold_weight) * c->share;
+	double cold = c->cold_weight * COLD_WORTH * (double)c->load_ms;
+	double best = 0;
+
+	for (size_t i = 0; i < SS_KEEP_GAPS; i++) {
+		p[i] = (double)a->gaps[i];
+		if (prior && prior->total > 0)
+			p[i] += PRIOR_ARRIVALS *
+				(double)(prior->gaps[i] / prior->total);
+		sum += p[i];
+	}
+	if (sum <= 0)
+		return c->min_ms;
+	/*
+	 * Cost of keeping for t: what is held, min(gap, t), and a cold
+	 * start where the gap is longer. The last bucket has no end, so
+	 * keeping through it is never tried.
+	 */
+	beyond = 1;
+	best_cost = cold;
+	for (size_t i = 0; i + 1 < SS_KEEP_GAPS; i++) {
+		double from = i ? gap_top(i - 1) : 0;
+		double top = gap_top(i);
+		double here = p[i] / sum;
+		double cost;
+
+		held += here * (from + top) / 2;
+		beyond -= here;
+		cost = idle_rate * (held + beyond * top) + cold * beyond;
+		if (cost < best_cost) {
+			best_cost = cost;
+			best = top;
+		}
+	}
+	return CLAMP((int64_t)best, c->min_ms, c->max_ms);
+}
+
+bool ss_wake_ahead(const struct ss_arrivals *a, int64_t wall_ms,
+		   const struct ss_keep_costs *c)
+{
+	struct slot s = slot_at(wall_ms + c->load_ms);
+	double share, idle, cold;
+
+	if (a->days[s.kind] < DAYS_MIN)
+		return false;
+	share = (double)a->slots[s.kind][s.slot];
+	/* On average half the slot passes before the arrival. */
+	idle = (1 - c->cold_weight) * c->share * SLOT_MS *
+	       (share / 2 + (1 - share));
+	cold = c->cold_weight * COLD_WORTH * (double)c->load_ms * share;
+	return cold > idle;
+}
--- /dev/null
+++ b/src/core/msg.c
@@ -0,0 +1,241 @@
+/* Wire tables of the messages. A tag is never used for another meaning. */
+#include "msg.h"
+
+#define F(tag, kind, type, member)                                             \
+	{                                                                      \
+		tag, kind, offsetof(struct type, member), NULL                 \
+	}
+#define L(tag, type, member, sub)                                              \
+	{                                                                      \
+		tag, WIRE_LIST, offsetof(struct type, member), &(sub)          \
+	}
+#define T(type, table) WIRE_TYPE(struct type, table)
+
+static const struct wire_field hello_fields[] = {
+	F(1, WIRE_UINT, msg_hello, version),
+	F(2, WIRE_UINT, msg_hello, group),
+	F(3, WIRE_INT, msg_hello, role),
+	F(4, WIRE_STR, msg_hello, name),
+	F(5, WIRE_STR, msg_hello, domain),
+	F(6, WIRE_UINT, msg_hello, incarnation),
+	F(7, WIRE_UINT, msg_hello, config),
+};
+static const struct wire_field ping_fields[] = {
+	F(1, WIRE_UINT, msg_ping, active),
+};
+static const struct wire_field entry_fields[] = {
+	F(1, WIRE_UINT, ss_raft_entry, index),
+	F(2, WIRE_UINT, ss_raft_entry, term),
+	F(3, WIRE_INT, ss_raft_entry, kind),
+	F(4, WIRE_STR, ss_raft_entry, data),
+};
+static const struct wire_type entry_type = T(ss_raft_entry, entry_fields);
+static const struct wire_field raft_fields[] = {
+	F(1, WIRE_INT, msg_raft, kind),
+	F(2, WIRE_UINT, msg_raft, from),
+	F(3, WIRE_UINT, msg_raft, to),
+	F(4, WIRE_UINT, msg_raft, term),
+	F(5, WIRE_UINT, msg_raft, index),
+	F(6, WIRE_UINT, msg_raft, log_term),
+	F(7, WIRE_UINT, msg_raft, commit),
+	F(8, WIRE_UINT, msg_raft, round),
+	F(9, WIRE_UINT, msg_raft, offset),
+	F(10, WIRE_UINT, msg_raft, total),
+	F(11, WIRE_BOOL, msg_raft, ok),
+	F(12, WIRE_BOOL, msg_raft, transfer),
+	L(13, msg_raft, entries, entry_type),
+	F(14, WIRE_STR, msg_raft, members),
+	F(15, WIRE_STR, msg_raft, data),
+};
+static const struct wire_field join_fields[] = {
+	F(1, WIRE_UINT, msg_join, id),
+	F(2, WIRE_STR, msg_join, name),
+	F(3, WIRE_STR, msg_join, addr),
+};
+static const struct wire_field leader_fields[] = {
+	F(1, WIRE_UINT, msg_leader, group),
+	F(2, WIRE_STR, msg_leader, addr),
+	F(3, WIRE_BOOL, msg_leader, here),
+};
+static const struct wire_field held_fields[] = {
+	F(1, WIRE_UINT, held, replica), F(2, WIRE_STR, held, model),
+	F(3, WIRE_UINT, held, bytes),	F(4, WIRE_INT, held, state),
+	F(5, WIRE_INT, held, load_ms),	F(6, WIRE_UINT, held, active),
+	F(7, WIRE_UINT, held, served),	F(8, WIRE_INT, held, idle_ms),
+};
+static const struct wire_type held_type = T(held, held_fields);
+static const struct wire_field cached_fields[] = {
+	F(1, WIRE_STR, cached, model),
+	F(2, WIRE_INT, cached, tier),
+};
+static const struct wire_type cached_type = T(cached, cached_fields);
+static const struct wire_field register_fields[] = {
+	F(1, WIRE_STR, msg_register, name),
+	F(2, WIRE_STR, msg_register, pool),
+	F(3, WIRE_STR, msg_register, domain),
+	F(4, WIRE_STR, msg_register, addr),
+	F(5, WIRE_INT, msg_register, kind),
+	F(6, WIRE_UINT, msg_register, incarnation),
+	F(7, WIRE_UINT, msg_register, bytes),
+	F(8, WIRE_UINT, msg_register, slots),
+	L(9, msg_register, held, held_type),
+	L(10, msg_register, cached, cached_type),
+};
+static const struct wire_field order_fields[] = {
+	F(1, WIRE_UINT, order, replica), F(2, WIRE_STR, order, model),
+	F(3, WIRE_STR, order, base),	 F(4, WIRE_UINT, order, bytes),
+	F(5, WIRE_UINT, order, slots),	 F(6, WIRE_BOOL, order, unload),
+};
+static const struct wire_type order_type = T(order, order_fields);
+static const struct wire_field assign_fields[] = {
+	F(1, WIRE_UINT, msg_assign, fence),
+	F(2, WIRE_UINT, msg_assign, incarnation),
+	F(3, WIRE_BOOL, msg_assign, draining),
+	L(4, msg_assign, orders, order_type),
+};
+static const struct wire_field report_fields[] = {
+	F(1, WIRE_UINT, msg_report, incarnation),
+	F(2, WIRE_UINT, msg_report, fence),
+	F(3, WIRE_UINT, msg_report, active),
+	F(4, WIRE_BOOL, msg_report, draining),
+	L(5, msg_report, held, held_type),
+	L(6, msg_report, cached, cached_type),
+};
+static const struct wire_field config_fields[] = {
+	F(1, WIRE_UINT, msg_config, version),
+	F(2, WIRE_STR, msg_config, name),
+	F(3, WIRE_STR, msg_config, body),
+};
+static const struct wire_field watch_fields[] = {
+	F(1, WIRE_STR, msg_watch, model),
+	F(2, WIRE_UINT, msg_watch, waiting),
+	F(3, WIRE_INT, msg_watch, deadline_ms),
+	F(4, WIRE_INT, msg_watch, priority),
+	F(5, WIRE_UINT, msg_watch, arrivals),
+	F(6, WIRE_BOOL, msg_watch, done),
+};
+static const struct wire_field route_replica_fields[] = {
+	F(1, WIRE_UINT, route_replica, replica),
+	F(2, WIRE_STR, route_replica, node),
+	F(3, WIRE_STR, route_replica, addr),
+	F(4, WIRE_STR, route_replica, domain),
+	F(5, WIRE_UINT, route_replica, incarnation),
+	F(6, WIRE_UINT, route_replica, slots),
+	F(7, WIRE_INT, route_replica, age_ms),
+};
+static const struct wire_type route_replica_type =
+	T(route_replica, route_replica_fields);
+static const struct wire_field route_fields[] = {
+	F(1, WIRE_STR, msg_route, model),
+	F(2, WIRE_INT, msg_route, code),
+	F(3, WIRE_INT, msg_route, eta_ms),
+	F(4, WIRE_UINT, msg_route, version),
+	L(5, msg_route, replicas, route_replica_type),
+	F(6, WIRE_STR, msg_route, target),
+};
+static const struct wire_field claim_fields[] = {
+	F(1, WIRE_UINT, msg_claim, sub),
+	F(2, WIRE_STR, msg_claim, key),
+	F(3, WIRE_UINT, msg_claim, fingerprint),
+	F(4, WIRE_UINT, msg_claim, entry),
+	F(5, WIRE_UINT, msg_claim, seq),
+	F(6, WIRE_UINT, msg_claim, dead_entry),
+	F(7, WIRE_UINT, msg_claim, dead_seq),
+	F(8, WIRE_STR, msg_claim, node),
+	F(9, WIRE_UINT, msg_claim, incarnation),
+};
+static const struct wire_field claimed_fields[] = {
+	F(1, WIRE_UINT, msg_claimed, sub),
+	F(2, WIRE_INT, msg_claimed, code),
+	F(3, WIRE_STR, msg_claimed, text),
+	F(4, WIRE_UINT, msg_claimed, entry),
+	F(5, WIRE_UINT, msg_claimed, seq),
+	F(6, WIRE_STR, msg_claimed, node),
+	F(7, WIRE_STR, msg_claimed, addr),
+	F(8, WIRE_UINT, msg_claimed, incarnation),
+};
+static const struct wire_field models_fields[] = {
+	F(1, WIRE_UINT, msg_models, sub),
+};
+static const struct wire_field model_name_fields[] = {
+	F(1, WIRE_STR, model_name, name),
+	F(2, WIRE_STR, model_name, base),
+};
+static const struct wire_type model_name_type =
+	T(model_name, model_name_fields);
+static const struct wire_field model_list_fields[] = {
+	F(1, WIRE_UINT, msg_model_list, sub),
+	L(2, msg_model_list, models, model_name_type),
+};
+static const struct wire_field header_fields[] = {
+	F(1, WIRE_STR, header, name),
+	F(2, WIRE_STR, header, value),
+};
+static const struct wire_type header_type = T(header, header_fields);
+static const struct wire_field call_fields[] = {
+	F(1, WIRE_UINT, msg_call, sub),
+	F(2, WIRE_UINT, msg_call, entry),
+	F(3, WIRE_UINT, msg_call, seq),
+	F(4, WIRE_UINT, msg_call, incarnation),
+	F(5, WIRE_STR, msg_call, model),
+	F(6, WIRE_STR, msg_call, method),
+	F(7, WIRE_STR, msg_call, path),
+	L(8, msg_call, headers, header_type),
+	F(9, WIRE_STR, msg_call, body),
+	F(10, WIRE_INT, msg_call, deadline_ms),
+	F(11, WIRE_INT, msg_call, priority),
+	F(12, WIRE_BOOL, msg_call, once),
+};
+static const struct wire_field reply_fields[] = {
+	F(1, WIRE_UINT, msg_reply, sub),
+	F(2, WIRE_UINT, msg_reply, seq),
+	F(3, WIRE_INT, msg_reply, status),
+	L(4, msg_reply, headers, header_type),
+	F(5, WIRE_STR, msg_reply, data),
+	F(6, WIRE_BOOL, msg_reply, end),
+	F(7, WIRE_INT, msg_reply, code),
+	F(8, WIRE_INT, msg_reply, outcome),
+	F(9, WIRE_STR, msg_reply, text),
+	F(10, WIRE_UINT, msg_reply, active),
+};
+static const struct wire_field cancel_fields[] = {
+	F(1, WIRE_UINT, msg_cancel, sub),
+};
+static const struct wire_field attach_fields[] = {
+	F(1, WIRE_UINT, msg_attach, sub),
+	F(2, WIRE_UINT, msg_attach, entry),
+	F(3, WIRE_UINT, msg_attach, seq),
+	F(4, WIRE_UINT, msg_attach, incarnation),
+	F(5, WIRE_UINT, msg_attach, have),
+};
+
+static const struct wire_type types[MSG_KINDS] = {
+	[MSG_HELLO] = T(msg_hello, hello_fields),
+	[MSG_PING] = T(msg_ping, ping_fields),
+	[MSG_RAFT] = T(msg_raft, raft_fields),
+	[MSG_JOIN] = T(msg_join, join_fields),
+	[MSG_JOINED] = T(msg_leader, leader_fields),
+	[MSG_LEADER] = T(msg_leader, leader_fields),
+	[MSG_REGISTER] = T(msg_register, register_fields),
+	[MSG_ASSIGN] = T(msg_assign, assign_fields),
+	[MSG_REPORT] = T(msg_report, report_fields),
+	[MSG_CONFIG] = T(msg_config, config_fields),
+	[MSG_ACK] = T(msg_config, config_fields),
+	[MSG_WATCH] = T(msg_watch, watch_fields),
+	[MSG_ROUTE] = T(msg_route, route_fields),
+	[MSG_CLAIM] = T(msg_claim, claim_fields),
+	[MSG_CLAIMED] = T(msg_claimed, claimed_fields),
+	[MSG_MODELS] = T(msg_models, models_fields),
+	[MSG_MODEL_LIST] = T(msg_model_list, model_list_fields),
+	[MSG_CALL] = T(msg_call, call_fields),
+	[MSG_REPLY] = T(msg_reply, reply_fields),
+	[MSG_CANCEL] = T(msg_cancel, cancel_fields),
+	[MSG_ATTACH] = T(msg_attach, attach_fields),
+};
+
+const struct wire_type *msg_type(enum msg_kind kind)
+{
+	if (kind <= 0 || kind >= MSG_KINDS)
+		return NULL;
+	return &types[kind];
+}
--- /dev/null
+++ b/src/core/msg.h
@@ -0,0 +1,245 @@
+/* What the system's processes tell each other, as plain structs. */
+#ifndef SS_MSG_H
+#define SS_MSG_H
+
+#include <sapphireshift/raft.h>
+
+#include "../base/wire.h"
+
+enum msg_kind {
+	MSG_HELLO = 1, /* first on a connection, both ways */
+	MSG_PING,      /* nothing else was sent for a while */
+	MSG_RAFT,      /* control to control */
+	MSG_JOIN,      /* a control VM without a group asks to be taken in */
+	MSG_JOINED,    /* its answer */
+	MSG_LEADER,    /* control to others: who leads */
+	MSG_REGISTER,  /* agent to leader: what this endpoint is and holds */
+	MSG_ASSIGN,    /* leader to agent: what it is to hold */
+	MSG_REPORT,    /* agent to leader: what it holds and does */
+	MSG_CONFIG,    /* leader to entry and agent: the preset in force */
+	MSG_ACK,       /* back: that version is in force here */
+	MSG_WATCH,     /* entry to leader: who waits for a model */
+	MSG_ROUTE,     /* leader to entry: where a model stands */
+	MSG_CLAIM,     /* entry to leader: may this call run? */
+	MSG_CLAIMED,   /* its answer */
+	MSG_MODELS,    /* entry to leader: names of the models */
+	MSG_MODEL_LIST,
+	MSG_CALL,   /* entry to agent */
+	MSG_REPLY,  /* agent to entry: a piece of the answer */
+	MSG_CANCEL, /* entry to agent: nobody waits any more */
+	MSG_ATTACH, /* entry to agent: what became of this call? */
+	MSG_KINDS
+};
+
+enum role { ROLE_ENTRY = 1, ROLE_AGENT, ROLE_CONTROL };
+
+struct msg_hello {
+	uint64_t version; /* of this protocol */
+	uint64_t group;	  /* 0: doesn't know one */
+	int64_t role;	  /* enum role */
+	struct ss_str name;
+	struct ss_str domain;
+	uint64_t incarnation; /* a new one at each start */
+	uint64_t config;      /* version of the preset in force here */
+};
+
+/* A control VM that looks for its group. */
+struct msg_join {
+	uint64_t id; /* of its data folder */
+	struct ss_str name;
+	struct ss_str addr;
+};
+
+struct msg_leader {
+	uint64_t group;
+	struct ss_str addr; /* empty: nobody known */
+	bool here;	    /* it is the sender */
+};
+
+struct msg_raft {
+	int64_t kind;
+	uint64_t from, to, term, index, log_term, commit, round;
+	uint64_t offset, total;
+	bool ok, transfer;
+	struct wire_list entries; /* struct ss_raft_entry */
+	struct ss_str members;	  /* encoded */
+	struct ss_str data;
+};
+
+enum held_state {
+	HELD_LOADING = 1,
+	HELD_READY,
+	HELD_UNLOADING,
+	HELD_FAILED, /* loads failed; nothing is held */
+	HELD_GONE,   /* it was to go, and the endpoint no longer has it */
+};
+
+/* A model in an endpoint's memory, or a replica as its agent sees it. */
+struct held {
+	uint64_t replica; /* 0: nobody decided it */
+	struct ss_str model;
+	uint64_t bytes;
+	int64_t state;	 /* enum held_state */
+	int64_t load_ms; /* how long the load took */
+	uint64_t active; /* calls on it */
+	uint64_t served; /* calls since the agent started */
+	int64_t idle_ms; /* since the last call ended, or since ready */
+};
+
+struct msg_register {
+	struct ss_str name, pool, domain, addr;
+	int64_t kind; /* enum node_kind */
+	uint64_t incarnation;
+	uint64_t bytes, slots;
+	struct wire_list held;	 /* struct held */
+	struct wire_list cached; /* struct cached */
+};
+
+/* Where a checkpoint is near. */
+struct cached {
+	struct ss_str model;
+	int64_t tier; /* enum ss_tier */
+};
+
+/* One replica that an agent is to hold. */
+struct order {
+	uint64_t replica;
+	struct ss_str model;
+	struct ss_str base;
+	uint64_t bytes;
+	uint64_t slots;
+	bool unload; /* finish its calls, unload it, report it gone */
+};
+
+struct msg_assign {
+	uint64_t fence; /* only grows for a node; old ones are refused */
+	uint64_t incarnation;
+	bool draining;
+	struct wire_list orders; /* struct order */
+};
+
+struct msg_report {
+	uint64_t incarnation;
+	uint64_t fence; /* newest it took */
+	uint64_t active;
+	bool draining;		 /* takes no new calls */
+	struct wire_list held;	 /* struct held */
+	struct wire_list cached; /* struct cached, where it changed */
+};
+
+struct msg_config {
+	uint64_t version;
+	struct ss_str name;
+	struct ss_str body;
+};
+
+struct msg_watch {
+	struct ss_str model; /* or "/svc/" and a pool */
+	uint64_t waiting;
+	int64_t deadline_ms; /* left to the earliest deadline */
+	int64_t priority;    /* highest class that waits */
+	uint64_t arrivals;   /* since the last watch */
+	bool done;	     /* no calls lately: send no more changes */
+};
+
+struct route_replica {
+	uint64_t replica;
+	struct ss_str node, addr, domain;
+	uint64_t incarnation;
+	uint64_t slots;
+	int64_t age_ms; /* since it was ready */
+};
+
+struct msg_route {
+	struct ss_str model;  /* as it was asked for */
+	struct ss_str target; /* the name that its agents know */
+	int64_t code;	      /* 0, or an enum ss_error: no such model */
+	int64_t eta_ms;	      /* until a replica stands; -1: unknown */
+	uint64_t version;
+	struct wire_list replicas; /* struct route_replica */
+};
+
+struct msg_claim {
+	uint64_t sub; /* echoed */
+	struct ss_str key;
+	uint64_t fingerprint;
+	uint64_t entry, seq;
+	uint64_t dead_entry, dead_seq;
+	struct ss_str node;
+	uint64_t incarnation;
+};
+
+struct msg_claimed {
+	uint64_t sub;
+	int64_t code; /* 0: run it; SS_ERROR_CONFLICT: it is this one's */
+	struct ss_str text;
+	uint64_t entry, seq;
+	struct ss_str node, addr;
+	uint64_t incarnation;
+};
+
+struct msg_models {
+	uint64_t sub;
+};
+
+struct model_name {
+	struct ss_str name;
+	struct ss_str base;
+};
+
+struct msg_model_list {
+	uint64_t sub;
+	struct wire_list models; /* struct model_name */
+};
+
+struct header {
+	struct ss_str name, value;
+};
+
+struct msg_call {
+	uint64_t sub;	      /* the entry's handle, echoed in replies */
+	uint64_t entry, seq;  /* the call's id, unique for ever */
+	uint64_t incarnation; /* of the agent that may run it */
+	struct ss_str model;
+	struct ss_str method, path;
+	struct wire_list headers; /* struct header */
+	struct ss_str body;
+	int64_t deadline_ms; /* left when sent */
+	int64_t priority;
+	bool once; /* must not run twice */
+};
+
+enum outcome { OUTCOME_RAN, OUTCOME_NOT_RUN, OUTCOME_UNKNOWN };
+
+struct msg_reply {
+	uint64_t sub;
+	uint64_t seq;	/* of this piece, from 0 */
+	int64_t status; /* HTTP status, on piece 0 */
+	struct wire_list headers;
+	struct ss_str data;
+	bool end;	 /* the answer is whole, or code says why not */
+	int64_t code;	 /* enum ss_error */
+	int64_t outcome; /* enum outcome, with code */
+	struct ss_str text;
+	uint64_t active; /* calls on the replica, for choosing */
+};
+
+struct msg_cancel {
+	uint64_t sub;
+};
+
+struct msg_attach {
+	uint64_t sub;
+	uint64_t entry, seq;
+	uint64_t incarnation;
+	uint64_t have; /* pieces that arrived already */
+};
+
+struct msg_ping {
+	uint64_t active;
+};
+
+/* The table of a kind; NULL for none. */
+const struct wire_type *msg_type(enum msg_kind kind);
+
+#endif
--- /dev/null
+++ b/src/core/state_codec.c
@@ -0,0 +1,103 @@
+/* The replicated state's records as bytes. */
+#include "state_codec.h"
+
+#define F(tag, kind, type, member)                                             \
+	{                                                                      \
+		tag, kind, offsetof(struct type, member), NULL                 \
+	}
+#define L(tag, type, member, sub)                                              \
+	{                                                                      \
+		tag, WIRE_LIST, offsetof(struct type, member), &(sub)          \
+	}
+
+static const struct wire_field preset_fields[] = {
+	F(1, WIRE_STR, preset_rec, name),
+	F(2, WIRE_STR, preset_rec, body),
+	F(3, WIRE_UINT, preset_rec, version),
+};
+const struct wire_type preset_wire =
+	WIRE_TYPE(struct preset_rec, preset_fields);
+
+static const struct wire_field model_fields[] = {
+	F(1, WIRE_STR, model_rec, name),   F(2, WIRE_STR, model_rec, base),
+	F(3, WIRE_STR, model_rec, pool),   F(4, WIRE_UINT, model_rec, bytes),
+	F(5, WIRE_UINT, model_rec, slots), F(6, WIRE_BOOL, model_rec, removed),
+};
+const struct wire_type model_wire = WIRE_TYPE(struct model_rec, model_fields);
+
+static const struct wire_field node_fields[] = {
+	F(1, WIRE_STR, node_rec, name),
+	F(2, WIRE_STR, node_rec, pool),
+	F(3, WIRE_STR, node_rec, domain),
+	F(4, WIRE_STR, node_rec, addr),
+	F(5, WIRE_INT, node_rec, kind),
+	F(6, WIRE_INT, node_rec, state),
+	F(7, WIRE_UINT, node_rec, incarnation),
+	F(8, WIRE_UINT, node_rec, bytes),
+	F(9, WIRE_UINT, node_rec, slots),
+	F(10, WIRE_UINT, node_rec, changed),
+};
+const struct wire_type node_wire = WIRE_TYPE(struct node_rec, node_fields);
+
+static const struct wire_field replica_fields[] = {
+	F(1, WIRE_UINT, replica_rec, id),
+	F(2, WIRE_STR, replica_rec, model),
+	F(3, WIRE_STR, replica_rec, base),
+	F(4, WIRE_STR, replica_rec, node),
+	F(5, WIRE_UINT, replica_rec, bytes),
+	F(6, WIRE_UINT, replica_rec, slots),
+	F(7, WIRE_INT, replica_rec, state),
+	F(8, WIRE_INT, replica_rec, at_ms),
+	F(9, WIRE_INT, replica_rec, load_ms),
+};
+const struct wire_type replica_wire =
+	WIRE_TYPE(struct replica_rec, replica_fields);
+
+static const struct wire_field claim_fields[] = {
+	F(1, WIRE_STR, claim_rec, key),
+	F(2, WIRE_UINT, claim_rec, fingerprint),
+	F(3, WIRE_UINT, claim_rec, entry),
+	F(4, WIRE_UINT, claim_rec, seq),
+	F(5, WIRE_STR, claim_rec, node),
+	F(6, WIRE_UINT, claim_rec, incarnation),
+	F(7, WIRE_INT, claim_rec, at_ms),
+};
+const struct wire_type claim_wire = WIRE_TYPE(struct claim_rec, claim_fields);
+
+static const struct wire_field change_fields[] = {
+	F(1, WIRE_STR, change_rec, id),	  F(2, WIRE_STR, change_rec, author),
+	F(3, WIRE_STR, change_rec, what), F(4, WIRE_UINT, change_rec, index),
+	F(5, WIRE_INT, change_rec, code), F(6, WIRE_UINT, change_rec, version),
+	F(7, WIRE_STR, change_rec, text), F(8, WIRE_INT, change_rec, at_ms),
+};
+const struct wire_type change_wire =
+	WIRE_TYPE(struct change_rec, change_fields);
+
+static const struct wire_field command_fields[] = {
+	F(1, WIRE_INT, command_wire, kind),
+	F(2, WIRE_STR, command_wire, change_id),
+	F(3, WIRE_STR, command_wire, author),
+	F(4, WIRE_INT, command_wire, at_ms),
+	F(5, WIRE_UINT, command_wire, expect),
+	F(6, WIRE_UINT, command_wire, dead_entry),
+	F(7, WIRE_UINT, command_wire, dead_seq),
+	L(8, command_wire, preset, preset_wire),
+	L(9, command_wire, models, model_wire),
+	L(10, command_wire, node, node_wire),
+	L(11, command_wire, replica, replica_wire),
+	L(12, command_wire, claim, claim_wire),
+};
+const struct wire_type command_wire_type =
+	WIRE_TYPE(struct command_wire, command_fields);
+
+static const struct wire_field image_fields[] = {
+	F(1, WIRE_STR, image, in_force),
+	F(2, WIRE_UINT, image, config_version),
+	L(3, image, presets, preset_wire),
+	L(4, image, models, model_wire),
+	L(5, image, nodes, node_wire),
+	L(6, image, replicas, replica_wire),
+	L(7, image, claims, claim_wire),
+	L(8, image, changes, change_wire),
+};
+const struct wire_type image_wire = WIRE_TYPE(struct image, image_fields);
--- /dev/null
+++ b/src/ctl/print.c
@@ -0,0 +1,218 @@
+/* Answers for people. */
+#include "print.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+static json_object *get(json_object *o, const char *key)
+{
+	json_object *v = NULL;
+
+	json_object_object_get_ex(o, key, &v);
+	return v;
+}
+
+static const char *text(json_object *o, const char *key)
+{
+	const char *s = json_object_get_string(get(o, key));
+
+	return s ? s : "";
+}
+
+static int64_t number(json_object *o, const char *key)
+{
+	return json_object_get_int64(get(o, key));
+}
+
+static size_t length(json_object *list)
+{
+	return list ? json_object_array_length(list) : 0;
+}
+
+static void each(json_object *o, const char *key, void (*fn)(json_object *item))
+{
+	json_object *list = get(o, key);
+
+	for (size_t i = 0; i < length(list); i++)
+		fn(json_object_array_get_idx(list, i));
+}
+
+void print_version(json_object *o)
+{
+	if (!get(o, "version"))
+		return;
+	printf("version %" PRId64 "%s\n", number(o, "version"),
+	       json_object_get_boolean(get(o, "resend")) ?
+		       " (sent before; not applied again)" :
+		       "");
+}
+
+static void print_preset_row(json_object *p)
+{
+	printf("%-24s version %" PRId64 "\n", text(p, "name"),
+	       number(p, "version"));
+}
+
+void print_presets(json_object *o)
+{
+	each(o, "presets", print_preset_row);
+	printf("in force: %s (version %" PRId64 ")\n", text(o, "in_force"),
+	       number(o, "version"));
+}
+
+void print_preset(json_object *o)
+{
+	print_preset_row(o);
+	printf("%s\n", json_object_to_json_string_ext(get(o, "body"),
+						      JSON_C_TO_STRING_PRETTY));
+}
+
+static void print_change(json_object *c)
+{
+	time_t at = (time_t)(number(c, "at_ms") / 1000);
+	char stamp[32];
+	struct tm tm;
+
+	localtime_r(&at, &tm);
+	strftime(stamp, sizeof(stamp), "%Y-%m-%d %H:%M:%S", &tm);
+	printf("%8" PRId64 "  %s  %-10s %-10s %s\n", number(c, "version"),
+	       stamp, text(c, "author"), text(c, "result"), text(c, "what"));
+}
+
+void print_history(json_object *o)
+{
+	each(o, "history", print_change);
+}
+
+static void print_model(json_object *m)
+{
+	printf("%-40s %-16s %12" PRId64 " bytes %4" PRId64 " slots  %s\n",
+	       text(m, "name"), text(m, "pool"), number(m, "bytes"),
+	       number(m, "slots"), text(m, "base"));
+}
+
+void print_models(json_object *o)
+{
+	each(o, "models", print_model);
+}
+
+static void print_member(json_object *m)
+{
+	printf("  %-16s %s  %-22s %-8s match %" PRId64 "%s\n", text(m, "name"),
+	       text(m, "id"), text(m, "addr"),
+	       json_object_get_boolean(get(m, "voter")) ? "voter" : "learner",
+	       number(m, "match"),
+	       json_object_get_boolean(get(m, "leads")) ? "  leads" : "");
+}
+
+void print_members(json_object *o)
+{
+	each(o, "members", print_member);
+}
+
+static void print_process(json_object *p)
+{
+	printf("  %-16s %-8s %-14s configuration %" PRId64 "\n",
+	       text(p, "name"), text(p, "role"), text(p, "domain"),
+	       number(p, "config"));
+}
+
+static void print_node(json_object *n)
+{
+	printf("  %-16s %-14s %-14s %-9s %s %" PRId64 " of %" PRId64 " bytes\n",
+	       text(n, "name"), text(n, "pool"), text(n, "domain"),
+	       text(n, "state"),
+	       json_object_get_boolean(get(n, "usable")) ? "usable  " :
+							   "unusable",
+	       number(n, "reserved"), number(n, "bytes"));
+}
+
+static void print_replica(json_object *r)
+{
+	printf("  %-8" PRId64 " %-32s on %-16s %-9s active %" PRId64
+	       " idle %" PRId64 " ms, loaded in %" PRId64 " ms\n",
+	       number(r, "id"), text(r, "model"), text(r, "node"),
+	       text(r, "state"), number(r, "active"), number(r, "idle_ms"),
+	       number(r, "load_ms"));
+}
+
+static void print_queue(json_object *q)
+{
+	printf("  %-32s %" PRId64 " waiting at %" PRId64 " entries\n",
+	       text(q, "model"), number(q, "waiting"), number(q, "entries"));
+}
+
+void print_status(json_object *o)
+{
+	printf("leader %s, term %" PRId64 ", log applied to %" PRId64 "\n",
+	       text(o, "leader"), number(o, "term"), number(o, "applied"));
+	printf("in force: %s (version %" PRId64 ")\n", text(o, "in_force"),
+	       number(o, "version"));
+	printf("control:\n");
+	each(o, "members", print_member);
+	printf("processes:\n");
+	each(o, "processes", print_process);
+	printf("endpoints:\n");
+	each(o, "nodes", print_node);
+	printf("replicas:\n");
+	each(o, "replicas", print_replica);
+	printf("queues:\n");
+	each(o, "queues", print_queue);
+}
+
+void print_why(json_object *o)
+{
+	printf("%s: %" PRId64 " waiting; %s\n", text(o, "model"),
+	       number(o, "waiting"), text(o, "why"));
+	if (get(o, "eta_ms"))
+		printf("a replica is expected in %" PRId64 " ms\n",
+		       number(o, "eta_ms"));
+	if (get(o, "last_unload_why"))
+		printf("last unloaded %" PRId64 " ms ago: %s\n",
+		       number(o, "last_unload_ms_ago"),
+		       text(o, "last_unload_why"));
+	printf("%" PRId64 " bytes; its last load took %" PRId64 " ms\n",
+	       number(o, "bytes"), number(o, "load_ms"));
+	each(o, "replicas", print_replica);
+}
+
+static void print_side(char sign, const char *path, json_object *v)
+{
+	printf("%c %s: %s\n", sign, path,
+	       json_object_to_json_string_ext(v, JSON_C_TO_STRING_PLAIN));
+}
+
+static void diff_key(const char *path, const char *key, json_object *a,
+		     json_object *b)
+{
+	char *at = *path ? g_strdup_printf("%s.%s", path, key) : g_strdup(key);
+	json_object *x = get(a, key), *y = get(b, key);
+
+	if (x && y && json_object_is_type(x, json_type_object) &&
+	    json_object_is_type(y, json_type_object)) {
+		print_diff(at, x, y);
+	} else if (!json_object_equal(x, y)) {
+		if (x)
+			print_side('-', at, x);
+		if (y)
+			print_side('+', at, y);
+	}
+	g_free(at);
+}
+
+void print_diff(const char *path, json_object *a, json_object *b)
+{
+	json_object_object_foreach(a, key, unused_a) {
+		(void)unused_a;
+		diff_key(path, key, a, b);
+	}
+	json_object_object_foreach(b, other, unused_b) {
+		(void)unused_b;
+		if (!get(a, other))
+			diff_key(path, other, a, b);
+	}
+}
--- /dev/null
+++ b/src/ctl/print.h
@@ -0,0 +1,19 @@
+/* Answers of the operators' interface, for people. */
+#ifndef SS_PRINT_H
+#define SS_PRINT_H
+
+struct json_object;
+
+void print_version(struct json_object *o);
+void print_presets(struct json_object *o);
+void print_preset(struct json_object *o);
+void print_history(struct json_object *o);
+void print_models(struct json_object *o);
+void print_members(struct json_object *o);
+void print_status(struct json_object *o);
+void print_why(struct json_object *o);
+
+/* Fields in which two objects differ, one a line. */
+void print_diff(const char *path, struct json_object *a, struct json_object *b);
+
+#endif
--- /dev/null
+++ b/src/daemon/bootstrap.c
@@ -0,0 +1,197 @@
+/* Making a new control group. */
+#include "bootstrap.h"
+
+#include "../core/preset.h"
+#include "../core/state.h"
+#include "../disk/disk.h"
+
+#include <stdio.h>
+
+struct seed {
+	GArray *entries; /* struct ss_raft_entry with data owned */
+};
+
+static void add_entry(struct seed *s, int64_t kind, GString *data)
+{
+	struct ss_raft_entry e = { .index = s->entries->len + 1,
+				   .term = 1,
+				   .kind = kind };
+
+	e.data.n = data->len;
+	e.data.p = g_string_free(data, FALSE);
+	g_array_append_val(s->entries, e);
+}
+
+static void add_command(struct seed *s, struct command *c)
+{
+	c->author = SS_LIT("bootstrap");
+	c->at_ms = ss_wall_ms();
+	add_entry(s, SS_RAFT_DATA, ss_command_encode(c));
+}
+
+static void add_members(struct seed *s, const struct config *c, uint64_t id)
+{
+	const char *addr = *c->advertise ? c->advertise : c->listen;
+	struct ss_raft_member self = { .id = id,
+				       .name = ss_str(c->name),
+				       .addr = ss_str(addr),
+				       .voter = true };
+	struct ss_raft_members all = { &self, 1 };
+
+	add_entry(s, SS_RAFT_MEMBERS, ss_raft_encode_members(&all));
+}
+
+static bool read_text(const char *file, char **text, gsize *n, GError **error)
+{
+	GError *e = NULL;
+
+	if (g_file_get_contents(file, text, n, &e))
+		return true;
+	g_set_error(error, SS_ERROR, SS_ERROR_IO, "%s", e->message);
+	g_error_free(e);
+	return false;
+}
+
+static bool add_preset(struct seed *s, const char *name, const char *file,
+		       struct ss_str text, GError **error)
+{
+	struct preset_rec rec = { .name = ss_str(name) };
+	struct command c = { .kind = COMMAND_PRESET_PUT, .preset = &rec };
+	struct preset p;
+	char *plain;
+
+	if (!preset_parse(&p, file, text, error))
+		return false;
+	preset_clear(&p);
+	plain = settings_plain_json(file, text, error);
+	if (!plain)
+		return false;
+	rec.body = ss_str(plain);
+	add_command(s, &c);
+	g_free(plain);
+	return true;
+}
+
+static bool add_presets(struct seed *s, const char *folder, GError **error)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *entry;
+	bool ok = true;
+
+	if (!dir) {
+		g_set_error(error, SS_ERROR, SS_ERROR_IO, "can't read %s",
+			    folder);
+		return false;
+	}
+	while (ok && (entry = g_dir_read_name(dir))) {
+		char *file = g_build_filename(folder, entry, NULL);
+		char *name = g_strdup(entry);
+		char *dot = strrchr(name, '.');
+		char *text;
+		gsize n;
+
+		if (dot && !strcmp(dot, ".json")) {
+			*dot = 0;
+			ok = read_text(file, &text, &n, error);
+			if (ok) {
+				ok = add_preset(s, name, file,
+						(struct ss_str){ text, n },
+						error);
+				g_free(text);
+			}
+		}
+		g_free(name);
+		g_free(file);
+	}
+	g_dir_close(dir);
+	return ok;
+}
+
+static bool add_models(struct seed *s, const char *file, GError **error)
+{
+	struct config_models m;
+	struct command c = { .kind = COMMAND_MODELS_PUT };
+	struct model_rec *recs;
+	char *text;
+	gsize n;
+	bool ok;
+
+	if (!read_text(file, &text, &n, error))
+		return false;
+	ok = config_models_parse(&m, file, (struct ss_str){ text, n }, error);
+	g_free(text);
+	if (!ok)
+		return false;
+	recs = g_new0(struct model_rec, m.models->len);
+	for (guint i = 0; i < m.models->len; i++) {
+		const struct config_model *x = m.models->pdata[i];
+
+		recs[i].name = ss_str(x->name);
+		recs[i].base = ss_str(x->base);
+		recs[i].pool = ss_str(x->pool);
+		recs[i].bytes = (uint64_t)x->bytes;
+		recs[i].slots = (uint64_t)x->slots;
+	}
+	c.models = recs;
+	c.n_models = m.models->len;
+	add_command(s, &c);
+	g_free(recs);
+	config_models_clear(&m);
+	return true;
+}
+
+static void add_switch(struct seed *s, const char *name)
+{
+	struct preset_rec rec = { .name = ss_str(name) };
+	struct command c = { .kind = COMMAND_PRESET_SWITCH, .preset = &rec };
+
+	add_command(s, &c);
+}
+
+static void clear_entry(void *e)
+{
+	g_free((char *)((struct ss_raft_entry *)e)->data.p);
+}
+
+bool bootstrap_group(const struct config *c, GError **error)
+{
+	struct disk_options o = { .folder = c->ctl.data };
+	struct seed s;
+	struct disk_state st;
+	struct disk *d;
+	bool ok = false;
+
+	if (c->role != CONFIG_CONTROL) {
+		g_set_error(error, SS_ERROR, SS_ERROR_SETTINGS,
+			    "only a control VM makes a group");
+		return false;
+	}
+	d = disk_open(&o, &st, error);
+	if (!d)
+		return false;
+	s.entries = g_array_new(FALSE, FALSE, sizeof(struct ss_raft_entry));
+	g_array_set_clear_func(s.entries, clear_entry);
+	if (st.group || st.n_entries) {
+		g_set_error(error, SS_ERROR, SS_ERROR_CONFLICT,
+			    "%s belongs to a group already", c->ctl.data);
+		goto out;
+	}
+	add_members(&s, c, st.id);
+	if (*c->ctl.models_file && !add_models(&s, c->ctl.models_file, error))
+		goto out;
+	if (*c->ctl.presets_dir && !add_presets(&s, c->ctl.presets_dir, error))
+		goto out;
+	if (*c->ctl.first_preset)
+		add_switch(&s, c->ctl.first_preset);
+	ok = disk_append(d, (struct ss_raft_entry *)s.entries->data,
+			 s.entries->len, error) &&
+	     disk_sync(d, error) && disk_save_vote(d, 1, st.id, error) &&
+	     disk_set_group(d, ss_unique_id(), error);
+	if (ok)
+		printf("%s: group made with %u entries\n", c->ctl.data,
+		       s.entries->len);
+out:
+	g_array_unref(s.entries);
+	disk_close(d);
+	return ok;
+}
--- /dev/null
+++ b/src/daemon/config.h
@@ -0,0 +1,84 @@
+/* The settings of a process. */
+#ifndef SS_CONFIG_H
+#define SS_CONFIG_H
+
+#include "../base/settings.h"
+
+enum config_role { CONFIG_ENTRY, CONFIG_AGENT, CONFIG_CONTROL };
+
+/* Which calls may run twice, or where a call belongs: by method and path. */
+struct config_rule {
+	char *name;
+	char *method; /* empty: any */
+	char *path;   /* prefix */
+	bool repeatable;
+};
+
+struct config_headers {
+	char *deadline, *class_name, *tenant, *once;
+};
+
+struct config_entry {
+	char *listen;
+	int64_t max_body_bytes;
+	int64_t receive_ms; /* for a caller to send its whole request */
+	int64_t drain_ms;   /* not ready, but still taking calls */
+	int64_t drain_max_ms;
+	struct config_headers headers;
+	GPtrArray *rules; /* struct config_rule */
+};
+
+struct config_agent {
+	int kind; /* 0: engine, 1: service */
+	char *pool;
+	char *endpoint;
+	int64_t slots;
+	int64_t drain_max_ms;
+};
+
+struct config_control {
+	char *data;
+	char *operator_listen;
+	char *token_file;
+	char *platform;
+	char *models_file;  /* put once, when the group is made */
+	char *presets_dir;  /* likewise: NAME.json */
+	char *first_preset; /* put in force then */
+	int64_t snapshot_entries;
+};
+
+struct config {
+	int role; /* enum config_role */
+	char *name, *domain;
+	char *listen;	 /* frames: agent and control */
+	char *advertise; /* the address that others use; empty: listen */
+	char *status_listen;
+	char *log_level;
+	GPtrArray *control; /* addresses of the control VMs */
+	struct config_entry entry;
+	struct config_agent agent;
+	struct config_control ctl;
+};
+
+extern const struct setting_type config_type;
+
+/* Load and check; every fault with file, line and field. */
+bool config_load(struct config *c, const char *file, GError **error);
+void config_clear(struct config *c);
+
+/* Models as operators write them: NAME: {pool, bytes, slots, base}. */
+struct config_model {
+	char *name;
+	char *base, *pool;
+	int64_t bytes, slots;
+};
+
+struct config_models {
+	GPtrArray *models; /* struct config_model */
+};
+
+bool config_models_parse(struct config_models *m, const char *file,
+			 struct ss_str text, GError **error);
+void config_models_clear(struct config_models *m);
+
+#endif
--- /dev/null
+++ b/src/daemon/control.c
@@ -0,0 +1,342 @@
+/* The control VM: a member of the group, and its leader at times. */
+#include "../operator/operator.h"
+#include "../platform/vms.h"
+#include "lead.h"
+
+#include <json-c/json.h>
+
+#define TICK_MS 20
+#define LEAVE_MS 300
+
+struct control_role {
+	struct daemon *d;
+	struct group *group;
+	struct lead *lead; /* NULL while another leads */
+	struct listener *listener;
+	struct operator_http *operators;
+	struct vms *vms;
+	struct event *tick;
+	GHashTable *conns; /* open ones that others made */
+	int64_t stop_ms;
+	uint64_t *n_denied;
+};
+
+static void tell_leader(struct control_role *k, struct conn *c)
+{
+	const char *addr = group_leader_addr(k->group);
+	struct msg_leader m = { .group = group_id(k->group),
+				.here = k->lead != NULL };
+
+	if (!m.here && addr)
+		m.addr = ss_str(addr);
+	conn_send(c, MSG_LEADER, &m);
+}
+
+static bool is_client(struct conn *c)
+{
+	return conn_peer(c)->role != ROLE_CONTROL;
+}
+
+/* Take up or lay down the leader's part. */
+static void check_leadership(struct control_role *k)
+{
+	bool leads = group_leads(k->group);
+	GHashTableIter it;
+	void *c;
+
+	if (leads == (k->lead != NULL))
+		return;
+	if (leads) {
+		k->lead = lead_new(k->d, k->group);
+		log_info("lead", "begins");
+	} else {
+		lead_free(k->lead);
+		k->lead = NULL;
+		log_info("lead", "ends");
+	}
+	g_hash_table_iter_init(&it, k->conns);
+	while (g_hash_table_iter_next(&it, &c, NULL)) {
+		if (!is_client(c))
+			continue;
+		if (leads)
+			lead_open(k->lead, c);
+		tell_leader(k, c);
+	}
+}
+
+static void on_applied(void *arg, uint64_t index)
+{
+	struct control_role *k = arg;
+
+	(void)index;
+	if (k->lead)
+		lead_applied(k->lead);
+}
+
+static void on_changed(void *arg)
+{
+	struct control_role *k = arg;
+
+	/* Only the end is handled at once; the rest waits for the tick. */
+	if (k->group && !group_leads(k->group))
+		check_leadership(k);
+}
+
+static const struct group_ops group_table = { on_applied, on_changed };
+
+static void conn_open(void *arg, struct conn *c)
+{
+	struct control_role *k = arg;
+
+	g_hash_table_add(k->conns, c);
+	if (!is_client(c))
+		return;
+	if (k->lead)
+		lead_open(k->lead, c);
+	tell_leader(k, c);
+}
+
+static void conn_message(void *arg, struct conn *c, struct frame *f)
+{
+	struct control_role *k = arg;
+
+	if (group_message(k->group, c, f))
+		return;
+	if (k->lead)
+		lead_message(k->lead, c, f);
+}
+
+static void conn_closed(void *arg, struct conn *c, const GError *why)
+{
+	struct control_role *k = arg;
+
+	(void)why;
+	g_hash_table_remove(k->conns, c);
+	group_conn_closed(k->group, c);
+	if (k->lead)
+		lead_closed(k->lead, c);
+}
+
+static const struct conn_ops conn_table = { conn_open, conn_message,
+					    conn_closed };
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct control_role *k = arg;
+
+	(void)fd;
+	(void)what;
+	check_leadership(k);
+	if (k->lead)
+		lead_tick(k->lead);
+	if (k->stop_ms && ss_clock_now(&k->d->clock) - k->stop_ms > LEAVE_MS)
+		daemon_exit(k->d, 0);
+}
+
+static void on_vms(void *arg, const struct vm *vms, size_t n)
+{
+	struct control_role *k = arg;
+
+	if (k->lead)
+		lead_vms(k->lead, vms, n);
+}
+
+/* What operators' HTTP asks. */
+
+static void op_change(void *arg, struct command *c, struct operator_done done)
+{
+	struct control_role *k = arg;
+
+	group_change(k->group, c, (struct change_done){ done.fn, done.arg });
+}
+
+static void op_confirm(void *arg, void (*fn)(void *fn_arg, bool ok),
+		       void *fn_arg)
+{
+	struct control_role *k = arg;
+
+	group_confirm(k->group, (struct read_done){ fn, fn_arg });
+}
+
+static const struct ss_state *op_state(void *arg)
+{
+	return group_state(((struct control_role *)arg)->group);
+}
+
+static json_object *op_members(void *arg)
+{
+	struct control_role *k = arg;
+	const struct ss_raft *r = group_raft(k->group);
+	const struct ss_raft_members *all = ss_raft_members(r);
+	json_object *root = json_object_new_object();
+	json_object *list = json_object_new_array();
+
+	for (size_t i = 0; i < all->n; i++) {
+		json_object *o = json_object_new_object();
+		char id[24];
+
+		g_snprintf(id, sizeof(id), "%016" PRIx64, all->m[i].id);
+		json_object_object_add(o, "id", json_object_new_string(id));
+		json_object_object_add(
+			o, "name", json_object_new_string(all->m[i].name.p));
+		json_object_object_add(
+			o, "addr", json_object_new_string(all->m[i].addr.p));
+		json_object_object_add(
+			o, "voter", json_object_new_boolean(all->m[i].voter));
+		json_object_object_add(
+			o, "leads",
+			json_object_new_boolean(all->m[i].id ==
+						ss_raft_leader(r)));
+		json_object_object_add(
+			o, "match",
+			json_object_new_int64(
+				(int64_t)ss_raft_match(r, all->m[i].id)));
+		json_object_array_add(list, o);
+	}
+	json_object_object_add(root, "members", list);
+	return root;
+}
+
+static void op_status(void *arg, json_object *o)
+{
+	struct control_role *k = arg;
+	const struct ss_state *s = group_state(k->group);
+	const struct preset_rec *p = ss_state_in_force(s);
+	const struct ss_raft *r = group_raft(k->group);
+	json_object *members = op_members(k), *list;
+
+	json_object_object_add(o, "leader",
+			       json_object_new_string(k->d->config.name));
+	json_object_object_add(o, "term",
+			       json_object_new_int64((int64_t)ss_raft_term(r)));
+	json_object_object_add(
+		o, "applied",
+		json_object_new_int64((int64_t)ss_raft_applied(r)));
+	json_object_object_add(o, "in_force",
+			       json_object_new_string(p ? p->name.p : ""));
+	json_object_object_add(
+		o, "version",
+		json_object_new_int64((int64_t)ss_state_config_version(s)));
+	if (json_object_object_get_ex(members, "members", &list))
+		json_object_object_add(o, "members", json_object_get(list));
+	json_object_put(members);
+	if (k->lead)
+		lead_status(k->lead, o);
+}
+
+static json_object *op_why(void *arg, const char *model)
+{
+	struct control_role *k = arg;
+
+	return k->lead ? lead_why(k->lead, model) : NULL;
+}
+
+static bool op_remove(void *arg, uint64_t id, GError **error)
+{
+	return group_remove_member(((struct control_role *)arg)->group, id,
+				   error);
+}
+
+static bool control_ready(void *role)
+{
+	const struct control_role *k = role;
+
+	return group_leader_addr(k->group) != NULL && !k->stop_ms;
+}
+
+static bool op_plain(void *arg, struct evhttp_request *req)
+{
+	struct control_role *k = arg;
+
+	return daemon_status_request(k->d, req, control_ready(k));
+}
+
+static const struct operator_ops operator_table = {
+	.change = op_change,
+	.confirm = op_confirm,
+	.state = op_state,
+	.status = op_status,
+	.why = op_why,
+	.members = op_members,
+	.remove_member = op_remove,
+	.plain = op_plain,
+};
+
+static void control_free(void *role)
+{
+	struct control_role *k = role;
+	GHashTableIter it;
+	void *c;
+
+	if (k->tick)
+		event_free(k->tick);
+	vms_free(k->vms);
+	operator_free(k->operators);
+	conn_listener_free(k->listener);
+	g_hash_table_iter_init(&it, k->conns);
+	while (g_hash_table_iter_next(&it, &c, NULL))
+		conn_close(c);
+	g_hash_table_unref(k->conns);
+	group_free(k->group);
+	lead_free(k->lead);
+	g_free(k);
+}
+
+static bool start_parts(struct control_role *k, GError **error)
+{
+	struct daemon *d = k->d;
+	struct conn_options conn = daemon_conn_options(d, &conn_table, k);
+	struct operator_options oo = { .base = d->base,
+				       .addr = d->config.ctl.operator_listen,
+				       .token_file = d->config.ctl.token_file,
+				       .ops = &operator_table,
+				       .arg = k,
+				       .denied = k->n_denied };
+	struct vms_options vo = { .base = d->base,
+				  .addr = d->config.ctl.platform,
+				  .list = on_vms,
+				  .arg = k };
+	char *addr;
+
+	k->group = group_new(d, &group_table, k, error);
+	if (!k->group)
+		return false;
+	k->listener = conn_listen(&conn, d->config.listen, error);
+	if (!k->listener)
+		return false;
+	addr = daemon_advertised(d, k->listener);
+	group_set_addr(k->group, addr);
+	g_free(addr);
+	k->operators = operator_new(&oo, error);
+	if (!k->operators)
+		return false;
+	if (*vo.addr)
+		k->vms = vms_new(&vo);
+	return true;
+}
+
+static void *control_start(struct daemon *d, GError **error)
+{
+	struct control_role *k = g_new0(struct control_role, 1);
+
+	k->d = d;
+	k->conns = g_hash_table_new(NULL, NULL);
+	k->n_denied = metrics_value(d->metrics, "ss_operator_denied_total", "");
+	if (!start_parts(k, error)) {
+		control_free(k);
+		return NULL;
+	}
+	k->tick = daemon_every(d, TICK_MS, on_tick, k);
+	return k;
+}
+
+static void control_stop(void *role)
+{
+	struct control_role *k = role;
+
+	k->stop_ms = ss_clock_now(&k->d->clock);
+	group_leave(k->group);
+}
+
+const struct role_ops control_role = { "control", control_start, control_stop,
+				       control_ready, control_free };
--- /dev/null
+++ b/src/daemon/lead.c
@@ -0,0 +1,835 @@
+/* What a leader knows beside the replicated state, and does by it. */
+#include "lead_int.h"
+
+#include "../platform/vms.h"
+
+#include <json-c/json.h>
+
+#define PLAN_EVERY_MS 100
+/* A VM that the platform no longer lists, and that can't be heard, is
+ * given up after so long. Until then its memory stays counted. */
+#define GONE_AFTER_MS 5000
+
+static int64_t now_ms(const struct lead *l)
+{
+	return ss_clock_now(&l->d->clock);
+}
+
+bool lead_still(const GError *error)
+{
+	return !error || error->code != SS_ERROR_NOT_LEADER;
+}
+
+/* Tables. */
+
+static void node_free(void *p)
+{
+	struct lead_node *n = p;
+
+	g_free(n->name);
+	g_array_unref(n->held);
+	g_hash_table_unref(n->cached);
+	g_free(n);
+}
+
+struct lead_node *lead_node_for(struct lead *l, const char *name)
+{
+	struct lead_node *n = g_hash_table_lookup(l->nodes, name);
+
+	if (n)
+		return n;
+	n = g_new0(struct lead_node, 1);
+	n->name = g_strdup(name);
+	n->down_ms = l->since_ms;
+	n->unlisted_ms = SS_NEVER;
+	n->held = g_array_new(FALSE, FALSE, sizeof(struct lead_held));
+	n->cached =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_insert(l->nodes, n->name, n);
+	return n;
+}
+
+static void want_free(void *p)
+{
+	struct lead_want *w = p;
+
+	g_string_free(w->sent, TRUE);
+	g_free(w);
+}
+
+static void model_free(void *p)
+{
+	struct lead_model *m = p;
+
+	g_free(m->name);
+	g_ptr_array_unref(m->wants);
+	g_free(m->arrivals);
+	g_free(m);
+}
+
+struct lead_model *lead_model_for(struct lead *l, const char *name)
+{
+	struct lead_model *m = g_hash_table_lookup(l->models, name);
+
+	if (m)
+		return m;
+	m = g_new0(struct lead_model, 1);
+	m->name = g_strdup(name);
+	m->wants = g_ptr_array_new_with_free_func(want_free);
+	m->eta_ms = SS_NEVER;
+	m->why = "nobody has asked for it";
+	g_hash_table_insert(l->models, m->name, m);
+	return m;
+}
+
+const struct model_rec *lead_resolve(const struct lead *l, const char *name)
+{
+	const struct ss_state *s = group_state(l->g);
+	const struct model_rec *m = ss_state_model(s, name);
+	const char *colon = strchr(name, ':');
+
+	if (m || !colon)
+		return m;
+	m = ss_state_model(s, colon + 1);
+	if (m && m->base.n == (size_t)(colon - name) &&
+	    !strncmp(m->base.p, name, m->base.n))
+		return m;
+	return NULL;
+}
+
+bool lead_node_usable(const struct lead *l, const struct node_rec *rec)
+{
+	const struct lead_node *n = g_hash_table_lookup(l->nodes, rec->name.p);
+	int64_t now = now_ms(l);
+
+	if (rec->state != NODE_LIVE || (n && n->draining))
+		return false;
+	if (n && n->conn)
+		return true;
+	if (now - l->since_ms < LEAD_GRACE_MS)
+		return true;
+	return n && now - n->down_ms < LEAD_NODE_LOST_MS;
+}
+
+const struct lead_held *lead_held_of(const struct lead *l,
+				     const struct replica_rec *r)
+{
+	const struct lead_node *n = g_hash_table_lookup(l->nodes, r->node.p);
+
+	for (guint i = 0; n && i < n->held->len; i++) {
+		const struct lead_held *h =
+			&g_array_index(n->held, struct lead_held, i);
+
+		if (h->replica == r->id)
+			return h;
+	}
+	return NULL;
+}
+
+/* The configuration. */
+
+static void read_preset(struct lead *l)
+{
+	const struct ss_state *s = group_state(l->g);
+	const struct preset_rec *rec = ss_state_in_force(s);
+	struct preset p;
+
+	if (l->preset_version == ss_state_config_version(s) &&
+	    l->preset.classes)
+		return;
+	if (preset_parse(&p, "preset",
+			 rec ? rec->body : ss_str(preset_built_in), NULL)) {
+		preset_clear(&l->preset);
+		l->preset = p;
+	}
+	l->preset_version = ss_state_config_version(s);
+}
+
+static void send_config(struct lead *l, struct lead_peer *p)
+{
+	const struct ss_state *s = group_state(l->g);
+	const struct preset_rec *rec = ss_state_in_force(s);
+	struct msg_config m = { .version = ss_state_config_version(s) };
+
+	if (!p->confirmed || !rec || p->config_sent == m.version)
+		return;
+	m.name = rec->name;
+	m.body = rec->body;
+	if (conn_send(p->conn, MSG_CONFIG, &m))
+		p->config_sent = m.version;
+}
+
+static void push_configs(struct lead *l)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		send_config(l, p);
+}
+
+/* Orders to agents. */
+
+static void send_assign(struct lead *l, struct lead_node *n,
+			const struct node_rec *rec)
+{
+	GPtrArray *list = ss_state_node_replicas(group_state(l->g), n->name);
+	GArray *orders = g_array_new(FALSE, FALSE, sizeof(struct order));
+	struct msg_assign m = { .fence = rec->changed,
+				.incarnation = rec->incarnation,
+				.draining = rec->state == NODE_DRAINING };
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct replica_rec *r = list->pdata[i];
+		struct order o = { .replica = r->id,
+				   .model = r->model,
+				   .base = r->base,
+				   .bytes = r->bytes,
+				   .slots = r->slots,
+				   .unload = r->state == REPLICA_UNLOADING };
+
+		g_array_append_val(orders, o);
+	}
+	m.orders = (struct wire_list){ orders->data, orders->len };
+	if (conn_send(n->conn, MSG_ASSIGN, &m))
+		n->fence_sent = rec->changed;
+	g_array_unref(orders);
+}
+
+static void push_assigns(struct lead *l)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->nodes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct lead_node *n = p;
+		const struct node_rec *rec =
+			ss_state_node(group_state(l->g), n->name);
+
+		if (rec && n->conn && n->registered &&
+		    n->incarnation == rec->incarnation &&
+		    n->fence_sent != rec->changed)
+			send_assign(l, n, rec);
+	}
+}
+
+/* Connections. */
+
+struct confirm {
+	struct lead *l;
+	struct conn *conn;
+};
+
+static void on_confirmed(void *arg, bool ok)
+{
+	struct confirm *k = arg;
+	struct lead_peer *p;
+
+	/* Not ok: the leadership has ended, and l with it. */
+	if (ok) {
+		p = g_hash_table_lookup(k->l->peers, k->conn);
+		if (p) {
+			p->confirmed = true;
+			send_config(k->l, p);
+		}
+	}
+	g_free(k);
+}
+
+/*
+ * A process that has just started knows nothing, and would believe an old
+ * leader that doesn't know of its end. So nothing is told before a
+ * majority has answered this leader since the process asked.
+ */
+static void confirm_for(struct lead *l, struct conn *c)
+{
+	struct confirm *k = g_new0(struct confirm, 1);
+	struct read_done done = { on_confirmed, k };
+
+	k->l = l;
+	k->conn = c;
+	group_confirm(l->g, done);
+}
+
+void lead_open(struct lead *l, struct conn *c)
+{
+	struct lead_peer *p = g_new0(struct lead_peer, 1);
+
+	p->conn = c;
+	p->entry = conn_peer(c)->role == ROLE_ENTRY;
+	g_hash_table_insert(l->peers, c, p);
+	confirm_for(l, c);
+}
+
+static void drop_wants(struct lead *l, struct conn *c)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->models);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		GPtrArray *wants = ((struct lead_model *)p)->wants;
+
+		for (guint i = wants->len; i-- > 0;)
+			if (((struct lead_want *)wants->pdata[i])->conn == c)
+				g_ptr_array_remove_index_fast(wants, i);
+	}
+}
+
+void lead_closed(struct lead *l, struct conn *c)
+{
+	GHashTableIter it;
+	void *p;
+
+	if (!g_hash_table_remove(l->peers, c))
+		return;
+	drop_wants(l, c);
+	g_hash_table_iter_init(&it, l->nodes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct lead_node *n = p;
+
+		if (n->conn != c)
+			continue;
+		n->conn = NULL;
+		n->registered = false;
+		n->down_ms = now_ms(l);
+	}
+	l->dirty = true;
+}
+
+/* Agents. */
+
+static void take_cached(struct lead_node *n, const struct wire_list *list)
+{
+	const struct cached *c = list->items;
+
+	if (list->n == 0)
+		return;
+	g_hash_table_remove_all(n->cached);
+	for (size_t i = 0; i < list->n; i++)
+		g_hash_table_insert(n->cached, ss_str_dup(c[i].model),
+				    GINT_TO_POINTER((int)c[i].tier));
+}
+
+static void take_held(struct lead *l, struct lead_node *n,
+		      const struct wire_list *list)
+{
+	const struct held *h = list->items;
+
+	g_array_set_size(n->held, 0);
+	for (size_t i = 0; i < list->n; i++) {
+		struct lead_held x = { .replica = h[i].replica,
+				       .state = h[i].state,
+				       .active = h[i].active,
+				       .served = h[i].served,
+				       .idle_ms = h[i].idle_ms };
+
+		if (x.replica)
+			g_array_append_val(n->held, x);
+	}
+	n->reported = true;
+	n->report_ms = now_ms(l);
+}
+
+static void on_registered(void *arg, const struct command_result *r,
+			  const GError *error)
+{
+	struct confirm *k = arg;
+	struct lead_node *n;
+	char *name;
+
+	if (!error && r->code == 0 &&
+	    g_hash_table_contains(k->l->peers, k->conn)) {
+		name = ss_str_dup(conn_peer(k->conn)->name);
+		n = lead_node_for(k->l, name);
+		g_free(name);
+		if (n->conn == k->conn)
+			n->registered = true;
+		k->l->dirty = true;
+	}
+	g_free(k);
+}
+
+static void take_register(struct lead *l, struct conn *c,
+			  const struct msg_register *m)
+{
+	char *name = ss_str_dup(m->name);
+	struct lead_node *n = lead_node_for(l, name);
+	const struct node_rec *old = ss_state_node(group_state(l->g), name);
+	struct node_rec rec = { .name = m->name,
+				.pool = m->pool,
+				.domain = m->domain,
+				.addr = m->addr,
+				.kind = m->kind,
+				.incarnation = m->incarnation,
+				.bytes = m->bytes,
+				.slots = m->slots };
+	struct command cmd = { .kind = COMMAND_NODE_PUT, .node = &rec };
+	struct confirm *k = g_new0(struct confirm, 1);
+	struct change_done done = { on_registered, k };
+	bool same = old && old->incarnation == m->incarnation &&
+		    ss_str_eq(old->addr, m->addr) &&
+		    ss_str_eq(old->pool, m->pool) && old->bytes == m->bytes &&
+		    old->slots == m->slots && ss_str_eq(old->domain, m->domain);
+
+	g_free(name);
+	n->conn = c;
+	n->incarnation = m->incarnation;
+	n->registered = false;
+	n->fence_sent = 0;
+	n->draining = false;
+	take_held(l, n, &m->held);
+	/* The held list has no replica ids yet; the first report has. */
+	n->reported = false;
+	take_cached(n, &m->cached);
+	k->l = l;
+	k->conn = c;
+	if (same) {
+		/* Known already: a majority's word comes from the confirm. */
+		struct command_result ok = { 0 };
+
+		on_registered(k, &ok, NULL);
+		return;
+	}
+	log_info("register", "node=%.*s incarnation=%" PRIx64, SS_FMT(m->name),
+		 m->incarnation);
+	group_change(l->g, &cmd, done);
+}
+
+static void on_state(void *arg, const struct command_result *r,
+		     const GError *error)
+{
+	struct confirm *k = arg;
+
+	(void)r;
+	if (lead_still(error))
+		k->l->open_decisions--;
+	g_free(k);
+}
+
+static void propose_state(struct lead *l, uint64_t id, int64_t state,
+			  int64_t load_ms)
+{
+	struct replica_rec rec = { .id = id,
+				   .state = state,
+				   .load_ms = load_ms };
+	struct command c = { .kind = COMMAND_REPLICA_STATE, .replica = &rec };
+	struct confirm *k = g_new0(struct confirm, 1);
+
+	k->l = l;
+	l->open_decisions++;
+	group_change(l->g, &c, (struct change_done){ on_state, k });
+}
+
+static void note_load(struct lead *l, const struct replica_rec *r,
+		      int64_t load_ms)
+{
+	struct lead_model *m = lead_model_for(l, r->model.p);
+
+	if (load_ms <= 0)
+		return;
+	m->load_ms = load_ms;
+	hist_add(l->load_hist, (uint64_t)load_ms);
+	pacer_loaded(&l->pacer, r->bytes, load_ms);
+}
+
+/* What an agent holds, against what the state says of it. */
+static void compare_held(struct lead *l, const struct held *h)
+{
+	const struct replica_rec *r =
+		ss_state_replica(group_state(l->g), h->replica);
+
+	if (!r)
+		return;
+	if (h->state == HELD_READY && r->state == REPLICA_LOADING) {
+		note_load(l, r, h->load_ms);
+		propose_state(l, r->id, REPLICA_READY, h->load_ms);
+	} else if (h->state == HELD_GONE && r->state == REPLICA_UNLOADING) {
+		propose_state(l, r->id, REPLICA_GONE, 0);
+	}
+}
+
+static void take_report(struct lead *l, struct conn *c,
+			const struct msg_report *m)
+{
+	char *name = ss_str_dup(conn_peer(c)->name);
+	struct lead_node *n = lead_node_for(l, name);
+	const struct held *h = m->held.items;
+
+	g_free(name);
+	if (n->conn != c || n->incarnation != m->incarnation)
+		return;
+	take_held(l, n, &m->held);
+	take_cached(n, &m->cached);
+	n->draining = m->draining;
+	for (size_t i = 0; i < m->held.n; i++)
+		if (h[i].replica)
+			compare_held(l, &h[i]);
+	l->dirty = true;
+}
+
+/* Entries. */
+
+static struct lead_want *want_for(struct lead_model *m, struct conn *c)
+{
+	struct lead_want *w;
+
+	for (guint i = 0; i < m->wants->len; i++)
+		if (((struct lead_want *)m->wants->pdata[i])->conn == c)
+			return m->wants->pdata[i];
+	w = g_new0(struct lead_want, 1);
+	w->conn = c;
+	w->sent = g_string_new(NULL);
+	g_ptr_array_add(m->wants, w);
+	return w;
+}
+
+static void count_arrivals(struct lead *l, struct lead_model *m, uint64_t n)
+{
+	if (n == 0 || m->name[0] == '/' || !lead_resolve(l, m->name))
+		return;
+	if (!m->arrivals)
+		m->arrivals = g_new0(struct ss_arrivals, 1);
+	ss_arrivals_add(m->arrivals, &l->all, ss_wall_ms());
+}
+
+static void take_watch(struct lead *l, struct conn *c,
+		       const struct msg_watch *m)
+{
+	char *name = ss_str_dup(m->model);
+	struct lead_model *model = lead_model_for(l, name);
+	struct lead_want *w = want_for(model, c);
+	int64_t now = now_ms(l);
+
+	g_free(name);
+	count_arrivals(l, model, m->arrivals);
+	if (m->done) {
+		g_ptr_array_remove_fast(model->wants, w);
+		return;
+	}
+	w->waiting = m->waiting;
+	w->priority = (int)CLAMP(m->priority, 0, 7);
+	w->deadline_ms = now + m->deadline_ms;
+	w->at_ms = now;
+	/* Decide first, so that the answer carries the wake time. */
+	if (w->waiting)
+		lead_plan(l, now);
+	lead_push_route(l, model, w);
+}
+
+static void take_ack(struct lead *l, struct conn *c, const struct msg_config *m)
+{
+	struct lead_peer *p = g_hash_table_lookup(l->peers, c);
+
+	if (p)
+		p->config = m->version;
+}
+
+static void send_models(struct lead *l, struct conn *c, uint64_t sub)
+{
+	GArray *names = g_array_new(FALSE, FALSE, sizeof(struct model_name));
+	struct msg_model_list m = { .sub = sub };
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, ss_state_models(group_state(l->g)));
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct model_rec *rec = p;
+		struct model_name n = { rec->name, rec->base };
+
+		g_array_append_val(names, n);
+	}
+	m.models = (struct wire_list){ names->data, names->len };
+	conn_send(c, MSG_MODEL_LIST, &m);
+	g_array_unref(names);
+}
+
+void lead_message(struct lead *l, struct conn *c, struct frame *f)
+{
+	switch (f->kind) {
+	case MSG_REGISTER:
+		take_register(l, c, &f->u.reg);
+		break;
+	case MSG_REPORT:
+		take_report(l, c, &f->u.report);
+		break;
+	case MSG_WATCH:
+		take_watch(l, c, &f->u.watch);
+		break;
+	case MSG_CLAIM:
+		lead_claim(l, c, &f->u.claim);
+		break;
+	case MSG_ACK:
+		take_ack(l, c, &f->u.config);
+		break;
+	case MSG_MODELS:
+		send_models(l, c, f->u.models.sub);
+		break;
+	default:
+		break;
+	}
+}
+
+/* The platform's list. */
+
+static void set_node(struct lead *l, const struct node_rec *rec, int64_t state)
+{
+	struct node_rec want = { .name = rec->name,
+				 .state = state,
+				 .incarnation = rec->incarnation };
+	struct command c = { .kind = COMMAND_NODE_STATE, .node = &want };
+	struct confirm *k = g_new0(struct confirm, 1);
+
+	log_info("node_state", "node=%s state=%" PRId64, rec->name.p, state);
+	k->l = l;
+	l->open_decisions++;
+	group_change(l->g, &c, (struct change_done){ on_state, k });
+}
+
+static const struct vm *vm_named(const struct vm *vms, size_t n,
+				 struct ss_str name)
+{
+	for (size_t i = 0; i < n; i++)
+		if (ss_str_eq(vms[i].name, name))
+			return &vms[i];
+	return NULL;
+}
+
+static void check_vm(struct lead *l, const struct node_rec *rec,
+		     const struct vm *vm)
+{
+	struct lead_node *n = lead_node_for(l, rec->name.p);
+	int64_t now = now_ms(l);
+
+	if (vm) {
+		n->listed = true;
+		n->unlisted_ms = SS_NEVER;
+		if (vm->state == VM_LEAVING && rec->state == NODE_LIVE)
+			set_node(l, rec, NODE_DRAINING);
+		return;
+	}
+	if (n->unlisted_ms == SS_NEVER)
+		n->unlisted_ms = now;
+	/*
+	 * The list lags, so a new VM may not be on it yet; and one that is
+	 * heard exists, whatever the list says.
+	 */
+	if (n->conn || now - n->down_ms < GONE_AFTER_MS ||
+	    now - n->unlisted_ms < GONE_AFTER_MS)
+		return;
+	set_node(l, rec, NODE_GONE);
+}
+
+void lead_vms(struct lead *l, const struct vm *vms, size_t n)
+{
+	GList *all = g_hash_table_get_values(ss_state_nodes(group_state(l->g)));
+
+	for (GList *p = all; p && !l->open_decisions; p = p->next) {
+		const struct node_rec *rec = p->data;
+
+		check_vm(l, rec, vm_named(vms, n, rec->name));
+	}
+	g_list_free(all);
+}
+
+/* Time. */
+
+void lead_applied(struct lead *l)
+{
+	l->dirty = true;
+}
+
+void lead_tick(struct lead *l)
+{
+	int64_t now = now_ms(l);
+
+	read_preset(l);
+	if (l->dirty || now - l->plan_ms >= PLAN_EVERY_MS) {
+		l->plan_ms = now;
+		lead_plan(l, now);
+	}
+	if (!l->dirty && now % PLAN_EVERY_MS)
+		return;
+	l->dirty = false;
+	push_configs(l);
+	push_assigns(l);
+	lead_push_routes(l);
+}
+
+struct lead *lead_new(struct daemon *d, struct group *g)
+{
+	struct lead *l = g_new0(struct lead, 1);
+	struct metrics *m = d->metrics;
+
+	l->d = d;
+	l->g = g;
+	l->since_ms = now_ms(l);
+	l->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	l->nodes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
+	l->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  model_free);
+	pacer_init(&l->pacer, l->since_ms);
+	l->n_loads = metrics_value(m, "ss_lead_loads_total", "");
+	l->n_unloads = metrics_value(m, "ss_lead_unloads_total", "");
+	l->n_claims = metrics_value(m, "ss_lead_claims_total", "");
+	l->n_plans = metrics_value(m, "ss_lead_plans_total", "");
+	l->n_replicas = metrics_value(m, "ss_lead_replicas", "");
+	l->load_hist = metrics_hist(m, "ss_lead_load_ms", "");
+	read_preset(l);
+	return l;
+}
+
+void lead_free(struct lead *l)
+{
+	if (!l)
+		return;
+	g_hash_table_unref(l->peers);
+	g_hash_table_unref(l->models);
+	g_hash_table_unref(l->nodes);
+	preset_clear(&l->preset);
+	g_free(l);
+}
+
+/* For operators. */
+
+static void add_text(json_object *o, const char *key, struct ss_str s)
+{
+	json_object_object_add(
+		o, key, json_object_new_string_len(s.p ? s.p : "", (int)s.n));
+}
+
+static void add_number(json_object *o, const char *key, int64_t n)
+{
+	json_object_object_add(o, key, json_object_new_int64(n));
+}
+
+static json_object *peer_json(const struct lead_peer *p)
+{
+	static const char *const roles[] = { "?", "entry", "agent", "control" };
+	const struct msg_hello *h = conn_peer(p->conn);
+	json_object *o = json_object_new_object();
+
+	add_text(o, "name", h->name);
+	add_text(o, "role", ss_str(roles[h->role & 3]));
+	add_text(o, "domain", h->domain);
+	add_number(o, "config", (int64_t)p->config);
+	return o;
+}
+
+static const char *const node_states[] = { "?", "live", "draining", "gone" };
+static const char *const replica_states[] = { "?", "loading", "ready",
+					      "unloading", "gone" };
+
+static json_object *node_json(struct lead *l, const struct node_rec *rec)
+{
+	json_object *o = json_object_new_object();
+
+	add_text(o, "name", rec->name);
+	add_text(o, "pool", rec->pool);
+	add_text(o, "domain", rec->domain);
+	add_text(o, "state", ss_str(node_states[rec->state & 3]));
+	json_object_object_add(
+		o, "usable", json_object_new_boolean(lead_node_usable(l, rec)));
+	add_number(o, "bytes", (int64_t)rec->bytes);
+	add_number(o, "reserved",
+		   (int64_t)ss_state_reserved(group_state(l->g), rec->name.p));
+	return o;
+}
+
+static json_object *replica_json(const struct lead *l,
+				 const struct replica_rec *r)
+{
+	const struct lead_held *h = lead_held_of(l, r);
+	json_object *o = json_object_new_object();
+
+	add_number(o, "id", (int64_t)r->id);
+	add_text(o, "model", r->model);
+	add_text(o, "node", r->node);
+	add_text(o, "state", ss_str(replica_states[r->state % 5]));
+	add_number(o, "bytes", (int64_t)r->bytes);
+	add_number(o, "load_ms", r->load_ms);
+	if (h) {
+		add_number(o, "active", (int64_t)h->active);
+		add_number(o, "idle_ms", h->idle_ms);
+	}
+	return o;
+}
+
+static json_object *queue_json(struct lead *l, const struct lead_model *m)
+{
+	json_object *o = json_object_new_object();
+	uint64_t waiting = 0;
+
+	(void)l;
+	for (guint i = 0; i < m->wants->len; i++)
+		waiting += ((struct lead_want *)m->wants->pdata[i])->waiting;
+	add_text(o, "model", ss_str(m->name));
+	add_number(o, "waiting", (int64_t)waiting);
+	add_number(o, "entries", m->wants->len);
+	return o;
+}
+
+void lead_status(struct lead *l, json_object *root)
+{
+	const struct ss_state *s = group_state(l->g);
+	json_object *list = json_object_new_array();
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		json_object_array_add(list, peer_json(p));
+	json_object_object_add(root, "processes", list);
+	list = json_object_new_array();
+	g_hash_table_iter_init(&it, ss_state_nodes(s));
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		json_object_array_add(list, node_json(l, p));
+	json_object_object_add(root, "nodes", list);
+	list = json_object_new_array();
+	g_hash_table_iter_init(&it, ss_state_replicas(s));
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		json_object_array_add(list, replica_json(l, p));
+	json_object_object_add(root, "replicas", list);
+	list = json_object_new_array();
+	g_hash_table_iter_init(&it, l->models);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		if (((struct lead_model *)p)->wants->len)
+			json_object_array_add(list, queue_json(l, p));
+	json_object_object_add(root, "queues", list);
+	add_number(root, "claims", (int64_t)ss_state_claims(s));
+}
+
+json_object *lead_why(struct lead *l, const char *name)
+{
+	const struct model_rec *rec = lead_resolve(l, name);
+	struct lead_model *m;
+	json_object *o, *list;
+	GPtrArray *replicas;
+	int64_t now = now_ms(l);
+
+	if (!rec)
+		return NULL;
+	m = lead_model_for(l, name);
+	o = queue_json(l, m);
+	add_text(o, "why", ss_str(m->why));
+	if (m->eta_ms != SS_NEVER)
+		add_number(o, "eta_ms", MAX(m->eta_ms - now, 0));
+	if (m->why_gone) {
+		add_text(o, "last_unload_why", ss_str(m->why_gone));
+		add_number(o, "last_unload_ms_ago", now - m->gone_ms);
+	}
+	add_number(o, "bytes", (int64_t)rec->bytes);
+	add_number(o, "load_ms", m->load_ms);
+	json_object_object_add(o, "expected_soon",
+			       json_object_new_boolean(m->ahead));
+	list = json_object_new_array();
+	replicas = ss_state_model_replicas(group_state(l->g), rec->name.p);
+	for (guint i = 0; replicas && i < replicas->len; i++)
+		json_object_array_add(list,
+				      replica_json(l, replicas->pdata[i]));
+	json_object_object_add(o, "replicas", list);
+	return o;
+}
--- /dev/null
+++ b/src/daemon/lead_claim.c
@@ -0,0 +1,64 @@
+/* Claims of calls that may run at most once, over all entries. */
+#include "lead_int.h"
+
+struct claim {
+	struct lead *l;
+	struct conn *conn;
+	uint64_t sub;
+	uint64_t lead_since;
+};
+
+static void answer(struct claim *k, const struct command_result *r)
+{
+	const struct node_rec *n;
+	struct msg_claimed m = { .sub = k->sub,
+				 .code = r->code,
+				 .text = ss_str(r->text),
+				 .entry = r->claim.entry,
+				 .seq = r->claim.seq,
+				 .node = r->claim.node,
+				 .incarnation = r->claim.incarnation };
+	char *node = ss_str_dup(r->claim.node);
+
+	n = ss_state_node(group_state(k->l->g), node);
+	g_free(node);
+	if (n)
+		m.addr = n->addr;
+	conn_send(k->conn, MSG_CLAIMED, &m);
+}
+
+static void on_claimed(void *arg, const struct command_result *r,
+		       const GError *error)
+{
+	struct claim *k = arg;
+
+	/*
+	 * Without a result the entry asks again, the new leader perhaps; a
+	 * claim that was accepted after all is then found to be its own.
+	 */
+	if (!error && g_hash_table_contains(k->l->peers, k->conn))
+		answer(k, r);
+	g_free(k);
+}
+
+void lead_claim(struct lead *l, struct conn *c, const struct msg_claim *m)
+{
+	struct claim *k = g_new0(struct claim, 1);
+	struct claim_rec rec = { .key = m->key,
+				 .fingerprint = m->fingerprint,
+				 .entry = m->entry,
+				 .seq = m->seq,
+				 .node = m->node,
+				 .incarnation = m->incarnation };
+	struct command cmd = { .kind = COMMAND_CLAIM,
+			       .claim = &rec,
+			       .dead_entry = m->dead_entry,
+			       .dead_seq = m->dead_seq };
+	struct change_done done = { on_claimed, k };
+
+	k->l = l;
+	k->conn = c;
+	k->sub = m->sub;
+	(*l->n_claims)++;
+	group_change(l->g, &cmd, done);
+}
--- /dev/null
+++ b/src/engine/http.c
@@ -0,0 +1,235 @@
+/*
+ * Model engines over HTTP.
+ *
+ *   GET  /admin/state    {"bytes":N,"models":[{"model","state","bytes"}],
+ *                         "cached":[{"model","tier"}]}
+ *   POST /admin/load     {"model","base","bytes","fence"}; 202 taken,
+ *   POST /admin/unload   {"model","fence"}         409 an old fence
+ *   POST /v1/...         calls, as callers send them
+ */
+#include "endpoint.h"
+
+#include "../net/http.h"
+#include "../net/relay.h"
+
+#include <json-c/json.h>
+
+#define TIMEOUT_MS 3000
+
+struct endpoint {
+	struct endpoint_options o;
+	char *addr;
+	struct relay *relay;
+};
+
+static struct endpoint *engine_open(const struct endpoint_options *o)
+{
+	struct endpoint *e = g_new0(struct endpoint, 1);
+
+	e->o = *o;
+	e->o.timeout_ms = o->timeout_ms ? o->timeout_ms : TIMEOUT_MS;
+	e->addr = g_strdup(o->addr);
+	e->relay = relay_new(o->base, o->addr);
+	return e;
+}
+
+static void engine_close(struct endpoint *e)
+{
+	relay_free(e->relay);
+	g_free(e->addr);
+	g_free(e);
+}
+
+struct order_done {
+	void (*done)(void *arg, bool ok);
+	void *arg;
+};
+
+static void on_ordered(void *arg, int status, struct ss_str body,
+		       const GError *error)
+{
+	struct order_done *d = arg;
+
+	(void)body;
+	(void)error;
+	d->done(d->arg, status >= 200 && status < 300);
+	g_free(d);
+}
+
+static void order(struct endpoint *e, const char *path,
+		  const struct ledger_replica *r, uint64_t fence,
+		  void (*done)(void *arg, bool ok), void *arg)
+{
+	json_object *o = json_object_new_object();
+	struct order_done *d = g_new0(struct order_done, 1);
+	struct http_get_options get = { .base = e->o.base,
+					.addr = e->addr,
+					.method = "POST",
+					.path = path,
+					.timeout_ms = e->o.timeout_ms,
+					.done = on_ordered,
+					.arg = d };
+
+	d->done = done;
+	d->arg = arg;
+	json_object_object_add(o, "model", json_object_new_string(r->model));
+	json_object_object_add(o, "base", json_object_new_string(r->base));
+	json_object_object_add(o, "bytes",
+			       json_object_new_int64((int64_t)r->bytes));
+	json_object_object_add(o, "fence",
+			       json_object_new_int64((int64_t)fence));
+	get.body = ss_str(json_object_to_json_string(o));
+	http_get(&get);
+	json_object_put(o);
+}
+
+static void engine_load(struct endpoint *e, const struct ledger_replica *r,
+			uint64_t fence, void (*done)(void *arg, bool ok),
+			void *arg)
+{
+	order(e, "/admin/load", r, fence, done, arg);
+}
+
+static void engine_unload(struct endpoint *e, const struct ledger_replica *r,
+			  uint64_t fence, void (*done)(void *arg, bool ok),
+			  void *arg)
+{
+	order(e, "/admin/unload", r, fence, done, arg);
+}
+
+struct read_done {
+	void (*done)(void *arg, const struct endpoint_state *s);
+	void *arg;
+};
+
+static struct ss_str text_of(json_object *o, const char *key)
+{
+	json_object *v;
+
+	if (!json_object_object_get_ex(o, key, &v))
+		return SS_LIT("");
+	return ss_str(json_object_get_string(v));
+}
+
+static int64_t number_of(json_object *o, const char *key)
+{
+	json_object *v;
+
+	return json_object_object_get_ex(o, key, &v) ?
+		       json_object_get_int64(v) :
+		       0;
+}
+
+static json_object *list_of(json_object *o, const char *key)
+{
+	json_object *v;
+
+	if (!json_object_object_get_ex(o, key, &v) ||
+	    !json_object_is_type(v, json_type_array))
+		return NULL;
+	return v;
+}
+
+static int64_t held_state_of(struct ss_str s)
+{
+	if (ss_str_eq(s, SS_LIT("ready")))
+		return HELD_READY;
+	if (ss_str_eq(s, SS_LIT("unloading")))
+		return HELD_UNLOADING;
+	return HELD_LOADING;
+}
+
+static void parse_state(json_object *o, GArray *held, GArray *cached)
+{
+	json_object *models = list_of(o, "models");
+	json_object *near = list_of(o, "cached");
+	size_t n = models ? json_object_array_length(models) : 0;
+
+	for (size_t i = 0; i < n; i++) {
+		json_object *m = json_object_array_get_idx(models, i);
+		struct held h = { .model = text_of(m, "model"),
+				  .bytes = (uint64_t)number_of(m, "bytes"),
+				  .state = held_state_of(text_of(m, "state")) };
+
+		g_array_append_val(held, h);
+	}
+	n = near ? json_object_array_length(near) : 0;
+	for (size_t i = 0; i < n; i++) {
+		json_object *m = json_object_array_get_idx(near, i);
+		struct cached c = { .model = text_of(m, "model"),
+				    .tier = number_of(m, "tier") };
+
+		g_array_append_val(cached, c);
+	}
+}
+
+static void on_state(void *arg, int status, struct ss_str body,
+		     const GError *error)
+{
+	struct read_done *d = arg;
+	char *text = ss_str_dup(body);
+	json_object *o = status == 200 ? json_tokener_parse(text) : NULL;
+
+	(void)error;
+	if (json_object_is_type(o, json_type_object)) {
+		GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held));
+		GArray *cached =
+			g_array_new(FALSE, FALSE, sizeof(struct cached));
+		struct endpoint_state s = { 0 };
+
+		parse_state(o, held, cached);
+		s.bytes = (uint64_t)number_of(o, "bytes");
+		s.held = (struct held *)held->data;
+		s.n_held = held->len;
+		s.cached = (struct cached *)cached->data;
+		s.n_cached = cached->len;
+		d->done(d->arg, &s);
+		g_array_unref(held);
+		g_array_unref(cached);
+	} else {
+		d->done(d->arg, NULL);
+	}
+	json_object_put(o);
+	g_free(text);
+	g_free(d);
+}
+
+static void engine_read(struct endpoint *e,
+			void (*done)(void *arg, const struct endpoint_state *s),
+			void *arg)
+{
+	struct read_done *d = g_new0(struct read_done, 1);
+	struct http_get_options get = { .base = e->o.base,
+					.addr = e->addr,
+					.method = "GET",
+					.path = "/admin/state",
+					.timeout_ms = e->o.timeout_ms,
+					.done = on_state,
+					.arg = d };
+
+	d->done = done;
+	d->arg = arg;
+	http_get(&get);
+}
+
+static struct endpoint_call *engine_call(struct endpoint *e,
+					 const struct endpoint_call_options *o)
+{
+	return (struct endpoint_call *)relay_start(e->relay, o->m, o->piece,
+						   o->arg);
+}
+
+static void engine_cancel(struct endpoint_call *c)
+{
+	relay_cancel((struct relay_call *)c);
+}
+
+const struct endpoint_ops engine_http_ops = {
+	.open = engine_open,
+	.close = engine_close,
+	.load = engine_load,
+	.unload = engine_unload,
+	.read = engine_read,
+	.call = engine_call,
+	.cancel = engine_cancel,
+};
--- /dev/null
+++ b/src/net/http.c
@@ -0,0 +1,287 @@
+/* HTTP servers and client. */
+#include "http.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <json-c/json.h>
+#include <sys/socket.h>
+
+#define HEADERS_MAX 16384
+#define SERVER_TIMEOUT_S 20
+
+struct http_server {
+	struct http_server_options o;
+	struct evhttp *http;
+	struct evhttp_bound_socket *socket;
+};
+
+int http_status(enum ss_error code)
+{
+	switch (code) {
+	case SS_ERROR_BAD_REQUEST:
+	case SS_ERROR_SETTINGS:
+	case SS_ERROR_FRAME:
+	case SS_ERROR_VERSION:
+		return 400;
+	case SS_ERROR_AUTH:
+		return 401;
+	case SS_ERROR_UNKNOWN_MODEL:
+	case SS_ERROR_UNKNOWN_POOL:
+	case SS_ERROR_NOT_FOUND:
+		return 404;
+	case SS_ERROR_CONFLICT:
+	case SS_ERROR_FENCED:
+		return 409;
+	case SS_ERROR_TOO_LARGE:
+		return 413;
+	case SS_ERROR_OVERLOAD:
+		return 429;
+	case SS_ERROR_LOST:
+	case SS_ERROR_ENDPOINT:
+		return 502;
+	case SS_ERROR_DEADLINE:
+		return 504;
+	case SS_ERROR_DISK_FULL:
+		return 507;
+	case SS_ERROR_UNAVAILABLE:
+	case SS_ERROR_DRAINING:
+	case SS_ERROR_MEMORY:
+	case SS_ERROR_NOT_LEADER:
+	case SS_ERROR_CANCELLED:
+		return 503;
+	default:
+		return 500;
+	}
+}
+
+static void add_string(json_object *o, const char *key, const char *value)
+{
+	if (value)
+		json_object_object_add(o, key, json_object_new_string(value));
+}
+
+GString *http_error_json(enum ss_error code, const char *text,
+			 const char *outcome, const char *request_id)
+{
+	json_object *root = json_object_new_object();
+	json_object *e = json_object_new_object();
+	GString *s;
+
+	add_string(e, "type", ss_error_name(code));
+	add_string(e, "message", text);
+	add_string(e, "outcome", outcome);
+	add_string(e, "request_id", request_id);
+	json_object_object_add(root, "error", e);
+	s = g_string_new(json_object_to_json_string_ext(
+		root, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+	json_object_put(root);
+	return s;
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	struct http_server *s = arg;
+
+	s->o.handle(s->o.arg, req);
+}
+
+bool http_split_addr(const char *addr, char **ip, uint16_t *port)
+{
+	const char *colon = strrchr(addr, ':');
+
+	if (!colon)
+		return false;
+	*port = (uint16_t)g_ascii_strtoull(colon + 1, NULL, 10);
+	if (addr[0] == '[' && colon > addr + 1)
+		*ip = g_strndup(addr + 1, (gsize)(colon - addr - 2));
+	else
+		*ip = g_strndup(addr, (gsize)(colon - addr));
+	return true;
+}
+
+struct http_server *http_server_new(const struct http_server_options *o,
+				    GError **error)
+{
+	struct http_server *s = g_new0(struct http_server, 1);
+	char *ip = NULL;
+	uint16_t port = 0;
+
+	s->o = *o;
+	s->http = evhttp_new(o->base);
+	evhttp_set_allowed_methods(s->http,
+				   EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+					   EVHTTP_REQ_PUT | EVHTTP_REQ_PATCH |
+					   EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
+	evhttp_set_max_headers_size(s->http, HEADERS_MAX);
+	evhttp_set_max_body_size(s->http, (ev_ssize_t)o->max_body);
+	/* A half-sent request may not hold a connection for ever. */
+	evhttp_set_timeout(s->http, SERVER_TIMEOUT_S);
+	evhttp_set_gencb(s->http, on_request, s);
+	if (http_split_addr(o->addr, &ip, &port))
+		s->socket = evhttp_bind_socket_with_handle(s->http, ip, port);
+	g_free(ip);
+	if (s->socket)
+		return s;
+	g_set_error(error, SS_ERROR, SS_ERROR_IO, "listen on %s: %s", o->addr,
+		    g_strerror(errno));
+	http_server_free(s);
+	return NULL;
+}
+
+void http_server_free(struct http_server *s)
+{
+	if (!s)
+		return;
+	evhttp_free(s->http);
+	g_free(s);
+}
+
+uint16_t http_server_port(const struct http_server *s)
+{
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+
+	getsockname(evhttp_bound_socket_get_fd(s->socket),
+		    (struct sockaddr *)&sin, &len);
+	return ntohs(sin.sin_port);
+}
+
+void http_reply(struct evhttp_request *req, int status, const char *type,
+		struct ss_str body)
+{
+	struct evbuffer *buf = evbuffer_new();
+
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "Content-Type", type);
+	evbuffer_add(buf, body.p, body.n);
+	evhttp_send_reply(req, status, NULL, buf);
+	evbuffer_free(buf);
+}
+
+void http_reply_json(struct evhttp_request *req, int status, json_object *body)
+{
+	const char *s = json_object_to_json_string_ext(
+		body, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+
+	http_reply(req, status, "application/json", ss_str(s));
+	json_object_put(body);
+}
+
+void http_reply_error(struct evhttp_request *req, const GError *error)
+{
+	GString *s = http_error_json((enum ss_error)error->code, error->message,
+				     NULL, NULL);
+
+	http_reply(req, http_status((enum ss_error)error->code),
+		   "application/json", ss_str_gs(s));
+	g_string_free(s, TRUE);
+}
+
+struct ss_str http_body(struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t n = evbuffer_get_length(in);
+
+	return (struct ss_str){ (char *)evbuffer_pullup(in, -1), n };
+}
+
+json_object *http_body_json(struct evhttp_request *req, GError **error)
+{
+	struct ss_str body = http_body(req);
+	json_tokener *tok = json_tokener_new();
+	json_object *o = NULL;
+
+	if (body.n)
+		o = json_tokener_parse_ex(tok, body.p, (int)body.n);
+	json_tokener_free(tok);
+	if (json_object_is_type(o, json_type_object))
+		return o;
+	json_object_put(o);
+	g_set_error(error, SS_ERROR, SS_ERROR_BAD_REQUEST,
+		    "the body is no JSON object");
+	return NULL;
+}
+
+static void free_now(evutil_socket_t fd, short what, void *conn)
+{
+	(void)fd;
+	(void)what;
+	evhttp_connection_free(conn);
+}
+
+void http_free_later(struct event_base *base, struct evhttp_connection *conn)
+{
+	struct timeval now = { 0, 0 };
+
+	event_base_once(base, -1, EV_TIMEOUT, free_now, conn, &now);
+}
+
+struct get {
+	struct http_get_options o;
+	struct evhttp_connection *conn;
+};
+
+static void on_got(struct evhttp_request *req, void *arg)
+{
+	struct get *g = arg;
+	int status = req ? evhttp_request_get_response_code(req) : 0;
+
+	if (status) {
+		g->o.done(g->o.arg, status, http_body(req), NULL);
+	} else {
+		GError *e = g_error_new(SS_ERROR, SS_ERROR_UNAVAILABLE,
+					"no answer");
+
+		g->o.done(g->o.arg, 0, (struct ss_str){ 0 }, e);
+		g_error_free(e);
+	}
+	http_free_later(g->o.base, g->conn);
+	g_free(g);
+}
+
+static enum evhttp_cmd_type method_of(const char *name)
+{
+	if (!strcmp(name, "POST"))
+		return EVHTTP_REQ_POST;
+	if (!strcmp(name, "PUT"))
+		return EVHTTP_REQ_PUT;
+	if (!strcmp(name, "PATCH"))
+		return EVHTTP_REQ_PATCH;
+	if (!strcmp(name, "DELETE"))
+		return EVHTTP_REQ_DELETE;
+	return EVHTTP_REQ_GET;
+}
+
+void http_get(const struct http_get_options *o)
+{
+	struct get *g = g_new0(struct get, 1);
+	struct evhttp_request *req = evhttp_request_new(on_got, g);
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+	struct timeval tv = { o->timeout_ms / 1000,
+			      (o->timeout_ms % 1000) * 1000 };
+	char *ip = NULL;
+	uint16_t port = 0;
+
+	g->o = *o;
+	if (!http_split_addr(o->addr, &ip, &port))
+		ip = g_strdup("");
+	g->conn = evhttp_connection_base_new(o->base, NULL, ip, port);
+	evhttp_connection_set_timeout_tv(g->conn, &tv);
+	evhttp_add_header(headers, "Host", o->addr);
+	evhttp_add_header(headers, "Connection", "close");
+	if (o->token) {
+		char *bearer = g_strdup_printf("Bearer %s", o->token);
+
+		evhttp_add_header(headers, "Authorization", bearer);
+		g_free(bearer);
+	}
+	if (o->body.n) {
+		evhttp_add_header(headers, "Content-Type", "application/json");
+		evbuffer_add(evhttp_request_get_output_buffer(req), o->body.p,
+			     o->body.n);
+	}
+	evhttp_make_request(g->conn, req, method_of(o->method), o->path);
+	g_free(ip);
+}
--- /dev/null
+++ b/src/node/conn.h
@@ -0,0 +1,68 @@
+/*
+ * Connections between the system's own processes: frames over TCP, a hello
+ * both ways, and heartbeats, so that a connection which has gone silent is
+ * found by both ends.
+ */
+#ifndef SS_CONN_H
+#define SS_CONN_H
+
+#include <event2/event.h>
+
+#include "frame.h"
+
+#define CONN_PROTOCOL 1
+#define CONN_PING_MS 500
+#define CONN_SILENT_MS 2500
+/* A peer that reads nothing can't make this process hold more for it. */
+#define CONN_BACKLOG_MAX (64u * 1024 * 1024)
+
+struct conn;
+
+struct conn_ops {
+	/* The peer's hello has come; messages may be sent. */
+	void (*open)(void *arg, struct conn *c);
+	void (*message)(void *arg, struct conn *c, struct frame *f);
+	/* Gone, with the reason; c is freed on return. Always called once
+	 * for a connection that conn_close() didn't end. */
+	void (*closed)(void *arg, struct conn *c, const GError *why);
+};
+
+struct conn_options {
+	struct event_base *base;
+	const struct ss_clock *clock;
+	struct msg_hello *self; /* read at each connection */
+	const struct conn_ops *ops;
+	void *arg;
+	int64_t ping_ms;		/* 0: CONN_PING_MS */
+	int64_t silent_ms;		/* 0: CONN_SILENT_MS */
+	uint64_t *bytes_out, *bytes_in; /* counters, may be NULL */
+};
+
+/* Start to connect to "ip:port"; a failure comes through closed. */
+struct conn *conn_connect(const struct conn_options *o, const char *addr);
+
+struct listener;
+
+/* Accept on "ip:port"; port 0 lets the kernel choose. */
+struct listener *conn_listen(const struct conn_options *o, const char *addr,
+			     GError **error);
+uint16_t conn_listener_port(const struct listener *l);
+/* Take no more connections; those that exist go on. */
+void conn_listener_free(struct listener *l);
+
+/* False where the connection isn't open, or its backlog is over. */
+bool conn_send(struct conn *c, enum msg_kind kind, const void *msg);
+void conn_close(struct conn *c);
+
+bool conn_is_open(const struct conn *c);
+/* The peer's hello; its strings live as long as c. */
+const struct msg_hello *conn_peer(const struct conn *c);
+void conn_set_data(struct conn *c, void *data);
+void *conn_data(const struct conn *c);
+/* Milliseconds since the peer was last heard. */
+int64_t conn_quiet_ms(const struct conn *c);
+
+/* Parse "ip:port" or "[ip6]:port". SS_ERROR_SETTINGS where it is neither. */
+bool conn_check_addr(const char *addr, GError **error);
+
+#endif
--- /dev/null
+++ b/src/node/link.c
@@ -0,0 +1,153 @@
+/* The connection to the leader. */
+#include "link.h"
+
+#include "../base/log.h"
+
+#define RETRY_MS 100
+#define RETRY_SPREAD_MS 100
+/* A control VM that was asked and knows of no leader gets a rest. */
+#define ANSWER_MS 1000
+
+struct link {
+	struct link_options o;
+	struct conn *conn;
+	struct event *timer;
+	char *hint; /* where the leader is said to be */
+	guint turn;
+	bool up;
+	int64_t asked_ms;
+};
+
+static void retry_later(struct link *l)
+{
+	int64_t ms =
+		RETRY_MS + (int64_t)(ss_random(&l->o.seed) % RETRY_SPREAD_MS);
+	struct timeval tv = { 0, ms * 1000 };
+
+	event_add(l->timer, &tv);
+}
+
+static void connect_next(struct link *l)
+{
+	const char *addr = l->hint;
+
+	if (!addr && l->o.control->len)
+		addr = l->o.control->pdata[l->turn++ % l->o.control->len];
+	if (!addr)
+		return;
+	l->asked_ms = ss_clock_now(l->o.conn.clock);
+	l->conn = conn_connect(&l->o.conn, addr);
+	g_clear_pointer(&l->hint, g_free);
+}
+
+static void leave(struct link *l)
+{
+	if (l->conn)
+		conn_close(l->conn);
+	l->conn = NULL;
+	if (l->up) {
+		l->up = false;
+		l->o.ops->down(l->o.arg);
+	}
+	retry_later(l);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct link *l = arg;
+
+	(void)fd;
+	(void)what;
+	if (!l->conn) {
+		connect_next(l);
+		retry_later(l);
+		return;
+	}
+	if (l->up)
+		return;
+	if (ss_clock_now(l->o.conn.clock) - l->asked_ms > ANSWER_MS)
+		leave(l);
+	else
+		retry_later(l);
+}
+
+static void on_open(void *arg, struct conn *c)
+{
+	(void)arg;
+	(void)c;
+}
+
+static void take_leader(struct link *l, const struct msg_leader *m)
+{
+	if (m->here) {
+		l->up = true;
+		l->o.ops->up(l->o.arg, m->group);
+		return;
+	}
+	g_free(l->hint);
+	l->hint = m->addr.n ? ss_str_dup(m->addr) : NULL;
+	leave(l);
+}
+
+static void on_message(void *arg, struct conn *c, struct frame *f)
+{
+	struct link *l = arg;
+
+	if (c != l->conn)
+		return;
+	if (f->kind == MSG_LEADER)
+		take_leader(l, &f->u.leader);
+	else if (l->up)
+		l->o.ops->message(l->o.arg, f);
+}
+
+static void on_closed(void *arg, struct conn *c, const GError *why)
+{
+	struct link *l = arg;
+
+	if (c != l->conn)
+		return;
+	if (l->up)
+		log_warn("leader_lost", "why=\"%s\"",
+			 why ? why->message : "closed");
+	l->conn = NULL;
+	leave(l);
+}
+
+static const struct conn_ops link_conn_ops = { on_open, on_message, on_closed };
+
+struct link *link_new(const struct link_options *o)
+{
+	struct link *l = g_new0(struct link, 1);
+
+	l->o = *o;
+	l->o.conn.ops = &link_conn_ops;
+	l->o.conn.arg = l;
+	/* Processes that start together shall not all ask the same one. */
+	l->turn = (guint)ss_random(&l->o.seed);
+	l->timer = evtimer_new(o->conn.base, on_timer, l);
+	connect_next(l);
+	retry_later(l);
+	return l;
+}
+
+void link_free(struct link *l)
+{
+	if (!l)
+		return;
+	if (l->conn)
+		conn_close(l->conn);
+	event_free(l->timer);
+	g_free(l->hint);
+	g_free(l);
+}
+
+bool link_send(struct link *l, enum msg_kind kind, const void *msg)
+{
+	return l->up && conn_send(l->conn, kind, msg);
+}
+
+bool link_is_up(const struct link *l)
+{
+	return l->up;
+}
--- /dev/null
+++ b/src/node/link.h
@@ -0,0 +1,33 @@
+/*
+ * An entry's or agent's connection to the leader: found by asking the
+ * control VMs in turn, found anew when it moves or goes silent.
+ */
+#ifndef SS_LINK_H
+#define SS_LINK_H
+
+#include "conn.h"
+
+struct link;
+
+struct link_ops {
+	void (*up)(void *arg, uint64_t group);
+	void (*message)(void *arg, struct frame *f);
+	void (*down)(void *arg);
+};
+
+struct link_options {
+	struct conn_options conn; /* ops and arg are the link's own */
+	const GPtrArray *control; /* char *, addresses to ask */
+	const struct link_ops *ops;
+	void *arg;
+	uint64_t seed;
+};
+
+struct link *link_new(const struct link_options *o);
+void link_free(struct link *l);
+
+/* False where no leader is known at the moment. */
+bool link_send(struct link *l, enum msg_kind kind, const void *msg);
+bool link_is_up(const struct link *l);
+
+#endif
--- /dev/null
+++ b/src/platform/vms.c
@@ -0,0 +1,112 @@
+/*
+ * The VM list over HTTP: GET /vms gives
+ * {"vms":[{"name":"...","state":"live"|"leaving"}]}.
+ */
+#include "vms.h"
+
+#include "../net/http.h"
+
+#include <json-c/json.h>
+
+#define EVERY_MS 1000
+#define TIMEOUT_MS 2000
+
+struct vms {
+	struct vms_options o;
+	char *addr;
+	struct event *timer;
+	bool asking, freed;
+};
+
+static struct ss_str text_of(json_object *o, const char *key)
+{
+	json_object *v;
+
+	if (!json_object_object_get_ex(o, key, &v))
+		return SS_LIT("");
+	return ss_str(json_object_get_string(v));
+}
+
+static void take_list(struct vms *v, json_object *list)
+{
+	GArray *vms = g_array_new(FALSE, FALSE, sizeof(struct vm));
+
+	for (size_t i = 0; i < json_object_array_length(list); i++) {
+		json_object *o = json_object_array_get_idx(list, i);
+		struct vm vm = { .name = text_of(o, "name"), .state = VM_LIVE };
+
+		if (ss_str_eq(text_of(o, "state"), SS_LIT("leaving")))
+			vm.state = VM_LEAVING;
+		if (vm.name.n)
+			g_array_append_val(vms, vm);
+	}
+	v->o.list(v->o.arg, (struct vm *)vms->data, vms->len);
+	g_array_unref(vms);
+}
+
+static void on_list(void *arg, int status, struct ss_str body,
+		    const GError *error)
+{
+	struct vms *v = arg;
+	char *text = ss_str_dup(body);
+	json_object *o = NULL, *list;
+
+	(void)error;
+	v->asking = false;
+	if (v->freed) {
+		g_free(v);
+	} else if (status == 200) {
+		o = json_tokener_parse(text);
+		if (json_object_is_type(o, json_type_object) &&
+		    json_object_object_get_ex(o, "vms", &list) &&
+		    json_object_is_type(list, json_type_array))
+			take_list(v, list);
+	}
+	json_object_put(o);
+	g_free(text);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct vms *v = arg;
+	struct http_get_options get = { .base = v->o.base,
+					.addr = v->addr,
+					.method = "GET",
+					.path = "/vms",
+					.timeout_ms = TIMEOUT_MS,
+					.done = on_list,
+					.arg = v };
+
+	(void)fd;
+	(void)what;
+	if (v->asking)
+		return;
+	v->asking = true;
+	http_get(&get);
+}
+
+struct vms *vms_new(const struct vms_options *o)
+{
+	struct vms *v = g_new0(struct vms, 1);
+	int64_t ms = o->every_ms ? o->every_ms : EVERY_MS;
+	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+
+	v->o = *o;
+	v->addr = g_strdup(o->addr);
+	v->timer = event_new(o->base, -1, EV_PERSIST, on_timer, v);
+	event_add(v->timer, &tv);
+	return v;
+}
+
+void vms_free(struct vms *v)
+{
+	if (!v)
+		return;
+	event_free(v->timer);
+	g_clear_pointer(&v->addr, g_free);
+	/* An answer under way frees the rest. */
+	if (v->asking)
+		v->freed = true;
+	else
+		g_free(v);
+}
--- /dev/null
+++ b/src/service/http.c
@@ -0,0 +1,101 @@
+/*
+ * Plain services over HTTP: calls go through as they are. GET /healthz
+ * tells whether the service is there; it holds no models.
+ */
+#include "../engine/endpoint.h"
+
+#include "../net/http.h"
+#include "../net/relay.h"
+
+#define TIMEOUT_MS 3000
+
+struct endpoint {
+	struct endpoint_options o;
+	char *addr;
+	struct relay *relay;
+};
+
+static struct endpoint *service_open(const struct endpoint_options *o)
+{
+	struct endpoint *e = g_new0(struct endpoint, 1);
+
+	e->o = *o;
+	e->o.timeout_ms = o->timeout_ms ? o->timeout_ms : TIMEOUT_MS;
+	e->addr = g_strdup(o->addr);
+	e->relay = relay_new(o->base, o->addr);
+	return e;
+}
+
+static void service_close(struct endpoint *e)
+{
+	relay_free(e->relay);
+	g_free(e->addr);
+	g_free(e);
+}
+
+static void service_order(struct endpoint *e, const struct ledger_replica *r,
+			  uint64_t fence, void (*done)(void *arg, bool ok),
+			  void *arg)
+{
+	(void)e;
+	(void)r;
+	(void)fence;
+	done(arg, false);
+}
+
+struct read_done {
+	void (*done)(void *arg, const struct endpoint_state *s);
+	void *arg;
+};
+
+static void on_health(void *arg, int status, struct ss_str body,
+		      const GError *error)
+{
+	static const struct endpoint_state there;
+	struct read_done *d = arg;
+
+	(void)body;
+	(void)error;
+	d->done(d->arg, status ? &there : NULL);
+	g_free(d);
+}
+
+static void
+service_read(struct endpoint *e,
+	     void (*done)(void *arg, const struct endpoint_state *s), void *arg)
+{
+	struct read_done *d = g_new0(struct read_done, 1);
+	struct http_get_options get = { .base = e->o.base,
+					.addr = e->addr,
+					.method = "GET",
+					.path = "/healthz",
+					.timeout_ms = e->o.timeout_ms,
+					.done = on_health,
+					.arg = d };
+
+	d->done = done;
+	d->arg = arg;
+	http_get(&get);
+}
+
+static struct endpoint_call *service_call(struct endpoint *e,
+					  const struct endpoint_call_options *o)
+{
+	return (struct endpoint_call *)relay_start(e->relay, o->m, o->piece,
+						   o->arg);
+}
+
+static void service_cancel(struct endpoint_call *c)
+{
+	relay_cancel((struct relay_call *)c);
+}
+
+const struct endpoint_ops service_http_ops = {
+	.open = service_open,
+	.close = service_close,
+	.load = service_order,
+	.unload = service_order,
+	.read = service_read,
+	.call = service_call,
+	.cancel = service_cancel,
+};
