--- a/src/core/router.c
+++ b/src/core/router.c
@@ -924,6 +924,8 @@
 	if ((n || rt->arrivals || rt->told) &&
 	    now - rt->watch_ms >= ROUTER_WATCH_MS)
 		watch(r, rt, now);
+	else if (!n && rt->told && now - rt->watch_ms >= ROUTER_CALM_MS)
+		watch(r, rt, now);
 	if (now - rt->used_ms <
 	    (rt->code ? ROUTER_UNKNOWN_IDLE_MS : ROUTER_ROUTE_IDLE_MS))
 		return;
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -20,6 +20,8 @@
 #define ROUTER_UNKNOWN_IDLE_MS 5000
 /* How often a waiting route is told to the leader again. */
 #define ROUTER_WATCH_MS 1000
+/* How soon it is told that nobody waits any more. */
+#define ROUTER_CALM_MS 100
 /* After a refusal for want of slots the replica is left alone for: */
 #define ROUTER_FULL_MS 20
 
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -218,6 +218,18 @@
 	event_base_once(base, -1, EV_TIMEOUT, free_now, conn, &now);
 }
 
+void http_add_body(struct evhttp_request *req, struct ss_str body)
+{
+	char n[24];
+
+	/* evhttp itself tells the length for POST and PUT only. */
+	g_snprintf(n, sizeof(n), "%zu", body.n);
+	if (body.n)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "Content-Length", n);
+	evbuffer_add(evhttp_request_get_output_buffer(req), body.p, body.n);
+}
+
 struct get {
 	struct http_get_options o;
 	struct evhttp_connection *conn;
@@ -279,8 +291,7 @@
 	}
 	if (o->body.n) {
 		evhttp_add_header(headers, "Content-Type", "application/json");
-		evbuffer_add(evhttp_request_get_output_buffer(req), o->body.p,
-			     o->body.n);
+		http_add_body(req, o->body);
 	}
 	evhttp_make_request(g->conn, req, method_of(o->method), o->path);
 	g_free(ip);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -59,6 +59,9 @@
 /* One small request on a connection of its own; done is called later. */
 void http_get(const struct http_get_options *o);
 
+/* Give a client's request its body, whatever the method. */
+void http_add_body(struct evhttp_request *req, struct ss_str body);
+
 /* Free a client connection once its callback has returned. */
 void http_free_later(struct event_base *base, struct evhttp_connection *conn);
 
--- a/src/net/relay.c
+++ b/src/net/relay.c
@@ -265,8 +265,7 @@
 		g_free(name);
 		g_free(value);
 	}
-	evbuffer_add(evhttp_request_get_output_buffer(c->req), m->body.p,
-		     m->body.n);
+	http_add_body(c->req, m->body);
 	evhttp_make_request(c->conn, c->req, method_of(m->method), path);
 	g_free(path);
 	return c;
