--- a/src/core/router.c
+++ b/src/core/router.c
@@ -31,7 +31,8 @@
 	uint64_t next;		       /* the piece that comes next */
 	unsigned int attempts;
 	bool claimed;
-	bool counted; /* in its view's own calls */
+	bool counted;	/* in its view's own calls */
+	bool maybe_ran; /* an attempt ended without anybody knowing how */
 	int64_t sent_ms, asked_ms;
 	GSequenceIter *deadline;
 	struct msg_call m; /* strings owned */
@@ -223,8 +224,10 @@
 static void finish(struct router *r, struct rcall *c, enum ss_error code,
 		   enum outcome outcome, const char *text, int64_t comeback)
 {
+	/* "Not run" is for the call, not for its last attempt. */
+	bool unknown = outcome == OUTCOME_NOT_RUN && c->maybe_ran;
 	struct router_end e = { .code = code,
-				.outcome = outcome,
+				.outcome = unknown ? OUTCOME_UNKNOWN : outcome,
 				.text = text,
 				.retry_after_ms = comeback };
 
@@ -659,6 +662,7 @@
 	if (!c->m.once && c->next == 0 && c->attempts < ATTEMPTS_MAX &&
 	    c->item.deadline_ms > now && ss_budget_retry(&r->budget)) {
 		r->stats.retries++;
+		c->maybe_ran = true;
 		end_attempt(r, c);
 		enqueue(r, c);
 		pump(r, rt, now);
@@ -774,6 +778,15 @@
 	c->route->service_ms += SERVICE_ALPHA * (took - c->route->service_ms);
 }
 
+/* Leave a replica alone for a while, longer each time it refuses. */
+static void rest_view(struct view *v, int64_t now)
+{
+	if (!v)
+		return;
+	v->full_ms = now + (ROUTER_FULL_MS << MIN(v->refusals, 6));
+	v->refusals++;
+}
+
 /* The agent refused, or can't say; nothing more comes on this sub. */
 static void take_refusal(struct router *r, struct rcall *c,
 			 const struct msg_reply *m, int64_t now)
@@ -792,14 +805,14 @@
 		       c->m.once ? OUTCOME_UNKNOWN : (enum outcome)m->outcome,
 		       text, 0);
 	} else if (code == SS_ERROR_OVERLOAD && v) {
-		v->full_ms = now + (ROUTER_FULL_MS << MIN(v->refusals, 4));
-		v->refusals++;
+		rest_view(v, now);
 		again(r, c, true, code, text, now);
 	} else {
-		if (code == SS_ERROR_ENDPOINT)
+		if (code == SS_ERROR_ENDPOINT) {
 			ss_breaker_result(&c->agent->breaker, false, now);
-		else if (v && code != SS_ERROR_CANCELLED &&
-			 code != SS_ERROR_LOST) {
+			rest_view(v, now);
+		} else if (v && code != SS_ERROR_CANCELLED &&
+			   code != SS_ERROR_LOST) {
 			/* Until the leader has heard of it as well. */
 			v->gone = true;
 			v->full_ms = now + ROUTER_GONE_MS;
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -799,7 +799,8 @@
 	q->start_ms = now_ms(e);
 	q->id = id && name_is_sane(id) ?
 			g_strdup(id) :
-			g_strdup_printf("%s-%" PRIu64, e->d->config.name,
+			g_strdup_printf("%s-%08x-%" PRIu64, e->d->config.name,
+					(uint32_t)e->d->hello.incarnation,
 					++e->requests);
 	q->tenant = or_default(caller_header(h, names->tenant), "default");
 	q->class_name = or_default(caller_header(h, names->class_name),
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -36,6 +36,7 @@
 	if (!addr)
 		return;
 	l->asked_ms = ss_clock_now(l->o.conn.clock);
+	log_debug("ask_leader", "addr=%s", addr);
 	l->conn = conn_connect(&l->o.conn, addr);
 	g_clear_pointer(&l->hint, g_free);
 }
--- a/tools/system.py
+++ b/tools/system.py
@@ -296,6 +296,8 @@
         names = [control] if control else self.controls
         last = (0, None)
         for c in names:
+            if not control and self.procs[c].frozen:
+                continue
             try:
                 status, _, data = request(
                     self.operator[c], method, path, body,
