--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -7,9 +7,12 @@
 #include <evhtp.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define BACKLOG 1024
 #define SWEEP_MS 500
+/* A caller whose answer is cut reads the rest within this time. */
+#define CUT_WRITE_S 5
 
 struct caller {
 	struct caller_options o;
@@ -176,13 +179,33 @@
 	}
 }
 
+/*
+ * The library's own bind lets several processes share a port: a second
+ * entry started by mistake would get a part of the callers.
+ */
+static int bind_socket(const char *addr)
+{
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+	int fd;
+
+	if (evutil_parse_sockaddr_port(addr, (struct sockaddr *)&ss, &len))
+		return -1;
+	fd = socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	if (fd < 0)
+		return -1;
+	evutil_make_listen_socket_reuseable(fd);
+	if (bind(fd, (struct sockaddr *)&ss, (socklen_t)len) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
 struct caller *caller_new(const struct caller_options *o, GError **error)
 {
 	struct caller *c = g_new0(struct caller, 1);
 	struct timeval tv = { 0, SWEEP_MS * 1000 };
-	char *ip = NULL;
-	uint16_t port = 0;
-	int rc;
+	int fd;
 
 	c->o = *o;
 	g_queue_init(&c->conns);
@@ -191,10 +214,8 @@
 	evhtp_set_max_body_size(c->htp, o->max_body);
 	evhtp_set_gencb(c->htp, on_request, c);
 	evhtp_set_post_accept_cb(c->htp, on_accept, c);
-	http_split_addr(o->addr, &ip, &port);
-	rc = evhtp_bind_socket(c->htp, ip, port, BACKLOG);
-	g_free(ip);
-	if (rc == 0) {
+	fd = bind_socket(o->addr);
+	if (fd >= 0 && evhtp_accept_socket(c->htp, fd, BACKLOG) == 0) {
 		c->sweep = event_new(o->base, -1, EV_PERSIST, on_sweep, c);
 		event_add(c->sweep, &tv);
 		return c;
@@ -304,16 +325,50 @@
 	evbuffer_free(buf);
 }
 
+static void on_written(struct bufferevent *bev, void *arg)
+{
+	(void)arg;
+	bufferevent_free(bev);
+}
+
+static void on_write_failed(struct bufferevent *bev, short what, void *arg)
+{
+	(void)what;
+	(void)arg;
+	bufferevent_free(bev);
+}
+
+/*
+ * Close a connection once what was written has gone out. The library
+ * closes after a whole answer only; a body without its last chunk would
+ * leave the caller waiting for it.
+ */
+static void close_after_write(struct caller_conn *cc)
+{
+	evhtp_connection_t *conn = cc->conn;
+	struct timeval tv = { CUT_WRITE_S, 0 };
+	struct bufferevent *bev;
+
+	evhtp_connection_unset_hook(conn, evhtp_hook_on_connection_fini);
+	on_conn_fini(conn, cc);
+	bev = evhtp_connection_take_ownership(conn);
+	evhtp_connection_free(conn);
+	if (evbuffer_get_length(bufferevent_get_output(bev)) == 0) {
+		bufferevent_free(bev);
+		return;
+	}
+	bufferevent_setcb(bev, NULL, on_written, on_write_failed, NULL);
+	bufferevent_set_timeouts(bev, NULL, &tv);
+	bufferevent_enable(bev, EV_WRITE);
+}
+
 void caller_end(struct caller_req *r, bool whole)
 {
 	detach(r);
-	if (whole) {
+	if (whole)
 		evhtp_send_reply_chunk_end(r->req);
-	} else {
-		/* No last chunk: the body ends before it is complete. */
-		evhtp_request_set_keepalive(r->req, 0);
-		evhtp_send_reply_end(r->req);
-	}
+	else
+		close_after_write(r->cc);
 	g_free(r);
 }
 
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -24,7 +24,9 @@
     """One request, written down in its record."""
     entry = rng.choice(s.entries)
     host, port = s.addr[entry].split(":")
-    headers = {"X-Tenant": rng.choice(["desk", "phone", "portal"]),
+    # A key belongs to its tenant: a resend comes from the same one.
+    tenant = ["desk", "phone", "portal"][sum(r.key.encode()) % 3]
+    headers = {"X-Tenant": tenant,
                "X-Deadline-Ms": str(rng.choice([4000, 8000, 12000]))}
     if r.kind == "book":
         path = "/svc/portal-web/book?seat=%s&delay_ms=%d" % (
@@ -48,6 +50,7 @@
     except http.client.IncompleteRead as e:
         r.body, r.broken = e.partial, True
     except TimeoutError:
+        r.entry = entry
         return  # no answer at all: lost
     except (OSError, http.client.HTTPException):
         r.broken = True
@@ -262,6 +265,15 @@
             counts = history.check(records, journals, faults.leaving,
                                    versions, undecided(s))
             struck += faults.done
+            for r in records:
+                if r.done is None:
+                    print("lost: %s %s at %.3f through %s" % (
+                        r.kind, r.key, r.sent, r.entry))
+            for name, spans in faults.leaving.items():
+                for e in journals[name]:
+                    if e["event"] == "run" and any(
+                            a + 3000 < e["at"] < b for a, b in spans):
+                        print("late work: %s %s in %s" % (name, e, spans))
             bad = [c for c in history.FAULTS if counts[c]]
             print("seed %d: %d requests, %d faults%s" % (
                 args.seed + i, counts["requests"], len(faults.done),
--- a/tools/system.py
+++ b/tools/system.py
@@ -133,7 +133,7 @@
                  build="build", engine_bytes=40 * GB, checks_fence=True,
                  token_ms=5, store_mbps=20000, models=None, presets=None,
                  log_level="info", snapshot_entries=2000, domains=None,
-                 listen_via=None):
+                 listen_via=None, receive_ms=10000):
         self.folder = os.path.abspath(folder)
         shutil.rmtree(self.folder, ignore_errors=True)
         os.makedirs(self.folder)
@@ -143,6 +143,7 @@
         self.domains = domains or ["hall-a", "hall-b", "hall-tr", "hall-pe"]
         self.log_level = log_level
         self.snapshot_entries = snapshot_entries
+        self.receive_ms = receive_ms
         self.procs = {}
         self.addr = {}
         n = entries + controls * 2 + engines * 2 + services * 2 + 2
@@ -256,6 +257,7 @@
                 self.entries.index(name)),
             "entry": {
                 "listen": self.addr[name], "drain_ms": 300,
+                "receive_ms": self.receive_ms,
                 "rules": {
                     "chat": {"path": "/v1/", "repeatable": True},
                     "read": {"method": "GET", "path": "/svc/portal-web/seats",
