Don't use a caller's connection after it is gone

Cause: when a caller closed during a stream the entry crashed: the library frees the connection's record before it ends its request. The test of that case passed all the same, since the engine saw the dying entry's connection close; seen only because a later test could bind the entry's port. Change: a request knows that its connection is going; every group of input tests now also checks that all processes are alive.

--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -32,7 +32,8 @@
 };
 
 struct caller_req {
-	struct caller_conn *cc;
+	struct caller *c;
+	struct caller_conn *cc; /* NULL once the connection is going */
 	evhtp_request_t *req;
 	bool started;
 	void *data;
@@ -41,11 +42,11 @@
 static evhtp_res on_request_fini(evhtp_request_t *req, void *arg)
 {
 	struct caller_req *r = arg;
-	struct caller *c = r->cc->c;
 
 	(void)req;
-	r->cc->req = NULL;
-	c->o.ops->gone(c->o.arg, r);
+	if (r->cc)
+		r->cc->req = NULL;
+	r->c->o.ops->gone(r->c->o.arg, r);
 	g_free(r);
 	return EVHTP_RES_OK;
 }
@@ -76,7 +77,7 @@
 
 static void deliver_request(struct caller_req *r, evhtp_request_t *req)
 {
-	struct caller *c = r->cc->c;
+	struct caller *c = r->c;
 	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct header));
 	GString *path = g_string_new(req->uri->path->full);
 	size_t n = evbuffer_get_length(req->buffer_in);
@@ -109,6 +110,7 @@
 	}
 	cc->reading = false;
 	r = g_new0(struct caller_req, 1);
+	r->c = c;
 	r->cc = cc;
 	r->req = req;
 	cc->req = r;
@@ -131,6 +133,9 @@
 {
 	struct caller_conn *cc = arg;
 
+	/* The library ends the connection first, then its request. */
+	if (cc->req)
+		cc->req->cc = NULL;
 	g_hash_table_remove(cc->c->by_conn, conn);
 	g_queue_unlink(&cc->c->conns, &cc->link);
 	g_free(cc);
--- a/test/proc_input.py
+++ b/test/proc_input.py
@@ -147,6 +147,7 @@
     wait_for(lambda: any(e["event"] == "cancelled"
                          for e in s.events("engine-1")), 10,
              why="the engine stops")
+    assert s.procs["entry-1"].alive(), "it ended the process"
 
 
 def frames_from_strangers(s):
@@ -228,6 +229,8 @@
         for fn in TESTS:
             try:
                 fn(s)
+                dead = [n for n, p in s.procs.items() if not p.alive()]
+                assert not dead, "processes ended: %s" % dead
                 print("ok %s" % fn.__name__, flush=True)
             except Exception as e:
                 print("FAILED %s: %s: %s" % (fn.__name__,
