--- /dev/null
+++ b/bench/load.c
@@ -0,0 +1,130 @@
+/*
+ * A closed-loop load: so many connections ask without pause for so long.
+ * Prints one line of JSON: requests, events, errors, latencies in us.
+ */
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "../src/base/hist.h"
+#include "../src/net/http.h"
+
+struct load {
+	struct event_base *base;
+	char *ip;
+	uint16_t port;
+	const char *path, *body, *method;
+	struct hist latency;
+	uint64_t requests, events, errors;
+	int64_t end_us;
+};
+
+struct client {
+	struct load *l;
+	struct evhttp_connection *conn;
+	int64_t sent_us;
+};
+
+static int64_t now_us(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+}
+
+static void ask(struct client *c);
+
+static void on_chunk(struct evhttp_request *req, void *arg)
+{
+	struct client *c = arg;
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	struct evbuffer_ptr p = evbuffer_search(in, "data: ", 6, NULL);
+
+	while (p.pos >= 0) {
+		c->l->events++;
+		evbuffer_ptr_set(in, &p, 6, EVBUFFER_PTR_ADD);
+		p = evbuffer_search(in, "data: ", 6, &p);
+	}
+}
+
+static void on_done(struct evhttp_request *req, void *arg)
+{
+	struct client *c = arg;
+
+	if (req && evhttp_request_get_response_code(req) == 200) {
+		c->l->requests++;
+		hist_add(&c->l->latency, (uint64_t)(now_us() - c->sent_us));
+	} else {
+		c->l->errors++;
+	}
+	if (now_us() < c->l->end_us)
+		ask(c);
+	else
+		event_base_loopexit(c->l->base, &(struct timeval){ 0, 200000 });
+}
+
+static void ask(struct client *c)
+{
+	struct evhttp_request *req = evhttp_request_new(on_done, c);
+	struct evkeyvalq *h = evhttp_request_get_output_headers(req);
+	bool post = !strcmp(c->l->method, "POST");
+
+	evhttp_request_set_chunked_cb(req, on_chunk);
+	evhttp_add_header(h, "Host", "x");
+	evhttp_add_header(h, "X-Deadline-Ms", "30000");
+	if (post)
+		http_add_body(req, ss_str(c->l->body));
+	c->sent_us = now_us();
+	evhttp_make_request(c->conn, req,
+			    post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
+			    c->l->path);
+}
+
+int main(int argc, const char **argv)
+{
+	struct load l = { .path = "/", .body = "", .method = "GET" };
+	const char *addr = "127.0.0.1:8080";
+	int conns = 1, seconds = 2;
+	struct poptOption options[] = {
+		{ "addr", 'a', POPT_ARG_STRING, &addr, 0, "ip:port", NULL },
+		{ "path", 'p', POPT_ARG_STRING, &l.path, 0, "path", NULL },
+		{ "body", 'b', POPT_ARG_STRING, &l.body, 0, "body", NULL },
+		{ "method", 'm', POPT_ARG_STRING, &l.method, 0, "method",
+		  NULL },
+		{ "connections", 'c', POPT_ARG_INT, &conns, 0, "count", NULL },
+		{ "seconds", 's', POPT_ARG_INT, &seconds, 0, "how long", NULL },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	poptContext ctx = poptGetContext("bench-load", argc, argv, options, 0);
+	int64_t start;
+
+	while (poptGetNextOpt(ctx) >= 0)
+		;
+	if (conns < 1 || conns > 4096 || seconds < 1 || seconds > 600 ||
+	    !http_split_addr(addr, &l.ip, &l.port))
+		return 2;
+	l.base = event_base_new();
+	start = now_us();
+	l.end_us = start + (int64_t)seconds * 1000000;
+	for (int i = 0; i < conns; i++) {
+		struct client *c = g_new0(struct client, 1);
+
+		c->l = &l;
+		c->conn =
+			evhttp_connection_base_new(l.base, NULL, l.ip, l.port);
+		ask(c);
+	}
+	event_base_dispatch(l.base);
+	printf("{\"requests\":%" PRIu64 ",\"events\":%" PRIu64
+	       ",\"errors\":%" PRIu64 ",\"seconds\":%.3f,\"p50_us\":%" PRIu64
+	       ",\"p99_us\":%" PRIu64 "}\n",
+	       l.requests, l.events, l.errors, (double)(now_us() - start) / 1e6,
+	       hist_quantile(&l.latency, 0.5), hist_quantile(&l.latency, 0.99));
+	return 0;
+}
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -176,8 +176,10 @@
 		fprintf(stderr, "standin: %s\n", poptStrerror(rc));
 		return 2;
 	}
-	if (ports)
+	if (ports) {
+		poptFreeContext(ctx);
 		return print_ports(ports);
+	}
 	signal(SIGPIPE, SIG_IGN);
 	ss_clock_init(&s.clock);
 	s.base = event_base_new();
