--- a/src/core/keep.c
+++ b/src/core/keep.c
@@ -31,12 +31,6 @@
 	return b >= SS_KEEP_GAPS - 1 ? SS_KEEP_GAPS - 1 : (size_t)b;
 }
 
-/* The longest gap that a bucket holds. */
-static double gap_top(size_t b)
-{
-	return GAP_FIRST_MS * exp2((double)b / GAP_STEPS);
-}
-
 struct slot {
 	int kind; /* 0: workday */
 	int day;  /* counted from some start */
@@ -108,7 +102,8 @@
 	double sum = 0, beyond, held = 0, best_cost;
 	double idle_rate = (1 - c->cold_weight) * c->share;
 	double cold = c->cold_weight * COLD_WORTH * (double)c->load_ms;
-	double best = 0;
+	double best = 0, from = 0, top = GAP_FIRST_MS;
+	double step = exp2(1.0 / GAP_STEPS);
 
 	for (size_t i = 0; i < SS_KEEP_GAPS; i++) {
 		p[i] = (double)a->gaps[i];
@@ -127,8 +122,6 @@
 	beyond = 1;
 	best_cost = cold;
 	for (size_t i = 0; i + 1 < SS_KEEP_GAPS; i++) {
-		double from = i ? gap_top(i - 1) : 0;
-		double top = gap_top(i);
 		double here = p[i] / sum;
 		double cost;
 
@@ -139,6 +132,9 @@
 			best_cost = cost;
 			best = top;
 		}
+		/* The longest gap of each bucket, in equal steps. */
+		from = top;
+		top *= step;
 	}
 	return CLAMP((int64_t)best, c->min_ms, c->max_ms);
 }
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -52,6 +52,43 @@
 	p->at_ms = now;
 }
 
+/* One pass: the view with its replicas sorted by node. */
+struct pass {
+	const struct plan_view *v;
+	struct pacer *p;
+	const struct plan_ops *ops;
+	void *arg;
+	size_t loading;
+	int *first;    /* of a node's replicas, by node; -1: none */
+	int *next;     /* the same node's next one, by replica */
+	bool *wanted;  /* by replica: somebody waits for its model */
+	bool *evicted; /* by replica: unloaded in this pass */
+};
+
+/* Walk the replicas on a node: r is the record, i its index. */
+#define FOR_NODE_REPLICAS(s, node, i)                                          \
+	for (int i = (s)->first[node]; i >= 0; i = (s)->next[i])
+
+static bool has(const struct pass *s, const char *model, int node, bool ready)
+{
+	FOR_NODE_REPLICAS(s, node, i) {
+		const struct plan_replica *r = &s->v->replicas[i];
+
+		if (!strcmp(r->model, model) &&
+		    (!ready || r->state == REPLICA_READY))
+			return true;
+	}
+	return false;
+}
+
+static bool has_adapters(const struct pass *s, const struct plan_replica *base)
+{
+	FOR_NODE_REPLICAS(s, base->node, i)
+		if (!strcmp(s->v->replicas[i].base, base->model))
+			return true;
+	return false;
+}
+
 /* Replicas of a model in the view. */
 struct tally {
 	size_t all;	/* whatever their state: the decided count */
@@ -85,35 +122,11 @@
 	return t;
 }
 
-static bool has(const struct plan_view *v, const char *model, int node,
-		bool ready)
-{
-	for (size_t i = 0; i < v->n_replicas; i++) {
-		const struct plan_replica *r = &v->replicas[i];
-
-		if (r->node == node && !strcmp(r->model, model) &&
-		    (!ready || r->state == REPLICA_READY))
-			return true;
-	}
-	return false;
-}
-
-static bool has_adapters(const struct plan_view *v,
-			 const struct plan_replica *base)
-{
-	for (size_t i = 0; i < v->n_replicas; i++)
-		if (v->replicas[i].node == base->node &&
-		    !strcmp(v->replicas[i].base, base->model))
-			return true;
-	return false;
-}
-
-static int64_t load_time(const struct plan_view *v, const struct pacer *p,
-			 const struct plan_demand *d, enum ss_tier tier)
+static int64_t load_time(const struct pacer *p, const struct plan_demand *d,
+			 enum ss_tier tier)
 {
 	static const double factor[] = { 1, DISK_FACTOR, MEMORY_FACTOR };
 
-	(void)v;
 	if (d->load_ms)
 		return (int64_t)((double)d->load_ms * factor[tier]);
 	return pacer_load_ms(p, d->bytes, tier);
@@ -135,7 +148,7 @@
 	return ss_keep_ms(a ? a : &none, v->prior, &c);
 }
 
-static bool wanted(const struct plan_view *v, const char *model)
+static bool is_wanted(const struct plan_view *v, const char *model)
 {
 	for (size_t i = 0; i < v->n_demands; i++)
 		if (!strcmp(v->demands[i].model, model) ||
@@ -144,12 +157,14 @@
 	return false;
 }
 
-static bool evictable(const struct plan_view *v, const struct plan_replica *r)
+static bool evictable(const struct pass *s, int i)
 {
+	const struct plan_replica *r = &s->v->replicas[i];
+
 	return r->state == REPLICA_READY && r->active == 0 &&
-	       r->age_ms >= EVICT_AGE_MIN_MS && !has_adapters(v, r) &&
-	       !preset_pins(v->preset, ss_str(r->model)) &&
-	       !wanted(v, r->model);
+	       r->age_ms >= EVICT_AGE_MIN_MS && !s->wanted[i] &&
+	       !s->evicted[i] && !has_adapters(s, r) &&
+	       !preset_pins(s->v->preset, ss_str(r->model));
 }
 
 /* What is lost by unloading it now: a long idle one is worth little. */
@@ -159,111 +174,131 @@
 }
 
 /* Bytes that are being freed on a node already. */
-static uint64_t leaving_bytes(const struct plan_view *v, int node)
+static uint64_t leaving_bytes(const struct pass *s, int node)
 {
 	uint64_t sum = 0;
 
-	for (size_t i = 0; i < v->n_replicas; i++)
-		if (v->replicas[i].node == node &&
-		    v->replicas[i].state == REPLICA_UNLOADING)
-			sum += v->replicas[i].bytes;
+	FOR_NODE_REPLICAS(s, node, i)
+		if (s->v->replicas[i].state == REPLICA_UNLOADING ||
+		    s->evicted[i])
+			sum += s->v->replicas[i].bytes;
 	return sum;
 }
 
+static bool is_in(const GArray *list, int i)
+{
+	for (guint k = 0; k < list->len; k++)
+		if (g_array_index(list, int, k) == i)
+			return true;
+	return false;
+}
+
 /*
  * The cost of making room for bytes on a node: the worth of what goes.
- * Negative where it can't be done. The victims are marked in out.
+ * Negative where it can't be done. The victims' indices are put in out.
  */
-static double eviction(const struct plan_view *v, int node, uint64_t bytes,
-		       bool *out)
+static double eviction(const struct pass *s, int node, uint64_t bytes,
+		       GArray *out)
 {
-	uint64_t room = v->nodes[node].bytes -
-			MIN(v->nodes[node].used, v->nodes[node].bytes);
+	const struct plan_node *n = &s->v->nodes[node];
+	uint64_t room = n->bytes - MIN(n->used, n->bytes);
 	double cost = 0;
 
-	room += leaving_bytes(v, node);
-	memset(out, 0, v->n_replicas * sizeof(*out));
+	g_array_set_size(out, 0);
+	if (room >= bytes)
+		return 0;
+	room += leaving_bytes(s, node);
 	while (room < bytes) {
-		const struct plan_replica *least = NULL;
-
-		for (size_t i = 0; i < v->n_replicas; i++) {
-			const struct plan_replica *r = &v->replicas[i];
-
-			if (r->node == node && !out[i] && evictable(v, r) &&
-			    (!least || worth(r) < worth(least)))
-				least = r;
-		}
-		if (!least)
+		const struct plan_replica *r = s->v->replicas;
+		int least = -1;
+
+		FOR_NODE_REPLICAS(s, node, i)
+			if (evictable(s, i) && !is_in(out, i) &&
+			    (least < 0 || worth(&r[i]) < worth(&r[least])))
+				least = i;
+		if (least < 0)
 			return -1;
-		out[least - v->replicas] = true;
-		room += least->bytes;
-		cost += worth(least);
+		g_array_append_val(out, least);
+		room += r[least].bytes;
+		cost += worth(&r[least]);
 	}
 	return cost;
 }
 
-struct place {
-	int node;
-	bool evict;
-	bool *victims;
-};
+/* Nodes that have the model, whatever its state there. */
+static GArray *nodes_with(const struct plan_view *v, const char *model)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(int));
+
+	for (size_t i = 0; i < v->n_replicas; i++)
+		if (!strcmp(v->replicas[i].model, model))
+			g_array_append_val(out, v->replicas[i].node);
+	return out;
+}
 
-/* Spread over failure domains: replicas of the model in the node's one. */
-static unsigned int same_domain(const struct plan_view *v, const char *model,
+static unsigned int same_domain(const struct plan_view *v, const GArray *with,
 				int node)
 {
 	unsigned int n = 0;
 
-	for (size_t i = 0; i < v->n_replicas; i++)
-		n += !strcmp(v->replicas[i].model, model) &&
-		     !strcmp(v->nodes[v->replicas[i].node].domain,
+	for (guint k = 0; k < with->len; k++)
+		n += !strcmp(v->nodes[g_array_index(with, int, k)].domain,
 			     v->nodes[node].domain);
 	return n;
 }
 
-static bool fits_pool(const struct plan_node *n, const struct plan_demand *d)
+static bool may_take(const struct pass *s, const struct plan_demand *d,
+		     const GArray *with, int i)
+{
+	const struct plan_node *n = &s->v->nodes[i];
+
+	return n->usable && (!*d->pool || !strcmp(n->pool, d->pool)) &&
+	       !is_in(with, i) && (!*d->base || has(s, d->base, i, true));
+}
+
+static double place_cost(const struct pass *s, const struct plan_demand *d,
+			 const GArray *with, int i, double evict)
 {
-	return !*d->pool || !strcmp(n->pool, d->pool);
+	const struct plan_node *n = &s->v->nodes[i];
+	enum ss_tier tier = s->v->tier(s->v->arg, d->model, n->name);
+	double cost =
+		(double)load_time(s->p, d, tier) *
+		(1 + 0.5 * same_domain(s->v, with, i) + 0.25 * n->loading);
+
+	/* Best fit: leave large holes for large models. */
+	return cost + evict / 1e6 +
+	       1e-9 * (double)(n->bytes - MIN(n->used, n->bytes));
 }
 
 /*
  * The cheapest node: the time to load there, a preference for another
- * failure domain than the replicas that exist, and what must leave.
+ * failure domain than the replicas that exist, and what must leave. -1
+ * where none can take it; the victims are put in out.
  */
-static struct place find_place(const struct plan_view *v, const struct pacer *p,
-			       const struct plan_demand *d, bool *victims)
+static int find_place(const struct pass *s, const struct plan_demand *d,
+		      GArray *out)
 {
-	struct place best = { .node = -1, .victims = victims };
-	bool *trial = g_new0(bool, v->n_replicas + 1);
+	GArray *with = nodes_with(s->v, d->model);
 	double best_cost = 0;
+	int best = -1;
 
-	for (int i = 0; i < (int)v->n_nodes; i++) {
-		const struct plan_node *n = &v->nodes[i];
-		enum ss_tier tier;
+	for (int i = 0; i < (int)s->v->n_nodes; i++) {
 		double evict, cost;
 
-		if (!n->usable || !fits_pool(n, d) ||
-		    has(v, d->model, i, false) ||
-		    (*d->base && !has(v, d->base, i, true)))
+		if (!may_take(s, d, with, i))
 			continue;
-		evict = eviction(v, i, d->bytes, trial);
+		evict = eviction(s, i, d->bytes, out);
 		if (evict < 0)
 			continue;
-		tier = v->tier(v->arg, d->model, n->name);
-		cost = (double)load_time(v, p, d, tier) *
-			       (1 + 0.5 * same_domain(v, d->model, i) +
-				0.25 * n->loading) +
-		       evict / 1e6;
-		/* Best fit: leave large holes for large models. */
-		cost += 1e-9 * (double)(n->bytes - MIN(n->used, n->bytes));
-		if (best.node >= 0 && cost >= best_cost)
+		cost = place_cost(s, d, with, i, evict);
+		if (best >= 0 && cost >= best_cost)
 			continue;
-		best.node = i;
+		best = i;
 		best_cost = cost;
-		best.evict = n->used + d->bytes > n->bytes;
-		memcpy(victims, trial, v->n_replicas * sizeof(*trial));
 	}
-	g_free(trial);
+	if (best >= 0)
+		eviction(s, best, d->bytes, out);
+	g_array_unref(with);
 	return best;
 }
 
@@ -296,10 +331,10 @@
 	return strcmp(x->model, y->model);
 }
 
-static int64_t expected_left(const struct plan_view *v, const struct pacer *p,
-			     const struct plan_demand *d, const struct tally *t)
+static int64_t expected_left(const struct pacer *p, const struct plan_demand *d,
+			     const struct tally *t)
 {
-	int64_t whole = load_time(v, p, d, TIER_REMOTE);
+	int64_t whole = load_time(p, d, TIER_REMOTE);
 	int64_t overdue = (int64_t)((double)t->oldest_load_ms * OVERDUE_FACTOR);
 
 	/* A slow store shortens what is promised to new callers. */
@@ -316,44 +351,29 @@
 	return n;
 }
 
-struct pass {
-	const struct plan_view *v;
-	struct pacer *p;
-	const struct plan_ops *ops;
-	void *arg;
-	size_t loading;
-	bool *victims;
-	bool *evicted;
-};
-
-static void evict(struct pass *s, const struct place *at)
+static void evict(struct pass *s, const GArray *victims)
 {
-	for (size_t i = 0; i < s->v->n_replicas; i++) {
-		if (!at->victims[i] || s->evicted[i])
-			continue;
+	for (guint k = 0; k < victims->len; k++) {
+		int i = g_array_index(victims, int, k);
+
 		s->evicted[i] = true;
 		s->ops->unload(s->arg, &s->v->replicas[i],
 			       "room for a model that is waited for");
 	}
 }
 
-static void place_demand(struct pass *s, struct plan_demand *d,
-			 const struct tally *t)
+static void load_at(struct pass *s, struct plan_demand *d, int node,
+		    const GArray *victims, const struct tally *t)
 {
 	const struct plan_view *v = s->v;
-	struct place at = find_place(v, s->p, d, s->victims);
-	enum ss_tier tier;
+	struct plan_node *n = &v->nodes[node];
+	enum ss_tier tier = v->tier(v->arg, d->model, n->name);
 
-	if (at.node < 0) {
-		d->why = "no endpoint has room, or could get it";
-		return;
-	}
-	tier = v->tier(v->arg, d->model, v->nodes[at.node].name);
-	d->eta_ms = load_time(v, s->p, d, tier);
-	if (at.evict) {
+	d->eta_ms = load_time(s->p, d, tier);
+	if (n->used + d->bytes > n->bytes) {
 		d->why = "another model is unloaded first";
 		if (!d->ahead)
-			evict(s, &at);
+			evict(s, victims);
 		return;
 	}
 	if (s->loading >= (size_t)v->preset->store_parallel ||
@@ -364,10 +384,23 @@
 	}
 	s->p->tokens -= 1;
 	s->loading++;
-	v->nodes[at.node].used += d->bytes;
-	v->nodes[at.node].loading++;
+	n->used += d->bytes;
+	n->loading++;
 	d->why = "load decided";
-	s->ops->load(s->arg, d, &v->nodes[at.node], t->all);
+	s->ops->load(s->arg, d, n, t->all);
+}
+
+static void place_demand(struct pass *s, struct plan_demand *d,
+			 const struct tally *t)
+{
+	GArray *victims = g_array_new(FALSE, FALSE, sizeof(int));
+	int node = find_place(s, d, victims);
+
+	if (node < 0)
+		d->why = "no endpoint has room, or could get it";
+	else
+		load_at(s, d, node, victims, t);
+	g_array_unref(victims);
 }
 
 /* An adapter needs its base first: the demand passes to the base. */
@@ -378,7 +411,7 @@
 	if (!*d->base)
 		return false;
 	for (int i = 0; i < (int)v->n_nodes; i++)
-		if (v->nodes[i].usable && has(v, d->base, i, true))
+		if (v->nodes[i].usable && has(s, d->base, i, true))
 			return false;
 	d->why = "its base is loaded first";
 	return true;
@@ -393,7 +426,7 @@
 	if (t.serving)
 		d->eta_ms = 0;
 	else if (t.loading)
-		d->eta_ms = expected_left(s->v, s->p, d, &t);
+		d->eta_ms = expected_left(s->p, d, &t);
 	if (t.loading && !t.serving)
 		d->why = "a replica is being loaded";
 	if (!needs_more(s->v, d, &t) || base_missing(s, d))
@@ -401,27 +434,52 @@
 	place_demand(s, d, &t);
 }
 
-static const char *why_unload(const struct plan_view *v, const struct pacer *p,
-			      const struct plan_replica *r)
+static const char *why_unload(const struct pass *s, int i)
 {
+	const struct plan_view *v = s->v;
+	const struct plan_replica *r = &v->replicas[i];
 	const struct plan_node *n = &v->nodes[r->node];
 
 	if (r->state == REPLICA_LOADING)
 		return r->failed ? "its load failed" : NULL;
-	if (r->state != REPLICA_READY)
+	if (r->state != REPLICA_READY || r->active || has_adapters(s, r))
 		return NULL;
-	if (n->draining && r->active == 0 && !has_adapters(v, r))
+	if (n->draining)
 		return "its endpoint is leaving";
-	if (!n->usable)
-		return NULL;
-	if (r->active || wanted(v, r->model) || has_adapters(v, r) ||
-	    preset_pins(v->preset, ss_str(r->model)))
-		return NULL;
-	if (r->idle_ms < plan_keep_ms(v, p, r->model, r->bytes, n->bytes))
+	if (!n->usable || s->wanted[i] || r->idle_ms < v->preset->keep_min_ms ||
+	    preset_pins(v->preset, ss_str(r->model)) ||
+	    r->idle_ms < plan_keep_ms(v, s->p, r->model, r->bytes, n->bytes))
 		return NULL;
 	return "idle for longer than keeping it is worth";
 }
 
+static void sort_replicas(struct pass *s)
+{
+	const struct plan_view *v = s->v;
+
+	s->first = g_new(int, v->n_nodes + 1);
+	s->next = g_new(int, v->n_replicas + 1);
+	s->wanted = g_new0(bool, v->n_replicas + 1);
+	s->evicted = g_new0(bool, v->n_replicas + 1);
+	for (size_t i = 0; i < v->n_nodes; i++)
+		s->first[i] = -1;
+	for (int i = (int)v->n_replicas; i-- > 0;) {
+		int node = v->replicas[i].node;
+
+		s->next[i] = s->first[node];
+		s->first[node] = i;
+		s->wanted[i] = is_wanted(v, v->replicas[i].model);
+	}
+}
+
+static void pass_free(struct pass *s)
+{
+	g_free(s->first);
+	g_free(s->next);
+	g_free(s->wanted);
+	g_free(s->evicted);
+}
+
 void plan_run(const struct plan_view *v, struct pacer *p,
 	      const struct plan_ops *ops, void *arg)
 {
@@ -430,20 +488,18 @@
 
 	pacer_refill(p, v->preset, v->now);
 	s.loading = loading_now(v);
-	s.victims = g_new0(bool, v->n_replicas + 1);
-	s.evicted = g_new0(bool, v->n_replicas + 1);
+	sort_replicas(&s);
 	for (size_t i = 0; i < v->n_demands; i++)
 		g_ptr_array_add(order, &v->demands[i]);
 	g_ptr_array_sort(order, by_urgency);
 	for (guint i = 0; i < order->len; i++)
 		plan_demand_of(&s, order->pdata[i]);
-	for (size_t i = 0; i < v->n_replicas; i++) {
-		const char *why = why_unload(v, p, &v->replicas[i]);
+	for (int i = 0; i < (int)v->n_replicas; i++) {
+		const char *why = why_unload(&s, i);
 
 		if (why && !s.evicted[i])
 			ops->unload(arg, &v->replicas[i], why);
 	}
 	g_ptr_array_unref(order);
-	g_free(s.victims);
-	g_free(s.evicted);
+	pass_free(&s);
 }
