Choose a replica's place by what an eviction costs in time

Cause: the worth of what leaves was counted in bytes per idle time, scaled to almost nothing beside a load's milliseconds. So a near checkpoint or a tight fit threw out a model used seconds ago while other nodes were empty. Change: worth is the next load's time, halved after ten idle minutes.

--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -16,6 +16,8 @@
 #define SERVICE_MS_GUESS 1000
 /* An idle replica this young isn't evicted for another model. */
 #define EVICT_AGE_MIN_MS 2000
+/* An idle replica is worth half its load after so long. */
+#define WORTH_HALF_MS 600000
 /* A load this much slower than expected has no known end. */
 #define OVERDUE_FACTOR 1.5
 
@@ -167,10 +169,15 @@
 	       !preset_pins(s->v->preset, ss_str(r->model));
 }
 
-/* What is lost by unloading it now: a long idle one is worth little. */
-static double worth(const struct plan_replica *r)
+/*
+ * What unloading it now costs: its next load, less likely to be needed
+ * the longer nobody has used it. In ms, as the time of a load is.
+ */
+static double worth(const struct pass *s, const struct plan_replica *r)
 {
-	return (double)r->bytes / (double)(r->idle_ms + 1000);
+	double load = (double)pacer_load_ms(s->p, r->bytes, TIER_REMOTE);
+
+	return load * WORTH_HALF_MS / (double)(r->idle_ms + WORTH_HALF_MS);
 }
 
 /* Bytes that are being freed on a node already. */
@@ -214,13 +221,14 @@
 
 		FOR_NODE_REPLICAS(s, node, i)
 			if (evictable(s, i) && !is_in(out, i) &&
-			    (least < 0 || worth(&r[i]) < worth(&r[least])))
+			    (least < 0 ||
+			     worth(s, &r[i]) < worth(s, &r[least])))
 				least = i;
 		if (least < 0)
 			return -1;
 		g_array_append_val(out, least);
 		room += r[least].bytes;
-		cost += worth(&r[least]);
+		cost += worth(s, &r[least]);
 	}
 	return cost;
 }
@@ -266,7 +274,7 @@
 		(1 + 0.5 * same_domain(s->v, with, i) + 0.25 * n->loading);
 
 	/* Best fit: leave large holes for large models. */
-	return cost + evict / 1e6 +
+	return cost + evict +
 	       1e-9 * (double)(n->bytes - MIN(n->used, n->bytes));
 }
 
