Wake ahead at the time of day, not at the slot's begin

Cause: a quarter of an hour was held for each model woken ahead, so at a low weight it never paid, and the herd at opening stayed cold. Change: the mean time of the slot's first arrival is kept; the model is woken a minute before it, and given up some minutes after.

--- a/include/sapphireshift/keep.h
+++ b/include/sapphireshift/keep.h
@@ -22,6 +22,8 @@
 	float total;
 	/* Shares of the days seen on which a slot had an arrival. */
 	float slots[2][SS_KEEP_SLOTS];
+	/* Mean time into the slot at which its first arrival came, in ms. */
+	float offsets[2][SS_KEEP_SLOTS];
 	uint16_t days[2];
 	int32_t slot_day; /* the day and slot counted last */
 	int32_t first_day;
--- a/src/core/keep.c
+++ b/src/core/keep.c
@@ -13,6 +13,8 @@
 #define SLOT_MS (15 * 60 * 1000)
 #define DAY_SLOTS SS_KEEP_SLOTS
 #define SLOT_ALPHA 0.3f
+/* A model is woken so long before the time at which it is expected. */
+#define AHEAD_MARGIN_MS 60000
 /* Days of a kind before a slot's share is believed. */
 #define DAYS_MIN 2
 /*
@@ -59,6 +61,8 @@
 	struct slot s = slot_at(wall_ms);
 	int32_t code = s.day * DAY_SLOTS + s.slot;
 	float *share = &a->slots[s.kind][s.slot];
+	float *offset = &a->offsets[s.kind][s.slot];
+	float into = (float)(wall_ms % SLOT_MS);
 
 	if (a->first_day == 0)
 		a->first_day = s.day;
@@ -71,6 +75,7 @@
 		if (a->days[s.kind] < UINT16_MAX)
 			a->days[s.kind]++;
 	}
+	*offset = *share > 0 ? *offset + SLOT_ALPHA * (into - *offset) : into;
 	*share += SLOT_ALPHA;
 	a->slot_day = code;
 }
@@ -142,15 +147,21 @@
 bool ss_wake_ahead(const struct ss_arrivals *a, int64_t wall_ms,
 		   const struct ss_keep_costs *c)
 {
-	struct slot s = slot_at(wall_ms + c->load_ms);
-	double share, idle, cold;
+	int64_t at = wall_ms + c->load_ms + AHEAD_MARGIN_MS;
+	struct slot s = slot_at(at);
+	double into = (double)(at % SLOT_MS);
+	double share, begin, idle, cold;
 
 	if (a->days[s.kind] < DAYS_MIN)
 		return false;
 	share = (double)a->slots[s.kind][s.slot];
-	/* On average half the slot passes before the arrival. */
-	idle = (1 - c->cold_weight) * c->share * SLOT_MS *
-	       (share / 2 + (1 - share));
+	begin = (double)a->offsets[s.kind][s.slot] - AHEAD_MARGIN_MS;
+	if (share <= 0 || into < begin || into > begin + 4 * AHEAD_MARGIN_MS)
+		return false;
+	/* Where the arrival doesn't come it is held to the slot's end. */
+	idle = (1 - c->cold_weight) * c->share *
+	       (share * 2 * AHEAD_MARGIN_MS +
+		(1 - MIN(share, 1)) * (SLOT_MS - MAX(begin, 0)));
 	cold = c->cold_weight * COLD_WORTH * (double)c->load_ms * share;
 	return cold > idle;
 }
