Bring formatter and linters to no finding

Change: a macro loop written out; a socket address by union; the scale measurement takes all its ports at once, since two draws could name the same port (seen: 100 agents of which one never registered).

--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -67,13 +67,9 @@
 	bool *evicted; /* by replica: unloaded in this pass */
 };
 
-/* Walk the replicas on a node: r is the record, i its index. */
-#define FOR_NODE_REPLICAS(s, node, i)                                          \
-	for (int i = (s)->first[node]; i >= 0; i = (s)->next[i])
-
 static bool has(const struct pass *s, const char *model, int node, bool ready)
 {
-	FOR_NODE_REPLICAS(s, node, i) {
+	for (int i = s->first[node]; i >= 0; i = s->next[i]) {
 		const struct plan_replica *r = &s->v->replicas[i];
 
 		if (!strcmp(r->model, model) &&
@@ -85,7 +81,7 @@
 
 static bool has_adapters(const struct pass *s, const struct plan_replica *base)
 {
-	FOR_NODE_REPLICAS(s, base->node, i)
+	for (int i = s->first[base->node]; i >= 0; i = s->next[i])
 		if (!strcmp(s->v->replicas[i].base, base->model))
 			return true;
 	return false;
@@ -185,7 +181,7 @@
 {
 	uint64_t sum = 0;
 
-	FOR_NODE_REPLICAS(s, node, i)
+	for (int i = s->first[node]; i >= 0; i = s->next[i])
 		if (s->v->replicas[i].state == REPLICA_UNLOADING ||
 		    s->evicted[i])
 			sum += s->v->replicas[i].bytes;
@@ -219,7 +215,7 @@
 		const struct plan_replica *r = s->v->replicas;
 		int least = -1;
 
-		FOR_NODE_REPLICAS(s, node, i)
+		for (int i = s->first[node]; i >= 0; i = s->next[i])
 			if (evictable(s, i) && !is_in(out, i) &&
 			    (least < 0 ||
 			     worth(s, &r[i]) < worth(s, &r[least])))
--- a/src/node/conn.c
+++ b/src/node/conn.c
@@ -326,13 +326,17 @@
 
 uint16_t conn_listener_port(const struct listener *l)
 {
-	struct sockaddr_storage ss = { 0 };
-	socklen_t len = sizeof(ss);
-
-	getsockname(evconnlistener_get_fd(l->ev), (struct sockaddr *)&ss, &len);
-	if (ss.ss_family == AF_INET6)
-		return ntohs(((struct sockaddr_in6 *)&ss)->sin6_port);
-	return ntohs(((struct sockaddr_in *)&ss)->sin_port);
+	union {
+		struct sockaddr sa;
+		struct sockaddr_in in;
+		struct sockaddr_in6 in6;
+	} a;
+	socklen_t len = sizeof(a);
+
+	memset(&a, 0, sizeof(a));
+	getsockname(evconnlistener_get_fd(l->ev), &a.sa, &len);
+	return ntohs(a.sa.sa_family == AF_INET6 ? a.in6.sin6_port :
+						  a.in.sin_port);
 }
 
 void conn_listener_free(struct listener *l)
--- a/tools/scale.py
+++ b/tools/scale.py
@@ -15,13 +15,13 @@
 
     def __init__(self, folder, agents, entries, build):
         super().__init__(folder, entries=entries, controls=3, engines=0,
-                         services=1, build=build, log_level="warn")
-        ports = self._ports(agents * 2)
+                         services=1, build=build, log_level="warn",
+                         spare_ports=agents * 2)
         for i in range(agents):
             name = "many-%d" % i
             self.addr[name] = self.addr["service-1"]
-            self._agent(name, "127.0.0.1:" + ports.pop(),
-                        "127.0.0.1:" + ports.pop(), "service", "portal-web")
+            self._agent(name, self.spare.pop(), self.spare.pop(), "service",
+                        "portal-web")
         self.many = ["agent-many-%d" % i for i in range(agents)]
 
 
--- a/tools/system.py
+++ b/tools/system.py
@@ -133,7 +133,7 @@
                  build="build", engine_bytes=40 * GB, checks_fence=True,
                  token_ms=5, store_mbps=20000, models=None, presets=None,
                  log_level="info", snapshot_entries=2000, domains=None,
-                 listen_via=None, receive_ms=10000):
+                 listen_via=None, receive_ms=10000, spare_ports=0):
         self.folder = os.path.abspath(folder)
         shutil.rmtree(self.folder, ignore_errors=True)
         os.makedirs(self.folder)
@@ -148,7 +148,9 @@
         self.addr = {}
         n = entries + controls * 2 + engines * 2 + services * 2 + 2
         n += engines + services
-        ports = self._ports(n)
+        # All at once: a second call could name the same ports again.
+        ports = self._ports(n + spare_ports)
+        self.spare = ["127.0.0.1:" + ports.pop() for _ in range(spare_ports)]
         take = lambda: "127.0.0.1:%s" % ports.pop()
         self.entries = ["entry-%d" % (i + 1) for i in range(entries)]
         self.controls = ["ctl-%d" % (i + 1) for i in range(controls)]
