--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -158,9 +158,10 @@
 			list = *(GPtrArray **)at;
 			for (guint k = 0; list && k < list->len; k++) {
 				void *item = list->pdata[k];
+				char *name = *(char **)item;
 
 				settings_clear(f->type, item);
-				g_free(*(char **)item);
+				g_free(name);
 				g_free(item);
 			}
 			if (list)
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -1,67 +1,21 @@
 /* The entry: takes callers' requests and carries the answers back. */
-#include "../caller/caller.h"
-#include "../core/router.h"
-#include "daemon.h"
+#include "entry_int.h"
 
-#include <ctype.h>
 #include <json-c/json.h>
-#define XXH_STATIC_LINKING_ONLY /* for states on the stack */
-#include <xxhash.h>
 
 #define TICK_MS 20
-#define DEADLINE_MAX_MS (24 * 3600 * 1000LL)
-#define NAME_MAX_BYTES 200
-/* The prompt's start that decides which replica may have it cached. */
-#define PREFIX_BYTES 256
 /* A connection to an agent that nobody used for so long is closed. */
 #define AGENT_IDLE_MS 60000
 #define AGENT_RETRY_MS 200
 #define CALLER_BACKLOG_MAX (8u * 1024 * 1024)
 #define MODELS_WAIT_MS 3000
 
-struct agent_conn {
-	char *node, *addr;
-	struct conn *conn;
-	bool open;
-	int64_t tried_ms, used_ms;
-};
-
-struct entry_role {
-	struct daemon *d;
-	struct caller *caller;
-	struct router *router;
-	struct link *link;
-	struct event *tick;
-	GHashTable *agents; /* node -> struct agent_conn */
-	GHashTable *hists;  /* "tenant\nclass" -> struct hist */
-	struct preset preset;
-	uint64_t config; /* version of the preset in force; 0: built in */
-	char *config_name;
-	uint64_t requests;
-	GQueue listings; /* struct request that asks for the models */
-	bool draining;
-	int64_t stop_ms;
-	uint64_t *n_requests, *n_ok, *n_gone, *n_bad, *n_waiting, *n_calls,
-		*n_conns, *n_cut, *n_config;
-};
-
-/* One caller's request. */
-struct request {
-	struct entry_role *e;
-	struct caller_req *req;
-	struct rcall *call;
-	char *id, *tenant, *class_name, *model;
-	bool sse;	  /* the answer is a stream of events */
-	uint64_t listing; /* of the models, if it is that */
-	int64_t start_ms;
-};
-
-static int64_t now_ms(const struct entry_role *e)
+int64_t entry_now(const struct entry_role *e)
 {
 	return ss_clock_now(&e->d->clock);
 }
 
-static void request_free(struct request *q)
+void entry_request_free(struct request *q)
 {
 	g_free(q->id);
 	g_free(q->tenant);
@@ -118,8 +72,8 @@
 
 /* Refusals. */
 
-static void refuse(struct request *q, enum ss_error code, const char *text,
-		   enum outcome outcome, int64_t retry_after_ms)
+void entry_refuse(struct request *q, enum ss_error code, const char *text,
+		  enum outcome outcome, int64_t retry_after_ms)
 {
 	GString *body =
 		http_error_json(code, text, outcome_names[outcome], q->id);
@@ -142,10 +96,10 @@
 		 "request=%s model=%s type=%s outcome=%s ms=%" PRId64
 		 " why=\"%s\"",
 		 q->id, q->model ? q->model : "-", ss_error_name(code),
-		 outcome_names[outcome], now_ms(q->e) - q->start_ms, text);
+		 outcome_names[outcome], entry_now(q->e) - q->start_ms, text);
 	caller_reply(q->req, http_status(code), h, n, ss_str_gs(body));
 	g_string_free(body, TRUE);
-	request_free(q);
+	entry_request_free(q);
 }
 
 /* An answer that had begun can't be completed: say so, and cut it. */
@@ -166,7 +120,7 @@
 		g_string_free(json, TRUE);
 	}
 	caller_end(q->req, false);
-	request_free(q);
+	entry_request_free(q);
 }
 
 /* Effects of the router. */
@@ -196,8 +150,8 @@
 		g_free(a->addr);
 		a->addr = g_strdup(addr);
 	}
-	a->used_ms = now_ms(e);
-	if (!a->conn && now_ms(e) - a->tried_ms >= AGENT_RETRY_MS)
+	a->used_ms = entry_now(e);
+	if (!a->conn && entry_now(e) - a->tried_ms >= AGENT_RETRY_MS)
 		agent_connect(e, a);
 }
 
@@ -209,7 +163,7 @@
 
 	if (!a || !a->open)
 		return false;
-	a->used_ms = now_ms(e);
+	a->used_ms = entry_now(e);
 	return conn_send(a->conn, kind, msg);
 }
 
@@ -270,7 +224,7 @@
 {
 	struct entry_role *e = arg;
 	struct request *q = rcall_data(c);
-	int64_t ms = now_ms(e) - q->start_ms;
+	int64_t ms = entry_now(e) - q->start_ms;
 	uint64_t entry, seq;
 
 	rcall_id(c, &entry, &seq);
@@ -284,12 +238,12 @@
 			  q->id, entry, seq, q->model, ms);
 		if (q->req)
 			caller_end(q->req, true);
-		request_free(q);
+		entry_request_free(q);
 	} else if (caller_started(q->req)) {
 		cut(q, end);
 	} else {
-		refuse(q, (enum ss_error)end->code, end->text, end->outcome,
-		       end->retry_after_ms);
+		entry_refuse(q, (enum ss_error)end->code, end->text,
+			     end->outcome, end->retry_after_ms);
 	}
 }
 
@@ -328,7 +282,7 @@
 		return;
 	}
 	a->open = true;
-	router_agent_up(e->router, a->node, h->incarnation, now_ms(e));
+	router_agent_up(e->router, a->node, h->incarnation, entry_now(e));
 }
 
 static void agent_message(void *arg, struct conn *c, struct frame *f)
@@ -337,7 +291,7 @@
 	struct agent_conn *a = agent_of(e, c);
 
 	if (a && f->kind == MSG_REPLY)
-		router_reply(e->router, a->node, &f->u.reply, now_ms(e));
+		router_reply(e->router, a->node, &f->u.reply, entry_now(e));
 }
 
 static void agent_closed(void *arg, struct conn *c, const GError *why)
@@ -351,7 +305,7 @@
 		  why ? why->message : "closed");
 	a->conn = NULL;
 	a->open = false;
-	router_agent_down(e->router, a->node, now_ms(e));
+	router_agent_down(e->router, a->node, entry_now(e));
 }
 
 static const struct conn_ops agent_table = { agent_open, agent_message,
@@ -363,7 +317,7 @@
 
 	if (!*a->addr)
 		return;
-	a->tried_ms = now_ms(e);
+	a->tried_ms = entry_now(e);
 	a->conn = conn_connect(&o, a->addr);
 	conn_set_data(a->conn, a);
 }
@@ -445,7 +399,7 @@
 			     ss_str(json_object_to_json_string(root)));
 		json_object_put(root);
 		g_queue_delete_link(&e->listings, p);
-		request_free(q);
+		entry_request_free(q);
 		return;
 	}
 }
@@ -456,7 +410,7 @@
 
 	if (!e->d->hello.group)
 		e->d->hello.group = group;
-	router_leader(e->router, now_ms(e));
+	router_leader(e->router, entry_now(e));
 }
 
 static void link_down(void *arg)
@@ -473,10 +427,10 @@
 		take_config(e, &f->u.config);
 		break;
 	case MSG_ROUTE:
-		router_route(e->router, &f->u.route, now_ms(e));
+		router_route(e->router, &f->u.route, entry_now(e));
 		break;
 	case MSG_CLAIMED:
-		router_claimed(e->router, &f->u.claimed, now_ms(e));
+		router_claimed(e->router, &f->u.claimed, entry_now(e));
 		break;
 	case MSG_MODEL_LIST:
 		take_models(e, &f->u.model_list);
@@ -488,360 +442,6 @@
 
 static const struct link_ops link_table = { link_up, link_message, link_down };
 
-/* Requests. */
-
-static bool name_is_sane(const char *s)
-{
-	size_t n = strlen(s);
-
-	if (n == 0 || n > NAME_MAX_BYTES)
-		return false;
-	for (; *s; s++)
-		if ((unsigned char)*s < 0x20 || *s == '"' || *s == '\\')
-			return false;
-	return true;
-}
-
-static bool parse_deadline(const char *s, int64_t *ms)
-{
-	char *end;
-	int64_t v = g_ascii_strtoll(s, &end, 10);
-
-	if (end == s || *end || v < 1 || v > DEADLINE_MAX_MS)
-		return false;
-	*ms = v;
-	return true;
-}
-
-/* The first rule that fits decides; without one nothing is repeatable. */
-static bool is_repeatable(const struct entry_role *e,
-			  const struct caller_head *h)
-{
-	const GPtrArray *rules = e->d->config.entry.rules;
-
-	for (guint i = 0; i < rules->len; i++) {
-		const struct config_rule *r = rules->pdata[i];
-		size_t n = strlen(r->path);
-
-		if (*r->method && !ss_str_eq(h->method, ss_str(r->method)))
-			continue;
-		if (h->path.n >= n && !memcmp(h->path.p, r->path, n))
-			return r->repeatable;
-	}
-	return false;
-}
-
-static uint64_t prefix_of(struct ss_str model, struct ss_str body)
-{
-	XXH3_state_t s;
-
-	XXH3_64bits_reset(&s);
-	XXH3_64bits_update(&s, model.p, model.n);
-	XXH3_64bits_update(&s, body.p, MIN(body.n, PREFIX_BYTES));
-	return XXH3_64bits_digest(&s);
-}
-
-/* Model names come as "model" in the body; an adapter as "model:adapter". */
-static bool read_model(struct request *q, const struct caller_head *h)
-{
-	json_tokener *tok = json_tokener_new_ex(32);
-	json_object *o = json_tokener_parse_ex(tok, h->body.p,
-					       (int)MIN(h->body.n, INT_MAX));
-	json_object *model;
-	const char *why = NULL;
-
-	if (json_tokener_get_error(tok) != json_tokener_success ||
-	    !json_object_is_type(o, json_type_object))
-		why = "the body is no JSON object";
-	else if (!json_object_object_get_ex(o, "model", &model) ||
-		 !json_object_is_type(model, json_type_string) ||
-		 !name_is_sane(json_object_get_string(model)))
-		why = "\"model\" must be a model's name";
-	else
-		q->model = g_strdup(json_object_get_string(model));
-	json_object_put(o);
-	json_tokener_free(tok);
-	if (why)
-		refuse(q, SS_ERROR_BAD_REQUEST, why, OUTCOME_NOT_RUN, 0);
-	return why == NULL;
-}
-
-static char *or_default(const char *s, const char *otherwise)
-{
-	return g_strdup(s && *s ? s : otherwise);
-}
-
-static bool is_true(const char *s)
-{
-	return s && (!strcmp(s, "1") || !g_ascii_strcasecmp(s, "true"));
-}
-
-struct key {
-	char bytes[16];
-	bool set;
-};
-
-static struct key key_of(const struct request *q, const char *idempotency_key)
-{
-	struct key k = { .set = idempotency_key && *idempotency_key };
-	XXH3_state_t s;
-	XXH128_canonical_t c;
-
-	if (!k.set)
-		return k;
-	XXH3_128bits_reset(&s);
-	XXH3_128bits_update(&s, q->tenant, strlen(q->tenant) + 1);
-	XXH3_128bits_update(&s, idempotency_key, strlen(idempotency_key));
-	XXH128_canonicalFromHash(&c, XXH3_128bits_digest(&s));
-	memcpy(k.bytes, c.digest, sizeof(k.bytes));
-	return k;
-}
-
-static uint64_t fingerprint_of(const struct caller_head *h)
-{
-	XXH3_state_t s;
-
-	XXH3_64bits_reset(&s);
-	XXH3_64bits_update(&s, h->method.p, h->method.n);
-	XXH3_64bits_update(&s, h->path.p, h->path.n);
-	XXH3_64bits_update(&s, h->body.p, h->body.n);
-	return XXH3_64bits_digest(&s);
-}
-
-/* Headers that go on to the endpoint: all but those between two ends. */
-static GArray *forwarded(const struct request *q, const struct caller_head *h)
-{
-	static const char *const own[] = {
-		"Connection",	     "Host",   "Content-Length",
-		"Transfer-Encoding", "Expect", "X-Request-Id"
-	};
-	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct header));
-	struct header id = { SS_LIT("X-Request-Id"), ss_str(q->id) };
-
-	for (size_t i = 0; i < h->n_headers; i++) {
-		bool skip = false;
-
-		for (size_t k = 0; k < G_N_ELEMENTS(own); k++)
-			skip |= h->headers[i].name.n == strlen(own[k]) &&
-				!g_ascii_strncasecmp(h->headers[i].name.p,
-						     own[k], strlen(own[k]));
-		if (!skip)
-			g_array_append_val(out, h->headers[i]);
-	}
-	g_array_append_val(out, id);
-	return out;
-}
-
-static void submit(struct request *q, const struct caller_head *h,
-		   struct ss_str path)
-{
-	struct entry_role *e = q->e;
-	const struct config_headers *names = &e->d->config.entry.headers;
-	const char *deadline = caller_header(h, names->deadline);
-	const struct preset_class *k =
-		preset_class_of(&e->preset, ss_str(q->class_name));
-	struct key key = key_of(q, caller_header(h, "Idempotency-Key"));
-	int64_t ms = k->deadline_ms;
-	struct rcall *call;
-	GArray *headers;
-	struct router_call c = { .model = ss_str(q->model),
-				 .tenant = ss_str(q->tenant),
-				 .method = h->method,
-				 .path = path,
-				 .body = h->body,
-				 .priority = (int)k->priority,
-				 .fingerprint = fingerprint_of(h),
-				 .data = q };
-
-	if (deadline && !parse_deadline(deadline, &ms)) {
-		refuse(q, SS_ERROR_BAD_REQUEST,
-		       "the deadline must be a number of milliseconds from 1 "
-		       "to 86400000",
-		       OUTCOME_NOT_RUN, 0);
-		return;
-	}
-	g_free(q->class_name);
-	q->class_name = g_strdup(k->name);
-	c.deadline_ms = q->start_ms + ms;
-	c.once = !is_repeatable(e, h) || key.set ||
-		 is_true(caller_header(h, names->once));
-	if (key.set)
-		c.key = (struct ss_str){ key.bytes, sizeof(key.bytes) };
-	if (q->model[0] != '/')
-		c.prefix = prefix_of(c.model, h->body);
-	headers = forwarded(q, h);
-	c.headers = (struct header *)headers->data;
-	c.n_headers = headers->len;
-	call = router_submit(e->router, &c, q->start_ms);
-	if (call)
-		q->call = call;
-	g_array_unref(headers);
-}
-
-static bool has_prefix(struct ss_str s, const char *prefix)
-{
-	size_t n = strlen(prefix);
-
-	return s.n >= n && !memcmp(s.p, prefix, n);
-}
-
-static struct ss_str without_query(struct ss_str path)
-{
-	const char *mark = memchr(path.p, '?', path.n);
-
-	return mark ? (struct ss_str){ path.p, (size_t)(mark - path.p) } : path;
-}
-
-/* "/svc/<pool>/rest" goes to the pool's service as "/rest". */
-static void service_request(struct request *q, const struct caller_head *h)
-{
-	struct ss_str rest = { h->path.p + 5, h->path.n - 5 };
-	struct ss_str pool = without_query(rest);
-	const char *slash = memchr(pool.p, '/', pool.n);
-
-	if (slash)
-		pool.n = (size_t)(slash - pool.p);
-	rest.p += pool.n;
-	rest.n -= pool.n;
-	q->model = g_strdup_printf("/svc/%.*s", SS_FMT(pool));
-	if (!name_is_sane(q->model) || pool.n == 0) {
-		refuse(q, SS_ERROR_UNKNOWN_POOL, "no such pool",
-		       OUTCOME_NOT_RUN, 0);
-		return;
-	}
-	submit(q, h, rest.n ? rest : SS_LIT("/"));
-}
-
-static void list_models(struct request *q)
-{
-	struct entry_role *e = q->e;
-	struct msg_models m = { .sub = ++e->requests };
-
-	q->listing = m.sub;
-	if (!link_send(e->link, MSG_MODELS, &m)) {
-		refuse(q, SS_ERROR_UNAVAILABLE, "no leader is known just now",
-		       OUTCOME_NOT_RUN, 1000);
-		return;
-	}
-	g_queue_push_tail(&e->listings, q);
-}
-
-static void reply_text(struct request *q, int status, struct ss_str body)
-{
-	struct header h = { SS_LIT("Content-Type"),
-			    SS_LIT("text/plain; version=0.0.4") };
-
-	caller_reply(q->req, status, &h, 1, body);
-	request_free(q);
-}
-
-static bool entry_ready(void *role)
-{
-	const struct entry_role *e = role;
-
-	return !e->draining && (link_is_up(e->link) || e->config);
-}
-
-static bool status_request(struct request *q, struct ss_str path)
-{
-	struct entry_role *e = q->e;
-	bool ready = entry_ready(e);
-	GString *s;
-
-	if (ss_str_eq(path, SS_LIT("/healthz"))) {
-		reply_text(q, 200, SS_LIT("ok\n"));
-	} else if (ss_str_eq(path, SS_LIT("/readyz"))) {
-		reply_text(q, ready ? 200 : 503,
-			   ready ? SS_LIT("ready\n") : SS_LIT("not ready\n"));
-	} else if (ss_str_eq(path, SS_LIT("/metrics"))) {
-		s = g_string_new(NULL);
-		daemon_metrics_text(e->d, s);
-		reply_text(q, 200, ss_str_gs(s));
-		g_string_free(s, TRUE);
-	} else {
-		return false;
-	}
-	return true;
-}
-
-static void route_request(struct request *q, const struct caller_head *h)
-{
-	struct ss_str path = without_query(h->path);
-	bool post = ss_str_eq(h->method, SS_LIT("POST"));
-
-	if (has_prefix(path, "/svc/")) {
-		service_request(q, h);
-	} else if (ss_str_eq(path, SS_LIT("/v1/chat/completions")) ||
-		   ss_str_eq(path, SS_LIT("/v1/completions"))) {
-		if (!post)
-			refuse(q, SS_ERROR_BAD_REQUEST, "use POST",
-			       OUTCOME_NOT_RUN, 0);
-		else if (read_model(q, h))
-			submit(q, h, h->path);
-	} else if (ss_str_eq(path, SS_LIT("/v1/models"))) {
-		list_models(q);
-	} else {
-		refuse(q, SS_ERROR_NOT_FOUND, "no such path", OUTCOME_NOT_RUN,
-		       0);
-	}
-}
-
-static void on_request(void *arg, struct caller_req *r,
-		       const struct caller_head *h)
-{
-	struct entry_role *e = arg;
-	const struct config_headers *names = &e->d->config.entry.headers;
-	const char *id = caller_header(h, "X-Request-Id");
-	struct request *q = g_new0(struct request, 1);
-
-	q->e = e;
-	q->req = r;
-	q->start_ms = now_ms(e);
-	q->id = id && name_is_sane(id) ?
-			g_strdup(id) :
-			g_strdup_printf("%s-%08x-%" PRIu64, e->d->config.name,
-					(uint32_t)e->d->hello.incarnation,
-					++e->requests);
-	q->tenant = or_default(caller_header(h, names->tenant), "default");
-	q->class_name = or_default(caller_header(h, names->class_name),
-				   e->preset.default_class);
-	caller_set_data(r, q);
-	if (status_request(q, without_query(h->path)))
-		return;
-	(*e->n_requests)++;
-	if (!name_is_sane(q->tenant))
-		refuse(q, SS_ERROR_BAD_REQUEST, "the tenant's name is unusable",
-		       OUTCOME_NOT_RUN, 0);
-	else
-		route_request(q, h);
-}
-
-/* The caller went away: his work is cancelled. */
-static void on_gone(void *arg, struct caller_req *r)
-{
-	struct entry_role *e = arg;
-	struct request *q = caller_data(r);
-
-	if (!q)
-		return;
-	(*e->n_gone)++;
-	if (q->call)
-		router_cancel(e->router, q->call);
-	g_queue_remove(&e->listings, q);
-	request_free(q);
-}
-
-static void on_refused(void *arg, enum ss_error code)
-{
-	struct entry_role *e = arg;
-
-	(void)code;
-	(*e->n_bad)++;
-}
-
-static const struct caller_ops caller_table = { on_request, on_gone,
-						on_refused };
-
 /* Time. */
 
 static void expire_listings(struct entry_role *e, int64_t now)
@@ -851,8 +451,9 @@
 	while ((q = g_queue_peek_head(&e->listings)) &&
 	       now - q->start_ms > MODELS_WAIT_MS) {
 		g_queue_pop_head(&e->listings);
-		refuse(q, SS_ERROR_UNAVAILABLE, "the leader did not answer",
-		       OUTCOME_NOT_RUN, 1000);
+		entry_refuse(q, SS_ERROR_UNAVAILABLE,
+			     "the leader did not answer", OUTCOME_NOT_RUN,
+			     1000);
 	}
 }
 
@@ -862,7 +463,7 @@
 	const struct entry_role *e = arg;
 
 	(void)key;
-	return now_ms(e) - a->used_ms > AGENT_IDLE_MS &&
+	return entry_now(e) - a->used_ms > AGENT_IDLE_MS &&
 	       router_calls(e->router) == 0;
 }
 
@@ -886,7 +487,7 @@
 	struct entry_role *e = arg;
 	const struct router_stats *s = router_stats(e->router);
 	struct metrics *m = e->d->metrics;
-	int64_t now = now_ms(e);
+	int64_t now = entry_now(e);
 
 	(void)fd;
 	(void)what;
@@ -950,7 +551,7 @@
 		.addr = d->config.entry.listen,
 		.max_body = (size_t)d->config.entry.max_body_bytes,
 		.receive_ms = d->config.entry.receive_ms,
-		.ops = &caller_table,
+		.ops = &entry_caller_ops,
 		.arg = e
 	};
 	struct link_options lo = { .conn = daemon_conn_options(d, NULL, NULL),
@@ -984,7 +585,7 @@
 	struct entry_role *e = role;
 
 	e->draining = true;
-	e->stop_ms = now_ms(e);
+	e->stop_ms = entry_now(e);
 }
 
 const struct role_ops entry_role = { "entry", entry_start, entry_stop,
--- /dev/null
+++ b/src/daemon/entry_int.h
@@ -0,0 +1,58 @@
+/* The entry's own tables; only for the files of that role. */
+#ifndef SS_ENTRY_INT_H
+#define SS_ENTRY_INT_H
+
+#include "../caller/caller.h"
+#include "../core/router.h"
+#include "daemon.h"
+
+struct agent_conn {
+	char *node, *addr;
+	struct conn *conn;
+	bool open;
+	int64_t tried_ms, used_ms;
+};
+
+struct entry_role {
+	struct daemon *d;
+	struct caller *caller;
+	struct router *router;
+	struct link *link;
+	struct event *tick;
+	GHashTable *agents; /* node -> struct agent_conn */
+	GHashTable *hists;  /* "tenant\nclass" -> struct hist */
+	struct preset preset;
+	uint64_t config; /* version of the preset in force; 0: built in */
+	char *config_name;
+	uint64_t requests;
+	GQueue listings; /* struct request that asks for the models */
+	bool draining;
+	int64_t stop_ms;
+	uint64_t *n_requests, *n_ok, *n_gone, *n_bad, *n_waiting, *n_calls,
+		*n_conns, *n_cut, *n_config;
+};
+
+/* One caller's request. */
+struct request {
+	struct entry_role *e;
+	struct caller_req *req;
+	struct rcall *call;
+	char *id, *tenant, *class_name, *model;
+	bool sse;	  /* the answer is a stream of events */
+	uint64_t listing; /* of the models, if it is that */
+	int64_t start_ms;
+};
+
+int64_t entry_now(const struct entry_role *e);
+
+/* Answer with a typed error; the request is freed. */
+void entry_refuse(struct request *q, enum ss_error code, const char *text,
+		  enum outcome outcome, int64_t retry_after_ms);
+void entry_request_free(struct request *q);
+
+bool entry_ready(void *role);
+
+/* entry_request.c */
+extern const struct caller_ops entry_caller_ops;
+
+#endif
--- a/test/test_router.c
+++ b/test/test_router.c
@@ -329,6 +329,7 @@
 	router_agent_down(f.r, "n1", f.now);
 	router_agent_up(f.r, "n1", 99, f.now);
 	expect(&f, "connect:n1 end:outcome_unknown/unknown ");
+	stop(&f);
 	sent(&f, true);
 	router_agent_down(f.r, "n1", f.now);
 	pass(&f, ROUTER_LOST_MS);
