Remove what nobody calls; make model records in one place

Change: removed; config_models_records(). A caller who doesn't read his stream is bounded by the deadline only; noted as left.

--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -254,16 +254,6 @@
 	g_free(c);
 }
 
-uint16_t caller_port(const struct caller *c)
-{
-	struct sockaddr_in sin = { 0 };
-	socklen_t len = sizeof(sin);
-
-	getsockname(evconnlistener_get_fd(c->htp->server),
-		    (struct sockaddr *)&sin, &len);
-	return ntohs(sin.sin_port);
-}
-
 size_t caller_connections(const struct caller *c)
 {
 	return c->conns.length;
@@ -382,12 +372,6 @@
 	return r->started;
 }
 
-size_t caller_backlog(const struct caller_req *r)
-{
-	return evbuffer_get_length(
-		bufferevent_get_output(evhtp_request_get_bev(r->req)));
-}
-
 void caller_set_data(struct caller_req *r, void *data)
 {
 	r->data = data;
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -41,7 +41,6 @@
 
 struct caller *caller_new(const struct caller_options *o, GError **error);
 void caller_free(struct caller *c);
-uint16_t caller_port(const struct caller *c);
 /* Take no more connections. */
 void caller_close(struct caller *c);
 size_t caller_connections(const struct caller *c);
@@ -59,8 +58,6 @@
 void caller_chunk(struct caller_req *r, struct ss_str data);
 void caller_end(struct caller_req *r, bool whole);
 bool caller_started(const struct caller_req *r);
-/* Bytes written that the caller hasn't read yet. */
-size_t caller_backlog(const struct caller_req *r);
 
 void caller_set_data(struct caller_req *r, void *data);
 void *caller_data(const struct caller_req *r);
--- a/src/config/config.c
+++ b/src/config/config.c
@@ -1,6 +1,7 @@
 /* The settings of a process. */
 #include "config.h"
 
+#include "../core/state.h"
 #include "../node/conn.h"
 
 #define HOUR_MS (3600 * 1000LL)
@@ -204,3 +205,19 @@
 {
 	settings_clear(&models_type, m);
 }
+
+struct model_rec *config_models_records(const struct config_models *m)
+{
+	struct model_rec *recs = g_new0(struct model_rec, m->models->len);
+
+	for (guint i = 0; i < m->models->len; i++) {
+		const struct config_model *x = m->models->pdata[i];
+
+		recs[i].name = ss_str(x->name);
+		recs[i].base = ss_str(x->base);
+		recs[i].pool = ss_str(x->pool);
+		recs[i].bytes = (uint64_t)x->bytes;
+		recs[i].slots = (uint64_t)x->slots;
+	}
+	return recs;
+}
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -81,4 +81,8 @@
 			 struct ss_str text, GError **error);
 void config_models_clear(struct config_models *m);
 
+/* As records of the replicated state, one each; their strings stay m's. */
+struct model_rec;
+struct model_rec *config_models_records(const struct config_models *m);
+
 #endif
--- a/src/core/router.c
+++ b/src/core/router.c
@@ -1002,25 +1002,3 @@
 {
 	return &r->stats;
 }
-
-void router_print(const struct router *r, GString *json)
-{
-	GHashTableIter it;
-	void *p;
-	bool first = true;
-
-	g_string_append_c(json, '[');
-	g_hash_table_iter_init(&it, r->routes);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct route *rt = p;
-
-		g_string_append_printf(
-			json,
-			"%s{\"model\":\"%s\",\"waiting\":%zu,\"replicas\":%u,"
-			"\"service_ms\":%.1f}",
-			first ? "" : ",", rt->model, ss_queue_length(rt->queue),
-			rt->views->len, rt->service_ms);
-		first = false;
-	}
-	g_string_append_c(json, ']');
-}
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -114,7 +114,4 @@
 
 const struct router_stats *router_stats(const struct router *r);
 
-/* For each route: name, waiting, replicas and load, as operators see it. */
-void router_print(const struct router *r, GString *json);
-
 #endif
--- a/src/daemon/bootstrap.c
+++ b/src/daemon/bootstrap.c
@@ -122,16 +122,7 @@
 	g_free(text);
 	if (!ok)
 		return false;
-	recs = g_new0(struct model_rec, m.models->len);
-	for (guint i = 0; i < m.models->len; i++) {
-		const struct config_model *x = m.models->pdata[i];
-
-		recs[i].name = ss_str(x->name);
-		recs[i].base = ss_str(x->base);
-		recs[i].pool = ss_str(x->pool);
-		recs[i].bytes = (uint64_t)x->bytes;
-		recs[i].slots = (uint64_t)x->slots;
-	}
+	recs = config_models_records(&m);
 	c.models = recs;
 	c.n_models = m.models->len;
 	add_command(s, &c);
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -7,7 +7,6 @@
 /* A connection to an agent that nobody used for so long is closed. */
 #define AGENT_IDLE_MS 60000
 #define AGENT_RETRY_MS 200
-#define CALLER_BACKLOG_MAX (8u * 1024 * 1024)
 #define MODELS_WAIT_MS 3000
 
 int64_t entry_now(const struct entry_role *e)
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -595,11 +595,6 @@
 	return g->loaded.group;
 }
 
-uint64_t group_self(const struct group *g)
-{
-	return g->loaded.id;
-}
-
 const char *group_leader_addr(const struct group *g)
 {
 	const struct ss_raft_member *m;
@@ -610,11 +605,6 @@
 	return m ? m->addr.p : NULL;
 }
 
-uint64_t group_log_bytes(const struct group *g)
-{
-	return disk_log_bytes(g->disk);
-}
-
 bool group_remove_member(struct group *g, uint64_t id, GError **error)
 {
 	bool ok;
--- a/src/daemon/group.h
+++ b/src/daemon/group.h
@@ -55,10 +55,8 @@
 /* True from when a leader's own first entry is applied. */
 bool group_leads(const struct group *g);
 uint64_t group_id(const struct group *g);
-uint64_t group_self(const struct group *g);
 /* Address of the leader; NULL where nobody is known. */
 const char *group_leader_addr(const struct group *g);
-uint64_t group_log_bytes(const struct group *g);
 
 bool group_remove_member(struct group *g, uint64_t id, GError **error);
 
--- a/src/operator/operator.c
+++ b/src/operator/operator.c
@@ -326,16 +326,7 @@
 		asked_free(a);
 		return;
 	}
-	recs = g_new0(struct model_rec, m.models->len);
-	for (guint i = 0; i < m.models->len; i++) {
-		const struct config_model *x = m.models->pdata[i];
-
-		recs[i].name = ss_str(x->name);
-		recs[i].base = ss_str(x->base);
-		recs[i].pool = ss_str(x->pool);
-		recs[i].bytes = (uint64_t)x->bytes;
-		recs[i].slots = (uint64_t)x->slots;
-	}
+	recs = config_models_records(&m);
 	c.models = recs;
 	c.n_models = m.models->len;
 	change(a, &c);
@@ -638,8 +629,3 @@
 	g_free(h->token);
 	g_free(h);
 }
-
-uint16_t operator_port(const struct operator_http *h)
-{
-	return http_server_port(h->http);
-}
--- a/src/operator/operator.h
+++ b/src/operator/operator.h
@@ -43,7 +43,6 @@
 struct operator_http *operator_new(const struct operator_options *o,
 				   GError **error);
 void operator_free(struct operator_http *h);
-uint16_t operator_port(const struct operator_http *h);
 
 /* Read a token: the first line of a file. */
 char *operator_read_token(const char *file, GError **error);
