Let a planned stop wait until the last answer has gone out

Ruled out: drain_max (10 minutes), the agent's refusal of new calls. Change: entry and agent end 200 ms after the last byte was written.

--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -259,6 +259,18 @@
 	return c->conns.length;
 }
 
+bool caller_written(const struct caller *c)
+{
+	for (GList *p = c->conns.head; p; p = p->next) {
+		struct caller_conn *cc = p->data;
+		struct bufferevent *bev = evhtp_connection_get_bev(cc->conn);
+
+		if (bev && evbuffer_get_length(bufferevent_get_output(bev)))
+			return false;
+	}
+	return true;
+}
+
 const char *caller_header(const struct caller_head *h, const char *name)
 {
 	size_t n = strlen(name);
--- a/src/caller/caller.h
+++ b/src/caller/caller.h
@@ -44,6 +44,8 @@
 /* Take no more connections. */
 void caller_close(struct caller *c);
 size_t caller_connections(const struct caller *c);
+/* True where every answer has been written out to its caller. */
+bool caller_written(const struct caller *c);
 
 /* A header's value; NULL where it isn't there. */
 const char *caller_header(const struct caller_head *h, const char *name);
--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -30,6 +30,7 @@
 	bool report_due;
 	bool cached_due;
 	int64_t stop_ms; /* of a planned stop; 0: none */
+	int64_t done_ms; /* when something was last left to do */
 	uint64_t *n_calls, *n_refused, *n_cancelled, *n_fenced, *n_loads,
 		*n_unloads, *n_running, *n_bytes, *n_unreachable;
 	struct hist *load_hist;
@@ -435,11 +436,26 @@
 	a->ops->read(a->endpoint, on_read, a);
 }
 
+/* Whether all answers have gone out to their entries. */
+static bool all_written(const struct agent_role *a)
+{
+	GHashTableIter it;
+	void *c;
+
+	g_hash_table_iter_init(&it, a->conns);
+	while (g_hash_table_iter_next(&it, &c, NULL))
+		if (conn_backlog(c))
+			return false;
+	return true;
+}
+
 static void check_stop(struct agent_role *a, int64_t now)
 {
 	if (!a->stop_ms)
 		return;
-	if (calls_running(a->calls) == 0 ||
+	if (calls_running(a->calls) || !all_written(a))
+		a->done_ms = now;
+	if (now - a->done_ms >= DAEMON_LINGER_MS ||
 	    now - a->stop_ms > a->d->config.agent.drain_max_ms)
 		daemon_exit(a->d, 0);
 }
@@ -552,7 +568,7 @@
 	struct agent_role *a = role;
 
 	ledger_drain(a->ledger);
-	a->stop_ms = now_ms(a);
+	a->stop_ms = a->done_ms = now_ms(a);
 	send_report(a, a->stop_ms);
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -31,6 +31,13 @@
 
 extern const struct role_ops entry_role, agent_role, control_role;
 
+/*
+ * A process that ends at once with unread bytes on a connection resets it,
+ * and what the peer hasn't read yet is lost. So the end comes this long
+ * after everything was written.
+ */
+#define DAEMON_LINGER_MS 200
+
 /* End the loop now. */
 void daemon_exit(struct daemon *d, int code);
 
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -476,7 +476,10 @@
 	if (now - e->stop_ms < c->drain_ms)
 		return;
 	caller_close(e->caller);
-	if (router_calls(e->router) == 0 ||
+	/* The last call's end is no end before its caller has been sent it. */
+	if (router_calls(e->router) || !caller_written(e->caller))
+		e->done_ms = now;
+	if (now - e->done_ms >= DAEMON_LINGER_MS ||
 	    now - e->stop_ms > c->drain_ms + c->drain_max_ms)
 		daemon_exit(e->d, 0);
 }
@@ -584,7 +587,7 @@
 	struct entry_role *e = role;
 
 	e->draining = true;
-	e->stop_ms = entry_now(e);
+	e->stop_ms = e->done_ms = entry_now(e);
 }
 
 const struct role_ops entry_role = { "entry", entry_start, entry_stop,
--- a/src/daemon/entry_int.h
+++ b/src/daemon/entry_int.h
@@ -27,7 +27,8 @@
 	uint64_t requests;
 	GQueue listings; /* struct request that asks for the models */
 	bool draining;
-	int64_t stop_ms;
+	int64_t stop_ms; /* of a planned stop; 0: none */
+	int64_t done_ms; /* when something was last left to do */
 	uint64_t *n_requests, *n_ok, *n_gone, *n_bad, *n_waiting, *n_calls,
 		*n_conns, *n_cut, *n_config;
 };
--- a/src/node/conn.c
+++ b/src/node/conn.c
@@ -79,8 +79,7 @@
 {
 	if (!c->open)
 		return false;
-	if (evbuffer_get_length(bufferevent_get_output(c->bev)) >
-	    CONN_BACKLOG_MAX)
+	if (conn_backlog(c) > CONN_BACKLOG_MAX)
 		return false;
 	send_frame(c, kind, msg);
 	return true;
@@ -371,3 +370,8 @@
 {
 	return ss_clock_now(c->o.clock) - c->heard_ms;
 }
+
+size_t conn_backlog(const struct conn *c)
+{
+	return evbuffer_get_length(bufferevent_get_output(c->bev));
+}
--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -59,6 +59,8 @@
 const struct msg_hello *conn_peer(const struct conn *c);
 void conn_set_data(struct conn *c, void *data);
 void *conn_data(const struct conn *c);
+/* Bytes that wait to be written. */
+size_t conn_backlog(const struct conn *c);
 /* Milliseconds since the peer was last heard. */
 int64_t conn_quiet_ms(const struct conn *c);
 
