--- a/src/base/wire.c
+++ b/src/base/wire.c
@@ -203,14 +203,16 @@
 		h = (struct head){ 1u + sized[t - 0xd9],
 				   read_be(p + 1, sized[t - 0xd9]) *
 					   (t >= 0xde ? 2 : 1) };
+	else if (t == 0xc1 || (t >= 0xc7 && t <= 0xc9) ||
+		 (t >= 0xd4 && t <= 0xd8))
+		h.size = SIZE_MAX; /* extensions aren't used here */
 	return h;
 }
 
 /*
  * The library reserves memory for as many items as a header announces, so
  * five bytes could ask for 100 GB. Each item takes a byte at least: more
- * than there are bytes left is a lie. Extensions aren't used here and fall
- * out as one-byte objects, which the library then refuses.
+ * than there are bytes left is a lie.
  */
 static bool is_plausible(struct ss_str bytes)
 {
--- a/test/test_conn.c
+++ b/test/test_conn.c
@@ -58,6 +58,10 @@
 	{ "cut short", SS_LIT("\0\0\0\3\x01\x82\x01"), false },
 	{ "a string for a number", SS_LIT("\0\0\0\5\x01\x81\x01\xa1x"), false },
 	{ "a number for a string", SS_LIT("\0\0\0\4\x01\x81\x04\x05"), false },
+	{ "a hundred gigabytes in eleven bytes",
+	  SS_LIT("\0\0\0\7\x01\x81\x01\xdd\xff\xff\xff"), false },
+	{ "a count behind an extension",
+	  SS_LIT("\0\0\0\x0b\x01\x81\xd4\x02\x01\xdd\xb5\0\0\0\0"), false },
 	{ "a key that is no number", SS_LIT("\0\0\0\5\x01\x81\xa1x\x01"),
 	  false },
 };
