--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,8 @@
 
 fuzz: $(BUILD)/fuzz
 	$(BUILD)/fuzz -seed=20261202 -runs=$(FUZZ_RUNS) -max_len=4096 \
-		-detect_leaks=1 -print_final_stats=1
+		-detect_leaks=1 -print_final_stats=1 \
+		-artifact_prefix=$(BUILD)/
 
 FORMATTED := $(shell git ls-files '*.c' '*.h')
 format:
