Keep the tiers' factors once; drop a field that nobody reads

Cause: on a last read of the change: the factors of loads from disk and memory stood in two functions of the planner, which could drift apart, and plan_view carried a wall time that the planner never used. Change: one table; the field is gone from the view and its two makers. Conclusion: behaviour unchanged.

--- a/bench/policy.c
+++ b/bench/policy.c
@@ -253,7 +253,6 @@
 		g_array_new(FALSE, FALSE, sizeof(struct plan_replica));
 	GArray *demands = g_array_new(FALSE, FALSE, sizeof(struct plan_demand));
 	struct plan_view v = { .now = w->now,
-			       .wall_ms = START_MS + w->now,
 			       .preset = &w->preset,
 			       .nodes = nodes,
 			       .n_nodes = (size_t)w->d->nodes,
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -21,6 +21,10 @@
 /* A load this much slower than expected has no known end. */
 #define OVERDUE_FACTOR 1.5
 
+static const double tier_factor[] = { [TIER_REMOTE] = 1,
+				      [TIER_DISK] = DISK_FACTOR,
+				      [TIER_MEMORY] = MEMORY_FACTOR };
+
 void pacer_init(struct pacer *p, int64_t now)
 {
 	p->tokens = 1;
@@ -37,10 +41,8 @@
 
 int64_t pacer_load_ms(const struct pacer *p, uint64_t bytes, enum ss_tier tier)
 {
-	static const double factor[] = { 1, DISK_FACTOR, MEMORY_FACTOR };
-
 	return LOAD_OVERHEAD_MS +
-	       (int64_t)((double)bytes / p->bytes_per_ms * factor[tier]);
+	       (int64_t)((double)bytes / p->bytes_per_ms * tier_factor[tier]);
 }
 
 static void pacer_refill(struct pacer *p, const struct preset *preset,
@@ -123,10 +125,8 @@
 static int64_t load_time(const struct pacer *p, const struct plan_demand *d,
 			 enum ss_tier tier)
 {
-	static const double factor[] = { 1, DISK_FACTOR, MEMORY_FACTOR };
-
 	if (d->load_ms)
-		return (int64_t)((double)d->load_ms * factor[tier]);
+		return (int64_t)((double)d->load_ms * tier_factor[tier]);
 	return pacer_load_ms(p, d->bytes, tier);
 }
 
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -55,8 +55,7 @@
 };
 
 struct plan_view {
-	int64_t now;	 /* clock */
-	int64_t wall_ms; /* wall time, for time of day */
+	int64_t now; /* clock */
 	const struct preset *preset;
 	struct plan_node *nodes;
 	size_t n_nodes;
--- a/src/daemon/lead_plan.c
+++ b/src/daemon/lead_plan.c
@@ -307,7 +307,6 @@
 	add_demands(&w);
 	w.v = (struct plan_view){
 		.now = now,
-		.wall_ms = ss_wall_ms(),
 		.preset = &l->preset,
 		.nodes = (struct plan_node *)w.nodes->data,
 		.n_nodes = w.nodes->len,
