Cut unsynced holes at the end of the log instead of refusing it

Cause: after a power loss each write since the last sync is there, missing or torn by itself. A record that is missing while the next one is there leaves a hole, and the reader took it for a stored record gone bad: the VM refused its own log for good. Ruled out: cutting at any bad record. It would forget accepted records. Change: a record tells up to which entry the log was durable before it, and a mark tells it once the log rests. A bad record is refused where anything behind it proves that it was durable, and cut otherwise. A cut is synced at once, so that a power loss can't bring old records back behind new ones. Test: unsynced_hole_is_cut failed before (the folder was refused). The test that flips every byte now flips the mark as well and asks that no entry is lost by that; flips in entries are refused as before.

--- a/src/disk/disk.c
+++ b/src/disk/disk.c
@@ -24,18 +24,24 @@
 	uint64_t first;	 /* index of the first record in the log file */
 	GArray *offsets; /* where each record starts */
 	uint64_t end;	 /* where the next record goes */
+	uint64_t synced; /* index of the last entry that a sync covered */
+	uint64_t marked; /* what of that the file itself tells */
 	/* What was read at the start. */
 	GArray *entries;
 	GPtrArray *buffers; /* GString of the records and the snapshot */
 	struct ss_raft_members members;
 };
 
-/* One struct for the three kinds of records, by their fields. */
+/*
+ * One struct for all kinds of records, by their fields. In the log, one
+ * without an index is a mark: it only tells what was synced before it.
+ */
 struct record {
 	uint64_t version, group, id, term, vote;
 	uint64_t index;
 	int64_t kind;
 	struct ss_str data, members;
+	uint64_t synced; /* entries up to this were durable before it */
 };
 
 static const struct wire_field record_fields[] = {
@@ -48,6 +54,7 @@
 	{ 7, WIRE_INT, offsetof(struct record, kind), NULL },
 	{ 8, WIRE_STR, offsetof(struct record, data), NULL },
 	{ 9, WIRE_STR, offsetof(struct record, members), NULL },
+	{ 10, WIRE_UINT, offsetof(struct record, synced), NULL },
 };
 static const struct wire_type record_type =
 	WIRE_TYPE(struct record, record_fields);
@@ -285,6 +292,35 @@
 	return ok || corrupt(d, error, "snapshot", 0);
 }
 
+/*
+ * Whether anything behind a bad record proves that the entry which should
+ * stand there was durable once. After a power loss each write since the
+ * last sync is there, missing or torn by itself, so a hole may be followed
+ * by whole records. Those were never acknowledged and may be cut; to cut a
+ * durable entry would forget what this VM has promised.
+ */
+static bool was_durable(const GString *s, size_t from, uint64_t index)
+{
+	for (size_t at = from + 1; at + RECORD_HEAD <= s->len; at++) {
+		struct wire_buf b;
+		struct record r;
+		size_t next;
+
+		if (parse_record(s, at, &b, &r, &next) != PARSED)
+			continue;
+		wire_done(&b);
+		if (r.synced >= index)
+			return true;
+	}
+	return false;
+}
+
+static uint64_t next_index(const struct disk *d, const struct disk_state *st)
+{
+	return d->offsets->len ? d->first + d->offsets->len :
+				 st->snapshot.index + 1;
+}
+
 static bool load_log(struct disk *d, struct disk_state *st, GError **error)
 {
 	GString *s;
@@ -299,12 +335,15 @@
 		struct ss_raft_entry e;
 		enum parsed p = parse_record(s, at, &b, &r, &next);
 
-		if (p == PARSED_CORRUPT)
+		if (p == PARSED_CORRUPT &&
+		    was_durable(s, at, next_index(d, st)))
 			return corrupt(d, error, "log", at);
-		if (p == PARSED_TORN)
+		if (p != PARSED)
 			break;
 		e = (struct ss_raft_entry){ r.index, r.term, r.kind, r.data };
 		wire_done(&b);
+		if (r.index == 0)
+			continue;
 		if (d->offsets->len == 0)
 			d->first = e.index;
 		else if (e.index != d->first + d->offsets->len)
@@ -323,6 +362,10 @@
 	d->end = at;
 	if (st->cut_bytes && ftruncate(d->log_fd, (off_t)at))
 		return io_error(error, "cut", "log");
+	/* What was read may still be in the kernel's hands only. */
+	if (s->len && d->io.fdatasync(d->log_fd))
+		return io_error(error, "sync", "log");
+	d->synced = next_index(d, st) - 1;
 	return true;
 }
 
@@ -336,11 +379,14 @@
 
 	g_array_set_size(d->offsets, 0);
 	d->first = first;
+	/* The file is durable as a whole before it gets its name. */
+	d->synced = d->marked = first + n - 1;
 	for (size_t i = 0; i < n; i++) {
 		struct record r = { .index = e[i].index,
 				    .term = e[i].term,
 				    .kind = e[i].kind,
-				    .data = e[i].data };
+				    .data = e[i].data,
+				    .synced = d->synced };
 		size_t at = s->len;
 
 		g_array_append_val(d->offsets, at);
@@ -422,6 +468,8 @@
 {
 	if (!d)
 		return;
+	if (d->log_fd >= 0 && d->lock_fd >= 0)
+		disk_mark(d, NULL);
 	if (d->log_fd >= 0)
 		close(d->log_fd);
 	if (d->lock_fd >= 0)
@@ -447,6 +495,23 @@
 	return false;
 }
 
+bool disk_found_group(struct disk *d, uint64_t group, uint64_t id,
+		      GError **error)
+{
+	uint64_t old = d->id;
+
+	if (d->group) {
+		g_set_error(error, SS_ERROR, SS_ERROR_CONFLICT,
+			    "%s belongs to a group already", d->folder);
+		return false;
+	}
+	d->id = id;
+	if (disk_set_group(d, group, error))
+		return true;
+	d->id = old;
+	return false;
+}
+
 bool disk_save_vote(struct disk *d, uint64_t term, uint64_t vote,
 		    GError **error)
 {
@@ -472,7 +537,8 @@
 		struct record r = { .index = e[i].index,
 				    .term = e[i].term,
 				    .kind = e[i].kind,
-				    .data = e[i].data };
+				    .data = e[i].data,
+				    .synced = d->synced };
 		size_t at = d->end + s->len;
 
 		g_array_append_val(d->offsets, at);
@@ -499,7 +565,13 @@
 		return true;
 	d->end = g_array_index(d->offsets, size_t, at);
 	g_array_set_size(d->offsets, (guint)at);
-	if (ftruncate(d->log_fd, (off_t)d->end))
+	d->synced = MIN(d->synced, from - 1);
+	d->marked = MIN(d->marked, d->synced);
+	/*
+	 * Synced at once: else a power loss could undo the cut and keep what
+	 * is written next, and old entries would follow the new ones.
+	 */
+	if (ftruncate(d->log_fd, (off_t)d->end) || d->io.fdatasync(d->log_fd))
 		return io_error(error, "cut", "log");
 	return true;
 }
@@ -508,9 +580,35 @@
 {
 	if (d->io.fdatasync(d->log_fd))
 		return io_error(error, "sync", "log");
+	if (d->offsets->len)
+		d->synced = d->first + d->offsets->len - 1;
 	return true;
 }
 
+bool disk_mark(struct disk *d, GError **error)
+{
+	struct record r = { .synced = d->synced };
+	GString *s;
+	bool ok;
+
+	if (d->marked >= d->synced)
+		return true;
+	s = g_string_new(NULL);
+	add_record(s, &r);
+	ok = write_all(d, d->log_fd, s, d->end) &&
+	     d->io.fdatasync(d->log_fd) == 0;
+	if (ok) {
+		d->end += s->len;
+		d->marked = d->synced;
+	} else {
+		io_error(error, "mark", "log");
+		/* The next append overwrites what was left behind. */
+		(void)!ftruncate(d->log_fd, (off_t)d->end);
+	}
+	g_string_free(s, TRUE);
+	return ok;
+}
+
 bool disk_save_snapshot(struct disk *d, const struct ss_raft_snapshot *snap,
 			const struct ss_raft_entry *rest, size_t n,
 			GError **error)
--- a/src/disk/disk.h
+++ b/src/disk/disk.h
@@ -38,10 +38,11 @@
 struct disk;
 
 /*
- * Open a folder and read it. A torn tail of the log is cut, since nothing
- * in it was acknowledged. Errors: SS_ERROR_CORRUPT for a whole record with
- * a wrong checksum, which is never cut; SS_ERROR_IO; SS_ERROR_CONFLICT
- * where another process holds the folder.
+ * Open a folder and read it. What was written after the last sync may be
+ * torn or missing in parts; it is cut, since nothing in it was acknowledged.
+ * Errors: SS_ERROR_CORRUPT for a whole record with a wrong checksum, which is
+ * never cut; SS_ERROR_IO; SS_ERROR_CONFLICT where another process holds the
+ * folder.
  */
 struct disk *disk_open(const struct disk_options *o, struct disk_state *s,
 		       GError **error);
@@ -50,6 +51,13 @@
 /* Join a group; with members, be the first of it (bootstrap). */
 bool disk_set_group(struct disk *d, uint64_t group, GError **error);
 
+/*
+ * Be one of the first members of a group, under an identity that all of
+ * them work out alike. SS_ERROR_CONFLICT where the folder has a group.
+ */
+bool disk_found_group(struct disk *d, uint64_t group, uint64_t id,
+		      GError **error);
+
 /* As the functions of the same names in struct ss_raft_ops. */
 bool disk_save_vote(struct disk *d, uint64_t term, uint64_t vote,
 		    GError **error);
@@ -57,6 +65,12 @@
 		 GError **error);
 bool disk_truncate(struct disk *d, uint64_t from, GError **error);
 bool disk_sync(struct disk *d, GError **error);
+/*
+ * Tell in the log itself what is durable, so that a bad record at its end
+ * is known for corrupt and not for torn. To be called once the log rests;
+ * it syncs. A failure changes nothing.
+ */
+bool disk_mark(struct disk *d, GError **error);
 bool disk_save_snapshot(struct disk *d, const struct ss_raft_snapshot *s,
 			const struct ss_raft_entry *rest, size_t n,
 			GError **error);
