--- a/Makefile
+++ b/Makefile
@@ -20,14 +20,15 @@
 	$(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PKGS)))
 CFLAGS := -std=gnu11 -O2 -g -fPIC -fno-omit-frame-pointer $(WARN) $(SAN)
 CXXFLAGS := -std=gnu++17 -O1 -g -Wall $(SAN)
-LDLIBS := $(shell pkg-config --libs $(PKGS)) -lm
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm
 LDFLAGS := $(SAN)
 
 # The library: decisions and base, no sockets.
 LIB_SRC := $(sort $(wildcard src/base/*.c src/core/*.c src/disk/*.c))
 # Everything that the daemon adds to it.
 NET_SRC := $(sort $(wildcard src/net/*.c src/config/*.c src/node/*.c src/caller/*.c src/engine/*.c \
-	src/service/*.c src/store/*.c src/platform/*.c src/operator/*.c))
+	src/service/*.c src/store/*.c src/vmlist/*.c src/operator/*.c \
+	src/proxy/*.c platform/*.c))
 DAEMON_SRC := $(sort $(wildcard src/daemon/*.c))
 CTL_SRC := $(sort $(wildcard src/ctl/*.c))
 STANDIN_SRC := $(sort $(wildcard src/standin/*.c))
--- a/include/sapphireshift/raft.h
+++ b/include/sapphireshift/raft.h
@@ -184,6 +184,8 @@
 const struct ss_raft_members *ss_raft_members(const struct ss_raft *r);
 const struct ss_raft_member *ss_raft_member(const struct ss_raft *r,
 					    uint64_t id);
+/* As leader: ms since the member was last heard; 0 for itself. */
+int64_t ss_raft_quiet_ms(const struct ss_raft *r, uint64_t id);
 /* As leader: the highest index known durable at a member. */
 uint64_t ss_raft_match(const struct ss_raft *r, uint64_t id);
 
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -114,6 +114,9 @@
 		case SETTING_BOOL:
 			*(bool *)at = f->preset_int != 0;
 			break;
+		case SETTING_NUM:
+			*(double *)at = (double)f->preset_int;
+			break;
 		case SETTING_STR:
 			*(char **)at = g_strdup(f->preset_str);
 			break;
@@ -196,6 +199,21 @@
 	*(int64_t *)at = n;
 }
 
+static void read_num(struct reader *r, const struct setting *f, void *at,
+		     json_object *v)
+{
+	double n = json_object_get_double(v);
+
+	if ((!json_object_is_type(v, json_type_int) &&
+	     !json_object_is_type(v, json_type_double)) ||
+	    !(n >= (double)f->min && n <= (double)f->max)) {
+		fault(r, "expected a number from %" PRId64 " to %" PRId64,
+		      f->min, f->max);
+		return;
+	}
+	*(double *)at = n;
+}
+
 static void read_choice(struct reader *r, const struct setting *f, void *at,
 			json_object *v)
 {
@@ -270,6 +288,9 @@
 	case SETTING_INT:
 		read_int(r, f, at, v);
 		break;
+	case SETTING_NUM:
+		read_num(r, f, at, v);
+		break;
 	case SETTING_BOOL:
 		if (json_object_is_type(v, json_type_boolean))
 			*(bool *)at = json_object_get_boolean(v);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -12,6 +12,7 @@
 enum setting_kind {
 	SETTING_INT,	/* int64_t */
 	SETTING_BOOL,	/* bool */
+	SETTING_NUM,	/* double; bounds as for an int */
 	SETTING_STR,	/* char *, owned */
 	SETTING_CHOICE, /* int, an index into choices */
 	SETTING_STRS,	/* GPtrArray of char * */
--- a/src/config/config.c
+++ b/src/config/config.c
@@ -21,6 +21,16 @@
 		key, SETTING_INT, offsetof(struct type, member), least, most,  \
 			preset, NULL, NULL, NULL, false                        \
 	}
+#define NUM(key, type, member, least, most, preset)                            \
+	{                                                                      \
+		key, SETTING_NUM, offsetof(struct type, member), least, most,  \
+			preset, NULL, NULL, NULL, false                        \
+	}
+#define BOOL(key, type, member)                                                \
+	{                                                                      \
+		key, SETTING_BOOL, offsetof(struct type, member), 0, 1, 0,     \
+			NULL, NULL, NULL, false                                \
+	}
 #define SUB(key, type, member, sub)                                            \
 	{                                                                      \
 		key, SETTING_OBJECT, offsetof(struct type, member), 0, 0, 0,   \
@@ -83,10 +93,34 @@
 	STR("first_preset", config_control, first_preset, ""),
 	INT("snapshot_entries", config_control, snapshot_entries, 16, 1000000,
 	    2000),
+	BOOL("found_group", config_control, found_group),
 };
 static const struct setting_type control_type =
 	SETTING_TYPE(struct config_control, control_fields);
 
+static const struct setting fleet_fields[] = {
+	BOOL("on", config_fleet, on),
+	STR("listen", config_fleet, listen, ""),
+	STR("ready_listen", config_fleet, ready_listen, ""),
+	STR("operator_listen", config_fleet, operator_listen, ""),
+	STR("vm_list", config_fleet, vm_list, ""),
+	NUM("list_per_s", config_fleet, list_per_s, 0, 100000, 10),
+	STR("endpoint", config_fleet, endpoint, ""),
+	STR("holder", config_fleet, holder, ""),
+	INT("grace_ms", config_fleet, grace_ms, 0, HOUR_MS, 8000),
+	INT("drain_ms", config_fleet, drain_ms, 0, HOUR_MS, 3000),
+	NUM("retry_ratio", config_fleet, retry_ratio, 0, 10, 0),
+	INT("retry_window_ms", config_fleet, retry_window_ms, 100, HOUR_MS,
+	    10000),
+	INT("retry_slack", config_fleet, retry_slack, 0, 1000000, 0),
+	INT("lease_ms", config_fleet, lease_ms, 0, HOUR_MS, 3000),
+	INT("store_window_ms", config_fleet, store_window_ms, 100, HOUR_MS,
+	    5000),
+	NUM("store_overage", config_fleet, store_overage, 0, 100, 1),
+};
+static const struct setting_type fleet_type =
+	SETTING_TYPE(struct config_fleet, fleet_fields);
+
 static const struct setting config_fields[] = {
 	{ "role", SETTING_CHOICE, offsetof(struct config, role), 0, 0, 0,
 	  "entry", roles, NULL, true },
@@ -99,6 +133,8 @@
 	STR("log_level", config, log_level, "info"),
 	{ "control", SETTING_STRS, offsetof(struct config, control), 0, 64, 0,
 	  NULL, NULL, NULL, true },
+	INT("control_port", config, control_port, 0, 65535, 0),
+	SUB("fleet", config, fleet, fleet_type),
 	SUB("entry", config, entry, entry_type),
 	SUB("agent", config, agent, agent_type),
 	SUB("control_vm", config, ctl, control_type),
@@ -149,11 +185,32 @@
 	check_addr(faults, file, "control_vm.platform", c->ctl.platform);
 	for (guint i = 0; i < c->control->len; i++)
 		check_addr(faults, file, "control", c->control->pdata[i]);
-	if (c->role == CONFIG_CONTROL && !*c->ctl.token_file)
+	check_addr(faults, file, "fleet.listen", c->fleet.listen);
+	check_addr(faults, file, "fleet.ready_listen", c->fleet.ready_listen);
+	check_addr(faults, file, "fleet.operator_listen",
+		   c->fleet.operator_listen);
+	check_addr(faults, file, "fleet.vm_list", c->fleet.vm_list);
+	check_addr(faults, file, "fleet.endpoint", c->fleet.endpoint);
+	if (c->role == CONFIG_CONTROL && !*c->ctl.token_file && !c->fleet.on)
 		add_fault(faults, file, "control_vm.token_file",
 			  "missing: operators need a token");
 }
 
+/* The platform names control VMs by another port than their frames'. */
+static void set_control_port(struct config *c)
+{
+	for (guint i = 0; c->control_port && i < c->control->len; i++) {
+		char *old = c->control->pdata[i];
+		char *colon = strrchr(old, ':');
+
+		if (colon)
+			*colon = 0;
+		c->control->pdata[i] =
+			g_strdup_printf("%s:%" PRId64, old, c->control_port);
+		g_free(old);
+	}
+}
+
 bool config_load(struct config *c, const char *file, GError **error)
 {
 	GString *faults;
@@ -164,6 +221,8 @@
 	faults = g_string_new(NULL);
 	check(c, file, faults);
 	ok = faults->len == 0;
+	if (ok)
+		set_control_port(c);
 	if (!ok) {
 		g_set_error(error, SS_ERROR, SS_ERROR_SETTINGS, "%s",
 			    faults->str);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -44,9 +44,33 @@
 	char *models_file;  /* put once, when the group is made */
 	char *presets_dir;  /* likewise: NAME.json */
 	char *first_preset; /* put in force then */
+	bool found_group;   /* this is the first start of the whole system */
 	int64_t snapshot_entries;
 };
 
+/*
+ * A fleet whose endpoints are listed by the platform and called directly:
+ * entries forward to them, agents only order what they load.
+ */
+struct config_fleet {
+	bool on;	       /* the section is there */
+	char *listen;	       /* entry: callers */
+	char *ready_listen;    /* entry: asked whether it takes callers */
+	char *operator_listen; /* control: routing */
+	char *vm_list;	       /* address of the platform's list */
+	double list_per_s;  /* calls that the list takes, from all together */
+	char *endpoint;	    /* agent: the endpoint beside it */
+	char *holder;	    /* agent: the name on its orders */
+	int64_t grace_ms;   /* from SIGTERM until the process is ended */
+	int64_t drain_ms;   /* a leaving endpoint must be left within it */
+	double retry_ratio; /* repeats against first sends, per window */
+	int64_t retry_window_ms;
+	int64_t retry_slack;	 /* repeats that are free, for all together */
+	int64_t lease_ms;	 /* least pause between orders of two holders */
+	int64_t store_window_ms; /* in which loads from the store count */
+	double store_overage;	 /* loads over the rate that are borne */
+};
+
 struct config {
 	int role; /* enum config_role */
 	char *name, *domain;
@@ -54,7 +78,9 @@
 	char *advertise; /* the address that others use; empty: listen */
 	char *status_listen;
 	char *log_level;
-	GPtrArray *control; /* addresses of the control VMs */
+	GPtrArray *control;   /* addresses of the control VMs */
+	int64_t control_port; /* replaces theirs; 0: they are right */
+	struct config_fleet fleet;
 	struct config_entry entry;
 	struct config_agent agent;
 	struct config_control ctl;
--- /dev/null
+++ b/src/core/balance.h
@@ -0,0 +1,57 @@
+/*
+ * Which endpoint gets a call: a function of what an entry knows of each.
+ * The load it answers: calls of a second or two on engines that batch, and
+ * bursts that many entries see at once on reports some 100 ms old.
+ */
+#ifndef SS_BALANCE_H
+#define SS_BALANCE_H
+
+#include <sapphireshift/base.h>
+
+struct balance_node {
+	bool usable;	   /* listed, not leaving, not given up */
+	bool near;	   /* in the entry's failure domain */
+	bool has_adapter;  /* or none is needed */
+	bool tried;	   /* this call was there and came back */
+	int64_t slots;	   /* calls it runs at a time */
+	int64_t reported;  /* calls running and waiting there, as told last */
+	int64_t since;	   /* sent by this entry since then */
+	int64_t own;	   /* of this entry, under way */
+	double failing;	   /* share of calls that failed lately, decayed */
+	uint64_t affinity; /* larger: its prompt cache is more likely warm */
+};
+
+/* Why none was chosen. */
+enum balance_none { BALANCE_NOBODY = -1, BALANCE_FULL = -2 };
+
+/* Index of the node, or an enum balance_none; tie breaks equal scores. */
+int balance_choose(const struct balance_node *n, size_t count, double fill,
+		   uint64_t tie);
+
+/* Calls that a node has by the entry's estimate. */
+int64_t balance_load(const struct balance_node *n);
+
+/* A decayed share of failures. */
+void balance_note(double *failing, bool failed);
+
+/*
+ * Repeats within a sliding window, as a share of first sends and a little
+ * beside. Each entry holds its own share of the bound, so that all of them
+ * together keep it without a word between them, whoever is cut off.
+ */
+#define REPEAT_BUCKETS 10
+struct repeat_budget {
+	int64_t window_ms;
+	double ratio;	/* of first sends in the window */
+	int64_t slack;	/* beside them */
+	int64_t bucket; /* the newest one's number */
+	uint32_t firsts[REPEAT_BUCKETS], repeats[REPEAT_BUCKETS];
+};
+
+void repeat_budget_init(struct repeat_budget *b, int64_t window_ms,
+			double ratio, int64_t slack);
+void repeat_first(struct repeat_budget *b, int64_t now);
+/* Take one repeat; false where the window has none left. */
+bool repeat_take(struct repeat_budget *b, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/core/fleet.c
@@ -0,0 +1,362 @@
+/* Which engine of a fleet holds which model. */
+#include "fleet.h"
+
+#include <math.h>
+
+/* A replica is filled to this share of an engine's slots before another is
+ * wanted, and thinned out below the second. The gap keeps replicas from
+ * coming and going with each burst. */
+#define FILL_SHARE 0.6
+#define THIN_SHARE 0.35
+/* Calls a second from which a model is kept twice, so that the loss of one
+ * engine doesn't leave dozens of callers without it. */
+#define TWICE_PER_S 2.0
+/* Waiting for runs to end on a victim, in ms: half of a common answer. */
+#define DRAIN_MS 1000.0
+/* Weight of what an unload costs later against the wait now, in s. */
+#define LATER_S 5.0
+/* Calls a second that a model without any is expected to get. */
+#define PRIOR_PER_S 0.02
+/* An engine that is full makes a load's callers wait; in ms. */
+#define FULL_MS 200.0
+/* A second replica in the same failure domain falls with the first. */
+#define SAME_DOMAIN_MS 100.0
+/* Memory of a rate, in ms: long enough to tell an idle model from one that
+ * is asked for every few seconds. */
+#define RATE_MS 8000.0
+
+int64_t fleet_load_ms(const struct routing_model *m, enum ss_tier tier)
+{
+	switch (tier) {
+	case TIER_MEMORY:
+		return m->memory_ms;
+	case TIER_DISK:
+		return m->disk_ms;
+	case TIER_REMOTE:
+		break;
+	}
+	return m->store_ms;
+}
+
+double fleet_rate_at(const struct fleet_rate *r, int64_t now)
+{
+	return r->at_ms ? r->per_s *
+				  exp(-(double)(now - r->at_ms) / RATE_MS) :
+			  0;
+}
+
+void fleet_rate_add(struct fleet_rate *r, uint64_t arrivals, int64_t now)
+{
+	r->per_s = fleet_rate_at(r, now) + (double)arrivals * 1000.0 / RATE_MS;
+	r->at_ms = MAX(now, 1);
+}
+
+/* What a pass knows of a model beside the view. */
+struct tally {
+	uint32_t open;	  /* replicas that take calls */
+	uint32_t loading; /* on their way, this pass's too */
+	bool copied;	  /* some engine has it in memory or on disk */
+	int64_t left_ms;  /* until the first of those on their way */
+};
+
+struct pass {
+	struct fleet_view *v;
+	const struct fleet_plan_ops *ops;
+	void *arg;
+	struct tally *tally;
+	size_t from_store; /* loads from the store under way */
+};
+
+static struct fleet_place *place_at(const struct fleet_node *n, guint i)
+{
+	return &g_array_index(n->places, struct fleet_place, i);
+}
+
+static void count_node(struct pass *s, const struct fleet_node *n)
+{
+	for (guint i = 0; n->usable && i < n->places->len; i++) {
+		const struct fleet_place *p = place_at(n, i);
+
+		s->tally[p->model].open += !p->closing;
+		s->tally[p->model].copied = true;
+	}
+	for (size_t m = 0; m < s->v->n_models; m++)
+		s->tally[m].copied |= n->tier[m] != TIER_REMOTE;
+	if (n->loading < 0)
+		return;
+	s->tally[n->loading].loading++;
+	s->tally[n->loading].copied = true;
+	s->tally[n->loading].left_ms =
+		MIN(s->tally[n->loading].left_ms, n->loading_left_ms);
+	s->from_store += n->loading_tier == TIER_REMOTE;
+}
+
+/* Replicas that the calls of a model need, at this share of the slots. */
+static uint32_t replicas_for(const struct fleet_view *v,
+			     const struct fleet_model *m, double share)
+{
+	double load = m->calls + m->waiting;
+	double most = (double)MAX(v->slots, 1) * share;
+	uint32_t n = (uint32_t)ceil(load / most);
+
+	if (m->rate >= TWICE_PER_S)
+		n = MAX(n, 2);
+	return n;
+}
+
+/* More replicas than the calls need: one can go at no cost. */
+static bool is_surplus(const struct pass *s, uint32_t model)
+{
+	return s->tally[model].open >
+	       MAX(replicas_for(s->v, &s->v->models[model], THIN_SHARE), 1);
+}
+
+/* What an unload costs later, in ms of waiting; negative: it must stay. */
+static double unload_cost(const struct pass *s, const struct fleet_node *n,
+			  const struct fleet_place *p)
+{
+	const struct fleet_model *m = &s->v->models[p->model];
+	bool surplus = is_surplus(s, p->model);
+	double cost = 0;
+
+	if (p->closing || (m->waiting && !surplus))
+		return -1;
+	if (p->calls && !surplus)
+		return -1;
+	if (p->calls)
+		cost += DRAIN_MS;
+	if (!surplus)
+		cost += (m->rate + PRIOR_PER_S) * LATER_S *
+			(double)fleet_load_ms(m->spec, TIER_DISK);
+	(void)n;
+	return cost;
+}
+
+struct choice {
+	struct fleet_step step;
+	double cost;
+};
+
+static bool is_victim(const struct fleet_step *step, uint32_t model)
+{
+	for (size_t i = 0; i < step->n_victims; i++)
+		if (step->victims[i] == model)
+			return true;
+	return false;
+}
+
+/* Make room for a model on a node; false where it can't be done. */
+static bool make_room(const struct pass *s, const struct fleet_node *n,
+		      double need_mb, struct choice *c)
+{
+	double room = n->free_mb;
+
+	while (room < need_mb) {
+		int best = -1;
+		double best_cost = 0;
+
+		if (c->step.n_victims == FLEET_VICTIMS_MAX)
+			return false;
+		for (guint i = 0; i < n->places->len; i++) {
+			const struct fleet_place *p = place_at(n, i);
+			double cost = unload_cost(s, n, p);
+
+			if (cost < 0 || is_victim(&c->step, p->model) ||
+			    (best >= 0 && cost >= best_cost))
+				continue;
+			best = (int)i;
+			best_cost = cost;
+		}
+		if (best < 0)
+			return false;
+		c->step.victims[c->step.n_victims++] =
+			place_at(n, (guint)best)->model;
+		room += s->v->models[place_at(n, (guint)best)->model]
+				.spec->weights_mb;
+		c->cost += best_cost;
+	}
+	return true;
+}
+
+static bool holds(const struct fleet_node *n, uint32_t model)
+{
+	for (guint i = 0; i < n->places->len; i++)
+		if (place_at(n, i)->model == model)
+			return true;
+	return false;
+}
+
+static bool domain_has(const struct fleet_view *v, const char *domain,
+		       uint32_t model)
+{
+	for (size_t i = 0; i < v->n_nodes; i++)
+		if (!g_strcmp0(v->nodes[i].domain, domain) &&
+		    holds(&v->nodes[i], model))
+			return true;
+	return false;
+}
+
+static bool weigh(const struct pass *s, uint32_t model, size_t node,
+		  struct choice *c)
+{
+	const struct fleet_node *n = &s->v->nodes[node];
+	const struct routing_model *spec = s->v->models[model].spec;
+	enum ss_tier tier = (enum ss_tier)n->tier[model];
+	int64_t load = fleet_load_ms(spec, tier);
+
+	memset(c, 0, sizeof(*c));
+	if (!n->free || !n->usable || n->loading >= 0 || holds(n, model) ||
+	    !make_room(s, n, spec->weights_mb, c))
+		return false;
+	c->step.node = (uint32_t)node;
+	c->step.load = (int)model;
+	c->step.tier = tier;
+	c->step.expected_ms = load;
+	c->cost += (double)load +
+		   FULL_MS * (double)n->running / (double)MAX(n->slots, 1);
+	if (s->tally[model].open && domain_has(s->v, n->domain, model))
+		c->cost += SAME_DOMAIN_MS;
+	return true;
+}
+
+static bool store_allows(const struct pass *s)
+{
+	return s->from_store < s->v->store_parallel &&
+	       s->v->store_tokens >= 1;
+}
+
+static void take(struct pass *s, struct choice *c, const char *why)
+{
+	struct fleet_node *n = &s->v->nodes[c->step.node];
+	struct tally *t = &s->tally[c->step.load];
+
+	c->step.why = why;
+	n->free = false;
+	n->loading = c->step.load;
+	t->loading++;
+	t->copied = true;
+	t->left_ms = MIN(t->left_ms, c->step.expected_ms);
+	for (guint i = 0; i < n->places->len; i++) {
+		struct fleet_place *p = place_at(n, i);
+
+		if (!is_victim(&c->step, p->model))
+			continue;
+		p->closing = true;
+		s->tally[p->model].open--;
+	}
+	if (c->step.tier == TIER_REMOTE) {
+		s->from_store++;
+		s->v->store_tokens -= 1;
+	}
+	s->ops->step(s->arg, &c->step);
+}
+
+/* Load a model where that is cheapest; false where nothing can take it. */
+static bool place(struct pass *s, uint32_t model, const char *why)
+{
+	struct choice best = { 0 }, c;
+	bool found = false;
+
+	for (size_t i = 0; i < s->v->n_nodes; i++) {
+		if (!weigh(s, model, i, &c))
+			continue;
+		if (c.step.tier == TIER_REMOTE && !store_allows(s))
+			continue;
+		if (found && c.cost >= best.cost)
+			continue;
+		best = c;
+		found = true;
+	}
+	if (found)
+		take(s, &best, why);
+	return found;
+}
+
+struct need {
+	uint32_t model;
+	double order; /* smaller goes first */
+};
+
+static gint by_order(gconstpointer a, gconstpointer b)
+{
+	const struct need *x = a, *y = b;
+
+	if (x->order != y->order)
+		return x->order < y->order ? -1 : 1;
+	return x->model < y->model ? -1 : x->model > y->model;
+}
+
+/* Models that somebody waits for and none has: most callers first. */
+static void place_waited(struct pass *s)
+{
+	GArray *needs = g_array_new(FALSE, FALSE, sizeof(struct need));
+
+	for (size_t m = 0; m < s->v->n_models; m++) {
+		const struct fleet_model *x = &s->v->models[m];
+		struct need n = { .model = (uint32_t)m,
+				  .order = -(double)x->waiting };
+
+		if (x->waiting && !s->tally[m].open && !s->tally[m].loading)
+			g_array_append_val(needs, n);
+	}
+	g_array_sort(needs, by_order);
+	for (guint i = 0; i < needs->len; i++)
+		place(s, g_array_index(needs, struct need, i).model,
+		      "callers wait and no engine has it");
+	g_array_unref(needs);
+}
+
+/* Models whose replicas are full, or that one loss would take away. */
+static void place_more(struct pass *s)
+{
+	for (size_t m = 0; m < s->v->n_models; m++) {
+		const struct fleet_model *x = &s->v->models[m];
+		const struct tally *t = &s->tally[m];
+
+		if (t->open + t->loading == 0 && !x->waiting)
+			continue;
+		if (t->open + t->loading < replicas_for(s->v, x, FILL_SHARE))
+			place(s, (uint32_t)m, "its replicas are full");
+	}
+}
+
+/*
+ * The store serves few loads at a time and each takes long, so while nobody
+ * waits for it, it brings the models that have no copy on any engine. From
+ * then on a call for one costs a load from disk.
+ */
+static void place_ahead(struct pass *s)
+{
+	for (size_t m = 0; m < s->v->n_models && store_allows(s); m++)
+		if (!s->tally[m].copied)
+			place(s, (uint32_t)m, "no engine has a copy");
+}
+
+static void set_etas(struct pass *s)
+{
+	for (size_t m = 0; m < s->v->n_models; m++) {
+		const struct tally *t = &s->tally[m];
+
+		s->v->models[m].eta_ms = t->open	? 0 :
+					 t->loading	? t->left_ms :
+							  -1;
+	}
+}
+
+void fleet_plan(struct fleet_view *v, const struct fleet_plan_ops *ops,
+		void *arg)
+{
+	struct pass s = { .v = v, .ops = ops, .arg = arg };
+
+	s.tally = g_new0(struct tally, v->n_models + 1);
+	for (size_t m = 0; m < v->n_models; m++)
+		s.tally[m].left_ms = INT64_MAX;
+	for (size_t i = 0; i < v->n_nodes; i++)
+		count_node(&s, &v->nodes[i]);
+	place_waited(&s);
+	place_more(&s);
+	if (v->ahead)
+		place_ahead(&s);
+	set_etas(&s);
+	g_free(s.tally);
+}
--- /dev/null
+++ b/src/core/fleet.h
@@ -0,0 +1,94 @@
+/*
+ * Which engine of a fleet holds which model: the leader's decisions, as a
+ * function of a view of one service.
+ *
+ * The load it answers: a few models take most calls and need several
+ * replicas; a hundred others are asked for now and then and have to be
+ * ready within a second or two. All of them together are larger than the
+ * accelerators' memory, but not than the engines' disks, and a load from
+ * disk takes a tenth of one from the store. So replicas that demand doesn't
+ * need give way first, a model that is asked for is loaded where a copy is
+ * near and what leaves is cheap to bring back, and the store's time is used
+ * up for models that have no copy anywhere.
+ */
+#ifndef SS_FLEET_H
+#define SS_FLEET_H
+
+#include "plan.h"
+#include "routing.h"
+
+/* Victims of one step; more can't be needed to fit the largest model. */
+#define FLEET_VICTIMS_MAX 8
+
+struct fleet_model {
+	const struct routing_model *spec;
+	double rate;	  /* calls that arrive in a second, decayed */
+	uint32_t waiting; /* calls that no endpoint can take */
+	int64_t slack_ms; /* until the first of them is late */
+	uint32_t calls;	  /* under way on all endpoints */
+	/* Out: until it can be called; -1: nothing is under way. */
+	int64_t eta_ms;
+};
+
+/* A model in the memory of an engine. */
+struct fleet_place {
+	uint32_t model; /* index */
+	uint32_t calls; /* under way, as the entries told */
+	bool closing;	/* about to leave: gets no new calls */
+};
+
+struct fleet_node {
+	const char *domain;
+	bool usable; /* its models can be called */
+	bool free;   /* it can take a step now */
+	int loading; /* index of the model; -1: none */
+	enum ss_tier loading_tier;
+	int64_t loading_left_ms; /* expected */
+	double free_mb;		 /* of memory for weights */
+	int64_t running, slots;
+	GArray *places;	     /* struct fleet_place */
+	const uint8_t *tier; /* enum ss_tier of each model */
+};
+
+struct fleet_step {
+	uint32_t node;
+	int load; /* model */
+	enum ss_tier tier;
+	uint32_t victims[FLEET_VICTIMS_MAX]; /* models to unload first */
+	size_t n_victims;
+	int64_t expected_ms;
+	const char *why;
+};
+
+struct fleet_view {
+	struct fleet_model *models;
+	size_t n_models;
+	struct fleet_node *nodes;
+	size_t n_nodes;
+	int64_t slots;		  /* of one engine */
+	size_t store_parallel;	  /* loads from the store at full speed */
+	double store_tokens;	  /* loads from it that may begin now */
+	bool ahead; /* load models without a copy before anyone asks */
+};
+
+struct fleet_plan_ops {
+	void (*step)(void *arg, const struct fleet_step *s);
+};
+
+/* Decide. Each node gets one step at most; etas are set in the view. */
+void fleet_plan(struct fleet_view *v, const struct fleet_plan_ops *ops,
+		void *arg);
+
+/* How long a load from a tier takes. */
+int64_t fleet_load_ms(const struct routing_model *m, enum ss_tier tier);
+
+/* A rate with a memory of some seconds. */
+struct fleet_rate {
+	double per_s;
+	int64_t at_ms; /* 0: nothing counted yet */
+};
+
+void fleet_rate_add(struct fleet_rate *r, uint64_t arrivals, int64_t now);
+double fleet_rate_at(const struct fleet_rate *r, int64_t now);
+
+#endif
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -52,10 +52,16 @@
 	F(2, WIRE_STR, msg_join, name),
 	F(3, WIRE_STR, msg_join, addr),
 };
+static const struct wire_field control_addr_fields[] = {
+	F(1, WIRE_STR, control_addr, addr),
+};
+static const struct wire_type control_addr_type =
+	T(control_addr, control_addr_fields);
 static const struct wire_field leader_fields[] = {
 	F(1, WIRE_UINT, msg_leader, group),
 	F(2, WIRE_STR, msg_leader, addr),
 	F(3, WIRE_BOOL, msg_leader, here),
+	L(4, msg_leader, members, control_addr_type),
 };
 static const struct wire_field held_fields[] = {
 	F(1, WIRE_UINT, held, replica), F(2, WIRE_STR, held, model),
@@ -209,6 +215,111 @@
 	F(5, WIRE_UINT, msg_attach, have),
 };
 
+static const struct wire_field name_fields[] = {
+	F(1, WIRE_STR, name_item, name),
+};
+static const struct wire_type name_type = T(name_item, name_fields);
+static const struct wire_field held_model_fields[] = {
+	F(1, WIRE_STR, held_model, model),
+	L(2, held_model, adapters, name_type),
+	F(3, WIRE_INT, held_model, calls),
+};
+static const struct wire_type held_model_type =
+	T(held_model, held_model_fields);
+static const struct wire_field endpoint_fields[] = {
+	F(1, WIRE_STR, msg_endpoint, addr),
+	F(2, WIRE_STR, msg_endpoint, agent),
+	F(3, WIRE_BOOL, msg_endpoint, reachable),
+	F(4, WIRE_BOOL, msg_endpoint, busy),
+	F(5, WIRE_BOOL, msg_endpoint, leaving),
+	F(6, WIRE_INT, msg_endpoint, remaining_ms),
+	F(7, WIRE_UINT, msg_endpoint, orders),
+	F(8, WIRE_INT, msg_endpoint, running),
+	F(9, WIRE_INT, msg_endpoint, waiting),
+	F(10, WIRE_INT, msg_endpoint, tokens_used),
+	F(11, WIRE_INT, msg_endpoint, tokens_total),
+	L(12, msg_endpoint, held, held_model_type),
+	L(13, msg_endpoint, in_memory, name_type),
+	L(14, msg_endpoint, on_disk, name_type),
+};
+static const struct wire_field load_fields[] = {
+	F(1, WIRE_UINT, msg_load, fence),     F(2, WIRE_UINT, msg_load, step),
+	L(3, msg_load, unload, name_type),    F(4, WIRE_STR, msg_load, load),
+	F(5, WIRE_INT, msg_load, weights_mb),
+};
+static const struct wire_field loaded_fields[] = {
+	F(1, WIRE_UINT, msg_loaded, fence),  F(2, WIRE_UINT, msg_loaded, step),
+	F(3, WIRE_INT, msg_loaded, code),    F(4, WIRE_STR, msg_loaded, text),
+	F(5, WIRE_INT, msg_loaded, took_ms),
+};
+static const struct wire_field fleet_endpoint_fields[] = {
+	F(1, WIRE_STR, fleet_endpoint, addr),
+	F(2, WIRE_STR, fleet_endpoint, id),
+	F(3, WIRE_STR, fleet_endpoint, service),
+	F(4, WIRE_STR, fleet_endpoint, domain),
+	F(5, WIRE_STR, fleet_endpoint, agent),
+	F(6, WIRE_INT, fleet_endpoint, slots),
+	F(7, WIRE_BOOL, fleet_endpoint, leaving),
+	F(8, WIRE_BOOL, fleet_endpoint, gone),
+	F(9, WIRE_INT, fleet_endpoint, running),
+	F(10, WIRE_INT, fleet_endpoint, waiting),
+	F(11, WIRE_INT, fleet_endpoint, tokens_used),
+	F(12, WIRE_INT, fleet_endpoint, tokens_total),
+	L(13, fleet_endpoint, held, held_model_type),
+	F(14, WIRE_INT, fleet_endpoint, age_ms),
+};
+static const struct wire_type fleet_endpoint_type =
+	T(fleet_endpoint, fleet_endpoint_fields);
+static const struct wire_field fleet_eta_fields[] = {
+	F(1, WIRE_STR, fleet_eta, service),
+	F(2, WIRE_STR, fleet_eta, model),
+	F(3, WIRE_INT, fleet_eta, eta_ms),
+};
+static const struct wire_type fleet_eta_type = T(fleet_eta, fleet_eta_fields);
+static const struct wire_field fleet_fields[] = {
+	F(1, WIRE_UINT, msg_fleet, fence),
+	F(2, WIRE_UINT, msg_fleet, round),
+	F(3, WIRE_BOOL, msg_fleet, whole),
+	L(4, msg_fleet, endpoints, fleet_endpoint_type),
+	L(5, msg_fleet, etas, fleet_eta_type),
+};
+static const struct wire_field model_demand_fields[] = {
+	F(1, WIRE_STR, model_demand, service),
+	F(2, WIRE_STR, model_demand, model),
+	F(3, WIRE_UINT, model_demand, arrivals),
+	F(4, WIRE_UINT, model_demand, waiting),
+	F(5, WIRE_INT, model_demand, slack_ms),
+};
+static const struct wire_type model_demand_type =
+	T(model_demand, model_demand_fields);
+static const struct wire_field endpoint_calls_fields[] = {
+	F(1, WIRE_STR, endpoint_calls, addr),
+	L(2, endpoint_calls, models, held_model_type),
+};
+static const struct wire_type endpoint_calls_type =
+	T(endpoint_calls, endpoint_calls_fields);
+static const struct wire_field demand_fields[] = {
+	F(1, WIRE_UINT, msg_demand, round),
+	F(2, WIRE_UINT, msg_demand, routing),
+	L(3, msg_demand, models, model_demand_type),
+	L(4, msg_demand, calls, endpoint_calls_type),
+};
+static const struct wire_field routing_fields[] = {
+	F(1, WIRE_UINT, msg_routing, version),
+	F(2, WIRE_STR, msg_routing, body),
+};
+static const struct wire_field adapter_fields[] = {
+	F(1, WIRE_UINT, msg_adapter, sub),
+	F(2, WIRE_STR, msg_adapter, model),
+	F(3, WIRE_STR, msg_adapter, adapter),
+	F(4, WIRE_INT, msg_adapter, wait_ms),
+};
+static const struct wire_field adapter_done_fields[] = {
+	F(1, WIRE_UINT, msg_adapter_done, sub),
+	F(2, WIRE_INT, msg_adapter_done, code),
+	F(3, WIRE_STR, msg_adapter_done, text),
+};
+
 static const struct wire_type types[MSG_KINDS] = {
 	[MSG_HELLO] = T(msg_hello, hello_fields),
 	[MSG_PING] = T(msg_ping, ping_fields),
@@ -231,6 +342,14 @@
 	[MSG_REPLY] = T(msg_reply, reply_fields),
 	[MSG_CANCEL] = T(msg_cancel, cancel_fields),
 	[MSG_ATTACH] = T(msg_attach, attach_fields),
+	[MSG_ENDPOINT] = T(msg_endpoint, endpoint_fields),
+	[MSG_LOAD] = T(msg_load, load_fields),
+	[MSG_LOADED] = T(msg_loaded, loaded_fields),
+	[MSG_FLEET] = T(msg_fleet, fleet_fields),
+	[MSG_DEMAND] = T(msg_demand, demand_fields),
+	[MSG_ROUTING] = T(msg_routing, routing_fields),
+	[MSG_ADAPTER] = T(msg_adapter, adapter_fields),
+	[MSG_ADAPTER_DONE] = T(msg_adapter_done, adapter_done_fields),
 };
 
 const struct wire_type *msg_type(enum msg_kind kind)
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -28,6 +28,15 @@
 	MSG_REPLY,  /* agent to entry: a piece of the answer */
 	MSG_CANCEL, /* entry to agent: nobody waits any more */
 	MSG_ATTACH, /* entry to agent: what became of this call? */
+	/* Of a fleet whose endpoints are called directly. */
+	MSG_ENDPOINT,	  /* agent to leader: what its endpoint holds */
+	MSG_LOAD,	  /* leader to agent: what to unload and load */
+	MSG_LOADED,	  /* its answer, once that has ended */
+	MSG_FLEET,	  /* leader to entry: endpoints that changed */
+	MSG_DEMAND,	  /* entry to leader: what is asked for and runs */
+	MSG_ROUTING,	  /* leader to entry: the routing in force */
+	MSG_ADAPTER,	  /* entry to agent: an adapter is needed */
+	MSG_ADAPTER_DONE, /* its answer */
 	MSG_KINDS
 };
 
@@ -52,8 +61,13 @@
 
 struct msg_leader {
 	uint64_t group;
-	struct ss_str addr; /* empty: nobody known */
-	bool here;	    /* it is the sender */
+	struct ss_str addr;	  /* empty: nobody known */
+	bool here;		  /* it is the sender */
+	struct wire_list members; /* struct control_addr, all that count */
+};
+
+struct control_addr {
+	struct ss_str addr;
 };
 
 struct msg_raft {
@@ -235,6 +249,108 @@
 	uint64_t have; /* pieces that arrived already */
 };
 
+/* A name in a list. */
+struct name_item {
+	struct ss_str name;
+};
+
+/* A model in an engine's accelerator memory. */
+struct held_model {
+	struct ss_str model;
+	struct wire_list adapters; /* struct name_item */
+	int64_t calls;		   /* entry to leader only: under way */
+};
+
+struct msg_endpoint {
+	struct ss_str addr;  /* of the endpoint */
+	struct ss_str agent; /* of the sender's listener */
+	bool reachable;
+	bool busy, leaving;
+	int64_t remaining_ms; /* until it is taken away; 0: not told */
+	uint64_t orders;
+	int64_t running, waiting;
+	int64_t tokens_used, tokens_total;
+	struct wire_list held;	    /* struct held_model */
+	struct wire_list in_memory; /* struct name_item */
+	struct wire_list on_disk;   /* struct name_item */
+};
+
+/* One step of a plan for an endpoint: first unload, then load. */
+struct msg_load {
+	uint64_t fence;		 /* of the leadership; only grows */
+	uint64_t step;		 /* echoed */
+	struct wire_list unload; /* struct name_item */
+	struct ss_str load;	 /* empty: nothing */
+	int64_t weights_mb;	 /* of what is loaded */
+};
+
+struct msg_loaded {
+	uint64_t fence, step;
+	int64_t code; /* 0, or an enum ss_error */
+	struct ss_str text;
+	int64_t took_ms; /* from the first order on */
+};
+
+struct fleet_endpoint {
+	struct ss_str addr, id, service, domain;
+	struct ss_str agent; /* empty: none is known */
+	int64_t slots;
+	bool leaving, gone;
+	int64_t running, waiting;
+	int64_t tokens_used, tokens_total;
+	struct wire_list held; /* struct held_model, open for new calls */
+	int64_t age_ms;	       /* of its load */
+};
+
+struct fleet_eta {
+	struct ss_str service, model;
+	int64_t eta_ms; /* until it can be called; -1: nobody can tell */
+};
+
+struct msg_fleet {
+	uint64_t fence;
+	uint64_t round;		    /* confirmed by the next demand */
+	bool whole;		    /* what isn't listed doesn't exist */
+	struct wire_list endpoints; /* struct fleet_endpoint */
+	struct wire_list etas;	    /* struct fleet_eta */
+};
+
+struct model_demand {
+	struct ss_str service, model;
+	uint64_t arrivals; /* since the last message */
+	uint64_t waiting;
+	int64_t slack_ms; /* to the earliest time that one must be begun */
+};
+
+struct endpoint_calls {
+	struct ss_str addr;
+	struct wire_list models; /* struct held_model */
+};
+
+struct msg_demand {
+	uint64_t round;		 /* of the newest fleet message in force here */
+	uint64_t routing;	 /* version in force here */
+	struct wire_list models; /* struct model_demand, what changed */
+	struct wire_list calls;	 /* struct endpoint_calls, all */
+};
+
+struct msg_routing {
+	uint64_t version;
+	struct ss_str body;
+};
+
+struct msg_adapter {
+	uint64_t sub; /* echoed */
+	struct ss_str model, adapter;
+	int64_t wait_ms;
+};
+
+struct msg_adapter_done {
+	uint64_t sub;
+	int64_t code; /* 0: it is loaded */
+	struct ss_str text;
+};
+
 struct msg_ping {
 	uint64_t active;
 };
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -1088,3 +1088,12 @@
 		return 0;
 	return id == r->o.self ? r->durable : p->match;
 }
+
+int64_t ss_raft_quiet_ms(const struct ss_raft *r, uint64_t id)
+{
+	struct peer *p = peer_find((struct ss_raft *)r, id);
+
+	if (!p || id == r->o.self || r->role != SS_RAFT_LEADER)
+		return 0;
+	return r->now - p->heard_ms;
+}
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -13,6 +13,7 @@
 	GQueue history;			      /* struct change_rec, all */
 	char *in_force;
 	uint64_t config_version;
+	struct routing_rec *routing; /* NULL before the first one */
 };
 
 /* Records as owned copies: the strings are found by the wire table. */
@@ -69,6 +70,12 @@
 	rec_free(&change_wire, r);
 }
 
+static void free_routing(void *r)
+{
+	if (r)
+		rec_free(&routing_wire, r);
+}
+
 static guint claim_hash(const void *p)
 {
 	const struct ss_str *s = p;
@@ -127,6 +134,7 @@
 	g_free(s->in_force);
 	s->in_force = g_strdup("");
 	s->config_version = 0;
+	g_clear_pointer(&s->routing, free_routing);
 }
 
 void ss_state_free(struct ss_state *s)
@@ -562,6 +570,27 @@
 	}
 }
 
+/*
+ * The highest version wins. What arrives late, or again, is answered like
+ * the first and changes nothing, so that an operator who lost the answer
+ * may send it to anyone.
+ */
+static void apply_routing_put(struct ss_state *s, const struct command_wire *c,
+			      struct command_result *r)
+{
+	const struct routing_rec *p = only(&c->routing);
+
+	if (!p || p->version == 0) {
+		refuse(r, SS_ERROR_BAD_REQUEST, 0, "a routing needs a version");
+		return;
+	}
+	if (!s->routing || p->version > s->routing->version) {
+		free_routing(s->routing);
+		s->routing = rec_dup(&routing_wire, p);
+	}
+	r->version = s->routing->version;
+}
+
 static void apply_kind(struct ss_state *s, uint64_t index,
 		       const struct command_wire *c, struct command_result *r)
 {
@@ -593,6 +622,9 @@
 	case COMMAND_CLAIM:
 		apply_claim(s, index, c, r);
 		return;
+	case COMMAND_ROUTING_PUT:
+		apply_routing_put(s, c, r);
+		return;
 	}
 	refuse(r, SS_ERROR_BAD_REQUEST, 0, "unknown command");
 }
@@ -678,7 +710,9 @@
 				  .models = { c->models, c->n_models },
 				  .node = { c->node, c->node != NULL },
 				  .replica = { c->replica, c->replica != NULL },
-				  .claim = { c->claim, c->claim != NULL } };
+				  .claim = { c->claim, c->claim != NULL },
+				  .routing = { c->routing,
+					       c->routing != NULL } };
 
 	return wire_encode(&command_wire_type, &w);
 }
@@ -717,6 +751,7 @@
 	im.replicas = collect_table(s->replicas, &replica_wire);
 	im.claims = collect(s->claim_order.head, &claim_wire);
 	im.changes = collect(s->history.head, &change_wire);
+	im.routing = (struct wire_list){ s->routing, s->routing != NULL };
 	out = wire_encode(&image_wire, &im);
 	g_free(im.presets.items);
 	g_free(im.models.items);
@@ -751,6 +786,8 @@
 		put_claim(s, (struct claim_rec *)im.claims.items + i);
 	for (size_t i = 0; i < im.changes.n; i++)
 		put_change(s, (struct change_rec *)im.changes.items + i);
+	if (im.routing.n)
+		s->routing = rec_dup(&routing_wire, im.routing.items);
 out:
 	wire_done(&buf);
 	return ok;
@@ -766,6 +803,11 @@
 	return s->config_version;
 }
 
+const struct routing_rec *ss_state_routing(const struct ss_state *s)
+{
+	return s->routing;
+}
+
 const struct preset_rec *ss_state_preset(const struct ss_state *s,
 					 const char *name)
 {
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -26,6 +26,7 @@
 	COMMAND_REPLICA_ADD,
 	COMMAND_REPLICA_STATE,
 	COMMAND_CLAIM,
+	COMMAND_ROUTING_PUT,
 };
 
 enum node_kind { NODE_ENGINE = 1, NODE_SERVICE };
@@ -92,6 +93,12 @@
 	int64_t at_ms;
 };
 
+/* The routing that operators put in force, as they sent it. */
+struct routing_rec {
+	uint64_t version; /* given by the operator; only grows */
+	struct ss_str body;
+};
+
 struct change_rec {
 	struct ss_str id;
 	struct ss_str author;
@@ -121,6 +128,7 @@
 	struct node_rec *node;
 	struct replica_rec *replica;
 	struct claim_rec *claim;
+	struct routing_rec *routing;
 	/* A claim's predecessor that is known not to run: taken over. */
 	uint64_t dead_entry, dead_seq;
 };
@@ -165,6 +173,9 @@
 /* Bytes decided on a node and not known to be free again. */
 uint64_t ss_state_reserved(const struct ss_state *s, const char *node);
 
+/* The routing in force; NULL before the first one. */
+const struct routing_rec *ss_state_routing(const struct ss_state *s);
+
 /* Tables for reading: name to record, replica id (uint64_t *) to record. */
 GHashTable *ss_state_presets(const struct ss_state *s);
 GHashTable *ss_state_models(const struct ss_state *s);
--- a/src/core/state_codec.c
+++ b/src/core/state_codec.c
@@ -73,6 +73,13 @@
 const struct wire_type change_wire =
 	WIRE_TYPE(struct change_rec, change_fields);
 
+static const struct wire_field routing_fields[] = {
+	F(1, WIRE_UINT, routing_rec, version),
+	F(2, WIRE_STR, routing_rec, body),
+};
+const struct wire_type routing_wire =
+	WIRE_TYPE(struct routing_rec, routing_fields);
+
 static const struct wire_field command_fields[] = {
 	F(1, WIRE_INT, command_wire, kind),
 	F(2, WIRE_STR, command_wire, change_id),
@@ -86,6 +93,7 @@
 	L(10, command_wire, node, node_wire),
 	L(11, command_wire, replica, replica_wire),
 	L(12, command_wire, claim, claim_wire),
+	L(13, command_wire, routing, routing_wire),
 };
 const struct wire_type command_wire_type =
 	WIRE_TYPE(struct command_wire, command_fields);
@@ -99,5 +107,6 @@
 	L(6, image, replicas, replica_wire),
 	L(7, image, claims, claim_wire),
 	L(8, image, changes, change_wire),
+	L(9, image, routing, routing_wire),
 };
 const struct wire_type image_wire = WIRE_TYPE(struct image, image_fields);
--- a/src/core/state_codec.h
+++ b/src/core/state_codec.h
@@ -11,17 +11,18 @@
 	struct ss_str change_id, author;
 	int64_t at_ms;
 	uint64_t expect, dead_entry, dead_seq;
-	struct wire_list preset, models, node, replica, claim;
+	struct wire_list preset, models, node, replica, claim, routing;
 };
 
 /* The whole state, as it stands in a snapshot. */
 struct image {
 	struct ss_str in_force;
 	uint64_t config_version;
-	struct wire_list presets, models, nodes, replicas, claims, changes;
+	struct wire_list presets, models, nodes, replicas, claims, changes,
+		routing;
 };
 
 extern const struct wire_type preset_wire, model_wire, node_wire, replica_wire,
-	claim_wire, change_wire, command_wire_type, image_wire;
+	claim_wire, change_wire, routing_wire, command_wire_type, image_wire;
 
 #endif
--- a/src/daemon/bootstrap.c
+++ b/src/daemon/bootstrap.c
@@ -6,6 +6,7 @@
 #include "../disk/disk.h"
 
 #include <stdio.h>
+#include <xxhash.h>
 
 struct seed {
 	GArray *entries; /* struct ss_raft_entry with data owned */
@@ -24,8 +25,8 @@
 
 static void add_command(struct seed *s, struct command *c)
 {
+	/* No time of day: founders must write the same entries. */
 	c->author = SS_LIT("bootstrap");
-	c->at_ms = ss_wall_ms();
 	add_entry(s, SS_RAFT_DATA, ss_command_encode(c));
 }
 
@@ -72,9 +73,15 @@
 	return true;
 }
 
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
 static bool add_presets(struct seed *s, const char *folder, GError **error)
 {
 	GDir *dir = g_dir_open(folder, 0, NULL);
+	GPtrArray *names;
 	const char *entry;
 	bool ok = true;
 
@@ -83,9 +90,14 @@
 			    folder);
 		return false;
 	}
-	while (ok && (entry = g_dir_read_name(dir))) {
-		char *file = g_build_filename(folder, entry, NULL);
-		char *name = g_strdup(entry);
+	/* In the order of their names, the same on every VM. */
+	names = g_ptr_array_new_with_free_func(g_free);
+	while ((entry = g_dir_read_name(dir)))
+		g_ptr_array_add(names, g_strdup(entry));
+	g_ptr_array_sort(names, by_name);
+	for (guint i = 0; ok && i < names->len; i++) {
+		char *file = g_build_filename(folder, names->pdata[i], NULL);
+		char *name = g_strdup(names->pdata[i]);
 		char *dot = strrchr(name, '.');
 		char *text;
 		gsize n;
@@ -103,6 +115,7 @@
 		g_free(name);
 		g_free(file);
 	}
+	g_ptr_array_unref(names);
 	g_dir_close(dir);
 	return ok;
 }
@@ -139,6 +152,17 @@
 	add_command(s, &c);
 }
 
+static bool add_settings(struct seed *s, const struct config *c, GError **error)
+{
+	if (*c->ctl.models_file && !add_models(s, c->ctl.models_file, error))
+		return false;
+	if (*c->ctl.presets_dir && !add_presets(s, c->ctl.presets_dir, error))
+		return false;
+	if (*c->ctl.first_preset)
+		add_switch(s, c->ctl.first_preset);
+	return true;
+}
+
 static void clear_entry(void *e)
 {
 	g_free((char *)((struct ss_raft_entry *)e)->data.p);
@@ -168,12 +192,8 @@
 		goto out;
 	}
 	add_members(&s, c, st.id);
-	if (*c->ctl.models_file && !add_models(&s, c->ctl.models_file, error))
-		goto out;
-	if (*c->ctl.presets_dir && !add_presets(&s, c->ctl.presets_dir, error))
+	if (!add_settings(&s, c, error))
 		goto out;
-	if (*c->ctl.first_preset)
-		add_switch(&s, c->ctl.first_preset);
 	ok = disk_append(d, (struct ss_raft_entry *)s.entries->data,
 			 s.entries->len, error) &&
 	     disk_sync(d, error) && disk_save_vote(d, 1, st.id, error) &&
@@ -186,3 +206,84 @@
 	disk_close(d);
 	return ok;
 }
+
+static uint64_t founder_id(const char *addr)
+{
+	/* Never 0, which stands for nobody. */
+	return XXH3_64bits(addr, strlen(addr)) | 1;
+}
+
+static void add_founders(struct seed *s, const GPtrArray *addrs)
+{
+	struct ss_raft_members all = { 0 };
+
+	all.m = g_new0(struct ss_raft_member, addrs->len);
+	for (guint i = 0; i < addrs->len; i++) {
+		all.m[all.n].id = founder_id(addrs->pdata[i]);
+		all.m[all.n].name = ss_str(addrs->pdata[i]);
+		all.m[all.n].addr = ss_str(addrs->pdata[i]);
+		all.m[all.n++].voter = true;
+	}
+	add_entry(s, SS_RAFT_MEMBERS, ss_raft_encode_members(&all));
+	g_free(all.m);
+}
+
+static uint64_t group_of(const GPtrArray *addrs)
+{
+	GString *all = g_string_new(NULL);
+	uint64_t id;
+
+	for (guint i = 0; i < addrs->len; i++)
+		g_string_append_printf(all, "%s ", (char *)addrs->pdata[i]);
+	id = XXH3_64bits(all->str, all->len) | 1;
+	g_string_free(all, TRUE);
+	return id;
+}
+
+static GPtrArray *sorted_copy(const GPtrArray *addrs)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < addrs->len; i++)
+		g_ptr_array_add(out, addrs->pdata[i]);
+	g_ptr_array_sort(out, by_name);
+	return out;
+}
+
+static bool is_named(const GPtrArray *addrs, const char *addr)
+{
+	for (guint i = 0; i < addrs->len; i++)
+		if (!strcmp(addrs->pdata[i], addr))
+			return true;
+	return false;
+}
+
+bool found_group(const struct config *c, const char *addr, struct disk **disk,
+		 struct disk_state *st, GError **error)
+{
+	struct disk_options o = { .folder = c->ctl.data };
+	GPtrArray *addrs;
+	struct seed s;
+	bool ok;
+
+	if (!c->ctl.found_group || st->group || !is_named(c->control, addr))
+		return true;
+	addrs = sorted_copy(c->control);
+	s.entries = g_array_new(FALSE, FALSE, sizeof(struct ss_raft_entry));
+	g_array_set_clear_func(s.entries, clear_entry);
+	add_founders(&s, addrs);
+	/* What an earlier start left half made is made anew; the group comes
+	 * last, so that it is there only with the whole log. */
+	ok = add_settings(&s, c, error) && disk_truncate(*disk, 1, error) &&
+	     disk_append(*disk, (struct ss_raft_entry *)s.entries->data,
+			 s.entries->len, error) &&
+	     disk_sync(*disk, error) && disk_save_vote(*disk, 1, 0, error) &&
+	     disk_found_group(*disk, group_of(addrs), founder_id(addr), error);
+	g_ptr_array_unref(addrs);
+	g_array_unref(s.entries);
+	if (!ok)
+		return false;
+	disk_close(*disk);
+	*disk = disk_open(&o, st, error);
+	return *disk != NULL;
+}
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -1,6 +1,9 @@
 /* The control VM: a member of the group, and its leader at times. */
+#include "../../platform/platform.h"
 #include "../operator/operator.h"
-#include "../platform/vms.h"
+#include "../operator/routing_http.h"
+#include "../vmlist/vms.h"
+#include "fleet_lead.h"
 #include "lead.h"
 
 #include <json-c/json.h>
@@ -8,12 +11,69 @@
 #define TICK_MS 20
 #define LEAVE_MS 300
 
+/* The leader's part: of replicas behind agents, or of a fleet. */
+struct leader_ops {
+	void *(*begin)(struct daemon *d, struct group *g);
+	void (*end)(void *lead);
+	void (*open)(void *lead, struct conn *c);
+	void (*closed)(void *lead, struct conn *c);
+	void (*message)(void *lead, struct conn *c, struct frame *f);
+	void (*applied)(void *lead);
+	void (*tick)(void *lead);
+	void (*status)(void *lead, struct json_object *o);
+};
+
+/* The two of them take their own types. */
+#define LEADER(p)                                                              \
+	static void *p##_begin(struct daemon *d, struct group *g)              \
+	{                                                                      \
+		return p##_new(d, g);                                          \
+	}                                                                      \
+	static void p##_end(void *lead)                                        \
+	{                                                                      \
+		p##_free(lead);                                                \
+	}                                                                      \
+	static void p##_on_open(void *lead, struct conn *c)                    \
+	{                                                                      \
+		p##_open(lead, c);                                             \
+	}                                                                      \
+	static void p##_on_closed(void *lead, struct conn *c)                  \
+	{                                                                      \
+		p##_closed(lead, c);                                           \
+	}                                                                      \
+	static void p##_on_message(void *lead, struct conn *c,                 \
+				   struct frame *f)                            \
+	{                                                                      \
+		p##_message(lead, c, f);                                       \
+	}                                                                      \
+	static void p##_on_applied(void *lead)                                 \
+	{                                                                      \
+		p##_applied(lead);                                             \
+	}                                                                      \
+	static void p##_on_tick(void *lead)                                    \
+	{                                                                      \
+		p##_tick(lead);                                                \
+	}                                                                      \
+	static void p##_on_status(void *lead, struct json_object *o)           \
+	{                                                                      \
+		p##_status(lead, o);                                           \
+	}                                                                      \
+	static const struct leader_ops p##_table = {                           \
+		p##_begin,	p##_end,	p##_on_open, p##_on_closed,    \
+		p##_on_message, p##_on_applied, p##_on_tick, p##_on_status     \
+	};
+
+LEADER(lead)
+LEADER(fleet_lead)
+
 struct control_role {
 	struct daemon *d;
 	struct group *group;
-	struct lead *lead; /* NULL while another leads */
+	const struct leader_ops *leader;
+	void *lead; /* NULL while another leads */
 	struct listener *listener;
 	struct operator_http *operators;
+	struct routing_http *routing;
 	struct vms *vms;
 	struct event *tick;
 	GHashTable *conns; /* open ones that others made */
@@ -24,12 +84,15 @@
 static void tell_leader(struct control_role *k, struct conn *c)
 {
 	const char *addr = group_leader_addr(k->group);
+	GArray *members = group_member_addrs(k->group);
 	struct msg_leader m = { .group = group_id(k->group),
-				.here = k->lead != NULL };
+				.here = k->lead != NULL,
+				.members = { members->data, members->len } };
 
 	if (!m.here && addr)
 		m.addr = ss_str(addr);
 	conn_send(c, MSG_LEADER, &m);
+	g_array_unref(members);
 }
 
 static bool is_client(struct conn *c)
@@ -47,10 +110,10 @@
 	if (leads == (k->lead != NULL))
 		return;
 	if (leads) {
-		k->lead = lead_new(k->d, k->group);
+		k->lead = k->leader->begin(k->d, k->group);
 		log_info("lead", "begins");
 	} else {
-		lead_free(k->lead);
+		k->leader->end(k->lead);
 		k->lead = NULL;
 		log_info("lead", "ends");
 	}
@@ -59,7 +122,7 @@
 		if (!is_client(c))
 			continue;
 		if (leads)
-			lead_open(k->lead, c);
+			k->leader->open(k->lead, c);
 		tell_leader(k, c);
 	}
 }
@@ -70,7 +133,7 @@
 
 	(void)index;
 	if (k->lead)
-		lead_applied(k->lead);
+		k->leader->applied(k->lead);
 }
 
 static void on_changed(void *arg)
@@ -92,7 +155,7 @@
 	if (!is_client(c))
 		return;
 	if (k->lead)
-		lead_open(k->lead, c);
+		k->leader->open(k->lead, c);
 	tell_leader(k, c);
 }
 
@@ -103,7 +166,7 @@
 	if (group_message(k->group, c, f))
 		return;
 	if (k->lead)
-		lead_message(k->lead, c, f);
+		k->leader->message(k->lead, c, f);
 }
 
 static void conn_closed(void *arg, struct conn *c, const GError *why)
@@ -114,7 +177,7 @@
 	g_hash_table_remove(k->conns, c);
 	group_conn_closed(k->group, c);
 	if (k->lead)
-		lead_closed(k->lead, c);
+		k->leader->closed(k->lead, c);
 }
 
 static const struct conn_ops conn_table = { conn_open, conn_message,
@@ -128,7 +191,7 @@
 	(void)what;
 	check_leadership(k);
 	if (k->lead)
-		lead_tick(k->lead);
+		k->leader->tick(k->lead);
 	if (k->stop_ms && ss_clock_now(&k->d->clock) - k->stop_ms > LEAVE_MS)
 		daemon_exit(k->d, 0);
 }
@@ -137,7 +200,7 @@
 {
 	struct control_role *k = arg;
 
-	if (k->lead)
+	if (k->lead && !k->d->config.fleet.on)
 		lead_vms(k->lead, vms, n);
 }
 
@@ -221,14 +284,15 @@
 		json_object_object_add(o, "members", json_object_get(list));
 	json_object_put(members);
 	if (k->lead)
-		lead_status(k->lead, o);
+		k->leader->status(k->lead, o);
 }
 
 static json_object *op_why(void *arg, const char *model)
 {
 	struct control_role *k = arg;
 
-	return k->lead ? lead_why(k->lead, model) : NULL;
+	return k->lead && !k->d->config.fleet.on ? lead_why(k->lead, model) :
+						   NULL;
 }
 
 static bool op_remove(void *arg, uint64_t id, GError **error)
@@ -262,6 +326,49 @@
 	.plain = op_plain,
 };
 
+/* What the platform's operators ask. */
+
+static bool routing_leads(void *arg)
+{
+	return group_leads(((struct control_role *)arg)->group);
+}
+
+/* All control VMs take operators on the same port. */
+static char *routing_leader(void *arg)
+{
+	struct control_role *k = arg;
+	const char *own = strrchr(k->d->config.fleet.operator_listen, ':');
+	const char *addr = group_leader_addr(k->group);
+	const char *colon = addr ? strrchr(addr, ':') : NULL;
+
+	if (!colon || !own)
+		return NULL;
+	return g_strdup_printf("%.*s%s", (int)(colon - addr), addr, own);
+}
+
+static const struct routing_http_ops routing_table = {
+	.leads = routing_leads,
+	.leader = routing_leader,
+	.change = op_change,
+	.confirm = op_confirm,
+	.state = op_state,
+	.plain = op_plain,
+};
+
+static bool start_routing(struct control_role *k, GError **error)
+{
+	struct routing_http_options o = {
+		.base = k->d->base,
+		.platform = &users_platform,
+		.addr = k->d->config.fleet.operator_listen,
+		.ops = &routing_table,
+		.arg = k
+	};
+
+	k->routing = routing_http_new(&o, error);
+	return k->routing != NULL;
+}
+
 static void control_free(void *role)
 {
 	struct control_role *k = role;
@@ -272,13 +379,15 @@
 		event_free(k->tick);
 	vms_free(k->vms);
 	operator_free(k->operators);
+	routing_http_free(k->routing);
 	conn_listener_free(k->listener);
 	g_hash_table_iter_init(&it, k->conns);
 	while (g_hash_table_iter_next(&it, &c, NULL))
 		conn_close(c);
 	g_hash_table_unref(k->conns);
 	group_free(k->group);
-	lead_free(k->lead);
+	if (k->lead)
+		k->leader->end(k->lead);
 	g_free(k);
 }
 
@@ -307,6 +416,8 @@
 	addr = daemon_advertised(d, k->listener);
 	group_set_addr(k->group, addr);
 	g_free(addr);
+	if (d->config.fleet.on)
+		return start_routing(k, error);
 	k->operators = operator_new(&oo, error);
 	if (!k->operators)
 		return false;
@@ -321,6 +432,7 @@
 
 	k->d = d;
 	k->conns = g_hash_table_new(NULL, NULL);
+	k->leader = d->config.fleet.on ? &fleet_lead_table : &lead_table;
 	k->n_denied = metrics_value(d->metrics, "ss_operator_denied_total", "");
 	if (!start_parts(k, error)) {
 		control_free(k);
--- /dev/null
+++ b/src/daemon/fleet_agent.c
@@ -0,0 +1,525 @@
+/*
+ * The agent of a fleet: it reports the engine beside it to the leader, and
+ * is the only one that gives that engine orders. Calls don't pass it.
+ */
+#include "../../platform/platform.h"
+#include "../core/engine.h"
+#include "../net/keep.h"
+#include "daemon.h"
+
+#define TICK_MS 20
+/* Reports are free on the engine's own VM, but cost processor time. */
+#define READ_BUSY_MS 20
+#define READ_CALM_MS 100
+/* The engine is on this VM: without an answer for so long, it is down. */
+#define READ_TIMEOUT_MS 1000
+/* Orders are answered at once, also while one is being carried out. */
+#define ORDER_TIMEOUT_MS 1500
+/* Load is told to the leader this often, and anything at least so often. */
+#define LOAD_MS 200
+#define REPORT_MS 1000
+/* Reads in a row without an answer after which the engine is down. */
+#define LOST_AFTER 2
+
+struct fleet_agent {
+	struct daemon *d;
+	struct engine *engine;
+	struct keep *endpoint;
+	struct link *link;
+	struct listener *listener;
+	struct event *tick;
+	struct routing *routing;
+	struct fleet_report *report; /* the newest; NULL: none */
+	char *addr; /* of the listener, as others reach it */
+	bool reachable, reading;
+	unsigned int unanswered;
+	int64_t read_ms, told_ms;
+	bool news, load_news;
+	uint64_t ticket;
+	GHashTable *tickets; /* &ticket -> struct ticket */
+	bool stopping;
+	uint64_t *n_reads, *n_lost, *n_orders, *n_adapters;
+};
+
+/* An entry that waits for an adapter. */
+struct ticket {
+	uint64_t id;
+	struct conn *conn; /* NULL: it has gone */
+	uint64_t sub;
+};
+
+static int64_t now_ms(const struct fleet_agent *a)
+{
+	return ss_clock_now(&a->d->clock);
+}
+
+/* Telling the leader. */
+
+static void add_names(GArray *out, const GPtrArray *names)
+{
+	for (guint i = 0; names && i < names->len; i++) {
+		struct name_item n = { ss_str(names->pdata[i]) };
+
+		g_array_append_val(out, n);
+	}
+}
+
+static GArray *names_new(const GPtrArray *names)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct name_item));
+
+	add_names(out, names);
+	return out;
+}
+
+static void add_held(const struct fleet_report *r, GArray *held,
+		     GPtrArray *lists)
+{
+	for (guint i = 0; r->held && i < r->held->len; i++) {
+		const struct fleet_held *x =
+			&g_array_index(r->held, struct fleet_held, i);
+		GArray *names = names_new(x->adapters);
+		struct held_model h = { .model = ss_str(x->model),
+					.adapters = { names->data,
+						      names->len } };
+
+		g_ptr_array_add(lists, names);
+		g_array_append_val(held, h);
+	}
+}
+
+static void tell_leader(struct fleet_agent *a)
+{
+	static const struct fleet_report none;
+	const struct fleet_report *r = a->report ? a->report : &none;
+	GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held_model));
+	GPtrArray *lists =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	GArray *memory = names_new(r->in_memory);
+	GArray *disk = names_new(r->on_disk);
+	struct msg_endpoint m = {
+		.addr = ss_str(a->d->config.fleet.endpoint),
+		.agent = ss_str(a->addr),
+		.reachable = a->reachable,
+		.busy = r->busy,
+		.leaving = r->leaving,
+		.remaining_ms = MAX(r->remaining_ms, 0),
+		.orders = r->orders,
+		.running = r->running,
+		.waiting = r->waiting,
+		.tokens_used = r->tokens_used,
+		.tokens_total = r->tokens_total,
+		.in_memory = { memory->data, memory->len },
+		.on_disk = { disk->data, disk->len },
+	};
+
+	add_held(r, held, lists);
+	m.held = (struct wire_list){ held->data, held->len };
+	if (link_send(a->link, MSG_ENDPOINT, &m)) {
+		a->told_ms = now_ms(a);
+		a->news = a->load_news = false;
+	}
+	g_array_unref(held);
+	g_ptr_array_unref(lists);
+	g_array_unref(memory);
+	g_array_unref(disk);
+}
+
+static void maybe_tell(struct fleet_agent *a)
+{
+	int64_t age = now_ms(a) - a->told_ms;
+
+	if (a->news || (a->load_news && age >= LOAD_MS) || age >= REPORT_MS)
+		tell_leader(a);
+}
+
+/* Reading the engine. */
+
+static bool same_names(const GPtrArray *x, const GPtrArray *y)
+{
+	if (!x || !y || x->len != y->len)
+		return false;
+	for (guint i = 0; i < x->len; i++)
+		if (strcmp(x->pdata[i], y->pdata[i]))
+			return false;
+	return true;
+}
+
+static bool same_holdings(const struct fleet_report *x,
+			  const struct fleet_report *y)
+{
+	if (!x->held || !y->held || x->held->len != y->held->len ||
+	    x->busy != y->busy || x->leaving != y->leaving ||
+	    !same_names(x->in_memory, y->in_memory) ||
+	    !same_names(x->on_disk, y->on_disk))
+		return false;
+	for (guint i = 0; i < x->held->len; i++) {
+		const struct fleet_held *a =
+			&g_array_index(x->held, struct fleet_held, i);
+		const struct fleet_held *b =
+			&g_array_index(y->held, struct fleet_held, i);
+
+		if (strcmp(a->model, b->model) ||
+		    !same_names(a->adapters, b->adapters))
+			return false;
+	}
+	return true;
+}
+
+static void report_free(struct fleet_report *r)
+{
+	if (!r)
+		return;
+	fleet_report_clear(r);
+	g_free(r);
+}
+
+static void take_report(struct fleet_agent *a, const struct fleet_report *new)
+{
+	struct fleet_report *old = a->report;
+
+	a->report = g_memdup2(new, sizeof(*new));
+	a->news |= !a->reachable || !old || !same_holdings(old, new);
+	a->load_news |= old && (old->running != new->running ||
+				old->waiting != new->waiting);
+	if (!a->reachable)
+		log_info("endpoint_found", "models=%u orders=%" PRIu64,
+			 new->held->len, new->orders);
+	a->reachable = true;
+	a->unanswered = 0;
+	engine_report(a->engine, a->report, now_ms(a));
+	report_free(old);
+	maybe_tell(a);
+}
+
+static void read_failed(struct fleet_agent *a, const char *why)
+{
+	(*a->n_lost)++;
+	if (++a->unanswered < LOST_AFTER || !a->reachable)
+		return;
+	log_warn("endpoint_lost", "why=\"%s\"", why);
+	a->reachable = false;
+	engine_lost(a->engine, now_ms(a));
+	g_clear_pointer(&a->report, report_free);
+	a->news = true;
+	maybe_tell(a);
+}
+
+static void on_read(void *arg, int status, struct ss_str body)
+{
+	struct fleet_agent *a = arg;
+	struct fleet_report r;
+	GError *error = NULL;
+
+	a->reading = false;
+	(*a->n_reads)++;
+	if (status != 200) {
+		read_failed(a, status ? "it refused to report" : "no answer");
+		return;
+	}
+	if (!users_platform.read_report(body, &r, &error)) {
+		read_failed(a, error->message);
+		g_error_free(error);
+		return;
+	}
+	/* An order went out meanwhile: this says nothing of it. */
+	if (engine_asking(a->engine)) {
+		fleet_report_clear(&r);
+		return;
+	}
+	take_report(a, &r);
+}
+
+static void read_engine(struct fleet_agent *a)
+{
+	struct keep_call c = { .method = "GET",
+			       .path = users_platform.path_report,
+			       .timeout_ms = READ_TIMEOUT_MS,
+			       .done = on_read,
+			       .arg = a };
+
+	a->reading = true;
+	a->read_ms = now_ms(a);
+	keep_ask(a->endpoint, &c);
+}
+
+/* Orders. */
+
+static void on_ordered(void *arg, int status, struct ss_str body)
+{
+	struct fleet_agent *a = arg;
+	enum fleet_order_answer answer = users_platform.order_answer(status);
+
+	(void)body;
+	if (answer != FLEET_ORDER_TAKEN && answer != FLEET_ORDER_HOLDS)
+		log_info("order_answer", "status=%d", status);
+	engine_answered(a->engine, answer, now_ms(a));
+	/* What it did shows at once, and the next order waits for that. */
+	if (!a->reading)
+		read_engine(a);
+}
+
+static void send_order(void *arg, const struct fleet_order *o)
+{
+	struct fleet_agent *a = arg;
+	GString *body = users_platform.write_order(o);
+	struct keep_call c = { .method = "POST",
+			       .path = users_platform.path_order,
+			       .body = ss_str_gs(body),
+			       .timeout_ms = ORDER_TIMEOUT_MS,
+			       .done = on_ordered,
+			       .arg = a };
+
+	(*a->n_orders)++;
+	log_info("order",
+		 "op=%s model=%s adapter=%s expect=%" PRIu64 " fence=%" PRIu64,
+		 o->load ? "load" : "unload", o->model,
+		 o->adapter ? o->adapter : "-", o->expect, o->fence);
+	keep_ask(a->endpoint, &c);
+	g_string_free(body, TRUE);
+}
+
+static void step_done(void *arg, uint64_t fence, uint64_t step, int code,
+		      const char *text, int64_t took_ms)
+{
+	struct fleet_agent *a = arg;
+	struct msg_loaded m = { .fence = fence,
+				.step = step,
+				.code = code,
+				.text = ss_str(text),
+				.took_ms = took_ms };
+
+	log_info("step_done", "step=%" PRIu64 " error=%s ms=%" PRId64, step,
+		 code ? ss_error_name((enum ss_error)code) : "none", took_ms);
+	/* The holdings go first, so that the leader plans on them. */
+	tell_leader(a);
+	link_send(a->link, MSG_LOADED, &m);
+}
+
+static void adapter_done(void *arg, uint64_t id, int code, const char *text)
+{
+	struct fleet_agent *a = arg;
+	struct ticket *t = g_hash_table_lookup(a->tickets, &id);
+	struct msg_adapter_done m = { .code = code, .text = ss_str(text) };
+
+	if (!t)
+		return;
+	m.sub = t->sub;
+	if (t->conn)
+		conn_send(t->conn, MSG_ADAPTER_DONE, &m);
+	g_hash_table_remove(a->tickets, &id);
+}
+
+static const struct engine_ops engine_table = { send_order, step_done,
+						adapter_done };
+
+/* Entries. */
+
+static void take_adapter(struct fleet_agent *a, struct conn *c,
+			 const struct msg_adapter *m)
+{
+	struct ticket *t = g_new0(struct ticket, 1);
+	int64_t now = now_ms(a);
+
+	t->id = ++a->ticket;
+	t->conn = c;
+	t->sub = m->sub;
+	g_hash_table_insert(a->tickets, &t->id, t);
+	(*a->n_adapters)++;
+	engine_need_adapter(a->engine, t->id, m->model, m->adapter,
+			    now + m->wait_ms, now);
+}
+
+static void conn_open(void *arg, struct conn *c)
+{
+	(void)arg;
+	(void)c;
+}
+
+static void conn_message(void *arg, struct conn *c, struct frame *f)
+{
+	if (f->kind == MSG_ADAPTER)
+		take_adapter(arg, c, &f->u.adapter);
+}
+
+static void conn_closed(void *arg, struct conn *c, const GError *why)
+{
+	struct fleet_agent *a = arg;
+	GHashTableIter it;
+	void *p;
+
+	(void)why;
+	g_hash_table_iter_init(&it, a->tickets);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		if (((struct ticket *)p)->conn == c)
+			((struct ticket *)p)->conn = NULL;
+}
+
+static const struct conn_ops conn_table = { conn_open, conn_message,
+					    conn_closed };
+
+/* The leader. */
+
+static void link_up(void *arg, uint64_t group)
+{
+	struct fleet_agent *a = arg;
+
+	if (!a->d->hello.group)
+		a->d->hello.group = group;
+	tell_leader(a);
+}
+
+static void link_down(void *arg)
+{
+	(void)arg;
+}
+
+static void take_load(struct fleet_agent *a, const struct msg_load *m)
+{
+	const struct name_item *n = m->unload.items;
+	GArray *names = g_array_new(FALSE, FALSE, sizeof(struct ss_str));
+	struct engine_step s = { .fence = m->fence,
+				 .step = m->step,
+				 .load = m->load };
+
+	for (size_t i = 0; i < m->unload.n; i++)
+		g_array_append_val(names, n[i].name);
+	s.unload = (struct ss_str *)names->data;
+	s.n_unload = names->len;
+	engine_step(a->engine, &s, now_ms(a));
+	g_array_unref(names);
+}
+
+/* The service whose models this endpoint can hold. */
+static const struct routing_service *find_service(const struct routing *r)
+{
+	for (guint i = 0; i < r->services->len; i++) {
+		const struct routing_service *s =
+			&g_array_index(r->services, struct routing_service, i);
+
+		if (s->engine && s->models->len)
+			return s;
+	}
+	return NULL;
+}
+
+static void take_routing(struct fleet_agent *a, const struct msg_routing *m)
+{
+	GError *error = NULL;
+	struct routing *r;
+
+	if (a->routing && a->routing->version >= m->version)
+		return;
+	r = users_platform.read_routing(m->body, &error);
+	if (!r) {
+		log_error("routing_unreadable", "why=\"%s\"", error->message);
+		g_error_free(error);
+		return;
+	}
+	engine_set_service(a->engine, find_service(r));
+	routing_unref(a->routing);
+	a->routing = r;
+	log_info("routing", "version=%" PRIu64, r->version);
+}
+
+static void link_message(void *arg, struct frame *f)
+{
+	struct fleet_agent *a = arg;
+
+	switch (f->kind) {
+	case MSG_LOAD:
+		take_load(a, &f->u.load);
+		break;
+	case MSG_ROUTING:
+		take_routing(a, &f->u.routing);
+		break;
+	default:
+		break;
+	}
+}
+
+static const struct link_ops link_table = { link_up, link_message, link_down };
+
+/* Time. */
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct fleet_agent *a = arg;
+	int64_t now = now_ms(a);
+	int64_t pause = engine_busy(a->engine) ? READ_BUSY_MS : READ_CALM_MS;
+
+	(void)fd;
+	(void)what;
+	if (!a->reading && now - a->read_ms >= pause)
+		read_engine(a);
+	if (engine_busy(a->engine))
+		engine_tick(a->engine, now);
+	maybe_tell(a);
+}
+
+static bool agent_ready(void *role)
+{
+	return ((struct fleet_agent *)role)->reachable;
+}
+
+static void agent_stop(void *role)
+{
+	struct fleet_agent *a = role;
+
+	/* Calls don't pass here; a step that was ordered ends without us. */
+	daemon_exit(a->d, 0);
+}
+
+static void agent_free(void *role)
+{
+	struct fleet_agent *a = role;
+
+	if (a->tick)
+		event_free(a->tick);
+	link_free(a->link);
+	conn_listener_free(a->listener);
+	keep_free(a->endpoint);
+	engine_free(a->engine);
+	report_free(a->report);
+	routing_unref(a->routing);
+	g_hash_table_unref(a->tickets);
+	g_free(a->addr);
+	g_free(a);
+}
+
+static void *agent_start(struct daemon *d, GError **error)
+{
+	struct fleet_agent *a = g_new0(struct fleet_agent, 1);
+	struct conn_options conn = daemon_conn_options(d, &conn_table, a);
+	struct engine_options eo = { .holder = d->config.fleet.holder,
+				     .ops = &engine_table,
+				     .arg = a };
+	struct link_options lo = { .conn = daemon_conn_options(d, NULL, NULL),
+				   .control = d->config.control,
+				   .ops = &link_table,
+				   .arg = a,
+				   .seed = d->seed };
+
+	a->d = d;
+	a->tickets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					   g_free);
+	a->engine = engine_new(&eo);
+	a->n_reads = metrics_value(d->metrics, "ss_agent_reads_total", "");
+	a->n_lost = metrics_value(d->metrics, "ss_agent_reads_lost_total", "");
+	a->n_orders = metrics_value(d->metrics, "ss_agent_orders_total", "");
+	a->n_adapters =
+		metrics_value(d->metrics, "ss_agent_adapters_total", "");
+	a->endpoint = keep_new(d->base, d->config.fleet.endpoint);
+	a->listener = conn_listen(&conn, d->config.listen, error);
+	if (!a->listener) {
+		agent_free(a);
+		return NULL;
+	}
+	a->addr = daemon_advertised(d, a->listener);
+	a->link = link_new(&lo);
+	a->tick = daemon_every(d, TICK_MS, on_tick, a);
+	return a;
+}
+
+const struct role_ops fleet_agent_role = { "agent", agent_start, agent_stop,
+					   agent_ready, agent_free };
--- /dev/null
+++ b/src/daemon/fleet_entry.c
@@ -0,0 +1,399 @@
+/* The entry of a fleet: the gate, and its words with the leader and agents. */
+#include "../../platform/platform.h"
+#include "../net/http.h"
+#include "../proxy/gate.h"
+#include "../vmlist/instances.h"
+#include "daemon.h"
+
+#define TICK_MS 10
+/* Demand is told this often where it changes, and at once where a model
+ * leaves or is waited for. */
+#define DEMAND_MS 100
+/* Without the leader's word for so long the list is read directly: a
+ * leaving endpoint must be left within 3 s of showing there. */
+#define LEADERLESS_MS 1200
+#define LIST_EVERY_MS 1000
+#define AGENT_RETRY_MS 200
+/* A connection to an agent that nobody used for so long is closed. */
+#define AGENT_IDLE_MS 60000
+/* After SIGTERM callers still come for so long: the platform asks once a
+ * second whether this entry is ready, and acts on the second refusal. */
+#define DRAIN_ACCEPT_MS 2600
+/* Kept free of the time until SIGKILL, to write what is left. */
+#define GRACE_MARGIN_MS 700
+
+struct agent_line {
+	char *addr;
+	struct conn *conn;
+	bool open;
+	int64_t tried_ms, used_ms;
+	GPtrArray *waits; /* struct msg_adapter copies, until it opens */
+};
+
+struct fleet_entry {
+	struct daemon *d;
+	struct gate *gate;
+	struct link *link;
+	struct instances *list;
+	struct http_server *ready;
+	struct event *tick;
+	GHashTable *agents; /* addr -> struct agent_line */
+	int64_t leader_ms;  /* when it was last up */
+	int64_t demand_ms;
+	bool demand_due;
+	bool link_up;
+	int64_t stop_ms; /* of a planned stop; 0: none */
+	bool closed;
+};
+
+static int64_t now_ms(const struct fleet_entry *e)
+{
+	return ss_clock_now(&e->d->clock);
+}
+
+/* Agents. */
+
+static void wait_free(void *p)
+{
+	struct msg_adapter *m = p;
+
+	g_free((char *)m->model.p);
+	g_free((char *)m->adapter.p);
+	g_free(m);
+}
+
+static void agent_free(void *p)
+{
+	struct agent_line *a = p;
+
+	if (a->conn)
+		conn_close(a->conn);
+	g_ptr_array_unref(a->waits);
+	g_free(a->addr);
+	g_free(a);
+}
+
+static void agent_open(void *arg, struct conn *c)
+{
+	struct agent_line *a = conn_data(c);
+
+	(void)arg;
+	a->open = true;
+	for (guint i = 0; i < a->waits->len; i++)
+		conn_send(c, MSG_ADAPTER, a->waits->pdata[i]);
+	g_ptr_array_set_size(a->waits, 0);
+}
+
+static void agent_message(void *arg, struct conn *c, struct frame *f)
+{
+	struct fleet_entry *e = arg;
+
+	(void)c;
+	if (f->kind == MSG_ADAPTER_DONE)
+		gate_adapter_done(e->gate, &f->u.adapter_done);
+}
+
+static void agent_closed(void *arg, struct conn *c, const GError *why)
+{
+	struct fleet_entry *e = arg;
+	struct agent_line *a = conn_data(c);
+
+	if (!a)
+		return;
+	log_info("agent_lost", "addr=%s why=\"%s\"", a->addr,
+		 why ? why->message : "closed");
+	a->conn = NULL;
+	a->open = false;
+	g_ptr_array_set_size(a->waits, 0);
+	gate_agent_lost(e->gate, a->addr);
+}
+
+static const struct conn_ops agent_table = { agent_open, agent_message,
+					     agent_closed };
+
+static struct agent_line *agent_for(struct fleet_entry *e, const char *addr)
+{
+	struct agent_line *a = g_hash_table_lookup(e->agents, addr);
+	struct conn_options co = daemon_conn_options(e->d, &agent_table, e);
+
+	if (!a) {
+		a = g_new0(struct agent_line, 1);
+		a->addr = g_strdup(addr);
+		a->tried_ms = INT64_MIN / 2;
+		a->waits = g_ptr_array_new_with_free_func(wait_free);
+		g_hash_table_insert(e->agents, a->addr, a);
+	}
+	if (!a->conn && now_ms(e) - a->tried_ms >= AGENT_RETRY_MS) {
+		a->tried_ms = now_ms(e);
+		a->conn = conn_connect(&co, addr);
+		conn_set_data(a->conn, a);
+	}
+	return a;
+}
+
+static bool need_adapter(void *arg, const char *addr,
+			 const struct msg_adapter *m)
+{
+	struct fleet_entry *e = arg;
+	struct agent_line *a;
+	struct msg_adapter *copy;
+
+	if (!*addr)
+		return false;
+	a = agent_for(e, addr);
+	a->used_ms = now_ms(e);
+	if (a->open)
+		return conn_send(a->conn, MSG_ADAPTER, m);
+	if (!a->conn)
+		return false;
+	copy = g_memdup2(m, sizeof(*m));
+	copy->model.p = ss_str_dup(m->model);
+	copy->adapter.p = ss_str_dup(m->adapter);
+	g_ptr_array_add(a->waits, copy);
+	return true;
+}
+
+static void demand(void *arg)
+{
+	((struct fleet_entry *)arg)->demand_due = true;
+}
+
+static const struct gate_ops gate_table = { need_adapter, demand };
+
+static void close_idle_agents(struct fleet_entry *e, int64_t now)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, e->agents);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		if (now - ((struct agent_line *)p)->used_ms > AGENT_IDLE_MS)
+			g_hash_table_iter_remove(&it);
+}
+
+/* The leader. */
+
+static void on_up(void *arg, uint64_t group)
+{
+	struct fleet_entry *e = arg;
+
+	if (!e->d->hello.group)
+		e->d->hello.group = group;
+	e->link_up = true;
+	log_info("leader_found", "group=%" PRIx64, group);
+	e->demand_due = true;
+}
+
+static void on_down(void *arg)
+{
+	struct fleet_entry *e = arg;
+
+	e->link_up = false;
+	e->leader_ms = now_ms(e);
+}
+
+static void take_routing(struct fleet_entry *e, const struct msg_routing *m)
+{
+	GError *error = NULL;
+	struct routing *r;
+
+	if (m->version <= gate_routing_version(e->gate))
+		return;
+	r = users_platform.read_routing(m->body, &error);
+	if (r) {
+		gate_set_routing(e->gate, r);
+		routing_unref(r);
+		e->demand_due = true;
+		return;
+	}
+	log_error("routing_unreadable", "why=\"%s\"", error->message);
+	g_error_free(error);
+}
+
+static void on_message(void *arg, struct frame *f)
+{
+	struct fleet_entry *e = arg;
+
+	switch (f->kind) {
+	case MSG_ROUTING:
+		take_routing(e, &f->u.routing);
+		break;
+	case MSG_FLEET:
+		e->leader_ms = now_ms(e);
+		gate_take_fleet(e->gate, &f->u.fleet);
+		break;
+	default:
+		break;
+	}
+}
+
+static const struct link_ops link_table = { on_up, on_message, on_down };
+
+static void send_demand(struct fleet_entry *e, int64_t now)
+{
+	struct gate_report r;
+
+	if (!e->link_up || (!e->demand_due && now - e->demand_ms < DEMAND_MS))
+		return;
+	e->demand_ms = now;
+	e->demand_due = false;
+	gate_report(e->gate, &r);
+	link_send(e->link, MSG_DEMAND, &r.m);
+	gate_report_done(&r);
+}
+
+static void on_list(void *arg, const GArray *all)
+{
+	struct fleet_entry *e = arg;
+
+	gate_take_list(e->gate, all);
+}
+
+/* Ready, stopping. */
+
+static bool entry_ready(void *role)
+{
+	const struct fleet_entry *e = role;
+
+	return !e->stop_ms && gate_routing_version(e->gate) > 0 &&
+	       gate_knows_fleet(e->gate);
+}
+
+static void on_ready(void *arg, struct evhttp_request *req)
+{
+	struct fleet_entry *e = arg;
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+
+	if (!strcmp(path, users_platform.path_ready)) {
+		bool ready = entry_ready(e);
+
+		http_reply(req, ready ? 200 : 503, "application/json",
+			   SS_LIT("{}"));
+		return;
+	}
+	if (!daemon_status_request(e->d, req, entry_ready(e)))
+		http_reply(req, 404, "text/plain", SS_LIT("not found\n"));
+}
+
+static void entry_stop(void *role)
+{
+	struct fleet_entry *e = role;
+
+	e->stop_ms = now_ms(e);
+	gate_drain(e->gate);
+}
+
+/* A planned stop: not ready first, then no new callers, then the end. */
+static void advance_stop(struct fleet_entry *e, int64_t now)
+{
+	int64_t age = now - e->stop_ms;
+
+	if (age < DRAIN_ACCEPT_MS)
+		return;
+	if (!e->closed) {
+		e->closed = true;
+		gate_close(e->gate);
+		log_info("stop", "no new callers; busy=%zu",
+			 gate_busy(e->gate));
+	}
+	if (age > e->d->config.fleet.grace_ms - GRACE_MARGIN_MS)
+		gate_give_up(e->gate);
+	if (gate_busy(e->gate) == 0)
+		daemon_exit(e->d, 0);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct fleet_entry *e = arg;
+	int64_t now = now_ms(e);
+
+	(void)fd;
+	(void)what;
+	gate_tick(e->gate);
+	send_demand(e, now);
+	instances_run(e->list,
+		      !e->link_up && now - e->leader_ms > LEADERLESS_MS);
+	if (e->stop_ms)
+		advance_stop(e, now);
+	else if (now % AGENT_IDLE_MS < TICK_MS)
+		close_idle_agents(e, now);
+}
+
+static void entry_free(void *role)
+{
+	struct fleet_entry *e = role;
+
+	if (e->tick)
+		event_free(e->tick);
+	instances_free(e->list);
+	http_server_free(e->ready);
+	link_free(e->link);
+	if (e->agents)
+		g_hash_table_unref(e->agents);
+	gate_free(e->gate);
+	g_free(e);
+}
+
+static bool start_parts(struct fleet_entry *e, GError **error)
+{
+	struct daemon *d = e->d;
+	const struct config_fleet *c = &d->config.fleet;
+	struct gate_options go = { .base = d->base,
+				   .clock = &d->clock,
+				   .platform = &users_platform,
+				   .metrics = d->metrics,
+				   .addr = c->listen,
+				   .domain = d->config.domain,
+				   .retry_ratio = c->retry_ratio,
+				   .retry_window_ms = c->retry_window_ms,
+				   .retry_slack = c->retry_slack,
+				   .seed = d->seed,
+				   .ops = &gate_table,
+				   .arg = e };
+	struct http_server_options ro = { .base = d->base,
+					  .addr = c->ready_listen,
+					  .max_body = 4096,
+					  .handle = on_ready,
+					  .arg = e };
+	struct instances_options io = { .base = d->base,
+					.platform = &users_platform,
+					.addr = c->vm_list,
+					.every_ms = LIST_EVERY_MS,
+					.list = on_list,
+					.arg = e };
+	struct link_options lo = { .conn = daemon_conn_options(d, NULL, NULL),
+				   .control = d->config.control,
+				   .ops = &link_table,
+				   .arg = e,
+				   .seed = d->seed };
+
+	e->gate = gate_new(&go, error);
+	if (!e->gate)
+		return false;
+	e->ready = http_server_new(&ro, error);
+	if (!e->ready)
+		return false;
+	e->list = instances_new(&io);
+	e->link = link_new(&lo);
+	return true;
+}
+
+static void *entry_start(struct daemon *d, GError **error)
+{
+	struct fleet_entry *e = g_new0(struct fleet_entry, 1);
+
+	e->d = d;
+	e->leader_ms = now_ms(e);
+	e->agents = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  agent_free);
+	if (!start_parts(e, error)) {
+		entry_free(e);
+		return NULL;
+	}
+	e->tick = daemon_every(d, TICK_MS, on_tick, e);
+	return e;
+}
+
+const struct role_ops fleet_entry_role = { "entry", entry_start, entry_stop,
+					   entry_ready, entry_free };
--- /dev/null
+++ b/src/daemon/fleet_lead.c
@@ -0,0 +1,827 @@
+/* What a leader knows of a fleet. */
+#include "fleet_lead_int.h"
+
+#include <json-c/json.h>
+
+#include "../../platform/platform.h"
+
+/* How often the list is read: a third of the time in which a leaving
+ * endpoint must be left, so that one lost answer does no harm. */
+#define LIST_EVERY_MS 900
+/* An endpoint that the list and its agent have both forgotten is dropped. */
+#define LIST_GONE_MS 2500
+/* Changes are gathered for so long; a call waits for no more than that. */
+#define PUSH_EVERY_MS 20
+/* Load alone is told this often: entries add what they send themselves. */
+#define LOAD_EVERY_MS 200
+#define PLAN_EVERY_MS 50
+/* What an entry said of its queue holds for so long. */
+#define WANT_MS 3000
+/* A wake time that moves by less than this isn't news. */
+#define ETA_STEP_MS 100
+
+/* Tables. */
+
+static void calls_clear(void *p)
+{
+	g_free(((struct calls_at *)p)->model);
+}
+
+static void ep_free(void *p)
+{
+	struct fleet_ep *ep = p;
+
+	fleet_step_clear(ep);
+	g_free(ep->addr);
+	g_free(ep->id);
+	g_free(ep->service);
+	g_free(ep->domain);
+	g_free(ep->agent);
+	g_ptr_array_unref(ep->on_list);
+	g_array_unref(ep->calls);
+	g_hash_table_unref(ep->refused);
+	fleet_report_clear(&ep->report);
+	g_free(ep);
+}
+
+static struct fleet_ep *ep_for(struct fleet_lead *l, const char *addr)
+{
+	struct fleet_ep *ep = g_hash_table_lookup(l->eps, addr);
+
+	if (ep)
+		return ep;
+	ep = g_new0(struct fleet_ep, 1);
+	ep->addr = g_strdup(addr);
+	ep->id = g_strdup("");
+	ep->service = g_strdup("");
+	ep->domain = g_strdup("");
+	ep->agent = g_strdup("");
+	ep->on_list = g_ptr_array_new_with_free_func(g_free);
+	ep->calls = g_array_new(FALSE, FALSE, sizeof(struct calls_at));
+	g_array_set_clear_func(ep->calls, calls_clear);
+	ep->refused =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_hash_table_insert(l->eps, ep->addr, ep);
+	return ep;
+}
+
+static void want_free(void *p)
+{
+	struct fleet_want *w = p;
+
+	g_free(w->service);
+	g_free(w->model);
+	g_array_unref(w->waits);
+	g_free(w);
+}
+
+struct fleet_want *fleet_want_for(struct fleet_lead *l, const char *service,
+				  const char *model)
+{
+	char *key = g_strdup_printf("%s\n%s", service, model);
+	struct fleet_want *w = g_hash_table_lookup(l->wants, key);
+
+	if (w) {
+		g_free(key);
+		return w;
+	}
+	w = g_new0(struct fleet_want, 1);
+	w->service = g_strdup(service);
+	w->model = g_strdup(model);
+	w->waits = g_array_new(FALSE, FALSE, sizeof(struct wait_at));
+	w->eta_ms = -1;
+	g_hash_table_insert(l->wants, key, w);
+	return w;
+}
+
+static void set_str(char **at, struct ss_str s)
+{
+	if (ss_str_eq(ss_str(*at), s))
+		return;
+	g_free(*at);
+	*at = ss_str_dup(s);
+}
+
+static bool has_report(const struct fleet_lead *l, const struct fleet_ep *ep)
+{
+	return ep->reported &&
+	       fleet_lead_now(l) - ep->report_ms < FLEET_REPORT_MS;
+}
+
+bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep)
+{
+	return ep->listed && !ep->leaving_listed && !ep->down &&
+	       !(has_report(l, ep) && ep->report.leaving);
+}
+
+static bool in_strs(const GPtrArray *list, const char *s)
+{
+	for (guint i = 0; list && i < list->len; i++)
+		if (!strcmp(list->pdata[i], s))
+			return true;
+	return false;
+}
+
+bool fleet_ep_holds(const struct fleet_lead *l, const struct fleet_ep *ep,
+		    const char *model)
+{
+	if (!has_report(l, ep))
+		return in_strs(ep->on_list, model);
+	for (guint i = 0; i < ep->report.held->len; i++)
+		if (!strcmp(g_array_index(ep->report.held, struct fleet_held, i)
+				    .model,
+			    model))
+			return true;
+	return false;
+}
+
+/* The configuration. */
+
+static void read_state(struct fleet_lead *l)
+{
+	const struct ss_state *s = group_state(l->g);
+	const struct routing_rec *rec = ss_state_routing(s);
+	const struct preset_rec *p = ss_state_in_force(s);
+	struct preset preset;
+	GError *error = NULL;
+
+	if (rec && (!l->routing || l->routing->version < rec->version)) {
+		struct routing *r =
+			users_platform.read_routing(rec->body, &error);
+
+		/* It was checked before it was accepted. */
+		if (!r)
+			log_error("routing_unreadable", "why=\"%s\"",
+				  error->message);
+		else
+			log_info("routing", "version=%" PRIu64, r->version);
+		g_clear_error(&error);
+		if (r) {
+			routing_unref(l->routing);
+			l->routing = r;
+		}
+	}
+	if (l->preset_version == ss_state_config_version(s) &&
+	    l->preset.classes)
+		return;
+	if (preset_parse(&preset, "preset",
+			 p ? p->body : ss_str(preset_built_in), NULL)) {
+		preset_clear(&l->preset);
+		l->preset = preset;
+	}
+	l->preset_version = ss_state_config_version(s);
+}
+
+static void send_routing(struct fleet_lead *l, struct fleet_peer *p)
+{
+	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
+	struct msg_routing m;
+
+	if (!p->confirmed || !rec || p->routing_sent >= rec->version)
+		return;
+	m = (struct msg_routing){ rec->version, rec->body };
+	if (conn_send(p->conn, MSG_ROUTING, &m))
+		p->routing_sent = rec->version;
+}
+
+/* Connections. */
+
+struct confirm {
+	struct fleet_lead *l;
+	struct conn *conn;
+};
+
+static void on_confirmed(void *arg, bool ok)
+{
+	struct confirm *k = arg;
+	struct fleet_peer *p;
+
+	/* Not ok: the leadership has ended, and l with it. */
+	if (ok) {
+		p = g_hash_table_lookup(k->l->peers, k->conn);
+		if (p) {
+			p->confirmed = true;
+			send_routing(k->l, p);
+			k->l->dirty = k->l->urgent = true;
+		}
+	}
+	g_free(k);
+}
+
+/*
+ * A process that has just started would believe a leader that doesn't know
+ * of its end. So it is told nothing before a majority has answered this
+ * leader since it came.
+ */
+void fleet_lead_open(struct fleet_lead *l, struct conn *c)
+{
+	struct fleet_peer *p = g_new0(struct fleet_peer, 1);
+	struct confirm *k = g_new0(struct confirm, 1);
+
+	p->conn = c;
+	p->entry = conn_peer(c)->role == ROLE_ENTRY;
+	g_hash_table_insert(l->peers, c, p);
+	k->l = l;
+	k->conn = c;
+	group_confirm(l->g, (struct read_done){ on_confirmed, k });
+}
+
+static void drop_calls(struct fleet_ep *ep, const struct conn *c)
+{
+	for (guint i = ep->calls->len; i-- > 0;)
+		if (g_array_index(ep->calls, struct calls_at, i).entry == c)
+			g_array_remove_index_fast(ep->calls, i);
+}
+
+static void drop_waits(struct fleet_want *w, const struct conn *c)
+{
+	for (guint i = w->waits->len; i-- > 0;)
+		if (g_array_index(w->waits, struct wait_at, i).entry == c)
+			g_array_remove_index_fast(w->waits, i);
+}
+
+void fleet_lead_closed(struct fleet_lead *l, struct conn *c)
+{
+	GHashTableIter it;
+	void *p;
+
+	if (!g_hash_table_remove(l->peers, c))
+		return;
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct fleet_ep *ep = p;
+
+		drop_calls(ep, c);
+		if (ep->conn != c)
+			continue;
+		log_info("agent_lost", "endpoint=%s", ep->addr);
+		ep->conn = NULL;
+		ep->down = false;
+		ep->changed = true;
+	}
+	g_hash_table_iter_init(&it, l->wants);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		drop_waits(p, c);
+	l->dirty = true;
+}
+
+/* Agents. */
+
+static GPtrArray *copy_names(const struct wire_list *list)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	const struct name_item *n = list->items;
+
+	for (size_t i = 0; i < list->n; i++)
+		g_ptr_array_add(out, ss_str_dup(n[i].name));
+	return out;
+}
+
+static bool same_names(const GPtrArray *a, const GPtrArray *b)
+{
+	if (!a || !b || a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++)
+		if (strcmp(a->pdata[i], b->pdata[i]))
+			return false;
+	return true;
+}
+
+static bool same_held(const GArray *a, const GArray *b)
+{
+	if (!a || !b || a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++) {
+		const struct fleet_held *x =
+			&g_array_index(a, struct fleet_held, i);
+		const struct fleet_held *y =
+			&g_array_index(b, struct fleet_held, i);
+
+		if (strcmp(x->model, y->model) ||
+		    !same_names(x->adapters, y->adapters))
+			return false;
+	}
+	return true;
+}
+
+static void copy_report(struct fleet_report *r, const struct msg_endpoint *m)
+{
+	const struct held_model *h = m->held.items;
+
+	memset(r, 0, sizeof(*r));
+	r->busy = m->busy;
+	r->leaving = m->leaving;
+	r->remaining_ms = m->remaining_ms;
+	r->orders = m->orders;
+	r->running = m->running;
+	r->waiting = m->waiting;
+	r->tokens_used = m->tokens_used;
+	r->tokens_total = m->tokens_total;
+	r->held = g_array_new(FALSE, TRUE, sizeof(struct fleet_held));
+	for (size_t i = 0; i < m->held.n; i++) {
+		struct fleet_held x = { .model = ss_str_dup(h[i].model),
+					.adapters = copy_names(&h[i].adapters) };
+
+		g_array_append_val(r->held, x);
+	}
+	r->in_memory = copy_names(&m->in_memory);
+	r->on_disk = copy_names(&m->on_disk);
+}
+
+static void take_endpoint(struct fleet_lead *l, struct conn *c,
+			  const struct msg_endpoint *m)
+{
+	char *addr = ss_str_dup(m->addr);
+	struct fleet_ep *ep = ep_for(l, addr);
+	struct fleet_report r;
+
+	g_free(addr);
+	ep->conn = c;
+	set_str(&ep->agent, m->agent);
+	if (!m->reachable) {
+		if (ep->reported)
+			log_info("endpoint_silent", "endpoint=%s", ep->addr);
+		ep->reported = false;
+		ep->down = ep->changed = l->dirty = true;
+		return;
+	}
+	ep->down = false;
+	copy_report(&r, m);
+	if (!ep->reported || ep->report.leaving != r.leaving ||
+	    !same_held(ep->report.held, r.held))
+		ep->changed = l->urgent = true;
+	ep->load_changed |= ep->report.running != r.running ||
+			    ep->report.waiting != r.waiting;
+	fleet_report_clear(&ep->report);
+	ep->report = r;
+	ep->reported = true;
+	ep->report_ms = fleet_lead_now(l);
+	l->dirty = true;
+}
+
+static struct fleet_ep *ep_of_agent(struct fleet_lead *l, const struct conn *c)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		if (((struct fleet_ep *)p)->conn == c)
+			return p;
+	return NULL;
+}
+
+/* Entries. */
+
+static void take_wait(struct fleet_lead *l, struct conn *c,
+		      const struct model_demand *m)
+{
+	char *service = ss_str_dup(m->service), *model = ss_str_dup(m->model);
+	struct fleet_want *w = fleet_want_for(l, service, model);
+	int64_t now = fleet_lead_now(l);
+	struct wait_at at = { .entry = c,
+			      .waiting = m->waiting,
+			      .due_ms = now + m->slack_ms,
+			      .at_ms = now };
+
+	g_free(service);
+	g_free(model);
+	if (m->arrivals)
+		fleet_rate_add(&w->rate, m->arrivals, now);
+	drop_waits(w, c);
+	if (m->waiting) {
+		g_array_append_val(w->waits, at);
+		/* An entry that waits wants to hear at once when. */
+		w->eta_changed = true;
+		l->urgent = true;
+	}
+	l->dirty = true;
+}
+
+static void take_calls(struct fleet_lead *l, struct conn *c,
+		       const struct wire_list *list)
+{
+	const struct endpoint_calls *e = list->items;
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		drop_calls(p, c);
+	for (size_t i = 0; i < list->n; i++) {
+		const struct held_model *h = e[i].models.items;
+		char *addr = ss_str_dup(e[i].addr);
+		struct fleet_ep *ep = g_hash_table_lookup(l->eps, addr);
+
+		g_free(addr);
+		for (size_t k = 0; ep && k < e[i].models.n; k++) {
+			struct calls_at at = { c, ss_str_dup(h[k].model),
+					       h[k].calls };
+
+			g_array_append_val(ep->calls, at);
+		}
+	}
+}
+
+static void take_demand(struct fleet_lead *l, struct conn *c,
+			const struct msg_demand *m)
+{
+	struct fleet_peer *p = g_hash_table_lookup(l->peers, c);
+	const struct model_demand *d = m->models.items;
+
+	if (!p)
+		return;
+	p->round = MAX(p->round, m->round);
+	p->routing = m->routing;
+	for (size_t i = 0; i < m->models.n; i++)
+		take_wait(l, c, &d[i]);
+	take_calls(l, c, &m->calls);
+	l->dirty = true;
+}
+
+void fleet_lead_message(struct fleet_lead *l, struct conn *c, struct frame *f)
+{
+	struct fleet_ep *ep;
+
+	switch (f->kind) {
+	case MSG_ENDPOINT:
+		take_endpoint(l, c, &f->u.endpoint);
+		break;
+	case MSG_LOADED:
+		ep = ep_of_agent(l, c);
+		if (ep)
+			fleet_steps_done(l, ep, &f->u.loaded);
+		break;
+	case MSG_DEMAND:
+		take_demand(l, c, &f->u.demand);
+		break;
+	default:
+		break;
+	}
+}
+
+/* The list. */
+
+static void take_instance(struct fleet_lead *l, const struct fleet_instance *i)
+{
+	struct fleet_ep *ep = ep_for(l, i->addr);
+	bool other = strcmp(ep->id, i->id) != 0;
+
+	if (other || strcmp(ep->service, i->service) || !ep->listed ||
+	    ep->leaving_listed != i->leaving ||
+	    !same_names(ep->on_list, i->models)) {
+		ep->changed = l->dirty = true;
+		log_info("endpoint",
+			 "addr=%s id=%s service=%s leaving=%d models=%u",
+			 i->addr, i->id, i->service, i->leaving,
+			 i->models->len);
+	}
+	set_str(&ep->id, ss_str(i->id));
+	set_str(&ep->service, ss_str(i->service));
+	set_str(&ep->domain, ss_str(i->domain ? i->domain : ""));
+	ep->slots = i->slots;
+	ep->listed = true;
+	ep->leaving_listed = i->leaving;
+	ep->listed_ms = fleet_lead_now(l);
+	g_ptr_array_unref(ep->on_list);
+	ep->on_list = g_ptr_array_ref(i->models);
+}
+
+static void on_list(void *arg, const GArray *all)
+{
+	struct fleet_lead *l = arg;
+	int64_t now = fleet_lead_now(l);
+	GHashTableIter it;
+	void *p;
+
+	for (guint i = 0; i < all->len; i++)
+		take_instance(l,
+			      &g_array_index(all, struct fleet_instance, i));
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct fleet_ep *ep = p;
+
+		/* What the list no longer shows has ended: it lags on with
+		 * those that crash, never with those that still serve. */
+		if (ep->listed && ep->listed_ms != now) {
+			log_info("endpoint_gone", "addr=%s id=%s", ep->addr,
+				 ep->id);
+			ep->listed = false;
+			ep->changed = l->dirty = true;
+		}
+		if (!ep->listed && !ep->conn && !ep->step.on &&
+		    !ep->changed && now - ep->listed_ms > LIST_GONE_MS)
+			g_hash_table_iter_remove(&it);
+	}
+	l->list_seen = true;
+}
+
+/* Telling entries. */
+
+static void add_held(const struct fleet_lead *l, const struct fleet_ep *ep,
+		     GArray *held, GPtrArray *lists)
+{
+	if (!has_report(l, ep)) {
+		for (guint i = 0; i < ep->on_list->len; i++) {
+			struct held_model h = {
+				.model = ss_str(ep->on_list->pdata[i])
+			};
+
+			if (!fleet_step_closes(ep, h.model.p))
+				g_array_append_val(held, h);
+		}
+		return;
+	}
+	for (guint i = 0; i < ep->report.held->len; i++) {
+		const struct fleet_held *x =
+			&g_array_index(ep->report.held, struct fleet_held, i);
+		struct held_model h = { .model = ss_str(x->model) };
+		GArray *names = g_array_new(FALSE, FALSE,
+					    sizeof(struct name_item));
+
+		for (guint k = 0; k < x->adapters->len; k++) {
+			struct name_item n = { ss_str(x->adapters->pdata[k]) };
+
+			g_array_append_val(names, n);
+		}
+		g_ptr_array_add(lists, names);
+		h.adapters = (struct wire_list){ names->data, names->len };
+		if (!fleet_step_closes(ep, x->model))
+			g_array_append_val(held, h);
+	}
+}
+
+struct push {
+	GArray *eps;	  /* struct fleet_endpoint */
+	GPtrArray *lists; /* GArray of what they point to */
+	GArray *etas;
+};
+
+static void push_add(struct fleet_lead *l, struct push *p,
+		     const struct fleet_ep *ep)
+{
+	GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held_model));
+	struct fleet_endpoint e = {
+		.addr = ss_str(ep->addr),
+		.id = ss_str(ep->id),
+		.service = ss_str(ep->service),
+		.domain = ss_str(ep->domain),
+		.agent = ss_str(ep->conn ? ep->agent : ""),
+		.slots = ep->slots,
+		.leaving = !fleet_ep_usable(l, ep),
+		.gone = !ep->listed,
+	};
+
+	if (has_report(l, ep)) {
+		e.running = ep->report.running;
+		e.waiting = ep->report.waiting;
+		e.tokens_used = ep->report.tokens_used;
+		e.tokens_total = ep->report.tokens_total;
+		e.age_ms = fleet_lead_now(l) - ep->report_ms;
+	}
+	g_ptr_array_add(p->lists, held);
+	add_held(l, ep, held, p->lists);
+	e.held = (struct wire_list){ held->data, held->len };
+	g_array_append_val(p->eps, e);
+}
+
+static void push_begin(struct push *p)
+{
+	p->eps = g_array_new(FALSE, FALSE, sizeof(struct fleet_endpoint));
+	p->lists =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	p->etas = g_array_new(FALSE, FALSE, sizeof(struct fleet_eta));
+}
+
+static void push_end(struct push *p)
+{
+	g_array_unref(p->eps);
+	g_ptr_array_unref(p->lists);
+	g_array_unref(p->etas);
+}
+
+static void add_etas(struct fleet_lead *l, struct push *p, bool all)
+{
+	int64_t now = fleet_lead_now(l);
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, l->wants);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct fleet_want *w = v;
+		struct fleet_eta e = { ss_str(w->service), ss_str(w->model),
+				       -1 };
+
+		if (w->waits->len == 0 || !(all || w->eta_changed))
+			continue;
+		if (w->eta_ms >= 0)
+			e.eta_ms = MAX(w->eta_ms - now, 0);
+		g_array_append_val(p->etas, e);
+	}
+}
+
+static void push_send(struct fleet_lead *l, struct push *p,
+		      struct fleet_peer *to, bool whole)
+{
+	struct msg_fleet m = { .fence = l->fence,
+			       .round = l->round,
+			       .whole = whole,
+			       .endpoints = { p->eps->data, p->eps->len },
+			       .etas = { p->etas->data, p->etas->len } };
+
+	if (conn_send(to->conn, MSG_FLEET, &m))
+		to->whole = true;
+}
+
+static bool wants_whole(const struct fleet_peer *p)
+{
+	return p->entry && p->confirmed && !p->whole;
+}
+
+static void push_whole(struct fleet_lead *l)
+{
+	GHashTableIter it, at;
+	struct push p;
+	void *v, *e;
+	bool any = false;
+
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		any |= wants_whole(v);
+	/* Before the first list, "nothing exists" would be a lie. */
+	if (!any || !l->list_seen)
+		return;
+	push_begin(&p);
+	g_hash_table_iter_init(&at, l->eps);
+	while (g_hash_table_iter_next(&at, NULL, &e))
+		push_add(l, &p, e);
+	add_etas(l, &p, true);
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		if (wants_whole(v))
+			push_send(l, &p, v, true);
+	push_end(&p);
+}
+
+static void push_changes(struct fleet_lead *l, bool loads)
+{
+	GHashTableIter it;
+	struct push p;
+	void *v;
+
+	push_begin(&p);
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct fleet_ep *ep = v;
+
+		if (!ep->changed && !(loads && ep->load_changed))
+			continue;
+		push_add(l, &p, ep);
+		ep->changed = ep->load_changed = false;
+	}
+	add_etas(l, &p, false);
+	g_hash_table_iter_init(&it, l->wants);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct fleet_want *)v)->eta_changed = false;
+	g_hash_table_iter_init(&it, l->peers);
+	while ((p.eps->len || p.etas->len) &&
+	       g_hash_table_iter_next(&it, NULL, &v)) {
+		struct fleet_peer *peer = v;
+
+		if (peer->entry && peer->whole)
+			push_send(l, &p, peer, false);
+	}
+	push_end(&p);
+}
+
+/* Time. */
+
+void fleet_lead_applied(struct fleet_lead *l)
+{
+	GHashTableIter it;
+	void *p;
+
+	read_state(l);
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		send_routing(l, p);
+	l->dirty = true;
+}
+
+static void forget_waits(struct fleet_lead *l, int64_t now)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->wants);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		GArray *waits = ((struct fleet_want *)p)->waits;
+
+		for (guint i = waits->len; i-- > 0;)
+			if (now - g_array_index(waits, struct wait_at, i).at_ms >
+			    WANT_MS)
+				g_array_remove_index_fast(waits, i);
+	}
+}
+
+void fleet_lead_tick(struct fleet_lead *l)
+{
+	int64_t now = fleet_lead_now(l);
+	bool loads = now - l->load_push_ms >= LOAD_EVERY_MS;
+
+	if (l->urgent || now - l->plan_ms >= PLAN_EVERY_MS) {
+		l->plan_ms = now;
+		l->urgent = false;
+		forget_waits(l, now);
+		fleet_steps_plan(l, now);
+	}
+	fleet_steps_run(l, now);
+	if (!l->dirty || (!loads && now - l->push_ms < PUSH_EVERY_MS))
+		return;
+	l->dirty = false;
+	l->push_ms = now;
+	if (loads)
+		l->load_push_ms = now;
+	push_changes(l, loads);
+	push_whole(l);
+}
+
+struct fleet_lead *fleet_lead_new(struct daemon *d, struct group *g)
+{
+	struct fleet_lead *l = g_new0(struct fleet_lead, 1);
+	struct metrics *m = d->metrics;
+	struct instances_options o = { .base = d->base,
+				       .platform = &users_platform,
+				       .addr = d->config.fleet.vm_list,
+				       .every_ms = LIST_EVERY_MS,
+				       .list = on_list,
+				       .arg = l };
+
+	l->d = d;
+	l->g = g;
+	l->fence = ss_raft_term(group_raft(g));
+	l->since_ms = fleet_lead_now(l);
+	l->store_ms = l->since_ms;
+	l->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	l->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ep_free);
+	l->wants = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 want_free);
+	l->n_steps = metrics_value(m, "ss_fleet_steps_total", "");
+	l->n_store = metrics_value(m, "ss_fleet_loads_total", "from=\"store\"");
+	l->n_disk = metrics_value(m, "ss_fleet_loads_total", "from=\"disk\"");
+	l->n_memory =
+		metrics_value(m, "ss_fleet_loads_total", "from=\"memory\"");
+	l->n_failed = metrics_value(m, "ss_fleet_steps_failed_total", "");
+	l->load_hist = metrics_hist(m, "ss_fleet_load_ms", "");
+	read_state(l);
+	l->list = instances_new(&o);
+	instances_run(l->list, true);
+	return l;
+}
+
+void fleet_lead_free(struct fleet_lead *l)
+{
+	if (!l)
+		return;
+	instances_free(l->list);
+	g_hash_table_unref(l->peers);
+	g_hash_table_unref(l->eps);
+	g_hash_table_unref(l->wants);
+	routing_unref(l->routing);
+	preset_clear(&l->preset);
+	g_free(l);
+}
+
+void fleet_lead_status(const struct fleet_lead *l, json_object *o)
+{
+	json_object *list = json_object_new_array();
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct fleet_ep *ep = p;
+		json_object *e = json_object_new_object();
+
+		json_object_object_add(e, "addr",
+				       json_object_new_string(ep->addr));
+		json_object_object_add(e, "id", json_object_new_string(ep->id));
+		json_object_object_add(e, "service",
+				       json_object_new_string(ep->service));
+		json_object_object_add(
+			e, "usable",
+			json_object_new_boolean(fleet_ep_usable(l, ep)));
+		json_object_object_add(
+			e, "agent", json_object_new_boolean(ep->conn != NULL));
+		json_object_object_add(
+			e, "loads",
+			json_object_new_string(ep->step.load ? ep->step.load :
+							       ""));
+		json_object_array_add(list, e);
+	}
+	json_object_object_add(o, "endpoints", list);
+	json_object_object_add(
+		o, "routing",
+		json_object_new_int64(
+			l->routing ? (int64_t)l->routing->version : 0));
+}
--- /dev/null
+++ b/src/daemon/fleet_lead_int.h
@@ -0,0 +1,120 @@
+/* The fleet leader's own tables; only for the files of that part. */
+#ifndef SS_FLEET_LEAD_INT_H
+#define SS_FLEET_LEAD_INT_H
+
+#include "../core/fleet.h"
+#include "../core/preset.h"
+#include "../vmlist/instances.h"
+#include "fleet_lead.h"
+
+/* A report older than this no longer tells what an engine holds: five of
+ * its agent's longest pauses between two. */
+#define FLEET_REPORT_MS 2500
+
+/* A model on its way out of, or into, an engine. */
+struct step_run {
+	bool on;
+	uint64_t number;
+	struct fleet_step plan;
+	GPtrArray *unload; /* char * */
+	char *load;
+	bool sent;	/* to the agent */
+	uint64_t round; /* entries that confirmed it send no new calls */
+	int64_t since_ms, sent_ms;
+};
+
+/* Calls of one entry on one model of an endpoint. */
+struct calls_at {
+	struct conn *entry;
+	char *model;
+	int64_t calls;
+};
+
+struct fleet_ep {
+	char *addr, *id, *service, *domain, *agent;
+	int64_t slots;
+	bool listed, leaving_listed;
+	int64_t listed_ms;    /* when the list last had it */
+	GPtrArray *on_list;   /* char *, models by the list */
+	struct conn *conn;    /* of its agent; NULL: none */
+	bool down;	    /* its agent can't reach it */
+	bool reported;
+	int64_t report_ms;
+	struct fleet_report report;
+	GArray *calls; /* struct calls_at */
+	struct step_run step;
+	bool changed;	   /* what entries are told of it */
+	bool load_changed; /* only its load */
+	bool told;	   /* entries know of it */
+	GHashTable *refused; /* model -> when a load of it failed, ms */
+};
+
+struct wait_at {
+	struct conn *entry;
+	uint64_t waiting;
+	int64_t due_ms; /* when the first of them is late */
+	int64_t at_ms;
+};
+
+/* One model's demand. */
+struct fleet_want {
+	char *service, *model;
+	struct fleet_rate rate;
+	GArray *waits; /* struct wait_at */
+	int64_t eta_ms; /* on the clock; -1: unknown */
+	bool eta_changed;
+};
+
+struct fleet_peer {
+	struct conn *conn;
+	bool entry;
+	bool confirmed; /* a majority has answered since it came */
+	bool whole;	/* has been sent the whole fleet */
+	uint64_t routing_sent, routing;
+	uint64_t round; /* confirmed */
+};
+
+struct fleet_lead {
+	struct daemon *d;
+	struct group *g;
+	struct instances *list;
+	struct routing *routing;
+	struct preset preset;
+	uint64_t preset_version;
+	GHashTable *peers; /* conn -> struct fleet_peer */
+	GHashTable *eps;   /* addr -> struct fleet_ep */
+	GHashTable *wants; /* "service\nmodel" -> struct fleet_want */
+	uint64_t fence;	   /* of this leadership */
+	uint64_t round, steps;
+	int64_t since_ms, plan_ms, push_ms, load_push_ms;
+	bool list_seen;
+	bool dirty, urgent;
+	double store_tokens;
+	int64_t store_ms;
+	uint64_t *n_steps, *n_store, *n_disk, *n_memory, *n_failed;
+	struct hist *load_hist;
+};
+
+static inline int64_t fleet_lead_now(const struct fleet_lead *l)
+{
+	return ss_clock_now(&l->d->clock);
+}
+
+struct fleet_want *fleet_want_for(struct fleet_lead *l, const char *service,
+				  const char *model);
+bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep);
+/* What it holds by the newest word: its agent's, else the list's. */
+bool fleet_ep_holds(const struct fleet_lead *l, const struct fleet_ep *ep,
+		    const char *model);
+
+/* fleet_steps.c */
+void fleet_steps_plan(struct fleet_lead *l, int64_t now);
+/* Send the steps that every entry has confirmed, give up lost ones. */
+void fleet_steps_run(struct fleet_lead *l, int64_t now);
+void fleet_steps_done(struct fleet_lead *l, struct fleet_ep *ep,
+		      const struct msg_loaded *m);
+/* True where a model is about to leave, and gets no new calls. */
+bool fleet_step_closes(const struct fleet_ep *ep, const char *model);
+void fleet_step_clear(struct fleet_ep *ep);
+
+#endif
--- /dev/null
+++ b/src/daemon/fleet_steps.c
@@ -0,0 +1,473 @@
+/* Deciding steps of loads and unloads, and carrying them out. */
+#include "fleet_lead_int.h"
+
+/* A new leader orders nothing for the lease, so that an agent never takes
+ * turns between two, and for as long as agents need to find it. */
+#define FIND_MS 600
+/* Entries confirm within a round trip; one that doesn't has lost its link
+ * and its calls are refused by the engine, which says so. */
+#define CONFIRM_MS 300
+/* An unload waits for runs; longer than this and the engine is let do it. */
+#define QUIET_MS 3000
+/* An agent that carries out a step is heard all the while; this long after
+ * the expected end the step is given up. */
+#define STEP_SLACK_MS 6000
+/* A load that failed on an engine isn't tried there again for so long. */
+#define REFUSED_MS 2000
+/* Share of the store's rate that is used: the rest is for loads that begin
+ * later than they were ordered. */
+#define STORE_SHARE 0.8
+/* Memory kept free for adapters, as a multiple of the largest one. */
+#define ADAPTERS_KEPT 4
+
+struct view {
+	struct fleet_lead *l;
+	const struct routing_service *service;
+	struct fleet_view v;
+	GArray *models; /* struct fleet_model */
+	GArray *nodes;	/* struct fleet_node */
+	GPtrArray *eps; /* struct fleet_ep of each node */
+	GPtrArray *tiers;
+	int64_t now;
+};
+
+void fleet_step_clear(struct fleet_ep *ep)
+{
+	struct step_run *s = &ep->step;
+
+	if (s->unload)
+		g_ptr_array_unref(s->unload);
+	g_free(s->load);
+	memset(s, 0, sizeof(*s));
+}
+
+bool fleet_step_closes(const struct fleet_ep *ep, const char *model)
+{
+	for (guint i = 0; ep->step.on && i < ep->step.unload->len; i++)
+		if (!strcmp(ep->step.unload->pdata[i], model))
+			return true;
+	return false;
+}
+
+static int model_index(const struct view *w, const char *name)
+{
+	const struct routing_model *m = routing_model(w->service, name);
+
+	return m ? (int)(m - (struct routing_model *)w->service->models->data) :
+		   -1;
+}
+
+static void add_models(struct view *w)
+{
+	for (guint i = 0; i < w->service->models->len; i++) {
+		struct fleet_model m = {
+			.spec = &g_array_index(w->service->models,
+					       struct routing_model, i),
+			.slack_ms = INT64_MAX,
+			.eta_ms = -1,
+		};
+		struct fleet_want *want = fleet_want_for(
+			w->l, w->service->name, m.spec->name);
+
+		m.rate = fleet_rate_at(&want->rate, w->now);
+		for (guint k = 0; k < want->waits->len; k++) {
+			const struct wait_at *at = &g_array_index(
+				want->waits, struct wait_at, k);
+
+			m.waiting += (uint32_t)at->waiting;
+			m.slack_ms = MIN(m.slack_ms, at->due_ms - w->now);
+		}
+		g_array_append_val(w->models, m);
+	}
+}
+
+static uint32_t calls_on(const struct fleet_ep *ep, const char *model)
+{
+	int64_t n = 0;
+
+	for (guint i = 0; i < ep->calls->len; i++) {
+		const struct calls_at *at =
+			&g_array_index(ep->calls, struct calls_at, i);
+
+		if (!strcmp(at->model, model))
+			n += at->calls;
+	}
+	return (uint32_t)n;
+}
+
+static double adapters_mb(const struct routing_service *s)
+{
+	double most = 0;
+
+	for (guint i = 0; i < s->models->len; i++)
+		most = MAX(most, g_array_index(s->models, struct routing_model,
+					       i)
+					 .adapter_mb);
+	return most * (double)MIN(s->adapter_slots, ADAPTERS_KEPT);
+}
+
+static void add_places(struct view *w, const struct fleet_ep *ep,
+		       struct fleet_node *n)
+{
+	const GArray *held = ep->report.held;
+
+	n->free_mb = w->service->weights_mb - adapters_mb(w->service);
+	for (guint i = 0; held && i < held->len; i++) {
+		const struct fleet_held *h =
+			&g_array_index(held, struct fleet_held, i);
+		struct fleet_place p = { 0 };
+		int m = model_index(w, h->model);
+
+		if (m < 0)
+			continue;
+		p.model = (uint32_t)m;
+		p.calls = calls_on(ep, h->model);
+		p.closing = fleet_step_closes(ep, h->model);
+		g_array_index(w->models, struct fleet_model, m).calls +=
+			p.calls;
+		n->free_mb -= g_array_index(w->models, struct fleet_model, m)
+				      .spec->weights_mb;
+		g_array_append_val(n->places, p);
+	}
+}
+
+static void mark_tier(const struct view *w, uint8_t *tiers,
+		      const GPtrArray *names, enum ss_tier tier)
+{
+	for (guint i = 0; names && i < names->len; i++) {
+		int m = model_index(w, names->pdata[i]);
+
+		if (m >= 0)
+			tiers[m] = (uint8_t)tier;
+	}
+}
+
+static int64_t step_left(const struct fleet_ep *ep, int64_t now)
+{
+	const struct step_run *s = &ep->step;
+	int64_t end = (s->sent ? s->sent_ms : now) + s->plan.expected_ms;
+
+	return MAX(end - now, 0);
+}
+
+/* An engine that its agent reports, and whose memory is known thereby. */
+static bool can_take_step(const struct fleet_lead *l, const struct fleet_ep *ep,
+			  int64_t now)
+{
+	return ep->conn && ep->reported && !ep->step.on && !ep->report.busy &&
+	       now - ep->report_ms < FLEET_REPORT_MS && fleet_ep_usable(l, ep);
+}
+
+static void add_node(struct view *w, struct fleet_ep *ep)
+{
+	struct fleet_node n = { .domain = ep->domain,
+				.usable = fleet_ep_usable(w->l, ep),
+				.loading = -1,
+				.slots = w->service->slots,
+				.running = ep->report.running +
+					   ep->report.waiting };
+	uint8_t *tiers = g_new0(uint8_t, w->models->len + 1);
+
+	n.places = g_array_new(FALSE, FALSE, sizeof(struct fleet_place));
+	n.free = can_take_step(w->l, ep, w->now);
+	n.tier = tiers;
+	if (ep->reported)
+		add_places(w, ep, &n);
+	mark_tier(w, tiers, ep->report.on_disk, TIER_DISK);
+	mark_tier(w, tiers, ep->report.in_memory, TIER_MEMORY);
+	if (ep->step.on && ep->step.load) {
+		n.loading = model_index(w, ep->step.load);
+		n.loading_tier = ep->step.plan.tier;
+		n.loading_left_ms = step_left(ep, w->now);
+	}
+	g_array_append_val(w->nodes, n);
+	g_ptr_array_add(w->eps, ep);
+	g_ptr_array_add(w->tiers, tiers);
+}
+
+static const char *name_of(const struct view *w, uint32_t model)
+{
+	return g_array_index(w->models, struct fleet_model, model).spec->name;
+}
+
+static bool was_refused(const struct fleet_ep *ep, const char *model,
+			int64_t now)
+{
+	const int64_t *at = g_hash_table_lookup(ep->refused, model);
+
+	return at && now - *at < REFUSED_MS;
+}
+
+static void begin_step(void *arg, const struct fleet_step *s)
+{
+	static const char *const tiers[] = { "store", "disk", "memory" };
+	struct view *w = arg;
+	struct fleet_ep *ep = w->eps->pdata[s->node];
+	const char *model = name_of(w, (uint32_t)s->load);
+	struct step_run *r = &ep->step;
+
+	if (was_refused(ep, model, w->now))
+		return;
+	fleet_step_clear(ep);
+	r->on = true;
+	r->number = ++w->l->steps;
+	r->plan = *s;
+	r->unload = g_ptr_array_new_with_free_func(g_free);
+	for (size_t i = 0; i < s->n_victims; i++)
+		g_ptr_array_add(r->unload, g_strdup(name_of(w, s->victims[i])));
+	r->load = g_strdup(model);
+	r->since_ms = w->now;
+	if (s->n_victims) {
+		r->round = ++w->l->round;
+		ep->changed = w->l->dirty = true;
+	}
+	(*w->l->n_steps)++;
+	(*(s->tier == TIER_REMOTE ? w->l->n_store :
+	   s->tier == TIER_DISK	  ? w->l->n_disk :
+				    w->l->n_memory))++;
+	log_info("step",
+		 "step=%" PRIu64 " endpoint=%s load=%s from=%s unloads=%zu "
+		 "expected_ms=%" PRId64 " why=\"%s\"",
+		 r->number, ep->addr, model, tiers[s->tier], s->n_victims,
+		 s->expected_ms, s->why);
+}
+
+static const struct fleet_plan_ops plan_table = { begin_step };
+
+static void note_etas(struct view *w)
+{
+	for (guint i = 0; i < w->models->len; i++) {
+		const struct fleet_model *m =
+			&g_array_index(w->models, struct fleet_model, i);
+		struct fleet_want *want = fleet_want_for(
+			w->l, w->service->name, m->spec->name);
+		int64_t eta = m->eta_ms < 0 ? -1 : w->now + m->eta_ms;
+
+		if ((eta < 0) != (want->eta_ms < 0) ||
+		    ABS(eta - want->eta_ms) > 100) {
+			want->eta_changed = true;
+			w->l->dirty |= want->waits->len > 0;
+		}
+		want->eta_ms = eta;
+	}
+}
+
+static void node_clear(void *p)
+{
+	g_array_unref(((struct fleet_node *)p)->places);
+}
+
+static void plan_service(struct fleet_lead *l,
+			 const struct routing_service *service, int64_t now)
+{
+	struct view w = { .l = l, .service = service, .now = now };
+	GHashTableIter it;
+	void *p;
+
+	w.models = g_array_new(FALSE, FALSE, sizeof(struct fleet_model));
+	w.nodes = g_array_new(FALSE, FALSE, sizeof(struct fleet_node));
+	g_array_set_clear_func(w.nodes, node_clear);
+	w.eps = g_ptr_array_new();
+	w.tiers = g_ptr_array_new_with_free_func(g_free);
+	add_models(&w);
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct fleet_ep *ep = p;
+
+		if (ep->listed && !strcmp(ep->service, service->name))
+			add_node(&w, ep);
+	}
+	w.v = (struct fleet_view){
+		.models = (struct fleet_model *)w.models->data,
+		.n_models = w.models->len,
+		.nodes = (struct fleet_node *)w.nodes->data,
+		.n_nodes = w.nodes->len,
+		.slots = service->slots,
+		.store_parallel = (size_t)l->preset.store_parallel,
+		.store_tokens = l->store_tokens,
+		.ahead = l->preset.wake_ahead,
+	};
+	fleet_plan(&w.v, &plan_table, &w);
+	l->store_tokens = w.v.store_tokens;
+	note_etas(&w);
+	g_array_unref(w.models);
+	g_array_unref(w.nodes);
+	g_ptr_array_unref(w.eps);
+	g_ptr_array_unref(w.tiers);
+}
+
+/*
+ * Loads from the store over all engines are bounded in a sliding window. A
+ * new leader knows of none that its predecessor began, so it starts with
+ * nothing saved up; the bucket holds no more than one second's loads.
+ */
+static void refill_store(struct fleet_lead *l,
+			 const struct routing_service *s, int64_t now)
+{
+	double rate = s->loads_per_s * STORE_SHARE;
+	double preset = (double)l->preset.store_per_minute / 60.0;
+
+	if (rate <= 0 || preset < rate)
+		rate = preset;
+	l->store_tokens += rate * (double)(now - l->store_ms) / 1000.0;
+	l->store_tokens = MIN(l->store_tokens, MAX(rate, 1));
+	l->store_ms = now;
+}
+
+void fleet_steps_plan(struct fleet_lead *l, int64_t now)
+{
+	int64_t quiet = MAX(l->d->config.fleet.lease_ms, FIND_MS);
+
+	/* The first leader of all has no predecessor to wait for. */
+	if (l->fence <= 2)
+		quiet = FIND_MS;
+	if (!l->routing || !l->list_seen || now - l->since_ms < quiet)
+		return;
+	for (guint i = 0; i < l->routing->services->len; i++) {
+		const struct routing_service *s = &g_array_index(
+			l->routing->services, struct routing_service, i);
+
+		if (!s->engine || s->models->len == 0)
+			continue;
+		refill_store(l, s, now);
+		plan_service(l, s, now);
+	}
+}
+
+/* Carrying steps out. */
+
+static bool confirmed_by_all(const struct fleet_lead *l, uint64_t round)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct fleet_peer *peer = p;
+
+		if (peer->entry && peer->whole && peer->round < round)
+			return false;
+	}
+	return true;
+}
+
+static uint32_t victim_calls(const struct fleet_ep *ep)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < ep->step.unload->len; i++)
+		n += calls_on(ep, ep->step.unload->pdata[i]);
+	return n;
+}
+
+/*
+ * A model leaves once every entry has confirmed that it sends it no new
+ * calls, and those under way have ended: else they would be refused, or
+ * hold up the engine's next order.
+ */
+static bool may_send(const struct fleet_lead *l, const struct fleet_ep *ep,
+		     int64_t now)
+{
+	int64_t age = now - ep->step.since_ms;
+
+	if (ep->step.unload->len == 0 || age > QUIET_MS)
+		return true;
+	if (!confirmed_by_all(l, ep->step.round) && age < CONFIRM_MS)
+		return false;
+	return victim_calls(ep) == 0;
+}
+
+static double load_mb(const struct fleet_lead *l, const struct fleet_ep *ep)
+{
+	int at = l->routing ? routing_service_index(l->routing, ep->service) :
+			      -1;
+	const struct routing_model *m =
+		at < 0 ? NULL :
+			 routing_model(&g_array_index(l->routing->services,
+						      struct routing_service,
+						      at),
+				       ep->step.load);
+
+	return m ? m->weights_mb : -1;
+}
+
+static void send_step(struct fleet_lead *l, struct fleet_ep *ep, int64_t now)
+{
+	struct step_run *s = &ep->step;
+	GArray *names = g_array_new(FALSE, FALSE, sizeof(struct name_item));
+	double mb = load_mb(l, ep);
+	struct msg_load m = { .fence = l->fence,
+			      .step = s->number,
+			      .load = ss_str(s->load),
+			      .weights_mb = (int64_t)(mb + 1) };
+
+	for (guint i = 0; i < s->unload->len; i++) {
+		struct name_item n = { ss_str(s->unload->pdata[i]) };
+
+		g_array_append_val(names, n);
+	}
+	m.unload = (struct wire_list){ names->data, names->len };
+	if (mb >= 0 && conn_send(ep->conn, MSG_LOAD, &m)) {
+		s->sent = true;
+		s->sent_ms = now;
+	}
+	g_array_unref(names);
+}
+
+static void end_step(struct fleet_lead *l, struct fleet_ep *ep)
+{
+	fleet_step_clear(ep);
+	ep->changed = l->dirty = l->urgent = true;
+}
+
+static void run_step(struct fleet_lead *l, struct fleet_ep *ep, int64_t now)
+{
+	struct step_run *s = &ep->step;
+	int64_t patience = s->plan.expected_ms * 3 + STEP_SLACK_MS;
+
+	if (!ep->conn || now - s->since_ms > patience + QUIET_MS) {
+		/* What it did of the step shows in the next report. */
+		log_warn("step_lost", "step=%" PRIu64 " endpoint=%s agent=%d",
+			 s->number, ep->addr, ep->conn != NULL);
+		(*l->n_failed)++;
+		end_step(l, ep);
+		return;
+	}
+	if (!s->sent && may_send(l, ep, now))
+		send_step(l, ep, now);
+}
+
+void fleet_steps_run(struct fleet_lead *l, int64_t now)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		if (((struct fleet_ep *)p)->step.on)
+			run_step(l, p, now);
+}
+
+void fleet_steps_done(struct fleet_lead *l, struct fleet_ep *ep,
+		      const struct msg_loaded *m)
+{
+	struct step_run *s = &ep->step;
+	int64_t now = fleet_lead_now(l);
+
+	if (!s->on || s->number != m->step || m->fence != l->fence)
+		return;
+	log_info("step_done",
+		 "step=%" PRIu64 " endpoint=%s load=%s ms=%" PRId64
+		 " expected_ms=%" PRId64 " error=%s why=\"%.*s\"",
+		 s->number, ep->addr, s->load, m->took_ms, s->plan.expected_ms,
+		 m->code ? ss_error_name((enum ss_error)m->code) : "none",
+		 SS_FMT(m->text));
+	if (m->code) {
+		(*l->n_failed)++;
+		g_hash_table_replace(ep->refused, g_strdup(s->load),
+				     g_memdup2(&now, sizeof(now)));
+	} else {
+		hist_add(l->load_hist, (uint64_t)MAX(m->took_ms, 0));
+	}
+	end_step(l, ep);
+}
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -1,12 +1,28 @@
 /* The control group as one member sees it. */
 #include "group.h"
 
+#include "bootstrap.h"
+
 #define TICK_MS 20
 #define RECONNECT_MS 300
 #define JOIN_MS 500
 #define TEND_MS 200
 /* A learner this close to the end of the log may become a voter. */
 #define CAUGHT_UP 64
+/* A member that heard no leader for so long asks to be taken in again: it
+ * may have been removed while it was away. Three election timeouts. */
+#define LEADERLESS_MS 2000
+/*
+ * A voter unheard for so long is removed, where enough others are left. It
+ * is longer than a restart (some 2 s) and than a leader's change, and
+ * short against the time until a second VM may be lost. One that comes
+ * back joins again with its log.
+ */
+#define DEAD_MS 6000
+/* Fewer voters than this bear no loss. */
+#define VOTERS_MIN 3
+/* The log rests for so long before it is marked as durable. */
+#define MARK_AFTER_MS 200
 
 /* A connection that this member makes, to another's address. */
 struct out {
@@ -36,6 +52,8 @@
 	uint64_t ctx;
 	struct event *tick, *flush;
 	int64_t join_ms, tend_ms;
+	int64_t leader_ms;  /* when a leader was last known */
+	int64_t append_ms;  /* when the log last grew */
 	uint64_t lead_from; /* index of this leader's first entry */
 	uint64_t *n_applied, *n_term, *n_leads, *n_snapshots;
 	bool broken;
@@ -134,6 +152,7 @@
 	GError *why = NULL;
 
 	flush_soon(g);
+	g->append_ms = now_ms(g);
 	if (disk_append(g->disk, e, n, &why))
 		return true;
 	log_error("append_failed", "type=%s why=\"%s\"",
@@ -329,25 +348,38 @@
 
 /* Joining. */
 
-static void ask_to_join(struct group *g, int64_t now)
+static void ask_at(struct group *g, const char *addr)
 {
-	const GPtrArray *control = g->d->config.control;
 	struct msg_join m = { .id = g->loaded.id,
 			      .name = g->d->hello.name,
 			      .addr = ss_str(g->addr) };
+	struct out *o;
+
+	if (!strcmp(addr, g->addr))
+		return;
+	o = out_for(g, addr);
+	if (o->conn)
+		conn_send(o->conn, MSG_JOIN, &m);
+}
+
+static void ask_to_join(struct group *g, int64_t now)
+{
+	const GPtrArray *control = g->d->config.control;
+	GArray *members;
 
 	if (now - g->join_ms < JOIN_MS)
 		return;
 	g->join_ms = now;
-	for (guint i = 0; i < control->len; i++) {
-		struct out *o;
-
-		if (!strcmp(control->pdata[i], g->addr))
-			continue;
-		o = out_for(g, control->pdata[i]);
-		if (o->conn)
-			conn_send(o->conn, MSG_JOIN, &m);
-	}
+	for (guint i = 0; i < control->len; i++)
+		ask_at(g, control->pdata[i]);
+	if (!g->raft)
+		return;
+	/* All addresses of the settings may be those of VMs long gone. */
+	members = group_member_addrs(g);
+	for (guint i = 0; i < members->len; i++)
+		ask_at(g,
+		       g_array_index(members, struct control_addr, i).addr.p);
+	g_array_unref(members);
 }
 
 static void take_join(struct group *g, struct conn *c, const struct msg_join *m)
@@ -392,41 +424,78 @@
 	log_info("joined", "group=%" PRIx64, m->group);
 }
 
+static bool is_dead(const struct group *g, uint64_t id)
+{
+	return id != g->loaded.id && ss_raft_quiet_ms(g->raft, id) > DEAD_MS;
+}
+
+/* A learner that is heard and has caught up; NULL for none. */
+static const struct ss_raft_member *find_caught_up(const struct group *g)
+{
+	const struct ss_raft_members *all = ss_raft_members(g->raft);
+	uint64_t last = ss_raft_last(g->raft);
+
+	for (size_t i = 0; i < all->n; i++) {
+		uint64_t match = ss_raft_match(g->raft, all->m[i].id);
+
+		if (!all->m[i].voter && match && match + CAUGHT_UP >= last &&
+		    !is_dead(g, all->m[i].id))
+			return &all->m[i];
+	}
+	return NULL;
+}
+
 /*
- * As leader, one step at a time: promote a learner that has caught up,
- * then drop the member whose name it took over, whose disk is lost.
+ * A member whose name or address a later voter has taken over: its disk is
+ * lost. One that can't be heard any more goes too, if those that can be
+ * heard are enough without it.
  */
-static void tend_members(struct group *g)
+static const struct ss_raft_member *find_lost(const struct group *g)
 {
 	const struct ss_raft_members *all = ss_raft_members(g->raft);
-	uint64_t last = ss_raft_last(g->raft);
+	const struct ss_raft_member *dead = NULL;
+	size_t alive = 0;
 
 	for (size_t i = 0; i < all->n; i++) {
-		struct ss_raft_member m = all->m[i];
-
-		if (!m.voter && ss_raft_match(g->raft, m.id) &&
-		    ss_raft_match(g->raft, m.id) + CAUGHT_UP >= last) {
-			m.voter = true;
-			log_info("promote", "name=%.*s id=%" PRIx64,
-				 SS_FMT(m.name), m.id);
-			ss_raft_set_member(g->raft, &m, NULL);
-			flush_soon(g);
-			return;
-		}
-		for (size_t k = 0; k < i; k++) {
-			uint64_t old = all->m[k].id;
-
-			/* The later one joined after the other was lost. */
-			if (!m.voter || !ss_str_eq(all->m[k].name, m.name) ||
-			    old == ss_raft_leader(g->raft))
-				continue;
-			log_info("replace", "name=%.*s old=%" PRIx64,
-				 SS_FMT(m.name), old);
-			ss_raft_remove_member(g->raft, old, NULL);
-			flush_soon(g);
-			return;
-		}
+		const struct ss_raft_member *m = &all->m[i];
+
+		alive += m->voter && !is_dead(g, m->id);
+		if (is_dead(g, m->id) && (!dead || dead->voter))
+			dead = m;
+		for (size_t k = 0; k < i && m->voter; k++)
+			if ((ss_str_eq(all->m[k].name, m->name) ||
+			     ss_str_eq(all->m[k].addr, m->addr)) &&
+			    all->m[k].id != g->loaded.id)
+				return &all->m[k];
 	}
+	return dead && (!dead->voter || alive >= VOTERS_MIN) ? dead : NULL;
+}
+
+/*
+ * As leader, one step at a time: promote a learner that has caught up,
+ * then drop what is lost.
+ */
+static void tend_members(struct group *g)
+{
+	const struct ss_raft_member *m = find_caught_up(g);
+
+	if (m) {
+		struct ss_raft_member voter = *m;
+
+		voter.voter = true;
+		log_info("promote", "name=%.*s id=%" PRIx64, SS_FMT(m->name),
+			 m->id);
+		ss_raft_set_member(g->raft, &voter, NULL);
+		flush_soon(g);
+		return;
+	}
+	m = find_lost(g);
+	if (!m)
+		return;
+	log_info("drop_member", "name=%.*s id=%" PRIx64 " quiet_ms=%" PRId64,
+		 SS_FMT(m->name), m->id, ss_raft_quiet_ms(g->raft, m->id));
+	ss_raft_remove_member(g->raft, m->id, NULL);
+	flush_soon(g);
 }
 
 /* Messages. */
@@ -505,6 +574,18 @@
 		maybe_compact(g);
 }
 
+static void mark_log(struct group *g)
+{
+	GError *error = NULL;
+
+	if (disk_mark(g->disk, &error))
+		return;
+	/* A mark only tells more about what is durable already. */
+	log_warn("mark_failed", "why=\"%s\"", error->message);
+	g_error_free(error);
+	g->append_ms = now_ms(g);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct group *g = arg;
@@ -517,6 +598,12 @@
 		return;
 	}
 	ss_raft_tick(g->raft, now);
+	if (ss_raft_leader(g->raft))
+		g->leader_ms = now;
+	else if (now - g->leader_ms > LEADERLESS_MS)
+		ask_to_join(g, now);
+	if (now - g->append_ms > MARK_AFTER_MS && !g->broken)
+		mark_log(g);
 	if (group_leads(g) && now - g->tend_ms >= TEND_MS) {
 		g->tend_ms = now;
 		tend_members(g);
@@ -605,6 +692,20 @@
 	return m ? m->addr.p : NULL;
 }
 
+GArray *group_member_addrs(const struct group *g)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct control_addr));
+	const struct ss_raft_members *all = g->raft ? ss_raft_members(g->raft) :
+						      NULL;
+
+	for (size_t i = 0; all && i < all->n; i++) {
+		struct control_addr a = { all->m[i].addr };
+
+		g_array_append_val(out, a);
+	}
+	return out;
+}
+
 bool group_remove_member(struct group *g, uint64_t id, GError **error)
 {
 	bool ok;
@@ -655,8 +756,11 @@
 	g->n_snapshots =
 		metrics_value(d->metrics, "ss_log_snapshots_total", "");
 	g->flush = event_new(d->base, -1, 0, on_flush, g);
+	g->leader_ms = now_ms(g);
 	g->disk = disk_open(&o, &g->loaded, error);
-	if (!g->disk || (g->loaded.group && !start_raft(g, error))) {
+	if (!g->disk ||
+	    !found_group(&d->config, g->addr, &g->disk, &g->loaded, error) ||
+	    (g->loaded.group && !start_raft(g, error))) {
 		group_free(g);
 		return NULL;
 	}
--- a/src/daemon/group.h
+++ b/src/daemon/group.h
@@ -58,6 +58,9 @@
 /* Address of the leader; NULL where nobody is known. */
 const char *group_leader_addr(const struct group *g);
 
+/* Addresses of all members, struct control_addr; views until a change. */
+GArray *group_member_addrs(const struct group *g);
+
 bool group_remove_member(struct group *g, uint64_t id, GError **error);
 
 /* Hand over leadership before a planned stop. */
--- a/src/daemon/lead.c
+++ b/src/daemon/lead.c
@@ -1,7 +1,7 @@
 /* What a leader knows beside the replicated state, and does by it. */
 #include "lead_int.h"
 
-#include "../platform/vms.h"
+#include "../vmlist/vms.h"
 
 #define PLAN_EVERY_MS 100
 /* A VM that the platform no longer lists, and that can't be heard, is
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -18,6 +18,12 @@
 	[CONFIG_AGENT] = &agent_role,
 	[CONFIG_CONTROL] = &control_role,
 };
+/* Of a fleet whose endpoints are called directly. */
+static const struct role_ops *const fleet_roles[] = {
+	[CONFIG_ENTRY] = &fleet_entry_role,
+	[CONFIG_AGENT] = &fleet_agent_role,
+	[CONFIG_CONTROL] = &control_role,
+};
 
 struct running {
 	struct daemon d;
@@ -162,7 +168,8 @@
 		metrics_value(d->metrics, "ss_own_bytes_total", "way=\"out\"");
 	d->bytes_in =
 		metrics_value(d->metrics, "ss_own_bytes_total", "way=\"in\"");
-	r->ops = roles[d->config.role];
+	r->ops = d->config.fleet.on ? fleet_roles[d->config.role] :
+				      roles[d->config.role];
 	r->role = r->ops->start(d, error);
 	if (!r->role)
 		return false;
--- /dev/null
+++ b/src/net/keep.c
@@ -0,0 +1,77 @@
+/* Small HTTP calls over one kept connection. */
+#include "keep.h"
+
+#include "http.h"
+
+#include <event2/buffer.h>
+
+struct keep {
+	struct event_base *base;
+	char *addr, *ip;
+	uint16_t port;
+	struct evhttp_connection *conn;
+	bool freeing;
+};
+
+struct call {
+	struct keep *k;
+	void (*done)(void *arg, int status, struct ss_str body);
+	void *arg;
+};
+
+static void on_answer(struct evhttp_request *req, void *arg)
+{
+	struct call *c = arg;
+	int status = req ? evhttp_request_get_response_code(req) : 0;
+
+	if (!c->k->freeing)
+		c->done(c->arg, status,
+			status ? http_body(req) : (struct ss_str){ 0 });
+	g_free(c);
+}
+
+struct keep *keep_new(struct event_base *base, const char *addr)
+{
+	struct keep *k = g_new0(struct keep, 1);
+
+	k->base = base;
+	k->addr = g_strdup(addr);
+	if (!http_split_addr(addr, &k->ip, &k->port))
+		k->ip = g_strdup("");
+	k->conn = evhttp_connection_base_new(base, NULL, k->ip, k->port);
+	return k;
+}
+
+void keep_free(struct keep *k)
+{
+	if (!k)
+		return;
+	k->freeing = true;
+	evhttp_connection_free(k->conn);
+	g_free(k->addr);
+	g_free(k->ip);
+	g_free(k);
+}
+
+void keep_ask(struct keep *k, const struct keep_call *o)
+{
+	struct call *c = g_new0(struct call, 1);
+	struct evhttp_request *req = evhttp_request_new(on_answer, c);
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+	struct timeval tv = { o->timeout_ms / 1000,
+			      (o->timeout_ms % 1000) * 1000 };
+
+	c->k = k;
+	c->done = o->done;
+	c->arg = o->arg;
+	evhttp_connection_set_timeout_tv(k->conn, &tv);
+	evhttp_add_header(headers, "Host", k->addr);
+	if (o->body.n) {
+		evhttp_add_header(headers, "Content-Type", "application/json");
+		http_add_body(req, o->body);
+	}
+	evhttp_make_request(k->conn, req,
+			    strcmp(o->method, "POST") ? EVHTTP_REQ_GET :
+							EVHTTP_REQ_POST,
+			    o->path);
+}
--- /dev/null
+++ b/src/net/keep.h
@@ -0,0 +1,30 @@
+/*
+ * Small HTTP calls to one address over one kept connection, one after the
+ * other, in the order in which they were asked.
+ */
+#ifndef SS_KEEP_H
+#define SS_KEEP_H
+
+#include <event2/event.h>
+#include <sapphireshift/base.h>
+
+struct keep;
+
+struct keep_call {
+	const char *method; /* GET or POST */
+	const char *path;
+	struct ss_str body; /* JSON; empty: none */
+	int64_t timeout_ms;
+	/* status 0: no answer, and the call may have been carried out. */
+	void (*done)(void *arg, int status, struct ss_str body);
+	void *arg;
+};
+
+struct keep *keep_new(struct event_base *base, const char *addr);
+/* Calls that are still open end without done. */
+void keep_free(struct keep *k);
+
+/* Strings are copied; done is called later. */
+void keep_ask(struct keep *k, const struct keep_call *c);
+
+#endif
--- a/src/node/frame.h
+++ b/src/node/frame.h
@@ -34,6 +34,14 @@
 		struct msg_reply reply;
 		struct msg_cancel cancel;
 		struct msg_attach attach;
+		struct msg_endpoint endpoint;
+		struct msg_load load;
+		struct msg_loaded loaded;
+		struct msg_fleet fleet;
+		struct msg_demand demand;
+		struct msg_routing routing;
+		struct msg_adapter adapter;
+		struct msg_adapter_done adapter_done;
 	} u;
 };
 
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -12,7 +12,8 @@
 	struct link_options o;
 	struct conn *conn;
 	struct event *timer;
-	char *hint; /* where the leader is said to be */
+	char *hint;	    /* where the leader is said to be */
+	GPtrArray *members; /* char *, what the leader told last */
 	guint turn;
 	bool up;
 	int64_t asked_ms;
@@ -27,12 +28,38 @@
 	event_add(l->timer, &tv);
 }
 
+/*
+ * The settings' addresses and those that a leader told, in turn: control
+ * VMs are replaced over time, until no address of the settings is left.
+ */
+static const char *next_addr(struct link *l)
+{
+	guint known = l->o.control->len;
+	guint all = known + l->members->len;
+	guint i;
+
+	if (all == 0)
+		return NULL;
+	i = l->turn++ % all;
+	return i < known ? l->o.control->pdata[i] :
+			   l->members->pdata[i - known];
+}
+
+static void take_members(struct link *l, const struct wire_list *list)
+{
+	const struct control_addr *m = list->items;
+
+	if (list->n == 0)
+		return;
+	g_ptr_array_set_size(l->members, 0);
+	for (size_t i = 0; i < list->n; i++)
+		g_ptr_array_add(l->members, ss_str_dup(m[i].addr));
+}
+
 static void connect_next(struct link *l)
 {
-	const char *addr = l->hint;
+	const char *addr = l->hint ? l->hint : next_addr(l);
 
-	if (!addr && l->o.control->len)
-		addr = l->o.control->pdata[l->turn++ % l->o.control->len];
 	if (!addr)
 		return;
 	l->asked_ms = ss_clock_now(l->o.conn.clock);
@@ -80,6 +107,7 @@
 
 static void take_leader(struct link *l, const struct msg_leader *m)
 {
+	take_members(l, &m->members);
 	if (m->here) {
 		l->up = true;
 		l->o.ops->up(l->o.arg, m->group);
@@ -124,6 +152,7 @@
 	l->o = *o;
 	l->o.conn.ops = &link_conn_ops;
 	l->o.conn.arg = l;
+	l->members = g_ptr_array_new_with_free_func(g_free);
 	/* Processes that start together shall not all ask the same one. */
 	l->turn = (guint)ss_random(&l->o.seed);
 	l->timer = evtimer_new(o->conn.base, on_timer, l);
@@ -139,6 +168,7 @@
 	if (l->conn)
 		conn_close(l->conn);
 	event_free(l->timer);
+	g_ptr_array_unref(l->members);
 	g_free(l->hint);
 	g_free(l);
 }
--- /dev/null
+++ b/src/operator/routing_http.c
@@ -0,0 +1,165 @@
+/* The platform operators' calls on the routing. */
+#include "routing_http.h"
+
+#include "../base/log.h"
+
+/* A configuration of 30,000 adapters and thousands of routes, in bytes. */
+#define BODY_MAX (15u << 20)
+
+struct routing_http {
+	struct routing_http_options o;
+	struct http_server *server;
+};
+
+/* One call that waits for the log. */
+struct pending {
+	struct routing_http *h;
+	struct evhttp_request *req;
+	uint64_t version;
+};
+
+static void refuse(struct evhttp_request *req, enum ss_error code,
+		   const char *text)
+{
+	GError *e = g_error_new(SS_ERROR, (gint)code, "%s", text);
+
+	http_reply_error(req, e);
+	g_error_free(e);
+}
+
+static struct pending *pending_new(struct routing_http *h,
+				   struct evhttp_request *req)
+{
+	struct pending *p = g_new0(struct pending, 1);
+
+	p->h = h;
+	p->req = req;
+	return p;
+}
+
+static void on_changed(void *arg, const struct command_result *r,
+		       const GError *error)
+{
+	struct pending *p = arg;
+
+	/* Not accepted yet, and maybe later: no clear answer. */
+	if (error) {
+		log_info("routing_unclear", "version=%" PRIu64 " why=\"%s\"",
+			 p->version, error->message);
+		refuse(p->req, SS_ERROR_UNAVAILABLE, error->message);
+	} else if (r->code) {
+		refuse(p->req, (enum ss_error)r->code, r->text);
+	} else {
+		log_info("routing_accepted",
+			 "version=%" PRIu64 " in_force=%" PRIu64, p->version,
+			 r->version);
+		http_reply(p->req, 200, "application/json", SS_LIT("{}"));
+	}
+	g_free(p);
+}
+
+static void put(struct routing_http *h, struct evhttp_request *req)
+{
+	struct ss_str body = http_body(req);
+	GError *error = NULL;
+	struct routing *r = h->o.platform->read_routing(body, &error);
+	struct routing_rec rec = { .body = body };
+	struct command c = { .kind = COMMAND_ROUTING_PUT, .routing = &rec };
+	struct pending *p;
+
+	if (!r) {
+		log_info("routing_refused", "why=\"%s\"", error->message);
+		http_reply_error(req, error);
+		g_error_free(error);
+		return;
+	}
+	rec.version = r->version;
+	routing_unref(r);
+	p = pending_new(h, req);
+	p->version = rec.version;
+	h->o.ops->change(h->o.arg, &c,
+			 (struct operator_done){ on_changed, p });
+}
+
+static void on_confirmed(void *arg, bool ok)
+{
+	struct pending *p = arg;
+	const struct routing_rec *rec =
+		ss_state_routing(p->h->o.ops->state(p->h->o.arg));
+
+	if (!ok)
+		refuse(p->req, SS_ERROR_UNAVAILABLE,
+		       "no majority confirms that this is the newest");
+	else if (!rec)
+		refuse(p->req, SS_ERROR_UNAVAILABLE, "no routing yet");
+	else
+		http_reply(p->req, 200, "application/json", rec->body);
+	g_free(p);
+}
+
+static void redirect(struct routing_http *h, struct evhttp_request *req,
+		     const char *path)
+{
+	char *leader = h->o.ops->leader(h->o.arg);
+	char *url;
+
+	if (!leader) {
+		refuse(req, SS_ERROR_UNAVAILABLE, "no leader is known");
+		return;
+	}
+	url = g_strdup_printf("http://%s%s", leader, path);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Location",
+			  url);
+	http_reply(req, 307, "application/json", SS_LIT("{}"));
+	g_free(url);
+	g_free(leader);
+}
+
+static void handle(void *arg, struct evhttp_request *req)
+{
+	struct routing_http *h = arg;
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	enum evhttp_cmd_type method = evhttp_request_get_command(req);
+	bool is_put = !strcmp(path, h->o.platform->path_put) &&
+		      method == EVHTTP_REQ_POST;
+	bool is_get = !strcmp(path, h->o.platform->path_get) &&
+		      method == EVHTTP_REQ_GET;
+
+	if (h->o.ops->plain(h->o.arg, req))
+		return;
+	if (!is_put && !is_get)
+		refuse(req, SS_ERROR_NOT_FOUND, "no such call");
+	else if (!h->o.ops->leads(h->o.arg))
+		redirect(h, req, path);
+	else if (is_put)
+		put(h, req);
+	else
+		h->o.ops->confirm(h->o.arg, on_confirmed, pending_new(h, req));
+}
+
+struct routing_http *routing_http_new(const struct routing_http_options *o,
+				      GError **error)
+{
+	struct routing_http *h = g_new0(struct routing_http, 1);
+	struct http_server_options so = { .base = o->base,
+					  .addr = o->addr,
+					  .max_body = BODY_MAX,
+					  .handle = handle,
+					  .arg = h };
+
+	h->o = *o;
+	h->server = http_server_new(&so, error);
+	if (h->server)
+		return h;
+	g_free(h);
+	return NULL;
+}
+
+void routing_http_free(struct routing_http *h)
+{
+	if (!h)
+		return;
+	http_server_free(h->server);
+	g_free(h);
+}
--- /dev/null
+++ b/src/proxy/callers.c
@@ -0,0 +1,469 @@
+/* Callers' connections. */
+#include "callers.h"
+
+#include <errno.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+/* A caller who acknowledges nothing for so long isn't there any more. */
+#define UNACKED_MS 4000
+/* Requests that are sent before the one in progress is answered; more are
+ * left in the kernel, so that nobody makes this process hold them. */
+#define AHEAD_MAX (64u << 10)
+/* After the last answer the caller gets so long to close first: a close
+ * with unread bytes resets the connection, and what the caller hasn't read
+ * of the answer would be lost. */
+#define LINGER_MS 500
+
+struct caller_call {
+	struct peer *peer;
+	void *data;
+	bool started, chunked;
+	int64_t left; /* of the length told; -1: chunked */
+};
+
+struct peer {
+	struct callers *s;
+	struct bufferevent *bev;
+	struct http1_reader *reader;
+	const struct http1_head *head;
+	GString *body;
+	struct caller_call *call; /* NULL: none in progress */
+	bool refused;	  /* it is only written out and closed */
+	bool last;	  /* the answer in progress ends the connection */
+	bool finished;	  /* close once all is written */
+	bool shut;	  /* all is written; only the caller's close is missing */
+	bool too_large;
+	int64_t since_ms; /* of the state it is in */
+	int depth;
+	bool closing;
+};
+
+struct callers {
+	struct callers_options o;
+	struct evconnlistener *listener;
+	GHashTable *peers;
+	bool draining;
+};
+
+const char *http1_reason(int status)
+{
+	const char *s = http_status_str((enum http_status)status);
+
+	return strcmp(s, "<unknown>") ? s : "Other";
+}
+
+static int64_t now_ms(const struct callers *s)
+{
+	return ss_clock_now(s->o.clock);
+}
+
+static void peer_free(struct peer *p)
+{
+	struct callers *s = p->s;
+
+	if (p->call) {
+		s->o.ops->gone(s->o.arg, p->call);
+		g_free(p->call);
+	}
+	g_hash_table_remove(s->peers, p);
+	bufferevent_free(p->bev);
+	http1_reader_free(p->reader);
+	g_string_free(p->body, TRUE);
+	g_free(p);
+}
+
+static void peer_close(struct peer *p)
+{
+	p->closing = true;
+	if (p->depth == 0)
+		peer_free(p);
+}
+
+/* All is written: tell so, and wait for the caller's close. */
+static void shut(struct peer *p)
+{
+	p->shut = true;
+	p->since_ms = now_ms(p->s);
+	if (shutdown(bufferevent_getfd(p->bev), SHUT_WR))
+		peer_close(p);
+}
+
+static void finish(struct peer *p)
+{
+	p->finished = true;
+	p->since_ms = now_ms(p->s);
+	if (evbuffer_get_length(bufferevent_get_output(p->bev)) == 0)
+		shut(p);
+}
+
+/* Refuse what can't be read; the rest of it isn't waited for. */
+static void refuse(struct peer *p, int status)
+{
+	char text[160];
+
+	g_snprintf(text, sizeof(text),
+		   "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
+		   "Connection: close\r\n\r\n",
+		   status, http1_reason(status));
+	bufferevent_write(p->bev, text, strlen(text));
+	p->s->o.ops->refused(p->s->o.arg, status);
+	p->refused = true;
+	finish(p);
+}
+
+/* Reading. */
+
+static void on_head(void *arg, const struct http1_head *h)
+{
+	struct peer *p = arg;
+
+	p->head = h;
+	p->last = !h->keep_alive;
+	p->too_large = h->length > (int64_t)p->s->o.limits.body_bytes;
+	if (http1_value(h, "Expect").n && !p->too_large)
+		bufferevent_write(p->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+}
+
+static void on_body(void *arg, struct ss_str piece)
+{
+	struct peer *p = arg;
+
+	if (p->body->len + piece.n > p->s->o.limits.body_bytes)
+		p->too_large = true;
+	if (!p->too_large)
+		g_string_append_len(p->body, piece.p, (gssize)piece.n);
+}
+
+static void on_done(void *arg)
+{
+	struct peer *p = arg;
+
+	if (p->too_large)
+		return;
+	p->call = g_new0(struct caller_call, 1);
+	p->call->peer = p;
+	p->since_ms = now_ms(p->s);
+}
+
+static const struct http1_ops reader_ops = { on_head, on_body, on_done };
+
+static void next_request(struct peer *p)
+{
+	http1_reader_reset(p->reader, false);
+	p->head = NULL;
+	g_string_truncate(p->body, 0);
+	p->since_ms = now_ms(p->s);
+}
+
+static void read_one(struct peer *p)
+{
+	struct callers *s = p->s;
+	GError *error = NULL;
+	bool fresh = http1_reader_fresh(p->reader);
+
+	if (!http1_read(p->reader, bufferevent_get_input(p->bev), &error)) {
+		refuse(p, error->code == SS_ERROR_TOO_LARGE ? 431 : 400);
+		g_error_free(error);
+		return;
+	}
+	if (fresh && !http1_reader_fresh(p->reader))
+		p->since_ms = now_ms(s);
+	if (p->too_large) {
+		refuse(p, 413);
+		return;
+	}
+	if (!p->call)
+		return;
+	s->o.ops->request(s->o.arg, p->call, p->head,
+			  (struct ss_str){ p->body->str, p->body->len });
+}
+
+static void read_more(struct peer *p)
+{
+	struct evbuffer *in = bufferevent_get_input(p->bev);
+
+	if (p->finished) {
+		evbuffer_drain(in, evbuffer_get_length(in));
+		return;
+	}
+	p->depth++;
+	while (!p->call && !p->closing && !p->finished &&
+	       evbuffer_get_length(in))
+		read_one(p);
+	p->depth--;
+	if (p->closing)
+		peer_free(p);
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	read_more(arg);
+}
+
+static void on_write(struct bufferevent *bev, void *arg)
+{
+	struct peer *p = arg;
+
+	(void)bev;
+	if (p->finished && !p->shut)
+		shut(p);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	(void)what;
+	peer_close(arg);
+}
+
+static void on_accept(struct evconnlistener *ev, evutil_socket_t fd,
+		      struct sockaddr *sa, int len, void *arg)
+{
+	struct callers *s = arg;
+	struct peer *p = g_new0(struct peer, 1);
+	struct http1_options ro = { .request = true,
+				    .head_max = s->o.limits.head_bytes,
+				    .ops = &reader_ops,
+				    .arg = p };
+	unsigned int ms = UNACKED_MS;
+	int one = 1;
+
+	(void)ev;
+	(void)sa;
+	(void)len;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	p->s = s;
+	p->reader = http1_reader_new(&ro);
+	p->body = g_string_new(NULL);
+	p->bev = bufferevent_socket_new(s->o.base, fd, BEV_OPT_CLOSE_ON_FREE);
+	p->since_ms = now_ms(s);
+	bufferevent_setcb(p->bev, on_read, on_write, on_event, p);
+	bufferevent_setwatermark(p->bev, EV_READ, 0, AHEAD_MAX);
+	bufferevent_enable(p->bev, EV_READ | EV_WRITE);
+	g_hash_table_add(s->peers, p);
+}
+
+/* Writing. */
+
+void caller_call_set_data(struct caller_call *c, void *data)
+{
+	c->data = data;
+}
+
+void *caller_call_data(const struct caller_call *c)
+{
+	return c->data;
+}
+
+const struct http1_head *caller_call_head(const struct caller_call *c)
+{
+	return c->peer->head;
+}
+
+bool caller_call_started(const struct caller_call *c)
+{
+	return c->started;
+}
+
+size_t caller_call_backlog(const struct caller_call *c)
+{
+	return evbuffer_get_length(bufferevent_get_output(c->peer->bev));
+}
+
+void caller_call_start(struct caller_call *c, int status, const GString *headers,
+		       int64_t length)
+{
+	struct peer *p = c->peer;
+	struct evbuffer *out = bufferevent_get_output(p->bev);
+	const struct http1_head *h = p->head;
+	bool no_body = http1_name_is(h->method, "HEAD") || status == 204 ||
+		       status == 304;
+
+	p->last |= p->s->draining;
+	c->started = true;
+	c->chunked = length < 0 && !no_body;
+	c->left = no_body ? 0 : length;
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
+			    http1_reason(status));
+	if (headers)
+		evbuffer_add(out, headers->str, headers->len);
+	if (c->chunked)
+		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
+	else if (status != 204 && length >= 0)
+		evbuffer_add_printf(out, "Content-Length: %" PRId64 "\r\n",
+				    length);
+	evbuffer_add_printf(out, "%s\r\n",
+			    p->last ? "Connection: close\r\n" : "");
+}
+
+void caller_call_write(struct caller_call *c, struct ss_str piece)
+{
+	struct evbuffer *out = bufferevent_get_output(c->peer->bev);
+
+	if (piece.n == 0)
+		return;
+	if (c->chunked) {
+		evbuffer_add_printf(out, "%zx\r\n", piece.n);
+		evbuffer_add(out, piece.p, piece.n);
+		evbuffer_add(out, "\r\n", 2);
+	} else if (c->left >= (int64_t)piece.n) {
+		evbuffer_add(out, piece.p, piece.n);
+		c->left -= (int64_t)piece.n;
+	}
+}
+
+void caller_call_end(struct caller_call *c, bool whole)
+{
+	struct peer *p = c->peer;
+	bool good = whole && c->started && (c->chunked || c->left <= 0);
+
+	if (good && c->chunked)
+		evbuffer_add(bufferevent_get_output(p->bev), "0\r\n\r\n", 5);
+	p->call = NULL;
+	g_free(c);
+	if (!good || p->last) {
+		/* What was written goes out; its end shows what is missing. */
+		finish(p);
+		return;
+	}
+	next_request(p);
+	/* Requests that were sent ahead are read by the loop below us, or
+	 * in their own turn. */
+	if (p->depth == 0)
+		read_more(p);
+}
+
+void caller_call_reply(struct caller_call *c, int status,
+		       const GString *headers, struct ss_str body)
+{
+	caller_call_start(c, status, headers, (int64_t)body.n);
+	caller_call_write(c, body);
+	caller_call_end(c, true);
+}
+
+/* The listener. */
+
+struct callers *callers_new(const struct callers_options *o, GError **error)
+{
+	struct callers *s = g_new0(struct callers, 1);
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+
+	s->o = *o;
+	s->peers = g_hash_table_new(NULL, NULL);
+	if (evutil_parse_sockaddr_port(o->addr, (struct sockaddr *)&ss, &len) ==
+	    0)
+		s->listener = evconnlistener_new_bind(
+			o->base, on_accept, s,
+			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 1024,
+			(struct sockaddr *)&ss, len);
+	if (s->listener)
+		return s;
+	g_set_error(error, SS_ERROR, SS_ERROR_IO, "listen on %s: %s", o->addr,
+		    g_strerror(errno));
+	callers_free(s);
+	return NULL;
+}
+
+void callers_set_limits(struct callers *s, const struct callers_limits *l)
+{
+	s->o.limits = *l;
+}
+
+void callers_drain(struct callers *s)
+{
+	s->draining = true;
+}
+
+static GList *all_peers(struct callers *s)
+{
+	return g_hash_table_get_keys(s->peers);
+}
+
+static bool at_rest(const struct peer *p)
+{
+	return !p->call && http1_reader_fresh(p->reader) &&
+	       evbuffer_get_length(bufferevent_get_input(p->bev)) == 0 &&
+	       evbuffer_get_length(bufferevent_get_output(p->bev)) == 0;
+}
+
+void callers_close(struct callers *s)
+{
+	GList *all = all_peers(s);
+
+	if (s->listener)
+		evconnlistener_free(s->listener);
+	s->listener = NULL;
+	for (GList *l = all; l; l = l->next)
+		if (at_rest(l->data))
+			peer_close(l->data);
+	g_list_free(all);
+}
+
+size_t callers_busy(const struct callers *s)
+{
+	GHashTableIter it;
+	size_t n = 0;
+	void *p;
+
+	g_hash_table_iter_init(&it, s->peers);
+	while (g_hash_table_iter_next(&it, &p, NULL))
+		n += !at_rest(p);
+	return n;
+}
+
+size_t callers_count(const struct callers *s)
+{
+	return g_hash_table_size(s->peers);
+}
+
+static void tidy(struct peer *p, int64_t now)
+{
+	const struct callers_limits *l = &p->s->o.limits;
+	int64_t age = now - p->since_ms;
+
+	if (p->call)
+		return;
+	if (p->finished) {
+		if (age > (p->shut ? LINGER_MS : UNACKED_MS))
+			peer_close(p);
+	} else if (at_rest(p)) {
+		if (age > l->idle_ms)
+			peer_close(p);
+	} else if (!http1_reader_fresh(p->reader) && age > l->head_ms) {
+		refuse(p, 408);
+	}
+}
+
+void callers_tidy(struct callers *s)
+{
+	GList *all = all_peers(s);
+	int64_t now = now_ms(s);
+
+	for (GList *l = all; l; l = l->next)
+		tidy(l->data, now);
+	g_list_free(all);
+}
+
+void callers_free(struct callers *s)
+{
+	GList *all;
+
+	if (!s)
+		return;
+	all = all_peers(s);
+	for (GList *l = all; l; l = l->next)
+		peer_free(l->data);
+	g_list_free(all);
+	g_hash_table_unref(s->peers);
+	if (s->listener)
+		evconnlistener_free(s->listener);
+	g_free(s);
+}
--- /dev/null
+++ b/src/proxy/callers.h
@@ -0,0 +1,80 @@
+/*
+ * Callers' connections: requests come in one at a time on each, whole, and
+ * answers go out as they come. A caller who leaves is noticed at once.
+ */
+#ifndef SS_CALLERS_H
+#define SS_CALLERS_H
+
+#include <event2/event.h>
+
+#include "http1.h"
+
+struct callers;	    /* the listener and its connections */
+struct caller_call; /* one request, until it is answered or its caller left */
+
+struct callers_limits {
+	size_t head_bytes, body_bytes;
+	int64_t head_ms; /* for a whole head to arrive */
+	int64_t idle_ms; /* between requests */
+};
+
+struct callers_ops {
+	/*
+	 * A whole request. Head and body stay valid until it is answered;
+	 * it must be, now or later.
+	 */
+	void (*request)(void *arg, struct caller_call *c,
+			const struct http1_head *h, struct ss_str body);
+	/* The caller has left; c is freed on return. */
+	void (*gone)(void *arg, struct caller_call *c);
+	/* A request that couldn't be read was refused. */
+	void (*refused)(void *arg, int status);
+};
+
+struct callers_options {
+	struct event_base *base;
+	const struct ss_clock *clock;
+	const char *addr;
+	struct callers_limits limits;
+	const struct callers_ops *ops;
+	void *arg;
+};
+
+struct callers *callers_new(const struct callers_options *o, GError **error);
+void callers_free(struct callers *s);
+void callers_set_limits(struct callers *s, const struct callers_limits *l);
+
+/* Answers end their connections from now on, but new ones are taken. */
+void callers_drain(struct callers *s);
+/* Take no more connections, and close those at rest. */
+void callers_close(struct callers *s);
+/* Connections that have a request or unwritten bytes. */
+size_t callers_busy(const struct callers *s);
+size_t callers_count(const struct callers *s);
+/* Close what rested or dawdled too long; to be called now and then. */
+void callers_tidy(struct callers *s);
+
+void caller_call_set_data(struct caller_call *c, void *data);
+void *caller_call_data(const struct caller_call *c);
+const struct http1_head *caller_call_head(const struct caller_call *c);
+
+/* Begin an answer; length -1: in chunks. Headers end in a line end each. */
+void caller_call_start(struct caller_call *c, int status, const GString *headers,
+		       int64_t length);
+void caller_call_write(struct caller_call *c, struct ss_str piece);
+/*
+ * The answer is whole; or it isn't, and the connection is cut so that the
+ * caller can tell. c is freed.
+ */
+void caller_call_end(struct caller_call *c, bool whole);
+bool caller_call_started(const struct caller_call *c);
+/* Bytes that wait for a caller who reads slowly. */
+size_t caller_call_backlog(const struct caller_call *c);
+
+/* A whole answer of our own. */
+void caller_call_reply(struct caller_call *c, int status,
+		       const GString *headers, struct ss_str body);
+
+const char *http1_reason(int status);
+
+#endif
--- /dev/null
+++ b/src/proxy/forward.c
@@ -0,0 +1,545 @@
+/* One request's way to an endpoint. */
+#include "gate_int.h"
+
+#include "../base/log.h"
+#include "../net/http.h"
+
+#include <xxhash.h>
+
+/* Time that an answer needs at least once an endpoint has the request; a
+ * request with less left is refused and not begun. In ms: a round trip and
+ * the first token of a short prompt. */
+#define BEGIN_MS 60
+/* A request whose model nobody knows to be on its way is held for this
+ * share of its time, then told to come back. */
+#define NO_ETA_SHARE 0.4
+/* Coming back sooner makes no sense; later leaves no time. In ms. */
+#define BACK_MIN_MS 150
+#define BACK_MAX_MS 4000
+/* A full service has room again after a few of its calls. */
+#define BACK_FULL_MS 400
+/* Agents load an adapter within 10 ms, but one that loads many of them, or
+ * has to drop one that is in use, takes longer. */
+#define ADAPTER_WAIT_MS 400
+/* Times that an adapter is asked for before the request is refused. */
+#define ADAPTER_ASKS 3
+/* A kept connection that rested for longer may be silent without anybody
+ * knowing; a request that can't be repeated doesn't take the risk. */
+#define REST_ONCE_MS 2000
+#define REST_SAFE_MS 10000
+/* A route's own timeout is answered before callers and judges of it give
+ * up waiting; in ms. */
+#define TIMEOUT_EARLY_MS 20
+
+static const char *const states[] = { "waits", "adapter", "sent", "answers" };
+
+static void forward_free(struct forward *f)
+{
+	struct gate *g = f->g;
+
+	g_hash_table_remove(g->forwards, f);
+	g_ptr_array_unref(f->tried);
+	routing_unref(f->routing);
+	if (f->headers)
+		g_string_free(f->headers, TRUE);
+	if (f->held)
+		g_string_free(f->held, TRUE);
+	events_clear(&f->events);
+	g_free(f->id);
+	g_free(f->model);
+	g_free(f->adapter);
+	g_free(f->ep_addr);
+	g_free(f->ep_id);
+	g_free(f);
+}
+
+void forward_leave(struct forward *f)
+{
+	struct gate_ep *ep = f->ep_addr ? gate_ep_at(f->g, f->ep_addr) : NULL;
+
+	if (f->state == FORWARD_ADAPTER)
+		g_hash_table_remove(f->g->tickets, &f->ticket);
+	if (f->up)
+		upstream_cancel(f->up);
+	f->up = NULL;
+	if (ep)
+		gate_ep_end(ep, f->model);
+	g_clear_pointer(&f->ep_addr, g_free);
+}
+
+static void record(struct forward *f, const char *outcome)
+{
+	struct gate *g = f->g;
+	int64_t ms = gate_now(g) - f->start_ms;
+	struct hist *h = g_hash_table_lookup(g->hists, f->route->name);
+
+	if (!h) {
+		char *labels = g_strdup_printf("class=\"%s\"", f->route->name);
+
+		h = metrics_hist(g->o.metrics, "ss_gate_latency_ms", labels);
+		g_hash_table_insert(g->hists, g_strdup(f->route->name), h);
+		g_free(labels);
+	}
+	hist_add(h, (uint64_t)MAX(ms, 0));
+	log_info("request",
+		 "request=%s route=%s service=%s model=%s adapter=%s "
+		 "endpoint=%s sends=%u outcome=%s status=%d ms=%" PRId64
+		 " left_ms=%" PRId64 " routing=%" PRIu64 " why=\"%s\"",
+		 f->id, f->route->name, f->service->name, f->model, f->adapter,
+		 f->ep_id ? f->ep_id : "-", f->sends, outcome, f->status, ms,
+		 f->deadline_ms - gate_now(g), f->routing->version,
+		 f->why ? f->why : "");
+}
+
+void forward_end(struct forward *f, bool whole, const char *why)
+{
+	struct gate *g = f->g;
+	char *service = g_strdup(f->service->name);
+
+	f->why = why;
+	(*(whole ? g->n_ok : g->n_cut))++;
+	record(f, whole ? "answered" : "cut");
+	if (f->lane)
+		lane_remove(f);
+	forward_leave(f);
+	caller_call_end(f->caller, whole);
+	forward_free(f);
+	gate_pump(g, service);
+	g_free(service);
+}
+
+static GString *own_headers(const struct forward *f, int64_t retry_after_ms)
+{
+	GString *s = g_string_new("Content-Type: application/json\r\n");
+
+	if (f->call.id.n)
+		g_string_append_printf(s, "X-Request-Id: %s\r\n", f->id);
+	if (retry_after_ms > 0)
+		g_string_append_printf(s, "Retry-After: %.3f\r\n",
+				       (double)retry_after_ms / 1000.0);
+	return s;
+}
+
+void forward_refuse(struct forward *f, int status, const char *type,
+		    const char *why, int64_t retry_after_ms)
+{
+	struct gate *g = f->g;
+	bool not_run = status == 503 || status == 404 || status == 400;
+	char *service = g_strdup(f->service->name);
+	GString *headers = own_headers(f, retry_after_ms);
+	char *body = g_strdup_printf(
+		"{\"error\":{\"type\":\"%s\",\"message\":\"%s\","
+		"\"outcome\":\"%s\"}}",
+		type, why, not_run ? "not_run" : "unknown");
+
+	f->why = why;
+	f->status = status;
+	(*(not_run ? g->n_refused : g->n_failed))++;
+	record(f, not_run ? "not_run" : "unknown");
+	if (f->lane)
+		lane_remove(f);
+	forward_leave(f);
+	caller_call_reply(f->caller, status, headers, ss_str(body));
+	g_string_free(headers, TRUE);
+	g_free(body);
+	forward_free(f);
+	gate_pump(g, service);
+	g_free(service);
+}
+
+/* A true time to come back: when the model stands, or a place is free. */
+static int64_t come_back_ms(const struct forward *f)
+{
+	const struct lane *l = f->lane;
+	int64_t now = gate_now(f->g);
+	int64_t ms = BACK_FULL_MS;
+
+	if (l && l->eta_ms != SS_NEVER)
+		ms = MAX(l->eta_ms - now, 0) + BACK_MIN_MS;
+	/* Spread, so that those refused together don't return together. */
+	ms += (int64_t)(ss_random(&f->g->seed) % 200);
+	return CLAMP(ms, BACK_MIN_MS, BACK_MAX_MS);
+}
+
+static bool repeatable(const struct forward *f)
+{
+	return f->route->kind == ROUTE_SAFE ||
+	       (f->route->kind == ROUTE_STREAM && f->route->resumable);
+}
+
+static bool sends_left(const struct forward *f)
+{
+	return f->tried->len < (guint)f->route->attempts;
+}
+
+static void wait_again(struct forward *f)
+{
+	f->state = FORWARD_WAITS;
+	if (!f->lane)
+		lane_add(gate_lane(f->g, f->service->name, f->model), f);
+}
+
+void forward_again(struct forward *f, bool not_run, const char *why)
+{
+	struct gate *g = f->g;
+
+	forward_leave(f);
+	f->why = why;
+	f->unknown |= !not_run;
+	log_info("send_failed",
+		 "request=%s endpoint=%s not_run=%d why=\"%s\" ms=%" PRId64,
+		 f->id, f->ep_id, not_run, why, gate_now(g) - f->sent_ms);
+	if (!not_run && !repeatable(f)) {
+		if (f->started)
+			forward_end(f, false, why);
+		else
+			forward_refuse(f, 502, "lost", why, 0);
+		return;
+	}
+	if (!not_run && !sends_left(f)) {
+		if (f->started)
+			forward_end(f, false, why);
+		else
+			forward_refuse(f, 502, "endpoint", why, 0);
+		return;
+	}
+	if (f->deadline_ms - gate_now(g) < BEGIN_MS) {
+		if (f->started)
+			forward_end(f, false, why);
+		else if (f->unknown)
+			forward_refuse(f, 504, "deadline", why, 0);
+		else
+			forward_refuse(f, 503, "deadline", why, 0);
+		return;
+	}
+	wait_again(f);
+	forward_try(f);
+}
+
+/* Sending. */
+
+static void send_to(struct forward *f, struct gate_ep *ep)
+{
+	struct gate *g = f->g;
+	int64_t now = gate_now(g);
+	struct platform_send s = { .deadline_ms = f->deadline_ms - now,
+				   .instance = ss_str(ep->id),
+				   .priority = MIN(f->route->priority, 9),
+				   .after_event = f->is_events ?
+							  f->events.last_id :
+							  f->call.after_event };
+	const struct http1_head *h = caller_call_head(f->caller);
+	struct upstream_request r = { .addr = ep->addr,
+				      .bytes = g_string_sized_new(1024),
+				      .no_body = http1_name_is(h->method,
+							       "HEAD"),
+				      .rest_max_ms = repeatable(f) ?
+							     REST_SAFE_MS :
+							     REST_ONCE_MS,
+				      .ops = &forward_upstream_ops,
+				      .arg = f };
+
+	g->o.platform->write_request(r.bytes, h, &s, f->body.n);
+	g_string_append_len(r.bytes, f->body.p, (gssize)f->body.n);
+	f->state = FORWARD_SENT;
+	f->sent_ms = now;
+	f->sends++;
+	g_free(f->ep_id);
+	f->ep_id = g_strdup(ep->id);
+	g_ptr_array_add(f->tried, g_strdup(ep->id));
+	ss_breaker_sent(&ep->breaker);
+	f->up = upstream_send(g->upstream, &r);
+}
+
+/* Nothing reached the endpoint: it doesn't count as sent to. */
+static void unsend(struct forward *f)
+{
+	if (f->tried->len)
+		g_ptr_array_remove_index(f->tried, f->tried->len - 1);
+	f->sends--;
+}
+
+void forward_not_sent(struct forward *f)
+{
+	struct gate_ep *ep = gate_ep_at(f->g, f->ep_addr);
+
+	unsend(f);
+	if (ep)
+		gate_ep_note(f->g, ep, true);
+	forward_again(f, true, "no connection");
+}
+
+static void ask_adapter(struct forward *f, struct gate_ep *ep)
+{
+	struct gate *g = f->g;
+	struct msg_adapter m = { .sub = ++g->ticket,
+				 .model = ss_str(f->model),
+				 .adapter = ss_str(f->adapter),
+				 .wait_ms = ADAPTER_WAIT_MS };
+
+	f->ticket = m.sub;
+	f->state = FORWARD_ADAPTER;
+	f->sent_ms = gate_now(g);
+	f->asks++;
+	(*g->n_adapters)++;
+	g_hash_table_insert(g->tickets, &f->ticket, f);
+	if (!g->o.ops->need_adapter(g->o.arg, ep->agent, &m))
+		forward_adapter(f, SS_ERROR_UNAVAILABLE,
+				SS_LIT("its agent can't be reached"));
+}
+
+static void take_place(struct forward *f, struct gate_ep *ep)
+{
+	f->ep_addr = g_strdup(ep->addr);
+	gate_ep_begin(ep, f->model);
+	if (f->lane)
+		lane_remove(f);
+}
+
+bool forward_try(struct forward *f)
+{
+	enum balance_none none = BALANCE_NOBODY;
+	struct gate_ep *ep = gate_choose(f->g, f, &none);
+
+	if (!ep)
+		return false;
+	/* Only a first send is free; every other one is a repeat. */
+	if (f->sends > 0 && !repeat_take(gate_budget(f->g, f->service->name),
+					 gate_now(f->g))) {
+		(*f->g->n_repeats_refused)++;
+		if (f->started)
+			forward_end(f, false, "the repeat budget is used up");
+		else if (f->unknown)
+			forward_refuse(f, 502, "lost",
+				       "the repeat budget is used up", 0);
+		else
+			forward_refuse(f, 503, "overload",
+				       "the repeat budget is used up",
+				       come_back_ms(f));
+		return true;
+	}
+	if (f->sends > 0)
+		(*f->g->n_repeats)++;
+	take_place(f, ep);
+	if (!gate_ep_has_adapter(ep, f->model, f->adapter) && *f->adapter)
+		ask_adapter(f, ep);
+	else
+		send_to(f, ep);
+	return true;
+}
+
+void forward_adapter(struct forward *f, int64_t code, struct ss_str text)
+{
+	struct gate_ep *ep = gate_ep_at(f->g, f->ep_addr);
+	int64_t now = gate_now(f->g);
+
+	g_hash_table_remove(f->g->tickets, &f->ticket);
+	f->state = FORWARD_WAITS;
+	if (code == 0 && ep) {
+		gate_ep_add_adapter(ep, f->model, f->adapter);
+		send_to(f, ep);
+		return;
+	}
+	log_info("adapter_failed",
+		 "request=%s endpoint=%s model=%s adapter=%s why=\"%.*s\" "
+		 "ms=%" PRId64,
+		 f->id, f->ep_addr, f->model, f->adapter, SS_FMT(text),
+		 now - f->sent_ms);
+	if (ep && code == SS_ERROR_UNKNOWN_MODEL)
+		gate_ep_lacks(ep, f->model, "");
+	forward_leave(f);
+	if (f->asks >= ADAPTER_ASKS || f->deadline_ms - now < BEGIN_MS) {
+		forward_refuse(f, f->unknown ? 502 : 503, "unavailable",
+			       "its adapter can't be loaded",
+			       f->unknown ? 0 : come_back_ms(f));
+		return;
+	}
+	wait_again(f);
+	/* Not from here: the agent just failed, the next pump tries again. */
+}
+
+/* Beginning. */
+
+static struct ss_str path_of(struct ss_str target)
+{
+	const char *q = target.n ? memchr(target.p, '?', target.n) : NULL;
+
+	if (q)
+		target.n = (size_t)(q - target.p);
+	return target;
+}
+
+static void refuse_call(struct gate *g, struct caller_call *c, int status,
+			const char *type, const char *why, int64_t back_ms)
+{
+	GString *headers = g_string_new("Content-Type: application/json\r\n");
+	char *body = g_strdup_printf("{\"error\":{\"type\":\"%s\",\"message\":"
+				     "\"%s\",\"outcome\":\"not_run\"}}",
+				     type, why);
+	struct ss_str id = http1_value(caller_call_head(c), "X-Request-Id");
+
+	if (back_ms)
+		g_string_append_printf(headers, "Retry-After: %.3f\r\n",
+				       (double)back_ms / 1000.0);
+	(*g->n_bad)++;
+	log_info("request", "request=%.*s outcome=not_run status=%d why=\"%s\"",
+		 SS_FMT(id), status, why);
+	caller_call_reply(c, status, headers, ss_str(body));
+	g_string_free(headers, TRUE);
+	g_free(body);
+}
+
+/* The part of the prompt that requests of one kind share decides where its
+ * cache is warm: all parts but the last, which is the request's own. */
+static uint64_t affinity_of(const struct platform_call *c)
+{
+	struct ss_str shared = c->prompt;
+
+	while (shared.n && shared.p[shared.n - 1] != ',')
+		shared.n--;
+	return XXH3_64bits_withSeed(shared.p, shared.n,
+				    XXH3_64bits(c->adapter.p, c->adapter.n) ^
+					    XXH3_64bits(c->model.p,
+							c->model.n));
+}
+
+static struct forward *forward_new(struct gate *g, struct caller_call *c,
+				   const struct routing_route *rt,
+				   const struct platform_call *call,
+				   struct ss_str body)
+{
+	struct forward *f = g_new0(struct forward, 1);
+	int64_t now = gate_now(g);
+	int64_t wait = rt->timeout_ms - TIMEOUT_EARLY_MS;
+
+	if (call->deadline_ms)
+		wait = MIN(wait, call->deadline_ms);
+	f->g = g;
+	f->caller = c;
+	f->body = body;
+	f->routing = routing_ref(g->routing);
+	f->route = rt;
+	f->service = routing_pick(g->routing, rt, ss_random(&g->seed));
+	f->call = *call;
+	f->id = ss_str_dup(call->id);
+	f->model = f->service->engine ? ss_str_dup(call->model) : g_strdup("");
+	f->adapter =
+		f->service->engine ? ss_str_dup(call->adapter) : g_strdup("");
+	f->affinity = affinity_of(call);
+	f->start_ms = now;
+	f->deadline_ms = now + wait;
+	f->objective_ms = now + rt->objective_ms;
+	f->tried = g_ptr_array_new_with_free_func(g_free);
+	f->events.last_id = call->after_event;
+	caller_call_set_data(c, f);
+	g_hash_table_add(g->forwards, f);
+	return f;
+}
+
+void forward_begin(struct gate *g, struct caller_call *c,
+		   const struct http1_head *h, struct ss_str body)
+{
+	struct ss_str host = http1_value(h, "Host");
+	const struct routing_route *rt;
+	struct platform_call call;
+	GError *error = NULL;
+	struct forward *f;
+
+	(*g->n_requests)++;
+	if (!g->routing || !g->fleet_known) {
+		refuse_call(g, c, 503, "unavailable", "not ready yet", 500);
+		return;
+	}
+	rt = routing_match(g->routing, host, path_of(h->target));
+	if (!rt) {
+		refuse_call(g, c, 404, "not_found", "no route", 0);
+		return;
+	}
+	if (!g->o.platform->read_call(h, &call, &error)) {
+		refuse_call(g, c, 400, "bad_request", "a header is unreadable",
+			    0);
+		g_error_free(error);
+		return;
+	}
+	f = forward_new(g, c, rt, &call, body);
+	repeat_first(gate_budget(g, f->service->name), f->start_ms);
+	if (*f->model && !routing_model(f->service, f->model)) {
+		forward_refuse(f, 503, "unknown_model",
+			       "the routing in force has no such model", 0);
+		return;
+	}
+	gate_lane(g, f->service->name, f->model)->arrivals++;
+	wait_again(f);
+	/* Nobody goes ahead of those who wait for the same. */
+	if (f->lane->waits.length == 1)
+		forward_try(f);
+}
+
+void forward_gone(struct forward *f)
+{
+	struct gate *g = f->g;
+	char *service = g_strdup(f->service->name);
+
+	(*g->n_gone)++;
+	f->why = states[f->state];
+	record(f, "caller_left");
+	if (f->lane)
+		lane_remove(f);
+	forward_leave(f);
+	forward_free(f);
+	gate_pump(g, service);
+	g_free(service);
+}
+
+/* Time. */
+
+/* True where it is known that it can't be begun in time. */
+static bool is_hopeless(const struct forward *f, int64_t now)
+{
+	const struct lane *l = f->lane;
+	int64_t whole = f->deadline_ms - f->start_ms;
+
+	if (now + BEGIN_MS > f->deadline_ms)
+		return true;
+	if (!*f->model)
+		return false;
+	if (l->eta_ms != SS_NEVER)
+		return MAX(l->eta_ms, now) + BEGIN_MS > f->deadline_ms;
+	return (double)(now - f->start_ms) > (double)whole * NO_ETA_SHARE;
+}
+
+void forward_tick(struct forward *f, int64_t now)
+{
+	if (f->state == FORWARD_WAITS) {
+		if (f->started) {
+			if (now >= f->deadline_ms)
+				forward_end(f, false, "nobody could resume it");
+		} else if (is_hopeless(f, now)) {
+			forward_refuse(f, f->unknown ? 502 : 503,
+				       "unavailable",
+				       "it can't be begun in time",
+				       f->unknown ? 0 : come_back_ms(f));
+		}
+		return;
+	}
+	if (now < f->deadline_ms)
+		return;
+	if (f->state == FORWARD_ADAPTER)
+		forward_refuse(f, f->unknown ? 504 : 503, "deadline",
+			       "its adapter came too late", 0);
+	else if (f->started)
+		forward_end(f, false, "the time is up");
+	else
+		forward_refuse(f, 504, "deadline", "the time is up", 0);
+}
+
+void forward_give_up(struct forward *f)
+{
+	if (f->started)
+		forward_end(f, false, "this process ends");
+	else if (f->state <= FORWARD_ADAPTER && !f->unknown)
+		forward_refuse(f, 503, "draining", "this process ends",
+			       BACK_MIN_MS);
+	else
+		forward_refuse(f, 502, "lost", "this process ends", 0);
+}
--- /dev/null
+++ b/src/proxy/gate.c
@@ -0,0 +1,421 @@
+/* The gate: lanes of requests that wait, and what holds it together. */
+#include "gate_int.h"
+
+#include "../base/log.h"
+
+/* Entries that share the free repeats of the fleet; more of them than
+ * serve one fleet today. Each may spend its part unasked. */
+#define ENTRIES_MAX 20
+/* Part of the allowed ratio that is spent: the rest covers requests that
+ * are counted in another window than their repeats. */
+#define RATIO_SHARE 0.7
+#define TIDY_MS 200
+#define HEAD_MAX (16u << 10) /* of an endpoint's answer, bytes */
+
+/* Before a routing tells other limits. */
+static const struct callers_limits first_limits = { 16 << 10, 4 << 20, 3000,
+						    15000 };
+
+/* Lanes. */
+
+static void lane_free(void *p)
+{
+	struct lane *l = p;
+
+	g_free(l->service);
+	g_free(l->model);
+	g_free(l);
+}
+
+struct lane *gate_lane(struct gate *g, const char *service, const char *model)
+{
+	char *key = g_strdup_printf("%s\n%s", service, model);
+	struct lane *l = g_hash_table_lookup(g->lanes, key);
+
+	if (l) {
+		g_free(key);
+		return l;
+	}
+	l = g_new0(struct lane, 1);
+	l->service = g_strdup(service);
+	l->model = g_strdup(model);
+	l->eta_ms = SS_NEVER;
+	g_queue_init(&l->waits);
+	g_hash_table_insert(g->lanes, key, l);
+	return l;
+}
+
+/* Higher priority first, then the earlier deadline. */
+static gint by_urgency(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct forward *x = a, *y = b;
+
+	(void)data;
+	if (x->route->priority != y->route->priority)
+		return x->route->priority < y->route->priority ? -1 : 1;
+	return x->deadline_ms < y->deadline_ms ? -1 :
+					  x->deadline_ms > y->deadline_ms;
+}
+
+void lane_add(struct lane *l, struct forward *f)
+{
+	GList *at = l->waits.tail;
+
+	/* Mostly the newest is the last, so look from the end. */
+	while (at && by_urgency(at->data, f, NULL) > 0)
+		at = at->prev;
+	g_queue_insert_after(&l->waits, at, f);
+	f->in_lane = at ? at->next : l->waits.head;
+	f->lane = l;
+	(*f->g->n_waiting)++;
+	if (l->waits.length == 1)
+		l->asked_ms = gate_now(f->g);
+}
+
+void lane_remove(struct forward *f)
+{
+	g_queue_delete_link(&f->lane->waits, f->in_lane);
+	f->lane = NULL;
+	f->in_lane = NULL;
+	(*f->g->n_waiting)--;
+}
+
+static void pump_lane(struct lane *l)
+{
+	struct forward *f;
+
+	/* The first in line decides: what it can't get, nobody behind it
+	 * may take. It leaves the lane where forward_try() says true. */
+	while ((f = g_queue_peek_head(&l->waits)) && forward_try(f))
+		;
+}
+
+/* Lanes of a service in a list: pumping one may add another. */
+static GList *lanes_of(struct gate *g, const char *service)
+{
+	GList *out = NULL;
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, g->lanes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct lane *l = p;
+
+		if (l->waits.length &&
+		    (!service || !strcmp(l->service, service)))
+			out = g_list_prepend(out, l);
+	}
+	return out;
+}
+
+void gate_pump(struct gate *g, const char *service)
+{
+	GList *all;
+
+	if (*g->n_waiting == 0 || g->pumping)
+		return;
+	g->pumping = true;
+	all = lanes_of(g, service);
+	for (GList *l = all; l; l = l->next)
+		pump_lane(l->data);
+	g_list_free(all);
+	g->pumping = false;
+}
+
+struct repeat_budget *gate_budget(struct gate *g, const char *service)
+{
+	struct repeat_budget *b = g_hash_table_lookup(g->budgets, service);
+
+	if (b)
+		return b;
+	b = g_new0(struct repeat_budget, 1);
+	repeat_budget_init(b, g->o.retry_window_ms,
+			   g->o.retry_ratio * RATIO_SHARE,
+			   g->o.retry_slack / ENTRIES_MAX);
+	g_hash_table_insert(g->budgets, g_strdup(service), b);
+	return b;
+}
+
+/* Callers. */
+
+static void on_request(void *arg, struct caller_call *c,
+		       const struct http1_head *h, struct ss_str body)
+{
+	forward_begin(arg, c, h, body);
+}
+
+static void on_gone(void *arg, struct caller_call *c)
+{
+	struct forward *f = caller_call_data(c);
+
+	(void)arg;
+	if (f)
+		forward_gone(f);
+}
+
+static void on_refused(void *arg, int status)
+{
+	struct gate *g = arg;
+
+	(*g->n_bad)++;
+	log_info("unreadable", "status=%d", status);
+}
+
+static const struct callers_ops callers_table = { on_request, on_gone,
+						  on_refused };
+
+/* The public face. */
+
+void gate_set_routing(struct gate *g, struct routing *r)
+{
+	struct callers_limits l = { .head_bytes = (size_t)r->limits.head_bytes,
+				    .body_bytes = (size_t)r->limits.body_bytes,
+				    .head_ms = r->limits.head_ms,
+				    .idle_ms = r->limits.idle_ms };
+
+	if (g->routing && r->version <= g->routing->version)
+		return;
+	routing_unref(g->routing);
+	g->routing = routing_ref(r);
+	callers_set_limits(g->callers, &l);
+	log_info("routing", "version=%" PRIu64 " routes=%u services=%u",
+		 r->version, r->routes->len, r->services->len);
+	gate_pump(g, NULL);
+}
+
+uint64_t gate_routing_version(const struct gate *g)
+{
+	return g->routing ? g->routing->version : 0;
+}
+
+bool gate_knows_fleet(const struct gate *g)
+{
+	return g->fleet_known;
+}
+
+void gate_adapter_done(struct gate *g, const struct msg_adapter_done *m)
+{
+	struct forward *f = g_hash_table_lookup(g->tickets, &m->sub);
+
+	if (f)
+		forward_adapter(f, m->code, m->text);
+}
+
+void gate_agent_lost(struct gate *g, const char *agent)
+{
+	GList *all = g_hash_table_get_values(g->tickets);
+
+	for (GList *p = all; p; p = p->next) {
+		struct forward *f = p->data;
+		struct gate_ep *ep;
+
+		/* One that ended meanwhile is no longer in the table. */
+		if (!g_hash_table_contains(g->forwards, f) ||
+		    f->state != FORWARD_ADAPTER)
+			continue;
+		ep = gate_ep_at(g, f->ep_addr);
+		if (!ep || !strcmp(ep->agent, agent))
+			forward_adapter(f, SS_ERROR_UNAVAILABLE,
+					SS_LIT("its agent was lost"));
+	}
+	g_list_free(all);
+}
+
+/* Reports. */
+
+static void report_lane(struct gate *g, struct gate_report *r, struct lane *l)
+{
+	const struct forward *first = g_queue_peek_head(&l->waits);
+	uint64_t waiting = 0;
+	struct model_demand d = { .service = ss_str(l->service),
+				  .model = ss_str(l->model),
+				  .arrivals = l->arrivals };
+
+	/* Those that wait for a place on a replica count as well: they are
+	 * what a second replica is for. */
+	waiting = l->waits.length;
+	if (!*l->model || (!l->arrivals && !waiting && !l->told))
+		return;
+	d.waiting = waiting;
+	d.slack_ms = first ? first->objective_ms - gate_now(g) : 0;
+	l->told = waiting;
+	l->arrivals = 0;
+	g_array_append_val(r->models, d);
+}
+
+static void report_calls(struct gate_report *r, const struct gate_ep *ep)
+{
+	GArray *models = g_array_new(FALSE, TRUE, sizeof(struct held_model));
+	struct endpoint_calls e = { .addr = ss_str(ep->addr) };
+	GHashTableIter it;
+	void *name, *n;
+
+	g_hash_table_iter_init(&it, ep->calls);
+	while (g_hash_table_iter_next(&it, &name, &n)) {
+		struct held_model h = { .model = ss_str(name),
+					.calls = GPOINTER_TO_INT(n) };
+
+		if (h.model.n)
+			g_array_append_val(models, h);
+	}
+	g_ptr_array_add(r->lists, models);
+	e.models = (struct wire_list){ models->data, models->len };
+	if (models->len)
+		g_array_append_val(r->calls, e);
+}
+
+void gate_report(struct gate *g, struct gate_report *r)
+{
+	GHashTableIter it;
+	void *p;
+
+	memset(r, 0, sizeof(*r));
+	r->models = g_array_new(FALSE, TRUE, sizeof(struct model_demand));
+	r->calls = g_array_new(FALSE, TRUE, sizeof(struct endpoint_calls));
+	r->lists =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	g_hash_table_iter_init(&it, g->lanes);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		report_lane(g, r, p);
+	g_hash_table_iter_init(&it, g->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		report_calls(r, p);
+	r->m.round = g->round;
+	r->m.routing = gate_routing_version(g);
+	r->m.models = (struct wire_list){ r->models->data, r->models->len };
+	r->m.calls = (struct wire_list){ r->calls->data, r->calls->len };
+}
+
+void gate_report_done(struct gate_report *r)
+{
+	g_array_unref(r->models);
+	g_array_unref(r->calls);
+	g_ptr_array_unref(r->lists);
+}
+
+/* Time. */
+
+static void tick_forwards(struct gate *g, int64_t now)
+{
+	GList *all = g_hash_table_get_keys(g->forwards);
+
+	for (GList *p = all; p; p = p->next)
+		if (g_hash_table_contains(g->forwards, p->data))
+			forward_tick(p->data, now);
+	g_list_free(all);
+}
+
+void gate_tick(struct gate *g)
+{
+	int64_t now = gate_now(g);
+
+	tick_forwards(g, now);
+	gate_pump(g, NULL);
+	if (now - g->tidy_ms < TIDY_MS)
+		return;
+	g->tidy_ms = now;
+	callers_tidy(g->callers);
+	upstream_tidy(g->upstream);
+}
+
+void gate_drain(struct gate *g)
+{
+	callers_drain(g->callers);
+}
+
+void gate_close(struct gate *g)
+{
+	callers_close(g->callers);
+}
+
+size_t gate_busy(const struct gate *g)
+{
+	return g_hash_table_size(g->forwards) + callers_busy(g->callers);
+}
+
+void gate_give_up(struct gate *g)
+{
+	GList *all = g_hash_table_get_keys(g->forwards);
+
+	for (GList *p = all; p; p = p->next)
+		if (g_hash_table_contains(g->forwards, p->data))
+			forward_give_up(p->data);
+	g_list_free(all);
+}
+
+static void make_counters(struct gate *g)
+{
+	struct metrics *m = g->o.metrics;
+
+	g->n_requests = metrics_value(m, "ss_gate_requests_total", "");
+	g->n_ok = metrics_value(m, "ss_gate_answered_total", "");
+	g->n_cut = metrics_value(m, "ss_gate_cut_total", "");
+	g->n_refused =
+		metrics_value(m, "ss_gate_ended_total", "outcome=\"not_run\"");
+	g->n_failed =
+		metrics_value(m, "ss_gate_ended_total", "outcome=\"unknown\"");
+	g->n_gone = metrics_value(m, "ss_gate_callers_left_total", "");
+	g->n_repeats = metrics_value(m, "ss_gate_repeats_total", "");
+	g->n_repeats_refused =
+		metrics_value(m, "ss_gate_repeats_refused_total", "");
+	g->n_waiting = metrics_value(m, "ss_gate_waiting", "");
+	g->n_adapters = metrics_value(m, "ss_gate_adapters_asked_total", "");
+	g->n_bad = metrics_value(m, "ss_gate_bad_requests_total", "");
+}
+
+struct gate *gate_new(const struct gate_options *o, GError **error)
+{
+	struct gate *g = g_new0(struct gate, 1);
+	struct callers_options co = { .base = o->base,
+				      .clock = o->clock,
+				      .addr = o->addr,
+				      .limits = first_limits,
+				      .ops = &callers_table,
+				      .arg = g };
+	struct upstream_options uo = {
+		.base = o->base,
+		.clock = o->clock,
+		.head_max = HEAD_MAX,
+		.opened = metrics_value(o->metrics,
+					"ss_gate_connections_opened_total", ""),
+		.reused = metrics_value(o->metrics,
+					"ss_gate_connections_reused_total", ""),
+	};
+
+	g->o = *o;
+	g->seed = o->seed;
+	g->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				       gate_ep_free);
+	g->lanes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 lane_free);
+	g->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
+	g->hists =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g->forwards = g_hash_table_new(NULL, NULL);
+	g->tickets = g_hash_table_new(g_int64_hash, g_int64_equal);
+	make_counters(g);
+	g->upstream = upstream_new(&uo);
+	g->callers = callers_new(&co, error);
+	if (g->callers)
+		return g;
+	gate_free(g);
+	return NULL;
+}
+
+void gate_free(struct gate *g)
+{
+	if (!g)
+		return;
+	/* Ends every request that is left, by its caller's end. */
+	callers_free(g->callers);
+	upstream_free(g->upstream);
+	g_hash_table_unref(g->forwards);
+	g_hash_table_unref(g->tickets);
+	g_hash_table_unref(g->lanes);
+	g_hash_table_unref(g->eps);
+	g_hash_table_unref(g->budgets);
+	g_hash_table_unref(g->hists);
+	routing_unref(g->routing);
+	g_free(g);
+}
--- /dev/null
+++ b/src/proxy/gate.h
@@ -0,0 +1,79 @@
+/*
+ * The gate: an entry's data path. It takes callers' requests by the routing
+ * in force, holds those that no endpoint can take yet, forwards each to an
+ * endpoint directly, and carries the answer back as it comes.
+ */
+#ifndef SS_GATE_H
+#define SS_GATE_H
+
+#include "../core/msg.h"
+#include "../core/routing.h"
+#include "../base/metrics.h"
+#include "platform_ops.h"
+
+#include <event2/event.h>
+
+struct gate;
+
+struct gate_ops {
+	/* Ask the agent at addr for an adapter; false where it isn't reached. */
+	bool (*need_adapter)(void *arg, const char *agent,
+			     const struct msg_adapter *m);
+	/* Demand has changed: report it soon. */
+	void (*demand)(void *arg);
+};
+
+struct gate_options {
+	struct event_base *base;
+	const struct ss_clock *clock;
+	const struct platform_ops *platform;
+	struct metrics *metrics;
+	const char *addr;   /* callers connect to it */
+	const char *domain; /* failure domain of this entry */
+	double retry_ratio;
+	int64_t retry_window_ms, retry_slack;
+	uint64_t seed;
+	const struct gate_ops *ops;
+	void *arg;
+};
+
+struct gate *gate_new(const struct gate_options *o, GError **error);
+void gate_free(struct gate *g);
+
+/* A newer routing; older ones are ignored. The gate takes a reference. */
+void gate_set_routing(struct gate *g, struct routing *r);
+uint64_t gate_routing_version(const struct gate *g);
+
+/* The leader's word on endpoints and models. */
+void gate_take_fleet(struct gate *g, const struct msg_fleet *m);
+/* The list itself, while no leader is heard. */
+void gate_take_list(struct gate *g, const GArray *instances);
+bool gate_knows_fleet(const struct gate *g);
+
+void gate_adapter_done(struct gate *g, const struct msg_adapter_done *m);
+/* The connection to an agent is gone: its answers won't come. */
+void gate_agent_lost(struct gate *g, const char *agent);
+
+/*
+ * Fill a report of demand and calls under way; the caller sends it and then
+ * frees it with gate_report_done().
+ */
+struct gate_report {
+	struct msg_demand m;
+	GArray *models, *calls;
+	GPtrArray *lists;
+};
+void gate_report(struct gate *g, struct gate_report *r);
+void gate_report_done(struct gate_report *r);
+
+void gate_tick(struct gate *g);
+
+/* A planned stop: answers end their connections, then no more are taken. */
+void gate_drain(struct gate *g);
+void gate_close(struct gate *g);
+/* Requests and answers under way. */
+size_t gate_busy(const struct gate *g);
+/* End what is left: nothing more can be waited for. */
+void gate_give_up(struct gate *g);
+
+#endif
--- /dev/null
+++ b/src/proxy/gate_endpoints.c
@@ -0,0 +1,388 @@
+/* What the gate knows of endpoints, and choosing one. */
+#include "gate_int.h"
+
+#include "../base/log.h"
+
+#include <xxhash.h>
+
+/* Engines get no more calls than they run at a time: what waits, waits
+ * here, where its order and its deadline are seen. */
+#define ENGINE_FILL 1.0
+/* Plain services answer within some 10 ms; a short queue there keeps their
+ * slots from running dry between two calls. */
+#define SERVICE_FILL 2.0
+/* A load that was told longer ago says nothing any more. */
+#define LOAD_OLD_MS 2000
+
+static void held_free(void *p)
+{
+	struct gate_held *h = p;
+
+	g_free(h->model);
+	g_hash_table_unref(h->adapters);
+	g_free(h);
+}
+
+void gate_ep_free(void *p)
+{
+	struct gate_ep *ep = p;
+
+	g_free(ep->addr);
+	g_free(ep->id);
+	g_free(ep->service);
+	g_free(ep->domain);
+	g_free(ep->agent);
+	g_hash_table_unref(ep->held);
+	g_hash_table_unref(ep->calls);
+	g_free(ep);
+}
+
+struct gate_ep *gate_ep_at(const struct gate *g, const char *addr)
+{
+	return g_hash_table_lookup(g->eps, addr);
+}
+
+static struct gate_ep *ep_for(struct gate *g, struct ss_str addr)
+{
+	char *key = ss_str_dup(addr);
+	struct gate_ep *ep = gate_ep_at(g, key);
+
+	if (ep) {
+		g_free(key);
+		return ep;
+	}
+	ep = g_new0(struct gate_ep, 1);
+	ep->addr = key;
+	ep->id = g_strdup("");
+	ep->service = g_strdup("");
+	ep->domain = g_strdup("");
+	ep->agent = g_strdup("");
+	ep->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 held_free);
+	ep->calls =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_insert(g->eps, ep->addr, ep);
+	return ep;
+}
+
+static void set_str(char **at, struct ss_str s)
+{
+	if (ss_str_eq(ss_str(*at), s))
+		return;
+	g_free(*at);
+	*at = ss_str_dup(s);
+}
+
+/* Another incarnation at an address: nothing known of the old one holds. */
+static void set_id(struct gate *g, struct gate_ep *ep, struct ss_str id)
+{
+	if (ss_str_eq(ss_str(ep->id), id))
+		return;
+	set_str(&ep->id, id);
+	ep->failing = 0;
+	memset(&ep->breaker, 0, sizeof(ep->breaker));
+	upstream_forget(g->upstream, ep->addr);
+}
+
+static struct gate_held *add_held(struct gate_ep *ep, struct ss_str model)
+{
+	struct gate_held *h = g_new0(struct gate_held, 1);
+
+	h->model = ss_str_dup(model);
+	h->adapters =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_hash_table_replace(ep->held, h->model, h);
+	return h;
+}
+
+static void take_held(struct gate_ep *ep, const struct wire_list *list)
+{
+	const struct held_model *m = list->items;
+
+	g_hash_table_remove_all(ep->held);
+	for (size_t i = 0; i < list->n; i++) {
+		struct gate_held *h = add_held(ep, m[i].model);
+		const struct name_item *n = m[i].adapters.items;
+
+		for (size_t k = 0; k < m[i].adapters.n; k++)
+			g_hash_table_add(h->adapters, ss_str_dup(n[k].name));
+	}
+}
+
+static void take_endpoint(struct gate *g, const struct fleet_endpoint *e)
+{
+	struct gate_ep *ep = ep_for(g, e->addr);
+
+	set_id(g, ep, e->id);
+	set_str(&ep->service, e->service);
+	set_str(&ep->domain, e->domain);
+	set_str(&ep->agent, e->agent);
+	ep->slots = e->slots;
+	ep->known = !e->gone;
+	ep->leaving = e->leaving;
+	if (e->tokens_total) {
+		ep->reported = e->running + e->waiting;
+		ep->reported_ms = gate_now(g) - e->age_ms;
+		ep->since = 0;
+	}
+	take_held(ep, &e->held);
+	if (!ep->known)
+		upstream_forget(g->upstream, ep->addr);
+}
+
+/* What a whole list no longer has is gone. */
+static void unlist_all(struct gate *g)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, g->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		((struct gate_ep *)p)->known = false;
+}
+
+static void drop_unlisted(struct gate *g)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, g->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct gate_ep *ep = p;
+
+		if (ep->known || ep->own)
+			continue;
+		upstream_forget(g->upstream, ep->addr);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
+static void take_etas(struct gate *g, const struct wire_list *list)
+{
+	const struct fleet_eta *e = list->items;
+	int64_t now = gate_now(g);
+
+	for (size_t i = 0; i < list->n; i++) {
+		char *service = ss_str_dup(e[i].service);
+		char *model = ss_str_dup(e[i].model);
+		struct lane *l = gate_lane(g, service, model);
+
+		l->eta_ms = e[i].eta_ms < 0 ? SS_NEVER : now + e[i].eta_ms;
+		g_free(service);
+		g_free(model);
+	}
+}
+
+void gate_take_fleet(struct gate *g, const struct msg_fleet *m)
+{
+	const struct fleet_endpoint *e = m->endpoints.items;
+
+	/* A leader that was replaced may still have words on their way. */
+	if (m->fence < g->fence)
+		return;
+	if (m->fence > g->fence)
+		g->round = 0;
+	g->fence = m->fence;
+	if (m->whole)
+		unlist_all(g);
+	for (size_t i = 0; i < m->endpoints.n; i++)
+		take_endpoint(g, &e[i]);
+	drop_unlisted(g);
+	take_etas(g, &m->etas);
+	g->fleet_known |= m->whole;
+	if (m->round > g->round) {
+		g->round = m->round;
+		g->o.ops->demand(g->o.arg);
+	}
+	gate_pump(g, NULL);
+}
+
+void gate_take_list(struct gate *g, const GArray *instances)
+{
+	unlist_all(g);
+	for (guint i = 0; i < instances->len; i++) {
+		const struct fleet_instance *x =
+			&g_array_index(instances, struct fleet_instance, i);
+		struct gate_ep *ep = ep_for(g, ss_str(x->addr));
+		bool other = strcmp(ep->id, x->id) != 0;
+
+		set_id(g, ep, ss_str(x->id));
+		set_str(&ep->service, ss_str(x->service));
+		set_str(&ep->domain, ss_str(x->domain ? x->domain : ""));
+		ep->slots = x->slots;
+		ep->known = true;
+		ep->leaving = x->leaving;
+		/* What was told by an agent is newer than the list. */
+		if (!other && g_hash_table_size(ep->held))
+			continue;
+		g_hash_table_remove_all(ep->held);
+		for (guint k = 0; k < x->models->len; k++)
+			add_held(ep, ss_str(x->models->pdata[k]));
+	}
+	drop_unlisted(g);
+	g->fleet_known = true;
+	gate_pump(g, NULL);
+}
+
+bool gate_ep_has_adapter(const struct gate_ep *ep, const char *model,
+			 const char *adapter)
+{
+	const struct gate_held *h = g_hash_table_lookup(ep->held, model);
+
+	return h && (!*adapter || g_hash_table_contains(h->adapters, adapter));
+}
+
+void gate_ep_add_adapter(struct gate_ep *ep, const char *model,
+			 const char *adapter)
+{
+	struct gate_held *h = g_hash_table_lookup(ep->held, model);
+
+	if (h)
+		g_hash_table_add(h->adapters, g_strdup(adapter));
+}
+
+void gate_ep_lacks(struct gate_ep *ep, const char *model, const char *adapter)
+{
+	struct gate_held *h = g_hash_table_lookup(ep->held, model);
+
+	if (h && *adapter && g_hash_table_remove(h->adapters, adapter))
+		return;
+	g_hash_table_remove(ep->held, model);
+}
+
+void gate_ep_begin(struct gate_ep *ep, const char *model)
+{
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(ep->calls, model));
+
+	g_hash_table_insert(ep->calls, g_strdup(model), GINT_TO_POINTER(n + 1));
+	ep->own++;
+	ep->since++;
+}
+
+void gate_ep_end(struct gate_ep *ep, const char *model)
+{
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(ep->calls, model));
+
+	if (n > 1)
+		g_hash_table_insert(ep->calls, g_strdup(model),
+				    GINT_TO_POINTER(n - 1));
+	else
+		g_hash_table_remove(ep->calls, model);
+	ep->own--;
+	/* Counted in the report, or in what was sent since: it is less now. */
+	if (ep->since > 0)
+		ep->since--;
+	else if (ep->reported > 0)
+		ep->reported--;
+}
+
+void gate_ep_note(struct gate *g, struct gate_ep *ep, bool failed)
+{
+	bool open = ss_breaker_allows(&ep->breaker, gate_now(g));
+
+	balance_note(&ep->failing, failed);
+	ss_breaker_result(&ep->breaker, !failed, gate_now(g));
+	if (open && !ss_breaker_allows(&ep->breaker, gate_now(g)))
+		log_warn("endpoint_rests",
+			 "addr=%s id=%s failures=%u failing=%.2f", ep->addr,
+			 ep->id, ep->breaker.failures, ep->failing);
+}
+
+void gate_ep_load(struct gate *g, struct gate_ep *ep,
+		  const struct platform_answer *a)
+{
+	if (!a->has_load)
+		return;
+	ep->reported = a->running + a->waiting;
+	ep->since = 0;
+	ep->reported_ms = gate_now(g);
+	if (a->slots > 0)
+		ep->slots = a->slots;
+}
+
+static uint64_t affinity_of(const struct forward *f, const struct gate_ep *ep)
+{
+	return XXH3_64bits_withSeed(ep->addr, strlen(ep->addr), f->affinity);
+}
+
+static bool was_tried(const struct forward *f, const char *id)
+{
+	for (guint i = 0; i < f->tried->len; i++)
+		if (!strcmp(f->tried->pdata[i], id))
+			return true;
+	return false;
+}
+
+/* A route bounds how many endpoints one request may be sent to. */
+static bool may_send(const struct forward *f, const struct gate_ep *ep)
+{
+	return f->tried->len < (guint)f->route->attempts ||
+	       was_tried(f, ep->id);
+}
+
+static void fill_node(struct gate *g, const struct forward *f,
+		      const struct gate_ep *ep, struct balance_node *n)
+{
+	int64_t now = gate_now(g);
+	bool fresh = now - ep->reported_ms < LOAD_OLD_MS;
+
+	n->usable = ep->known && !ep->leaving && may_send(f, ep) &&
+		    (!*f->model || g_hash_table_contains(ep->held, f->model));
+	n->near = !strcmp(ep->domain, g->o.domain);
+	n->has_adapter = gate_ep_has_adapter(ep, f->model, f->adapter) ||
+			 !*f->adapter;
+	n->tried = was_tried(f, ep->id);
+	n->slots = ep->slots;
+	n->reported = fresh ? ep->reported : 0;
+	n->since = fresh ? ep->since : 0;
+	n->own = ep->own;
+	n->failing = ep->failing;
+	n->affinity = affinity_of(f, ep);
+}
+
+/* One that rests is used only where all others rest too. */
+static bool rests(struct gate *g, const struct gate_ep *ep)
+{
+	return !ss_breaker_allows(&ep->breaker, gate_now(g));
+}
+
+struct gate_ep *gate_choose(struct gate *g, const struct forward *f,
+			    enum balance_none *none)
+{
+	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct balance_node));
+	GPtrArray *eps = g_ptr_array_new();
+	double fill = f->service->engine ? ENGINE_FILL : SERVICE_FILL;
+	struct gate_ep *found = NULL;
+	unsigned int working = 0;
+	GHashTableIter it;
+	void *p;
+	int at;
+
+	g_hash_table_iter_init(&it, g->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct balance_node n = { 0 };
+		struct gate_ep *ep = p;
+
+		if (strcmp(ep->service, f->service->name))
+			continue;
+		fill_node(g, f, ep, &n);
+		if (!n.usable)
+			continue;
+		working += !rests(g, ep);
+		g_array_append_val(nodes, n);
+		g_ptr_array_add(eps, ep);
+	}
+	for (guint i = 0; working && i < eps->len; i++)
+		if (rests(g, eps->pdata[i]))
+			g_array_index(nodes, struct balance_node, i).usable =
+				false;
+	at = balance_choose((struct balance_node *)nodes->data, nodes->len,
+			    fill, ss_random(&g->seed));
+	if (at >= 0)
+		found = eps->pdata[at];
+	else
+		*none = (enum balance_none)at;
+	g_array_unref(nodes);
+	g_ptr_array_unref(eps);
+	return found;
+}
