--- /dev/null
+++ b/src/proxy/gate_int.h
@@ -0,0 +1,164 @@
+/* The gate's own tables; only for the files of that part. */
+#ifndef SS_GATE_INT_H
+#define SS_GATE_INT_H
+
+#include <sapphireshift/limit.h>
+
+#include "../core/balance.h"
+#include "callers.h"
+#include "events.h"
+#include "gate.h"
+#include "upstream.h"
+
+/* A model that an endpoint holds, open for calls. */
+struct gate_held {
+	char *model;
+	GHashTable *adapters; /* set of names */
+};
+
+struct gate_ep {
+	char *addr, *id, *service, *domain, *agent;
+	int64_t slots;
+	bool known; /* listed, and not gone */
+	bool leaving;
+	bool any_model; /* a plain service: holds no models */
+	GHashTable *held;  /* model -> struct gate_held */
+	GHashTable *calls; /* model -> GINT count of this gate's, under way */
+	int64_t own;
+	int64_t reported, since; /* as struct balance_node */
+	int64_t reported_ms;
+	double failing;
+	struct ss_breaker breaker;
+};
+
+enum forward_state {
+	FORWARD_WAITS,	 /* in its lane, for an endpoint */
+	FORWARD_ADAPTER, /* an agent loads its adapter */
+	FORWARD_SENT,	 /* no byte of an answer yet */
+	FORWARD_ANSWERS, /* the answer comes in */
+};
+
+/* One caller's request. */
+struct forward {
+	struct gate *g;
+	struct caller_call *caller;
+	struct ss_str body;
+	struct routing *routing;
+	const struct routing_route *route;
+	const struct routing_service *service;
+	struct platform_call call; /* views into the caller's head */
+	char *id, *model, *adapter;
+	uint64_t affinity;
+	int64_t start_ms, deadline_ms, objective_ms; /* on the clock */
+	enum forward_state state;
+	struct lane *lane;
+	GList *in_lane;
+	/* Sends. */
+	GPtrArray *tried; /* char *, incarnations that it was sent to */
+	unsigned int sends, asks;
+	struct gate_ep *ep; /* counted there */
+	char *ep_addr, *ep_id;
+	uint64_t ticket;
+	int64_t sent_ms;
+	struct upstream_call *up;
+	bool unknown; /* an earlier send may have run */
+	const char *why;
+	/* The answer. */
+	int status;
+	bool is_events, started, whole_length;
+	GString *headers; /* to be passed on */
+	GString *held;	  /* bytes kept back until the answer is sure */
+	int64_t length;
+	struct events events;
+};
+
+/* Requests for one model of a service that wait, most urgent first. */
+struct lane {
+	char *service, *model;
+	GQueue waits;	   /* struct forward */
+	int64_t eta_ms;	   /* on the clock; SS_NEVER: not told */
+	int64_t asked_ms;  /* since when somebody waits */
+	uint64_t arrivals; /* since the last report */
+	uint64_t told;	   /* waiting, by the last report */
+	bool changed;
+};
+
+struct gate {
+	struct gate_options o;
+	struct callers *callers;
+	struct upstream *upstream;
+	struct routing *routing;
+	GHashTable *eps;     /* addr -> struct gate_ep */
+	GHashTable *lanes;   /* "service\nmodel" -> struct lane */
+	GHashTable *budgets; /* service -> struct repeat_budget */
+	GHashTable *forwards;
+	GHashTable *tickets; /* &ticket -> struct forward */
+	GHashTable *hists;   /* route name -> struct hist */
+	uint64_t seed, ticket, round, fence;
+	bool fleet_known;
+	bool pumping; /* a request that ends meanwhile pumps no more */
+	int64_t tidy_ms;
+	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
+		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut;
+};
+
+static inline int64_t gate_now(const struct gate *g)
+{
+	return ss_clock_now(g->o.clock);
+}
+
+/* gate_endpoints.c */
+struct gate_ep *gate_ep_at(const struct gate *g, const char *addr);
+/* The endpoint for a request, or NULL with the reason. */
+struct gate_ep *gate_choose(struct gate *g, const struct forward *f,
+			    enum balance_none *none);
+bool gate_ep_has_adapter(const struct gate_ep *ep, const char *model,
+			 const char *adapter);
+void gate_ep_add_adapter(struct gate_ep *ep, const char *model,
+			 const char *adapter);
+/* It said that it doesn't hold a model, or not an adapter of it. */
+void gate_ep_lacks(struct gate_ep *ep, const char *model, const char *adapter);
+void gate_ep_begin(struct gate_ep *ep, const char *model);
+void gate_ep_end(struct gate_ep *ep, const char *model);
+void gate_ep_note(struct gate *g, struct gate_ep *ep, bool failed);
+void gate_ep_load(struct gate *g, struct gate_ep *ep,
+		  const struct platform_answer *a);
+void gate_ep_free(void *ep);
+
+/* forward.c */
+void forward_begin(struct gate *g, struct caller_call *c,
+		   const struct http1_head *h, struct ss_str body);
+void forward_gone(struct forward *f);
+/* Try to send a request that waits; false where it goes on waiting. */
+bool forward_try(struct forward *f);
+void forward_tick(struct forward *f, int64_t now);
+void forward_adapter(struct forward *f, int64_t code, struct ss_str text);
+/* The process ends: answer what can be said. */
+void forward_give_up(struct forward *f);
+
+/* answer.c */
+extern const struct upstream_ops forward_upstream_ops;
+
+/* Shared by forward.c and answer.c. */
+enum forward_outcome { FORWARD_NOT_RUN, FORWARD_UNKNOWN };
+/* End with an answer of our own; f is freed. */
+void forward_refuse(struct forward *f, int status, const char *type,
+		    const char *why, int64_t retry_after_ms);
+/* The send came to nothing: send again, wait, or end. f may be freed. */
+void forward_again(struct forward *f, bool not_run, const char *why);
+/* The answer is out, whole or cut; f is freed. */
+void forward_end(struct forward *f, bool whole, const char *why);
+/* No connection was made: it counts as never sent. f may be freed. */
+void forward_not_sent(struct forward *f);
+/* Leave the endpoint: it doesn't work on this any more. */
+void forward_leave(struct forward *f);
+
+/* gate.c */
+struct lane *gate_lane(struct gate *g, const char *service, const char *model);
+void lane_add(struct lane *l, struct forward *f);
+void lane_remove(struct forward *f);
+/* Send what can be sent of the lanes of a service. */
+void gate_pump(struct gate *g, const char *service);
+struct repeat_budget *gate_budget(struct gate *g, const char *service);
+
+#endif
--- /dev/null
+++ b/src/proxy/http1.c
@@ -0,0 +1,263 @@
+/* HTTP/1.1 messages read piece by piece. */
+#include "http1.h"
+
+#include <strings.h>
+
+/* More headers than this aren't any client's; each costs memory. */
+#define FIELDS_MAX 128
+
+struct span {
+	size_t name, name_n, value, value_n;
+};
+
+struct http1_reader {
+	struct http1_options o;
+	http_parser p;
+	GString *text; /* method or nothing, target, names and values */
+	GArray *spans; /* struct span */
+	GArray *fields;
+	struct http1_head head;
+	size_t target_n;
+	size_t head_bytes;
+	bool in_value, headers_done, no_body, started, whole;
+};
+
+bool http1_name_is(struct ss_str name, const char *other)
+{
+	return name.n == strlen(other) &&
+	       strncasecmp(name.p, other, name.n) == 0;
+}
+
+struct ss_str http1_value(const struct http1_head *h, const char *name)
+{
+	for (size_t i = 0; i < h->n_fields; i++)
+		if (http1_name_is(h->fields[i].name, name))
+			return h->fields[i].value;
+	return (struct ss_str){ 0 };
+}
+
+bool http1_number(struct ss_str s, int64_t max, int64_t *out)
+{
+	int64_t v = 0;
+
+	if (s.n == 0)
+		return false;
+	for (size_t i = 0; i < s.n; i++) {
+		if (!g_ascii_isdigit(s.p[i]))
+			return false;
+		v = v * 10 + (s.p[i] - '0');
+		if (v > max)
+			return false;
+	}
+	*out = v;
+	return true;
+}
+
+static struct span *last_span(struct http1_reader *r)
+{
+	return &g_array_index(r->spans, struct span, r->spans->len - 1);
+}
+
+static int on_url(http_parser *p, const char *at, size_t n)
+{
+	struct http1_reader *r = p->data;
+
+	g_string_append_len(r->text, at, (gssize)n);
+	r->target_n += n;
+	return 0;
+}
+
+static int on_field(http_parser *p, const char *at, size_t n)
+{
+	struct http1_reader *r = p->data;
+
+	/* Trailers of a chunked body are read and dropped. */
+	if (r->headers_done)
+		return 0;
+	if (r->in_value || r->spans->len == 0) {
+		struct span s = { .name = r->text->len };
+
+		if (r->spans->len == FIELDS_MAX)
+			return 1;
+		g_array_append_val(r->spans, s);
+		r->in_value = false;
+	}
+	g_string_append_len(r->text, at, (gssize)n);
+	last_span(r)->name_n += n;
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t n)
+{
+	struct http1_reader *r = p->data;
+
+	if (r->headers_done)
+		return 0;
+	if (!r->in_value)
+		last_span(r)->value = r->text->len;
+	r->in_value = true;
+	g_string_append_len(r->text, at, (gssize)n);
+	last_span(r)->value_n += n;
+	return 0;
+}
+
+static void fill_head(struct http1_reader *r)
+{
+	const char *text = r->text->str;
+	struct http1_head *h = &r->head;
+
+	g_array_set_size(r->fields, 0);
+	for (guint i = 0; i < r->spans->len; i++) {
+		const struct span *s = &g_array_index(r->spans, struct span, i);
+		struct http1_field f = { { text + s->name, s->name_n },
+					 { text + s->value, s->value_n } };
+
+		g_array_append_val(r->fields, f);
+	}
+	memset(h, 0, sizeof(*h));
+	h->request = r->o.request;
+	if (h->request) {
+		h->method = ss_str(http_method_str(r->p.method));
+		h->target = (struct ss_str){ text, r->target_n };
+	}
+	h->status = r->o.request ? 0 : (int)r->p.status_code;
+	h->fields = (struct http1_field *)r->fields->data;
+	h->n_fields = r->fields->len;
+	h->keep_alive = http_should_keep_alive(&r->p);
+	h->chunked = (r->p.flags & F_CHUNKED) != 0;
+	h->length = r->p.content_length == UINT64_MAX ?
+			    -1 :
+			    (int64_t)r->p.content_length;
+}
+
+static int on_headers(http_parser *p)
+{
+	struct http1_reader *r = p->data;
+
+	r->headers_done = true;
+	/* No protocol switch is forwarded; the message is read as it is. */
+	p->upgrade = 0;
+	fill_head(r);
+	r->o.ops->head(r->o.arg, &r->head);
+	return r->no_body ? 1 : 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t n)
+{
+	struct http1_reader *r = p->data;
+
+	r->o.ops->body(r->o.arg, (struct ss_str){ at, n });
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct http1_reader *r = p->data;
+
+	r->whole = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings settings = {
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+void http1_reader_reset(struct http1_reader *r, bool no_body)
+{
+	http_parser_init(&r->p, r->o.request ? HTTP_REQUEST : HTTP_RESPONSE);
+	r->p.data = r;
+	g_string_truncate(r->text, 0);
+	g_array_set_size(r->spans, 0);
+	r->target_n = r->head_bytes = 0;
+	r->in_value = r->headers_done = r->started = r->whole = false;
+	r->no_body = no_body;
+}
+
+struct http1_reader *http1_reader_new(const struct http1_options *o)
+{
+	struct http1_reader *r = g_new0(struct http1_reader, 1);
+
+	r->o = *o;
+	r->text = g_string_sized_new(1024);
+	r->spans = g_array_new(FALSE, FALSE, sizeof(struct span));
+	r->fields = g_array_new(FALSE, FALSE, sizeof(struct http1_field));
+	http1_reader_reset(r, false);
+	return r;
+}
+
+void http1_reader_free(struct http1_reader *r)
+{
+	if (!r)
+		return;
+	g_string_free(r->text, TRUE);
+	g_array_unref(r->spans);
+	g_array_unref(r->fields);
+	g_free(r);
+}
+
+bool http1_reader_fresh(const struct http1_reader *r)
+{
+	return !r->started;
+}
+
+static bool fail(struct http1_reader *r, GError **error)
+{
+	enum http_errno e = HTTP_PARSER_ERRNO(&r->p);
+
+	if (e == HPE_HEADER_OVERFLOW ||
+	    (!r->headers_done && r->head_bytes > r->o.head_max) ||
+	    e == HPE_CB_header_field)
+		g_set_error(error, SS_ERROR, SS_ERROR_TOO_LARGE,
+			    "the head is larger than %zu bytes",
+			    r->o.head_max);
+	else
+		g_set_error(error, SS_ERROR, SS_ERROR_BAD_REQUEST,
+			    "not an HTTP message: %s",
+			    http_errno_description(e));
+	return false;
+}
+
+bool http1_read(struct http1_reader *r, struct evbuffer *in, GError **error)
+{
+	while (!r->whole && evbuffer_get_length(in) > 0) {
+		struct evbuffer_iovec v;
+		bool in_head = !r->headers_done;
+		size_t n;
+
+		if (evbuffer_peek(in, -1, NULL, &v, 1) < 1)
+			return true;
+		r->started = true;
+		n = http_parser_execute(&r->p, &settings, v.iov_base,
+					v.iov_len);
+		evbuffer_drain(in, n);
+		if (in_head)
+			r->head_bytes += n;
+		if (r->whole)
+			break;
+		if (HTTP_PARSER_ERRNO(&r->p) != HPE_OK ||
+		    (!r->headers_done && r->head_bytes > r->o.head_max))
+			return fail(r, error);
+	}
+	if (r->whole) {
+		r->started = false;
+		r->o.ops->done(r->o.arg);
+	}
+	return true;
+}
+
+bool http1_read_eof(struct http1_reader *r)
+{
+	if (r->whole || !r->headers_done || HTTP_PARSER_ERRNO(&r->p) != HPE_OK)
+		return false;
+	http_parser_execute(&r->p, &settings, NULL, 0);
+	if (!r->whole)
+		return false;
+	r->o.ops->done(r->o.arg);
+	return true;
+}
--- /dev/null
+++ b/src/proxy/platform_ops.h
@@ -0,0 +1,86 @@
+/*
+ * What the product needs of the platform it runs on: a table of functions
+ * that translate between its wire forms and the product's types. They keep
+ * no state and decide nothing.
+ */
+#ifndef SS_PLATFORM_OPS_H
+#define SS_PLATFORM_OPS_H
+
+#include "../core/fleet_types.h"
+#include "../core/routing.h"
+#include "http1.h"
+
+/* What a caller's head says of its request; views into the head. */
+struct platform_call {
+	struct ss_str id;
+	struct ss_str model;   /* empty: not for a model */
+	struct ss_str adapter; /* empty: none */
+	struct ss_str prompt;  /* parts of the prompt, as the caller sent */
+	int64_t deadline_ms;   /* that the caller will wait; 0: not told */
+	int64_t tokens_in, tokens_out; /* 0: not told */
+	int64_t after_event; /* resume behind this event; -1: from the start */
+};
+
+/* What the system sets on a request that it forwards. */
+struct platform_send {
+	int64_t deadline_ms;	/* left */
+	struct ss_str instance; /* that must answer; empty: any */
+	int64_t priority;	/* 0 (first) to 9 */
+	int64_t after_event;	/* resume behind this event; -1: don't */
+};
+
+/* What an endpoint's answer says beside its status and body. */
+struct platform_answer {
+	bool not_run;	/* the endpoint vouches that it didn't run it */
+	bool authentic; /* it bears the endpoint's signature */
+	bool encoded;	/* the body isn't the endpoint's own bytes */
+	struct ss_str id;
+	int64_t idle_ms; /* how long it keeps the connection; 0: not told */
+	bool has_load;
+	int64_t running, waiting, slots;
+};
+
+struct platform_ops {
+	/* Paths of calls that come in. */
+	const char *path_put, *path_get, *path_ready;
+	/* Paths of an engine's report and orders. */
+	const char *path_report, *path_order;
+	/* The header by which a call names the incarnation it is for. */
+	const char *header_instance;
+
+	/*
+	 * Read an operator's configuration. NULL with SS_ERROR_BAD_REQUEST,
+	 * with the place and the reason, where it can't be read in full or
+	 * is invalid.
+	 */
+	struct routing *(*read_routing)(struct ss_str json, GError **error);
+
+	/* The path that lists endpoints; page is NULL for the first one. */
+	char *(*list_path)(const char *page);
+	/*
+	 * Add a page's entries (struct fleet_instance, owned) to out; next is
+	 * the following page's name, NULL on the last.
+	 */
+	bool (*read_list)(struct ss_str json, GArray *out, char **next,
+			  GError **error);
+
+	bool (*read_report)(struct ss_str json, struct fleet_report *out,
+			    GError **error);
+	/* The body of an order, and what the answer's status says. */
+	GString *(*write_order)(const struct fleet_order *o);
+	enum fleet_order_answer (*order_answer)(int status);
+
+	/* SS_ERROR_BAD_REQUEST where a header can't be read. */
+	bool (*read_call)(const struct http1_head *h, struct platform_call *c,
+			  GError **error);
+	/* Append a request's head with the headers that may go on. */
+	void (*write_request)(GString *out, const struct http1_head *h,
+			      const struct platform_send *s,
+			      size_t body_bytes);
+	void (*read_answer)(const struct http1_head *h,
+			    struct platform_answer *a);
+	/* Whether an answer's header goes on to the caller. */
+	bool (*answer_header)(struct ss_str name);
+};
+
+#endif
--- /dev/null
+++ b/src/vmlist/instances.c
@@ -0,0 +1,156 @@
+/* The platform's list of endpoints. */
+#include "instances.h"
+
+#include "../base/log.h"
+#include "../net/http.h"
+
+#define TIMEOUT_MS 1500
+/* A list that never ends is a fault of its server. */
+#define PAGES_MAX 200
+
+struct instances {
+	struct instances_options o;
+	char *addr;
+	struct event *timer;
+	GArray *all;	/* struct fleet_instance, of the pages so far */
+	unsigned int pages;
+	bool on, asking, freed;
+	bool failed; /* the last try; told once */
+};
+
+static void clear(struct instances *v)
+{
+	if (v->all)
+		g_array_unref(v->all);
+	v->all = NULL;
+	v->pages = 0;
+}
+
+static void really_free(struct instances *v)
+{
+	clear(v);
+	event_free(v->timer);
+	g_free(v->addr);
+	g_free(v);
+}
+
+static void ask(struct instances *v, const char *page);
+
+static void fail(struct instances *v, const char *why)
+{
+	if (!v->failed)
+		log_warn("list_lost", "addr=%s why=\"%s\"", v->addr, why);
+	v->failed = true;
+	clear(v);
+}
+
+static void take_page(struct instances *v, struct ss_str body)
+{
+	GError *error = NULL;
+	char *next = NULL;
+
+	if (!v->o.platform->read_list(body, v->all, &next, &error)) {
+		fail(v, error->message);
+		g_error_free(error);
+		return;
+	}
+	if (next && *next && ++v->pages < PAGES_MAX) {
+		ask(v, next);
+		g_free(next);
+		return;
+	}
+	g_free(next);
+	if (v->failed)
+		log_info("list_back", "addr=%s", v->addr);
+	v->failed = false;
+	if (v->on)
+		v->o.list(v->o.arg, v->all);
+	clear(v);
+}
+
+static void on_page(void *arg, int status, struct ss_str body,
+		    const GError *error)
+{
+	struct instances *v = arg;
+	char why[32];
+
+	v->asking = false;
+	if (v->freed) {
+		really_free(v);
+		return;
+	}
+	if (status == 200) {
+		take_page(v, body);
+		return;
+	}
+	g_snprintf(why, sizeof(why), "status %d", status);
+	fail(v, error ? error->message : why);
+}
+
+static void ask(struct instances *v, const char *page)
+{
+	char *path = v->o.platform->list_path(page);
+	struct http_get_options get = { .base = v->o.base,
+					.addr = v->addr,
+					.method = "GET",
+					.path = path,
+					.timeout_ms = TIMEOUT_MS,
+					.done = on_page,
+					.arg = v };
+
+	v->asking = true;
+	http_get(&get);
+	g_free(path);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct instances *v = arg;
+
+	(void)fd;
+	(void)what;
+	if (v->asking || !v->on)
+		return;
+	clear(v);
+	v->all = g_array_new(FALSE, FALSE, sizeof(struct fleet_instance));
+	g_array_set_clear_func(v->all, fleet_instance_clear);
+	ask(v, NULL);
+}
+
+struct instances *instances_new(const struct instances_options *o)
+{
+	struct instances *v = g_new0(struct instances, 1);
+
+	v->o = *o;
+	v->addr = g_strdup(o->addr);
+	v->timer = event_new(o->base, -1, EV_PERSIST, on_timer, v);
+	return v;
+}
+
+void instances_run(struct instances *v, bool on)
+{
+	struct timeval every = { v->o.every_ms / 1000,
+				 (v->o.every_ms % 1000) * 1000 };
+
+	if (v->on == on)
+		return;
+	v->on = on;
+	if (on) {
+		event_add(v->timer, &every);
+		on_timer(-1, 0, v);
+	} else {
+		event_del(v->timer);
+	}
+}
+
+void instances_free(struct instances *v)
+{
+	if (!v)
+		return;
+	v->freed = true;
+	v->on = false;
+	event_del(v->timer);
+	/* An answer on its way still needs it. */
+	if (!v->asking)
+		really_free(v);
+}
