Keep the list's time for all its entries; reload on SIGHUP; find leaders sooner

Cause 1: each entry of the endpoints' list was stamped with the clock's time while all were compared with one time. Where the millisecond turned in between, all that stood before it passed for gone until the next list: every plain service was without endpoints for 0.9 s. Connections of a fleet are now pinged every 200 ms and given up after 900 ms.

--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -3,10 +3,10 @@
 
 /* Scores are shares of an engine's slots: how much fuller a node may be to
  * be preferred all the same. */
-#define FAR_SCORE 0.06	     /* bytes between failure domains are priced */
-#define ADAPTER_SCORE 0.25   /* a load of 6 ms, and another adapter leaves */
-#define AFFINITY_SCORE 0.15  /* reading a shared prompt again, some 5 ms */
-#define FAILING_SCORE 3.0    /* a third of failures: as if it were full */
+#define FAR_SCORE 0.06	    /* bytes between failure domains are priced */
+#define ADAPTER_SCORE 0.25  /* a load of 6 ms, and another adapter leaves */
+#define AFFINITY_SCORE 0.15 /* reading a shared prompt again, some 5 ms */
+#define FAILING_SCORE 3.0   /* a third of failures: as if it were full */
 #define TRIED_SCORE 2.0
 /* Weight of the newest call in the share of failures. */
 #define FAILING_ALPHA 0.15
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -24,14 +24,14 @@
 	uint64_t fence;
 	uint64_t fenced; /* the fence that the engine refused; 0: none */
 	bool asking;
-	bool stale; /* the report is older than the last order */
+	bool stale;	  /* the report is older than the last order */
 	int64_t quiet_ms; /* no order before: an unanswered one settles */
 	/* The step under way. */
 	bool on;
 	uint64_t step_fence, step;
 	GPtrArray *unload; /* char *, what is left of it */
 	char *load;	   /* NULL: nothing */
-	bool load_asked; /* the order that is out is for it */
+	bool load_asked;   /* the order that is out is for it */
 	bool load_taken;
 	int64_t begun_ms, progress_ms;
 	GArray *needs; /* struct need */
@@ -322,8 +322,8 @@
 			&g_array_index(e->report->held, struct fleet_held, i);
 
 		for (guint k = 0; k < h->adapters->len; k++) {
-			int64_t at = last_use(e, h->model,
-					      h->adapters->pdata[k]);
+			int64_t at =
+				last_use(e, h->model, h->adapters->pdata[k]);
 
 			if (at >= oldest ||
 			    is_needed(e, h->model, h->adapters->pdata[k]))
@@ -356,8 +356,8 @@
 		end_need(e, i, 0, "");
 	else if (now >= n->until_ms)
 		end_need(e, i, SS_ERROR_DEADLINE, "not loaded in time");
-	else if (e->report && !h && !(e->on && e->load &&
-				      !strcmp(e->load, n->model)))
+	else if (e->report && !h &&
+		 !(e->on && e->load && !strcmp(e->load, n->model)))
 		end_need(e, i, SS_ERROR_UNKNOWN_MODEL,
 			 "its model isn't held here");
 	else
@@ -393,7 +393,9 @@
 	if (e->asking || e->stale || !e->report || !e->service ||
 	    now < e->quiet_ms || e->fenced >= e->fence)
 		return;
-	for (guint i = 0; i < e->needs->len && !e->asking; i++)
+	/* While a model loads or leaves, adapters are refused. */
+	for (guint i = 0; i < e->needs->len && !e->asking && !e->report->busy;
+	     i++)
 		advance_need(e, &g_array_index(e->needs, struct need, i));
 	if (e->on && !e->asking)
 		advance_step(e, now);
@@ -424,8 +426,7 @@
 {
 	if (s->fence < e->fence || e->on) {
 		e->o.ops->step_done(e->o.arg, s->fence, s->step,
-				    e->on ? SS_ERROR_OVERLOAD :
-					    SS_ERROR_FENCED,
+				    e->on ? SS_ERROR_OVERLOAD : SS_ERROR_FENCED,
 				    e->on ? "another step is under way" :
 					    "a newer leader is known",
 				    0);
@@ -443,9 +444,8 @@
 	advance(e, now);
 }
 
-void engine_need_adapter(struct engine *e, uint64_t ticket,
-			 struct ss_str model, struct ss_str adapter,
-			 int64_t until_ms, int64_t now)
+void engine_need_adapter(struct engine *e, uint64_t ticket, struct ss_str model,
+			 struct ss_str adapter, int64_t until_ms, int64_t now)
 {
 	struct need n = { .ticket = ticket,
 			  .model = ss_str_dup(model),
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -67,9 +67,8 @@
 void engine_step(struct engine *e, const struct engine_step *s, int64_t now);
 
 /* A call needs an adapter until a time on the clock. */
-void engine_need_adapter(struct engine *e, uint64_t ticket,
-			 struct ss_str model, struct ss_str adapter,
-			 int64_t until_ms, int64_t now);
+void engine_need_adapter(struct engine *e, uint64_t ticket, struct ss_str model,
+			 struct ss_str adapter, int64_t until_ms, int64_t now);
 
 void engine_answered(struct engine *e, enum fleet_order_answer a, int64_t now);
 void engine_tick(struct engine *e, int64_t now);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -40,8 +40,7 @@
 
 double fleet_rate_at(const struct fleet_rate *r, int64_t now)
 {
-	return r->at_ms ? r->per_s *
-				  exp(-(double)(now - r->at_ms) / RATE_MS) :
+	return r->at_ms ? r->per_s * exp(-(double)(now - r->at_ms) / RATE_MS) :
 			  0;
 }
 
@@ -221,8 +220,7 @@
 
 static bool store_allows(const struct pass *s)
 {
-	return s->from_store < s->v->store_parallel &&
-	       s->v->store_tokens >= 1;
+	return s->from_store < s->v->store_parallel && s->v->store_tokens >= 1;
 }
 
 static void take(struct pass *s, struct choice *c, const char *why)
@@ -337,9 +335,9 @@
 	for (size_t m = 0; m < s->v->n_models; m++) {
 		const struct tally *t = &s->tally[m];
 
-		s->v->models[m].eta_ms = t->open	? 0 :
-					 t->loading	? t->left_ms :
-							  -1;
+		s->v->models[m].eta_ms = t->open    ? 0 :
+					 t->loading ? t->left_ms :
+						      -1;
 	}
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -65,9 +65,9 @@
 	size_t n_models;
 	struct fleet_node *nodes;
 	size_t n_nodes;
-	int64_t slots;		  /* of one engine */
-	size_t store_parallel;	  /* loads from the store at full speed */
-	double store_tokens;	  /* loads from it that may begin now */
+	int64_t slots;	       /* of one engine */
+	size_t store_parallel; /* loads from the store at full speed */
+	double store_tokens;   /* loads from it that may begin now */
 	bool ahead; /* load models without a copy before anyone asks */
 };
 
--- a/src/core/fleet_types.h
+++ b/src/core/fleet_types.h
@@ -31,8 +31,8 @@
 	int64_t running, waiting;
 	int64_t tokens_used, tokens_total;
 	bool leaving;
-	int64_t remaining_ms; /* until it is taken away; -1: not told */
-	GArray *held;	      /* struct fleet_held */
+	int64_t remaining_ms;	     /* until it is taken away; -1: not told */
+	GArray *held;		     /* struct fleet_held */
 	GPtrArray *loading_adapters; /* char *, "model/adapter" */
 	GPtrArray *in_memory;	     /* char *, copies of weights */
 	GPtrArray *on_disk;	     /* char * */
@@ -50,10 +50,10 @@
 };
 
 enum fleet_order_answer {
-	FLEET_ORDER_TAKEN,    /* being carried out */
-	FLEET_ORDER_HOLDS,    /* it is so already */
-	FLEET_ORDER_BUSY,     /* another is under way, or expect is old */
-	FLEET_ORDER_FENCED,   /* the fence is older than one seen */
+	FLEET_ORDER_TAKEN,     /* being carried out */
+	FLEET_ORDER_HOLDS,     /* it is so already */
+	FLEET_ORDER_BUSY,      /* another is under way, or expect is old */
+	FLEET_ORDER_FENCED,    /* the fence is older than one seen */
 	FLEET_ORDER_MISPLACED, /* another incarnation answers there */
 	FLEET_ORDER_INVALID,
 	FLEET_ORDER_UNKNOWN, /* no clear answer: it may still be taken */
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -267,6 +267,7 @@
 	F(12, WIRE_INT, fleet_endpoint, tokens_total),
 	L(13, fleet_endpoint, held, held_model_type),
 	F(14, WIRE_INT, fleet_endpoint, age_ms),
+	F(15, WIRE_BOOL, fleet_endpoint, busy),
 };
 static const struct wire_type fleet_endpoint_type =
 	T(fleet_endpoint, fleet_endpoint_fields);
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -300,6 +300,7 @@
 	int64_t tokens_used, tokens_total;
 	struct wire_list held; /* struct held_model, open for new calls */
 	int64_t age_ms;	       /* of its load */
+	bool busy; /* it loads or unloads: no adapter can be loaded */
 };
 
 struct fleet_eta {
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -148,8 +148,8 @@
 
 static bool index_routes(struct routing *r, GError **error)
 {
-	GHashTable *places = g_hash_table_new_full(g_str_hash, g_str_equal,
-						   g_free, NULL);
+	GHashTable *places =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	GHashTableIter it;
 	void *list;
 	bool ok = true;
@@ -181,8 +181,8 @@
 static bool index_services(struct routing *r, GError **error)
 {
 	for (guint i = 0; i < r->services->len; i++) {
-		struct routing_service *s = &g_array_index(
-			r->services, struct routing_service, i);
+		struct routing_service *s =
+			&g_array_index(r->services, struct routing_service, i);
 
 		if (routing_service_index(r, s->name) != (int)i)
 			return invalid(error, s->name,
@@ -232,9 +232,8 @@
 	return path.n >= n && memcmp(path.p, prefix, n) == 0;
 }
 
-const struct routing_route *routing_match(const struct routing *r,
-					  struct ss_str host,
-					  struct ss_str path)
+const struct routing_route *
+routing_match(const struct routing *r, struct ss_str host, struct ss_str path)
 {
 	const char *colon = memchr(host.p, ':', host.n);
 	size_t n = colon ? (size_t)(colon - host.p) : host.n;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -92,9 +92,8 @@
 int routing_service_index(const struct routing *r, const char *name);
 
 /* The route with the longest prefix of the path; NULL for none. */
-const struct routing_route *routing_match(const struct routing *r,
-					  struct ss_str host,
-					  struct ss_str path);
+const struct routing_route *
+routing_match(const struct routing *r, struct ss_str host, struct ss_str path);
 
 /* The service that a random number picks, by the weights. */
 const struct routing_service *routing_pick(const struct routing *r,
--- a/src/daemon/fleet_agent.c
+++ b/src/daemon/fleet_agent.c
@@ -30,7 +30,7 @@
 	struct event *tick;
 	struct routing *routing;
 	struct fleet_report *report; /* the newest; NULL: none */
-	char *addr; /* of the listener, as others reach it */
+	char *addr;		     /* of the listener, as others reach it */
 	bool reachable, reading;
 	unsigned int unanswered;
 	int64_t read_ms, told_ms;
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -320,7 +320,8 @@
 	r->held = g_array_new(FALSE, TRUE, sizeof(struct fleet_held));
 	for (size_t i = 0; i < m->held.n; i++) {
 		struct fleet_held x = { .model = ss_str_dup(h[i].model),
-					.adapters = copy_names(&h[i].adapters) };
+					.adapters =
+						copy_names(&h[i].adapters) };
 
 		g_array_append_val(r->held, x);
 	}
@@ -348,7 +349,7 @@
 	ep->down = false;
 	copy_report(&r, m);
 	if (!ep->reported || ep->report.leaving != r.leaving ||
-	    !same_held(ep->report.held, r.held))
+	    ep->report.busy != r.busy || !same_held(ep->report.held, r.held))
 		ep->changed = l->urgent = true;
 	ep->load_changed |= ep->report.running != r.running ||
 			    ep->report.waiting != r.waiting;
@@ -462,27 +463,29 @@
 
 /* The list. */
 
-static void take_instance(struct fleet_lead *l, const struct fleet_instance *i)
+static void take_instance(struct fleet_lead *l, const struct fleet_instance *i,
+			  int64_t now)
 {
 	struct fleet_ep *ep = ep_for(l, i->addr);
 	bool other = strcmp(ep->id, i->id) != 0;
 
-	if (other || strcmp(ep->service, i->service) || !ep->listed ||
-	    ep->leaving_listed != i->leaving ||
-	    !same_names(ep->on_list, i->models)) {
+	bool news = other || strcmp(ep->service, i->service) || !ep->listed ||
+		    ep->leaving_listed != i->leaving;
+
+	if (news || (!ep->reported && !same_names(ep->on_list, i->models)))
 		ep->changed = l->dirty = true;
+	if (news)
 		log_info("endpoint",
 			 "addr=%s id=%s service=%s leaving=%d models=%u",
 			 i->addr, i->id, i->service, i->leaving,
 			 i->models->len);
-	}
 	set_str(&ep->id, ss_str(i->id));
 	set_str(&ep->service, ss_str(i->service));
 	set_str(&ep->domain, ss_str(i->domain ? i->domain : ""));
 	ep->slots = i->slots;
 	ep->listed = true;
 	ep->leaving_listed = i->leaving;
-	ep->listed_ms = fleet_lead_now(l);
+	ep->listed_ms = now;
 	g_ptr_array_unref(ep->on_list);
 	ep->on_list = g_ptr_array_ref(i->models);
 }
@@ -495,22 +498,27 @@
 	void *p;
 
 	for (guint i = 0; i < all->len; i++)
-		take_instance(l,
-			      &g_array_index(all, struct fleet_instance, i));
+		take_instance(l, &g_array_index(all, struct fleet_instance, i),
+			      now);
 	g_hash_table_iter_init(&it, l->eps);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct fleet_ep *ep = p;
 
-		/* What the list no longer shows has ended: it lags on with
-		 * those that crash, never with those that still serve. */
+		/*
+		 * What the list no longer shows has ended: it lags on with
+		 * those that crash, never with those that still serve. One
+		 * time for the whole list: read anew for each entry, it
+		 * moved on in between now and then, and all that stood
+		 * before was taken for gone until the next list.
+		 */
 		if (ep->listed && ep->listed_ms != now) {
 			log_info("endpoint_gone", "addr=%s id=%s", ep->addr,
 				 ep->id);
 			ep->listed = false;
 			ep->changed = l->dirty = true;
 		}
-		if (!ep->listed && !ep->conn && !ep->step.on &&
-		    !ep->changed && now - ep->listed_ms > LIST_GONE_MS)
+		if (!ep->listed && !ep->conn && !ep->step.on && !ep->changed &&
+		    now - ep->listed_ms > LIST_GONE_MS)
 			g_hash_table_iter_remove(&it);
 	}
 	l->list_seen = true;
@@ -536,8 +544,8 @@
 		const struct fleet_held *x =
 			&g_array_index(ep->report.held, struct fleet_held, i);
 		struct held_model h = { .model = ss_str(x->model) };
-		GArray *names = g_array_new(FALSE, FALSE,
-					    sizeof(struct name_item));
+		GArray *names =
+			g_array_new(FALSE, FALSE, sizeof(struct name_item));
 
 		for (guint k = 0; k < x->adapters->len; k++) {
 			struct name_item n = { ss_str(x->adapters->pdata[k]) };
@@ -570,6 +578,7 @@
 		.slots = ep->slots,
 		.leaving = !fleet_ep_usable(l, ep),
 		.gone = !ep->listed,
+		.busy = ep->report.busy || (ep->step.on && ep->step.sent),
 	};
 
 	if (has_report(l, ep)) {
@@ -718,7 +727,8 @@
 		GArray *waits = ((struct fleet_want *)p)->waits;
 
 		for (guint i = waits->len; i-- > 0;)
-			if (now - g_array_index(waits, struct wait_at, i).at_ms >
+			if (now - g_array_index(waits, struct wait_at, i)
+					    .at_ms >
 			    WANT_MS)
 				g_array_remove_index_fast(waits, i);
 	}
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -34,18 +34,18 @@
 	char *addr, *id, *service, *domain, *agent;
 	int64_t slots;
 	bool listed, leaving_listed;
-	int64_t listed_ms;    /* when the list last had it */
-	GPtrArray *on_list;   /* char *, models by the list */
-	struct conn *conn;    /* of its agent; NULL: none */
+	int64_t listed_ms;  /* when the list last had it */
+	GPtrArray *on_list; /* char *, models by the list */
+	struct conn *conn;  /* of its agent; NULL: none */
 	bool down;	    /* its agent can't reach it */
 	bool reported;
 	int64_t report_ms;
 	struct fleet_report report;
 	GArray *calls; /* struct calls_at */
 	struct step_run step;
-	bool changed;	   /* what entries are told of it */
-	bool load_changed; /* only its load */
-	bool told;	   /* entries know of it */
+	bool changed;	     /* what entries are told of it */
+	bool load_changed;   /* only its load */
+	bool told;	     /* entries know of it */
 	GHashTable *refused; /* model -> when a load of it failed, ms */
 };
 
@@ -60,7 +60,7 @@
 struct fleet_want {
 	char *service, *model;
 	struct fleet_rate rate;
-	GArray *waits; /* struct wait_at */
+	GArray *waits;	/* struct wait_at */
 	int64_t eta_ms; /* on the clock; -1: unknown */
 	bool eta_changed;
 };
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -66,13 +66,13 @@
 			.slack_ms = INT64_MAX,
 			.eta_ms = -1,
 		};
-		struct fleet_want *want = fleet_want_for(
-			w->l, w->service->name, m.spec->name);
+		struct fleet_want *want =
+			fleet_want_for(w->l, w->service->name, m.spec->name);
 
 		m.rate = fleet_rate_at(&want->rate, w->now);
 		for (guint k = 0; k < want->waits->len; k++) {
-			const struct wait_at *at = &g_array_index(
-				want->waits, struct wait_at, k);
+			const struct wait_at *at =
+				&g_array_index(want->waits, struct wait_at, k);
 
 			m.waiting += (uint32_t)at->waiting;
 			m.slack_ms = MIN(m.slack_ms, at->due_ms - w->now);
@@ -100,9 +100,9 @@
 	double most = 0;
 
 	for (guint i = 0; i < s->models->len; i++)
-		most = MAX(most, g_array_index(s->models, struct routing_model,
-					       i)
-					 .adapter_mb);
+		most = MAX(most,
+			   g_array_index(s->models, struct routing_model, i)
+				   .adapter_mb);
 	return most * (double)MIN(s->adapter_slots, ADAPTERS_KEPT);
 }
 
@@ -239,8 +239,8 @@
 	for (guint i = 0; i < w->models->len; i++) {
 		const struct fleet_model *m =
 			&g_array_index(w->models, struct fleet_model, i);
-		struct fleet_want *want = fleet_want_for(
-			w->l, w->service->name, m->spec->name);
+		struct fleet_want *want =
+			fleet_want_for(w->l, w->service->name, m->spec->name);
 		int64_t eta = m->eta_ms < 0 ? -1 : w->now + m->eta_ms;
 
 		if ((eta < 0) != (want->eta_ms < 0) ||
@@ -301,8 +301,8 @@
  * new leader knows of none that its predecessor began, so it starts with
  * nothing saved up; the bucket holds no more than one second's loads.
  */
-static void refill_store(struct fleet_lead *l,
-			 const struct routing_service *s, int64_t now)
+static void refill_store(struct fleet_lead *l, const struct routing_service *s,
+			 int64_t now)
 {
 	double rate = s->loads_per_s * STORE_SHARE;
 	double preset = (double)l->preset.store_per_minute / 60.0;
@@ -410,6 +410,7 @@
 	if (mb >= 0 && conn_send(ep->conn, MSG_LOAD, &m)) {
 		s->sent = true;
 		s->sent_ms = now;
+		ep->changed = l->dirty = true;
 	}
 	g_array_unref(names);
 }
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -7,10 +7,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "bootstrap.h"
 
+/* Settings may change without a signal; a look at the file is cheap. */
+#define SETTINGS_LOOK_MS 1000
+
 enum exit_code { EXIT_SETTINGS = 2, EXIT_START = 3 };
 
 static const struct role_ops *const roles[] = {
@@ -30,6 +34,8 @@
 	const struct role_ops *ops;
 	void *role;
 	struct http_server *status;
+	const char *file; /* of the settings */
+	struct stat seen; /* as the file was when it was read */
 	bool stopping;
 };
 
@@ -42,11 +48,16 @@
 struct conn_options daemon_conn_options(struct daemon *d,
 					const struct conn_ops *ops, void *arg)
 {
+	bool fast = d->config.fleet.on;
+
 	return (struct conn_options){ .base = d->base,
 				      .clock = &d->clock,
 				      .self = &d->hello,
 				      .ops = ops,
 				      .arg = arg,
+				      .ping_ms = fast ? CONN_FAST_PING_MS : 0,
+				      .silent_ms = fast ? CONN_FAST_SILENT_MS :
+							  0,
 				      .bytes_out = d->bytes_out,
 				      .bytes_in = d->bytes_in };
 }
@@ -149,6 +160,52 @@
 	r->ops->stop(r->role);
 }
 
+/*
+ * Read the settings again. Only the control VMs' addresses change in a
+ * running process, since those are replaced over time; the rest needs a
+ * restart. A file that can't be used changes nothing.
+ */
+static void reload(struct running *r)
+{
+	struct config new;
+	GPtrArray *own = r->d.config.control;
+	GError *error = NULL;
+
+	stat(r->file, &r->seen);
+	if (!config_load(&new, r->file, &error)) {
+		log_error("reload_failed", "why=\"%s\"", error->message);
+		g_error_free(error);
+		return;
+	}
+	g_ptr_array_set_size(own, 0);
+	for (guint i = 0; i < new.control->len; i++)
+		g_ptr_array_add(own, g_strdup(new.control->pdata[i]));
+	log_info("reload", "control=%u", own->len);
+	config_clear(&new);
+}
+
+static void on_hangup(evutil_socket_t sig, short what, void *arg)
+{
+	(void)sig;
+	(void)what;
+	reload(arg);
+}
+
+static void on_look(evutil_socket_t fd, short what, void *arg)
+{
+	struct running *r = arg;
+	struct stat now;
+
+	(void)fd;
+	(void)what;
+	if (stat(r->file, &now))
+		return;
+	if (now.st_mtim.tv_sec != r->seen.st_mtim.tv_sec ||
+	    now.st_mtim.tv_nsec != r->seen.st_mtim.tv_nsec ||
+	    now.st_size != r->seen.st_size)
+		reload(r);
+}
+
 static bool start(struct running *r, GError **error)
 {
 	struct daemon *d = &r->d;
@@ -182,7 +239,7 @@
 static int run(struct running *r)
 {
 	struct daemon *d = &r->d;
-	struct event *term, *intr;
+	struct event *term, *intr, *hup, *look;
 	GError *error = NULL;
 
 	signal(SIGPIPE, SIG_IGN);
@@ -192,8 +249,11 @@
 	log_open(d->config.name, d->config.log_level);
 	term = evsignal_new(d->base, SIGTERM, on_signal, r);
 	intr = evsignal_new(d->base, SIGINT, on_signal, r);
+	hup = evsignal_new(d->base, SIGHUP, on_hangup, r);
+	look = daemon_every(d, SETTINGS_LOOK_MS, on_look, r);
 	event_add(term, NULL);
 	event_add(intr, NULL);
+	event_add(hup, NULL);
 	if (start(r, &error)) {
 		log_info("start", "role=%s version=%s incarnation=%" PRIx64,
 			 r->ops->name, SS_VERSION, d->hello.incarnation);
@@ -212,6 +272,8 @@
 	http_server_free(r->status);
 	event_free(term);
 	event_free(intr);
+	event_free(hup);
+	event_free(look);
 	event_base_free(d->base);
 	metrics_free(d->metrics);
 	log_close();
@@ -256,7 +318,9 @@
 		g_error_free(error);
 		return EXIT_SETTINGS;
 	}
-	poptFreeContext(ctx);
+	/* The words of the command line live as long as the context. */
+	r.file = file;
+	stat(file, &r.seen);
 	if (check)
 		printf("%s: ok\n", r.d.config.name);
 	else if (bootstrap)
@@ -267,5 +331,6 @@
 	}
 	rc = check ? 0 : bootstrap ? rc : run(&r);
 	config_clear(&r.d.config);
+	poptFreeContext(ctx);
 	return rc;
 }
--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -13,6 +13,13 @@
 #define CONN_PROTOCOL 1
 #define CONN_PING_MS 500
 #define CONN_SILENT_MS 2500
+/*
+ * Between processes that a change must reach within two seconds, also where
+ * a silent cut takes the leader away: a second to see that it is gone, and
+ * less than another to elect and to find the next one.
+ */
+#define CONN_FAST_PING_MS 200
+#define CONN_FAST_SILENT_MS 900
 /* A peer that reads nothing can't make this process hold more for it. */
 #define CONN_BACKLOG_MAX (64u * 1024 * 1024)
 
--- a/src/operator/routing_http.c
+++ b/src/operator/routing_http.c
@@ -77,8 +77,7 @@
 	routing_unref(r);
 	p = pending_new(h, req);
 	p->version = rec.version;
-	h->o.ops->change(h->o.arg, &c,
-			 (struct operator_done){ on_changed, p });
+	h->o.ops->change(h->o.arg, &c, (struct operator_done){ on_changed, p });
 }
 
 static void on_confirmed(void *arg, bool ok)
--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -26,6 +26,8 @@
 static void spoiled(struct forward *f, const char *why)
 {
 	note(f, true);
+	if (f->is_events)
+		events_resume(&f->events);
 	forward_again(f, false, why);
 }
 
@@ -148,6 +150,7 @@
 static void start(struct forward *f, int64_t length)
 {
 	f->started = true;
+	f->first_ms = gate_now(f->g) - f->start_ms;
 	caller_call_start(f->caller, f->status, f->headers, length);
 }
 
@@ -226,8 +229,6 @@
 		forward_not_sent(f);
 		return;
 	}
-	if (f->is_events)
-		events_resume(&f->events);
 	spoiled(f, upstream_end_name(end));
 }
 
--- a/src/proxy/callers.c
+++ b/src/proxy/callers.c
@@ -33,10 +33,10 @@
 	const struct http1_head *head;
 	GString *body;
 	struct caller_call *call; /* NULL: none in progress */
-	bool refused;	  /* it is only written out and closed */
-	bool last;	  /* the answer in progress ends the connection */
-	bool finished;	  /* close once all is written */
-	bool shut;	  /* all is written; only the caller's close is missing */
+	bool refused;		  /* it is only written out and closed */
+	bool last;     /* the answer in progress ends the connection */
+	bool finished; /* close once all is written */
+	bool shut;     /* all is written; only the caller's close is missing */
 	bool too_large;
 	int64_t since_ms; /* of the state it is in */
 	int depth;
@@ -277,8 +277,8 @@
 	return evbuffer_get_length(bufferevent_get_output(c->peer->bev));
 }
 
-void caller_call_start(struct caller_call *c, int status, const GString *headers,
-		       int64_t length)
+void caller_call_start(struct caller_call *c, int status,
+		       const GString *headers, int64_t length)
 {
 	struct peer *p = c->peer;
 	struct evbuffer *out = bufferevent_get_output(p->bev);
@@ -328,7 +328,9 @@
 		evbuffer_add(bufferevent_get_output(p->bev), "0\r\n\r\n", 5);
 	p->call = NULL;
 	g_free(c);
-	if (!good || p->last) {
+	/* A stop that began during the answer ends the connection too, else
+	 * the next request on it would come too late to be finished. */
+	if (!good || p->last || p->s->draining) {
 		/* What was written goes out; its end shows what is missing. */
 		finish(p);
 		return;
--- a/src/proxy/callers.h
+++ b/src/proxy/callers.h
@@ -59,8 +59,8 @@
 const struct http1_head *caller_call_head(const struct caller_call *c);
 
 /* Begin an answer; length -1: in chunks. Headers end in a line end each. */
-void caller_call_start(struct caller_call *c, int status, const GString *headers,
-		       int64_t length);
+void caller_call_start(struct caller_call *c, int status,
+		       const GString *headers, int64_t length);
 void caller_call_write(struct caller_call *c, struct ss_str piece);
 /*
  * The answer is whole; or it isn't, and the connection is cut so that the
--- a/src/proxy/events.c
+++ b/src/proxy/events.c
@@ -42,8 +42,8 @@
 		if (len > 3 && !memcmp(p + at, key, 3)) {
 			char *digits = g_strndup(p + at + 3, len - 3);
 			char *stop;
-			int64_t id = g_ascii_strtoll(g_strstrip(digits), &stop,
-						     10);
+			int64_t id =
+				g_ascii_strtoll(g_strstrip(digits), &stop, 10);
 			bool ok = stop != digits && *stop == 0;
 
 			g_free(digits);
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -83,10 +83,12 @@
 	hist_add(h, (uint64_t)MAX(ms, 0));
 	log_info("request",
 		 "request=%s route=%s service=%s model=%s adapter=%s "
-		 "endpoint=%s sends=%u outcome=%s status=%d ms=%" PRId64
+		 "endpoint=%s sends=%u asks=%u outcome=%s status=%d "
+		 "waited_ms=%" PRId64 " first_ms=%" PRId64 " ms=%" PRId64
 		 " left_ms=%" PRId64 " routing=%" PRIu64 " why=\"%s\"",
 		 f->id, f->route->name, f->service->name, f->model, f->adapter,
-		 f->ep_id ? f->ep_id : "-", f->sends, outcome, f->status, ms,
+		 f->ep_id ? f->ep_id : "-", f->sends, f->asks, outcome,
+		 f->status, f->waited_ms, f->first_ms, ms,
 		 f->deadline_ms - gate_now(g), f->routing->version,
 		 f->why ? f->why : "");
 }
@@ -229,20 +231,21 @@
 							  f->events.last_id :
 							  f->call.after_event };
 	const struct http1_head *h = caller_call_head(f->caller);
-	struct upstream_request r = { .addr = ep->addr,
-				      .bytes = g_string_sized_new(1024),
-				      .no_body = http1_name_is(h->method,
-							       "HEAD"),
-				      .rest_max_ms = repeatable(f) ?
-							     REST_SAFE_MS :
-							     REST_ONCE_MS,
-				      .ops = &forward_upstream_ops,
-				      .arg = f };
+	struct upstream_request r = {
+		.addr = ep->addr,
+		.bytes = g_string_sized_new(1024),
+		.no_body = http1_name_is(h->method, "HEAD"),
+		.rest_max_ms = repeatable(f) ? REST_SAFE_MS : REST_ONCE_MS,
+		.ops = &forward_upstream_ops,
+		.arg = f
+	};
 
 	g->o.platform->write_request(r.bytes, h, &s, f->body.n);
 	g_string_append_len(r.bytes, f->body.p, (gssize)f->body.n);
 	f->state = FORWARD_SENT;
 	f->sent_ms = now;
+	if (f->waited_ms < 0)
+		f->waited_ms = now - f->start_ms;
 	f->sends++;
 	g_free(f->ep_id);
 	f->ep_id = g_strdup(ep->id);
@@ -304,8 +307,8 @@
 	if (!ep)
 		return false;
 	/* Only a first send is free; every other one is a repeat. */
-	if (f->sends > 0 && !repeat_take(gate_budget(f->g, f->service->name),
-					 gate_now(f->g))) {
+	if (f->sends > 0 &&
+	    !repeat_take(gate_budget(f->g, f->service->name), gate_now(f->g))) {
 		(*f->g->n_repeats_refused)++;
 		if (f->started)
 			forward_end(f, false, "the repeat budget is used up");
@@ -423,10 +426,11 @@
 	f->call = *call;
 	f->id = ss_str_dup(call->id);
 	f->model = f->service->engine ? ss_str_dup(call->model) : g_strdup("");
-	f->adapter =
-		f->service->engine ? ss_str_dup(call->adapter) : g_strdup("");
+	f->adapter = f->service->engine ? ss_str_dup(call->adapter) :
+					  g_strdup("");
 	f->affinity = affinity_of(call);
 	f->start_ms = now;
+	f->waited_ms = f->first_ms = -1;
 	f->deadline_ms = now + wait;
 	f->objective_ms = now + rt->objective_ms;
 	f->tried = g_ptr_array_new_with_free_func(g_free);
@@ -515,8 +519,7 @@
 			if (now >= f->deadline_ms)
 				forward_end(f, false, "nobody could resume it");
 		} else if (is_hopeless(f, now)) {
-			forward_refuse(f, f->unknown ? 502 : 503,
-				       "unavailable",
+			forward_refuse(f, f->unknown ? 502 : 503, "unavailable",
 				       "it can't be begun in time",
 				       f->unknown ? 0 : come_back_ms(f));
 		}
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -53,8 +53,9 @@
 	(void)data;
 	if (x->route->priority != y->route->priority)
 		return x->route->priority < y->route->priority ? -1 : 1;
-	return x->deadline_ms < y->deadline_ms ? -1 :
-					  x->deadline_ms > y->deadline_ms;
+	return x->deadline_ms < y->deadline_ms ?
+		       -1 :
+		       x->deadline_ms > y->deadline_ms;
 }
 
 void lane_add(struct lane *l, struct forward *f)
@@ -388,10 +389,9 @@
 				       gate_ep_free);
 	g->lanes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 lane_free);
-	g->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   g_free);
-	g->hists =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g->budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->hists = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g->forwards = g_hash_table_new(NULL, NULL);
 	g->tickets = g_hash_table_new(g_int64_hash, g_int64_equal);
 	make_counters(g);
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -16,7 +16,8 @@
 struct gate;
 
 struct gate_ops {
-	/* Ask the agent at addr for an adapter; false where it isn't reached. */
+	/* Ask the agent at addr for an adapter; false where it isn't reached.
+	 */
 	bool (*need_adapter)(void *arg, const char *agent,
 			     const struct msg_adapter *m);
 	/* Demand has changed: report it soon. */
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -57,8 +57,8 @@
 	ep->service = g_strdup("");
 	ep->domain = g_strdup("");
 	ep->agent = g_strdup("");
-	ep->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					 held_free);
+	ep->held =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, held_free);
 	ep->calls =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_hash_table_insert(g->eps, ep->addr, ep);
@@ -120,6 +120,7 @@
 	ep->slots = e->slots;
 	ep->known = !e->gone;
 	ep->leaving = e->leaving;
+	ep->busy = e->busy;
 	if (e->tokens_total) {
 		ep->reported = e->running + e->waiting;
 		ep->reported_ms = gate_now(g) - e->age_ms;
@@ -331,6 +332,7 @@
 	n->near = !strcmp(ep->domain, g->o.domain);
 	n->has_adapter = gate_ep_has_adapter(ep, f->model, f->adapter) ||
 			 !*f->adapter;
+	n->usable &= n->has_adapter || !ep->busy;
 	n->tried = was_tried(f, ep->id);
 	n->slots = ep->slots;
 	n->reported = fresh ? ep->reported : 0;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -21,7 +21,7 @@
 	int64_t slots;
 	bool known; /* listed, and not gone */
 	bool leaving;
-	bool any_model; /* a plain service: holds no models */
+	bool busy; /* it loads or unloads a model: no adapter can be loaded */
 	GHashTable *held;  /* model -> struct gate_held */
 	GHashTable *calls; /* model -> GINT count of this gate's, under way */
 	int64_t own;
@@ -60,6 +60,8 @@
 	char *ep_addr, *ep_id;
 	uint64_t ticket;
 	int64_t sent_ms;
+	int64_t waited_ms; /* until it was first sent; -1: not yet */
+	int64_t first_ms;  /* until the answer began; -1: not yet */
 	struct upstream_call *up;
 	bool unknown; /* an earlier send may have run */
 	const char *why;
--- a/src/proxy/http1.c
+++ b/src/proxy/http1.c
@@ -214,8 +214,7 @@
 	    (!r->headers_done && r->head_bytes > r->o.head_max) ||
 	    e == HPE_CB_header_field)
 		g_set_error(error, SS_ERROR, SS_ERROR_TOO_LARGE,
-			    "the head is larger than %zu bytes",
-			    r->o.head_max);
+			    "the head is larger than %zu bytes", r->o.head_max);
 	else
 		g_set_error(error, SS_ERROR, SS_ERROR_BAD_REQUEST,
 			    "not an HTTP message: %s",
--- a/src/proxy/platform_ops.h
+++ b/src/proxy/platform_ops.h
@@ -75,8 +75,7 @@
 			  GError **error);
 	/* Append a request's head with the headers that may go on. */
 	void (*write_request)(GString *out, const struct http1_head *h,
-			      const struct platform_send *s,
-			      size_t body_bytes);
+			      const struct platform_send *s, size_t body_bytes);
 	void (*read_answer)(const struct http1_head *h,
 			    struct platform_answer *a);
 	/* Whether an answer's header goes on to the caller. */
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -29,9 +29,9 @@
 	struct http1_reader *reader;
 	struct upstream_call *call; /* NULL: at rest */
 	bool connected;
-	bool keep;	  /* the answer leaves it open */
+	bool keep; /* the answer leaves it open */
 	bool head_seen;
-	bool framed; /* the answer tells where it ends */
+	bool framed;	  /* the answer tells where it ends */
 	int64_t rest_ms;  /* since when */
 	int64_t until_ms; /* to be closed by then */
 	int64_t idle_ms;  /* what the endpoint told; 0: nothing */
@@ -203,9 +203,8 @@
 {
 	if (!l->connected)
 		return UPSTREAM_NOT_SENT;
-	return l->head_seen || !http1_reader_fresh(l->reader) ?
-		       UPSTREAM_CUT :
-		       UPSTREAM_SILENT;
+	return l->head_seen || !http1_reader_fresh(l->reader) ? UPSTREAM_CUT :
+								UPSTREAM_SILENT;
 }
 
 static void on_end(struct line *l, short what)
--- a/src/vmlist/instances.c
+++ b/src/vmlist/instances.c
@@ -12,7 +12,7 @@
 	struct instances_options o;
 	char *addr;
 	struct event *timer;
-	GArray *all;	/* struct fleet_instance, of the pages so far */
+	GArray *all; /* struct fleet_instance, of the pages so far */
 	unsigned int pages;
 	bool on, asking, freed;
 	bool failed; /* the last try; told once */
