--- /dev/null
+++ b/test/test_engine.c
@@ -0,0 +1,343 @@
+/* Orders to an engine: one at a time, by its reports, within its memory. */
+#include "unit.h"
+
+#include "../src/core/engine.h"
+
+struct fix {
+	struct engine *e;
+	struct routing *routing;
+	GString *out; /* what was ordered and answered, in order */
+	struct fleet_report reports[2];
+	int at;
+	int64_t now;
+};
+
+static void on_order(void *arg, const struct fleet_order *o)
+{
+	struct fix *f = arg;
+
+	g_string_append_printf(f->out, "%s %s%s%s @%" PRIu64 " #%" PRIu64 ";",
+			       o->load ? "load" : "unload", o->model,
+			       o->adapter ? "/" : "",
+			       o->adapter ? o->adapter : "", o->expect,
+			       o->fence);
+}
+
+static void on_step(void *arg, uint64_t fence, uint64_t step, int code,
+		    const char *text, int64_t took_ms)
+{
+	struct fix *f = arg;
+
+	(void)fence;
+	(void)text;
+	(void)took_ms;
+	g_string_append_printf(f->out, "step %" PRIu64 " %s;", step,
+			       code ? ss_error_name((enum ss_error)code) :
+				      "ok");
+}
+
+static void on_adapter(void *arg, uint64_t ticket, int code, const char *text)
+{
+	struct fix *f = arg;
+
+	(void)text;
+	g_string_append_printf(f->out, "adapter %" PRIu64 " %s;", ticket,
+			       code ? ss_error_name((enum ss_error)code) :
+				      "ok");
+}
+
+static const struct engine_ops ops = { on_order, on_step, on_adapter };
+
+static struct routing *make_routing(void)
+{
+	static const struct {
+		const char *name;
+		double mb;
+	} models[] = { { "big", 34 }, { "small", 16 }, { "other", 34 } };
+	struct routing *r = routing_new();
+	struct routing_service *s = routing_add_service(r);
+
+	s->name = g_strdup("lm");
+	s->engine = true;
+	s->weights_mb = 83;
+	s->adapter_slots = 2;
+	for (size_t i = 0; i < G_N_ELEMENTS(models); i++) {
+		struct routing_model *m = routing_add_model(s);
+
+		m->name = g_strdup(models[i].name);
+		m->weights_mb = models[i].mb;
+		m->adapter_mb = 0.04;
+	}
+	assert_true(routing_finish(r, NULL));
+	return r;
+}
+
+static void fix_open(struct fix *f)
+{
+	struct engine_options o = { .holder = "vm-1", .ops = &ops, .arg = f };
+
+	memset(f, 0, sizeof(*f));
+	f->out = g_string_new(NULL);
+	f->e = engine_new(&o);
+	f->routing = make_routing();
+	f->now = 1000;
+	engine_set_service(f->e, &g_array_index(f->routing->services,
+						struct routing_service, 0));
+}
+
+static void fix_close(struct fix *f)
+{
+	engine_free(f->e);
+	routing_unref(f->routing);
+	fleet_report_clear(&f->reports[0]);
+	fleet_report_clear(&f->reports[1]);
+	g_string_free(f->out, TRUE);
+}
+
+/* held: "big,small/a1/a2"; busy by a trailing "!". */
+static void report(struct fix *f, uint64_t orders, const char *held)
+{
+	struct fleet_report *r = &f->reports[f->at ^= 1];
+	char **models = g_strsplit(held, ",", -1);
+
+	fleet_report_clear(r);
+	r->orders = orders;
+	r->held = g_array_new(FALSE, TRUE, sizeof(struct fleet_held));
+	for (int i = 0; models[i] && *models[i]; i++) {
+		char **parts = g_strsplit(models[i], "/", -1);
+		struct fleet_held h = { .model = g_strdup(parts[0]) };
+
+		if (!strcmp(parts[0], "!")) {
+			r->busy = true;
+			g_free(h.model);
+			g_strfreev(parts);
+			continue;
+		}
+		h.adapters = g_ptr_array_new_with_free_func(g_free);
+		for (int k = 1; parts[k]; k++)
+			g_ptr_array_add(h.adapters, g_strdup(parts[k]));
+		g_array_append_val(r->held, h);
+		g_strfreev(parts);
+	}
+	g_strfreev(models);
+	f->now += 20;
+	engine_report(f->e, r, f->now);
+}
+
+static void step(struct fix *f, uint64_t fence, uint64_t number,
+		 const char *unload, const char *load)
+{
+	struct ss_str out[1] = { ss_str(unload) };
+	struct engine_step s = { .fence = fence,
+				 .step = number,
+				 .unload = out,
+				 .n_unload = *unload ? 1 : 0,
+				 .load = ss_str(load) };
+
+	engine_step(f->e, &s, f->now);
+}
+
+static void expect(struct fix *f, const char *what)
+{
+	assert_string_equal(f->out->str, what);
+	g_string_truncate(f->out, 0);
+}
+
+static void unloads_before_it_loads(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open(&f);
+	report(&f, 3, "big,other");
+	step(&f, 7, 1, "big", "small");
+	expect(&f, "unload big @3 #7;");
+	engine_answered(f.e, FLEET_ORDER_TAKEN, f.now);
+	report(&f, 4, "big,other,!");
+	expect(&f, "");
+	report(&f, 4, "other");
+	expect(&f, "load small @4 #7;");
+	engine_answered(f.e, FLEET_ORDER_TAKEN, f.now);
+	report(&f, 5, "other,!");
+	expect(&f, "");
+	report(&f, 5, "other,small");
+	expect(&f, "step 1 ok;");
+	fix_close(&f);
+}
+
+/*
+ * Symptom: an engine crashes with too much in its memory. Sequence: a
+ * leader decides on a report that is older than another load. Cause: only
+ * the engine's newest report tells what is held.
+ */
+static void never_more_than_fits(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open(&f);
+	report(&f, 3, "big,other");
+	step(&f, 7, 1, "", "small");
+	expect(&f, "step 1 no_memory;");
+	fix_close(&f);
+}
+
+/*
+ * Symptom: an engine does what was ordered seconds ago, against newer
+ * orders. Sequence: an order gets no answer; it may be carried out later.
+ * Cause: no answer is no refusal. The same count is expected again, so that
+ * at most one of the two is carried out, and not before the first settled.
+ */
+static void unanswered_order_settles_first(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open(&f);
+	report(&f, 3, "big");
+	step(&f, 7, 1, "", "small");
+	expect(&f, "load small @3 #7;");
+	engine_answered(f.e, FLEET_ORDER_UNKNOWN, f.now);
+	report(&f, 3, "big");
+	expect(&f, "");
+	f.now += ENGINE_SETTLE_MS;
+	report(&f, 3, "big");
+	expect(&f, "load small @3 #7;");
+	engine_answered(f.e, FLEET_ORDER_BUSY, f.now);
+	report(&f, 4, "big,!");
+	report(&f, 4, "big,small");
+	expect(&f, "step 1 ok;");
+	fix_close(&f);
+}
+
+static void old_leaders_are_refused(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open(&f);
+	report(&f, 0, "big");
+	step(&f, 9, 1, "", "big");
+	expect(&f, "step 1 ok;");
+	step(&f, 8, 2, "", "small");
+	expect(&f, "step 2 fenced;");
+	fix_close(&f);
+}
+
+/* After the engine refused a fence, nothing is ordered with it again. */
+static void refused_fence_isnt_used_again(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open(&f);
+	report(&f, 0, "big");
+	engine_need_adapter(f.e, 1, SS_LIT("big"), SS_LIT("a1"), f.now + 400,
+			    f.now);
+	expect(&f, "load big/a1 @0 #1;");
+	engine_answered(f.e, FLEET_ORDER_FENCED, f.now);
+	report(&f, 0, "big");
+	expect(&f, "");
+	engine_set_fence(f.e, 12);
+	report(&f, 0, "big");
+	expect(&f, "load big/a1 @0 #12;");
+	fix_close(&f);
+}
+
+/*
+ * Symptom: thousands of refused orders, and no adapter. Sequence: a call
+ * needs an adapter while a model is being loaded. Cause: an engine takes no
+ * other order meanwhile; asking again at each report can't help.
+ */
+static void adapters_wait_for_a_busy_engine(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open(&f);
+	report(&f, 2, "big,!");
+	engine_need_adapter(f.e, 1, SS_LIT("big"), SS_LIT("a1"), f.now + 400,
+			    f.now);
+	report(&f, 2, "big,!");
+	expect(&f, "");
+	report(&f, 2, "big");
+	expect(&f, "load big/a1 @2 #1;");
+	engine_answered(f.e, FLEET_ORDER_TAKEN, f.now);
+	report(&f, 3, "big/a1");
+	expect(&f, "adapter 1 ok;");
+	fix_close(&f);
+}
+
+static void least_used_adapter_leaves(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open(&f);
+	report(&f, 2, "big/a1/a2");
+	engine_need_adapter(f.e, 1, SS_LIT("big"), SS_LIT("a1"), f.now + 400,
+			    f.now);
+	expect(&f, "adapter 1 ok;");
+	engine_need_adapter(f.e, 2, SS_LIT("big"), SS_LIT("a3"), f.now + 400,
+			    f.now);
+	expect(&f, "unload big/a2 @2 #1;");
+	engine_answered(f.e, FLEET_ORDER_HOLDS, f.now);
+	report(&f, 3, "big/a1");
+	expect(&f, "load big/a3 @3 #1;");
+	fix_close(&f);
+}
+
+static void adapter_comes_in_time_or_is_refused(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open(&f);
+	report(&f, 2, "big,!");
+	engine_need_adapter(f.e, 1, SS_LIT("big"), SS_LIT("a1"), f.now + 30,
+			    f.now);
+	f.now += 40;
+	engine_tick(f.e, f.now);
+	expect(&f, "adapter 1 deadline;");
+	engine_need_adapter(f.e, 2, SS_LIT("small"), SS_LIT("a1"), f.now + 30,
+			    f.now);
+	expect(&f, "adapter 2 unknown_model;");
+	fix_close(&f);
+}
+
+static void lost_engine_ends_the_step(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open(&f);
+	report(&f, 2, "big");
+	step(&f, 3, 5, "", "small");
+	expect(&f, "load small @2 #3;");
+	engine_answered(f.e, FLEET_ORDER_UNKNOWN, f.now);
+	engine_lost(f.e, f.now);
+	expect(&f, "step 5 unavailable;");
+	/* It comes back empty, and can be given another. */
+	f.now += ENGINE_SETTLE_MS;
+	report(&f, 0, "");
+	step(&f, 3, 6, "", "big");
+	expect(&f, "load big @0 #3;");
+	fix_close(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(unloads_before_it_loads),
+		cmocka_unit_test(never_more_than_fits),
+		cmocka_unit_test(unanswered_order_settles_first),
+		cmocka_unit_test(old_leaders_are_refused),
+		cmocka_unit_test(refused_fence_isnt_used_again),
+		cmocka_unit_test(adapters_wait_for_a_busy_engine),
+		cmocka_unit_test(least_used_adapter_leaves),
+		cmocka_unit_test(adapter_comes_in_time_or_is_refused),
+		cmocka_unit_test(lost_engine_ends_the_step),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_fleet.c
@@ -0,0 +1,291 @@
+/* Placing models on a fleet: what is loaded where, and what gives way. */
+#include "unit.h"
+
+#include "../src/core/fleet.h"
+
+#define MODELS 6
+
+/* Two busy ones, three rare ones, one large. */
+static struct routing_model specs[MODELS];
+
+struct holding {
+	int model, calls;
+	bool closing;
+};
+
+struct node_row {
+	const char *domain;
+	struct holding held[4];
+	int n_held;
+	const char *tiers; /* by model: s(tore), d(isk), m(emory) */
+	bool unusable, engaged;
+	int running;
+};
+
+struct want_row {
+	double rate;
+	int waiting;
+};
+
+struct plan_case {
+	const char *label;
+	struct node_row nodes[3];
+	size_t n_nodes;
+	struct want_row wants[MODELS];
+	bool ahead;
+	double tokens;
+	const char *steps; /* "node:load<tier>-victim..." */
+};
+
+static const struct plan_case plan_cases[] = {
+	{ "a model that is waited for goes where its copy is nearest",
+	  { { "a", { { 0 } }, 0, "ssssss", false, false, 0 },
+	    { "b", { { 0 } }, 0, "ssdsss", false, false, 0 } },
+	  2,
+	  { [2] = { 0, 1 } },
+	  false,
+	  4,
+	  "1:2d " },
+	{ "a surplus replica gives way before a rare model does",
+	  { { "a", { { 0, 0, false }, { 3, 0, false } }, 2, "ddddss", false,
+	      false, 0 },
+	    { "b", { { 0, 1, false } }, 1, "ddssss", false, true, 0 } },
+	  2,
+	  { [2] = { 0, 1 } },
+	  false,
+	  4,
+	  "0:2d-0 " },
+	{ "of two rare models the one asked for less leaves",
+	  { { "a", { { 3, 0, false }, { 4, 0, false } }, 2, "dddddd", false,
+	      false, 0 } },
+	  1,
+	  { [2] = { 0, 1 }, [3] = { 0.5, 0 }, [4] = { 0.1, 0 } },
+	  false,
+	  4,
+	  "0:2d-4 " },
+	{ "a model with calls under way and no other replica stays",
+	  { { "a", { { 3, 1, false }, { 4, 2, false } }, 2, "dddddd", false,
+	      false, 0 } },
+	  1,
+	  { [2] = { 0, 1 } },
+	  false,
+	  4,
+	  "" },
+	{ "a model that is waited for itself isn't unloaded",
+	  { { "a", { { 3, 0, false }, { 4, 0, false } }, 2, "dddddd", false,
+	      false, 0 } },
+	  1,
+	  { [2] = { 0, 1 }, [3] = { 0, 2 }, [4] = { 0, 1 } },
+	  false,
+	  4,
+	  "" },
+	{ "one that is on its way isn't loaded twice",
+	  { { "a", { { 0 } }, 0, "dddddd", false, false, 0 },
+	    { "b", { { 2, 0, false } }, 1, "dddddd", false, false, 0 } },
+	  2,
+	  { [2] = { 0, 3 } },
+	  false,
+	  4,
+	  "" },
+	{ "a leaving engine takes no load and counts for none",
+	  { { "a", { { 2, 0, false } }, 1, "dddddd", true, false, 0 },
+	    { "b", { { 0 } }, 0, "sdsddd", false, false, 0 } },
+	  2,
+	  { [2] = { 0, 1 } },
+	  false,
+	  4,
+	  "1:2s " },
+	{ "full replicas get another, in another failure domain",
+	  { { "a", { { 0, 9, false } }, 1, "dddddd", false, false, 0 },
+	    { "a", { { 0 } }, 0, "dddddd", false, false, 0 },
+	    { "b", { { 0 } }, 0, "dddddd", false, false, 0 } },
+	  3,
+	  { [0] = { 0, 1 } },
+	  false,
+	  4,
+	  "2:0d " },
+	{ "a model that many ask for is kept twice",
+	  { { "a", { { 1, 0, false } }, 1, "dddddd", false, false, 0 },
+	    { "b", { { 0 } }, 0, "dddddd", false, false, 0 } },
+	  2,
+	  { [1] = { 5, 0 } },
+	  false,
+	  4,
+	  "1:1d " },
+	{ "the store isn't asked beyond its window",
+	  { { "a", { { 0 } }, 0, "ssssss", false, false, 0 } },
+	  1,
+	  { [2] = { 0, 1 } },
+	  false,
+	  0.5,
+	  "" },
+	{ "models without any copy are brought ahead",
+	  { { "a", { { 0, 0, false } }, 1, "ddddds", false, false, 0 } },
+	  1,
+	  { { 0, 0 } },
+	  true,
+	  4,
+	  "0:5s-0 " },
+	{ "nothing is brought ahead where the preset forbids it",
+	  { { "a", { { 0, 0, false } }, 1, "ddddds", false, false, 0 } },
+	  1,
+	  { { 0, 0 } },
+	  false,
+	  4,
+	  "" },
+};
+
+static void on_step(void *arg, const struct fleet_step *s)
+{
+	static const char letters[] = "sdm";
+	GString *out = arg;
+
+	g_string_append_printf(out, "%u:%d%c", s->node, s->load,
+			       letters[s->tier]);
+	for (size_t i = 0; i < s->n_victims; i++)
+		g_string_append_printf(out, "-%u", s->victims[i]);
+	g_string_append_c(out, ' ');
+}
+
+static const struct fleet_plan_ops ops = { on_step };
+
+static void make_specs(void)
+{
+	for (int i = 0; i < MODELS; i++)
+		specs[i] = (struct routing_model){ .weights_mb =
+							   i == 5 ? 80 : 40,
+						   .store_ms = 6000,
+						   .disk_ms = 500,
+						   .memory_ms = 300 };
+}
+
+static uint8_t tier_of(char c)
+{
+	return c == 'm' ? TIER_MEMORY : c == 'd' ? TIER_DISK : TIER_REMOTE;
+}
+
+static void fill_node(const struct node_row *row, struct fleet_node *n,
+		      struct fleet_model *models, uint8_t *tiers)
+{
+	*n = (struct fleet_node){ .domain = row->domain,
+				  .usable = !row->unusable,
+				  .free = !row->engaged,
+				  .loading = -1,
+				  .free_mb = 80,
+				  .running = row->running,
+				  .slots = 10,
+				  .tier = tiers };
+	n->places = g_array_new(FALSE, FALSE, sizeof(struct fleet_place));
+	for (int i = 0; i < row->n_held; i++) {
+		struct fleet_place p = {
+			.model = (uint32_t)row->held[i].model,
+			.calls = (uint32_t)row->held[i].calls,
+			.closing = row->held[i].closing
+		};
+
+		g_array_append_val(n->places, p);
+		n->free_mb -= specs[p.model].weights_mb;
+		models[p.model].calls += p.calls;
+	}
+	for (int i = 0; i < MODELS; i++)
+		tiers[i] = tier_of(row->tiers[i]);
+}
+
+static void steps_are_chosen(void **state)
+{
+	(void)state;
+	make_specs();
+	for (size_t c = 0; c < G_N_ELEMENTS(plan_cases); c++) {
+		const struct plan_case *pc = &plan_cases[c];
+		struct fleet_model models[MODELS];
+		struct fleet_node nodes[3];
+		uint8_t tiers[3][MODELS];
+		struct fleet_view v = { .models = models,
+					.n_models = MODELS,
+					.nodes = nodes,
+					.n_nodes = pc->n_nodes,
+					.slots = 10,
+					.store_parallel = 4,
+					.store_tokens = pc->tokens,
+					.ahead = pc->ahead };
+		GString *out = g_string_new(NULL);
+
+		for (int m = 0; m < MODELS; m++)
+			models[m] = (struct fleet_model){
+				.spec = &specs[m],
+				.rate = pc->wants[m].rate,
+				.waiting = (uint32_t)pc->wants[m].waiting
+			};
+		for (size_t i = 0; i < pc->n_nodes; i++)
+			fill_node(&pc->nodes[i], &nodes[i], models, tiers[i]);
+		fleet_plan(&v, &ops, out);
+		if (strcmp(out->str, pc->steps))
+			fail_msg("%s: \"%s\", not \"%s\"", pc->label, out->str,
+				 pc->steps);
+		for (size_t i = 0; i < pc->n_nodes; i++)
+			g_array_unref(nodes[i].places);
+		g_string_free(out, TRUE);
+	}
+}
+
+/*
+ * The times to come back that callers get: at once where a replica takes
+ * calls, the rest of a load where one is on its way, none where nothing is.
+ */
+static void wake_times_are_told(void **state)
+{
+	struct fleet_model models[MODELS];
+	uint8_t tiers[MODELS] = { TIER_DISK, TIER_DISK, TIER_DISK };
+	struct fleet_node n = { .domain = "a",
+				.usable = true,
+				.loading = 1,
+				.loading_tier = TIER_DISK,
+				.loading_left_ms = 320,
+				.slots = 10,
+				.tier = tiers };
+	struct fleet_place held = { .model = 0 };
+	struct fleet_view v = { .models = models,
+				.n_models = 3,
+				.nodes = &n,
+				.n_nodes = 1,
+				.slots = 10 };
+	GString *out = g_string_new(NULL);
+
+	(void)state;
+	make_specs();
+	for (int m = 0; m < MODELS; m++)
+		models[m] = (struct fleet_model){ .spec = &specs[m] };
+	models[2].waiting = 1;
+	n.places = g_array_new(FALSE, FALSE, sizeof(struct fleet_place));
+	g_array_append_val(n.places, held);
+	fleet_plan(&v, &ops, out);
+	assert_int_equal(models[0].eta_ms, 0);
+	assert_int_equal(models[1].eta_ms, 320);
+	assert_int_equal(models[2].eta_ms, -1);
+	g_array_unref(n.places);
+	g_string_free(out, TRUE);
+}
+
+static void rates_fade(void **state)
+{
+	struct fleet_rate r = { 0 };
+
+	(void)state;
+	for (int i = 1; i <= 400; i++)
+		fleet_rate_add(&r, 1, i * 100);
+	/* Ten a second, to the memory's precision. */
+	assert_true(fleet_rate_at(&r, 40000) > 9 &&
+		    fleet_rate_at(&r, 40000) < 11);
+	assert_true(fleet_rate_at(&r, 100000) < 0.1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(steps_are_chosen),
+		cmocka_unit_test(wake_times_are_told),
+		cmocka_unit_test(rates_fade),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
