Let control VMs without a disk lead callers to the leader

Cause: on the larger deployments two machines with a disk may be lost at once, which four voters don't bear; two machines a zone have a disk there, but on the others only one has. Ruled out: voters without a disk. They would forget what they promised. Change: control runs on two machines a zone; without a data folder it keeps nothing, and redirects operators and processes to the leader.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -333,17 +333,12 @@
 	return group_leads(((struct control_role *)arg)->group);
 }
 
-/* All control VMs take operators on the same port. */
 static char *routing_leader(void *arg)
 {
 	struct control_role *k = arg;
-	const char *own = strrchr(k->d->config.fleet.operator_listen, ':');
-	const char *addr = group_leader_addr(k->group);
-	const char *colon = addr ? strrchr(addr, ':') : NULL;
 
-	if (!colon || !own)
-		return NULL;
-	return g_strdup_printf("%.*s%s", (int)(colon - addr), addr, own);
+	return routing_http_peer(group_leader_addr(k->group),
+				 k->d->config.fleet.operator_listen);
 }
 
 static const struct routing_http_ops routing_table = {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -31,7 +31,7 @@
 
 extern const struct role_ops entry_role, agent_role, control_role;
 /* The same of a fleet whose endpoints are called directly. */
-extern const struct role_ops fleet_entry_role, fleet_agent_role;
+extern const struct role_ops fleet_entry_role, fleet_agent_role, relay_role;
 
 /*
  * A process that ends at once with unread bytes on a connection resets it,
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -29,6 +29,15 @@
 	[CONFIG_CONTROL] = &control_role,
 };
 
+static const struct role_ops *role_of(const struct config *c)
+{
+	if (!c->fleet.on)
+		return roles[c->role];
+	if (c->role == CONFIG_CONTROL && !*c->ctl.data)
+		return &relay_role;
+	return fleet_roles[c->role];
+}
+
 struct running {
 	struct daemon d;
 	const struct role_ops *ops;
@@ -225,8 +234,7 @@
 		metrics_value(d->metrics, "ss_own_bytes_total", "way=\"out\"");
 	d->bytes_in =
 		metrics_value(d->metrics, "ss_own_bytes_total", "way=\"in\"");
-	r->ops = d->config.fleet.on ? fleet_roles[d->config.role] :
-				      roles[d->config.role];
+	r->ops = role_of(&d->config);
 	r->role = r->ops->start(d, error);
 	if (!r->role)
 		return false;
--- /dev/null
+++ b/src/daemon/relay.c
@@ -0,0 +1,163 @@
+/*
+ * A control VM without a disk: it can't vote, since it would forget what it
+ * promised, and keeps no state. It tells callers where the leader is, so
+ * that every address which is known for control leads there.
+ */
+#include "../../platform/platform.h"
+#include "../operator/routing_http.h"
+#include "daemon.h"
+
+struct relay_role {
+	struct daemon *d;
+	struct link *link;
+	struct listener *listener;
+	struct routing_http *http;
+	GHashTable *conns; /* open ones that others made */
+	bool stopping;
+};
+
+static void tell(struct relay_role *r, struct conn *c)
+{
+	const char *addr = link_leader(r->link);
+	struct msg_leader m = { .group = r->d->hello.group,
+				.addr = ss_str(addr ? addr : "") };
+
+	conn_send(c, MSG_LEADER, &m);
+}
+
+static void conn_open(void *arg, struct conn *c)
+{
+	struct relay_role *r = arg;
+
+	g_hash_table_add(r->conns, c);
+	tell(r, c);
+}
+
+static void conn_message(void *arg, struct conn *c, struct frame *f)
+{
+	(void)arg;
+	(void)c;
+	(void)f;
+}
+
+static void conn_closed(void *arg, struct conn *c, const GError *why)
+{
+	struct relay_role *r = arg;
+
+	(void)why;
+	g_hash_table_remove(r->conns, c);
+}
+
+static const struct conn_ops conn_table = { conn_open, conn_message,
+					    conn_closed };
+
+static void link_up(void *arg, uint64_t group)
+{
+	struct relay_role *r = arg;
+
+	if (!r->d->hello.group)
+		r->d->hello.group = group;
+	log_info("leader_found", "addr=%s", link_leader(r->link));
+}
+
+static void link_down(void *arg)
+{
+	(void)arg;
+}
+
+static void link_message(void *arg, struct frame *f)
+{
+	(void)arg;
+	(void)f;
+}
+
+static const struct link_ops link_table = { link_up, link_message, link_down };
+
+static bool leads(void *arg)
+{
+	(void)arg;
+	return false;
+}
+
+static char *leader(void *arg)
+{
+	struct relay_role *r = arg;
+
+	return routing_http_peer(link_leader(r->link),
+				 r->d->config.fleet.operator_listen);
+}
+
+static bool relay_ready(void *role)
+{
+	const struct relay_role *r = role;
+
+	return !r->stopping && link_is_up(r->link);
+}
+
+static bool plain(void *arg, struct evhttp_request *req)
+{
+	struct relay_role *r = arg;
+
+	return daemon_status_request(r->d, req, relay_ready(r));
+}
+
+static const struct routing_http_ops routing_table = {
+	.leads = leads,
+	.leader = leader,
+	.plain = plain,
+};
+
+static void relay_free(void *role)
+{
+	struct relay_role *r = role;
+	GHashTableIter it;
+	void *c;
+
+	routing_http_free(r->http);
+	link_free(r->link);
+	conn_listener_free(r->listener);
+	g_hash_table_iter_init(&it, r->conns);
+	while (g_hash_table_iter_next(&it, &c, NULL))
+		conn_close(c);
+	g_hash_table_unref(r->conns);
+	g_free(r);
+}
+
+static void *relay_start(struct daemon *d, GError **error)
+{
+	struct relay_role *r = g_new0(struct relay_role, 1);
+	struct conn_options conn = daemon_conn_options(d, &conn_table, r);
+	struct routing_http_options ho = { .base = d->base,
+					   .platform = &users_platform,
+					   .addr = d->config.fleet
+							   .operator_listen,
+					   .ops = &routing_table,
+					   .arg = r };
+	struct link_options lo = { .conn = daemon_conn_options(d, NULL, NULL),
+				   .control = d->config.control,
+				   .ops = &link_table,
+				   .arg = r,
+				   .seed = d->seed };
+
+	r->d = d;
+	r->conns = g_hash_table_new(NULL, NULL);
+	r->listener = conn_listen(&conn, d->config.listen, error);
+	r->http = r->listener ? routing_http_new(&ho, error) : NULL;
+	if (!r->http) {
+		relay_free(r);
+		return NULL;
+	}
+	r->link = link_new(&lo);
+	return r;
+}
+
+static void relay_stop(void *role)
+{
+	struct relay_role *r = role;
+
+	r->stopping = true;
+	daemon_exit(r->d, 0);
+}
+
+const struct role_ops relay_role = { "relay", relay_start, relay_stop,
+				     relay_ready, relay_free };
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -13,6 +13,7 @@
 	struct conn *conn;
 	struct event *timer;
 	char *hint;	    /* where the leader is said to be */
+	char *addr;	    /* of the connection */
 	GPtrArray *members; /* char *, what the leader told last */
 	guint turn;
 	bool up;
@@ -64,6 +65,8 @@
 		return;
 	l->asked_ms = ss_clock_now(l->o.conn.clock);
 	log_debug("ask_leader", "addr=%s", addr);
+	g_free(l->addr);
+	l->addr = g_strdup(addr);
 	l->conn = conn_connect(&l->o.conn, addr);
 	g_clear_pointer(&l->hint, g_free);
 }
@@ -170,6 +173,7 @@
 	event_free(l->timer);
 	g_ptr_array_unref(l->members);
 	g_free(l->hint);
+	g_free(l->addr);
 	g_free(l);
 }
 
@@ -178,6 +182,11 @@
 	return l->up && conn_send(l->conn, kind, msg);
 }
 
+const char *link_leader(const struct link *l)
+{
+	return l->up ? l->addr : NULL;
+}
+
 bool link_is_up(const struct link *l)
 {
 	return l->up;
--- a/src/node/link.h
+++ b/src/node/link.h
@@ -28,6 +28,8 @@
 
 /* False where no leader is known at the moment. */
 bool link_send(struct link *l, enum msg_kind kind, const void *msg);
+/* Address of the leader; NULL while none is known. */
+const char *link_leader(const struct link *l);
 bool link_is_up(const struct link *l);
 
 #endif
--- a/src/operator/routing_http.c
+++ b/src/operator/routing_http.c
@@ -155,6 +155,16 @@
 	return NULL;
 }
 
+char *routing_http_peer(const char *addr, const char *own_listen)
+{
+	const char *port = strrchr(own_listen, ':');
+	const char *colon = addr ? strrchr(addr, ':') : NULL;
+
+	if (!colon || !port)
+		return NULL;
+	return g_strdup_printf("%.*s%s", (int)(colon - addr), addr, port);
+}
+
 void routing_http_free(struct routing_http *h)
 {
 	if (!h)
--- a/src/operator/routing_http.h
+++ b/src/operator/routing_http.h
@@ -35,6 +35,12 @@
 
 struct routing_http *routing_http_new(const struct routing_http_options *o,
 				      GError **error);
+/*
+ * Operators' address of the control VM with this frame address, owned: all
+ * of them take operators on the same port. NULL where it isn't known.
+ */
+char *routing_http_peer(const char *addr, const char *own_listen);
+
 void routing_http_free(struct routing_http *h);
 
 #endif
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -47,8 +47,13 @@
 	  4,
 	  "1:2d " },
 	{ "a surplus replica gives way before a rare model does",
-	  { { "a", { { 0, 0, false }, { 3, 0, false } }, 2, "ddddss", false,
-	      false, 0 },
+	  { { "a",
+	      { { 0, 0, false }, { 3, 0, false } },
+	      2,
+	      "ddddss",
+	      false,
+	      false,
+	      0 },
 	    { "b", { { 0, 1, false } }, 1, "ddssss", false, true, 0 } },
 	  2,
 	  { [2] = { 0, 1 } },
@@ -56,24 +61,39 @@
 	  4,
 	  "0:2d-0 " },
 	{ "of two rare models the one asked for less leaves",
-	  { { "a", { { 3, 0, false }, { 4, 0, false } }, 2, "dddddd", false,
-	      false, 0 } },
+	  { { "a",
+	      { { 3, 0, false }, { 4, 0, false } },
+	      2,
+	      "dddddd",
+	      false,
+	      false,
+	      0 } },
 	  1,
 	  { [2] = { 0, 1 }, [3] = { 0.5, 0 }, [4] = { 0.1, 0 } },
 	  false,
 	  4,
 	  "0:2d-4 " },
 	{ "a model with calls under way and no other replica stays",
-	  { { "a", { { 3, 1, false }, { 4, 2, false } }, 2, "dddddd", false,
-	      false, 0 } },
+	  { { "a",
+	      { { 3, 1, false }, { 4, 2, false } },
+	      2,
+	      "dddddd",
+	      false,
+	      false,
+	      0 } },
 	  1,
 	  { [2] = { 0, 1 } },
 	  false,
 	  4,
 	  "" },
 	{ "a model that is waited for itself isn't unloaded",
-	  { { "a", { { 3, 0, false }, { 4, 0, false } }, 2, "dddddd", false,
-	      false, 0 } },
+	  { { "a",
+	      { { 3, 0, false }, { 4, 0, false } },
+	      2,
+	      "dddddd",
+	      false,
+	      false,
+	      0 } },
 	  1,
 	  { [2] = { 0, 1 }, [3] = { 0, 2 }, [4] = { 0, 1 } },
 	  false,
@@ -152,11 +172,11 @@
 static void make_specs(void)
 {
 	for (int i = 0; i < MODELS; i++)
-		specs[i] = (struct routing_model){ .weights_mb =
-							   i == 5 ? 80 : 40,
-						   .store_ms = 6000,
-						   .disk_ms = 500,
-						   .memory_ms = 300 };
+		specs[i] =
+			(struct routing_model){ .weights_mb = i == 5 ? 80 : 40,
+						.store_ms = 6000,
+						.disk_ms = 500,
+						.memory_ms = 300 };
 }
 
 static uint8_t tier_of(char c)
@@ -177,11 +197,9 @@
 				  .tier = tiers };
 	n->places = g_array_new(FALSE, FALSE, sizeof(struct fleet_place));
 	for (int i = 0; i < row->n_held; i++) {
-		struct fleet_place p = {
-			.model = (uint32_t)row->held[i].model,
-			.calls = (uint32_t)row->held[i].calls,
-			.closing = row->held[i].closing
-		};
+		struct fleet_place p = { .model = (uint32_t)row->held[i].model,
+					 .calls = (uint32_t)row->held[i].calls,
+					 .closing = row->held[i].closing };
 
 		g_array_append_val(n->places, p);
 		n->free_mb -= specs[p.model].weights_mb;
