--- a/Makefile
+++ b/Makefile
@@ -60,10 +60,10 @@
 $(BUILD)/sapphireshiftd: $(call obj,$(DAEMON_SRC) $(NET_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/sapphireshiftctl: $(call obj,$(CTL_SRC) src/net/http.c) $(LIB)
+$(BUILD)/sapphireshiftctl: $(call obj,$(CTL_SRC) src/net/http.c src/net/addr.c) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/standin: $(call obj,$(STANDIN_SRC) src/net/http.c) $(LIB)
+$(BUILD)/standin: $(call obj,$(STANDIN_SRC) src/net/http.c src/net/addr.c) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
 $(BUILD)/bench-%: $(BUILD)/bench/%.o $(call obj,$(NET_SRC)) $(LIB)
@@ -88,7 +88,7 @@
 	$(MAKE) BUILD=build/asan SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" test
 
 # libFuzzer comes with clang; the objects are built apart for it.
-FUZZ_SRC := test/fuzz/fuzz.c $(LIB_SRC) src/node/frame.c src/node/conn.c \
+FUZZ_SRC := test/fuzz/fuzz.c $(LIB_SRC) src/node/frame.c src/node/conn.c src/net/addr.c \
 	src/config/config.c
 FUZZ_RUNS ?= 20000
 $(BUILD)/fuzz: $(FUZZ_SRC)
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -127,12 +127,13 @@
 {
 	struct relay_role *r = g_new0(struct relay_role, 1);
 	struct conn_options conn = daemon_conn_options(d, &conn_table, r);
-	struct routing_http_options ho = { .base = d->base,
-					   .platform = &users_platform,
-					   .addr = d->config.fleet
-							   .operator_listen,
-					   .ops = &routing_table,
-					   .arg = r };
+	struct routing_http_options ho = {
+		.base = d->base,
+		.platform = &users_platform,
+		.addr = d->config.fleet.operator_listen,
+		.ops = &routing_table,
+		.arg = r
+	};
 	struct link_options lo = { .conn = daemon_conn_options(d, NULL, NULL),
 				   .control = d->config.control,
 				   .ops = &link_table,
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -1,6 +1,8 @@
 /* HTTP servers and client. */
 #include "http.h"
 
+#include "addr.h"
+
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/listener.h>
@@ -140,12 +142,7 @@
 
 uint16_t http_server_port(const struct http_server *s)
 {
-	struct sockaddr_in sin = { 0 };
-	socklen_t len = sizeof(sin);
-
-	getsockname(evhttp_bound_socket_get_fd(s->socket),
-		    (struct sockaddr *)&sin, &len);
-	return ntohs(sin.sin_port);
+	return addr_port(evhttp_bound_socket_get_fd(s->socket));
 }
 
 void http_reply(struct evhttp_request *req, int status, const char *type,
--- a/src/node/conn.c
+++ b/src/node/conn.c
@@ -1,6 +1,8 @@
 /* Connections between the system's own processes. */
 #include "conn.h"
 
+#include "../net/addr.h"
+
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -242,31 +244,13 @@
 	send_frame(c, MSG_HELLO, c->o.self);
 }
 
-/* As evutil does, but with port 0 allowed: the kernel then chooses. */
-static bool parse_addr(const char *addr, struct sockaddr_storage *ss, int *len)
-{
-	const char *colon = strrchr(addr, ':');
-	char *ip;
-	bool ok;
-
-	if (!colon)
-		return false;
-	if (strcmp(colon, ":0"))
-		return evutil_parse_sockaddr_port(addr, (struct sockaddr *)ss,
-						  len) == 0;
-	ip = g_strndup(addr, (gsize)(colon - addr));
-	ok = evutil_parse_sockaddr_port(ip, (struct sockaddr *)ss, len) == 0;
-	g_free(ip);
-	return ok;
-}
-
 struct conn *conn_connect(const struct conn_options *o, const char *addr)
 {
 	struct sockaddr_storage ss;
 	int len = sizeof(ss);
 	struct conn *c = conn_new(o, -1);
 
-	if (!parse_addr(addr, &ss, &len) ||
+	if (!addr_parse(addr, &ss, &len) ||
 	    bufferevent_socket_connect(c->bev, (struct sockaddr *)&ss, len)) {
 		/* Told by the timer, so that the caller has c by then. */
 		c->heard_ms = INT64_MIN / 2;
@@ -292,7 +276,7 @@
 	struct sockaddr_storage ss;
 	int len = sizeof(ss);
 
-	if (parse_addr(addr, &ss, &len))
+	if (addr_parse(addr, &ss, &len))
 		return true;
 	g_set_error(error, SS_ERROR, SS_ERROR_SETTINGS,
 		    "\"%s\" is no address; write ip:port", addr);
@@ -308,7 +292,7 @@
 
 	if (!conn_check_addr(addr, error))
 		return NULL;
-	parse_addr(addr, &ss, &len);
+	addr_parse(addr, &ss, &len);
 	l = g_new0(struct listener, 1);
 	l->o = *o;
 	l->ev = evconnlistener_new_bind(o->base, on_accept, l,
@@ -325,17 +309,7 @@
 
 uint16_t conn_listener_port(const struct listener *l)
 {
-	union {
-		struct sockaddr sa;
-		struct sockaddr_in in;
-		struct sockaddr_in6 in6;
-	} a;
-	socklen_t len = sizeof(a);
-
-	memset(&a, 0, sizeof(a));
-	getsockname(evconnlistener_get_fd(l->ev), &a.sa, &len);
-	return ntohs(a.sa.sa_family == AF_INET6 ? a.in6.sin6_port :
-						  a.in.sin_port);
+	return addr_port(evconnlistener_get_fd(l->ev));
 }
 
 void conn_listener_free(struct listener *l)
--- a/src/proxy/callers.c
+++ b/src/proxy/callers.c
@@ -1,6 +1,8 @@
 /* Callers' connections. */
 #include "callers.h"
 
+#include "../net/addr.h"
+
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -360,8 +362,7 @@
 
 	s->o = *o;
 	s->peers = g_hash_table_new(NULL, NULL);
-	if (evutil_parse_sockaddr_port(o->addr, (struct sockaddr *)&ss, &len) ==
-	    0)
+	if (addr_parse(o->addr, &ss, &len))
 		s->listener = evconnlistener_new_bind(
 			o->base, on_accept, s,
 			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 1024,
@@ -374,6 +375,11 @@
 	return NULL;
 }
 
+uint16_t callers_port(const struct callers *s)
+{
+	return addr_port(evconnlistener_get_fd(s->listener));
+}
+
 void callers_set_limits(struct callers *s, const struct callers_limits *l)
 {
 	s->o.limits = *l;
--- a/src/proxy/callers.h
+++ b/src/proxy/callers.h
@@ -42,6 +42,7 @@
 
 struct callers *callers_new(const struct callers_options *o, GError **error);
 void callers_free(struct callers *s);
+uint16_t callers_port(const struct callers *s);
 void callers_set_limits(struct callers *s, const struct callers_limits *l);
 
 /* Answers end their connections from now on, but new ones are taken. */
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -403,6 +403,11 @@
 	return NULL;
 }
 
+uint16_t gate_port(const struct gate *g)
+{
+	return callers_port(g->callers);
+}
+
 void gate_free(struct gate *g)
 {
 	if (!g)
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -40,6 +40,7 @@
 
 struct gate *gate_new(const struct gate_options *o, GError **error);
 void gate_free(struct gate *g);
+uint16_t gate_port(const struct gate *g);
 
 /* A newer routing; older ones are ignored. The gate takes a reference. */
 void gate_set_routing(struct gate *g, struct routing *r);
--- a/src/proxy/http1.c
+++ b/src/proxy/http1.c
@@ -19,7 +19,7 @@
 	struct http1_head head;
 	size_t target_n;
 	size_t head_bytes;
-	bool in_value, headers_done, no_body, started, whole;
+	bool in_value, headers_done, no_body, started, whole, too_large;
 };
 
 bool http1_name_is(struct ss_str name, const char *other)
@@ -135,6 +135,12 @@
 	struct http1_reader *r = p->data;
 
 	r->headers_done = true;
+	/* A head that came in one piece is measured here: its names and
+	 * values, with a colon, a space and a line end for each. */
+	if (r->text->len + 4 * r->spans->len > r->o.head_max) {
+		r->too_large = true;
+		return -1;
+	}
 	/* No protocol switch is forwarded; the message is read as it is. */
 	p->upgrade = 0;
 	fill_head(r);
@@ -176,6 +182,7 @@
 	g_array_set_size(r->spans, 0);
 	r->target_n = r->head_bytes = 0;
 	r->in_value = r->headers_done = r->started = r->whole = false;
+	r->too_large = false;
 	r->no_body = no_body;
 }
 
@@ -210,7 +217,7 @@
 {
 	enum http_errno e = HTTP_PARSER_ERRNO(&r->p);
 
-	if (e == HPE_HEADER_OVERFLOW ||
+	if (e == HPE_HEADER_OVERFLOW || r->too_large ||
 	    (!r->headers_done && r->head_bytes > r->o.head_max) ||
 	    e == HPE_CB_header_field)
 		g_set_error(error, SS_ERROR, SS_ERROR_TOO_LARGE,
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -1,6 +1,8 @@
 /* Connections to endpoints. */
 #include "upstream.h"
 
+#include "../net/addr.h"
+
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/util.h>
@@ -167,8 +169,13 @@
 		http1_reader_reset(l->reader, l->call->r.no_body);
 		return;
 	}
-	/* The rest of the request is still to be written. */
-	if (evbuffer_get_length(bufferevent_get_output(l->bev)))
+	/*
+	 * Not kept where the rest of the request is still to be written, or
+	 * bytes stand behind the answer: they belong to no request, and the
+	 * next one would take them for its answer.
+	 */
+	if (evbuffer_get_length(bufferevent_get_output(l->bev)) ||
+	    evbuffer_get_length(bufferevent_get_input(l->bev)))
 		l->keep = false;
 	r = detach(l);
 	rest(l);
@@ -186,10 +193,7 @@
 	l->depth++;
 	while (ok && l->call && !l->closing && evbuffer_get_length(in))
 		ok = http1_read(l->reader, in, NULL);
-	/*
-	 * Bytes behind a whole answer belong to no request; were they kept,
-	 * the next request on this line would take them for its answer.
-	 */
+	/* The same where they come later. */
 	if (!l->call && evbuffer_get_length(in))
 		l->closing = true;
 	l->depth--;
@@ -248,7 +252,7 @@
 	struct line *l;
 	int len = sizeof(ss), one = 1;
 
-	if (evutil_parse_sockaddr_port(addr, (struct sockaddr *)&ss, &len))
+	if (!addr_parse(addr, &ss, &len))
 		return NULL;
 	l = g_new0(struct line, 1);
 	l->u = u;
@@ -271,19 +275,46 @@
 	return l;
 }
 
+/*
+ * Nothing has come on it, and it wasn't closed. What the loop hasn't read
+ * yet would be taken for the next answer; a close that it hasn't seen would
+ * leave open whether the request arrived.
+ */
+static bool is_quiet(const struct line *l)
+{
+	char c;
+
+	return recv(bufferevent_getfd(l->bev), &c, 1, MSG_PEEK | MSG_DONTWAIT) <
+		       0 &&
+	       (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 /* The line that rested the shortest; the others may be silent by now. */
 static struct line *take_idle(struct upstream *u, const char *addr,
 			      int64_t rest_max_ms)
 {
-	struct line *l = g_queue_peek_head(idle_of(u, addr));
+	GList *all = g_list_copy(idle_of(u, addr)->head);
+	struct line *found = NULL;
 	int64_t now = now_ms(u);
 
-	if (!l || l->closing || now >= l->until_ms ||
-	    now - l->rest_ms > rest_max_ms)
+	for (GList *p = all; p && !found; p = p->next) {
+		struct line *l = p->data;
+
+		if (l->closing)
+			continue;
+		if (now >= l->until_ms || now - l->rest_ms > rest_max_ms)
+			break;
+		if (is_quiet(l))
+			found = l;
+		else
+			line_close(l);
+	}
+	g_list_free(all);
+	if (!found)
 		return NULL;
-	g_queue_pop_head(idle_of(u, addr));
+	g_queue_remove(idle_of(u, addr), found);
 	(*u->o.reused)++;
-	return l;
+	return found;
 }
 
 static void fail_later(evutil_socket_t fd, short what, void *arg)
--- /dev/null
+++ b/test/test_platform.c
@@ -0,0 +1,483 @@
+/* The platform's formats: what is read, what is refused, what is written. */
+#include "unit.h"
+
+#include "../platform/platform.h"
+
+#define ROUTE_HEAD "{\"name\":\"r1\",\"host\":\"h.example\","
+#define SERVICES "\"services\":[{\"name\":\"s1\"},{\"name\":\"s2\"}]"
+
+struct routing_case {
+	const char *label, *json;
+	const char *error; /* part of the message; NULL: it is read */
+};
+
+static const struct routing_case routings[] = {
+	{ "the smallest one",
+	  "{\"version\":1,\"routes\":[]," SERVICES "}", NULL },
+	{ "a route to one service, unknown fields beside",
+	  "{\"version\":7,\"new\":{},\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":10,"
+	  "\"service\":\"s1\",\"other\":[1]}]," SERVICES "}",
+	  NULL },
+	{ "a split",
+	  "{\"version\":7,\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"stream\",\"timeoutMs\":10,"
+	  "\"split\":[{\"service\":\"s1\",\"weight\":9},"
+	  "{\"service\":\"s2\",\"weight\":1}]}]," SERVICES "}",
+	  NULL },
+	{ "cut short", "{\"version\":7,\"routes\":[", "not a whole JSON" },
+	{ "two documents", "{} {}", "not a whole JSON" },
+	{ "no object", "[1]", "not a whole JSON" },
+	{ "empty", "", "not a whole JSON" },
+	{ "no version", "{\"routes\":[]," SERVICES "}", "version" },
+	{ "a version of 0", "{\"version\":0,\"routes\":[]," SERVICES "}",
+	  "version" },
+	{ "no routes", "{\"version\":1," SERVICES "}", "routes" },
+	{ "no services", "{\"version\":1,\"routes\":[]}", "services" },
+	{ "an unknown service",
+	  "{\"version\":7,\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":10,"
+	  "\"service\":\"s9\"}]," SERVICES "}",
+	  "routes[0].service: there is no service s9" },
+	{ "two routes in one place",
+	  "{\"version\":7,\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":10,"
+	  "\"service\":\"s1\"}," ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":10,"
+	  "\"service\":\"s2\"}]," SERVICES "}",
+	  "prefix /a/ twice" },
+	{ "weights that add up to 0",
+	  "{\"version\":7,\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":10,"
+	  "\"split\":[{\"service\":\"s1\",\"weight\":0}]}]," SERVICES "}",
+	  "weights add up to 0" },
+	{ "an empty split",
+	  "{\"version\":7,\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":10,"
+	  "\"split\":[]}]," SERVICES "}",
+	  "weights add up to 0" },
+	{ "a negative weight",
+	  "{\"version\":7,\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":10,"
+	  "\"split\":[{\"service\":\"s1\",\"weight\":-1}]}]," SERVICES "}",
+	  "weight" },
+	{ "no timeout",
+	  "{\"version\":7,\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":0,"
+	  "\"service\":\"s1\"}]," SERVICES "}",
+	  "timeout must be over 0" },
+	{ "a timeout that is text",
+	  "{\"version\":7,\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":\"9\","
+	  "\"service\":\"s1\"}]," SERVICES "}",
+	  "routes[0].timeoutMs" },
+	{ "a prefix without its slash",
+	  "{\"version\":7,\"routes\":[" ROUTE_HEAD
+	  "\"prefix\":\"/a\",\"type\":\"safe\",\"timeoutMs\":10,"
+	  "\"service\":\"s1\"}]," SERVICES "}",
+	  "slash" },
+	{ "a service twice",
+	  "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\"},"
+	  "{\"name\":\"s\"}]}",
+	  "stands twice" },
+	{ "a model without its size",
+	  "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\","
+	  "\"engine\":{\"models\":[{\"name\":\"m\"}]}}]}",
+	  "weightsMb" },
+};
+
+static void routings_are_checked(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(routings); i++) {
+		const struct routing_case *c = &routings[i];
+		GError *error = NULL;
+		struct routing *r = users_platform.read_routing(
+			ss_str(c->json), &error);
+
+		if (!c->error && !r)
+			fail_msg("%s: refused: %s", c->label, error->message);
+		if (c->error && r)
+			fail_msg("%s: taken", c->label);
+		if (c->error &&
+		    (error->code != SS_ERROR_BAD_REQUEST ||
+		     !strstr(error->message, c->error)))
+			fail_msg("%s: \"%s\"", c->label, error->message);
+		g_clear_error(&error);
+		routing_unref(r);
+	}
+}
+
+struct match_case {
+	const char *host, *path, *route; /* NULL: none */
+};
+
+static const struct match_case matches[] = {
+	{ "h.example", "/a/x", "short" },  { "h.example", "/a/b/x", "long" },
+	{ "H.Example", "/a/b/", "long" },  { "h.example:80", "/a/", "short" },
+	{ "h.example", "/a", NULL },	   { "h.example", "/c/", NULL },
+	{ "other.example", "/a/x", NULL },
+};
+
+static void longest_prefix_wins(void **state)
+{
+	static const char json[] =
+		"{\"version\":1,\"routes\":["
+		"{\"name\":\"short\",\"host\":\"h.example\",\"prefix\":\"/a/\","
+		"\"type\":\"safe\",\"timeoutMs\":10,\"service\":\"s1\"},"
+		"{\"name\":\"long\",\"host\":\"h.example\","
+		"\"prefix\":\"/a/b/\",\"type\":\"stream\",\"timeoutMs\":10,"
+		"\"service\":\"s1\"}]," SERVICES "}";
+	struct routing *r = users_platform.read_routing(ss_str(json), NULL);
+
+	(void)state;
+	assert_non_null(r);
+	for (size_t i = 0; i < G_N_ELEMENTS(matches); i++) {
+		const struct routing_route *rt =
+			routing_match(r, ss_str(matches[i].host),
+				      ss_str(matches[i].path));
+		const char *name = rt ? rt->name : NULL;
+
+		if (g_strcmp0(name, matches[i].route))
+			fail_msg("%s%s: %s", matches[i].host, matches[i].path,
+				 name);
+	}
+	routing_unref(r);
+}
+
+static void splits_follow_their_weights(void **state)
+{
+	static const char json[] =
+		"{\"version\":1,\"routes\":[" ROUTE_HEAD
+		"\"prefix\":\"/a/\",\"type\":\"safe\",\"timeoutMs\":10,"
+		"\"split\":[{\"service\":\"s1\",\"weight\":90},"
+		"{\"service\":\"s2\",\"weight\":10}]}]," SERVICES "}";
+	struct routing *r = users_platform.read_routing(ss_str(json), NULL);
+	const struct routing_route *rt =
+		&g_array_index(r->routes, struct routing_route, 0);
+	int second = 0;
+
+	(void)state;
+	for (uint64_t i = 0; i < 1000; i++)
+		second += !strcmp(routing_pick(r, rt, i)->name, "s2");
+	assert_int_equal(second, 100);
+	routing_unref(r);
+}
+
+struct list_case {
+	const char *label, *json;
+	int entries; /* -1: refused */
+	const char *next;
+};
+
+static const struct list_case lists[] = {
+	{ "the last page",
+	  "{\"instances\":[{\"id\":\"i\",\"service\":\"s\",\"addr\":\"a:1\","
+	  "\"state\":\"ready\",\"zone\":\"z\",\"slots\":4,"
+	  "\"models\":[{\"name\":\"m\"}]}],\"next\":null}",
+	  1, NULL },
+	{ "a page before another",
+	  "{\"instances\":[],\"next\":\"p-2\"}", 0, "p-2" },
+	{ "an entry without an address",
+	  "{\"instances\":[{\"id\":\"i\",\"service\":\"s\","
+	  "\"state\":\"ready\"}],\"next\":null}",
+	  -1, NULL },
+	{ "torn", "{\"instances\":[{\"id\":\"i\"", -1, NULL },
+	{ "no list", "{\"next\":null}", -1, NULL },
+};
+
+static void pages_are_read(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+		const struct list_case *c = &lists[i];
+		GArray *out = g_array_new(FALSE, FALSE,
+					  sizeof(struct fleet_instance));
+		char *next = NULL;
+		GError *error = NULL;
+		bool ok;
+
+		g_array_set_clear_func(out, fleet_instance_clear);
+		ok = users_platform.read_list(ss_str(c->json), out, &next,
+					      &error);
+		if (ok != (c->entries >= 0))
+			fail_msg("%s: %d", c->label, ok);
+		if (ok && ((int)out->len != c->entries ||
+			   g_strcmp0(next, c->next)))
+			fail_msg("%s: %u entries, next %s", c->label, out->len,
+				 next);
+		g_clear_error(&error);
+		g_free(next);
+		g_array_unref(out);
+	}
+}
+
+struct report_case {
+	const char *label, *json;
+	bool ok;
+	unsigned int held, pending;
+	bool busy;
+};
+
+static const struct report_case reports[] = {
+	{ "as it comes",
+	  "{\"phase\":\"mixed\",\"models\":[{\"name\":\"m\",\"version\":1,"
+	  "\"adapters\":[\"a1\"]}],\"busy\":true,\"seq\":2,\"queued\":1,"
+	  "\"active\":12,\"kvUsed\":41000,\"kvTotal\":90000,"
+	  "\"pending\":[\"m/a2@1\"],\"available\":{\"resident\":[\"m\"],"
+	  "\"onDisk\":[\"m\",\"n\"]}}",
+	  true, 1, 1, true },
+	{ "unknown and absurd fields",
+	  "{\"seq\":1,\"models\":\"none\",\"active\":\"many\",\"busy\":7,"
+	  "\"x\":[]}",
+	  true, 0, 0, false },
+	{ "no count of orders", "{\"models\":[]}", false, 0, 0, false },
+	{ "a negative count", "{\"seq\":-1}", false, 0, 0, false },
+	{ "torn", "{\"seq\":1", false, 0, 0, false },
+};
+
+static void reports_are_read(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(reports); i++) {
+		const struct report_case *c = &reports[i];
+		struct fleet_report r;
+		GError *error = NULL;
+		bool ok = users_platform.read_report(ss_str(c->json), &r,
+						     &error);
+
+		if (ok != c->ok)
+			fail_msg("%s: %d", c->label, ok);
+		if (ok && (r.held->len != c->held || r.busy != c->busy ||
+			   r.loading_adapters->len != c->pending))
+			fail_msg("%s: read wrongly", c->label);
+		if (ok && c->pending)
+			assert_string_equal(r.loading_adapters->pdata[0],
+					    "m/a2");
+		g_clear_error(&error);
+		fleet_report_clear(&r);
+	}
+}
+
+static void orders_are_written(void **state)
+{
+	struct fleet_order o = { .load = true,
+				 .model = "m",
+				 .adapter = "a3",
+				 .expect = 2,
+				 .holder = "vm",
+				 .fence = 41 };
+	GString *s = users_platform.write_order(&o);
+
+	(void)state;
+	assert_string_equal(s->str,
+			    "{\"op\":\"load\",\"model\":\"m\",\"adapter\":"
+			    "\"a3\",\"expect\":2,\"holder\":\"vm\",\"fence\":"
+			    "41}");
+	g_string_free(s, TRUE);
+}
+
+static void order_answers_are_told_apart(void **state)
+{
+	static const struct {
+		int status;
+		enum fleet_order_answer answer;
+	} rows[] = { { 202, FLEET_ORDER_TAKEN },   { 200, FLEET_ORDER_HOLDS },
+		     { 409, FLEET_ORDER_BUSY },	   { 412, FLEET_ORDER_FENCED },
+		     { 421, FLEET_ORDER_MISPLACED },
+		     { 400, FLEET_ORDER_INVALID }, { 500, FLEET_ORDER_UNKNOWN },
+		     { 0, FLEET_ORDER_UNKNOWN } };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		assert_int_equal(users_platform.order_answer(rows[i].status),
+				 rows[i].answer);
+}
+
+/* Heads are read from bytes, as on the wire. */
+
+struct heads {
+	struct platform_call call;
+	struct platform_answer answer;
+	bool call_ok;
+	GString *sent;
+	const struct platform_send *send;
+};
+
+static void on_head(void *arg, const struct http1_head *h)
+{
+	struct heads *x = arg;
+
+	if (!h->request) {
+		users_platform.read_answer(h, &x->answer);
+		/* A view into the head; only its presence is looked at. */
+		return;
+	}
+	x->call_ok = users_platform.read_call(h, &x->call, NULL);
+	if (x->send)
+		users_platform.write_request(x->sent, h, x->send, 3);
+}
+
+static void on_body(void *arg, struct ss_str piece)
+{
+	(void)arg;
+	(void)piece;
+}
+
+static void on_done(void *arg)
+{
+	(void)arg;
+}
+
+static const struct http1_ops head_ops = { on_head, on_body, on_done };
+
+static void read_head(struct heads *x, bool request, const char *text)
+{
+	struct http1_options o = { .request = request,
+				   .head_max = 4096,
+				   .ops = &head_ops,
+				   .arg = x };
+	struct http1_reader *r = http1_reader_new(&o);
+	struct evbuffer *in = evbuffer_new();
+
+	evbuffer_add(in, text, strlen(text));
+	assert_true(http1_read(r, in, NULL));
+	evbuffer_free(in);
+	http1_reader_free(r);
+}
+
+struct call_case {
+	const char *label, *headers;
+	bool ok;
+	int64_t deadline_ms, in, out, after;
+};
+
+static const struct call_case calls[] = {
+	{ "all of them",
+	  "X-Deadline-Ms: 12000\r\nX-Token-Usage: 1460,80\r\n"
+	  "Last-Event-Id: 7\r\n",
+	  true, 12000, 1460, 80, 7 },
+	{ "none", "", true, 0, 0, 0, -1 },
+	{ "a deadline that is no number", "X-Deadline-Ms: soon\r\n", false, 0,
+	  0, 0, -1 },
+	{ "a negative deadline", "X-Deadline-Ms: -5\r\n", false, 0, 0, 0, -1 },
+	{ "half of the tokens", "X-Token-Usage: 12\r\n", false, 0, 12, 0, -1 },
+	{ "an event that is no number", "Last-Event-Id: x\r\n", false, 0, 0, 0,
+	  -1 },
+};
+
+static void calls_are_read(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+		const struct call_case *c = &calls[i];
+		char *text = g_strdup_printf("GET /a HTTP/1.1\r\nHost: h\r\n"
+					     "%s\r\n",
+					     c->headers);
+		struct heads x = { 0 };
+
+		read_head(&x, true, text);
+		if (x.call_ok != c->ok)
+			fail_msg("%s: %d", c->label, x.call_ok);
+		if (c->ok && (x.call.deadline_ms != c->deadline_ms ||
+			      x.call.tokens_in != c->in ||
+			      x.call.tokens_out != c->out ||
+			      x.call.after_event != c->after))
+			fail_msg("%s: read wrongly", c->label);
+		g_free(text);
+	}
+}
+
+/*
+ * What a caller may not decide for the system isn't passed on; what
+ * concerns one connection neither; all else is, unchanged.
+ */
+static void own_headers_are_replaced(void **state)
+{
+	struct platform_send send = { .deadline_ms = 1500,
+				      .instance = SS_LIT("i-1"),
+				      .priority = 2,
+				      .after_event = -1 };
+	struct heads x = { .sent = g_string_new(NULL), .send = &send };
+
+	(void)state;
+	read_head(&x, true,
+		  "POST /p/q?r=1 HTTP/1.1\r\nHost: h.example\r\n"
+		  "X-Request-Id: 9c\r\nX-Hold: stolen\r\nX-Pin-Ms: 9\r\n"
+		  "Kv-From: x\r\nX-Kv-Backup: y\r\nX-Priority-Class: 0\r\n"
+		  "X-Expect-Instance: i-9\r\nX-Deadline-Ms: 99999\r\n"
+		  "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: x\r\n"
+		  "X-Other: kept\r\nContent-Length: 3\r\n\r\nabc");
+	assert_string_equal(
+		x.sent->str,
+		"POST /p/q?r=1 HTTP/1.1\r\nHost: h.example\r\n"
+		"X-Request-Id: 9c\r\nX-Other: kept\r\n"
+		"X-Deadline-Ms: 1500\r\nX-Priority-Class: 2\r\n"
+		"X-Expect-Instance: i-1\r\nContent-Length: 3\r\n\r\n");
+	g_string_free(x.sent, TRUE);
+}
+
+struct answer_case {
+	const char *label, *text;
+	bool not_run, authentic, encoded, has_load;
+	int64_t idle_ms;
+};
+
+static const struct answer_case answers[] = {
+	{ "a signed one",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Server-Load: 3,1,8\r\n"
+	  "Keep-Alive: timeout=5, max=10\r\nContent-Length: 0\r\n\r\n",
+	  false, true, false, true, 5000 },
+	{ "a full endpoint",
+	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	  true, false, false, false, 0 },
+	{ "503 without the word",
+	  "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, false, false,
+	  false, 0 },
+	{ "another incarnation",
+	  "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", true, false, false,
+	  false, 0 },
+	{ "a coded body",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  false, true, true, false, 0 },
+	{ "an absurd load",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Server-Load: a,,\r\n"
+	  "Keep-Alive: timeout=x\r\nContent-Length: 0\r\n\r\n",
+	  false, true, false, false, 0 },
+};
+
+static void answers_are_told_apart(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		const struct answer_case *c = &answers[i];
+		struct heads x = { 0 };
+
+		read_head(&x, false, c->text);
+		if (x.answer.not_run != c->not_run ||
+		    x.answer.authentic != c->authentic ||
+		    x.answer.encoded != c->encoded ||
+		    x.answer.has_load != c->has_load ||
+		    x.answer.idle_ms != c->idle_ms)
+			fail_msg("%s: read wrongly", c->label);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(routings_are_checked),
+		cmocka_unit_test(longest_prefix_wins),
+		cmocka_unit_test(splits_follow_their_weights),
+		cmocka_unit_test(pages_are_read),
+		cmocka_unit_test(reports_are_read),
+		cmocka_unit_test(orders_are_written),
+		cmocka_unit_test(order_answers_are_told_apart),
+		cmocka_unit_test(calls_are_read),
+		cmocka_unit_test(own_headers_are_replaced),
+		cmocka_unit_test(answers_are_told_apart),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
