Refuse a stream that can't begin before its caller leaves

Ruled out: holding them to the deadline. Nobody is there any more. Change: a stream has a time to be begun by, from the route's objective and pause; beyond it the request is refused at once with the model's wake time. Test: silent_wait_ends_before_the_caller_leaves.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -13,6 +13,16 @@
 /* A request whose model nobody knows to be on its way is held for this
  * share of its time, then told to come back. */
 #define NO_ETA_SHARE 0.4
+/*
+ * Callers of a stream leave after a gap of so long, also before its first
+ * event: the longest of a fixed time, of some objectives and of some pauses
+ * that the route allows. As the platform's description of callers has it;
+ * a request that can't be begun by then is refused while its caller is
+ * still there to be told when to come back.
+ */
+#define PATIENCE_MS 2000
+#define PATIENCE_OBJECTIVES 4
+#define PATIENCE_PAUSES 8
 /* Coming back sooner makes no sense; later leaves no time. In ms. */
 #define BACK_MIN_MS 150
 #define BACK_MAX_MS 4000
@@ -205,7 +215,8 @@
 			forward_refuse(f, 502, "endpoint", why, 0);
 		return;
 	}
-	if (f->deadline_ms - gate_now(g) < BEGIN_MS) {
+	if ((f->started ? f->deadline_ms : f->begin_by_ms) - gate_now(g) <
+	    BEGIN_MS) {
 		if (f->started)
 			forward_end(f, false, why);
 		else if (f->unknown)
@@ -406,6 +417,13 @@
 							c->model.n));
 }
 
+static int64_t patience_ms(const struct routing_route *rt)
+{
+	int64_t ms = MAX(PATIENCE_MS, PATIENCE_OBJECTIVES * rt->objective_ms);
+
+	return MAX(ms, PATIENCE_PAUSES * rt->pause_ms);
+}
+
 static struct forward *forward_new(struct gate *g, struct caller_call *c,
 				   const struct routing_route *rt,
 				   const struct platform_call *call,
@@ -433,6 +451,9 @@
 	f->waited_ms = f->first_ms = -1;
 	f->deadline_ms = now + wait;
 	f->objective_ms = now + rt->objective_ms;
+	f->begin_by_ms = f->deadline_ms;
+	if (rt->kind == ROUTE_STREAM)
+		f->begin_by_ms = MIN(f->deadline_ms, now + patience_ms(rt));
 	f->tried = g_ptr_array_new_with_free_func(g_free);
 	f->events.last_id = call->after_event;
 	caller_call_set_data(c, f);
@@ -501,14 +522,14 @@
 static bool is_hopeless(const struct forward *f, int64_t now)
 {
 	const struct lane *l = f->lane;
-	int64_t whole = f->deadline_ms - f->start_ms;
+	int64_t whole = f->begin_by_ms - f->start_ms;
 
-	if (now + BEGIN_MS > f->deadline_ms)
+	if (now + BEGIN_MS > f->begin_by_ms)
 		return true;
 	if (!*f->model)
 		return false;
 	if (l->eta_ms != SS_NEVER)
-		return MAX(l->eta_ms, now) + BEGIN_MS > f->deadline_ms;
+		return MAX(l->eta_ms, now) + BEGIN_MS > f->begin_by_ms;
 	return (double)(now - f->start_ms) > (double)whole * NO_ETA_SHARE;
 }
 
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -50,6 +50,7 @@
 	char *id, *model, *adapter;
 	uint64_t affinity;
 	int64_t start_ms, deadline_ms, objective_ms; /* on the clock */
+	int64_t begin_by_ms; /* later its caller has left */
 	enum forward_state state;
 	struct lane *lane;
 	GList *in_lane;
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -194,7 +194,10 @@
 	"\"service\":\"lm\"},"
 	"{\"name\":\"night\",\"host\":\"h\",\"prefix\":\"/night/\","
 	"\"type\":\"stream\",\"timeoutMs\":9000,\"attempts\":2,"
-	"\"resumable\":true,\"service\":\"lm\"}],"
+	"\"resumable\":true,\"service\":\"lm\"},"
+	"{\"name\":\"brief\",\"host\":\"h\",\"prefix\":\"/brief/\","
+	"\"type\":\"stream\",\"timeoutMs\":9000,\"goalMs\":300,"
+	"\"itlTargetMs\":250,\"attempts\":1,\"service\":\"lm\"}],"
 	"\"services\":[{\"name\":\"web\"},{\"name\":\"lm\",\"engine\":"
 	"{\"slots\":8,\"weightsMb\":80,\"models\":[{\"name\":\"m\","
 	"\"weightsMb\":30,\"loadS\":6}]}}],"
@@ -787,6 +790,32 @@
 	fix_close(&f);
 }
 
+/*
+ * Symptom: callers leave a stream that hasn't begun, and nobody told them
+ * when to come back. Sequence: the model is two seconds and more away; the
+ * caller's deadline is far, but it gives a silent stream up before. Cause:
+ * the deadline taken for the time that the caller waits.
+ */
+static void silent_wait_ends_before_the_caller_leaves(void **state)
+{
+	struct fleet_eta eta = { SS_LIT("lm"), SS_LIT("m"), 3000 };
+	struct msg_fleet m = { .fence = 1, .etas = { &eta, 1 } };
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "");
+	c = call(&f, REQ("POST", "/brief/x") "X-Model: m\r\n"
+					     "X-Deadline-Ms: 8000\r\n"
+					     "Content-Length: 0\r\n\r\n");
+	UNTIL(&f, gate_busy(f.gate) > 0);
+	gate_take_fleet(f.gate, &m);
+	UNTIL(&f, got(c, "HTTP/1.1 503 "));
+	assert_true(got(c, "Retry-After: 3."));
+	assert_int_equal(f.clock.fake_ms, 100000);
+	fix_close(&f);
+}
+
 static void time_is_up_at_the_routes_timeout(void **state)
 {
 	struct caller *c;
@@ -855,6 +884,7 @@
 		cmocka_unit_test(chunked_request_arrives_whole),
 		cmocka_unit_test(request_waits_for_its_model),
 		cmocka_unit_test(hopeless_request_is_refused_at_once),
+		cmocka_unit_test(silent_wait_ends_before_the_caller_leaves),
 		cmocka_unit_test(time_is_up_at_the_routes_timeout),
 		cmocka_unit_test(stop_ends_connections_after_their_answer),
 		cmocka_unit_test(nothing_is_known_yet),
