Name the engine's incarnation on every order

Ruled out: a wrong sum of weights. The agent had ordered within them. Change: the agent asks the engine beside it for its incarnation after each start and names it on orders; without it nothing is ordered. A read that fails, or a count that falls, means that it is asked again. Planning begins at once where all agents have reported.

--- a/src/daemon/fleet_agent.c
+++ b/src/daemon/fleet_agent.c
@@ -12,7 +12,7 @@
 #define READ_BUSY_MS 20
 #define READ_CALM_MS 100
 /* The engine is on this VM: without an answer for so long, it is down. */
-#define READ_TIMEOUT_MS 1000
+#define READ_TIMEOUT_MS 400
 /* Orders are answered at once, also while one is being carried out. */
 #define ORDER_TIMEOUT_MS 1500
 /* Load is told to the leader this often, and anything at least so often. */
@@ -29,8 +29,10 @@
 	struct listener *listener;
 	struct event *tick;
 	struct routing *routing;
-	struct fleet_report *report; /* the newest; NULL: none */
-	char *addr;		     /* of the listener, as others reach it */
+	const struct routing_service *service; /* of routing */
+	struct fleet_report *report;	       /* the newest; NULL: none */
+	char *addr;	/* of the listener, as others reach it */
+	char *instance; /* incarnation of the engine; NULL: to be asked */
 	bool reachable, reading;
 	unsigned int unanswered;
 	int64_t read_ms, told_ms;
@@ -187,7 +189,11 @@
 			 new->held->len, new->orders);
 	a->reachable = true;
 	a->unanswered = 0;
-	engine_report(a->engine, a->report, now_ms(a));
+	/* Without the incarnation nothing may be ordered. */
+	if (a->instance)
+		engine_report(a->engine, a->report, now_ms(a));
+	else
+		engine_lost(a->engine, now_ms(a));
 	report_free(old);
 	maybe_tell(a);
 }
@@ -195,6 +201,8 @@
 static void read_failed(struct fleet_agent *a, const char *why)
 {
 	(*a->n_lost)++;
+	/* It may have restarted meanwhile. */
+	g_clear_pointer(&a->instance, g_free);
 	if (++a->unanswered < LOST_AFTER || !a->reachable)
 		return;
 	log_warn("endpoint_lost", "why=\"%s\"", why);
@@ -205,29 +213,66 @@
 	maybe_tell(a);
 }
 
-static void on_read(void *arg, int status, struct ss_str body)
+/*
+ * A restarted engine counts its orders from zero again, so the count alone
+ * doesn't keep out an order of before the restart that is carried out late.
+ * Orders name the incarnation; it is asked for after each start.
+ */
+static void on_instance(void *arg, const struct keep_answer *r)
+{
+	struct fleet_agent *a = arg;
+
+	a->reading = false;
+	if (!r->header || !*r->header) {
+		log_info("instance_unknown", "status=%d", r->status);
+		return;
+	}
+	g_free(a->instance);
+	a->instance = g_strdup(r->header);
+	log_info("instance", "id=%s", a->instance);
+}
+
+static void ask_instance(struct fleet_agent *a)
+{
+	const char *path = a->service ? a->service->health_path : NULL;
+	struct keep_call c = { .method = "GET",
+			       .path = path ? path : users_platform.path_health,
+			       .want = users_platform.header_instance,
+			       .timeout_ms = READ_TIMEOUT_MS,
+			       .done = on_instance,
+			       .arg = a };
+
+	a->reading = true;
+	a->read_ms = now_ms(a);
+	keep_ask(a->endpoint, &c);
+}
+
+static void on_read(void *arg, const struct keep_answer *r)
 {
 	struct fleet_agent *a = arg;
-	struct fleet_report r;
+	struct fleet_report report;
 	GError *error = NULL;
 
 	a->reading = false;
 	(*a->n_reads)++;
-	if (status != 200) {
-		read_failed(a, status ? "it refused to report" : "no answer");
+	if (r->status != 200) {
+		read_failed(a,
+			    r->status ? "it refused to report" : "no answer");
 		return;
 	}
-	if (!users_platform.read_report(body, &r, &error)) {
+	if (!users_platform.read_report(r->body, &report, &error)) {
 		read_failed(a, error->message);
 		g_error_free(error);
 		return;
 	}
+	if (a->report && report.orders < a->report->orders)
+		g_clear_pointer(&a->instance, g_free);
 	/* An order went out meanwhile: this says nothing of it. */
 	if (engine_asking(a->engine)) {
-		fleet_report_clear(&r);
+		fleet_report_clear(&report);
 		return;
 	}
-	take_report(a, &r);
+	take_report(a, &report);
 }
 
 static void read_engine(struct fleet_agent *a)
@@ -238,6 +283,10 @@
 			       .done = on_read,
 			       .arg = a };
 
+	if (a->reachable && !a->instance && !engine_asking(a->engine)) {
+		ask_instance(a);
+		return;
+	}
 	a->reading = true;
 	a->read_ms = now_ms(a);
 	keep_ask(a->endpoint, &c);
@@ -245,14 +294,15 @@
 
 /* Orders. */
 
-static void on_ordered(void *arg, int status, struct ss_str body)
+static void on_ordered(void *arg, const struct keep_answer *r)
 {
 	struct fleet_agent *a = arg;
-	enum fleet_order_answer answer = users_platform.order_answer(status);
+	enum fleet_order_answer answer = users_platform.order_answer(r->status);
 
-	(void)body;
 	if (answer != FLEET_ORDER_TAKEN && answer != FLEET_ORDER_HOLDS)
-		log_info("order_answer", "status=%d", status);
+		log_info("order_answer", "status=%d", r->status);
+	if (answer == FLEET_ORDER_MISPLACED)
+		g_clear_pointer(&a->instance, g_free);
 	engine_answered(a->engine, answer, now_ms(a));
 	/* What it did shows at once, and the next order waits for that. */
 	if (!a->reading)
@@ -266,6 +316,8 @@
 	struct keep_call c = { .method = "POST",
 			       .path = users_platform.path_order,
 			       .body = ss_str_gs(body),
+			       .header = users_platform.header_expect,
+			       .value = a->instance,
 			       .timeout_ms = ORDER_TIMEOUT_MS,
 			       .done = on_ordered,
 			       .arg = a };
@@ -416,7 +468,8 @@
 		g_error_free(error);
 		return;
 	}
-	engine_set_service(a->engine, find_service(r));
+	a->service = find_service(r);
+	engine_set_service(a->engine, a->service);
 	routing_unref(a->routing);
 	a->routing = r;
 	log_info("routing", "version=%" PRIu64, r->version);
@@ -484,6 +537,7 @@
 	routing_unref(a->routing);
 	g_hash_table_unref(a->tickets);
 	g_free(a->addr);
+	g_free(a->instance);
 	g_free(a);
 }
 
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -1,9 +1,9 @@
 /* Deciding steps of loads and unloads, and carrying them out. */
 #include "fleet_lead_int.h"
 
-/* A new leader plans nothing for as long as agents need to find it: what
- * isn't reported yet would pass for lost. The orders to an engine come from
- * the agent beside it whoever leads, so no lease has to run out. */
+/* A new leader plans nothing until all agents have found it, or for so long:
+ * what isn't reported yet would pass for lost. The orders to an engine come
+ * from the agent beside it whoever leads, so no lease has to run out. */
 #define FIND_MS 500
 /* Entries confirm within a round trip; one that doesn't has lost its link
  * and its calls are refused by the engine, which says so. */
@@ -315,9 +315,30 @@
 	l->store_ms = now;
 }
 
+/* Every engine that the list shows has been heard of. */
+static bool all_reported(const struct fleet_lead *l)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct fleet_ep *ep = p;
+		int at = routing_service_index(l->routing, ep->service);
+
+		if (ep->listed && !ep->conn && at >= 0 &&
+		    g_array_index(l->routing->services, struct routing_service,
+				  at)
+			    .engine)
+			return false;
+	}
+	return true;
+}
+
 void fleet_steps_plan(struct fleet_lead *l, int64_t now)
 {
-	if (!l->routing || !l->list_seen || now - l->since_ms < FIND_MS)
+	if (!l->routing || !l->list_seen ||
+	    (now - l->since_ms < FIND_MS && !all_reported(l)))
 		return;
 	for (guint i = 0; i < l->routing->services->len; i++) {
 		const struct routing_service *s = &g_array_index(
--- a/src/net/keep.c
+++ b/src/net/keep.c
@@ -15,18 +15,27 @@
 
 struct call {
 	struct keep *k;
-	void (*done)(void *arg, int status, struct ss_str body);
+	char *want;
+	void (*done)(void *arg, const struct keep_answer *a);
 	void *arg;
 };
 
 static void on_answer(struct evhttp_request *req, void *arg)
 {
 	struct call *c = arg;
-	int status = req ? evhttp_request_get_response_code(req) : 0;
+	struct keep_answer a = {
+		.status = req ? evhttp_request_get_response_code(req) : 0
+	};
 
+	if (a.status) {
+		a.body = http_body(req);
+		if (c->want)
+			a.header = evhttp_find_header(
+				evhttp_request_get_input_headers(req), c->want);
+	}
 	if (!c->k->freeing)
-		c->done(c->arg, status,
-			status ? http_body(req) : (struct ss_str){ 0 });
+		c->done(c->arg, &a);
+	g_free(c->want);
 	g_free(c);
 }
 
@@ -62,10 +71,13 @@
 			      (o->timeout_ms % 1000) * 1000 };
 
 	c->k = k;
+	c->want = g_strdup(o->want);
 	c->done = o->done;
 	c->arg = o->arg;
 	evhttp_connection_set_timeout_tv(k->conn, &tv);
 	evhttp_add_header(headers, "Host", k->addr);
+	if (o->header)
+		evhttp_add_header(headers, o->header, o->value);
 	if (o->body.n) {
 		evhttp_add_header(headers, "Content-Type", "application/json");
 		http_add_body(req, o->body);
--- a/src/net/keep.h
+++ b/src/net/keep.h
@@ -10,13 +10,20 @@
 
 struct keep;
 
+struct keep_answer {
+	int status; /* 0: none came, and the call may have been carried out */
+	struct ss_str body;
+	const char *header; /* the wanted one; NULL: it isn't there */
+};
+
 struct keep_call {
 	const char *method; /* GET or POST */
 	const char *path;
-	struct ss_str body; /* JSON; empty: none */
+	struct ss_str body;	    /* JSON; empty: none */
+	const char *header, *value; /* sent beside; NULL: none */
+	const char *want; /* header of the answer that done is given */
 	int64_t timeout_ms;
-	/* status 0: no answer, and the call may have been carried out. */
-	void (*done)(void *arg, int status, struct ss_str body);
+	void (*done)(void *arg, const struct keep_answer *a);
 	void *arg;
 };
 
--- a/src/proxy/platform_ops.h
+++ b/src/proxy/platform_ops.h
@@ -45,8 +45,10 @@
 	const char *path_put, *path_get, *path_ready;
 	/* Paths of an engine's report and orders. */
 	const char *path_report, *path_order;
-	/* The header by which a call names the incarnation it is for. */
-	const char *header_instance;
+	/* The header by which a call names the incarnation it is for, and
+	 * the one by which an endpoint tells its own in a health check. */
+	const char *header_expect, *header_instance;
+	const char *path_health; /* where the routing names none */
 
 	/*
 	 * Read an operator's configuration. NULL with SS_ERROR_BAD_REQUEST,
