Place replicas by their calls, and wait for a copy rather than use the store

Cause: a replica counted as full at a share of the slots (38 calls), far beyond what an engine begins in time; an entry's preferences for its own failure domain and a warm prompt outweighed ten calls more. Models were loaded from the store in 6 s while an engine with a copy on its disk was taken up for half a second, and the store rested in the last seconds before traffic. Ruled out: more store loads at a time; they share one throughput. Change: another replica from 24 calls on, three for a model with 6 calls a second; scores in calls; a copy that comes soon is waited for while slack is left; loads from the store avoid engines with only copies; second copies are made before the first calls come.

--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -1,13 +1,13 @@
 /* Which endpoint gets a call. */
 #include "balance.h"
 
-/* Scores are shares of an engine's slots: how much fuller a node may be to
- * be preferred all the same. */
-#define FAR_SCORE 0.06	    /* bytes between failure domains are priced */
-#define ADAPTER_SCORE 0.25  /* a load of 6 ms, and another adapter leaves */
-#define AFFINITY_SCORE 0.15 /* reading a shared prompt again, some 5 ms */
-#define FAILING_SCORE 3.0   /* a third of failures: as if it were full */
-#define TRIED_SCORE 2.0
+/* Scores are calls: how many more a node may have and be preferred all the
+ * same. */
+#define FAR_SCORE 0.7	   /* bytes between failure domains are priced */
+#define ADAPTER_SCORE 3.0  /* a load of 6 ms, and another adapter leaves */
+#define AFFINITY_SCORE 1.5 /* reading a shared prompt again, some 5 ms */
+#define FAILING_SCORE 20.0 /* a tenth of failures: as two calls more */
+#define TRIED_SCORE 10.0
 /* Weight of the newest call in the share of failures. */
 #define FAILING_ALPHA 0.15
 
@@ -18,7 +18,7 @@
 
 static double score(const struct balance_node *n, uint64_t most_affine)
 {
-	double s = (double)balance_load(n) / (double)MAX(n->slots, 1);
+	double s = (double)balance_load(n);
 
 	if (!n->near)
 		s += FAR_SCORE;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -3,14 +3,18 @@
 
 #include <math.h>
 
-/* A replica is filled to this share of an engine's slots before another is
- * wanted, and thinned out below the second. The gap keeps replicas from
+/* A replica carries so many calls before another is wanted, and is thinned
+ * out below the second number. Not a share of the slots: an engine reads
+ * prompts one after the other between its steps, so the first event of a
+ * call is late long before the slots are taken. The gap keeps replicas from
  * coming and going with each burst. */
-#define FILL_SHARE 0.6
-#define THIN_SHARE 0.35
-/* Calls a second from which a model is kept twice, so that the loss of one
- * engine doesn't leave dozens of callers without it. */
+#define FILL_CALLS 24
+#define THIN_CALLS 14
+/* Calls a second from which a model is kept twice, and three times, so that
+ * the loss of engines doesn't leave dozens of callers without it for the
+ * seconds that a load from the store takes. */
 #define TWICE_PER_S 2.0
+#define THRICE_PER_S 6.0
 /* Waiting for runs to end on a victim, in ms: half of a common answer. */
 #define DRAIN_MS 1000.0
 /* Weight of what an unload costs later against the wait now, in s. */
@@ -21,6 +25,16 @@
 #define FULL_MS 200.0
 /* A second replica in the same failure domain falls with the first. */
 #define SAME_DOMAIN_MS 100.0
+/* A copy on an engine that can't take it now is waited for, rather than
+ * asking the store, unless the engine is taken up for longer than this share
+ * of a load from the store, or the callers' slack is nearly used up. */
+#define SOON_SHARE 0.4
+#define SLACK_LEFT_MS 700
+/* A load from the store takes its engine up for seconds, and with it all the
+ * copies that only it has; each of them weighs so much, in ms. */
+#define ONLY_COPY_MS 60.0
+/* Copies of a model that are made while nobody calls. */
+#define COPIES_AHEAD 2
 /* Memory of a rate, in ms: long enough to tell an idle model from one that
  * is asked for every few seconds. */
 #define RATE_MS 8000.0
@@ -54,7 +68,7 @@
 struct tally {
 	uint32_t open;	  /* replicas that take calls */
 	uint32_t loading; /* on their way, this pass's too */
-	bool copied;	  /* some engine has it in memory or on disk */
+	uint32_t copies;  /* engines that have it in memory or on disk */
 	int64_t left_ms;  /* until the first of those on their way */
 };
 
@@ -64,6 +78,7 @@
 	void *arg;
 	struct tally *tally;
 	size_t from_store; /* loads from the store under way */
+	uint32_t calls;	   /* under way on all engines */
 };
 
 static struct fleet_place *place_at(const struct fleet_node *n, guint i)
@@ -77,29 +92,30 @@
 		const struct fleet_place *p = place_at(n, i);
 
 		s->tally[p->model].open += !p->closing;
-		s->tally[p->model].copied = true;
+		s->calls += p->calls;
 	}
 	for (size_t m = 0; m < s->v->n_models; m++)
-		s->tally[m].copied |= n->tier[m] != TIER_REMOTE;
+		s->tally[m].copies += n->tier[m] != TIER_REMOTE;
 	if (n->loading < 0)
 		return;
 	s->tally[n->loading].loading++;
-	s->tally[n->loading].copied = true;
+	s->tally[n->loading].copies += n->tier[n->loading] == TIER_REMOTE;
 	s->tally[n->loading].left_ms =
 		MIN(s->tally[n->loading].left_ms, n->loading_left_ms);
 	s->from_store += n->loading_tier == TIER_REMOTE;
 }
 
-/* Replicas that the calls of a model need, at this share of the slots. */
+/* Replicas that a model needs, with so many calls on each. */
 static uint32_t replicas_for(const struct fleet_view *v,
-			     const struct fleet_model *m, double share)
+			     const struct fleet_model *m, uint32_t calls)
 {
-	double load = m->calls + m->waiting;
-	double most = (double)MAX(v->slots, 1) * share;
-	uint32_t n = (uint32_t)ceil(load / most);
+	uint32_t most = MIN(calls, (uint32_t)MAX(v->slots, 1));
+	uint32_t n = (m->calls + m->waiting + most - 1) / most;
 
 	if (m->rate >= TWICE_PER_S)
 		n = MAX(n, 2);
+	if (m->rate >= THRICE_PER_S)
+		n = MAX(n, 3);
 	return n;
 }
 
@@ -107,7 +123,7 @@
 static bool is_surplus(const struct pass *s, uint32_t model)
 {
 	return s->tally[model].open >
-	       MAX(replicas_for(s->v, &s->v->models[model], THIN_SHARE), 1);
+	       MAX(replicas_for(s->v, &s->v->models[model], THIN_CALLS), 1);
 }
 
 /* What an unload costs later, in ms of waiting; negative: it must stay. */
@@ -195,6 +211,16 @@
 	return false;
 }
 
+/* Models that no other engine has a copy of. */
+static uint32_t only_copies(const struct pass *s, const struct fleet_node *n)
+{
+	uint32_t count = 0;
+
+	for (size_t m = 0; m < s->v->n_models; m++)
+		count += n->tier[m] != TIER_REMOTE && s->tally[m].copies == 1;
+	return count;
+}
+
 static bool weigh(const struct pass *s, uint32_t model, size_t node,
 		  struct choice *c)
 {
@@ -215,6 +241,8 @@
 		   FULL_MS * (double)n->running / (double)MAX(n->slots, 1);
 	if (s->tally[model].open && domain_has(s->v, n->domain, model))
 		c->cost += SAME_DOMAIN_MS;
+	if (tier == TIER_REMOTE)
+		c->cost += ONLY_COPY_MS * only_copies(s, n);
 	return true;
 }
 
@@ -232,7 +260,7 @@
 	n->free = false;
 	n->loading = c->step.load;
 	t->loading++;
-	t->copied = true;
+	t->copies += c->step.tier == TIER_REMOTE;
 	t->left_ms = MIN(t->left_ms, c->step.expected_ms);
 	for (guint i = 0; i < n->places->len; i++) {
 		struct fleet_place *p = place_at(n, i);
@@ -249,6 +277,28 @@
 	s->ops->step(s->arg, &c->step);
 }
 
+/*
+ * An engine that has a copy will take the model soon: it carries out a
+ * short step, or waits for calls to end. A load from the store would take
+ * longer, and use up its time.
+ */
+static bool comes_soon(const struct pass *s, uint32_t model)
+{
+	const struct fleet_model *x = &s->v->models[model];
+	double patience = SOON_SHARE * (double)x->spec->store_ms;
+
+	if (x->waiting && x->slack_ms < SLACK_LEFT_MS)
+		return false;
+	for (size_t i = 0; i < s->v->n_nodes; i++) {
+		const struct fleet_node *n = &s->v->nodes[i];
+
+		if (n->usable && n->tier[model] != TIER_REMOTE &&
+		    (n->loading < 0 || (double)n->loading_left_ms < patience))
+			return true;
+	}
+	return false;
+}
+
 /* Load a model where that is cheapest; false where nothing can take it. */
 static bool place(struct pass *s, uint32_t model, const char *why)
 {
@@ -265,11 +315,30 @@
 		best = c;
 		found = true;
 	}
+	if (found && best.step.tier == TIER_REMOTE && comes_soon(s, model))
+		return false;
 	if (found)
 		take(s, &best, why);
 	return found;
 }
 
+/* Bring a copy to an engine that has none. */
+static void place_copy(struct pass *s, uint32_t model, const char *why)
+{
+	struct choice best = { 0 }, c;
+	bool found = false;
+
+	for (size_t i = 0; i < s->v->n_nodes; i++) {
+		if (s->v->nodes[i].tier[model] != TIER_REMOTE ||
+		    !weigh(s, model, i, &c) || (found && c.cost >= best.cost))
+			continue;
+		best = c;
+		found = true;
+	}
+	if (found)
+		take(s, &best, why);
+}
+
 struct need {
 	uint32_t model;
 	double order; /* smaller goes first */
@@ -313,21 +382,30 @@
 
 		if (t->open + t->loading == 0 && !x->waiting)
 			continue;
-		if (t->open + t->loading < replicas_for(s->v, x, FILL_SHARE))
+		if (t->open + t->loading < replicas_for(s->v, x, FILL_CALLS))
 			place(s, (uint32_t)m, "its replicas are full");
 	}
 }
 
+static void place_copies(struct pass *s, uint32_t copies, const char *why)
+{
+	for (size_t m = 0; m < s->v->n_models && store_allows(s); m++)
+		if (s->tally[m].copies < copies)
+			place_copy(s, (uint32_t)m, why);
+}
+
 /*
  * The store serves few loads at a time and each takes long, so while nobody
  * waits for it, it brings the models that have no copy on any engine. From
- * then on a call for one costs a load from disk.
+ * then on a call for one costs a load from disk. Before the first calls
+ * come, a second copy is made as well: one engine's copies are out of reach
+ * while it is taken up.
  */
 static void place_ahead(struct pass *s)
 {
-	for (size_t m = 0; m < s->v->n_models && store_allows(s); m++)
-		if (!s->tally[m].copied)
-			place(s, (uint32_t)m, "no engine has a copy");
+	place_copies(s, 1, "no engine has a copy");
+	if (s->calls == 0)
+		place_copies(s, COPIES_AHEAD, "one engine has the only copy");
 }
 
 static void set_etas(struct pass *s)
