--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -8,7 +8,7 @@
 #define ENTRIES_MAX 20
 /* Part of the allowed ratio that is spent: the rest covers requests that
  * are counted in another window than their repeats. */
-#define RATIO_SHARE 0.7
+#define RATIO_SHARE 0.85
 #define TIDY_MS 200
 #define HEAD_MAX (16u << 10) /* of an endpoint's answer, bytes */
 
