Write logs to standard output, bounded, and never wait for their reader

Cause: lines went to standard error, without a bound, and a reader that stalls stopped the process in its write. Change: an appender of our own looks whether the line has room, keeps to 400 lines a second with a burst of 2000, and counts what it leaves out.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -2,11 +2,20 @@
 #include "log.h"
 
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <time.h>
+#include <unistd.h>
 
+/* Below PIPE_BUF, so that a line which a pipe has room for never blocks. */
 #define LINE_MAX_BYTES 1024
+/*
+ * Lines a second, and lines that may come at once. An entry writes one a
+ * request: twice what one is meant to carry, and a burst of some seconds.
+ */
+#define LINES_PER_S 400
+#define LINES_BURST 2000
 
 static const int priorities[] = {
 	[LOG_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
@@ -19,6 +28,62 @@
 static log4c_category_t *category;
 static char *node_name;
 
+/* What may still be written, and what had to be left out. */
+static double tokens = LINES_BURST;
+static int64_t tokens_ms;
+static uint64_t left_out;
+
+/* A reader that stalls must not stop the process: look before each write. */
+static bool may_write(void)
+{
+	struct pollfd p = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+	return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT);
+}
+
+static bool take_token(void)
+{
+	struct ss_clock c;
+	int64_t now;
+
+	ss_clock_init(&c);
+	now = ss_clock_now(&c);
+	tokens = MIN(tokens + (double)(now - tokens_ms) * LINES_PER_S / 1000.0,
+		     LINES_BURST);
+	tokens_ms = now;
+	if (tokens < 1)
+		return false;
+	tokens -= 1;
+	return true;
+}
+
+static int append(log4c_appender_t *a, const log4c_logging_event_t *e)
+{
+	char note[64];
+
+	(void)a;
+	if (!take_token() || !may_write()) {
+		left_out++;
+		return 0;
+	}
+	if (left_out) {
+		int n = snprintf(note, sizeof(note),
+				 "event=log_left_out lines=%" PRIu64 "\n",
+				 left_out);
+
+		left_out = 0;
+		if (write(STDOUT_FILENO, note, (size_t)n) < 0)
+			left_out++;
+	}
+	if (write(STDOUT_FILENO, e->evt_rendered_msg,
+		  strlen(e->evt_rendered_msg)) < 0)
+		left_out++;
+	return 0;
+}
+
+static const log4c_appender_type_t appender_type = { .name = "bounded",
+						     .append = append };
+
 static const char *format(const log4c_layout_t *layout,
 			  const log4c_logging_event_t *e)
 {
@@ -52,7 +117,9 @@
 	log4c_layout_type_set(&layout_type);
 	layout = log4c_layout_get("sapphireshift");
 	log4c_layout_set_type(layout, &layout_type);
-	appender = log4c_appender_get("stderr");
+	log4c_appender_type_set(&appender_type);
+	appender = log4c_appender_get("sapphireshift");
+	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get("sapphireshift");
 	log4c_category_set_appender(category, appender);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,4 +1,8 @@
-/* One structured line an event: level, event, then key=value pairs. */
+/*
+ * One structured line an event on standard output: level, event, then
+ * key=value pairs. Lines beyond a rate, or that a reader who stalls leaves no
+ * room for, are left out and counted; nothing waits for them.
+ */
 #ifndef SS_LOG_H
 #define SS_LOG_H
 
