Name the leader to a control VM that asks to join

Cause: a control VM with a lost disk asks the addresses of its settings to take it in; only the leader answered. Ruled out: votes lost on the way; both survivors kept asking for votes. Change: a member that doesn't lead answers with the leader's address, and the one that asks goes there. Four more scenarios: settings that change, bad settings, all control VMs killed, a planned stop with callers.

--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -59,6 +59,7 @@
 	GHashTable *reads; /* &ctx -> struct read_done */
 	uint64_t ctx;
 	struct event *tick, *flush;
+	char *leader_hint; /* who is said to lead, by one that was asked */
 	int64_t join_ms, tend_ms;
 	int64_t leader_ms;  /* when a leader was last known */
 	int64_t append_ms;  /* when the log last grew */
@@ -397,6 +398,8 @@
 	g->join_ms = now;
 	for (guint i = 0; i < control->len; i++)
 		ask_at(g, control->pdata[i]);
+	if (g->leader_hint)
+		ask_at(g, g->leader_hint);
 	if (!g->raft)
 		return;
 	/* All addresses of the settings may be those of VMs long gone. */
@@ -409,14 +412,22 @@
 
 static void take_join(struct group *g, struct conn *c, const struct msg_join *m)
 {
+	const char *leader = group_leader_addr(g);
 	struct msg_leader reply = { 0 };
 	struct ss_raft_member member = { .id = m->id,
 					 .name = m->name,
 					 .addr = m->addr };
 	GError *error = NULL;
 
-	if (!group_leads(g))
+	/* The one that leads may be unknown to the one that asks: only the
+	 * first control VMs stand in its settings. */
+	if (!group_leads(g)) {
+		if (leader) {
+			reply.addr = ss_str(leader);
+			conn_send(c, MSG_JOINED, &reply);
+		}
 		return;
+	}
 	if (!ss_raft_member(g->raft, m->id) &&
 	    !ss_raft_set_member(g->raft, &member, &error)) {
 		log_info("join_waits", "name=%.*s why=\"%s\"", SS_FMT(m->name),
@@ -435,6 +446,11 @@
 {
 	GError *error = NULL;
 
+	if (!m->group && m->addr.n) {
+		g_free(g->leader_hint);
+		g->leader_hint = ss_str_dup(m->addr);
+		ask_at(g, g->leader_hint);
+	}
 	if (g->raft || !m->group)
 		return;
 	if (disk_set_group(g->disk, m->group, &error)) {
@@ -769,7 +785,7 @@
 	g->arg = arg;
 	g->state = ss_state_new();
 	g->addr = g_strdup(*d->config.advertise ? d->config.advertise :
-						   d->config.listen);
+						  d->config.listen);
 	g->outs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, out_free);
 	g->heard = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -812,6 +828,7 @@
 	g_hash_table_unref(g->reads);
 	ss_state_free(g->state);
 	disk_close(g->disk);
+	g_free(g->leader_hint);
 	g_free(g->addr);
 	g_free(g);
 }
--- /dev/null
+++ b/test/fleet/scenarios.py
@@ -0,0 +1,203 @@
+"""Failures of a fleet that need a certain order of events, on real processes.
+
+Each scenario opens with its symptom, sequence and cause. Waits are on
+conditions; a condition that never comes fails the scenario.
+"""
+import argparse
+import asyncio
+import os
+import shutil
+import signal
+import sys
+
+from soak import CONTROLS, RECOVERY_S, ROOT, Callers, Fleet, http, until
+
+
+def log_has(fleet, name, text):
+    with open(os.path.join(fleet.folder, name + ".log")) as f:
+        return text in f.read()
+
+
+async def first_change(fleet):
+    async def accepted():
+        return await fleet.put() == 200
+
+    await until(accepted, RECOVERY_S, "no change was accepted")
+
+
+async def leader_of(fleet):
+    """The number of the control VM that answers a read itself."""
+    for i in range(CONTROLS):
+        addr = "%s:%d" % (fleet.control_ip(i), fleet.operator_port)
+        try:
+            status, _, _ = await asyncio.wait_for(
+                http(addr, "GET", "/sapphireshift/Config.Get"), 2.0)
+        except (OSError, EOFError, asyncio.TimeoutError):
+            continue
+        if status == 200:
+            return i
+    return None
+
+
+async def wiped_vm_finds_a_leader_it_doesnt_know(fleet):
+    """Symptom: the group has no majority any more after two VMs lost their
+    disks one after the other, with many seconds between. Sequence: the
+    control VM that leads stands in nobody's settings; another one's disk is
+    lost; it asks the addresses of its settings to take it in. Cause: only
+    the leader answered, and the others kept silent about who leads.
+    """
+    await first_change(fleet)
+    # One in three elections makes it the leader; so many never fail.
+    for _ in range(60):
+
+        async def somebody_leads():
+            return await leader_of(fleet) is not None
+
+        await until(somebody_leads, RECOVERY_S, "nobody leads")
+        led = await leader_of(fleet)
+        if led == 3:
+            break
+        if led is None:
+            continue
+        p = fleet.procs["control-%d" % led]
+        await p.end(signal.SIGKILL)
+        await until(somebody_leads, RECOVERY_S, "nobody leads")
+        p.start()
+    assert await leader_of(fleet) == 3, "the fourth control VM never led"
+    p = fleet.procs["control-0"]
+    await p.end(signal.SIGKILL)
+    shutil.rmtree(os.path.join(fleet.folder, "data-0"))
+    fleet.control_settings(0, False)
+    p.start()
+
+    async def joined():
+        return log_has(fleet, "control-0", "event=joined")
+
+    await until(joined, RECOVERY_S, "the wiped VM never joined")
+
+
+async def settings_change_without_a_restart(fleet):
+    """Symptom: processes end when the settings file changes, or go on
+    asking control VMs that are long gone. Sequence: the file gets other
+    addresses, with a SIGHUP and without. Cause: a signal that nobody
+    handles, a file that is read only at the start.
+    """
+    await first_change(fleet)
+    for name, sig in (("entry-0", signal.SIGHUP), ("entry-1", 0)):
+        path = os.path.join(fleet.folder, name + ".json")
+        with open(path) as f:
+            text = f.read()
+        with open(path, "w") as f:
+            f.write(text + "\n")
+        p = fleet.procs[name]
+        if sig:
+            p.send(sig)
+
+        async def reloaded():
+            return log_has(fleet, name, "event=reload")
+
+        await until(reloaded, RECOVERY_S, name + " didn't read its settings")
+        assert p.proc.poll() is None, name + " ended"
+
+
+async def bad_settings_change_nothing(fleet):
+    """Symptom: a process ends, or loses its control VMs, by a slip in its
+    settings. Sequence: the file becomes unreadable, then SIGHUP.
+    """
+    await first_change(fleet)
+    path = os.path.join(fleet.folder, "entry-0.json")
+    with open(path, "w") as f:
+        f.write("{")
+    fleet.procs["entry-0"].send(signal.SIGHUP)
+
+    async def told():
+        return log_has(fleet, "entry-0", "event=reload_failed")
+
+    await until(told, RECOVERY_S, "nothing was said of the bad settings")
+    assert fleet.procs["entry-0"].proc.poll() is None, "the entry ended"
+
+
+async def all_control_vms_are_killed(fleet):
+    """Symptom: an acknowledged change is gone, or nobody leads again.
+    Sequence: a change is acknowledged; all control VMs are killed at once
+    and started again.
+    """
+    await first_change(fleet)
+    acked = fleet.acked
+    for i in range(CONTROLS):
+        fleet.procs["control-%d" % i].send(signal.SIGKILL)
+    for i in range(CONTROLS):
+        await fleet.procs["control-%d" % i].end()
+        fleet.procs["control-%d" % i].start()
+
+    async def read_back():
+        return await fleet.get() >= acked
+
+    await until(read_back, RECOVERY_S, "the change isn't read back")
+
+
+async def planned_stop_cuts_nothing(fleet):
+    """Symptom: callers lose answers while entries are rolled. Sequence: an
+    entry gets SIGTERM with streams under way and callers still coming.
+    """
+    await first_change(fleet)
+    callers = Callers(fleet)
+
+    async def served():
+        return all(callers.answered.get(k) for k in
+                   ("once", "safe", "chat", "night"))
+
+    loops = [asyncio.ensure_future(callers.loop(i)) for i in range(4)]
+    await until(served, RECOVERY_S, "not all kinds are served")
+    p = fleet.procs["entry-0"]
+    await p.end(signal.SIGTERM)
+    assert p.proc.returncode == 0, "exit code %d" % p.proc.returncode
+    callers.on = False
+    await asyncio.gather(*loops)
+    callers.check()
+    assert not log_has(fleet, "entry-0", "outcome=cut"), "an answer was cut"
+
+
+SCENARIOS = [wiped_vm_finds_a_leader_it_doesnt_know,
+             settings_change_without_a_restart, bad_settings_change_nothing,
+             all_control_vms_are_killed, planned_stop_cuts_nothing]
+
+
+async def play(scenario, seed, daemon):
+    fleet = Fleet(seed, daemon)
+    bad = []
+    try:
+        await fleet.start()
+        await scenario(fleet)
+    except (AssertionError, TimeoutError) as e:
+        bad.append(str(e))
+    finally:
+        await fleet.stop()
+    return fleet, bad + fleet.world.faults
+
+
+def main():
+    ap = argparse.ArgumentParser(description=__doc__)
+    ap.add_argument("--build", default=os.path.join(ROOT, "build"))
+    ap.add_argument("--only", help="part of a scenario's name")
+    a = ap.parse_args()
+    failed = 0
+    for seed, scenario in enumerate(SCENARIOS, 1):
+        if a.only and a.only not in scenario.__name__:
+            continue
+        fleet, bad = asyncio.run(play(
+            scenario, seed, os.path.join(a.build, "sapphireshiftd")))
+        print("%s %s" % ("FAILED" if bad else "ok", scenario.__name__))
+        for line in bad[:5]:
+            print("    " + line)
+        if bad:
+            print("    logs: " + fleet.folder)
+        else:
+            shutil.rmtree(fleet.folder)
+        failed += bool(bad)
+        sys.stdout.flush()
+    sys.exit(failed > 0)
+
+
+if __name__ == "__main__":
+    main()
