--- a/src/config/config.c
+++ b/src/config/config.c
@@ -104,18 +104,13 @@
 	STR("ready_listen", config_fleet, ready_listen, ""),
 	STR("operator_listen", config_fleet, operator_listen, ""),
 	STR("vm_list", config_fleet, vm_list, ""),
-	NUM("list_per_s", config_fleet, list_per_s, 0, 100000, 10),
 	STR("endpoint", config_fleet, endpoint, ""),
 	STR("holder", config_fleet, holder, ""),
 	INT("grace_ms", config_fleet, grace_ms, 0, HOUR_MS, 8000),
-	INT("drain_ms", config_fleet, drain_ms, 0, HOUR_MS, 3000),
 	NUM("retry_ratio", config_fleet, retry_ratio, 0, 10, 0),
 	INT("retry_window_ms", config_fleet, retry_window_ms, 100, HOUR_MS,
 	    10000),
 	INT("retry_slack", config_fleet, retry_slack, 0, 1000000, 0),
-	INT("store_window_ms", config_fleet, store_window_ms, 100, HOUR_MS,
-	    5000),
-	NUM("store_overage", config_fleet, store_overage, 0, 100, 1),
 };
 static const struct setting_type fleet_type =
 	SETTING_TYPE(struct config_fleet, fleet_fields);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -58,17 +58,14 @@
 	char *ready_listen;    /* entry: asked whether it takes callers */
 	char *operator_listen; /* control: routing */
 	char *vm_list;	       /* address of the platform's list */
-	double list_per_s;  /* calls that the list takes, from all together */
-	char *endpoint;	    /* agent: the endpoint beside it */
-	char *holder;	    /* agent: the name on its orders */
-	int64_t grace_ms;   /* from SIGTERM until the process is ended */
-	int64_t drain_ms;   /* a leaving endpoint must be left within it */
-	double retry_ratio; /* repeats against first sends, per window */
+	char *endpoint;	       /* agent: the endpoint beside it */
+	char *holder;	       /* agent: the name on its orders */
+	int64_t grace_ms;      /* from SIGTERM until the process is ended */
+	int64_t drain_ms;      /* a leaving endpoint must be left within it */
+	double retry_ratio;    /* repeats against first sends, per window */
 	int64_t retry_window_ms;
-	int64_t retry_slack;	 /* repeats that are free, for all together */
-	int64_t lease_ms;	 /* least pause between orders of two holders */
-	int64_t store_window_ms; /* in which loads from the store count */
-	double store_overage;	 /* loads over the rate that are borne */
+	int64_t retry_slack; /* repeats that are free, for all together */
+	int64_t lease_ms;    /* least pause between orders of two holders */
 };
 
 struct config {
--- /dev/null
+++ b/test/test_balance.c
@@ -0,0 +1,226 @@
+/* Choosing an endpoint, the repeat budget, whole events, the routing's
+ * version in the replicated state. */
+#include "unit.h"
+
+#include "../src/core/balance.h"
+#include "../src/core/state.h"
+#include "../src/proxy/events.h"
+
+/* Most are near and have what is needed; a case says where one isn't. */
+struct choose_case {
+	const char *label;
+	struct balance_node nodes[3];
+	size_t n;
+	int want;
+	int far, bare; /* 1 + index of such a node; 0: none */
+};
+
+#define NODE(...)                                                              \
+	{                                                                      \
+		.usable = true, .slots = 8, __VA_ARGS__                        \
+	}
+
+static const struct choose_case chooses[] = {
+	{ "the one with fewer calls",
+	  { NODE(.reported = 5), NODE(.reported = 2) }, 2, 1, 0, 0 },
+	{ "what was sent since the report counts",
+	  { NODE(.reported = 1, .since = 5), NODE(.reported = 3) }, 2, 1, 0, 0 },
+	{ "own calls count where the report is older than they are",
+	  { NODE(.own = 6), NODE(.reported = 3) }, 2, 1, 0, 0 },
+	{ "near, where both are as full",
+	  { NODE(.own = 0), NODE(.own = 0) }, 2, 1, 1, 0 },
+	{ "far, where near is fuller by more than that",
+	  { NODE(.own = 0), NODE(.reported = 2) }, 2, 0, 1, 0 },
+	{ "the adapter that is loaded",
+	  { NODE(.own = 0), NODE(.reported = 2) }, 2, 1, 0, 1 },
+	{ "the warm prompt",
+	  { NODE(.affinity = 1), NODE(.affinity = 9, .reported = 1) }, 2, 1, 0, 0 },
+	{ "not one that fails a third of its calls",
+	  { NODE(.failing = 0.33), NODE(.reported = 5) }, 2, 1, 0, 0 },
+	{ "but that one rather than none", { NODE(.failing = 0.9) }, 1, 0, 0, 0 },
+	{ "not the one that it came back from",
+	  { NODE(.tried = true), NODE(.reported = 6) }, 2, 1, 0, 0 },
+	{ "nobody usable", { { .usable = false } }, 1, BALANCE_NOBODY, 0, 0 },
+	{ "all full", { NODE(.reported = 8), NODE(.own = 9) }, 2,
+	  BALANCE_FULL, 0, 0 },
+	{ "no endpoint at all", { { 0 } }, 0, BALANCE_NOBODY, 0, 0 },
+};
+
+static void the_best_is_chosen(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(chooses); i++) {
+		struct choose_case copy = chooses[i], *c = &copy;
+
+		for (size_t k = 0; k < c->n; k++) {
+			c->nodes[k].near = c->far != (int)k + 1;
+			c->nodes[k].has_adapter = c->bare != (int)k + 1;
+		}
+		for (uint64_t tie = 0; tie < 4; tie++) {
+			int got = balance_choose(c->nodes, c->n, 1.0, tie);
+
+			if (got != c->want)
+				fail_msg("%s: %d", c->label, got);
+		}
+	}
+}
+
+static void equals_share_the_calls(void **state)
+{
+	struct balance_node n[3] = { NODE(.own = 0), NODE(.own = 0),
+				     NODE(.own = 0) };
+	int got[3] = { 0 };
+
+	(void)state;
+	for (uint64_t tie = 0; tie < 30; tie++)
+		got[balance_choose(n, 3, 1.0, tie)]++;
+	for (int i = 0; i < 3; i++)
+		assert_int_equal(got[i], 10);
+}
+
+/*
+ * Symptom: repeats add to the load that makes calls fail. Sequence: many
+ * calls fail at once, and each is sent again. The window slides, so at no
+ * time may more than its share have been taken within it.
+ */
+static void repeats_keep_to_their_window(void **state)
+{
+	struct repeat_budget b;
+	int taken = 0;
+
+	(void)state;
+	repeat_budget_init(&b, 10000, 0.2, 3);
+	for (int i = 0; i < 100; i++)
+		repeat_first(&b, 1000 + i);
+	for (int i = 0; i < 100; i++)
+		taken += repeat_take(&b, 1200);
+	assert_int_equal(taken, 23);
+	/* Still within the window of those. */
+	assert_false(repeat_take(&b, 9900));
+	/* Firsts and repeats have both left it; the slack is there again. */
+	taken = 0;
+	for (int i = 0; i < 100; i++)
+		taken += repeat_take(&b, 12000);
+	assert_int_equal(taken, 3);
+	/* After a long rest as well, whatever stands in the buckets. */
+	taken = 0;
+	for (int i = 0; i < 100; i++)
+		taken += repeat_take(&b, 900000);
+	assert_int_equal(taken, 3);
+}
+
+struct events_case {
+	const char *label, *pieces[4];
+	const char *want;
+	bool ok, at_end;
+	int64_t last;
+};
+
+static const struct events_case event_cases[] = {
+	{ "one event a piece",
+	  { "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" },
+	  "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true, true, 2 },
+	{ "cut anywhere", { "id: 1\nda", "ta: a\n", "\nid: 2\n", "data: b\n\n" },
+	  "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true, true, 2 },
+	{ "the last isn't whole", { "id: 1\ndata: a\n\nid: 2\nda" },
+	  "id: 1\ndata: a\n\n", true, false, 1 },
+	{ "lines that end in CR LF", { "id: 7\r\ndata: a\r\n\r\n" },
+	  "id: 7\r\ndata: a\r\n\r\n", true, true, 7 },
+	{ "no ids", { "data: a\n\n", "data: b\n\n" }, "data: a\n\ndata: b\n\n",
+	  true, true, -1 },
+	{ "a gap", { "id: 1\n\n", "id: 3\n\n" }, "id: 1\n\n", false, false, 1 },
+	{ "a repeat", { "id: 2\n\n", "id: 2\n\n" }, "id: 2\n\n", false, false,
+	  2 },
+};
+
+static void only_whole_events_pass(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(event_cases); i++) {
+		const struct events_case *c = &event_cases[i];
+		GString *out = g_string_new(NULL);
+		struct events e;
+		bool ok = true;
+
+		events_init(&e, -1);
+		for (size_t k = 0; k < G_N_ELEMENTS(c->pieces) && ok; k++)
+			if (c->pieces[k])
+				ok = events_add(&e, ss_str(c->pieces[k]), out);
+		if (ok != c->ok || strcmp(out->str, c->want) ||
+		    e.last_id != c->last ||
+		    (ok && events_at_end(&e) != c->at_end))
+			fail_msg("%s: %d \"%s\" %" PRId64, c->label, ok,
+				 out->str, e.last_id);
+		events_clear(&e);
+		g_string_free(out, TRUE);
+	}
+}
+
+static uint64_t put(struct ss_state *s, uint64_t index, uint64_t version,
+		    const char *body, int64_t *code)
+{
+	struct routing_rec rec = { version, ss_str(body) };
+	struct command c = { .kind = COMMAND_ROUTING_PUT, .routing = &rec };
+	GString *bytes = ss_command_encode(&c);
+	struct command_result r;
+
+	ss_state_apply(s, index, ss_str_gs(bytes), &r);
+	g_string_free(bytes, TRUE);
+	*code = r.code;
+	return r.version;
+}
+
+/*
+ * Symptom: an older routing comes back, or other content under a version
+ * that is held. Sequence: two operators, late and repeated changes. All are
+ * acknowledged; only a higher version changes anything.
+ */
+static void highest_routing_wins(void **state)
+{
+	static const struct {
+		uint64_t version;
+		const char *body;
+		uint64_t held;
+		const char *kept;
+	} rows[] = { { 5, "five", 5, "five" },
+		     { 5, "other", 5, "five" },
+		     { 3, "three", 5, "five" },
+		     { 9, "nine", 9, "nine" },
+		     { 5, "five", 9, "nine" } };
+	struct ss_state *s = ss_state_new(), *copy = ss_state_new();
+	GString *snapshot;
+	int64_t code;
+
+	(void)state;
+	assert_null(ss_state_routing(s));
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		assert_int_equal(put(s, i + 1, rows[i].version, rows[i].body,
+				     &code),
+				 rows[i].held);
+		assert_int_equal(code, 0);
+		assert_true(ss_str_eq(ss_state_routing(s)->body,
+				      ss_str(rows[i].kept)));
+	}
+	put(s, 9, 0, "none", &code);
+	assert_int_equal(code, SS_ERROR_BAD_REQUEST);
+	snapshot = ss_state_snapshot(s);
+	assert_true(ss_state_restore(copy, ss_str_gs(snapshot)));
+	assert_int_equal(ss_state_routing(copy)->version, 9);
+	assert_true(ss_str_eq(ss_state_routing(copy)->body, SS_LIT("nine")));
+	g_string_free(snapshot, TRUE);
+	ss_state_free(s);
+	ss_state_free(copy);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(the_best_is_chosen),
+		cmocka_unit_test(equals_share_the_calls),
+		cmocka_unit_test(repeats_keep_to_their_window),
+		cmocka_unit_test(only_whole_events_pass),
+		cmocka_unit_test(highest_routing_wins),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -129,6 +129,8 @@
 	"conf/dotace/agent.json",      "conf/dotace/service.json",
 	"conf/tanfolyam/control.json", "conf/tanfolyam/entry.json",
 	"conf/tanfolyam/agent.json",   "conf/tanfolyam/service.json",
+	"conf/fleet/control.json",     "conf/fleet/entry.json",
+	"conf/fleet/agent.json",
 };
 static const char *const presets[] = {
 	"conf/dotace/presets/ordinary.json",
@@ -137,6 +139,9 @@
 	"conf/tanfolyam/presets/ordinary.json",
 	"conf/tanfolyam/presets/peak.json",
 	"conf/tanfolyam/presets/maintenance.json",
+	"conf/fleet/presets/ordinary.json",
+	"conf/fleet/presets/peak.json",
+	"conf/fleet/presets/maintenance.json",
 };
 
 static void examples_are_right(void **state)
