Order nothing while the engine's incarnation isn't known

Change: without the incarnation the engine has no report; an unanswered question for it counts as an unanswered read. Tests: scenario silent_engine_doesnt_end_its_agent failed before ("a silent engine isn't found"); the soak now fails where a process ended by itself.

--- a/src/daemon/fleet_agent.c
+++ b/src/daemon/fleet_agent.c
@@ -198,16 +198,25 @@
 	maybe_tell(a);
 }
 
+/*
+ * Which incarnation stands there isn't known any more. Nothing may be ordered
+ * until it is: an order has to name it.
+ */
+static void forget_instance(struct fleet_agent *a)
+{
+	g_clear_pointer(&a->instance, g_free);
+	engine_lost(a->engine, now_ms(a));
+}
+
 static void read_failed(struct fleet_agent *a, const char *why)
 {
 	(*a->n_lost)++;
 	/* It may have restarted meanwhile. */
-	g_clear_pointer(&a->instance, g_free);
+	forget_instance(a);
 	if (++a->unanswered < LOST_AFTER || !a->reachable)
 		return;
 	log_warn("endpoint_lost", "why=\"%s\"", why);
 	a->reachable = false;
-	engine_lost(a->engine, now_ms(a));
 	g_clear_pointer(&a->report, report_free);
 	a->news = true;
 	maybe_tell(a);
@@ -225,6 +234,10 @@
 	a->reading = false;
 	if (!r->header || !*r->header) {
 		log_info("instance_unknown", "status=%d", r->status);
+		/* An engine that is full still reports; one that doesn't
+		 * answer at all is as lost as one whose report fails. */
+		if (!r->status)
+			read_failed(a, "no answer");
 		return;
 	}
 	g_free(a->instance);
@@ -266,7 +279,7 @@
 		return;
 	}
 	if (a->report && report.orders < a->report->orders)
-		g_clear_pointer(&a->instance, g_free);
+		forget_instance(a);
 	/* An order went out meanwhile: this says nothing of it. */
 	if (engine_asking(a->engine)) {
 		fleet_report_clear(&report);
@@ -301,9 +314,9 @@
 
 	if (answer != FLEET_ORDER_TAKEN && answer != FLEET_ORDER_HOLDS)
 		log_info("order_answer", "status=%d", r->status);
-	if (answer == FLEET_ORDER_MISPLACED)
-		g_clear_pointer(&a->instance, g_free);
 	engine_answered(a->engine, answer, now_ms(a));
+	if (answer == FLEET_ORDER_MISPLACED)
+		forget_instance(a);
 	/* What it did shows at once, and the next order waits for that. */
 	if (!a->reading)
 		read_engine(a);
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -18,6 +18,11 @@
         return text in f.read()
 
 
+def log_count(fleet, name, text):
+    with open(os.path.join(fleet.folder, name + ".log")) as f:
+        return f.read().count(text)
+
+
 async def first_change(fleet):
     async def accepted():
         return await fleet.put() == 200
@@ -158,7 +163,42 @@
     assert not log_has(fleet, "entry-0", "outcome=cut"), "an answer was cut"
 
 
-SCENARIOS = [wiped_vm_finds_a_leader_it_doesnt_know,
+async def silent_engine_doesnt_end_its_agent(fleet):
+    """Symptom: an agent crashes. Sequence: its engine falls silent, so the
+    agent no longer knows which incarnation stands there; a call needs an
+    adapter before the engine counts as lost. Cause: an order is made up
+    without an incarnation to name.
+    """
+    await first_change(fleet)
+    callers = Callers(fleet)
+
+    async def served():
+        return callers.answered.get("chat", 0) > 5
+
+    loops = [asyncio.ensure_future(callers.loop(i)) for i in range(8)]
+    await until(served, RECOVERY_S, "chat isn't served")
+    for _ in range(3):
+        for e in fleet.engines:
+            e.silent = True
+        lost = [log_count(fleet, "agent-%d" % i, "event=endpoint_lost")
+                for i in range(len(fleet.engines))]
+
+        async def all_lost():
+            return all(log_count(fleet, "agent-%d" % i, "event=endpoint_lost")
+                       > n for i, n in enumerate(lost))
+
+        await until(all_lost, RECOVERY_S, "a silent engine isn't found")
+        for e in fleet.engines:
+            e.silent = False
+        callers.answered.clear()
+        await until(served, RECOVERY_S, "chat isn't served again")
+    callers.on = False
+    await asyncio.gather(*loops)
+    fleet.check_processes()
+
+
+SCENARIOS = [silent_engine_doesnt_end_its_agent,
+             wiped_vm_finds_a_leader_it_doesnt_know,
              settings_change_without_a_restart, bad_settings_change_nothing,
              all_control_vms_are_killed, planned_stop_cuts_nothing]
 
--- a/test/fleet/soak.py
+++ b/test/fleet/soak.py
@@ -74,6 +74,14 @@
         self.entries = {}    # name -> address for callers
         self.version, self.acked = 0, 0
 
+    def check_processes(self):
+        """None may have ended but by us."""
+        for p in self.procs.values():
+            code = p.proc.poll() if p.proc else None
+            if code is not None:
+                self.world.faults.append("%s ended by itself: %d" %
+                                         (p.name, code))
+
     # Starting.
 
     def control_ip(self, i, proxied=True):
@@ -451,6 +459,7 @@
         await until(all_served, RECOVERY_S, "not served after the faults")
         callers.on = False
         await asyncio.gather(*tasks)
+        fleet.check_processes()
         await until(newest_is_read, RECOVERY_S, "the newest isn't read back")
         callers.check()
     except TimeoutError as e:
