Split the group's and the fleet leader's files; test who is dropped

Change: whom the leader promotes and drops is a pure function (mend.c) with 15 cases; joining stands in group_members.c, telling entries in fleet_push.c.

--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -102,7 +102,7 @@
 	*at = ss_str_dup(s);
 }
 
-static bool has_report(const struct fleet_lead *l, const struct fleet_ep *ep)
+bool fleet_ep_reported(const struct fleet_lead *l, const struct fleet_ep *ep)
 {
 	return ep->reported &&
 	       fleet_lead_now(l) - ep->report_ms < FLEET_REPORT_MS;
@@ -111,7 +111,7 @@
 bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep)
 {
 	return ep->listed && !ep->leaving_listed && !ep->down &&
-	       !(has_report(l, ep) && ep->report.leaving);
+	       !(fleet_ep_reported(l, ep) && ep->report.leaving);
 }
 
 static bool in_strs(const GPtrArray *list, const char *s)
@@ -125,7 +125,7 @@
 bool fleet_ep_holds(const struct fleet_lead *l, const struct fleet_ep *ep,
 		    const char *model)
 {
-	if (!has_report(l, ep))
+	if (!fleet_ep_reported(l, ep))
 		return in_strs(ep->on_list, model);
 	for (guint i = 0; i < ep->report.held->len; i++)
 		if (!strcmp(g_array_index(ep->report.held, struct fleet_held, i)
@@ -524,185 +524,6 @@
 	l->list_seen = true;
 }
 
-/* Telling entries. */
-
-static void add_held(const struct fleet_lead *l, const struct fleet_ep *ep,
-		     GArray *held, GPtrArray *lists)
-{
-	if (!has_report(l, ep)) {
-		for (guint i = 0; i < ep->on_list->len; i++) {
-			struct held_model h = {
-				.model = ss_str(ep->on_list->pdata[i])
-			};
-
-			if (!fleet_step_closes(ep, h.model.p))
-				g_array_append_val(held, h);
-		}
-		return;
-	}
-	for (guint i = 0; i < ep->report.held->len; i++) {
-		const struct fleet_held *x =
-			&g_array_index(ep->report.held, struct fleet_held, i);
-		struct held_model h = { .model = ss_str(x->model) };
-		GArray *names =
-			g_array_new(FALSE, FALSE, sizeof(struct name_item));
-
-		for (guint k = 0; k < x->adapters->len; k++) {
-			struct name_item n = { ss_str(x->adapters->pdata[k]) };
-
-			g_array_append_val(names, n);
-		}
-		g_ptr_array_add(lists, names);
-		h.adapters = (struct wire_list){ names->data, names->len };
-		if (!fleet_step_closes(ep, x->model))
-			g_array_append_val(held, h);
-	}
-}
-
-struct push {
-	GArray *eps;	  /* struct fleet_endpoint */
-	GPtrArray *lists; /* GArray of what they point to */
-	GArray *etas;
-};
-
-static void push_add(struct fleet_lead *l, struct push *p,
-		     const struct fleet_ep *ep)
-{
-	GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held_model));
-	struct fleet_endpoint e = {
-		.addr = ss_str(ep->addr),
-		.id = ss_str(ep->id),
-		.service = ss_str(ep->service),
-		.domain = ss_str(ep->domain),
-		.agent = ss_str(ep->conn ? ep->agent : ""),
-		.slots = ep->slots,
-		.leaving = !fleet_ep_usable(l, ep),
-		.gone = !ep->listed,
-		.busy = ep->report.busy || (ep->step.on && ep->step.sent),
-	};
-
-	if (has_report(l, ep)) {
-		e.running = ep->report.running;
-		e.waiting = ep->report.waiting;
-		e.tokens_used = ep->report.tokens_used;
-		e.tokens_total = ep->report.tokens_total;
-		e.age_ms = fleet_lead_now(l) - ep->report_ms;
-	}
-	g_ptr_array_add(p->lists, held);
-	add_held(l, ep, held, p->lists);
-	e.held = (struct wire_list){ held->data, held->len };
-	g_array_append_val(p->eps, e);
-}
-
-static void push_begin(struct push *p)
-{
-	p->eps = g_array_new(FALSE, FALSE, sizeof(struct fleet_endpoint));
-	p->lists =
-		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
-	p->etas = g_array_new(FALSE, FALSE, sizeof(struct fleet_eta));
-}
-
-static void push_end(struct push *p)
-{
-	g_array_unref(p->eps);
-	g_ptr_array_unref(p->lists);
-	g_array_unref(p->etas);
-}
-
-static void add_etas(struct fleet_lead *l, struct push *p, bool all)
-{
-	int64_t now = fleet_lead_now(l);
-	GHashTableIter it;
-	void *v;
-
-	g_hash_table_iter_init(&it, l->wants);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct fleet_want *w = v;
-		struct fleet_eta e = { ss_str(w->service), ss_str(w->model),
-				       -1 };
-
-		if (w->waits->len == 0 || !(all || w->eta_changed))
-			continue;
-		if (w->eta_ms >= 0)
-			e.eta_ms = MAX(w->eta_ms - now, 0);
-		g_array_append_val(p->etas, e);
-	}
-}
-
-static void push_send(struct fleet_lead *l, struct push *p,
-		      struct fleet_peer *to, bool whole)
-{
-	struct msg_fleet m = { .fence = l->fence,
-			       .round = l->round,
-			       .whole = whole,
-			       .endpoints = { p->eps->data, p->eps->len },
-			       .etas = { p->etas->data, p->etas->len } };
-
-	if (conn_send(to->conn, MSG_FLEET, &m))
-		to->whole = true;
-}
-
-static bool wants_whole(const struct fleet_peer *p)
-{
-	return p->entry && p->confirmed && !p->whole;
-}
-
-static void push_whole(struct fleet_lead *l)
-{
-	GHashTableIter it, at;
-	struct push p;
-	void *v, *e;
-	bool any = false;
-
-	g_hash_table_iter_init(&it, l->peers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		any |= wants_whole(v);
-	/* Before the first list, "nothing exists" would be a lie. */
-	if (!any || !l->list_seen)
-		return;
-	push_begin(&p);
-	g_hash_table_iter_init(&at, l->eps);
-	while (g_hash_table_iter_next(&at, NULL, &e))
-		push_add(l, &p, e);
-	add_etas(l, &p, true);
-	g_hash_table_iter_init(&it, l->peers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		if (wants_whole(v))
-			push_send(l, &p, v, true);
-	push_end(&p);
-}
-
-static void push_changes(struct fleet_lead *l, bool loads)
-{
-	GHashTableIter it;
-	struct push p;
-	void *v;
-
-	push_begin(&p);
-	g_hash_table_iter_init(&it, l->eps);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct fleet_ep *ep = v;
-
-		if (!ep->changed && !(loads && ep->load_changed))
-			continue;
-		push_add(l, &p, ep);
-		ep->changed = ep->load_changed = false;
-	}
-	add_etas(l, &p, false);
-	g_hash_table_iter_init(&it, l->wants);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((struct fleet_want *)v)->eta_changed = false;
-	g_hash_table_iter_init(&it, l->peers);
-	while ((p.eps->len || p.etas->len) &&
-	       g_hash_table_iter_next(&it, NULL, &v)) {
-		struct fleet_peer *peer = v;
-
-		if (peer->entry && peer->whole)
-			push_send(l, &p, peer, false);
-	}
-	push_end(&p);
-}
-
 /* Time. */
 
 void fleet_lead_applied(struct fleet_lead *l)
@@ -752,8 +573,8 @@
 	l->push_ms = now;
 	if (loads)
 		l->load_push_ms = now;
-	push_changes(l, loads);
-	push_whole(l);
+	fleet_push_changes(l, loads);
+	fleet_push_whole(l);
 }
 
 struct fleet_lead *fleet_lead_new(struct daemon *d, struct group *g)
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -103,6 +103,8 @@
 struct fleet_want *fleet_want_for(struct fleet_lead *l, const char *service,
 				  const char *model);
 bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep);
+/* Its agent's last report is fresh enough to be believed. */
+bool fleet_ep_reported(const struct fleet_lead *l, const struct fleet_ep *ep);
 /* What it holds by the newest word: its agent's, else the list's. */
 bool fleet_ep_holds(const struct fleet_lead *l, const struct fleet_ep *ep,
 		    const char *model);
@@ -117,4 +119,10 @@
 bool fleet_step_closes(const struct fleet_ep *ep, const char *model);
 void fleet_step_clear(struct fleet_ep *ep);
 
+/* fleet_push.c */
+/* Entries that know nothing yet get all of it. */
+void fleet_push_whole(struct fleet_lead *l);
+/* The others get what has changed; loads: also where only that changed. */
+void fleet_push_changes(struct fleet_lead *l, bool loads);
+
 #endif
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -1,14 +1,10 @@
 /* The control group as one member sees it. */
-#include "group.h"
-
 #include "bootstrap.h"
+#include "group_int.h"
 
 #define TICK_MS 20
 #define RECONNECT_MS 100
-#define JOIN_MS 500
 #define TEND_MS 200
-/* A learner this close to the end of the log may become a voter. */
-#define CAUGHT_UP 64
 /* A member that heard no leader for so long asks to be taken in again: it
  * may have been removed while it was away. Three election timeouts. */
 #define LEADERLESS_MS 2000
@@ -20,62 +16,11 @@
  */
 #define FAST_ELECTION_MS 400
 #define FIRST_CAMPAIGN_MS 120
-/*
- * A voter unheard for so long is removed, where enough others are left. It
- * is longer than a restart (some 2 s) and than a leader's change, and
- * short against the time until a second VM may be lost. One that comes
- * back joins again with its log.
- */
-#define DEAD_MS 6000
-/* Fewer voters than this bear no loss. */
-#define VOTERS_MIN 3
 /* The log rests for so long before it is marked as durable. */
 #define MARK_AFTER_MS 200
 
-/* A connection that this member makes, to another's address. */
-struct out {
-	char *addr;
-	struct conn *conn;
-	int64_t tried_ms;
-};
-
-struct proposal {
-	uint64_t index, term;
-	struct change_done done;
-};
-
-struct group {
-	struct daemon *d;
-	const struct group_ops *ops;
-	void *arg;
-	struct disk *disk;
-	struct disk_state loaded;
-	struct ss_raft *raft;
-	struct ss_state *state;
-	char *addr;
-	GHashTable *outs;  /* addr -> struct out */
-	GHashTable *heard; /* &id -> struct conn its last message came on */
-	GQueue proposals;
-	GHashTable *reads; /* &ctx -> struct read_done */
-	uint64_t ctx;
-	struct event *tick, *flush;
-	char *leader_hint; /* who is said to lead, by one that was asked */
-	int64_t join_ms, tend_ms;
-	int64_t leader_ms;  /* when a leader was last known */
-	int64_t append_ms;  /* when the log last grew */
-	uint64_t lead_from; /* index of this leader's first entry */
-	uint64_t *n_applied, *n_term, *n_leads, *n_snapshots;
-	bool broken;
-};
-
-static int64_t now_ms(const struct group *g)
+void group_flush_soon(struct group *g)
 {
-	return ss_clock_now(&g->d->clock);
-}
-
-static void flush_soon(struct group *g)
-{
-	/* Runs after what came in together, so that one sync serves all. */
 	event_active(g->flush, EV_TIMEOUT, 0);
 }
 
@@ -83,7 +28,7 @@
 
 static const struct conn_ops out_table;
 
-static struct out *out_for(struct group *g, const char *addr)
+struct out *group_out_for(struct group *g, const char *addr)
 {
 	struct out *o = g_hash_table_lookup(g->outs, addr);
 	struct conn_options co = daemon_conn_options(g->d, &out_table, g);
@@ -94,8 +39,8 @@
 		o->tried_ms = INT64_MIN / 2;
 		g_hash_table_insert(g->outs, o->addr, o);
 	}
-	if (!o->conn && now_ms(g) - o->tried_ms >= RECONNECT_MS) {
-		o->tried_ms = now_ms(g);
+	if (!o->conn && group_now(g) - o->tried_ms >= RECONNECT_MS) {
+		o->tried_ms = group_now(g);
 		o->conn = conn_connect(&co, addr);
 		conn_set_data(o->conn, o);
 	}
@@ -157,7 +102,7 @@
 
 	for (size_t i = 0; i < all->n; i++)
 		if (all->m[i].id != g->loaded.id)
-			out_for(g, all->m[i].addr.p);
+			group_out_for(g, all->m[i].addr.p);
 }
 
 /* Effects of the log. */
@@ -173,8 +118,8 @@
 	struct group *g = arg;
 	GError *why = NULL;
 
-	flush_soon(g);
-	g->append_ms = now_ms(g);
+	group_flush_soon(g);
+	g->append_ms = group_now(g);
 	if (disk_append(g->disk, e, n, &why))
 		return true;
 	log_error("append_failed", "type=%s why=\"%s\"",
@@ -225,7 +170,7 @@
 			      .data = m->data };
 
 	if (to) {
-		struct out *o = out_for(g, to->addr.p);
+		struct out *o = group_out_for(g, to->addr.p);
 
 		if (o->conn && conn_is_open(o->conn))
 			c = o->conn;
@@ -323,10 +268,8 @@
 	done.fn(done.arg, ok);
 }
 
-static void op_failed(void *arg, const GError *error)
+void group_disk_failed(struct group *g, const GError *error)
 {
-	struct group *g = arg;
-
 	/*
 	 * After a failed sync nobody knows what the disk holds, and trying
 	 * again may report success for pages that were dropped.
@@ -337,6 +280,11 @@
 	daemon_exit(g->d, 4);
 }
 
+static void op_failed(void *arg, const GError *error)
+{
+	group_disk_failed(arg, error);
+}
+
 static const struct ss_raft_ops raft_table = {
 	.save_vote = op_save_vote,
 	.append = op_append,
@@ -351,7 +299,7 @@
 	.failed = op_failed,
 };
 
-static bool start_raft(struct group *g, GError **error)
+bool group_start_raft(struct group *g, GError **error)
 {
 	struct ss_raft_options o = { .self = g->loaded.id,
 				     .ops = &raft_table,
@@ -368,177 +316,10 @@
 	}
 	if (g->loaded.snapshot.index)
 		o.snapshot = &g->loaded.snapshot;
-	g->raft = ss_raft_new(&o, now_ms(g), error);
+	g->raft = ss_raft_new(&o, group_now(g), error);
 	return g->raft != NULL;
 }
 
-/* Joining. */
-
-static void ask_at(struct group *g, const char *addr)
-{
-	struct msg_join m = { .id = g->loaded.id,
-			      .name = g->d->hello.name,
-			      .addr = ss_str(g->addr) };
-	struct out *o;
-
-	if (!strcmp(addr, g->addr))
-		return;
-	o = out_for(g, addr);
-	if (o->conn)
-		conn_send(o->conn, MSG_JOIN, &m);
-}
-
-static void ask_to_join(struct group *g, int64_t now)
-{
-	const GPtrArray *control = g->d->config.control;
-	GArray *members;
-
-	if (now - g->join_ms < JOIN_MS)
-		return;
-	g->join_ms = now;
-	for (guint i = 0; i < control->len; i++)
-		ask_at(g, control->pdata[i]);
-	if (g->leader_hint)
-		ask_at(g, g->leader_hint);
-	if (!g->raft)
-		return;
-	/* All addresses of the settings may be those of VMs long gone. */
-	members = group_member_addrs(g);
-	for (guint i = 0; i < members->len; i++)
-		ask_at(g,
-		       g_array_index(members, struct control_addr, i).addr.p);
-	g_array_unref(members);
-}
-
-static void take_join(struct group *g, struct conn *c, const struct msg_join *m)
-{
-	const char *leader = group_leader_addr(g);
-	struct msg_leader reply = { 0 };
-	struct ss_raft_member member = { .id = m->id,
-					 .name = m->name,
-					 .addr = m->addr };
-	GError *error = NULL;
-
-	/* The one that leads may be unknown to the one that asks: only the
-	 * first control VMs stand in its settings. */
-	if (!group_leads(g)) {
-		if (leader) {
-			reply.addr = ss_str(leader);
-			conn_send(c, MSG_JOINED, &reply);
-		}
-		return;
-	}
-	if (!ss_raft_member(g->raft, m->id) &&
-	    !ss_raft_set_member(g->raft, &member, &error)) {
-		log_info("join_waits", "name=%.*s why=\"%s\"", SS_FMT(m->name),
-			 error->message);
-		g_error_free(error);
-		return;
-	}
-	log_info("join", "name=%.*s id=%" PRIx64, SS_FMT(m->name), m->id);
-	reply.group = g->loaded.group;
-	reply.here = true;
-	conn_send(c, MSG_JOINED, &reply);
-	flush_soon(g);
-}
-
-static void take_joined(struct group *g, const struct msg_leader *m)
-{
-	GError *error = NULL;
-
-	if (!m->group && m->addr.n) {
-		g_free(g->leader_hint);
-		g->leader_hint = ss_str_dup(m->addr);
-		ask_at(g, g->leader_hint);
-	}
-	if (g->raft || !m->group)
-		return;
-	if (disk_set_group(g->disk, m->group, &error)) {
-		g->loaded.group = m->group;
-		g->d->hello.group = m->group;
-	}
-	if (error || !start_raft(g, &error)) {
-		op_failed(g, error);
-		g_clear_error(&error);
-		return;
-	}
-	log_info("joined", "group=%" PRIx64, m->group);
-}
-
-static bool is_dead(const struct group *g, uint64_t id)
-{
-	return id != g->loaded.id && ss_raft_quiet_ms(g->raft, id) > DEAD_MS;
-}
-
-/* A learner that is heard and has caught up; NULL for none. */
-static const struct ss_raft_member *find_caught_up(const struct group *g)
-{
-	const struct ss_raft_members *all = ss_raft_members(g->raft);
-	uint64_t last = ss_raft_last(g->raft);
-
-	for (size_t i = 0; i < all->n; i++) {
-		uint64_t match = ss_raft_match(g->raft, all->m[i].id);
-
-		if (!all->m[i].voter && match && match + CAUGHT_UP >= last &&
-		    !is_dead(g, all->m[i].id))
-			return &all->m[i];
-	}
-	return NULL;
-}
-
-/*
- * A member whose name or address a later voter has taken over: its disk is
- * lost. One that can't be heard any more goes too, if those that can be
- * heard are enough without it.
- */
-static const struct ss_raft_member *find_lost(const struct group *g)
-{
-	const struct ss_raft_members *all = ss_raft_members(g->raft);
-	const struct ss_raft_member *dead = NULL;
-	size_t alive = 0;
-
-	for (size_t i = 0; i < all->n; i++) {
-		const struct ss_raft_member *m = &all->m[i];
-
-		alive += m->voter && !is_dead(g, m->id);
-		if (is_dead(g, m->id) && (!dead || dead->voter))
-			dead = m;
-		for (size_t k = 0; k < i && m->voter; k++)
-			if ((ss_str_eq(all->m[k].name, m->name) ||
-			     ss_str_eq(all->m[k].addr, m->addr)) &&
-			    all->m[k].id != g->loaded.id)
-				return &all->m[k];
-	}
-	return dead && (!dead->voter || alive >= VOTERS_MIN) ? dead : NULL;
-}
-
-/*
- * As leader, one step at a time: promote a learner that has caught up,
- * then drop what is lost.
- */
-static void tend_members(struct group *g)
-{
-	const struct ss_raft_member *m = find_caught_up(g);
-
-	if (m) {
-		struct ss_raft_member voter = *m;
-
-		voter.voter = true;
-		log_info("promote", "name=%.*s id=%" PRIx64, SS_FMT(m->name),
-			 m->id);
-		ss_raft_set_member(g->raft, &voter, NULL);
-		flush_soon(g);
-		return;
-	}
-	m = find_lost(g);
-	if (!m)
-		return;
-	log_info("drop_member", "name=%.*s id=%" PRIx64 " quiet_ms=%" PRId64,
-		 SS_FMT(m->name), m->id, ss_raft_quiet_ms(g->raft, m->id));
-	ss_raft_remove_member(g->raft, m->id, NULL);
-	flush_soon(g);
-}
-
 /* Messages. */
 
 static void take_raft(struct group *g, struct conn *c, const struct msg_raft *w)
@@ -563,9 +344,9 @@
 	g_hash_table_replace(g->heard, id, c);
 	if (w->members.n)
 		ss_raft_decode_members(w->members, &m.members);
-	ss_raft_step(g->raft, now_ms(g), &m);
+	ss_raft_step(g->raft, group_now(g), &m);
 	ss_raft_clear_members(&m.members);
-	flush_soon(g);
+	group_flush_soon(g);
 }
 
 bool group_message(struct group *g, struct conn *c, struct frame *f)
@@ -576,10 +357,10 @@
 			take_raft(g, c, &f->u.raft);
 		return true;
 	case MSG_JOIN:
-		take_join(g, c, &f->u.join);
+		group_take_join(g, c, &f->u.join);
 		return true;
 	case MSG_JOINED:
-		take_joined(g, &f->u.leader);
+		group_take_joined(g, &f->u.leader);
 		return true;
 	default:
 		return false;
@@ -610,7 +391,7 @@
 	(void)what;
 	if (!g->raft || g->broken)
 		return;
-	ss_raft_flush(g->raft, now_ms(g));
+	ss_raft_flush(g->raft, group_now(g));
 	if (!g->broken)
 		maybe_compact(g);
 }
@@ -624,18 +405,18 @@
 	/* A mark only tells more about what is durable already. */
 	log_warn("mark_failed", "why=\"%s\"", error->message);
 	g_error_free(error);
-	g->append_ms = now_ms(g);
+	g->append_ms = group_now(g);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct group *g = arg;
-	int64_t now = now_ms(g);
+	int64_t now = group_now(g);
 
 	(void)fd;
 	(void)what;
 	if (!g->raft) {
-		ask_to_join(g, now);
+		group_ask_to_join(g, now);
 		return;
 	}
 	tend_conns(g);
@@ -643,14 +424,14 @@
 	if (ss_raft_leader(g->raft))
 		g->leader_ms = now;
 	else if (now - g->leader_ms > LEADERLESS_MS)
-		ask_to_join(g, now);
+		group_ask_to_join(g, now);
 	if (now - g->append_ms > MARK_AFTER_MS && !g->broken)
 		mark_log(g);
 	if (group_leads(g) && now - g->tend_ms >= TEND_MS) {
 		g->tend_ms = now;
-		tend_members(g);
+		group_tend(g);
 	}
-	flush_soon(g);
+	group_flush_soon(g);
 }
 
 /* The public face. */
@@ -677,10 +458,10 @@
 		p->term = ss_raft_term(g->raft);
 		p->done = done;
 		g_queue_push_tail(&g->proposals, p);
-		flush_soon(g);
+		group_flush_soon(g);
 	} else {
 		/* Another member may have room on its disk. */
-		ss_raft_transfer(g->raft, now_ms(g));
+		ss_raft_transfer(g->raft, group_now(g));
 		done.fn(done.arg, NULL, error);
 		g_error_free(error);
 	}
@@ -692,7 +473,8 @@
 	uint64_t ctx = ++g->ctx;
 	uint64_t *rec;
 
-	if (!group_leads(g) || !ss_raft_read(g->raft, now_ms(g), ctx, NULL)) {
+	if (!group_leads(g) ||
+	    !ss_raft_read(g->raft, group_now(g), ctx, NULL)) {
 		done.fn(done.arg, false);
 		return;
 	}
@@ -700,7 +482,7 @@
 	*rec = ctx;
 	memcpy(rec + 1, &done, sizeof(done));
 	g_hash_table_insert(g->reads, rec, rec + 1);
-	flush_soon(g);
+	group_flush_soon(g);
 }
 
 const struct ss_state *group_state(const struct group *g)
@@ -758,14 +540,14 @@
 		return false;
 	}
 	ok = ss_raft_remove_member(g->raft, id, error);
-	flush_soon(g);
+	group_flush_soon(g);
 	return ok;
 }
 
 void group_leave(struct group *g)
 {
 	if (g->raft)
-		ss_raft_transfer(g->raft, now_ms(g));
+		ss_raft_transfer(g->raft, group_now(g));
 }
 
 void group_set_addr(struct group *g, const char *addr)
@@ -799,11 +581,11 @@
 	g->n_snapshots =
 		metrics_value(d->metrics, "ss_log_snapshots_total", "");
 	g->flush = event_new(d->base, -1, 0, on_flush, g);
-	g->leader_ms = now_ms(g);
+	g->leader_ms = group_now(g);
 	g->disk = disk_open(&o, &g->loaded, error);
 	if (!g->disk ||
 	    !found_group(&d->config, g->addr, &g->disk, &g->loaded, error) ||
-	    (g->loaded.group && !start_raft(g, error))) {
+	    (g->loaded.group && !group_start_raft(g, error))) {
 		group_free(g);
 		return NULL;
 	}
--- /dev/null
+++ b/src/daemon/group_members.c
@@ -0,0 +1,132 @@
+/* Joining a control group, and keeping it whole. */
+#include "../core/mend.h"
+#include "group_int.h"
+
+#define JOIN_MS 500
+
+static void ask_at(struct group *g, const char *addr)
+{
+	struct msg_join m = { .id = g->loaded.id,
+			      .name = g->d->hello.name,
+			      .addr = ss_str(g->addr) };
+	struct out *o;
+
+	if (!strcmp(addr, g->addr))
+		return;
+	o = group_out_for(g, addr);
+	if (o->conn)
+		conn_send(o->conn, MSG_JOIN, &m);
+}
+
+void group_ask_to_join(struct group *g, int64_t now)
+{
+	const GPtrArray *control = g->d->config.control;
+	GArray *members;
+
+	if (now - g->join_ms < JOIN_MS)
+		return;
+	g->join_ms = now;
+	for (guint i = 0; i < control->len; i++)
+		ask_at(g, control->pdata[i]);
+	if (g->leader_hint)
+		ask_at(g, g->leader_hint);
+	if (!g->raft)
+		return;
+	/* All addresses of the settings may be those of VMs long gone. */
+	members = group_member_addrs(g);
+	for (guint i = 0; i < members->len; i++)
+		ask_at(g,
+		       g_array_index(members, struct control_addr, i).addr.p);
+	g_array_unref(members);
+}
+
+void group_take_join(struct group *g, struct conn *c, const struct msg_join *m)
+{
+	const char *leader = group_leader_addr(g);
+	struct msg_leader reply = { 0 };
+	struct ss_raft_member member = { .id = m->id,
+					 .name = m->name,
+					 .addr = m->addr };
+	GError *error = NULL;
+
+	/* The one that leads may be unknown to the one that asks: only the
+	 * first control VMs stand in its settings. */
+	if (!group_leads(g)) {
+		if (leader) {
+			reply.addr = ss_str(leader);
+			conn_send(c, MSG_JOINED, &reply);
+		}
+		return;
+	}
+	if (!ss_raft_member(g->raft, m->id) &&
+	    !ss_raft_set_member(g->raft, &member, &error)) {
+		log_info("join_waits", "name=%.*s why=\"%s\"", SS_FMT(m->name),
+			 error->message);
+		g_error_free(error);
+		return;
+	}
+	log_info("join", "name=%.*s id=%" PRIx64, SS_FMT(m->name), m->id);
+	reply.group = g->loaded.group;
+	reply.here = true;
+	conn_send(c, MSG_JOINED, &reply);
+	group_flush_soon(g);
+}
+
+void group_take_joined(struct group *g, const struct msg_leader *m)
+{
+	GError *error = NULL;
+
+	if (!m->group && m->addr.n) {
+		g_free(g->leader_hint);
+		g->leader_hint = ss_str_dup(m->addr);
+		ask_at(g, g->leader_hint);
+	}
+	if (g->raft || !m->group)
+		return;
+	if (disk_set_group(g->disk, m->group, &error)) {
+		g->loaded.group = m->group;
+		g->d->hello.group = m->group;
+	}
+	if (error || !group_start_raft(g, &error)) {
+		group_disk_failed(g, error);
+		g_clear_error(&error);
+		return;
+	}
+	log_info("joined", "group=%" PRIx64, m->group);
+}
+
+/* As leader, one step at a time: promote, or drop what is lost. */
+void group_tend(struct group *g)
+{
+	const struct ss_raft_members *all = ss_raft_members(g->raft);
+	struct mend_member *m = g_new0(struct mend_member, all->n + 1);
+	struct ss_raft_member voter;
+	struct mend_step step;
+
+	for (size_t i = 0; i < all->n; i++)
+		m[i] = (struct mend_member){
+			.id = all->m[i].id,
+			.name = all->m[i].name,
+			.addr = all->m[i].addr,
+			.voter = all->m[i].voter,
+			.self = all->m[i].id == g->loaded.id,
+			.quiet_ms = ss_raft_quiet_ms(g->raft, all->m[i].id),
+			.match = ss_raft_match(g->raft, all->m[i].id),
+		};
+	step = mend_next(m, all->n, ss_raft_last(g->raft));
+	if (step.act != MEND_NOTHING)
+		log_info(step.act == MEND_PROMOTE ? "promote" : "drop_member",
+			 "name=%.*s id=%" PRIx64 " voter=%d quiet_ms=%" PRId64,
+			 SS_FMT(m[step.member].name), m[step.member].id,
+			 m[step.member].voter, m[step.member].quiet_ms);
+	if (step.act == MEND_PROMOTE) {
+		voter = all->m[step.member];
+		voter.voter = true;
+		ss_raft_set_member(g->raft, &voter, NULL);
+	} else if (step.act == MEND_DROP) {
+		ss_raft_remove_member(g->raft, m[step.member].id, NULL);
+	}
+	if (step.act != MEND_NOTHING)
+		group_flush_soon(g);
+	g_free(m);
+}
--- a/test/fleet/soak.py
+++ b/test/fleet/soak.py
@@ -38,6 +38,8 @@
     def __init__(self, name, argv, log):
         self.name, self.argv, self.log = name, argv, log
         self.proc = None
+        # Faults overlap; two that restart one process take turns.
+        self.turn = asyncio.Lock()
 
     def start(self):
         with open(self.log, "ab") as out:
@@ -332,9 +334,10 @@
         self.log = []
 
     async def restart(self, p, sig, pause):
-        await p.end(sig)
-        await asyncio.sleep(pause)
-        p.start()
+        async with p.turn:
+            await p.end(sig)
+            await asyncio.sleep(pause)
+            p.start()
 
     async def control(self, how):
         i = self.rng.randrange(CONTROLS)
