Fuzz the platform's bodies and headers, HTTP messages and event streams

Cause: what comes from callers, endpoints and operators of a fleet was tested by tables only. Change: four more kinds of input in the fuzz target.

--- a/Makefile
+++ b/Makefile
@@ -89,7 +89,8 @@
 
 # libFuzzer comes with clang; the objects are built apart for it.
 FUZZ_SRC := test/fuzz/fuzz.c $(LIB_SRC) src/node/frame.c src/node/conn.c src/net/addr.c \
-	src/config/config.c
+	src/config/config.c src/proxy/http1.c src/proxy/events.c \
+	$(wildcard platform/*.c)
 FUZZ_RUNS ?= 20000
 $(BUILD)/fuzz: $(FUZZ_SRC)
 	@mkdir -p $(@D)
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -1,12 +1,15 @@
 /*
  * One fuzz target, by the first byte: frames, settings and presets,
- * commands and snapshots of the state, members, and log files.
+ * commands and snapshots of the state, members, log files, HTTP messages,
+ * streams of events, and the platform's bodies and headers.
  */
+#include "../../platform/platform.h"
 #include "../../src/config/config.h"
 #include "../../src/core/preset.h"
 #include "../../src/core/state.h"
 #include "../../src/disk/disk.h"
 #include "../../src/node/frame.h"
+#include "../../src/proxy/events.h"
 
 #include <stdlib.h>
 #include <unistd.h>
@@ -79,6 +82,90 @@
 	g_free(path);
 }
 
+/* Bodies of the platform: an operator's, the list's, an engine's. */
+static void fuzz_bodies(struct ss_str text)
+{
+	GArray *list =
+		g_array_new(FALSE, FALSE, sizeof(struct fleet_instance));
+	struct fleet_report report;
+	char *next = NULL;
+	struct routing *r = users_platform.read_routing(text, NULL);
+
+	routing_unref(r);
+	g_array_set_clear_func(list, fleet_instance_clear);
+	users_platform.read_list(text, list, &next, NULL);
+	g_array_unref(list);
+	g_free(next);
+	users_platform.read_report(text, &report, NULL);
+	fleet_report_clear(&report);
+}
+
+static void on_head(void *arg, const struct http1_head *h)
+{
+	struct platform_send send = { .deadline_ms = 5, .after_event = 1 };
+	struct platform_answer answer;
+	struct platform_call call;
+	GString *out = arg;
+
+	if (h->request) {
+		users_platform.read_call(h, &call, NULL);
+		users_platform.write_request(out, h, &send, 3);
+	} else {
+		users_platform.read_answer(h, &answer);
+	}
+}
+
+static void on_body(void *arg, struct ss_str piece)
+{
+	g_string_append_len(arg, piece.p, (gssize)piece.n);
+}
+
+static void on_done(void *arg)
+{
+	(void)arg;
+}
+
+/* A message that comes in two pieces, cut where the second byte says. */
+static void fuzz_http(bool request, const uint8_t *p, size_t n)
+{
+	static const struct http1_ops ops = { on_head, on_body, on_done };
+	GString *out = g_string_new(NULL);
+	struct http1_options o = { .request = request,
+				   .head_max = 512,
+				   .ops = &ops,
+				   .arg = out };
+	struct http1_reader *r = http1_reader_new(&o);
+	struct evbuffer *in = evbuffer_new();
+	size_t cut = n ? MIN((size_t)p[0], n - 1) : 0;
+
+	if (n) {
+		evbuffer_add(in, p + 1, cut);
+		if (http1_read(r, in, NULL)) {
+			evbuffer_add(in, p + 1 + cut, n - 1 - cut);
+			http1_read(r, in, NULL);
+			http1_read_eof(r);
+		}
+	}
+	evbuffer_free(in);
+	http1_reader_free(r);
+	g_string_free(out, TRUE);
+}
+
+static void fuzz_events(struct ss_str bytes)
+{
+	GString *out = g_string_new(NULL);
+	struct events e;
+	size_t half = bytes.n / 2;
+
+	events_init(&e, -1);
+	if (events_add(&e, (struct ss_str){ bytes.p, half }, out))
+		events_add(&e,
+			   (struct ss_str){ bytes.p + half, bytes.n - half },
+			   out);
+	events_clear(&e);
+	g_string_free(out, TRUE);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *p, size_t n);
 
 int LLVMFuzzerTestOneInput(const uint8_t *p, size_t n)
@@ -88,7 +175,7 @@
 	if (n < 1)
 		return 0;
 	rest = (struct ss_str){ (const char *)p + 1, n - 1 };
-	switch (p[0] % 8) {
+	switch (p[0] % 12) {
 	case 0:
 	case 1:
 		fuzz_frame(p + 1, n - 1);
@@ -107,6 +194,18 @@
 	case 7:
 		fuzz_disk(p[0] & 8 ? "snapshot" : "log", rest);
 		break;
+	case 8:
+		fuzz_bodies(rest);
+		break;
+	case 9:
+		fuzz_http(true, p + 1, n - 1);
+		break;
+	case 10:
+		fuzz_http(false, p + 1, n - 1);
+		break;
+	case 11:
+		fuzz_events(rest);
+		break;
 	}
 	return 0;
 }
