Encode a push once for all entries; go on with the list's page that was refused

Cause: the leader encoded the same change for each of hundreds of entries. After all machines were killed, 300 of them served again after 6 to 7 s (100 after 0.5 s): the list of 3000 endpoints has 60 pages, takes some 50 calls a second from all readers, and a refused page began the list anew, while entries that had just started read it as well. Change: one frame for all; a refused page is asked for again after a pause; an entry that has just started waits 4 s for a leader before it reads the list itself.

--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -12,6 +12,10 @@
 /* Without the leader's word for so long the list is read directly: a
  * leaving endpoint must be left within 3 s of showing there. */
 #define LEADERLESS_MS 1200
+/* One that has just started gets no callers yet, and waits longer: hundreds
+ * that start together would use up what the list takes, and keep the new
+ * leader from reading it. */
+#define STARTING_MS 4000
 #define LIST_EVERY_MS 1000
 #define AGENT_RETRY_MS 200
 /* A connection to an agent that nobody used for so long is closed. */
@@ -316,7 +320,10 @@
 	gate_tick(e->gate);
 	send_demand(e, now);
 	instances_run(e->list,
-		      !e->link_up && now - e->leader_ms > LEADERLESS_MS);
+		      !e->link_up &&
+			      now - e->leader_ms > (gate_knows_fleet(e->gate) ?
+							    LEADERLESS_MS :
+							    STARTING_MS));
 	if (e->stop_ms)
 		advance_stop(e, now);
 	else if (now % AGENT_IDLE_MS < TICK_MS)
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -104,17 +104,19 @@
 	}
 }
 
-static void push_send(struct fleet_lead *l, struct push *p,
-		      struct fleet_peer *to, bool whole)
+/* One frame for all of them: hundreds of entries get the same bytes. */
+static GString *push_frame(const struct fleet_lead *l, const struct push *p,
+			   bool whole)
 {
 	struct msg_fleet m = { .fence = l->fence,
 			       .round = l->round,
 			       .whole = whole,
 			       .endpoints = { p->eps->data, p->eps->len },
 			       .etas = { p->etas->data, p->etas->len } };
+	GString *frame = g_string_new(NULL);
 
-	if (conn_send(to->conn, MSG_FLEET, &m))
-		to->whole = true;
+	frame_add(frame, MSG_FLEET, &m);
+	return frame;
 }
 
 static bool wants_whole(const struct fleet_peer *p)
@@ -126,6 +128,7 @@
 {
 	GHashTableIter it, at;
 	struct push p;
+	GString *frame;
 	void *v, *e;
 	bool any = false;
 
@@ -140,10 +143,15 @@
 	while (g_hash_table_iter_next(&at, NULL, &e))
 		push_add(l, &p, e);
 	add_etas(l, &p, true);
+	frame = push_frame(l, &p, true);
 	g_hash_table_iter_init(&it, l->peers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		if (wants_whole(v))
-			push_send(l, &p, v, true);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct fleet_peer *peer = v;
+
+		if (wants_whole(peer))
+			peer->whole = conn_send_frame(peer->conn, frame);
+	}
+	g_string_free(frame, TRUE);
 	push_end(&p);
 }
 
@@ -151,6 +159,7 @@
 {
 	GHashTableIter it;
 	struct push p;
+	GString *frame;
 	void *v;
 
 	push_begin(&p);
@@ -167,13 +176,16 @@
 	g_hash_table_iter_init(&it, l->wants);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		((struct fleet_want *)v)->eta_changed = false;
+	frame = push_frame(l, &p, false);
 	g_hash_table_iter_init(&it, l->peers);
 	while ((p.eps->len || p.etas->len) &&
 	       g_hash_table_iter_next(&it, NULL, &v)) {
 		struct fleet_peer *peer = v;
 
+		/* One that missed a change gets all of it next time. */
 		if (peer->entry && peer->whole)
-			push_send(l, &p, peer, false);
+			peer->whole = conn_send_frame(peer->conn, frame);
 	}
+	g_string_free(frame, TRUE);
 	push_end(&p);
 }
--- a/src/node/conn.c
+++ b/src/node/conn.c
@@ -63,30 +63,46 @@
 		conn_free(c);
 }
 
+static void write_frame(struct conn *c, const GString *frame)
+{
+	bufferevent_write(c->bev, frame->str, frame->len);
+	c->sent = true;
+	if (c->o.bytes_out)
+		*c->o.bytes_out += frame->len;
+}
+
 static void send_frame(struct conn *c, enum msg_kind kind, const void *msg)
 {
 	g_string_truncate(c->out, 0);
 	frame_add(c->out, kind, msg);
-	bufferevent_write(c->bev, c->out->str, c->out->len);
-	c->sent = true;
-	if (c->o.bytes_out)
-		*c->o.bytes_out += c->out->len;
+	write_frame(c, c->out);
 	if (c->out->allocated_len > 65536) {
 		g_string_free(c->out, TRUE);
 		c->out = g_string_sized_new(256);
 	}
 }
 
+static bool may_send(const struct conn *c)
+{
+	return c->open && conn_backlog(c) <= CONN_BACKLOG_MAX;
+}
+
 bool conn_send(struct conn *c, enum msg_kind kind, const void *msg)
 {
-	if (!c->open)
-		return false;
-	if (conn_backlog(c) > CONN_BACKLOG_MAX)
+	if (!may_send(c))
 		return false;
 	send_frame(c, kind, msg);
 	return true;
 }
 
+bool conn_send_frame(struct conn *c, const GString *frame)
+{
+	if (!may_send(c))
+		return false;
+	write_frame(c, frame);
+	return true;
+}
+
 static bool take_hello(struct conn *c, struct frame *f, GError **error)
 {
 	const struct msg_hello *h = &f->u.hello;
--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -59,6 +59,8 @@
 
 /* False where the connection isn't open, or its backlog is over. */
 bool conn_send(struct conn *c, enum msg_kind kind, const void *msg);
+/* The same with a whole frame made by frame_add(), for many receivers. */
+bool conn_send_frame(struct conn *c, const GString *frame);
 void conn_close(struct conn *c);
 
 bool conn_is_open(const struct conn *c);
--- a/src/vmlist/instances.c
+++ b/src/vmlist/instances.c
@@ -6,14 +6,21 @@
 
 #define TIMEOUT_MS 1500
 /* A list that never ends is a fault of its server. */
-#define PAGES_MAX 200
+#define PAGES_MAX 2000
+/* The list takes so many calls a second from all readers together; over that
+ * it refuses, and the same page is asked for again after so long. To begin
+ * anew would use up the rate for pages that are known, and never end. */
+#define REFUSED_PAUSE_MS 60
+#define REFUSED_MAX 100
+#define STATUS_TOO_MANY 429
 
 struct instances {
 	struct instances_options o;
 	char *addr;
-	struct event *timer;
+	struct event *timer, *again;
 	GArray *all; /* struct fleet_instance, of the pages so far */
-	unsigned int pages;
+	char *page;  /* the one that is asked for; NULL: the first */
+	unsigned int pages, refused;
 	bool on, asking, freed;
 	bool failed; /* the last try; told once */
 };
@@ -23,18 +30,20 @@
 	if (v->all)
 		g_array_unref(v->all);
 	v->all = NULL;
-	v->pages = 0;
+	v->pages = v->refused = 0;
+	g_clear_pointer(&v->page, g_free);
 }
 
 static void really_free(struct instances *v)
 {
 	clear(v);
 	event_free(v->timer);
+	event_free(v->again);
 	g_free(v->addr);
 	g_free(v);
 }
 
-static void ask(struct instances *v, const char *page);
+static void ask(struct instances *v);
 
 static void fail(struct instances *v, const char *why)
 {
@@ -55,8 +64,9 @@
 		return;
 	}
 	if (next && *next && ++v->pages < PAGES_MAX) {
-		ask(v, next);
-		g_free(next);
+		g_free(v->page);
+		v->page = next;
+		ask(v);
 		return;
 	}
 	g_free(next);
@@ -83,13 +93,20 @@
 		take_page(v, body);
 		return;
 	}
+	if (status == STATUS_TOO_MANY && v->refused++ < REFUSED_MAX) {
+		struct timeval pause = { 0, REFUSED_PAUSE_MS * 1000 };
+
+		v->asking = true;
+		event_add(v->again, &pause);
+		return;
+	}
 	g_snprintf(why, sizeof(why), "status %d", status);
 	fail(v, error ? error->message : why);
 }
 
-static void ask(struct instances *v, const char *page)
+static void ask(struct instances *v)
 {
-	char *path = v->o.platform->list_path(page);
+	char *path = v->o.platform->list_path(v->page);
 	struct http_get_options get = { .base = v->o.base,
 					.addr = v->addr,
 					.method = "GET",
@@ -103,6 +120,13 @@
 	g_free(path);
 }
 
+static void on_again(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	ask(arg);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct instances *v = arg;
@@ -114,7 +138,7 @@
 	clear(v);
 	v->all = g_array_new(FALSE, FALSE, sizeof(struct fleet_instance));
 	g_array_set_clear_func(v->all, fleet_instance_clear);
-	ask(v, NULL);
+	ask(v);
 }
 
 struct instances *instances_new(const struct instances_options *o)
@@ -124,6 +148,7 @@
 	v->o = *o;
 	v->addr = g_strdup(o->addr);
 	v->timer = event_new(o->base, -1, EV_PERSIST, on_timer, v);
+	v->again = evtimer_new(o->base, on_again, v);
 	return v;
 }
 
@@ -150,7 +175,7 @@
 	v->freed = true;
 	v->on = false;
 	event_del(v->timer);
-	/* An answer on its way still needs it. */
-	if (!v->asking)
+	/* An answer on its way still needs it; a pause doesn't. */
+	if (!v->asking || evtimer_pending(v->again, NULL))
 		really_free(v);
 }
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -85,8 +85,7 @@
 /* Bodies of the platform: an operator's, the list's, an engine's. */
 static void fuzz_bodies(struct ss_str text)
 {
-	GArray *list =
-		g_array_new(FALSE, FALSE, sizeof(struct fleet_instance));
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct fleet_instance));
 	struct fleet_report report;
 	char *next = NULL;
 	struct routing *r = users_platform.read_routing(text, NULL);
@@ -130,10 +129,9 @@
 {
 	static const struct http1_ops ops = { on_head, on_body, on_done };
 	GString *out = g_string_new(NULL);
-	struct http1_options o = { .request = request,
-				   .head_max = 512,
-				   .ops = &ops,
-				   .arg = out };
+	struct http1_options o = {
+		.request = request, .head_max = 512, .ops = &ops, .arg = out
+	};
 	struct http1_reader *r = http1_reader_new(&o);
 	struct evbuffer *in = evbuffer_new();
 	size_t cut = n ? MIN((size_t)p[0], n - 1) : 0;
