--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,8 @@
 	$(patsubst test/prop_%.cc,$(BUILD)/prop_%,$(wildcard test/prop_*.cc))
 
 .PHONY: all test tests asan fuzz lint format format-check install clean
-.SECONDARY:
+# Kept, but not .SECONDARY: a source that was moved would not be built then.
+.PRECIOUS: $(BUILD)/%.o
 all: $(LIB) $(SHLIB) $(PROGS)
 
 $(BUILD)/%.o: %.c
--- a/include/sapphireshift/base.h
+++ b/include/sapphireshift/base.h
@@ -50,6 +50,15 @@
 	return g_strndup(s.p ? s.p : "", s.n);
 }
 
+/* Make *at, which is owned, a copy of s. */
+static inline void ss_str_set(char **at, struct ss_str s)
+{
+	char *copy = ss_str_dup(s);
+
+	g_free(*at);
+	*at = copy;
+}
+
 /*
  * The one source of time. Milliseconds from an arbitrary start that never
  * go back; a test sets fake_ms and leaves now_ms at NULL.
--- a/src/core/fleet_types.c
+++ b/src/core/fleet_types.c
@@ -1,4 +1,4 @@
-/* Freeing what the fleet tells of itself. */
+/* Freeing and comparing what the fleet tells of itself. */
 #include "fleet_types.h"
 
 static void strs_free(GPtrArray *a)
@@ -34,3 +34,30 @@
 	strs_free(r->on_disk);
 	memset(r, 0, sizeof(*r));
 }
+
+bool fleet_same_names(const GPtrArray *a, const GPtrArray *b)
+{
+	if (!a || !b || a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++)
+		if (strcmp(a->pdata[i], b->pdata[i]))
+			return false;
+	return true;
+}
+
+bool fleet_same_held(const GArray *a, const GArray *b)
+{
+	if (!a || !b || a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++) {
+		const struct fleet_held *x =
+			&g_array_index(a, struct fleet_held, i);
+		const struct fleet_held *y =
+			&g_array_index(b, struct fleet_held, i);
+
+		if (strcmp(x->model, y->model) ||
+		    !fleet_same_names(x->adapters, y->adapters))
+			return false;
+	}
+	return true;
+}
--- a/src/core/fleet_types.h
+++ b/src/core/fleet_types.h
@@ -40,6 +40,11 @@
 
 void fleet_report_clear(struct fleet_report *r);
 
+/* The same names (char *) in the same order; false where a list is NULL. */
+bool fleet_same_names(const GPtrArray *a, const GPtrArray *b);
+/* The same models and adapters (struct fleet_held) in the same order. */
+bool fleet_same_held(const GArray *a, const GArray *b);
+
 struct fleet_order {
 	bool load; /* else unload */
 	const char *model;
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -12,60 +12,6 @@
 #define LEAVE_MS 300
 
 /* The leader's part: of replicas behind agents, or of a fleet. */
-struct leader_ops {
-	void *(*begin)(struct daemon *d, struct group *g);
-	void (*end)(void *lead);
-	void (*open)(void *lead, struct conn *c);
-	void (*closed)(void *lead, struct conn *c);
-	void (*message)(void *lead, struct conn *c, struct frame *f);
-	void (*applied)(void *lead);
-	void (*tick)(void *lead);
-	void (*status)(void *lead, struct json_object *o);
-};
-
-/* The two of them take their own types. */
-#define LEADER(p)                                                              \
-	static void *p##_begin(struct daemon *d, struct group *g)              \
-	{                                                                      \
-		return p##_new(d, g);                                          \
-	}                                                                      \
-	static void p##_end(void *lead)                                        \
-	{                                                                      \
-		p##_free(lead);                                                \
-	}                                                                      \
-	static void p##_on_open(void *lead, struct conn *c)                    \
-	{                                                                      \
-		p##_open(lead, c);                                             \
-	}                                                                      \
-	static void p##_on_closed(void *lead, struct conn *c)                  \
-	{                                                                      \
-		p##_closed(lead, c);                                           \
-	}                                                                      \
-	static void p##_on_message(void *lead, struct conn *c,                 \
-				   struct frame *f)                            \
-	{                                                                      \
-		p##_message(lead, c, f);                                       \
-	}                                                                      \
-	static void p##_on_applied(void *lead)                                 \
-	{                                                                      \
-		p##_applied(lead);                                             \
-	}                                                                      \
-	static void p##_on_tick(void *lead)                                    \
-	{                                                                      \
-		p##_tick(lead);                                                \
-	}                                                                      \
-	static void p##_on_status(void *lead, struct json_object *o)           \
-	{                                                                      \
-		p##_status(lead, o);                                           \
-	}                                                                      \
-	static const struct leader_ops p##_table = {                           \
-		p##_begin,	p##_end,	p##_on_open, p##_on_closed,    \
-		p##_on_message, p##_on_applied, p##_on_tick, p##_on_status     \
-	};
-
-LEADER(lead)
-LEADER(fleet_lead)
-
 struct control_role {
 	struct daemon *d;
 	struct group *group;
@@ -448,7 +394,7 @@
 
 	k->d = d;
 	k->conns = g_hash_table_new(NULL, NULL);
-	k->leader = d->config.fleet.on ? &fleet_lead_table : &lead_table;
+	k->leader = d->config.fleet.on ? &fleet_lead_ops : &lead_ops;
 	k->n_denied = metrics_value(d->metrics, "ss_operator_denied_total", "");
 	if (!start_parts(k, error)) {
 		control_free(k);
--- a/src/daemon/fleet_agent.c
+++ b/src/daemon/fleet_agent.c
@@ -4,6 +4,7 @@
  */
 #include "../../platform/platform.h"
 #include "../core/engine.h"
+#include "../core/fleet_wire.h"
 #include "../net/keep.h"
 #include "daemon.h"
 
@@ -57,39 +58,6 @@
 
 /* Telling the leader. */
 
-static void add_names(GArray *out, const GPtrArray *names)
-{
-	for (guint i = 0; names && i < names->len; i++) {
-		struct name_item n = { ss_str(names->pdata[i]) };
-
-		g_array_append_val(out, n);
-	}
-}
-
-static GArray *names_new(const GPtrArray *names)
-{
-	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct name_item));
-
-	add_names(out, names);
-	return out;
-}
-
-static void add_held(const struct fleet_report *r, GArray *held,
-		     GPtrArray *lists)
-{
-	for (guint i = 0; r->held && i < r->held->len; i++) {
-		const struct fleet_held *x =
-			&g_array_index(r->held, struct fleet_held, i);
-		GArray *names = names_new(x->adapters);
-		struct held_model h = { .model = ss_str(x->model),
-					.adapters = { names->data,
-						      names->len } };
-
-		g_ptr_array_add(lists, names);
-		g_array_append_val(held, h);
-	}
-}
-
 static void tell_leader(struct fleet_agent *a)
 {
 	static const struct fleet_report none;
@@ -97,8 +65,8 @@
 	GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held_model));
 	GPtrArray *lists =
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
-	GArray *memory = names_new(r->in_memory);
-	GArray *disk = names_new(r->on_disk);
+	GArray *memory = fleet_wire_names(r->in_memory);
+	GArray *disk = fleet_wire_names(r->on_disk);
 	struct msg_endpoint m = {
 		.addr = ss_str(a->d->config.fleet.endpoint),
 		.agent = ss_str(a->addr),
@@ -115,7 +83,9 @@
 		.on_disk = { disk->data, disk->len },
 	};
 
-	add_held(r, held, lists);
+	for (guint i = 0; r->held && i < r->held->len; i++)
+		fleet_wire_held(held, lists,
+				&g_array_index(r->held, struct fleet_held, i));
 	m.held = (struct wire_list){ held->data, held->len };
 	if (link_send(a->link, MSG_ENDPOINT, &m)) {
 		a->told_ms = now_ms(a);
@@ -137,35 +107,13 @@
 
 /* Reading the engine. */
 
-static bool same_names(const GPtrArray *x, const GPtrArray *y)
-{
-	if (!x || !y || x->len != y->len)
-		return false;
-	for (guint i = 0; i < x->len; i++)
-		if (strcmp(x->pdata[i], y->pdata[i]))
-			return false;
-	return true;
-}
-
 static bool same_holdings(const struct fleet_report *x,
 			  const struct fleet_report *y)
 {
-	if (!x->held || !y->held || x->held->len != y->held->len ||
-	    x->busy != y->busy || x->leaving != y->leaving ||
-	    !same_names(x->in_memory, y->in_memory) ||
-	    !same_names(x->on_disk, y->on_disk))
-		return false;
-	for (guint i = 0; i < x->held->len; i++) {
-		const struct fleet_held *a =
-			&g_array_index(x->held, struct fleet_held, i);
-		const struct fleet_held *b =
-			&g_array_index(y->held, struct fleet_held, i);
-
-		if (strcmp(a->model, b->model) ||
-		    !same_names(a->adapters, b->adapters))
-			return false;
-	}
-	return true;
+	return x->busy == y->busy && x->leaving == y->leaving &&
+	       fleet_same_names(x->in_memory, y->in_memory) &&
+	       fleet_same_names(x->on_disk, y->on_disk) &&
+	       fleet_same_held(x->held, y->held);
 }
 
 static void report_free(struct fleet_report *r)
--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -20,6 +20,7 @@
 #define AGENT_RETRY_MS 200
 /* A connection to an agent that nobody used for so long is closed. */
 #define AGENT_IDLE_MS 60000
+#define AGENT_CHECK_MS 10000
 /* After SIGTERM callers still come for so long: the platform asks once a
  * second whether this entry is ready, and acts on the second refusal. */
 #define DRAIN_ACCEPT_MS 2600
@@ -43,9 +44,9 @@
 	struct instances *list;
 	struct http_server *ready;
 	struct event *tick;
-	GHashTable *agents; /* addr -> struct agent_line */
-	int64_t leader_ms;  /* when it was last up */
-	int64_t demand_ms;
+	GHashTable *agents;	    /* addr -> struct agent_line */
+	int64_t leader_ms;	    /* when it was last up */
+	int64_t demand_ms, idle_ms; /* last said, last looked for idle agents */
 	bool demand_due;
 	bool link_up;
 	int64_t stop_ms; /* of a planned stop; 0: none */
@@ -171,6 +172,9 @@
 	GHashTableIter it;
 	void *p;
 
+	if (now - e->idle_ms < AGENT_CHECK_MS)
+		return;
+	e->idle_ms = now;
 	g_hash_table_iter_init(&it, e->agents);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		if (now - ((struct agent_line *)p)->used_ms > AGENT_IDLE_MS)
@@ -326,7 +330,7 @@
 							    STARTING_MS));
 	if (e->stop_ms)
 		advance_stop(e, now);
-	else if (now % AGENT_IDLE_MS < TICK_MS)
+	else
 		close_idle_agents(e, now);
 }
 
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -17,8 +17,6 @@
 #define PLAN_EVERY_MS 50
 /* What an entry said of its queue holds for so long. */
 #define WANT_MS 3000
-/* A wake time that moves by less than this isn't news. */
-#define ETA_STEP_MS 100
 
 /* Tables. */
 
@@ -94,14 +92,6 @@
 	return w;
 }
 
-static void set_str(char **at, struct ss_str s)
-{
-	if (ss_str_eq(ss_str(*at), s))
-		return;
-	g_free(*at);
-	*at = ss_str_dup(s);
-}
-
 bool fleet_ep_reported(const struct fleet_lead *l, const struct fleet_ep *ep)
 {
 	return ep->reported &&
@@ -114,27 +104,6 @@
 	       !(fleet_ep_reported(l, ep) && ep->report.leaving);
 }
 
-static bool in_strs(const GPtrArray *list, const char *s)
-{
-	for (guint i = 0; list && i < list->len; i++)
-		if (!strcmp(list->pdata[i], s))
-			return true;
-	return false;
-}
-
-bool fleet_ep_holds(const struct fleet_lead *l, const struct fleet_ep *ep,
-		    const char *model)
-{
-	if (!fleet_ep_reported(l, ep))
-		return in_strs(ep->on_list, model);
-	for (guint i = 0; i < ep->report.held->len; i++)
-		if (!strcmp(g_array_index(ep->report.held, struct fleet_held, i)
-				    .model,
-			    model))
-			return true;
-	return false;
-}
-
 /* The configuration. */
 
 static void read_state(struct fleet_lead *l)
@@ -164,10 +133,14 @@
 	if (l->preset_version == ss_state_config_version(s) &&
 	    l->preset.classes)
 		return;
+	/* It was checked before it was accepted. */
 	if (preset_parse(&preset, "preset",
-			 p ? p->body : ss_str(preset_built_in), NULL)) {
+			 p ? p->body : ss_str(preset_built_in), &error)) {
 		preset_clear(&l->preset);
 		l->preset = preset;
+	} else {
+		log_error("preset_unreadable", "why=\"%s\"", error->message);
+		g_error_free(error);
 	}
 	l->preset_version = ss_state_config_version(s);
 }
@@ -213,8 +186,9 @@
  * of its end. So it is told nothing before a majority has answered this
  * leader since it came.
  */
-void fleet_lead_open(struct fleet_lead *l, struct conn *c)
+static void on_open(void *arg, struct conn *c)
 {
+	struct fleet_lead *l = arg;
 	struct fleet_peer *p = g_new0(struct fleet_peer, 1);
 	struct confirm *k = g_new0(struct confirm, 1);
 
@@ -240,8 +214,9 @@
 			g_array_remove_index_fast(w->waits, i);
 }
 
-void fleet_lead_closed(struct fleet_lead *l, struct conn *c)
+static void on_closed(void *arg, struct conn *c)
 {
+	struct fleet_lead *l = arg;
 	GHashTableIter it;
 	void *p;
 
@@ -267,68 +242,6 @@
 
 /* Agents. */
 
-static GPtrArray *copy_names(const struct wire_list *list)
-{
-	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
-	const struct name_item *n = list->items;
-
-	for (size_t i = 0; i < list->n; i++)
-		g_ptr_array_add(out, ss_str_dup(n[i].name));
-	return out;
-}
-
-static bool same_names(const GPtrArray *a, const GPtrArray *b)
-{
-	if (!a || !b || a->len != b->len)
-		return false;
-	for (guint i = 0; i < a->len; i++)
-		if (strcmp(a->pdata[i], b->pdata[i]))
-			return false;
-	return true;
-}
-
-static bool same_held(const GArray *a, const GArray *b)
-{
-	if (!a || !b || a->len != b->len)
-		return false;
-	for (guint i = 0; i < a->len; i++) {
-		const struct fleet_held *x =
-			&g_array_index(a, struct fleet_held, i);
-		const struct fleet_held *y =
-			&g_array_index(b, struct fleet_held, i);
-
-		if (strcmp(x->model, y->model) ||
-		    !same_names(x->adapters, y->adapters))
-			return false;
-	}
-	return true;
-}
-
-static void copy_report(struct fleet_report *r, const struct msg_endpoint *m)
-{
-	const struct held_model *h = m->held.items;
-
-	memset(r, 0, sizeof(*r));
-	r->busy = m->busy;
-	r->leaving = m->leaving;
-	r->remaining_ms = m->remaining_ms;
-	r->orders = m->orders;
-	r->running = m->running;
-	r->waiting = m->waiting;
-	r->tokens_used = m->tokens_used;
-	r->tokens_total = m->tokens_total;
-	r->held = g_array_new(FALSE, TRUE, sizeof(struct fleet_held));
-	for (size_t i = 0; i < m->held.n; i++) {
-		struct fleet_held x = { .model = ss_str_dup(h[i].model),
-					.adapters =
-						copy_names(&h[i].adapters) };
-
-		g_array_append_val(r->held, x);
-	}
-	r->in_memory = copy_names(&m->in_memory);
-	r->on_disk = copy_names(&m->on_disk);
-}
-
 static void take_endpoint(struct fleet_lead *l, struct conn *c,
 			  const struct msg_endpoint *m)
 {
@@ -338,7 +251,7 @@
 
 	g_free(addr);
 	ep->conn = c;
-	set_str(&ep->agent, m->agent);
+	ss_str_set(&ep->agent, m->agent);
 	if (!m->reachable) {
 		if (ep->reported)
 			log_info("endpoint_silent", "endpoint=%s", ep->addr);
@@ -347,9 +260,10 @@
 		return;
 	}
 	ep->down = false;
-	copy_report(&r, m);
+	fleet_report_read(&r, m);
 	if (!ep->reported || ep->report.leaving != r.leaving ||
-	    ep->report.busy != r.busy || !same_held(ep->report.held, r.held))
+	    ep->report.busy != r.busy ||
+	    !fleet_same_held(ep->report.held, r.held))
 		ep->changed = l->urgent = true;
 	ep->load_changed |= ep->report.running != r.running ||
 			    ep->report.waiting != r.waiting;
@@ -440,8 +354,9 @@
 	l->dirty = true;
 }
 
-void fleet_lead_message(struct fleet_lead *l, struct conn *c, struct frame *f)
+static void on_message(void *arg, struct conn *c, struct frame *f)
 {
+	struct fleet_lead *l = arg;
 	struct fleet_ep *ep;
 
 	switch (f->kind) {
@@ -472,16 +387,17 @@
 	bool news = other || strcmp(ep->service, i->service) || !ep->listed ||
 		    ep->leaving_listed != i->leaving;
 
-	if (news || (!ep->reported && !same_names(ep->on_list, i->models)))
+	if (news ||
+	    (!ep->reported && !fleet_same_names(ep->on_list, i->models)))
 		ep->changed = l->dirty = true;
 	if (news)
 		log_info("endpoint",
 			 "addr=%s id=%s service=%s leaving=%d models=%u",
 			 i->addr, i->id, i->service, i->leaving,
 			 i->models->len);
-	set_str(&ep->id, ss_str(i->id));
-	set_str(&ep->service, ss_str(i->service));
-	set_str(&ep->domain, ss_str(i->domain ? i->domain : ""));
+	ss_str_set(&ep->id, ss_str(i->id));
+	ss_str_set(&ep->service, ss_str(i->service));
+	ss_str_set(&ep->domain, ss_str(i->domain ? i->domain : ""));
 	ep->slots = i->slots;
 	ep->listed = true;
 	ep->leaving_listed = i->leaving;
@@ -506,10 +422,9 @@
 
 		/*
 		 * What the list no longer shows has ended: it lags on with
-		 * those that crash, never with those that still serve. One
-		 * time for the whole list: read anew for each entry, it
-		 * moved on in between now and then, and all that stood
-		 * before was taken for gone until the next list.
+		 * those that crash, never with those that still serve. The
+		 * whole list gets one time, so that none of it looks older
+		 * than the rest.
 		 */
 		if (ep->listed && ep->listed_ms != now) {
 			log_info("endpoint_gone", "addr=%s id=%s", ep->addr,
@@ -526,8 +441,9 @@
 
 /* Time. */
 
-void fleet_lead_applied(struct fleet_lead *l)
+static void on_applied(void *arg)
 {
+	struct fleet_lead *l = arg;
 	GHashTableIter it;
 	void *p;
 
@@ -555,8 +471,9 @@
 	}
 }
 
-void fleet_lead_tick(struct fleet_lead *l)
+static void on_tick(void *arg)
 {
+	struct fleet_lead *l = arg;
 	int64_t now = fleet_lead_now(l);
 	bool loads = now - l->load_push_ms >= LOAD_EVERY_MS;
 
@@ -577,7 +494,7 @@
 	fleet_push_whole(l);
 }
 
-struct fleet_lead *fleet_lead_new(struct daemon *d, struct group *g)
+static void *begin(struct daemon *d, struct group *g)
 {
 	struct fleet_lead *l = g_new0(struct fleet_lead, 1);
 	struct metrics *m = d->metrics;
@@ -610,10 +527,10 @@
 	return l;
 }
 
-void fleet_lead_free(struct fleet_lead *l)
+static void end(void *arg)
 {
-	if (!l)
-		return;
+	struct fleet_lead *l = arg;
+
 	instances_free(l->list);
 	g_hash_table_unref(l->peers);
 	g_hash_table_unref(l->eps);
@@ -623,8 +540,9 @@
 	g_free(l);
 }
 
-void fleet_lead_status(const struct fleet_lead *l, json_object *o)
+static void on_status(void *arg, json_object *o)
 {
+	struct fleet_lead *l = arg;
 	json_object *list = json_object_new_array();
 	GHashTableIter it;
 	void *p;
@@ -656,3 +574,7 @@
 		json_object_new_int64(
 			l->routing ? (int64_t)l->routing->version : 0));
 }
+
+const struct leader_ops fleet_lead_ops = { begin,     end,	  on_open,
+					   on_closed, on_message, on_applied,
+					   on_tick,   on_status };
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -3,6 +3,7 @@
 #define SS_FLEET_LEAD_INT_H
 
 #include "../core/fleet.h"
+#include "../core/fleet_wire.h"
 #include "../core/preset.h"
 #include "../vmlist/instances.h"
 #include "fleet_lead.h"
@@ -45,7 +46,6 @@
 	struct step_run step;
 	bool changed;	     /* what entries are told of it */
 	bool load_changed;   /* only its load */
-	bool told;	     /* entries know of it */
 	GHashTable *refused; /* model -> when a load of it failed, ms */
 };
 
@@ -105,9 +105,6 @@
 bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep);
 /* Its agent's last report is fresh enough to be believed. */
 bool fleet_ep_reported(const struct fleet_lead *l, const struct fleet_ep *ep);
-/* What it holds by the newest word: its agent's, else the list's. */
-bool fleet_ep_holds(const struct fleet_lead *l, const struct fleet_ep *ep,
-		    const char *model);
 
 /* fleet_steps.c */
 void fleet_steps_plan(struct fleet_lead *l, int64_t now);
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -1,7 +1,8 @@
 /* Telling entries what stands where in a fleet. */
 #include "fleet_lead_int.h"
 
-static void add_held(const struct fleet_lead *l, const struct fleet_ep *ep,
+/* What is open for new calls there. */
+static void add_open(const struct fleet_lead *l, const struct fleet_ep *ep,
 		     GArray *held, GPtrArray *lists)
 {
 	if (!fleet_ep_reported(l, ep)) {
@@ -18,19 +19,9 @@
 	for (guint i = 0; i < ep->report.held->len; i++) {
 		const struct fleet_held *x =
 			&g_array_index(ep->report.held, struct fleet_held, i);
-		struct held_model h = { .model = ss_str(x->model) };
-		GArray *names =
-			g_array_new(FALSE, FALSE, sizeof(struct name_item));
 
-		for (guint k = 0; k < x->adapters->len; k++) {
-			struct name_item n = { ss_str(x->adapters->pdata[k]) };
-
-			g_array_append_val(names, n);
-		}
-		g_ptr_array_add(lists, names);
-		h.adapters = (struct wire_list){ names->data, names->len };
 		if (!fleet_step_closes(ep, x->model))
-			g_array_append_val(held, h);
+			fleet_wire_held(held, lists, x);
 	}
 }
 
@@ -64,7 +55,7 @@
 		e.age_ms = fleet_lead_now(l) - ep->report_ms;
 	}
 	g_ptr_array_add(p->lists, held);
-	add_held(l, ep, held, p->lists);
+	add_open(l, ep, held, p->lists);
 	e.held = (struct wire_list){ held->data, held->len };
 	g_array_append_val(p->eps, e);
 }
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -20,6 +20,8 @@
 #define STORE_SHARE 0.8
 /* Memory kept free for adapters, as a multiple of the largest one. */
 #define ADAPTERS_KEPT 4
+/* A wake time that moves by less than this isn't news. */
+#define ETA_STEP_MS 100
 
 struct view {
 	struct fleet_lead *l;
@@ -245,7 +247,7 @@
 		int64_t eta = m->eta_ms < 0 ? -1 : w->now + m->eta_ms;
 
 		if ((eta < 0) != (want->eta_ms < 0) ||
-		    ABS(eta - want->eta_ms) > 100) {
+		    ABS(eta - want->eta_ms) > ETA_STEP_MS) {
 			want->eta_changed = true;
 			w->l->dirty |= want->waits->len > 0;
 		}
@@ -411,18 +413,13 @@
 static void send_step(struct fleet_lead *l, struct fleet_ep *ep, int64_t now)
 {
 	struct step_run *s = &ep->step;
-	GArray *names = g_array_new(FALSE, FALSE, sizeof(struct name_item));
+	GArray *names = fleet_wire_names(s->unload);
 	double mb = load_mb(l, ep);
 	struct msg_load m = { .fence = l->fence,
 			      .step = s->number,
 			      .load = ss_str(s->load),
 			      .weights_mb = (int64_t)(mb + 1) };
 
-	for (guint i = 0; i < s->unload->len; i++) {
-		struct name_item n = { ss_str(s->unload->pdata[i]) };
-
-		g_array_append_val(names, n);
-	}
 	m.unload = (struct wire_list){ names->data, names->len };
 	if (mb >= 0 && conn_send(ep->conn, MSG_LOAD, &m)) {
 		s->sent = true;
--- a/src/daemon/lead.c
+++ b/src/daemon/lead.c
@@ -251,8 +251,9 @@
 	group_confirm(l->g, done);
 }
 
-void lead_open(struct lead *l, struct conn *c)
+static void on_open(void *arg, struct conn *c)
 {
+	struct lead *l = arg;
 	struct lead_peer *p = g_new0(struct lead_peer, 1);
 
 	p->conn = c;
@@ -276,8 +277,9 @@
 	}
 }
 
-void lead_closed(struct lead *l, struct conn *c)
+static void on_closed(void *arg, struct conn *c)
 {
+	struct lead *l = arg;
 	GHashTableIter it;
 	void *p;
 
@@ -544,8 +546,10 @@
 	g_array_unref(names);
 }
 
-void lead_message(struct lead *l, struct conn *c, struct frame *f)
+static void on_message(void *arg, struct conn *c, struct frame *f)
 {
+	struct lead *l = arg;
+
 	switch (f->kind) {
 	case MSG_REGISTER:
 		take_register(l, c, &f->u.reg);
@@ -634,13 +638,16 @@
 
 /* Time. */
 
-void lead_applied(struct lead *l)
+static void on_applied(void *arg)
 {
+	struct lead *l = arg;
+
 	l->dirty = true;
 }
 
-void lead_tick(struct lead *l)
+static void on_tick(void *arg)
 {
+	struct lead *l = arg;
 	int64_t now = now_ms(l);
 
 	read_preset(l);
@@ -656,7 +663,7 @@
 	lead_push_routes(l);
 }
 
-struct lead *lead_new(struct daemon *d, struct group *g)
+static void *begin(struct daemon *d, struct group *g)
 {
 	struct lead *l = g_new0(struct lead, 1);
 	struct metrics *m = d->metrics;
@@ -680,13 +687,17 @@
 	return l;
 }
 
-void lead_free(struct lead *l)
+static void end(void *arg)
 {
-	if (!l)
-		return;
+	struct lead *l = arg;
+
 	g_hash_table_unref(l->peers);
 	g_hash_table_unref(l->models);
 	g_hash_table_unref(l->nodes);
 	preset_clear(&l->preset);
 	g_free(l);
 }
+
+const struct leader_ops lead_ops = { begin,	end,	    on_open,
+				     on_closed, on_message, on_applied,
+				     on_tick,	lead_status };
--- a/src/daemon/lead_int.h
+++ b/src/daemon/lead_int.h
@@ -107,4 +107,7 @@
 /* lead_claim.c */
 void lead_claim(struct lead *l, struct conn *c, const struct msg_claim *m);
 
+/* lead_status.c; for the table of the leader. */
+void lead_status(void *lead, struct json_object *o);
+
 #endif
--- a/src/daemon/lead_status.c
+++ b/src/daemon/lead_status.c
@@ -85,8 +85,9 @@
 	return o;
 }
 
-void lead_status(struct lead *l, json_object *root)
+void lead_status(void *lead, json_object *root)
 {
+	struct lead *l = lead;
 	const struct ss_state *s = group_state(l->g);
 	json_object *list = json_object_new_array();
 	GHashTableIter it;
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -69,8 +69,6 @@
 	f->in_lane = at ? at->next : l->waits.head;
 	f->lane = l;
 	(*f->g->n_waiting)++;
-	if (l->waits.length == 1)
-		l->asked_ms = gate_now(f->g);
 }
 
 void lane_remove(struct forward *f)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -65,20 +65,12 @@
 	return ep;
 }
 
-static void set_str(char **at, struct ss_str s)
-{
-	if (ss_str_eq(ss_str(*at), s))
-		return;
-	g_free(*at);
-	*at = ss_str_dup(s);
-}
-
 /* Another incarnation at an address: nothing known of the old one holds. */
 static void set_id(struct gate *g, struct gate_ep *ep, struct ss_str id)
 {
 	if (ss_str_eq(ss_str(ep->id), id))
 		return;
-	set_str(&ep->id, id);
+	ss_str_set(&ep->id, id);
 	ep->failing = 0;
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
 	upstream_forget(g->upstream, ep->addr);
@@ -114,9 +106,9 @@
 	struct gate_ep *ep = ep_for(g, e->addr);
 
 	set_id(g, ep, e->id);
-	set_str(&ep->service, e->service);
-	set_str(&ep->domain, e->domain);
-	set_str(&ep->agent, e->agent);
+	ss_str_set(&ep->service, e->service);
+	ss_str_set(&ep->domain, e->domain);
+	ss_str_set(&ep->agent, e->agent);
 	ep->slots = e->slots;
 	ep->known = !e->gone;
 	ep->leaving = e->leaving;
@@ -208,8 +200,8 @@
 		bool other = strcmp(ep->id, x->id) != 0;
 
 		set_id(g, ep, ss_str(x->id));
-		set_str(&ep->service, ss_str(x->service));
-		set_str(&ep->domain, ss_str(x->domain ? x->domain : ""));
+		ss_str_set(&ep->service, ss_str(x->service));
+		ss_str_set(&ep->domain, ss_str(x->domain ? x->domain : ""));
 		ep->slots = x->slots;
 		ep->known = true;
 		ep->leaving = x->leaving;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -80,7 +80,6 @@
 	char *service, *model;
 	GQueue waits;	   /* struct forward */
 	int64_t eta_ms;	   /* on the clock; SS_NEVER: not told */
-	int64_t asked_ms;  /* since when somebody waits */
 	uint64_t arrivals; /* since the last report */
 	uint64_t told;	   /* waiting, by the last report */
 	bool changed;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -1,6 +1,6 @@
 /*
  * Connections to endpoints: one request at a time on each, kept for the
- * next ones, and never more to an endpoint than it bears.
+ * next ones for a while. How many go to an endpoint is the caller's to say.
  */
 #ifndef SS_UPSTREAM_H
 #define SS_UPSTREAM_H
