Reset a connection whose answer nobody waits for

Seen in the trace: sent 23.792, deadline 25.792, arrived 27.700. Ruled out: the entry's own queue (the request had been sent), a close that wasn't read (the call was cancelled at the deadline). Change: a connection is reset where its call is cancelled or has failed. Tests: leaving_caller_cancels, request_that_is_held_up_is_called_back (both failed before), idle_connection_is_closed_not_reset.

--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -98,6 +98,20 @@
 		line_free(l);
 }
 
+/*
+ * End a line whose answer nobody waits for any more. After a close in good
+ * order the kernel would go on to deliver what it still holds of the request,
+ * seconds later if a link is cut; a reset calls it back.
+ */
+static void line_break(struct line *l)
+{
+	struct linger none = { 1, 0 };
+
+	setsockopt(bufferevent_getfd(l->bev), SOL_SOCKET, SO_LINGER, &none,
+		   sizeof(none));
+	line_close(l);
+}
+
 /* Take the call off its line and free it. */
 static struct upstream_request detach(struct line *l)
 {
@@ -113,14 +127,16 @@
 {
 	struct upstream_request r;
 
-	l->depth++;
-	if (l->call) {
-		r = detach(l);
-		l->closing = true;
-		r.ops->failed(r.arg, end);
+	if (!l->call) {
+		line_close(l);
+		return;
 	}
+	l->depth++;
+	r = detach(l);
+	l->closing = true;
+	r.ops->failed(r.arg, end);
 	l->depth--;
-	line_close(l);
+	line_break(l);
 }
 
 static void on_head(void *arg, const struct http1_head *h)
@@ -364,7 +380,7 @@
 		return;
 	}
 	detach(l);
-	line_close(l);
+	line_break(l);
 }
 
 void upstream_keep_for(struct upstream_call *c, int64_t idle_ms)
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -31,6 +31,7 @@
 	char addr[32], id[8];
 	struct reply replies[4]; /* one a request, the last for the rest */
 	int n_replies, requests, opened, closed;
+	int reset;     /* connections that the gate broke off */
 	GString *seen; /* all bytes */
 };
 
@@ -111,9 +112,11 @@
 
 static void line_event(struct bufferevent *bev, short what, void *arg)
 {
+	struct line *l = arg;
+
 	(void)bev;
-	(void)what;
-	line_free(arg);
+	l->e->reset += (what & BEV_EVENT_ERROR) != 0;
+	line_free(l);
 }
 
 static void on_accept(struct evconnlistener *ev, evutil_socket_t fd,
@@ -664,6 +667,48 @@
 	leave(c);
 	UNTIL(&f, f.eps[0].closed == 1);
 	assert_int_equal(gate_busy(f.gate), 0);
+	/* Bytes that a link still holds up don't follow later. */
+	assert_int_equal(f.eps[0].reset, 1);
+	fix_close(&f);
+}
+
+/*
+ * Symptom: requests reach an endpoint seconds after their callers left.
+ * Sequence: a link holds up a request; its caller leaves; the connection is
+ * closed; the link works again. Cause: a close in good order lets what was
+ * written before it be delivered.
+ */
+static void request_that_is_held_up_is_called_back(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script(&f, 0, NULL, false, false);
+	c = call(&f, POST_CHAT);
+	UNTIL(&f, f.eps[0].requests == 1);
+	leave(c);
+	UNTIL(&f, f.eps[0].closed == 1);
+	assert_int_equal(f.eps[0].reset, 1);
+	fix_close(&f);
+}
+
+/* A connection at rest owes nothing: it ends in good order. */
+static void idle_connection_is_closed_not_reset(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "web", "");
+	script(&f, 0, OK_TEXT, false, false);
+	c = call(&f, GET_SAFE);
+	UNTIL(&f, ends(c, "hello"));
+	f.clock.fake_ms += 60000;
+	gate_tick(f.gate);
+	UNTIL(&f, f.eps[0].closed == 1);
+	assert_int_equal(f.eps[0].reset, 0);
 	fix_close(&f);
 }
 
@@ -907,6 +952,8 @@
 		cmocka_unit_test(connection_with_more_bytes_isnt_used_again),
 		cmocka_unit_test(connection_is_used_again),
 		cmocka_unit_test(leaving_caller_cancels),
+		cmocka_unit_test(request_that_is_held_up_is_called_back),
+		cmocka_unit_test(idle_connection_is_closed_not_reset),
 		cmocka_unit_test(bad_requests_reach_nobody),
 		cmocka_unit_test(head_over_the_limit_is_refused),
 		cmocka_unit_test(chunked_request_arrives_whole),
