Leave the store room for models that are called; bring none ahead before calls are known

Ruled out: the threshold for another replica (it asked for one), memory. Change: half of the store's loads at the most run ahead while calls run, and none in the first second of a leader, or three while agents are missing.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -35,6 +35,10 @@
 #define ONLY_COPY_MS 60.0
 /* Copies of a model that are made while nobody calls. */
 #define COPIES_AHEAD 2
+/* While calls run, loads ahead of demand take up one in so many of the
+ * store's loads: each takes many seconds, and a model whose replicas are full
+ * must not stand behind them. */
+#define AHEAD_PART 2
 /* Memory of a rate, in ms: long enough to tell an idle model from one that
  * is asked for every few seconds. */
 #define RATE_MS 8000.0
@@ -251,6 +255,16 @@
 	return s->from_store < s->v->store_parallel && s->v->store_tokens >= 1;
 }
 
+/* Loads from the store that may run ahead of demand. */
+static bool ahead_allows(const struct pass *s)
+{
+	size_t most = s->v->store_parallel;
+
+	if (s->calls)
+		most = MAX(most / AHEAD_PART, 1);
+	return s->from_store < most && store_allows(s);
+}
+
 static void take(struct pass *s, struct choice *c, const char *why)
 {
 	struct fleet_node *n = &s->v->nodes[c->step.node];
@@ -389,7 +403,7 @@
 
 static void place_copies(struct pass *s, uint32_t copies, const char *why)
 {
-	for (size_t m = 0; m < s->v->n_models && store_allows(s); m++)
+	for (size_t m = 0; m < s->v->n_models && ahead_allows(s); m++)
 		if (s->tally[m].copies < copies)
 			place_copy(s, (uint32_t)m, why);
 }
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -5,6 +5,12 @@
  * what isn't reported yet would pass for lost. The orders to an engine come
  * from the agent beside it whoever leads, so no lease has to run out. */
 #define FIND_MS 500
+/* So long a new leader brings no model ahead of demand: entries tell within
+ * that of the calls that run, and agents of the copies they have; a load from
+ * the store that was no need takes an engine up for many seconds. One agent
+ * that never comes holds it up for no longer than the second. */
+#define AHEAD_AFTER_MS 1000
+#define AHEAD_AT_LAST_MS 3000
 /* Entries confirm within a round trip; one that doesn't has lost its link
  * and its calls are refused by the engine, which says so. */
 #define CONFIRM_MS 300
@@ -260,6 +266,34 @@
 	g_array_unref(((struct fleet_node *)p)->places);
 }
 
+/* Every engine that the list shows has been heard of. */
+static bool all_reported(const struct fleet_lead *l)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct fleet_ep *ep = p;
+		int at = routing_service_index(l->routing, ep->service);
+
+		if (ep->listed && !ep->conn && at >= 0 &&
+		    g_array_index(l->routing->services, struct routing_service,
+				  at)
+			    .engine)
+			return false;
+	}
+	return true;
+}
+
+static bool may_go_ahead(const struct fleet_lead *l, int64_t now)
+{
+	int64_t age = now - l->since_ms;
+
+	return l->preset.wake_ahead && age >= AHEAD_AFTER_MS &&
+	       (age >= AHEAD_AT_LAST_MS || all_reported(l));
+}
+
 static void plan_service(struct fleet_lead *l,
 			 const struct routing_service *service, int64_t now)
 {
@@ -288,7 +322,7 @@
 		.slots = service->slots,
 		.store_parallel = (size_t)l->preset.store_parallel,
 		.store_tokens = l->store_tokens,
-		.ahead = l->preset.wake_ahead,
+		.ahead = may_go_ahead(l, now),
 	};
 	fleet_plan(&w.v, &plan_table, &w);
 	l->store_tokens = w.v.store_tokens;
@@ -317,26 +351,6 @@
 	l->store_ms = now;
 }
 
-/* Every engine that the list shows has been heard of. */
-static bool all_reported(const struct fleet_lead *l)
-{
-	GHashTableIter it;
-	void *p;
-
-	g_hash_table_iter_init(&it, l->eps);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		const struct fleet_ep *ep = p;
-		int at = routing_service_index(l->routing, ep->service);
-
-		if (ep->listed && !ep->conn && at >= 0 &&
-		    g_array_index(l->routing->services, struct routing_service,
-				  at)
-			    .engine)
-			return false;
-	}
-	return true;
-}
-
 void fleet_steps_plan(struct fleet_lead *l, int64_t now)
 {
 	if (!l->routing || !l->list_seen ||
