Learn how many loads the store serves at full speed; count those of an earlier leader

Change: a leader begins with two, doubles that when so many were as fast as one alone, and lowers it when one lasts too long; an engine that carries out another leader's order counts as a load from the store. Tests: store_speed_is_learned, 'loads that another leader began take up the store too' (failed before).

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -35,6 +35,12 @@
 #define ONLY_COPY_MS 60.0
 /* Copies of a model that are made while nobody calls. */
 #define COPIES_AHEAD 2
+/* Loads from the store at once before it has shown how many it serves at full
+ * speed; doubled each time that so many were as fast as one alone. */
+#define STORE_FIRST 2
+/* A load that takes this multiple of its time alone was slowed down by
+ * others: above what orders and reports add, below what one load more does. */
+#define STORE_SLOW 1.25
 /* While calls run, loads ahead of demand take up one in so many of the
  * store's loads: each takes many seconds, and a model whose replicas are full
  * must not stand behind them. */
@@ -56,6 +62,32 @@
 	return m->store_ms;
 }
 
+size_t fleet_store_most(const struct fleet_store *s, size_t limit)
+{
+	return CLAMP(s->most ? s->most : STORE_FIRST, 1, MAX(limit, 1));
+}
+
+int64_t fleet_store_slow_ms(int64_t alone_ms)
+{
+	return (int64_t)((double)alone_ms * STORE_SLOW);
+}
+
+void fleet_store_seen(struct fleet_store *s, size_t n, int64_t took_ms,
+		      int64_t alone_ms, bool done)
+{
+	size_t most = s->most ? s->most : STORE_FIRST;
+
+	if (took_ms > fleet_store_slow_ms(alone_ms)) {
+		double at_once =
+			done ? (double)n * (double)alone_ms / (double)took_ms :
+			       (double)n - 1;
+
+		s->most = MAX(MIN(most, (size_t)(at_once + 0.5)), 1);
+	} else if (done && n >= most) {
+		s->most = most * 2;
+	}
+}
+
 double fleet_rate_at(const struct fleet_rate *r, int64_t now)
 {
 	return r->at_ms ? r->per_s * exp(-(double)(now - r->at_ms) / RATE_MS) :
@@ -100,6 +132,8 @@
 	}
 	for (size_t m = 0; m < s->v->n_models; m++)
 		s->tally[m].copies += n->tier[m] != TIER_REMOTE;
+	/* A load from disk is over at once; what lasts comes from the store. */
+	s->from_store += n->engaged;
 	if (n->loading < 0)
 		return;
 	s->tally[n->loading].loading++;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -46,6 +46,7 @@
 	int64_t loading_left_ms; /* expected */
 	double free_mb;		 /* of memory for weights */
 	int64_t running, slots;
+	bool engaged;	     /* by an order that this leader didn't give */
 	GArray *places;	     /* struct fleet_place */
 	const uint8_t *tier; /* enum ss_tier of each model */
 };
@@ -82,6 +83,24 @@
 /* How long a load from a tier takes. */
 int64_t fleet_load_ms(const struct routing_model *m, enum ss_tier tier);
 
+/*
+ * How many loads the store serves at full speed. Beyond that each one takes
+ * longer in proportion, brings nothing more in the same time, and holds its
+ * engine; so what is told of loads sets the bound. Start with {0}.
+ */
+struct fleet_store {
+	size_t most;
+};
+
+/* The bound now; limit: what the settings allow at the most. */
+size_t fleet_store_most(const struct fleet_store *s, size_t limit);
+/* A load that began with n under way, itself counted, has taken took_ms so
+ * far, or is done; alone it takes alone_ms. */
+void fleet_store_seen(struct fleet_store *s, size_t n, int64_t took_ms,
+		      int64_t alone_ms, bool done);
+/* Longer than this, and a load is slowed down by others; in ms. */
+int64_t fleet_store_slow_ms(int64_t alone_ms);
+
 /* A rate with a memory of some seconds. */
 struct fleet_rate {
 	double per_s;
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -22,6 +22,8 @@
 	bool sent;	/* to the agent */
 	uint64_t round; /* entries that confirmed it send no new calls */
 	int64_t since_ms, sent_ms;
+	size_t beside; /* loads from the store when it was sent, with it */
+	bool slow;     /* and it was seen to take longer by that */
 };
 
 /* Calls of one entry on one model of an endpoint. */
@@ -89,6 +91,7 @@
 	int64_t since_ms, plan_ms, push_ms, load_push_ms;
 	bool list_seen;
 	bool dirty, urgent;
+	struct fleet_store store;
 	double store_tokens;
 	int64_t store_ms;
 	uint64_t *n_steps, *n_store, *n_disk, *n_memory, *n_failed;
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -178,6 +178,7 @@
 	uint8_t *tiers = g_new0(uint8_t, w->models->len + 1);
 
 	n.places = g_array_new(FALSE, FALSE, sizeof(struct fleet_place));
+	n.engaged = ep->reported && ep->report.busy && !ep->step.on;
 	n.free = can_take_step(w->l, ep, w->now);
 	n.tier = tiers;
 	if (ep->reported)
@@ -320,7 +321,8 @@
 		.nodes = (struct fleet_node *)w.nodes->data,
 		.n_nodes = w.nodes->len,
 		.slots = service->slots,
-		.store_parallel = (size_t)l->preset.store_parallel,
+		.store_parallel = fleet_store_most(
+			&l->store, (size_t)l->preset.store_parallel),
 		.store_tokens = l->store_tokens,
 		.ahead = may_go_ahead(l, now),
 	};
@@ -424,6 +426,44 @@
 	return m ? m->weights_mb : -1;
 }
 
+/* Loads from the store that run now. */
+static size_t from_store(const struct fleet_lead *l)
+{
+	GHashTableIter it;
+	size_t n = 0;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct fleet_ep *ep = p;
+
+		n += ep->step.on ? ep->step.sent &&
+					   ep->step.plan.tier == TIER_REMOTE :
+				   ep->reported && ep->report.busy;
+	}
+	return n;
+}
+
+/* What a load shows of the store, when it lasts too long and when it ends. */
+static void watch_store(struct fleet_lead *l, struct step_run *s,
+			int64_t took_ms, bool done)
+{
+	int64_t alone = s->plan.expected_ms;
+	size_t before = l->store.most;
+
+	if (!s->sent || s->plan.tier != TIER_REMOTE || s->slow ||
+	    (!done && took_ms <= fleet_store_slow_ms(alone)))
+		return;
+	s->slow = !done;
+	fleet_store_seen(&l->store, s->beside, took_ms, alone, done);
+	if (l->store.most != before)
+		log_info("store_speed",
+			 "at_once=%zu step=%" PRIu64 " beside=%zu ms=%" PRId64
+			 " alone_ms=%" PRId64 " done=%d",
+			 l->store.most, s->number, s->beside, took_ms, alone,
+			 done);
+}
+
 static void send_step(struct fleet_lead *l, struct fleet_ep *ep, int64_t now)
 {
 	struct step_run *s = &ep->step;
@@ -438,6 +478,7 @@
 	if (mb >= 0 && conn_send(ep->conn, MSG_LOAD, &m)) {
 		s->sent = true;
 		s->sent_ms = now;
+		s->beside = from_store(l);
 		ep->changed = l->dirty = true;
 	}
 	g_array_unref(names);
@@ -464,6 +505,7 @@
 	}
 	if (!s->sent && may_send(l, ep, now))
 		send_step(l, ep, now);
+	watch_store(l, s, now - s->sent_ms, false);
 }
 
 void fleet_steps_run(struct fleet_lead *l, int64_t now)
@@ -496,6 +538,7 @@
 		g_hash_table_replace(ep->refused, g_strdup(s->load),
 				     g_memdup2(&now, sizeof(now)));
 	} else {
+		watch_store(l, s, m->took_ms, true);
 		hist_add(l->load_hist, (uint64_t)MAX(m->took_ms, 0));
 	}
 	end_step(l, ep);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -19,7 +19,8 @@
 	struct holding held[4];
 	int n_held;
 	const char *tiers; /* by model: s(tore), d(isk), m(emory) */
-	bool unusable, engaged;
+	bool unusable;
+	int engaged; /* 1: by this leader's order; 2: by another's */
 	int running;
 };
 
@@ -155,6 +156,15 @@
 	  true,
 	  4,
 	  "0:5s-0 " },
+	{ "loads that another leader began take up the store too",
+	  { { "a", { { 0 } }, 0, "ddssss", false, 2, 0 },
+	    { "b", { { 0 } }, 0, "ddssss", false, 2, 0 },
+	    { "c", { { 0, 2, false } }, 1, "ddssss", false, 0, 0 } },
+	  3,
+	  { { 0, 0 } },
+	  true,
+	  4,
+	  "" },
 	{ "loads ahead leave the store room while calls run",
 	  { { "a", { { 0, 2, false } }, 1, "dddsss", false, false, 0 },
 	    { "b", { { 1, 0, false } }, 1, "dddsss", false, false, 0 },
@@ -211,6 +221,7 @@
 				  .loading = -1,
 				  .free_mb = 80,
 				  .running = row->running,
+				  .engaged = row->engaged == 2,
 				  .slots = 10,
 				  .tier = tiers };
 	n->places = g_array_new(FALSE, FALSE, sizeof(struct fleet_place));
@@ -315,6 +326,62 @@
 	assert_true(fleet_rate_at(&r, 100000) < 0.1);
 }
 
+struct store_row {
+	size_t n;
+	int64_t took_ms; /* 1,000 alone */
+	bool done;
+	size_t most; /* then */
+};
+
+struct store_case {
+	const char *label;
+	size_t limit;
+	struct store_row rows[4];
+};
+
+static const struct store_case store_cases[] = {
+	{ "one at once: two take twice as long",
+	  4,
+	  { { 1, 1010, true, 2 },
+	    { 2, 1300, false, 1 },
+	    { 2, 2000, true, 1 } } },
+	{ "four at once: each proof doubles it, up to the limit",
+	  4,
+	  { { 2, 1010, true, 4 },
+	    { 4, 1050, true, 4 },
+	    { 4, 1000, true, 4 } } },
+	{ "three at once of four that ran",
+	  8,
+	  { { 2, 1000, true, 4 },
+	    { 4, 1340, true, 3 },
+	    { 3, 1000, true, 6 } } },
+	{ "a load alone proves nothing of two",
+	  8,
+	  { { 1, 1000, true, 2 }, { 1, 1000, true, 2 } } },
+	{ "a store that is slow for one isn't asked for less than one",
+	  8,
+	  { { 1, 9000, false, 1 },
+	    { 1, 9000, true, 1 },
+	    { 1, 1000, true, 2 } } },
+};
+
+static void store_speed_is_learned(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(store_cases); i++) {
+		const struct store_case *c = &store_cases[i];
+		struct fleet_store s = { 0 };
+
+		for (const struct store_row *r = c->rows; r->n; r++) {
+			fleet_store_seen(&s, r->n, r->took_ms, 1000, r->done);
+			if (fleet_store_most(&s, c->limit) != r->most)
+				fail_msg("%s: row %d: %zu", c->label,
+					 (int)(r - c->rows),
+					 fleet_store_most(&s, c->limit));
+		}
+	}
+}
+
 static GPtrArray *names(const char *list)
 {
 	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
@@ -427,6 +494,7 @@
 		cmocka_unit_test(steps_are_chosen),
 		cmocka_unit_test(wake_times_are_told),
 		cmocka_unit_test(rates_fade),
+		cmocka_unit_test(store_speed_is_learned),
 		cmocka_unit_test(holdings_are_compared),
 		cmocka_unit_test(report_comes_over_whole),
 	};
