Log what keeps a waited model from being loaded

Why callers wait wasn't to be seen: model_blocked says, once a second and model, how many copies there are, and whether their engines are taken up, full, or the store is closed. Test: what_blocks_a_model_is_told.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -347,6 +347,30 @@
 	return false;
 }
 
+static void tell_blocked(struct pass *s, uint32_t model)
+{
+	struct fleet_blocked b = { .store = !store_allows(s) };
+	struct choice c;
+
+	for (size_t i = 0; i < s->v->n_nodes; i++) {
+		const struct fleet_node *n = &s->v->nodes[i];
+		bool can = weigh(s, model, i, &c);
+
+		if (!n->usable)
+			continue;
+		if (n->tier[model] == TIER_REMOTE) {
+			b.free += can;
+			continue;
+		}
+		b.copies++;
+		if (!n->free || n->loading >= 0)
+			b.copies_busy++;
+		else if (!can)
+			b.copies_full++;
+	}
+	s->ops->blocked(s->arg, model, &b);
+}
+
 /* Load a model where that is cheapest; false where nothing can take it. */
 static bool place(struct pass *s, uint32_t model, const char *why)
 {
@@ -415,9 +439,13 @@
 			g_array_append_val(needs, n);
 	}
 	g_array_sort(needs, by_order);
-	for (guint i = 0; i < needs->len; i++)
-		place(s, g_array_index(needs, struct need, i).model,
-		      "callers wait and no engine has it");
+	for (guint i = 0; i < needs->len; i++) {
+		uint32_t m = g_array_index(needs, struct need, i).model;
+
+		if (!place(s, m, "callers wait and no engine has it") &&
+		    s->ops->blocked)
+			tell_blocked(s, m);
+	}
 	g_array_unref(needs);
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -72,8 +72,21 @@
 	bool ahead; /* load models without a copy before anyone asks */
 };
 
+/* Why a model that callers wait for can't be loaded now: engines that are
+ * usable, by what stands in the way. */
+struct fleet_blocked {
+	uint32_t copies;      /* engines that have a copy */
+	uint32_t copies_busy; /* of these: taken up */
+	uint32_t copies_full; /* of these: nothing may leave them */
+	uint32_t free;	      /* engines that could load it from the store */
+	bool store;	      /* which the store doesn't allow now */
+};
+
 struct fleet_plan_ops {
 	void (*step)(void *arg, const struct fleet_step *s);
+	/* May be NULL. */
+	void (*blocked)(void *arg, uint32_t model,
+			const struct fleet_blocked *b);
 };
 
 /* Decide. Each node gets one step at most; etas are set in the view. */
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -65,6 +65,7 @@
 	GArray *waits;	/* struct wait_at */
 	int64_t eta_ms; /* on the clock; -1: unknown */
 	bool eta_changed;
+	int64_t blocked_ms; /* when that was last logged */
 };
 
 struct fleet_peer {
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -28,6 +28,8 @@
 #define ADAPTERS_KEPT 4
 /* A wake time that moves by less than this isn't news. */
 #define ETA_STEP_MS 100
+/* A model that can't be loaded is logged this often. */
+#define BLOCKED_LOG_MS 1000
 
 struct view {
 	struct fleet_lead *l;
@@ -242,7 +244,26 @@
 		 s->expected_ms, s->why);
 }
 
-static const struct fleet_plan_ops plan_table = { begin_step };
+/* Once a second for each model: callers wait all the while. */
+static void on_blocked(void *arg, uint32_t model, const struct fleet_blocked *b)
+{
+	struct view *w = arg;
+	struct fleet_want *want =
+		fleet_want_for(w->l, w->service->name, name_of(w, model));
+
+	if (w->now - want->blocked_ms < BLOCKED_LOG_MS)
+		return;
+	want->blocked_ms = w->now;
+	log_info("model_blocked",
+		 "model=%s waiting=%u slack_ms=%" PRId64
+		 " copies=%u busy=%u full=%u others=%u store_closed=%d",
+		 want->model,
+		 g_array_index(w->models, struct fleet_model, model).waiting,
+		 g_array_index(w->models, struct fleet_model, model).slack_ms,
+		 b->copies, b->copies_busy, b->copies_full, b->free, b->store);
+}
+
+static const struct fleet_plan_ops plan_table = { begin_step, on_blocked };
 
 static void note_etas(struct view *w)
 {
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -195,7 +195,17 @@
 	g_string_append_c(out, ' ');
 }
 
-static const struct fleet_plan_ops ops = { on_step };
+static void on_blocked(void *arg, uint32_t model, const struct fleet_blocked *b)
+{
+	g_string_append_printf(arg,
+			       "blocked:%u copies %u busy %u full %u "
+			       "others %u%s",
+			       model, b->copies, b->copies_busy, b->copies_full,
+			       b->free, b->store ? " store" : "");
+}
+
+static const struct fleet_plan_ops ops = { .step = on_step };
+static const struct fleet_plan_ops telling = { on_step, on_blocked };
 
 static void make_specs(void)
 {
@@ -326,6 +336,46 @@
 	assert_true(fleet_rate_at(&r, 100000) < 0.1);
 }
 
+/* An operator sees why callers wait: what stands in the way, and where. */
+static void what_blocks_a_model_is_told(void **state)
+{
+	static const struct node_row rows[3] = {
+		{ "a",
+		  { { 0, 3, false }, { 1, 3, false } },
+		  2,
+		  "dddsss",
+		  false,
+		  0,
+		  0 },
+		{ "b", { { 0 } }, 0, "ssdsss", false, 1, 0 },
+		{ "c", { { 0 } }, 0, "ssssss", false, 0, 0 },
+	};
+	struct fleet_model models[MODELS];
+	struct fleet_node nodes[3];
+	uint8_t tiers[3][MODELS];
+	struct fleet_view v = { .models = models,
+				.n_models = MODELS,
+				.nodes = nodes,
+				.n_nodes = 3,
+				.slots = 10,
+				.store_parallel = 4 };
+	GString *out = g_string_new(NULL);
+
+	(void)state;
+	make_specs();
+	for (int m = 0; m < MODELS; m++)
+		models[m] = (struct fleet_model){ .spec = &specs[m],
+						  .waiting = m == 2 };
+	for (int i = 0; i < 3; i++)
+		fill_node(&rows[i], &nodes[i], models, tiers[i]);
+	fleet_plan(&v, &telling, out);
+	assert_string_equal(out->str, "blocked:2 copies 2 busy 1 full 1 "
+				      "others 1 store");
+	for (int i = 0; i < 3; i++)
+		g_array_unref(nodes[i].places);
+	g_string_free(out, TRUE);
+}
+
 struct store_row {
 	size_t n;
 	int64_t took_ms; /* 1,000 alone */
@@ -494,6 +544,7 @@
 		cmocka_unit_test(steps_are_chosen),
 		cmocka_unit_test(wake_times_are_told),
 		cmocka_unit_test(rates_fade),
+		cmocka_unit_test(what_blocks_a_model_is_told),
 		cmocka_unit_test(store_speed_is_learned),
 		cmocka_unit_test(holdings_are_compared),
 		cmocka_unit_test(report_comes_over_whole),
