--- /dev/null
+++ b/test/gate_fix.c
@@ -0,0 +1,294 @@
+/* A gate between scripted endpoints and callers. */
+#include "gate_fix.h"
+
+/* Endpoints. */
+
+static void line_free(struct line *l)
+{
+	if (l->reset) {
+		struct linger now = { 1, 0 };
+
+		setsockopt(bufferevent_getfd(l->bev), SOL_SOCKET, SO_LINGER,
+			   &now, sizeof(now));
+	}
+	bufferevent_free(l->bev);
+	l->e->closed++;
+	g_free(l);
+}
+
+static void line_written(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	line_free(arg);
+}
+
+static void answer(struct line *l)
+{
+	struct endpoint *e = l->e;
+	const struct reply *r = &e->replies[MIN(e->requests, e->n_replies - 1)];
+
+	e->requests++;
+	l->reset = r->reset;
+	if (!r->text)
+		return;
+	bufferevent_write(l->bev, r->text, strlen(r->text));
+	if (!*r->text)
+		line_free(l);
+	else if (r->close || r->reset)
+		bufferevent_setcb(l->bev, NULL, line_written, NULL, l);
+}
+
+static void line_read(struct bufferevent *bev, void *arg)
+{
+	struct line *l = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	size_t n = evbuffer_get_length(in);
+	char *p = (char *)evbuffer_pullup(in, -1);
+	char *end = g_strstr_len(p, (gssize)n, "\r\n\r\n");
+
+	/* Test requests have no body or a whole one in the same write. */
+	if (!end)
+		return;
+	g_string_append_len(l->e->seen, p, (gssize)n);
+	evbuffer_drain(in, n);
+	answer(l);
+}
+
+static void line_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct line *l = arg;
+
+	(void)bev;
+	l->e->reset += (what & BEV_EVENT_ERROR) != 0;
+	line_free(l);
+}
+
+static void on_accept(struct evconnlistener *ev, evutil_socket_t fd,
+		      struct sockaddr *sa, int len, void *arg)
+{
+	struct endpoint *e = arg;
+	struct line *l = g_new0(struct line, 1);
+
+	(void)ev;
+	(void)sa;
+	(void)len;
+	l->e = e;
+	e->opened++;
+	l->bev = bufferevent_socket_new(e->f->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(l->bev, line_read, NULL, line_event, l);
+	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
+}
+
+static void endpoint_open(struct fix *f, int i)
+{
+	struct endpoint *e = &f->eps[i];
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	e->f = f;
+	e->seen = g_string_new(NULL);
+	g_snprintf(e->id, sizeof(e->id), "i-%d", i);
+	e->listener = evconnlistener_new_bind(f->base, on_accept, e,
+					      LEV_OPT_CLOSE_ON_FREE, 8,
+					      (struct sockaddr *)&sin,
+					      sizeof(sin));
+	assert_non_null(e->listener);
+	g_snprintf(e->addr, sizeof(e->addr), "127.0.0.1:%u",
+		   addr_port(evconnlistener_get_fd(e->listener)));
+	e->replies[0] = (struct reply){ NULL, false, false };
+	e->n_replies = 1;
+}
+
+void script(struct fix *f, int i, const char *text, bool close,
+		   bool reset)
+{
+	struct endpoint *e = &f->eps[i];
+
+	if (e->n_replies == 1 && !e->replies[0].text && !e->requests &&
+	    !e->replies[0].close)
+		e->n_replies = 0;
+	e->replies[e->n_replies++] = (struct reply){ text, close, reset };
+}
+
+/* The gate. */
+
+static bool need_adapter(void *arg, const char *agent,
+			 const struct msg_adapter *m)
+{
+	(void)arg;
+	(void)agent;
+	(void)m;
+	return false;
+}
+
+static void demand(void *arg)
+{
+	((struct fix *)arg)->demands++;
+}
+
+static const struct gate_ops gate_table = { need_adapter, demand };
+
+static const char routing_json[] =
+	"{\"version\":1,\"routes\":["
+	"{\"name\":\"safe\",\"host\":\"h\",\"prefix\":\"/safe/\","
+	"\"type\":\"safe\",\"timeoutMs\":2000,\"attempts\":2,"
+	"\"service\":\"web\"},"
+	"{\"name\":\"once\",\"host\":\"h\",\"prefix\":\"/once/\","
+	"\"type\":\"unsafe\",\"timeoutMs\":2000,\"attempts\":1,"
+	"\"service\":\"web\"},"
+	"{\"name\":\"chat\",\"host\":\"h\",\"prefix\":\"/chat/\","
+	"\"type\":\"stream\",\"timeoutMs\":9000,\"attempts\":1,"
+	"\"service\":\"lm\"},"
+	"{\"name\":\"night\",\"host\":\"h\",\"prefix\":\"/night/\","
+	"\"type\":\"stream\",\"timeoutMs\":9000,\"attempts\":2,"
+	"\"resumable\":true,\"service\":\"lm\"},"
+	"{\"name\":\"brief\",\"host\":\"h\",\"prefix\":\"/brief/\","
+	"\"type\":\"stream\",\"timeoutMs\":9000,\"goalMs\":300,"
+	"\"itlTargetMs\":250,\"attempts\":1,\"service\":\"lm\"}],"
+	"\"services\":[{\"name\":\"web\"},{\"name\":\"lm\",\"engine\":"
+	"{\"slots\":8,\"weightsMb\":80,\"models\":[{\"name\":\"m\","
+	"\"weightsMb\":30,\"loadS\":6}]}}],"
+	"\"limits\":{\"maxHeaderBytes\":2048,\"maxBodyBytes\":4096,"
+	"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
+
+void tell_fleet(struct fix *f, const char *service, const char *model)
+{
+	struct held_model held = { .model = ss_str(model) };
+	struct fleet_endpoint e[ENDPOINTS] = { 0 };
+	struct msg_fleet m = { .fence = 1,
+			       .whole = true,
+			       .endpoints = { e, ENDPOINTS } };
+
+	for (int i = 0; i < ENDPOINTS; i++) {
+		e[i].addr = ss_str(f->eps[i].addr);
+		e[i].id = ss_str(f->eps[i].id);
+		e[i].service = ss_str(service);
+		/* The first one is emptier, and so it is chosen first. */
+		e[i].domain = ss_str("here");
+		e[i].slots = 8;
+		e[i].running = i ? 6 : 0;
+		e[i].tokens_total = 1000;
+		e[i].held = (struct wire_list){ &held, *model ? 1 : 0 };
+	}
+	gate_take_fleet(f->gate, &m);
+}
+
+void fix_open(struct fix *f, const char *service, const char *model)
+{
+	struct gate_options o = { .platform = &users_platform,
+				  .addr = "127.0.0.1:0",
+				  .domain = "here",
+				  .retry_ratio = 1,
+				  .retry_window_ms = 10000,
+				  .retry_slack = 200,
+				  .seed = 7,
+				  .ops = &gate_table,
+				  .arg = f };
+	struct routing *r;
+
+	memset(f, 0, sizeof(*f));
+	f->clock.fake_ms = 100000;
+	f->base = event_base_new();
+	f->metrics = metrics_new();
+	f->callers = g_ptr_array_new();
+	o.base = f->base;
+	o.clock = &f->clock;
+	o.metrics = f->metrics;
+	for (int i = 0; i < ENDPOINTS; i++)
+		endpoint_open(f, i);
+	f->gate = gate_new(&o, NULL);
+	assert_non_null(f->gate);
+	r = users_platform.read_routing(ss_str(routing_json), NULL);
+	gate_set_routing(f->gate, r);
+	routing_unref(r);
+	if (service)
+		tell_fleet(f, service, model);
+}
+
+static void caller_free(struct caller *c)
+{
+	if (c->bev)
+		bufferevent_free(c->bev);
+	g_string_free(c->got, TRUE);
+	g_free(c);
+}
+
+void fix_close(struct fix *f)
+{
+	for (guint i = 0; i < f->callers->len; i++)
+		caller_free(f->callers->pdata[i]);
+	g_ptr_array_unref(f->callers);
+	gate_free(f->gate);
+	/* Endpoints' lines see the gate's end and free themselves. */
+	for (int i = 0; i < 50; i++)
+		event_base_loop(f->base, EVLOOP_NONBLOCK);
+	for (int i = 0; i < ENDPOINTS; i++) {
+		evconnlistener_free(f->eps[i].listener);
+		g_string_free(f->eps[i].seen, TRUE);
+	}
+	metrics_free(f->metrics);
+	event_base_free(f->base);
+}
+
+/* Callers. */
+
+static void caller_read(struct bufferevent *bev, void *arg)
+{
+	struct caller *c = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	size_t n = evbuffer_get_length(in);
+
+	g_string_append_len(c->got, (char *)evbuffer_pullup(in, -1), (gssize)n);
+	evbuffer_drain(in, n);
+}
+
+static void caller_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		((struct caller *)arg)->ended = true;
+}
+
+struct caller *call(struct fix *f, const char *text)
+{
+	struct caller *c = g_new0(struct caller, 1);
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sin.sin_port = htons(gate_port(f->gate));
+	c->got = g_string_new(NULL);
+	c->bev = bufferevent_socket_new(f->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(c->bev, caller_read, NULL, caller_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	assert_int_equal(bufferevent_socket_connect(
+				 c->bev, (struct sockaddr *)&sin, sizeof(sin)),
+			 0);
+	bufferevent_write(c->bev, text, strlen(text));
+	g_ptr_array_add(f->callers, c);
+	return c;
+}
+
+void leave(struct caller *c)
+{
+	bufferevent_free(c->bev);
+	c->bev = NULL;
+}
+
+void turn(struct fix *f)
+{
+	struct timeval ms = { 0, 1000 };
+
+	event_base_loopexit(f->base, &ms);
+	event_base_loop(f->base, EVLOOP_ONCE);
+	gate_tick(f->gate);
+}
+
+bool got(const struct caller *c, const char *text)
+{
+	return strstr(c->got->str, text) != NULL;
+}
+
+bool ends(const struct caller *c, const char *text)
+{
+	return g_str_has_suffix(c->got->str, text);
+}
--- /dev/null
+++ b/test/gate_fix.h
@@ -0,0 +1,106 @@
+/*
+ * The data path on loopback: a gate, endpoints that answer by a script, and
+ * callers who write raw bytes. One loop drives them all; every wait is on a
+ * condition, and the gate's clock is a fake one.
+ */
+#ifndef SS_GATE_FIX_H
+#define SS_GATE_FIX_H
+
+#include "unit.h"
+
+#include "../platform/platform.h"
+#include "../src/net/addr.h"
+#include "../src/proxy/gate.h"
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ENDPOINTS 2
+#define WAIT_ROUNDS 2000 /* of 1 ms: a condition that never comes */
+
+/* What an endpoint does with a request. */
+struct reply {
+	const char *text;  /* "" : close; NULL: stay silent */
+	bool close, reset; /* after the text */
+};
+
+struct endpoint {
+	struct fix *f;
+	struct evconnlistener *listener;
+	char addr[32], id[8];
+	struct reply replies[4]; /* one a request, the last for the rest */
+	int n_replies, requests, opened, closed;
+	int reset;     /* connections that the gate broke off */
+	GString *seen; /* all bytes */
+};
+
+struct line {
+	struct endpoint *e;
+	struct bufferevent *bev;
+	bool reset;
+};
+
+struct caller {
+	struct bufferevent *bev;
+	GString *got;
+	bool ended;
+};
+
+struct fix {
+	struct event_base *base;
+	struct ss_clock clock;
+	struct metrics *metrics;
+	struct gate *gate;
+	struct endpoint eps[ENDPOINTS];
+	GPtrArray *callers;
+	int demands;
+};
+
+/* service: what the endpoints belong to; NULL: the gate knows no fleet. */
+void fix_open(struct fix *f, const char *service, const char *model);
+void fix_close(struct fix *f);
+
+/* Tell the gate of both endpoints; model: what they hold. */
+void tell_fleet(struct fix *f, const char *service, const char *model);
+/* The endpoint's next answer. */
+void script(struct fix *f, int i, const char *text, bool close, bool reset);
+
+/* A new connection that sends text. */
+struct caller *call(struct fix *f, const char *text);
+void leave(struct caller *c);
+bool got(const struct caller *c, const char *text);
+bool ends(const struct caller *c, const char *text);
+
+/* One round of the loop, of a millisecond at the most. */
+void turn(struct fix *f);
+
+/* Run the loop until the condition holds; fail where it never does. */
+#define UNTIL(f, cond)                                                         \
+	do {                                                                   \
+		int rounds = 0;                                                \
+		while (!(cond)) {                                              \
+			if (++rounds > WAIT_ROUNDS)                            \
+				fail_msg("never came: %s", #cond);             \
+			turn(f);                                               \
+		}                                                              \
+	} while (0)
+
+#define HEAD "X-Request-Id: q1\r\nX-Signature: sig\r\n"
+#define OK_TEXT "HTTP/1.1 200 OK\r\n" HEAD "Content-Length: 5\r\n\r\nhello"
+#define EVENTS                                                                 \
+	"HTTP/1.1 200 OK\r\n" HEAD "Content-Type: text/event-stream\r\n"       \
+	"Transfer-Encoding: chunked\r\n\r\n"
+#define REQ(method, path)                                                      \
+	method " " path " HTTP/1.1\r\nHost: h\r\nX-Request-Id: q1\r\n"
+#define GET_SAFE REQ("GET", "/safe/x") "\r\n"
+#define POST_ONCE REQ("POST", "/once/x") "Content-Length: 3\r\n\r\nabc"
+#define POST_CHAT                                                              \
+	REQ("POST", "/chat/x") "X-Model: m\r\nContent-Length: 2\r\n\r\nhi"
+#define POST_NIGHT                                                             \
+	REQ("POST", "/night/x") "X-Model: m\r\nContent-Length: 2\r\n\r\nhi"
+
+#endif
--- /dev/null
+++ b/test/test_gate_ends.c
@@ -0,0 +1,232 @@
+/* A gate: who leaves, who waits, and how it stops. */
+#include "gate_fix.h"
+
+/* A caller who leaves: the endpoint sees it, and can stop the work. */
+static void leaving_caller_cancels(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script(&f, 0, EVENTS "f\r\nid: 1\ndata: a\n\n\r\n", false, false);
+	c = call(&f, POST_CHAT);
+	UNTIL(&f, got(c, "data: a"));
+	assert_int_equal(f.eps[0].closed, 0);
+	leave(c);
+	UNTIL(&f, f.eps[0].closed == 1);
+	assert_int_equal(gate_busy(f.gate), 0);
+	/* Bytes that a link still holds up don't follow later. */
+	assert_int_equal(f.eps[0].reset, 1);
+	fix_close(&f);
+}
+
+/*
+ * Symptom: requests reach an endpoint seconds after their callers left.
+ * Sequence: a link holds up a request; its caller leaves; the connection is
+ * closed; the link works again. Cause: a close in good order lets what was
+ * written before it be delivered.
+ */
+static void request_that_is_held_up_is_called_back(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script(&f, 0, NULL, false, false);
+	c = call(&f, POST_CHAT);
+	UNTIL(&f, f.eps[0].requests == 1);
+	leave(c);
+	UNTIL(&f, f.eps[0].closed == 1);
+	assert_int_equal(f.eps[0].reset, 1);
+	fix_close(&f);
+}
+
+/* A connection at rest owes nothing: it ends in good order. */
+static void idle_connection_is_closed_not_reset(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "web", "");
+	script(&f, 0, OK_TEXT, false, false);
+	c = call(&f, GET_SAFE);
+	UNTIL(&f, ends(c, "hello"));
+	f.clock.fake_ms += 60000;
+	gate_tick(f.gate);
+	UNTIL(&f, f.eps[0].closed == 1);
+	assert_int_equal(f.eps[0].reset, 0);
+	fix_close(&f);
+}
+
+static void request_waits_for_its_model(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "");
+	script(&f, 0, EVENTS "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", false,
+	       false);
+	c = call(&f, POST_CHAT);
+	UNTIL(&f, gate_busy(f.gate) > 0);
+	turn(&f);
+	assert_int_equal(f.eps[0].requests, 0);
+	tell_fleet(&f, "lm", "m");
+	UNTIL(&f, ends(c, "0\r\n\r\n"));
+	fix_close(&f);
+}
+
+/*
+ * Symptom: a caller waits for nothing. Sequence: the model's load ends
+ * after the caller's deadline, and the leader has said so. Cause: a
+ * request that is held although it can't be served in time.
+ */
+static void hopeless_request_is_refused_at_once(void **state)
+{
+	struct fleet_eta eta = { SS_LIT("lm"), SS_LIT("m"), 6000 };
+	struct msg_fleet m = { .fence = 1, .etas = { &eta, 1 } };
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "");
+	c = call(&f, REQ("POST", "/chat/x") "X-Model: m\r\n"
+					    "X-Deadline-Ms: 3000\r\n"
+					    "Content-Length: 0\r\n\r\n");
+	UNTIL(&f, gate_busy(f.gate) > 0);
+	gate_take_fleet(f.gate, &m);
+	UNTIL(&f, got(c, "HTTP/1.1 503 "));
+	assert_true(got(c, "Retry-After: "));
+	assert_true(got(c, "not_run"));
+	assert_int_equal(f.clock.fake_ms, 100000);
+	fix_close(&f);
+}
+
+/*
+ * Symptom: callers leave a stream that hasn't begun, and nobody told them
+ * when to come back. Sequence: the model is two seconds and more away; the
+ * caller's deadline is far, but it gives a silent stream up before. Cause:
+ * the deadline taken for the time that the caller waits.
+ */
+static void silent_wait_ends_before_the_caller_leaves(void **state)
+{
+	struct fleet_eta eta = { SS_LIT("lm"), SS_LIT("m"), 3000 };
+	struct msg_fleet m = { .fence = 1, .etas = { &eta, 1 } };
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "");
+	c = call(&f, REQ("POST", "/brief/x") "X-Model: m\r\n"
+					     "X-Deadline-Ms: 8000\r\n"
+					     "Content-Length: 0\r\n\r\n");
+	UNTIL(&f, gate_busy(f.gate) > 0);
+	gate_take_fleet(f.gate, &m);
+	UNTIL(&f, got(c, "HTTP/1.1 503 "));
+	assert_true(got(c, "Retry-After: 3."));
+	assert_int_equal(f.clock.fake_ms, 100000);
+	fix_close(&f);
+}
+
+static void time_is_up_at_the_routes_timeout(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "web", "");
+	c = call(&f, POST_ONCE);
+	UNTIL(&f, f.eps[0].requests == 1);
+	f.clock.fake_ms += 1900;
+	turn(&f);
+	assert_int_equal(c->got->len, 0);
+	f.clock.fake_ms += 100;
+	UNTIL(&f, got(c, "HTTP/1.1 504 "));
+	UNTIL(&f, f.eps[0].closed == 1);
+	fix_close(&f);
+}
+
+/*
+ * Symptom: a request is taken long after a planned stop began, and cut by
+ * its end. Sequence: the answer began before the stop, so it couldn't say
+ * that the connection closes; the caller sends the next request on it.
+ * Cause: a connection that is kept after the stop has begun.
+ */
+static void stop_ends_connections_after_their_answer(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script(&f, 0, EVENTS "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", false,
+	       false);
+	c = call(&f, POST_CHAT);
+	UNTIL(&f, f.eps[0].requests == 1);
+	gate_drain(f.gate, f.clock.fake_ms + 8000);
+	UNTIL(&f, c->ended);
+	assert_true(ends(c, "0\r\n\r\n"));
+	fix_close(&f);
+}
+
+/*
+ * Symptom: a long stream is cut by a planned stop. Sequence: it comes in
+ * the second after SIGTERM, while callers still come, and needs more time
+ * than the stop has. Cause: it is begun although its end is known.
+ */
+static void long_stream_isnt_begun_in_a_stop(void **state)
+{
+	struct caller *brief, *lengthy;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script(&f, 0, EVENTS "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", false,
+	       false);
+	gate_drain(f.gate, f.clock.fake_ms + 4000);
+	lengthy = call(&f, REQ("POST", "/chat/x") "X-Model: m\r\n"
+						  "X-Token-Usage: 9,950\r\n"
+						  "Content-Length: 0\r\n\r\n");
+	UNTIL(&f, got(lengthy, "HTTP/1.1 503 "));
+	assert_true(got(lengthy, "Retry-After: "));
+	assert_int_equal(f.eps[0].requests, 0);
+	brief = call(&f, REQ("POST", "/chat/x") "X-Model: m\r\n"
+						"X-Token-Usage: 9,100\r\n"
+						"Content-Length: 0\r\n\r\n");
+	UNTIL(&f, ends(brief, "0\r\n\r\n"));
+	fix_close(&f);
+}
+
+static void nothing_is_known_yet(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, NULL, NULL);
+	c = call(&f, GET_SAFE);
+	UNTIL(&f, got(c, "HTTP/1.1 503 "));
+	assert_true(got(c, "not_run"));
+	fix_close(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(leaving_caller_cancels),
+		cmocka_unit_test(request_that_is_held_up_is_called_back),
+		cmocka_unit_test(idle_connection_is_closed_not_reset),
+		cmocka_unit_test(request_waits_for_its_model),
+		cmocka_unit_test(hopeless_request_is_refused_at_once),
+		cmocka_unit_test(silent_wait_ends_before_the_caller_leaves),
+		cmocka_unit_test(time_is_up_at_the_routes_timeout),
+		cmocka_unit_test(stop_ends_connections_after_their_answer),
+		cmocka_unit_test(long_stream_isnt_begun_in_a_stop),
+		cmocka_unit_test(nothing_is_known_yet),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
