Share the free repeats among as many entries as the leader hears

Cause (read, not seen): each entry spent a twentieth of the slack; with 31 entries all of them together could spend half as much again as the users allow. Change: the leader tells how many entries it hears; an entry counts on the most it was told of, twenty at the least and 64 before a word. Ruled out: fewer for all at once (costs small fleets their slack). Test: entries_share_the_slack.

--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -8,6 +8,10 @@
 #define AFFINITY_SCORE 1.5 /* reading a shared prompt again, some 5 ms */
 #define FAILING_SCORE 20.0 /* a tenth of failures: as two calls more */
 #define TRIED_SCORE 10.0
+/* A leader doesn't hear the entries that are cut off or start, and they spend
+ * their part all the same. Before a word from it there may be many. */
+#define ENTRIES_MIN 20
+#define ENTRIES_UNTOLD 64
 /* Weight of the newest call in the share of failures. */
 #define FAILING_ALPHA 0.15
 
@@ -67,6 +71,12 @@
 	*failing += FAILING_ALPHA * ((failed ? 1.0 : 0.0) - *failing);
 }
 
+int64_t repeat_slack(int64_t all, uint64_t entries)
+{
+	return all /
+	       (int64_t)(entries ? MAX(entries, ENTRIES_MIN) : ENTRIES_UNTOLD);
+}
+
 void repeat_budget_init(struct repeat_budget *b, int64_t window_ms,
 			double ratio, int64_t slack)
 {
--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -48,6 +48,10 @@
 	uint32_t firsts[REPEAT_BUCKETS], repeats[REPEAT_BUCKETS];
 };
 
+/* An entry's part of the slack that all of them share. entries: the most that
+ * it was told of; 0: none yet. */
+int64_t repeat_slack(int64_t all, uint64_t entries);
+
 void repeat_budget_init(struct repeat_budget *b, int64_t window_ms,
 			double ratio, int64_t slack);
 void repeat_first(struct repeat_budget *b, int64_t now);
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -283,6 +283,7 @@
 	F(3, WIRE_BOOL, msg_fleet, whole),
 	L(4, msg_fleet, endpoints, fleet_endpoint_type),
 	L(5, msg_fleet, etas, fleet_eta_type),
+	F(6, WIRE_UINT, msg_fleet, entries),
 };
 static const struct wire_field model_demand_fields[] = {
 	F(1, WIRE_STR, model_demand, service),
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -314,6 +314,7 @@
 	bool whole;		    /* what isn't listed doesn't exist */
 	struct wire_list endpoints; /* struct fleet_endpoint */
 	struct wire_list etas;	    /* struct fleet_eta */
+	uint64_t entries;	    /* that the leader hears */
 };
 
 struct model_demand {
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -95,11 +95,24 @@
 	}
 }
 
+static uint64_t entries(const struct fleet_lead *l)
+{
+	GHashTableIter it;
+	uint64_t n = 0;
+	void *p;
+
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		n += ((struct fleet_peer *)p)->entry;
+	return n;
+}
+
 /* One frame for all of them: hundreds of entries get the same bytes. */
 static GString *push_frame(const struct fleet_lead *l, const struct push *p,
 			   bool whole)
 {
 	struct msg_fleet m = { .fence = l->fence,
+			       .entries = entries(l),
 			       .round = l->round,
 			       .whole = whole,
 			       .endpoints = { p->eps->data, p->eps->len },
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -206,20 +206,13 @@
 	log_info("send_failed",
 		 "request=%s endpoint=%s not_run=%d why=\"%s\" ms=%" PRId64,
 		 f->id, f->ep_id, not_run, why, gate_now(g) - f->sent_ms);
-	if (!not_run && !repeatable(f)) {
+	if (!not_run && !(repeatable(f) && sends_left(f))) {
 		if (f->started)
 			forward_end(f, false, why);
 		else
 			forward_refuse(f, 502, "lost", why, 0);
 		return;
 	}
-	if (!not_run && !sends_left(f)) {
-		if (f->started)
-			forward_end(f, false, why);
-		else
-			forward_refuse(f, 502, "endpoint", why, 0);
-		return;
-	}
 	if ((f->started ? f->deadline_ms : f->begin_by_ms) - gate_now(g) <
 	    BEGIN_MS) {
 		if (f->started)
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -3,9 +3,6 @@
 
 #include "../base/log.h"
 
-/* Entries that share the free repeats of the fleet; more of them than
- * serve one fleet today. Each may spend its part unasked. */
-#define ENTRIES_MAX 20
 /* Part of the allowed ratio that is spent: the rest covers requests that
  * are counted in another window than their repeats. */
 #define RATIO_SHARE 0.85
@@ -130,11 +127,27 @@
 	b = g_new0(struct repeat_budget, 1);
 	repeat_budget_init(b, g->o.retry_window_ms,
 			   g->o.retry_ratio * RATIO_SHARE,
-			   g->o.retry_slack / ENTRIES_MAX);
+			   repeat_slack(g->o.retry_slack, g->entries));
 	g_hash_table_insert(g->budgets, g_strdup(service), b);
 	return b;
 }
 
+/* Those that were once there may be cut off and spend their part: the number
+ * only grows. */
+void gate_note_entries(struct gate *g, uint64_t entries)
+{
+	GHashTableIter it;
+	void *b;
+
+	if (entries <= g->entries)
+		return;
+	g->entries = entries;
+	g_hash_table_iter_init(&it, g->budgets);
+	while (g_hash_table_iter_next(&it, NULL, &b))
+		((struct repeat_budget *)b)->slack =
+			repeat_slack(g->o.retry_slack, entries);
+}
+
 /* Callers. */
 
 static void on_request(void *arg, struct caller_call *c,
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -176,6 +176,7 @@
 	if (m->fence > g->fence)
 		g->round = 0;
 	g->fence = m->fence;
+	gate_note_entries(g, m->entries);
 	if (m->whole)
 		unlist_all(g);
 	for (size_t i = 0; i < m->endpoints.n; i++)
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -97,6 +97,7 @@
 	GHashTable *tickets; /* &ticket -> struct forward */
 	GHashTable *hists;   /* route name -> struct hist */
 	uint64_t seed, ticket, round, fence;
+	uint64_t entries; /* that share the repeats, the most told of */
 	bool fleet_known;
 	bool pumping;	/* a request that ends meanwhile pumps no more */
 	int64_t end_ms; /* of a planned stop; 0: none */
@@ -162,6 +163,7 @@
 void lane_remove(struct forward *f);
 /* Send what can be sent of the lanes of a service. */
 void gate_pump(struct gate *g, const char *service);
+void gate_note_entries(struct gate *g, uint64_t entries);
 struct repeat_budget *gate_budget(struct gate *g, const char *service);
 
 #endif
--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -99,8 +99,7 @@
 	e->n_replies = 1;
 }
 
-void script(struct fix *f, int i, const char *text, bool close,
-		   bool reset)
+void script(struct fix *f, int i, const char *text, bool close, bool reset)
 {
 	struct endpoint *e = &f->eps[i];
 
--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -154,6 +154,34 @@
 	assert_int_equal(taken, 3);
 }
 
+struct slack_case {
+	uint64_t entries; /* that share it */
+	uint64_t told;
+};
+
+/*
+ * Symptom: all entries together repeat more than the users allow. Sequence:
+ * a fleet with more entries than each of them counts on. Cause: a number of
+ * entries that is written down.
+ */
+static void entries_share_the_slack(void **state)
+{
+	static const struct slack_case cases[] = {
+		{ 4, 4 },   { 9, 3 },  { 20, 20 },
+		{ 31, 31 }, { 60, 0 }, { 690, 690 },
+	};
+	static const int64_t slacks[] = { 0, 5, 102, 1000 };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		for (size_t k = 0; k < G_N_ELEMENTS(slacks); k++)
+			assert_true((int64_t)cases[i].entries *
+					    repeat_slack(slacks[k],
+							 cases[i].told) <=
+				    slacks[k]);
+	assert_int_equal(repeat_slack(102, 4), 5);
+}
+
 struct events_case {
 	const char *label, *pieces[4];
 	const char *want;
@@ -286,6 +314,7 @@
 		cmocka_unit_test(the_best_is_chosen),
 		cmocka_unit_test(equals_share_the_calls),
 		cmocka_unit_test(repeats_keep_to_their_window),
+		cmocka_unit_test(entries_share_the_slack),
 		cmocka_unit_test(only_whole_events_pass),
 		cmocka_unit_test(highest_routing_wins),
 	};
