--- /dev/null
+++ b/src/core/state_store.c
@@ -0,0 +1,402 @@
+/* The replicated state: its tables, snapshots, and what is read of them. */
+#include "state_int.h"
+
+/* Records as owned copies: the strings are found by the wire table. */
+static void *rec_dup(const struct wire_type *t, const void *rec)
+{
+	char *copy = g_memdup2(rec, t->size);
+
+	for (size_t i = 0; i < t->n; i++) {
+		struct ss_str *s = (void *)(copy + t->fields[i].offset);
+
+		if (t->fields[i].kind == WIRE_STR)
+			s->p = ss_str_dup(*s);
+	}
+	return copy;
+}
+
+static void rec_free(const struct wire_type *t, void *rec)
+{
+	for (size_t i = 0; i < t->n; i++)
+		if (t->fields[i].kind == WIRE_STR)
+			g_free((char *)((struct ss_str *)((char *)rec +
+							  t->fields[i].offset))
+				       ->p);
+	g_free(rec);
+}
+
+static void free_preset(void *r)
+{
+	rec_free(&preset_wire, r);
+}
+
+static void free_model(void *r)
+{
+	rec_free(&model_wire, r);
+}
+
+static void free_node(void *r)
+{
+	rec_free(&node_wire, r);
+}
+
+static void free_replica(void *r)
+{
+	rec_free(&replica_wire, r);
+}
+
+static void free_claim(void *r)
+{
+	rec_free(&claim_wire, r);
+}
+
+static void free_change(void *r)
+{
+	rec_free(&change_wire, r);
+}
+
+static void free_routing(void *r)
+{
+	if (r)
+		rec_free(&routing_wire, r);
+}
+
+static guint claim_hash(const void *p)
+{
+	const struct ss_str *s = p;
+	guint h = 5381;
+
+	for (size_t i = 0; i < s->n; i++)
+		h = h * 33 + (unsigned char)s->p[i];
+	return h;
+}
+
+static gboolean claim_equal(const void *a, const void *b)
+{
+	return ss_str_eq(*(const struct ss_str *)a, *(const struct ss_str *)b);
+}
+
+static GHashTable *index_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     (GDestroyNotify)g_ptr_array_unref);
+}
+
+struct ss_state *ss_state_new(void)
+{
+	struct ss_state *s = g_new0(struct ss_state, 1);
+
+	s->presets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   free_preset);
+	s->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  free_model);
+	s->nodes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
+	s->replicas = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    free_replica);
+	s->by_node = index_new();
+	s->by_model = index_new();
+	s->claims = g_hash_table_new(claim_hash, claim_equal);
+	s->changes = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&s->claim_order);
+	g_queue_init(&s->history);
+	s->in_force = g_strdup("");
+	return s;
+}
+
+static void state_clear(struct ss_state *s)
+{
+	g_hash_table_remove_all(s->by_node);
+	g_hash_table_remove_all(s->by_model);
+	g_hash_table_remove_all(s->presets);
+	g_hash_table_remove_all(s->models);
+	g_hash_table_remove_all(s->nodes);
+	g_hash_table_remove_all(s->replicas);
+	g_hash_table_remove_all(s->claims);
+	g_hash_table_remove_all(s->changes);
+	g_queue_clear_full(&s->claim_order, free_claim);
+	g_queue_clear_full(&s->history, free_change);
+	g_free(s->in_force);
+	s->in_force = g_strdup("");
+	s->config_version = 0;
+	g_clear_pointer(&s->routing, free_routing);
+}
+
+void ss_state_free(struct ss_state *s)
+{
+	if (!s)
+		return;
+	state_clear(s);
+	g_hash_table_unref(s->by_node);
+	g_hash_table_unref(s->by_model);
+	g_hash_table_unref(s->presets);
+	g_hash_table_unref(s->models);
+	g_hash_table_unref(s->nodes);
+	g_hash_table_unref(s->replicas);
+	g_hash_table_unref(s->claims);
+	g_hash_table_unref(s->changes);
+	g_free(s->in_force);
+	g_free(s);
+}
+
+static void index_add(GHashTable *index, const char *name,
+		      struct replica_rec *r)
+{
+	GPtrArray *list = g_hash_table_lookup(index, name);
+
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(index, g_strdup(name), list);
+	}
+	g_ptr_array_add(list, r);
+}
+
+static void index_remove(GHashTable *index, const char *name,
+			 struct replica_rec *r)
+{
+	GPtrArray *list = g_hash_table_lookup(index, name);
+
+	if (!list)
+		return;
+	g_ptr_array_remove(list, r);
+	if (list->len == 0)
+		g_hash_table_remove(index, name);
+}
+
+void state_put_preset(struct ss_state *s, const struct preset_rec *p)
+{
+	struct preset_rec *copy = rec_dup(&preset_wire, p);
+
+	g_hash_table_replace(s->presets, (char *)copy->name.p, copy);
+}
+
+void state_put_model(struct ss_state *s, const struct model_rec *m)
+{
+	struct model_rec *copy = rec_dup(&model_wire, m);
+
+	g_hash_table_replace(s->models, (char *)copy->name.p, copy);
+}
+
+void state_put_node(struct ss_state *s, const struct node_rec *n)
+{
+	struct node_rec *copy = rec_dup(&node_wire, n);
+
+	g_hash_table_replace(s->nodes, (char *)copy->name.p, copy);
+}
+
+void state_put_replica(struct ss_state *s, const struct replica_rec *r)
+{
+	struct replica_rec *copy = rec_dup(&replica_wire, r);
+
+	g_hash_table_insert(s->replicas, &copy->id, copy);
+	index_add(s->by_node, copy->node.p, copy);
+	index_add(s->by_model, copy->model.p, copy);
+}
+
+void state_drop_replica(struct ss_state *s, struct replica_rec *r)
+{
+	index_remove(s->by_node, r->node.p, r);
+	index_remove(s->by_model, r->model.p, r);
+	g_hash_table_remove(s->replicas, &r->id);
+}
+
+void state_drop_claim(struct ss_state *s, struct claim_rec *c)
+{
+	g_hash_table_remove(s->claims, &c->key);
+	free_claim(c);
+}
+
+void state_put_claim(struct ss_state *s, const struct claim_rec *c)
+{
+	struct claim_rec *copy = rec_dup(&claim_wire, c);
+	struct claim_rec *old;
+
+	/* A key is bytes, so the copy by length matters. */
+	memcpy((char *)copy->key.p, c->key.p, c->key.n);
+	g_hash_table_insert(s->claims, &copy->key, copy);
+	g_queue_push_tail(&s->claim_order, copy);
+	while ((old = g_queue_peek_head(&s->claim_order)) &&
+	       (s->claim_order.length > STATE_CLAIMS_MAX ||
+		old->at_ms < c->at_ms - STATE_CLAIM_AGE_MS)) {
+		g_queue_pop_head(&s->claim_order);
+		state_drop_claim(s, old);
+	}
+}
+
+void state_put_change(struct ss_state *s, const struct change_rec *c)
+{
+	struct change_rec *copy = rec_dup(&change_wire, c);
+
+	if (copy->id.n)
+		g_hash_table_insert(s->changes, (char *)copy->id.p, copy);
+	g_queue_push_tail(&s->history, copy);
+	while (s->history.length > STATE_CHANGES_MAX) {
+		struct change_rec *old = g_queue_pop_head(&s->history);
+
+		if (g_hash_table_lookup(s->changes, old->id.p) == old)
+			g_hash_table_remove(s->changes, old->id.p);
+		free_change(old);
+	}
+}
+
+void state_put_routing(struct ss_state *s, const struct routing_rec *r)
+{
+	struct routing_rec *copy = rec_dup(&routing_wire, r);
+
+	free_routing(s->routing);
+	s->routing = copy;
+}
+
+/* Records in one array, as a list is encoded; items are shallow copies. */
+static struct wire_list collect(GList *recs, const struct wire_type *t)
+{
+	struct wire_list l = { 0 };
+	size_t i = 0;
+
+	l.n = g_list_length(recs);
+	l.items = g_malloc0(MAX(l.n, 1) * t->size);
+	for (GList *p = recs; p; p = p->next)
+		memcpy((char *)l.items + t->size * i++, p->data, t->size);
+	return l;
+}
+
+static struct wire_list collect_table(GHashTable *h, const struct wire_type *t)
+{
+	GList *recs = g_hash_table_get_values(h);
+	struct wire_list l = collect(recs, t);
+
+	g_list_free(recs);
+	return l;
+}
+
+GString *ss_state_snapshot(const struct ss_state *s)
+{
+	struct image im = { .in_force = ss_str(s->in_force),
+			    .config_version = s->config_version };
+	GString *out;
+
+	im.presets = collect_table(s->presets, &preset_wire);
+	im.models = collect_table(s->models, &model_wire);
+	im.nodes = collect_table(s->nodes, &node_wire);
+	im.replicas = collect_table(s->replicas, &replica_wire);
+	im.claims = collect(s->claim_order.head, &claim_wire);
+	im.changes = collect(s->history.head, &change_wire);
+	im.routing = (struct wire_list){ s->routing, s->routing != NULL };
+	out = wire_encode(&image_wire, &im);
+	g_free(im.presets.items);
+	g_free(im.models.items);
+	g_free(im.nodes.items);
+	g_free(im.replicas.items);
+	g_free(im.claims.items);
+	g_free(im.changes.items);
+	return out;
+}
+
+bool ss_state_restore(struct ss_state *s, struct ss_str bytes)
+{
+	struct wire_buf buf;
+	struct image im;
+	bool ok = wire_decode(&buf, bytes, &image_wire, &im);
+
+	if (!ok)
+		goto out;
+	state_clear(s);
+	g_free(s->in_force);
+	s->in_force = ss_str_dup(im.in_force);
+	s->config_version = im.config_version;
+	for (size_t i = 0; i < im.presets.n; i++)
+		state_put_preset(s, (struct preset_rec *)im.presets.items + i);
+	for (size_t i = 0; i < im.models.n; i++)
+		state_put_model(s, (struct model_rec *)im.models.items + i);
+	for (size_t i = 0; i < im.nodes.n; i++)
+		state_put_node(s, (struct node_rec *)im.nodes.items + i);
+	for (size_t i = 0; i < im.replicas.n; i++)
+		state_put_replica(s, (struct replica_rec *)im.replicas.items + i);
+	for (size_t i = 0; i < im.claims.n; i++)
+		state_put_claim(s, (struct claim_rec *)im.claims.items + i);
+	for (size_t i = 0; i < im.changes.n; i++)
+		state_put_change(s, (struct change_rec *)im.changes.items + i);
+	if (im.routing.n)
+		state_put_routing(s, im.routing.items);
+out:
+	wire_done(&buf);
+	return ok;
+}
+
+const struct preset_rec *ss_state_in_force(const struct ss_state *s)
+{
+	return g_hash_table_lookup(s->presets, s->in_force);
+}
+
+uint64_t ss_state_config_version(const struct ss_state *s)
+{
+	return s->config_version;
+}
+
+const struct routing_rec *ss_state_routing(const struct ss_state *s)
+{
+	return s->routing;
+}
+
+const struct preset_rec *ss_state_preset(const struct ss_state *s,
+					 const char *name)
+{
+	return g_hash_table_lookup(s->presets, name);
+}
+
+const struct model_rec *ss_state_model(const struct ss_state *s,
+				       const char *name)
+{
+	return g_hash_table_lookup(s->models, name);
+}
+
+const struct node_rec *ss_state_node(const struct ss_state *s, const char *name)
+{
+	return g_hash_table_lookup(s->nodes, name);
+}
+
+const struct replica_rec *ss_state_replica(const struct ss_state *s,
+					   uint64_t id)
+{
+	return g_hash_table_lookup(s->replicas, &id);
+}
+
+GHashTable *ss_state_presets(const struct ss_state *s)
+{
+	return s->presets;
+}
+
+GHashTable *ss_state_models(const struct ss_state *s)
+{
+	return s->models;
+}
+
+GHashTable *ss_state_nodes(const struct ss_state *s)
+{
+	return s->nodes;
+}
+
+GHashTable *ss_state_replicas(const struct ss_state *s)
+{
+	return s->replicas;
+}
+
+GQueue *ss_state_history(const struct ss_state *s)
+{
+	return (GQueue *)&s->history;
+}
+
+GPtrArray *ss_state_node_replicas(const struct ss_state *s, const char *node)
+{
+	return g_hash_table_lookup(s->by_node, node);
+}
+
+GPtrArray *ss_state_model_replicas(const struct ss_state *s, const char *model)
+{
+	return g_hash_table_lookup(s->by_model, model);
+}
+
+size_t ss_state_claims(const struct ss_state *s)
+{
+	return s->claim_order.length;
+}
