--- a/src/core/state_store.c
+++ b/src/core/state_store.c
@@ -311,7 +311,8 @@
 	for (size_t i = 0; i < im.nodes.n; i++)
 		state_put_node(s, (struct node_rec *)im.nodes.items + i);
 	for (size_t i = 0; i < im.replicas.n; i++)
-		state_put_replica(s, (struct replica_rec *)im.replicas.items + i);
+		state_put_replica(s,
+				  (struct replica_rec *)im.replicas.items + i);
 	for (size_t i = 0; i < im.claims.n; i++)
 		state_put_claim(s, (struct claim_rec *)im.claims.items + i);
 	for (size_t i = 0; i < im.changes.n; i++)
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -169,6 +169,12 @@
 	       now - ep->report_ms < FLEET_REPORT_MS && fleet_ep_usable(l, ep);
 }
 
+/* An order that this leader didn't give is being carried out. */
+static bool is_engaged(const struct fleet_lead *l, const struct fleet_ep *ep)
+{
+	return !ep->step.on && fleet_ep_reported(l, ep) && ep->report.busy;
+}
+
 static void add_node(struct view *w, struct fleet_ep *ep)
 {
 	struct fleet_node n = { .domain = ep->domain,
@@ -180,7 +186,7 @@
 	uint8_t *tiers = g_new0(uint8_t, w->models->len + 1);
 
 	n.places = g_array_new(FALSE, FALSE, sizeof(struct fleet_place));
-	n.engaged = ep->reported && ep->report.busy && !ep->step.on;
+	n.engaged = is_engaged(w->l, ep);
 	n.free = can_take_step(w->l, ep, w->now);
 	n.tier = tiers;
 	if (ep->reported)
@@ -458,9 +464,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct fleet_ep *ep = p;
 
-		n += ep->step.on ? ep->step.sent &&
-					   ep->step.plan.tier == TIER_REMOTE :
-				   ep->reported && ep->report.busy;
+		n += is_engaged(l, ep) || (ep->step.on && ep->step.sent &&
+					   ep->step.plan.tier == TIER_REMOTE);
 	}
 	return n;
 }
