Send a routing to entries first, and a megabyte at a time

In the logs: acknowledged at 24.774 s, first entry 24.85, another leader at 25.35, last entry 27.82. The link was kept for more than the 0.9 s of silence after which a peer is dead. Ruled out: reading it on a slow VM (entries after the change of leader read it within 0.1 s of each other). Change: at most a megabyte in flight; agents after all entries.

--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -15,6 +15,10 @@
 /* Load alone is told this often: entries add what they send themselves. */
 #define LOAD_EVERY_MS 200
 #define PLAN_EVERY_MS 50
+/* Bytes of routings on their way to peers at a time: a tenth of a second of
+ * a link of 100 Mbit/s, and a ninth of the time in which a heartbeat has to
+ * come. */
+#define ROUTING_FLIGHT (1u << 20)
 /* What an entry said of its queue holds for so long. */
 #define WANT_MS 3000
 
@@ -145,16 +149,57 @@
 	l->preset_version = ss_state_config_version(s);
 }
 
-static void send_routing(struct fleet_lead *l, struct fleet_peer *p)
+static size_t routing_in_flight(const struct fleet_lead *l)
 {
-	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
-	struct msg_routing m;
+	GHashTableIter it;
+	size_t n = 0;
+	void *p;
 
-	if (!p->confirmed || !rec || p->routing_sent >= rec->version)
-		return;
-	m = (struct msg_routing){ rec->version, rec->body };
-	if (conn_send(p->conn, MSG_ROUTING, &m))
-		p->routing_sent = rec->version;
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		n += conn_backlog(((struct fleet_peer *)p)->conn);
+	return n;
+}
+
+static bool send_routing(struct fleet_peer *p, const struct routing_rec *rec)
+{
+	struct msg_routing m = { rec->version, rec->body };
+
+	if (!conn_send(p->conn, MSG_ROUTING, &m))
+		return false;
+	p->routing_sent = rec->version;
+	return true;
+}
+
+/*
+ * Entries first, agents once all of those are served, and never much at a
+ * time: a large routing to all at once keeps the link so long that heartbeats
+ * come too late, and the leader is taken for dead in the middle of it.
+ */
+static void send_routings(struct fleet_lead *l)
+{
+	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
+	size_t flight = routing_in_flight(l);
+	bool left = false;
+
+	for (int agents = 0; rec && !left && agents < 2; agents++) {
+		GHashTableIter it;
+		void *v;
+
+		g_hash_table_iter_init(&it, l->peers);
+		while (g_hash_table_iter_next(&it, NULL, &v)) {
+			struct fleet_peer *p = v;
+
+			if (p->entry == (bool)agents || !p->confirmed ||
+			    p->routing_sent >= rec->version)
+				continue;
+			if (flight < ROUTING_FLIGHT && send_routing(p, rec))
+				flight += rec->body.n;
+			else
+				left = true;
+		}
+	}
+	l->routing_left = left;
 }
 
 /* Connections. */
@@ -174,7 +219,7 @@
 		p = g_hash_table_lookup(k->l->peers, k->conn);
 		if (p) {
 			p->confirmed = true;
-			send_routing(k->l, p);
+			send_routings(k->l);
 			k->l->dirty = k->l->urgent = true;
 		}
 	}
@@ -444,13 +489,9 @@
 static void on_applied(void *arg)
 {
 	struct fleet_lead *l = arg;
-	GHashTableIter it;
-	void *p;
 
 	read_state(l);
-	g_hash_table_iter_init(&it, l->peers);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		send_routing(l, p);
+	send_routings(l);
 	l->dirty = true;
 }
 
@@ -484,6 +525,8 @@
 		fleet_steps_plan(l, now);
 	}
 	fleet_steps_run(l, now);
+	if (l->routing_left)
+		send_routings(l);
 	if (!l->dirty || (!loads && now - l->push_ms < PUSH_EVERY_MS))
 		return;
 	l->dirty = false;
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -92,6 +92,7 @@
 	int64_t since_ms, plan_ms, push_ms, load_push_ms;
 	bool list_seen;
 	bool dirty, urgent;
+	bool routing_left; /* peers that have yet to be sent it */
 	struct fleet_store store;
 	double store_tokens;
 	int64_t store_ms;
