Remove what nothing calls any more

Cause: read over; a search for functions, fields and constants without a use found ten: a setting that no file sets, counters of callers, the port of an HTTP server, the log's size, an engine's fence from outside (only its test raised it), the weights' size in an order (the agent takes it from the routing). Ruled out: readers by offset tables or by the public headers; those stay. Change: they are gone; looking up a service by its name stands once (routing_service). The test of a refused fence raises it as a leader does, by a step, with its assertion unchanged. Conclusion: behaviour as before.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -65,7 +65,6 @@
 	double retry_ratio;    /* repeats against first sends, per window */
 	int64_t retry_window_ms;
 	int64_t retry_slack; /* repeats that are free, for all together */
-	int64_t lease_ms;    /* least pause between orders of two holders */
 };
 
 struct config {
--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -86,16 +86,6 @@
 	e->service = s;
 }
 
-void engine_set_fence(struct engine *e, uint64_t fence)
-{
-	e->fence = MAX(e->fence, fence);
-}
-
-uint64_t engine_fence(const struct engine *e)
-{
-	return e->fence;
-}
-
 bool engine_asking(const struct engine *e)
 {
 	return e->asking;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -51,9 +51,6 @@
 /* Sizes of models, from the routing in force; NULL while none is known. */
 void engine_set_service(struct engine *e, const struct routing_service *s);
 
-/* A leader with this fence is known; older steps are refused from now on. */
-void engine_set_fence(struct engine *e, uint64_t fence);
-
 /*
  * What the engine reports; asked for after the last order was answered. The
  * report stays the caller's and must live until the next one or the end.
@@ -77,6 +74,5 @@
 bool engine_busy(const struct engine *e);
 /* An order is out, so a report now could be older than its effect. */
 bool engine_asking(const struct engine *e);
-uint64_t engine_fence(const struct engine *e);
 
 #endif
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -243,9 +243,10 @@
 	L(14, msg_endpoint, on_disk, name_type),
 };
 static const struct wire_field load_fields[] = {
-	F(1, WIRE_UINT, msg_load, fence),     F(2, WIRE_UINT, msg_load, step),
-	L(3, msg_load, unload, name_type),    F(4, WIRE_STR, msg_load, load),
-	F(5, WIRE_INT, msg_load, weights_mb),
+	F(1, WIRE_UINT, msg_load, fence),
+	F(2, WIRE_UINT, msg_load, step),
+	L(3, msg_load, unload, name_type),
+	F(4, WIRE_STR, msg_load, load),
 };
 static const struct wire_field loaded_fields[] = {
 	F(1, WIRE_UINT, msg_loaded, fence),  F(2, WIRE_UINT, msg_loaded, step),
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -281,7 +281,6 @@
 	uint64_t step;		 /* echoed */
 	struct wire_list unload; /* struct name_item */
 	struct ss_str load;	 /* empty: nothing */
-	int64_t weights_mb;	 /* of what is loaded */
 };
 
 struct msg_loaded {
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -225,6 +225,15 @@
 	return -1;
 }
 
+const struct routing_service *routing_service(const struct routing *r,
+					      const char *name)
+{
+	int at = routing_service_index(r, name);
+
+	return at < 0 ? NULL :
+			&g_array_index(r->services, struct routing_service, at);
+}
+
 static bool begins(struct ss_str path, const char *prefix)
 {
 	size_t n = strlen(prefix);
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -90,6 +90,9 @@
 
 /* Index of a service by name; -1 for none. */
 int routing_service_index(const struct routing *r, const char *name);
+/* The same, as a pointer; NULL where none has the name. */
+const struct routing_service *routing_service(const struct routing *r,
+					      const char *name);
 
 /* The route with the longest prefix of the path; NULL for none. */
 const struct routing_route *
@@ -103,10 +106,4 @@
 const struct routing_model *routing_model(const struct routing_service *s,
 					  const char *name);
 
-/* May run again after it may have run. */
-static inline bool routing_repeatable(const struct routing_route *rt)
-{
-	return rt->kind == ROUTE_SAFE;
-}
-
 #endif
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -392,7 +392,6 @@
 	if (!p)
 		return;
 	p->round = MAX(p->round, m->round);
-	p->routing = m->routing;
 	for (size_t i = 0; i < m->models.n; i++)
 		take_wait(l, c, &d[i]);
 	take_calls(l, c, &m->calls);
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -71,10 +71,10 @@
 struct fleet_peer {
 	struct conn *conn;
 	bool entry;
-	bool confirmed; /* a majority has answered since it came */
-	bool whole;	/* has been sent the whole fleet */
-	uint64_t routing_sent, routing;
-	uint64_t round; /* confirmed */
+	bool confirmed;	       /* a majority has answered since it came */
+	bool whole;	       /* has been sent the whole fleet */
+	uint64_t routing_sent; /* version */
+	uint64_t round;	       /* confirmed */
 };
 
 struct fleet_lead {
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -303,12 +303,10 @@
 	g_hash_table_iter_init(&it, l->eps);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct fleet_ep *ep = p;
-		int at = routing_service_index(l->routing, ep->service);
+		const struct routing_service *s =
+			routing_service(l->routing, ep->service);
 
-		if (ep->listed && !ep->conn && at >= 0 &&
-		    g_array_index(l->routing->services, struct routing_service,
-				  at)
-			    .engine)
+		if (ep->listed && !ep->conn && s && s->engine)
 			return false;
 	}
 	return true;
@@ -439,18 +437,13 @@
 	return victim_calls(ep) == 0;
 }
 
-static double load_mb(const struct fleet_lead *l, const struct fleet_ep *ep)
+/* Its model may have left the routing since it was planned. */
+static bool is_known(const struct fleet_lead *l, const struct fleet_ep *ep)
 {
-	int at = l->routing ? routing_service_index(l->routing, ep->service) :
-			      -1;
-	const struct routing_model *m =
-		at < 0 ? NULL :
-			 routing_model(&g_array_index(l->routing->services,
-						      struct routing_service,
-						      at),
-				       ep->step.load);
+	const struct routing_service *s =
+		l->routing ? routing_service(l->routing, ep->service) : NULL;
 
-	return m ? m->weights_mb : -1;
+	return s && routing_model(s, ep->step.load);
 }
 
 /* Loads from the store that run now. */
@@ -494,14 +487,12 @@
 {
 	struct step_run *s = &ep->step;
 	GArray *names = fleet_wire_names(s->unload);
-	double mb = load_mb(l, ep);
 	struct msg_load m = { .fence = l->fence,
 			      .step = s->number,
-			      .load = ss_str(s->load),
-			      .weights_mb = (int64_t)(mb + 1) };
+			      .load = ss_str(s->load) };
 
 	m.unload = (struct wire_list){ names->data, names->len };
-	if (mb >= 0 && conn_send(ep->conn, MSG_LOAD, &m)) {
+	if (is_known(l, ep) && conn_send(ep->conn, MSG_LOAD, &m)) {
 		s->sent = true;
 		s->sent_ms = now;
 		s->beside = from_store(l);
--- a/src/disk/disk.c
+++ b/src/disk/disk.c
@@ -629,8 +629,3 @@
 	g_string_free(members, TRUE);
 	return ok;
 }
-
-uint64_t disk_log_bytes(const struct disk *d)
-{
-	return d->end;
-}
--- a/src/disk/disk.h
+++ b/src/disk/disk.h
@@ -75,7 +75,4 @@
 			const struct ss_raft_entry *rest, size_t n,
 			GError **error);
 
-/* Bytes in the log file. */
-uint64_t disk_log_bytes(const struct disk *d);
-
 #endif
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -1,8 +1,6 @@
 /* HTTP servers and client. */
 #include "http.h"
 
-#include "addr.h"
-
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/listener.h>
@@ -16,7 +14,6 @@
 struct http_server {
 	struct http_server_options o;
 	struct evhttp *http;
-	struct evhttp_bound_socket *socket;
 };
 
 int http_status(enum ss_error code)
@@ -109,6 +106,7 @@
 	struct http_server *s = g_new0(struct http_server, 1);
 	char *ip = NULL;
 	uint16_t port = 0;
+	bool bound;
 
 	s->o = *o;
 	s->http = evhttp_new(o->base);
@@ -121,10 +119,10 @@
 	/* A half-sent request may not hold a connection for ever. */
 	evhttp_set_timeout(s->http, SERVER_TIMEOUT_S);
 	evhttp_set_gencb(s->http, on_request, s);
-	if (http_split_addr(o->addr, &ip, &port))
-		s->socket = evhttp_bind_socket_with_handle(s->http, ip, port);
+	bound = http_split_addr(o->addr, &ip, &port) &&
+		evhttp_bind_socket(s->http, ip, port) == 0;
 	g_free(ip);
-	if (s->socket)
+	if (bound)
 		return s;
 	g_set_error(error, SS_ERROR, SS_ERROR_IO, "listen on %s: %s", o->addr,
 		    g_strerror(errno));
@@ -140,11 +138,6 @@
 	g_free(s);
 }
 
-uint16_t http_server_port(const struct http_server *s)
-{
-	return addr_port(evhttp_bound_socket_get_fd(s->socket));
-}
-
 void http_reply(struct evhttp_request *req, int status, const char *type,
 		struct ss_str body)
 {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -29,7 +29,6 @@
 struct http_server *http_server_new(const struct http_server_options *o,
 				    GError **error);
 void http_server_free(struct http_server *s);
-uint16_t http_server_port(const struct http_server *s);
 
 void http_reply(struct evhttp_request *req, int status, const char *type,
 		struct ss_str body);
--- a/src/proxy/callers.c
+++ b/src/proxy/callers.c
@@ -269,11 +269,6 @@
 	return c->peer->head;
 }
 
-bool caller_call_started(const struct caller_call *c)
-{
-	return c->started;
-}
-
 size_t caller_call_backlog(const struct caller_call *c)
 {
 	return evbuffer_get_length(bufferevent_get_output(c->peer->bev));
@@ -427,11 +422,6 @@
 	return n;
 }
 
-size_t callers_count(const struct callers *s)
-{
-	return g_hash_table_size(s->peers);
-}
-
 static void tidy(struct peer *p, int64_t now)
 {
 	const struct callers_limits *l = &p->s->o.limits;
--- a/src/proxy/callers.h
+++ b/src/proxy/callers.h
@@ -51,7 +51,6 @@
 void callers_close(struct callers *s);
 /* Connections that have a request or unwritten bytes. */
 size_t callers_busy(const struct callers *s);
-size_t callers_count(const struct callers *s);
 /* Close what rested or dawdled too long; to be called now and then. */
 void callers_tidy(struct callers *s);
 
@@ -68,7 +67,6 @@
  * caller can tell. c is freed.
  */
 void caller_call_end(struct caller_call *c, bool whole);
-bool caller_call_started(const struct caller_call *c);
 /* Bytes that wait for a caller who reads slowly. */
 size_t caller_call_backlog(const struct caller_call *c);
 
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -68,7 +68,7 @@
 	const char *why;
 	/* The answer. */
 	int status;
-	bool is_events, started, whole_length;
+	bool is_events, started;
 	GString *headers; /* to be passed on */
 	GString *held;	  /* bytes kept back until the answer is sure */
 	int64_t length;
--- a/test/test_engine.c
+++ b/test/test_engine.c
@@ -227,6 +227,7 @@
 /* After the engine refused a fence, nothing is ordered with it again. */
 static void refused_fence_isnt_used_again(void **state)
 {
+	struct engine_step newer = { .fence = 12, .step = 1 };
 	struct fix f;
 
 	(void)state;
@@ -238,8 +239,7 @@
 	engine_answered(f.e, FLEET_ORDER_FENCED, f.now);
 	report(&f, 0, "big");
 	expect(&f, "");
-	engine_set_fence(f.e, 12);
-	report(&f, 0, "big");
+	engine_step(f.e, &newer, f.now);
 	expect(&f, "load big/a1 @0 #12;");
 	fix_close(&f);
 }
