Choose who is sent a routing in pure code; don't let silent peers hold up the rest

Cause: the pacing walked all peers for each one that was confirmed, and counted bytes that wait for a silent peer: five of those, and nobody else was sent the routing for the 0.9 s until they are given up. Found by reading; not seen. Ruled out: a bound for each peer alone, which lets a hundred fill the link. Change: spread_choose() decides, once a tick; a copy that is older than 250 ms doesn't count; an entry that has told that it holds the version isn't sent it. Test: test_spread ('peers that are silent don't hold up the rest').

--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -4,6 +4,7 @@
 #include <json-c/json.h>
 
 #include "../../platform/platform.h"
+#include "../core/spread.h"
 
 /* How often the list is read: a third of the time in which a leaving
  * endpoint must be left, so that one lost answer does no harm. */
@@ -15,10 +16,6 @@
 /* Load alone is told this often: entries add what they send themselves. */
 #define LOAD_EVERY_MS 200
 #define PLAN_EVERY_MS 50
-/* Bytes of routings on their way to peers at a time: a tenth of a second of
- * a link of 100 Mbit/s, and a ninth of the time in which a heartbeat has to
- * come. */
-#define ROUTING_FLIGHT (1u << 20)
 /* What an entry said of its queue holds for so long. */
 #define WANT_MS 3000
 
@@ -149,57 +146,43 @@
 	l->preset_version = ss_state_config_version(s);
 }
 
-static size_t routing_in_flight(const struct fleet_lead *l)
+/* To those that haven't got it, some at a time; the rest at the next ticks. */
+static void send_routings(struct fleet_lead *l)
 {
+	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
+	guint n = g_hash_table_size(l->peers);
+	struct spread_peer *all = g_new0(struct spread_peer, n + 1);
+	struct msg_routing m = { 0 };
+	int64_t now = fleet_lead_now(l);
 	GHashTableIter it;
-	size_t n = 0;
-	void *p;
+	void *v;
 
+	if (rec)
+		m = (struct msg_routing){ rec->version, rec->body };
 	g_hash_table_iter_init(&it, l->peers);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		n += conn_backlog(((struct fleet_peer *)p)->conn);
-	return n;
-}
-
-static bool send_routing(struct fleet_peer *p, const struct routing_rec *rec)
-{
-	struct msg_routing m = { rec->version, rec->body };
+	for (guint i = 0; g_hash_table_iter_next(&it, NULL, &v); i++) {
+		const struct fleet_peer *p = v;
 
-	if (!conn_send(p->conn, MSG_ROUTING, &m))
-		return false;
-	p->routing_sent = rec->version;
-	return true;
-}
+		all[i].first = p->entry;
+		all[i].needs = p->confirmed && p->routing_sent < m.version;
+		all[i].backlog = conn_backlog(p->conn);
+		all[i].sent_ms = p->routing_ms;
+	}
+	l->routing_left = spread_choose(all, n, m.body.n, now);
+	g_hash_table_iter_init(&it, l->peers);
+	for (guint i = 0; g_hash_table_iter_next(&it, NULL, &v); i++) {
+		struct fleet_peer *p = v;
 
-/*
- * Entries first, agents once all of those are served, and never much at a
- * time: a large routing to all at once keeps the link so long that heartbeats
- * come too late, and the leader is taken for dead in the middle of it.
- */
-static void send_routings(struct fleet_lead *l)
-{
-	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
-	size_t flight = routing_in_flight(l);
-	bool left = false;
-
-	for (int agents = 0; rec && !left && agents < 2; agents++) {
-		GHashTableIter it;
-		void *v;
-
-		g_hash_table_iter_init(&it, l->peers);
-		while (g_hash_table_iter_next(&it, NULL, &v)) {
-			struct fleet_peer *p = v;
-
-			if (p->entry == (bool)agents || !p->confirmed ||
-			    p->routing_sent >= rec->version)
-				continue;
-			if (flight < ROUTING_FLIGHT && send_routing(p, rec))
-				flight += rec->body.n;
-			else
-				left = true;
+		if (!all[i].send)
+			continue;
+		if (conn_send(p->conn, MSG_ROUTING, &m)) {
+			p->routing_sent = m.version;
+			p->routing_ms = now;
+		} else {
+			l->routing_left = true;
 		}
 	}
-	l->routing_left = left;
+	g_free(all);
 }
 
 /* Connections. */
@@ -219,7 +202,7 @@
 		p = g_hash_table_lookup(k->l->peers, k->conn);
 		if (p) {
 			p->confirmed = true;
-			send_routings(k->l);
+			k->l->routing_left = true;
 			k->l->dirty = k->l->urgent = true;
 		}
 	}
@@ -392,6 +375,8 @@
 	if (!p)
 		return;
 	p->round = MAX(p->round, m->round);
+	/* It has it from an earlier leader. */
+	p->routing_sent = MAX(p->routing_sent, m->routing);
 	for (size_t i = 0; i < m->models.n; i++)
 		take_wait(l, c, &d[i]);
 	take_calls(l, c, &m->calls);
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -74,6 +74,7 @@
 	bool confirmed;	       /* a majority has answered since it came */
 	bool whole;	       /* has been sent the whole fleet */
 	uint64_t routing_sent; /* version */
+	int64_t routing_ms;    /* when */
 	uint64_t round;	       /* confirmed */
 };
 
@@ -92,7 +93,7 @@
 	int64_t since_ms, plan_ms, push_ms, load_push_ms;
 	bool list_seen;
 	bool dirty, urgent;
-	bool routing_left; /* peers that have yet to be sent it */
+	bool routing_left; /* some peers have yet to be sent it */
 	struct fleet_store store;
 	double store_tokens;
 	int64_t store_ms;
