Split what nodes tell a leader from what it does

Ruled out: moving entries as well; they share the tables' life. Change: lead_nodes.c; the leader's clock is read in one place. Conclusion: behaviour as before.

--- a/src/daemon/lead_int.h
+++ b/src/daemon/lead_int.h
@@ -83,6 +83,17 @@
 	struct hist *load_hist;
 };
 
+/* Who waits for an answer of the group. */
+struct lead_asked {
+	struct lead *l;
+	struct conn *conn; /* NULL where none waits */
+};
+
+static inline int64_t lead_now(const struct lead *l)
+{
+	return ss_clock_now(&l->d->clock);
+}
+
 /*
  * Whether the leadership that proposed a change goes on, so that its
  * tables may still be used in the answer.
@@ -99,6 +110,11 @@
 /* The record that a name means: itself, or "base:adapter". */
 const struct model_rec *lead_resolve(const struct lead *l, const char *name);
 
+/* lead_nodes.c */
+void lead_take_register(struct lead *l, struct conn *c,
+			const struct msg_register *m);
+void lead_take_report(struct lead *l, struct conn *c,
+		      const struct msg_report *m);
 /* lead_plan.c */
 void lead_plan(struct lead *l, int64_t now);
 /* lead_route.c */
--- a/src/daemon/lead_route.c
+++ b/src/daemon/lead_route.c
@@ -45,7 +45,7 @@
 {
 	const struct model_rec *rec = lead_resolve(l, m->name);
 	GPtrArray *list;
-	int64_t now = ss_clock_now(&l->d->clock);
+	int64_t now = lead_now(l);
 
 	if (!rec) {
 		route->code = SS_ERROR_UNKNOWN_MODEL;
--- a/src/daemon/lead_status.c
+++ b/src/daemon/lead_status.c
@@ -3,11 +3,6 @@
 
 #include <json-c/json.h>
 
-static int64_t now_ms(const struct lead *l)
-{
-	return ss_clock_now(&l->d->clock);
-}
-
 static void add_text(json_object *o, const char *key, struct ss_str s)
 {
 	json_object_object_add(
@@ -122,7 +117,7 @@
 	struct lead_model *m;
 	json_object *o, *list;
 	GPtrArray *replicas;
-	int64_t now = now_ms(l);
+	int64_t now = lead_now(l);
 
 	if (!rec)
 		return NULL;
