--- a/src/daemon/fleet_agent.c
+++ b/src/daemon/fleet_agent.c
@@ -8,6 +8,8 @@
 #include "../net/keep.h"
 #include "daemon.h"
 
+/* Reading is begun and steps go on this often, so a busy engine is read at
+ * each tick. */
 #define TICK_MS 20
 /* Reports are free on the engine's own VM, but cost processor time. */
 #define READ_BUSY_MS 20
--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -5,6 +5,8 @@
 #include "../vmlist/instances.h"
 #include "daemon.h"
 
+/* Deadlines and waits are looked at this often: a sixth of the time that the
+ * shortest answer needs. */
 #define TICK_MS 10
 /* Demand is told this often where it changes, and at once where a model
  * leaves or is waited for. */
@@ -16,10 +18,14 @@
  * that start together would use up what the list takes, and keep the new
  * leader from reading it. */
 #define STARTING_MS 4000
+/* With the time before, a leaving endpoint is left within 2.2 s. */
 #define LIST_EVERY_MS 1000
+/* Pause between two tries to reach an agent; half of the longest wait for an
+ * adapter, so that one lost try leaves another. */
 #define AGENT_RETRY_MS 200
 /* A connection to an agent that nobody used for so long is closed. */
 #define AGENT_IDLE_MS 60000
+/* Looked for this often: exact to a sixth of that. */
 #define AGENT_CHECK_MS 10000
 /* After SIGTERM callers still come for so long: the platform asks once a
  * second whether this entry is ready, and acts on the second refusal. */
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -15,6 +15,8 @@
 #define PUSH_EVERY_MS 20
 /* Load alone is told this often: entries add what they send themselves. */
 #define LOAD_EVERY_MS 200
+/* At least so often is planned: a seventh of a load from disk, the step that
+ * is over first. What is urgent is planned at the next tick. */
 #define PLAN_EVERY_MS 50
 /* What an entry said of its queue holds for so long. */
 #define WANT_MS 3000
--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -2,6 +2,8 @@
 #include "../core/mend.h"
 #include "group_int.h"
 
+/* Pause between two requests to join; an answer takes a round trip and a
+ * change of members to be committed. */
 #define JOIN_MS 500
 
 static void ask_at(struct group *g, const char *addr)
--- a/src/daemon/lead_nodes.c
+++ b/src/daemon/lead_nodes.c
@@ -61,7 +61,7 @@
 }
 
 void lead_take_register(struct lead *l, struct conn *c,
-			  const struct msg_register *m)
+			const struct msg_register *m)
 {
 	char *name = ss_str_dup(m->name);
 	struct lead_node *n = lead_node_for(l, name);
@@ -160,7 +160,7 @@
 }
 
 void lead_take_report(struct lead *l, struct conn *c,
-			const struct msg_report *m)
+		      const struct msg_report *m)
 {
 	char *name = ss_str_dup(conn_peer(c)->name);
 	struct lead_node *n = lead_node_for(l, name);
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -6,6 +6,8 @@
 /* Part of the allowed ratio that is spent: the rest covers requests that
  * are counted in another window than their repeats. */
 #define RATIO_SHARE 0.85
+/* Connections at rest are looked through this often: a third of what is kept
+ * free before an endpoint would close them. */
 #define TIDY_MS 200
 #define HEAD_MAX (16u << 10) /* of an endpoint's answer, bytes */
 
--- a/src/vmlist/instances.c
+++ b/src/vmlist/instances.c
@@ -4,6 +4,8 @@
 #include "../base/log.h"
 #include "../net/http.h"
 
+/* For one page: with the next reading a lost answer is made up for within
+ * the three seconds in which a leaving endpoint must be left. */
 #define TIMEOUT_MS 1500
 /* A list that never ends is a fault of its server. */
 #define PAGES_MAX 2000
