--- a/test/run.sh
+++ b/test/run.sh
@@ -31,36 +31,36 @@
 
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
-for t in "$build"/test_*; do
-	case "$t" in *.o | *.d) continue ;; esac
-	[ -x "$t" ] || continue
-	timeout 300 "$t" >"$out" 2>&1
+
+run() { # name, line of a passed case, of a failed one, command...
+	name=$1 ok=$2 not_ok=$3
+	shift 3
+	"$@" >"$out" 2>&1
 	rc=$?
-	good=$(grep -c '^\[       OK \]' "$out")
-	bad=$(grep -c '^\[  FAILED  \] [a-z]' "$out")
+	good=$(grep -c "$ok" "$out")
+	bad=$(grep -c "$not_ok" "$out")
 	[ "$rc" -ne 0 ] && [ "$bad" -eq 0 ] && bad=1
-	add "$(basename "$t")" "$good" "$bad" "$out"
+	add "$name" "$good" "$bad" "$out"
+}
+
+is_program() {
+	case "$1" in *.o | *.d) return 1 ;; esac
+	[ -x "$1" ]
+}
+
+for t in "$build"/test_*; do
+	is_program "$t" && run "$(basename "$t")" '^\[       OK \]' \
+		'^\[  FAILED  \] [a-z]' timeout 300 "$t"
 done
+export RC_PARAMS="seed=20261202 max_success=${PROP_RUNS:-1000} noshrink=0"
 for t in "$build"/prop_*; do
-	case "$t" in *.o | *.d) continue ;; esac
-	[ -x "$t" ] || continue
-	RC_PARAMS="seed=20261202 max_success=${PROP_RUNS:-1000} noshrink=0" \
-		timeout 600 "$t" >"$out" 2>&1
-	rc=$?
-	good=$(grep -c '^OK, passed' "$out")
-	bad=$(grep -c '^Falsifiable' "$out")
-	[ "$rc" -ne 0 ] && [ "$bad" -eq 0 ] && bad=1
-	add "$(basename "$t")" "$good" "$bad" "$out"
+	is_program "$t" && run "$(basename "$t")" '^OK, passed' \
+		'^Falsifiable' timeout 600 "$t"
 done
 if [ "${PROCESSES:-1}" = 1 ]; then
 	for t in test/proc_*.py test/fleet/scenarios.py test/fleet/soak.py; do
-		[ -f "$t" ] || continue
-		timeout 900 /usr/bin/python3 "$t" --build "$build" >"$out" 2>&1
-		rc=$?
-		good=$(grep -c '^ok ' "$out")
-		bad=$(grep -c '^FAILED ' "$out")
-		[ "$rc" -ne 0 ] && [ "$bad" -eq 0 ] && bad=1
-		add "$(basename "$t")" "$good" "$bad" "$out"
+		[ -f "$t" ] && run "$(basename "$t")" '^ok ' '^FAILED ' \
+			timeout 900 /usr/bin/python3 "$t" --build "$build"
 	done
 fi
 echo "$passed passed, $failed failed"
