Search lists of names with the library's function

Cause: five loops did what g_ptr_array_find_with_equal_func() does. Change: it is called. Conclusion: behaviour as before.

--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -119,10 +119,8 @@
 
 static bool has_adapter(const struct fleet_held *h, const char *adapter)
 {
-	for (guint i = 0; h && i < h->adapters->len; i++)
-		if (!strcmp(h->adapters->pdata[i], adapter))
-			return true;
-	return false;
+	return h && g_ptr_array_find_with_equal_func(h->adapters, adapter,
+						     g_str_equal, NULL);
 }
 
 static bool is_pending(const struct engine *e, const char *model,
@@ -357,10 +355,8 @@
 
 static bool leaves(const struct engine *e, const char *model)
 {
-	for (guint i = 0; i < e->unload->len; i++)
-		if (!strcmp(e->unload->pdata[i], model))
-			return true;
-	return false;
+	return g_ptr_array_find_with_equal_func(e->unload, model, g_str_equal,
+						NULL);
 }
 
 /* True where an order was given. */
--- a/src/daemon/bootstrap.c
+++ b/src/daemon/bootstrap.c
@@ -250,14 +250,6 @@
 	return out;
 }
 
-static bool is_named(const GPtrArray *addrs, const char *addr)
-{
-	for (guint i = 0; i < addrs->len; i++)
-		if (!strcmp(addrs->pdata[i], addr))
-			return true;
-	return false;
-}
-
 bool found_group(const struct config *c, const char *addr, struct disk **disk,
 		 struct disk_state *st, GError **error)
 {
@@ -266,7 +258,9 @@
 	struct seed s;
 	bool ok;
 
-	if (!c->ctl.found_group || st->group || !is_named(c->control, addr))
+	if (!c->ctl.found_group || st->group ||
+	    !g_ptr_array_find_with_equal_func(c->control, addr, g_str_equal,
+					      NULL))
 		return true;
 	addrs = sorted_copy(c->control);
 	s.entries = g_array_new(FALSE, FALSE, sizeof(struct ss_raft_entry));
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -54,10 +54,9 @@
 
 bool fleet_step_closes(const struct fleet_ep *ep, const char *model)
 {
-	for (guint i = 0; ep->step.on && i < ep->step.unload->len; i++)
-		if (!strcmp(ep->step.unload->pdata[i], model))
-			return true;
-	return false;
+	return ep->step.on &&
+	       g_ptr_array_find_with_equal_func(ep->step.unload, model,
+						g_str_equal, NULL);
 }
 
 static int model_index(const struct view *w, const char *name)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -301,10 +301,8 @@
 
 static bool was_tried(const struct forward *f, const char *id)
 {
-	for (guint i = 0; i < f->tried->len; i++)
-		if (!strcmp(f->tried->pdata[i], id))
-			return true;
-	return false;
+	return g_ptr_array_find_with_equal_func(f->tried, id, g_str_equal,
+						NULL);
 }
 
 /* A route bounds how many endpoints one request may be sent to. */
