Don't begin a stream late in a planned stop, also one that may be resumed

Whether a stream would outlast the stop was asked once, when it came, and resumable ones were taken out of the question. Change: it is asked at each try and each tick, of all streams that haven't begun; the caller gets 503 at once.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -308,11 +308,40 @@
 		lane_remove(f);
 }
 
+/*
+ * True for a stream that would be cut by the end of a planned stop. Its caller
+ * is better told at once to go elsewhere than cut in the middle, also where the
+ * stream could be resumed: that costs it the time to notice, and the prompt is
+ * read again. It is asked at each try: a stream that waited for its model has
+ * less time left than when it came.
+ */
+static bool outlasts_stop(const struct forward *f)
+{
+	return f->g->end_ms && f->route->kind == ROUTE_STREAM && !f->started &&
+	       gate_now(f->g) + f->call.tokens_out * TOKEN_MS > f->g->end_ms;
+}
+
+static void refuse_for_stop(struct forward *f)
+{
+	if (f->unknown)
+		forward_refuse(f, 502, "lost",
+			       "this process ends before the stream would", 0);
+	else
+		forward_refuse(f, 503, "draining",
+			       "this process ends before the stream would",
+			       BACK_MIN_MS);
+}
+
 bool forward_try(struct forward *f)
 {
 	enum balance_none none = BALANCE_NOBODY;
-	struct gate_ep *ep = gate_choose(f->g, f, &none);
+	struct gate_ep *ep;
 
+	if (outlasts_stop(f)) {
+		refuse_for_stop(f);
+		return true;
+	}
+	ep = gate_choose(f->g, f, &none);
 	if (!ep)
 		return false;
 	/* Only a first send is free; every other one is a repeat. */
@@ -459,14 +488,6 @@
 	return f;
 }
 
-/* A stream that can't be resumed elsewhere, and would be cut by our end. */
-static bool outlasts_stop(const struct forward *f)
-{
-	return f->g->end_ms && f->route->kind == ROUTE_STREAM &&
-	       !f->route->resumable &&
-	       f->start_ms + f->call.tokens_out * TOKEN_MS > f->g->end_ms;
-}
-
 void forward_begin(struct gate *g, struct caller_call *c,
 		   const struct http1_head *h, struct ss_str body)
 {
@@ -500,9 +521,7 @@
 		return;
 	}
 	if (outlasts_stop(f)) {
-		forward_refuse(f, 503, "draining",
-			       "this process ends before the stream would",
-			       BACK_MIN_MS);
+		refuse_for_stop(f);
 		return;
 	}
 	gate_lane(g, f->service->name, f->model)->arrivals++;
@@ -551,6 +570,8 @@
 		if (f->started) {
 			if (now >= f->deadline_ms)
 				forward_end(f, false, "nobody could resume it");
+		} else if (outlasts_stop(f)) {
+			refuse_for_stop(f);
 		} else if (is_hopeless(f, now)) {
 			forward_refuse(f, f->unknown ? 502 : 503, "unavailable",
 				       "it can't be begun in time",
--- a/test/test_gate_ends.c
+++ b/test/test_gate_ends.c
@@ -200,6 +200,43 @@
 	fix_close(&f);
 }
 
+/*
+ * Symptom: a stream is cut in its middle by the end of a planned stop.
+ * Sequence: it comes soon after SIGTERM and would fit then; its model is
+ * loaded seconds later; it is begun with a second left. Cause: the time that
+ * is left was looked at when it came, and only for streams that can't be
+ * resumed. A caller who is refused goes on elsewhere at once, one who is cut
+ * first has to notice.
+ */
+static void waiting_stream_isnt_begun_late_in_a_stop(void **state)
+{
+	static const char *const paths[] = {
+		REQ("POST", "/chat/x") "X-Model: m\r\nX-Token-Usage: 9,300\r\n"
+				       "Content-Length: 0\r\n\r\n",
+		REQ("POST", "/night/x") "X-Model: m\r\nX-Token-Usage: 9,300\r\n"
+					"Content-Length: 0\r\n\r\n",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+		struct caller *c;
+		struct fix f;
+
+		fix_open(&f, "lm", "");
+		gate_drain(f.gate, f.clock.fake_ms + 3000);
+		c = call(&f, paths[i]);
+		UNTIL(&f, gate_busy(f.gate) > 0);
+		turn(&f);
+		assert_false(got(c, "HTTP/1.1 "));
+		f.clock.fake_ms += 700;
+		tell_fleet(&f, "lm", "m");
+		UNTIL(&f, got(c, "HTTP/1.1 503 "));
+		assert_true(got(c, "not_run"));
+		assert_int_equal(f.eps[0].requests, 0);
+		fix_close(&f);
+	}
+}
+
 static void nothing_is_known_yet(void **state)
 {
 	struct caller *c;
@@ -225,6 +262,7 @@
 		cmocka_unit_test(time_is_up_at_the_routes_timeout),
 		cmocka_unit_test(stop_ends_connections_after_their_answer),
 		cmocka_unit_test(long_stream_isnt_begun_in_a_stop),
+		cmocka_unit_test(waiting_stream_isnt_begun_late_in_a_stop),
 		cmocka_unit_test(nothing_is_known_yet),
 	};
 
