Don't wait for a second replica on the engine that has the first

The only copy was on the engine that had the replica, and the planner took that engine for a place where the copy would soon be free. Ruled out: a closed store (one of four loads under way), its time window. Change: engines that hold the model don't count as places to wait for.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -343,6 +343,7 @@
 		const struct fleet_node *n = &s->v->nodes[i];
 
 		if (n->usable && n->tier[model] != TIER_REMOTE &&
+		    !holds(n, model) &&
 		    (n->loading < 0 || (double)n->loading_left_ms < patience))
 			return true;
 	}
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -184,6 +184,20 @@
 	  false,
 	  4,
 	  "1:2s " },
+	/*
+	 * Symptom: a busy model stays on one engine, dozens of callers
+	 * before it. Sequence: only that engine has a copy; its replica
+	 * fills up. Cause: that engine, which can't load it again, was taken
+	 * for a place where the copy would soon be free.
+	 */
+	{ "a replica's own copy is no reason not to ask the store",
+	  { { "a", { { 0, 10, false } }, 1, "dsssss", false, 0, 0 },
+	    { "b", { { 0 } }, 0, "ssssss", false, 0, 0 } },
+	  2,
+	  { [0] = { 0, 3, 2000 } },
+	  false,
+	  4,
+	  "1:0s " },
 	{ "models without any copy are brought ahead",
 	  { { "a", { { 0, 0, false } }, 1, "ddddds", false, false, 0 } },
 	  1,
