--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -44,6 +44,21 @@
     return None
 
 
+async def wipe(fleet, i):
+    """Control VM i loses its disk, starts again and joins anew."""
+    name = "control-%d" % i
+    p = fleet.procs[name]
+    await p.end(signal.SIGKILL)
+    shutil.rmtree(os.path.join(fleet.folder, "data-%d" % i))
+    fleet.control_settings(i, False)
+    p.start()
+
+    async def joined():
+        return log_has(fleet, name, "event=joined")
+
+    await until(joined, RECOVERY_S, "the wiped VM never joined")
+
+
 async def wiped_vm_finds_a_leader_it_doesnt_know(fleet):
     """Symptom: the group has no majority any more after two VMs lost their
     disks one after the other, with many seconds between. Sequence: the
@@ -52,6 +67,20 @@
     the leader answered, and the others kept silent about who leads.
     """
     await first_change(fleet)
+    # Beside three voters the fourth is a spare; a lost disk makes it vote.
+
+    async def spare_follows():
+        return log_has(fleet, "control-3", "event=role role=follower")
+
+    await until(spare_follows, RECOVERY_S, "the fourth never joined")
+    await wipe(fleet, 1)
+
+    async def spare_votes():
+        return any(log_has(fleet, "control-%d" % i,
+                           "event=drop_member ")
+                   for i in range(CONTROLS))
+
+    await until(spare_votes, RECOVERY_S, "the lost voter stayed a member")
     # One in three elections makes it the leader; so many never fail.
     for _ in range(60):
 
@@ -69,16 +98,7 @@
         await until(somebody_leads, RECOVERY_S, "nobody leads")
         p.start()
     assert await leader_of(fleet) == 3, "the fourth control VM never led"
-    p = fleet.procs["control-0"]
-    await p.end(signal.SIGKILL)
-    shutil.rmtree(os.path.join(fleet.folder, "data-0"))
-    fleet.control_settings(0, False)
-    p.start()
-
-    async def joined():
-        return log_has(fleet, "control-0", "event=joined")
-
-    await until(joined, RECOVERY_S, "the wiped VM never joined")
+    await wipe(fleet, 0)
 
 
 async def settings_change_without_a_restart(fleet):
