Don't count a refusal by an engine that came back empty as a retry

Ruled out: the engine's own 404 passed on (it is translated to 'not run'). Change: such a refusal rests the replica longer each time and costs nothing. Test: replica_that_is_gone_costs_no_retry.

--- a/src/core/router.c
+++ b/src/core/router.c
@@ -807,6 +807,15 @@
 	} else if (code == SS_ERROR_OVERLOAD && v) {
 		rest_view(v, now);
 		again(r, c, true, code, text, now);
+	} else if (code == SS_ERROR_UNKNOWN_MODEL && v) {
+		/* Until the leader has heard of it as well. An engine that
+		 * came back empty refuses before any work, so this isn't a
+		 * retry: else a few of them use up the call's attempts. */
+		rest_view(v, now);
+		v->gone = true;
+		v->full_ms = MAX(v->full_ms, now + ROUTER_GONE_MS);
+		again(r, c, true, code, text, now);
+		watch(r, rt, now);
 	} else {
 		if (code == SS_ERROR_ENDPOINT) {
 			ss_breaker_result(&c->agent->breaker, false, now);
--- a/test/test_router.c
+++ b/test/test_router.c
@@ -486,6 +486,35 @@
 	stop(&f);
 }
 
+/*
+ * Symptom: a caller is told that there is no such model, seconds after an
+ * engine was killed. Sequence: the engine comes back empty; its agent and the
+ * leader are slow to see it and the route shows it again and again; each
+ * refusal uses up a retry. Cause: a refusal before any work paid for like a
+ * repeat.
+ */
+static void replica_that_is_gone_costs_no_retry(void **state)
+{
+	struct fake f;
+
+	(void)state;
+	sent(&f, false);
+	for (int i = 0; i < 20; i++) {
+		refusal(&f, "n1", f.last.sub, SS_ERROR_UNKNOWN_MODEL,
+			OUTCOME_NOT_RUN);
+		pass(&f, ROUTER_GONE_MS - 1);
+		route(&f, 1, -1, 0);
+		assert_null(strstr(f.did->str, "end:"));
+		/* Left alone a little longer each time. */
+		pass(&f, (int64_t)ROUTER_FULL_MS << 6);
+		expect(&f, "call:n1 ");
+		assert_int_equal(router_stats(f.r)->retries, 0);
+		if (f.now > 25000)
+			break;
+	}
+	stop(&f);
+}
+
 /* When all agents fail, retries are a bounded share of fresh calls. */
 static void retries_are_bounded(void **state)
 {
@@ -564,6 +593,7 @@
 		cmocka_unit_test(claimed_key_reads_the_other_answer),
 		cmocka_unit_test(dead_claim_is_taken_over),
 		cmocka_unit_test(lost_claim_is_asked_again),
+		cmocka_unit_test(replica_that_is_gone_costs_no_retry),
 		cmocka_unit_test(retries_are_bounded),
 		cmocka_unit_test(cancelled_caller_cancels_the_work),
 		cmocka_unit_test(old_route_is_dropped),
