--- /dev/null
+++ b/src/core/raft_append.c
@@ -0,0 +1,252 @@
+/* Replicated log: sending entries, taking them, committing them. */
+#include "raft_int.h"
+
+/* Entries in one message, at the most: bounds the work of one turn of the loop
+ * where entries are small. */
+#define BATCH_ENTRIES 1024
+
+static uint64_t value_match(struct ss_raft *r, const struct peer *p)
+{
+	return p->id == r->o.self ? r->durable : p->match;
+}
+
+static uint64_t value_round(struct ss_raft *r, const struct peer *p)
+{
+	return p->id == r->o.self ? r->round : p->round;
+}
+
+static void apply_committed(struct ss_raft *r)
+{
+	while (r->applied < r->commit && !r->broken) {
+		struct ss_raft_entry e = *raft_log_at(&r->log, r->applied + 1);
+
+		r->applied = e.index;
+		if (e.kind == SS_RAFT_DATA)
+			r->o.ops->apply(r->o.arg, &e);
+	}
+}
+
+void raft_send_append(struct ss_raft *r, struct peer *p)
+{
+	uint64_t last = raft_log_last(&r->log);
+	struct ss_raft_msg m = { .kind = SS_RAFT_APPEND };
+	size_t bytes = 0;
+
+	if (p->next <= r->log.snapshot.index) {
+		raft_send_snapshot(r, p);
+		return;
+	}
+	m.index = p->next - 1;
+	m.log_term = raft_log_term(&r->log, m.index);
+	m.commit = r->commit;
+	m.round = r->round;
+	if (p->next <= last)
+		m.entries =
+			(struct ss_raft_entry *)raft_log_at(&r->log, p->next);
+	while (p->next + m.n_entries <= last && m.n_entries < BATCH_ENTRIES &&
+	       bytes < r->o.batch_bytes)
+		bytes += m.entries[m.n_entries++].data.n;
+	p->next += m.n_entries;
+	raft_send(r, &m, p->id);
+}
+
+void raft_broadcast(struct ss_raft *r)
+{
+	for (guint i = 0; i < r->peers->len; i++)
+		if (raft_peer_at(r, i)->id != r->o.self)
+			raft_send_append(r, raft_peer_at(r, i));
+	r->heartbeat_ms = r->now;
+}
+
+bool raft_append_local(struct ss_raft *r, int64_t kind, struct ss_str data,
+		       uint64_t *index, GError **error)
+{
+	struct ss_raft_entry e = { .index = raft_log_last(&r->log) + 1,
+				   .term = r->term,
+				   .kind = kind,
+				   .data = data };
+
+	if (!r->o.ops->append(r->o.arg, &e, 1, error))
+		return false;
+	raft_log_add(&r->log, &e);
+	r->dirty = true;
+	if (index)
+		*index = e.index;
+	if (kind == SS_RAFT_MEMBERS)
+		raft_reload_members(r);
+	return true;
+}
+
+static void reject_append(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	uint64_t last = raft_log_last(&r->log);
+	struct ss_raft_msg reply = { .kind = SS_RAFT_APPEND_REPLY,
+				     .index = m->index,
+				     .round = m->round };
+	uint64_t hint = MIN(last + 1, m->index);
+
+	/* Skip back over the whole term that differs, not entry by entry. */
+	if (m->index <= last) {
+		uint64_t bad = raft_log_term(&r->log, m->index);
+
+		while (hint > r->commit + 1 &&
+		       raft_log_term(&r->log, hint - 1) == bad)
+			hint--;
+	}
+	reply.offset = MAX(hint, r->log.snapshot.index + 1);
+	raft_send(r, &reply, m->from);
+}
+
+/* Add the entries that aren't held yet; false where nothing may be acked. */
+static bool append_entries(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	GError *error = NULL;
+	size_t skip = 0;
+	bool members = false;
+
+	while (skip < m->n_entries &&
+	       (m->entries[skip].index <= r->log.snapshot.index ||
+		raft_log_term(&r->log, m->entries[skip].index) ==
+			m->entries[skip].term))
+		skip++;
+	if (skip == m->n_entries)
+		return true;
+	if (m->entries[skip].index <= raft_log_last(&r->log)) {
+		if (m->entries[skip].index <= r->commit) {
+			/* Two logs disagree on an accepted entry. */
+			g_set_error(&error, SS_ERROR, SS_ERROR_CORRUPT,
+				    "entry %" PRIu64 " differs after commit",
+				    m->entries[skip].index);
+			raft_fail(r, error);
+			return false;
+		}
+		if (!r->o.ops->truncate(r->o.arg, m->entries[skip].index,
+					&error)) {
+			raft_fail(r, error);
+			return false;
+		}
+		raft_log_cut(&r->log, m->entries[skip].index);
+		r->durable = MIN(r->durable, raft_log_last(&r->log));
+		members = true;
+	}
+	if (!r->o.ops->append(r->o.arg, m->entries + skip, m->n_entries - skip,
+			      &error)) {
+		g_clear_error(&error);
+		if (members)
+			raft_reload_members(r);
+		return false;
+	}
+	r->dirty = true;
+	for (size_t i = skip; i < m->n_entries; i++) {
+		raft_log_add(&r->log, &m->entries[i]);
+		members |= m->entries[i].kind == SS_RAFT_MEMBERS;
+	}
+	if (members)
+		raft_reload_members(r);
+	return true;
+}
+
+void raft_ack_later(struct ss_raft *r, const struct ss_raft_msg *m,
+		    uint64_t index)
+{
+	if (!r->ack || r->ack_to != m->from) {
+		r->ack_index = 0;
+		r->ack_round = 0;
+	}
+	r->ack = true;
+	r->ack_to = m->from;
+	r->ack_index = MAX(r->ack_index, index);
+	r->ack_round = MAX(r->ack_round, m->round);
+}
+
+void raft_heard_leader(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	raft_become_follower(r, m->term, m->from);
+	r->leader_ms = r->now;
+	raft_reset_deadline(r);
+}
+
+static bool entries_follow(const struct ss_raft_msg *m)
+{
+	for (size_t i = 0; i < m->n_entries; i++)
+		if (m->entries[i].index != m->index + 1 + i)
+			return false;
+	return true;
+}
+
+void raft_take_append(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	uint64_t last_new = m->index + m->n_entries;
+
+	raft_heard_leader(r, m);
+	if (!entries_follow(m))
+		return;
+	if (m->index > r->log.snapshot.index &&
+	    raft_log_term(&r->log, m->index) != m->log_term) {
+		reject_append(r, m);
+		return;
+	}
+	if (m->index > raft_log_last(&r->log)) {
+		reject_append(r, m);
+		return;
+	}
+	if (!append_entries(r, m))
+		return;
+	raft_ack_later(r, m, MAX(last_new, r->log.snapshot.index));
+	if (MIN(m->commit, last_new) > r->commit) {
+		r->commit = MIN(m->commit, last_new);
+		apply_committed(r);
+	}
+}
+
+void raft_maybe_commit(struct ss_raft *r)
+{
+	uint64_t n = raft_majority_value(r, value_match);
+
+	if (n <= r->commit || raft_log_term(&r->log, n) != r->term)
+		return;
+	r->commit = n;
+	apply_committed(r);
+	if (r->role == SS_RAFT_LEADER && !raft_peer_find(r, r->o.self) &&
+	    r->members_index <= r->commit)
+		raft_become_follower(r, r->term, 0);
+}
+
+void raft_finish_reads(struct ss_raft *r)
+{
+	uint64_t round = raft_majority_value(r, value_round);
+
+	while (r->role == SS_RAFT_LEADER && r->reads->len) {
+		struct read rd = g_array_index(r->reads, struct read, 0);
+
+		if (rd.round > round)
+			return;
+		g_array_remove_index(r->reads, 0);
+		r->o.ops->read_done(r->o.arg, rd.ctx, true);
+	}
+}
+
+void raft_take_append_reply(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	struct peer *p = raft_peer_find(r, m->from);
+
+	if (r->role != SS_RAFT_LEADER || !p)
+		return;
+	p->heard_ms = r->now;
+	p->round = MAX(p->round, m->round);
+	if (m->ok) {
+		p->match = MAX(p->match, m->index);
+		p->next = MAX(p->next, p->match + 1);
+		raft_maybe_commit(r);
+	} else if (m->index > p->match) {
+		p->next = MAX(m->offset, p->match + 1);
+		raft_send_append(r, p);
+	}
+	if (r->role != SS_RAFT_LEADER)
+		return;
+	p = raft_peer_find(r, m->from);
+	if (p && p->next <= raft_log_last(&r->log) &&
+	    p->next > r->log.snapshot.index)
+		raft_send_append(r, p);
+	raft_finish_reads(r);
+}
--- /dev/null
+++ b/src/core/raft_elect.c
@@ -0,0 +1,142 @@
+/* Replicated log: elections. */
+#include "raft_int.h"
+
+/* A member whose disk is full can't vote for itself; it stays out of this many
+ * campaigns, so that others come first. */
+#define DISK_FULL_ELECTIONS 10
+
+void raft_set_deadline(struct ss_raft *r, int64_t least)
+{
+	r->deadline_ms = r->now + least +
+			 (int64_t)(ss_random(&r->o.seed) % (uint64_t)least);
+}
+
+void raft_reset_deadline(struct ss_raft *r)
+{
+	raft_set_deadline(r, r->o.election_ms);
+}
+
+static uint64_t value_granted(struct ss_raft *r, const struct peer *p)
+{
+	(void)r;
+	return p->granted;
+}
+
+static void become_leader(struct ss_raft *r)
+{
+	GError *error = NULL;
+
+	r->role = SS_RAFT_LEADER;
+	r->leader = r->o.self;
+	for (guint i = 0; i < r->peers->len; i++) {
+		struct peer *p = raft_peer_at(r, i);
+
+		p->next = raft_log_last(&r->log) + 1;
+		p->match = 0;
+		p->round = 0;
+		p->heard_ms = r->now;
+		p->snap_index = 0;
+	}
+	/*
+	 * Entries of earlier terms count as accepted only below one of this
+	 * term; without it a read could miss what was accepted before.
+	 */
+	if (!raft_append_local(r, SS_RAFT_NOOP, (struct ss_str){ 0 }, NULL,
+			       &error)) {
+		g_clear_error(&error);
+		raft_become_follower(r, r->term, 0);
+		r->deadline_ms =
+			r->now + DISK_FULL_ELECTIONS * r->o.election_ms;
+		return;
+	}
+	r->round++;
+	r->o.ops->changed(r->o.arg);
+	raft_broadcast(r);
+}
+
+static void count_votes(struct ss_raft *r)
+{
+	if (!raft_majority_value(r, value_granted))
+		return;
+	if (r->role == SS_RAFT_PRECANDIDATE)
+		raft_campaign(r, false);
+	else if (r->role == SS_RAFT_CANDIDATE)
+		become_leader(r);
+}
+
+void raft_campaign(struct ss_raft *r, bool pre)
+{
+	struct ss_raft_msg m = { .kind = pre ? SS_RAFT_PREVOTE : SS_RAFT_VOTE,
+				 .term = r->term + 1,
+				 .index = raft_log_last(&r->log),
+				 .transfer = r->transfer };
+
+	raft_reset_deadline(r);
+	if (!pre && !raft_save_vote(r, r->term + 1, r->o.self))
+		return;
+	r->role = pre ? SS_RAFT_PRECANDIDATE : SS_RAFT_CANDIDATE;
+	r->leader = 0;
+	r->ack = false;
+	m.log_term = raft_log_term(&r->log, m.index);
+	for (guint i = 0; i < r->peers->len; i++)
+		raft_peer_at(r, i)->granted = raft_peer_at(r, i)->id ==
+					      r->o.self;
+	r->o.ops->changed(r->o.arg);
+	for (guint i = 0; i < r->peers->len; i++) {
+		struct peer *p = raft_peer_at(r, i);
+
+		if (p->id != r->o.self && p->voter)
+			raft_send(r, &m, p->id);
+	}
+	count_votes(r);
+}
+
+bool raft_leader_is_fresh(const struct ss_raft *r)
+{
+	if (r->role == SS_RAFT_LEADER)
+		return true;
+	return r->leader && r->now - r->leader_ms < r->o.election_ms;
+}
+
+void raft_take_vote(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	bool pre = m->kind == SS_RAFT_PREVOTE;
+	uint64_t last = raft_log_last(&r->log);
+	uint64_t last_term = raft_log_term(&r->log, last);
+	struct ss_raft_msg reply = { .kind = pre ? SS_RAFT_PREVOTE_REPLY :
+						   SS_RAFT_VOTE_REPLY };
+	bool fresh = m->log_term > last_term ||
+		     (m->log_term == last_term && m->index >= last);
+
+	if (pre)
+		reply.ok = fresh && m->term > r->term &&
+			   !raft_leader_is_fresh(r);
+	else
+		reply.ok = fresh && (!r->vote || r->vote == m->from) &&
+			   raft_save_vote(r, r->term, m->from);
+	if (reply.ok && !pre)
+		raft_reset_deadline(r);
+	reply.term = reply.ok ? m->term : r->term;
+	raft_send(r, &reply, m->from);
+}
+
+void raft_take_vote_reply(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	struct peer *p = raft_peer_find(r, m->from);
+	enum ss_raft_role wanted = m->kind == SS_RAFT_PREVOTE_REPLY ?
+					   SS_RAFT_PRECANDIDATE :
+					   SS_RAFT_CANDIDATE;
+
+	if (!p || !m->ok || r->role != wanted)
+		return;
+	p->granted = true;
+	count_votes(r);
+}
+
+void raft_take_timeout_now(struct ss_raft *r)
+{
+	if (r->role != SS_RAFT_FOLLOWER || !raft_is_voter(r))
+		return;
+	r->transfer = true;
+	raft_campaign(r, false);
+}
--- /dev/null
+++ b/src/core/raft_snapshot.c
@@ -0,0 +1,132 @@
+/* Replicated log: snapshots, sent in chunks, and compaction. */
+#include "raft_int.h"
+
+/* A snapshot chunk unanswered for this many heartbeats is sent again. */
+#define SNAPSHOT_RESEND_HEARTBEATS 3
+
+void raft_send_snapshot(struct ss_raft *r, struct peer *p)
+{
+	const struct ss_raft_snapshot *s = &r->log.snapshot;
+	struct ss_raft_msg m = { .kind = SS_RAFT_SNAPSHOT };
+
+	if (p->snap_index != s->index) {
+		p->snap_index = s->index;
+		p->snap_offset = 0;
+		p->snap_ms = 0;
+	}
+	if (p->snap_ms &&
+	    r->now - p->snap_ms <
+		    r->o.heartbeat_ms * SNAPSHOT_RESEND_HEARTBEATS)
+		return;
+	p->snap_ms = r->now;
+	m.index = s->index;
+	m.log_term = s->term;
+	m.members = s->members;
+	m.round = r->round;
+	m.offset = p->snap_offset;
+	m.total = s->data.n;
+	m.data.p = s->data.p + p->snap_offset;
+	m.data.n = MIN(s->data.n - p->snap_offset, r->o.batch_bytes);
+	raft_send(r, &m, p->id);
+}
+
+static void install_snapshot(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	struct ss_raft_snapshot s = { .index = m->index,
+				      .term = m->log_term,
+				      .members = m->members,
+				      .data = ss_str_gs(r->incoming) };
+	bool keep = raft_log_term(&r->log, m->index) == m->log_term;
+	const struct ss_raft_entry *rest =
+		keep ? raft_log_at(&r->log, m->index + 1) : NULL;
+	size_t n = rest ? raft_log_last(&r->log) - m->index : 0;
+	GError *error = NULL;
+
+	if (!r->o.ops->save_snapshot(r->o.arg, &s, rest, n, &error)) {
+		raft_fail(r, error);
+		return;
+	}
+	raft_log_set_snapshot(&r->log, &s);
+	r->durable = raft_log_last(&r->log);
+	r->commit = r->applied = s.index;
+	raft_reload_members(r);
+	if (!r->o.ops->restore(r->o.arg, s.data)) {
+		g_set_error(&error, SS_ERROR, SS_ERROR_CORRUPT,
+			    "snapshot %" PRIu64 " can't be restored", s.index);
+		raft_fail(r, error);
+	}
+}
+
+void raft_take_snapshot(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	struct ss_raft_msg reply = { .kind = SS_RAFT_SNAPSHOT_REPLY,
+				     .index = m->index,
+				     .round = m->round,
+				     .ok = true };
+
+	raft_heard_leader(r, m);
+	if (m->index <= r->commit) {
+		raft_ack_later(r, m, m->index);
+		return;
+	}
+	if (m->offset == 0 || r->incoming_index != m->index) {
+		g_string_truncate(r->incoming, 0);
+		r->incoming_index = m->index;
+	}
+	if (m->offset == r->incoming->len)
+		g_string_append_len(r->incoming, m->data.p, (gssize)m->data.n);
+	if (r->incoming->len < m->total) {
+		reply.offset = r->incoming->len;
+		raft_send(r, &reply, m->from);
+		return;
+	}
+	install_snapshot(r, m);
+	g_string_truncate(r->incoming, 0);
+	r->incoming_index = 0;
+	if (!r->broken)
+		raft_ack_later(r, m, m->index);
+}
+
+void raft_take_snapshot_reply(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	struct peer *p = raft_peer_find(r, m->from);
+
+	if (r->role != SS_RAFT_LEADER || !p)
+		return;
+	p->heard_ms = r->now;
+	p->round = MAX(p->round, m->round);
+	if (p->snap_index != m->index || m->offset > r->log.snapshot.data.n)
+		return;
+	p->snap_offset = m->offset;
+	p->snap_ms = 0;
+	raft_send_append(r, p);
+	raft_finish_reads(r);
+}
+
+bool ss_raft_compact(struct ss_raft *r, struct ss_str state, GError **error)
+{
+	struct ss_raft_snapshot s = { .index = r->applied, .data = state };
+	struct raft_log upto = r->log;
+	uint64_t index;
+	bool ok;
+
+	if (r->broken || r->applied <= r->log.snapshot.index)
+		return true;
+	s.term = raft_log_term(&r->log, s.index);
+	/* The members as they stood at that index, not later ones. */
+	upto.entries = g_array_new(FALSE, FALSE, sizeof(struct ss_raft_entry));
+	g_array_append_vals(upto.entries, r->log.entries->data,
+			    (guint)(s.index - r->log.snapshot.index));
+	raft_log_members(&upto, &s.members, &index);
+	g_array_unref(upto.entries);
+	ok = r->o.ops->save_snapshot(r->o.arg, &s,
+				     raft_log_at(&r->log, s.index + 1),
+				     raft_log_last(&r->log) - s.index, error);
+	if (ok) {
+		raft_log_set_snapshot(&r->log, &s);
+		r->durable = raft_log_last(&r->log);
+		r->dirty = false;
+	}
+	ss_raft_clear_members(&s.members);
+	return ok;
+}
