Tell one request's story from the logs: sapphireshiftctl explain

Cause: on-call engineers join lines of some thirty processes by hand, and what decided a request (a load, a new leader, a cut) doesn't bear its id. Change: explain REQUEST LOG... reads any number of logs twice, keeps the lines of the request and those of the same time on its model, endpoint, processes and the leader; text or JSON.

--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,7 @@
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS) -lcmocka
 
 $(BUILD)/test_gate $(BUILD)/test_gate_ends: $(BUILD)/test/gate_fix.o
+$(BUILD)/test_explain: $(BUILD)/src/ctl/explain.o
 
 $(BUILD)/prop_%: test/prop_%.cc $(LIB)
 	@mkdir -p $(@D)
--- /dev/null
+++ b/src/ctl/explain.c
@@ -0,0 +1,315 @@
+/* One request's story out of the logs of many processes. */
+#include "explain.h"
+
+#include <json-c/json.h>
+
+/* What led to a request's end may have begun before it came: a load that is
+ * under way takes up to 13 s from the store, a leader is missed for one or
+ * two. In ms. */
+#define BEFORE_MS 5000
+
+struct field {
+	char *key, *value;
+};
+
+struct log_line {
+	int64_t ts_ms;
+	GArray *fields; /* struct field */
+};
+
+/* What ties a line to a request that it doesn't name. */
+enum tie { TIE_MODEL, TIE_ENDPOINT, TIE_NODE, TIE_ANY };
+
+struct related {
+	const char *event;
+	const char *key;   /* the field that is compared */
+	const char *value; /* what it has to be, with TIE_ANY */
+	enum tie tie;
+};
+
+static const struct related related[] = {
+	{ "step", "load", NULL, TIE_MODEL },
+	{ "step_done", "load", NULL, TIE_MODEL },
+	{ "model_blocked", "model", NULL, TIE_MODEL },
+	{ "order", "model", NULL, TIE_MODEL },
+	{ "endpoint", "id", NULL, TIE_ENDPOINT },
+	{ "endpoint_gone", "id", NULL, TIE_ENDPOINT },
+	{ "endpoint_rests", "id", NULL, TIE_ENDPOINT },
+	{ "role", "role", "leader", TIE_ANY },
+	{ "leader_found", "node", NULL, TIE_NODE },
+	{ "leader_lost", "node", NULL, TIE_NODE },
+	{ "routing", "node", NULL, TIE_NODE },
+	{ "start", "node", NULL, TIE_NODE },
+	{ "stop", "node", NULL, TIE_NODE },
+};
+
+struct explain {
+	char *request;
+	bool found;
+	int64_t from_ms, to_ms;
+	GHashTable *models, *endpoints, *nodes; /* sets of names */
+	GPtrArray *lines;			/* struct log_line */
+};
+
+/* Lines. */
+
+static void field_clear(void *p)
+{
+	g_free(((struct field *)p)->key);
+	g_free(((struct field *)p)->value);
+}
+
+static void line_free(void *p)
+{
+	g_array_unref(((struct log_line *)p)->fields);
+	g_free(p);
+}
+
+static const char *get(const struct log_line *l, const char *key)
+{
+	for (guint i = 0; i < l->fields->len; i++) {
+		const struct field *f =
+			&g_array_index(l->fields, struct field, i);
+
+		if (!strcmp(f->key, key))
+			return f->value;
+	}
+	return "";
+}
+
+static int64_t time_of(const char *text)
+{
+	GDateTime *t = g_date_time_new_from_iso8601(text, NULL);
+	int64_t ms;
+
+	if (!t)
+		return -1;
+	ms = g_date_time_to_unix(t) * 1000 +
+	     g_date_time_get_microsecond(t) / 1000;
+	g_date_time_unref(t);
+	return ms;
+}
+
+/* A value ends at a space, or where it is quoted at the next quote. */
+static const char *read_value(const char *p, char **value)
+{
+	char stop = *p == '"' ? '"' : ' ';
+	const char *end;
+
+	if (stop == '"')
+		p++;
+	end = strchr(p, stop);
+	if (!end)
+		end = p + strcspn(p, "\r\n");
+	*value = g_strndup(p, (gsize)(end - p));
+	return *end == '"' ? end + 1 : end;
+}
+
+/* Words without a "=" between the fields are passed over. */
+static GArray *read_fields(const char *p)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct field));
+
+	g_array_set_clear_func(all, field_clear);
+	while (*p && *p != '\r' && *p != '\n') {
+		size_t n = strcspn(p, " =\r\n");
+		struct field f;
+
+		if (p[n] != '=') {
+			p += n + (p[n] == ' ');
+			continue;
+		}
+		f.key = g_strndup(p, n);
+		p = read_value(p + n + 1, &f.value);
+		g_array_append_val(all, f);
+	}
+	return all;
+}
+
+/* NULL where it isn't a log line. What a collector put before it is skipped. */
+static struct log_line *read_line(const char *text)
+{
+	const char *at = strstr(text, "ts=");
+	struct log_line *l;
+
+	if (!at)
+		return NULL;
+	l = g_new0(struct log_line, 1);
+	l->fields = read_fields(at);
+	l->ts_ms = time_of(get(l, "ts"));
+	if (l->ts_ms >= 0)
+		return l;
+	line_free(l);
+	return NULL;
+}
+
+/* Reading. */
+
+static void note(GHashTable *set, const char *name)
+{
+	if (*name && strcmp(name, "-"))
+		g_hash_table_add(set, g_strdup(name));
+}
+
+void explain_learn(struct explain *e, const char *line)
+{
+	struct log_line *l;
+	int64_t from;
+
+	/* Most lines are of other requests. */
+	if (!strstr(line, e->request) || !(l = read_line(line)))
+		return;
+	if (!strcmp(get(l, "request"), e->request)) {
+		from = l->ts_ms - g_ascii_strtoll(get(l, "ms"), NULL, 10);
+		e->from_ms = e->found ? MIN(e->from_ms, from) : from;
+		e->to_ms = MAX(e->to_ms, l->ts_ms);
+		e->found = true;
+		note(e->models, get(l, "model"));
+		note(e->endpoints, get(l, "endpoint"));
+		note(e->nodes, get(l, "node"));
+	}
+	line_free(l);
+}
+
+bool explain_found(const struct explain *e)
+{
+	return e->found;
+}
+
+static bool is_tied(const struct explain *e, const struct related *r,
+		    const struct log_line *l)
+{
+	const char *value = get(l, r->key);
+
+	switch (r->tie) {
+	case TIE_MODEL:
+		return g_hash_table_contains(e->models, value);
+	case TIE_ENDPOINT:
+		return g_hash_table_contains(e->endpoints, value);
+	case TIE_NODE:
+		return g_hash_table_contains(e->nodes, value);
+	case TIE_ANY:
+		break;
+	}
+	return !strcmp(value, r->value);
+}
+
+static bool belongs(const struct explain *e, const struct log_line *l)
+{
+	if (!strcmp(get(l, "request"), e->request))
+		return true;
+	if (l->ts_ms < e->from_ms - BEFORE_MS || l->ts_ms > e->to_ms)
+		return false;
+	for (size_t i = 0; i < G_N_ELEMENTS(related); i++)
+		if (!strcmp(get(l, "event"), related[i].event) &&
+		    is_tied(e, &related[i], l))
+			return true;
+	return false;
+}
+
+void explain_pick(struct explain *e, const char *line)
+{
+	struct log_line *l = e->found ? read_line(line) : NULL;
+
+	if (!l)
+		return;
+	if (belongs(e, l))
+		g_ptr_array_add(e->lines, l);
+	else
+		line_free(l);
+}
+
+/* Telling. */
+
+static gint by_time(gconstpointer a, gconstpointer b)
+{
+	const struct log_line *x = *(struct log_line *const *)a;
+	const struct log_line *y = *(struct log_line *const *)b;
+
+	return x->ts_ms < y->ts_ms ? -1 : x->ts_ms > y->ts_ms;
+}
+
+static bool is_head(const char *key)
+{
+	return !strcmp(key, "ts") || !strcmp(key, "level") ||
+	       !strcmp(key, "node") || !strcmp(key, "event");
+}
+
+static void tell_line(const struct explain *e, const struct log_line *l,
+		      GString *out)
+{
+	g_string_append_printf(out, "%+9.3f  %-22s %-14s",
+			       (double)(l->ts_ms - e->from_ms) / 1000.0,
+			       get(l, "node"), get(l, "event"));
+	for (guint i = 0; i < l->fields->len; i++) {
+		const struct field *f =
+			&g_array_index(l->fields, struct field, i);
+
+		if (!is_head(f->key))
+			g_string_append_printf(
+				out,
+				strchr(f->value, ' ') ? " %s=\"%s\"" : " %s=%s",
+				f->key, f->value);
+	}
+	g_string_append_c(out, '\n');
+}
+
+static json_object *line_json(const struct explain *e, const struct log_line *l)
+{
+	json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "at_ms",
+			       json_object_new_int64(l->ts_ms - e->from_ms));
+	for (guint i = 0; i < l->fields->len; i++) {
+		const struct field *f =
+			&g_array_index(l->fields, struct field, i);
+
+		json_object_object_add(o, f->key,
+				       json_object_new_string(f->value));
+	}
+	return o;
+}
+
+char *explain_tell(struct explain *e, bool json)
+{
+	GString *out = g_string_new(NULL);
+	json_object *all = json_object_new_array();
+
+	g_ptr_array_sort(e->lines, by_time);
+	for (guint i = 0; i < e->lines->len; i++)
+		if (json)
+			json_object_array_add(all,
+					      line_json(e, e->lines->pdata[i]));
+		else
+			tell_line(e, e->lines->pdata[i], out);
+	if (json)
+		g_string_append_printf(out, "%s\n",
+				       json_object_to_json_string_ext(
+					       all, JSON_C_TO_STRING_PRETTY));
+	json_object_put(all);
+	return g_string_free(out, FALSE);
+}
+
+struct explain *explain_new(const char *request)
+{
+	struct explain *e = g_new0(struct explain, 1);
+
+	e->request = g_strdup(request);
+	e->models =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	e->endpoints =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	e->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	e->lines = g_ptr_array_new_with_free_func(line_free);
+	return e;
+}
+
+void explain_free(struct explain *e)
+{
+	g_free(e->request);
+	g_hash_table_unref(e->models);
+	g_hash_table_unref(e->endpoints);
+	g_hash_table_unref(e->nodes);
+	g_ptr_array_unref(e->lines);
+	g_free(e);
+}
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -1,12 +1,14 @@
 /* sapphireshiftctl: what operators do, from the command line. */
 #include "client.h"
 
+#include <errno.h>
 #include <json-c/json.h>
 #include <popt.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <unistd.h>
 
+#include "explain.h"
 #include "print.h"
 
 enum exit_code {
@@ -15,6 +17,7 @@
 	EXIT_NO_LEADER = 3,
 	EXIT_AUTH = 4,
 	EXIT_NOT_IN_FORCE = 5,
+	EXIT_NOT_FOUND = 6,
 };
 
 #define WAIT_STEP_MS 50
@@ -361,29 +364,86 @@
 	return rc;
 }
 
+/* Hand each line of a log to fn. */
+static bool read_log(const char *path, struct explain *e,
+		     void (*fn)(struct explain *e, const char *line))
+{
+	FILE *f = fopen(path, "r");
+	size_t room = 0;
+	char *line = NULL;
+	bool ok;
+
+	if (!f) {
+		fprintf(stderr, "sapphireshiftctl: %s: %s\n", path,
+			g_strerror(errno));
+		return false;
+	}
+	while (getline(&line, &room, f) >= 0)
+		fn(e, line);
+	ok = !ferror(f);
+	if (!ok)
+		fprintf(stderr, "sapphireshiftctl: %s: it can't be read\n",
+			path);
+	free(line);
+	fclose(f);
+	return ok;
+}
+
+static bool read_logs(struct ctl *c, struct explain *e,
+		      void (*fn)(struct explain *e, const char *line))
+{
+	for (const char **path = c->args + 1; *path; path++)
+		if (!read_log(*path, e, fn))
+			return false;
+	return true;
+}
+
+static int cmd_explain(struct ctl *c)
+{
+	struct explain *e = explain_new(c->args[0]);
+	int rc = EXIT_REFUSED;
+	char *story;
+
+	if (read_logs(c, e, explain_learn) && read_logs(c, e, explain_pick)) {
+		rc = explain_found(e) ? 0 : EXIT_NOT_FOUND;
+		if (rc)
+			fprintf(stderr,
+				"sapphireshiftctl: no line of these logs "
+				"bears the request %s\n",
+				c->args[0]);
+		story = explain_tell(e, c->json);
+		fputs(story, stdout);
+		g_free(story);
+	}
+	explain_free(e);
+	return rc;
+}
+
 static const struct {
 	const char *group, *verb;
-	int n_args;
+	int n_args; /* with more: at least */
 	const char *usage;
 	int (*fn)(struct ctl *c);
+	bool more;
 } commands[] = {
-	{ "presets", "list", 0, "", cmd_presets_list },
-	{ "presets", "show", 1, "NAME", cmd_presets_show },
-	{ "presets", "put", 2, "NAME FILE", cmd_presets_put },
-	{ "presets", "set", 3, "NAME FIELD VALUE", cmd_presets_set },
-	{ "presets", "diff", 2, "NAME NAME", cmd_presets_diff },
-	{ "presets", "delete", 1, "NAME", cmd_presets_delete },
-	{ "presets", "switch", 1, "NAME", cmd_presets_switch },
-	{ "presets", "history", 0, "", cmd_presets_history },
-	{ "models", "list", 0, "", cmd_models_list },
-	{ "models", "put", 1, "FILE", cmd_models_put },
-	{ "node", "drain", 1, "NAME", cmd_node_drain },
-	{ "node", "undrain", 1, "NAME", cmd_node_undrain },
-	{ "node", "forget", 1, "NAME", cmd_node_forget },
-	{ "members", "list", 0, "", cmd_members_list },
-	{ "members", "remove", 1, "ID", cmd_members_remove },
-	{ "status", NULL, 0, "", cmd_status },
-	{ "why", NULL, 1, "MODEL", cmd_why },
+	{ "presets", "list", 0, "", cmd_presets_list, false },
+	{ "presets", "show", 1, "NAME", cmd_presets_show, false },
+	{ "presets", "put", 2, "NAME FILE", cmd_presets_put, false },
+	{ "presets", "set", 3, "NAME FIELD VALUE", cmd_presets_set, false },
+	{ "presets", "diff", 2, "NAME NAME", cmd_presets_diff, false },
+	{ "presets", "delete", 1, "NAME", cmd_presets_delete, false },
+	{ "presets", "switch", 1, "NAME", cmd_presets_switch, false },
+	{ "presets", "history", 0, "", cmd_presets_history, false },
+	{ "models", "list", 0, "", cmd_models_list, false },
+	{ "models", "put", 1, "FILE", cmd_models_put, false },
+	{ "node", "drain", 1, "NAME", cmd_node_drain, false },
+	{ "node", "undrain", 1, "NAME", cmd_node_undrain, false },
+	{ "node", "forget", 1, "NAME", cmd_node_forget, false },
+	{ "members", "list", 0, "", cmd_members_list, false },
+	{ "members", "remove", 1, "ID", cmd_members_remove, false },
+	{ "status", NULL, 0, "", cmd_status, false },
+	{ "why", NULL, 1, "MODEL", cmd_why, false },
+	{ "explain", NULL, 2, "REQUEST LOG...", cmd_explain, true },
 };
 
 static int usage(void)
@@ -409,7 +469,8 @@
 			continue;
 		if (commands[i].verb && strcmp(commands[i].verb, words[1]))
 			continue;
-		if (n != skip + commands[i].n_args)
+		if (n < skip + commands[i].n_args ||
+		    (n > skip + commands[i].n_args && !commands[i].more))
 			return usage();
 		c->args = words + skip;
 		return commands[i].fn(c);
