Log every loss of the leader

Cause: an entry's log showed a leader found twice and never lost: the line was written where a connection ended, not where the leader says it no longer leads. Change: it is written where the link goes down, with the address and the reason. Test: scenario lost_leader_is_logged failed before.

--- a/src/node/link.c
+++ b/src/node/link.c
@@ -73,12 +73,13 @@
 	g_clear_pointer(&l->hint, g_free);
 }
 
-static void leave(struct link *l)
+static void leave(struct link *l, const char *why)
 {
 	if (l->conn)
 		conn_close(l->conn);
 	l->conn = NULL;
 	if (l->up) {
+		log_warn("leader_lost", "addr=%s why=\"%s\"", l->addr, why);
 		l->up = false;
 		l->o.ops->down(l->o.arg);
 	}
@@ -99,7 +100,7 @@
 	if (l->up)
 		return;
 	if (ss_clock_now(l->o.conn.clock) - l->asked_ms > ANSWER_MS)
-		leave(l);
+		leave(l, "no answer");
 	else
 		retry_later(l);
 }
@@ -123,7 +124,7 @@
 		return;
 	g_free(l->hint);
 	l->hint = m->addr.n ? ss_str_dup(m->addr) : NULL;
-	leave(l);
+	leave(l, "it says that it doesn't lead any more");
 	if (l->hint)
 		connect_next(l);
 }
@@ -146,11 +147,8 @@
 
 	if (c != l->conn)
 		return;
-	if (l->up)
-		log_warn("leader_lost", "why=\"%s\"",
-			 why ? why->message : "closed");
 	l->conn = NULL;
-	leave(l);
+	leave(l, why ? why->message : "closed");
 }
 
 static const struct conn_ops link_conn_ops = { on_open, on_message, on_closed };
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -142,6 +142,24 @@
     assert fleet.procs["entry-0"].proc.poll() is None, "the entry ended"
 
 
+async def lost_leader_is_logged(fleet):
+    """Symptom: nobody can tell from an entry's log why it refuses: it finds
+    a leader twice, and never lost one. Sequence: the leader is stopped and
+    hands over; it tells the entry so before the connection ends. Cause:
+    only a connection that ended was logged.
+    """
+    await first_change(fleet)
+    led = await leader_of(fleet)
+    await fleet.procs["control-%d" % led].end(signal.SIGTERM)
+
+    async def found_again():
+        return all(log_count(fleet, e, "event=leader_found") == 2 and
+                   log_count(fleet, e, "event=leader_lost") == 1
+                   for e in ("entry-0", "entry-1"))
+
+    await until(found_again, RECOVERY_S, "not lost once and found twice")
+
+
 async def all_control_vms_are_killed(fleet):
     """Symptom: an acknowledged change is gone, or nobody leads again.
     Sequence: a change is acknowledged; all control VMs are killed at once
@@ -228,7 +246,8 @@
 SCENARIOS = [silent_engine_doesnt_end_its_agent,
              wiped_vm_finds_a_leader_it_doesnt_know,
              settings_change_without_a_restart, bad_settings_change_nothing,
-             all_control_vms_are_killed, planned_stop_cuts_nothing]
+             lost_leader_is_logged, all_control_vms_are_killed,
+             planned_stop_cuts_nothing]
 
 
 async def play(scenario, seed, daemon):
