Of models with as many callers, load those first that can still be in time

Cause: most models that are waited for have one caller; which of them got the next engine went by their place in the routing, so the last ones waited longest. Change: those whose caller can still be served in time first, the most pressing of them first; then the late ones, the latest first.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -32,6 +32,11 @@
  * for callers who are about to be late took a quarter of twelve engines' time,
  * and 0.08 of the credit of a calm day. */
 #define SOON_SHARE 0.4
+/* No step makes a model ready sooner: a load from disk, 0.35 to 0.52 s. Callers
+ * with less slack are late whatever is done; serving those with more first
+ * gained 0.003 of the credit of days with trouble, the mean of thirty. In ms.
+ */
+#define SOONEST_MS 500
 /* A load from the store takes its engine up for seconds, and with it all the
  * copies that only it has; each of them weighs so much, in ms. */
 #define ONLY_COPY_MS 60.0
@@ -416,15 +421,30 @@
 
 struct need {
 	uint32_t model;
-	double order; /* smaller goes first */
+	uint32_t waiting;
+	int64_t slack_ms;
 };
 
-static gint by_order(gconstpointer a, gconstpointer b)
+static bool in_time(const struct need *n)
+{
+	return n->slack_ms >= SOONEST_MS;
+}
+
+/*
+ * Most waiting callers first. Mostly there is one each: then those who can
+ * still be served in time, the most pressing of them first, and after them
+ * those who are late, in the order in which they came.
+ */
+static gint by_need(gconstpointer a, gconstpointer b)
 {
 	const struct need *x = a, *y = b;
 
-	if (x->order != y->order)
-		return x->order < y->order ? -1 : 1;
+	if (x->waiting != y->waiting)
+		return x->waiting > y->waiting ? -1 : 1;
+	if (in_time(x) != in_time(y))
+		return in_time(x) ? -1 : 1;
+	if (x->slack_ms != y->slack_ms)
+		return x->slack_ms < y->slack_ms ? -1 : 1;
 	return x->model < y->model ? -1 : x->model > y->model;
 }
 
@@ -455,12 +475,13 @@
 	for (size_t m = 0; m < s->v->n_models; m++) {
 		const struct fleet_model *x = &s->v->models[m];
 		struct need n = { .model = (uint32_t)m,
-				  .order = -(double)x->waiting };
+				  .waiting = x->waiting,
+				  .slack_ms = x->slack_ms };
 
 		if (wants_more(s, n.model))
 			g_array_append_val(needs, n);
 	}
-	g_array_sort(needs, by_order);
+	g_array_sort(needs, by_need);
 	for (guint i = 0; i < needs->len; i++) {
 		uint32_t m = g_array_index(needs, struct need, i).model;
 
