Open and close HTTP endpoints in one place; log orders that fail

Cause: engine/http.c and service/http.c opened and closed an endpoint alike; an order that an engine refused or didn't answer left no line at the agent. Change: engine/endpoint_http.c; event=order_failed with status and reason.

--- /dev/null
+++ b/src/engine/endpoint_http.h
@@ -0,0 +1,23 @@
+/* What every endpoint that is reached over HTTP has in common. */
+#ifndef SS_ENDPOINT_HTTP_H
+#define SS_ENDPOINT_HTTP_H
+
+#include "../net/relay.h"
+#include "endpoint.h"
+
+struct endpoint {
+	struct endpoint_options o;
+	char *addr;
+	struct relay *relay;
+};
+
+/* Who waits for what is read of an endpoint. */
+struct read_done {
+	void (*done)(void *arg, const struct endpoint_state *s);
+	void *arg;
+};
+
+struct endpoint *endpoint_http_open(const struct endpoint_options *o);
+void endpoint_http_close(struct endpoint *e);
+
+#endif
--- a/src/engine/http.c
+++ b/src/engine/http.c
@@ -8,39 +8,13 @@
  *   POST /v1/...         calls, as callers send them; 404: the model
  *                        isn't loaded here, nothing was run
  */
-#include "endpoint.h"
+#include "endpoint_http.h"
 
+#include "../base/log.h"
 #include "../net/http.h"
-#include "../net/relay.h"
 
 #include <json-c/json.h>
 
-#define TIMEOUT_MS 3000
-
-struct endpoint {
-	struct endpoint_options o;
-	char *addr;
-	struct relay *relay;
-};
-
-static struct endpoint *engine_open(const struct endpoint_options *o)
-{
-	struct endpoint *e = g_new0(struct endpoint, 1);
-
-	e->o = *o;
-	e->o.timeout_ms = o->timeout_ms ? o->timeout_ms : TIMEOUT_MS;
-	e->addr = g_strdup(o->addr);
-	e->relay = relay_new(o->base, o->addr);
-	return e;
-}
-
-static void engine_close(struct endpoint *e)
-{
-	relay_free(e->relay);
-	g_free(e->addr);
-	g_free(e);
-}
-
 struct order_done {
 	void (*done)(void *arg, bool ok);
 	void *arg;
@@ -50,10 +24,13 @@
 		       const GError *error)
 {
 	struct order_done *d = arg;
+	bool ok = status >= 200 && status < 300;
 
 	(void)body;
-	(void)error;
-	d->done(d->arg, status >= 200 && status < 300);
+	if (!ok)
+		log_info("order_failed", "status=%d why=\"%s\"", status,
+			 error ? error->message : "the engine refused");
+	d->done(d->arg, ok);
 	g_free(d);
 }
 
@@ -98,11 +75,6 @@
 	order(e, "/admin/unload", r, fence, done, arg);
 }
 
-struct read_done {
-	void (*done)(void *arg, const struct endpoint_state *s);
-	void *arg;
-};
-
 static struct ss_str text_of(json_object *o, const char *key)
 {
 	json_object *v;
@@ -262,8 +234,8 @@
 }
 
 const struct endpoint_ops engine_http_ops = {
-	.open = engine_open,
-	.close = engine_close,
+	.open = endpoint_http_open,
+	.close = endpoint_http_close,
 	.load = engine_load,
 	.unload = engine_unload,
 	.read = engine_read,
--- a/src/service/http.c
+++ b/src/service/http.c
@@ -2,36 +2,9 @@
  * Plain services over HTTP: calls go through as they are. GET /healthz
  * tells whether the service is there; it holds no models.
  */
-#include "../engine/endpoint.h"
+#include "../engine/endpoint_http.h"
 
 #include "../net/http.h"
-#include "../net/relay.h"
-
-#define TIMEOUT_MS 3000
-
-struct endpoint {
-	struct endpoint_options o;
-	char *addr;
-	struct relay *relay;
-};
-
-static struct endpoint *service_open(const struct endpoint_options *o)
-{
-	struct endpoint *e = g_new0(struct endpoint, 1);
-
-	e->o = *o;
-	e->o.timeout_ms = o->timeout_ms ? o->timeout_ms : TIMEOUT_MS;
-	e->addr = g_strdup(o->addr);
-	e->relay = relay_new(o->base, o->addr);
-	return e;
-}
-
-static void service_close(struct endpoint *e)
-{
-	relay_free(e->relay);
-	g_free(e->addr);
-	g_free(e);
-}
 
 static void service_order(struct endpoint *e, const struct ledger_replica *r,
 			  uint64_t fence, void (*done)(void *arg, bool ok),
@@ -43,11 +16,6 @@
 	done(arg, false);
 }
 
-struct read_done {
-	void (*done)(void *arg, const struct endpoint_state *s);
-	void *arg;
-};
-
 static void on_health(void *arg, int status, struct ss_str body,
 		      const GError *error)
 {
@@ -91,8 +59,8 @@
 }
 
 const struct endpoint_ops service_http_ops = {
-	.open = service_open,
-	.close = service_close,
+	.open = endpoint_http_open,
+	.close = endpoint_http_close,
 	.load = service_order,
 	.unload = service_order,
 	.read = service_read,
