--- a/include/sapphireshift/limit.h
+++ b/include/sapphireshift/limit.h
@@ -34,7 +34,12 @@
 	bool trial; /* the one call is on its way */
 };
 
+/* Failures in a row that open a breaker: one is an accident, two may be one
+ * cause seen twice. */
 #define SS_BREAKER_FAILURES 3
+/* The first pause, in ms: a few times what a restarted process takes to listen
+ * again; doubled up to the longest, after which an endpoint is asked four times
+ * a minute. Chosen, not measured. */
 #define SS_BREAKER_PAUSE_MS 500
 #define SS_BREAKER_PAUSE_MAX_MS 15000
 
--- a/include/sapphireshift/queue.h
+++ b/include/sapphireshift/queue.h
@@ -14,6 +14,7 @@
 extern "C" {
 #endif
 
+/* 0 to 7, as the presets tell them. */
 #define SS_QUEUE_PRIORITIES 8
 
 /* Embed it in what waits; set the first fields, leave the rest at zero. */
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <json-c/json.h>
 
+/* Nesting of settings; ours have four levels. Bounds the parser's stack. */
 #define DEPTH_MAX 16
 
 /* The text with its comments blanked out, so that keys can be looked up. */
--- a/src/base/wire.h
+++ b/src/base/wire.h
@@ -42,6 +42,7 @@
 		sizeof(type), (table), G_N_ELEMENTS(table)                     \
 	}
 
+/* Lists within lists of a message; ours have three levels. */
 #define WIRE_DEPTH_MAX 4
 
 void wire_pack(msgpack_packer *pk, const struct wire_type *t, const void *s);
--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -9,7 +9,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Connections that wait to be accepted: a second's calls of the largest
+ * deployment at one entry. */
 #define BACKLOG 1024
+/* How often idle and slow callers are looked for; exact to this, in ms. */
 #define SWEEP_MS 500
 /* A caller whose answer is cut reads the rest within this time. */
 #define CUT_WRITE_S 5
--- a/src/core/keep.c
+++ b/src/core/keep.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <time.h>
 
+/* The shortest gap between calls that the histogram tells apart, in ms. */
 #define GAP_FIRST_MS 1000.0
 #define GAP_STEPS 4 /* in each doubling */
 /* Old gaps count less, so that a change of habit shows within some days. */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -6,6 +6,8 @@
 #define MINUTE_MS 60000.0
 #define BYTES_PER_MS_FIRST 1.0e6 /* 1 GB/s until a load was seen */
 #define PACE_ALPHA 0.3
+/* Order, answer and report of a load beside the reading itself, in ms: two
+ * ticks of the agent. */
 #define LOAD_OVERHEAD_MS 50
 /* Loads from disk and memory against those from the store. */
 #define DISK_FACTOR 0.4
--- a/src/core/preset.h
+++ b/src/core/preset.h
@@ -4,6 +4,7 @@
 
 #include "../base/settings.h"
 
+/* A preset has some 1 KB; this bounds what a change adds to the log. */
 #define PRESET_BYTES_MAX (256 * 1024)
 
 struct preset_class {
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -1,7 +1,10 @@
 /* Admission queue. */
 #include <sapphireshift/queue.h>
 
+/* An item with less time left than this goes before its priority, in ms: a
+ * common answer's time. Default of the option. */
 #define RAISE_MS 2000
+/* Virtual time that one item costs a tenant with a share of one. */
 #define SHARE_UNIT 1000
 
 /* One tenant's items of one priority. */
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -1,6 +1,7 @@
 /* One model's replicas, as an entry knows them. */
 #include "route.h"
 
+/* Mean time of a call, in ms, before one was seen. */
 #define SERVICE_MS_FIRST 200.0
 
 struct route *route_new(const char *model, const struct ss_queue_options *q,
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -4,7 +4,10 @@
 #include <event2/event.h>
 #include <json-c/json.h>
 
+/* One VM is waited for so long, then the next is asked; in ms. A change takes a
+ * round trip and a sync, also to a slow disk. */
 #define TRY_MS 3000
+/* Before the VMs are asked again, in ms: a third of an election. */
 #define PAUSE_MS 100
 
 struct answer {
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -20,6 +20,7 @@
 	EXIT_NOT_FOUND = 6,
 };
 
+/* Status is asked this often while a switch is waited for; in ms. */
 #define WAIT_STEP_MS 50
 
 struct ctl {
--- a/src/daemon/agent.c
+++ b/src/daemon/agent.c
@@ -3,6 +3,7 @@
 #include "../engine/endpoint.h"
 #include "daemon.h"
 
+/* Leases and deadlines are exact to this, in ms. */
 #define TICK_MS 50
 /* How often the endpoint is asked what it holds. */
 #define READ_BUSY_MS 50
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -8,7 +8,10 @@
 
 #include <json-c/json.h>
 
+/* Elections and heartbeats are exact to this, in ms: a fifth of a heartbeat. */
 #define TICK_MS 20
+/* At a planned stop the leadership is handed over first; the process ends so
+ * long after, in ms: three heartbeats. */
 #define LEAVE_MS 300
 
 /* The leader's part: of replicas behind agents, or of a fleet. */
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -3,10 +3,13 @@
 
 #include <json-c/json.h>
 
+/* Deadlines are exact to this, in ms; it isn't seen beside a cold start. */
 #define TICK_MS 20
 /* A connection to an agent that nobody used for so long is closed. */
 #define AGENT_IDLE_MS 60000
 #define AGENT_RETRY_MS 200
+/* A list of models is waited for from the leader for so long, in ms: an
+ * election and its answer. */
 #define MODELS_WAIT_MS 3000
 
 int64_t entry_now(const struct entry_role *e)
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -5,7 +5,9 @@
 #define XXH_STATIC_LINKING_ONLY /* for states on the stack */
 #include <xxhash.h>
 
+/* A longer deadline than a day is a mistake; night work has less. */
 #define DEADLINE_MAX_MS (24 * 3600 * 1000LL)
+/* Model, tenant, key: longer ones would fill logs and metrics. */
 #define NAME_MAX_BYTES 200
 /* The prompt's start that decides which replica may have it cached. */
 #define PREFIX_BYTES 256
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -2,8 +2,11 @@
 #include "bootstrap.h"
 #include "group_int.h"
 
+/* Heartbeats and elections are exact to this, in ms. */
 #define TICK_MS 20
+/* A member that can't be reached is tried again so soon, in ms: a heartbeat. */
 #define RECONNECT_MS 100
+/* Members are looked after this often, in ms; a change takes two syncs. */
 #define TEND_MS 200
 /* A member that heard no leader for so long asks to be taken in again: it
  * may have been removed while it was away. Three election timeouts. */
--- a/src/daemon/lead.c
+++ b/src/daemon/lead.c
@@ -1,6 +1,7 @@
 /* What a leader knows beside the replicated state, and does by it. */
 #include "lead_int.h"
 
+/* A pass at full size takes 1.8 ms; ten a second are 2 % of a core. */
 #define PLAN_EVERY_MS 100
 
 bool lead_still(const GError *error)
--- a/src/daemon/lead_plan.c
+++ b/src/daemon/lead_plan.c
@@ -1,7 +1,10 @@
 /* Building the planner's view, and proposing what it decides. */
 #include "lead_int.h"
 
+/* Models are looked through for waking ahead this often, in ms: short against
+ * the 15 minutes that histories are kept by. */
 #define AHEAD_EVERY_MS 10000
+/* Nobody waits: as much slack as the longest deadline, in ms. */
 #define PLAN_SLACK_NONE (24 * 3600 * 1000LL)
 
 struct view {
@@ -114,34 +117,33 @@
 	}
 }
 
-static void add_demand(struct view *w, const struct lead_model *m,
-		       const struct plan_demand *of)
+static void add_record(struct view *w, struct plan_demand d,
+		       const struct model_rec *rec, int64_t load_ms)
 {
-	const struct model_rec *rec = lead_resolve(w->l, m->name);
-	struct plan_demand d = *of;
-
-	if (!rec)
-		return;
 	d.model = rec->name.p;
 	d.base = rec->base.p;
 	d.pool = rec->pool.p;
 	d.bytes = rec->bytes;
 	d.slots = rec->slots;
-	d.load_ms = m->load_ms;
+	d.load_ms = load_ms;
 	g_array_append_val(w->demands, d);
-	if (rec->base.n) {
-		/* An adapter's demand is one for its base as well. */
-		rec = ss_state_model(group_state(w->l->g), rec->base.p);
-		if (!rec)
-			return;
-		d.model = rec->name.p;
-		d.base = rec->base.p;
-		d.pool = rec->pool.p;
-		d.bytes = rec->bytes;
-		d.slots = rec->slots;
-		d.load_ms = 0;
-		g_array_append_val(w->demands, d);
-	}
+}
+
+/* An adapter's demand is one for its base as well. */
+static void add_demand(struct view *w, const struct lead_model *m,
+		       const struct plan_demand *of)
+{
+	const struct model_rec *rec = lead_resolve(w->l, m->name);
+	const struct model_rec *base;
+
+	if (!rec)
+		return;
+	add_record(w, *of, rec, m->load_ms);
+	if (!rec->base.n)
+		return;
+	base = ss_state_model(group_state(w->l->g), rec->base.p);
+	if (base)
+		add_record(w, *of, base, 0);
 }
 
 static void add_demands(struct view *w)
--- a/src/disk/disk.c
+++ b/src/disk/disk.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+/* Of the files; others are refused at the start. */
 #define FORMAT_VERSION 1
 #define RECORD_HEAD 16 /* length (4), its checksum (4), the body's (8) */
 #define RECORD_MAX (64u * 1024 * 1024)
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -8,7 +8,10 @@
 #include <json-c/json.h>
 #include <sys/socket.h>
 
+/* Bytes of an operator's or scraper's head; as common servers have it. */
 #define HEADERS_MAX 16384
+/* A client that is silent for so long is left, in s; scrapers ask each 5 to 15
+ * s. */
 #define SERVER_TIMEOUT_S 20
 
 struct http_server {
--- a/src/net/relay.c
+++ b/src/net/relay.c
@@ -7,6 +7,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+/* Connections to one endpoint kept at rest: as many as an engine has slots. */
 #define IDLE_CONNS_MAX 64
 /* An answer of known length up to this is one piece. */
 #define WHOLE_MAX 65536
--- a/src/node/frame.h
+++ b/src/node/frame.h
@@ -4,7 +4,9 @@
 
 #include "../core/msg.h"
 
+/* The length of the rest, big endian, in bytes. */
 #define FRAME_HEAD 4
+/* Bytes; the largest is a snapshot's chunk or a routing of some megabytes. */
 #define FRAME_MAX (16u * 1024 * 1024)
 
 /* Append a whole frame. */
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -3,6 +3,8 @@
 
 #include "../base/log.h"
 
+/* Between two tries to reach a leader, in ms, spread by as much again so that
+ * those that lost it together don't come back together. */
 #define RETRY_MS 100
 #define RETRY_SPREAD_MS 100
 /* A control VM that was asked and knows of no leader, or does not answer, is
--- a/src/operator/operator.c
+++ b/src/operator/operator.c
@@ -24,7 +24,9 @@
 
 #include <json-c/json.h>
 
+/* Bytes of a change: a list of 30,000 adapters has some 3 MB. */
 #define BODY_MAX (8 * 1024 * 1024)
+/* Of a preset or a model. */
 #define NAME_MAX_BYTES 128
 
 struct operator_http {
--- a/src/vmlist/vms.c
+++ b/src/vmlist/vms.c
@@ -8,6 +8,7 @@
 
 #include <json-c/json.h>
 
+/* How often the list is read, and how long one answer may take; in ms. */
 #define EVERY_MS 1000
 #define TIMEOUT_MS 2000
 
