--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -357,6 +357,45 @@
 	fix_close(&f);
 }
 
+/*
+ * Symptom: work goes to an endpoint for seconds after it began to leave.
+ * Sequence: the leader tells that one of two endpoints is leaving; it is the
+ * emptier one, and requests wait at neither. Cause: it is still chosen.
+ */
+static void leaving_endpoint_gets_no_new_work(void **state)
+{
+	struct fleet_endpoint e = { .service = SS_LIT("web"),
+				    .domain = SS_LIT("here"),
+				    .slots = 8,
+				    .leaving = true };
+	struct msg_fleet m = { .fence = 1, .endpoints = { &e, 1 } };
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "web", "");
+	script(&f, 0, OK_TEXT, false, false);
+	script(&f, 1, OK_TEXT, false, false);
+	e.addr = ss_str(f.eps[0].addr);
+	e.id = ss_str(f.eps[0].id);
+	gate_take_fleet(f.gate, &m);
+	for (int i = 0; i < 5; i++) {
+		struct caller *c = call(&f, GET_SAFE);
+
+		UNTIL(&f, ends(c, "hello"));
+	}
+	assert_int_equal(f.eps[0].requests, 0);
+	assert_int_equal(f.eps[1].requests, 5);
+	/* Nor where it is the last one that is left. */
+	e.addr = ss_str(f.eps[1].addr);
+	e.id = ss_str(f.eps[1].id);
+	gate_take_fleet(f.gate, &m);
+	call(&f, GET_SAFE);
+	UNTIL(&f, gate_busy(f.gate) > 0);
+	turn(&f);
+	assert_int_equal(f.eps[0].requests + f.eps[1].requests, 5);
+	fix_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -368,6 +407,7 @@
 		cmocka_unit_test(bad_requests_reach_nobody),
 		cmocka_unit_test(head_over_the_limit_is_refused),
 		cmocka_unit_test(chunked_request_arrives_whole),
+		cmocka_unit_test(leaving_endpoint_gets_no_new_work),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
