Look for a stream where it runs, in two scenarios

Cause: planned_stop_of_an_agent and drained_endpoint failed on a machine with 17 to 25 runnable processes. Both took the model's first replica for the one that gets the stream; the second also took an agent's active call for a run that its engine had begun, so the stream's own run was counted as new work later. Change: the engine whose count of runs has grown is the one.

--- a/test/proc_faults.py
+++ b/test/proc_faults.py
@@ -34,6 +34,20 @@
             (key is None or e.get("key") == key)]
 
 
+def run_counts(s):
+    return {e: len(runs(s, e)) for e in s.engines}
+
+
+def node_that_runs(s, before):
+    """The agent beside the engine that began a run since the counts were
+    taken: a model may have two replicas, and either may get a call."""
+    def grown():
+        return [e for e, n in run_counts(s).items() if n > before[e]]
+
+    wait_for(grown, why="the stream runs")
+    return "agent-" + grown()[0]
+
+
 def book(s, entry, key, path="/svc/portal-web/book", **options):
     return request(s.addr[entry], "POST", path, {"seat": key},
                    {"Idempotency-Key": key}, **options)
@@ -332,15 +346,11 @@
     Sequence: an endpoint with a long stream is drained. Cause: entries
     hear of it late; the stop doesn't wait."""
     chat(s.addr["entry-1"], "claims-draft", "warm")
-    node = [r["node"] for r in s.status()["replicas"]
-            if r["model"] == "claims-draft"][0]
+    before = run_counts(s)
     stream = Later(lambda: chat(s.addr["entry-1"], "claims-draft", "long",
                                 stream=True, max_tokens=500))
+    node = node_that_runs(s, before)
     engine = node[len("agent-"):]
-    before = len(runs(s, engine))
-    wait_for(lambda: len(runs(s, engine)) > before or
-             any(r["active"] for r in s.status()["replicas"]
-                 if "active" in r), why="the stream runs")
     rc, _, err = s.ctl("node", "drain", node, check=False)
     check(rc == 0, err)
     wait_for(lambda: not [n for n in s.status()["nodes"]
@@ -378,13 +388,10 @@
     """Symptom: a roll of the daemons cuts streams. Sequence: SIGTERM to
     an agent with a stream in flight. Cause: it exits at once."""
     chat(s.addr["entry-1"], "claims-draft", "warm")
-    node = [r["node"] for r in s.status()["replicas"]
-            if r["model"] == "claims-draft" and r["state"] == "ready"][0]
-    before = len(runs(s, node[len("agent-"):]))
+    before = run_counts(s)
     stream = Later(lambda: chat(s.addr["entry-1"], "claims-draft", "last",
                                 stream=True, max_tokens=300))
-    wait_for(lambda: len(runs(s, node[len("agent-"):])) > before,
-             why="the stream runs")
+    node = node_that_runs(s, before)
     code = s.procs[node].stop(30)
     status, _, body = stream.result()
     check(body.count(b"data: ") == 301 and b"[DONE]" in body, "it was cut")
