--- a/test/test_gate_ends.c
+++ b/test/test_gate_ends.c
@@ -145,12 +145,15 @@
 
 	(void)state;
 	fix_open(&f, "lm", "");
-	c = call(&f, POST_CHAT);
+	c = call(&f, REQ("POST", "/brief/x") "X-Model: m\r\n"
+					     "X-Deadline-Ms: 8000\r\n"
+					     "Content-Length: 0\r\n\r\n");
 	UNTIL(&f, gate_busy(f.gate) > 0);
 	/* Callers of this stream leave after 2 s. */
 	f.clock.fake_ms += 1500;
-	turn(&f);
-	turn(&f);
+	/* A refusal takes a tick, a write and a read to arrive. */
+	for (int i = 0; i < 10; i++)
+		turn(&f);
 	assert_int_equal(c->got->len, 0);
 	f.clock.fake_ms += 200;
 	UNTIL(&f, got(c, "HTTP/1.1 503 "));
