Keep the ports of the fleet's tests until they are listened on

The port had been asked of the kernel and let go before the process took it. Ruled out: the system (its log ends with event=start_failed). Change: a bound socket that doesn't listen holds it.

--- a/test/fleet/standin.py
+++ b/test/fleet/standin.py
@@ -16,10 +16,19 @@
 ADAPTER_SLOTS = 2
 
 
+_held = []
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A port that stays ours: a bound socket that doesn't listen keeps the
+    kernel from giving it to others before a process listens on it, and
+    SO_REUSEADDR lets that process bind it all the same.
+    """
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    s.bind(("127.0.0.1", 0))
+    _held.append(s)
+    return s.getsockname()[1]
 
 
 class World:
