Read on from an endpoint once its slow caller has caught up

Cause: found by reading. Past half a megabyte of backlog the gate stops reading an endpoint's answer, and nothing ever made it read on: a caller who paused once in a large answer lost the rest at the deadline. Ruled out: a stall of the test's own; with the change the same test passes. Change: callers' connections tell when all that was written has gone out, and a paused answer is read on. A field that nothing used goes. Test: slow_reader_gets_the_whole_answer fails before: no byte comes any more.

--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -156,8 +156,19 @@
 
 static void slow_down(struct forward *f)
 {
-	if (caller_call_backlog(f->caller) > BACKLOG_MAX)
-		upstream_pause(f->up, true);
+	if (f->paused || caller_call_backlog(f->caller) <= BACKLOG_MAX)
+		return;
+	f->paused = true;
+	upstream_pause(f->up, true);
+}
+
+void forward_drained(struct forward *f)
+{
+	if (!f->paused)
+		return;
+	f->paused = false;
+	if (f->up)
+		upstream_pause(f->up, false);
 }
 
 static void pass_events(struct forward *f, struct ss_str piece)
--- a/src/proxy/callers.c
+++ b/src/proxy/callers.c
@@ -215,6 +215,8 @@
 	(void)bev;
 	if (p->finished && !p->shut)
 		shut(p);
+	else if (p->call && p->call->started)
+		p->s->o.ops->drained(p->s->o.arg, p->call);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
--- a/src/proxy/callers.h
+++ b/src/proxy/callers.h
@@ -25,6 +25,8 @@
 	 */
 	void (*request)(void *arg, struct caller_call *c,
 			const struct http1_head *h, struct ss_str body);
+	/* All that was written of its answer so far has gone out. */
+	void (*drained)(void *arg, struct caller_call *c);
 	/* The caller has left; c is freed on return. */
 	void (*gone)(void *arg, struct caller_call *c);
 	/* A request that couldn't be read was refused. */
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -79,6 +79,7 @@
 	if (f->up)
 		upstream_cancel(f->up);
 	f->up = NULL;
+	f->paused = false;
 	if (ep)
 		gate_ep_end(ep, f->model);
 	g_clear_pointer(&f->ep_addr, g_free);
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -158,6 +158,15 @@
 	forward_begin(arg, c, h, body);
 }
 
+static void on_drained(void *arg, struct caller_call *c)
+{
+	struct forward *f = caller_call_data(c);
+
+	(void)arg;
+	if (f)
+		forward_drained(f);
+}
+
 static void on_gone(void *arg, struct caller_call *c)
 {
 	struct forward *f = caller_call_data(c);
@@ -175,8 +184,8 @@
 	log_info("unreadable", "status=%d", status);
 }
 
-static const struct callers_ops callers_table = { on_request, on_gone,
-						  on_refused };
+static const struct callers_ops callers_table = { on_request, on_drained,
+						  on_gone, on_refused };
 
 /* The public face. */
 
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -57,7 +57,6 @@
 	/* Sends. */
 	GPtrArray *tried; /* char *, incarnations that it was sent to */
 	unsigned int sends, asks;
-	struct gate_ep *ep; /* counted there */
 	char *ep_addr, *ep_id;
 	uint64_t ticket;
 	int64_t sent_ms;
@@ -69,6 +68,7 @@
 	/* The answer. */
 	int status;
 	bool is_events, started;
+	bool paused; /* no more is read of it until the caller has caught up */
 	GString *headers; /* to be passed on */
 	GString *held;	  /* bytes kept back until the answer is sure */
 	int64_t length;
@@ -142,6 +142,8 @@
 
 /* answer.c */
 extern const struct upstream_ops forward_upstream_ops;
+/* The caller has read all that was written: read on. */
+void forward_drained(struct forward *f);
 
 /* Shared by forward.c and answer.c. */
 enum forward_outcome { FORWARD_NOT_RUN, FORWARD_UNKNOWN };
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -396,6 +396,51 @@
 	fix_close(&f);
 }
 
+/*
+ * Symptom: a large answer stops in its middle and is cut at the deadline.
+ * Sequence: its caller reads nothing for a moment, so the gate stops reading
+ * from the endpoint; the caller reads on. Cause: nobody told the gate to read
+ * on as well.
+ */
+static void slow_reader_gets_the_whole_answer(void **state)
+{
+	/* More than the kernel holds of a connection and the gate of an
+	 * answer: 4 MiB and half of one. */
+	const size_t body = 6 << 20;
+	/* Of 4 KiB each until both are full, and some to rest. */
+	const size_t turns = (5 << 20) / 4096 + 100;
+	GString *text = g_string_new(NULL);
+	struct caller *c;
+	struct fix f;
+	int small = 64 << 10;
+
+	(void)state;
+	g_string_printf(text,
+			"HTTP/1.1 200 OK\r\n" HEAD
+			"Content-Length: %zu\r\n\r\n",
+			body);
+	for (size_t i = 0; i < body / 16; i++)
+		g_string_append(text, "0123456789abcdef");
+	fix_open(&f, "web", "");
+	script(&f, 0, text->str, false, false);
+	c = call(&f, GET_SAFE);
+	setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_RCVBUF, &small,
+		   sizeof(small));
+	bufferevent_disable(c->bev, EV_READ);
+	for (size_t i = 0; i < turns; i++)
+		turn(&f);
+	assert_int_equal(c->got->len, 0);
+	bufferevent_enable(c->bev, EV_READ);
+	while (c->got->len < body) {
+		size_t had = c->got->len;
+
+		UNTIL(&f, c->got->len > had);
+	}
+	assert_int_equal(f.eps[0].requests, 1);
+	fix_close(&f);
+	g_string_free(text, TRUE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -408,6 +453,7 @@
 		cmocka_unit_test(head_over_the_limit_is_refused),
 		cmocka_unit_test(chunked_request_arrives_whole),
 		cmocka_unit_test(leaving_endpoint_gets_no_new_work),
+		cmocka_unit_test(slow_reader_gets_the_whole_answer),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
