One way to listen, to send a small HTTP request, and to make a timeval

Found by reading the whole change: callers.c opened its listener as conn.c does (and said 'Success' of an address that can't be read); keep.c built its requests as http.c does, with its own reading of the method; eight places made a timeval of milliseconds by hand; http1_reason() stood in callers.c. Each is one function now: addr_listen(), http_send(), timeval_of(). Two tests share a request. Behaviour stays, but for that one message.

--- /dev/null
+++ b/src/base/timeval.h
@@ -0,0 +1,15 @@
+/* Milliseconds as the loop's timers and sockets want them. */
+#ifndef SS_TIMEVAL_H
+#define SS_TIMEVAL_H
+
+#include <stdint.h>
+#include <sys/time.h>
+
+static inline struct timeval timeval_of(int64_t ms)
+{
+	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+
+	return tv;
+}
+
+#endif
--- a/src/caller/caller.c
+++ b/src/caller/caller.c
@@ -9,8 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Connections that wait to be accepted: a second's calls of the largest
- * deployment at one entry. */
+/* Connections that wait to be accepted; beyond it a caller's first packet is
+ * lost, and sent again a second later. */
 #define BACKLOG 1024
 /* How often idle and slow callers are looked for; exact to this, in ms. */
 #define SWEEP_MS 500
--- a/src/config/config.c
+++ b/src/config/config.c
@@ -2,7 +2,7 @@
 #include "config.h"
 
 #include "../core/state.h"
-#include "../node/conn.h"
+#include "../net/addr.h"
 
 #define HOUR_MS (3600 * 1000LL)
 #define PETABYTE (1LL << 50)
@@ -148,7 +148,7 @@
 {
 	GError *e = NULL;
 
-	if (!*addr || conn_check_addr(addr, &e))
+	if (!*addr || addr_check(addr, &e))
 		return;
 	add_fault(faults, file, field, e->message);
 	g_error_free(e);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,6 +1,8 @@
 /* sapphireshiftd: one process of the system, by the role in its settings. */
 #include "daemon.h"
 
+#include "../base/timeval.h"
+
 #include <event2/event.h>
 #include <popt.h>
 #include <signal.h>
@@ -74,7 +76,7 @@
 struct event *daemon_every(struct daemon *d, int64_t ms, event_callback_fn fn,
 			   void *arg)
 {
-	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+	struct timeval tv = timeval_of(ms);
 	struct event *ev = event_new(d->base, -1, EV_PERSIST, fn, arg);
 
 	event_add(ev, &tv);
--- a/src/net/addr.c
+++ b/src/net/addr.c
@@ -1,6 +1,7 @@
 /* Addresses as they are written in settings and messages. */
 #include "addr.h"
 
+#include <errno.h>
 #include <event2/util.h>
 #include <netinet/in.h>
 
@@ -22,6 +23,38 @@
 	return ok;
 }
 
+bool addr_check(const char *addr, GError **error)
+{
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+
+	if (addr_parse(addr, &ss, &len))
+		return true;
+	g_set_error(error, SS_ERROR, SS_ERROR_SETTINGS,
+		    "\"%s\" is no address; write ip:port", addr);
+	return false;
+}
+
+struct evconnlistener *addr_listen(struct event_base *base, const char *addr,
+				   int backlog, evconnlistener_cb accepted,
+				   void *arg, GError **error)
+{
+	struct sockaddr_storage ss;
+	struct evconnlistener *l;
+	int len = sizeof(ss);
+
+	if (!addr_check(addr, error))
+		return NULL;
+	addr_parse(addr, &ss, &len);
+	l = evconnlistener_new_bind(base, accepted, arg,
+				    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+				    backlog, (struct sockaddr *)&ss, len);
+	if (!l)
+		g_set_error(error, SS_ERROR, SS_ERROR_IO, "listen on %s: %s",
+			    addr, g_strerror(errno));
+	return l;
+}
+
 uint16_t addr_port(int fd)
 {
 	union {
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -1,6 +1,8 @@
 /* HTTP servers and client. */
 #include "http.h"
 
+#include "../base/timeval.h"
+
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/listener.h>
@@ -259,13 +261,26 @@
 	return EVHTTP_REQ_GET;
 }
 
+void http_send(struct evhttp_connection *conn, struct evhttp_request *req,
+	       const char *host, const char *method, const char *path,
+	       struct ss_str body)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+
+	evhttp_add_header(headers, "Host", host);
+	if (body.n) {
+		evhttp_add_header(headers, "Content-Type", "application/json");
+		http_add_body(req, body);
+	}
+	evhttp_make_request(conn, req, method_of(method), path);
+}
+
 void http_get(const struct http_get_options *o)
 {
 	struct get *g = g_new0(struct get, 1);
 	struct evhttp_request *req = evhttp_request_new(on_got, g);
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
-	struct timeval tv = { o->timeout_ms / 1000,
-			      (o->timeout_ms % 1000) * 1000 };
+	struct timeval tv = timeval_of(o->timeout_ms);
 	char *ip = NULL;
 	uint16_t port = 0;
 
@@ -274,7 +289,6 @@
 		ip = g_strdup("");
 	g->conn = evhttp_connection_base_new(o->base, NULL, ip, port);
 	evhttp_connection_set_timeout_tv(g->conn, &tv);
-	evhttp_add_header(headers, "Host", o->addr);
 	evhttp_add_header(headers, "Connection", "close");
 	if (o->token) {
 		char *bearer = g_strdup_printf("Bearer %s", o->token);
@@ -282,10 +296,6 @@
 		evhttp_add_header(headers, "Authorization", bearer);
 		g_free(bearer);
 	}
-	if (o->body.n) {
-		evhttp_add_header(headers, "Content-Type", "application/json");
-		http_add_body(req, o->body);
-	}
-	evhttp_make_request(g->conn, req, method_of(o->method), o->path);
+	http_send(g->conn, req, o->addr, o->method, o->path, o->body);
 	g_free(ip);
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -58,6 +58,12 @@
 /* One small request on a connection of its own; done is called later. */
 void http_get(const struct http_get_options *o);
 
+/* Send a client's request, with a body of JSON where there is one. Strings are
+ * copied. */
+void http_send(struct evhttp_connection *conn, struct evhttp_request *req,
+	       const char *host, const char *method, const char *path,
+	       struct ss_str body);
+
 /* Give a client's request its body, whatever the method. */
 void http_add_body(struct evhttp_request *req, struct ss_str body);
 
--- a/src/net/keep.c
+++ b/src/net/keep.c
@@ -1,6 +1,7 @@
 /* Small HTTP calls over one kept connection. */
 #include "keep.h"
 
+#include "../base/timeval.h"
 #include "http.h"
 
 #include <event2/buffer.h>
@@ -66,24 +67,15 @@
 {
 	struct call *c = g_new0(struct call, 1);
 	struct evhttp_request *req = evhttp_request_new(on_answer, c);
-	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
-	struct timeval tv = { o->timeout_ms / 1000,
-			      (o->timeout_ms % 1000) * 1000 };
+	struct timeval tv = timeval_of(o->timeout_ms);
 
 	c->k = k;
 	c->want = g_strdup(o->want);
 	c->done = o->done;
 	c->arg = o->arg;
 	evhttp_connection_set_timeout_tv(k->conn, &tv);
-	evhttp_add_header(headers, "Host", k->addr);
 	if (o->header)
-		evhttp_add_header(headers, o->header, o->value);
-	if (o->body.n) {
-		evhttp_add_header(headers, "Content-Type", "application/json");
-		http_add_body(req, o->body);
-	}
-	evhttp_make_request(k->conn, req,
-			    strcmp(o->method, "POST") ? EVHTTP_REQ_GET :
-							EVHTTP_REQ_POST,
-			    o->path);
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  o->header, o->value);
+	http_send(k->conn, req, k->addr, o->method, o->path, o->body);
 }
--- a/src/node/conn.c
+++ b/src/node/conn.c
@@ -1,6 +1,7 @@
 /* Connections between the system's own processes. */
 #include "conn.h"
 
+#include "../base/timeval.h"
 #include "../net/addr.h"
 
 #include <errno.h>
@@ -246,8 +247,7 @@
 	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 	c->timer = event_new(o->base, -1, EV_PERSIST, on_timer, c);
-	tv.tv_sec = c->o.ping_ms / 1000;
-	tv.tv_usec = (c->o.ping_ms % 1000) * 1000;
+	tv = timeval_of(c->o.ping_ms);
 	event_add(c->timer, &tv);
 	return c;
 }
@@ -287,38 +287,15 @@
 	start(conn_new(&l->o, fd), fd);
 }
 
-bool conn_check_addr(const char *addr, GError **error)
-{
-	struct sockaddr_storage ss;
-	int len = sizeof(ss);
-
-	if (addr_parse(addr, &ss, &len))
-		return true;
-	g_set_error(error, SS_ERROR, SS_ERROR_SETTINGS,
-		    "\"%s\" is no address; write ip:port", addr);
-	return false;
-}
-
 struct listener *conn_listen(const struct conn_options *o, const char *addr,
 			     GError **error)
 {
-	struct sockaddr_storage ss;
-	int len = sizeof(ss);
-	struct listener *l;
+	struct listener *l = g_new0(struct listener, 1);
 
-	if (!conn_check_addr(addr, error))
-		return NULL;
-	addr_parse(addr, &ss, &len);
-	l = g_new0(struct listener, 1);
 	l->o = *o;
-	l->ev = evconnlistener_new_bind(o->base, on_accept, l,
-					LEV_OPT_CLOSE_ON_FREE |
-						LEV_OPT_REUSEABLE,
-					-1, (struct sockaddr *)&ss, len);
+	l->ev = addr_listen(o->base, addr, -1, on_accept, l, error);
 	if (l->ev)
 		return l;
-	g_set_error(error, SS_ERROR, SS_ERROR_IO, "listen on %s: %s", addr,
-		    g_strerror(errno));
 	g_free(l);
 	return NULL;
 }
--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -76,7 +76,4 @@
 /* Milliseconds since the peer was last heard. */
 int64_t conn_quiet_ms(const struct conn *c);
 
-/* Parse "ip:port" or "[ip6]:port". SS_ERROR_SETTINGS where it is neither. */
-bool conn_check_addr(const char *addr, GError **error);
-
 #endif
--- a/src/proxy/callers.c
+++ b/src/proxy/callers.c
@@ -3,7 +3,6 @@
 
 #include "../net/addr.h"
 
-#include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <event2/util.h>
@@ -20,6 +19,9 @@
  * with unread bytes resets the connection, and what the caller hasn't read
  * of the answer would be lost. */
 #define LINGER_MS 500
+/* Connections that wait to be accepted; beyond it a caller's first packet is
+ * lost, and sent again a second later. */
+#define BACKLOG 1024
 
 struct caller_call {
 	struct peer *peer;
@@ -52,13 +54,6 @@
 	bool draining;
 };
 
-const char *http1_reason(int status)
-{
-	const char *s = http_status_str((enum http_status)status);
-
-	return strcmp(s, "<unknown>") ? s : "Other";
-}
-
 static int64_t now_ms(const struct callers *s)
 {
 	return ss_clock_now(s->o.clock);
@@ -354,20 +349,13 @@
 struct callers *callers_new(const struct callers_options *o, GError **error)
 {
 	struct callers *s = g_new0(struct callers, 1);
-	struct sockaddr_storage ss;
-	int len = sizeof(ss);
 
 	s->o = *o;
 	s->peers = g_hash_table_new(NULL, NULL);
-	if (addr_parse(o->addr, &ss, &len))
-		s->listener = evconnlistener_new_bind(
-			o->base, on_accept, s,
-			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 1024,
-			(struct sockaddr *)&ss, len);
+	s->listener =
+		addr_listen(o->base, o->addr, BACKLOG, on_accept, s, error);
 	if (s->listener)
 		return s;
-	g_set_error(error, SS_ERROR, SS_ERROR_IO, "listen on %s: %s", o->addr,
-		    g_strerror(errno));
 	callers_free(s);
 	return NULL;
 }
--- a/src/proxy/callers.h
+++ b/src/proxy/callers.h
@@ -76,6 +76,4 @@
 void caller_call_reply(struct caller_call *c, int status,
 		       const GString *headers, struct ss_str body);
 
-const char *http1_reason(int status);
-
 #endif
--- a/src/proxy/http1.c
+++ b/src/proxy/http1.c
@@ -53,6 +53,13 @@
 	return true;
 }
 
+const char *http1_reason(int status)
+{
+	const char *s = http_status_str((enum http_status)status);
+
+	return strcmp(s, "<unknown>") ? s : "Other";
+}
+
 static struct span *last_span(struct http1_reader *r)
 {
 	return &g_array_index(r->spans, struct span, r->spans->len - 1);
--- a/src/proxy/http1.h
+++ b/src/proxy/http1.h
@@ -32,6 +32,8 @@
 /* NULL p where the header isn't there. */
 struct ss_str http1_value(const struct http1_head *h, const char *name);
 bool http1_name_is(struct ss_str name, const char *other);
+/* What a status is called; "Other" where it has no name. */
+const char *http1_reason(int status);
 /* A whole decimal number from 0 to max. */
 bool http1_number(struct ss_str s, int64_t max, int64_t *out);
 
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -1,6 +1,7 @@
 /* Connections to endpoints. */
 #include "upstream.h"
 
+#include "../base/timeval.h"
 #include "../net/addr.h"
 
 #include <errno.h>
@@ -262,8 +263,7 @@
 {
 	struct http1_options ro = { .head_max = u->o.head_max,
 				    .ops = &reader_ops };
-	struct timeval connect = { CONNECT_MS / 1000,
-				   (CONNECT_MS % 1000) * 1000 };
+	struct timeval connect = timeval_of(CONNECT_MS);
 	struct sockaddr_storage ss;
 	struct line *l;
 	int len = sizeof(ss), one = 1;
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -1,6 +1,8 @@
 /* standin: one process that plays a part outside of the system. */
 #include "standin.h"
 
+#include "../base/timeval.h"
+
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <event2/keyvalq_struct.h>
@@ -46,7 +48,7 @@
 		   void (*fn)(evutil_socket_t fd, short what, void *arg),
 		   void *arg)
 {
-	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+	struct timeval tv = timeval_of(ms);
 
 	event_base_once(s->base, -1, EV_TIMEOUT, fn, arg, &tv);
 }
--- a/src/vmlist/instances.c
+++ b/src/vmlist/instances.c
@@ -2,6 +2,7 @@
 #include "instances.h"
 
 #include "../base/log.h"
+#include "../base/timeval.h"
 #include "../net/http.h"
 
 /* For one page: with the next reading a lost answer is made up for within
@@ -156,8 +157,7 @@
 
 void instances_run(struct instances *v, bool on)
 {
-	struct timeval every = { v->o.every_ms / 1000,
-				 (v->o.every_ms % 1000) * 1000 };
+	struct timeval every = timeval_of(v->o.every_ms);
 
 	if (v->on == on)
 		return;
--- a/src/vmlist/vms.c
+++ b/src/vmlist/vms.c
@@ -4,6 +4,7 @@
  */
 #include "vms.h"
 
+#include "../base/timeval.h"
 #include "../net/http.h"
 
 #include <json-c/json.h>
@@ -90,7 +91,7 @@
 {
 	struct vms *v = g_new0(struct vms, 1);
 	int64_t ms = o->every_ms ? o->every_ms : EVERY_MS;
-	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+	struct timeval tv = timeval_of(ms);
 
 	v->o = *o;
 	v->addr = g_strdup(o->addr);
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -100,6 +100,10 @@
 #define POST_ONCE REQ("POST", "/once/x") "Content-Length: 3\r\n\r\nabc"
 #define POST_CHAT                                                              \
 	REQ("POST", "/chat/x") "X-Model: m\r\nContent-Length: 2\r\n\r\nhi"
+/* Its caller leaves after 2 s without an event. */
+#define POST_BRIEF                                                             \
+	REQ("POST", "/brief/x")                                                \
+	"X-Model: m\r\nX-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n"
 #define POST_NIGHT                                                             \
 	REQ("POST", "/night/x") "X-Model: m\r\nContent-Length: 2\r\n\r\nhi"
 
--- a/test/test_gate_ends.c
+++ b/test/test_gate_ends.c
@@ -120,9 +120,7 @@
 
 	(void)state;
 	fix_open(&f, "lm", "");
-	c = call(&f, REQ("POST", "/brief/x") "X-Model: m\r\n"
-					     "X-Deadline-Ms: 8000\r\n"
-					     "Content-Length: 0\r\n\r\n");
+	c = call(&f, POST_BRIEF);
 	UNTIL(&f, gate_busy(f.gate) > 0);
 	gate_take_fleet(f.gate, &m);
 	UNTIL(&f, got(c, "HTTP/1.1 503 "));
@@ -145,9 +143,7 @@
 
 	(void)state;
 	fix_open(&f, "lm", "");
-	c = call(&f, REQ("POST", "/brief/x") "X-Model: m\r\n"
-					     "X-Deadline-Ms: 8000\r\n"
-					     "Content-Length: 0\r\n\r\n");
+	c = call(&f, POST_BRIEF);
 	UNTIL(&f, gate_busy(f.gate) > 0);
 	/* Callers of this stream leave after 2 s. */
 	f.clock.fake_ms += 1500;
