Let streams under way only raise what whole ones have shown of lengths

Cause: pace_note_length took the events of a stream that goes on for all that its tokens make.

Change: pace_raise_length() for streams under way, and for the rest of a resumed one: it changes nothing while no stream has ended, and afterwards only raises. Ruled out: waiting for eight whole streams; a process that has carried four would then refuse all but the briefest for the rest of a stop.

Tests first: stream_under_way_isnt_taken_for_a_whole_one failed on the code before (got no refusal); streams_under_way_only_raise_the_length.

--- a/src/core/pace.c
+++ b/src/core/pace.c
@@ -80,6 +80,14 @@
 			      (double)events / (double)tokens);
 }
 
+void pace_raise_length(struct pace *p, uint64_t events, int64_t tokens)
+{
+	double known = pace_most(&p->events_per_token);
+
+	if (known > 0 && (double)events > known * (double)tokens)
+		pace_note_length(p, events, tokens);
+}
+
 double pace_least_first(const struct pace *model, const struct pace *service)
 {
 	const struct pace_estimate *e = model->first.n ? &model->first :
--- a/src/core/pace.h
+++ b/src/core/pace.h
@@ -60,8 +60,14 @@
 
 void pace_note_first(struct pace *p, double ms);
 void pace_note_event(struct pace *p, double ms);
-/* So many events have come of a stream: at its end, or so far. */
+/* A stream has ended as whole after so many events. */
 void pace_note_length(struct pace *p, uint64_t events, int64_t tokens);
+/*
+ * So many events have come of a stream that goes on. That is a lower bound, so
+ * it can only raise what whole streams have shown: those that end first are
+ * the short ones. While none has ended it says nothing.
+ */
+void pace_raise_length(struct pace *p, uint64_t events, int64_t tokens);
 
 /* A time that most answers take until they begin: of a model, or of its service
  * where the model has none; negative where neither is known. */
--- a/src/proxy/times.c
+++ b/src/proxy/times.c
@@ -36,13 +36,16 @@
 		f->mark = (struct pace_mark){ now, f->events.count };
 	} else if (pace_measure(&f->mark, f->events.count, now, &gap_ms)) {
 		note(f, pace_note_event, gap_ms);
-		pace_note_length(f->pace, f->events.count, f->call.tokens_out);
+		pace_raise_length(f->pace, f->events.count, f->call.tokens_out);
 	}
 }
 
 void times_note_end(struct forward *f)
 {
-	if (f->is_events)
+	/* Of one that was resumed only the rest has come. */
+	if (f->is_events && f->call.after_event > 0)
+		pace_raise_length(f->pace, f->events.count, f->call.tokens_out);
+	else if (f->is_events)
 		pace_note_length(f->pace, f->events.count, f->call.tokens_out);
 	else if (f->status / 100 == 2)
 		note(f, pace_note_first, (double)(gate_now(f->g) - f->sent_ms));
--- a/test/test_gate_stop.c
+++ b/test/test_gate_stop.c
@@ -338,6 +338,31 @@
 	fix_close(&f);
 }
 
+/*
+ * Symptom: a stream is cut in its middle by the end of a planned stop.
+ * Sequence: the process is some seconds old and no stream has ended yet; one
+ * under way has brought 20 events of the 300 that its tokens make; another
+ * comes with 2 s left and needs five. Cause: the events that had come passed
+ * for all that come of so many tokens, a fifteenth of what did.
+ */
+static void stream_under_way_isnt_taken_for_a_whole_one(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script(&f, 0, EVENTS, false, false);
+	c = ask(&f, "m", STREAM("/chat/x", "300"));
+	UNTIL(&f, f.eps[0].requests == 1);
+	say_events(&f, c, 1, 20, FAST_MS);
+	gate_drain(f.gate, f.clock.fake_ms + 2000);
+	c = ask(&f, "m", STREAM("/chat/x", "100"));
+	UNTIL(&f, got(c, REFUSED));
+	assert_int_equal(f.eps[0].requests, 1);
+	fix_close(&f);
+}
+
 /*
  * Symptom: as above, on an engine that says nothing any more. Sequence: it was
  * fast; a stream under way has had no event for 1.9 s; another is begun with 2
@@ -515,6 +540,7 @@
 		cmocka_unit_test(model_without_figures_is_taken_for_a_slow_one),
 		cmocka_unit_test(slow_endpoint_has_its_own_figure),
 		cmocka_unit_test(streams_under_way_tell_their_length_too),
+		cmocka_unit_test(stream_under_way_isnt_taken_for_a_whole_one),
 		cmocka_unit_test(silence_counts_in_a_stop),
 		cmocka_unit_test(slow_route_has_its_own_figure),
 		cmocka_unit_test(odd_stream_refuses_no_others),
--- a/test/test_pace.c
+++ b/test/test_pace.c
@@ -233,6 +233,39 @@
 	}
 }
 
+struct length_case {
+	const char *label;
+	uint64_t whole, open; /* events of two streams; 0: there is none */
+	int64_t want;	      /* of a third one; a token takes 10 ms */
+};
+
+static const struct length_case lengths[] = {
+	{ "one that goes on says nothing by itself", 0, 9, 60 * 10 },
+	{ "it raises what a short one has shown", 10, 30, 30 * 10 },
+	{ "it doesn't lower what a long one has shown", 30, 9, 30 * 10 },
+};
+
+static void streams_under_way_only_raise_the_length(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(lengths); i++) {
+		const struct length_case *c = &lengths[i];
+		struct pace p = { 0 };
+		struct pace_ask a = { .service = &p,
+				      .model = &p,
+				      .tokens = 60 };
+		int64_t got;
+
+		know(&p, WELL, 0, 10);
+		if (c->whole)
+			pace_note_length(&p, c->whole, 60);
+		pace_raise_length(&p, c->open, 60);
+		got = pace_stream_ms(&a);
+		if (got != c->want)
+			fail_msg("%s: %" PRId64, c->label, got);
+	}
+}
+
 static void plain_answers_are_foretold(void **state)
 {
 	struct pace_open none = { 0 }, open = { .first_ms = 90 };
@@ -269,6 +302,7 @@
 		cmocka_unit_test(few_times_exceed_the_bound),
 		cmocka_unit_test(largest_is_kept_and_forgotten),
 		cmocka_unit_test(streams_are_foretold),
+		cmocka_unit_test(streams_under_way_only_raise_the_length),
 		cmocka_unit_test(plain_answers_are_foretold),
 		cmocka_unit_test(gaps_are_measured_in_runs),
 	};
