Take no caller who left early for a fast answer

Cause: times_note_left() noted what an answer had taken until its caller left as a sample. For a model or an endpoint the same note ended the time in which it counts as unseen, and took a factor of five off.

Change: pace_raise_first() and pace_raise_event(), for each part by itself: a lower bound only raises what whole answers have shown.

Tests first: caller_who_leaves_teaches_no_times failed on the code before; answers_that_never_came_only_raise.

--- a/src/core/pace.c
+++ b/src/core/pace.c
@@ -73,6 +73,18 @@
 	pace_most_add(&p->event_most, ms);
 }
 
+void pace_raise_first(struct pace *p, double ms)
+{
+	if (p->first.n && ms > pace_most(&p->first_most))
+		pace_note_first(p, ms);
+}
+
+void pace_raise_event(struct pace *p, double ms)
+{
+	if (p->event.n && ms > pace_most(&p->event_most))
+		pace_note_event(p, ms);
+}
+
 void pace_note_length(struct pace *p, uint64_t events, int64_t tokens)
 {
 	if (tokens > 0 && events >= EVENTS_A_SAMPLE)
--- a/src/core/pace.h
+++ b/src/core/pace.h
@@ -60,6 +60,13 @@
 
 void pace_note_first(struct pace *p, double ms);
 void pace_note_event(struct pace *p, double ms);
+/*
+ * An answer that never came, or went on no longer, took at least this. Being a
+ * lower bound it only raises what whole ones have shown: a caller who leaves
+ * at once would pass for a fast answer where nothing is known.
+ */
+void pace_raise_first(struct pace *p, double ms);
+void pace_raise_event(struct pace *p, double ms);
 /* A stream has ended as whole after so many events. */
 void pace_note_length(struct pace *p, uint64_t events, int64_t tokens);
 /*
--- a/src/proxy/times.c
+++ b/src/proxy/times.c
@@ -63,18 +63,16 @@
 	return o;
 }
 
-/* An answer that never came is a sample too where it shows a longer time than
- * those that did: engines that stand still leave no other trace. */
+/* An answer that never came counts where it shows a longer time than those
+ * that did: engines that stand still leave no other trace. */
 void times_note_left(struct forward *f)
 {
 	struct pace_open o = open_of(f, gate_now(f->g));
 
 	if (f->state < FORWARD_SENT)
 		return;
-	if (o.first_ms > pace_most(&f->pace->first_most))
-		note(f, pace_note_first, o.first_ms);
-	if (o.event_ms > pace_most(&f->pace->event_most))
-		note(f, pace_note_event, o.event_ms);
+	note(f, pace_raise_first, o.first_ms);
+	note(f, pace_raise_event, o.event_ms);
 }
 
 static void widen(struct pace_open *o, const struct pace_open *by)
--- a/test/fleet/soak.py
+++ b/test/fleet/soak.py
@@ -36,6 +36,10 @@
     # one ten times slower than the others' it knew little, and in its planned
     # stop began streams there that its end cut.
     416: (8.0, 24),
+    # A process some seconds old took lower bounds for figures: the events of
+    # a stream under way for its length, the time until a caller left for the
+    # time that answers take. Its planned stop began long streams and cut them.
+    455: (8.0, 200),
 }
 RECOVERY_S = 12.0    # after the last fault all kinds must be served again
 SIZE = 24            # entries and agents, as a rule
--- a/test/test_gate_stop.c
+++ b/test/test_gate_stop.c
@@ -363,6 +363,36 @@
 	fix_close(&f);
 }
 
+/*
+ * Symptom: as above. Sequence: the process is some seconds old; a caller leaves
+ * 20 ms after the first event of a stream, or before it; another stream comes
+ * with 2 s left and needs five. Cause: what an answer had taken until its
+ * caller left, a lower bound, was the first that the process learned of the
+ * service, and passed for the time that answers take.
+ */
+static void caller_who_leaves_teaches_no_times(void **state)
+{
+	(void)state;
+	for (int events = 0; events < 2; events++) {
+		struct caller *c;
+		struct fix f;
+
+		fix_open(&f, "lm", "m");
+		script(&f, 0, EVENTS, false, false);
+		c = ask(&f, "m", STREAM("/chat/x", "300"));
+		UNTIL(&f, f.eps[0].requests == 1);
+		say_events(&f, c, 1, events, FAST_MS);
+		f.clock.fake_ms += 20;
+		leave(c);
+		UNTIL(&f, f.eps[0].reset == 1);
+		gate_drain(f.gate, f.clock.fake_ms + 2000);
+		c = ask(&f, "m", STREAM("/chat/x", "100"));
+		UNTIL(&f, got(c, REFUSED));
+		assert_int_equal(f.eps[0].requests, 1);
+		fix_close(&f);
+	}
+}
+
 /*
  * Symptom: as above, on an engine that says nothing any more. Sequence: it was
  * fast; a stream under way has had no event for 1.9 s; another is begun with 2
@@ -541,6 +571,7 @@
 		cmocka_unit_test(slow_endpoint_has_its_own_figure),
 		cmocka_unit_test(streams_under_way_tell_their_length_too),
 		cmocka_unit_test(stream_under_way_isnt_taken_for_a_whole_one),
+		cmocka_unit_test(caller_who_leaves_teaches_no_times),
 		cmocka_unit_test(silence_counts_in_a_stop),
 		cmocka_unit_test(slow_route_has_its_own_figure),
 		cmocka_unit_test(odd_stream_refuses_no_others),
--- a/test/test_pace.c
+++ b/test/test_pace.c
@@ -266,6 +266,27 @@
 	}
 }
 
+/* A lower bound says nothing by itself, and never makes a figure smaller. */
+static void answers_that_never_came_only_raise(void **state)
+{
+	struct pace p = { 0 };
+
+	(void)state;
+	pace_raise_first(&p, 30);
+	pace_raise_event(&p, 3);
+	assert_int_equal(p.first.n, 0);
+	assert_int_equal(p.event.n, 0);
+	know(&p, WELL, 100, 10);
+	pace_raise_first(&p, 30);
+	pace_raise_event(&p, 3);
+	assert_true(pace_most(&p.first_most) == 100);
+	assert_true(pace_bound(&p.event) == 10);
+	pace_raise_first(&p, 300);
+	pace_raise_event(&p, 30);
+	assert_true(pace_most(&p.first_most) == 300);
+	assert_true(pace_bound(&p.event) > 30);
+}
+
 static void plain_answers_are_foretold(void **state)
 {
 	struct pace_open none = { 0 }, open = { .first_ms = 90 };
@@ -303,6 +324,7 @@
 		cmocka_unit_test(largest_is_kept_and_forgotten),
 		cmocka_unit_test(streams_are_foretold),
 		cmocka_unit_test(streams_under_way_only_raise_the_length),
+		cmocka_unit_test(answers_that_never_came_only_raise),
 		cmocka_unit_test(plain_answers_are_foretold),
 		cmocka_unit_test(gaps_are_measured_in_runs),
 	};
