Let a fresh agent order nothing before it knows a leader's term

Cause: engine_new() set the fence to 1, and an agent loads adapters by itself when a call needs one.

Weighed: the term from a leader's first step (steps may not come for minutes, so callers would wait for adapters); a durable floor (agents have no disk); what the engine tells (it tells no fence); the leader's hello, unconfirmed (a leader that is cut off tells a lower term than the former life had). Taken: the leader tells its term to an agent once a majority has confirmed it since that connection came, so the term isn't lower than any that was ordered with before the agent started. Steps go to agents that have been told only. Cost to callers: an agent orders one round trip after it has found its leader, and not at all while nobody leads; needs end at their deadline as before.

The soak's engines judge fences on arrival now.

--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -35,7 +35,7 @@
 	struct fleet_incarnation self;
 	uint64_t orders;
 	struct late_orders *late;
-	uint64_t fence;
+	uint64_t fence;	 /* 0: no leader has told its term */
 	uint64_t fenced; /* the fence that the engine refused; 0: none */
 	bool asking;
 	struct order_out out; /* while asking */
@@ -75,7 +75,6 @@
 
 	e->o = *o;
 	e->holder = g_strdup(o->holder);
-	e->fence = 1;
 	e->late = late_new();
 	e->unload = g_ptr_array_new_with_free_func(g_free);
 	e->needs = g_array_new(FALSE, TRUE, sizeof(struct need));
@@ -420,7 +419,7 @@
 	for (guint i = e->needs->len; i-- > 0;)
 		settle_need(e, i, now);
 	if (e->asking || e->stale || !e->report || !e->service ||
-	    now < e->quiet_ms || e->fenced >= e->fence)
+	    now < e->quiet_ms || !e->fence || e->fenced >= e->fence)
 		return;
 	/* While a model loads or leaves, adapters are refused. */
 	for (guint i = 0; i < e->needs->len && !e->asking && !e->report->busy;
@@ -448,6 +447,12 @@
 			 now);
 }
 
+void engine_term(struct engine *e, uint64_t fence, int64_t now)
+{
+	e->fence = MAX(e->fence, fence);
+	advance(e, now);
+}
+
 void engine_report(struct engine *e, const struct fleet_report *r, int64_t now)
 {
 	switch (fleet_report_judge(&e->self, e->orders, r)) {
@@ -494,14 +499,20 @@
 				    0);
 		return;
 	}
-	if (s->fence < e->fence || e->on) {
+	if (!e->fence || s->fence < e->fence) {
 		e->o.ops->step_done(e->o.arg, s->fence, s->step,
-				    e->on ? SS_ERROR_OVERLOAD : SS_ERROR_FENCED,
-				    e->on ? "another step is under way" :
-					    "a newer leader is known",
+				    SS_ERROR_FENCED,
+				    e->fence ? "a newer leader is known" :
+					       "no leader has told its term",
 				    0);
 		return;
 	}
+	if (e->on) {
+		e->o.ops->step_done(e->o.arg, s->fence, s->step,
+				    SS_ERROR_OVERLOAD,
+				    "another step is under way", 0);
+		return;
+	}
 	e->fence = s->fence;
 	e->on = true;
 	e->step_fence = s->fence;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -54,6 +54,15 @@
 /* Sizes of models, from the routing in force; NULL while none is known. */
 void engine_set_service(struct engine *e, const struct routing_service *s);
 
+/*
+ * A leader's term, told after a majority has confirmed it since this process
+ * started. Orders carry the newest as their fence. Before the first, nothing
+ * is ordered and steps are refused: a former life of this agent has ordered
+ * with a fence that it can't know, and a leader that was cut off before may
+ * not know of a newer one.
+ */
+void engine_term(struct engine *e, uint64_t fence, int64_t now);
+
 /*
  * What the engine reports; asked for after the last order was answered. The
  * report stays the caller's and must live until the next one or the end. One
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -313,6 +313,9 @@
 	F(1, WIRE_UINT, msg_routing, version),
 	F(2, WIRE_STR, msg_routing, body),
 };
+static const struct wire_field term_fields[] = {
+	F(1, WIRE_UINT, msg_term, fence),
+};
 static const struct wire_field adapter_fields[] = {
 	F(1, WIRE_UINT, msg_adapter, sub),
 	F(2, WIRE_STR, msg_adapter, model),
@@ -355,6 +358,7 @@
 	[MSG_ROUTING] = T(msg_routing, routing_fields),
 	[MSG_ADAPTER] = T(msg_adapter, adapter_fields),
 	[MSG_ADAPTER_DONE] = T(msg_adapter_done, adapter_done_fields),
+	[MSG_TERM] = T(msg_term, term_fields),
 };
 
 const struct wire_type *msg_type(enum msg_kind kind)
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -37,6 +37,7 @@
 	MSG_ROUTING,	  /* leader to entry: the routing in force */
 	MSG_ADAPTER,	  /* entry to agent: an adapter is needed */
 	MSG_ADAPTER_DONE, /* its answer */
+	MSG_TERM,	  /* leader to agent: its term, once confirmed */
 	MSG_KINDS
 };
 
@@ -344,6 +345,11 @@
 	struct ss_str body;
 };
 
+/* A majority has confirmed this leadership since the connection came. */
+struct msg_term {
+	uint64_t fence;
+};
+
 struct msg_adapter {
 	uint64_t sub; /* echoed */
 	struct ss_str model, adapter;
--- a/src/daemon/fleet_agent.c
+++ b/src/daemon/fleet_agent.c
@@ -485,6 +485,10 @@
 	case MSG_ROUTING:
 		take_routing(a, &f->u.routing);
 		break;
+	case MSG_TERM:
+		log_info("term", "fence=%" PRIu64, f->u.term.fence);
+		engine_term(a->engine, f->u.term.fence, now_ms(a));
+		break;
 	default:
 		break;
 	}
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -208,6 +208,14 @@
 	struct conn *conn;
 };
 
+/* Agents order with it as their fence. */
+static void tell_term(const struct fleet_lead *l, const struct fleet_peer *p)
+{
+	struct msg_term m = { .fence = l->fence };
+
+	conn_send(p->conn, MSG_TERM, &m);
+}
+
 static void on_confirmed(void *arg, bool ok)
 {
 	struct confirm *k = arg;
@@ -218,6 +226,8 @@
 		p = g_hash_table_lookup(k->l->peers, k->conn);
 		if (p) {
 			p->confirmed = true;
+			if (!p->entry)
+				tell_term(k->l, p);
 			k->l->routing_left = true;
 			k->l->dirty = k->l->urgent = true;
 		}
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -411,6 +411,15 @@
 	return true;
 }
 
+/* Its agent has been told the term that a step carries. */
+static bool agent_knows_term(const struct fleet_lead *l,
+			     const struct fleet_ep *ep)
+{
+	const struct fleet_peer *p = g_hash_table_lookup(l->peers, ep->conn);
+
+	return p && p->confirmed;
+}
+
 static uint32_t victim_calls(const struct fleet_ep *ep)
 {
 	uint32_t n = 0;
@@ -430,6 +439,8 @@
 {
 	int64_t age = now - ep->step.since_ms;
 
+	if (!agent_knows_term(l, ep))
+		return false;
 	if (ep->step.unload->len == 0 || age > QUIET_MS)
 		return true;
 	if (!confirmed_by_all(l, ep->step.round) && age < CONFIRM_MS)
--- a/src/node/frame.h
+++ b/src/node/frame.h
@@ -44,6 +44,7 @@
 		struct msg_routing routing;
 		struct msg_adapter adapter;
 		struct msg_adapter_done adapter_done;
+		struct msg_term term;
 	} u;
 };
 
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -249,6 +249,36 @@
     fleet.check_processes()
 
 
+async def killed_agent_orders_with_no_lower_fence(fleet):
+    """Symptom: an engine gets an order with a lower fence than one before.
+    Sequence: an agent orders for a leader of some term, is killed and starts
+    again; a call needs an adapter before any leader has found it. Cause: it
+    took the smallest fence for one that it knew.
+    """
+    await first_change(fleet.operators)
+    callers = Callers(fleet, longest=7)
+
+    async def served():
+        return callers.answered.get("chat", 0) > 20
+
+    loops = [asyncio.ensure_future(callers.loop(i)) for i in range(24)]
+    agents = fleet.of_role("agent")
+    for _ in range(4):
+        callers.answered.clear()
+        await until(served, RECOVERY_S, "chat isn't served")
+        for p in agents:
+            p.send(signal.SIGKILL)
+        for p in agents:
+            await p.end()
+            p.start()
+    callers.answered.clear()
+    await until(served, RECOVERY_S, "chat isn't served at the end")
+    callers.on = False
+    await asyncio.gather(*loops)
+    callers.check()
+    assert not fleet.world.faults, fleet.world.faults[:3]
+
+
 async def order_outlives_a_restart(fleet):
     """Symptom: an engine is ordered to hold more than fits, and crashes.
     Sequence: a load gets no answer; the engine restarts under its id and is
@@ -486,7 +516,8 @@
              wiped_vm_finds_a_leader_it_doesnt_know,
              settings_change_without_a_restart, bad_settings_change_nothing,
              lost_leader_is_logged, all_control_vms_are_killed,
-             planned_stop_cuts_nothing, spoiled_entry_suspends_its_engine]
+             planned_stop_cuts_nothing, spoiled_entry_suspends_its_engine,
+             killed_agent_orders_with_no_lower_fence]
 
 
 async def play(scenario, seed, daemon):
--- a/test/fleet/standin.py
+++ b/test/fleet/standin.py
@@ -155,6 +155,7 @@
                 line, headers = head
                 n = int(headers.get("content-length", 0))
                 body = await reader.readexactly(n) if n else b""
+                self.received(line, headers, body)
                 while self.silent:
                     await asyncio.sleep(STEP)
                 await self.answer(line.split(" "), headers, body, reader,
@@ -178,6 +179,9 @@
             raise ConnectionError
         writer.write(data)
 
+    def received(self, line, headers, body):
+        """A request is here whole, whatever becomes of it."""
+
     async def answer(self, line, headers, body, reader, writer):
         raise NotImplementedError
 
@@ -216,6 +220,7 @@
         self.held = {}       # model -> set of adapters
         self.seq = 0
         self.fence = 0
+        self.fence_seen = 0  # of any order that came, taken or not
         self.holders = {}    # fence -> holder
         self.busy = False
         self.running = 0
@@ -236,6 +241,17 @@
     def broke(self, what):
         self.world.faults.append("%s: %s" % (self.instance, what))
 
+    def received(self, line, headers, body):
+        """Orders of one agent go on one connection, one after the other, so
+        a fence that is lower than one before was sent so."""
+        if " /sapphireshift/order " not in line or self.misplaced(headers):
+            return
+        fence = json.loads(body)["fence"]
+        if fence < self.fence_seen:
+            self.broke("an order with fence %d after one with %d" % (
+                fence, self.fence_seen))
+        self.fence_seen = max(self.fence_seen, fence)
+
     async def load(self, model, starts):
         if model not in self.disk:
             self.world.loads.append(time.monotonic())
--- a/test/test_engine.c
+++ b/test/test_engine.c
@@ -76,7 +76,8 @@
 	return r;
 }
 
-static void fix_open(struct fix *f)
+/* An agent that has just started: no leader has told its term. */
+static void fix_open_fresh(struct fix *f)
 {
 	struct engine_options o = { .holder = "vm-1", .ops = &ops, .arg = f };
 
@@ -90,6 +91,12 @@
 						struct routing_service, 0));
 }
 
+static void fix_open(struct fix *f)
+{
+	fix_open_fresh(f);
+	engine_term(f->e, 1, f->now);
+}
+
 static void fix_close(struct fix *f)
 {
 	engine_free(f->e);
@@ -574,6 +581,53 @@
 	fix_close(&f);
 }
 
+/*
+ * Symptom: an engine sees a lower fence after a higher one; one that checks
+ * fences refuses what callers need, one that doesn't may be ordered by two
+ * leaders' steps in the wrong order. Sequence: an agent has ordered with fence
+ * 3, ends and starts again; a call needs an adapter before any leader has told
+ * its term; the agent orders with fence 1, then with 3. Cause: a process that
+ * had just started took the smallest fence for one that it knew.
+ */
+static void fresh_agent_waits_for_a_term(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open_fresh(&f);
+	report(&f, 4, "big");
+	engine_need_adapter(f.e, 7, SS_LIT("big"), SS_LIT("a1"), f.now + 5000,
+			    f.now);
+	step(&f, 3, 1, "", "small");
+	report(&f, 4, "big");
+	expect(&f, "step 1 fenced;");
+	engine_term(f.e, 3, f.now);
+	expect(&f, "load big/a1 @4 #3;");
+	/* The word of an earlier leader, held up by a link. */
+	engine_answered(f.e, FLEET_ORDER_TAKEN, f.now);
+	engine_term(f.e, 2, f.now);
+	report(&f, 5, "big/a1");
+	step(&f, 3, 2, "", "small");
+	expect(&f, "adapter 7 ok;load small @5 #3;");
+	fix_close(&f);
+}
+
+/* One who waits is told in time that nothing came, leader or not. */
+static void need_ends_without_a_term(void **state)
+{
+	struct fix f;
+
+	(void)state;
+	fix_open_fresh(&f);
+	report(&f, 4, "big");
+	engine_need_adapter(f.e, 7, SS_LIT("big"), SS_LIT("a1"), f.now + 100,
+			    f.now);
+	f.now += 101;
+	engine_tick(f.e, f.now);
+	expect(&f, "adapter 7 deadline;");
+	fix_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -595,6 +649,8 @@
 		cmocka_unit_test(late_order_of_a_former_life_has_room),
 		cmocka_unit_test(late_adapter_of_a_former_life_has_room),
 		cmocka_unit_test(order_out_during_a_restart_has_room),
+		cmocka_unit_test(fresh_agent_waits_for_a_term),
+		cmocka_unit_test(need_ends_without_a_term),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
