Tell a control VM without a disk who leads

Cause: a relay's hello said that it is a control VM, and members tell those nothing: they learn who leads from the log.

Change: a role of its own in the hello, so that a relay is told like an entry, but isn't led: it gets no routing. It tells those who asked it before it knew.

Test first: scenario relay_leads_to_the_leader fails on the program of before. The soak's fleet gets three relays, and its operators ask them too.

--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -41,7 +41,9 @@
 	MSG_KINDS
 };
 
-enum role { ROLE_ENTRY = 1, ROLE_AGENT, ROLE_CONTROL };
+/* A relay is a control VM without a disk: it votes for nobody, and is told who
+ * leads like an entry. */
+enum role { ROLE_ENTRY = 1, ROLE_AGENT, ROLE_CONTROL, ROLE_RELAY };
 
 struct msg_hello {
 	uint64_t version; /* of this protocol */
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -45,11 +45,18 @@
 	g_array_unref(members);
 }
 
+/* Wants to know who leads. */
 static bool is_client(struct conn *c)
 {
 	return conn_peer(c)->role != ROLE_CONTROL;
 }
 
+/* Is led by the leader, and not only told who that is. */
+static bool is_led(struct conn *c)
+{
+	return is_client(c) && conn_peer(c)->role != ROLE_RELAY;
+}
+
 /* Take up or lay down the leader's part. */
 static void check_leadership(struct control_role *k)
 {
@@ -71,7 +78,7 @@
 	while (g_hash_table_iter_next(&it, &c, NULL)) {
 		if (!is_client(c))
 			continue;
-		if (leads)
+		if (leads && is_led(c))
 			k->leader->open(k->lead, c);
 		tell_leader(k, c);
 	}
@@ -104,7 +111,7 @@
 	g_hash_table_add(k->conns, c);
 	if (!is_client(c))
 		return;
-	if (k->lead)
+	if (k->lead && is_led(c))
 		k->leader->open(k->lead, c);
 	tell_leader(k, c);
 }
@@ -115,7 +122,7 @@
 
 	if (group_message(k->group, c, f))
 		return;
-	if (k->lead)
+	if (k->lead && is_led(c))
 		k->leader->message(k->lead, c, f);
 }
 
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -51,13 +51,19 @@
 static const struct conn_ops conn_table = { conn_open, conn_message,
 					    conn_closed };
 
+/* Those that asked while nobody led wait for this word. */
 static void link_up(void *arg, uint64_t group)
 {
 	struct relay_role *r = arg;
+	GHashTableIter it;
+	void *c;
 
 	if (!r->d->hello.group)
 		r->d->hello.group = group;
 	log_info("leader_found", "addr=%s", link_leader(r->link));
+	g_hash_table_iter_init(&it, r->conns);
+	while (g_hash_table_iter_next(&it, &c, NULL))
+		tell(r, c);
 }
 
 static void link_down(void *arg)
@@ -140,6 +146,9 @@
 				   .arg = r,
 				   .seed = d->seed };
 
+	/* Members are told nothing by a connection that looks like another
+	 * member's: they learn who leads from the log. */
+	d->hello.role = ROLE_RELAY;
 	r->d = d;
 	r->conns = g_hash_table_new(NULL, NULL);
 	r->listener = conn_listen(&conn, d->config.listen, error);
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -279,6 +279,64 @@
     assert not fleet.world.faults, fleet.world.faults[:3]
 
 
+async def relay_leads_to_the_leader(fleet):
+    """Symptom: an operator's change has no answer for seconds while a leader
+    works; half of the addresses that operators may ask never answer but 503.
+    Sequence: a control VM without a disk starts and asks who leads. Cause: it
+    introduced itself as one that votes, which nobody tells, so it never
+    knew of a leader; the operator's tries went there in vain.
+    """
+    await first_change(fleet.operators)
+
+    async def redirected():
+        for addr in fleet.operator_addrs()[CONTROLS:]:
+            status, headers, _ = await http(
+                addr, "GET", "/sapphireshift/Config.Get")
+            if status != 307:
+                return False
+            status, _, _ = await http(headers["location"].split("/")[2],
+                                      "GET", "/sapphireshift/Config.Get")
+            if status != 200:
+                return False
+        return True
+
+    await until(redirected, RECOVERY_S, "a relay leads to no leader")
+    led = await leader_of(fleet)
+    await fleet.procs["control-%d" % led].end(signal.SIGKILL)
+    # Also to the next one.
+    await until(redirected, RECOVERY_S, "a relay leads to no next leader")
+
+
+async def seeds_become_relays_before_a_loss_of_power(fleet):
+    """Symptom: nobody is served any more though the group leads. Sequence:
+    the addresses of all settings are exchanged for control VMs without a
+    disk; all processes are killed and start again. Cause: those know only
+    one another, members know one another from their log and ask no address
+    of the settings, so no process finds the group.
+    """
+    await first_change(fleet.operators)
+    callers = Callers(fleet)
+
+    async def served():
+        return callers.answered.get("chat", 0) > 5
+
+    loops = [asyncio.ensure_future(callers.loop(i)) for i in range(8)]
+    await until(served, RECOVERY_S, "chat isn't served")
+    fleet.exchange_seeds(fleet.relay_addrs())
+    for p in fleet.procs.values():
+        p.send(signal.SIGKILL)
+    for p in fleet.procs.values():
+        await p.end()
+        p.start()
+    callers.answered.clear()
+    await until(served, RECOVERY_S, "chat isn't served again")
+    # One that lost its disk as well finds the group over a relay too.
+    await wipe(fleet, 0)
+    callers.on = False
+    await asyncio.gather(*loops)
+    callers.check()
+
+
 async def order_outlives_a_restart(fleet):
     """Symptom: an engine is ordered to hold more than fits, and crashes.
     Sequence: a load gets no answer; the engine restarts under its id and is
@@ -517,7 +575,8 @@
              settings_change_without_a_restart, bad_settings_change_nothing,
              lost_leader_is_logged, all_control_vms_are_killed,
              planned_stop_cuts_nothing, spoiled_entry_suspends_its_engine,
-             killed_agent_orders_with_no_lower_fence]
+             killed_agent_orders_with_no_lower_fence,
+             relay_leads_to_the_leader]
 
 
 async def play(scenario, seed, daemon):
--- a/test/fleet/soak_fleet.py
+++ b/test/fleet/soak_fleet.py
@@ -14,6 +14,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
 CONTROLS = 4
+RELAYS = 3           # control VMs without a disk: they lead to the others
 ENTRIES, ENGINES, WEBS = 3, 4, 2    # of a small fleet
 ZONES = ["za", "zb"]
 GRACE_MS = 4000      # of an entry's planned stop
@@ -21,7 +22,8 @@
 RETRY_RATIO, RETRY_SLACK = 0.1, 20
 # A process that isn't harmed ends its planned stop so long after SIGTERM;
 # a control VM hands over first.
-STOP_BOUND_S = {"entry": GRACE_MS / 1000 + 0.5, "agent": 2.0, "control": 8.0}
+STOP_BOUND_S = {"entry": GRACE_MS / 1000 + 0.5, "agent": 2.0, "control": 8.0,
+                "relay": 2.0}
 
 
 class Process:
@@ -115,6 +117,7 @@
         self.servers = self.engines + self.webs
         self.frame_port, self.operator_port = free_port(), free_port()
         self.proxies = []
+        self.seeds = self.control_addrs()
         self.n_entries = entries
         self.entries = {}    # name -> address for callers
 
@@ -156,13 +159,33 @@
         return ["%s:%d" % (self.control_ip(i), self.frame_port)
                 for i in range(3)]
 
+    def relay_addrs(self):
+        return ["%s:%d" % (self.control_ip(i), self.frame_port)
+                for i in range(CONTROLS, CONTROLS + RELAYS)]
+
+    def operator_addrs(self):
+        """Of all that operators may ask, members and relays."""
+        return ["%s:%d" % (self.control_ip(i), self.operator_port)
+                for i in range(CONTROLS + RELAYS)]
+
+    def exchange_seeds(self, addrs):
+        """Other addresses in all settings files, as at the next start."""
+        self.seeds = list(addrs)
+        for name in self.procs:
+            path = self.settings_path(name)
+            with open(path) as f:
+                settings = json.load(f)
+            settings["control"] = self.seeds
+            with open(path, "w") as f:
+                json.dump(settings, f)
+
     def settings_path(self, name):
         return os.path.join(self.folder, name + ".json")
 
     def settings(self, name, role, listen, **more):
         i = int(name.split("-")[1])
         s = {"role": role, "name": name, "domain": self.zone(i),
-             "listen": listen, "control": self.control_addrs()}
+             "listen": listen, "control": self.seeds}
         s.update(more)
         s["fleet"] = dict(more.get("fleet", {}), on=True)
         path = self.settings_path(name)
@@ -186,10 +209,20 @@
             fleet={"operator_listen": "%s:%d" % (own, self.operator_port),
                    "vm_list": self.listing.addr})
 
+    def relay_settings(self, i):
+        own = self.control_ip(i, False)
+        return self.settings(
+            "relay-%d" % i, "control", "%s:%d" % (own, self.frame_port),
+            advertise="%s:%d" % (self.control_ip(i), self.frame_port),
+            control_vm={"data": ""},
+            fleet={"operator_listen": "%s:%d" % (own, self.operator_port),
+                   "vm_list": self.listing.addr})
+
     async def start_proxies(self):
-        for i in range(CONTROLS):
+        for i in range(CONTROLS + RELAYS):
+            name = "control-%d" if i < CONTROLS else "relay-%d"
             for port in (self.frame_port, self.operator_port):
-                p = Proxy("control-%d" % i, self.control_ip(i), port,
+                p = Proxy(name % i, self.control_ip(i), port,
                           "%s:%d" % (self.control_ip(i, False), port))
                 await p.start()
                 self.proxies.append(p)
@@ -227,6 +260,8 @@
         await self.listing.start()
         for i in range(CONTROLS):
             self.add("control-%d" % i, self.control_settings(i, True))
+        for i in range(CONTROLS, CONTROLS + RELAYS):
+            self.add("relay-%d" % i, self.relay_settings(i))
         self.add_agents()
         self.add_entries()
         for p in self.procs.values():
--- a/test/fleet/soak_operators.py
+++ b/test/fleet/soak_operators.py
@@ -11,7 +11,7 @@
 import time
 
 from soak_callers import TIMEOUT_S
-from soak_fleet import CONTROLS, engine_parts
+from soak_fleet import engine_parts
 from soak_http import http
 
 MARKS = 40           # versions back that a routing still has a route for
@@ -73,8 +73,7 @@
 
     async def operate(self, method, path, body=b""):
         """(status, body) from any control VM; (0, b"") where none came."""
-        i = self.rng.randrange(CONTROLS)
-        addr = "%s:%d" % (self.f.control_ip(i), self.f.operator_port)
+        addr = self.rng.choice(self.f.operator_addrs())
         for _ in range(3):
             try:
                 status, headers, got = await asyncio.wait_for(
