Log where operators' calls are sent on to

Cause: a change without an acknowledgement couldn't be traced: the VM that an operator asked said nothing of a call that it redirected or refused for want of a leader.

Change: event=routing_elsewhere with the call and the leader, "-" for none.

--- a/src/operator/routing_http.c
+++ b/src/operator/routing_http.c
@@ -102,6 +102,8 @@
 	char *leader = h->o.ops->leader(h->o.arg);
 	char *url;
 
+	log_info("routing_elsewhere", "path=%s leader=%s", path,
+		 leader ? leader : "-");
 	if (!leader) {
 		refuse(req, SS_ERROR_UNAVAILABLE, "no leader is known");
 		return;
