Let members announce their group to the addresses of their settings

Cause: entries, agents and relays know the addresses of their settings only.

Weighed: relays and entries that remember members where they have a disk (relays have none, and a disk may be wiped at the same moment); the list of endpoints (it names no process of ours); members ask the relays for callers (nothing would tell them which). Which address is asked next is code of its own (src/core/seek.c), several are asked at a time, and a connection that isn't open after 0.3 s is begun anew: the kernel asks a VM that wasn't up only again after a second.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -33,7 +33,7 @@
 
 static void tell_leader(struct control_role *k, struct conn *c)
 {
-	const char *addr = group_leader_addr(k->group);
+	const char *addr = group_leader_said(k->group);
 	GArray *members = group_member_addrs(k->group);
 	struct msg_leader m = { .group = group_id(k->group),
 				.here = k->lead != NULL,
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -42,6 +42,12 @@
 		o->tried_ms = INT64_MIN / 2;
 		g_hash_table_insert(g->outs, o->addr, o);
 	}
+	if (o->conn && !conn_is_open(o->conn) &&
+	    group_now(g) - o->tried_ms > CONN_OPEN_MS) {
+		conn_set_data(o->conn, NULL);
+		conn_close(o->conn);
+		o->conn = NULL;
+	}
 	if (!o->conn && group_now(g) - o->tried_ms >= RECONNECT_MS) {
 		o->tried_ms = group_now(g);
 		o->conn = conn_connect(&co, addr);
@@ -77,8 +83,10 @@
 	struct out *o = conn_data(c);
 
 	(void)why;
-	if (o)
+	if (o) {
 		o->conn = NULL;
+		o->told_ms = 0;
+	}
 	group_conn_closed(g, c);
 }
 
@@ -365,6 +373,9 @@
 	case MSG_JOINED:
 		group_take_joined(g, &f->u.leader);
 		return true;
+	case MSG_LEADER:
+		group_take_announced(g, &f->u.leader);
+		return true;
 	default:
 		return false;
 	}
@@ -423,6 +434,7 @@
 		return;
 	}
 	tend_conns(g);
+	group_announce(g, now);
 	ss_raft_tick(g->raft, now);
 	if (ss_raft_leader(g->raft))
 		g->leader_ms = now;
@@ -519,6 +531,11 @@
 	return m ? m->addr.p : NULL;
 }
 
+const char *group_leader_said(const struct group *g)
+{
+	return g->raft ? group_leader_addr(g) : g->leader_hint;
+}
+
 GArray *group_member_addrs(const struct group *g)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct control_addr));
--- a/src/daemon/group.h
+++ b/src/daemon/group.h
@@ -58,6 +58,10 @@
 /* Address of the leader; NULL where nobody is known. */
 const char *group_leader_addr(const struct group *g);
 
+/* The same, or who is said to lead while this VM is in no group: good enough to
+ * be asked. */
+const char *group_leader_said(const struct group *g);
+
 /* Addresses of all members, struct control_addr; views until a change. */
 GArray *group_member_addrs(const struct group *g);
 
--- a/src/daemon/group_int.h
+++ b/src/daemon/group_int.h
@@ -9,6 +9,9 @@
 	char *addr;
 	struct conn *conn;
 	int64_t tried_ms;
+	/* What this connection was last told of the group, and when. */
+	uint64_t told_leader;
+	int64_t told_ms; /* 0: nothing */
 };
 
 struct proposal {
@@ -32,7 +35,7 @@
 	uint64_t ctx;
 	struct event *tick, *flush;
 	char *leader_hint; /* who is said to lead, by one that was asked */
-	int64_t join_ms, tend_ms;
+	int64_t join_ms, tend_ms, announce_ms;
 	int64_t leader_ms;  /* when a leader was last known */
 	int64_t append_ms;  /* when the log last grew */
 	uint64_t lead_from; /* index of this leader's first entry */
@@ -58,5 +61,9 @@
 void group_take_join(struct group *g, struct conn *c, const struct msg_join *m);
 void group_take_joined(struct group *g, const struct msg_leader *m);
 void group_tend(struct group *g);
+/* Tell the addresses of the settings who leads, and who else is a member. */
+void group_announce(struct group *g, int64_t now);
+/* A member has announced its group to this VM, which is in none. */
+void group_take_announced(struct group *g, const struct msg_leader *m);
 
 #endif
--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -5,6 +5,10 @@
 /* Pause between two requests to join; an answer takes a round trip and a
  * change of members to be committed. */
 #define JOIN_MS 500
+/* The group is announced this often to addresses of the settings, and at once
+ * when another leads; a new connection is looked for as often. */
+#define ANNOUNCE_MS 1000
+#define ANNOUNCE_LOOK_MS 100
 
 static void ask_at(struct group *g, const char *addr)
 {
@@ -97,6 +101,59 @@
 	log_info("joined", "group=%" PRIx64, m->group);
 }
 
+static void announce_to(struct group *g, const char *addr,
+			const struct msg_leader *m, int64_t now)
+{
+	uint64_t leader = ss_raft_leader(g->raft);
+	struct out *o = group_out_for(g, addr);
+
+	if (!o->conn || !conn_is_open(o->conn) ||
+	    (o->told_ms && o->told_leader == leader &&
+	     now - o->told_ms < ANNOUNCE_MS))
+		return;
+	if (!conn_send(o->conn, MSG_LEADER, m))
+		return;
+	o->told_ms = now;
+	o->told_leader = leader;
+}
+
+/*
+ * Processes know the addresses of their settings only, and these are exchanged
+ * over time, until all three are VMs that know nothing of the group: after a
+ * loss of power nobody would find a group that leads. Members know one another
+ * from their log and ask no address of the settings, so they tell these for as
+ * long as they run; members' addresses too, where one may stand that has lost
+ * its disk and knows of nobody else.
+ */
+void group_announce(struct group *g, int64_t now)
+{
+	const GPtrArray *control = g->d->config.control;
+	const char *leader = group_leader_addr(g);
+	struct msg_leader m = { .group = g->loaded.group };
+	GArray *members;
+
+	if (now - g->announce_ms < ANNOUNCE_LOOK_MS)
+		return;
+	g->announce_ms = now;
+	members = group_member_addrs(g);
+	if (leader)
+		m.addr = ss_str(leader);
+	m.members = (struct wire_list){ members->data, members->len };
+	for (guint i = 0; i < control->len; i++)
+		if (strcmp(control->pdata[i], g->addr))
+			announce_to(g, control->pdata[i], &m, now);
+	g_array_unref(members);
+}
+
+void group_take_announced(struct group *g, const struct msg_leader *m)
+{
+	if (g->raft || !m->addr.n)
+		return;
+	g_free(g->leader_hint);
+	g->leader_hint = ss_str_dup(m->addr);
+	ask_at(g, g->leader_hint);
+}
+
 /* As leader, one step at a time: promote, or drop what is lost. */
 void group_tend(struct group *g)
 {
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -1,7 +1,9 @@
 /*
  * A control VM without a disk: it can't vote, since it would forget what it
  * promised, and keeps no state. It tells callers where the leader is, so
- * that every address which is known for control leads there.
+ * that every address which is known for control leads there. Itself it learns
+ * that from the addresses of its settings and from members, which announce
+ * themselves to it.
  */
 #include "../../platform/platform.h"
 #include "../operator/routing_http.h"
@@ -19,10 +21,35 @@
 static void tell(struct relay_role *r, struct conn *c)
 {
 	const char *addr = link_leader(r->link);
+	GArray *known = link_known(r->link);
 	struct msg_leader m = { .group = r->d->hello.group,
-				.addr = ss_str(addr ? addr : "") };
+				.addr = ss_str(addr ? addr : ""),
+				.members = { known->data, known->len } };
 
 	conn_send(c, MSG_LEADER, &m);
+	g_array_unref(known);
+}
+
+/* Those that asked before the leader was known wait for this word. */
+static void tell_all(struct relay_role *r)
+{
+	GHashTableIter it;
+	void *c;
+
+	g_hash_table_iter_init(&it, r->conns);
+	while (g_hash_table_iter_next(&it, &c, NULL))
+		if (conn_peer(c)->role != ROLE_CONTROL)
+			tell(r, c);
+}
+
+/* A control VM whose disk was lost looks for its group here as well. */
+static void take_join(struct relay_role *r, struct conn *c)
+{
+	const char *addr = link_leader(r->link);
+	struct msg_leader m = { .addr = ss_str(addr ? addr : "") };
+
+	if (addr)
+		conn_send(c, MSG_JOINED, &m);
 }
 
 static void conn_open(void *arg, struct conn *c)
@@ -30,14 +57,23 @@
 	struct relay_role *r = arg;
 
 	g_hash_table_add(r->conns, c);
-	tell(r, c);
+	if (conn_peer(c)->role != ROLE_CONTROL)
+		tell(r, c);
 }
 
 static void conn_message(void *arg, struct conn *c, struct frame *f)
 {
-	(void)arg;
-	(void)c;
-	(void)f;
+	struct relay_role *r = arg;
+	bool knew = link_is_up(r->link);
+
+	if (f->kind == MSG_JOIN)
+		take_join(r, c);
+	if (f->kind != MSG_LEADER || conn_peer(c)->role != ROLE_CONTROL)
+		return;
+	link_told(r->link, &f->u.leader);
+	/* The leader may be out of this VM's reach, and not of theirs. */
+	if (!knew)
+		tell_all(r);
 }
 
 static void conn_closed(void *arg, struct conn *c, const GError *why)
@@ -51,19 +87,14 @@
 static const struct conn_ops conn_table = { conn_open, conn_message,
 					    conn_closed };
 
-/* Those that asked while nobody led wait for this word. */
 static void link_up(void *arg, uint64_t group)
 {
 	struct relay_role *r = arg;
-	GHashTableIter it;
-	void *c;
 
 	if (!r->d->hello.group)
 		r->d->hello.group = group;
 	log_info("leader_found", "addr=%s", link_leader(r->link));
-	g_hash_table_iter_init(&it, r->conns);
-	while (g_hash_table_iter_next(&it, &c, NULL))
-		tell(r, c);
+	tell_all(r);
 }
 
 static void link_down(void *arg)
--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -23,6 +23,12 @@
  */
 #define CONN_FAST_PING_MS 200
 #define CONN_FAST_SILENT_MS 900
+/*
+ * A connection that isn't open after so long, in ms, is better begun anew: the
+ * other VM wasn't up when it was asked, and the kernel asks again only after a
+ * second. Ten times the longest round trip between regions.
+ */
+#define CONN_OPEN_MS 300
 /* A peer that reads nothing can't make this process hold more for it. */
 #define CONN_BACKLOG_MAX (64u * 1024 * 1024)
 
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -2,90 +2,100 @@
 #include "link.h"
 
 #include "../base/log.h"
+#include "../core/seek.h"
 
-/* Between two tries to reach a leader, in ms, spread by as much again so that
- * those that lost it together don't come back together. */
-#define RETRY_MS 100
-#define RETRY_SPREAD_MS 100
-/* A control VM that was asked and knows of no leader, or does not answer, is
- * left for the next one after so long. It may be cut off from the others for
- * seconds, while these have a leader; an answer takes a few ms. */
-#define ANSWER_MS 300
+/*
+ * While no leader is known one more address is asked each time, in ms, spread
+ * by as much again so that those that lost it together don't come back
+ * together. Those asked before stay open: a VM that knows of no leader now
+ * tells as soon as it does, and one that is cut off holds up no other. So
+ * eight addresses have been asked after 0.6 s, and with one VM of three that
+ * answers it is found within a second.
+ */
+#define ASK_MS 50
+#define ASK_SPREAD_MS 50
+
+/* A control VM that is asked, or leads. */
+struct ask {
+	char *addr;
+	struct conn *conn;
+	int64_t begun_ms;
+};
 
 struct link {
 	struct link_options o;
-	struct conn *conn;
+	struct seek *seek;
 	struct event *timer;
-	char *hint;	    /* where the leader is said to be */
-	char *addr;	    /* of the connection */
-	GPtrArray *members; /* char *, what the leader told last */
-	guint turn;
-	bool up;
-	int64_t asked_ms;
+	GPtrArray *asks;  /* struct ask */
+	struct ask *lead; /* one of them; NULL: no leader is known */
 };
 
-static void retry_later(struct link *l)
+static void ask_free(void *p)
 {
-	int64_t ms =
-		RETRY_MS + (int64_t)(ss_random(&l->o.seed) % RETRY_SPREAD_MS);
+	struct ask *a = p;
+
+	g_free(a->addr);
+	g_free(a);
+}
+
+static void ask_later(struct link *l)
+{
+	int64_t ms = ASK_MS + (int64_t)(ss_random(&l->o.seed) % ASK_SPREAD_MS);
 	struct timeval tv = { 0, ms * 1000 };
 
 	event_add(l->timer, &tv);
 }
 
-/*
- * The settings' addresses and those that a leader told, in turn: control
- * VMs are replaced over time, until no address of the settings is left.
- */
-static const char *next_addr(struct link *l)
+static void ask_next(struct link *l)
 {
-	guint known = l->o.control->len;
-	guint all = known + l->members->len;
-	guint i;
+	const char *addr = seek_next(l->seek, ss_clock_now(l->o.conn.clock));
+	struct ask *a;
 
-	if (all == 0)
-		return NULL;
-	i = l->turn++ % all;
-	return i < known ? l->o.control->pdata[i] :
-			   l->members->pdata[i - known];
+	if (!addr)
+		return;
+	log_debug("ask_leader", "addr=%s", addr);
+	a = g_new0(struct ask, 1);
+	a->addr = g_strdup(addr);
+	a->begun_ms = ss_clock_now(l->o.conn.clock);
+	g_ptr_array_add(l->asks, a);
+	a->conn = conn_connect(&l->o.conn, addr);
+	conn_set_data(a->conn, a);
 }
 
-static void take_members(struct link *l, const struct wire_list *list)
+/* Its connection is gone, or goes now. */
+static void end_ask(struct link *l, struct ask *a)
 {
-	const struct control_addr *m = list->items;
+	struct conn *c = a->conn;
 
-	if (list->n == 0)
-		return;
-	g_ptr_array_set_size(l->members, 0);
-	for (size_t i = 0; i < list->n; i++)
-		g_ptr_array_add(l->members, ss_str_dup(m[i].addr));
+	seek_ended(l->seek, a->addr);
+	if (c) {
+		conn_set_data(c, NULL);
+		conn_close(c);
+	}
+	g_ptr_array_remove(l->asks, a);
 }
 
-static void connect_next(struct link *l)
+static void lose(struct link *l, const char *why)
 {
-	const char *addr = l->hint ? l->hint : next_addr(l);
+	struct ask *a = l->lead;
 
-	if (!addr)
-		return;
-	l->asked_ms = ss_clock_now(l->o.conn.clock);
-	log_debug("ask_leader", "addr=%s", addr);
-	g_free(l->addr);
-	l->addr = g_strdup(addr);
-	l->conn = conn_connect(&l->o.conn, addr);
-	g_clear_pointer(&l->hint, g_free);
+	l->lead = NULL;
+	log_warn("leader_lost", "addr=%s why=\"%s\"", a->addr, why);
+	end_ask(l, a);
+	l->o.ops->down(l->o.arg);
+	ask_later(l);
 }
 
-static void leave(struct link *l, const char *why)
+static void end_unopened(struct link *l)
 {
-	if (l->conn)
-		conn_close(l->conn);
-	l->conn = NULL;
-	if (l->up) {
-		log_warn("leader_lost", "addr=%s why=\"%s\"", l->addr, why);
-		l->up = false;
-		l->o.ops->down(l->o.arg);
+	int64_t now = ss_clock_now(l->o.conn.clock);
+
+	for (guint i = l->asks->len; i-- > 0;) {
+		struct ask *a = l->asks->pdata[i];
+
+		if (!conn_is_open(a->conn) && now - a->begun_ms > CONN_OPEN_MS)
+			end_ask(l, a);
 	}
-	retry_later(l);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -94,17 +104,11 @@
 
 	(void)fd;
 	(void)what;
-	if (!l->conn) {
-		connect_next(l);
-		retry_later(l);
+	if (l->lead)
 		return;
-	}
-	if (l->up)
-		return;
-	if (ss_clock_now(l->o.conn.clock) - l->asked_ms > ANSWER_MS)
-		leave(l, "no answer");
-	else
-		retry_later(l);
+	end_unopened(l);
+	ask_next(l);
+	ask_later(l);
 }
 
 static void on_open(void *arg, struct conn *c)
@@ -113,44 +117,63 @@
 	(void)c;
 }
 
-static void take_leader(struct link *l, const struct msg_leader *m)
+static void found(struct link *l, struct ask *a, uint64_t group)
 {
-	take_members(l, &m->members);
-	if (m->here) {
-		l->up = true;
-		l->o.ops->up(l->o.arg, m->group);
-		return;
-	}
-	/* One that knows of no leader now tells as soon as it does. */
-	if (!l->up && !m->addr.n)
+	for (guint i = l->asks->len; i-- > 0;)
+		if (l->asks->pdata[i] != a)
+			end_ask(l, l->asks->pdata[i]);
+	l->lead = a;
+	l->o.ops->up(l->o.arg, group);
+}
+
+static void learn(struct link *l, const struct msg_leader *m)
+{
+	const struct control_addr *all = m->members.items;
+
+	for (size_t i = 0; i < m->members.n; i++)
+		seek_told(l->seek, (struct ss_str){ 0 }, all[i].addr);
+	seek_told(l->seek, m->addr, (struct ss_str){ 0 });
+}
+
+static void take_leader(struct link *l, struct ask *a,
+			const struct msg_leader *m)
+{
+	learn(l, m);
+	if (m->here && l->lead != a)
+		found(l, a, m->group);
+	if (m->here)
 		return;
-	g_free(l->hint);
-	l->hint = m->addr.n ? ss_str_dup(m->addr) : NULL;
-	leave(l, "it says that it doesn't lead any more");
-	if (l->hint)
-		connect_next(l);
+	if (l->lead == a)
+		lose(l, "it says that it doesn't lead any more");
+	if (!l->lead && m->addr.n)
+		ask_next(l);
 }
 
 static void on_message(void *arg, struct conn *c, struct frame *f)
 {
 	struct link *l = arg;
+	struct ask *a = conn_data(c);
 
-	if (c != l->conn)
+	if (!a)
 		return;
 	if (f->kind == MSG_LEADER)
-		take_leader(l, &f->u.leader);
-	else if (l->up)
+		take_leader(l, a, &f->u.leader);
+	else if (a == l->lead)
 		l->o.ops->message(l->o.arg, f);
 }
 
 static void on_closed(void *arg, struct conn *c, const GError *why)
 {
 	struct link *l = arg;
+	struct ask *a = conn_data(c);
 
-	if (c != l->conn)
+	if (!a)
 		return;
-	l->conn = NULL;
-	leave(l, why ? why->message : "closed");
+	a->conn = NULL;
+	if (a == l->lead)
+		lose(l, why ? why->message : "closed");
+	else
+		end_ask(l, a);
 }
 
 static const struct conn_ops link_conn_ops = { on_open, on_message, on_closed };
@@ -162,12 +185,11 @@
 	l->o = *o;
 	l->o.conn.ops = &link_conn_ops;
 	l->o.conn.arg = l;
-	l->members = g_ptr_array_new_with_free_func(g_free);
-	/* Processes that start together shall not all ask the same one. */
-	l->turn = (guint)ss_random(&l->o.seed);
+	l->seek = seek_new(o->control, ss_random(&l->o.seed));
+	l->asks = g_ptr_array_new_with_free_func(ask_free);
 	l->timer = evtimer_new(o->conn.base, on_timer, l);
-	connect_next(l);
-	retry_later(l);
+	ask_next(l);
+	ask_later(l);
 	return l;
 }
 
@@ -175,26 +197,45 @@
 {
 	if (!l)
 		return;
-	if (l->conn)
-		conn_close(l->conn);
+	while (l->asks->len)
+		end_ask(l, l->asks->pdata[0]);
+	g_ptr_array_unref(l->asks);
 	event_free(l->timer);
-	g_ptr_array_unref(l->members);
-	g_free(l->hint);
-	g_free(l->addr);
+	seek_free(l->seek);
 	g_free(l);
 }
 
 bool link_send(struct link *l, enum msg_kind kind, const void *msg)
 {
-	return l->up && conn_send(l->conn, kind, msg);
+	return l->lead && conn_send(l->lead->conn, kind, msg);
 }
 
 const char *link_leader(const struct link *l)
 {
-	return l->up ? l->addr : NULL;
+	return l->lead ? l->lead->addr : NULL;
 }
 
 bool link_is_up(const struct link *l)
 {
-	return l->up;
+	return l->lead != NULL;
+}
+
+void link_told(struct link *l, const struct msg_leader *m)
+{
+	learn(l, m);
+	if (!l->lead)
+		ask_next(l);
+}
+
+GArray *link_known(const struct link *l)
+{
+	const GPtrArray *known = seek_known(l->seek);
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct control_addr));
+
+	for (guint i = 0; i < known->len; i++) {
+		struct control_addr a = { ss_str(known->pdata[i]) };
+
+		g_array_append_val(out, a);
+	}
+	return out;
 }
--- a/src/node/link.h
+++ b/src/node/link.h
@@ -1,6 +1,6 @@
 /*
- * An entry's or agent's connection to the leader: found by asking the
- * control VMs in turn, found anew when it moves or goes silent.
+ * An entry's, agent's or relay's connection to the leader: found by asking
+ * control VMs, several at a time, and anew when it moves or goes silent.
  */
 #ifndef SS_LINK_H
 #define SS_LINK_H
@@ -32,4 +32,10 @@
 const char *link_leader(const struct link *l);
 bool link_is_up(const struct link *l);
 
+/* A member has announced its group, unasked. */
+void link_told(struct link *l, const struct msg_leader *m);
+/* Control VMs that were told of: struct control_addr, views until the next
+ * message; the caller's to unref. */
+GArray *link_known(const struct link *l);
+
 #endif
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -576,7 +576,8 @@
              lost_leader_is_logged, all_control_vms_are_killed,
              planned_stop_cuts_nothing, spoiled_entry_suspends_its_engine,
              killed_agent_orders_with_no_lower_fence,
-             relay_leads_to_the_leader]
+             relay_leads_to_the_leader,
+             seeds_become_relays_before_a_loss_of_power]
 
 
 async def play(scenario, seed, daemon):
--- a/test/fleet/soak.py
+++ b/test/fleet/soak.py
@@ -17,11 +17,11 @@
 from soak_callers import KINDS, Callers
 from soak_checks import Checks
 from soak_faults import FAMILIES, Faults
-from soak_fleet import ROOT, Fleet
+from soak_fleet import RELAYS, ROOT, Fleet
 from soak_operators import Operators
 
 # Seeds that failed once, with the time of their faults, their size and the
-# cause.
+# cause. They are played as they were then, without relays.
 REGRESSIONS = {
     # A wiped control VM asked only the addresses of its settings to join;
     # the leader was none of them, and followers didn't name it. The scenario
@@ -117,9 +117,9 @@
         self.bad = fleet.world.faults
 
 
-async def play(seed, seconds, size, daemon, only=()):
+async def play(seed, seconds, size, daemon, only=(), relays=RELAYS):
     entries = max(3, size * 2 // 5)
-    fleet = Fleet(seed, daemon, entries, max(4, size - entries))
+    fleet = Fleet(seed, daemon, entries, max(4, size - entries), relays)
     fleet.draw_speeds(random.Random(seed))
     callers = Callers(fleet)
     operators = Operators(fleet, seed)
@@ -171,13 +171,13 @@
     a = ap.parse_args()
     first, _, last = a.seeds.partition("-")
     daemon = os.path.join(a.build, "sapphireshiftd")
-    runs = [] if a.fresh else [(s, *how) for s, how in REGRESSIONS.items()]
+    runs = [] if a.fresh else [(s, *how, 0) for s, how in REGRESSIONS.items()]
     only = [name for name in a.only.split(",") if name]
-    runs += [(s, a.seconds, a.size)
+    runs += [(s, a.seconds, a.size, RELAYS)
              for s in range(int(first), int(last or first) + 1)]
     failed = 0
-    for seed, seconds, size in runs:
-        p = asyncio.run(play(seed, seconds, size, daemon, only))
+    for seed, seconds, size, relays in runs:
+        p = asyncio.run(play(seed, seconds, size, daemon, only, relays))
         report(seed, p)
         failed += bool(p.bad)
     print("%d passed, %d failed" % (len(runs) - failed, failed))
--- a/test/fleet/soak_faults.py
+++ b/test/fleet/soak_faults.py
@@ -30,7 +30,7 @@
 
     def __init__(self, fleet, seed, only=()):
         self.f, self.journal = fleet, fleet.journal
-        self.rng = random.Random(seed)
+        self.rng, self.seed = random.Random(seed), seed
         self.wiping = False
         self.log = []
         names = sorted(FAMILIES)
@@ -281,8 +281,24 @@
     async def all_stopped(self, rng):
         await self.all(self.stop, list(self.f.procs.values()), rng)
 
+    async def exchange_seeds(self, seconds):
+        """The addresses of all settings become others that serve control,
+        relays or members, once or several times; mostly all processes are
+        killed then. Drawn apart, so that schedules of old seeds stay.
+        """
+        rng = random.Random("seeds %d" % self.seed)
+        addrs = self.f.control_addrs(CONTROLS) + self.f.relay_addrs()
+        for _ in range(rng.randrange(0, 3) if self.f.n_relays else 0):
+            await asyncio.sleep(rng.uniform(0, seconds / 2))
+            self.f.exchange_seeds(rng.sample(addrs, 3))
+            self.log.append("%s exchange_seeds" % self.journal.at(
+                time.monotonic()))
+            if rng.random() < 0.7:
+                await asyncio.sleep(rng.uniform(0, 1))
+                await self.all_killed(rng)
+
     async def run(self, seconds):
-        tasks = []
+        tasks = [asyncio.ensure_future(self.exchange_seeds(seconds))]
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             kind = self.rng.choice(self.kinds)
--- a/test/fleet/soak_fleet.py
+++ b/test/fleet/soak_fleet.py
@@ -103,7 +103,8 @@
 class Fleet:
     """All processes and stand-ins of one run."""
 
-    def __init__(self, seed, daemon, entries=ENTRIES, engines=ENGINES):
+    def __init__(self, seed, daemon, entries=ENTRIES, engines=ENGINES,
+                 relays=RELAYS):
         self.rng = random.Random(seed)
         self.daemon = daemon
         self.world = World()
@@ -117,8 +118,9 @@
         self.servers = self.engines + self.webs
         self.frame_port, self.operator_port = free_port(), free_port()
         self.proxies = []
+        self.written = {}    # name -> settings of the process
         self.seeds = self.control_addrs()
-        self.n_entries = entries
+        self.n_entries, self.n_relays = entries, relays
         self.entries = {}    # name -> address for callers
 
     def draw_speeds(self, rng):
@@ -155,29 +157,33 @@
     def control_ip(self, i, proxied=True):
         return "127.0.%d.%d" % (1 if proxied else 0, 10 + i)
 
-    def control_addrs(self):
+    def control_addrs(self, n=3):
         return ["%s:%d" % (self.control_ip(i), self.frame_port)
-                for i in range(3)]
+                for i in range(n)]
 
     def relay_addrs(self):
         return ["%s:%d" % (self.control_ip(i), self.frame_port)
-                for i in range(CONTROLS, CONTROLS + RELAYS)]
+                for i in range(CONTROLS, CONTROLS + self.n_relays)]
 
     def operator_addrs(self):
         """Of all that operators may ask, members and relays."""
         return ["%s:%d" % (self.control_ip(i), self.operator_port)
-                for i in range(CONTROLS + RELAYS)]
+                for i in range(CONTROLS + self.n_relays)]
 
     def exchange_seeds(self, addrs):
         """Other addresses in all settings files, as at the next start."""
         self.seeds = list(addrs)
-        for name in self.procs:
-            path = self.settings_path(name)
-            with open(path) as f:
-                settings = json.load(f)
+        for name, settings in self.written.items():
             settings["control"] = self.seeds
-            with open(path, "w") as f:
-                json.dump(settings, f)
+            self.write_settings(name)
+
+    def write_settings(self, name):
+        """Whole or not at all: a process may be reading it."""
+        path = self.settings_path(name)
+        with open(path + ".new", "w") as f:
+            json.dump(self.written[name], f)
+        os.replace(path + ".new", path)
+        return path
 
     def settings_path(self, name):
         return os.path.join(self.folder, name + ".json")
@@ -188,10 +194,8 @@
              "listen": listen, "control": self.seeds}
         s.update(more)
         s["fleet"] = dict(more.get("fleet", {}), on=True)
-        path = self.settings_path(name)
-        with open(path, "w") as f:
-            json.dump(s, f)
-        return path
+        self.written[name] = s
+        return self.write_settings(name)
 
     def add(self, name, path):
         self.procs[name] = Process(name, [self.daemon, path], os.path.join(
@@ -219,7 +223,7 @@
                    "vm_list": self.listing.addr})
 
     async def start_proxies(self):
-        for i in range(CONTROLS + RELAYS):
+        for i in range(CONTROLS + self.n_relays):
             name = "control-%d" if i < CONTROLS else "relay-%d"
             for port in (self.frame_port, self.operator_port):
                 p = Proxy(name % i, self.control_ip(i), port,
@@ -260,7 +264,7 @@
         await self.listing.start()
         for i in range(CONTROLS):
             self.add("control-%d" % i, self.control_settings(i, True))
-        for i in range(CONTROLS, CONTROLS + RELAYS):
+        for i in range(CONTROLS, CONTROLS + self.n_relays):
             self.add("relay-%d" % i, self.relay_settings(i))
         self.add_agents()
         self.add_entries()
