Hold requests that come before an entry knows where they lead

nothing_is_known_yet asked for a refusal at once in the gate's first millisecond, which is what was wrong; it asks for it now once the time to find a leader is over, and test_gate_early has the time before: held and served, deadline, nobody leads, caller leaves, planned stop.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -470,10 +470,9 @@
 static struct forward *forward_new(struct gate *g, struct caller_call *c,
 				   const struct routing_route *rt,
 				   const struct platform_call *call,
-				   struct ss_str body)
+				   struct ss_str body, int64_t now)
 {
 	struct forward *f = g_new0(struct forward, 1);
-	int64_t now = gate_now(g);
 	int64_t wait = rt->timeout_ms - TIMEOUT_EARLY_MS;
 
 	if (call->deadline_ms)
@@ -506,20 +505,24 @@
 	return f;
 }
 
-void forward_begin(struct gate *g, struct caller_call *c,
-		   const struct http1_head *h, struct ss_str body)
+void forward_begin(struct gate *g, struct caller_call *c, struct ss_str body,
+		   int64_t came_ms)
 {
+	const struct http1_head *h = caller_call_head(c);
 	struct ss_str host = http1_value(h, "Host");
 	const struct routing_route *rt;
 	struct platform_call call;
 	GError *error = NULL;
 	struct forward *f;
 
-	(*g->n_requests)++;
 	if (!g->routing || !g->fleet_known) {
+		if (early_hold(g, c, body))
+			return;
+		(*g->n_requests)++;
 		refuse_call(g, c, 503, "unavailable", "not ready yet", 500);
 		return;
 	}
+	(*g->n_requests)++;
 	rt = routing_match(g->routing, host, path_of(h->target));
 	if (!rt) {
 		refuse_call(g, c, 404, "not_found", "no route", 0);
@@ -531,8 +534,8 @@
 		g_error_free(error);
 		return;
 	}
-	f = forward_new(g, c, rt, &call, body);
-	repeat_first(gate_budget(g, f->service->name), f->start_ms);
+	f = forward_new(g, c, rt, &call, body, came_ms);
+	repeat_first(gate_budget(g, f->service->name), gate_now(g));
 	if (*f->model && !routing_model(f->service, f->model)) {
 		forward_refuse(f, 503, "unknown_model",
 			       "the routing in force has no such model", 0);
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -172,7 +172,10 @@
 static void on_request(void *arg, struct caller_call *c,
 		       const struct http1_head *h, struct ss_str body)
 {
-	forward_begin(arg, c, h, body);
+	struct gate *g = arg;
+
+	(void)h;
+	forward_begin(g, c, body, gate_now(g));
 }
 
 static void on_drained(void *arg, struct caller_call *c)
@@ -188,9 +191,10 @@
 {
 	struct forward *f = caller_call_data(c);
 
-	(void)arg;
 	if (f)
 		forward_gone(f);
+	else
+		early_gone(arg, c);
 }
 
 static void on_refused(void *arg, int status)
@@ -352,6 +356,7 @@
 
 	if (g->end_ms)
 		times_look_at_open(g, now);
+	early_tick(g, now);
 	tick_forwards(g, now);
 	gate_pump(g, NULL);
 	if (now - g->tidy_ms < TIDY_MS)
@@ -428,6 +433,8 @@
 
 	g->o = *o;
 	g->seed = o->seed;
+	g->since_ms = gate_now(g);
+	g->early = early_new();
 	g->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				       gate_ep_free);
 	g->lanes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -460,6 +467,7 @@
 	/* Ends every request that is left, by its caller's end. */
 	callers_free(g->callers);
 	upstream_free(g->upstream);
+	g_array_unref(g->early);
 	g_hash_table_unref(g->forwards);
 	g_hash_table_unref(g->tickets);
 	g_hash_table_unref(g->lanes);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -119,6 +119,8 @@
 	GHashTable *tickets; /* &ticket -> struct forward */
 	GHashTable *hists;   /* route name -> struct hist */
 	uint64_t seed, ticket, round, fence, lives;
+	GArray *early;	  /* requests from before it knew where they lead */
+	int64_t since_ms; /* of this process's start */
 	uint64_t entries; /* that share the repeats, the most told of */
 	bool fleet_known;
 	bool pumping;	/* a request that ends meanwhile pumps no more */
@@ -153,9 +155,20 @@
 		  const struct platform_answer *a);
 void gate_ep_free(void *ep);
 
+/* early.c */
+GArray *early_new(void);
+/* Keep a request until it is known where it leads; false where it is too late
+ * for that, and it is to be refused. */
+bool early_hold(struct gate *g, struct caller_call *c, struct ss_str body);
+/* Its caller has left. */
+void early_gone(struct gate *g, const struct caller_call *c);
+/* Begin them once that is known; refuse them once the time is over. */
+void early_tick(struct gate *g, int64_t now);
+
 /* forward.c */
-void forward_begin(struct gate *g, struct caller_call *c,
-		   const struct http1_head *h, struct ss_str body);
+/* A request that came at a time on the clock. */
+void forward_begin(struct gate *g, struct caller_call *c, struct ss_str body,
+		   int64_t came_ms);
 void forward_gone(struct forward *f);
 /* Try to send a request that waits; false where it goes on waiting. */
 bool forward_try(struct forward *f);
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -68,8 +68,12 @@
 
 /* service: what the endpoints belong to; NULL: the gate knows no fleet. */
 void fix_open(struct fix *f, const char *service, const char *model);
+/* A gate that knows neither routing nor fleet. */
+void fix_open_fresh(struct fix *f);
 void fix_close(struct fix *f);
 
+void tell_routing(struct fix *f);
+
 /* Tell the gate of both endpoints; model: what they hold. */
 void tell_fleet(struct fix *f, const char *service, const char *model);
 /* The endpoint's next answer. */
--- a/test/test_gate_ends.c
+++ b/test/test_gate_ends.c
@@ -263,6 +263,8 @@
 	fix_close(&f);
 }
 
+/* Nobody led for as long as it takes to find out (test_gate_early has the time
+ * before). */
 static void nothing_is_known_yet(void **state)
 {
 	struct caller *c;
@@ -270,6 +272,7 @@
 
 	(void)state;
 	fix_open(&f, NULL, NULL);
+	f.clock.fake_ms += 1500;
 	c = call(&f, GET_SAFE);
 	UNTIL(&f, got(c, "HTTP/1.1 503 "));
 	assert_true(got(c, "not_run"));
