Give the fleet leader's tables a file; tell early requests apart

And a request that an entry held in its first second passed for one whose model was missing.

"late: nobody led yet" is a reason of its own in losses, with its case. No behaviour of the daemon changes.

--- a/src/ctl/summary.c
+++ b/src/ctl/summary.c
@@ -9,6 +9,7 @@
 /* Why a request wasn't answered within its objective. */
 enum reason {
 	REASON_IN_TIME,
+	REASON_START,	/* late: its entry had just started, nobody led */
 	REASON_MODEL,	/* late: it waited, and no engine had its model */
 	REASON_PLACE,	/* late: it waited for a place on a full endpoint */
 	REASON_ADAPTER, /* late: an adapter was loaded for it */
@@ -22,16 +23,17 @@
 };
 
 static const char *const reasons[REASONS] = {
-	"in time",
-	"late: no engine had its model",
-	"late: full endpoint",
-	"late: adapter",
-	"late: sent again",
-	"late: slow endpoint",
-	"failed",
-	"refused",
-	"cut or unknown",
-	"caller left",
+	[REASON_IN_TIME] = "in time",
+	[REASON_START] = "late: nobody led yet",
+	[REASON_MODEL] = "late: no engine had its model",
+	[REASON_PLACE] = "late: full endpoint",
+	[REASON_ADAPTER] = "late: adapter",
+	[REASON_AGAIN] = "late: sent again",
+	[REASON_ENGINE] = "late: slow endpoint",
+	[REASON_FAILED] = "failed",
+	[REASON_REFUSED] = "refused",
+	[REASON_CUT] = "cut or unknown",
+	[REASON_LEFT] = "caller left",
 };
 
 struct route_row {
@@ -80,6 +82,13 @@
 	return g_ascii_strtoll(log_line_get(l, key), NULL, 10);
 }
 
+static enum reason waited_reason(const char *held_for)
+{
+	if (!strcmp(held_for, "place"))
+		return REASON_PLACE;
+	return strcmp(held_for, "model") ? REASON_START : REASON_MODEL;
+}
+
 /* Of an answer that came: in time, or what took longest before it began. */
 static enum reason late_reason(const struct log_line *l)
 {
@@ -91,9 +100,7 @@
 	if (number(l, "sends") > 1)
 		return REASON_AGAIN;
 	if (waited * 2 > first)
-		return strcmp(log_line_get(l, "held_for"), "place") ?
-			       REASON_MODEL :
-			       REASON_PLACE;
+		return waited_reason(log_line_get(l, "held_for"));
 	return number(l, "asks") > 0 ? REASON_ADAPTER : REASON_ENGINE;
 }
 
@@ -233,9 +240,9 @@
 
 static enum reason worst_of(const uint64_t *n)
 {
-	enum reason worst = REASON_MODEL;
+	enum reason worst = REASON_START;
 
-	for (int i = REASON_MODEL; i < REASONS; i++)
+	for (int i = REASON_START; i < REASONS; i++)
 		if (n[i] > n[worst])
 			worst = (enum reason)i;
 	return worst;
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -110,6 +110,11 @@
 	return ss_clock_now(&l->d->clock);
 }
 
+/* fleet_table.c */
+/* The endpoint at an address, made where there is none. */
+struct fleet_ep *fleet_ep_for(struct fleet_lead *l, const char *addr);
+void fleet_ep_free(void *ep);
+/* A model's demand, made where there is none. */
 struct fleet_want *fleet_want_for(struct fleet_lead *l, const char *service,
 				  const char *model);
 bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep);
@@ -117,6 +122,7 @@
 bool fleet_ep_suspended(const struct fleet_lead *l, const struct fleet_ep *ep);
 /* Its agent's last report is fresh enough to be believed. */
 bool fleet_ep_reported(const struct fleet_lead *l, const struct fleet_ep *ep);
+void fleet_want_free(void *want);
 
 /* fleet_unread.c */
 /* Its entry can't be read; is read; none of the entries names it. */
--- a/test/test_summary.c
+++ b/test/test_summary.c
@@ -22,6 +22,10 @@
 	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=900 "
 		     "first_ms=1000 ms=1100 objective_ms=300 held_for=model"),
 	  "late: no engine had its model " },
+	{ "it came in its entry's first second",
+	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=900 "
+		     "first_ms=1000 ms=1100 objective_ms=300 held_for=-"),
+	  "late: nobody led yet " },
 	{ "its replicas were full",
 	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=900 "
 		     "first_ms=1000 ms=1100 objective_ms=300 held_for=place"),
