In a planned stop, take an endpoint that has shown nothing for unknown

The class once more: a process that has just started takes a guess for a figure.

Change: an endpoint without one measured event isn't judged by the others; only what ends by its caller's own deadline is begun there in a stop. A plain answer's bound is also its mean and four deviations, so that few samples far apart leave room. A test case asked for five times the slowest for a new endpoint, which is what was wrong; it asks for "unknown", which is stricter. Both cases failed on the code before. Only planned stops are touched.

--- a/src/core/pace.c
+++ b/src/core/pace.c
@@ -19,9 +19,9 @@
  * too: a service's mean is that of its most called models, and large ones need
  * twice as long. */
 #define KNOWN_SAMPLES 8
-/* A model or endpoint that has shown nothing yet may be so many times slower
- * than the slowest one seen: a stream was cut on one that was five times slower
- * than all that its entry knew. */
+/* A model that has shown nothing yet may be so many times slower than the
+ * slowest one seen. An endpoint that has shown nothing isn't judged by the
+ * others at all: a stream was cut on one that was ten times slower. */
 #define UNSEEN_FACTOR 5.0
 /* The largest is kept of so many samples up to twice as many: one in some
  * hundred exceeds it, and a single odd one is forgotten. */
@@ -156,6 +156,8 @@
 
 	if (first < 0 || event < 0 || a->tokens <= 0)
 		return SS_NEVER;
+	if (a->endpoint && !a->endpoint->event.n)
+		return SS_NEVER;
 	if (a->endpoint) {
 		first = MAX(first, first_of(a->endpoint, s));
 		event = MAX(event, event_of(a->endpoint, s));
@@ -172,6 +174,9 @@
 {
 	if (!route->first.n)
 		return SS_NEVER;
-	return (int64_t)ceil(
-		MAX(pace_most(&route->first_most), open->first_ms));
+	/* The largest alone leaves no room while few have come: an answer of
+	 * 1,310 ms was begun with 1,305 left, as 1,222 was the largest. */
+	return (int64_t)ceil(MAX(MAX(pace_most(&route->first_most),
+				     pace_bound(&route->first)),
+				 open->first_ms));
 }
--- a/test/test_pace.c
+++ b/test/test_pace.c
@@ -133,7 +133,7 @@
 	  0,
 	  { 0, 0 },
 	  200 + 10 * 25 },
-	{ "the same where an endpoint is new",
+	{ "an endpoint that has shown nothing isn't known",
 	  WELL,
 	  NOTHING,
 	  WELL,
@@ -141,7 +141,7 @@
 	  60,
 	  0,
 	  { 0, 0 },
-	  200 + 10 * 100 },
+	  SS_NEVER },
 	{ "twice the tokens, twice the events",
 	  WELL,
 	  WELL,
@@ -298,6 +298,12 @@
 		pace_note_first(&p, i % 20 ? 20 : 70);
 	assert_int_equal(pace_plain_ms(&p, &none), 70);
 	assert_int_equal(pace_plain_ms(&p, &open), 90);
+	/* Few and far apart: the next may be longer than all of them. */
+	p = (struct pace){ 0 };
+	pace_note_first(&p, 1200);
+	for (int i = 0; i < 3; i++)
+		pace_note_first(&p, 20);
+	assert_true(pace_plain_ms(&p, &none) > 1400);
 }
 
 /* Gaps are measured over several events, and none is counted twice. */
