Keep a connection that the peer's VM has answered

Cause: connections that weren't open after 0.3 s were begun anew, meant for VMs that weren't up when they were asked. Open means that the peer's hello has come, and a process that waits for its disk says none for longer.

Change: only a connection that the peer's kernel hasn't answered is begun anew.

Test: busy_peer_is_connected_before_its_hello (a listener that never reads).

--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -42,8 +42,8 @@
 		o->tried_ms = INT64_MIN / 2;
 		g_hash_table_insert(g->outs, o->addr, o);
 	}
-	if (o->conn && !conn_is_open(o->conn) &&
-	    group_now(g) - o->tried_ms > CONN_OPEN_MS) {
+	if (o->conn && !conn_is_connected(o->conn) &&
+	    group_now(g) - o->tried_ms > CONN_ANSWER_MS) {
 		conn_set_data(o->conn, NULL);
 		conn_close(o->conn);
 		o->conn = NULL;
--- a/src/node/conn.c
+++ b/src/node/conn.c
@@ -18,7 +18,8 @@
 	struct event *timer;
 	struct msg_hello peer;
 	bool open;
-	bool sent; /* something since the last tick of the timer */
+	bool sent;	/* something since the last tick of the timer */
+	bool connected; /* the peer's VM has answered; its hello may come yet */
 	bool closing;
 	int depth; /* calls in progress that use c */
 	int64_t heard_ms;
@@ -201,8 +202,10 @@
 	struct conn *c = arg;
 
 	(void)bev;
-	if (what & BEV_EVENT_CONNECTED)
+	if (what & BEV_EVENT_CONNECTED) {
+		c->connected = true;
 		return;
+	}
 	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
 		conn_fail(c, g_error_new(SS_ERROR, SS_ERROR_LOST, "%s",
 					 what & BEV_EVENT_EOF ?
@@ -313,6 +316,11 @@
 	g_free(l);
 }
 
+bool conn_is_connected(const struct conn *c)
+{
+	return c->connected;
+}
+
 bool conn_is_open(const struct conn *c)
 {
 	return c->open;
--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -24,11 +24,13 @@
 #define CONN_FAST_PING_MS 200
 #define CONN_FAST_SILENT_MS 900
 /*
- * A connection that isn't open after so long, in ms, is better begun anew: the
- * other VM wasn't up when it was asked, and the kernel asks again only after a
- * second. Ten times the longest round trip between regions.
+ * A connection that the peer's VM hasn't answered after so long, in ms, is
+ * better begun anew: that VM wasn't up when it was asked, and the kernel asks
+ * again only after a second. Ten times the longest round trip between regions.
+ * One that is answered is kept, however long the hello takes: a process that
+ * waits for its disk would never be heard.
  */
-#define CONN_OPEN_MS 300
+#define CONN_ANSWER_MS 300
 /* A peer that reads nothing can't make this process hold more for it. */
 #define CONN_BACKLOG_MAX (64u * 1024 * 1024)
 
@@ -73,6 +75,9 @@
 void conn_close(struct conn *c);
 
 bool conn_is_open(const struct conn *c);
+/* Its VM has answered a connection made here: a busy process may take longer
+ * until it is open. */
+bool conn_is_connected(const struct conn *c);
 /* The peer's hello; its strings live as long as c. */
 const struct msg_hello *conn_peer(const struct conn *c);
 void conn_set_data(struct conn *c, void *data);
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -86,14 +86,15 @@
 	ask_later(l);
 }
 
-static void end_unopened(struct link *l)
+static void end_unanswered(struct link *l)
 {
 	int64_t now = ss_clock_now(l->o.conn.clock);
 
 	for (guint i = l->asks->len; i-- > 0;) {
 		struct ask *a = l->asks->pdata[i];
 
-		if (!conn_is_open(a->conn) && now - a->begun_ms > CONN_OPEN_MS)
+		if (!conn_is_connected(a->conn) &&
+		    now - a->begun_ms > CONN_ANSWER_MS)
 			end_ask(l, a);
 	}
 }
@@ -106,7 +107,7 @@
 	(void)what;
 	if (l->lead)
 		return;
-	end_unopened(l);
+	end_unanswered(l);
 	ask_next(l);
 	ask_later(l);
 }
--- a/test/test_conn.c
+++ b/test/test_conn.c
@@ -267,6 +267,44 @@
 	peer_stop(&p);
 }
 
+/*
+ * Symptom: no control VM is ever elected while disks are slow. Sequence: a
+ * member's process waits half a second for its disk; others connect to it, and
+ * give up after 0.3 s because it hasn't said hello. Cause: a busy process was
+ * taken for a VM that isn't up. Its kernel answers at once.
+ */
+static void busy_peer_is_connected_before_its_hello(void **state)
+{
+	static const struct conn_ops none = { 0 };
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t n = sizeof(sin);
+	int busy = socket(AF_INET, SOCK_STREAM, 0);
+	struct event_base *base = event_base_new();
+	struct ss_clock clock;
+	struct msg_hello self = { .version = CONN_PROTOCOL };
+	struct conn_options o = {
+		.base = base, .clock = &clock, .self = &self, .ops = &none
+	};
+	struct conn *c;
+	char addr[32];
+
+	(void)state;
+	ss_clock_init(&clock);
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(busy, (struct sockaddr *)&sin, n), 0);
+	assert_int_equal(listen(busy, 1), 0);
+	assert_int_equal(getsockname(busy, (struct sockaddr *)&sin, &n), 0);
+	g_snprintf(addr, sizeof(addr), "127.0.0.1:%u", ntohs(sin.sin_port));
+	c = conn_connect(&o, addr);
+	assert_false(conn_is_connected(c));
+	while (!conn_is_connected(c))
+		event_base_loop(base, EVLOOP_ONCE);
+	assert_false(conn_is_open(c));
+	conn_close(c);
+	event_base_free(base);
+	close(busy);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -274,6 +312,7 @@
 		cmocka_unit_test(bad_frames_are_typed),
 		cmocka_unit_test(bad_peers_are_refused),
 		cmocka_unit_test(silent_connection_is_found),
+		cmocka_unit_test(busy_peer_is_connected_before_its_hello),
 		cmocka_unit_test(frames_come_in_any_cut),
 	};
 
