Ask a named leader in one place; name no function that is gone

Cause: found by reading the change once more. What an announcement and a join's answer name was remembered and asked by the same three lines twice, and seek.h spoke of a function that was removed before it was committed.

Change: ask_leader(); the comment. No behaviour changes. Checks: unit and property tests, formatter, scenarios seeds_become_relays_before_a_loss_of_power and wiped_vm_finds_a_leader_it_doesnt_know.

--- a/src/core/seek.h
+++ b/src/core/seek.h
@@ -6,7 +6,7 @@
  * are replaced over time, and may all be relays, which know only what they
  * were told, or be down. What was told holds for the process's life only: all
  * may lose power at once. So members announce themselves to the addresses of
- * their settings (seek_announce()), whoever asks one of these is told, and
+ * their settings, whoever asks one of these is told, and
  * remembers it beside its own settings.
  */
 #ifndef SS_SEEK_H
--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -24,6 +24,14 @@
 		conn_send(o->conn, MSG_JOIN, &m);
 }
 
+/* Somebody has named it: ask it now, and again with the others. */
+static void ask_leader(struct group *g, struct ss_str addr)
+{
+	g_free(g->leader_hint);
+	g->leader_hint = ss_str_dup(addr);
+	ask_at(g, g->leader_hint);
+}
+
 void group_ask_to_join(struct group *g, int64_t now)
 {
 	const GPtrArray *control = g->d->config.control;
@@ -82,11 +90,8 @@
 {
 	GError *error = NULL;
 
-	if (!m->group && m->addr.n) {
-		g_free(g->leader_hint);
-		g->leader_hint = ss_str_dup(m->addr);
-		ask_at(g, g->leader_hint);
-	}
+	if (!m->group && m->addr.n)
+		ask_leader(g, m->addr);
 	if (g->raft || !m->group)
 		return;
 	if (disk_set_group(g->disk, m->group, &error)) {
@@ -149,9 +154,7 @@
 {
 	if (g->raft || !m->addr.n)
 		return;
-	g_free(g->leader_hint);
-	g->leader_hint = ss_str_dup(m->addr);
-	ask_at(g, g->leader_hint);
+	ask_leader(g, m->addr);
 }
 
 /* As leader, one step at a time: promote, or drop what is lost. */
