Let every front VM take operators' calls

Of the six VMs that took operators' calls one stood still; the operator tried it twice, and an acknowledgement was lost between. Ruled out: a slow leader (each call that reached a sound VM was answered within 21 ms) and relays that don't know the leader (mended before).

Change: the control role runs on all front VMs. A relay that nobody asks keeps no connection, so a hundred of them cost the leader nothing; one that is asked while no leader is known holds the call for 0.7 s instead of refusing at once. Weighed: the entry as the relay (no process more, but a second way for operators' calls to the leader); three control VMs a failure domain (passes too, by the operator's luck).

--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -4,20 +4,49 @@
  * that every address which is known for control leads there. Itself it learns
  * that from the addresses of its settings and from members, which announce
  * themselves to it.
+ *
+ * Every front VM runs one, so that a VM that stands still costs an operator one
+ * try in many. Hundreds of connections with their heartbeats would cost the
+ * leader more than all operators' calls, so a relay that nobody asks keeps
+ * none.
  */
 #include "../../platform/platform.h"
 #include "../operator/routing_http.h"
 #include "daemon.h"
 
+/*
+ * The connection to the leader is given up when nobody has asked for so long,
+ * in ms: an operator who changes something comes back within seconds.
+ */
+#define REST_AFTER_MS 10000
+/* Looked at this often, in ms; also bounds how long a call is held over
+ * HOLD_MS. */
+#define LOOK_MS 100
+/*
+ * An operator's call waits for the leader to be found, in ms. Finding it takes
+ * two round trips, or an election; operators move on to another VM after a
+ * second.
+ */
+#define HOLD_MS 700
+
 struct relay_role {
 	struct daemon *d;
 	struct link *link;
 	struct listener *listener;
 	struct routing_http *http;
+	struct event *look;
 	GHashTable *conns; /* open ones that others made */
+	int64_t asked_ms;  /* when somebody last needed the leader */
 	bool stopping;
 };
 
+/* Somebody needs to know who leads. */
+static void need_leader(struct relay_role *r)
+{
+	r->asked_ms = ss_clock_now(&r->d->clock);
+	link_wake(r->link);
+}
+
 static void tell(struct relay_role *r, struct conn *c)
 {
 	const char *addr = link_leader(r->link);
@@ -48,6 +77,7 @@
 	const char *addr = link_leader(r->link);
 	struct msg_leader m = { .addr = ss_str(addr ? addr : "") };
 
+	need_leader(r);
 	if (addr)
 		conn_send(c, MSG_JOINED, &m);
 }
@@ -57,8 +87,10 @@
 	struct relay_role *r = arg;
 
 	g_hash_table_add(r->conns, c);
-	if (conn_peer(c)->role != ROLE_CONTROL)
-		tell(r, c);
+	if (conn_peer(c)->role == ROLE_CONTROL)
+		return;
+	need_leader(r);
+	tell(r, c);
 }
 
 static void conn_message(void *arg, struct conn *c, struct frame *f)
@@ -95,6 +127,7 @@
 		r->d->hello.group = group;
 	log_info("leader_found", "addr=%s", link_leader(r->link));
 	tell_all(r);
+	routing_http_look(r->http);
 }
 
 static void link_down(void *arg)
@@ -120,6 +153,7 @@
 {
 	struct relay_role *r = arg;
 
+	need_leader(r);
 	return routing_http_peer(link_leader(r->link),
 				 r->d->config.fleet.operator_listen);
 }
@@ -128,7 +162,7 @@
 {
 	const struct relay_role *r = role;
 
-	return !r->stopping && link_is_up(r->link);
+	return !r->stopping;
 }
 
 static bool plain(void *arg, struct evhttp_request *req)
@@ -144,12 +178,25 @@
 	.plain = plain,
 };
 
+static void on_look(evutil_socket_t fd, short what, void *arg)
+{
+	struct relay_role *r = arg;
+
+	(void)fd;
+	(void)what;
+	routing_http_look(r->http);
+	if (ss_clock_now(&r->d->clock) - r->asked_ms > REST_AFTER_MS)
+		link_rest(r->link);
+}
+
 static void relay_free(void *role)
 {
 	struct relay_role *r = role;
 	GHashTableIter it;
 	void *c;
 
+	if (r->look)
+		event_free(r->look);
 	routing_http_free(r->http);
 	link_free(r->link);
 	conn_listener_free(r->listener);
@@ -168,6 +215,8 @@
 		.base = d->base,
 		.platform = &users_platform,
 		.addr = d->config.fleet.operator_listen,
+		.clock = &d->clock,
+		.hold_ms = HOLD_MS,
 		.ops = &routing_table,
 		.arg = r
 	};
@@ -189,6 +238,8 @@
 		return NULL;
 	}
 	r->link = link_new(&lo);
+	link_rest(r->link);
+	r->look = daemon_every(d, LOOK_MS, on_look, r);
 	return r;
 }
 
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -28,6 +28,7 @@
 	struct event *timer;
 	GPtrArray *asks;  /* struct ask */
 	struct ask *lead; /* one of them; NULL: no leader is known */
+	bool resting;	  /* no connection is kept or looked for */
 };
 
 static void ask_free(void *p)
@@ -105,7 +106,7 @@
 
 	(void)fd;
 	(void)what;
-	if (l->lead)
+	if (l->lead || l->resting)
 		return;
 	end_unanswered(l);
 	ask_next(l);
@@ -194,12 +195,17 @@
 	return l;
 }
 
+static void end_all(struct link *l)
+{
+	while (l->asks->len)
+		end_ask(l, l->asks->pdata[0]);
+}
+
 void link_free(struct link *l)
 {
 	if (!l)
 		return;
-	while (l->asks->len)
-		end_ask(l, l->asks->pdata[0]);
+	end_all(l);
 	g_ptr_array_unref(l->asks);
 	event_free(l->timer);
 	seek_free(l->seek);
@@ -221,10 +227,27 @@
 	return l->lead != NULL;
 }
 
+void link_rest(struct link *l)
+{
+	l->resting = true;
+	l->lead = NULL;
+	end_all(l);
+	event_del(l->timer);
+}
+
+void link_wake(struct link *l)
+{
+	if (!l->resting)
+		return;
+	l->resting = false;
+	ask_next(l);
+	ask_later(l);
+}
+
 void link_told(struct link *l, const struct msg_leader *m)
 {
 	learn(l, m);
-	if (!l->lead)
+	if (!l->lead && !l->resting)
 		ask_next(l);
 }
 
--- a/src/node/link.h
+++ b/src/node/link.h
@@ -32,6 +32,14 @@
 const char *link_leader(const struct link *l);
 bool link_is_up(const struct link *l);
 
+/*
+ * Keep no connection until link_wake(): whoever needs the leader seldom costs
+ * it nothing meanwhile. What was told of control VMs is kept.
+ */
+void link_rest(struct link *l);
+/* Look for the leader, where that isn't under way. */
+void link_wake(struct link *l);
+
 /* A member has announced its group, unasked. */
 void link_told(struct link *l, const struct msg_leader *m);
 /* Control VMs that were told of: struct control_addr, views until the next
--- a/src/operator/routing_http.c
+++ b/src/operator/routing_http.c
@@ -9,6 +9,13 @@
 struct routing_http {
 	struct routing_http_options o;
 	struct http_server *server;
+	GArray *held; /* struct held_call */
+};
+
+/* One that came while no leader was known. */
+struct held_call {
+	struct evhttp_request *req;
+	int64_t since_ms;
 };
 
 /* One call that waits for the log. */
@@ -96,31 +103,71 @@
 	g_free(p);
 }
 
-static void redirect(struct routing_http *h, struct evhttp_request *req,
-		     const char *path)
+static const char *path_of(struct evhttp_request *req)
+{
+	return evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+}
+
+/* False where no leader is known. */
+static bool redirect(struct routing_http *h, struct evhttp_request *req)
 {
 	char *leader = h->o.ops->leader(h->o.arg);
+	const char *path = path_of(req);
 	char *url;
 
-	log_info("routing_elsewhere", "path=%s leader=%s", path,
-		 leader ? leader : "-");
-	if (!leader) {
-		refuse(req, SS_ERROR_UNAVAILABLE, "no leader is known");
-		return;
-	}
+	if (!leader)
+		return false;
+	log_info("routing_elsewhere", "path=%s leader=%s", path, leader);
 	url = g_strdup_printf("http://%s%s", leader, path);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Location",
 			  url);
 	http_reply(req, 307, "application/json", SS_LIT("{}"));
 	g_free(url);
 	g_free(leader);
+	return true;
+}
+
+static void refuse_leaderless(struct evhttp_request *req)
+{
+	log_info("routing_elsewhere", "path=%s leader=-", path_of(req));
+	refuse(req, SS_ERROR_UNAVAILABLE, "no leader is known");
+}
+
+/* To the leader, now or as soon as it is known. */
+static void pass_on(struct routing_http *h, struct evhttp_request *req)
+{
+	struct held_call held = { .req = req };
+
+	if (redirect(h, req))
+		return;
+	if (!h->o.hold_ms) {
+		refuse_leaderless(req);
+		return;
+	}
+	held.since_ms = ss_clock_now(h->o.clock);
+	g_array_append_val(h->held, held);
+}
+
+void routing_http_look(struct routing_http *h)
+{
+	for (guint i = h->held->len; i-- > 0;) {
+		struct held_call *held =
+			&g_array_index(h->held, struct held_call, i);
+		int64_t age = ss_clock_now(h->o.clock) - held->since_ms;
+		bool done = redirect(h, held->req);
+
+		if (!done && age < h->o.hold_ms)
+			continue;
+		if (!done)
+			refuse_leaderless(held->req);
+		g_array_remove_index(h->held, i);
+	}
 }
 
 static void handle(void *arg, struct evhttp_request *req)
 {
 	struct routing_http *h = arg;
-	const char *path =
-		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+	const char *path = path_of(req);
 	enum evhttp_cmd_type method = evhttp_request_get_command(req);
 	bool is_put = !strcmp(path, h->o.platform->path_put) &&
 		      method == EVHTTP_REQ_POST;
@@ -132,7 +179,7 @@
 	if (!is_put && !is_get)
 		refuse(req, SS_ERROR_NOT_FOUND, "no such call");
 	else if (!h->o.ops->leads(h->o.arg))
-		redirect(h, req, path);
+		pass_on(h, req);
 	else if (is_put)
 		put(h, req);
 	else
@@ -150,10 +197,11 @@
 					  .arg = h };
 
 	h->o = *o;
+	h->held = g_array_new(FALSE, FALSE, sizeof(struct held_call));
 	h->server = http_server_new(&so, error);
 	if (h->server)
 		return h;
-	g_free(h);
+	routing_http_free(h);
 	return NULL;
 }
 
@@ -172,5 +220,6 @@
 	if (!h)
 		return;
 	http_server_free(h->server);
+	g_array_unref(h->held);
 	g_free(h);
 }
--- a/src/operator/routing_http.h
+++ b/src/operator/routing_http.h
@@ -27,6 +27,10 @@
 	struct event_base *base;
 	const struct platform_ops *platform;
 	const char *addr;
+	const struct ss_clock *clock;
+	/* A call that comes while no leader is known waits so long for one; 0:
+	 * it is refused at once. */
+	int64_t hold_ms;
 	const struct routing_http_ops *ops;
 	void *arg;
 };
@@ -41,6 +45,10 @@
  */
 char *routing_http_peer(const char *addr, const char *own_listen);
 
+/* Look after calls that wait for a leader: one may be known by now, or it is
+ * time to refuse them. */
+void routing_http_look(struct routing_http *h);
+
 void routing_http_free(struct routing_http *h);
 
 #endif
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -15,7 +15,7 @@
 from soak_callers import Callers
 from soak_fleet import CONTROLS, ROOT, Fleet
 from soak_http import http
-from soak_operators import Operators
+from soak_operators import Operators, routing
 from standin import LATE
 
 
@@ -313,6 +313,61 @@
     await until(redirected, RECOVERY_S, "a relay leads to no next leader")
 
 
+async def operators_pass_a_frozen_relay(fleet):
+    """Symptom: a valid change has no acknowledgement for four seconds though
+    each call that reached a sound VM was answered at once. Sequence: a VM
+    that takes operators' calls stands still; an acknowledgement is lost; the
+    leader ends between two tries of the same change. Cause: few VMs took
+    operators' calls, and each try at the frozen one cost a second; a VM
+    that knew of no leader refused at once, and the operator waited longer.
+    """
+    await first_change(fleet.operators)
+    ops = fleet.operators
+    fleet.procs["relay-%d" % CONTROLS].send(signal.SIGSTOP)
+    relays = fleet.operator_addrs()[CONTROLS + 1:]
+    version = ops.version
+
+    async def put(addr, body):
+        """The status of one try, redirects followed; 0: no answer."""
+        for _ in range(3):
+            try:
+                status, headers, _ = await asyncio.wait_for(
+                    http(addr, "POST", "/sapphireshift/Config.Put", body), 1.0)
+            except (OSError, EOFError, asyncio.TimeoutError):
+                return 0
+            if status != 307:
+                return status
+            addr = headers["location"].split("/")[2]
+        return 0
+
+    for change in range(4):
+        version += 1
+        body = json.dumps(routing(version, "f%d" % change,
+                                  fleet.loads_per_s())).encode()
+        ops.asked.setdefault(version, set()).add("f%d" % change)
+        # Its acknowledgement is lost, so the same bytes are sent again.
+        await put(relays[0], body)
+        if change == 1:
+            led = await leader_of(fleet)
+            await fleet.procs["control-%d" % led].end(signal.SIGKILL)
+        statuses = []
+
+        async def acknowledged():
+            statuses.append(await put(
+                relays[len(statuses) % len(relays)], body))
+            assert statuses[-1] in (0, 200, 503), statuses
+            return statuses[-1] == 200
+
+        await until(acknowledged, RECOVERY_S, "never acknowledged")
+        # A relay holds a call while the next leader is being found.
+        assert change == 1 or statuses == [200], statuses
+        assert len(statuses) <= 4, statuses
+        if change == 1:
+            fleet.procs["control-%d" % led].start()
+    ops.version = ops.acked = version
+    fleet.procs["relay-%d" % CONTROLS].send(signal.SIGCONT)
+
+
 async def seeds_become_relays_before_a_loss_of_power(fleet):
     """Symptom: nobody is served any more though the group leads. Sequence:
     the addresses of all settings are exchanged for control VMs without a
@@ -582,7 +637,7 @@
              lost_leader_is_logged, all_control_vms_are_killed,
              planned_stop_cuts_nothing, spoiled_entry_suspends_its_engine,
              killed_agent_orders_with_no_lower_fence,
-             relay_leads_to_the_leader,
+             relay_leads_to_the_leader, operators_pass_a_frozen_relay,
              seeds_become_relays_before_a_loss_of_power]
 
 
--- /dev/null
+++ b/test/test_link.c
@@ -0,0 +1,188 @@
+/* The connection to the leader: kept, given up while nobody needs it. */
+#include "unit.h"
+
+#include "../src/node/link.h"
+
+#include <event2/event.h>
+
+#define GROUP 7
+
+/* A leader on loopback, and a link that looks for it. */
+struct link_fix {
+	struct event_base *base;
+	struct ss_clock clock;
+	struct msg_hello self, leader;
+	struct listener *listener;
+	GPtrArray *control;
+	struct link *link;
+	int opened, closed; /* connections, as the leader sees them */
+	int up, down;	    /* as the link tells */
+};
+
+static void lead_open(void *arg, struct conn *c)
+{
+	struct link_fix *f = arg;
+	struct msg_leader m = { .group = GROUP, .here = true };
+
+	f->opened++;
+	conn_send(c, MSG_LEADER, &m);
+}
+
+static void lead_message(void *arg, struct conn *c, struct frame *frame)
+{
+	(void)arg;
+	(void)c;
+	(void)frame;
+}
+
+static void lead_closed(void *arg, struct conn *c, const GError *why)
+{
+	struct link_fix *f = arg;
+
+	(void)c;
+	(void)why;
+	f->closed++;
+}
+
+static const struct conn_ops lead_table = { lead_open, lead_message,
+					    lead_closed };
+
+static void link_up(void *arg, uint64_t group)
+{
+	struct link_fix *f = arg;
+
+	assert_int_equal(group, GROUP);
+	f->up++;
+}
+
+static void link_message(void *arg, struct frame *frame)
+{
+	(void)arg;
+	(void)frame;
+}
+
+static void link_down(void *arg)
+{
+	((struct link_fix *)arg)->down++;
+}
+
+static const struct link_ops link_table = { link_up, link_message, link_down };
+
+static void fix_begin(struct link_fix *f)
+{
+	struct conn_options lo = { .self = &f->leader,
+				   .ops = &lead_table,
+				   .arg = f };
+	struct link_options o = { .ops = &link_table, .arg = f, .seed = 1 };
+
+	memset(f, 0, sizeof(*f));
+	f->base = event_base_new();
+	ss_clock_init(&f->clock);
+	f->self = (struct msg_hello){ .version = CONN_PROTOCOL,
+				      .role = ROLE_RELAY,
+				      .name = SS_LIT("relay") };
+	f->leader = (struct msg_hello){ .version = CONN_PROTOCOL,
+					.role = ROLE_CONTROL,
+					.name = SS_LIT("leader") };
+	lo.base = f->base;
+	lo.clock = &f->clock;
+	f->listener = conn_listen(&lo, "127.0.0.1:0", NULL);
+	assert_non_null(f->listener);
+	f->control = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(f->control,
+			g_strdup_printf("127.0.0.1:%u",
+					conn_listener_port(f->listener)));
+	o.conn = (struct conn_options){ .base = f->base,
+					.clock = &f->clock,
+					.self = &f->self };
+	o.control = f->control;
+	f->link = link_new(&o);
+}
+
+static void fix_end(struct link_fix *f)
+{
+	link_free(f->link);
+	conn_listener_free(f->listener);
+	/* The leader's ends of closed connections. */
+	while (f->closed < f->opened)
+		event_base_loop(f->base, EVLOOP_ONCE);
+	event_base_free(f->base);
+	g_ptr_array_unref(f->control);
+}
+
+static void run_until(struct link_fix *f, const int *count, int n)
+{
+	while (*count < n)
+		event_base_loop(f->base, EVLOOP_ONCE);
+}
+
+/*
+ * Symptom: the leader of a large fleet spends its time on heartbeats of
+ * processes that need it once a day. Sequence: a hundred relays start, and none
+ * is asked anything. Cause: each kept its connection.
+ */
+static void resting_link_keeps_no_connection(void **state)
+{
+	struct link_fix f;
+
+	(void)state;
+	fix_begin(&f);
+	run_until(&f, &f.up, 1);
+	assert_true(link_is_up(f.link));
+	link_rest(f.link);
+	assert_false(link_is_up(f.link));
+	run_until(&f, &f.closed, f.opened);
+	/* Whoever rests knows that it does: that is no lost leader. */
+	assert_int_equal(f.down, 0);
+	fix_end(&f);
+}
+
+static void woken_link_finds_the_leader_again(void **state)
+{
+	struct link_fix f;
+
+	(void)state;
+	fix_begin(&f);
+	link_rest(f.link);
+	link_rest(f.link);
+	link_wake(f.link);
+	link_wake(f.link);
+	run_until(&f, &f.up, 1);
+	link_rest(f.link);
+	link_wake(f.link);
+	run_until(&f, &f.up, 2);
+	assert_string_equal(link_leader(f.link), f.control->pdata[0]);
+	fix_end(&f);
+}
+
+/* What members announce is remembered, and asks nobody. */
+static void resting_link_remembers_what_it_is_told(void **state)
+{
+	struct control_addr a = { SS_LIT("127.0.0.1:1") };
+	struct msg_leader m = { .group = GROUP,
+				.addr = a.addr,
+				.members = { &a, 1 } };
+	struct link_fix f;
+	GArray *known;
+
+	(void)state;
+	fix_begin(&f);
+	link_rest(f.link);
+	link_told(f.link, &m);
+	known = link_known(f.link);
+	assert_int_equal(known->len, 1);
+	g_array_unref(known);
+	assert_int_equal(f.opened, 0);
+	fix_end(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(resting_link_keeps_no_connection),
+		cmocka_unit_test(woken_link_finds_the_leader_again),
+		cmocka_unit_test(resting_link_remembers_what_it_is_told),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
