Fetch the routing from any control VM; pack frames; tell loads alone

Cause: the leader lost its majority whenever a routing went out. It sent 100 KB to each of 285 processes, a megabyte each tick, and counted what the kernel had taken as sent; heartbeats stood behind it, another leader began and sent all of it anew. Besides, the load of 180 endpoints was told to 105 entries five times a second with all that they hold: more than its link carries. Ruled out: elections too quick for the links (a trial with an eighth of the bound and nothing else kept one leader).

Change: (1) the leader tells everybody the version in force, 30 bytes, after a majority has confirmed it. The routing is fetched on a connection of its own from any member that has applied it, by an order that follows from names alone, the leader last; as the difference to the version that is held, whole where none is (core/mirror.c, core/fetch.c). (2) Bulk on its way is bounded by what the link was seen to carry in half a heartbeat (core/send_window.c); whole fleets to entries keep to it too. (3) Frames from 1,400 bytes on are packed by zstd (base/pack.c). (4) Loads that changed alone are told alone.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 BUILD ?= build
 PREFIX ?= /usr/local
 SAN ?=
-PKGS := libevent evhtp msgpack popt log4c glib-2.0 json-c libxxhash
+PKGS := libevent evhtp msgpack popt log4c glib-2.0 json-c libxxhash libzstd
 
 CC ?= gcc
 CXX ?= g++
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -279,6 +279,16 @@
 	F(3, WIRE_INT, fleet_eta, eta_ms),
 };
 static const struct wire_type fleet_eta_type = T(fleet_eta, fleet_eta_fields);
+static const struct wire_field fleet_load_fields[] = {
+	F(1, WIRE_STR, fleet_load, addr),
+	F(2, WIRE_INT, fleet_load, running),
+	F(3, WIRE_INT, fleet_load, waiting),
+	F(4, WIRE_INT, fleet_load, tokens_used),
+	F(5, WIRE_INT, fleet_load, tokens_total),
+	F(6, WIRE_INT, fleet_load, age_ms),
+};
+static const struct wire_type fleet_load_type =
+	T(fleet_load, fleet_load_fields);
 static const struct wire_field fleet_fields[] = {
 	F(1, WIRE_UINT, msg_fleet, fence),
 	F(2, WIRE_UINT, msg_fleet, round),
@@ -286,6 +296,7 @@
 	L(4, msg_fleet, endpoints, fleet_endpoint_type),
 	L(5, msg_fleet, etas, fleet_eta_type),
 	F(6, WIRE_UINT, msg_fleet, entries),
+	L(7, msg_fleet, loads, fleet_load_type),
 };
 static const struct wire_field model_demand_fields[] = {
 	F(1, WIRE_STR, model_demand, service),
@@ -311,10 +322,16 @@
 };
 static const struct wire_field routing_fields[] = {
 	F(1, WIRE_UINT, msg_routing, version),
-	F(2, WIRE_STR, msg_routing, body),
+	F(3, WIRE_UINT, msg_routing, base),
+	F(4, WIRE_STR, msg_routing, packed),
+};
+static const struct wire_field fetch_fields[] = {
+	F(1, WIRE_UINT, msg_fetch, have),
+	F(2, WIRE_UINT, msg_fetch, want),
 };
 static const struct wire_field term_fields[] = {
 	F(1, WIRE_UINT, msg_term, fence),
+	F(2, WIRE_UINT, msg_term, routing),
 };
 static const struct wire_field adapter_fields[] = {
 	F(1, WIRE_UINT, msg_adapter, sub),
@@ -359,6 +376,7 @@
 	[MSG_ADAPTER] = T(msg_adapter, adapter_fields),
 	[MSG_ADAPTER_DONE] = T(msg_adapter_done, adapter_done_fields),
 	[MSG_TERM] = T(msg_term, term_fields),
+	[MSG_FETCH] = T(msg_fetch, fetch_fields),
 };
 
 const struct wire_type *msg_type(enum msg_kind kind)
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -34,16 +34,18 @@
 	MSG_LOADED,	  /* its answer, once that has ended */
 	MSG_FLEET,	  /* leader to entry: endpoints that changed */
 	MSG_DEMAND,	  /* entry to leader: what is asked for and runs */
-	MSG_ROUTING,	  /* leader to entry: the routing in force */
+	MSG_ROUTING,	  /* control to others: the routing, if fetched */
 	MSG_ADAPTER,	  /* entry to agent: an adapter is needed */
 	MSG_ADAPTER_DONE, /* its answer */
-	MSG_TERM,	  /* leader to agent: its term, once confirmed */
+	MSG_TERM,	  /* leader to others: its term, once confirmed */
+	MSG_FETCH, /* others to any control VM: what they hold and want */
 	MSG_KINDS
 };
 
 /* A relay is a control VM without a disk: it votes for nobody, and is told who
- * leads like an entry. */
-enum role { ROLE_ENTRY = 1, ROLE_AGENT, ROLE_CONTROL, ROLE_RELAY };
+ * leads like an entry. A reader is the connection on which an entry or agent
+ * fetches the routing: it is led and told of nothing. */
+enum role { ROLE_ENTRY = 1, ROLE_AGENT, ROLE_CONTROL, ROLE_RELAY, ROLE_READER };
 
 struct msg_hello {
 	uint64_t version; /* of this protocol */
@@ -313,6 +315,14 @@
 	int64_t eta_ms; /* until it can be called; -1: nobody can tell */
 };
 
+/* Of an endpoint whose load alone has changed. */
+struct fleet_load {
+	struct ss_str addr;
+	int64_t running, waiting;
+	int64_t tokens_used, tokens_total;
+	int64_t age_ms;
+};
+
 struct msg_fleet {
 	uint64_t fence;
 	uint64_t round;		    /* confirmed by the next demand */
@@ -320,6 +330,7 @@
 	struct wire_list endpoints; /* struct fleet_endpoint */
 	struct wire_list etas;	    /* struct fleet_eta */
 	uint64_t entries;	    /* that the leader hears */
+	struct wire_list loads;	    /* struct fleet_load */
 };
 
 struct model_demand {
@@ -342,14 +353,24 @@
 	struct wire_list calls;	 /* struct endpoint_calls, all */
 };
 
+/* Versions of the routing that the sender holds (0: none) and wants. Where it
+ * wants none, it only acknowledges. */
+struct msg_fetch {
+	uint64_t have, want;
+};
+
+/* The answer, once the control VM holds the version that is wanted. Without
+ * bytes it says that these will come, after others'. */
 struct msg_routing {
 	uint64_t version;
-	struct ss_str body;
+	uint64_t base; /* the version that it is the difference to; 0: whole */
+	struct ss_str packed;
 };
 
 /* A majority has confirmed this leadership since the connection came. */
 struct msg_term {
 	uint64_t fence;
+	uint64_t routing; /* version in force */
 };
 
 struct msg_adapter {
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -1,5 +1,6 @@
 /* The control VM: a member of the group, and its leader at times. */
 #include "../../platform/platform.h"
+#include "../core/mirror.h"
 #include "../operator/operator.h"
 #include "../operator/routing_http.h"
 #include "../vmlist/vms.h"
@@ -19,7 +20,8 @@
 	struct daemon *d;
 	struct group *group;
 	const struct leader_ops *leader;
-	void *lead; /* NULL while another leads */
+	void *lead;	       /* NULL while another leads */
+	struct mirror *mirror; /* of a fleet's routing */
 	struct listener *listener;
 	struct operator_http *operators;
 	struct routing_http *routing;
@@ -48,7 +50,9 @@
 /* Wants to know who leads. */
 static bool is_client(struct conn *c)
 {
-	return conn_peer(c)->role != ROLE_CONTROL;
+	int64_t role = conn_peer(c)->role;
+
+	return role != ROLE_CONTROL && role != ROLE_READER;
 }
 
 /* Is led by the leader, and not only told who that is. */
@@ -84,11 +88,31 @@
 	}
 }
 
+/* The routing that stands in the log, also after a snapshot. */
+static void set_mirror(struct control_role *k)
+{
+	const struct routing_rec *rec =
+		k->group ? ss_state_routing(group_state(k->group)) : NULL;
+
+	if (rec)
+		mirror_set(k->mirror, rec->version, rec->body,
+			   ss_clock_now(&k->d->clock));
+}
+
+static bool send_routing(void *arg, void *peer, const struct msg_routing *m)
+{
+	(void)arg;
+	return conn_send(peer, MSG_ROUTING, m);
+}
+
+static const struct mirror_ops mirror_table = { send_routing };
+
 static void on_applied(void *arg, uint64_t index)
 {
 	struct control_role *k = arg;
 
 	(void)index;
+	set_mirror(k);
 	if (k->lead)
 		k->leader->applied(k->lead);
 }
@@ -122,6 +146,11 @@
 
 	if (group_message(k->group, c, f))
 		return;
+	if (f->kind == MSG_FETCH) {
+		mirror_ask(k->mirror, c, &f->u.fetch,
+			   ss_clock_now(&k->d->clock));
+		return;
+	}
 	if (k->lead && is_led(c))
 		k->leader->message(k->lead, c, f);
 }
@@ -132,6 +161,7 @@
 
 	(void)why;
 	g_hash_table_remove(k->conns, c);
+	mirror_gone(k->mirror, c, ss_clock_now(&k->d->clock));
 	group_conn_closed(k->group, c);
 	if (k->lead)
 		k->leader->closed(k->lead, c);
@@ -167,6 +197,8 @@
 	(void)what;
 	check_leadership(k);
 	tell_of_leader(k);
+	set_mirror(k);
+	mirror_tick(k->mirror, ss_clock_now(&k->d->clock));
 	if (k->lead)
 		k->leader->tick(k->lead);
 	if (k->stop_ms && ss_clock_now(&k->d->clock) - k->stop_ms > LEAVE_MS)
@@ -360,6 +392,7 @@
 	group_free(k->group);
 	if (k->lead)
 		k->leader->end(k->lead);
+	mirror_free(k->mirror);
 	g_free(k);
 }
 
@@ -401,8 +434,10 @@
 static void *control_start(struct daemon *d, GError **error)
 {
 	struct control_role *k = g_new0(struct control_role, 1);
+	struct mirror_options mo = { .ops = &mirror_table, .arg = k };
 
 	k->d = d;
+	k->mirror = mirror_new(&mo, ss_clock_now(&d->clock));
 	k->conns = g_hash_table_new(NULL, NULL);
 	k->leader = d->config.fleet.on ? &fleet_lead_ops : &lead_ops;
 	k->n_denied = metrics_value(d->metrics, "ss_operator_denied_total", "");
--- a/src/daemon/fleet_agent.c
+++ b/src/daemon/fleet_agent.c
@@ -6,7 +6,7 @@
 #include "../core/engine.h"
 #include "../core/fleet_wire.h"
 #include "../net/keep.h"
-#include "daemon.h"
+#include "routing_fetch.h"
 
 /* Reading is begun and steps go on this often, so a busy engine is read at
  * each tick. */
@@ -31,6 +31,7 @@
 	struct link *link;
 	struct listener *listener;
 	struct event *tick;
+	struct routing_fetch *fetch;
 	struct routing *routing;
 	const struct routing_service *service; /* of routing */
 	struct fleet_report *report;	       /* the newest; NULL: none */
@@ -454,24 +455,22 @@
 	return NULL;
 }
 
-static void take_routing(struct fleet_agent *a, const struct msg_routing *m)
+static void take_routing(void *arg, struct routing *r)
 {
-	GError *error = NULL;
-	struct routing *r;
+	struct fleet_agent *a = arg;
 
-	if (a->routing && a->routing->version >= m->version)
-		return;
-	r = users_platform.read_routing(m->body, &error);
-	if (!r) {
-		log_error("routing_unreadable", "why=\"%s\"", error->message);
-		g_error_free(error);
-		return;
-	}
 	a->service = find_service(r);
 	engine_set_service(a->engine, a->service);
 	routing_unref(a->routing);
-	a->routing = r;
-	log_info("routing", "version=%" PRIu64, r->version);
+	a->routing = routing_ref(r);
+}
+
+static void take_term(struct fleet_agent *a, const struct msg_term *m)
+{
+	log_info("term", "fence=%" PRIu64 " routing=%" PRIu64, m->fence,
+		 m->routing);
+	engine_term(a->engine, m->fence, now_ms(a));
+	routing_fetch_want(a->fetch, a->link, m->routing);
 }
 
 static void link_message(void *arg, struct frame *f)
@@ -482,12 +481,8 @@
 	case MSG_LOAD:
 		take_load(a, &f->u.load);
 		break;
-	case MSG_ROUTING:
-		take_routing(a, &f->u.routing);
-		break;
 	case MSG_TERM:
-		log_info("term", "fence=%" PRIu64, f->u.term.fence);
-		engine_term(a->engine, f->u.term.fence, now_ms(a));
+		take_term(a, &f->u.term);
 		break;
 	default:
 		break;
@@ -510,6 +505,7 @@
 		read_engine(a);
 	if (engine_busy(a->engine))
 		engine_tick(a->engine, now);
+	routing_fetch_tick(a->fetch);
 	maybe_tell(a);
 }
 
@@ -532,6 +528,7 @@
 
 	if (a->tick)
 		event_free(a->tick);
+	routing_fetch_free(a->fetch);
 	link_free(a->link);
 	conn_listener_free(a->listener);
 	keep_free(a->endpoint);
@@ -551,6 +548,9 @@
 	struct engine_options eo = { .holder = d->config.fleet.holder,
 				     .ops = &engine_table,
 				     .arg = a };
+	struct routing_fetch_options fo = { .daemon = d,
+					    .take = take_routing,
+					    .arg = a };
 	struct link_options lo = { .conn = daemon_conn_options(d, NULL, NULL),
 				   .control = d->config.control,
 				   .ops = &link_table,
@@ -573,6 +573,7 @@
 		return NULL;
 	}
 	a->addr = daemon_advertised(d, a->listener);
+	a->fetch = routing_fetch_new(&fo);
 	a->link = link_new(&lo);
 	a->tick = daemon_every(d, TICK_MS, on_tick, a);
 	return a;
--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -3,7 +3,7 @@
 #include "../net/http.h"
 #include "../proxy/gate.h"
 #include "../vmlist/instances.h"
-#include "daemon.h"
+#include "routing_fetch.h"
 
 /* Deadlines and waits are looked at this often: a sixth of the time that the
  * shortest answer needs. */
@@ -44,6 +44,7 @@
 	struct daemon *d;
 	struct gate *gate;
 	struct link *link;
+	struct routing_fetch *routing;
 	struct instances *list;
 	struct http_server *ready;
 	struct event *tick;
@@ -210,22 +211,12 @@
 	e->leader_ms = now_ms(e);
 }
 
-static void take_routing(struct fleet_entry *e, const struct msg_routing *m)
+static void take_routing(void *arg, struct routing *r)
 {
-	GError *error = NULL;
-	struct routing *r;
+	struct fleet_entry *e = arg;
 
-	if (m->version <= gate_routing_version(e->gate))
-		return;
-	r = users_platform.read_routing(m->body, &error);
-	if (r) {
-		gate_set_routing(e->gate, r);
-		routing_unref(r);
-		e->demand_due = true;
-		return;
-	}
-	log_error("routing_unreadable", "why=\"%s\"", error->message);
-	g_error_free(error);
+	gate_set_routing(e->gate, r);
+	e->demand_due = true;
 }
 
 static void on_message(void *arg, struct frame *f)
@@ -233,8 +224,8 @@
 	struct fleet_entry *e = arg;
 
 	switch (f->kind) {
-	case MSG_ROUTING:
-		take_routing(e, &f->u.routing);
+	case MSG_TERM:
+		routing_fetch_want(e->routing, e->link, f->u.term.routing);
 		break;
 	case MSG_FLEET:
 		e->leader_ms = now_ms(e);
@@ -332,6 +323,7 @@
 	(void)fd;
 	(void)what;
 	gate_tick(e->gate);
+	routing_fetch_tick(e->routing);
 	send_demand(e, now);
 	instances_run(e->list,
 		      !e->link_up &&
@@ -352,6 +344,7 @@
 		event_free(e->tick);
 	instances_free(e->list);
 	http_server_free(e->ready);
+	routing_fetch_free(e->routing);
 	link_free(e->link);
 	if (e->agents)
 		g_hash_table_unref(e->agents);
@@ -392,6 +385,9 @@
 					.metrics = d->metrics,
 					.list = on_list,
 					.arg = e };
+	struct routing_fetch_options fo = { .daemon = d,
+					    .take = take_routing,
+					    .arg = e };
 	struct link_options lo = { .conn = daemon_conn_options(d, NULL, NULL),
 				   .control = d->config.control,
 				   .ops = &link_table,
@@ -405,6 +401,7 @@
 	if (!e->ready)
 		return false;
 	e->list = instances_new(&io);
+	e->routing = routing_fetch_new(&fo);
 	e->link = link_new(&lo);
 	return true;
 }
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -4,7 +4,6 @@
 #include <json-c/json.h>
 
 #include "../../platform/platform.h"
-#include "../core/spread.h"
 
 /* How often the list is read: a third of the time in which a leaving
  * endpoint must be left, so that one lost answer does no harm. */
@@ -48,6 +47,7 @@
 		if (r) {
 			routing_unref(l->routing);
 			l->routing = r;
+			l->routing_ms = fleet_lead_now(l);
 		}
 	}
 	if (l->preset_version == ss_state_config_version(s) &&
@@ -65,43 +65,54 @@
 	l->preset_version = ss_state_config_version(s);
 }
 
-/* To those that haven't got it, some at a time; the rest at the next ticks. */
-static void send_routings(struct fleet_lead *l)
+/*
+ * The term and the version in force: agents order with the first as their
+ * fence, and all fetch the routing of that version from the control VMs.
+ */
+static void tell_term(const struct fleet_lead *l, struct fleet_peer *p)
+{
+	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
+	struct msg_term m = { .fence = l->fence,
+			      .routing = rec ? rec->version : 0 };
+
+	if (conn_send(p->conn, MSG_TERM, &m))
+		p->routing_told = m.routing;
+}
+
+static void tell_routing(struct fleet_lead *l)
 {
 	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
-	guint n = g_hash_table_size(l->peers);
-	struct spread_peer *all = g_new0(struct spread_peer, n + 1);
-	struct msg_routing m = { 0 };
-	int64_t now = fleet_lead_now(l);
 	GHashTableIter it;
 	void *v;
 
-	if (rec)
-		m = (struct msg_routing){ rec->version, rec->body };
 	g_hash_table_iter_init(&it, l->peers);
-	for (guint i = 0; g_hash_table_iter_next(&it, NULL, &v); i++) {
-		const struct fleet_peer *p = v;
+	while (rec && g_hash_table_iter_next(&it, NULL, &v)) {
+		struct fleet_peer *p = v;
 
-		all[i].first = p->entry;
-		all[i].needs = p->confirmed && p->routing_sent < m.version;
-		all[i].backlog = conn_backlog(p->conn);
-		all[i].sent_ms = p->routing_ms;
+		if (p->confirmed && p->routing_told < rec->version)
+			tell_term(l, p);
 	}
-	l->routing_left = spread_choose(all, n, m.body.n, now);
+}
+
+/* Log once when all entries that are heard follow the version in force. */
+static void note_routing(struct fleet_lead *l)
+{
+	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
+	GHashTableIter it;
+	void *v;
+
+	if (!rec || l->routing_everywhere == rec->version)
+		return;
 	g_hash_table_iter_init(&it, l->peers);
-	for (guint i = 0; g_hash_table_iter_next(&it, NULL, &v); i++) {
-		struct fleet_peer *p = v;
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct fleet_peer *p = v;
 
-		if (!all[i].send)
-			continue;
-		if (conn_send(p->conn, MSG_ROUTING, &m)) {
-			p->routing_sent = m.version;
-			p->routing_ms = now;
-		} else {
-			l->routing_left = true;
-		}
+		if (p->entry && p->routing < rec->version)
+			return;
 	}
-	g_free(all);
+	l->routing_everywhere = rec->version;
+	log_info("routing_everywhere", "version=%" PRIu64 " ms=%" PRId64,
+		 rec->version, fleet_lead_now(l) - l->routing_ms);
 }
 
 /* Connections. */
@@ -111,14 +122,6 @@
 	struct conn *conn;
 };
 
-/* Agents order with it as their fence. */
-static void tell_term(const struct fleet_lead *l, const struct fleet_peer *p)
-{
-	struct msg_term m = { .fence = l->fence };
-
-	conn_send(p->conn, MSG_TERM, &m);
-}
-
 static void on_confirmed(void *arg, bool ok)
 {
 	struct confirm *k = arg;
@@ -129,9 +132,7 @@
 		p = g_hash_table_lookup(k->l->peers, k->conn);
 		if (p) {
 			p->confirmed = true;
-			if (!p->entry)
-				tell_term(k->l, p);
-			k->l->routing_left = true;
+			tell_term(k->l, p);
 			k->l->dirty = k->l->urgent = true;
 		}
 	}
@@ -174,11 +175,14 @@
 static void on_closed(void *arg, struct conn *c)
 {
 	struct fleet_lead *l = arg;
+	struct fleet_peer *gone = g_hash_table_lookup(l->peers, c);
 	GHashTableIter it;
 	void *p;
 
-	if (!g_hash_table_remove(l->peers, c))
+	if (!gone)
 		return;
+	fleet_push_lost(l, gone);
+	g_hash_table_remove(l->peers, c);
 	g_hash_table_iter_init(&it, l->eps);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct fleet_ep *ep = p;
@@ -353,8 +357,9 @@
 	if (!p)
 		return;
 	p->round = MAX(p->round, m->round);
-	/* It has it from an earlier leader. */
-	p->routing_sent = MAX(p->routing_sent, m->routing);
+	p->routing = m->routing;
+	fleet_push_confirmed(l, p);
+	note_routing(l);
 	for (size_t i = 0; i < m->models.n; i++)
 		take_wait(l, c, &d[i]);
 	take_calls(l, c, &m->calls);
@@ -470,7 +475,7 @@
 	struct fleet_lead *l = arg;
 
 	read_state(l);
-	send_routings(l);
+	tell_routing(l);
 	l->dirty = true;
 }
 
@@ -504,8 +509,7 @@
 		fleet_steps_plan(l, now);
 	}
 	fleet_steps_run(l, now);
-	if (l->routing_left)
-		send_routings(l);
+	fleet_push_tick(l, now);
 	if (!l->dirty || (!loads && now - l->push_ms < PUSH_EVERY_MS))
 		return;
 	l->dirty = false;
@@ -532,6 +536,7 @@
 	l->g = g;
 	l->fence = ss_raft_term(group_raft(g));
 	l->since_ms = fleet_lead_now(l);
+	send_window_init(&l->window, l->since_ms);
 	l->store_ms = l->since_ms;
 	l->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	l->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -5,6 +5,7 @@
 #include "../core/fleet.h"
 #include "../core/fleet_wire.h"
 #include "../core/preset.h"
+#include "../core/send_window.h"
 #include "../vmlist/instances.h"
 #include "fleet_lead.h"
 
@@ -77,8 +78,11 @@
 	bool entry;
 	bool confirmed;	       /* a majority has answered since it came */
 	bool whole;	       /* has been sent the whole fleet */
-	uint64_t routing_sent; /* version */
-	int64_t routing_ms;    /* when */
+	size_t whole_sent;     /* bytes of it that it hasn't confirmed */
+	uint64_t whole_round;  /* that confirms them */
+	int64_t whole_ms;      /* when it was sent */
+	uint64_t routing_told; /* version that it was told of */
+	uint64_t routing;      /* version that it follows, by its own word */
 	uint64_t round;	       /* confirmed */
 };
 
@@ -97,7 +101,9 @@
 	int64_t since_ms, plan_ms, push_ms, load_push_ms;
 	bool list_seen;
 	bool dirty, urgent;
-	bool routing_left; /* some peers have yet to be sent it */
+	int64_t routing_ms;	     /* when the version in force was read */
+	uint64_t routing_everywhere; /* version that all entries follow */
+	struct send_window window;   /* of whole fleets on their way */
 	struct fleet_store store;
 	double store_tokens;
 	int64_t store_ms;
@@ -147,6 +153,10 @@
 /* fleet_push.c */
 /* Entries that know nothing yet get all of it. */
 void fleet_push_whole(struct fleet_lead *l);
+/* An entry has told its round; its connection is gone. */
+void fleet_push_confirmed(struct fleet_lead *l, struct fleet_peer *p);
+void fleet_push_lost(struct fleet_lead *l, struct fleet_peer *p);
+void fleet_push_tick(struct fleet_lead *l, int64_t now);
 /* The others get what has changed; loads: also where only that changed. */
 void fleet_push_changes(struct fleet_lead *l, bool loads);
 
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -1,6 +1,10 @@
 /* Telling entries what stands where in a fleet. */
 #include "fleet_lead_int.h"
 
+/* Bytes that wait for a peer at most before its changes are dropped: half a
+ * second of changes at 10 Mbit/s, and 20 MB over 340 of them. */
+#define PEER_BACKLOG_MAX (64u * 1024)
+
 /* What is open for new calls there. */
 static void add_open(const struct fleet_lead *l, const struct fleet_ep *ep,
 		     GArray *held, GPtrArray *lists)
@@ -28,9 +32,26 @@
 struct push {
 	GArray *eps;	  /* struct fleet_endpoint */
 	GPtrArray *lists; /* GArray of what they point to */
+	GArray *loads;	  /* struct fleet_load */
 	GArray *etas;
 };
 
+/* Its load alone: a tenth of what there is to tell of an endpoint, and what
+ * changes most. */
+static void push_load(struct fleet_lead *l, struct push *p,
+		      const struct fleet_ep *ep)
+{
+	struct fleet_load x = { .addr = ss_str(ep->addr),
+				.running = ep->report.running,
+				.waiting = ep->report.waiting,
+				.tokens_used = ep->report.tokens_used,
+				.tokens_total = ep->report.tokens_total,
+				.age_ms = fleet_lead_now(l) - ep->report_ms };
+
+	if (fleet_ep_reported(l, ep))
+		g_array_append_val(p->loads, x);
+}
+
 static void push_add(struct fleet_lead *l, struct push *p,
 		     const struct fleet_ep *ep)
 {
@@ -66,6 +87,7 @@
 	p->eps = g_array_new(FALSE, FALSE, sizeof(struct fleet_endpoint));
 	p->lists =
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+	p->loads = g_array_new(FALSE, FALSE, sizeof(struct fleet_load));
 	p->etas = g_array_new(FALSE, FALSE, sizeof(struct fleet_eta));
 }
 
@@ -73,6 +95,7 @@
 {
 	g_array_unref(p->eps);
 	g_ptr_array_unref(p->lists);
+	g_array_unref(p->loads);
 	g_array_unref(p->etas);
 }
 
@@ -117,7 +140,8 @@
 			       .round = l->round,
 			       .whole = whole,
 			       .endpoints = { p->eps->data, p->eps->len },
-			       .etas = { p->etas->data, p->etas->len } };
+			       .etas = { p->etas->data, p->etas->len },
+			       .loads = { p->loads->data, p->loads->len } };
 	GString *frame = g_string_new(NULL);
 
 	frame_add(frame, MSG_FLEET, &m);
@@ -126,7 +150,22 @@
 
 static bool wants_whole(const struct fleet_peer *p)
 {
-	return p->entry && p->confirmed && !p->whole;
+	return p->entry && p->confirmed && !p->whole && !p->whole_sent;
+}
+
+/* As much as the link carries; the rest at the next ticks. */
+static void send_whole(struct fleet_lead *l, struct fleet_peer *peer,
+		       const GString *frame)
+{
+	if (!send_window_open(&l->window, frame->len))
+		return;
+	peer->whole = conn_send_frame(peer->conn, frame);
+	if (!peer->whole)
+		return;
+	peer->whole_sent = frame->len;
+	peer->whole_round = l->round;
+	peer->whole_ms = fleet_lead_now(l);
+	send_window_sent(&l->window, frame->len);
 }
 
 void fleet_push_whole(struct fleet_lead *l)
@@ -150,14 +189,55 @@
 	add_etas(l, &p, true);
 	frame = push_frame(l, &p, true);
 	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		if (wants_whole(v))
+			send_whole(l, v, frame);
+	g_string_free(frame, TRUE);
+	push_end(&p);
+}
+
+void fleet_push_confirmed(struct fleet_lead *l, struct fleet_peer *p)
+{
+	if (!p->whole_sent || p->round < p->whole_round)
+		return;
+	send_window_acked(&l->window, p->whole_sent);
+	p->whole_sent = 0;
+	/* Others may wait for room. */
+	l->dirty = true;
+}
+
+void fleet_push_lost(struct fleet_lead *l, struct fleet_peer *p)
+{
+	send_window_lost(&l->window, p->whole_sent);
+	p->whole_sent = 0;
+	l->dirty = true;
+}
+
+void fleet_push_tick(struct fleet_lead *l, int64_t now)
+{
+	GHashTableIter it;
+	void *v;
+
+	send_window_tick(&l->window, now);
+	g_hash_table_iter_init(&it, l->peers);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct fleet_peer *peer = v;
+		struct fleet_peer *p = v;
 
-		if (wants_whole(peer))
-			peer->whole = conn_send_frame(peer->conn, frame);
+		if (p->whole_sent && now - p->whole_ms > SEND_WINDOW_LOST_MS)
+			fleet_push_lost(l, p);
+		if (wants_whole(p))
+			l->dirty = true;
 	}
-	g_string_free(frame, TRUE);
-	push_end(&p);
+}
+
+/*
+ * One that takes nothing, or too slowly, gets no more changes: they would pile
+ * up here for hundreds of such peers. It gets all of it once it has taken what
+ * it was sent, since the oldest state is of no use to it by then.
+ */
+static bool takes_changes(const struct fleet_peer *p)
+{
+	return conn_backlog(p->conn) <= PEER_BACKLOG_MAX;
 }
 
 void fleet_push_changes(struct fleet_lead *l, bool loads)
@@ -172,9 +252,12 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct fleet_ep *ep = v;
 
-		if (!ep->changed && !(loads && ep->load_changed))
+		if (ep->changed)
+			push_add(l, &p, ep);
+		else if (loads && ep->load_changed)
+			push_load(l, &p, ep);
+		else
 			continue;
-		push_add(l, &p, ep);
 		ep->changed = ep->load_changed = false;
 	}
 	add_etas(l, &p, false);
@@ -183,13 +266,14 @@
 		((struct fleet_want *)v)->eta_changed = false;
 	frame = push_frame(l, &p, false);
 	g_hash_table_iter_init(&it, l->peers);
-	while ((p.eps->len || p.etas->len) &&
+	while ((p.eps->len || p.loads->len || p.etas->len) &&
 	       g_hash_table_iter_next(&it, NULL, &v)) {
 		struct fleet_peer *peer = v;
 
 		/* One that missed a change gets all of it next time. */
 		if (peer->entry && peer->whole)
-			peer->whole = conn_send_frame(peer->conn, frame);
+			peer->whole = takes_changes(peer) &&
+				      conn_send_frame(peer->conn, frame);
 	}
 	g_string_free(frame, TRUE);
 	push_end(&p);
--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -11,7 +11,7 @@
 #include "frame.h"
 
 /* Told in the hello; another one is refused. */
-#define CONN_PROTOCOL 1
+#define CONN_PROTOCOL 2
 /* A silent peer is asked this often and given up after the second, in ms: five
  * pings, so that a busy process isn't taken for a dead one. */
 #define CONN_PING_MS 500
--- a/src/node/frame.c
+++ b/src/node/frame.c
@@ -1,6 +1,26 @@
 /* Frames between the system's own processes. */
 #include "frame.h"
 
+#include "../base/pack.h"
+
+/* Pack what stands behind at, where it is shorter so. */
+static void pack_message(GString *out, gsize at)
+{
+	struct ss_str bytes = { out->str + at, out->len - at };
+	GString *packed;
+
+	if (bytes.n < FRAME_PACK_FROM)
+		return;
+	packed = g_string_sized_new(bytes.n);
+	g_string_append_c(packed, FRAME_PACKED);
+	pack_add(packed, bytes, (struct ss_str){ 0 });
+	if (packed->len < bytes.n) {
+		g_string_truncate(out, at);
+		g_string_append_len(out, packed->str, (gssize)packed->len);
+	}
+	g_string_free(packed, TRUE);
+}
+
 void frame_add(GString *out, enum msg_kind kind, const void *msg)
 {
 	gsize at = out->len;
@@ -11,6 +31,7 @@
 	msgpack_packer_init(&pk, out, wire_write_gs);
 	msgpack_pack_uint8(&pk, (uint8_t)kind);
 	wire_pack(&pk, msg_type(kind), msg);
+	pack_message(out, at + FRAME_HEAD);
 	n = (uint32_t)(out->len - at - FRAME_HEAD);
 	for (int i = 0; i < FRAME_HEAD; i++)
 		out->str[at + i] = (char)(n >> (8 * (FRAME_HEAD - 1 - i)));
@@ -39,37 +60,63 @@
 	return false;
 }
 
-bool frame_decode(const uint8_t *p, size_t n, struct frame *f, GError **error)
+/* The kind that stands first, and how many bytes it takes; 0: none. */
+static uint64_t read_kind(struct ss_str bytes, size_t *off)
 {
-	const char *body = (const char *)p + FRAME_HEAD;
-	size_t left = n - FRAME_HEAD;
 	msgpack_unpacked kind;
-	const struct wire_type *t;
-	size_t off = 0;
 	uint64_t k = 0;
 
 	msgpack_unpacked_init(&kind);
 	/* A small number is one byte: no room here for a large claim. */
-	if (msgpack_unpack_next(&kind, body, MIN(left, 1), &off) ==
+	if (msgpack_unpack_next(&kind, bytes.p, MIN(bytes.n, 1), off) ==
 		    MSGPACK_UNPACK_SUCCESS &&
 	    kind.data.type == MSGPACK_OBJECT_POSITIVE_INTEGER)
 		k = kind.data.via.u64;
 	msgpack_unpacked_destroy(&kind);
+	return k;
+}
+
+static bool decode(struct frame *f, struct ss_str bytes, GError **error)
+{
+	const struct wire_type *t;
+	size_t off = 0;
+	uint64_t k = read_kind(bytes, &off);
+
 	if (k == 0)
 		return bad_frame(error, "no kind");
 	t = k < MSG_KINDS ? msg_type((enum msg_kind)k) : NULL;
 	if (!t)
 		return false;
 	f->kind = (enum msg_kind)k;
-	if (!wire_decode(&f->buf, (struct ss_str){ body + off, left - off }, t,
-			 &f->u)) {
-		wire_done(&f->buf);
-		return bad_frame(error, "unreadable message");
-	}
-	return true;
+	if (wire_decode(&f->buf,
+			(struct ss_str){ bytes.p + off, bytes.n - off }, t,
+			&f->u))
+		return true;
+	wire_done(&f->buf);
+	return bad_frame(error, "unreadable message");
+}
+
+bool frame_decode(const uint8_t *p, size_t n, struct frame *f, GError **error)
+{
+	struct ss_str body = { (const char *)p + FRAME_HEAD, n - FRAME_HEAD };
+
+	f->unpacked = NULL;
+	if (body.n == 0 || body.p[0] != FRAME_PACKED)
+		return decode(f, body, error);
+	f->unpacked = pack_open((struct ss_str){ body.p + 1, body.n - 1 },
+				(struct ss_str){ 0 }, FRAME_MAX, error);
+	if (!f->unpacked)
+		return false;
+	/* Packed once: one within another is of no known kind. */
+	if (decode(f, ss_str_gs(f->unpacked), error))
+		return true;
+	g_string_free(f->unpacked, TRUE);
+	return false;
 }
 
 void frame_done(struct frame *f)
 {
 	wire_done(&f->buf);
+	if (f->unpacked)
+		g_string_free(f->unpacked, TRUE);
 }
--- a/src/node/frame.h
+++ b/src/node/frame.h
@@ -9,13 +9,20 @@
 /* Bytes; the largest is a snapshot's chunk or a routing of some megabytes. */
 #define FRAME_MAX (16u * 1024 * 1024)
 
-/* Append a whole frame. */
+/* In place of a kind: what follows is a kind and its message, packed. */
+#define FRAME_PACKED 0x7e
+/* Shorter messages aren't worth the time to pack them, in bytes: they fit into
+ * one packet as they are. */
+#define FRAME_PACK_FROM 1400
+
+/* Append a whole frame, packed where that makes it shorter. */
 void frame_add(GString *out, enum msg_kind kind, const void *msg);
 
 /* A decoded message; its strings point into the frame's bytes. */
 struct frame {
 	enum msg_kind kind;
 	struct wire_buf buf;
+	GString *unpacked; /* that the strings point into; NULL: the frame's */
 	union {
 		struct msg_hello hello;
 		struct msg_ping ping;
@@ -45,6 +52,7 @@
 		struct msg_adapter adapter;
 		struct msg_adapter_done adapter_done;
 		struct msg_term term;
+		struct msg_fetch fetch;
 	} u;
 };
 
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -152,6 +152,15 @@
 	}
 }
 
+/* What an endpoint reported of its calls, and how long ago. */
+static void take_load(struct gate *g, struct gate_ep *ep, int64_t calls,
+		      int64_t age_ms)
+{
+	ep->reported = calls;
+	ep->reported_ms = gate_now(g) - age_ms;
+	ep->since = 0;
+}
+
 static void take_endpoint(struct gate *g, const struct fleet_endpoint *e)
 {
 	struct gate_ep *ep = ep_for(g, e->addr);
@@ -172,14 +181,26 @@
 	ep->leaving = e->leaving;
 	ep->unread_ms = 0;
 	ep->busy = e->busy;
-	if (e->tokens_total) {
-		ep->reported = e->running + e->waiting;
-		ep->reported_ms = gate_now(g) - e->age_ms;
-		ep->since = 0;
-	}
+	if (e->tokens_total)
+		take_load(g, ep, e->running + e->waiting, e->age_ms);
 	take_held(ep, &e->held);
 }
 
+static void take_loads(struct gate *g, const struct wire_list *list)
+{
+	const struct fleet_load *x = list->items;
+
+	for (size_t i = 0; i < list->n; i++) {
+		char *addr = ss_str_dup(x[i].addr);
+		struct gate_ep *ep = gate_ep_at(g, addr);
+
+		g_free(addr);
+		if (ep && x[i].tokens_total)
+			take_load(g, ep, x[i].running + x[i].waiting,
+				  x[i].age_ms);
+	}
+}
+
 /* What a whole list no longer has is gone. */
 static void unlist_all(struct gate *g)
 {
@@ -239,6 +260,7 @@
 	for (size_t i = 0; i < m->endpoints.n; i++)
 		take_endpoint(g, &e[i]);
 	drop_unlisted(g);
+	take_loads(g, &m->loads);
 	take_etas(g, &m->etas);
 	g->fleet_known |= m->whole;
 	if (m->round > g->round) {
