Draw what other entries may have sent since a report

Cause: entries hear loads each 200 ms, and each sends its next call to the emptiest of a model's replicas, so 105 of them send all calls of that time to one. Ruled out: a shorter pause between reports (the leader's line grows with it), two nodes drawn at random (loses what is known where few entries call).

Change: each entry adds to a node's load a number drawn up to the calls that the others may have sent meanwhile, by its own rate and how many entries there are. Where few call, that is nothing.

Test: entries_dont_run_after_one_report.

--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -20,9 +20,22 @@
 	return MAX(n->own, n->reported + n->since);
 }
 
-static double score(const struct balance_node *n, uint64_t most_affine)
+/* From 0 up to 1. */
+static double draw(uint64_t *seed)
 {
-	double s = (double)balance_load(n);
+	return (double)(ss_random(seed) >> 11) / (double)(1ULL << 53);
+}
+
+/*
+ * Entries that all take the emptiest by reports of the same age send a hundred
+ * calls to one node before the next report. How many others have sent since,
+ * and where, nobody knows; so each draws it anew, up to as many as come, and
+ * nodes that differ by less than that get their share of calls by chance.
+ */
+static double score(const struct balance_node *n, uint64_t most_affine,
+		    uint64_t *seed)
+{
+	double s = (double)balance_load(n) + n->unseen * draw(seed);
 
 	if (!n->near)
 		s += FAR_SCORE;
@@ -38,7 +51,7 @@
 int balance_choose(const struct balance_node *n, size_t count, double fill,
 		   uint64_t tie)
 {
-	uint64_t most_affine = 0;
+	uint64_t most_affine = 0, seed = tie;
 	double best_score = 0;
 	int best = BALANCE_NOBODY;
 
@@ -57,7 +70,7 @@
 				best = BALANCE_FULL;
 			continue;
 		}
-		s = score(&n[i], most_affine);
+		s = score(&n[i], most_affine, &seed);
 		if (best >= 0 && s >= best_score)
 			continue;
 		best = (int)i;
--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -17,6 +17,7 @@
 	int64_t reported;  /* calls running and waiting there, as told last */
 	int64_t since;	   /* sent by this entry since then */
 	int64_t own;	   /* of this entry, under way */
+	double unseen;	   /* calls that others may have sent since */
 	double failing;	   /* share of calls that failed lately, decayed */
 	uint64_t affinity; /* larger: its prompt cache is more likely warm */
 };
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -565,6 +565,7 @@
 		return;
 	}
 	f->home->arrivals++;
+	fleet_rate_add(&f->home->rate, 1, gate_now(g));
 	wait_again(f);
 	/* Nobody goes ahead of those who wait for the same. */
 	if (f->lane->waits.length == 1)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -451,6 +451,17 @@
 	return f->tried->len < (guint)f->route->attempts || was_tried(f, ep);
 }
 
+/* Calls for the same that others have sent since an endpoint told its load, if
+ * as many come to each of them as here. */
+static double unseen_calls(struct gate *g, const struct forward *f,
+			   const struct gate_ep *ep, int64_t now)
+{
+	double others = g->entries > 1 ? (double)g->entries - 1 : 0;
+	double age_s = (double)(now - ep->reported_ms) / 1000.0;
+
+	return fleet_rate_at(&f->home->rate, now) * others * age_s;
+}
+
 static void fill_node(struct gate *g, const struct forward *f,
 		      const struct gate_ep *ep, struct balance_node *n)
 {
@@ -468,6 +479,7 @@
 	n->reported = fresh ? ep->reported : 0;
 	n->since = fresh ? ep->since : 0;
 	n->own = ep->own;
+	n->unseen = fresh ? unseen_calls(g, f, ep, now) : 0;
 	n->failing = ep->failing;
 	n->affinity = affinity_of(f, ep);
 }
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -5,6 +5,7 @@
 #include <sapphireshift/limit.h>
 
 #include "../core/balance.h"
+#include "../core/fleet.h"
 #include "../core/pace.h"
 #include "callers.h"
 #include "events.h"
@@ -96,10 +97,11 @@
 /* Requests for one model of a service that wait, most urgent first. */
 struct lane {
 	char *service, *model;
-	GQueue waits;	   /* struct forward */
-	int64_t eta_ms;	   /* on the clock; SS_NEVER: not told */
-	uint64_t arrivals; /* since the last report */
-	uint64_t told;	   /* waiting, by the last report */
+	GQueue waits;		/* struct forward */
+	int64_t eta_ms;		/* on the clock; SS_NEVER: not told */
+	uint64_t arrivals;	/* since the last report */
+	struct fleet_rate rate; /* of arrivals here */
+	uint64_t told;		/* waiting, by the last report */
 	bool changed;
 	struct pace pace; /* of the model's streams */
 	struct pace_open open;
--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -308,10 +308,63 @@
 	ss_state_free(copy);
 }
 
+/* Entries that all go by reports of the same moment. */
+struct herd_case {
+	const char *label;
+	int64_t loads[3]; /* as reported */
+	double unseen;
+	int least, most; /* of 300 calls to the first node */
+};
+
+static const struct herd_case herds[] = {
+	{ "nothing can have come since", { 4, 5, 5 }, 0, 300, 300 },
+	{ "as full, and dozens may have come", { 5, 5, 5 }, 30, 70, 130 },
+	{ "hardly emptier, and dozens may have come",
+	  { 4, 5, 5 },
+	  30,
+	  80,
+	  150 },
+	{ "emptier by more than can have come", { 1, 9, 9 }, 6, 300, 300 },
+	{ "emptier by half of what may have come", { 2, 5, 5 }, 6, 180, 280 },
+};
+
+/*
+ * Symptom: one of three replicas has dozens of calls while the others are idle,
+ * and a moment later another. Sequence: a hundred entries hear the loads each
+ * 200 ms, and each sends its next call to the emptiest. Cause: what the others
+ * have sent since is in nobody's report.
+ */
+static void entries_dont_run_after_one_report(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(herds); i++) {
+		const struct herd_case *c = &herds[i];
+		uint64_t seed = 7;
+		int first = 0;
+
+		for (int call = 0; call < 300; call++) {
+			struct balance_node n[3] = { NODE(.near = true),
+						     NODE(.near = true),
+						     NODE(.near = true) };
+
+			for (int k = 0; k < 3; k++) {
+				n[k].slots = 64;
+				n[k].reported = c->loads[k];
+				n[k].unseen = c->unseen;
+			}
+			first += balance_choose(n, 3, 1.0, ss_random(&seed)) ==
+				 0;
+		}
+		if (first < c->least || first > c->most)
+			fail_msg("%s: %d of 300", c->label, first);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(the_best_is_chosen),
+		cmocka_unit_test(entries_dont_run_after_one_report),
 		cmocka_unit_test(equals_share_the_calls),
 		cmocka_unit_test(repeats_keep_to_their_window),
 		cmocka_unit_test(entries_share_the_slack),
