Bound what waits for a peer that reads nothing at 4 MB

What goes to entries is bounded at 64 KB each since changes are dropped for those that take none; what is left are the members of the group and single large messages.

Test: peer_that_reads_nothing_takes_little_memory, which fails on the bound before.

--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -31,8 +31,11 @@
  * waits for its disk would never be heard.
  */
 #define CONN_ANSWER_MS 300
-/* A peer that reads nothing can't make this process hold more for it. */
-#define CONN_BACKLOG_MAX (64u * 1024 * 1024)
+/* A peer that reads nothing can't make this process hold more for it, in bytes:
+ * what a link of 100 Mbit/s carries in a third of a second. A control VM has
+ * six such peers in its group and 160 MB; what it sends to hundreds of others
+ * is bounded where it is made. One longer message is sent all the same. */
+#define CONN_BACKLOG_MAX (4u * 1024 * 1024)
 
 struct conn;
 
--- a/test/test_conn.c
+++ b/test/test_conn.c
@@ -91,14 +91,15 @@
 	struct msg_hello self;
 	struct listener *l;
 	int fd;
+	struct conn *conn; /* the listener's end, once open */
 	int opened, closed, got;
 	int code;
 };
 
 static void on_open(void *arg, struct conn *c)
 {
-	(void)c;
 	((struct peer *)arg)->opened++;
+	((struct peer *)arg)->conn = c;
 }
 
 static void on_message(void *arg, struct conn *c, struct frame *f)
@@ -305,6 +306,40 @@
 	close(busy);
 }
 
+/*
+ * Symptom: a control VM ends with its memory over the limit. Sequence: peers
+ * stand still, or their links carry less than what they are sent. Cause: what
+ * waited for each of them had no bound that hundreds of peers can have at once.
+ */
+static void peer_that_reads_nothing_takes_little_memory(void **state)
+{
+	struct msg_hello hello = { .version = CONN_PROTOCOL,
+				   .name = SS_LIT("x") };
+	char *bytes = g_malloc(1 << 20);
+	struct msg_config m = { .body = { bytes, 1 << 20 } };
+	uint64_t seed = 1;
+	struct peer p;
+	int sent = 0;
+
+	(void)state;
+	/* Nothing that packing makes shorter. */
+	for (size_t i = 0; i < m.body.n; i++)
+		bytes[i] = (char)ss_random(&seed);
+	peer_start(&p, 0);
+	peer_send(&p, MSG_HELLO, &hello);
+	while (!p.conn)
+		event_base_loop(p.base, EVLOOP_ONCE);
+	while (conn_send(p.conn, MSG_CONFIG, &m)) {
+		assert_in_range(++sent, 1, 64);
+		event_base_loop(p.base, EVLOOP_NONBLOCK);
+	}
+	assert_in_range(conn_backlog(p.conn), CONN_BACKLOG_MAX,
+			CONN_BACKLOG_MAX + (2 << 20));
+	conn_close(p.conn);
+	peer_stop(&p);
+	g_free(bytes);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -314,6 +349,7 @@
 		cmocka_unit_test(silent_connection_is_found),
 		cmocka_unit_test(busy_peer_is_connected_before_its_hello),
 		cmocka_unit_test(frames_come_in_any_cut),
+		cmocka_unit_test(peer_that_reads_nothing_takes_little_memory),
 	};
 
 	return cmocka_run_group_tests_name("conn", tests, NULL, NULL);
