Call the module that finds the control group discovery

The word seek was our own; a newcomer looks for discovery. Names only: files, functions, constants and the property test; nothing else changes.

--- a/src/core/seek.c
+++ b/src/core/discovery.c
@@ -1,5 +1,5 @@
 /* Where the control group may be. */
-#include "seek.h"
+#include "discovery.h"
 
 struct asked {
 	char *addr;
@@ -7,7 +7,7 @@
 	int64_t at_ms;
 };
 
-struct seek {
+struct discovery {
 	const GPtrArray *settings;
 	GPtrArray *known;  /* char *, the newest last */
 	char *leader;	   /* said to lead, not asked yet; NULL: nobody */
@@ -23,9 +23,9 @@
 	g_free(a);
 }
 
-struct seek *seek_new(const GPtrArray *settings, uint64_t seed)
+struct discovery *discovery_new(const GPtrArray *settings, uint64_t seed)
 {
-	struct seek *s = g_new0(struct seek, 1);
+	struct discovery *s = g_new0(struct discovery, 1);
 
 	s->settings = settings;
 	s->seed = seed;
@@ -35,7 +35,7 @@
 	return s;
 }
 
-void seek_free(struct seek *s)
+void discovery_free(struct discovery *s)
 {
 	if (!s)
 		return;
@@ -51,19 +51,20 @@
 						g_str_equal, at);
 }
 
-static void remember(struct seek *s, struct ss_str addr)
+static void remember(struct discovery *s, struct ss_str addr)
 {
 	char *copy = ss_str_dup(addr);
 	guint at;
 
 	if (has(s->known, copy, &at))
 		g_ptr_array_remove_index(s->known, at);
-	else if (s->known->len == SEEK_KEPT)
+	else if (s->known->len == DISCOVERY_KEPT)
 		g_ptr_array_remove_index(s->known, 0);
 	g_ptr_array_add(s->known, copy);
 }
 
-void seek_told(struct seek *s, struct ss_str leader, struct ss_str member)
+void discovery_told(struct discovery *s, struct ss_str leader,
+		    struct ss_str member)
 {
 	if (member.n)
 		remember(s, member);
@@ -74,14 +75,14 @@
 	s->leader = ss_str_dup(leader);
 }
 
-static bool is_open(const struct seek *s, const char *addr)
+static bool is_open(const struct discovery *s, const char *addr)
 {
 	const struct asked *a = g_hash_table_lookup(s->asked, addr);
 
 	return a && a->open;
 }
 
-static const char *begin(struct seek *s, const char *addr, int64_t now)
+static const char *begin(struct discovery *s, const char *addr, int64_t now)
 {
 	struct asked *a = g_hash_table_lookup(s->asked, addr);
 
@@ -96,7 +97,7 @@
 }
 
 /* When it was last asked; INT64_MIN: never. */
-static int64_t asked_ms(const struct seek *s, const char *addr)
+static int64_t asked_ms(const struct discovery *s, const char *addr)
 {
 	const struct asked *a = g_hash_table_lookup(s->asked, addr);
 
@@ -107,7 +108,8 @@
  * The one that wasn't asked for the longest. Processes that start together
  * shall not all ask the same one, so each begins anywhere.
  */
-static const char *oldest_of(struct seek *s, const GPtrArray *list, int64_t now)
+static const char *oldest_of(struct discovery *s, const GPtrArray *list,
+			     int64_t now)
 {
 	guint from = list->len ? (guint)(ss_random(&s->seed) % list->len) : 0;
 	const char *best = NULL;
@@ -117,7 +119,7 @@
 		int64_t at = asked_ms(s, addr);
 
 		if (is_open(s, addr) ||
-		    (at != INT64_MIN && now - at < SEEK_AGAIN_MS))
+		    (at != INT64_MIN && now - at < DISCOVERY_AGAIN_MS))
 			continue;
 		if (!best || at < asked_ms(s, best))
 			best = addr;
@@ -128,7 +130,7 @@
 /* What was asked once may be long gone from all lists. */
 static gboolean is_forgotten(gpointer key, gpointer value, gpointer arg)
 {
-	const struct seek *s = arg;
+	const struct discovery *s = arg;
 	const struct asked *a = value;
 
 	return !a->open && !has(s->known, key, NULL) &&
@@ -137,20 +139,20 @@
 
 /* The one said to lead, where it may be asked; kept where it is too soon. It is
  * remembered, so the name outlives the hint. */
-static const char *named(struct seek *s, int64_t now)
+static const char *named(struct discovery *s, int64_t now)
 {
 	const char *addr = s->leader;
 	guint at;
 
 	if (!addr || (asked_ms(s, addr) != INT64_MIN && !is_open(s, addr) &&
-		      now - asked_ms(s, addr) < SEEK_NAMED_MS))
+		      now - asked_ms(s, addr) < DISCOVERY_NAMED_MS))
 		return NULL;
 	addr = has(s->known, addr, &at) ? s->known->pdata[at] : NULL;
 	g_clear_pointer(&s->leader, g_free);
 	return addr && !is_open(s, addr) ? addr : NULL;
 }
 
-const char *seek_next(struct seek *s, int64_t now)
+const char *discovery_next(struct discovery *s, int64_t now)
 {
 	const char *known, *addr;
 
@@ -165,7 +167,7 @@
 	return addr ? begin(s, addr, now) : NULL;
 }
 
-void seek_ended(struct seek *s, const char *addr)
+void discovery_ended(struct discovery *s, const char *addr)
 {
 	struct asked *a = g_hash_table_lookup(s->asked, addr);
 
@@ -173,7 +175,7 @@
 		a->open = false;
 }
 
-const GPtrArray *seek_known(const struct seek *s)
+const GPtrArray *discovery_known(const struct discovery *s)
 {
 	return s->known;
 }
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -2,7 +2,7 @@
 #include "link.h"
 
 #include "../base/log.h"
-#include "../core/seek.h"
+#include "../core/discovery.h"
 
 /*
  * While no leader is known one more address is asked each time, in ms, spread
@@ -24,7 +24,7 @@
 
 struct link {
 	struct link_options o;
-	struct seek *seek;
+	struct discovery *discovery;
 	struct event *timer;
 	GPtrArray *asks;  /* struct ask */
 	struct ask *lead; /* one of them; NULL: no leader is known */
@@ -49,7 +49,8 @@
 
 static void ask_next(struct link *l)
 {
-	const char *addr = seek_next(l->seek, ss_clock_now(l->o.conn.clock));
+	const char *addr =
+		discovery_next(l->discovery, ss_clock_now(l->o.conn.clock));
 	struct ask *a;
 
 	if (!addr)
@@ -68,7 +69,7 @@
 {
 	struct conn *c = a->conn;
 
-	seek_ended(l->seek, a->addr);
+	discovery_ended(l->discovery, a->addr);
 	if (c) {
 		conn_set_data(c, NULL);
 		conn_close(c);
@@ -133,8 +134,8 @@
 	const struct control_addr *all = m->members.items;
 
 	for (size_t i = 0; i < m->members.n; i++)
-		seek_told(l->seek, (struct ss_str){ 0 }, all[i].addr);
-	seek_told(l->seek, m->addr, (struct ss_str){ 0 });
+		discovery_told(l->discovery, (struct ss_str){ 0 }, all[i].addr);
+	discovery_told(l->discovery, m->addr, (struct ss_str){ 0 });
 }
 
 static void take_leader(struct link *l, struct ask *a,
@@ -187,7 +188,7 @@
 	l->o = *o;
 	l->o.conn.ops = &link_conn_ops;
 	l->o.conn.arg = l;
-	l->seek = seek_new(o->control, ss_random(&l->o.seed));
+	l->discovery = discovery_new(o->control, ss_random(&l->o.seed));
 	l->asks = g_ptr_array_new_with_free_func(ask_free);
 	l->timer = evtimer_new(o->conn.base, on_timer, l);
 	ask_next(l);
@@ -208,7 +209,7 @@
 	end_all(l);
 	g_ptr_array_unref(l->asks);
 	event_free(l->timer);
-	seek_free(l->seek);
+	discovery_free(l->discovery);
 	g_free(l);
 }
 
@@ -253,7 +254,7 @@
 
 GArray *link_known(const struct link *l)
 {
-	const GPtrArray *known = seek_known(l->seek);
+	const GPtrArray *known = discovery_known(l->discovery);
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct control_addr));
 
 	for (guint i = 0; i < known->len; i++) {
--- a/test/prop_seek.cc
+++ b/test/prop_discovery.cc
@@ -8,7 +8,7 @@
 #include <rapidcheck.h>
 
 extern "C" {
-#include "../src/core/seek.h"
+#include "../src/core/discovery.h"
 }
 
 #include <map>
@@ -44,7 +44,7 @@
 	std::string hint;		  /* a wiped one's */
 	std::vector<std::string> members; /* of a member's log */
 	std::vector<Open> asks;
-	seek *s = nullptr;
+	discovery *s = nullptr;
 };
 
 struct ss_str view(const std::string &s)
@@ -65,7 +65,7 @@
 	~World()
 	{
 		for (auto &p : procs)
-			seek_free(p.s);
+			discovery_free(p.s);
 		g_ptr_array_unref(settings);
 	}
 
@@ -110,10 +110,10 @@
 	/* A start knows nothing but its settings and, with a disk, its log. */
 	void start(Proc &p)
 	{
-		seek_free(p.s);
+		discovery_free(p.s);
 		p.s = p.kind == MEMBER ?
 			      nullptr :
-			      seek_new(settings, (uint64_t)now + procs.size());
+			      discovery_new(settings, (uint64_t)now + procs.size());
 		p.up = true;
 		p.found = false;
 		p.hint.clear();
@@ -128,8 +128,8 @@
 		if (!p.s)
 			return;
 		for (auto &a : known)
-			seek_told(p.s, kNone, view(a));
-		seek_told(p.s, view(leader_addr), kNone);
+			discovery_told(p.s, kNone, view(a));
+		discovery_told(p.s, view(leader_addr), kNone);
 	}
 
 	/* What one who is asked answers. */
@@ -143,7 +143,7 @@
 			return;
 		}
 		if (from.kind == RELAY) {
-			const GPtrArray *all = seek_known(from.s);
+			const GPtrArray *all = discovery_known(from.s);
 
 			for (guint i = 0; i < all->len; i++)
 				known.push_back((char *)all->pdata[i]);
@@ -171,7 +171,7 @@
 
 	void ask(Proc &p)
 	{
-		const char *addr = seek_next(p.s, now);
+		const char *addr = discovery_next(p.s, now);
 
 		if (addr)
 			p.asks.push_back({ addr, now });
@@ -190,7 +190,7 @@
 			if (q || now - o.since < kOpenMs)
 				left.push_back(o);
 			else
-				seek_ended(p.s, o.addr.c_str());
+				discovery_ended(p.s, o.addr.c_str());
 		}
 		p.asks = left;
 	}
@@ -388,7 +388,7 @@
 
 	ok &= rc::check("no address is asked twice at a time", [] {
 		GPtrArray *settings = g_ptr_array_new();
-		seek *s;
+		discovery *s;
 		std::set<std::string> open;
 		int64_t now = 0;
 
@@ -396,7 +396,7 @@
 			g_ptr_array_add(settings,
 					(char *)(i == 0 ? "a" :
 						 i == 1 ? "b" : "c"));
-		s = seek_new(settings, 1);
+		s = discovery_new(settings, 1);
 		for (int i = 0; i < 100; i++) {
 			int what = *rc::gen::inRange(0, 3);
 			std::string any(1, (char)('a' + *rc::gen::inRange(
@@ -405,19 +405,19 @@
 
 			now += 20;
 			if (what == 0)
-				seek_told(s, view(any), view(any));
+				discovery_told(s, view(any), view(any));
 			if (what == 1 && !open.empty()) {
-				seek_ended(s, open.begin()->c_str());
+				discovery_ended(s, open.begin()->c_str());
 				open.erase(open.begin());
 			}
-			addr = seek_next(s, now);
+			addr = discovery_next(s, now);
 			if (addr) {
 				RC_ASSERT(open.count(addr) == 0);
 				open.insert(addr);
 			}
-			RC_ASSERT(seek_known(s)->len <= SEEK_KEPT);
+			RC_ASSERT(discovery_known(s)->len <= DISCOVERY_KEPT);
 		}
-		seek_free(s);
+		discovery_free(s);
 		g_ptr_array_unref(settings);
 	});
 	return ok ? 0 : 1;
