--- a/src/ctl/summary.c
+++ b/src/ctl/summary.c
@@ -15,6 +15,7 @@
 	REASON_ADAPTER, /* late: an adapter was loaded for it */
 	REASON_AGAIN,	/* late: it was sent more than once */
 	REASON_ENGINE,	/* late: its endpoint was slow to begin */
+	REASON_PAUSE,	/* its events paused for too long */
 	REASON_FAILED,	/* the endpoint's own failure, passed on */
 	REASON_REFUSED, /* not run, and told so */
 	REASON_CUT,	/* ended in its midst, or unknown whether it ran */
@@ -30,6 +31,7 @@
 	[REASON_ADAPTER] = "late: adapter",
 	[REASON_AGAIN] = "late: sent again",
 	[REASON_ENGINE] = "late: slow endpoint",
+	[REASON_PAUSE] = "late: a pause between events",
 	[REASON_FAILED] = "failed",
 	[REASON_REFUSED] = "refused",
 	[REASON_CUT] = "cut or unknown",
@@ -89,6 +91,14 @@
 	return strcmp(held_for, "model") ? REASON_START : REASON_MODEL;
 }
 
+/* A stream that began in time and then kept its caller waiting. */
+static bool paused(const struct log_line *l)
+{
+	int64_t most = number(l, "pause_most_ms");
+
+	return most > 0 && number(l, "pause_ms") > most;
+}
+
 /* Of an answer that came: in time, or what took longest before it began. */
 static enum reason late_reason(const struct log_line *l)
 {
@@ -96,7 +106,7 @@
 	int64_t waited = number(l, "waited_ms");
 
 	if (first <= number(l, "objective_ms"))
-		return REASON_IN_TIME;
+		return paused(l) ? REASON_PAUSE : REASON_IN_TIME;
 	if (number(l, "sends") > 1)
 		return REASON_AGAIN;
 	if (waited * 2 > first)
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -92,6 +92,9 @@
 	int64_t length;
 	struct events events;
 	struct pace_mark mark; /* of this send; zeroed: no event yet */
+	/* Its newest event, and the longest time between two that came. */
+	uint64_t event;
+	int64_t event_ms, pause_ms;
 };
 
 /* Requests for one model of a service that wait, most urgent first. */
--- a/src/proxy/times.c
+++ b/src/proxy/times.c
@@ -26,11 +26,25 @@
 		add(&ep->pace, ms);
 }
 
+/* A stream is late too where its events pause for longer than its route says.
+ */
+static void note_pause(struct forward *f, int64_t now)
+{
+	if (f->events.count == f->event)
+		return;
+	if (f->event)
+		f->pause_ms = MAX(f->pause_ms, now - f->event_ms);
+	f->event = f->events.count;
+	f->event_ms = now;
+}
+
 void times_note_events(struct forward *f)
 {
 	int64_t now = gate_now(f->g);
 	double gap_ms;
 
+	note_pause(f, now);
+
 	if (f->mark.events == 0) {
 		note(f, pace_note_first, (double)(now - f->sent_ms));
 		f->mark = (struct pace_mark){ now, f->events.count };
--- a/test/test_summary.c
+++ b/test/test_summary.c
@@ -38,6 +38,21 @@
 	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=100 "
 		     "first_ms=1000 ms=1100 objective_ms=300 held_for=place"),
 	  "late: slow endpoint " },
+	{ "its events paused for longer than its route allows",
+	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=0 "
+		     "first_ms=200 ms=1100 objective_ms=300 pause_ms=301 "
+		     "pause_most_ms=300 held_for=-"),
+	  "late: a pause between events " },
+	{ "they paused for no longer than that",
+	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=0 "
+		     "first_ms=200 ms=1100 objective_ms=300 pause_ms=300 "
+		     "pause_most_ms=300 held_for=-"),
+	  "in time " },
+	{ "its route tells no longest pause",
+	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=0 "
+		     "first_ms=200 ms=1100 objective_ms=300 pause_ms=900 "
+		     "pause_most_ms=0 held_for=-"),
+	  "in time " },
 	{ "an endpoint failed before",
 	  LINE("40", "sends=2 asks=0 outcome=answered status=200 waited_ms=0 "
 		     "first_ms=1000 ms=1100 objective_ms=300 held_for=-"),
