Send the whole fleet only to peers that take it; take orders of members only

Found by reading: an entry whose changes were dropped was sent the whole fleet at once, and where that is larger than 64 KB each change after it was dropped too, so that a slow link would get it again and again. Now it waits until the peer has taken what it was sent, and the last whole one counts beside the 64 KB. A control VM took the list of engines to run agents for from any connection that isn't led; now from members only.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -153,7 +153,7 @@
 			   ss_clock_now(&k->d->clock));
 		return;
 	}
-	if (f->kind == MSG_REMOTE && !is_client(c))
+	if (f->kind == MSG_REMOTE && conn_peer(c)->role == ROLE_CONTROL)
 		remote_agents_told(k->remote, &f->u.remote);
 	else if (f->kind == MSG_ADAPTER)
 		remote_agents_adapter(k->remote, c, &f->u.adapter);
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -81,6 +81,7 @@
 	bool entry;
 	bool confirmed;	       /* a majority has answered since it came */
 	bool whole;	       /* has been sent the whole fleet */
+	size_t whole_bytes;    /* of the last that it was sent */
 	size_t whole_sent;     /* bytes of it that it hasn't confirmed */
 	uint64_t whole_round;  /* that confirms them */
 	int64_t whole_ms;      /* when it was sent */
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -1,10 +1,23 @@
 /* Telling entries what stands where in a fleet. */
 #include "fleet_lead_int.h"
 
-/* Bytes that wait for a peer at most before its changes are dropped: half a
- * second of changes at 10 Mbit/s, and 20 MB over 340 of them. */
+/* Bytes that wait for a peer, beside the whole fleet that it was sent last,
+ * before its changes are dropped: 50 ms of a link of 10 Mbit/s, and 20 MB over
+ * 340 peers. */
 #define PEER_BACKLOG_MAX (64u * 1024)
 
+/*
+ * One that takes nothing, or too slowly, gets no more changes: they would pile
+ * up here for hundreds of such peers. It gets all of it once it has taken what
+ * it was sent, since the oldest state is of no use to it by then. The whole
+ * fleet may be larger than what else may wait; counted, each one that is still
+ * on its way would be followed by another.
+ */
+static bool takes_more(const struct fleet_peer *p)
+{
+	return conn_backlog(p->conn) <= PEER_BACKLOG_MAX + p->whole_bytes;
+}
+
 /* What is open for new calls there. */
 static void add_open(const struct fleet_lead *l, const struct fleet_ep *ep,
 		     GArray *held, GPtrArray *lists)
@@ -157,12 +170,12 @@
 static void send_whole(struct fleet_lead *l, struct fleet_peer *peer,
 		       const GString *frame)
 {
-	if (!send_window_open(&l->window, frame->len))
+	if (!takes_more(peer) || !send_window_open(&l->window, frame->len))
 		return;
 	peer->whole = conn_send_frame(peer->conn, frame);
 	if (!peer->whole)
 		return;
-	peer->whole_sent = frame->len;
+	peer->whole_sent = peer->whole_bytes = frame->len;
 	peer->whole_round = l->round;
 	peer->whole_ms = fleet_lead_now(l);
 	send_window_sent(&l->window, frame->len);
@@ -230,16 +243,6 @@
 	}
 }
 
-/*
- * One that takes nothing, or too slowly, gets no more changes: they would pile
- * up here for hundreds of such peers. It gets all of it once it has taken what
- * it was sent, since the oldest state is of no use to it by then.
- */
-static bool takes_changes(const struct fleet_peer *p)
-{
-	return conn_backlog(p->conn) <= PEER_BACKLOG_MAX;
-}
-
 void fleet_push_changes(struct fleet_lead *l, bool loads)
 {
 	GHashTableIter it;
@@ -272,7 +275,7 @@
 
 		/* One that missed a change gets all of it next time. */
 		if (peer->entry && peer->whole)
-			peer->whole = takes_changes(peer) &&
+			peer->whole = takes_more(peer) &&
 				      conn_send_frame(peer->conn, frame);
 	}
 	g_string_free(frame, TRUE);
