--- a/src/core/fetch.c
+++ b/src/core/fetch.c
@@ -11,6 +11,7 @@
 
 struct fetch {
 	struct fetch_options o;
+	char *self;
 	uint64_t want, have;
 	GString *body; /* of have, for the difference to the next */
 	bool asks;     /* somebody was asked and hasn't answered */
@@ -31,6 +32,7 @@
 	struct fetch *f = g_new0(struct fetch, 1);
 
 	f->o = *o;
+	f->self = g_strdup(o->self);
 	f->body = g_string_new(NULL);
 	return f;
 }
@@ -40,6 +42,7 @@
 	if (!f)
 		return;
 	g_string_free(f->body, TRUE);
+	g_free(f->self);
 	g_free(f);
 }
 
@@ -62,7 +65,7 @@
 {
 	GPtrArray *addrs = g_ptr_array_new_with_free_func(g_free);
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct source));
-	uint64_t seed = XXH3_64bits(f->o.self, strlen(f->o.self));
+	uint64_t seed = XXH3_64bits(f->self, strlen(f->self));
 	const char *leader = f->o.ops->leader(f->o.arg);
 	char *addr = NULL;
 
--- a/src/core/fetch.h
+++ b/src/core/fetch.h
@@ -40,7 +40,7 @@
 struct fetch_options {
 	const struct fetch_ops *ops;
 	void *arg;
-	const char *self; /* name of this process */
+	const char *self; /* name of this process; copied */
 };
 
 struct fetch *fetch_new(const struct fetch_options *o);
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -103,9 +103,9 @@
 {
 	link_free(f->link);
 	conn_listener_free(f->listener);
-	/* The leader's ends of closed connections. */
-	while (f->closed < f->opened)
-		event_base_loop(f->base, EVLOOP_ONCE);
+	/* Until the leader's ends of all connections are closed too, also of
+	 * those that never came to their hello. */
+	event_base_dispatch(f->base);
 	event_base_free(f->base);
 	g_ptr_array_unref(f->control);
 }
