Take an engine's lease from the platform's bound

Found by reading: a control VM took an agent's place after a constant of 3.5 s, which fits deployments whose engines hold to one owner for 3 s, and no others. The lease is a setting now, half a second added, never less than 3.5 s: so long an agent may take to find a new leader.

Tests: lease_follows_the_engines; the control template's bound in every_template_is_whole.

--- a/src/config/config.c
+++ b/src/config/config.c
@@ -104,6 +104,7 @@
 	STR("ready_listen", config_fleet, ready_listen, ""),
 	STR("operator_listen", config_fleet, operator_listen, ""),
 	STR("vm_list", config_fleet, vm_list, ""),
+	NUM("lease_ms", config_fleet, lease_ms, 0, HOUR_MS, 3000),
 	STR("endpoint", config_fleet, endpoint, ""),
 	STR("holder", config_fleet, holder, ""),
 	NUM("grace_s", config_fleet, grace_s, 0, 3600, 8),
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -58,9 +58,11 @@
 	char *ready_listen;    /* entry: asked whether it takes callers */
 	char *operator_listen; /* control: routing */
 	char *vm_list;	       /* address of the platform's list */
-	char *endpoint;	       /* agent: the endpoint beside it */
-	char *holder;	       /* agent: the name on its orders */
-	double grace_s;	       /* from SIGTERM until the process is ended */
+	/* control: for how long an engine takes orders as those of one VM. */
+	double lease_ms;
+	char *endpoint; /* agent: the endpoint beside it */
+	char *holder;	/* agent: the name on its orders */
+	double grace_s; /* from SIGTERM until the process is ended */
 	/* Not ready, but still taking callers: a balancer that asks once a
 	 * second and acts on the second refusal needs 2 s and its answer's way.
 	 */
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -3,9 +3,10 @@
 
 #include <xxhash.h>
 
-void owner_init(struct owner *o, int64_t now)
+void owner_init(struct owner *o, int64_t engine_ms, int64_t now)
 {
 	memset(o, 0, sizeof(*o));
+	o->lease_ms = MAX(engine_ms + OWNER_MARGIN_MS, OWNER_LEAST_MS);
 	o->since_ms = now;
 }
 
@@ -19,6 +20,11 @@
 	return o->name && o->remote == remote && !strcmp(o->name, name);
 }
 
+bool owner_is_leased(const struct owner *o, int64_t now)
+{
+	return o->name && now - o->heard_ms < o->lease_ms;
+}
+
 enum owner_claim owner_hear(struct owner *o, const char *name, bool remote,
 			    int64_t now)
 {
@@ -30,7 +36,7 @@
 	/* The one beside is the better one: what runs in its place is told to
 	 * end, and until then the place isn't free. */
 	o->recalled |= !remote && o->remote;
-	if (o->name && now - o->heard_ms < OWNER_LEASE_MS)
+	if (owner_is_leased(o, now))
 		return OWNER_WAITS;
 	o->turn += o->name != NULL;
 	g_free(o->name);
@@ -47,7 +53,7 @@
 
 	if (o->recalled)
 		return false;
-	return (o->name && o->remote) || now - last >= OWNER_LEASE_MS;
+	return (o->name && o->remote) || now - last >= o->lease_ms;
 }
 
 int owner_choose(const char *endpoint, const uint64_t *ids, size_t n)
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -14,11 +14,14 @@
 #include <sapphireshift/base.h>
 
 /*
- * An owner that hasn't been heard for so long, in ms, gives its place to
- * another. Longer than the time for which engines take orders as those of one
- * owner, 3 s, and than it takes an agent to find a new leader.
+ * An owner that hasn't been heard for a lease gives its place to another. The
+ * settings say for how long engines take orders as those of one owner; this is
+ * beside it, in ms, for the last order's way. A lease is never shorter than
+ * OWNER_LEAST_MS: so long an agent may take to find a new leader, and a control
+ * VM to end agents that nobody names any more.
  */
-#define OWNER_LEASE_MS 3500
+#define OWNER_MARGIN_MS 500
+#define OWNER_LEAST_MS 3500
 
 struct owner {
 	char *name; /* of its VM; NULL: nobody yet */
@@ -26,7 +29,8 @@
 	bool recalled;	  /* the agent beside is back: its words don't count */
 	int64_t heard_ms; /* its last word that counted */
 	int64_t since_ms; /* when the engine was first known here */
-	uint64_t turn;	  /* how many were owners before, of this leader */
+	int64_t lease_ms;
+	uint64_t turn; /* how many were owners before, of this leader */
 };
 
 enum owner_claim {
@@ -35,12 +39,15 @@
 	OWNER_WAITS, /* another was heard too lately */
 };
 
-void owner_init(struct owner *o, int64_t now);
+/* engine_ms: for how long an engine takes orders as those of one owner. */
+void owner_init(struct owner *o, int64_t engine_ms, int64_t now);
 void owner_clear(struct owner *o);
 
 /* One speaks for the engine. */
 enum owner_claim owner_hear(struct owner *o, const char *name, bool remote,
 			    int64_t now);
+/* Whoever owned it may still have orders on their way. */
+bool owner_is_leased(const struct owner *o, int64_t now);
 /* Nobody has spoken for so long that a control VM is to. */
 bool owner_is_missing(const struct owner *o, int64_t now);
 
--- a/src/daemon/fleet_remote.c
+++ b/src/daemon/fleet_remote.c
@@ -50,8 +50,7 @@
 	if (!ep->listed)
 		return 0;
 	/* Its orders may still be on their way. */
-	if (ep->owner.remote && ep->owner.name &&
-	    now - ep->owner.heard_ms < OWNER_LEASE_MS)
+	if (ep->owner.remote && owner_is_leased(&ep->owner, now))
 		return 0;
 	at = owner_choose(ep->addr, (const uint64_t *)ids->data, ids->len);
 	return at < 0 ? 0 : g_array_index(ids, uint64_t, at);
--- a/src/daemon/fleet_table.c
+++ b/src/daemon/fleet_table.c
@@ -36,7 +36,8 @@
 		return ep;
 	ep = g_new0(struct fleet_ep, 1);
 	ep->addr = g_strdup(addr);
-	owner_init(&ep->owner, fleet_lead_now(l));
+	owner_init(&ep->owner, (int64_t)l->d->config.fleet.lease_ms,
+		   fleet_lead_now(l));
 	ep->self.id = g_strdup("");
 	ep->service = g_strdup("");
 	ep->domain = g_strdup("");
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -4,7 +4,8 @@
 #include "../src/core/owner.h"
 
 #define T0 100000
-#define LEASE OWNER_LEASE_MS
+#define ENGINE_MS 3000
+#define LEASE (ENGINE_MS + OWNER_MARGIN_MS)
 
 enum who { BESIDE, REMOTE, OTHER };
 
@@ -65,7 +66,7 @@
 		const struct owner_case *c = &owner_cases[i];
 		struct owner o;
 
-		owner_init(&o, T0);
+		owner_init(&o, ENGINE_MS, T0);
 		for (const struct word *w = c->words; w->at_ms; w++) {
 			int64_t now = T0 + w->at_ms;
 			enum owner_claim got =
@@ -91,12 +92,31 @@
 	struct owner o;
 
 	(void)state;
-	owner_init(&o, T0);
+	owner_init(&o, ENGINE_MS, T0);
 	assert_false(owner_is_missing(&o, T0));
 	assert_false(owner_is_missing(&o, T0 + LEASE - 1));
 	assert_true(owner_is_missing(&o, T0 + LEASE));
 }
 
+/* Engines say for how long they hold to one owner. */
+static void lease_follows_the_engines(void **state)
+{
+	static const struct {
+		int64_t engine_ms, lease_ms;
+	} rows[] = { { 0, OWNER_LEAST_MS }, { 3000, 3500 }, { 10000, 10500 } };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct owner o;
+
+		owner_init(&o, rows[i].engine_ms, T0);
+		owner_hear(&o, "side-1", false, T0);
+		assert_true(owner_is_leased(&o, T0 + rows[i].lease_ms - 1));
+		assert_false(owner_is_leased(&o, T0 + rows[i].lease_ms));
+		owner_clear(&o);
+	}
+}
+
 /* Spread over the members, and few move when one goes. */
 static void members_share_the_engines(void **state)
 {
@@ -125,6 +145,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(one_owner_at_a_time),
 		cmocka_unit_test(fresh_leader_waits_for_agents),
+		cmocka_unit_test(lease_follows_the_engines),
 		cmocka_unit_test(members_share_the_engines),
 	};
 
--- a/test/test_template.c
+++ b/test/test_template.c
@@ -228,7 +228,8 @@
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(files); i++) {
-		GString *text = filled(files[i], "\"graceS\":8");
+		GString *text =
+			filled(files[i], "\"graceS\":8,\"leaseMs\":2.5e3");
 		GError *error = NULL;
 		struct config c;
 
@@ -238,6 +239,8 @@
 		assert_int_equal(c.control->len, 2);
 		assert_int_equal(c.control_port, 7380);
 		assert_true(c.fleet.on);
+		assert_true(c.fleet.lease_ms ==
+			    (c.role == CONFIG_CONTROL ? 2500 : 3000));
 		config_clear(&c);
 		g_string_free(text, TRUE);
 	}
