Log which endpoints end under requests, and what these requests are

Logs couldn't tell whether two calls that were cut have the same content, nor whether a call was cut because its endpoint ended. No decision changes: a connection that the endpoint's VM closes before the answer is whole gets a line with the request's fingerprint (method, host, path, body), and one connection to the endpoint says whether anybody still listens there; event=endpoint_ended names the end with the number of requests that ran. Fingerprints are made of such requests only.

--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -237,7 +237,7 @@
 	forward_end(f, true, "");
 }
 
-static void on_failed(void *arg, enum upstream_end end)
+static void on_failed(void *arg, enum upstream_end end, bool closed)
 {
 	struct forward *f = arg;
 
@@ -247,6 +247,8 @@
 		return;
 	}
 	times_note_left(f);
+	if (closed)
+		endings_note(f);
 	spoiled(f, upstream_end_name(end));
 }
 
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -357,6 +357,7 @@
 	if (g->end_ms)
 		times_look_at_open(g, now);
 	early_tick(g, now);
+	endings_tick(g, now);
 	tick_forwards(g, now);
 	gate_pump(g, NULL);
 	if (now - g->tidy_ms < TIDY_MS)
@@ -435,6 +436,7 @@
 	g->seed = o->seed;
 	g->since_ms = gate_now(g);
 	g->early = early_new();
+	g->endings = g_ptr_array_new_with_free_func(ending_free);
 	g->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				       gate_ep_free);
 	g->lanes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -468,6 +470,7 @@
 	callers_free(g->callers);
 	upstream_free(g->upstream);
 	g_array_unref(g->early);
+	g_ptr_array_unref(g->endings);
 	g_hash_table_unref(g->forwards);
 	g_hash_table_unref(g->tickets);
 	g_hash_table_unref(g->lanes);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -5,6 +5,7 @@
 #include <sapphireshift/limit.h>
 
 #include "../core/balance.h"
+#include "../core/fingerprint.h"
 #include "../core/fleet.h"
 #include "../core/pace.h"
 #include "callers.h"
@@ -56,6 +57,8 @@
 	struct platform_call call; /* views into the caller's head */
 	char *id, *model, *adapter;
 	uint64_t affinity;
+	bool has_print;
+	struct fingerprint print;		     /* once it is asked for */
 	int64_t start_ms, deadline_ms, objective_ms; /* on the clock */
 	int64_t begin_by_ms; /* later its caller has left */
 	enum forward_state state;
@@ -125,9 +128,10 @@
 	GHashTable *tickets; /* &ticket -> struct forward */
 	GHashTable *hists;   /* route name -> struct hist */
 	uint64_t seed, ticket, round, fence, lives;
-	GArray *early;	  /* requests from before it knew where they lead */
-	int64_t since_ms; /* of this process's start */
-	uint64_t entries; /* that share the repeats, the most told of */
+	GArray *early;	    /* requests from before it knew where they lead */
+	GPtrArray *endings; /* struct ending */
+	int64_t since_ms;   /* of this process's start */
+	uint64_t entries;   /* that share the repeats, the most told of */
 	bool fleet_known;
 	bool pumping;	/* a request that ends meanwhile pumps no more */
 	int64_t end_ms; /* of a planned stop; 0: none */
@@ -171,6 +175,15 @@
 /* Begin them once that is known; refuse them once the time is over. */
 void early_tick(struct gate *g, int64_t now);
 
+/* endings.c: requests under which an endpoint has ended */
+/* The endpoint has closed the connection before its answer was whole. */
+void endings_note(struct forward *f);
+/* Another incarnation stands where this one stood. */
+void endings_restarted(struct gate *g, const struct gate_ep *former);
+void endings_tick(struct gate *g, int64_t now);
+void ending_free(void *ending);
+const struct fingerprint *forward_print(struct forward *f);
+
 /* forward.c */
 /* A request that came at a time on the clock. */
 void forward_begin(struct gate *g, struct caller_call *c, struct ss_str body,
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -125,7 +125,7 @@
 	return r;
 }
 
-static void fail(struct line *l, enum upstream_end end)
+static void fail(struct line *l, enum upstream_end end, bool closed)
 {
 	struct upstream_request r;
 
@@ -136,7 +136,7 @@
 	l->depth++;
 	r = detach(l);
 	l->closing = true;
-	r.ops->failed(r.arg, end);
+	r.ops->failed(r.arg, end, closed);
 	l->depth--;
 	line_break(l);
 }
@@ -218,7 +218,7 @@
 		l->closing = true;
 	l->depth--;
 	if (!ok && l->call)
-		fail(l, UPSTREAM_GARBLED);
+		fail(l, UPSTREAM_GARBLED, false);
 	else if (l->closing)
 		line_close(l);
 }
@@ -231,8 +231,19 @@
 								UPSTREAM_SILENT;
 }
 
+/* A process that ends has its connections closed or reset by its VM; one on a
+ * VM that is off or cut off never answers. */
+static bool is_closed(short what)
+{
+	if (what & BEV_EVENT_EOF)
+		return true;
+	return (what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNRESET;
+}
+
 static void on_end(struct line *l, short what)
 {
+	bool closed = is_closed(what);
+
 	l->depth++;
 	/* An answer without a length ends here; after a reset it is cut. */
 	if (l->call && l->head_seen && !l->framed && (what & BEV_EVENT_EOF)) {
@@ -241,7 +252,7 @@
 	}
 	l->depth--;
 	if (l->call)
-		fail(l, how_it_ended(l));
+		fail(l, how_it_ended(l), closed);
 	else
 		line_close(l);
 }
@@ -347,7 +358,7 @@
 	(void)what;
 	g_free(c);
 	if (r.ops)
-		r.ops->failed(r.arg, UPSTREAM_NOT_SENT);
+		r.ops->failed(r.arg, UPSTREAM_NOT_SENT, false);
 }
 
 struct upstream_call *upstream_send(struct upstream *u,
@@ -407,6 +418,21 @@
 		bufferevent_enable(c->line->bev, EV_READ);
 }
 
+bool upstream_reaches(const struct upstream *u, const char *addr)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, u->lines);
+	while (g_hash_table_iter_next(&it, &p, NULL)) {
+		const struct line *l = p;
+
+		if (l->connected && !l->closing && !strcmp(l->addr, addr))
+			return true;
+	}
+	return false;
+}
+
 void upstream_forget(struct upstream *u, const char *addr)
 {
 	GQueue *q = g_hash_table_lookup(u->idle, addr);
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -30,8 +30,12 @@
 	void (*flush)(void *arg);
 	/* The answer is whole; the call is freed on return. */
 	void (*done)(void *arg);
-	/* It won't become whole; the call is freed on return. */
-	void (*failed)(void *arg, enum upstream_end end);
+	/*
+	 * It won't become whole; the call is freed on return. closed: the
+	 * endpoint's VM has closed or reset the connection; else it was given
+	 * up here.
+	 */
+	void (*failed)(void *arg, enum upstream_end end, bool closed);
 };
 
 struct upstream_options {
@@ -67,6 +71,8 @@
 void upstream_keep_for(struct upstream_call *c, int64_t idle_ms);
 /* Read no further until told: the caller is slower than the endpoint. */
 void upstream_pause(struct upstream_call *c, bool pause);
+/* Some connection to it is open, in use or at rest. */
+bool upstream_reaches(const struct upstream *u, const char *addr);
 /* Close idle connections to an endpoint that has ended. */
 void upstream_forget(struct upstream *u, const char *addr);
 /* Close what has rested too long; to be called now and then. */
