--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -357,7 +357,6 @@
 	if (g->end_ms)
 		times_look_at_open(g, now);
 	early_tick(g, now);
-	endings_tick(g, now);
 	tick_forwards(g, now);
 	gate_pump(g, NULL);
 	if (now - g->tidy_ms < TIDY_MS)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -100,7 +100,6 @@
 static void forget_former(struct gate *g, struct gate_ep *ep)
 {
 	lose_calls(g, ep);
-	endings_restarted(g, ep);
 	ep->life = ++g->lives;
 	ep->failing = 0;
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -178,9 +178,6 @@
 /* endings.c: requests under which an endpoint has ended */
 /* The endpoint has closed the connection before its answer was whole. */
 void endings_note(struct forward *f);
-/* Another incarnation stands where this one stood. */
-void endings_restarted(struct gate *g, const struct gate_ep *former);
-void endings_tick(struct gate *g, int64_t now);
 void ending_free(void *ending);
 const struct fingerprint *forward_print(struct forward *f);
 
