--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -4,8 +4,6 @@
 #include "../base/log.h"
 #include "../net/http.h"
 
-#include <xxhash.h>
-
 /* A request whose model nobody knows to be on its way is held for this
  * share of its time, then told to come back while its caller is still there.
  * Mostly an engine comes free before: with half as much, 1 request in 200 more
@@ -34,9 +32,6 @@
  * knowing; a request that can't be repeated doesn't take the risk. */
 #define REST_ONCE_MS 2000
 #define REST_SAFE_MS 10000
-/* A route's own timeout is answered before callers and judges of it give
- * up waiting; in ms. */
-#define TIMEOUT_EARLY_MS 20
 
 static const char *const states[] = { "waits", "adapter", "sent", "answers" };
 
@@ -208,7 +203,7 @@
 	return f->tried->len < (guint)f->route->attempts;
 }
 
-static void wait_again(struct forward *f)
+void forward_wait(struct forward *f)
 {
 	f->state = FORWARD_WAITS;
 	if (!f->lane)
@@ -242,7 +237,7 @@
 			forward_refuse(f, 503, "deadline", why, 0);
 		return;
 	}
-	wait_again(f);
+	forward_wait(f);
 	forward_try(f);
 }
 
@@ -332,7 +327,7 @@
 		lane_remove(f);
 }
 
-static void refuse_for_stop(struct forward *f)
+void forward_refuse_for_stop(struct forward *f)
 {
 	if (f->unknown)
 		forward_refuse(f, 502, "lost",
@@ -349,7 +344,7 @@
 	struct gate_ep *ep;
 
 	if (times_stop_cuts(f, NULL)) {
-		refuse_for_stop(f);
+		forward_refuse_for_stop(f);
 		return true;
 	}
 	ep = gate_choose(f->g, f, &none);
@@ -358,7 +353,7 @@
 		return false;
 	}
 	if (times_stop_cuts(f, ep)) {
-		refuse_for_stop(f);
+		forward_refuse_for_stop(f);
 		return true;
 	}
 	/* Only a first send is free; every other one is a repeat. */
@@ -390,12 +385,12 @@
 static void send_with_adapter(struct forward *f, struct gate_ep *ep)
 {
 	if (times_stop_cuts(f, ep)) {
-		refuse_for_stop(f);
+		forward_refuse_for_stop(f);
 	} else if (ep->known && !ep->leaving) {
 		send_to(f, ep);
 	} else {
 		forward_leave(f);
-		wait_again(f);
+		forward_wait(f);
 		forward_try(f);
 	}
 }
@@ -427,152 +422,10 @@
 			       f->unknown ? 0 : come_back_ms(f));
 		return;
 	}
-	wait_again(f);
+	forward_wait(f);
 	/* Not from here: the agent just failed, the next pump tries again. */
 }
 
-/* Beginning. */
-
-static struct ss_str path_of(struct ss_str target)
-{
-	const char *q = target.n ? memchr(target.p, '?', target.n) : NULL;
-
-	if (q)
-		target.n = (size_t)(q - target.p);
-	return target;
-}
-
-static void refuse_call(struct gate *g, struct caller_call *c, int status,
-			const char *type, const char *why, int64_t back_ms)
-{
-	GString *headers = g_string_new("Content-Type: application/json\r\n");
-	char *body = g_strdup_printf("{\"error\":{\"type\":\"%s\",\"message\":"
-				     "\"%s\",\"outcome\":\"not_run\"}}",
-				     type, why);
-	struct ss_str id = http1_value(caller_call_head(c), "X-Request-Id");
-
-	if (back_ms)
-		g_string_append_printf(headers, "Retry-After: %.3f\r\n",
-				       (double)back_ms / 1000.0);
-	(*g->n_bad)++;
-	log_info("request", "request=%.*s outcome=not_run status=%d why=\"%s\"",
-		 SS_FMT(id), status, why);
-	caller_call_reply(c, status, headers, ss_str(body));
-	g_string_free(headers, TRUE);
-	g_free(body);
-}
-
-/* The part of the prompt that requests of one kind share decides where its
- * cache is warm: all parts but the last, which is the request's own. */
-static uint64_t affinity_of(const struct platform_call *c)
-{
-	struct ss_str shared = c->prompt;
-
-	while (shared.n && shared.p[shared.n - 1] != ',')
-		shared.n--;
-	return XXH3_64bits_withSeed(shared.p, shared.n,
-				    XXH3_64bits(c->adapter.p, c->adapter.n) ^
-					    XXH3_64bits(c->model.p,
-							c->model.n));
-}
-
-/* A request that can't be begun before its caller leaves is refused while the
- * caller is still there to be told when to come back. */
-static int64_t patience_ms(const struct gate *g, const struct routing_route *rt)
-{
-	const struct gate_patience *p = &g->o.patience;
-	int64_t ms = MAX(p->ms, p->objectives * rt->objective_ms);
-
-	return MAX(ms, p->pauses * rt->pause_ms);
-}
-
-static struct forward *forward_new(struct gate *g, struct caller_call *c,
-				   const struct routing_route *rt,
-				   const struct platform_call *call,
-				   struct ss_str body, int64_t now)
-{
-	struct forward *f = g_new0(struct forward, 1);
-	int64_t wait = rt->timeout_ms - TIMEOUT_EARLY_MS;
-
-	if (call->deadline_ms)
-		wait = MIN(wait, call->deadline_ms);
-	f->g = g;
-	f->caller = c;
-	f->body = body;
-	f->routing = routing_ref(g->routing);
-	f->route = rt;
-	f->service = routing_pick(g->routing, rt, ss_random(&g->seed));
-	f->call = *call;
-	f->id = ss_str_dup(call->id);
-	f->model = f->service->engine ? ss_str_dup(call->model) : g_strdup("");
-	f->adapter = f->service->engine ? ss_str_dup(call->adapter) :
-					  g_strdup("");
-	f->pace = gate_pace(g, f);
-	f->affinity = affinity_of(call);
-	f->start_ms = now;
-	f->waited_ms = f->first_ms = f->stop_left_ms = -1;
-	f->expected_ms = SS_NEVER;
-	f->deadline_ms = now + wait;
-	f->objective_ms = now + rt->objective_ms;
-	f->begin_by_ms = f->deadline_ms;
-	if (rt->kind == ROUTE_STREAM)
-		f->begin_by_ms = MIN(f->deadline_ms, now + patience_ms(g, rt));
-	f->tried = g_ptr_array_new_with_free_func(fleet_incarnation_free);
-	f->events.last_id = call->after_event;
-	caller_call_set_data(c, f);
-	g_hash_table_add(g->forwards, f);
-	return f;
-}
-
-void forward_begin(struct gate *g, struct caller_call *c, struct ss_str body,
-		   int64_t came_ms)
-{
-	const struct http1_head *h = caller_call_head(c);
-	struct ss_str host = http1_value(h, "Host");
-	const struct routing_route *rt;
-	struct platform_call call;
-	GError *error = NULL;
-	struct forward *f;
-
-	if (!g->routing || !g->fleet_known) {
-		if (early_hold(g, c, body))
-			return;
-		(*g->n_requests)++;
-		refuse_call(g, c, 503, "unavailable", "not ready yet", 500);
-		return;
-	}
-	(*g->n_requests)++;
-	rt = routing_match(g->routing, host, path_of(h->target));
-	if (!rt) {
-		refuse_call(g, c, 404, "not_found", "no route", 0);
-		return;
-	}
-	if (!g->o.platform->read_call(h, &call, &error)) {
-		refuse_call(g, c, 400, "bad_request", "a header is unreadable",
-			    0);
-		g_error_free(error);
-		return;
-	}
-	f = forward_new(g, c, rt, &call, body, came_ms);
-	repeat_first(gate_budget(g, f->service->name), gate_now(g));
-	if (*f->model && !routing_model(f->service, f->model)) {
-		forward_refuse(f, 503, "unknown_model",
-			       "the routing in force has no such model", 0);
-		return;
-	}
-	f->home = gate_lane(g, f->service->name, f->model);
-	if (times_stop_cuts(f, NULL)) {
-		refuse_for_stop(f);
-		return;
-	}
-	f->home->arrivals++;
-	fleet_rate_add(&f->home->rate, 1, gate_now(g));
-	wait_again(f);
-	/* Nobody goes ahead of those who wait for the same. */
-	if (f->lane->waits.length == 1)
-		forward_try(f);
-}
-
 /*
  * An engine whose VM stands still refuses nothing: its callers just leave, its
  * last report grows old, and without calls it passes for the emptiest. On a day
@@ -630,7 +483,7 @@
 		if (now >= f->deadline_ms)
 			forward_end(f, false, "nobody could resume it");
 	} else if (times_stop_cuts(f, NULL)) {
-		refuse_for_stop(f);
+		forward_refuse_for_stop(f);
 	} else if (is_hopeless(f, now)) {
 		forward_refuse(f, f->unknown ? 502 : 503, "unavailable",
 			       "it can't be begun in time",
@@ -641,7 +494,7 @@
 static void tick_adapter(struct forward *f, int64_t now)
 {
 	if (times_stop_cuts(f, gate_ep_of(f)))
-		refuse_for_stop(f);
+		forward_refuse_for_stop(f);
 	else if (now >= f->deadline_ms)
 		forward_refuse(f, f->unknown ? 504 : 503, "deadline",
 			       "its adapter came too late", 0);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -181,10 +181,12 @@
 void ending_free(void *ending);
 const struct fingerprint *forward_print(struct forward *f);
 
-/* forward.c */
+/* begin.c */
 /* A request that came at a time on the clock. */
 void forward_begin(struct gate *g, struct caller_call *c, struct ss_str body,
 		   int64_t came_ms);
+
+/* forward.c */
 void forward_gone(struct forward *f);
 /* Try to send a request that waits; false where it goes on waiting. */
 bool forward_try(struct forward *f);
@@ -211,7 +213,11 @@
 /* The caller has read all that was written: read on. */
 void forward_drained(struct forward *f);
 
-/* Shared by forward.c and answer.c. */
+/* Shared by begin.c, forward.c and answer.c. */
+/* Into its lane. */
+void forward_wait(struct forward *f);
+/* This process ends before the answer would. */
+void forward_refuse_for_stop(struct forward *f);
 enum forward_outcome { FORWARD_NOT_RUN, FORWARD_UNKNOWN };
 /* End with an answer of our own; f is freed. */
 void forward_refuse(struct forward *f, int status, const char *type,
