Stop requests that end the endpoints that run them

What callers saw: one endpoint after the other ends, each takes the answers of all beside it, for as long as one request comes again.

Cause: what one process sees, and all must act on, stayed with it. A request under a new id was a new request; an entry sees one or two of the ends, and neither it nor anybody else added them up. Ruled out: our repeats (88 of 88 cut calls were sent once), our orders (stand-ins that don't end by orders show the same).

Change: an entry fingerprints (method, host, path, body) the requests under which an endpoint ended, and tells the leader. After three ends the leader tells all entries to refuse the request: 503 with the true time, at once, also where it waits already. After a term (10 min, 1 h, 6 h, 24 h) it may run as a trial, which the leader allows one at a time; a whole answer clears it. Where the same ends speak against several, trials come after 3 s, and more at a time as they are answered. New leaders are told again by entries, entries that join by the leader. Tables hold 4,096 requests at the most, what is quarantined goes last; messages 64 items.

Not yet looked at: leaders that change, the class elsewhere, the way through agents.

--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -351,6 +351,39 @@
 	F(3, WIRE_STR, msg_adapter_done, text),
 };
 
+static const struct wire_field end_item_fields[] = {
+	F(1, WIRE_UINT, end_item, print_hi),
+	F(2, WIRE_UINT, end_item, print_lo),
+	F(3, WIRE_INT, end_item, kind),
+	F(4, WIRE_UINT, end_item, life),
+	F(5, WIRE_INT, end_item, age_ms),
+};
+static const struct wire_type end_item_type = T(end_item, end_item_fields);
+static const struct wire_field suspect_item_fields[] = {
+	F(1, WIRE_UINT, suspect_item, print_hi),
+	F(2, WIRE_UINT, suspect_item, print_lo),
+	F(3, WIRE_BOOL, suspect_item, cleared),
+	F(4, WIRE_INT, suspect_item, left_ms),
+	F(5, WIRE_UINT, suspect_item, trials),
+};
+static const struct wire_type suspect_item_type =
+	T(suspect_item, suspect_item_fields);
+static const struct wire_field ends_fields[] = {
+	L(1, msg_ends, ends, end_item_type),
+	L(2, msg_ends, recalled, suspect_item_type),
+};
+static const struct wire_field quarantine_fields[] = {
+	F(1, WIRE_UINT, msg_quarantine, fence),
+	L(2, msg_quarantine, words, suspect_item_type),
+};
+static const struct wire_field trial_fields[] = {
+	F(1, WIRE_UINT, msg_trial, sub),
+	F(2, WIRE_UINT, msg_trial, print_hi),
+	F(3, WIRE_UINT, msg_trial, print_lo),
+	F(4, WIRE_INT, msg_trial, leave),
+	F(5, WIRE_INT, msg_trial, wait_ms),
+};
+
 static const struct wire_type types[MSG_KINDS] = {
 	[MSG_HELLO] = T(msg_hello, hello_fields),
 	[MSG_PING] = T(msg_ping, ping_fields),
@@ -384,6 +417,9 @@
 	[MSG_TERM] = T(msg_term, term_fields),
 	[MSG_FETCH] = T(msg_fetch, fetch_fields),
 	[MSG_REMOTE] = T(msg_remote, remote_fields),
+	[MSG_ENDS] = T(msg_ends, ends_fields),
+	[MSG_QUARANTINE] = T(msg_quarantine, quarantine_fields),
+	[MSG_TRIAL] = T(msg_trial, trial_fields),
 };
 
 const struct wire_type *msg_type(enum msg_kind kind)
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -40,6 +40,9 @@
 	MSG_TERM,	  /* leader to others: its term, once confirmed */
 	MSG_FETCH,  /* others to any control VM: what they hold and want */
 	MSG_REMOTE, /* leader to control: engines to run agents for */
+	MSG_ENDS,   /* entry to leader: requests under which endpoints ended */
+	MSG_QUARANTINE, /* leader to entry: requests that aren't to be run */
+	MSG_TRIAL,	/* entry to leader: may this one run? and its answer */
 	MSG_KINDS
 };
 
@@ -394,6 +397,39 @@
 	struct ss_str text;
 };
 
+/* One thing that an entry has seen, as struct end_seen. */
+struct end_item {
+	uint64_t print_hi, print_lo;
+	int64_t kind; /* enum end_kind */
+	uint64_t life;
+	int64_t age_ms;
+};
+
+/* What is told of a suspected request, as struct suspect_word. */
+struct suspect_item {
+	uint64_t print_hi, print_lo;
+	bool cleared;
+	int64_t left_ms;
+	uint64_t trials;
+};
+
+struct msg_ends {
+	struct wire_list ends;	   /* struct end_item */
+	struct wire_list recalled; /* struct suspect_item; to a new leader */
+};
+
+struct msg_quarantine {
+	uint64_t fence;		/* of the leadership */
+	struct wire_list words; /* struct suspect_item, what changed */
+};
+
+struct msg_trial {
+	uint64_t sub; /* echoed */
+	uint64_t print_hi, print_lo;
+	int64_t leave;	 /* in the answer: enum suspect_leave */
+	int64_t wait_ms; /* with SUSPECT_WAIT: before it can make sense */
+};
+
 struct msg_ping {
 	uint64_t active;
 };
--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -182,7 +182,14 @@
 	((struct fleet_entry *)arg)->demand_due = true;
 }
 
-static const struct gate_ops gate_table = { need_adapter, demand };
+static bool ask_trial(void *arg, const struct msg_trial *m)
+{
+	struct fleet_entry *e = arg;
+
+	return e->link_up && link_send(e->link, MSG_TRIAL, m);
+}
+
+static const struct gate_ops gate_table = { need_adapter, demand, ask_trial };
 
 static void close_idle_agents(struct fleet_entry *e, int64_t now)
 {
@@ -207,6 +214,7 @@
 	if (!e->d->hello.group)
 		e->d->hello.group = group;
 	e->link_up = true;
+	gate_leader_found(e->gate);
 	log_info("leader_found", "group=%" PRIx64, group);
 	e->demand_due = true;
 }
@@ -239,6 +247,12 @@
 		e->leader_ms = now_ms(e);
 		gate_take_fleet(e->gate, &f->u.fleet);
 		break;
+	case MSG_QUARANTINE:
+		gate_take_quarantine(e->gate, &f->u.quarantine);
+		break;
+	case MSG_TRIAL:
+		gate_take_trial(e->gate, &f->u.trial);
+		break;
 	default:
 		break;
 	}
@@ -259,6 +273,15 @@
 	gate_report_done(&r);
 }
 
+/* At once: the next endpoint may end meanwhile. */
+static void send_ends(struct fleet_entry *e)
+{
+	struct gate_ends r;
+
+	if (e->link_up && gate_ends(e->gate, &r))
+		gate_ends_done(e->gate, &r, link_send(e->link, MSG_ENDS, &r.m));
+}
+
 static void on_list(void *arg, struct fleet_list *all)
 {
 	struct fleet_entry *e = arg;
@@ -332,6 +355,7 @@
 	(void)what;
 	gate_tick(e->gate);
 	routing_fetch_tick(e->routing);
+	send_ends(e);
 	send_demand(e, now);
 	instances_run(e->list,
 		      !e->link_up &&
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -412,6 +412,12 @@
 	case MSG_DEMAND:
 		take_demand(l, c, &f->u.demand);
 		break;
+	case MSG_ENDS:
+		fleet_suspects_take(l, &f->u.ends);
+		break;
+	case MSG_TRIAL:
+		fleet_suspects_ask(l, c, &f->u.trial);
+		break;
 	default:
 		break;
 	}
@@ -540,6 +546,7 @@
 	fleet_steps_run(l, now);
 	fleet_push_tick(l, now);
 	fleet_remote_tick(l, now);
+	fleet_suspects_tick(l, now);
 	if (!l->dirty || (!loads && now - l->push_ms < PUSH_EVERY_MS))
 		return;
 	l->dirty = false;
@@ -580,6 +587,7 @@
 		metrics_value(m, "ss_fleet_loads_total", "from=\"memory\"");
 	l->n_failed = metrics_value(m, "ss_fleet_steps_failed_total", "");
 	l->load_hist = metrics_hist(m, "ss_fleet_load_ms", "");
+	fleet_suspects_begin(l);
 	read_state(l);
 	l->list = instances_new(&o);
 	instances_run(l->list, true);
@@ -594,6 +602,7 @@
 	g_hash_table_unref(l->peers);
 	g_hash_table_unref(l->eps);
 	g_hash_table_unref(l->wants);
+	suspects_free(l->suspects);
 	routing_unref(l->routing);
 	preset_clear(&l->preset);
 	g_free(l);
@@ -629,6 +638,7 @@
 		json_object_array_add(list, e);
 	}
 	json_object_object_add(o, "endpoints", list);
+	fleet_suspects_status(l, o);
 	json_object_object_add(
 		o, "routing",
 		json_object_new_int64(
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -2,11 +2,15 @@
 #ifndef SS_FLEET_LEAD_INT_H
 #define SS_FLEET_LEAD_INT_H
 
+#include <json-c/json_types.h>
+
 #include "../core/fleet.h"
 #include "../core/fleet_wire.h"
 #include "../core/owner.h"
 #include "../core/preset.h"
 #include "../core/send_window.h"
+#include "../core/end_log.h"
+#include "../core/suspects.h"
 #include "../vmlist/instances.h"
 #include "fleet_lead.h"
 
@@ -88,6 +92,7 @@
 	uint64_t routing_told; /* version that it was told of */
 	uint64_t routing;      /* version that it follows, by its own word */
 	uint64_t round;	       /* confirmed */
+	uint64_t suspects;     /* mark of those that it was told of */
 };
 
 struct fleet_lead {
@@ -113,6 +118,8 @@
 	int64_t store_ms;
 	int64_t remote_ms; /* when members were last told whose agents they run
 			    */
+	struct suspects *suspects;
+	uint64_t *n_suspects, *n_quarantined; /* now */
 	uint64_t *n_steps, *n_store, *n_disk, *n_memory, *n_failed;
 	struct hist *load_hist;
 };
@@ -162,6 +169,16 @@
 /* fleet_remote.c */
 void fleet_remote_tick(struct fleet_lead *l, int64_t now);
 
+/* fleet_suspects.c: requests under which endpoints end */
+void fleet_suspects_begin(struct fleet_lead *l);
+/* What an entry has seen; what it asks. */
+void fleet_suspects_take(struct fleet_lead *l, const struct msg_ends *m);
+void fleet_suspects_ask(struct fleet_lead *l, struct conn *c,
+			const struct msg_trial *m);
+/* Tell entries what they don't know yet. */
+void fleet_suspects_tick(struct fleet_lead *l, int64_t now);
+void fleet_suspects_status(const struct fleet_lead *l, json_object *o);
+
 /* fleet_push.c */
 /* Entries that know nothing yet get all of it. */
 void fleet_push_whole(struct fleet_lead *l);
--- a/src/node/frame.h
+++ b/src/node/frame.h
@@ -54,6 +54,9 @@
 		struct msg_term term;
 		struct msg_fetch fetch;
 		struct msg_remote remote;
+		struct msg_ends ends;
+		struct msg_quarantine quarantine;
+		struct msg_trial trial;
 	} u;
 };
 
--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -228,6 +228,7 @@
 	}
 	note(f, f->status >= 500);
 	times_note_end(f);
+	quarantine_answered(f);
 	if (!f->started && f->is_events) {
 		start(f, -1);
 	} else if (!f->started) {
--- a/src/proxy/endings.c
+++ b/src/proxy/endings.c
@@ -12,6 +12,8 @@
 #include "../base/log.h"
 #include "../net/probe.h"
 
+#include <xxhash.h>
+
 /* The endpoint's VM answers by then, in ms, also where the first packet was
  * lost; an endpoint takes longer to start again. */
 #define PROBE_WAIT_MS 1500
@@ -21,7 +23,8 @@
 struct ending {
 	struct gate *g;
 	char *addr, *id;
-	uint64_t life; /* the gate's number of that incarnation */
+	uint64_t life;	      /* the gate's number of that incarnation */
+	uint64_t global_life; /* the same in all processes */
 	struct probe *probe;
 	GArray *prints; /* struct fingerprint, each once */
 };
@@ -38,15 +41,15 @@
 	g_free(e);
 }
 
-const struct fingerprint *forward_print(struct forward *f)
+static void confirm(const struct ending *e)
 {
-	const struct http1_head *h = caller_call_head(f->caller);
-
-	if (!f->has_print)
-		f->print = fingerprint_of(h->method, http1_value(h, "Host"),
-					  h->target, f->body);
-	f->has_print = true;
-	return &f->print;
+	log_warn("endpoint_ended", "addr=%s id=%s requests=%u", e->addr, e->id,
+		 e->prints->len);
+	(*e->g->n_ended)++;
+	for (guint i = 0; i < e->prints->len; i++)
+		quarantine_end(e->g,
+			       &g_array_index(e->prints, struct fingerprint, i),
+			       e->global_life);
 }
 
 static void on_probe(void *arg, enum probe_result r)
@@ -56,11 +59,21 @@
 
 	e->probe = NULL;
 	if (r == PROBE_REFUSED && !upstream_reaches(g->upstream, e->addr))
-		log_warn("endpoint_ended", "addr=%s id=%s requests=%u", e->addr,
-			 e->id, e->prints->len);
+		confirm(e);
 	g_ptr_array_remove_fast(g->endings, e);
 }
 
+/* By its id; by its start too, which one that keeps its id tells. */
+static uint64_t life_of(const struct gate_ep *ep)
+{
+	char *text = g_strdup_printf("%s\n%s\n%" PRId64, ep->addr, ep->self.id,
+				     ep->self.started_ms);
+	uint64_t life = XXH3_64bits(text, strlen(text));
+
+	g_free(text);
+	return life;
+}
+
 static struct ending *ending_of(struct gate *g, const struct gate_ep *ep)
 {
 	struct ending *e;
@@ -75,6 +88,7 @@
 	e->addr = g_strdup(ep->addr);
 	e->id = g_strdup(ep->self.id);
 	e->life = ep->life;
+	e->global_life = life_of(ep);
 	e->prints = g_array_new(FALSE, FALSE, sizeof(struct fingerprint));
 	e->probe = probe_start(g->o.base, e->addr, PROBE_WAIT_MS, on_probe, e);
 	g_ptr_array_add(g->endings, e);
@@ -104,6 +118,7 @@
 		return;
 	e = ending_of(g, ep);
 	add_print(e, forward_print(f));
+	f->trial_told = true;
 	log_info("closed_by_endpoint",
 		 "request=%s endpoint=%s print=%s ms=%" PRId64, f->id,
 		 ep->self.id, fingerprint_text(&f->print, text),
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -33,12 +33,14 @@
 #define REST_ONCE_MS 2000
 #define REST_SAFE_MS 10000
 
-static const char *const states[] = { "waits", "adapter", "sent", "answers" };
+static const char *const states[] = { "waits", "asks", "adapter", "sent",
+				      "answers" };
 
 static void forward_free(struct forward *f)
 {
 	struct gate *g = f->g;
 
+	quarantine_leave(f);
 	g_hash_table_remove(g->forwards, f);
 	g_ptr_array_unref(f->tried);
 	routing_unref(f->routing);
@@ -59,7 +61,7 @@
 {
 	struct gate_ep *ep = gate_ep_of(f);
 
-	if (f->state == FORWARD_ADAPTER)
+	if (f->state == FORWARD_ADAPTER || f->state == FORWARD_ASKS)
 		g_hash_table_remove(f->g->tickets, &f->ticket);
 	if (f->up) {
 		times_note_left(f);
@@ -347,6 +349,8 @@
 		forward_refuse_for_stop(f);
 		return true;
 	}
+	if (quarantine_stops(f))
+		return true;
 	ep = gate_choose(f->g, f, &none);
 	if (!ep) {
 		f->held_for = (int)none;
@@ -386,6 +390,8 @@
 {
 	if (times_stop_cuts(f, ep)) {
 		forward_refuse_for_stop(f);
+	} else if (quarantine_stops(f)) {
+		return;
 	} else if (ep->known && !ep->leaving) {
 		send_to(f, ep);
 	} else {
@@ -515,6 +521,8 @@
 {
 	if (f->state == FORWARD_WAITS) {
 		tick_waits(f, now);
+	} else if (f->state == FORWARD_ASKS) {
+		quarantine_ask_tick(f, now);
 	} else if (f->state == FORWARD_ADAPTER) {
 		tick_adapter(f, now);
 	} else if (is_lost(f, now)) {
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -11,6 +11,13 @@
 #define TIDY_MS 200
 #define HEAD_MAX (16u << 10) /* of an endpoint's answer, bytes */
 
+/* Suspected requests that are remembered: all that a fleet of 200 endpoints
+ * runs at a time, in half a megabyte. */
+#define SUSPECTS_MOST 4096
+/* Ends that are kept for another leader: those of several endpoints as this
+ * entry calls them; from hundreds of entries some megabytes, in pieces. */
+#define ENDS_MOST 256
+
 /* Before a routing tells other limits. */
 static const struct callers_limits first_limits = { 16 << 10, 4 << 20, 3000,
 						    15000 };
@@ -357,6 +364,7 @@
 	if (g->end_ms)
 		times_look_at_open(g, now);
 	early_tick(g, now);
+	quarantine_tick(g, now);
 	tick_forwards(g, now);
 	gate_pump(g, NULL);
 	if (now - g->tidy_ms < TIDY_MS)
@@ -410,6 +418,8 @@
 	g->n_waiting = metrics_value(m, "ss_gate_waiting", "");
 	g->n_adapters = metrics_value(m, "ss_gate_adapters_asked_total", "");
 	g->n_bad = metrics_value(m, "ss_gate_bad_requests_total", "");
+	g->n_ended = metrics_value(m, "ss_gate_endpoints_ended_total", "");
+	g->n_quarantined = metrics_value(m, "ss_gate_quarantined_total", "");
 }
 
 struct gate *gate_new(const struct gate_options *o, GError **error)
@@ -431,11 +441,15 @@
 					"ss_gate_connections_reused_total", ""),
 	};
 
+	struct suspects_options so = { .most = SUSPECTS_MOST };
+
 	g->o = *o;
 	g->seed = o->seed;
 	g->since_ms = gate_now(g);
 	g->early = early_new();
 	g->endings = g_ptr_array_new_with_free_func(ending_free);
+	g->suspects = suspects_new(&so, g->since_ms);
+	end_log_init(&g->end_log, ENDS_MOST);
 	g->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				       gate_ep_free);
 	g->lanes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -470,6 +484,8 @@
 	upstream_free(g->upstream);
 	g_array_unref(g->early);
 	g_ptr_array_unref(g->endings);
+	suspects_free(g->suspects);
+	end_log_clear(&g->end_log);
 	g_hash_table_unref(g->forwards);
 	g_hash_table_unref(g->tickets);
 	g_hash_table_unref(g->lanes);
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -22,6 +22,9 @@
 			     const struct msg_adapter *m);
 	/* Demand has changed: report it soon. */
 	void (*demand)(void *arg);
+	/* Ask the leader whether a quarantined request may run as a trial;
+	 * false where nobody is known to lead. */
+	bool (*ask_trial)(void *arg, const struct msg_trial *m);
 };
 
 /*
@@ -79,6 +82,24 @@
 void gate_report(struct gate *g, struct gate_report *r);
 void gate_report_done(struct gate_report *r);
 
+/* Requests under which endpoints end. */
+
+/* A leader that has heard nothing of this entry yet. */
+void gate_leader_found(struct gate *g);
+void gate_take_quarantine(struct gate *g, const struct msg_quarantine *m);
+void gate_take_trial(struct gate *g, const struct msg_trial *m);
+/*
+ * What the leader wasn't told yet, a piece at a time; false where that is
+ * nothing. Once it is sent it counts as told; free it with gate_ends_done().
+ */
+struct gate_ends {
+	struct msg_ends m;
+	GArray *ends, *recalled;
+	uint64_t recall; /* mark up to which suspects are recalled */
+};
+bool gate_ends(struct gate *g, struct gate_ends *r);
+void gate_ends_done(struct gate *g, struct gate_ends *r, bool sent);
+
 void gate_tick(struct gate *g);
 
 /*
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -5,9 +5,10 @@
 #include <sapphireshift/limit.h>
 
 #include "../core/balance.h"
-#include "../core/fingerprint.h"
+#include "../core/end_log.h"
 #include "../core/fleet.h"
 #include "../core/pace.h"
+#include "../core/suspects.h"
 #include "callers.h"
 #include "events.h"
 #include "gate.h"
@@ -41,6 +42,7 @@
 
 enum forward_state {
 	FORWARD_WAITS,	 /* in its lane, for an endpoint */
+	FORWARD_ASKS,	 /* the leader whether it may run as a trial */
 	FORWARD_ADAPTER, /* an agent loads its adapter */
 	FORWARD_SENT,	 /* no byte of an answer yet */
 	FORWARD_ANSWERS, /* the answer comes in */
@@ -58,7 +60,9 @@
 	char *id, *model, *adapter;
 	uint64_t affinity;
 	bool has_print;
-	struct fingerprint print;		     /* once it is asked for */
+	struct fingerprint print; /* once it is asked for */
+	bool trial;		  /* quarantined, and may run this once */
+	bool trial_told;	  /* how that ended is told, or will be */
 	int64_t start_ms, deadline_ms, objective_ms; /* on the clock */
 	int64_t begin_by_ms; /* later its caller has left */
 	enum forward_state state;
@@ -130,14 +134,18 @@
 	uint64_t seed, ticket, round, fence, lives;
 	GArray *early;	    /* requests from before it knew where they lead */
 	GPtrArray *endings; /* struct ending */
-	int64_t since_ms;   /* of this process's start */
-	uint64_t entries;   /* that share the repeats, the most told of */
+	struct suspects *suspects;
+	struct end_log end_log;
+	uint64_t recall;  /* mark of the suspects that the leader knows of */
+	int64_t since_ms; /* of this process's start */
+	uint64_t entries; /* that share the repeats, the most told of */
 	bool fleet_known;
 	bool pumping;	/* a request that ends meanwhile pumps no more */
 	int64_t end_ms; /* of a planned stop; 0: none */
 	int64_t tidy_ms;
 	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
-		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut;
+		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
+		*n_ended, *n_quarantined;
 };
 
 static inline int64_t gate_now(const struct gate *g)
@@ -179,7 +187,23 @@
 /* The endpoint has closed the connection before its answer was whole. */
 void endings_note(struct forward *f);
 void ending_free(void *ending);
+
+/* quarantine.c: requests that endpoints ended under too often */
 const struct fingerprint *forward_print(struct forward *f);
+/* An endpoint has ended under it; life tells its incarnation. */
+void quarantine_end(struct gate *g, const struct fingerprint *print,
+		    uint64_t life);
+/* Its answer is whole. */
+void quarantine_answered(struct forward *f);
+/*
+ * True where it isn't to be sent now: it was refused, or the leader is asked. f
+ * may be freed.
+ */
+bool quarantine_stops(struct forward *f);
+/* It is being freed: tell how its trial ended. */
+void quarantine_leave(struct forward *f);
+void quarantine_ask_tick(struct forward *f, int64_t now);
+void quarantine_tick(struct gate *g, int64_t now);
 
 /* begin.c */
 /* A request that came at a time on the clock. */
--- /dev/null
+++ b/src/proxy/quarantine.c
@@ -0,0 +1,260 @@
+/*
+ * Requests that endpoints ended under too often: they are refused at once, or
+ * run as a trial where the leader allows it.
+ */
+#include "gate_int.h"
+
+#include "../base/log.h"
+
+/* Told to the caller where nobody leads who could allow a trial, in ms: a
+ * leader is mostly found by then. */
+#define NO_LEADER_BACK_MS 2000
+/* The leader's answer is waited for so long, in ms. */
+#define ASK_MS 500
+/* Ends and recalled suspects in one message: some 3 KB. */
+#define ITEMS_A_MESSAGE 64
+/* An end is no longer told to new leaders after so long, in ms. */
+#define END_TOLD_MS (60 * 60 * 1000LL)
+
+const struct fingerprint *forward_print(struct forward *f)
+{
+	const struct http1_head *h = caller_call_head(f->caller);
+
+	if (!f->has_print)
+		f->print = fingerprint_of(h->method, http1_value(h, "Host"),
+					  h->target, f->body);
+	f->has_print = true;
+	return &f->print;
+}
+
+/* What is seen here. */
+
+static void see(struct gate *g, const struct fingerprint *print,
+		enum end_kind kind, uint64_t life)
+{
+	struct end_seen e = { *print, kind, life, gate_now(g) };
+
+	end_log_add(&g->end_log, &e);
+}
+
+/* Those that wait to be sent, or for an adapter, may be quarantined now. */
+static void look_at_waiting(struct gate *g)
+{
+	GList *all = g_hash_table_get_keys(g->forwards);
+
+	for (GList *p = all; p; p = p->next) {
+		struct forward *f = p->data;
+
+		if (g_hash_table_contains(g->forwards, f) &&
+		    f->state == FORWARD_WAITS)
+			quarantine_stops(f);
+	}
+	g_list_free(all);
+}
+
+void quarantine_end(struct gate *g, const struct fingerprint *print,
+		    uint64_t life)
+{
+	int64_t now = gate_now(g);
+	bool known = suspects_term(g->suspects, print, now) >= 0;
+
+	see(g, print, END_UNDER, life);
+	suspects_end(g->suspects, print, life, now);
+	if (!known && suspects_term(g->suspects, print, now) >= 0)
+		look_at_waiting(g);
+}
+
+void quarantine_answered(struct forward *f)
+{
+	struct gate *g = f->g;
+
+	if (!suspects_any(g->suspects) ||
+	    !suspects_answered(g->suspects, forward_print(f), gate_now(g)))
+		return;
+	see(g, &f->print, END_ANSWERED, 0);
+	f->trial_told = true;
+}
+
+void quarantine_leave(struct forward *f)
+{
+	if (f->trial && !f->trial_told)
+		see(f->g, &f->print, END_NOTHING, 0);
+}
+
+/* Refusing, and trials. */
+
+static void refuse(struct forward *f, int64_t back_ms)
+{
+	static const char why[] =
+		"endpoints have ended while they ran this request";
+
+	(*f->g->n_quarantined)++;
+	if (f->started)
+		forward_end(f, false, why);
+	else if (f->unknown)
+		forward_refuse(f, 502, "lost", why, 0);
+	else
+		forward_refuse(f, 503, "quarantined", why, back_ms);
+}
+
+static void ask(struct forward *f)
+{
+	struct gate *g = f->g;
+	struct msg_trial m = { .sub = ++g->ticket,
+			       .print_hi = f->print.hi,
+			       .print_lo = f->print.lo };
+
+	if (!g->o.ops->ask_trial(g->o.arg, &m)) {
+		refuse(f, NO_LEADER_BACK_MS);
+		return;
+	}
+	if (f->lane)
+		lane_remove(f);
+	forward_leave(f);
+	f->ticket = m.sub;
+	f->state = FORWARD_ASKS;
+	f->sent_ms = gate_now(g);
+	g_hash_table_insert(g->tickets, &f->ticket, f);
+}
+
+bool quarantine_stops(struct forward *f)
+{
+	struct gate *g = f->g;
+	int64_t left;
+
+	if (!suspects_any_quarantined(g->suspects))
+		return false;
+	left = suspects_term(g->suspects, forward_print(f), gate_now(g));
+	/* A trial goes to one endpoint only. */
+	if (left < 0 || (f->trial && f->sends == 0))
+		return false;
+	if (left > 0 || f->trial)
+		refuse(f, MAX(left, NO_LEADER_BACK_MS));
+	else
+		ask(f);
+	return true;
+}
+
+void quarantine_ask_tick(struct forward *f, int64_t now)
+{
+	if (now - f->sent_ms >= ASK_MS)
+		refuse(f, NO_LEADER_BACK_MS);
+}
+
+void gate_take_trial(struct gate *g, const struct msg_trial *m)
+{
+	struct forward *f = g_hash_table_lookup(g->tickets, &m->sub);
+	struct fingerprint print = { m->print_hi, m->print_lo };
+	struct suspect_word cleared = { .print = print, .cleared = true };
+	char *service;
+
+	if (m->leave == SUSPECT_FREE)
+		suspects_told(g->suspects, &cleared, gate_now(g));
+	if (!f || f->state != FORWARD_ASKS) {
+		/* Its caller has left meanwhile. */
+		if (m->leave == SUSPECT_TRIAL)
+			see(g, &print, END_NOTHING, 0);
+		return;
+	}
+	if (m->leave == SUSPECT_WAIT) {
+		refuse(f, MAX(m->wait_ms, 1));
+		return;
+	}
+	g_hash_table_remove(g->tickets, &f->ticket);
+	f->trial = m->leave == SUSPECT_TRIAL;
+	log_info("trial", "request=%s allowed=%d", f->id, f->trial);
+	service = g_strdup(f->service->name);
+	forward_wait(f);
+	gate_pump(g, service);
+	g_free(service);
+}
+
+/* The leader. */
+
+void gate_leader_found(struct gate *g)
+{
+	end_log_again(&g->end_log);
+	g->recall = 0;
+}
+
+void gate_take_quarantine(struct gate *g, const struct msg_quarantine *m)
+{
+	const struct suspect_item *x = m->words.items;
+	bool leader_knows = g->recall == suspects_mark(g->suspects);
+	int64_t now = gate_now(g);
+
+	/* A leader that was replaced may still have words on their way. */
+	if (m->fence < g->fence)
+		return;
+	for (size_t i = 0; i < m->words.n; i++) {
+		struct suspect_word w = { { x[i].print_hi, x[i].print_lo },
+					  x[i].cleared,
+					  x[i].left_ms,
+					  x[i].trials };
+
+		suspects_told(g->suspects, &w, now);
+		if (w.cleared)
+			end_log_drop(&g->end_log, &w.print);
+	}
+	/* What it has told needn't be told back. */
+	if (leader_knows)
+		g->recall = suspects_mark(g->suspects);
+	look_at_waiting(g);
+}
+
+static void add_recalled(struct gate *g, struct gate_ends *r)
+{
+	GArray *words = g_array_new(FALSE, FALSE, sizeof(struct suspect_word));
+
+	r->recall = suspects_news(g->suspects, g->recall, ITEMS_A_MESSAGE,
+				  gate_now(g), words);
+	for (guint i = 0; i < words->len; i++) {
+		const struct suspect_word *w =
+			&g_array_index(words, struct suspect_word, i);
+		struct suspect_item x = { w->print.hi, w->print.lo, w->cleared,
+					  w->left_ms, w->trials };
+
+		if (!w->cleared)
+			g_array_append_val(r->recalled, x);
+	}
+	g_array_unref(words);
+}
+
+bool gate_ends(struct gate *g, struct gate_ends *r)
+{
+	size_t n;
+	const struct end_seen *e =
+		end_log_next(&g->end_log, ITEMS_A_MESSAGE, &n);
+
+	if (!n && g->recall == suspects_mark(g->suspects))
+		return false;
+	r->ends = g_array_new(FALSE, FALSE, sizeof(struct end_item));
+	r->recalled = g_array_new(FALSE, FALSE, sizeof(struct suspect_item));
+	for (size_t i = 0; i < n; i++) {
+		struct end_item x = { e[i].print.hi, e[i].print.lo, e[i].kind,
+				      e[i].life, gate_now(g) - e[i].at_ms };
+
+		g_array_append_val(r->ends, x);
+	}
+	add_recalled(g, r);
+	r->m.ends = (struct wire_list){ r->ends->data, r->ends->len };
+	r->m.recalled =
+		(struct wire_list){ r->recalled->data, r->recalled->len };
+	return true;
+}
+
+void gate_ends_done(struct gate *g, struct gate_ends *r, bool sent)
+{
+	if (sent) {
+		end_log_told(&g->end_log, r->ends->len);
+		g->recall = r->recall;
+	}
+	g_array_unref(r->ends);
+	g_array_unref(r->recalled);
+}
+
+void quarantine_tick(struct gate *g, int64_t now)
+{
+	suspects_tick(g->suspects, now);
+	end_log_forget(&g->end_log, now - END_TOLD_MS);
+}
--- a/test/fleet/standin.py
+++ b/test/fleet/standin.py
@@ -156,8 +156,10 @@
             w.transport.abort()
         await self.server.wait_closed()
 
-    async def crash_under(self, body):
+    async def crash_under(self, body, starts):
         async with self.turn:
+            if self.starts != starts:
+                return  # another one has ended it already
             with self.world.journal.span(self.name, "crash"):
                 self.world.ended_by.setdefault(body, []).append(
                     time.monotonic())
@@ -172,7 +174,7 @@
         self.world.poison.setdefault(body, []).append((time.monotonic(), rid))
         await asyncio.sleep(STEP)
         if not self.turn.locked():
-            asyncio.ensure_future(self.crash_under(body))
+            asyncio.ensure_future(self.crash_under(body, self.starts))
             await asyncio.sleep(BACK_S / 2)
         raise ConnectionError
 
--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -13,6 +13,7 @@
 	}
 	if (l->e->newest == l->bev)
 		l->e->newest = NULL;
+	g_ptr_array_remove_fast(l->e->lines, l);
 	bufferevent_free(l->bev);
 	l->e->closed++;
 	g_free(l);
@@ -78,26 +79,66 @@
 	e->opened++;
 	l->bev = bufferevent_socket_new(e->f->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	e->newest = l->bev;
+	g_ptr_array_add(e->lines, l);
 	bufferevent_setcb(l->bev, line_read, NULL, line_event, l);
 	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
 }
 
-static void endpoint_open(struct fix *f, int i)
+/* A bound socket that doesn't listen: others can't get its port, and
+ * connections to it are refused. */
+static int hold_port(void)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0), one = 1;
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	assert_int_equal(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	return fd;
+}
+
+void start_endpoint(struct fix *f, int i)
 {
 	struct endpoint *e = &f->eps[i];
 	struct sockaddr_in sin = { .sin_family = AF_INET };
 
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sin.sin_port = htons(addr_port(e->port_fd));
+	e->listener = evconnlistener_new_bind(
+		f->base, on_accept, e,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 8,
+		(struct sockaddr *)&sin, sizeof(sin));
+	assert_non_null(e->listener);
+	if (e->starts++)
+		g_snprintf(e->id, sizeof(e->id), "i-%d.%d", i, e->starts);
+}
+
+void end_endpoint(struct fix *f, int i)
+{
+	struct endpoint *e = &f->eps[i];
+
+	evconnlistener_free(e->listener);
+	e->listener = NULL;
+	while (e->lines->len) {
+		struct line *l = e->lines->pdata[0];
+
+		l->reset = true;
+		line_free(l);
+	}
+}
+
+static void endpoint_open(struct fix *f, int i)
+{
+	struct endpoint *e = &f->eps[i];
+
 	e->f = f;
 	e->seen = g_string_new(NULL);
+	e->lines = g_ptr_array_new();
+	e->port_fd = hold_port();
 	g_snprintf(e->id, sizeof(e->id), "i-%d", i);
-	e->listener = evconnlistener_new_bind(f->base, on_accept, e,
-					      LEV_OPT_CLOSE_ON_FREE, 8,
-					      (struct sockaddr *)&sin,
-					      sizeof(sin));
-	assert_non_null(e->listener);
+	start_endpoint(f, i);
 	g_snprintf(e->addr, sizeof(e->addr), "127.0.0.1:%u",
-		   addr_port(evconnlistener_get_fd(e->listener)));
+		   addr_port(e->port_fd));
 	e->replies[0] = (struct reply){ NULL, false, false };
 	e->n_replies = 1;
 }
@@ -135,7 +176,15 @@
 	((struct fix *)arg)->demands++;
 }
 
-static const struct gate_ops gate_table = { need_adapter, demand };
+static bool ask_trial(void *arg, const struct msg_trial *m)
+{
+	struct fix *f = arg;
+
+	f->trial = *m;
+	return f->leads;
+}
+
+static const struct gate_ops gate_table = { need_adapter, demand, ask_trial };
 
 static const char routing_json[] =
 	"{\"version\":1,\"routes\":["
@@ -179,6 +228,7 @@
 		e[i].running = i == f->at ? 0 : 6;
 		e[i].tokens_total = 1000;
 		e[i].started_ms = f->eps[i].started_ms;
+		e[i].leaving = f->eps[i].leaving;
 		e[i].held = (struct wire_list){
 			&held, *model && !f->eps[i].empty ? 1 : 0
 		};
@@ -249,7 +299,10 @@
 	for (int i = 0; i < 50; i++)
 		event_base_loop(f->base, EVLOOP_NONBLOCK);
 	for (int i = 0; i < ENDPOINTS; i++) {
-		evconnlistener_free(f->eps[i].listener);
+		if (f->eps[i].listener)
+			evconnlistener_free(f->eps[i].listener);
+		close(f->eps[i].port_fd);
+		g_ptr_array_unref(f->eps[i].lines);
 		g_string_free(f->eps[i].seen, TRUE);
 	}
 	metrics_free(f->metrics);
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -30,8 +30,12 @@
 
 struct endpoint {
 	struct fix *f;
-	struct evconnlistener *listener;
-	char addr[32], id[8];
+	struct evconnlistener *listener; /* NULL: it has ended */
+	int port_fd; /* keeps the port while nobody listens */
+	char addr[32], id[16];
+	int starts;
+	bool leaving; /* as told of it */
+	GPtrArray *lines;
 	int64_t started_ms;	 /* as told of it; 0: not told */
 	bool empty;		 /* holds no model, as told of it */
 	struct reply replies[4]; /* one a request, the last for the rest */
@@ -62,8 +66,10 @@
 	GPtrArray *callers;
 	int at; /* the endpoint that is emptier, and speaks */
 	int demands;
-	bool agents;	/* they can be reached */
-	uint64_t asked; /* the last adapter that was asked for */
+	bool agents;		/* they can be reached */
+	uint64_t asked;		/* the last adapter that was asked for */
+	bool leads;		/* a leader can be asked */
+	struct msg_trial trial; /* the last that was asked for */
 };
 
 /* service: what the endpoints belong to; NULL: the gate knows no fleet. */
@@ -76,6 +82,11 @@
 
 /* Tell the gate of both endpoints; model: what they hold. */
 void tell_fleet(struct fix *f, const char *service, const char *model);
+/* The endpoint's process ends: its connections are reset, nobody listens. */
+void end_endpoint(struct fix *f, int i);
+/* Another incarnation starts there; the gate isn't told. */
+void start_endpoint(struct fix *f, int i);
+
 /* The endpoint's next answer. */
 void script(struct fix *f, int i, const char *text, bool close, bool reset);
 
