--- a/src/daemon/fleet_suspects.c
+++ b/src/daemon/fleet_suspects.c
@@ -24,36 +24,63 @@
 	l->n_quarantined = metrics_value(m, "ss_fleet_quarantined", "");
 }
 
+static bool is_quarantined(const struct fleet_lead *l,
+			   const struct fingerprint *print, int64_t now)
+{
+	return suspects_term(l->suspects, print, now) >= 0;
+}
+
+/* Log it where it wasn't quarantined before. */
+static void note_quarantined(const struct fleet_lead *l,
+			     const struct fingerprint *print, bool before,
+			     const char *how, int64_t now)
+{
+	char text[FINGERPRINT_TEXT];
+
+	if (!before && is_quarantined(l, print, now))
+		log_warn("quarantined", "print=%s by=\"%s\" term_ms=%" PRId64,
+			 fingerprint_text(print, text), how,
+			 suspects_term(l->suspects, print, now));
+}
+
 static void take_end(struct fleet_lead *l, const struct end_item *x,
 		     int64_t now)
 {
 	struct fingerprint print = { x->print_hi, x->print_lo };
-	bool known = suspects_term(l->suspects, &print, now) >= 0;
+	bool before = is_quarantined(l, &print, now);
 	char text[FINGERPRINT_TEXT];
 	unsigned int n;
 
 	n = suspects_end(l->suspects, &print, x->life, now);
-	if (n < 2)
-		return;
-	log_info("suspect",
-		 "print=%s ends=%u quarantined=%d term_ms=%" PRId64
-		 " told_late_ms=%" PRId64,
-		 fingerprint_text(&print, text), n, n >= SUSPECT_ENDS,
-		 suspects_term(l->suspects, &print, now), x->age_ms);
-	if (!known && n >= SUSPECT_ENDS)
-		log_warn("quarantined", "print=%s ends=%u", text, n);
+	/* One end says little: all that ran there are told of. */
+	if (n > 1)
+		log_info("suspect", "print=%s ends=%u told_late_ms=%" PRId64,
+			 fingerprint_text(&print, text), n, x->age_ms);
+	note_quarantined(l, &print, before, "ends", now);
+}
+
+static void take_recalled(struct fleet_lead *l, const struct suspect_item *x,
+			  int64_t now)
+{
+	struct suspect_word w = {
+		{ x->print_hi, x->print_lo }, x->cleared, x->left_ms, x->trials
+	};
+	bool before = is_quarantined(l, &w.print, now);
+
+	suspects_recalled(l->suspects, &w, now);
+	note_quarantined(l, &w.print, before, "an entry's word", now);
 }
 
 static void take_answered(struct fleet_lead *l, const struct end_item *x,
 			  int64_t now)
 {
 	struct fingerprint print = { x->print_hi, x->print_lo };
-	bool known = suspects_term(l->suspects, &print, now) >= 0;
+	bool before = is_quarantined(l, &print, now);
 	char text[FINGERPRINT_TEXT];
 
 	if (suspects_answered(l->suspects, &print, now))
 		log_info("suspect_cleared", "print=%s quarantined=%d",
-			 fingerprint_text(&print, text), known);
+			 fingerprint_text(&print, text), before);
 }
 
 void fleet_suspects_take(struct fleet_lead *l, const struct msg_ends *m)
@@ -62,14 +89,8 @@
 	const struct suspect_item *r = m->recalled.items;
 	int64_t now = fleet_lead_now(l);
 
-	for (size_t i = 0; i < m->recalled.n; i++) {
-		struct suspect_word w = { { r[i].print_hi, r[i].print_lo },
-					  r[i].cleared,
-					  r[i].left_ms,
-					  r[i].trials };
-
-		suspects_recalled(l->suspects, &w, now);
-	}
+	for (size_t i = 0; i < m->recalled.n; i++)
+		take_recalled(l, &r[i], now);
 	for (size_t i = 0; i < m->ends.n; i++) {
 		struct fingerprint print = { x[i].print_hi, x[i].print_lo };
 
--- /dev/null
+++ b/test/fleet/look.py
@@ -0,0 +1,36 @@
+"""What a fleet's logs and operators' calls tell of it."""
+import asyncio
+import os
+
+from soak_fleet import CONTROLS
+from soak_http import http
+
+
+def log_has(fleet, name, text):
+    with open(os.path.join(fleet.folder, name + ".log")) as f:
+        return text in f.read()
+
+
+def log_count(fleet, name, text):
+    with open(os.path.join(fleet.folder, name + ".log")) as f:
+        return f.read().count(text)
+
+
+async def leader_of(fleet):
+    """The number of the control VM that answers a read itself."""
+    for i in range(CONTROLS):
+        addr = "%s:%d" % (fleet.control_ip(i), fleet.operator_port)
+        try:
+            status, _, _ = await asyncio.wait_for(
+                http(addr, "GET", "/sapphireshift/Config.Get"), 2.0)
+        except (OSError, EOFError, asyncio.TimeoutError):
+            continue
+        if status == 200:
+            return i
+    return None
+
+
+def logged(fleet, text):
+    """How often, on all control VMs."""
+    return sum(log_count(fleet, "control-%d" % i, text)
+               for i in range(CONTROLS))
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -12,6 +12,7 @@
 import sys
 
 import poison
+from look import leader_of, log_count, log_has, logged
 from soak import FILL_S, RECOVERY_S, first_change, until
 from soak_callers import Callers
 from soak_fleet import CONTROLS, ROOT, Fleet
@@ -20,30 +21,6 @@
 from standin import LATE
 
 
-def log_has(fleet, name, text):
-    with open(os.path.join(fleet.folder, name + ".log")) as f:
-        return text in f.read()
-
-
-def log_count(fleet, name, text):
-    with open(os.path.join(fleet.folder, name + ".log")) as f:
-        return f.read().count(text)
-
-
-async def leader_of(fleet):
-    """The number of the control VM that answers a read itself."""
-    for i in range(CONTROLS):
-        addr = "%s:%d" % (fleet.control_ip(i), fleet.operator_port)
-        try:
-            status, _, _ = await asyncio.wait_for(
-                http(addr, "GET", "/sapphireshift/Config.Get"), 2.0)
-        except (OSError, EOFError, asyncio.TimeoutError):
-            continue
-        if status == 200:
-            return i
-    return None
-
-
 async def wipe(fleet, i):
     """Control VM i loses its disk, starts again and joins anew."""
     name = "control-%d" % i
@@ -593,12 +570,6 @@
     e.stream = stream
 
 
-def logged(fleet, text):
-    """How often, on all control VMs."""
-    return sum(log_count(fleet, "control-%d" % i, text)
-               for i in range(CONTROLS))
-
-
 CUT_PAGE_TRIES = 3
 
 
--- a/test/fleet/soak.py
+++ b/test/fleet/soak.py
@@ -144,9 +144,10 @@
 
 def report(seed, p):
     print("%s seed %d: %d processes, %d requests, %d faults, "
-          "%d changes, late by %.2f s at most" % (
+          "%d changes, %d ends by poison, late by %.2f s at most" % (
               "FAILED" if p.bad else "ok", seed, len(p.fleet.procs),
               p.callers.n, len(p.faults.log), p.operators.acked,
+              sum(map(len, p.fleet.world.ended_by.values())),
               p.fleet.world.lag))
     for line in p.bad[:10]:
         print("    " + line)
--- a/test/fleet/soak_checks.py
+++ b/test/fleet/soak_checks.py
@@ -7,6 +7,7 @@
 from soak_callers import STREAMS
 from soak_faults import LEAVING_S
 from soak_fleet import GRACE_MS, RETRY_RATIO, RETRY_SLACK
+from soak_poison import CONTACT_S, ENDS, LATER
 
 # A fault still shows so long after its end: what it broke has to be found.
 AFTER_S = 2.5
@@ -198,6 +199,23 @@
                       "are allowed" % (n, LOADS_WINDOW_S,
                                        self.journal.at(start), allowed))
 
+    def poisoned(self):
+        """What has ended three endpoints reaches few more, once entries that
+        aren't harmed have had the time to hear of it.
+        """
+        controls = [p.name for p in self.f.of_role("control")]
+        for body, ends in self.world.ended_by.items():
+            if len(ends) < ENDS:
+                continue
+            late = [(t, rid) for t, rid in self.world.poison[body]
+                    if t > ends[ENDS - 1] + CONTACT_S]
+            calm = [rid for t, rid in late if not any(
+                self.journal.touched(name, t - CONTACT_S - AFTER_S, t)
+                for name in [self.world.sent_to[rid], *controls])]
+            if len(calm) > LATER:
+                self.fail("%r ended %d endpoints and was sent on %d times "
+                          "more" % (body, len(ends), len(calm)))
+
     def all(self):
         self.callers.check()
         self.unreachable()
@@ -210,3 +228,4 @@
         self.cuts()
         self.lost()
         self.late()
+        self.poisoned()
--- a/test/fleet/soak_faults.py
+++ b/test/fleet/soak_faults.py
@@ -10,6 +10,7 @@
 import time
 
 from soak_fleet import CONTROLS, ZONES
+from soak_poison import Sender
 from standin import TO_CLIENT, TO_SERVER
 
 LEAVING_S = 3.0      # a leaving endpoint is left within it
@@ -297,8 +298,30 @@
                 await asyncio.sleep(rng.uniform(0, 1))
                 await self.all_killed(rng)
 
+    async def poison(self, seconds):
+        """Requests that end what runs them, at all entries, beside all else.
+        Drawn apart too; seeds of before them are played without.
+        """
+        rng = random.Random("poison %d" % self.seed)
+        if not self.f.n_relays:
+            return
+        senders = []
+        for i in range(rng.randrange(0, 3)):
+            path, model = rng.choice([("/chat/", "m0"), ("/night/", "m1"),
+                                      ("/safe/", ""), ("/once/", "")])
+            headers = {"X_Model": model} if model else {"X_Work_Ms": 20}
+            senders.append(Sender(self.f, "p%d" % i, path,
+                                  rng.uniform(0.1, 1.0), **headers))
+            self.log.append("poison at %s" % path)
+        loops = [asyncio.ensure_future(s.loop()) for s in senders]
+        await asyncio.sleep(seconds)
+        for s in senders:
+            s.on = False
+        await asyncio.gather(*loops)
+
     async def run(self, seconds):
-        tasks = [asyncio.ensure_future(self.exchange_seeds(seconds))]
+        tasks = [asyncio.ensure_future(self.exchange_seeds(seconds)),
+                 asyncio.ensure_future(self.poison(seconds))]
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             kind = self.rng.choice(self.kinds)
--- /dev/null
+++ b/test/fleet/soak_poison.py
@@ -0,0 +1,56 @@
+"""Requests that end each endpoint that runs them, sent again and again."""
+import asyncio
+import time
+
+from soak_http import Ended, http
+
+# Endpoints that a request may end before it has to be stopped everywhere.
+ENDS = 3
+CONTACT_S = 3.0      # after the last of them it is known everywhere
+LATER = 3            # how often it may reach an endpoint after that
+EVERY_S = 0.25
+
+
+class Sender:
+    """Sends one request again and again, to each entry in turn, under new
+    ids; body and path stay.
+    """
+
+    def __init__(self, fleet, name, path="/chat/", every_s=EVERY_S, **headers):
+        self.f = fleet
+        self.every_s = every_s
+        self.path = path + name
+        self.body = b"poison " + name.encode()
+        self.headers = headers
+        self.n = 0
+        self.answers = []    # (time, entry, status, headers)
+        self.on = True
+
+    async def one(self, entry):
+        self.n += 1
+        rid = "%s-%d" % (self.path.strip("/").replace("/", "-"), self.n)
+        self.f.world.sent_to[rid] = entry
+        headers = dict(self.headers, X_Request_Id=rid, X_Deadline_Ms=4000)
+        headers = {k.replace("_", "-"): v for k, v in headers.items()}
+        try:
+            status, fields, _ = await asyncio.wait_for(http(
+                self.f.entries[entry], "POST", self.path, self.body, headers),
+                5.0)
+        except (OSError, EOFError, Ended, asyncio.TimeoutError):
+            status, fields = 0, {}
+        self.answers.append((time.monotonic(), entry, status, fields))
+
+    async def loop(self):
+        tasks = []
+        while self.on:
+            entry = sorted(self.f.entries)[self.n % len(self.f.entries)]
+            tasks.append(asyncio.ensure_future(self.one(entry)))
+            await asyncio.sleep(self.every_s)
+        await asyncio.gather(*tasks)
+
+    def ends(self):
+        return self.f.world.ended_by.get(self.body, [])
+
+    def ran_after(self, t):
+        return [rid for at, rid in self.f.world.poison.get(self.body, [])
+                if at > t]
