Add up over all entries which endpoints fail, and tell them

Each entry kept its own share of failures for each endpoint; at 105 entries and 180 engines a pair meets every 30 s, so nobody learns that an endpoint fails a part of its calls while its health check is good.

Change: entries tell the leader of endpoints that failed calls (with the calls answered before, up to 20, and later answers while it is told of), by what the endpoint answered itself: a connection that isn't made may be the entry's own trouble. An entry takes the larger of its own share and the told one; all else stays.

What is left are models whose only replica stands on such an engine, and requests that fail anywhere.

--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -271,6 +271,7 @@
 	F(14, WIRE_INT, fleet_endpoint, age_ms),
 	F(15, WIRE_BOOL, fleet_endpoint, busy),
 	F(16, WIRE_INT, fleet_endpoint, started_ms),
+	F(17, WIRE_INT, fleet_endpoint, failing),
 };
 static const struct wire_type fleet_endpoint_type =
 	T(fleet_endpoint, fleet_endpoint_fields);
@@ -287,6 +288,7 @@
 	F(4, WIRE_INT, fleet_load, tokens_used),
 	F(5, WIRE_INT, fleet_load, tokens_total),
 	F(6, WIRE_INT, fleet_load, age_ms),
+	F(7, WIRE_INT, fleet_load, failing),
 };
 static const struct wire_type fleet_load_type =
 	T(fleet_load, fleet_load_fields);
@@ -315,11 +317,20 @@
 };
 static const struct wire_type endpoint_calls_type =
 	T(endpoint_calls, endpoint_calls_fields);
+static const struct wire_field endpoint_ends_fields[] = {
+	F(1, WIRE_STR, endpoint_ends, addr),
+	F(2, WIRE_INT, endpoint_ends, started_ms),
+	F(3, WIRE_UINT, endpoint_ends, failed),
+	F(4, WIRE_UINT, endpoint_ends, answered),
+};
+static const struct wire_type endpoint_ends_type =
+	T(endpoint_ends, endpoint_ends_fields);
 static const struct wire_field demand_fields[] = {
 	F(1, WIRE_UINT, msg_demand, round),
 	F(2, WIRE_UINT, msg_demand, routing),
 	L(3, msg_demand, models, model_demand_type),
 	L(4, msg_demand, calls, endpoint_calls_type),
+	L(5, msg_demand, ends, endpoint_ends_type),
 };
 static const struct wire_field routing_fields[] = {
 	F(1, WIRE_UINT, msg_routing, version),
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -313,6 +313,7 @@
 	int64_t age_ms;	       /* of its load */
 	bool busy;	    /* it loads or unloads: no adapter can be loaded */
 	int64_t started_ms; /* as in struct fleet_incarnation */
+	int64_t failing;    /* by what all entries see, as in failing.h */
 };
 
 struct fleet_eta {
@@ -326,6 +327,7 @@
 	int64_t running, waiting;
 	int64_t tokens_used, tokens_total;
 	int64_t age_ms;
+	int64_t failing; /* as in struct fleet_endpoint */
 };
 
 struct msg_fleet {
@@ -351,11 +353,20 @@
 	int64_t started_ms;	 /* of the incarnation that runs them */
 };
 
+/* How calls ended at an endpoint since the last message: told of those that
+ * fail some. */
+struct endpoint_ends {
+	struct ss_str addr;
+	int64_t started_ms; /* as in struct endpoint_calls */
+	uint64_t failed, answered;
+};
+
 struct msg_demand {
 	uint64_t round;		 /* of the newest fleet message in force here */
 	uint64_t routing;	 /* version in force here */
 	struct wire_list models; /* struct model_demand, what changed */
 	struct wire_list calls;	 /* struct endpoint_calls, all */
+	struct wire_list ends;	 /* struct endpoint_ends */
 };
 
 /* Versions of the routing that the sender holds (0: none) and wants. Where it
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -2,6 +2,7 @@
 #include "fleet_lead_int.h"
 
 #include <json-c/json.h>
+#include <math.h>
 
 #include "../../platform/platform.h"
 
@@ -20,6 +21,8 @@
 /* A new leader begins with a list that isn't whole after so long: three
  * readings, and it waits no longer for its agents either. */
 #define LIST_PARTS_MS 3000
+/* A share of failures that differs by more is told: as one call more there. */
+#define FAILING_NEWS 0.05
 /* What an entry said of its queue holds for so long. */
 #define WANT_MS 3000
 
@@ -228,6 +231,8 @@
 		 ep->self.id, started_ms, ep->self.started_ms);
 	fleet_step_restarted(l, ep);
 	g_array_set_size(ep->calls, 0);
+	memset(&ep->failing, 0, sizeof(ep->failing));
+	memset(&ep->failing_told, 0, sizeof(ep->failing_told));
 	g_hash_table_remove_all(ep->refused);
 	fleet_report_clear(&ep->report);
 	ep->reported = ep->leaving_listed = false;
@@ -377,6 +382,29 @@
 	}
 }
 
+/*
+ * One entry of a hundred calls an endpoint so seldom that it learns nothing of
+ * it by itself; so what each has seen is added up, and told to all.
+ */
+static void take_ends(struct fleet_lead *l, const struct wire_list *list)
+{
+	const struct endpoint_ends *e = list->items;
+	int64_t now = fleet_lead_now(l);
+
+	for (size_t i = 0; i < list->n; i++) {
+		char *addr = ss_str_dup(e[i].addr);
+		struct fleet_ep *ep = g_hash_table_lookup(l->eps, addr);
+
+		g_free(addr);
+		if (!ep || is_former(ep, e[i].started_ms))
+			continue;
+		failing_note(&ep->failing, e[i].failed, e[i].answered, now);
+		if (fabs(failing_share(&ep->failing, now) -
+			 failing_share(&ep->failing_told, now)) > FAILING_NEWS)
+			ep->load_changed = true;
+	}
+}
+
 static void take_demand(struct fleet_lead *l, struct conn *c,
 			const struct msg_demand *m)
 {
@@ -392,6 +420,7 @@
 	for (size_t i = 0; i < m->models.n; i++)
 		take_wait(l, c, &d[i]);
 	take_calls(l, c, &m->calls);
+	take_ends(l, &m->ends);
 	l->dirty = true;
 }
 
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -10,6 +10,7 @@
 #include "../core/preset.h"
 #include "../core/send_window.h"
 #include "../core/end_log.h"
+#include "../core/failing.h"
 #include "../core/suspects.h"
 #include "../vmlist/instances.h"
 #include "fleet_lead.h"
@@ -56,7 +57,9 @@
 	bool reported;
 	int64_t report_ms;
 	struct fleet_report report;
-	GArray *calls; /* struct calls_at */
+	GArray *calls;		     /* struct calls_at */
+	struct failing failing;	     /* by what all entries see */
+	struct failing failing_told; /* as they were told last */
 	struct step_run step;
 	bool changed;	     /* what entries are told of it */
 	bool load_changed;   /* only its load */
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -49,20 +49,24 @@
 	GArray *etas;
 };
 
-/* Its load alone: a tenth of what there is to tell of an endpoint, and what
- * changes most. */
+/* Its load and failures alone: a tenth of what there is to tell of an
+ * endpoint, and what changes most. Plain services report no load. */
 static void push_load(struct fleet_lead *l, struct push *p,
 		      const struct fleet_ep *ep)
 {
+	int64_t now = fleet_lead_now(l);
 	struct fleet_load x = { .addr = ss_str(ep->addr),
-				.running = ep->report.running,
-				.waiting = ep->report.waiting,
-				.tokens_used = ep->report.tokens_used,
-				.tokens_total = ep->report.tokens_total,
-				.age_ms = fleet_lead_now(l) - ep->report_ms };
-
-	if (fleet_ep_reported(l, ep))
-		g_array_append_val(p->loads, x);
+				.failing =
+					failing_of_whole(&ep->failing, now) };
+
+	if (fleet_ep_reported(l, ep)) {
+		x.running = ep->report.running;
+		x.waiting = ep->report.waiting;
+		x.tokens_used = ep->report.tokens_used;
+		x.tokens_total = ep->report.tokens_total;
+		x.age_ms = now - ep->report_ms;
+	}
+	g_array_append_val(p->loads, x);
 }
 
 static void push_add(struct fleet_lead *l, struct push *p,
@@ -80,6 +84,7 @@
 		.leaving = !fleet_ep_usable(l, ep),
 		.gone = !ep->listed,
 		.busy = ep->report.busy || (ep->step.on && ep->step.sent),
+		.failing = failing_of_whole(&ep->failing, fleet_lead_now(l)),
 	};
 
 	if (fleet_ep_reported(l, ep)) {
@@ -262,6 +267,7 @@
 		else
 			continue;
 		ep->changed = ep->load_changed = false;
+		ep->failing_told = ep->failing;
 	}
 	add_etas(l, &p, false);
 	g_hash_table_iter_init(&it, l->wants);
--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -13,8 +13,15 @@
 {
 	struct gate_ep *ep = gate_ep_of(f);
 
-	if (ep)
-		gate_ep_note(f->g, ep, failed);
+	if (!ep)
+		return;
+	gate_ep_note(f->g, ep, failed);
+	/* The endpoint has answered so itself. What never reached it, or found
+	 * no answer, may be this VM's own trouble and is told to nobody. */
+	if (failed)
+		ep->failed++;
+	else
+		ep->answered++;
 }
 
 /* What came can't be the answer to this request. */
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -11,6 +11,9 @@
 #define TIDY_MS 200
 #define HEAD_MAX (16u << 10) /* of an endpoint's answer, bytes */
 
+/* Calls that were answered before one failed: told with it, so that a chance
+ * failure doesn't look like many; no more, else old ones hide new failures. */
+#define ANSWERED_KEPT 20u
 /* Suspected requests that are remembered: all that a fleet of 200 endpoints
  * runs at a time, in half a megabyte. */
 #define SUSPECTS_MOST 4096
@@ -316,6 +319,24 @@
 		g_array_append_val(r->calls, e);
 }
 
+/* Of an endpoint that nobody has seen failing there is nothing to tell. */
+static void report_ends(const struct gate *g, struct gate_report *r,
+			struct gate_ep *ep)
+{
+	struct endpoint_ends e = { .addr = ss_str(ep->addr),
+				   .started_ms = ep->self.started_ms,
+				   .failed = ep->failed,
+				   .answered = ep->answered };
+
+	if (!e.failed &&
+	    !(e.answered && failing_of_whole(&ep->told, gate_now(g)))) {
+		ep->answered = MIN(ep->answered, ANSWERED_KEPT);
+		return;
+	}
+	g_array_append_val(r->ends, e);
+	ep->failed = ep->answered = 0;
+}
+
 void gate_report(struct gate *g, struct gate_report *r)
 {
 	GHashTableIter it;
@@ -324,24 +345,29 @@
 	memset(r, 0, sizeof(*r));
 	r->models = g_array_new(FALSE, TRUE, sizeof(struct model_demand));
 	r->calls = g_array_new(FALSE, TRUE, sizeof(struct endpoint_calls));
+	r->ends = g_array_new(FALSE, TRUE, sizeof(struct endpoint_ends));
 	r->lists =
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
 	g_hash_table_iter_init(&it, g->lanes);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		report_lane(g, r, p);
 	g_hash_table_iter_init(&it, g->eps);
-	while (g_hash_table_iter_next(&it, NULL, &p))
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		report_calls(r, p);
+		report_ends(g, r, p);
+	}
 	r->m.round = g->round;
 	r->m.routing = gate_routing_version(g);
 	r->m.models = (struct wire_list){ r->models->data, r->models->len };
 	r->m.calls = (struct wire_list){ r->calls->data, r->calls->len };
+	r->m.ends = (struct wire_list){ r->ends->data, r->ends->len };
 }
 
 void gate_report_done(struct gate_report *r)
 {
 	g_array_unref(r->models);
 	g_array_unref(r->calls);
+	g_array_unref(r->ends);
 	g_ptr_array_unref(r->lists);
 }
 
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -76,7 +76,7 @@
  */
 struct gate_report {
 	struct msg_demand m;
-	GArray *models, *calls;
+	GArray *models, *calls, *ends;
 	GPtrArray *lists;
 };
 void gate_report(struct gate *g, struct gate_report *r);
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -14,6 +14,8 @@
 /* An incarnation that is over sends nothing more; its last bytes are given so
  * long to arrive, ten round trips of a slow link, before its calls go on. */
 #define LAST_BYTES_MS 500
+/* From this share on it is logged, in thousandths: less isn't told either. */
+#define FAILING_LOGGED 50
 /* A load that was told longer ago says nothing any more. */
 #define LOAD_OLD_MS 2000
 
@@ -104,6 +106,8 @@
 	ep->failing = 0;
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
 	memset(&ep->pace, 0, sizeof(ep->pace));
+	memset(&ep->told, 0, sizeof(ep->told));
+	ep->answered = ep->failed = 0;
 	ep->own = ep->reported = ep->since = ep->reported_ms = 0;
 	ep->busy = false;
 	g_hash_table_remove_all(ep->calls);
@@ -161,6 +165,19 @@
 	ep->since = 0;
 }
 
+/* What all entries together see of its failures; 0 says nothing. */
+static void take_failing(struct gate *g, struct gate_ep *ep, int64_t of_whole)
+{
+	int64_t now = gate_now(g);
+	int64_t before = failing_of_whole(&ep->told, now);
+
+	failing_told(&ep->told, of_whole, now);
+	if (before < FAILING_LOGGED && of_whole >= FAILING_LOGGED)
+		log_info("endpoint_fails",
+			 "addr=%s id=%s failing=%" PRId64 " own=%.2f", ep->addr,
+			 ep->self.id, of_whole, ep->failing);
+}
+
 static void take_endpoint(struct gate *g, const struct fleet_endpoint *e)
 {
 	struct gate_ep *ep = ep_for(g, e->addr);
@@ -181,6 +198,7 @@
 	ep->leaving = e->leaving;
 	ep->unread_ms = 0;
 	ep->busy = e->busy;
+	take_failing(g, ep, e->failing);
 	if (e->tokens_total)
 		take_load(g, ep, e->running + e->waiting, e->age_ms);
 	take_held(ep, &e->held);
@@ -195,7 +213,10 @@
 		struct gate_ep *ep = gate_ep_at(g, addr);
 
 		g_free(addr);
-		if (ep && x[i].tokens_total)
+		if (!ep)
+			continue;
+		take_failing(g, ep, x[i].failing);
+		if (x[i].tokens_total)
 			take_load(g, ep, x[i].running + x[i].waiting,
 				  x[i].age_ms);
 	}
@@ -480,7 +501,7 @@
 	n->since = fresh ? ep->since : 0;
 	n->own = ep->own;
 	n->unseen = fresh ? unseen_calls(g, f, ep, now) : 0;
-	n->failing = ep->failing;
+	n->failing = MAX(ep->failing, failing_share(&ep->told, now));
 	n->affinity = affinity_of(f, ep);
 }
 
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -6,6 +6,7 @@
 
 #include "../core/balance.h"
 #include "../core/end_log.h"
+#include "../core/failing.h"
 #include "../core/fleet.h"
 #include "../core/pace.h"
 #include "../core/suspects.h"
@@ -34,7 +35,9 @@
 	int64_t own;
 	int64_t reported, since; /* as struct balance_node */
 	int64_t reported_ms;
-	double failing;
+	double failing;		   /* by what this gate has seen */
+	struct failing told;	   /* by what all have seen */
+	uint64_t answered, failed; /* since the last report */
 	struct ss_breaker breaker;
 	struct pace pace; /* of its streams, all models */
 	struct pace_open open;
--- /dev/null
+++ b/test/fleet/shared.py
@@ -0,0 +1,70 @@
+"""Scenarios of what one process sees and all must act on."""
+from look import log_has
+from soak import RECOVERY_S, first_change, until
+from soak_http import http
+from standin import plain
+
+CALLS = 12
+
+
+def fail_all(web):
+    """It answers each call with a failure, and its health check as before."""
+    inner, web.calls = web.answer, 0
+
+    async def answer(line, headers, body, reader, writer):
+        if line[1] == "/healthz":
+            await inner(line, headers, body, reader, writer)
+            return
+        web.calls += 1
+        writer.write(plain(500, X_Request_Id=headers["x-request-id"],
+                           X_Signature="sig"))
+
+    web.answer = answer
+
+
+async def call_once(fleet, entry, n):
+    rid = "%s-%d" % (entry, n)
+    fleet.world.sent_to[rid] = entry
+    status, _, _ = await http(fleet.entries[entry], "POST", "/once/x",
+                              rid.encode(), {"X-Request-Id": rid,
+                                             "X-Deadline-Ms": 3000})
+    return status
+
+
+async def failures_are_shared(fleet):
+    """Symptom: a server fails a part of its calls, and they go on going there
+    from a hundred entries. Sequence: callers of one entry meet a failure; then
+    callers come to another one. Cause: each entry learns by itself, and calls
+    each server too seldom to learn.
+    """
+    await first_change(fleet.operators)
+    seer, other = sorted(fleet.entries)[:2]
+
+    async def served():
+        seen = [await call_once(fleet, other, i) for i in range(4)]
+        return all(s == 200 for s in seen)
+
+    await until(served, RECOVERY_S, "plain calls aren't served")
+    # The one that calls go to where both are idle.
+    last = fleet.world.runs["%s-3" % other][-1].server
+    bad = next(w for w in fleet.webs if w.name == last)
+    fail_all(bad)
+
+    async def one_has_seen():
+        await call_once(fleet, seer, 10 + bad.calls)
+        return bad.calls > 0
+
+    await until(one_has_seen, RECOVERY_S, "its failure isn't seen")
+
+    async def told():
+        return log_has(fleet, other, "event=endpoint_fails addr=%s " %
+                       bad.listed)
+
+    await until(told, RECOVERY_S, "the other entry isn't told")
+    before = bad.calls
+    seen = [await call_once(fleet, other, 100 + i) for i in range(CALLS)]
+    assert bad.calls == before, "%d of %d calls went there: %s" % (
+        bad.calls - before, CALLS, seen)
+
+
+SCENARIOS = [failures_are_shared]
