--- a/src/core/failing.c
+++ b/src/core/failing.c
@@ -3,9 +3,8 @@
 
 #include <math.h>
 
-/* Weight of one call against those before it: of ten that are told by all
- * entries one may fail by chance, as some do everywhere. */
-#define CALL_WEIGHT 0.1
+/* Weight of one call against those before it: as an entry's own. */
+#define CALL_WEIGHT 0.15
 /* A share of nearly a half has faded to a tenth in twenty seconds, and then an
  * endpoint gets some of its calls again. */
 #define HALF_LIFE_MS 10000.0
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -14,8 +14,8 @@
 /* An incarnation that is over sends nothing more; its last bytes are given so
  * long to arrive, ten round trips of a slow link, before its calls go on. */
 #define LAST_BYTES_MS 500
-/* From this share on it is logged, in thousandths: less isn't told either. */
-#define FAILING_LOGGED 50
+/* A share of failures that has grown by so much is logged, in thousandths. */
+#define FAILING_LOGGED 100
 /* A load that was told longer ago says nothing any more. */
 #define LOAD_OLD_MS 2000
 
@@ -172,7 +172,7 @@
 	int64_t before = failing_of_whole(&ep->told, now);
 
 	failing_told(&ep->told, of_whole, now);
-	if (before < FAILING_LOGGED && of_whole >= FAILING_LOGGED)
+	if (of_whole >= before + FAILING_LOGGED)
 		log_info("endpoint_fails",
 			 "addr=%s id=%s failing=%" PRId64 " own=%.2f", ep->addr,
 			 ep->self.id, of_whole, ep->failing);
--- a/test/fleet/look.py
+++ b/test/fleet/look.py
@@ -11,6 +11,11 @@
         return text in f.read()
 
 
+def log_search(fleet, name, pattern):
+    with open(os.path.join(fleet.folder, name + ".log")) as f:
+        return pattern.search(f.read()) is not None
+
+
 def log_count(fleet, name, text):
     with open(os.path.join(fleet.folder, name + ".log")) as f:
         return f.read().count(text)
