Foretell plain answers only after twenty of a route

Cause: the entry, some seconds old, had seen a few quick calls of that route and took the next for quick; one in five takes 1.2 s there. Ruled out: the largest of those seen and mean with four deviations, which are both small while all that were seen are quick. Change: fewer than twenty calls of a route say nothing, and in a planned stop what can't be foretold isn't begun; the caller is told at once and goes elsewhere. Test first: it failed with 21 ms.

--- a/src/core/pace.c
+++ b/src/core/pace.c
@@ -19,6 +19,9 @@
  * too: a service's mean is that of its most called models, and large ones need
  * twice as long. */
 #define KNOWN_SAMPLES 8
+/* Plain calls of a route by which the next can be foretold: of a kind that makes
+ * up a tenth of them, two have been seen by then. */
+#define PLAIN_SAMPLES 20
 /* A model that has shown nothing yet may be so many times slower than the
  * slowest one seen. An endpoint that has shown nothing isn't judged by the
  * others at all: a stream was cut on one that was ten times slower. */
@@ -172,7 +175,7 @@
 
 int64_t pace_plain_ms(const struct pace *route, const struct pace_open *open)
 {
-	if (!route->first.n)
+	if (route->first.n < PLAIN_SAMPLES)
 		return SS_NEVER;
 	/* The largest alone leaves no room while few have come: an answer of
 	 * 1,310 ms was begun with 1,305 left, as 1,222 was the largest. */
--- a/test/test_pace.c
+++ b/test/test_pace.c
@@ -298,6 +298,18 @@
 		pace_note_first(&p, i % 20 ? 20 : 70);
 	assert_int_equal(pace_plain_ms(&p, &none), 70);
 	assert_int_equal(pace_plain_ms(&p, &open), 90);
+	/*
+	 * Symptom: a planned stop cuts a call that it has begun. Sequence: a
+	 * process some seconds old has seen six quick calls of a route of which
+	 * one in five is slow, and takes the next for quick. Cause: what few
+	 * calls show passes for all that there is.
+	 */
+	p = (struct pace){ 0 };
+	for (int i = 0; i < 19; i++)
+		pace_note_first(&p, 20);
+	assert_int_equal(pace_plain_ms(&p, &none), SS_NEVER);
+	pace_note_first(&p, 20);
+	assert_true(pace_plain_ms(&p, &none) < 100);
 	/* Few and far apart: the next may be longer than all of them. */
 	p = (struct pace){ 0 };
 	pace_note_first(&p, 1200);
