Tell the true rest of a quarantine's term

Cause, found by reading: less than 2 s were told as 2 s. Conclusion: Retry-After is the time until the request may be tried; 2 s only where that can't be said.

--- a/src/core/pace.c
+++ b/src/core/pace.c
@@ -19,8 +19,8 @@
  * too: a service's mean is that of its most called models, and large ones need
  * twice as long. */
 #define KNOWN_SAMPLES 8
-/* Plain calls of a route by which the next can be foretold: of a kind that makes
- * up a tenth of them, two have been seen by then. */
+/* Plain calls of a route by which the next can be foretold: of a kind that
+ * makes up a tenth of them, two have been seen by then. */
 #define PLAIN_SAMPLES 20
 /* A model that has shown nothing yet may be so many times slower than the
  * slowest one seen. An endpoint that has shown nothing isn't judged by the
--- a/src/proxy/quarantine.c
+++ b/src/proxy/quarantine.c
@@ -6,9 +6,9 @@
 
 #include "../base/log.h"
 
-/* Told to the caller where nobody leads who could allow a trial, in ms: a
- * leader is mostly found by then. */
-#define NO_LEADER_BACK_MS 2000
+/* Told to the caller where it can't be said when a trial will be allowed, in
+ * ms: a leader is mostly found by then, or the trial under way is over. */
+#define AGAIN_BACK_MS 2000
 /* The leader's answer is waited for so long, in ms. */
 #define ASK_MS 500
 /* Ends and recalled suspects in one message: some 3 KB. */
@@ -105,7 +105,7 @@
 			       .print_lo = f->print.lo };
 
 	if (!g->o.ops->ask_trial(g->o.arg, &m)) {
-		refuse(f, NO_LEADER_BACK_MS);
+		refuse(f, AGAIN_BACK_MS);
 		return;
 	}
 	if (f->lane)
@@ -128,8 +128,10 @@
 	/* A trial goes to one endpoint only. */
 	if (left < 0 || (f->trial && f->sends == 0))
 		return false;
-	if (left > 0 || f->trial)
-		refuse(f, MAX(left, NO_LEADER_BACK_MS));
+	if (left > 0)
+		refuse(f, left);
+	else if (f->trial)
+		refuse(f, AGAIN_BACK_MS);
 	else
 		ask(f);
 	return true;
@@ -138,7 +140,7 @@
 void quarantine_ask_tick(struct forward *f, int64_t now)
 {
 	if (now - f->sent_ms >= ASK_MS)
-		refuse(f, NO_LEADER_BACK_MS);
+		refuse(f, AGAIN_BACK_MS);
 }
 
 void gate_take_trial(struct gate *g, const struct msg_trial *m)
