Log where a process spends the time until it follows a new routing

Callers saw 404 for routes that had been confirmed seconds before; the logs told only when a process took a version. Now also: when it was told, how many control VMs it knows, how often it asked, when it was promised its turn, when the answer came and how long reading took; when a control VM holds a version; how long the leader read and decided.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -96,9 +96,11 @@
 	const struct routing_rec *rec =
 		k->group ? ss_state_routing(group_state(k->group)) : NULL;
 
-	if (rec)
-		mirror_set(k->mirror, rec->version, rec->body,
-			   ss_clock_now(&k->d->clock));
+	if (!rec || rec->version <= mirror_version(k->mirror))
+		return;
+	mirror_set(k->mirror, rec->version, rec->body,
+		   ss_clock_now(&k->d->clock));
+	log_info("routing_held", "version=%" PRIu64, rec->version);
 }
 
 static bool send_routing(void *arg, void *peer, const struct msg_routing *m)
@@ -373,6 +375,7 @@
 		.base = k->d->base,
 		.platform = &users_platform,
 		.addr = k->d->config.fleet.operator_listen,
+		.clock = &k->d->clock,
 		.ops = &routing_table,
 		.arg = k
 	};
--- a/src/daemon/routing_fetch.c
+++ b/src/daemon/routing_fetch.c
@@ -18,6 +18,9 @@
 	struct msg_fetch ask; /* until the connection is open */
 	bool pending;
 	int64_t used_ms;
+	/* For the log: when the version was told, and was asked for first. */
+	int64_t told_ms, asked_ms, turn_ms;
+	unsigned int asks, sources;
 };
 
 static int64_t now_ms(const struct routing_fetch *r)
@@ -52,6 +55,8 @@
 	if (f->kind != MSG_ROUTING)
 		return;
 	r->used_ms = now_ms(r);
+	if (!f->u.routing.packed.n)
+		r->turn_ms = r->used_ms;
 	fetch_answered(r->fetch, &f->u.routing, now_ms(r));
 }
 
@@ -73,7 +78,7 @@
 
 static void op_sources(void *arg, GPtrArray *out)
 {
-	const struct routing_fetch *r = arg;
+	struct routing_fetch *r = arg;
 	const char *leader = r->link ? link_leader(r->link) : NULL;
 	GArray *known = r->link ? link_known(r->link) : NULL;
 	bool there = false;
@@ -87,6 +92,7 @@
 	}
 	if (leader && !there)
 		g_ptr_array_add(out, g_strdup(leader));
+	r->sources = out->len;
 	if (known)
 		g_array_unref(known);
 }
@@ -105,6 +111,8 @@
 		daemon_conn_options(r->o.daemon, &conn_table, r);
 
 	r->used_ms = now_ms(r);
+	if (!r->asks++)
+		r->asked_ms = r->used_ms;
 	if (r->conn && conn_is_open(r->conn) && !g_strcmp0(r->addr, addr)) {
 		conn_send(r->conn, MSG_FETCH, m);
 		return;
@@ -131,6 +139,7 @@
 {
 	struct routing_fetch *r = arg;
 	GError *error = NULL;
+	int64_t came_ms = now_ms(r);
 	struct routing *routing = users_platform.read_routing(body, &error);
 
 	/* It was checked before it was accepted. */
@@ -141,9 +150,16 @@
 		g_error_free(error);
 		return;
 	}
-	log_info("routing", "version=%" PRIu64 " from=%s", version, r->addr);
 	r->o.take(r->o.arg, routing);
 	routing_unref(routing);
+	log_info("routing",
+		 "version=%" PRIu64
+		 " from=%s sources=%u asks=%u asked_ms=%" PRId64
+		 " turn_ms=%" PRId64 " came_ms=%" PRId64 " read_ms=%" PRId64,
+		 version, r->addr, r->sources, r->asks,
+		 r->asked_ms - r->told_ms,
+		 r->turn_ms ? r->turn_ms - r->told_ms : -1,
+		 came_ms - r->told_ms, now_ms(r) - came_ms);
 }
 
 static const struct fetch_ops fetch_table = { op_sources, op_leader, op_ask,
@@ -176,6 +192,11 @@
 			uint64_t version)
 {
 	r->link = link;
+	if (version > fetch_version(r->fetch)) {
+		r->told_ms = now_ms(r);
+		r->turn_ms = 0;
+		r->asks = 0;
+	}
 	fetch_want(r->fetch, version, now_ms(r));
 }
 
--- a/src/operator/routing_http.c
+++ b/src/operator/routing_http.c
@@ -23,6 +23,7 @@
 	struct routing_http *h;
 	struct evhttp_request *req;
 	uint64_t version;
+	int64_t came_ms, read_ms; /* when it came; how long reading it took */
 };
 
 static void refuse(struct evhttp_request *req, enum ss_error code,
@@ -58,8 +59,10 @@
 		refuse(p->req, (enum ss_error)r->code, r->text);
 	} else {
 		log_info("routing_accepted",
-			 "version=%" PRIu64 " in_force=%" PRIu64, p->version,
-			 r->version);
+			 "version=%" PRIu64 " in_force=%" PRIu64
+			 " read_ms=%" PRId64 " ms=%" PRId64,
+			 p->version, r->version, p->read_ms,
+			 ss_clock_now(p->h->o.clock) - p->came_ms);
 		http_reply(p->req, 200, "application/json", SS_LIT("{}"));
 	}
 	g_free(p);
@@ -68,6 +71,7 @@
 static void put(struct routing_http *h, struct evhttp_request *req)
 {
 	struct ss_str body = http_body(req);
+	int64_t came_ms = ss_clock_now(h->o.clock);
 	GError *error = NULL;
 	struct routing *r = h->o.platform->read_routing(body, &error);
 	struct routing_rec rec = { .body = body };
@@ -84,6 +88,8 @@
 	routing_unref(r);
 	p = pending_new(h, req);
 	p->version = rec.version;
+	p->came_ms = came_ms;
+	p->read_ms = ss_clock_now(h->o.clock) - came_ms;
 	h->o.ops->change(h->o.arg, &c, (struct operator_done){ on_changed, p });
 }
 
