--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -15,6 +15,8 @@
 #define DELAY_MS 3
 #define HEARTBEAT_MS 100
 #define SHIFTED 5
+/* Processor time to read one route, in ms. */
+#define READ_MS 0.004
 
 /* Something on its way from a member to a process, or back. */
 struct parcel {
@@ -43,6 +45,7 @@
 	int asks;
 	int taken;
 	uint64_t version;
+	int64_t busy_ms; /* until then it reads what it took */
 };
 
 struct world {
@@ -53,6 +56,7 @@
 	struct process p[PROCESSES];
 	GArray *parcels;
 	GString *bodies[10]; /* by version */
+	double share; /* of a core that a process has; 0: reads cost nothing */
 };
 
 /* What an entry of the table of a callback's argument is. */
@@ -114,10 +118,12 @@
 
 static void send_ask(struct world *w, int process, const struct msg_fetch *m)
 {
+	/* What it writes leaves once it has read. */
 	struct parcel x = { .member = w->p[process].asked,
 			    .process = process,
 			    .ask = *m,
-			    .at_ms = w->now + DELAY_MS };
+			    .at_ms = MAX(w->now, w->p[process].busy_ms) +
+				     DELAY_MS };
 
 	g_array_append_val(w->parcels, x);
 }
@@ -143,6 +149,17 @@
 	send_ask(at->w, at->at, m);
 }
 
+/* Routes that a process reads to take a version. */
+static int routes_read(const struct world *w, uint64_t version)
+{
+	const char *at = w->bodies[version]->str;
+	int n = 0;
+
+	while ((at = strstr(at + 1, "{\"name\"")))
+		n++;
+	return n;
+}
+
 static void fetch_acknowledge(void *arg, const struct msg_fetch *m)
 {
 	const struct place *at = arg;
@@ -264,6 +281,10 @@
 		return;
 	}
 	x->routing.packed = ss_str_gs(x->packed);
+	if (x->packed->len && x->routing.version > p->version && w->share > 0)
+		p->busy_ms =
+			w->now + (int64_t)(routes_read(w, x->routing.version) *
+					   READ_MS / w->share);
 	/* On a connection that was given up nothing arrives. */
 	if (p->asked == x->member && !m->dark && !m->mute)
 		fetch_answered(p->fetch, &x->routing, w->now);
@@ -275,7 +296,8 @@
 	for (guint i = 0; i < w->parcels->len;) {
 		struct parcel x = g_array_index(w->parcels, struct parcel, i);
 
-		if (x.at_ms > w->now) {
+		if (x.at_ms > w->now ||
+		    (x.answer && w->p[x.process].busy_ms > w->now)) {
 			i++;
 			continue;
 		}
@@ -296,7 +318,8 @@
 			mirror_tick(w->m[i].mirror, w->now);
 	}
 	for (int i = 0; w->now % 20 == 0 && i < w->processes; i++)
-		fetch_tick(w->p[i].fetch, w->now);
+		if (w->p[i].busy_ms <= w->now)
+			fetch_tick(w->p[i].fetch, w->now);
 }
 
 static int holding(const struct world *w, uint64_t version)
@@ -373,6 +396,52 @@
 	}
 }
 
+/* Routes of the versions of a world whose routing grows. */
+static const int grown[] = { 50, 1450, 2850, 4250, 12000, 12001 };
+
+static void grow(struct world *w)
+{
+	for (size_t v = 0; v < G_N_ELEMENTS(grown); v++) {
+		uint64_t seed = 1;
+		GString *s = w->bodies[v + 1];
+
+		g_string_assign(s, "{\"routes\":[");
+		for (int i = 0; i < grown[v]; i++)
+			g_string_append_printf(s,
+					       "{\"name\":\"%016" PRIx64
+					       "\",\"host\":\"%08" PRIx64
+					       ".example\"},",
+					       ss_random(&seed),
+					       ss_random(&seed));
+		g_string_append_printf(s, "],\"version\":%zu}", v + 1);
+	}
+}
+
+/* A change that is in force late where many routes are held already. */
+static void growing_routing_is_everywhere_within_a_second(void **state)
+{
+	struct world *w = world_new(MEMBERS, 100, 100);
+
+	(void)state;
+	w->share = 0.09;
+	grow(w);
+	for (uint64_t v = 1; v <= G_N_ELEMENTS(grown); v++) {
+		int64_t took;
+
+		apply(w, v);
+		tell(w, v);
+		took = until_all_hold(w, v, 10000);
+		/* A process that has read it answers by it. */
+		for (int i = 0; i < w->processes; i++)
+			took = MAX(took, w->p[i].busy_ms - w->now + took);
+		if (took > 1000)
+			fail_msg("version %" PRIu64 ": %" PRId64 " ms", v,
+				 took);
+		w->now += 5000;
+	}
+	world_free(w);
+}
+
 /* Who holds the newest is sent nothing, also after the leader has changed. */
 static void nobody_is_sent_what_it_holds(void **state)
 {
@@ -639,6 +708,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(heartbeats_pass_beside_the_routing),
+		cmocka_unit_test(growing_routing_is_everywhere_within_a_second),
 		cmocka_unit_test(nobody_is_sent_what_it_holds),
 		cmocka_unit_test(every_process_gets_it_beside_faults),
 		cmocka_unit_test(answers_are_taken_or_asked_again),
