--- a/src/base/pack.c
+++ b/src/base/pack.c
@@ -6,21 +6,7 @@
 /* Quick enough to pack a frame for each turn of the loop: 100 KB of JSON take a
  * third of a millisecond and a tenth of the bytes. */
 #define LEVEL 1
-/* A window that holds base and bytes, so that a difference finds its match
- * wherever it lies; as powers of two, in bytes. */
-#define WINDOW_LOG_LEAST 10
-#define WINDOW_LOG_MOST 27
-
-static int window_log(size_t bytes)
-{
-	int log = WINDOW_LOG_LEAST;
-
-	while (log < WINDOW_LOG_MOST && ((size_t)1 << log) < bytes)
-		log++;
-	return log;
-}
-
-void pack_add(GString *out, struct ss_str bytes, struct ss_str base)
+void pack_add(GString *out, struct ss_str bytes)
 {
 	ZSTD_CCtx *z = ZSTD_createCCtx();
 	size_t room = ZSTD_compressBound(bytes.n);
@@ -29,11 +15,6 @@
 
 	ZSTD_CCtx_setParameter(z, ZSTD_c_compressionLevel, LEVEL);
 	ZSTD_CCtx_setParameter(z, ZSTD_c_checksumFlag, 1);
-	if (base.n) {
-		ZSTD_CCtx_setParameter(z, ZSTD_c_windowLog,
-				       window_log(base.n + bytes.n));
-		ZSTD_CCtx_refPrefix(z, base.p, base.n);
-	}
 	g_string_set_size(out, at + room);
 	n = ZSTD_compress2(z, out->str + at, room, bytes.p, bytes.n);
 	/* There is room for the worst case, so only memory can be lacking. */
@@ -49,8 +30,7 @@
 	return NULL;
 }
 
-GString *pack_open(struct ss_str packed, struct ss_str base, size_t most,
-		   GError **error)
+GString *pack_open(struct ss_str packed, size_t most, GError **error)
 {
 	unsigned long long size = ZSTD_getFrameContentSize(packed.p, packed.n);
 	ZSTD_DCtx *z;
@@ -65,8 +45,6 @@
 	out = g_string_sized_new((gsize)size + 1);
 	g_string_set_size(out, (gsize)size);
 	z = ZSTD_createDCtx();
-	if (base.n)
-		ZSTD_DCtx_refPrefix(z, base.p, base.n);
 	n = ZSTD_decompressDCtx(z, out->str, (size_t)size, packed.p, packed.n);
 	ZSTD_freeDCtx(z);
 	if (!ZSTD_isError(n) && n == size)
--- a/src/core/fetch.c
+++ b/src/core/fetch.c
@@ -2,21 +2,16 @@
 #include "fetch.h"
 
 #include "../base/log.h"
-#include "../base/pack.h"
 
 #include <xxhash.h>
 
-/* Bytes of a routing; what operators may send is less. */
-#define BODY_MAX (16u << 20)
-
 struct fetch {
 	struct fetch_options o;
 	char *self;
 	uint64_t want, have;
-	GString *body; /* of have, for the difference to the next */
-	bool asks;     /* somebody was asked and hasn't answered */
-	bool whole; /* what came wasn't of use, so no difference is asked for */
-	guint tries;	 /* since the wanted version was last told */
+	bool asks;   /* somebody was asked and hasn't answered */
+	bool whole;  /* what came wasn't of use, so no changes are asked for */
+	guint tries; /* since the wanted version was last told */
 	int64_t next_ms; /* the next one is asked then */
 };
 
@@ -33,7 +28,6 @@
 
 	f->o = *o;
 	f->self = g_strdup(o->self);
-	f->body = g_string_new(NULL);
 	return f;
 }
 
@@ -41,7 +35,6 @@
 {
 	if (!f)
 		return;
-	g_string_free(f->body, TRUE);
 	g_free(f->self);
 	g_free(f);
 }
@@ -88,8 +81,7 @@
 
 static void ask_next(struct fetch *f, int64_t now)
 {
-	struct msg_fetch m = { .have = f->whole ? 0 : f->have,
-			       .want = f->want };
+	struct msg_fetch m = { f->whole ? 0 : f->have, f->want, f->o.services };
 	char *addr = source_at(f, f->tries);
 
 	f->next_ms = now + FETCH_TRY_MS;
@@ -122,49 +114,32 @@
 	f->next_ms = now + FETCH_AGAIN_MS;
 }
 
-/* The routing as it was packed; NULL with the reason. */
-static GString *open_answer(const struct fetch *f, const struct msg_routing *m,
-			    GError **error)
+void fetch_useless(struct fetch *f, uint64_t have, int64_t now)
 {
-	struct ss_str base = { 0 };
-
-	if (m->base && (f->whole || m->base != f->have)) {
-		g_set_error(error, SS_ERROR, SS_ERROR_FRAME,
-			    "the difference to version %" PRIu64
-			    ", but %" PRIu64 " is held",
-			    m->base, f->whole ? 0 : f->have);
-		return NULL;
-	}
-	if (m->base)
-		base = ss_str_gs(f->body);
-	return pack_open(m->packed, base, BODY_MAX, error);
+	f->have = have;
+	f->whole = true;
+	f->asks = true;
+	fetch_failed(f, now);
 }
 
 void fetch_answered(struct fetch *f, const struct msg_routing *m, int64_t now)
 {
-	struct msg_fetch ack = { 0 };
-	GError *error = NULL;
-	GString *body;
+	struct msg_fetch ack = { .services = f->o.services };
 
 	if (!f->asks || m->version <= f->have)
 		return;
-	if (!m->packed.n) {
+	if (!m->changes.n) {
 		f->next_ms = now + FETCH_TURN_MS;
 		return;
 	}
-	body = open_answer(f, m, &error);
-	if (!body) {
+	if ((m->base && (f->whole || m->base != f->have)) ||
+	    !f->o.ops->take(f->o.arg, m)) {
 		log_warn("routing_not_fetched",
-			 "version=%" PRIu64 " type=%s why=\"%s\"", m->version,
-			 ss_error_name((enum ss_error)error->code),
-			 error->message);
-		g_error_free(error);
-		f->whole = true;
-		fetch_failed(f, now);
+			 "version=%" PRIu64 " base=%" PRIu64 " held=%" PRIu64,
+			 m->version, m->base, f->have);
+		fetch_useless(f, f->have, now);
 		return;
 	}
-	g_string_free(f->body, TRUE);
-	f->body = body;
 	f->have = m->version;
 	f->whole = false;
 	/* Of a newer one than was told so far the leader's word is to come. */
@@ -174,7 +149,6 @@
 	ack.want = f->want;
 	f->next_ms = now + FETCH_TRY_MS;
 	f->o.ops->acknowledge(f->o.arg, &ack);
-	f->o.ops->take(f->o.arg, f->have, ss_str_gs(f->body));
 }
 
 void fetch_tick(struct fetch *f, int64_t now)
--- a/src/core/fetch.h
+++ b/src/core/fetch.h
@@ -33,14 +33,16 @@
 	void (*ask)(void *arg, const char *addr, const struct msg_fetch *m);
 	/* Tell the one asked last that its answer has come. */
 	void (*acknowledge)(void *arg, const struct msg_fetch *m);
-	/* A newer version has come. */
-	void (*take)(void *arg, uint64_t version, struct ss_str body);
+	/* Changes up to a newer version have come; false where they are of no
+	 * use. They needn't be read before it returns. */
+	bool (*take)(void *arg, const struct msg_routing *m);
 };
 
 struct fetch_options {
 	const struct fetch_ops *ops;
 	void *arg;
 	const char *self; /* name of this process; copied */
+	bool services;	  /* no routes; versions are those of services */
 };
 
 struct fetch *fetch_new(const struct fetch_options *o);
@@ -48,8 +50,10 @@
 
 /* The version in force, by the leader's word. */
 void fetch_want(struct fetch *f, uint64_t version, int64_t now);
-/* The version that is held; 0: none. */
+/* The version that has come; 0: none. */
 uint64_t fetch_version(const struct fetch *f);
+/* What came after a version can't be read: the whole is needed. */
+void fetch_useless(struct fetch *f, uint64_t have, int64_t now);
 
 /* The one asked last has answered; its connection has ended. */
 void fetch_answered(struct fetch *f, const struct msg_routing *m, int64_t now);
--- a/src/core/fleet_list.c
+++ b/src/core/fleet_list.c
@@ -40,7 +40,7 @@
 
 static bool is_named(const struct routing *r, const char *service)
 {
-	return !r || routing_service(r, service);
+	return !r || !r->version || routing_service(r, service);
 }
 
 bool fleet_service_spoiled(const struct routing *r, const char *was,
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -1,40 +1,37 @@
 /* Each control VM's copy of the routing. */
 #include "mirror.h"
 
-#include "../base/pack.h"
 #include "send_window.h"
 
-struct version {
-	uint64_t version;
-	GString *body;
-	GString *packed; /* the newest as the difference to it; NULL: not yet */
+struct change {
+	uint64_t base; /* the version that it was made of */
+	GString *packed;
 };
 
 /* A process that was sent the routing, or waits for it. */
 struct fetcher {
 	void *peer;
 	uint64_t have, want;
-	bool waits;
+	bool services; /* no routes, and their versions */
+	bool waits, promised;
 	int64_t since_ms; /* when it asked, or was sent */
 	size_t sent;	  /* bytes that it hasn't acknowledged; 0: none */
 };
 
 struct mirror {
 	struct mirror_options o;
-	GArray *versions;  /* struct version, the newest last */
-	GString *packed;   /* the newest, whole; NULL: not yet */
+	uint64_t version, services;
+	GArray *changes;   /* struct change, each follows on the one before */
+	size_t bytes;	   /* of the changes */
+	GString *whole[2]; /* without and with routes; NULL: not yet */
 	GHashTable *peers; /* peer -> struct fetcher */
 	GQueue waits;	   /* struct fetcher, who asked first is first */
 	struct send_window window;
 };
 
-static void version_clear(void *p)
+static void change_clear(void *p)
 {
-	struct version *v = p;
-
-	g_string_free(v->body, TRUE);
-	if (v->packed)
-		g_string_free(v->packed, TRUE);
+	g_string_free(((struct change *)p)->packed, TRUE);
 }
 
 struct mirror *mirror_new(const struct mirror_options *o, int64_t now)
@@ -42,58 +39,45 @@
 	struct mirror *m = g_new0(struct mirror, 1);
 
 	m->o = *o;
-	m->versions = g_array_new(FALSE, TRUE, sizeof(struct version));
-	g_array_set_clear_func(m->versions, version_clear);
+	m->changes = g_array_new(FALSE, TRUE, sizeof(struct change));
+	g_array_set_clear_func(m->changes, change_clear);
 	m->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	g_queue_init(&m->waits);
 	send_window_init(&m->window, now);
 	return m;
 }
 
-static void drop_packed(struct mirror *m)
+static void drop_whole(struct mirror *m)
 {
-	if (m->packed)
-		g_string_free(m->packed, TRUE);
-	m->packed = NULL;
+	for (int i = 0; i < 2; i++) {
+		if (m->whole[i])
+			g_string_free(m->whole[i], TRUE);
+		m->whole[i] = NULL;
+	}
 }
 
 void mirror_free(struct mirror *m)
 {
 	if (!m)
 		return;
-	drop_packed(m);
+	drop_whole(m);
 	g_queue_clear(&m->waits);
-	g_array_unref(m->versions);
+	g_array_unref(m->changes);
 	g_hash_table_unref(m->peers);
 	g_free(m);
 }
 
-static struct version *version_at(const struct mirror *m, guint i)
-{
-	return &g_array_index(m->versions, struct version, i);
-}
-
-static struct version *newest(const struct mirror *m)
-{
-	return m->versions->len ? version_at(m, m->versions->len - 1) : NULL;
-}
-
 uint64_t mirror_version(const struct mirror *m)
 {
-	const struct version *v = newest(m);
-
-	return v ? v->version : 0;
+	return m->version;
 }
 
 size_t mirror_bytes(const struct mirror *m)
 {
-	size_t n = m->packed ? m->packed->len : 0;
-
-	for (guint i = 0; i < m->versions->len; i++) {
-		const struct version *v = version_at(m, i);
+	size_t n = m->bytes;
 
-		n += v->body->len + (v->packed ? v->packed->len : 0);
-	}
+	for (int i = 0; i < 2; i++)
+		n += m->whole[i] ? m->whole[i]->len : 0;
 	return n;
 }
 
@@ -102,89 +86,125 @@
 	return m->window.in_flight;
 }
 
-/* The version that a process holds, where it is still here. */
-static struct version *version_held(const struct mirror *m, uint64_t version)
+static const struct change *change_at(const struct mirror *m, guint i)
 {
-	for (guint i = 0; version && i < m->versions->len; i++)
-		if (version_at(m, i)->version == version)
-			return version_at(m, i);
-	return NULL;
+	return &g_array_index(m->changes, struct change, i);
 }
 
-/* Packed once for all that hold the same. */
-static GString *packed_for(struct mirror *m, struct version *base)
+/* The changes since a version; all of them gone: none. */
+static guint changes_since(const struct mirror *m, uint64_t version)
 {
-	GString **at = base ? &base->packed : &m->packed;
+	for (guint i = 0; version && i < m->changes->len; i++)
+		if (change_at(m, i)->base == version)
+			return m->changes->len - i;
+	return 0;
+}
+
+/* Packed once for all that need it. */
+static GString *whole(struct mirror *m, bool routes)
+{
+	if (!m->whole[routes])
+		m->whole[routes] = m->o.ops->whole(m->o.arg, routes);
+	return m->whole[routes];
+}
 
-	if (!*at) {
-		*at = g_string_new(NULL);
-		pack_add(*at, ss_str_gs(newest(m)->body),
-			 base ? ss_str_gs(base->body) : (struct ss_str){ 0 });
+static uint64_t newest_for(const struct mirror *m, const struct fetcher *f)
+{
+	return f->services ? m->services : m->version;
+}
+
+/* What a process lacks, as struct routing_bytes. */
+static GArray *lacks(struct mirror *m, const struct fetcher *f, uint64_t *base)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct routing_bytes));
+	guint n = f->services ? 0 : changes_since(m, f->have);
+	struct routing_bytes b;
+
+	*base = n ? f->have : 0;
+	for (guint i = m->changes->len - n; i < m->changes->len; i++) {
+		b.packed = ss_str_gs(change_at(m, i)->packed);
+		g_array_append_val(out, b);
 	}
-	return *at;
+	if (!n) {
+		b.packed = ss_str_gs(whole(m, !f->services));
+		g_array_append_val(out, b);
+	}
+	return out;
 }
 
 /* False where nothing can be sent at the moment. */
 static bool serve(struct mirror *m, struct fetcher *f, int64_t now)
 {
-	struct version *base = version_held(m, f->have);
-	GString *packed = packed_for(m, base);
-	struct msg_routing r = { .version = mirror_version(m),
-				 .base = base ? base->version : 0,
-				 .packed = ss_str_gs(packed) };
-
-	if (!send_window_open(&m->window, packed->len))
-		return false;
-	if (!m->o.ops->send(m->o.arg, f->peer, &r))
-		return true;
-	f->waits = false;
-	f->sent = packed->len;
-	f->since_ms = now;
-	send_window_sent(&m->window, f->sent);
-	return true;
+	struct msg_routing r = { .version = newest_for(m, f) };
+	GArray *changes = lacks(m, f, &r.base);
+	size_t bytes = 0;
+	bool open;
+
+	r.changes = (struct wire_list){ changes->data, changes->len };
+	for (guint i = 0; i < changes->len; i++)
+		bytes += g_array_index(changes, struct routing_bytes, i)
+				 .packed.n;
+	open = send_window_open(&m->window, bytes);
+	if (open && m->o.ops->send(m->o.arg, f->peer, &r)) {
+		f->waits = false;
+		f->sent = bytes;
+		f->since_ms = now;
+		send_window_sent(&m->window, bytes);
+	}
+	g_array_unref(changes);
+	return open;
+}
+
+/* It waits for its turn only, so it shall not turn to another. */
+static void promise(struct mirror *m, struct fetcher *f)
+{
+	struct msg_routing r = { .version = newest_for(m, f) };
+
+	if (f->promised || r.version < f->want)
+		return;
+	f->promised = m->o.ops->send(m->o.arg, f->peer, &r);
 }
 
 static void pump(struct mirror *m, int64_t now)
 {
+	bool open = true;
 	GList *next;
 
 	for (GList *at = m->waits.head; at; at = next) {
 		struct fetcher *f = at->data;
 
 		next = at->next;
-		if (mirror_version(m) < f->want)
+		if (newest_for(m, f) < f->want)
 			continue;
-		if (!serve(m, f, now))
-			return;
+		open = open && serve(m, f, now);
 		if (!f->waits)
 			g_queue_delete_link(&m->waits, at);
+		else if (!open)
+			promise(m, f);
 	}
 }
 
-void mirror_set(struct mirror *m, uint64_t version, struct ss_str body,
-		int64_t now)
+void mirror_set(struct mirror *m, const struct mirror_version *v, int64_t now)
 {
-	struct version v = { .version = version };
-	size_t kept = 0;
+	struct change c = { .base = m->version };
 
-	if (version <= mirror_version(m))
+	if (v->version <= m->version)
 		return;
-	drop_packed(m);
-	for (guint i = m->versions->len; i-- > 0;) {
-		struct version *old = version_at(m, i);
-
-		kept += old->body->len;
-		if (m->versions->len - i >= MIRROR_VERSIONS ||
-		    kept > MIRROR_BYTES) {
-			g_array_remove_range(m->versions, 0, i + 1);
-			break;
-		}
-		if (old->packed)
-			g_string_free(old->packed, TRUE);
-		old->packed = NULL;
+	drop_whole(m);
+	if (!v->change.n) {
+		g_array_set_size(m->changes, 0);
+		m->bytes = 0;
+	} else {
+		c.packed = g_string_new_len(v->change.p, (gssize)v->change.n);
+		g_array_append_val(m->changes, c);
+		m->bytes += c.packed->len;
 	}
-	v.body = g_string_new_len(body.p, (gssize)body.n);
-	g_array_append_val(m->versions, v);
+	while (m->changes->len > MIRROR_CHANGES || m->bytes > MIRROR_BYTES) {
+		m->bytes -= change_at(m, 0)->packed->len;
+		g_array_remove_index(m->changes, 0);
+	}
+	m->version = v->version;
+	m->services = v->services;
 	pump(m, now);
 }
 
@@ -207,15 +227,6 @@
 	f->waits = false;
 }
 
-/* It waits for its turn only, so it shall not turn to another. */
-static void promise(struct mirror *m, const struct fetcher *f)
-{
-	struct msg_routing r = { .version = mirror_version(m) };
-
-	if (f->waits && r.version >= f->want)
-		m->o.ops->send(m->o.arg, f->peer, &r);
-}
-
 void mirror_ask(struct mirror *m, void *peer, const struct msg_fetch *ask,
 		int64_t now)
 {
@@ -225,6 +236,8 @@
 	f->sent = 0;
 	f->have = ask->have;
 	f->want = ask->want;
+	f->services = ask->services;
+	f->promised = false;
 	f->since_ms = now;
 	if (f->want <= f->have) {
 		stop_waiting(m, f);
@@ -233,7 +246,6 @@
 		g_queue_push_tail(&m->waits, f);
 	}
 	pump(m, now);
-	promise(m, f);
 }
 
 void mirror_gone(struct mirror *m, void *peer, int64_t now)
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -1,11 +1,11 @@
 /*
  * Each control VM's copy of the routing, for all processes to fetch.
  *
- * The leader tells everybody the version in force, a few bytes; the routing
- * itself, hundreds of kilobytes, comes from any member that has applied it. So
+ * The leader tells everybody the version in force, a few bytes; the changes
+ * come from any member that has applied them, as they stand in the log. So
  * what the leader sends doesn't grow with the number of processes, and the
  * link that carries its heartbeats carries none of this. A process that holds
- * an earlier version gets the difference, and nothing where it holds the
+ * an earlier version gets the changes since, and nothing where it holds the
  * newest.
  */
 #ifndef SS_MIRROR_H
@@ -13,11 +13,11 @@
 
 #include "msg.h"
 
-/* Versions that are kept to make differences to: as many changes as operators
- * make while a process is out of reach for a few seconds. */
-#define MIRROR_VERSIONS 4
-/* Of all but the newest together, in bytes; the oldest go first. */
+/* Changes that are kept, in bytes; the oldest go first. One that is asked for
+ * after it is gone is answered with the whole. */
 #define MIRROR_BYTES (4u << 20)
+/* Small ones: as many as operators make while a process is out of reach. */
+#define MIRROR_CHANGES 64
 /* A process that asks for a version that isn't here yet is answered once it
  * is, up to so much later, in ms; it has turned to others long before. */
 #define MIRROR_WAIT_MS 2000
@@ -27,6 +27,8 @@
 struct mirror_ops {
 	/* False where its connection takes no more now. */
 	bool (*send)(void *arg, void *peer, const struct msg_routing *m);
+	/* The newest as a whole, with or without routes, packed. */
+	GString *(*whole)(void *arg, bool routes);
 };
 
 struct mirror_options {
@@ -34,12 +36,19 @@
 	void *arg;
 };
 
+/* A version that has been applied here. */
+struct mirror_version {
+	uint64_t version;
+	uint64_t services; /* version in which services last changed */
+	/* What made it of the version before; empty where that isn't known. */
+	struct ss_str change;
+};
+
 struct mirror *mirror_new(const struct mirror_options *o, int64_t now);
 void mirror_free(struct mirror *m);
 
-/* A version has been applied here. Those that aren't newer are ignored. */
-void mirror_set(struct mirror *m, uint64_t version, struct ss_str body,
-		int64_t now);
+/* Those that aren't newer are ignored. */
+void mirror_set(struct mirror *m, const struct mirror_version *v, int64_t now);
 uint64_t mirror_version(const struct mirror *m);
 
 /* What a process holds and wants; it acknowledges what it was sent. */
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -332,14 +332,20 @@
 	L(4, msg_demand, calls, endpoint_calls_type),
 	L(5, msg_demand, ends, endpoint_ends_type),
 };
+static const struct wire_field routing_bytes_fields[] = {
+	F(1, WIRE_STR, routing_bytes, packed),
+};
+static const struct wire_type routing_bytes_type =
+	WIRE_TYPE(struct routing_bytes, routing_bytes_fields);
 static const struct wire_field routing_fields[] = {
 	F(1, WIRE_UINT, msg_routing, version),
 	F(3, WIRE_UINT, msg_routing, base),
-	F(4, WIRE_STR, msg_routing, packed),
+	L(5, msg_routing, changes, routing_bytes_type),
 };
 static const struct wire_field fetch_fields[] = {
 	F(1, WIRE_UINT, msg_fetch, have),
 	F(2, WIRE_UINT, msg_fetch, want),
+	F(3, WIRE_BOOL, msg_fetch, services),
 };
 static const struct wire_field term_fields[] = {
 	F(1, WIRE_UINT, msg_term, fence),
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -373,14 +373,19 @@
  * wants none, it only acknowledges. */
 struct msg_fetch {
 	uint64_t have, want;
+	bool services; /* wants no routes; versions are those of services */
+};
+
+struct routing_bytes {
+	struct ss_str packed; /* a document's change */
 };
 
 /* The answer, once the control VM holds the version that is wanted. Without
- * bytes it says that these will come, after others'. */
+ * changes it says that these will come, after others'. */
 struct msg_routing {
 	uint64_t version;
-	uint64_t base; /* the version that it is the difference to; 0: whole */
-	struct ss_str packed;
+	uint64_t base;		  /* version that they begin at; 0: whole */
+	struct wire_list changes; /* struct routing_bytes, in order */
 };
 
 /* A majority has confirmed this leadership since the connection came. */
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -1,82 +1,47 @@
 /* The routing that operators put in force. */
 #include "routing.h"
 
+#include "routing_update.h"
+
 static void model_clear(void *p)
 {
 	g_free(((struct routing_model *)p)->name);
 }
 
-static void service_clear(void *p)
+static void share_clear(void *p)
 {
-	struct routing_service *s = p;
-
-	g_free(s->name);
-	g_free(s->health_path);
-	if (s->by_name)
-		g_hash_table_unref(s->by_name);
-	if (s->models)
-		g_array_unref(s->models);
+	g_free(((struct routing_share *)p)->service);
 }
 
-static void route_clear(void *p)
-{
-	struct routing_route *rt = p;
-
-	g_free(rt->name);
-	g_free(rt->host);
-	g_free(rt->prefix);
-	if (rt->shares)
-		g_array_unref(rt->shares);
-}
+/* Services. */
 
-struct routing *routing_new(void)
+struct routing_service *routing_service_new(void)
 {
-	struct routing *r = g_new0(struct routing, 1);
+	struct routing_service *s = g_new0(struct routing_service, 1);
 
-	r->refs = 1;
-	r->routes = g_array_new(FALSE, TRUE, sizeof(struct routing_route));
-	g_array_set_clear_func(r->routes, route_clear);
-	r->services = g_array_new(FALSE, TRUE, sizeof(struct routing_service));
-	g_array_set_clear_func(r->services, service_clear);
-	r->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 (GDestroyNotify)g_array_unref);
-	return r;
+	s->refs = 1;
+	s->models = g_array_new(FALSE, TRUE, sizeof(struct routing_model));
+	g_array_set_clear_func(s->models, model_clear);
+	return s;
 }
 
-struct routing *routing_ref(struct routing *r)
+struct routing_service *routing_service_ref(struct routing_service *s)
 {
-	if (r)
-		r->refs++;
-	return r;
+	if (s)
+		s->refs++;
+	return s;
 }
 
-void routing_unref(struct routing *r)
+void routing_service_unref(struct routing_service *s)
 {
-	if (!r || --r->refs)
+	if (!s || --s->refs)
 		return;
-	g_hash_table_unref(r->hosts);
-	g_array_unref(r->routes);
-	g_array_unref(r->services);
-	g_free(r);
-}
-
-struct routing_route *routing_add_route(struct routing *r)
-{
-	g_array_set_size(r->routes, r->routes->len + 1);
-	return &g_array_index(r->routes, struct routing_route,
-			      r->routes->len - 1);
-}
-
-struct routing_service *routing_add_service(struct routing *r)
-{
-	struct routing_service *s;
-
-	g_array_set_size(r->services, r->services->len + 1);
-	s = &g_array_index(r->services, struct routing_service,
-			   r->services->len - 1);
-	s->models = g_array_new(FALSE, TRUE, sizeof(struct routing_model));
-	g_array_set_clear_func(s->models, model_clear);
-	return s;
+	g_free(s->name);
+	g_free(s->health_path);
+	if (s->by_name)
+		g_hash_table_unref(s->by_name);
+	g_array_unref(s->models);
+	g_free(s);
 }
 
 struct routing_model *routing_add_model(struct routing_service *s)
@@ -101,6 +66,56 @@
 	return false;
 }
 
+bool routing_service_finish(struct routing_service *s, GError **error)
+{
+	s->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	for (guint i = 0; i < s->models->len; i++) {
+		struct routing_model *m =
+			&g_array_index(s->models, struct routing_model, i);
+
+		if (!g_hash_table_insert(s->by_name, m->name, m))
+			return invalid(error, s->name, "model %s stands twice",
+				       m->name);
+	}
+	return true;
+}
+
+const struct routing_model *routing_model(const struct routing_service *s,
+					  const char *name)
+{
+	return s->by_name ? g_hash_table_lookup(s->by_name, name) : NULL;
+}
+
+/* Routes. */
+
+struct routing_route *routing_route_new(void)
+{
+	struct routing_route *rt = g_new0(struct routing_route, 1);
+
+	rt->refs = 1;
+	rt->shares = g_array_new(FALSE, TRUE, sizeof(struct routing_share));
+	g_array_set_clear_func(rt->shares, share_clear);
+	return rt;
+}
+
+struct routing_route *routing_route_ref(struct routing_route *rt)
+{
+	rt->refs++;
+	return rt;
+}
+
+void routing_route_unref(struct routing_route *rt)
+{
+	if (!rt || --rt->refs)
+		return;
+	g_free(rt->name);
+	g_free(rt->host);
+	g_free(rt->prefix);
+	g_free(rt->place);
+	g_array_unref(rt->shares);
+	g_free(rt);
+}
+
 static bool check_prefix(const char *prefix)
 {
 	size_t n = strlen(prefix);
@@ -108,9 +123,10 @@
 	return n > 0 && prefix[0] == '/' && prefix[n - 1] == '/';
 }
 
-static bool check_route(const struct routing *r, struct routing_route *rt,
-			GError **error)
+bool routing_route_finish(struct routing_route *rt, GError **error)
 {
+	char *host;
+
 	if (!check_prefix(rt->prefix))
 		return invalid(error, rt->name,
 			       "prefix \"%s\" must begin and end with a slash",
@@ -122,147 +138,133 @@
 		const struct routing_share *s =
 			&g_array_index(rt->shares, struct routing_share, i);
 
-		if (s->weight < 0 || s->service >= r->services->len)
+		if (s->weight < 0)
 			return invalid(error, rt->name,
 				       "share %u is out of range", i);
 		rt->total += s->weight;
 	}
 	if (rt->total <= 0)
 		return invalid(error, rt->name, "weights add up to 0");
+	host = g_ascii_strdown(rt->host, -1);
+	rt->place = g_strdup_printf("%s %s", host, rt->prefix);
+	g_free(host);
 	return true;
 }
 
-static const struct routing_route *route_at(const struct routing *r, guint i)
-{
-	return &g_array_index(r->routes, struct routing_route, i);
-}
+/* The table. */
 
-static gint longest_first(gconstpointer a, gconstpointer b, gpointer data)
+struct routing *routing_new(void)
 {
-	const struct routing *r = data;
-	size_t x = strlen(route_at(r, *(const guint *)a)->prefix);
-	size_t y = strlen(route_at(r, *(const guint *)b)->prefix);
-
-	return x < y ? 1 : x > y ? -1 : 0;
-}
+	struct routing *r = g_new0(struct routing, 1);
 
-static bool index_routes(struct routing *r, GError **error)
-{
-	GHashTable *places =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	GHashTableIter it;
-	void *list;
-	bool ok = true;
-
-	for (guint i = 0; i < r->routes->len && ok; i++) {
-		const struct routing_route *rt = route_at(r, i);
-		char *host = g_ascii_strdown(rt->host, -1);
-		GArray *at = g_hash_table_lookup(r->hosts, host);
-
-		if (!g_hash_table_add(places, g_strdup_printf("%s %s", host,
-							      rt->prefix)))
-			ok = invalid(error, rt->name,
-				     "host %s has prefix %s twice", rt->host,
-				     rt->prefix);
-		if (!at) {
-			at = g_array_new(FALSE, FALSE, sizeof(guint));
-			g_hash_table_insert(r->hosts, g_strdup(host), at);
-		}
-		g_array_append_val(at, i);
-		g_free(host);
-	}
-	g_hash_table_unref(places);
-	g_hash_table_iter_init(&it, r->hosts);
-	while (g_hash_table_iter_next(&it, NULL, &list))
-		g_array_sort_with_data(list, longest_first, r);
-	return ok;
+	r->refs = 1;
+	r->services = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)routing_service_unref);
+	r->places = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  (GDestroyNotify)routing_route_unref);
+	r->items = g_ptr_array_new();
+	r->parts = g_byte_array_new();
+	return r;
 }
 
-static bool index_services(struct routing *r, GError **error)
+struct routing *routing_ref(struct routing *r)
 {
-	for (guint i = 0; i < r->services->len; i++) {
-		struct routing_service *s =
-			&g_array_index(r->services, struct routing_service, i);
-
-		if (routing_service_index(r, s->name) != (int)i)
-			return invalid(error, s->name,
-				       "the service stands twice");
-		s->by_name = g_hash_table_new(g_str_hash, g_str_equal);
-		for (guint k = 0; k < s->models->len; k++) {
-			struct routing_model *m = &g_array_index(
-				s->models, struct routing_model, k);
-
-			if (!g_hash_table_insert(s->by_name, m->name, m))
-				return invalid(error, s->name,
-					       "model %s stands twice",
-					       m->name);
-		}
-	}
-	return true;
+	if (r)
+		r->refs++;
+	return r;
 }
 
-bool routing_finish(struct routing *r, GError **error)
+void routing_unref(struct routing *r)
 {
-	if (!index_services(r, error))
-		return false;
-	for (guint i = 0; i < r->routes->len; i++)
-		if (!check_route(r,
-				 &g_array_index(r->routes, struct routing_route,
-						i),
-				 error))
-			return false;
-	return index_routes(r, error);
+	if (!r || --r->refs)
+		return;
+	for (guint i = 0; i < r->items->len; i++)
+		if (r->parts->data[i] == DOCUMENT_REST)
+			g_free(r->items->pdata[i]);
+	g_ptr_array_unref(r->items);
+	g_byte_array_unref(r->parts);
+	g_hash_table_unref(r->places);
+	g_ptr_array_unref(r->services);
+	g_free(r);
 }
 
-int routing_service_index(const struct routing *r, const char *name)
+struct routing *routing_read(const struct routing_format *f, struct ss_str text,
+			     GError **error)
 {
-	for (guint i = 0; i < r->services->len; i++)
-		if (!strcmp(g_array_index(r->services, struct routing_service,
-					  i)
-				    .name,
-			    name))
-			return (int)i;
-	return -1;
+	struct document *empty = document_new();
+	struct document_news *news =
+		document_compare(empty, text, f->lists, error);
+	struct routing *r = NULL;
+	struct routing_update *u;
+	enum routing_step step = ROUTING_MORE;
+
+	document_free(empty);
+	if (!news)
+		return NULL;
+	r = routing_new();
+	u = routing_update_new(r, f, news);
+	while (step == ROUTING_MORE)
+		step = routing_update_step(u, error);
+	if (step == ROUTING_READ)
+		routing_update_commit(u);
+	routing_update_free(u);
+	if (step == ROUTING_READ)
+		return r;
+	routing_unref(r);
+	return NULL;
 }
 
-const struct routing_service *routing_service(const struct routing *r,
-					      const char *name)
+struct routing_service *routing_service(const struct routing *r,
+					const char *name)
 {
-	int at = routing_service_index(r, name);
+	for (guint i = 0; i < r->services->len; i++) {
+		struct routing_service *s = r->services->pdata[i];
 
-	return at < 0 ? NULL :
-			&g_array_index(r->services, struct routing_service, at);
+		if (!strcmp(s->name, name))
+			return s;
+	}
+	return NULL;
 }
 
-static bool begins(struct ss_str path, const char *prefix)
+/* Each prefix ends with a slash, so only where the path has one may one end. */
+static struct routing_route *longest_at(const struct routing *r, char *place,
+					size_t host, size_t n)
 {
-	size_t n = strlen(prefix);
-
-	return path.n >= n && memcmp(path.p, prefix, n) == 0;
+	for (; n > host; n--) {
+		struct routing_route *rt;
+
+		if (place[n - 1] != '/')
+			continue;
+		place[n] = '\0';
+		rt = g_hash_table_lookup(r->places, place);
+		if (rt)
+			return rt;
+	}
+	return NULL;
 }
 
-const struct routing_route *
-routing_match(const struct routing *r, struct ss_str host, struct ss_str path)
+struct routing_route *routing_match(const struct routing *r, struct ss_str host,
+				    struct ss_str path)
 {
-	const char *colon = memchr(host.p, ':', host.n);
+	const char *colon = host.n ? memchr(host.p, ':', host.n) : NULL;
 	size_t n = colon ? (size_t)(colon - host.p) : host.n;
-	char *key = g_ascii_strdown(host.p ? host.p : "", (gssize)n);
-	GArray *at = g_hash_table_lookup(r->hosts, key);
-
-	g_free(key);
-	for (guint i = 0; at && i < at->len; i++) {
-		const struct routing_route *rt =
-			route_at(r, g_array_index(at, guint, i));
-
-		if (begins(path, rt->prefix))
-			return rt;
-	}
-	return NULL;
+	GString *place = g_string_sized_new(n + r->longest + 2);
+	struct routing_route *rt;
+
+	g_string_append_len(place, host.p, (gssize)n);
+	g_string_ascii_down(place);
+	g_string_append_c(place, ' ');
+	if (path.n)
+		g_string_append_len(place, path.p,
+				    (gssize)MIN(path.n, r->longest));
+	rt = longest_at(r, place->str, n + 1, place->len);
+	g_string_free(place, TRUE);
+	return rt;
 }
 
-const struct routing_service *routing_pick(const struct routing *r,
-					   const struct routing_route *rt,
-					   uint64_t random)
+struct routing_service *routing_pick(const struct routing *r,
+				     const struct routing_route *rt,
+				     uint64_t random)
 {
 	int64_t at = (int64_t)(random % (uint64_t)rt->total);
 
@@ -271,16 +273,8 @@
 			&g_array_index(rt->shares, struct routing_share, i);
 
 		if (at < s->weight)
-			return &g_array_index(r->services,
-					      struct routing_service,
-					      s->service);
+			return routing_service(r, s->service);
 		at -= s->weight;
 	}
 	g_assert_not_reached();
 }
-
-const struct routing_model *routing_model(const struct routing_service *s,
-					  const char *name)
-{
-	return s->by_name ? g_hash_table_lookup(s->by_name, name) : NULL;
-}
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -1,12 +1,13 @@
 /*
  * The routing that operators put in force: which request goes to which
  * service, what may be repeated, and the models that a service's engines
- * can load. Immutable once built; a new version is a new one.
+ * can load. A table that follows the operators' document change by change;
+ * routes and services are immutable, and live while a request holds them.
  */
 #ifndef SS_ROUTING_H
 #define SS_ROUTING_H
 
-#include <sapphireshift/base.h>
+#include "document.h"
 
 /* What of a route's requests may be repeated. */
 enum route_kind {
@@ -25,6 +26,7 @@
 };
 
 struct routing_service {
+	int refs;
 	char *name;
 	char *health_path;
 	int64_t max_conns; /* of one endpoint, from all callers; 0: unknown */
@@ -36,14 +38,19 @@
 	double loads_per_s; /* of the store, over all endpoints; 0: no limit */
 	GArray *models;	    /* struct routing_model */
 	GHashTable *by_name;
+	/* Of the table that it is in. */
+	guint uses;  /* shares of routes */
+	guint ended; /* of these, by a change that is being checked */
+	bool leaves; /* with that change */
 };
 
 struct routing_share {
-	uint32_t service; /* index */
+	char *service;
 	int64_t weight;
 };
 
 struct routing_route {
+	int refs;
 	char *name, *host, *prefix;
 	enum route_kind kind;
 	int64_t timeout_ms;
@@ -54,6 +61,8 @@
 	bool resumable;
 	GArray *shares; /* struct routing_share */
 	int64_t total;	/* of the weights */
+	char *place;	/* host and prefix, as they are looked up */
+	bool leaves;	/* with a change that is being checked */
 };
 
 struct routing_limits {
@@ -62,46 +71,66 @@
 	int64_t idle_ms; /* of a caller's connection */
 };
 
+/* How the platform writes a configuration. */
+struct routing_format {
+	const char *lists[DOCUMENT_PARTS]; /* members with the items */
+	/* Read an item; NULL with SS_ERROR_BAD_REQUEST and the place. */
+	struct routing_route *(*read_route)(struct ss_str text,
+					    const char *place, GError **error);
+	struct routing_service *(*read_service)(struct ss_str text,
+						const char *place,
+						GError **error);
+	/* Read what is beside the items, with the lists empty. */
+	bool (*read_rest)(struct ss_str text, uint64_t *version,
+			  struct routing_limits *limits, GError **error);
+};
+
 struct routing {
 	int refs;
-	uint64_t version;
-	GArray *routes;	  /* struct routing_route */
-	GArray *services; /* struct routing_service */
+	uint64_t version;    /* 0: none yet */
+	guint routes;	     /* their number */
+	GPtrArray *services; /* struct routing_service */
 	struct routing_limits limits;
-	GHashTable *hosts; /* host -> GArray of route index, longest first */
+	GHashTable *places; /* place -> struct routing_route */
+	size_t longest;	    /* prefix of any route so far, in bytes */
+	/* What each piece of the document is: a route, a service or text. */
+	GPtrArray *items;
+	GByteArray *parts; /* enum document_part */
 };
 
 struct routing *routing_new(void);
 struct routing *routing_ref(struct routing *r);
 void routing_unref(struct routing *r);
 
-/* Zeroed ones at the end; the strings then belong to the routing. */
-struct routing_route *routing_add_route(struct routing *r);
-struct routing_service *routing_add_service(struct routing *r);
+struct routing_route *routing_route_new(void);
+struct routing_route *routing_route_ref(struct routing_route *rt);
+void routing_route_unref(struct routing_route *rt);
+/* Check what was filled in. SS_ERROR_BAD_REQUEST with the reason. */
+bool routing_route_finish(struct routing_route *rt, GError **error);
+
+struct routing_service *routing_service_new(void);
+struct routing_service *routing_service_ref(struct routing_service *s);
+void routing_service_unref(struct routing_service *s);
+/* A zeroed one at the end; the strings then belong to the service. */
 struct routing_model *routing_add_model(struct routing_service *s);
+bool routing_service_finish(struct routing_service *s, GError **error);
 
-/*
- * Check and index what was added. SS_ERROR_BAD_REQUEST, with the place and
- * the reason, for two routes on one host and prefix, weights that add up
- * to nothing, a timeout of zero, a prefix without its slashes, or names
- * that stand twice. A routing that failed can only be freed.
- */
-bool routing_finish(struct routing *r, GError **error);
+/* A whole text read; NULL with SS_ERROR_BAD_REQUEST and the place. */
+struct routing *routing_read(const struct routing_format *f, struct ss_str text,
+			     GError **error);
 
-/* Index of a service by name; -1 for none. */
-int routing_service_index(const struct routing *r, const char *name);
-/* The same, as a pointer; NULL where none has the name. */
-const struct routing_service *routing_service(const struct routing *r,
-					      const char *name);
+/* NULL where none has the name. */
+struct routing_service *routing_service(const struct routing *r,
+					const char *name);
 
 /* The route with the longest prefix of the path; NULL for none. */
-const struct routing_route *
-routing_match(const struct routing *r, struct ss_str host, struct ss_str path);
+struct routing_route *routing_match(const struct routing *r, struct ss_str host,
+				    struct ss_str path);
 
 /* The service that a random number picks, by the weights. */
-const struct routing_service *routing_pick(const struct routing *r,
-					   const struct routing_route *rt,
-					   uint64_t random);
+struct routing_service *routing_pick(const struct routing *r,
+				     const struct routing_route *rt,
+				     uint64_t random);
 
 const struct routing_model *routing_model(const struct routing_service *s,
 					  const char *name);
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -320,20 +320,27 @@
 /*
  * The highest version wins. What arrives late, or again, is answered like
  * the first and changes nothing, so that an operator who lost the answer
- * may send it to anyone.
+ * may send it to anyone. A change of a version that isn't in force any more is
+ * made anew by the leader.
  */
 static void apply_routing_put(struct ss_state *s, const struct command_wire *c,
 			      struct command_result *r)
 {
 	const struct routing_rec *p = only(&c->routing);
+	GError *error = NULL;
 
 	if (!p || p->version == 0) {
 		refuse(r, SS_ERROR_BAD_REQUEST, 0, "a routing needs a version");
 		return;
 	}
-	if (!s->routing || p->version > s->routing->version)
-		state_put_routing(s, p);
-	r->version = s->routing->version;
+	if (p->version > document_version(s->routing) &&
+	    !state_put_routing(s, p, &error)) {
+		refuse(r, SS_ERROR_CONFLICT, document_version(s->routing),
+		       "another routing came before");
+		g_error_free(error);
+		return;
+	}
+	r->version = document_version(s->routing);
 }
 
 static void apply_kind(struct ss_state *s, uint64_t index,
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -93,10 +93,11 @@
 	int64_t at_ms;
 };
 
-/* The routing that operators put in force, as they sent it. */
+/* A change of the routing that operators put in force. */
 struct routing_rec {
-	uint64_t version; /* given by the operator; only grows */
-	struct ss_str body;
+	uint64_t version;   /* given by the operator; only grows */
+	struct ss_str body; /* the text; in logs of before there were changes */
+	struct ss_str change; /* a document's, packed */
 };
 
 struct change_rec {
@@ -173,8 +174,10 @@
 /* Bytes decided on a node and not known to be free again. */
 uint64_t ss_state_reserved(const struct ss_state *s, const char *node);
 
-/* The routing in force; NULL before the first one. */
-const struct routing_rec *ss_state_routing(const struct ss_state *s);
+/* The routing in force, as operators sent it; empty before the first one. */
+const struct document *ss_state_routing(const struct ss_state *s);
+/* The change that made it, packed; empty where all of it came at once. */
+struct ss_str ss_state_routing_change(const struct ss_state *s);
 
 /* Tables for reading: name to record, replica id (uint64_t *) to record. */
 GHashTable *ss_state_presets(const struct ss_state *s);
--- a/src/core/state_codec.c
+++ b/src/core/state_codec.c
@@ -76,6 +76,7 @@
 static const struct wire_field routing_fields[] = {
 	F(1, WIRE_UINT, routing_rec, version),
 	F(2, WIRE_STR, routing_rec, body),
+	F(3, WIRE_STR, routing_rec, change),
 };
 const struct wire_type routing_wire =
 	WIRE_TYPE(struct routing_rec, routing_fields);
--- a/src/core/state_int.h
+++ b/src/core/state_int.h
@@ -2,6 +2,7 @@
 #ifndef SS_STATE_INT_H
 #define SS_STATE_INT_H
 
+#include "document.h"
 #include "state_codec.h"
 
 struct ss_state {
@@ -14,14 +15,16 @@
 	GQueue history;			      /* struct change_rec, all */
 	char *in_force;
 	uint64_t config_version;
-	struct routing_rec *routing; /* NULL before the first one */
+	struct document *routing;
+	GString *routing_change; /* that was applied last */
 };
 
 /* Records are copied, and replace the one of their name. */
 void state_put_preset(struct ss_state *s, const struct preset_rec *p);
 void state_put_model(struct ss_state *s, const struct model_rec *m);
 void state_put_node(struct ss_state *s, const struct node_rec *n);
-void state_put_routing(struct ss_state *s, const struct routing_rec *r);
+bool state_put_routing(struct ss_state *s, const struct routing_rec *r,
+		       GError **error);
 /* A new id. */
 void state_put_replica(struct ss_state *s, const struct replica_rec *r);
 void state_drop_replica(struct ss_state *s, struct replica_rec *r);
--- a/src/core/state_store.c
+++ b/src/core/state_store.c
@@ -55,12 +55,6 @@
 	rec_free(&change_wire, r);
 }
 
-static void free_routing(void *r)
-{
-	if (r)
-		rec_free(&routing_wire, r);
-}
-
 static guint claim_hash(const void *p)
 {
 	const struct ss_str *s = p;
@@ -101,6 +95,8 @@
 	g_queue_init(&s->claim_order);
 	g_queue_init(&s->history);
 	s->in_force = g_strdup("");
+	s->routing = document_new();
+	s->routing_change = g_string_new(NULL);
 	return s;
 }
 
@@ -119,7 +115,9 @@
 	g_free(s->in_force);
 	s->in_force = g_strdup("");
 	s->config_version = 0;
-	g_clear_pointer(&s->routing, free_routing);
+	document_free(s->routing);
+	s->routing = document_new();
+	g_string_truncate(s->routing_change, 0);
 }
 
 void ss_state_free(struct ss_state *s)
@@ -127,6 +125,8 @@
 	if (!s)
 		return;
 	state_clear(s);
+	document_free(s->routing);
+	g_string_free(s->routing_change, TRUE);
 	g_hash_table_unref(s->by_node);
 	g_hash_table_unref(s->by_model);
 	g_hash_table_unref(s->presets);
@@ -241,12 +241,28 @@
 	}
 }
 
-void state_put_routing(struct ss_state *s, const struct routing_rec *r)
+bool state_put_routing(struct ss_state *s, const struct routing_rec *r,
+		       GError **error)
 {
-	struct routing_rec *copy = rec_dup(&routing_wire, r);
+	struct document_news *n;
+	bool ok;
 
-	free_routing(s->routing);
-	s->routing = copy;
+	g_string_truncate(s->routing_change, 0);
+	if (!r->change.n) {
+		document_put(s->routing, r->version, r->body);
+		return true;
+	}
+	n = document_open(r->change, error);
+	ok = n && n->change.version == r->version &&
+	     document_apply(s->routing, &n->change, error);
+	if (!ok && error && !*error)
+		g_set_error(error, SS_ERROR, SS_ERROR_FRAME,
+			    "a change to another version than it says");
+	if (ok && n->change.base)
+		g_string_append_len(s->routing_change, r->change.p,
+				    (gssize)r->change.n);
+	document_news_free(n);
+	return ok;
 }
 
 /* Records in one array, as a list is encoded; items are shallow copies. */
@@ -275,7 +291,14 @@
 {
 	struct image im = { .in_force = ss_str(s->in_force),
 			    .config_version = s->config_version };
-	GString *out;
+	struct routing_rec routing = { .version =
+					       document_version(s->routing) };
+	GString *out, *whole = NULL;
+
+	if (routing.version) {
+		whole = document_whole(s->routing, true);
+		routing.change = ss_str_gs(whole);
+	}
 
 	im.presets = collect_table(s->presets, &preset_wire);
 	im.models = collect_table(s->models, &model_wire);
@@ -283,8 +306,10 @@
 	im.replicas = collect_table(s->replicas, &replica_wire);
 	im.claims = collect(s->claim_order.head, &claim_wire);
 	im.changes = collect(s->history.head, &change_wire);
-	im.routing = (struct wire_list){ s->routing, s->routing != NULL };
+	im.routing = (struct wire_list){ &routing, whole != NULL };
 	out = wire_encode(&image_wire, &im);
+	if (whole)
+		g_string_free(whole, TRUE);
 	g_free(im.presets.items);
 	g_free(im.models.items);
 	g_free(im.nodes.items);
@@ -319,8 +344,7 @@
 		state_put_claim(s, (struct claim_rec *)im.claims.items + i);
 	for (size_t i = 0; i < im.changes.n; i++)
 		state_put_change(s, (struct change_rec *)im.changes.items + i);
-	if (im.routing.n)
-		state_put_routing(s, im.routing.items);
+	ok = !im.routing.n || state_put_routing(s, im.routing.items, NULL);
 out:
 	wire_done(&buf);
 	return ok;
@@ -336,7 +360,12 @@
 	return s->config_version;
 }
 
-const struct routing_rec *ss_state_routing(const struct ss_state *s)
+struct ss_str ss_state_routing_change(const struct ss_state *s)
+{
+	return ss_str_gs(s->routing_change);
+}
+
+const struct document *ss_state_routing(const struct ss_state *s)
 {
 	return s->routing;
 }
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -7,6 +7,7 @@
 #include "fleet_lead.h"
 #include "lead.h"
 #include "remote_agents.h"
+#include "routing_follow.h"
 
 #include <json-c/json.h>
 
@@ -23,6 +24,7 @@
 	const struct leader_ops *leader;
 	void *lead;	       /* NULL while another leads */
 	struct mirror *mirror; /* of a fleet's routing */
+	struct routing_follow *follow;
 	struct remote_agents *remote;
 	struct listener *listener;
 	struct operator_http *operators;
@@ -73,7 +75,8 @@
 	if (leads == (k->lead != NULL))
 		return;
 	if (leads) {
-		k->lead = k->leader->begin(k->d, k->group);
+		k->lead = k->leader->begin(k->d, k->group,
+					   routing_follow_table(k->follow));
 		log_info("lead", "begins");
 	} else {
 		k->leader->end(k->lead);
@@ -91,16 +94,42 @@
 }
 
 /* The routing that stands in the log, also after a snapshot. */
-static void set_mirror(struct control_role *k)
+static void follow_log(struct control_role *k)
 {
-	const struct routing_rec *rec =
-		k->group ? ss_state_routing(group_state(k->group)) : NULL;
+	const struct ss_state *s = k->group ? group_state(k->group) : NULL;
+	const struct document *d = s ? ss_state_routing(s) : NULL;
+	struct mirror_version v = { 0 };
+	GString *all;
 
-	if (!rec || rec->version <= mirror_version(k->mirror))
+	if (!d || document_version(d) <= mirror_version(k->mirror))
 		return;
-	mirror_set(k->mirror, rec->version, rec->body,
-		   ss_clock_now(&k->d->clock));
-	log_info("routing_held", "version=%" PRIu64, rec->version);
+	v.version = document_version(d);
+	v.services = document_services(d);
+	v.change = ss_state_routing_change(s);
+	mirror_set(k->mirror, &v, ss_clock_now(&k->d->clock));
+	log_info("routing_held", "version=%" PRIu64, v.version);
+	if (v.change.n && routing_follow_add(k->follow, v.change))
+		return;
+	all = document_whole(d, true);
+	routing_follow_add(k->follow, ss_str_gs(all));
+	g_string_free(all, TRUE);
+}
+
+static void on_routing(void *arg, struct routing *r)
+{
+	struct control_role *k = arg;
+
+	(void)r;
+	remote_agents_routing(k->remote);
+	if (k->lead)
+		k->leader->applied(k->lead);
+}
+
+/* The next change brings the whole. */
+static void on_useless(void *arg, uint64_t have)
+{
+	(void)arg;
+	(void)have;
 }
 
 static bool send_routing(void *arg, void *peer, const struct msg_routing *m)
@@ -109,14 +138,21 @@
 	return conn_send(peer, MSG_ROUTING, m);
 }
 
-static const struct mirror_ops mirror_table = { send_routing };
+static GString *whole_routing(void *arg, bool routes)
+{
+	struct control_role *k = arg;
+
+	return document_whole(ss_state_routing(group_state(k->group)), routes);
+}
+
+static const struct mirror_ops mirror_table = { send_routing, whole_routing };
 
 static void on_applied(void *arg, uint64_t index)
 {
 	struct control_role *k = arg;
 
 	(void)index;
-	set_mirror(k);
+	follow_log(k);
 	if (k->lead)
 		k->leader->applied(k->lead);
 }
@@ -206,9 +242,9 @@
 	(void)what;
 	check_leadership(k);
 	tell_of_leader(k);
-	set_mirror(k);
+	follow_log(k);
 	mirror_tick(k->mirror, ss_clock_now(&k->d->clock));
-	remote_agents_tick(k->remote, ss_state_routing(group_state(k->group)));
+	remote_agents_tick(k->remote);
 	if (k->lead)
 		k->leader->tick(k->lead);
 	if (k->stop_ms && ss_clock_now(&k->d->clock) - k->stop_ms > LEAVE_MS)
@@ -376,6 +412,7 @@
 		.platform = &users_platform,
 		.addr = k->d->config.fleet.operator_listen,
 		.clock = &k->d->clock,
+		.routing = routing_follow_table(k->follow),
 		.ops = &routing_table,
 		.arg = k
 	};
@@ -405,6 +442,7 @@
 	if (k->lead)
 		k->leader->end(k->lead);
 	mirror_free(k->mirror);
+	routing_follow_free(k->follow);
 	g_free(k);
 }
 
@@ -434,6 +472,7 @@
 	addr = daemon_advertised(d, k->listener);
 	group_set_addr(k->group, addr);
 	ro.asked_at = addr;
+	ro.routing = routing_follow_table(k->follow);
 	k->remote = remote_agents_new(&ro);
 	g_free(addr);
 	if (d->config.fleet.on)
@@ -450,9 +489,11 @@
 {
 	struct control_role *k = g_new0(struct control_role, 1);
 	struct mirror_options mo = { .ops = &mirror_table, .arg = k };
+	struct routing_follow_options fo = { d, on_routing, on_useless, k };
 
 	k->d = d;
 	k->mirror = mirror_new(&mo, ss_clock_now(&d->clock));
+	k->follow = routing_follow_new(&fo);
 	k->conns = g_hash_table_new(NULL, NULL);
 	k->leader = d->config.fleet.on ? &fleet_lead_ops : &lead_ops;
 	k->n_denied = metrics_value(d->metrics, "ss_operator_denied_total", "");
--- a/src/daemon/engine_agent.c
+++ b/src/daemon/engine_agent.c
@@ -33,9 +33,8 @@
 	struct engine *engine;
 	struct keep *endpoint;
 	struct link *link;
-	struct routing *routing;
-	const struct routing_service *service; /* of routing */
-	struct fleet_report *report;	       /* the newest; NULL: none */
+	struct routing_service *service; /* whose models it can hold */
+	struct fleet_report *report;	 /* the newest; NULL: none */
 	/* Of the engine; its id is NULL while it has to be asked for. */
 	struct fleet_incarnation self;
 	bool reachable, reading;
@@ -435,11 +434,10 @@
 }
 
 /* The service whose models this endpoint can hold. */
-static const struct routing_service *find_service(const struct routing *r)
+static struct routing_service *find_service(const struct routing *r)
 {
 	for (guint i = 0; i < r->services->len; i++) {
-		const struct routing_service *s =
-			&g_array_index(r->services, struct routing_service, i);
+		struct routing_service *s = r->services->pdata[i];
 
 		if (s->engine && s->models->len)
 			return s;
@@ -447,13 +445,13 @@
 	return NULL;
 }
 
-void engine_agent_set_routing(struct engine_agent *a, struct routing *r)
+void engine_agent_set_routing(struct engine_agent *a, const struct routing *r)
 {
-	a->service = find_service(r);
+	struct routing_service *old = a->service;
+
+	a->service = routing_service_ref(find_service(r));
 	engine_set_service(a->engine, a->service);
-	routing_ref(r);
-	routing_unref(a->routing);
-	a->routing = r;
+	routing_service_unref(old);
 }
 
 static void take_term(struct engine_agent *a, const struct msg_term *m)
@@ -512,7 +510,7 @@
 	keep_free(a->endpoint);
 	engine_free(a->engine);
 	report_free(a->report);
-	routing_unref(a->routing);
+	routing_service_unref(a->service);
 	g_hash_table_unref(a->tickets);
 	g_free(a->addr);
 	fleet_incarnation_clear(&a->self);
--- a/src/daemon/engine_agent.h
+++ b/src/daemon/engine_agent.h
@@ -24,7 +24,8 @@
 struct engine_agent *engine_agent_new(const struct engine_agent_options *o);
 void engine_agent_free(struct engine_agent *a);
 
-void engine_agent_set_routing(struct engine_agent *a, struct routing *r);
+/* The routing has changed; its services are kept, not the table. */
+void engine_agent_set_routing(struct engine_agent *a, const struct routing *r);
 /* An entry needs an adapter; it is answered on its connection. */
 void engine_agent_adapter(struct engine_agent *a, struct conn *c,
 			  const struct msg_adapter *m);
--- a/src/daemon/fleet_agent.c
+++ b/src/daemon/fleet_agent.c
@@ -98,9 +98,9 @@
 {
 	struct fleet_agent *a = g_new0(struct fleet_agent, 1);
 	struct conn_options conn = daemon_conn_options(d, &conn_table, a);
-	struct routing_fetch_options fo = { .daemon = d,
-					    .take = take_routing,
-					    .arg = a };
+	struct routing_fetch_options fo = {
+		.daemon = d, .services = true, .take = take_routing, .arg = a
+	};
 	struct engine_agent_options ao = { .daemon = d,
 					   .endpoint = d->config.fleet.endpoint,
 					   .holder = d->config.fleet.holder,
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -31,28 +31,10 @@
 static void read_state(struct fleet_lead *l)
 {
 	const struct ss_state *s = group_state(l->g);
-	const struct routing_rec *rec = ss_state_routing(s);
 	const struct preset_rec *p = ss_state_in_force(s);
 	struct preset preset;
 	GError *error = NULL;
 
-	if (rec && (!l->routing || l->routing->version < rec->version)) {
-		struct routing *r =
-			users_platform.read_routing(rec->body, &error);
-
-		/* It was checked before it was accepted. */
-		if (!r)
-			log_error("routing_unreadable", "why=\"%s\"",
-				  error->message);
-		else
-			log_info("routing", "version=%" PRIu64, r->version);
-		g_clear_error(&error);
-		if (r) {
-			routing_unref(l->routing);
-			l->routing = r;
-			l->routing_ms = fleet_lead_now(l);
-		}
-	}
 	if (l->preset_version == ss_state_config_version(s) &&
 	    l->preset.classes)
 		return;
@@ -80,6 +62,15 @@
 	return NULL;
 }
 
+/* An agent needs the services only, and is told when these change. */
+static uint64_t routing_for(const struct fleet_lead *l,
+			    const struct fleet_peer *p)
+{
+	const struct document *d = ss_state_routing(group_state(l->g));
+
+	return p->entry ? document_version(d) : document_services(d);
+}
+
 /*
  * The version in force, of which all fetch the routing from the control VMs;
  * and to the owner of an engine its fence. An agent that owns none hears
@@ -87,9 +78,8 @@
  */
 static void tell_term(struct fleet_lead *l, struct fleet_peer *p)
 {
-	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
 	const struct fleet_ep *ep = p->entry ? NULL : ep_of_agent(l, p->conn);
-	struct msg_term m = { .routing = rec ? rec->version : 0 };
+	struct msg_term m = { .routing = routing_for(l, p) };
 
 	if (!p->entry && !ep)
 		return;
@@ -100,15 +90,20 @@
 
 static void tell_routing(struct fleet_lead *l)
 {
-	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
+	uint64_t version =
+		document_version(ss_state_routing(group_state(l->g)));
 	GHashTableIter it;
 	void *v;
 
+	if (version != l->routing_told) {
+		l->routing_told = version;
+		l->routing_ms = fleet_lead_now(l);
+	}
 	g_hash_table_iter_init(&it, l->peers);
-	while (rec && g_hash_table_iter_next(&it, NULL, &v)) {
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct fleet_peer *p = v;
 
-		if (p->confirmed && p->routing_told < rec->version)
+		if (p->confirmed && p->routing_told < routing_for(l, p))
 			tell_term(l, p);
 	}
 }
@@ -116,22 +111,22 @@
 /* Log once when all entries that are heard follow the version in force. */
 static void note_routing(struct fleet_lead *l)
 {
-	const struct routing_rec *rec = ss_state_routing(group_state(l->g));
+	uint64_t version = l->routing_told;
 	GHashTableIter it;
 	void *v;
 
-	if (!rec || l->routing_everywhere == rec->version)
+	if (l->routing_everywhere == version)
 		return;
 	g_hash_table_iter_init(&it, l->peers);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct fleet_peer *p = v;
 
-		if (p->entry && p->routing < rec->version)
+		if (p->entry && p->routing < version)
 			return;
 	}
-	l->routing_everywhere = rec->version;
+	l->routing_everywhere = version;
 	log_info("routing_everywhere", "version=%" PRIu64 " ms=%" PRId64,
-		 rec->version, fleet_lead_now(l) - l->routing_ms);
+		 version, fleet_lead_now(l) - l->routing_ms);
 }
 
 /* Connections. */
@@ -586,7 +581,7 @@
 	fleet_push_whole(l);
 }
 
-static void *begin(struct daemon *d, struct group *g)
+static void *begin(struct daemon *d, struct group *g, struct routing *r)
 {
 	struct fleet_lead *l = g_new0(struct fleet_lead, 1);
 	struct metrics *m = d->metrics;
@@ -600,6 +595,7 @@
 
 	l->d = d;
 	l->g = g;
+	l->routing = routing_ref(r);
 	l->fence = ss_raft_term(group_raft(g));
 	l->since_ms = fleet_lead_now(l);
 	send_window_init(&l->window, l->since_ms);
@@ -618,6 +614,7 @@
 	l->load_hist = metrics_hist(m, "ss_fleet_load_ms", "");
 	fleet_suspects_begin(l);
 	read_state(l);
+	tell_routing(l);
 	l->list = instances_new(&o);
 	instances_run(l->list, true);
 	return l;
@@ -670,8 +667,7 @@
 	fleet_suspects_status(l, o);
 	json_object_object_add(
 		o, "routing",
-		json_object_new_int64(
-			l->routing ? (int64_t)l->routing->version : 0));
+		json_object_new_int64((int64_t)l->routing->version));
 }
 
 const struct leader_ops fleet_lead_ops = { begin,     end,	  on_open,
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -114,6 +114,7 @@
 	bool list_seen;
 	bool dirty, urgent;
 	int64_t routing_ms;	     /* when the version in force was read */
+	uint64_t routing_told;	     /* that version */
 	uint64_t routing_everywhere; /* version that all entries follow */
 	struct send_window window;   /* of whole fleets on their way */
 	struct fleet_store store;
--- a/src/daemon/fleet_remote.c
+++ b/src/daemon/fleet_remote.c
@@ -38,7 +38,7 @@
 			   const GArray *ids, int64_t now)
 {
 	const struct routing_service *s =
-		l->routing ? routing_service(l->routing, ep->service) : NULL;
+		routing_service(l->routing, ep->service);
 	int at;
 
 	if (!s || !s->engine || !owner_is_missing(&ep->owner, now))
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -381,12 +381,11 @@
 
 void fleet_steps_plan(struct fleet_lead *l, int64_t now)
 {
-	if (!l->routing || !l->list_seen ||
-	    (now - l->since_ms < FIND_MS && !all_reported(l)))
+	if (!l->list_seen || (now - l->since_ms < FIND_MS && !all_reported(l)))
 		return;
 	for (guint i = 0; i < l->routing->services->len; i++) {
-		const struct routing_service *s = &g_array_index(
-			l->routing->services, struct routing_service, i);
+		const struct routing_service *s =
+			l->routing->services->pdata[i];
 
 		if (!s->engine || s->models->len == 0)
 			continue;
@@ -453,7 +452,7 @@
 static bool is_known(const struct fleet_lead *l, const struct fleet_ep *ep)
 {
 	const struct routing_service *s =
-		l->routing ? routing_service(l->routing, ep->service) : NULL;
+		routing_service(l->routing, ep->service);
 
 	return s && routing_model(s, ep->step.load);
 }
--- a/src/daemon/lead.c
+++ b/src/daemon/lead.c
@@ -305,11 +305,12 @@
 	lead_push_routes(l);
 }
 
-static void *begin(struct daemon *d, struct group *g)
+static void *begin(struct daemon *d, struct group *g, struct routing *r)
 {
 	struct lead *l = g_new0(struct lead, 1);
 	struct metrics *m = d->metrics;
 
+	(void)r;
 	l->d = d;
 	l->g = g;
 	l->since_ms = lead_now(l);
--- a/src/daemon/leader.h
+++ b/src/daemon/leader.h
@@ -6,10 +6,12 @@
 #include "group.h"
 
 struct json_object;
+struct routing;
 
 struct leader_ops {
-	/* What begin() returned goes to the others, until end(). */
-	void *(*begin)(struct daemon *d, struct group *g);
+	/* What begin() returned goes to the others, until end(); r is the
+	 * table that follows the log. */
+	void *(*begin)(struct daemon *d, struct group *g, struct routing *r);
 	void (*end)(void *lead);
 	/* Connections of entries and agents. */
 	void (*open)(void *lead, struct conn *c);
--- a/src/daemon/remote_agents.c
+++ b/src/daemon/remote_agents.c
@@ -1,8 +1,6 @@
 /* Agents that a control VM runs for engines without one. */
 #include "remote_agents.h"
 
-#include "../../platform/platform.h"
-
 /*
  * Without a word of a leader for so long, in ms, they end: another may have
  * been named meanwhile. Four of the leader's words, and less than the time
@@ -14,7 +12,7 @@
 	struct daemon *d;
 	char *asked_at;
 	GHashTable *agents; /* address of the engine -> struct engine_agent */
-	struct routing *routing;
+	const struct routing *routing;
 	uint64_t fence; /* of the newest leader that was heard */
 	int64_t told_ms;
 };
@@ -29,6 +27,7 @@
 	struct remote_agents *r = g_new0(struct remote_agents, 1);
 
 	r->d = o->daemon;
+	r->routing = o->routing;
 	r->asked_at = g_strdup(o->asked_at);
 	r->agents = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  agent_free);
@@ -40,7 +39,6 @@
 	if (!r)
 		return;
 	g_hash_table_unref(r->agents);
-	routing_unref(r->routing);
 	g_free(r->asked_at);
 	g_free(r);
 }
@@ -55,8 +53,7 @@
 	struct engine_agent *a = engine_agent_new(&o);
 
 	log_info("remote_agent", "begins endpoint=%s", addr);
-	if (r->routing)
-		engine_agent_set_routing(a, r->routing);
+	engine_agent_set_routing(a, r->routing);
 	g_hash_table_insert(r->agents, g_strdup(addr), a);
 }
 
@@ -124,33 +121,17 @@
 		engine_agent_left(a, c);
 }
 
-/* The same for all, read once. */
-static void follow_routing(struct remote_agents *r,
-			   const struct routing_rec *rec)
+void remote_agents_routing(struct remote_agents *r)
 {
-	GError *error = NULL;
 	GHashTableIter it;
-	struct routing *next;
 	void *a;
 
-	if (!rec || (r->routing && r->routing->version >= rec->version))
-		return;
-	next = users_platform.read_routing(rec->body, &error);
-	if (!next) {
-		/* It was checked before it was accepted. */
-		log_error("routing_unreadable", "why=\"%s\"", error->message);
-		g_error_free(error);
-		return;
-	}
 	g_hash_table_iter_init(&it, r->agents);
 	while (g_hash_table_iter_next(&it, NULL, &a))
-		engine_agent_set_routing(a, next);
-	routing_unref(r->routing);
-	r->routing = next;
+		engine_agent_set_routing(a, r->routing);
 }
 
-void remote_agents_tick(struct remote_agents *r,
-			const struct routing_rec *routing)
+void remote_agents_tick(struct remote_agents *r)
 {
 	GHashTableIter it;
 	void *a;
@@ -162,7 +143,6 @@
 		g_hash_table_remove_all(r->agents);
 		return;
 	}
-	follow_routing(r, routing);
 	g_hash_table_iter_init(&it, r->agents);
 	while (g_hash_table_iter_next(&it, NULL, &a))
 		engine_agent_tick(a);
--- a/src/daemon/remote_agents.h
+++ b/src/daemon/remote_agents.h
@@ -5,14 +5,14 @@
 #ifndef SS_REMOTE_AGENTS_H
 #define SS_REMOTE_AGENTS_H
 
-#include "../core/state.h"
 #include "engine_agent.h"
 
 struct remote_agents;
 
 struct remote_agents_options {
 	struct daemon *daemon;
-	const char *asked_at; /* of this VM's listener; copied */
+	const char *asked_at;	       /* of this VM's listener; copied */
+	const struct routing *routing; /* that this VM follows */
 };
 
 struct remote_agents *remote_agents_new(const struct remote_agents_options *o);
@@ -24,8 +24,9 @@
 void remote_agents_adapter(struct remote_agents *r, struct conn *c,
 			   const struct msg_adapter *m);
 void remote_agents_left(struct remote_agents *r, const struct conn *c);
-/* Called each 20 ms, with the routing that stands in the log; NULL: none. */
-void remote_agents_tick(struct remote_agents *r,
-			const struct routing_rec *routing);
+/* The routing has changed. */
+void remote_agents_routing(struct remote_agents *r);
+/* Called each 20 ms. */
+void remote_agents_tick(struct remote_agents *r);
 
 #endif
--- a/src/daemon/routing_fetch.c
+++ b/src/daemon/routing_fetch.c
@@ -1,8 +1,8 @@
 /* The routing as an entry or agent fetches it. */
 #include "routing_fetch.h"
 
-#include "../../platform/platform.h"
 #include "../core/fetch.h"
+#include "routing_follow.h"
 
 /* A connection that nobody used for so long is closed, in ms: operators who
  * change something mostly change more within seconds. */
@@ -12,6 +12,7 @@
 	struct routing_fetch_options o;
 	struct msg_hello hello;
 	struct fetch *fetch;
+	struct routing_follow *follow;
 	struct link *link; /* NULL: no leader has said anything yet */
 	struct conn *conn; /* to the one asked last; NULL: none */
 	char *addr;
@@ -55,7 +56,7 @@
 	if (f->kind != MSG_ROUTING)
 		return;
 	r->used_ms = now_ms(r);
-	if (!f->u.routing.packed.n)
+	if (!f->u.routing.changes.n)
 		r->turn_ms = r->used_ms;
 	fetch_answered(r->fetch, &f->u.routing, now_ms(r));
 }
@@ -135,31 +136,37 @@
 		conn_send(r->conn, MSG_FETCH, m);
 }
 
-static void op_take(void *arg, uint64_t version, struct ss_str body)
+static bool op_take(void *arg, const struct msg_routing *m)
 {
 	struct routing_fetch *r = arg;
-	GError *error = NULL;
-	int64_t came_ms = now_ms(r);
-	struct routing *routing = users_platform.read_routing(body, &error);
-
-	/* It was checked before it was accepted. */
-	if (!routing) {
-		log_error("routing_unreadable",
-			  "version=%" PRIu64 " why=\"%s\"", version,
-			  error->message);
-		g_error_free(error);
-		return;
-	}
-	r->o.take(r->o.arg, routing);
-	routing_unref(routing);
-	log_info("routing",
-		 "version=%" PRIu64
+	const struct routing_bytes *b = m->changes.items;
+
+	log_info("routing_fetched",
+		 "version=%" PRIu64 " base=%" PRIu64
 		 " from=%s sources=%u asks=%u asked_ms=%" PRId64
-		 " turn_ms=%" PRId64 " came_ms=%" PRId64 " read_ms=%" PRId64,
-		 version, r->addr, r->sources, r->asks,
+		 " turn_ms=%" PRId64 " ms=%" PRId64,
+		 m->version, m->base, r->addr, r->sources, r->asks,
 		 r->asked_ms - r->told_ms,
 		 r->turn_ms ? r->turn_ms - r->told_ms : -1,
-		 came_ms - r->told_ms, now_ms(r) - came_ms);
+		 now_ms(r) - r->told_ms);
+	for (size_t i = 0; i < m->changes.n; i++)
+		if (!routing_follow_add(r->follow, b[i].packed))
+			return false;
+	return true;
+}
+
+static void on_taken(void *arg, struct routing *table)
+{
+	struct routing_fetch *r = arg;
+
+	r->o.take(r->o.arg, table);
+}
+
+static void on_useless(void *arg, uint64_t have)
+{
+	struct routing_fetch *r = arg;
+
+	fetch_useless(r->fetch, have, now_ms(r));
 }
 
 static const struct fetch_ops fetch_table = { op_sources, op_leader, op_ask,
@@ -170,11 +177,15 @@
 	struct routing_fetch *r = g_new0(struct routing_fetch, 1);
 	struct fetch_options fo = { .ops = &fetch_table,
 				    .arg = r,
-				    .self = o->daemon->config.name };
+				    .self = o->daemon->config.name,
+				    .services = o->services };
+	struct routing_follow_options wo = { o->daemon, on_taken, on_useless,
+					     r };
 
 	r->o = *o;
 	r->addr = g_strdup("");
 	r->fetch = fetch_new(&fo);
+	r->follow = routing_follow_new(&wo);
 	return r;
 }
 
@@ -184,6 +195,7 @@
 		return;
 	hang_up(r);
 	fetch_free(r->fetch);
+	routing_follow_free(r->follow);
 	g_free(r->addr);
 	g_free(r);
 }
--- a/src/daemon/routing_fetch.h
+++ b/src/daemon/routing_fetch.h
@@ -12,7 +12,8 @@
 
 struct routing_fetch_options {
 	struct daemon *daemon;
-	/* A newer routing; r is the callee's to reference. */
+	bool services; /* no routes: those who use none are spared them */
+	/* The table has a newer version; always the same table. */
 	void (*take)(void *arg, struct routing *r);
 	void *arg;
 };
--- a/src/node/frame.c
+++ b/src/node/frame.c
@@ -13,7 +13,7 @@
 		return;
 	packed = g_string_sized_new(bytes.n);
 	g_string_append_c(packed, FRAME_PACKED);
-	pack_add(packed, bytes, (struct ss_str){ 0 });
+	pack_add(packed, bytes);
 	if (packed->len < bytes.n) {
 		g_string_truncate(out, at);
 		g_string_append_len(out, packed->str, (gssize)packed->len);
@@ -104,7 +104,7 @@
 	if (body.n == 0 || body.p[0] != FRAME_PACKED)
 		return decode(f, body, error);
 	f->unpacked = pack_open((struct ss_str){ body.p + 1, body.n - 1 },
-				(struct ss_str){ 0 }, FRAME_MAX, error);
+				FRAME_MAX, error);
 	if (!f->unpacked)
 		return false;
 	/* Packed once: one within another is of no known kind. */
--- a/src/operator/routing_http.c
+++ b/src/operator/routing_http.c
@@ -2,14 +2,20 @@
 #include "routing_http.h"
 
 #include "../base/log.h"
+#include "../core/routing_update.h"
 
 /* A configuration of 30,000 adapters and thousands of routes, in bytes. */
 #define BODY_MAX (15u << 20)
+/* A call waits so long, in ms, for the table to be what the log says; then it
+ * is refused. */
+#define TABLE_MS 1000
 
 struct routing_http {
 	struct routing_http_options o;
 	struct http_server *server;
 	GArray *held; /* struct held_call */
+	GQueue puts;  /* struct pending, to be read one after the other */
+	struct event *turn;
 };
 
 /* One that came while no leader was known. */
@@ -18,12 +24,13 @@
 	int64_t since_ms;
 };
 
-/* One call that waits for the log. */
+/* One call that is read, or waits for the log. */
 struct pending {
 	struct routing_http *h;
 	struct evhttp_request *req;
-	uint64_t version;
-	int64_t came_ms, read_ms; /* when it came; how long reading it took */
+	struct routing_update *update; /* NULL: it is to be compared first */
+	uint64_t version, tried; /* to be made; in force when it was proposed */
+	int64_t came_ms, read_ms; /* when it came; how long it took to read */
 };
 
 static void refuse(struct evhttp_request *req, enum ss_error code,
@@ -45,16 +52,45 @@
 	return p;
 }
 
+static void pending_free(struct pending *p)
+{
+	routing_update_free(p->update);
+	g_free(p);
+}
+
+static void put_free(void *p)
+{
+	pending_free(p);
+}
+
+static const struct document *in_force(const struct routing_http *h)
+{
+	return ss_state_routing(h->o.ops->state(h->o.arg));
+}
+
+static void next_turn(struct routing_http *h)
+{
+	static const struct timeval at_once = { 0, 0 };
+
+	event_add(h->turn, &at_once);
+}
+
 static void on_changed(void *arg, const struct command_result *r,
 		       const GError *error)
 {
 	struct pending *p = arg;
+	struct routing_http *h = p->h;
 
 	/* Not accepted yet, and maybe later: no clear answer. */
 	if (error) {
 		log_info("routing_unclear", "version=%" PRIu64 " why=\"%s\"",
 			 p->version, error->message);
 		refuse(p->req, SS_ERROR_UNAVAILABLE, error->message);
+	} else if (r->code == SS_ERROR_CONFLICT && r->version != p->tried) {
+		/* Another came first: it is compared with that now. */
+		g_queue_push_tail(&h->puts, p);
+		next_turn(h);
+		return;
 	} else if (r->code) {
 		refuse(p->req, (enum ss_error)r->code, r->text);
 	} else {
@@ -62,51 +98,121 @@
 			 "version=%" PRIu64 " in_force=%" PRIu64
 			 " read_ms=%" PRId64 " ms=%" PRId64,
 			 p->version, r->version, p->read_ms,
-			 ss_clock_now(p->h->o.clock) - p->came_ms);
+			 ss_clock_now(h->o.clock) - p->came_ms);
 		http_reply(p->req, 200, "application/json", SS_LIT("{}"));
 	}
-	g_free(p);
+	pending_free(p);
 }
 
-static void put(struct routing_http *h, struct evhttp_request *req)
+static void refuse_put(struct pending *p, GError *error)
 {
-	struct ss_str body = http_body(req);
-	int64_t came_ms = ss_clock_now(h->o.clock);
-	GError *error = NULL;
-	struct routing *r = h->o.platform->read_routing(body, &error);
-	struct routing_rec rec = { .body = body };
+	/* The table isn't what the log says: no fault of the call. */
+	if (error->code == SS_ERROR_FRAME)
+		error->code = SS_ERROR_UNAVAILABLE;
+	log_info("routing_refused", "why=\"%s\"", error->message);
+	http_reply_error(p->req, error);
+	g_error_free(error);
+	pending_free(p);
+}
+
+static void propose(struct pending *p)
+{
+	struct routing_http *h = p->h;
+	const struct document_change *change = routing_update_change(p->update);
+	struct routing_rec rec = { .version = change->version };
 	struct command c = { .kind = COMMAND_ROUTING_PUT, .routing = &rec };
-	struct pending *p;
+	GString *packed = document_pack(change);
 
-	if (!r) {
-		log_info("routing_refused", "why=\"%s\"", error->message);
-		http_reply_error(req, error);
-		g_error_free(error);
-		return;
-	}
-	rec.version = r->version;
-	routing_unref(r);
-	p = pending_new(h, req);
+	rec.change = ss_str_gs(packed);
 	p->version = rec.version;
-	p->came_ms = came_ms;
-	p->read_ms = ss_clock_now(h->o.clock) - came_ms;
+	p->tried = document_version(in_force(h));
+	p->read_ms = ss_clock_now(h->o.clock) - p->came_ms;
+	routing_update_free(p->update);
+	p->update = NULL;
 	h->o.ops->change(h->o.arg, &c, (struct operator_done){ on_changed, p });
+	g_string_free(packed, TRUE);
+}
+
+/* Against what is in force, which may have changed since it was begun. */
+static bool compare(struct pending *p, GError **error)
+{
+	struct routing_http *h = p->h;
+	const struct document *d = in_force(h);
+	struct document_news *news;
+
+	if (p->update &&
+	    routing_update_change(p->update)->base == document_version(d))
+		return true;
+	routing_update_free(p->update);
+	p->update = NULL;
+	news = document_compare(d, http_body(p->req),
+				h->o.platform->routing->lists, error);
+	if (news)
+		p->update = routing_update_new(h->o.routing,
+					       h->o.platform->routing, news);
+	return news != NULL;
+}
+
+/* The table follows the log a little further in each turn, too. */
+static bool is_behind(const struct pending *p)
+{
+	const struct routing_http *h = p->h;
+
+	return h->o.routing->version != document_version(in_force(h)) &&
+	       ss_clock_now(h->o.clock) - p->came_ms < TABLE_MS;
+}
+
+/* The first in line is read a little further in each turn of the loop. */
+static void on_turn(evutil_socket_t fd, short what, void *arg)
+{
+	struct routing_http *h = arg;
+	struct pending *p = g_queue_peek_head(&h->puts);
+	enum routing_step step = ROUTING_INVALID;
+	GError *error = NULL;
+
+	(void)fd;
+	(void)what;
+	if (p && is_behind(p))
+		step = ROUTING_MORE;
+	else if (p && compare(p, &error))
+		step = routing_update_step(p->update, &error);
+	if (p && step != ROUTING_MORE) {
+		g_queue_pop_head(&h->puts);
+		if (step == ROUTING_READ)
+			propose(p);
+		else
+			refuse_put(p, error);
+	}
+	if (h->puts.length)
+		next_turn(h);
+}
+
+static void put(struct routing_http *h, struct evhttp_request *req)
+{
+	struct pending *p = pending_new(h, req);
+
+	p->came_ms = ss_clock_now(h->o.clock);
+	g_queue_push_tail(&h->puts, p);
+	next_turn(h);
 }
 
 static void on_confirmed(void *arg, bool ok)
 {
 	struct pending *p = arg;
-	const struct routing_rec *rec =
-		ss_state_routing(p->h->o.ops->state(p->h->o.arg));
+	const struct document *d = in_force(p->h);
+	GString *text;
 
 	if (!ok)
 		refuse(p->req, SS_ERROR_UNAVAILABLE,
 		       "no majority confirms that this is the newest");
-	else if (!rec)
+	else if (!document_version(d))
 		refuse(p->req, SS_ERROR_UNAVAILABLE, "no routing yet");
-	else
-		http_reply(p->req, 200, "application/json", rec->body);
-	g_free(p);
+	else {
+		text = document_text(d);
+		http_reply(p->req, 200, "application/json", ss_str_gs(text));
+		g_string_free(text, TRUE);
+	}
+	pending_free(p);
 }
 
 static const char *path_of(struct evhttp_request *req)
@@ -204,6 +310,8 @@
 
 	h->o = *o;
 	h->held = g_array_new(FALSE, FALSE, sizeof(struct held_call));
+	g_queue_init(&h->puts);
+	h->turn = evtimer_new(o->base, on_turn, h);
 	h->server = http_server_new(&so, error);
 	if (h->server)
 		return h;
@@ -225,6 +333,8 @@
 {
 	if (!h)
 		return;
+	event_free(h->turn);
+	g_queue_clear_full(&h->puts, put_free);
 	http_server_free(h->server);
 	g_array_unref(h->held);
 	g_free(h);
--- a/src/operator/routing_http.h
+++ b/src/operator/routing_http.h
@@ -28,6 +28,7 @@
 	const struct platform_ops *platform;
 	const char *addr;
 	const struct ss_clock *clock;
+	struct routing *routing; /* that follows the log; NULL: never leads */
 	/* A call that comes while no leader is known waits so long for one; 0:
 	 * it is refused at once. */
 	int64_t hold_ms;
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -62,7 +62,7 @@
 }
 
 static struct forward *forward_new(struct gate *g, struct caller_call *c,
-				   const struct routing_route *rt,
+				   struct routing_route *rt,
 				   const struct platform_call *call,
 				   struct ss_str body, int64_t now)
 {
@@ -74,9 +74,10 @@
 	f->g = g;
 	f->caller = c;
 	f->body = body;
-	f->routing = routing_ref(g->routing);
-	f->route = rt;
-	f->service = routing_pick(g->routing, rt, ss_random(&g->seed));
+	f->routing = g->routing->version;
+	f->route = routing_route_ref(rt);
+	f->service = routing_service_ref(
+		routing_pick(g->routing, rt, ss_random(&g->seed)));
 	f->call = *call;
 	f->id = ss_str_dup(call->id);
 	f->model = f->service->engine ? ss_str_dup(call->model) : g_strdup("");
@@ -104,7 +105,7 @@
 {
 	const struct http1_head *h = caller_call_head(c);
 	struct ss_str host = http1_value(h, "Host");
-	const struct routing_route *rt;
+	struct routing_route *rt;
 	struct platform_call call;
 	GError *error = NULL;
 	struct forward *f;
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -43,7 +43,8 @@
 	quarantine_leave(f);
 	g_hash_table_remove(g->forwards, f);
 	g_ptr_array_unref(f->tried);
-	routing_unref(f->routing);
+	routing_route_unref(f->route);
+	routing_service_unref(f->service);
 	if (f->headers)
 		g_string_free(f->headers, TRUE);
 	if (f->held)
@@ -116,8 +117,8 @@
 		 f->objective_ms - f->start_ms, f->pause_ms, f->route->pause_ms,
 		 held_for(f), f->deadline_ms - gate_now(g), f->call.tokens_out,
 		 f->stop_left_ms,
-		 f->expected_ms == SS_NEVER ? -1 : f->expected_ms,
-		 f->routing->version, f->why ? f->why : "");
+		 f->expected_ms == SS_NEVER ? -1 : f->expected_ms, f->routing,
+		 f->why ? f->why : "");
 }
 
 void forward_end(struct forward *f, bool whole, const char *why)
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -227,19 +227,19 @@
 				    .head_ms = r->limits.head_ms,
 				    .idle_ms = r->limits.idle_ms };
 
-	if (g->routing && r->version <= g->routing->version)
+	if (r->version <= g->routing_version)
 		return;
+	routing_ref(r);
 	routing_unref(g->routing);
-	g->routing = routing_ref(r);
+	g->routing = r;
+	g->routing_version = r->version;
 	callers_set_limits(g->callers, &l);
-	log_info("routing", "version=%" PRIu64 " routes=%u services=%u",
-		 r->version, r->routes->len, r->services->len);
 	gate_pump(g, NULL);
 }
 
 uint64_t gate_routing_version(const struct gate *g)
 {
-	return g->routing ? g->routing->version : 0;
+	return g->routing_version;
 }
 
 bool gate_knows_fleet(const struct gate *g)
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -56,7 +56,8 @@
 void gate_free(struct gate *g);
 uint16_t gate_port(const struct gate *g);
 
-/* A newer routing; older ones are ignored. The gate takes a reference. */
+/* A newer routing, or a newer version of the same; older ones are ignored. The
+ * gate takes a reference. */
 void gate_set_routing(struct gate *g, struct routing *r);
 uint64_t gate_routing_version(const struct gate *g);
 
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -56,9 +56,9 @@
 	struct gate *g;
 	struct caller_call *caller;
 	struct ss_str body;
-	struct routing *routing;
-	const struct routing_route *route;
-	const struct routing_service *service;
+	uint64_t routing; /* version that it came under */
+	struct routing_route *route;
+	struct routing_service *service;
 	struct platform_call call; /* views into the caller's head */
 	char *id, *model, *adapter;
 	uint64_t affinity;
@@ -125,9 +125,10 @@
 	struct callers *callers;
 	struct upstream *upstream;
 	struct routing *routing;
-	GHashTable *eps;     /* addr -> struct gate_ep */
-	GHashTable *lanes;   /* "service\nmodel" -> struct lane */
-	GHashTable *budgets; /* service -> struct repeat_budget */
+	uint64_t routing_version; /* of it, when it was last set */
+	GHashTable *eps;	  /* addr -> struct gate_ep */
+	GHashTable *lanes;	  /* "service\nmodel" -> struct lane */
+	GHashTable *budgets;	  /* service -> struct repeat_budget */
 	/* service -> struct pace, of its streams; "service\nroute" -> of
 	 * plain answers: a slow route hides among a fast one's many. */
 	GHashTable *paces;
--- a/src/proxy/platform_ops.h
+++ b/src/proxy/platform_ops.h
@@ -50,12 +50,8 @@
 	const char *header_expect, *header_instance;
 	const char *path_health; /* where the routing names none */
 
-	/*
-	 * Read an operator's configuration. NULL with SS_ERROR_BAD_REQUEST,
-	 * with the place and the reason, where it can't be read in full or
-	 * is invalid.
-	 */
-	struct routing *(*read_routing)(struct ss_str json, GError **error);
+	/* An operator's configuration. */
+	const struct routing_format *routing;
 
 	/* The path that lists endpoints; page is NULL for the first one. */
 	char *(*list_path)(const char *page);
--- /dev/null
+++ b/test/test_document.c
@@ -0,0 +1,587 @@
+/* The configuration as pieces: changes of it, and the routing that follows. */
+#include "unit.h"
+
+#include "../platform/platform.h"
+#include "../src/core/routing_update.h"
+#include "../src/core/state.h"
+
+#define SERVICES "\"services\":[{\"name\":\"s1\"},{\"name\":\"s2\"}]"
+#define ROUTE(n, service)                                                      \
+	"{\"name\":\"" n "\",\"host\":\"h.example\",\"prefix\":\"/" n          \
+	"/\",\"type\":\"safe\",\"timeoutMs\":10,\"service\":\"" service "\"}"
+#define TEXT(version, routes)                                                  \
+	"{\"version\":" version ",\"routes\":[" routes "]," SERVICES "}"
+
+static const char *const *lists(void)
+{
+	return users_platform.routing->lists;
+}
+
+/* Make a document into a text; the change, packed. */
+static GString *bring_to(struct document *d, const char *text, uint64_t version)
+{
+	struct document_news *n =
+		document_compare(d, ss_str(text), lists(), NULL);
+	GString *packed, *held;
+
+	if (!n)
+		fail_msg("refused: %s", text);
+	n->change.version = version;
+	packed = document_pack(&n->change);
+	document_news_free(n);
+	n = document_open(ss_str_gs(packed), NULL);
+	assert_non_null(n);
+	assert_true(document_apply(d, &n->change, NULL));
+	document_news_free(n);
+	held = document_text(d);
+	assert_string_equal(held->str, text);
+	assert_int_equal(held->len, strlen(text));
+	g_string_free(held, TRUE);
+	return packed;
+}
+
+static const struct {
+	const char *label, *before, *after;
+	guint pieces; /* that the change brings at most */
+} changes[] = {
+	{ "nothing but the version", TEXT("1", ROUTE("a", "s1")),
+	  TEXT("2", ROUTE("a", "s1")), 1 },
+	{ "one at the end", TEXT("1", ROUTE("a", "s1")),
+	  TEXT("2", ROUTE("a", "s1") "," ROUTE("b", "s1")), 2 },
+	{ "one at the start", TEXT("1", ROUTE("a", "s1")),
+	  TEXT("2", ROUTE("b", "s1") "," ROUTE("a", "s1")), 3 },
+	{ "one in the middle", TEXT("1", ROUTE("a", "s1") "," ROUTE("c", "s1")),
+	  TEXT("2", ROUTE("a", "s1") "," ROUTE("b", "s1") "," ROUTE("c", "s1")),
+	  2 },
+	{ "one replaced", TEXT("1", ROUTE("a", "s1") "," ROUTE("c", "s1")),
+	  TEXT("2", ROUTE("a", "s2") "," ROUTE("c", "s1")), 2 },
+	{ "one removed",
+	  TEXT("1", ROUTE("a", "s1") "," ROUTE("b", "s1") "," ROUTE("c", "s1")),
+	  TEXT("2", ROUTE("a", "s1") "," ROUTE("c", "s1")), 1 },
+	{ "all removed", TEXT("1", ROUTE("a", "s1") "," ROUTE("b", "s1")),
+	  TEXT("2", ""), 1 },
+	{ "the first ones", TEXT("1", ""),
+	  TEXT("2", ROUTE("a", "s1") "," ROUTE("b", "s1")), 3 },
+	{ "two in another order",
+	  TEXT("1", ROUTE("a", "s1") "," ROUTE("b", "s1")),
+	  TEXT("2", ROUTE("b", "s1") "," ROUTE("a", "s1")), 3 },
+	{ "spaces", TEXT("1", ROUTE("a", "s1") "," ROUTE("b", "s1")),
+	  " { \"version\" : 2 , \"routes\" : [ " ROUTE("a", "s1") " ,\n " ROUTE(
+		  "b", "s1") " ] , " SERVICES " } ",
+	  5 },
+	{ "the lists in another order", TEXT("1", ROUTE("a", "s1")),
+	  "{" SERVICES ",\"routes\":[" ROUTE("a", "s1") "],\"version\":2}", 6 },
+	{ "brackets and quotes in text", TEXT("1", ROUTE("a", "s1")),
+	  "{\"version\":2,\"note\":\"]}\\\"[,\",\"routes\":[{\"x\":\"]\\\\\"},"
+	  "{\"y\":[1,{\"z\":\"}\"}]}]}",
+	  6 },
+};
+
+/* A change that doesn't make what operators sent, or tells what is held. */
+static void changes_make_the_text(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
+		struct document *d = document_new();
+		struct document_news *n;
+		guint pieces = 0;
+
+		g_string_free(bring_to(d, changes[i].before, 1), TRUE);
+		n = document_compare(d, ss_str(changes[i].after), lists(),
+				     NULL);
+		assert_non_null(n);
+		for (size_t k = 0; k < n->change.edits.n; k++)
+			pieces += (guint)((struct document_edit *)
+						  n->change.edits.items)[k]
+					  .pieces.n;
+		if (pieces > changes[i].pieces)
+			fail_msg("%s: %u pieces", changes[i].label, pieces);
+		document_news_free(n);
+		g_string_free(bring_to(d, changes[i].after, 2), TRUE);
+		document_free(d);
+	}
+}
+
+static const struct {
+	const char *label, *text;
+} spoilt[] = {
+	{ "nothing", "" },
+	{ "no object", "[1]" },
+	{ "cut in an item", "{\"version\":2,\"routes\":[{\"a\":1" },
+	{ "cut in a text", "{\"version\":2,\"routes\":[{\"a\":\"1" },
+	{ "cut behind an escape", "{\"version\":2,\"x\":\"1\\" },
+	{ "cut behind a list", "{\"version\":2,\"routes\":[{\"a\":1}]" },
+	{ "more behind it", "{\"version\":2}}" },
+	{ "a comma before the first", "{\"routes\":[,{\"a\":1}]}" },
+	{ "a comma behind the last", "{\"routes\":[{\"a\":1},]}" },
+	{ "two commas", "{\"routes\":[{\"a\":1},,{\"a\":1}]}" },
+	{ "no comma", "{\"routes\":[{\"a\":1}{\"a\":1}]}" },
+	{ "a list twice", "{\"routes\":[],\"routes\":[]}" },
+	{ "no colon", "{\"routes\"[]}" },
+};
+
+static void spoilt_texts_are_refused(void **state)
+{
+	struct document *d = document_new();
+
+	(void)state;
+	/* Also against what would be kept. */
+	g_string_free(bring_to(d, "{\"routes\":[{\"a\":1},{\"a\":1}]}", 1),
+		      TRUE);
+	for (size_t i = 0; i < G_N_ELEMENTS(spoilt); i++) {
+		GError *error = NULL;
+
+		if (document_compare(d, ss_str(spoilt[i].text), lists(),
+				     &error))
+			fail_msg("%s was taken", spoilt[i].label);
+		assert_int_equal(error->code, SS_ERROR_BAD_REQUEST);
+		g_error_free(error);
+	}
+	document_free(d);
+}
+
+/* A text with so many routes, from a number on. */
+static GString *text_of(uint64_t version, int first, int routes)
+{
+	GString *s = g_string_new(NULL);
+
+	g_string_append_printf(s, "{\"version\":%" PRIu64 ",\"routes\":[",
+			       version);
+	for (int i = first; i < first + routes; i++)
+		g_string_append_printf(
+			s,
+			"%s{\"name\":\"r%d\",\"host\":\"h%d.example\","
+			"\"prefix\":\"/p%d/\",\"type\":\"safe\","
+			"\"timeoutMs\":10,\"service\":\"s%d\"}",
+			i > first ? "," : "", i, i % 40, i, i % 2 + 1);
+	g_string_append(s, "]," SERVICES "}");
+	return s;
+}
+
+/* Routes that are added, and the bytes of that change. */
+static size_t bytes_to_add(int held, int added)
+{
+	struct document *d = document_new();
+	GString *before = text_of(1, 0, held);
+	GString *after = text_of(2, 0, held + added);
+	GString *change;
+	size_t n;
+
+	g_string_free(bring_to(d, before->str, 1), TRUE);
+	change = bring_to(d, after->str, 2);
+	n = change->len;
+	g_string_free(change, TRUE);
+	g_string_free(before, TRUE);
+	g_string_free(after, TRUE);
+	document_free(d);
+	return n;
+}
+
+/* A change whose bytes grow with what was there before. */
+static void bytes_follow_from_the_change(void **state)
+{
+	(void)state;
+	assert_true(bytes_to_add(12000, 1) < 2 * bytes_to_add(50, 1));
+	assert_true(bytes_to_add(12000, 100) < 2 * bytes_to_add(50, 100));
+}
+
+/* The routing. */
+
+static bool put(struct routing_follower *w, struct document *d,
+		const char *text, uint64_t version, GError **error)
+{
+	GString *packed = bring_to(d, text, version);
+	bool ok = routing_follower_add(w, ss_str_gs(packed), error);
+
+	g_string_free(packed, TRUE);
+	while (ok && routing_follower_busy(w))
+		if (!routing_follower_step(w, error) && error && *error)
+			return false;
+	return ok;
+}
+
+static void assert_same(const struct routing *a, const struct routing *b)
+{
+	GHashTableIter it;
+	void *place, *v;
+
+	assert_int_equal(a->version, b->version);
+	assert_int_equal(a->routes, b->routes);
+	assert_int_equal(g_hash_table_size(a->places), b->routes);
+	assert_int_equal(a->services->len, b->services->len);
+	g_hash_table_iter_init(&it, b->places);
+	while (g_hash_table_iter_next(&it, &place, &v)) {
+		const struct routing_route *x =
+			g_hash_table_lookup(a->places, place);
+
+		assert_non_null(x);
+		assert_string_equal(x->name, ((struct routing_route *)v)->name);
+	}
+	for (guint i = 0; i < b->services->len; i++) {
+		const struct routing_service *s = b->services->pdata[i];
+		const struct routing_service *x = routing_service(a, s->name);
+
+		assert_non_null(x);
+		assert_int_equal(x->uses, s->uses);
+		assert_int_equal(x->ended, 0);
+	}
+}
+
+/* A text whose routes and services a seed draws from a few. */
+static GString *drawn(uint64_t *seed, uint64_t version)
+{
+	GString *s = g_string_new(NULL);
+	const char *comma = "";
+	bool third = ss_random(seed) % 3 == 0;
+
+	g_string_append_printf(s, "{\"version\":%" PRIu64 ",\"routes\":[",
+			       version);
+	for (int i = 0; i < 60; i++) {
+		uint64_t x = ss_random(seed);
+
+		if (x % 10 == 0)
+			continue;
+		g_string_append_printf(s,
+				       "%s{\"name\":\"r%d\",\"host\":\"h\","
+				       "\"prefix\":\"/%d/\","
+				       "\"type\":\"safe\",\"timeoutMs\":%d,"
+				       "\"service\":\"%s\"}",
+				       comma, i, i, x % 7 == 0 ? 20 : 10,
+				       x % 11 == 0 && third ? "s3" : "s1");
+		comma = ",";
+	}
+	g_string_append_printf(s,
+			       "],\"services\":[{\"name\":\"s1\",\"maxConns\""
+			       ":%d}%s]}",
+			       (int)(ss_random(seed) % 2),
+			       third ? ",{\"name\":\"s3\"}" : "");
+	return s;
+}
+
+/* A table that differs, after a series of changes, from the text read whole. */
+static void table_follows_any_series(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= 30; seed++) {
+		struct routing_follower *w =
+			routing_follower_new(users_platform.routing);
+		struct document *d = document_new();
+		uint64_t random = seed;
+
+		for (uint64_t v = 1; v <= 20; v++) {
+			GString *text = drawn(&random, v);
+			struct routing *whole = routing_read(
+				users_platform.routing, ss_str_gs(text), NULL);
+
+			assert_non_null(whole);
+			assert_true(put(w, d, text->str, v, NULL));
+			assert_same(routing_follower_table(w), whole);
+			routing_unref(whole);
+			g_string_free(text, TRUE);
+		}
+		routing_follower_free(w);
+		document_free(d);
+	}
+}
+
+static const struct {
+	const char *label, *text;
+	const char *error; /* NULL: it is taken */
+} checked[] = {
+	{ "two on one place",
+	  TEXT("2", ROUTE("a", "s1") "," ROUTE("b", "s1") "," ROUTE("a", "s2")),
+	  "has prefix /a/ twice" },
+	{ "a service that isn't there",
+	  TEXT("2", ROUTE("a", "s1") "," ROUTE("b", "s9")), "no service s9" },
+	{ "a service that goes while a kept route needs it",
+	  "{\"version\":2,\"routes\":[" ROUTE("a", "s1") "," ROUTE(
+		  "b", "s2") "],\"services\":[{\"name\":\"s1\"}]}",
+	  "s2" },
+	{ "a service that comes twice",
+	  "{\"version\":2,\"routes\":[" ROUTE(
+		  "a",
+		  "s1") "],\"services\":[{\"name\":\"s1\"},{\"name\":\"s1\"}]}",
+	  "stands twice" },
+	{ "a service replaced under kept routes",
+	  "{\"version\":2,\"routes\":[" ROUTE("a", "s1") "," ROUTE(
+		  "b", "s2") "],\"services\":[{\"name\":\"s1\",\"maxConns\":9},"
+			     "{\"name\":\"s2\"}]}",
+	  NULL },
+	{ "an item that can't be read",
+	  TEXT("2", ROUTE("a", "s1") "," ROUTE("b", "s2") ",{\"name\":3}"),
+	  "routes[2].name" },
+	{ "a service and its routes go",
+	  "{\"version\":2,\"routes\":[" ROUTE(
+		  "a", "s1") "],\"services\":[{\"name\":\"s1\"}]}",
+	  NULL },
+	{ "routes change places",
+	  TEXT("2", ROUTE("b", "s2") "," ROUTE("a", "s1")), NULL },
+	{ "no version", "{\"routes\":[" ROUTE("a", "s1") "]," SERVICES "}",
+	  "version" },
+};
+
+/* An invalid change that is taken, or leaves something behind. */
+static void changes_are_checked_before_they_count(void **state)
+{
+	static const char first[] =
+		TEXT("1", ROUTE("a", "s1") "," ROUTE("b", "s2"));
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(checked); i++) {
+		struct routing_follower *w =
+			routing_follower_new(users_platform.routing);
+		struct routing *before = routing_read(users_platform.routing,
+						      ss_str(first), NULL);
+		struct document *d = document_new();
+		GError *error = NULL;
+		bool ok;
+
+		assert_true(put(w, d, first, 1, NULL));
+		ok = put(w, d, checked[i].text, 2, &error);
+		if (ok == (checked[i].error != NULL) ||
+		    (error && !strstr(error->message, checked[i].error)))
+			fail_msg("%s: %s", checked[i].label,
+				 error ? error->message : "taken");
+		if (!ok) {
+			assert_same(routing_follower_table(w), before);
+			assert_int_equal(routing_follower_version(w), 1);
+		}
+		g_clear_error(&error);
+		routing_unref(before);
+		routing_follower_free(w);
+		document_free(d);
+	}
+}
+
+/* A request loses the route and service that it came by. */
+static void requests_keep_their_route(void **state)
+{
+	struct routing_follower *w =
+		routing_follower_new(users_platform.routing);
+	struct routing *r = routing_follower_table(w);
+	struct document *d = document_new();
+	struct routing_service *s;
+	struct routing_route *rt;
+
+	(void)state;
+	assert_true(put(w, d, TEXT("1", ROUTE("a", "s1")), 1, NULL));
+	rt = routing_route_ref(
+		routing_match(r, SS_LIT("h.example"), SS_LIT("/a/x")));
+	s = routing_service_ref(routing_pick(r, rt, 0));
+	assert_true(put(w, d,
+			"{\"version\":2,\"routes\":[],\"services\":[{\"name\":"
+			"\"s2\"}]}",
+			2, NULL));
+	assert_null(routing_match(r, SS_LIT("h.example"), SS_LIT("/a/x")));
+	assert_string_equal(rt->name, "a");
+	assert_string_equal(s->name, "s1");
+	routing_route_unref(rt);
+	routing_service_unref(s);
+	routing_follower_free(w);
+	document_free(d);
+}
+
+static guint reads;
+
+static struct routing_route *counted_route(struct ss_str text,
+					   const char *place, GError **error)
+{
+	reads++;
+	return users_platform.routing->read_route(text, place, error);
+}
+
+/* The loop stands still while many routes are read. */
+static void few_items_are_read_at_a_time(void **state)
+{
+	struct routing_format f = *users_platform.routing;
+	struct routing_follower *w;
+	struct document *d = document_new();
+	GString *text = text_of(1, 0, 12000), *packed;
+	guint all = 0;
+
+	(void)state;
+	f.read_route = counted_route;
+	w = routing_follower_new(&f);
+	packed = bring_to(d, text->str, 1);
+	assert_true(routing_follower_add(w, ss_str_gs(packed), NULL));
+	while (routing_follower_busy(w)) {
+		reads = 0;
+		routing_follower_step(w, NULL);
+		assert_true(reads <= ROUTING_ITEMS);
+		all += reads;
+	}
+	assert_int_equal(all, 12000);
+	assert_int_equal(routing_follower_table(w)->routes, 12000);
+	g_string_free(packed, TRUE);
+	g_string_free(text, TRUE);
+	routing_follower_free(w);
+	document_free(d);
+}
+
+/* A change of another version, or a harmed one, that is taken. */
+static void useless_changes_are_refused(void **state)
+{
+	struct routing_follower *w =
+		routing_follower_new(users_platform.routing);
+	struct document *d = document_new();
+	GString *one = bring_to(d, TEXT("1", ROUTE("a", "s1")), 1);
+	GString *two = bring_to(d, TEXT("2", ROUTE("b", "s1")), 2);
+	GString *three = bring_to(d, TEXT("3", ROUTE("c", "s1")), 3);
+	GError *error = NULL;
+
+	(void)state;
+	assert_true(routing_follower_add(w, ss_str_gs(one), NULL));
+	assert_false(routing_follower_add(w, ss_str_gs(three), &error));
+	assert_int_equal(error->code, SS_ERROR_FRAME);
+	g_clear_error(&error);
+	assert_int_equal(routing_follower_version(w), 1);
+	assert_true(routing_follower_add(w, ss_str_gs(two), NULL));
+	g_string_truncate(three, three->len - 1);
+	assert_false(routing_follower_add(w, ss_str_gs(three), &error));
+	assert_int_equal(error->code, SS_ERROR_FRAME);
+	g_clear_error(&error);
+	while (routing_follower_busy(w))
+		routing_follower_step(w, NULL);
+	assert_int_equal(routing_follower_table(w)->version, 2);
+	g_string_free(one, TRUE);
+	g_string_free(two, TRUE);
+	g_string_free(three, TRUE);
+	routing_follower_free(w);
+	document_free(d);
+}
+
+/* The replicated state. */
+
+static int64_t apply(struct ss_state *s, const struct routing_rec *rec,
+		     uint64_t *version)
+{
+	struct command c = { .kind = COMMAND_ROUTING_PUT,
+			     .routing = (struct routing_rec *)rec };
+	GString *bytes = ss_command_encode(&c);
+	struct command_result r;
+
+	ss_state_apply(s, 1, ss_str_gs(bytes), &r);
+	g_string_free(bytes, TRUE);
+	*version = r.version;
+	return r.code;
+}
+
+static int64_t apply_text(struct ss_state *s, const char *text,
+			  uint64_t version, struct document *made_of)
+{
+	struct document_news *n =
+		document_compare(made_of ? made_of : ss_state_routing(s),
+				 ss_str(text), lists(), NULL);
+	struct routing_rec rec = { .version = version };
+	GString *packed;
+	int64_t code;
+
+	n->change.version = version;
+	packed = document_pack(&n->change);
+	rec.change = ss_str_gs(packed);
+	code = apply(s, &rec, &version);
+	document_news_free(n);
+	g_string_free(packed, TRUE);
+	return code;
+}
+
+static void assert_text(const struct ss_state *s, const char *text)
+{
+	GString *held = document_text(ss_state_routing(s));
+
+	assert_string_equal(held->str, text);
+	g_string_free(held, TRUE);
+}
+
+/* Two changes of one version: the second may not be added to the first. */
+static void second_of_two_is_made_anew(void **state)
+{
+	struct ss_state *s = ss_state_new();
+	struct document *one = document_new();
+
+	(void)state;
+	g_string_free(bring_to(one, TEXT("1", ""), 1), TRUE);
+	assert_int_equal(apply_text(s, TEXT("1", ""), 1, NULL), 0);
+	assert_int_equal(apply_text(s, TEXT("2", ROUTE("a", "s1")), 2, one), 0);
+	assert_int_equal(apply_text(s, TEXT("3", ROUTE("b", "s1")), 3, one),
+			 SS_ERROR_CONFLICT);
+	assert_text(s, TEXT("2", ROUTE("a", "s1")));
+	assert_int_equal(apply_text(s, TEXT("3", ROUTE("b", "s1")), 3, NULL),
+			 0);
+	/* What arrives late changes nothing, and isn't refused. */
+	assert_int_equal(apply_text(s, TEXT("2", ROUTE("a", "s1")), 2, one), 0);
+	assert_text(s, TEXT("3", ROUTE("b", "s1")));
+	document_free(one);
+	ss_state_free(s);
+}
+
+/* A text in a log of before there were changes, and changes of it. */
+static void whole_texts_of_old_logs_are_followed(void **state)
+{
+	static const char old[] = TEXT("4", ROUTE("a", "s1"));
+	struct routing_rec rec = { .version = 4, .body = SS_LIT(old) };
+	struct ss_state *s = ss_state_new();
+	struct routing_follower *w =
+		routing_follower_new(users_platform.routing);
+	uint64_t version;
+	GString *whole;
+
+	(void)state;
+	assert_int_equal(apply(s, &rec, &version), 0);
+	assert_int_equal(version, 4);
+	assert_text(s, old);
+	whole = document_whole(ss_state_routing(s), true);
+	assert_true(routing_follower_add(w, ss_str_gs(whole), NULL));
+	while (routing_follower_busy(w))
+		routing_follower_step(w, NULL);
+	assert_int_equal(routing_follower_table(w)->routes, 1);
+	assert_int_equal(apply_text(s, TEXT("5", ROUTE("b", "s1")), 5, NULL),
+			 0);
+	assert_text(s, TEXT("5", ROUTE("b", "s1")));
+	g_string_free(whole, TRUE);
+	routing_follower_free(w);
+	ss_state_free(s);
+}
+
+/* Members that disagree on when services changed, after a snapshot. */
+static void snapshots_keep_the_routing(void **state)
+{
+	static const char last[] =
+		TEXT("3", ROUTE("a", "s1") "," ROUTE("b", "s1"));
+	struct ss_state *s = ss_state_new(), *copy = ss_state_new();
+	GString *image;
+
+	(void)state;
+	assert_int_equal(apply_text(s, TEXT("1", ""), 1, NULL), 0);
+	assert_int_equal(apply_text(s, TEXT("2", ROUTE("a", "s1")), 2, NULL),
+			 0);
+	assert_int_equal(apply_text(s, last, 3, NULL), 0);
+	assert_int_equal(document_services(ss_state_routing(s)), 1);
+	image = ss_state_snapshot(s);
+	assert_true(ss_state_restore(copy, ss_str_gs(image)));
+	assert_text(copy, last);
+	assert_int_equal(document_version(ss_state_routing(copy)), 3);
+	assert_int_equal(document_services(ss_state_routing(copy)), 1);
+	g_string_free(image, TRUE);
+	ss_state_free(s);
+	ss_state_free(copy);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(changes_make_the_text),
+		cmocka_unit_test(spoilt_texts_are_refused),
+		cmocka_unit_test(bytes_follow_from_the_change),
+		cmocka_unit_test(table_follows_any_series),
+		cmocka_unit_test(changes_are_checked_before_they_count),
+		cmocka_unit_test(requests_keep_their_route),
+		cmocka_unit_test(few_items_are_read_at_a_time),
+		cmocka_unit_test(useless_changes_are_refused),
+		cmocka_unit_test(second_of_two_is_made_anew),
+		cmocka_unit_test(whole_texts_of_old_logs_are_followed),
+		cmocka_unit_test(snapshots_keep_the_routing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
