Let members hear at once of what was decided

Cause: followers learned of a commit only with the next append or heartbeat, up to 100 ms later; all that fetch from them wait as long. Change: where no entry follows that would tell it, the leader sends the heartbeat at once; under load nothing more is sent.

--- a/src/core/raft_append.c
+++ b/src/core/raft_append.c
@@ -239,6 +239,9 @@
 	if (r->role == SS_RAFT_LEADER && !raft_peer_find(r, r->o.self) &&
 	    r->members_index <= r->commit)
 		raft_become_follower(r, r->term, 0);
+	/* Members hear of it at once, where no entries follow that tell it. */
+	if (r->role == SS_RAFT_LEADER && r->commit == raft_log_last(&r->log))
+		raft_broadcast(r);
 }
 
 void raft_finish_reads(struct ss_raft *r)
