Tell entries and agents of members that joined after them

Cause: whoever fetches the routing knew the members of the moment at which it found the leader; at the start of a whole system these are the first three, and the leader, asked last, is one of them. Two of five control VMs fed everybody. Change: the leader tells its clients when its members change.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -10,6 +10,7 @@
 #include "routing_follow.h"
 
 #include <json-c/json.h>
+#include <xxhash.h>
 
 /* Elections and heartbeats are exact to this, in ms: a fifth of a heartbeat. */
 #define TICK_MS 20
@@ -33,6 +34,7 @@
 	struct event *tick;
 	GHashTable *conns; /* open ones that others made */
 	uint64_t told;	   /* the leader that those were told of */
+	uint64_t members;  /* hash of the members that they were told of */
 	int64_t stop_ms;
 	uint64_t *n_denied;
 };
@@ -234,6 +236,31 @@
 			tell_leader(k, c);
 }
 
+/* Entries and agents fetch from all members, also from those that joined after
+ * them: else the first few feed everybody. */
+static void tell_of_members(struct control_role *k)
+{
+	GArray *all = group_member_addrs(k->group);
+	uint64_t hash = 0;
+	GHashTableIter it;
+	void *c;
+
+	for (guint i = 0; i < all->len; i++) {
+		struct ss_str a =
+			g_array_index(all, struct control_addr, i).addr;
+
+		hash = XXH3_64bits_withSeed(a.p, a.n, hash);
+	}
+	g_array_unref(all);
+	if (!k->lead || hash == k->members)
+		return;
+	k->members = hash;
+	g_hash_table_iter_init(&it, k->conns);
+	while (g_hash_table_iter_next(&it, &c, NULL))
+		if (is_client(c))
+			tell_leader(k, c);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct control_role *k = arg;
@@ -242,6 +269,7 @@
 	(void)what;
 	check_leadership(k);
 	tell_of_leader(k);
+	tell_of_members(k);
 	follow_log(k);
 	mirror_tick(k->mirror, ss_clock_now(&k->d->clock));
 	remote_agents_tick(k->remote);
