Let an entry that may be behind say so, and not 404

What callers saw: 404 for routes that had been confirmed, by entries that were behind. Cause: an entry answered by what it held as if it were in force, whatever it had been told. Class: a process acts as if it knew.

Change (freshness.c, pure): an entry that was told of a newer version than it holds, or has lost the leader, doesn't say that a route isn't there: such a request waits until the version comes, half a second over the time in which one is taken at most, then gets 503, not run, come back in 0.2 s. One that was told for over a second does nothing by what it holds and isn't ready; one whose loop stood still reads for 0.2 s what came meanwhile. Without a leader known routes are served as before.

So an acknowledgement holds without waiting for anybody: who is in touch has been told within a round trip, and who isn't knows that it isn't. Weighed and left: acknowledging only once all entries follow (a frozen one would hold up every change, and operators move on after a second).

Tests: test_freshness (14 rows), test_gate_behind (told and late, for ever behind, no leader, woken). On the code before, the gate has no such word, and answers 404 in each of the four.

--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -224,6 +224,7 @@
 	struct fleet_entry *e = arg;
 
 	e->link_up = false;
+	gate_leader_lost(e->gate);
 	e->leader_ms = now_ms(e);
 }
 
@@ -241,6 +242,7 @@
 
 	switch (f->kind) {
 	case MSG_TERM:
+		gate_routing_told(e->gate, f->u.term.routing);
 		routing_fetch_want(e->routing, e->link, f->u.term.routing);
 		break;
 	case MSG_FLEET:
@@ -296,7 +298,7 @@
 	const struct fleet_entry *e = role;
 
 	return !e->stop_ms && gate_routing_version(e->gate) > 0 &&
-	       gate_knows_fleet(e->gate);
+	       gate_knows_fleet(e->gate) && !gate_is_stale(e->gate);
 }
 
 static void on_ready(void *arg, struct evhttp_request *req)
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -7,6 +7,8 @@
 
 /* A route's own timeout is answered before callers give up waiting; in ms. */
 #define TIMEOUT_EARLY_MS 20
+/* Another entry may serve a request that this one can't place, in ms. */
+#define BEHIND_BACK_MS 200
 
 static struct ss_str path_of(struct ss_str target)
 {
@@ -105,20 +107,31 @@
 {
 	const struct http1_head *h = caller_call_head(c);
 	struct ss_str host = http1_value(h, "Host");
+	enum freshness_level fresh;
 	struct routing_route *rt;
 	struct platform_call call;
 	GError *error = NULL;
 	struct forward *f;
+	int64_t until;
 
 	if (!g->routing || !g->fleet_known) {
-		if (early_hold(g, c, body))
+		if (early_hold(g, c, body, came_ms))
 			return;
 		(*g->n_requests)++;
 		refuse_call(g, c, 503, "unavailable", "not ready yet", 500);
 		return;
 	}
-	(*g->n_requests)++;
 	rt = routing_match(g->routing, host, path_of(h->target));
+	fresh = freshness_level(&g->freshness, gate_now(g), &until);
+	if (fresh == FRESHNESS_STALE || (fresh == FRESHNESS_UNSURE && !rt)) {
+		if (early_hold_until(g, c, body, came_ms, until))
+			return;
+		(*g->n_requests)++;
+		refuse_call(g, c, 503, "unavailable",
+			    "the routing here may be behind", BEHIND_BACK_MS);
+		return;
+	}
+	(*g->n_requests)++;
 	if (!rt) {
 		refuse_call(g, c, 404, "not_found", "no route", 0);
 		return;
--- a/src/proxy/early.c
+++ b/src/proxy/early.c
@@ -22,31 +22,28 @@
 	int64_t came_ms;
 };
 
-static bool knows_all(const struct gate *g)
-{
-	return g->routing && g->fleet_known;
-}
-
-static bool is_over(const struct gate *g, int64_t now)
-{
-	return g->end_ms || now - g->since_ms >= EARLY_MS;
-}
-
 GArray *early_new(void)
 {
 	return g_array_new(FALSE, FALSE, sizeof(struct early));
 }
 
-bool early_hold(struct gate *g, struct caller_call *c, struct ss_str body)
+bool early_hold_until(struct gate *g, struct caller_call *c, struct ss_str body,
+		      int64_t came_ms, int64_t until_ms)
 {
-	struct early e = { c, body, gate_now(g) };
+	struct early e = { c, body, came_ms };
 
-	if (is_over(g, e.came_ms) || g->early->len >= EARLY_MAX)
+	if (g->end_ms || gate_now(g) >= until_ms || g->early->len >= EARLY_MAX)
 		return false;
 	g_array_append_val(g->early, e);
 	return true;
 }
 
+bool early_hold(struct gate *g, struct caller_call *c, struct ss_str body,
+		int64_t came_ms)
+{
+	return early_hold_until(g, c, body, came_ms, g->since_ms + EARLY_MS);
+}
+
 void early_gone(struct gate *g, const struct caller_call *c)
 {
 	for (guint i = 0; i < g->early->len; i++)
@@ -56,11 +53,11 @@
 		}
 }
 
-void early_tick(struct gate *g, int64_t now)
+void early_tick(struct gate *g)
 {
 	GArray *all = g->early;
 
-	if (!all->len || (!knows_all(g) && !is_over(g, now)))
+	if (!all->len)
 		return;
 	g->early = early_new();
 	for (guint i = 0; i < all->len; i++) {
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -233,6 +233,7 @@
 	routing_unref(g->routing);
 	g->routing = r;
 	g->routing_version = r->version;
+	freshness_take(&g->freshness, r->version);
 	callers_set_limits(g->callers, &l);
 	gate_pump(g, NULL);
 }
@@ -242,6 +243,24 @@
 	return g->routing_version;
 }
 
+void gate_routing_told(struct gate *g, uint64_t version)
+{
+	freshness_hear(&g->freshness, version, gate_now(g));
+}
+
+void gate_leader_lost(struct gate *g)
+{
+	freshness_lose(&g->freshness, gate_now(g));
+}
+
+bool gate_is_stale(const struct gate *g)
+{
+	int64_t until, now = gate_now(g);
+
+	return freshness_level(&g->freshness, now, &until) == FRESHNESS_STALE &&
+	       until <= now;
+}
+
 bool gate_knows_fleet(const struct gate *g)
 {
 	return g->fleet_known;
@@ -389,7 +408,8 @@
 
 	if (g->end_ms)
 		times_look_at_open(g, now);
-	early_tick(g, now);
+	freshness_turn(&g->freshness, now);
+	early_tick(g);
 	quarantine_tick(g, now);
 	tick_forwards(g, now);
 	gate_pump(g, NULL);
@@ -472,6 +492,7 @@
 	g->o = *o;
 	g->seed = o->seed;
 	g->since_ms = gate_now(g);
+	freshness_init(&g->freshness, g->since_ms);
 	g->early = early_new();
 	g->endings = g_ptr_array_new_with_free_func(ending_free);
 	g->suspects = suspects_new(&so, g->since_ms);
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -60,6 +60,12 @@
  * gate takes a reference. */
 void gate_set_routing(struct gate *g, struct routing *r);
 uint64_t gate_routing_version(const struct gate *g);
+/* A confirmed leader's word on the version in force, and the loss of it: by
+ * these a gate knows when it may be behind. */
+void gate_routing_told(struct gate *g, uint64_t version);
+void gate_leader_lost(struct gate *g);
+/* It is so far behind that it refuses everything. */
+bool gate_is_stale(const struct gate *g);
 
 /* The leader's word on endpoints and models. */
 void gate_take_fleet(struct gate *g, const struct msg_fleet *m);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -8,6 +8,7 @@
 #include "../core/end_log.h"
 #include "../core/failing.h"
 #include "../core/fleet.h"
+#include "../core/freshness.h"
 #include "../core/pace.h"
 #include "../core/suspects.h"
 #include "callers.h"
@@ -126,9 +127,10 @@
 	struct upstream *upstream;
 	struct routing *routing;
 	uint64_t routing_version; /* of it, when it was last set */
-	GHashTable *eps;	  /* addr -> struct gate_ep */
-	GHashTable *lanes;	  /* "service\nmodel" -> struct lane */
-	GHashTable *budgets;	  /* service -> struct repeat_budget */
+	struct freshness freshness;
+	GHashTable *eps;     /* addr -> struct gate_ep */
+	GHashTable *lanes;   /* "service\nmodel" -> struct lane */
+	GHashTable *budgets; /* service -> struct repeat_budget */
 	/* service -> struct pace, of its streams; "service\nroute" -> of
 	 * plain answers: a slow route hides among a fast one's many. */
 	GHashTable *paces;
@@ -179,13 +181,17 @@
 
 /* early.c */
 GArray *early_new(void);
-/* Keep a request until it is known where it leads; false where it is too late
- * for that, and it is to be refused. */
-bool early_hold(struct gate *g, struct caller_call *c, struct ss_str body);
+/* Keep a request that came before it is known where it leads; false where
+ * nothing more is waited for, and it is to be refused. */
+bool early_hold(struct gate *g, struct caller_call *c, struct ss_str body,
+		int64_t came_ms);
+/* The same until a time on the clock, of a process that may be behind. */
+bool early_hold_until(struct gate *g, struct caller_call *c, struct ss_str body,
+		      int64_t came_ms, int64_t until_ms);
 /* Its caller has left. */
 void early_gone(struct gate *g, const struct caller_call *c);
-/* Begin them once that is known; refuse them once the time is over. */
-void early_tick(struct gate *g, int64_t now);
+/* Begin them anew: they are taken, held further or refused. */
+void early_tick(struct gate *g);
 
 /* endings.c: requests under which an endpoint has ended */
 /* The endpoint has closed the connection before its answer was whole. */
