--- a/test/test_gate_behind.c
+++ b/test/test_gate_behind.c
@@ -42,6 +42,7 @@
 
 	(void)state;
 	fix_open(&f, "web", "");
+	script(&f, 0, OK_TEXT, false, false);
 	gate_routing_told(f.gate, 9);
 	c = call(&f, NEW_ROUTE);
 	pass(&f, 300);
@@ -62,6 +63,7 @@
 
 	(void)state;
 	fix_open(&f, "web", "");
+	script(&f, 0, OK_TEXT, false, false);
 	gate_routing_told(f.gate, 9);
 	old = call(&f, GET_SAFE);
 	UNTIL(&f, ends(old, "hello"));
@@ -88,6 +90,7 @@
 
 	(void)state;
 	fix_open(&f, "web", "");
+	script(&f, 0, OK_TEXT, false, false);
 	gate_routing_told(f.gate, 1);
 	gate_leader_lost(f.gate);
 	pass(&f, FRESHNESS_LOST_MS);
@@ -114,6 +117,7 @@
 
 	(void)state;
 	fix_open(&f, "web", "");
+	script(&f, 0, OK_TEXT, false, false);
 	gate_routing_told(f.gate, 1);
 	turn(&f);
 	f.clock.fake_ms += 3000;
