Play a confirmed change beside slow, frozen, cut, new and lost processes

Real processes on loopback, 12,000 routes in force, changes in series, all entries asked each 50 ms: an entry on a tenth of a core, one that stood still over the change and is asked while it wakes, connections to all control VMs gone silent, an entry restarted at the acknowledgement, a new one, the leader killed right after it. No entry may answer 404 later than 3 s after the acknowledgement.

--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 
+import changes
 import poison
 import shared
 from look import leader_of, log_count, log_has, logged
@@ -666,7 +667,7 @@
              engine_without_its_agent_is_served,
              relay_leads_to_the_leader, operators_pass_a_frozen_relay,
              seeds_become_relays_before_a_loss_of_power,
-             *poison.SCENARIOS, *shared.SCENARIOS]
+             *poison.SCENARIOS, *shared.SCENARIOS, *changes.SCENARIOS]
 
 
 async def play(scenario, seed, daemon):
