--- a/src/core/document.c
+++ b/src/core/document.c
@@ -14,8 +14,7 @@
 
 struct document {
 	uint64_t version, services;
-	GPtrArray *texts;  /* char *, reference counted */
-	GByteArray *parts; /* enum document_part of each */
+	struct document_pieces pieces; /* char *, reference counted */
 };
 
 /* Packed form. */
@@ -100,24 +99,145 @@
 	g_free(n);
 }
 
+/* Pieces. */
+
+void document_pieces_init(struct document_pieces *p)
+{
+	p->items = g_ptr_array_new();
+	p->parts = g_byte_array_new();
+}
+
+static void drop_pieces(struct document_pieces *p, guint at, guint n,
+			const struct document_splice *s)
+{
+	for (guint i = at; i < at + n; i++)
+		s->drop(s->arg, p->parts->data[i], p->items->pdata[i]);
+}
+
+void document_pieces_clear(struct document_pieces *p,
+			   const struct document_splice *s)
+{
+	drop_pieces(p, 0, p->items->len, s);
+	g_ptr_array_unref(p->items);
+	g_byte_array_unref(p->parts);
+}
+
+bool document_pieces_fit(const struct document_pieces *p,
+			 const struct document_change *c)
+{
+	const struct document_edit *e = c->edits.items;
+	guint pieces = c->base ? p->items->len : 0;
+	uint64_t at = 0;
+
+	for (size_t i = 0; i < c->edits.n; i++) {
+		if (e[i].at < at || e[i].at > pieces ||
+		    e[i].drop > pieces - e[i].at)
+			return false;
+		at = e[i].at + e[i].drop;
+	}
+	return true;
+}
+
+static void append(struct document_pieces *to,
+		   const struct document_pieces *from, guint at, guint n)
+{
+	guint end = to->items->len;
+
+	g_ptr_array_set_size(to->items, (gint)(end + n));
+	memcpy(to->items->pdata + end, from->items->pdata + at,
+	       n * sizeof(void *));
+	g_byte_array_append(to->parts, from->parts->data + at, n);
+}
+
+static void add_pieces(struct document_pieces *to,
+		       const struct document_edit *e,
+		       const struct document_splice *s)
+{
+	const struct document_piece *p = e->pieces.items;
+
+	for (size_t i = 0; i < e->pieces.n; i++) {
+		guint8 part = (guint8)p[i].part;
+
+		g_ptr_array_add(to->items, s->add(s->arg, &p[i]));
+		g_byte_array_append(to->parts, &part, 1);
+	}
+}
+
+/* The edits that replace as many pieces as they drop are made in place. */
+static size_t replace_pieces(struct document_pieces *p,
+			     const struct document_change *c,
+			     const struct document_splice *s)
+{
+	const struct document_edit *e = c->edits.items;
+	size_t i = 0;
+
+	for (; i < c->edits.n && e[i].drop == e[i].pieces.n; i++) {
+		const struct document_piece *n = e[i].pieces.items;
+
+		for (size_t k = 0; k < e[i].pieces.n; k++) {
+			p->items->pdata[e[i].at + k] = s->add(s->arg, &n[k]);
+			p->parts->data[e[i].at + k] = (guint8)n[k].part;
+		}
+	}
+	return i;
+}
+
+void document_pieces_splice(struct document_pieces *p,
+			    const struct document_change *c,
+			    const struct document_splice *s)
+{
+	const struct document_edit *e = c->edits.items;
+	struct document_pieces tail;
+	guint from, at;
+	size_t i;
+
+	if (!c->base) {
+		drop_pieces(p, 0, p->items->len, s);
+		g_ptr_array_set_size(p->items, 0);
+		g_byte_array_set_size(p->parts, 0);
+	}
+	for (i = 0; c->base && i < c->edits.n; i++)
+		drop_pieces(p, (guint)e[i].at, (guint)e[i].drop, s);
+	i = replace_pieces(p, c, s);
+	if (i == c->edits.n)
+		return;
+	document_pieces_init(&tail);
+	from = at = (guint)e[i].at;
+	for (; i < c->edits.n; i++) {
+		append(&tail, p, at, (guint)e[i].at - at);
+		add_pieces(&tail, &e[i], s);
+		at = (guint)(e[i].at + e[i].drop);
+	}
+	append(&tail, p, at, p->items->len - at);
+	g_ptr_array_set_size(p->items, (gint)from);
+	g_byte_array_set_size(p->parts, from);
+	append(p, &tail, 0, tail.items->len);
+	g_ptr_array_unref(tail.items);
+	g_byte_array_unref(tail.parts);
+}
+
 /* The document. */
 
-static void text_unref(void *p)
+static void *text_add(void *arg, const struct document_piece *p)
 {
-	g_ref_string_release(p);
+	(void)arg;
+	return g_ref_string_new_len(p->text.p, (gssize)p->text.n);
 }
 
-static GPtrArray *texts_new(void)
+static void text_drop(void *arg, enum document_part part, void *text)
 {
-	return g_ptr_array_new_with_free_func(text_unref);
+	(void)arg;
+	(void)part;
+	g_ref_string_release(text);
 }
 
+static const struct document_splice texts = { text_add, text_drop, NULL };
+
 struct document *document_new(void)
 {
 	struct document *d = g_new0(struct document, 1);
 
-	d->texts = texts_new();
-	d->parts = g_byte_array_new();
+	document_pieces_init(&d->pieces);
 	return d;
 }
 
@@ -125,8 +245,7 @@
 {
 	if (!d)
 		return;
-	g_ptr_array_unref(d->texts);
-	g_byte_array_unref(d->parts);
+	document_pieces_clear(&d->pieces, &texts);
 	g_free(d);
 }
 
@@ -140,14 +259,9 @@
 	return d->services;
 }
 
-guint document_pieces(const struct document *d)
-{
-	return d->texts->len;
-}
-
 static struct ss_str text_at(const struct document *d, guint i)
 {
-	char *s = d->texts->pdata[i];
+	char *s = d->pieces.items->pdata[i];
 
 	return (struct ss_str){ s, g_ref_string_length(s) };
 }
@@ -156,7 +270,7 @@
 {
 	GString *out = g_string_new(NULL);
 
-	for (guint i = 0; i < d->texts->len; i++) {
+	for (guint i = 0; i < d->pieces.items->len; i++) {
 		struct ss_str s = text_at(d, i);
 
 		g_string_append_len(out, s.p, (gssize)s.n);
@@ -166,118 +280,41 @@
 
 /* Changing it. */
 
-bool document_splice(const struct document_change *c, guint pieces,
-		     const struct document_splice *s)
+static bool touches_services(const struct document *d,
+			     const struct document_change *c)
 {
 	const struct document_edit *e = c->edits.items;
-	uint64_t at = 0;
 
-	for (size_t i = 0; i < c->edits.n; i++) {
-		if (e[i].at < at || e[i].at > pieces ||
-		    e[i].drop > pieces - e[i].at)
-			return false;
-		at = e[i].at + e[i].drop;
-	}
-	at = 0;
 	for (size_t i = 0; i < c->edits.n; i++) {
 		const struct document_piece *p = e[i].pieces.items;
 
-		if (e[i].at > at)
-			s->kept(s->arg, (guint)at, (guint)(e[i].at - at));
-		at = e[i].at + e[i].drop;
-		if (e[i].drop)
-			s->dropped(s->arg, (guint)e[i].at, (guint)e[i].drop);
+		if (e[i].drop && memchr(d->pieces.parts->data + e[i].at,
+					DOCUMENT_SERVICE, e[i].drop))
+			return true;
 		for (size_t k = 0; k < e[i].pieces.n; k++)
-			s->added(s->arg, &p[k]);
+			if (p[k].part == DOCUMENT_SERVICE)
+				return true;
 	}
-	if (pieces > at)
-		s->kept(s->arg, (guint)at, pieces - (guint)at);
-	return true;
-}
-
-struct rebuild {
-	const struct document *d;
-	GPtrArray *texts;
-	GByteArray *parts;
-	bool services; /* one of them is touched */
-};
-
-static void rebuild_kept(void *arg, guint at, guint n)
-{
-	struct rebuild *b = arg;
-	guint to = b->texts->len;
-
-	g_ptr_array_set_size(b->texts, (gint)(to + n));
-	/* They move: the old array must not release them. */
-	memcpy(b->texts->pdata + to, b->d->texts->pdata + at,
-	       n * sizeof(void *));
-	memset(b->d->texts->pdata + at, 0, n * sizeof(void *));
-	g_byte_array_append(b->parts, b->d->parts->data + at, n);
-}
-
-static void rebuild_dropped(void *arg, guint at, guint n)
-{
-	struct rebuild *b = arg;
-
-	b->services |= memchr(b->d->parts->data + at, DOCUMENT_SERVICE, n) !=
-		       NULL;
-}
-
-static void rebuild_added(void *arg, const struct document_piece *p)
-{
-	struct rebuild *b = arg;
-	guint8 part = (guint8)p->part;
-
-	g_ptr_array_add(b->texts,
-			g_ref_string_new_len(p->text.p, (gssize)p->text.n));
-	g_byte_array_append(b->parts, &part, 1);
-	b->services |= part == DOCUMENT_SERVICE;
-}
-
-static void release_rest(GPtrArray *texts)
-{
-	for (guint i = 0; i < texts->len; i++)
-		if (texts->pdata[i])
-			g_ref_string_release(texts->pdata[i]);
-	g_ptr_array_set_free_func(texts, NULL);
-	g_ptr_array_unref(texts);
-}
-
-static bool not_of_this(GError **error, const struct document *d,
-			const struct document_change *c)
-{
-	g_set_error(error, SS_ERROR, SS_ERROR_FRAME,
-		    "a change of version %" PRIu64 ", but %" PRIu64 " is held",
-		    c->base, d->version);
 	return false;
 }
 
 bool document_apply(struct document *d, const struct document_change *c,
 		    GError **error)
 {
-	guint pieces = c->base ? d->texts->len : 0;
-	struct rebuild b = { .d = d };
-	struct document_splice s = { rebuild_kept, rebuild_dropped,
-				     rebuild_added, &b };
-
-	if (c->base && c->base != d->version)
-		return not_of_this(error, d, c);
-	b.texts = texts_new();
-	b.parts = g_byte_array_new();
-	if (!document_splice(c, pieces, &s)) {
-		g_ptr_array_unref(b.texts);
-		g_byte_array_unref(b.parts);
-		return not_of_this(error, d, c);
+	if ((c->base && c->base != d->version) ||
+	    !document_pieces_fit(&d->pieces, c)) {
+		g_set_error(error, SS_ERROR, SS_ERROR_FRAME,
+			    "a change of version %" PRIu64 ", but %" PRIu64
+			    " is held",
+			    c->base, d->version);
+		return false;
 	}
-	release_rest(d->texts);
-	g_byte_array_unref(d->parts);
-	d->texts = b.texts;
-	d->parts = b.parts;
-	d->version = c->version;
-	if (!c->base && c->services)
-		d->services = c->services;
-	else if (b.services)
+	if (!c->base)
+		d->services = c->services ? c->services : c->version;
+	else if (touches_services(d, c))
 		d->services = c->version;
+	document_pieces_splice(&d->pieces, c, &texts);
+	d->version = c->version;
 	return true;
 }
 
@@ -303,8 +340,9 @@
 				     .edits = { &e, 1 } };
 	GString *out;
 
-	for (guint i = 0; i < d->texts->len; i++) {
-		struct document_piece p = { d->parts->data[i], text_at(d, i) };
+	for (guint i = 0; i < d->pieces.items->len; i++) {
+		struct document_piece p = { d->pieces.parts->data[i],
+					    text_at(d, i) };
 
 		if (routes || p.part != DOCUMENT_ROUTE)
 			g_array_append_val(pieces, p);
@@ -439,7 +477,8 @@
 
 static bool is_part(const struct compare *x, guint at, int64_t part)
 {
-	return at < x->d->parts->len && x->d->parts->data[at] == part;
+	return at < x->d->pieces.parts->len &&
+	       x->d->pieces.parts->data[at] == part;
 }
 
 static bool same_text(const struct compare *x, guint at, struct ss_str text)
@@ -451,10 +490,10 @@
 {
 	struct document_piece p = { DOCUMENT_REST,
 				    { from, (size_t)(x->at - from) } };
-	const guint8 *parts = x->d->parts->data;
-	const guint8 *next = x->old < x->d->parts->len ?
+	const guint8 *parts = x->d->pieces.parts->data;
+	const guint8 *next = x->old < x->d->pieces.parts->len ?
 				     memchr(parts + x->old, DOCUMENT_REST,
-					    x->d->parts->len - x->old) :
+					    x->d->pieces.parts->len - x->old) :
 				     NULL;
 	guint at = next ? (guint)(next - parts) : 0;
 
@@ -483,13 +522,13 @@
 
 static void index_old(struct compare *x)
 {
-	guint n = x->d->texts->len;
+	guint n = x->d->pieces.items->len;
 
 	x->keys = g_array_sized_new(FALSE, FALSE, sizeof(struct document_piece),
 				    n);
 	x->by_text = g_hash_table_new(piece_hash, piece_equal);
 	for (guint i = 0; i < n; i++) {
-		struct document_piece p = { x->d->parts->data[i],
+		struct document_piece p = { x->d->pieces.parts->data[i],
 					    text_at(x->d, i) };
 
 		g_array_append_val(x->keys, p);
@@ -637,7 +676,7 @@
 	if (x->at != x->end)
 		return false;
 	add_rest(x, rest);
-	drop_to(x, x->d->texts->len);
+	drop_to(x, x->d->pieces.items->len);
 	return true;
 }
 
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -51,7 +51,6 @@
 uint64_t document_version(const struct document *d);
 /* The version in which a service was last added, changed or removed. */
 uint64_t document_services(const struct document *d);
-guint document_pieces(const struct document *d);
 /* The text as it was put; free with g_string_free(). */
 GString *document_text(const struct document *d);
 
@@ -82,18 +81,31 @@
 /* A text that stands in a log of before there were pieces. */
 void document_put(struct document *d, uint64_t version, struct ss_str text);
 
-/*
- * Old pieces up to a place, new pieces and the old rest: for those that keep
- * something for each piece. kept and added are called in order of the new
- * version; false where the edits don't fit so many pieces.
- */
+/* Something for each piece of a document, in order. */
+struct document_pieces {
+	GPtrArray *items;
+	GByteArray *parts; /* enum document_part of each */
+};
+
 struct document_splice {
-	void (*kept)(void *arg, guint at, guint n);
-	void (*dropped)(void *arg, guint at, guint n);
-	void (*added)(void *arg, const struct document_piece *p);
+	/* What stands for a new piece, and the end of what stood for one. */
+	void *(*add)(void *arg, const struct document_piece *p);
+	void (*drop)(void *arg, enum document_part part, void *item);
 	void *arg;
 };
-bool document_splice(const struct document_change *c, guint pieces,
-		     const struct document_splice *s);
+
+void document_pieces_init(struct document_pieces *p);
+void document_pieces_clear(struct document_pieces *p,
+			   const struct document_splice *s);
+/* Whether a change's places are places of these. */
+bool document_pieces_fit(const struct document_pieces *p,
+			 const struct document_change *c);
+/*
+ * Follow a change that fits: drops come before adds, both in order. Only what
+ * stands behind the first change of length is moved.
+ */
+void document_pieces_splice(struct document_pieces *p,
+			    const struct document_change *c,
+			    const struct document_splice *s);
 
 #endif
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -162,11 +162,20 @@
 		(GDestroyNotify)routing_service_unref);
 	r->places = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  (GDestroyNotify)routing_route_unref);
-	r->items = g_ptr_array_new();
-	r->parts = g_byte_array_new();
+	document_pieces_init(&r->pieces);
 	return r;
 }
 
+/* Routes and services are of the tables by name. */
+static void drop_text(void *arg, enum document_part part, void *item)
+{
+	(void)arg;
+	if (part == DOCUMENT_REST)
+		g_free(item);
+}
+
+static const struct document_splice free_texts = { NULL, drop_text, NULL };
+
 struct routing *routing_ref(struct routing *r)
 {
 	if (r)
@@ -178,11 +187,7 @@
 {
 	if (!r || --r->refs)
 		return;
-	for (guint i = 0; i < r->items->len; i++)
-		if (r->parts->data[i] == DOCUMENT_REST)
-			g_free(r->items->pdata[i]);
-	g_ptr_array_unref(r->items);
-	g_byte_array_unref(r->parts);
+	document_pieces_clear(&r->pieces, &free_texts);
 	g_hash_table_unref(r->places);
 	g_ptr_array_unref(r->services);
 	g_free(r);
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -94,8 +94,7 @@
 	GHashTable *places; /* place -> struct routing_route */
 	size_t longest;	    /* prefix of any route so far, in bytes */
 	/* What each piece of the document is: a route, a service or text. */
-	GPtrArray *items;
-	GByteArray *parts; /* enum document_part */
+	struct document_pieces pieces;
 };
 
 struct routing *routing_new(void);
--- a/src/core/routing_update.c
+++ b/src/core/routing_update.c
@@ -5,18 +5,16 @@
 	struct routing *r;
 	const struct routing_format *f;
 	struct document_news *news;
-	size_t edit, piece;	 /* the next one to read */
-	guint old;		 /* pieces of the table before it */
-	guint n[DOCUMENT_PARTS]; /* items of each list before it */
-	GPtrArray *items;	 /* what was read, in order */
-	GByteArray *parts;
-	GArray *numbers; /* guint, of each in its list */
-	GString *rest;	 /* of the new version */
+	size_t edit, piece;	     /* the next one to read */
+	struct document_pieces read; /* in order */
+	guint added;		     /* of these, by the commit */
+	GString *rest;		     /* of the new version */
 	struct routing_limits limits;
 };
 
-static void item_free(enum document_part part, void *item)
+static void item_free(void *arg, enum document_part part, void *item)
 {
+	(void)arg;
 	if (part == DOCUMENT_ROUTE)
 		routing_route_unref(item);
 	else if (part == DOCUMENT_SERVICE)
@@ -25,6 +23,8 @@
 		g_free(item);
 }
 
+static const struct document_splice free_items = { NULL, item_free, NULL };
+
 struct routing_update *routing_update_new(struct routing *r,
 					  const struct routing_format *f,
 					  struct document_news *news)
@@ -34,9 +34,7 @@
 	u->r = routing_ref(r);
 	u->f = f;
 	u->news = news;
-	u->items = g_ptr_array_new();
-	u->parts = g_byte_array_new();
-	u->numbers = g_array_new(FALSE, FALSE, sizeof(guint));
+	document_pieces_init(&u->read);
 	u->rest = g_string_new(NULL);
 	return u;
 }
@@ -45,11 +43,7 @@
 {
 	if (!u)
 		return;
-	for (guint i = 0; i < u->items->len; i++)
-		item_free(u->parts->data[i], u->items->pdata[i]);
-	g_ptr_array_unref(u->items);
-	g_byte_array_unref(u->parts);
-	g_array_unref(u->numbers);
+	document_pieces_clear(&u->read, &free_items);
 	g_string_free(u->rest, TRUE);
 	document_news_free(u->news);
 	routing_unref(u->r);
@@ -61,19 +55,31 @@
 	return &u->news->change;
 }
 
-static guint old_pieces(const struct routing_update *u)
-{
-	return u->news->change.base ? u->r->items->len : 0;
-}
-
 /* Reading. */
 
-/* Items of the old version before a place: they count in an error's place. */
-static void count_to(struct routing_update *u, const struct document_edit *e)
+/* The place of an item that was or is being read, for an error: it is counted
+ * among all of its list. */
+static char *place_of(const struct routing_update *u, guint at)
 {
-	for (; u->old < e->at && u->old < old_pieces(u); u->old++)
-		u->n[u->r->parts->data[u->old]]++;
-	u->old += (guint)e->drop;
+	const struct document_change *c = &u->news->change;
+	const struct document_edit *e = c->edits.items;
+	guint n[DOCUMENT_PARTS] = { 0 }, old = 0, new = 0;
+
+	for (size_t i = 0; i < c->edits.n; i++) {
+		const struct document_piece *p = e[i].pieces.items;
+
+		for (; c->base && old < e[i].at; old++)
+			n[u->r->pieces.parts->data[old]]++;
+		old += (guint)e[i].drop;
+		for (size_t k = 0; k < e[i].pieces.n; k++) {
+			if (new ++ == at)
+				return g_strdup_printf("%s[%u]",
+						       u->f->lists[p[k].part],
+						       n[p[k].part]);
+			n[p[k].part]++;
+		}
+	}
+	return g_strdup("");
 }
 
 /* An item without the comma that divides it from the one before. */
@@ -86,28 +92,34 @@
 	return (struct ss_str){ s.p + i, s.n - i };
 }
 
+static void *read_item(const struct routing_update *u,
+		       const struct document_piece *p, const char *place,
+		       GError **error)
+{
+	if (p->part == DOCUMENT_ROUTE)
+		return u->f->read_route(item_text(p->text), place, error);
+	if (p->part == DOCUMENT_SERVICE)
+		return u->f->read_service(item_text(p->text), place, error);
+	return ss_str_dup(p->text);
+}
+
 static bool read_piece(struct routing_update *u, const struct document_piece *p,
 		       GError **error)
 {
-	char *place = g_strdup_printf(
-		"%s[%u]", p->part ? u->f->lists[p->part] : "", u->n[p->part]);
+	void *item = read_item(u, p, "", NULL);
 	guint8 part = (guint8)p->part;
-	void *item;
+	char *place;
 
-	if (p->part == DOCUMENT_ROUTE)
-		item = u->f->read_route(item_text(p->text), place, error);
-	else if (p->part == DOCUMENT_SERVICE)
-		item = u->f->read_service(item_text(p->text), place, error);
-	else
-		item = ss_str_dup(p->text);
+	if (item) {
+		g_ptr_array_add(u->read.items, item);
+		g_byte_array_append(u->read.parts, &part, 1);
+		return true;
+	}
+	/* Once more, to say where. */
+	place = place_of(u, u->read.items->len);
+	read_item(u, p, place, error);
 	g_free(place);
-	if (!item)
-		return false;
-	g_array_append_val(u->numbers, u->n[p->part]);
-	u->n[p->part]++;
-	g_ptr_array_add(u->items, item);
-	g_byte_array_append(u->parts, &part, 1);
-	return true;
+	return false;
 }
 
 static bool read_some(struct routing_update *u, GError **error)
@@ -118,8 +130,6 @@
 	for (int i = 0; i < ROUTING_ITEMS && u->edit < c->edits.n; i++) {
 		const struct document_piece *p = e[u->edit].pieces.items;
 
-		if (u->piece == 0)
-			count_to(u, &e[u->edit]);
 		if (u->piece < e[u->edit].pieces.n &&
 		    !read_piece(u, &p[u->piece], error))
 			return false;
@@ -133,44 +143,39 @@
 
 /* What is beside the items, in order. */
 
-static void rest_kept(void *arg, guint at, guint n)
+static void add_rest(struct routing_update *u, guint from, guint to)
 {
-	struct routing_update *u = arg;
-	const guint8 *parts = u->r->parts->data, *next = parts + at;
-	const guint8 *end = parts + at + n;
-
-	while (next < end &&
-	       (next = memchr(next, DOCUMENT_REST, (size_t)(end - next)))) {
-		g_string_append(u->rest, u->r->items->pdata[next - parts]);
-		next++;
-	}
-}
+	const struct document_pieces *p = &u->r->pieces;
+	const guint8 *parts = p->parts->data, *next = parts + from;
 
-static void rest_dropped(void *arg, guint at, guint n)
-{
-	(void)arg;
-	(void)at;
-	(void)n;
-}
-
-static void rest_added(void *arg, const struct document_piece *p)
-{
-	struct routing_update *u = arg;
-
-	if (p->part == DOCUMENT_REST)
-		g_string_append_len(u->rest, p->text.p, (gssize)p->text.n);
+	while (next < parts + to &&
+	       (next = memchr(next, DOCUMENT_REST,
+			      (size_t)(parts + to - next))))
+		g_string_append(u->rest, p->items->pdata[next++ - parts]);
 }
 
 static bool read_rest(struct routing_update *u, GError **error)
 {
 	struct document_change *c = &u->news->change;
-	struct document_splice s = { rest_kept, rest_dropped, rest_added, u };
+	const struct document_edit *e = c->edits.items;
+	guint at = 0, end = c->base ? u->r->pieces.items->len : 0;
 
-	if (!document_splice(c, old_pieces(u), &s)) {
+	if (!document_pieces_fit(&u->r->pieces, c)) {
 		g_set_error(error, SS_ERROR, SS_ERROR_FRAME,
 			    "a change of another version");
 		return false;
 	}
+	for (size_t i = 0; i < c->edits.n; i++) {
+		const struct document_piece *p = e[i].pieces.items;
+
+		add_rest(u, at, (guint)e[i].at);
+		for (size_t k = 0; k < e[i].pieces.n; k++)
+			if (p[k].part == DOCUMENT_REST)
+				g_string_append_len(u->rest, p[k].text.p,
+						    (gssize)p[k].text.n);
+		at = (guint)(e[i].at + e[i].drop);
+	}
+	add_rest(u, at, end);
 	return u->f->read_rest(ss_str_gs(u->rest), &c->version, &u->limits,
 			       error);
 }
@@ -190,12 +195,13 @@
 	const struct routing *r = u->r;
 
 	for (guint i = at; i < at + n; i++) {
-		struct routing_route *rt = r->items->pdata[i];
+		struct routing_route *rt = r->pieces.items->pdata[i];
+		guint8 part = r->pieces.parts->data[i];
 
-		if (r->parts->data[i] == DOCUMENT_SERVICE)
-			((struct routing_service *)r->items->pdata[i])->leaves =
-				leaves;
-		if (r->parts->data[i] != DOCUMENT_ROUTE)
+		if (part == DOCUMENT_SERVICE)
+			((struct routing_service *)r->pieces.items->pdata[i])
+				->leaves = leaves;
+		if (part != DOCUMENT_ROUTE)
 			continue;
 		rt->leaves = leaves;
 		for (guint k = 0; k < rt->shares->len; k++) {
@@ -215,7 +221,7 @@
 	const struct document_edit *e = c->edits.items;
 
 	if (!c->base)
-		mark(u, 0, u->r->items->len, leaves);
+		mark(u, 0, u->r->pieces.items->len, leaves);
 	for (size_t i = 0; c->base && i < c->edits.n; i++)
 		mark(u, (guint)e[i].at, (guint)e[i].drop, leaves);
 }
@@ -233,17 +239,18 @@
 static bool no_service(const struct routing_update *u, guint at,
 		       const char *name, GError **error)
 {
+	char *place = place_of(u, at);
+
 	g_set_error(error, SS_ERROR, SS_ERROR_BAD_REQUEST,
-		    "%s[%u].service: there is no service %s",
-		    u->f->lists[DOCUMENT_ROUTE],
-		    g_array_index(u->numbers, guint, at), name);
+		    "%s.service: there is no service %s", place, name);
+	g_free(place);
 	return false;
 }
 
 static bool check_route(const struct routing_update *u, GHashTable *services,
 			GHashTable *places, guint at, GError **error)
 {
-	struct routing_route *rt = u->items->pdata[at];
+	struct routing_route *rt = u->read.items->pdata[at];
 	const struct routing_route *old =
 		g_hash_table_lookup(u->r->places, rt->place);
 
@@ -287,12 +294,12 @@
 	bool ok = true;
 
 	mark_all(u, true);
-	for (guint i = 0; i < u->items->len && ok; i++)
-		if (u->parts->data[i] == DOCUMENT_SERVICE)
-			ok = check_service(u, services, u->items->pdata[i],
+	for (guint i = 0; i < u->read.items->len && ok; i++)
+		if (u->read.parts->data[i] == DOCUMENT_SERVICE)
+			ok = check_service(u, services, u->read.items->pdata[i],
 					   error);
-	for (guint i = 0; i < u->items->len && ok; i++)
-		if (u->parts->data[i] == DOCUMENT_ROUTE)
+	for (guint i = 0; i < u->read.items->len && ok; i++)
+		if (u->read.parts->data[i] == DOCUMENT_ROUTE)
 			ok = check_route(u, services, places, i, error);
 	ok = ok && check_needed(u, services, error);
 	mark_all(u, false);
@@ -312,10 +319,8 @@
 			    c->base, u->r->version);
 		return ROUTING_INVALID;
 	}
-	if (!read_some(u, error))
-		return ROUTING_INVALID;
 	if (u->edit < c->edits.n)
-		return ROUTING_MORE;
+		return read_some(u, error) ? ROUTING_MORE : ROUTING_INVALID;
 	return read_rest(u, error) && check(u, error) ? ROUTING_READ :
 							ROUTING_INVALID;
 }
@@ -334,50 +339,27 @@
 	}
 }
 
-struct rebuild {
-	struct routing_update *u;
-	GPtrArray *items;
-	GByteArray *parts;
-	guint added;
-};
-
-static void rebuild_kept(void *arg, guint at, guint n)
-{
-	struct rebuild *b = arg;
-	const struct routing *r = b->u->r;
-	guint to = b->items->len;
-
-	g_ptr_array_set_size(b->items, (gint)(to + n));
-	memcpy(b->items->pdata + to, r->items->pdata + at, n * sizeof(void *));
-	g_byte_array_append(b->parts, r->parts->data + at, n);
-}
-
-/* Routes first: they are counted by the services that they lead to. */
-static void rebuild_dropped(void *arg, guint at, guint n)
+/* Services stay until the routes that lead to them have been counted. */
+static void drop_item(void *arg, enum document_part part, void *item)
 {
-	struct rebuild *b = arg;
-	struct routing *r = b->u->r;
+	struct routing *r = ((struct routing_update *)arg)->r;
+	struct routing_route *rt = item;
 
-	for (guint i = at; i < at + n; i++) {
-		struct routing_route *rt = r->items->pdata[i];
-
-		if (r->parts->data[i] == DOCUMENT_REST)
-			g_free(rt);
-		if (r->parts->data[i] != DOCUMENT_ROUTE)
-			continue;
-		count_uses(r, rt, -1);
-		r->routes--;
-		g_hash_table_remove(r->places, rt->place);
-	}
+	if (part == DOCUMENT_REST)
+		g_free(item);
+	if (part != DOCUMENT_ROUTE)
+		return;
+	count_uses(r, rt, -1);
+	r->routes--;
+	g_hash_table_remove(r->places, rt->place);
 }
 
-static void rebuild_added(void *arg, const struct document_piece *p)
+static void *next_item(void *arg, const struct document_piece *p)
 {
-	struct rebuild *b = arg;
-	guint8 part = (guint8)p->part;
+	struct routing_update *u = arg;
 
-	g_ptr_array_add(b->items, b->u->items->pdata[b->added++]);
-	g_byte_array_append(b->parts, &part, 1);
+	(void)p;
+	return u->read.items->pdata[u->added++];
 }
 
 static void drop_services(struct routing *r)
@@ -410,30 +392,20 @@
 void routing_update_commit(struct routing_update *u)
 {
 	const struct document_change *c = &u->news->change;
+	struct document_splice s = { next_item, drop_item, u };
 	struct routing *r = u->r;
-	struct rebuild b = { .u = u };
-	struct document_splice s = { rebuild_kept, rebuild_dropped,
-				     rebuild_added, &b };
 
-	b.items = g_ptr_array_new();
-	b.parts = g_byte_array_new();
 	mark_all(u, true);
-	if (!c->base)
-		rebuild_dropped(&b, 0, r->items->len);
-	document_splice(c, old_pieces(u), &s);
-	g_ptr_array_unref(r->items);
-	g_byte_array_unref(r->parts);
-	r->items = b.items;
-	r->parts = b.parts;
-	for (guint i = 0; i < u->items->len; i++)
-		if (u->parts->data[i] == DOCUMENT_SERVICE)
-			add_service(r, u->items->pdata[i]);
+	document_pieces_splice(&r->pieces, c, &s);
+	for (guint i = 0; i < u->read.items->len; i++)
+		if (u->read.parts->data[i] == DOCUMENT_SERVICE)
+			add_service(r, u->read.items->pdata[i]);
 	drop_services(r);
-	for (guint i = 0; i < u->items->len; i++)
-		if (u->parts->data[i] == DOCUMENT_ROUTE)
-			add_route(r, u->items->pdata[i]);
+	for (guint i = 0; i < u->read.items->len; i++)
+		if (u->read.parts->data[i] == DOCUMENT_ROUTE)
+			add_route(r, u->read.items->pdata[i]);
 	/* They are the table's now. */
-	g_ptr_array_set_size(u->items, 0);
+	g_ptr_array_set_size(u->read.items, 0);
 	r->limits = u->limits;
 	r->version = c->version;
 }
@@ -444,7 +416,8 @@
 	const struct routing_format *f;
 	struct routing *r;
 	GQueue news;		    /* struct document_news, not begun */
-	struct routing_update *u;   /* the one that is being read; NULL: none */
+	struct routing_update *u;   /* that is being read; NULL: none */
+	bool read;		    /* it may be put in force */
 	uint64_t version;	    /* of the last that came */
 	uint64_t reading, in_force; /* of the one that is read; before it */
 };
@@ -562,11 +535,14 @@
 
 	if (!w->u && !begin_next(w))
 		return false;
-	step = routing_update_step(w->u, error);
-	if (step == ROUTING_INVALID)
-		forget(w);
-	if (step != ROUTING_READ)
+	if (!w->read) {
+		step = routing_update_step(w->u, error);
+		w->read = step == ROUTING_READ;
+		if (step == ROUTING_INVALID)
+			forget(w);
 		return false;
+	}
+	w->read = false;
 	routing_update_commit(w->u);
 	routing_update_free(w->u);
 	w->u = NULL;
