Hand out a change only after the version that it was made of

Whoever fetched it refused it (a change names what it was made of) and asked for the whole: a try lost, nothing wrong. Now the copy drops what doesn't follow.

--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -186,15 +186,16 @@
 
 void mirror_set(struct mirror *m, const struct mirror_version *v, int64_t now)
 {
-	struct change c = { .base = m->version };
+	struct change c = { .base = v->base };
 
 	if (v->version <= m->version)
 		return;
 	drop_whole(m);
-	if (!v->change.n) {
+	if (!v->change.n || v->base != m->version) {
 		g_array_set_size(m->changes, 0);
 		m->bytes = 0;
-	} else {
+	}
+	if (v->change.n) {
 		c.packed = g_string_new_len(v->change.p, (gssize)v->change.n);
 		g_array_append_val(m->changes, c);
 		m->bytes += c.packed->len;
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -40,8 +40,9 @@
 struct mirror_version {
 	uint64_t version;
 	uint64_t services; /* version in which services last changed */
-	/* What made it of the version before; empty where that isn't known. */
+	/* What made it, and of which version; empty where all came at once. */
 	struct ss_str change;
+	uint64_t base;
 };
 
 struct mirror *mirror_new(const struct mirror_options *o, int64_t now);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -176,8 +176,9 @@
 
 /* The routing in force, as operators sent it; empty before the first one. */
 const struct document *ss_state_routing(const struct ss_state *s);
-/* The change that made it, packed; empty where all of it came at once. */
-struct ss_str ss_state_routing_change(const struct ss_state *s);
+/* The change that made it, packed, and the version that it was made of; empty
+ * where all of it came at once. */
+struct ss_str ss_state_routing_change(const struct ss_state *s, uint64_t *base);
 
 /* Tables for reading: name to record, replica id (uint64_t *) to record. */
 GHashTable *ss_state_presets(const struct ss_state *s);
--- a/src/core/state_int.h
+++ b/src/core/state_int.h
@@ -17,6 +17,7 @@
 	uint64_t config_version;
 	struct document *routing;
 	GString *routing_change; /* that was applied last */
+	uint64_t routing_base;	 /* version that it was made of */
 };
 
 /* Records are copied, and replace the one of their name. */
--- a/src/core/state_store.c
+++ b/src/core/state_store.c
@@ -258,9 +258,11 @@
 	if (!ok && error && !*error)
 		g_set_error(error, SS_ERROR, SS_ERROR_FRAME,
 			    "a change to another version than it says");
-	if (ok && n->change.base)
+	if (ok && n->change.base) {
+		s->routing_base = n->change.base;
 		g_string_append_len(s->routing_change, r->change.p,
 				    (gssize)r->change.n);
+	}
 	document_news_free(n);
 	return ok;
 }
@@ -360,8 +362,9 @@
 	return s->config_version;
 }
 
-struct ss_str ss_state_routing_change(const struct ss_state *s)
+struct ss_str ss_state_routing_change(const struct ss_state *s, uint64_t *base)
 {
+	*base = s->routing_base;
 	return ss_str_gs(s->routing_change);
 }
 
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -107,7 +107,7 @@
 		return;
 	v.version = document_version(d);
 	v.services = document_services(d);
-	v.change = ss_state_routing_change(s);
+	v.change = ss_state_routing_change(s, &v.base);
 	mirror_set(k->mirror, &v, ss_clock_now(&k->d->clock));
 	log_info("routing_held", "version=%" PRIu64, v.version);
 	if (v.change.n && routing_follow_add(k->follow, v.change))
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -110,6 +110,33 @@
 	must(!next || (*next && list->whole));
 }
 
+/* A text against one that is held: whatever is taken gives that text again. */
+static void fuzz_changes(struct ss_str text)
+{
+	static const char held[] =
+		"{\"version\":1,\"routes\":[{\"a\":1},{\"b\":2}],"
+		"\"services\":[{\"c\":3}]}";
+	const char *const *lists = users_platform.routing->lists;
+	struct document *d = document_new();
+	struct document_news *n =
+		document_compare(d, ss_str(held), lists, NULL);
+	GString *got;
+
+	n->change.version = 1;
+	must(document_apply(d, &n->change, NULL));
+	document_news_free(n);
+	n = document_compare(d, text, lists, NULL);
+	if (n) {
+		n->change.version = 2;
+		must(document_apply(d, &n->change, NULL));
+		got = document_text(d);
+		must(ss_str_eq(ss_str_gs(got), text));
+		g_string_free(got, TRUE);
+	}
+	document_news_free(n);
+	document_free(d);
+}
+
 /* Bodies of the platform: an operator's, the list's, an engine's. */
 static void fuzz_bodies(struct ss_str text)
 {
@@ -119,6 +146,7 @@
 	struct routing *r = routing_read(users_platform.routing, text, NULL);
 
 	routing_unref(r);
+	fuzz_changes(text);
 	fleet_list_init(&list);
 	users_platform.read_list(text, &list, &next, NULL);
 	check_list(&list, next);
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -334,8 +334,10 @@
 	if (version > before)
 		packed = bring_to(w, m->document, version);
 	/* One of the whole isn't told as a change. */
-	if (packed && before)
+	if (packed && before) {
 		v.change = ss_str_gs(packed);
+		v.base = before;
+	}
 	mirror_set(m->mirror, &v, w->now);
 	if (packed)
 		g_string_free(packed, TRUE);
@@ -726,13 +728,13 @@
 	(void)state;
 	g_string_set_size(change, MIRROR_BYTES / 3);
 	for (uint64_t i = 1; i < 10; i++) {
-		v = (struct mirror_version){ i, 1, ss_str_gs(change) };
+		v = (struct mirror_version){ i, 1, ss_str_gs(change), i - 1 };
 		mirror_set(big, &v, w->now);
 		assert_true(mirror_bytes(big) <= MIRROR_BYTES);
 	}
 	g_string_set_size(change, 1);
 	for (uint64_t i = 10; i < 300; i++) {
-		v = (struct mirror_version){ i, 1, ss_str_gs(change) };
+		v = (struct mirror_version){ i, 1, ss_str_gs(change), i - 1 };
 		mirror_set(big, &v, w->now);
 	}
 	assert_int_equal(mirror_bytes(big), MIRROR_CHANGES);
@@ -748,6 +750,55 @@
 	world_free(w);
 }
 
+/* Changes that don't follow on each other, after a snapshot, handed out as if
+ * they did. */
+static void gaps_are_answered_with_the_whole(void **state)
+{
+	struct world *w = world_new(1, 1, 100);
+	struct mirror_version v = { .version = 3, .base = 2 };
+	GString *packed;
+
+	(void)state;
+	apply(w, 1);
+	tell(w, 1);
+	until_all_hold(w, 1, 5000);
+	/* Version 2 came with a snapshot, unseen. */
+	g_string_free(bring_to(w, w->m[0].document, 2), TRUE);
+	packed = bring_to(w, w->m[0].document, 3);
+	v.change = ss_str_gs(packed);
+	mirror_set(w->m[0].mirror, &v, w->now);
+	tell(w, 3);
+	assert_true(until_all_hold(w, 3, 1000) < 1000);
+	/* The change is of use to who holds what it was made of. */
+	apply(w, 4);
+	tell(w, 4);
+	assert_true(until_all_hold(w, 4, 1000) < 1000);
+	g_string_free(packed, TRUE);
+	world_free(w);
+}
+
+/* A process that wants no routes is told of services only. */
+static void services_come_without_routes(void **state)
+{
+	struct world *w = world_new(1, 1, 100);
+	struct mirror_version v = { .version = 7, .services = 2 };
+	const struct parcel *x;
+
+	(void)state;
+	g_string_free(bring_to(w, w->m[0].document, 1), TRUE);
+	mirror_set(w->m[0].mirror, &v, w->now);
+	mirror_ask(w->m[0].mirror, &process_place[0],
+		   &(struct msg_fetch){ 0, 2, true }, w->now);
+	x = &g_array_index(w->parcels, struct parcel, 0);
+	assert_int_equal(x->routing.version, 2);
+	assert_int_equal(x->routing.base, 0);
+	assert_int_equal(x->changes->len, 1);
+	mirror_ask(w->m[0].mirror, &process_place[0],
+		   &(struct msg_fetch){ 2, 2, true }, w->now);
+	assert_int_equal(w->parcels->len, 1);
+	world_free(w);
+}
+
 /* A process that stands still, or leaves, doesn't hold up the others. */
 static void silent_processes_hold_up_nobody(void **state)
 {
@@ -812,6 +863,8 @@
 		cmocka_unit_test(every_process_gets_it_beside_faults),
 		cmocka_unit_test(answers_are_taken_or_asked_again),
 		cmocka_unit_test(old_versions_are_dropped),
+		cmocka_unit_test(gaps_are_answered_with_the_whole),
+		cmocka_unit_test(services_come_without_routes),
 		cmocka_unit_test(silent_processes_hold_up_nobody),
 		cmocka_unit_test(window_follows_the_link),
 	};
