--- a/bench/routing.c
+++ b/bench/routing.c
@@ -98,10 +98,10 @@
 static void apply(struct document *d, const GString *packed, struct cost *c)
 {
 	double from = cpu_ms();
-	struct document_news *n = document_open(ss_str_gs(packed), NULL);
+	struct document_patch *n = document_open(ss_str_gs(packed), NULL);
 
 	document_apply(d, &n->change, NULL);
-	document_news_free(n);
+	document_patch_free(n);
 	add_turn(c, cpu_ms() - from);
 }
 
--- a/src/core/document.c
+++ b/src/core/document.c
@@ -67,24 +67,24 @@
 	return true;
 }
 
-struct document_news *document_open(struct ss_str packed, GError **error)
+struct document_patch *document_open(struct ss_str packed, GError **error)
 {
-	struct document_news *n;
+	struct document_patch *n;
 	GString *opened = pack_open(packed, 2 * TEXT_MAX, error);
 
 	if (!opened)
 		return NULL;
-	n = g_new0(struct document_news, 1);
+	n = g_new0(struct document_patch, 1);
 	n->opened = opened;
 	if (wire_decode(&n->buf, ss_str_gs(opened), &change_wire, &n->change) &&
 	    parts_known(&n->change))
 		return n;
-	document_news_free(n);
+	document_patch_free(n);
 	g_set_error(error, SS_ERROR, SS_ERROR_FRAME, "not a change");
 	return NULL;
 }
 
-void document_news_free(struct document_news *n)
+void document_patch_free(struct document_patch *n)
 {
 	if (!n)
 		return;
@@ -682,9 +682,9 @@
 	return true;
 }
 
-static struct document_news *finish(struct compare *x)
+static struct document_patch *finish(struct compare *x)
 {
-	struct document_news *n = g_new0(struct document_news, 1);
+	struct document_patch *n = g_new0(struct document_patch, 1);
 
 	for (guint i = 0; i < x->edits->len; i++)
 		g_array_index(x->edits, struct document_edit, i).pieces.items =
@@ -697,17 +697,17 @@
 	return n;
 }
 
-struct document_news *document_compare(const struct document *d,
-				       struct ss_str text,
-				       const char *const lists[DOCUMENT_PARTS],
-				       GError **error)
+struct document_patch *document_compare(const struct document *d,
+					struct ss_str text,
+					const char *const lists[DOCUMENT_PARTS],
+					GError **error)
 {
 	struct compare x = { .d = d,
 			     .text = text.p,
 			     .at = text.p,
 			     .end = text.p + text.n,
 			     .lists = lists };
-	struct document_news *n = NULL;
+	struct document_patch *n = NULL;
 
 	x.edits = g_array_new(FALSE, FALSE, sizeof(struct document_edit));
 	x.pieces = g_array_new(FALSE, FALSE, sizeof(struct document_piece));
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -35,7 +35,7 @@
 };
 
 /* A change with its memory. Texts may be views of what it was made from. */
-struct document_news {
+struct document_patch {
 	struct document_change change;
 	GArray *edits, *pieces; /* made here; NULL: unpacked */
 	struct wire_buf buf;
@@ -60,10 +60,10 @@
  * text must outlive it. NULL with SS_ERROR_BAD_REQUEST where the text is no
  * object of that form; its items and the rest aren't read.
  */
-struct document_news *document_compare(const struct document *d,
-				       struct ss_str text,
-				       const char *const lists[DOCUMENT_PARTS],
-				       GError **error);
+struct document_patch *document_compare(const struct document *d,
+					struct ss_str text,
+					const char *const lists[DOCUMENT_PARTS],
+					GError **error);
 
 /* All of it as a change of nothing; without routes, where they aren't used. */
 GString *document_whole(const struct document *d, bool routes);
@@ -71,8 +71,8 @@
 /* A change as bytes, and back; NULL with SS_ERROR_FRAME where they are cut,
  * harmed or larger than what operators may send. */
 GString *document_pack(const struct document_change *c);
-struct document_news *document_open(struct ss_str packed, GError **error);
-void document_news_free(struct document_news *n);
+struct document_patch *document_open(struct ss_str packed, GError **error);
+void document_patch_free(struct document_patch *n);
 
 /* SS_ERROR_FRAME, and nothing changed, where it isn't a change of this. */
 bool document_apply(struct document *d, const struct document_change *c,
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -197,17 +197,17 @@
 			     GError **error)
 {
 	struct document *empty = document_new();
-	struct document_news *news =
+	struct document_patch *patch =
 		document_compare(empty, text, f->lists, error);
 	struct routing *r = NULL;
 	struct routing_update *u;
 	enum routing_step step = ROUTING_MORE;
 
 	document_free(empty);
-	if (!news)
+	if (!patch)
 		return NULL;
 	r = routing_new();
-	u = routing_update_new(r, f, news);
+	u = routing_update_new(r, f, patch);
 	while (step == ROUTING_MORE)
 		step = routing_update_step(u, error);
 	if (step == ROUTING_READ)
--- a/src/core/routing_update.c
+++ b/src/core/routing_update.c
@@ -4,7 +4,7 @@
 struct routing_update {
 	struct routing *r;
 	const struct routing_format *f;
-	struct document_news *news;
+	struct document_patch *patch;
 	size_t edit, piece;	     /* the next one to read */
 	struct document_pieces read; /* in order */
 	guint added;		     /* of these, by the commit */
@@ -27,13 +27,13 @@
 
 struct routing_update *routing_update_new(struct routing *r,
 					  const struct routing_format *f,
-					  struct document_news *news)
+					  struct document_patch *patch)
 {
 	struct routing_update *u = g_new0(struct routing_update, 1);
 
 	u->r = routing_ref(r);
 	u->f = f;
-	u->news = news;
+	u->patch = patch;
 	document_pieces_init(&u->read);
 	u->rest = g_string_new(NULL);
 	return u;
@@ -45,14 +45,14 @@
 		return;
 	document_pieces_clear(&u->read, &free_items);
 	g_string_free(u->rest, TRUE);
-	document_news_free(u->news);
+	document_patch_free(u->patch);
 	routing_unref(u->r);
 	g_free(u);
 }
 
 const struct document_change *routing_update_change(struct routing_update *u)
 {
-	return &u->news->change;
+	return &u->patch->change;
 }
 
 /* Reading. */
@@ -61,7 +61,7 @@
  * among all of its list. */
 static char *place_of(const struct routing_update *u, guint at)
 {
-	const struct document_change *c = &u->news->change;
+	const struct document_change *c = &u->patch->change;
 	const struct document_edit *e = c->edits.items;
 	guint n[DOCUMENT_PARTS] = { 0 }, old = 0, new = 0;
 
@@ -124,7 +124,7 @@
 
 static bool read_some(struct routing_update *u, GError **error)
 {
-	const struct document_change *c = &u->news->change;
+	const struct document_change *c = &u->patch->change;
 	const struct document_edit *e = c->edits.items;
 
 	for (int i = 0; i < ROUTING_ITEMS && u->edit < c->edits.n; i++) {
@@ -156,7 +156,7 @@
 
 static bool read_rest(struct routing_update *u, GError **error)
 {
-	struct document_change *c = &u->news->change;
+	struct document_change *c = &u->patch->change;
 	const struct document_edit *e = c->edits.items;
 	guint at = 0, end = c->base ? u->r->pieces.items->len : 0;
 
@@ -217,7 +217,7 @@
 
 static void mark_all(struct routing_update *u, bool leaves)
 {
-	const struct document_change *c = &u->news->change;
+	const struct document_change *c = &u->patch->change;
 	const struct document_edit *e = c->edits.items;
 
 	if (!c->base)
@@ -310,7 +310,7 @@
 
 enum routing_step routing_update_step(struct routing_update *u, GError **error)
 {
-	const struct document_change *c = &u->news->change;
+	const struct document_change *c = &u->patch->change;
 
 	if (c->base && c->base != u->r->version) {
 		g_set_error(error, SS_ERROR, SS_ERROR_FRAME,
@@ -391,7 +391,7 @@
 
 void routing_update_commit(struct routing_update *u)
 {
-	const struct document_change *c = &u->news->change;
+	const struct document_change *c = &u->patch->change;
 	struct document_splice s = { next_item, drop_item, u };
 	struct routing *r = u->r;
 
@@ -415,7 +415,7 @@
 struct routing_follower {
 	const struct routing_format *f;
 	struct routing *r;
-	GQueue news;		    /* struct document_news, not begun */
+	GQueue patches;		    /* struct document_patch, not begun */
 	struct routing_update *u;   /* that is being read; NULL: none */
 	bool read;		    /* it may be put in force */
 	uint64_t version;	    /* of the last that came */
@@ -428,13 +428,13 @@
 
 	w->f = f;
 	w->r = routing_new();
-	g_queue_init(&w->news);
+	g_queue_init(&w->patches);
 	return w;
 }
 
-static void news_free(void *p)
+static void patch_free(void *p)
 {
-	document_news_free(p);
+	document_patch_free(p);
 }
 
 void routing_follower_free(struct routing_follower *w)
@@ -442,7 +442,7 @@
 	if (!w)
 		return;
 	routing_update_free(w->u);
-	g_queue_clear_full(&w->news, news_free);
+	g_queue_clear_full(&w->patches, patch_free);
 	routing_unref(w->r);
 	g_free(w);
 }
@@ -459,25 +459,25 @@
 
 bool routing_follower_busy(const struct routing_follower *w)
 {
-	return w->u || w->news.length;
+	return w->u || w->patches.length;
 }
 
 static void forget(struct routing_follower *w)
 {
 	routing_update_free(w->u);
 	w->u = NULL;
-	g_queue_clear_full(&w->news, news_free);
+	g_queue_clear_full(&w->patches, patch_free);
 	w->version = w->in_force;
 }
 
 /* A text of before there were pieces stands in one. */
-static struct document_news *divide(const struct routing_follower *w,
-				    struct document_news *n, GError **error)
+static struct document_patch *divide(const struct routing_follower *w,
+				     struct document_patch *n, GError **error)
 {
 	const struct document_edit *e = n->change.edits.items;
 	const struct document_piece *p;
 	struct document *empty;
-	struct document_news *out;
+	struct document_patch *out;
 
 	if (n->change.base || n->change.edits.n != 1 || e->pieces.n != 1)
 		return n;
@@ -492,21 +492,21 @@
 		n->opened = NULL;
 		out->change.version = n->change.version;
 	}
-	document_news_free(n);
+	document_patch_free(n);
 	return out;
 }
 
 bool routing_follower_add(struct routing_follower *w, struct ss_str packed,
 			  GError **error)
 {
-	struct document_news *n = document_open(packed, error);
+	struct document_patch *n = document_open(packed, error);
 
 	if (n && n->change.base && n->change.base != w->version) {
 		g_set_error(error, SS_ERROR, SS_ERROR_FRAME,
 			    "a change of version %" PRIu64 ", but %" PRIu64
 			    " is held",
 			    n->change.base, w->version);
-		document_news_free(n);
+		document_patch_free(n);
 		return false;
 	}
 	if (n)
@@ -514,13 +514,13 @@
 	if (!n)
 		return false;
 	w->version = n->change.version;
-	g_queue_push_tail(&w->news, n);
+	g_queue_push_tail(&w->patches, n);
 	return true;
 }
 
 static bool begin_next(struct routing_follower *w)
 {
-	struct document_news *n = g_queue_pop_head(&w->news);
+	struct document_patch *n = g_queue_pop_head(&w->patches);
 
 	if (!n)
 		return false;
--- a/src/core/routing_update.h
+++ b/src/core/routing_update.h
@@ -16,10 +16,10 @@
 
 struct routing_update;
 
-/* The news are freed with it; what they were made from must outlive it. */
+/* The patch is freed with it; what it was made from must outlive it. */
 struct routing_update *routing_update_new(struct routing *r,
 					  const struct routing_format *f,
-					  struct document_news *news);
+					  struct document_patch *patch);
 void routing_update_free(struct routing_update *u);
 
 enum routing_step { ROUTING_MORE, ROUTING_READ, ROUTING_INVALID };
--- a/src/core/state_store.c
+++ b/src/core/state_store.c
@@ -244,7 +244,7 @@
 bool state_put_routing(struct ss_state *s, const struct routing_rec *r,
 		       GError **error)
 {
-	struct document_news *n;
+	struct document_patch *n;
 	bool ok;
 
 	g_string_truncate(s->routing_change, 0);
@@ -263,7 +263,7 @@
 		g_string_append_len(s->routing_change, r->change.p,
 				    (gssize)r->change.n);
 	}
-	document_news_free(n);
+	document_patch_free(n);
 	return ok;
 }
 
--- a/src/operator/routing_http.c
+++ b/src/operator/routing_http.c
@@ -138,19 +138,19 @@
 {
 	struct routing_http *h = p->h;
 	const struct document *d = in_force(h);
-	struct document_news *news;
+	struct document_patch *patch;
 
 	if (p->update &&
 	    routing_update_change(p->update)->base == document_version(d))
 		return true;
 	routing_update_free(p->update);
 	p->update = NULL;
-	news = document_compare(d, http_body(p->req),
-				h->o.platform->routing->lists, error);
-	if (news)
+	patch = document_compare(d, http_body(p->req),
+				 h->o.platform->routing->lists, error);
+	if (patch)
 		p->update = routing_update_new(h->o.routing,
-					       h->o.platform->routing, news);
-	return news != NULL;
+					       h->o.platform->routing, patch);
+	return patch != NULL;
 }
 
 /* The table follows the log a little further in each turn, too. */
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -118,13 +118,13 @@
 		"\"services\":[{\"c\":3}]}";
 	const char *const *lists = users_platform.routing->lists;
 	struct document *d = document_new();
-	struct document_news *n =
+	struct document_patch *n =
 		document_compare(d, ss_str(held), lists, NULL);
 	GString *got;
 
 	n->change.version = 1;
 	must(document_apply(d, &n->change, NULL));
-	document_news_free(n);
+	document_patch_free(n);
 	n = document_compare(d, text, lists, NULL);
 	if (n) {
 		n->change.version = 2;
@@ -133,7 +133,7 @@
 		must(ss_str_eq(ss_str_gs(got), text));
 		g_string_free(got, TRUE);
 	}
-	document_news_free(n);
+	document_patch_free(n);
 	document_free(d);
 }
 
--- a/test/test_document.c
+++ b/test/test_document.c
@@ -20,7 +20,7 @@
 /* Make a document into a text; the change, packed. */
 static GString *bring_to(struct document *d, const char *text, uint64_t version)
 {
-	struct document_news *n =
+	struct document_patch *n =
 		document_compare(d, ss_str(text), lists(), NULL);
 	GString *packed, *held;
 
@@ -28,11 +28,11 @@
 		fail_msg("refused: %s", text);
 	n->change.version = version;
 	packed = document_pack(&n->change);
-	document_news_free(n);
+	document_patch_free(n);
 	n = document_open(ss_str_gs(packed), NULL);
 	assert_non_null(n);
 	assert_true(document_apply(d, &n->change, NULL));
-	document_news_free(n);
+	document_patch_free(n);
 	held = document_text(d);
 	assert_string_equal(held->str, text);
 	assert_int_equal(held->len, strlen(text));
@@ -83,7 +83,7 @@
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
 		struct document *d = document_new();
-		struct document_news *n;
+		struct document_patch *n;
 		guint pieces = 0;
 
 		g_string_free(bring_to(d, changes[i].before, 1), TRUE);
@@ -96,7 +96,7 @@
 					  .pieces.n;
 		if (pieces > changes[i].pieces)
 			fail_msg("%s: %u pieces", changes[i].label, pieces);
-		document_news_free(n);
+		document_patch_free(n);
 		g_string_free(bring_to(d, changes[i].after, 2), TRUE);
 		document_free(d);
 	}
@@ -469,7 +469,7 @@
 static int64_t apply_text(struct ss_state *s, const char *text,
 			  uint64_t version, struct document *made_of)
 {
-	struct document_news *n =
+	struct document_patch *n =
 		document_compare(made_of ? made_of : ss_state_routing(s),
 				 ss_str(text), lists(), NULL);
 	struct routing_rec rec = { .version = version };
@@ -480,7 +480,7 @@
 	packed = document_pack(&n->change);
 	rec.change = ss_str_gs(packed);
 	code = apply(s, &rec, &version);
-	document_news_free(n);
+	document_patch_free(n);
 	g_string_free(packed, TRUE);
 	return code;
 }
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -199,7 +199,7 @@
 
 	assert_true(m->version > p->version);
 	for (size_t i = 0; i < m->changes.n; i++) {
-		struct document_news *n = document_open(b[i].packed, NULL);
+		struct document_patch *n = document_open(b[i].packed, NULL);
 		bool ok = n && document_apply(p->document, &n->change, NULL);
 
 		/* It reads a few at a time, and writes in between. */
@@ -207,7 +207,7 @@
 			p->busy_ms = MAX(p->busy_ms, at->w->now) +
 				     (int64_t)(routes_in(&n->change) * READ_MS /
 					       at->w->share);
-		document_news_free(n);
+		document_patch_free(n);
 		if (!ok)
 			return false;
 	}
@@ -247,13 +247,13 @@
 static GString *change_to(const struct world *w, const struct document *d,
 			  uint64_t version)
 {
-	struct document_news *n =
+	struct document_patch *n =
 		document_compare(d, ss_str_gs(w->bodies[version]), lists, NULL);
 	GString *packed;
 
 	n->change.version = version;
 	packed = document_pack(&n->change);
-	document_news_free(n);
+	document_patch_free(n);
 	return packed;
 }
 
@@ -316,10 +316,10 @@
 			 uint64_t version)
 {
 	GString *packed = change_to(w, d, version);
-	struct document_news *n = document_open(ss_str_gs(packed), NULL);
+	struct document_patch *n = document_open(ss_str_gs(packed), NULL);
 
 	assert_true(document_apply(d, &n->change, NULL));
-	document_news_free(n);
+	document_patch_free(n);
 	return packed;
 }
 
