Take out what the change said twice

Cause and change: a copy of the routing checked once more what its caller had checked (promise()); two wrappers stood where a destructor can be passed as elsewhere; a variable was named like a keyword; the gate's new tests opened the same way four times; the comment on FRESHNESS_TOLD named the first version where the code counts with the last. No check, bound or expectation is touched.

--- a/src/core/freshness.h
+++ b/src/core/freshness.h
@@ -24,8 +24,8 @@
 /* Requests wait for a process that is behind until so long after that became
  * a fault of its own, in ms. */
 #define FRESHNESS_HOLD_MS 500
-/* Versions that it was told of and doesn't hold; more than that in a second
- * count as told with the first of them. */
+/* Versions that it was told of and doesn't hold; what comes beyond counts as
+ * told with the last of them. */
 #define FRESHNESS_TOLD 8
 
 enum freshness_level {
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -160,9 +160,8 @@
 {
 	struct msg_routing r = { .version = newest_for(m, f) };
 
-	if (f->promised || r.version < f->want)
-		return;
-	f->promised = m->o.ops->send(m->o.arg, f->peer, &r);
+	if (!f->promised)
+		f->promised = m->o.ops->send(m->o.arg, f->peer, &r);
 }
 
 static void pump(struct mirror *m, int64_t now)
--- a/src/core/routing_update.c
+++ b/src/core/routing_update.c
@@ -63,7 +63,7 @@
 {
 	const struct document_change *c = &u->patch->change;
 	const struct document_edit *e = c->edits.items;
-	guint n[DOCUMENT_PARTS] = { 0 }, old = 0, new = 0;
+	guint n[DOCUMENT_PARTS] = { 0 }, old = 0, seen = 0;
 
 	for (size_t i = 0; i < c->edits.n; i++) {
 		const struct document_piece *p = e[i].pieces.items;
@@ -72,7 +72,7 @@
 			n[u->r->pieces.parts->data[old]]++;
 		old += (guint)e[i].drop;
 		for (size_t k = 0; k < e[i].pieces.n; k++) {
-			if (new ++ == at)
+			if (seen++ == at)
 				return g_strdup_printf("%s[%u]",
 						       u->f->lists[p[k].part],
 						       n[p[k].part]);
@@ -432,17 +432,12 @@
 	return w;
 }
 
-static void patch_free(void *p)
-{
-	document_patch_free(p);
-}
-
 void routing_follower_free(struct routing_follower *w)
 {
 	if (!w)
 		return;
 	routing_update_free(w->u);
-	g_queue_clear_full(&w->patches, patch_free);
+	g_queue_clear_full(&w->patches, (GDestroyNotify)document_patch_free);
 	routing_unref(w->r);
 	g_free(w);
 }
@@ -466,7 +461,7 @@
 {
 	routing_update_free(w->u);
 	w->u = NULL;
-	g_queue_clear_full(&w->patches, patch_free);
+	g_queue_clear_full(&w->patches, (GDestroyNotify)document_patch_free);
 	w->version = w->in_force;
 }
 
--- a/src/operator/routing_http.c
+++ b/src/operator/routing_http.c
@@ -58,11 +58,6 @@
 	g_free(p);
 }
 
-static void put_free(void *p)
-{
-	pending_free(p);
-}
-
 static const struct document *in_force(const struct routing_http *h)
 {
 	return ss_state_routing(h->o.ops->state(h->o.arg));
@@ -334,7 +329,7 @@
 	if (!h)
 		return;
 	event_free(h->turn);
-	g_queue_clear_full(&h->puts, put_free);
+	g_queue_clear_full(&h->puts, (GDestroyNotify)pending_free);
 	http_server_free(h->server);
 	g_array_unref(h->held);
 	g_free(h);
--- a/test/test_gate_behind.c
+++ b/test/test_gate_behind.c
@@ -6,6 +6,14 @@
 
 #define NEW_ROUTE REQ("GET", "/new/x") "\r\n"
 
+/* A gate whose endpoints both answer. */
+static void open_served(struct fix *f)
+{
+	fix_open(f, "web", "");
+	script(f, 0, OK_TEXT, false, false);
+	script(f, 1, OK_TEXT, false, false);
+}
+
 static void tell_newer(struct fix *f)
 {
 	struct routing *r = routing_read(
@@ -41,9 +49,7 @@
 	struct fix f;
 
 	(void)state;
-	fix_open(&f, "web", "");
-	script(&f, 0, OK_TEXT, false, false);
-	script(&f, 1, OK_TEXT, false, false);
+	open_served(&f);
 	gate_routing_told(f.gate, 9);
 	c = call(&f, NEW_ROUTE);
 	pass(&f, 300);
@@ -63,9 +69,7 @@
 	struct fix f;
 
 	(void)state;
-	fix_open(&f, "web", "");
-	script(&f, 0, OK_TEXT, false, false);
-	script(&f, 1, OK_TEXT, false, false);
+	open_served(&f);
 	gate_routing_told(f.gate, 9);
 	old = call(&f, GET_SAFE);
 	UNTIL(&f, ends(old, "hello"));
@@ -91,9 +95,7 @@
 	struct fix f;
 
 	(void)state;
-	fix_open(&f, "web", "");
-	script(&f, 0, OK_TEXT, false, false);
-	script(&f, 1, OK_TEXT, false, false);
+	open_served(&f);
 	gate_routing_told(f.gate, 1);
 	gate_leader_lost(f.gate);
 	pass(&f, FRESHNESS_LOST_MS);
@@ -119,9 +121,7 @@
 	struct fix f;
 
 	(void)state;
-	fix_open(&f, "web", "");
-	script(&f, 0, OK_TEXT, false, false);
-	script(&f, 1, OK_TEXT, false, false);
+	open_served(&f);
 	gate_routing_told(f.gate, 1);
 	turn(&f);
 	f.clock.fake_ms += 3000;
