Let keys tell whose a request is, and keep them from endpoints

What callers saw: on the deployment with customers every request ran, whoever sent it.

Cause: the gate knew no customers at all; the list of them was read over.

Change: a third list of the operators' document, so that a change of one customer costs what it changes; src/customer holds them, by name and by key. Requests need a known key (401), but on public routes; the key goes to no endpoint in any try, the customer's name does, whatever the caller said. A customer's priority goes before its route's. An entry that may be behind doesn't say 401, as it doesn't say 404; one that stays behind takes no key. Where the platform wants keys revoked everywhere (keys_trust_ms), an entry without a leader's word for so long takes none. Agents hear of no customers. Two customers with one key or name are refused with both places, without the key.

Ruled out: comparing keys as they are (they would stand in every entry's memory).

Tests: test_customer, test_gate_customers (15 kinds of requests; kept connections, resumed streams, changes of keys, entries that are behind or cut off), test_document (keys over a series of changes), test_platform (bad input). None of them could be passed by the code before, which has no such fields.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,8 @@
 LDFLAGS := $(SAN)
 
 # The library: decisions and base, no sockets.
-LIB_SRC := $(sort $(wildcard src/base/*.c src/core/*.c src/disk/*.c))
+LIB_SRC := $(sort $(wildcard src/base/*.c src/core/*.c src/customer/*.c \
+	src/disk/*.c))
 # Everything that the daemon adds to it.
 NET_SRC := $(sort $(wildcard src/net/*.c src/config/*.c src/node/*.c src/caller/*.c src/engine/*.c \
 	src/service/*.c src/store/*.c src/vmlist/*.c src/operator/*.c \
@@ -79,7 +80,8 @@
 $(BUILD)/test_gate $(BUILD)/test_gate_ends $(BUILD)/test_gate_stop \
 	$(BUILD)/test_gate_restart $(BUILD)/test_gate_list \
 	$(BUILD)/test_gate_early $(BUILD)/test_gate_quarantine \
-	$(BUILD)/test_gate_failing $(BUILD)/test_gate_behind: \
+	$(BUILD)/test_gate_failing $(BUILD)/test_gate_behind \
+	$(BUILD)/test_gate_customers: \
 	$(BUILD)/test/gate_fix.o
 $(BUILD)/test_explain: $(BUILD)/src/ctl/explain.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_summary: $(BUILD)/src/ctl/summary.o $(BUILD)/src/ctl/logline.o
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -78,6 +78,7 @@
 	/* When callers of a silent stream leave: see struct gate_patience. The
 	 * defaults are the platform's description of its callers. */
 	int64_t patience_ms, patience_objectives, patience_pauses;
+	double keys_trust_ms; /* as in struct gate_options */
 };
 
 struct config {
--- a/src/core/document.c
+++ b/src/core/document.c
@@ -346,7 +346,8 @@
 		struct document_piece p = { d->pieces.parts->data[i],
 					    text_at(d, i) };
 
-		if (routes || p.part != DOCUMENT_ROUTE)
+		if (routes ||
+		    (p.part != DOCUMENT_ROUTE && p.part != DOCUMENT_CUSTOMER))
 			g_array_append_val(pieces, p);
 	}
 	e.pieces = (struct wire_list){ pieces->data, pieces->len };
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -13,6 +13,7 @@
 	DOCUMENT_REST, /* between the lists */
 	DOCUMENT_ROUTE,
 	DOCUMENT_SERVICE,
+	DOCUMENT_CUSTOMER,
 	DOCUMENT_PARTS,
 };
 
@@ -65,7 +66,8 @@
 					const char *const lists[DOCUMENT_PARTS],
 					GError **error);
 
-/* All of it as a change of nothing; without routes, where they aren't used. */
+/* All of it as a change of nothing; or without routes and customers, where they
+ * aren't used. */
 GString *document_whole(const struct document *d, bool routes);
 
 /* A change as bytes, and back; NULL with SS_ERROR_FRAME where they are cut,
--- a/src/core/freshness.c
+++ b/src/core/freshness.c
@@ -48,6 +48,11 @@
 	f->turn_ms = now;
 }
 
+int64_t freshness_alone_ms(const struct freshness *f, int64_t now)
+{
+	return f->lost_ms == SS_NEVER ? 0 : now - f->lost_ms;
+}
+
 enum freshness_level freshness_level(const struct freshness *f, int64_t now,
 				     int64_t *until)
 {
--- a/src/core/freshness.h
+++ b/src/core/freshness.h
@@ -57,6 +57,9 @@
 /* Called in each turn of the loop. */
 void freshness_turn(struct freshness *f, int64_t now);
 
+/* For how long no leader has told it anything; 0: one does. */
+int64_t freshness_alone_ms(const struct freshness *f, int64_t now);
+
 /* until: a request may wait for better so long; now or before: it shall not. */
 enum freshness_level freshness_level(const struct freshness *f, int64_t now,
 				     int64_t *until);
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -162,11 +162,12 @@
 		(GDestroyNotify)routing_service_unref);
 	r->places = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  (GDestroyNotify)routing_route_unref);
+	customers_init(&r->customers);
 	document_pieces_init(&r->pieces);
 	return r;
 }
 
-/* Routes and services are of the tables by name. */
+/* All items are of the tables by name. */
 static void drop_text(void *arg, enum document_part part, void *item)
 {
 	(void)arg;
@@ -190,6 +191,7 @@
 	document_pieces_clear(&r->pieces, &free_texts);
 	g_hash_table_unref(r->places);
 	g_ptr_array_unref(r->services);
+	customers_clear(&r->customers);
 	g_free(r);
 }
 
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -1,12 +1,14 @@
 /*
  * The routing that operators put in force: which request goes to which
- * service, what may be repeated, and the models that a service's engines
- * can load. A table that follows the operators' document change by change;
- * routes and services are immutable, and live while a request holds them.
+ * service, what may be repeated, the models that a service's engines can
+ * load, and whose requests are taken. A table that follows the operators'
+ * document change by change; its items are immutable, and live while a request
+ * holds them.
  */
 #ifndef SS_ROUTING_H
 #define SS_ROUTING_H
 
+#include "../customer/customer.h"
 #include "document.h"
 
 /* What of a route's requests may be repeated. */
@@ -59,6 +61,7 @@
 	int64_t priority;     /* 0 is first */
 	int64_t attempts;     /* endpoints that one request may be sent to */
 	bool resumable;
+	bool open;	/* anybody may send, without a key */
 	GArray *shares; /* struct routing_share */
 	int64_t total;	/* of the weights */
 	char *place;	/* host and prefix, as they are looked up */
@@ -71,6 +74,13 @@
 	int64_t idle_ms; /* of a caller's connection */
 };
 
+/* What a configuration says beside its items. */
+struct routing_rest {
+	uint64_t version;
+	struct routing_limits limits;
+	bool keyed; /* requests need a customer's key */
+};
+
 /* How the platform writes a configuration. */
 struct routing_format {
 	const char *lists[DOCUMENT_PARTS]; /* members with the items */
@@ -80,9 +90,11 @@
 	struct routing_service *(*read_service)(struct ss_str text,
 						const char *place,
 						GError **error);
+	struct customer *(*read_customer)(struct ss_str text, const char *place,
+					  GError **error);
 	/* Read what is beside the items, with the lists empty. */
-	bool (*read_rest)(struct ss_str text, uint64_t *version,
-			  struct routing_limits *limits, GError **error);
+	bool (*read_rest)(struct ss_str text, struct routing_rest *rest,
+			  GError **error);
 };
 
 struct routing {
@@ -91,6 +103,8 @@
 	guint routes;	     /* their number */
 	GPtrArray *services; /* struct routing_service */
 	struct routing_limits limits;
+	bool keyed; /* requests need a customer's key */
+	struct customers customers;
 	GHashTable *places; /* place -> struct routing_route */
 	size_t longest;	    /* prefix of any route so far, in bytes */
 	/* What each piece of the document is: a route, a service or text. */
--- a/src/core/routing_update.c
+++ b/src/core/routing_update.c
@@ -8,8 +8,8 @@
 	size_t edit, piece;	     /* the next one to read */
 	struct document_pieces read; /* in order */
 	guint added;		     /* of these, by the commit */
-	GString *rest;		     /* of the new version */
-	struct routing_limits limits;
+	GString *text;		     /* of the new version, beside the items */
+	struct routing_rest rest;
 };
 
 static void item_free(void *arg, enum document_part part, void *item)
@@ -19,6 +19,8 @@
 		routing_route_unref(item);
 	else if (part == DOCUMENT_SERVICE)
 		routing_service_unref(item);
+	else if (part == DOCUMENT_CUSTOMER)
+		customer_unref(item);
 	else
 		g_free(item);
 }
@@ -35,7 +37,7 @@
 	u->f = f;
 	u->patch = patch;
 	document_pieces_init(&u->read);
-	u->rest = g_string_new(NULL);
+	u->text = g_string_new(NULL);
 	return u;
 }
 
@@ -44,7 +46,7 @@
 	if (!u)
 		return;
 	document_pieces_clear(&u->read, &free_items);
-	g_string_free(u->rest, TRUE);
+	g_string_free(u->text, TRUE);
 	document_patch_free(u->patch);
 	routing_unref(u->r);
 	g_free(u);
@@ -57,8 +59,15 @@
 
 /* Reading. */
 
-/* The place of an item that was or is being read, for an error: it is counted
- * among all of its list. */
+/* Places in the new text, for errors: items are counted among all of their
+ * list. */
+
+static char *place_name(const struct routing_update *u, int64_t part, guint n)
+{
+	return g_strdup_printf("%s[%u]", u->f->lists[part], n);
+}
+
+/* Of an item that was or is being read. */
 static char *place_of(const struct routing_update *u, guint at)
 {
 	const struct document_change *c = &u->patch->change;
@@ -73,9 +82,7 @@
 		old += (guint)e[i].drop;
 		for (size_t k = 0; k < e[i].pieces.n; k++) {
 			if (seen++ == at)
-				return g_strdup_printf("%s[%u]",
-						       u->f->lists[p[k].part],
-						       n[p[k].part]);
+				return place_name(u, p[k].part, n[p[k].part]);
 			n[p[k].part]++;
 		}
 	}
@@ -100,6 +107,8 @@
 		return u->f->read_route(item_text(p->text), place, error);
 	if (p->part == DOCUMENT_SERVICE)
 		return u->f->read_service(item_text(p->text), place, error);
+	if (p->part == DOCUMENT_CUSTOMER)
+		return u->f->read_customer(item_text(p->text), place, error);
 	return ss_str_dup(p->text);
 }
 
@@ -151,7 +160,7 @@
 	while (next < parts + to &&
 	       (next = memchr(next, DOCUMENT_REST,
 			      (size_t)(parts + to - next))))
-		g_string_append(u->rest, p->items->pdata[next++ - parts]);
+		g_string_append(u->text, p->items->pdata[next++ - parts]);
 }
 
 static bool read_rest(struct routing_update *u, GError **error)
@@ -171,13 +180,15 @@
 		add_rest(u, at, (guint)e[i].at);
 		for (size_t k = 0; k < e[i].pieces.n; k++)
 			if (p[k].part == DOCUMENT_REST)
-				g_string_append_len(u->rest, p[k].text.p,
+				g_string_append_len(u->text, p[k].text.p,
 						    (gssize)p[k].text.n);
 		at = (guint)(e[i].at + e[i].drop);
 	}
 	add_rest(u, at, end);
-	return u->f->read_rest(ss_str_gs(u->rest), &c->version, &u->limits,
-			       error);
+	if (!u->f->read_rest(ss_str_gs(u->text), &u->rest, error))
+		return false;
+	c->version = u->rest.version;
+	return true;
 }
 
 /* Checking. */
@@ -201,6 +212,9 @@
 		if (part == DOCUMENT_SERVICE)
 			((struct routing_service *)r->pieces.items->pdata[i])
 				->leaves = leaves;
+		if (part == DOCUMENT_CUSTOMER)
+			((struct customer *)r->pieces.items->pdata[i])->leaves =
+				leaves;
 		if (part != DOCUMENT_ROUTE)
 			continue;
 		rt->leaves = leaves;
@@ -287,6 +301,79 @@
 	return true;
 }
 
+/* Items that were read of a part; at: where each stands among all of them. */
+static GPtrArray *read_of(const struct routing_update *u, guint8 part,
+			  GArray *at)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < u->read.items->len; i++)
+		if (u->read.parts->data[i] == part) {
+			g_ptr_array_add(out, u->read.items->pdata[i]);
+			g_array_append_val(at, i);
+		}
+	return out;
+}
+
+/* The place of a customer that was there before and stays. */
+static char *place_of_kept(const struct routing_update *u,
+			   const struct customer *c)
+{
+	const struct document_change *x = &u->patch->change;
+	const struct document_edit *e = x->edits.items;
+	const struct document_pieces *p = &u->r->pieces;
+	guint n = 0, i = 0;
+
+	for (size_t k = 0; i < p->items->len && p->items->pdata[i] != c; i++) {
+		const struct customer *one = p->items->pdata[i];
+
+		for (; k < x->edits.n && e[k].at <= i; k++)
+			for (size_t m = 0; m < e[k].pieces.n; m++)
+				n += ((struct document_piece *)e[k]
+					      .pieces.items)[m]
+					     .part == DOCUMENT_CUSTOMER;
+		n += p->parts->data[i] == DOCUMENT_CUSTOMER && !one->leaves;
+	}
+	return place_name(u, DOCUMENT_CUSTOMER, n);
+}
+
+/* Of a customer that was read, or was there before and stays. */
+static char *place_of_customer(const struct routing_update *u,
+			       const struct customer *c)
+{
+	for (guint i = 0; i < u->read.items->len; i++)
+		if (u->read.items->pdata[i] == c)
+			return place_of(u, i);
+	return place_of_kept(u, c);
+}
+
+/* The key itself is told nowhere. */
+static bool check_customers(const struct routing_update *u, GError **error)
+{
+	GArray *at = g_array_new(FALSE, FALSE, sizeof(guint));
+	GPtrArray *added = read_of(u, DOCUMENT_CUSTOMER, at);
+	const struct customer *other;
+	enum customers_clash clash;
+	guint i;
+
+	clash = customers_check(&u->r->customers, added, &i, &other);
+	if (clash) {
+		char *here = place_of(u, g_array_index(at, guint, i));
+		char *there = place_of_customer(u, other);
+
+		g_set_error(error, SS_ERROR, SS_ERROR_BAD_REQUEST,
+			    clash == CUSTOMERS_KEY ?
+				    "%s: shares a key with %s" :
+				    "%s: has the name of %s",
+			    here, there);
+		g_free(here);
+		g_free(there);
+	}
+	g_ptr_array_unref(added);
+	g_array_unref(at);
+	return !clash;
+}
+
 static bool check(struct routing_update *u, GError **error)
 {
 	GHashTable *services = g_hash_table_new(g_str_hash, g_str_equal);
@@ -301,7 +388,8 @@
 	for (guint i = 0; i < u->read.items->len && ok; i++)
 		if (u->read.parts->data[i] == DOCUMENT_ROUTE)
 			ok = check_route(u, services, places, i, error);
-	ok = ok && check_needed(u, services, error);
+	ok = ok && check_needed(u, services, error) &&
+	     check_customers(u, error);
 	mark_all(u, false);
 	g_hash_table_unref(services);
 	g_hash_table_unref(places);
@@ -347,6 +435,8 @@
 
 	if (part == DOCUMENT_REST)
 		g_free(item);
+	if (part == DOCUMENT_CUSTOMER)
+		customers_remove(&r->customers, item);
 	if (part != DOCUMENT_ROUTE)
 		return;
 	count_uses(r, rt, -1);
@@ -404,9 +494,12 @@
 	for (guint i = 0; i < u->read.items->len; i++)
 		if (u->read.parts->data[i] == DOCUMENT_ROUTE)
 			add_route(r, u->read.items->pdata[i]);
+		else if (u->read.parts->data[i] == DOCUMENT_CUSTOMER)
+			customers_add(&r->customers, u->read.items->pdata[i]);
 	/* They are the table's now. */
 	g_ptr_array_set_size(u->read.items, 0);
-	r->limits = u->limits;
+	r->limits = u->rest.limits;
+	r->keyed = u->rest.keyed;
 	r->version = c->version;
 }
 
--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -403,6 +403,7 @@
 		.adapter_wait_ms = c->adapter_wait_ms,
 		.patience = { c->patience_ms, c->patience_objectives,
 			      c->patience_pauses },
+		.keys_trust_ms = (int64_t)c->keys_trust_ms,
 		.seed = d->seed,
 		.ops = &gate_table,
 		.arg = e
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -32,13 +32,31 @@
 		g_string_append_printf(headers, "Retry-After: %.3f\r\n",
 				       (double)back_ms / 1000.0);
 	(*g->n_bad)++;
-	log_info("request", "request=%.*s outcome=not_run status=%d why=\"%s\"",
-		 SS_FMT(id), status, why);
+	log_info("request",
+		 "request=%.*s outcome=not_run status=%d routing=%" PRIu64
+		 " why=\"%s\"",
+		 SS_FMT(id), status, g->routing_version, why);
 	caller_call_reply(c, status, headers, ss_str(body));
 	g_string_free(headers, TRUE);
 	g_free(body);
 }
 
+/* By what the routing in force says of it. */
+static void refuse_unfit(struct gate *g, struct caller_call *c, int status)
+{
+	if (status == 404)
+		refuse_call(g, c, 404, "not_found", "no route", 0);
+	else if (status == 401)
+		refuse_call(g, c, 401, "unknown_key",
+			    "no customer holds the key that it carries", 0);
+	else if (status == 503)
+		refuse_call(g, c, 503, "unavailable",
+			    "the key may have been taken away", BEHIND_BACK_MS);
+	else
+		refuse_call(g, c, 400, "bad_request", "a header is unreadable",
+			    0);
+}
+
 /* The part of the prompt that requests of one kind share decides where its
  * cache is warm: all parts but the last, which is the request's own. */
 static uint64_t affinity_of(const struct platform_call *c)
@@ -63,10 +81,35 @@
 	return MAX(ms, p->pauses * rt->pause_ms);
 }
 
+static bool may_be_revoked(const struct gate *g)
+{
+	return g->o.keys_trust_ms &&
+	       freshness_alone_ms(&g->freshness, gate_now(g)) >
+		       g->o.keys_trust_ms;
+}
+
+/* Whose request it is: 0, or the status that refuses it. */
+static int identify(const struct gate *g, const struct routing_route *rt,
+		    const struct platform_call *call, struct customer **who)
+{
+	*who = NULL;
+	if (!g->routing->keyed)
+		return 0;
+	if (call->keys_clash)
+		return 400;
+	*who = customers_find(&g->routing->customers, call->key);
+	if (rt->open)
+		return 0;
+	if (!*who)
+		return 401;
+	return may_be_revoked(g) ? 503 : 0;
+}
+
 static struct forward *forward_new(struct gate *g, struct caller_call *c,
 				   struct routing_route *rt,
 				   const struct platform_call *call,
-				   struct ss_str body, int64_t now)
+				   struct customer *who, struct ss_str body,
+				   int64_t now)
 {
 	struct forward *f = g_new0(struct forward, 1);
 	int64_t wait = rt->timeout_ms - TIMEOUT_EARLY_MS;
@@ -80,6 +123,9 @@
 	f->route = routing_route_ref(rt);
 	f->service = routing_service_ref(
 		routing_pick(g->routing, rt, ss_random(&g->seed)));
+	f->customer = customer_ref(who);
+	f->keyed = g->routing->keyed;
+	f->priority = who && who->priority >= 0 ? who->priority : rt->priority;
 	f->call = *call;
 	f->id = ss_str_dup(call->id);
 	f->model = f->service->engine ? ss_str_dup(call->model) : g_strdup("");
@@ -110,9 +156,12 @@
 	enum freshness_level fresh;
 	struct routing_route *rt;
 	struct platform_call call;
+	struct customer *who = NULL;
 	GError *error = NULL;
 	struct forward *f;
+	bool readable;
 	int64_t until;
+	int status;
 
 	if (!g->routing || !g->fleet_known) {
 		if (early_hold(g, c, body, came_ms))
@@ -122,8 +171,12 @@
 		return;
 	}
 	rt = routing_match(g->routing, host, path_of(h->target));
+	readable = g->o.platform->read_call(h, &call, &error);
+	status = !rt ? 404 : readable ? identify(g, rt, &call, &who) : 400;
 	fresh = freshness_level(&g->freshness, gate_now(g), &until);
-	if (fresh == FRESHNESS_STALE || (fresh == FRESHNESS_UNSURE && !rt)) {
+	if (fresh == FRESHNESS_STALE ||
+	    (fresh == FRESHNESS_UNSURE && (status == 404 || status == 401))) {
+		g_clear_error(&error);
 		if (early_hold_until(g, c, body, came_ms, until))
 			return;
 		(*g->n_requests)++;
@@ -132,17 +185,12 @@
 		return;
 	}
 	(*g->n_requests)++;
-	if (!rt) {
-		refuse_call(g, c, 404, "not_found", "no route", 0);
-		return;
-	}
-	if (!g->o.platform->read_call(h, &call, &error)) {
-		refuse_call(g, c, 400, "bad_request", "a header is unreadable",
-			    0);
-		g_error_free(error);
+	if (status) {
+		refuse_unfit(g, c, status);
+		g_clear_error(&error);
 		return;
 	}
-	f = forward_new(g, c, rt, &call, body, came_ms);
+	f = forward_new(g, c, rt, &call, who, body, came_ms);
 	repeat_first(gate_budget(g, f->service->name), gate_now(g));
 	if (*f->model && !routing_model(f->service, f->model)) {
 		forward_refuse(f, 503, "unknown_model",
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -45,6 +45,7 @@
 	g_ptr_array_unref(f->tried);
 	routing_route_unref(f->route);
 	routing_service_unref(f->service);
+	customer_unref(f->customer);
 	if (f->headers)
 		g_string_free(f->headers, TRUE);
 	if (f->held)
@@ -76,6 +77,11 @@
 	g_clear_pointer(&f->ep_addr, g_free);
 }
 
+static const char *customer_of(const struct forward *f)
+{
+	return f->customer ? f->customer->name : "";
+}
+
 /* What it waited for last. */
 static const char *held_for(const struct forward *f)
 {
@@ -104,14 +110,16 @@
 	}
 	hist_add(h, (uint64_t)MAX(ms, 0));
 	log_info("request",
-		 "request=%s route=%s service=%s model=%s adapter=%s "
+		 "request=%s customer=%s route=%s service=%s model=%s "
+		 "adapter=%s "
 		 "endpoint=%s sends=%u asks=%u outcome=%s status=%d "
 		 "waited_ms=%" PRId64 " first_ms=%" PRId64 " ms=%" PRId64
 		 " objective_ms=%" PRId64 " pause_ms=%" PRId64
 		 " pause_most_ms=%" PRId64 " held_for=%s"
 		 " left_ms=%" PRId64 " tokens=%" PRId64 " stop_left_ms=%" PRId64
 		 " expected_ms=%" PRId64 " routing=%" PRIu64 " why=\"%s\"",
-		 f->id, f->route->name, f->service->name, f->model, f->adapter,
+		 f->id, f->customer ? f->customer->name : "-", f->route->name,
+		 f->service->name, f->model, f->adapter,
 		 f->ep_id ? f->ep_id : "-", f->sends, f->asks, outcome,
 		 f->status, f->waited_ms, f->first_ms, ms,
 		 f->objective_ms - f->start_ms, f->pause_ms, f->route->pause_ms,
@@ -252,7 +260,9 @@
 	int64_t now = gate_now(g);
 	struct platform_send s = { .deadline_ms = f->deadline_ms - now,
 				   .instance = ss_str(ep->self.id),
-				   .priority = MIN(f->route->priority, 9),
+				   .priority = MIN(f->priority, 9),
+				   .keyed = f->keyed,
+				   .customer = ss_str(customer_of(f)),
 				   .after_event = f->is_events ?
 							  f->events.last_id :
 							  f->call.after_event };
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -60,8 +60,8 @@
 	const struct forward *x = a, *y = b;
 
 	(void)data;
-	if (x->route->priority != y->route->priority)
-		return x->route->priority < y->route->priority ? -1 : 1;
+	if (x->priority != y->priority)
+		return x->priority < y->priority ? -1 : 1;
 	return x->deadline_ms < y->deadline_ms ?
 		       -1 :
 		       x->deadline_ms > y->deadline_ms;
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -47,6 +47,9 @@
 	int64_t retry_window_ms, retry_slack;
 	int64_t adapter_wait_ms; /* for an agent to load an adapter */
 	struct gate_patience patience;
+	/* Without a leader's word, customers' keys are believed for so long; 0:
+	 * for ever. */
+	int64_t keys_trust_ms;
 	uint64_t seed;
 	const struct gate_ops *ops;
 	void *arg;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -60,6 +60,9 @@
 	uint64_t routing; /* version that it came under */
 	struct routing_route *route;
 	struct routing_service *service;
+	struct customer *customer; /* NULL: none is known, or needed */
+	bool keyed;		   /* by the routing that it came under */
+	int64_t priority;	   /* 0 is first */
 	struct platform_call call; /* views into the caller's head */
 	char *id, *model, *adapter;
 	uint64_t affinity;
--- a/src/proxy/platform_ops.h
+++ b/src/proxy/platform_ops.h
@@ -19,6 +19,8 @@
 	int64_t deadline_ms;   /* that the caller will wait; 0: not told */
 	int64_t tokens_in, tokens_out; /* 0: not told */
 	int64_t after_event; /* resume behind this event; -1: from the start */
+	struct ss_str key;   /* its customer's; empty: none, or none readable */
+	bool keys_clash;     /* it carries more than one */
 };
 
 /* What the system sets on a request that it forwards. */
@@ -27,6 +29,8 @@
 	struct ss_str instance; /* that must answer; empty: any */
 	int64_t priority;	/* 0 (first) to 9 */
 	int64_t after_event;	/* resume behind this event; -1: don't */
+	bool keyed;		/* callers' keys and names don't go on */
+	struct ss_str customer; /* that sent it; empty: not known */
 };
 
 /* What an endpoint's answer says beside its status and body. */
--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -245,7 +245,7 @@
 	routing_unref(r);
 }
 
-void fix_open_fresh(struct fix *f)
+void fix_open_trusting(struct fix *f, int64_t keys_trust_ms)
 {
 	struct gate_options o = { .platform = &users_platform,
 				  .addr = "127.0.0.1:0",
@@ -255,6 +255,7 @@
 				  .retry_slack = 200,
 				  .adapter_wait_ms = 400,
 				  .patience = { 2000, 4, 8 },
+				  .keys_trust_ms = keys_trust_ms,
 				  .seed = 7,
 				  .ops = &gate_table,
 				  .arg = f };
@@ -273,6 +274,11 @@
 	assert_non_null(f->gate);
 }
 
+void fix_open_fresh(struct fix *f)
+{
+	fix_open_trusting(f, 0);
+}
+
 void fix_open(struct fix *f, const char *service, const char *model)
 {
 	fix_open_fresh(f);
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -76,6 +76,8 @@
 void fix_open(struct fix *f, const char *service, const char *model);
 /* A gate that knows neither routing nor fleet. */
 void fix_open_fresh(struct fix *f);
+/* One that believes keys for so long without a leader. */
+void fix_open_trusting(struct fix *f, int64_t keys_trust_ms);
 void fix_close(struct fix *f);
 
 void tell_routing(struct fix *f);
--- a/test/test_document.c
+++ b/test/test_document.c
@@ -320,6 +320,100 @@
 	  "version" },
 };
 
+/* Changes of customers, each of what the one before left. */
+#define CUSTOMER(name, keys) "{\"name\":\"" name "\",\"keys\":[" keys "]}"
+#define KEYED(version, customers)                                              \
+	"{\"version\":" version                                                \
+	",\"routes\":[" ROUTE("a", "s1") "]," SERVICES                         \
+					 ",\"tenants\":[" customers "]}"
+static const struct {
+	const char *label, *text;
+	uint64_t version;
+	const char *key, *holder; /* NULL: nobody */
+	const char *error;
+} series[] = {
+	{ "the first ones",
+	  KEYED("1", CUSTOMER("a", "\"k1\"") "," CUSTOMER("b", "\"k2\"")), 1,
+	  "k2", "b", NULL },
+	{ "a key moves on",
+	  KEYED("2", CUSTOMER("a", "\"k1\",\"k2\"") "," CUSTOMER("b", "")), 2,
+	  "k2", "a", NULL },
+	{ "and back, in one change with a new one",
+	  KEYED("3", CUSTOMER("c", "\"k3\"") "," CUSTOMER(
+			     "a", "\"k1\"") "," CUSTOMER("b", "\"k2\"")),
+	  3, "k2", "b", NULL },
+	{ "one goes, and another takes its key",
+	  KEYED("5", CUSTOMER("c", "\"k3\"") "," CUSTOMER(
+			     "b", "\"k2\"") "," CUSTOMER("d", "\"k1\"")),
+	  5, "k1", "d", NULL },
+	{ "all lose their keys",
+	  KEYED("6",
+		CUSTOMER("c", "") "," CUSTOMER("b", "") "," CUSTOMER("d", "")),
+	  6, "k1", NULL, NULL },
+	{ "nobody is a customer", KEYED("7", ""), 7, "k1", NULL, NULL },
+	{ "others come",
+	  KEYED("8", CUSTOMER("c", "\"k3\"") "," CUSTOMER("a", "\"k1\"")), 8,
+	  "k1", "a", NULL },
+	{ "a key of one that isn't changed",
+	  KEYED("9",
+		CUSTOMER("e", "\"k9\"") "," CUSTOMER(
+			"c",
+			"\"k3\"") "," CUSTOMER("a",
+					       "\"k1\"") "," CUSTOMER("d",
+								      "\"k1"
+								      "\"")),
+	  9, "k1", "a", "tenants[3]: shares a key with tenants[2]" },
+};
+
+/* A key leads to whom it was taken from, or nowhere. */
+static void keys_follow_any_series(void **state)
+{
+	struct routing_follower *w =
+		routing_follower_new(users_platform.routing);
+	struct routing *r = routing_follower_table(w);
+	struct document *d = document_new();
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(series); i++) {
+		const struct customer *c;
+		GError *error = NULL;
+		bool ok = put(w, d, series[i].text, series[i].version, &error);
+
+		if (ok == (series[i].error != NULL) ||
+		    (error && !strstr(error->message, series[i].error)))
+			fail_msg("%s: %s", series[i].label,
+				 error ? error->message : "taken");
+		if (error && strstr(error->message, "k1"))
+			fail_msg("%s: tells a key", series[i].label);
+		g_clear_error(&error);
+		c = customers_find(&r->customers, ss_str(series[i].key));
+		if (g_strcmp0(c ? c->name : NULL, series[i].holder))
+			fail_msg("%s: %s", series[i].label, c ? c->name : "-");
+		assert_true(r->keyed);
+	}
+	routing_follower_free(w);
+	document_free(d);
+}
+
+/* Keys reach the agents, which need none. */
+static void agents_hear_of_no_customers(void **state)
+{
+	struct document *d = document_new();
+	struct document_patch *n;
+	GString *whole;
+
+	(void)state;
+	g_string_free(bring_to(d, KEYED("1", CUSTOMER("a", "\"k1\"")), 1),
+		      TRUE);
+	whole = document_whole(d, false);
+	n = document_open(ss_str_gs(whole), NULL);
+	assert_non_null(n);
+	assert_null(g_strstr_len(n->opened->str, (gssize)n->opened->len, "k1"));
+	document_patch_free(n);
+	g_string_free(whole, TRUE);
+	document_free(d);
+}
+
 /* An invalid change that is taken, or leaves something behind. */
 static void changes_are_checked_before_they_count(void **state)
 {
@@ -575,6 +669,8 @@
 		cmocka_unit_test(bytes_follow_from_the_change),
 		cmocka_unit_test(table_follows_any_series),
 		cmocka_unit_test(changes_are_checked_before_they_count),
+		cmocka_unit_test(keys_follow_any_series),
+		cmocka_unit_test(agents_hear_of_no_customers),
 		cmocka_unit_test(requests_keep_their_route),
 		cmocka_unit_test(few_items_are_read_at_a_time),
 		cmocka_unit_test(useless_changes_are_refused),
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -241,7 +241,8 @@
 	return s;
 }
 
-static const char *const lists[DOCUMENT_PARTS] = { "", "routes", "services" };
+static const char *const lists[DOCUMENT_PARTS] = { "", "routes", "services",
+						   "customers" };
 
 /* The change that makes a document into a version, packed. */
 static GString *change_to(const struct world *w, const struct document *d,
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -5,6 +5,8 @@
 
 #define ROUTE_HEAD "{\"name\":\"r1\",\"host\":\"h.example\","
 #define SERVICES "\"services\":[{\"name\":\"s1\"},{\"name\":\"s2\"}]"
+#define KEYED(customers)                                                       \
+	"{\"version\":1,\"routes\":[]," SERVICES ",\"tenants\":[" customers "]}"
 
 struct routing_case {
 	const char *label, *json;
@@ -90,6 +92,43 @@
 	  "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\"},"
 	  "{\"name\":\"s\"}]}",
 	  "stands twice" },
+	{ "customers",
+	  KEYED("{\"name\":\"a\",\"keys\":[\"k1\",\"k2\"],\"priority\":1,"
+		"\"unit\":\"token\",\"rawTokens\":200,\"ratePerS\":0.5,"
+		"\"burst\":0},{\"name\":\"b\",\"keys\":[]}"),
+	  NULL },
+	{ "customers that are no list",
+	  "{\"version\":1,\"routes\":[]," SERVICES ",\"tenants\":{}}",
+	  "tenants" },
+	{ "customers without a value",
+	  "{\"version\":1,\"routes\":[]," SERVICES ",\"tenants\":null}",
+	  "tenants" },
+	{ "a customer without keys", KEYED("{\"name\":\"a\"}"),
+	  "tenants[0].keys" },
+	{ "a key that is no text", KEYED("{\"name\":\"a\",\"keys\":[7]}"),
+	  "tenants[0].keys[0]" },
+	{ "an empty key", KEYED("{\"name\":\"a\",\"keys\":[\"k1\",\"\"]}"),
+	  "tenants[0].keys[1]" },
+	{ "a name that would break a header",
+	  KEYED("{\"name\":\"a\\r\\nX-Hold: 1\",\"keys\":[]}"),
+	  "tenants[0].name" },
+	{ "two customers with a key",
+	  KEYED("{\"name\":\"a\",\"keys\":[\"k1\"]},{\"name\":\"b\","
+		"\"keys\":[\"k2\",\"k1\"]}"),
+	  "tenants[1]: shares a key with tenants[0]" },
+	{ "two customers of one name",
+	  KEYED("{\"name\":\"a\",\"keys\":[\"k1\"]},{\"name\":\"a\","
+		"\"keys\":[]}"),
+	  "tenants[1]: has the name of tenants[0]" },
+	{ "a negative limit",
+	  KEYED("{\"name\":\"a\",\"keys\":[],\"ratePerS\":-1}"),
+	  "tenants[0].ratePerS" },
+	{ "an absurd limit",
+	  KEYED("{\"name\":\"a\",\"keys\":[],\"ratePerS\":1e18}"),
+	  "tenants[0].ratePerS" },
+	{ "a burst that is text",
+	  KEYED("{\"name\":\"a\",\"keys\":[],\"burst\":\"9\"}"),
+	  "tenants[0].burst" },
 	{ "a model without its size",
 	  "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\","
 	  "\"engine\":{\"models\":[{\"name\":\"m\"}]}}]}",
@@ -117,6 +156,45 @@
 	}
 }
 
+/* Limits as they are told; what isn't told is no limit. */
+static void limits_are_read(void **state)
+{
+	static const char json[] =
+		KEYED("{\"name\":\"a\",\"keys\":[\"k1\"],\"unit\":\"token\","
+		      "\"rawTokens\":200,\"ratePerS\":161091,\"burst\":0.5},"
+		      "{\"name\":\"b\",\"keys\":[],\"ratePerS\":3},"
+		      "{\"name\":\"c\",\"keys\":[],\"priority\":0}");
+	static const struct {
+		const char *name;
+		struct customer_limit limit;
+		int64_t priority;
+	} rows[] = {
+		{ "a", { 161091, 0.5, true, 200 }, -1 },
+		{ "b", { 3, 0, false, 1 }, -1 },
+		{ "c", { 0, 0, false, 1 }, 0 },
+	};
+	struct routing *r =
+		routing_read(users_platform.routing, ss_str(json), NULL);
+
+	(void)state;
+	assert_non_null(r);
+	assert_true(r->keyed);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const struct customer *c =
+			customers_named(&r->customers, rows[i].name);
+
+		assert_non_null(c);
+		assert_true(c->limit.per_s == rows[i].limit.per_s);
+		assert_true(c->limit.burst == rows[i].limit.burst);
+		assert_int_equal(c->limit.tokens, rows[i].limit.tokens);
+		assert_true(c->limit.plain == rows[i].limit.plain);
+		assert_int_equal(c->priority, rows[i].priority);
+	}
+	assert_ptr_equal(customers_find(&r->customers, SS_LIT("k1")),
+			 customers_named(&r->customers, "a"));
+	routing_unref(r);
+}
+
 struct match_case {
 	const char *host, *path, *route; /* NULL: none */
 };
@@ -586,6 +664,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(routings_are_checked),
+		cmocka_unit_test(limits_are_read),
 		cmocka_unit_test(longest_prefix_wins),
 		cmocka_unit_test(splits_follow_their_weights),
 		cmocka_unit_test(starts_are_read),
