--- a/Makefile
+++ b/Makefile
@@ -68,27 +68,30 @@
 $(BUILD)/standin: $(call obj,$(STANDIN_SRC) src/net/http.c src/net/addr.c) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
+$(BUILD)/bench-quota $(BUILD)/test_quota: $(BUILD)/test/quota_world.o
 $(BUILD)/bench-%: $(BUILD)/bench/%.o $(call obj,$(NET_SRC)) $(LIB)
-	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
+	$(CC) $(LDFLAGS) $(filter %.o,$^) $(LIB) -o $@ $(LDLIBS)
 
 $(BUILD)/example-embed: $(BUILD)/docs/example/embed.o $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
 $(BUILD)/test_%: $(BUILD)/test/test_%.o $(call obj,$(NET_SRC)) $(LIB)
-	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS) -lcmocka
+	$(CC) $(LDFLAGS) $(filter %.o,$^) $(LIB) -o $@ $(LDLIBS) -lcmocka
 
 $(BUILD)/test_gate $(BUILD)/test_gate_ends $(BUILD)/test_gate_stop \
 	$(BUILD)/test_gate_restart $(BUILD)/test_gate_list \
 	$(BUILD)/test_gate_early $(BUILD)/test_gate_quarantine \
 	$(BUILD)/test_gate_failing $(BUILD)/test_gate_behind \
-	$(BUILD)/test_gate_customers: \
+	$(BUILD)/test_gate_customers $(BUILD)/test_gate_quota: \
 	$(BUILD)/test/gate_fix.o
 $(BUILD)/test_explain: $(BUILD)/src/ctl/explain.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_summary: $(BUILD)/src/ctl/summary.o $(BUILD)/src/ctl/logline.o
 
+$(BUILD)/prop_quota: $(BUILD)/test/quota_world.o $(BUILD)/src/node/frame.o
 $(BUILD)/prop_%: test/prop_%.cc $(LIB)
 	@mkdir -p $(@D)
-	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $< $(LIB) -o $@ $(LDLIBS) -lrapidcheck
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $< $(filter %.o,$^) $(LIB) \
+		-o $@ $(LDLIBS) -lrapidcheck
 
 tests: $(TESTS)
 
--- /dev/null
+++ b/bench/quota.c
@@ -0,0 +1,182 @@
+/*
+ * How customers' limits are kept: each way to do it, side by side, on the same
+ * days in simulated time.
+ */
+#include <popt.h>
+#include <stdio.h>
+
+#include "../test/quota_world.h"
+
+static const struct quota_way *const ways[] = { &quota_even, &quota_lease,
+						&quota_owner };
+
+/* Sizes: a small fleet, a large one, and the one that is planned. */
+static const struct {
+	int entries, customers;
+	double requests_per_s;
+} sizes[] = {
+	{ 31, 16, 260 },    { 105, 16, 900 },	 { 340, 16, 1600 },
+	{ 31, 1000, 260 },  { 105, 1000, 900 },	 { 340, 1000, 1600 },
+	{ 31, 10000, 260 }, { 105, 10000, 900 }, { 340, 10000, 1600 },
+};
+
+#define DAY_MS 40000
+
+static const struct world_event none[] = { { .at_ms = 0 } };
+static const struct world_event hot[] = {
+	{ 8000, WORLD_HOT, 12000, 1, 3, 6 },
+};
+static const struct world_event leader[] = {
+	{ 10000, WORLD_LEADER, 1500, 0, 0, 0 },
+	{ 25000, WORLD_LEADER, 1500, 0, 0, 0 },
+};
+static const struct world_event power[] = {
+	{ 10000, WORLD_POWER, 1500, 0, 0, 0 },
+	{ 25000, WORLD_POWER, 1500, 0, 0, 0 },
+};
+static const struct world_event cuts[] = {
+	{ 10000, WORLD_CUT, 4000, 0, 8, 0 },
+	{ 20000, WORLD_FREEZE, 4000, 0, 8, 0 },
+	{ 28000, WORLD_RESTART, 500, 0, 8, 0 },
+};
+static const struct world_event faults[] = {
+	{ 6000, WORLD_CUT, 4000, 2, 3, 0 },
+	{ 9000, WORLD_HOT, 8000, 0, 1, 12 },
+	{ 14000, WORLD_LEADER, 1500, 0, 0, 0 },
+	{ 16000, WORLD_CUT, 6000, 0, 1, 0 },
+	{ 20000, WORLD_FREEZE, 3000, 4, 4, 0 },
+	{ 25000, WORLD_RESTART, 500, 8, 6, 0 },
+	{ 28000, WORLD_POWER, 1500, 0, 0, 0 },
+	{ 33000, WORLD_SLOW, 4000, 0, 5, 0 },
+};
+static const struct world_event changes[] = {
+	{ 6000, WORLD_LIMIT, 0, 0, 2, 0.1 },
+	{ 16000, WORLD_LIMIT, 0, 0, 2, 5 },
+	{ 20000, WORLD_LIMIT, 0, 0, 2, 0.2 },
+	{ 30000, WORLD_LIMIT, 0, 0, 2, 10 },
+};
+
+static const struct {
+	const char *name;
+	const struct world_event *events;
+	size_t n;
+} days[] = {
+	{ "calm", none, 0 },
+	{ "hot customers", hot, G_N_ELEMENTS(hot) },
+	{ "leader lost", leader, G_N_ELEMENTS(leader) },
+	{ "power lost", power, G_N_ELEMENTS(power) },
+	{ "entries cut", cuts, G_N_ELEMENTS(cuts) },
+	{ "faults", faults, G_N_ELEMENTS(faults) },
+	{ "limits change", changes, G_N_ELEMENTS(changes) },
+};
+
+static int seeds = 1, entries, customers, csv;
+static char *only_way, *only_day;
+
+static void print_head(void)
+{
+	if (csv)
+		printf("entries,customers,day,way,seed,window,refused,"
+		       "refused_most,served,waited,waited_ms,messages_s,"
+		       "bytes_s,far_bytes_s,place_asks_s,place_us\n");
+	else
+		printf("%-7s %-6s %-14s %-6s %7s %8s %8s %7s %7s %6s %7s %8s "
+		       "%8s %7s %6s\n",
+		       "entries", "cust.", "day", "way", "window", "refused",
+		       "of one", "served", "waited", "ms", "msg/s", "bytes/s",
+		       "far b/s", "asks/s", "us");
+}
+
+static void print_one(const struct world_options *o, const char *day,
+		      uint64_t seed, const struct world_result *r)
+{
+	if (csv)
+		printf("%d,%d,%s,%s,%" PRIu64
+		       ",%.4f,%.5f,%.5f,%.4f,%.4f,%.1f,%.0f,%.0f,%.0f,%.0f,"
+		       "%.2f\n",
+		       o->entries, o->customers, day, o->way->name, seed,
+		       r->worst, r->refused, r->worst_refused, r->served,
+		       r->waited, r->waited_ms, r->messages, r->bytes,
+		       r->far_bytes, r->place_asks, r->place_us);
+	else
+		printf("%-7d %-6d %-14s %-6s %7.3f %7.2f%% %7.2f%% %6.1f%% "
+		       "%6.1f%% %6.1f %7.0f %8.0f %8.0f %7.0f %6.2f  %s\n",
+		       o->entries, o->customers, day, o->way->name, r->worst,
+		       100 * r->refused, 100 * r->worst_refused,
+		       100 * r->served, 100 * r->waited, r->waited_ms,
+		       r->messages, r->bytes, r->far_bytes, r->place_asks,
+		       r->place_us, r->worst > 1 ? r->worst_at : "");
+	fflush(stdout);
+}
+
+static void run_day(size_t size, size_t day, const struct quota_way *way)
+{
+	for (int s = 1; s <= seeds; s++) {
+		struct world_options o = {
+			.way = way,
+			.entries = sizes[size].entries,
+			.customers = sizes[size].customers,
+			.domains = 4,
+			.length_ms = DAY_MS,
+			.requests_per_s = sizes[size].requests_per_s,
+			.limit_x = 1.8,
+			.floor_per_s = 4200,
+			.slack = { 8, 0.1, 17000 },
+			.delay_ms = 1.4,
+			.cpu_share = 0.32,
+			.drift = 0.001,
+			.seed = (uint64_t)s * 7919,
+			.events = days[day].events,
+			.n_events = days[day].n,
+		};
+		struct world_result r;
+
+		world_run(&o, &r);
+		print_one(&o, days[day].name, (uint64_t)s, &r);
+	}
+}
+
+static bool wanted(size_t size, size_t day, size_t way)
+{
+	return (!entries || entries == sizes[size].entries) &&
+	       (!customers || customers == sizes[size].customers) &&
+	       (!only_way || !strcmp(only_way, ways[way]->name)) &&
+	       (!only_day ||
+		!strncmp(only_day, days[day].name, strlen(only_day)));
+}
+
+int main(int argc, const char **argv)
+{
+	const struct poptOption table[] = {
+		{ "seeds", 's', POPT_ARG_INT, &seeds, 0, "days of each kind",
+		  "N" },
+		{ "entries", 'e', POPT_ARG_INT, &entries, 0,
+		  "only this size (31, 105, 340)", "N" },
+		{ "customers", 'c', POPT_ARG_INT, &customers, 0,
+		  "only so many (16, 1000, 10000)", "N" },
+		{ "way", 'w', POPT_ARG_STRING, &only_way, 0,
+		  "only this way (even, lease, owner)", "NAME" },
+		{ "day", 'd', POPT_ARG_STRING, &only_day, 0,
+		  "only days that begin so", "NAME" },
+		{ "csv", 0, POPT_ARG_NONE, &csv, 0, "as comma-separated values",
+		  NULL },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	poptContext ctx = poptGetContext("quota", argc, argv, table, 0);
+	int rc = poptGetNextOpt(ctx);
+
+	if (rc < -1) {
+		fprintf(stderr, "%s: %s\n", poptBadOption(ctx, 0),
+			poptStrerror(rc));
+		poptFreeContext(ctx);
+		return 2;
+	}
+	print_head();
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		for (size_t d = 0; d < G_N_ELEMENTS(days); d++)
+			for (size_t k = 0; k < G_N_ELEMENTS(ways); k++)
+				if (wanted(i, d, k))
+					run_day(i, d, ways[k]);
+	poptFreeContext(ctx);
+	return 0;
+}
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -72,6 +72,9 @@
 	/* Repeats that are free, for all together: a share of them at a size
 	 * where that is less than one. */
 	double retry_slack;
+	/* By how much a customer may exceed its limit in a window: a share of
+	 * what the limit allows, and so much beside. */
+	double quota_window_s, quota_overage, quota_extra;
 	/* Agents load an adapter within 10 ms on both deployments, but one that
 	 * loads many, or has to drop one in use, takes longer. */
 	int64_t adapter_wait_ms;
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -401,6 +401,33 @@
 	F(5, WIRE_INT, msg_trial, wait_ms),
 };
 
+static const struct wire_field quota_ask_item_fields[] = {
+	F(1, WIRE_STR, quota_ask, customer), F(2, WIRE_UINT, quota_ask, number),
+	F(3, WIRE_INT, quota_ask, held),     F(4, WIRE_INT, quota_ask, want),
+	F(5, WIRE_INT, quota_ask, first),    F(6, WIRE_INT, quota_ask, demand),
+	F(7, WIRE_INT, quota_ask, alone),    F(8, WIRE_INT, quota_ask, rate),
+	F(9, WIRE_INT, quota_ask, back),     F(10, WIRE_INT, quota_ask, usual),
+	F(11, WIRE_INT, quota_ask, reserve),
+};
+static const struct wire_type quota_ask_type =
+	T(quota_ask, quota_ask_item_fields);
+static const struct wire_field quota_word_item_fields[] = {
+	F(1, WIRE_STR, quota_word, customer),
+	F(2, WIRE_UINT, quota_word, number),
+	F(3, WIRE_INT, quota_word, grant),
+	F(4, WIRE_INT, quota_word, rate),
+	F(5, WIRE_INT, quota_word, wait_ms),
+	F(6, WIRE_INT, quota_word, reserve),
+};
+static const struct wire_type quota_word_type =
+	T(quota_word, quota_word_item_fields);
+static const struct wire_field quota_asks_fields[] = {
+	L(1, msg_quota_ask, asks, quota_ask_type),
+};
+static const struct wire_field quota_words_fields[] = {
+	L(1, msg_quota_word, words, quota_word_type),
+};
+
 static const struct wire_type types[MSG_KINDS] = {
 	[MSG_HELLO] = T(msg_hello, hello_fields),
 	[MSG_PING] = T(msg_ping, ping_fields),
@@ -437,6 +464,8 @@
 	[MSG_ENDS] = T(msg_ends, ends_fields),
 	[MSG_QUARANTINE] = T(msg_quarantine, quarantine_fields),
 	[MSG_TRIAL] = T(msg_trial, trial_fields),
+	[MSG_QUOTA_ASK] = T(msg_quota_ask, quota_asks_fields),
+	[MSG_QUOTA_WORD] = T(msg_quota_word, quota_words_fields),
 };
 
 const struct wire_type *msg_type(enum msg_kind kind)
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -5,6 +5,7 @@
 #include <sapphireshift/raft.h>
 
 #include "../base/wire.h"
+#include "../customer/quota.h"
 
 enum msg_kind {
 	MSG_HELLO = 1, /* first on a connection, both ways */
@@ -43,6 +44,8 @@
 	MSG_ENDS,   /* entry to leader: requests under which endpoints ended */
 	MSG_QUARANTINE, /* leader to entry: requests that aren't to be run */
 	MSG_TRIAL,	/* entry to leader: may this one run? and its answer */
+	MSG_QUOTA_ASK,	/* entry to leader: what customers need there */
+	MSG_QUOTA_WORD, /* its answer */
 	MSG_KINDS
 };
 
@@ -446,6 +449,14 @@
 	int64_t wait_ms; /* with SUSPECT_WAIT: before it can make sense */
 };
 
+struct msg_quota_ask {
+	struct wire_list asks; /* struct quota_ask */
+};
+
+struct msg_quota_word {
+	struct wire_list words; /* struct quota_word */
+};
+
 struct msg_ping {
 	uint64_t active;
 };
--- /dev/null
+++ b/src/customer/quota_lease.c
@@ -0,0 +1,362 @@
+/* Allotments at the place that hands them out. */
+#include "quota_lease.h"
+
+/* A place counts a lease a little longer, in ms: clocks differ. */
+#define LEASE_MARGIN_MS 500
+/* Parts of the slack that entries may hold, and may spend beyond that alone.
+ * The rest is for those that a new place doesn't hear, and for single requests
+ * beyond the limit. */
+#define HELD_SHARE 0.25
+#define RESERVE_SHARE 0.35
+/* Without slack, a part of the burst is kept for what they hold. */
+#define HELD_BURST 0.25
+/* Part of the burst that comes with the rate, over a window: who asks for more
+ * than its rate all the time is served more, who asks for it at once less. */
+#define SPREAD_SHARE 0.5
+/* Part of a limit that all entries together may go on at alone. */
+#define ALONE_SHARE 0.4
+/* Entries that lack some ask in turn, each so long after the last, in ms: a
+ * place answers some hundred asks a second for a customer, however many they
+ * are. */
+#define TURN_MS 2
+
+/* An entry that holds an allotment of a customer, or may. */
+struct holder {
+	uint64_t id;
+	double held;
+	double demand;
+	double rate, reserve; /* that it may go on at, and spend, alone */
+	int64_t until_ms;     /* that it holds it, and may go on */
+	bool gone;	      /* it isn't heard */
+	int64_t gone_ms;
+	double counted; /* taken out of the bucket for what it spends alone */
+};
+
+struct account {
+	char *name;
+	struct customer_limit limit;
+	double level;
+	int64_t ms; /* until when that was added up */
+	GArray *holders;
+};
+
+struct place {
+	struct quota_slack slack;
+	GHashTable *accounts; /* name -> struct account */
+	int64_t since_ms;
+};
+
+static void account_free(void *p)
+{
+	struct account *a = p;
+
+	g_array_unref(a->holders);
+	g_free(a->name);
+	g_free(a);
+}
+
+void *quota_lease_place_new(const struct quota_options *o, int64_t now)
+{
+	struct place *p = g_new0(struct place, 1);
+
+	p->slack = o->slack;
+	p->since_ms = now;
+	p->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    account_free);
+	return p;
+}
+
+void quota_lease_place_free(void *place)
+{
+	struct place *p = place;
+
+	g_hash_table_unref(p->accounts);
+	g_free(p);
+}
+
+static double overlap_s(int64_t a, int64_t b, int64_t from, int64_t to)
+{
+	int64_t ms = MIN(b, to) - MAX(a, from);
+
+	return ms > 0 ? (double)ms / 1000 : 0;
+}
+
+/* By how much the limit may be exceeded in a window. */
+static double slack_of(const struct place *p, const struct customer_limit *l)
+{
+	return p->slack.ratio * (l->per_s * p->slack.window_s + l->burst) +
+	       p->slack.extra;
+}
+
+/* All that entries may hold at a time, and the burst that is left beside. */
+static double held_most(const struct place *p, const struct customer_limit *l)
+{
+	return MAX(HELD_SHARE * slack_of(p, l), HELD_BURST * l->burst);
+}
+
+/* In a window as much comes as the limit allows: some of the burst at once, the
+ * rest of it with the rate. */
+static double burst_of(const struct place *p, const struct customer_limit *l)
+{
+	double held = HELD_SHARE * slack_of(p, l);
+
+	return l->burst * (1 - SPREAD_SHARE) - MAX(held_most(p, l) - held, 0);
+}
+
+static double rate_of(const struct place *p, const struct customer_limit *l)
+{
+	return l->per_s + SPREAD_SHARE * l->burst / p->slack.window_s;
+}
+
+/* Of what entries may spend alone by another place's word: told by none. */
+static double unheard_rate(const struct place *p, const struct account *a,
+			   int64_t now)
+{
+	double rate = ALONE_SHARE * a->limit.per_s;
+
+	if (now - p->since_ms >= QUOTA_LEASE_MS + LEASE_MARGIN_MS)
+		return 0;
+	for (guint i = 0; i < a->holders->len; i++)
+		rate -= g_array_index(a->holders, struct holder, i).rate;
+	return MAX(rate, 0);
+}
+
+static void settle(const struct place *p, struct account *a, int64_t now)
+{
+	int64_t known = p->since_ms + QUOTA_LEASE_MS + LEASE_MARGIN_MS;
+
+	if (now <= a->ms)
+		return;
+	a->level += rate_of(p, &a->limit) * (double)(now - a->ms) / 1000;
+	a->level -= unheard_rate(p, a, a->ms) *
+		    overlap_s(a->ms, now, p->since_ms, known);
+	for (guint i = a->holders->len; i-- > 0;) {
+		struct holder *h = &g_array_index(a->holders, struct holder, i);
+		double n = h->gone ? h->rate * overlap_s(a->ms, now, h->gone_ms,
+							 h->until_ms) :
+				     0;
+
+		a->level -= n;
+		h->counted += n;
+		if (now >= h->until_ms)
+			g_array_remove_index_fast(a->holders, i);
+	}
+	a->level = MIN(a->level, burst_of(p, &a->limit));
+	a->ms = now;
+}
+
+static struct account *account_of(struct place *p, const struct customer *c,
+				  int64_t now)
+{
+	struct account *a = g_hash_table_lookup(p->accounts, c->name);
+
+	if (!a) {
+		a = g_new0(struct account, 1);
+		a->name = g_strdup(c->name);
+		a->holders = g_array_new(FALSE, TRUE, sizeof(struct holder));
+		a->limit = c->limit;
+		/* Empty when this place began; what has come since is there. */
+		a->ms = p->since_ms;
+		g_hash_table_insert(p->accounts, a->name, a);
+	}
+	settle(p, a, now);
+	a->limit = c->limit;
+	a->level = MIN(a->level, burst_of(p, &a->limit));
+	return a;
+}
+
+static struct holder *holder_of(struct account *a, uint64_t id)
+{
+	for (guint i = 0; i < a->holders->len; i++) {
+		struct holder *h = &g_array_index(a->holders, struct holder, i);
+
+		if (h->id == id)
+			return h;
+	}
+	return NULL;
+}
+
+/* What it says of itself; the record of one that was there before is right. */
+static struct holder *hear(struct account *a, uint64_t id,
+			   const struct quota_ask *ask, int64_t now)
+{
+	struct holder *h = holder_of(a, id);
+
+	if (h) {
+		if (h->gone)
+			a->level += h->counted;
+		a->level -= quota_whole(ask->alone);
+		h->gone = false;
+		h->counted = 0;
+	} else {
+		struct holder one = { .id = id,
+				      .rate = quota_whole(ask->rate),
+				      .reserve = quota_whole(ask->reserve) };
+
+		g_array_append_val(a->holders, one);
+		h = &g_array_index(a->holders, struct holder,
+				   a->holders->len - 1);
+	}
+	h->held = MAX(quota_whole(ask->held), 0);
+	a->level += MIN(quota_whole(ask->held), 0);
+	h->demand = quota_whole(ask->demand);
+	h->until_ms = now + QUOTA_LEASE_MS + LEASE_MARGIN_MS;
+	a->level += quota_whole(ask->back);
+	return h;
+}
+
+/* Part of the limit that an entry may go on at alone: by its demand, within
+ * what the others have. */
+static double alone_rate(const struct place *p, const struct account *a,
+			 const struct holder *h, int64_t now)
+{
+	double all = ALONE_SHARE * a->limit.per_s;
+	double others = 0, demand = 0;
+
+	for (guint i = 0; i < a->holders->len; i++) {
+		const struct holder *x =
+			&g_array_index(a->holders, struct holder, i);
+
+		demand += x->demand;
+		if (x != h)
+			others += x->rate;
+	}
+	if (now - p->since_ms < QUOTA_LEASE_MS + LEASE_MARGIN_MS)
+		others += unheard_rate(p, a, now);
+	if (demand <= 0)
+		return 0;
+	return MAX(MIN(all * h->demand / demand, all - others), 0);
+}
+
+/* What an entry may spend beyond what it holds: less than a request is of no
+ * use. */
+static double alone_reserve(const struct place *p, const struct account *a,
+			    const struct holder *h, double usual)
+{
+	double all = RESERVE_SHARE * slack_of(p, &a->limit);
+	double others = 0, demand = 0, part;
+
+	for (guint i = 0; i < a->holders->len; i++) {
+		const struct holder *x =
+			&g_array_index(a->holders, struct holder, i);
+
+		demand += x->demand;
+		if (x != h)
+			others += x->reserve;
+	}
+	part = demand > 0 ? all * h->demand / demand : 0;
+	return MAX(MIN(MAX(part, usual), all - others), 0);
+}
+
+/* Until a request can be granted. */
+static double lacks(const struct place *p, const struct account *a, double cost)
+{
+	return MIN(cost, burst_of(p, &a->limit)) - a->level;
+}
+
+static double grant(const struct place *p, const struct account *a,
+		    const struct quota_ask *ask)
+{
+	double room = held_most(p, &a->limit), first = quota_whole(ask->first),
+	       n;
+
+	for (guint i = 0; i < a->holders->len; i++)
+		room -= g_array_index(a->holders, struct holder, i).held;
+	n = MAX(MIN(quota_whole(ask->want), MIN(a->level, room)), 0);
+	/* One request may be larger than the burst, or than the room. */
+	if (n < first && lacks(p, a, first) <= 0)
+		n = first;
+	return n;
+}
+
+bool quota_lease_place_ask(void *place, uint64_t id, const struct customer *c,
+			   const struct quota_ask *ask, int64_t now,
+			   struct quota_word *out)
+{
+	struct place *p = place;
+	struct account *a = account_of(p, c, now);
+	struct holder *h = hear(a, id, ask, now);
+	double n = grant(p, a, ask), first = quota_whole(ask->first);
+
+	a->level -= n;
+	h->held += n;
+	h->rate = alone_rate(p, a, h, now);
+	h->reserve = alone_reserve(p, a, h, quota_whole(ask->usual));
+	*out = (struct quota_word){ .customer = ask->customer,
+				    .number = ask->number,
+				    .grant = quota_milli(n),
+				    .rate = quota_milli(h->rate),
+				    .reserve = quota_milli(h->reserve) };
+	if (n < first)
+		out->wait_ms =
+			MAX(quota_back_ms(lacks(p, a, first), a->limit.per_s),
+			    TURN_MS * (int64_t)a->holders->len);
+	return true;
+}
+
+void quota_lease_place_gone(void *place, uint64_t id, int64_t now)
+{
+	struct place *p = place;
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, p->accounts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct account *a = v;
+		struct holder *h;
+
+		settle(p, a, now);
+		h = holder_of(a, id);
+		if (!h || h->gone)
+			continue;
+		h->gone = true;
+		h->gone_ms = now;
+	}
+}
+
+void quota_lease_place_tidy(void *place, int64_t now)
+{
+	struct place *p = place;
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, p->accounts);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct account *a = v;
+
+		settle(p, a, now);
+		/* A full bucket is what a new account has after a while. */
+		if (!a->holders->len && a->level >= burst_of(p, &a->limit) &&
+		    now - p->since_ms > QUOTA_FORGET_MS)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+static uint64_t leader_home(struct ss_str customer, uint64_t leader,
+			    const uint64_t *entries, size_t n)
+{
+	(void)customer;
+	(void)entries;
+	(void)n;
+	return leader;
+}
+
+const struct quota_way quota_lease = {
+	.name = "lease",
+	.home = leader_home,
+	.entry_new = quota_lease_entry_new,
+	.entry_free = quota_lease_entry_free,
+	.entry_count = quota_lease_entry_count,
+	.entry_link = quota_lease_entry_link,
+	.take = quota_lease_take,
+	.leave = quota_lease_leave,
+	.give_back = quota_lease_give_back,
+	.asks = quota_lease_asks,
+	.word = quota_lease_word,
+	.held = quota_lease_held,
+	.place_new = quota_lease_place_new,
+	.place_free = quota_lease_place_free,
+	.place_ask = quota_lease_place_ask,
+	.place_gone = quota_lease_place_gone,
+	.place_tidy = quota_lease_place_tidy,
+};
--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -255,6 +255,9 @@
 	case MSG_TRIAL:
 		gate_take_trial(e->gate, &f->u.trial);
 		break;
+	case MSG_QUOTA_WORD:
+		gate_take_quota(e->gate, &f->u.quota_word);
+		break;
 	default:
 		break;
 	}
@@ -275,6 +278,22 @@
 	gate_report_done(&r);
 }
 
+/* What customers' limits need here. */
+static void send_quota(struct fleet_entry *e)
+{
+	GArray *asks;
+	struct msg_quota_ask m;
+
+	if (!e->link_up)
+		return;
+	asks = g_array_new(FALSE, FALSE, sizeof(struct quota_ask));
+	gate_quota_asks(e->gate, asks);
+	m.asks = (struct wire_list){ asks->data, asks->len };
+	if (asks->len)
+		link_send(e->link, MSG_QUOTA_ASK, &m);
+	g_array_unref(asks);
+}
+
 /* At once: the next endpoint may end meanwhile. */
 static void send_ends(struct fleet_entry *e)
 {
@@ -358,6 +377,7 @@
 	gate_tick(e->gate);
 	routing_fetch_tick(e->routing);
 	send_ends(e);
+	send_quota(e);
 	send_demand(e, now);
 	instances_run(e->list,
 		      !e->link_up &&
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -196,6 +196,8 @@
 	if (!gone)
 		return;
 	fleet_push_lost(l, gone);
+	if (gone->entry)
+		fleet_quota_gone(l, c);
 	g_hash_table_remove(l->peers, c);
 	g_hash_table_iter_init(&it, l->eps);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
@@ -442,6 +444,9 @@
 	case MSG_TRIAL:
 		fleet_suspects_ask(l, c, &f->u.trial);
 		break;
+	case MSG_QUOTA_ASK:
+		fleet_quota_ask(l, c, &f->u.quota_ask);
+		break;
 	default:
 		break;
 	}
@@ -571,6 +576,7 @@
 	fleet_push_tick(l, now);
 	fleet_remote_tick(l, now);
 	fleet_suspects_tick(l, now);
+	fleet_quota_tick(l, now);
 	if (!l->dirty || (!loads && now - l->push_ms < PUSH_EVERY_MS))
 		return;
 	l->dirty = false;
@@ -613,6 +619,7 @@
 	l->n_failed = metrics_value(m, "ss_fleet_steps_failed_total", "");
 	l->load_hist = metrics_hist(m, "ss_fleet_load_ms", "");
 	fleet_suspects_begin(l);
+	fleet_quota_begin(l);
 	read_state(l);
 	tell_routing(l);
 	l->list = instances_new(&o);
@@ -629,6 +636,7 @@
 	g_hash_table_unref(l->eps);
 	g_hash_table_unref(l->wants);
 	suspects_free(l->suspects);
+	fleet_quota_end(l);
 	routing_unref(l->routing);
 	preset_clear(&l->preset);
 	g_free(l);
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -126,6 +126,9 @@
 	uint64_t *n_suspects, *n_quarantined; /* now */
 	uint64_t *n_steps, *n_store, *n_disk, *n_memory, *n_failed;
 	struct hist *load_hist;
+	void *quota;	  /* place of customers' allotments */
+	int64_t quota_ms; /* when it was last tidied */
+	uint64_t *n_quota_asks;
 };
 
 static inline int64_t fleet_lead_now(const struct fleet_lead *l)
@@ -183,6 +186,16 @@
 void fleet_suspects_tick(struct fleet_lead *l, int64_t now);
 void fleet_suspects_status(const struct fleet_lead *l, json_object *o);
 
+/* fleet_quota.c */
+void fleet_quota_begin(struct fleet_lead *l);
+void fleet_quota_end(struct fleet_lead *l);
+/* What an entry needs of customers' limits; it is answered. */
+void fleet_quota_ask(struct fleet_lead *l, struct conn *c,
+		     const struct msg_quota_ask *m);
+/* The connection is gone, but still in the table of peers. */
+void fleet_quota_gone(struct fleet_lead *l, const struct conn *c);
+void fleet_quota_tick(struct fleet_lead *l, int64_t now);
+
 /* fleet_push.c */
 /* Entries that know nothing yet get all of it. */
 void fleet_push_whole(struct fleet_lead *l);
--- /dev/null
+++ b/src/daemon/fleet_quota.c
@@ -0,0 +1,80 @@
+/* The fleet leader as the place that hands out customers' allotments. */
+#include "fleet_lead_int.h"
+
+/* What an entry is told of a customer that isn't in the routing here, in ms: it
+ * may be newer there. */
+#define UNKNOWN_WAIT_MS 200
+#define TIDY_MS 1000
+
+void fleet_quota_begin(struct fleet_lead *l)
+{
+	const struct config_fleet *c = &l->d->config.fleet;
+	struct quota_options o = { { c->quota_window_s, c->quota_overage,
+				     c->quota_extra } };
+
+	l->quota = quota_lease.place_new(&o, l->since_ms);
+	l->n_quota_asks =
+		metrics_value(l->d->metrics, "ss_fleet_quota_asks_total", "");
+}
+
+void fleet_quota_end(struct fleet_lead *l)
+{
+	quota_lease.place_free(l->quota);
+}
+
+static struct customer *customer_of(const struct fleet_lead *l,
+				    struct ss_str name)
+{
+	char *s = ss_str_dup(name);
+	struct customer *c = customers_named(&l->routing->customers, s);
+
+	g_free(s);
+	return c;
+}
+
+void fleet_quota_ask(struct fleet_lead *l, struct conn *conn,
+		     const struct msg_quota_ask *m)
+{
+	const struct quota_ask *a = m->asks.items;
+	GArray *words = g_array_new(FALSE, FALSE, sizeof(struct quota_word));
+	uint64_t holder = conn_peer(conn)->incarnation;
+	struct msg_quota_word out = { { 0 } };
+
+	for (size_t i = 0; i < m->asks.n; i++) {
+		struct quota_word w = { .customer = a[i].customer,
+					.number = a[i].number,
+					.wait_ms = UNKNOWN_WAIT_MS };
+		const struct customer *c = customer_of(l, a[i].customer);
+
+		if (!c || quota_lease.place_ask(l->quota, holder, c, &a[i],
+						fleet_lead_now(l), &w))
+			g_array_append_val(words, w);
+	}
+	*l->n_quota_asks += m->asks.n;
+	out.words = (struct wire_list){ words->data, words->len };
+	if (words->len)
+		conn_send(conn, MSG_QUOTA_WORD, &out);
+	g_array_unref(words);
+}
+
+/* Unless it is there by a newer connection already. */
+void fleet_quota_gone(struct fleet_lead *l, const struct conn *conn)
+{
+	uint64_t holder = conn_peer(conn)->incarnation;
+	GHashTableIter it;
+	void *other;
+
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, &other, NULL))
+		if (other != conn && conn_peer(other)->incarnation == holder)
+			return;
+	quota_lease.place_gone(l->quota, holder, fleet_lead_now(l));
+}
+
+void fleet_quota_tick(struct fleet_lead *l, int64_t now)
+{
+	if (now - l->quota_ms < TIDY_MS)
+		return;
+	l->quota_ms = now;
+	quota_lease.place_tidy(l->quota, now);
+}
--- a/src/node/frame.h
+++ b/src/node/frame.h
@@ -57,6 +57,8 @@
 		struct msg_ends ends;
 		struct msg_quarantine quarantine;
 		struct msg_trial trial;
+		struct msg_quota_ask quota_ask;
+		struct msg_quota_word quota_word;
 	} u;
 };
 
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -9,6 +9,12 @@
 #define TIMEOUT_EARLY_MS 20
 /* Another entry may serve a request that this one can't place, in ms. */
 #define BEHIND_BACK_MS 200
+/* Who is over its limit isn't told to stay away for longer, in ms: others may
+ * ask for less. Those refused together return within the spread. */
+#define QUOTA_BACK_MAX_MS 4000
+#define QUOTA_SPREAD_MS 300
+/* What was spent for a request that hasn't run is given back for so long. */
+#define REFUND_MS 500
 
 static struct ss_str path_of(struct ss_str target)
 {
@@ -135,6 +141,7 @@
 	f->affinity = affinity_of(call);
 	f->start_ms = now;
 	f->waited_ms = f->first_ms = f->stop_left_ms = -1;
+	f->charged_ms = -1;
 	f->expected_ms = SS_NEVER;
 	f->deadline_ms = now + wait;
 	f->objective_ms = now + rt->objective_ms;
@@ -148,6 +155,146 @@
 	return f;
 }
 
+static void enter_lane(struct forward *f)
+{
+	f->home->arrivals++;
+	fleet_rate_add(&f->home->rate, 1, gate_now(f->g));
+	forward_wait(f);
+	/* Nobody goes ahead of those who wait for the same. */
+	if (f->lane->waits.length == 1)
+		forward_try(f);
+}
+
+/* Customers' limits. */
+
+static bool is_limited(const struct forward *f)
+{
+	return f->customer && f->customer->limit.per_s > 0;
+}
+
+static void leave_line(struct forward *f)
+{
+	if (!f->quota_line)
+		return;
+	g_queue_remove(f->quota_line, f);
+	f->quota_line = NULL;
+	f->g->quota_waiting--;
+}
+
+/* True where it waits on; else it has been sent on, or is refused and freed. */
+static bool quota_waits(struct forward *f, bool waits)
+{
+	struct gate *g = f->g;
+	int64_t now = gate_now(g), back_ms = 0;
+
+	switch (quota_lease.take(g->quota, f->customer, f->cost, waits, now,
+				 &back_ms)) {
+	case QUOTA_WAIT:
+		return true;
+	case QUOTA_YES:
+		f->charged_ms = now;
+		leave_line(f);
+		enter_lane(f);
+		return false;
+	case QUOTA_NO:
+		break;
+	}
+	leave_line(f);
+	(*g->n_over_quota)++;
+	log_info("over_quota",
+		 "request=%s customer=%s cost=%.0f held=%.0f waited_ms=%" PRId64
+		 " back_ms=%" PRId64 " per_s=%.0f burst=%.0f routing=%" PRIu64,
+		 f->id, f->customer->name, f->cost,
+		 quota_lease.held(g->quota, f->customer->name),
+		 now - f->start_ms, back_ms, f->customer->limit.per_s,
+		 f->customer->limit.burst, f->routing);
+	forward_refuse(
+		f, 429, "quota", "its customer's limit is reached",
+		MIN(back_ms, QUOTA_BACK_MAX_MS) +
+			(int64_t)(ss_random(&g->seed) % QUOTA_SPREAD_MS));
+	return false;
+}
+
+static void quota_begin(struct forward *f)
+{
+	struct gate *g = f->g;
+	GQueue *line;
+
+	f->cost = customer_cost(f->customer,
+				f->call.tokens_in + f->call.tokens_out);
+	f->state = FORWARD_QUOTA;
+	if (!quota_waits(f, false))
+		return;
+	line = g_hash_table_lookup(g->quota_lines, f->customer->name);
+	if (!line) {
+		line = g_queue_new();
+		g_hash_table_insert(g->quota_lines, g_strdup(f->customer->name),
+				    line);
+	}
+	f->quota_line = line;
+	g->quota_waiting++;
+	g_queue_push_tail(line, f);
+}
+
+static void quota_pump(GQueue *line)
+{
+	struct forward *f;
+
+	while ((f = g_queue_peek_head(line)) && !quota_waits(f, true))
+		;
+}
+
+void forward_leave_quota(struct forward *f)
+{
+	if (!f->quota_line)
+		return;
+	leave_line(f);
+	quota_lease.leave(f->g->quota, f->customer, f->cost);
+}
+
+void forward_refund(struct forward *f)
+{
+	struct gate *g = f->g;
+
+	/* What was taken long ago would come on top of what came since. */
+	if (f->charged_ms < 0 || gate_now(g) - f->charged_ms > REFUND_MS)
+		return;
+	quota_lease.give_back(g->quota, f->customer, f->cost, gate_now(g));
+	f->charged_ms = -1;
+}
+
+void quota_tick(struct gate *g)
+{
+	GList *lines;
+
+	if (!g->quota_waiting)
+		return;
+	lines = g_hash_table_get_values(g->quota_lines);
+	for (GList *l = lines; l; l = l->next)
+		quota_pump(l->data);
+	g_list_free(lines);
+}
+
+void gate_quota_asks(struct gate *g, GArray *out)
+{
+	quota_lease.asks(g->quota, gate_now(g), out);
+}
+
+void gate_take_quota(struct gate *g, const struct msg_quota_word *m)
+{
+	const struct quota_word *w = m->words.items;
+
+	for (size_t i = 0; i < m->words.n; i++) {
+		char *name = ss_str_dup(w[i].customer);
+		GQueue *line = g_hash_table_lookup(g->quota_lines, name);
+
+		quota_lease.word(g->quota, &w[i], gate_now(g));
+		if (line)
+			quota_pump(line);
+		g_free(name);
+	}
+}
+
 void forward_begin(struct gate *g, struct caller_call *c, struct ss_str body,
 		   int64_t came_ms)
 {
@@ -202,10 +349,8 @@
 		forward_refuse_for_stop(f);
 		return;
 	}
-	f->home->arrivals++;
-	fleet_rate_add(&f->home->rate, 1, gate_now(g));
-	forward_wait(f);
-	/* Nobody goes ahead of those who wait for the same. */
-	if (f->lane->waits.length == 1)
-		forward_try(f);
+	if (is_limited(f))
+		quota_begin(f);
+	else
+		enter_lane(f);
 }
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -33,14 +33,15 @@
 #define REST_ONCE_MS 2000
 #define REST_SAFE_MS 10000
 
-static const char *const states[] = { "waits", "asks", "adapter", "sent",
-				      "answers" };
+static const char *const states[] = { "quota",	 "waits", "asks",
+				      "adapter", "sent",  "answers" };
 
 static void forward_free(struct forward *f)
 {
 	struct gate *g = f->g;
 
 	quarantine_leave(f);
+	forward_leave_quota(f);
 	g_hash_table_remove(g->forwards, f);
 	g_ptr_array_unref(f->tried);
 	routing_route_unref(f->route);
@@ -116,15 +117,16 @@
 		 "waited_ms=%" PRId64 " first_ms=%" PRId64 " ms=%" PRId64
 		 " objective_ms=%" PRId64 " pause_ms=%" PRId64
 		 " pause_most_ms=%" PRId64 " held_for=%s"
-		 " left_ms=%" PRId64 " tokens=%" PRId64 " stop_left_ms=%" PRId64
-		 " expected_ms=%" PRId64 " routing=%" PRIu64 " why=\"%s\"",
+		 " left_ms=%" PRId64 " tokens=%" PRId64
+		 " cost=%.0f stop_left_ms=%" PRId64 " expected_ms=%" PRId64
+		 " routing=%" PRIu64 " why=\"%s\"",
 		 f->id, f->customer ? f->customer->name : "-", f->route->name,
 		 f->service->name, f->model, f->adapter,
 		 f->ep_id ? f->ep_id : "-", f->sends, f->asks, outcome,
 		 f->status, f->waited_ms, f->first_ms, ms,
 		 f->objective_ms - f->start_ms, f->pause_ms, f->route->pause_ms,
 		 held_for(f), f->deadline_ms - gate_now(g), f->call.tokens_out,
-		 f->stop_left_ms,
+		 f->cost, f->stop_left_ms,
 		 f->expected_ms == SS_NEVER ? -1 : f->expected_ms, f->routing,
 		 f->why ? f->why : "");
 }
@@ -162,7 +164,8 @@
 		    const char *why, int64_t retry_after_ms)
 {
 	struct gate *g = f->g;
-	bool not_run = status == 503 || status == 404 || status == 400;
+	bool not_run = status == 503 || status == 429 || status == 404 ||
+		       status == 400;
 	char *service = g_strdup(f->service->name);
 	GString *headers = own_headers(f, retry_after_ms);
 	char *body = g_strdup_printf(
@@ -170,6 +173,8 @@
 		"\"outcome\":\"%s\"}}",
 		type, why, not_run ? "not_run" : "unknown");
 
+	if (not_run)
+		forward_refund(f);
 	f->why = why;
 	f->status = status;
 	(*(not_run ? g->n_refused : g->n_failed))++;
@@ -508,6 +513,16 @@
 	}
 }
 
+static void tick_quota(struct forward *f, int64_t now)
+{
+	if (times_stop_cuts(f, NULL))
+		forward_refuse_for_stop(f);
+	else if (now + times_first_ms(f) > f->begin_by_ms)
+		forward_refuse(f, 503, "unavailable",
+			       "its customer's allotment came too late",
+			       BACK_MIN_MS + spread_ms(f));
+}
+
 static void tick_adapter(struct forward *f, int64_t now)
 {
 	if (times_stop_cuts(f, gate_ep_of(f)))
@@ -530,7 +545,9 @@
 
 void forward_tick(struct forward *f, int64_t now)
 {
-	if (f->state == FORWARD_WAITS) {
+	if (f->state == FORWARD_QUOTA) {
+		tick_quota(f, now);
+	} else if (f->state == FORWARD_WAITS) {
 		tick_waits(f, now);
 	} else if (f->state == FORWARD_ASKS) {
 		quarantine_ask_tick(f, now);
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -251,6 +251,7 @@
 void gate_leader_lost(struct gate *g)
 {
 	freshness_lose(&g->freshness, gate_now(g));
+	quota_lease.entry_link(g->quota, NULL, false, gate_now(g));
 }
 
 bool gate_is_stale(const struct gate *g)
@@ -411,6 +412,7 @@
 	freshness_turn(&g->freshness, now);
 	early_tick(g);
 	quarantine_tick(g, now);
+	quota_tick(g);
 	tick_forwards(g, now);
 	gate_pump(g, NULL);
 	if (now - g->tidy_ms < TIDY_MS)
@@ -466,6 +468,7 @@
 	g->n_bad = metrics_value(m, "ss_gate_bad_requests_total", "");
 	g->n_ended = metrics_value(m, "ss_gate_endpoints_ended_total", "");
 	g->n_quarantined = metrics_value(m, "ss_gate_quarantined_total", "");
+	g->n_over_quota = metrics_value(m, "ss_gate_over_quota_total", "");
 }
 
 struct gate *gate_new(const struct gate_options *o, GError **error)
@@ -494,6 +497,10 @@
 	g->since_ms = gate_now(g);
 	freshness_init(&g->freshness, g->since_ms);
 	g->early = early_new();
+	g->quota = quota_lease.entry_new(&(struct quota_options){ 0 },
+					 g->since_ms);
+	g->quota_lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       (GDestroyNotify)g_queue_free);
 	g->endings = g_ptr_array_new_with_free_func(ending_free);
 	g->suspects = suspects_new(&so, g->since_ms);
 	end_log_init(&g->end_log, ENDS_MOST);
@@ -540,6 +547,8 @@
 	g_hash_table_unref(g->budgets);
 	g_hash_table_unref(g->paces);
 	g_hash_table_unref(g->hists);
+	g_hash_table_unref(g->quota_lines);
+	quota_lease.entry_free(g->quota);
 	routing_unref(g->routing);
 	g_free(g);
 }
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -110,6 +110,11 @@
 bool gate_ends(struct gate *g, struct gate_ends *r);
 void gate_ends_done(struct gate *g, struct gate_ends *r, bool sent);
 
+/* Customers' limits: asks that are due, as struct quota_ask, for the leader;
+ * their strings live until the next call. Its answer. */
+void gate_quota_asks(struct gate *g, GArray *out);
+void gate_take_quota(struct gate *g, const struct msg_quota_word *m);
+
 void gate_tick(struct gate *g);
 
 /*
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -45,6 +45,7 @@
 };
 
 enum forward_state {
+	FORWARD_QUOTA,	 /* waits for an allotment of its customer's */
 	FORWARD_WAITS,	 /* in its lane, for an endpoint */
 	FORWARD_ASKS,	 /* the leader whether it may run as a trial */
 	FORWARD_ADAPTER, /* an agent loads its adapter */
@@ -63,6 +64,9 @@
 	struct customer *customer; /* NULL: none is known, or needed */
 	bool keyed;		   /* by the routing that it came under */
 	int64_t priority;	   /* 0 is first */
+	double cost;		   /* against the customer's limit */
+	int64_t charged_ms;	   /* when that was spent; -1: it isn't */
+	GQueue *quota_line;	   /* that it waits in; NULL: none */
 	struct platform_call call; /* views into the caller's head */
 	char *id, *model, *adapter;
 	uint64_t affinity;
@@ -152,9 +156,12 @@
 	bool pumping;	/* a request that ends meanwhile pumps no more */
 	int64_t end_ms; /* of a planned stop; 0: none */
 	int64_t tidy_ms;
+	void *quota;		 /* the entry's side of customers' limits */
+	GHashTable *quota_lines; /* customer -> GQueue of struct forward */
+	guint quota_waiting;	 /* in all of them */
 	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
 		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
-		*n_ended, *n_quarantined;
+		*n_ended, *n_quarantined, *n_over_quota;
 };
 
 static inline int64_t gate_now(const struct gate *g)
@@ -222,6 +229,12 @@
 /* A request that came at a time on the clock. */
 void forward_begin(struct gate *g, struct caller_call *c, struct ss_str body,
 		   int64_t came_ms);
+/* It is being freed: it waits no longer for an allotment. */
+void forward_leave_quota(struct forward *f);
+/* It ends without having run. */
+void forward_refund(struct forward *f);
+/* Try those that wait for allotments. */
+void quota_tick(struct gate *g);
 
 /* forward.c */
 void forward_gone(struct forward *f);
--- /dev/null
+++ b/test/prop_quota.cc
@@ -0,0 +1,96 @@
+// Any interleaving of faults, hot customers and changes: no window of any
+// customer has more than its limit and the slack allow.
+#include <rapidcheck.h>
+
+extern "C" {
+#include "quota_world.h"
+}
+
+namespace {
+
+constexpr int kEntries = 12;
+constexpr int kCustomers = 5;
+constexpr int64_t kLengthMs = 26000;
+
+// Many of the runs have faults that overlap.
+std::vector<world_event> DrawEvents(uint64_t *seed)
+{
+	std::vector<world_event> out;
+	int n = 1 + static_cast<int>(ss_random(seed) % 9);
+	auto upto = [&](uint64_t most) {
+		return static_cast<int64_t>(ss_random(seed) % most);
+	};
+
+	for (int i = 0; i < n; i++) {
+		static const world_kind kinds[] = {
+			WORLD_CUT,    WORLD_FREEZE, WORLD_RESTART, WORLD_SLOW,
+			WORLD_LEADER, WORLD_LEADER, WORLD_POWER,   WORLD_HOT,
+			WORLD_HOT,    WORLD_LIMIT,  WORLD_JOIN,
+		};
+		world_event e = {};
+
+		e.kind = kinds[upto(G_N_ELEMENTS(kinds))];
+		e.at_ms = 3000 + upto(16000);
+		e.for_ms = 200 + upto(e.kind == WORLD_LEADER ? 3000 : 7000);
+		e.first = static_cast<int>(upto(kEntries));
+		e.count = 1 + static_cast<int>(upto(kEntries));
+		e.x = 2 + static_cast<double>(upto(11));
+		if (e.kind == WORLD_HOT || e.kind == WORLD_LIMIT) {
+			e.first = static_cast<int>(upto(kCustomers));
+			e.count = 1;
+		}
+		if (e.kind == WORLD_LIMIT) {
+			static const double steps[] = { 0.05, 0.3, 2, 4 };
+
+			e.x = steps[upto(4)];
+			e.for_ms = 0;
+		}
+		if (e.kind == WORLD_JOIN) {
+			e.for_ms = 0;
+			e.first = kEntries - 2;
+			e.count = 2;
+		}
+		out.push_back(e);
+	}
+	return out;
+}
+
+void NoWindowExceeds(const quota_way *way)
+{
+	uint64_t seed = *rc::gen::arbitrary<uint32_t>();
+	std::vector<world_event> events = DrawEvents(&seed);
+	world_options o = {};
+	world_result r;
+
+	o.way = way;
+	o.entries = kEntries;
+	o.customers = kCustomers;
+	o.domains = 4;
+	o.length_ms = kLengthMs;
+	o.requests_per_s = 60;
+	o.limit_x = 0.5 + static_cast<double>(ss_random(&seed) % 20) / 10;
+	o.floor_per_s = 4200;
+	o.slack = { 8, 0.1, 17000 };
+	o.delay_ms = 0.5 + static_cast<double>(ss_random(&seed) % 40);
+	o.cpu_share = 0.32;
+	o.drift = 0.001;
+	o.seed = seed;
+	o.events = events.data();
+	o.n_events = events.size();
+	world_run(&o, &r);
+	RC_LOG() << r.worst_at;
+	RC_ASSERT(r.worst <= 1);
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = rc::check("leased allotments keep every window", [] {
+		NoWindowExceeds(&quota_lease);
+	});
+
+	ok &= rc::check("owners keep every window",
+			[] { NoWindowExceeds(&quota_owner); });
+	return !ok;
+}
--- /dev/null
+++ b/test/test_quota.c
@@ -0,0 +1,416 @@
+/* Customers' limits under single faults, and what entries may do alone. */
+#include "unit.h"
+
+#include "quota_world.h"
+
+/* Of the tokens that are owed, refused at most: on a calm day, and on one with
+ * trouble. */
+#define CALM_REFUSED 0.005
+#define TROUBLE_REFUSED 0.02
+
+#define LEADERS(at, every)                                                     \
+	{ at, WORLD_LEADER, 1200, 0, 0, 0 },                                   \
+		{ at + every, WORLD_LEADER, 1200, 0, 0, 0 },                   \
+		{ at + 2 * every, WORLD_LEADER, 1200, 0, 0, 0 },               \
+		{ at + 3 * every, WORLD_LEADER, 1200, 0, 0, 0 },               \
+	{                                                                      \
+		at + 4 * every, WORLD_LEADER, 1200, 0, 0, 0                    \
+	}
+
+static const struct fault {
+	const char *label;
+	double limit_x; /* against what customers send */
+	double refused; /* of what is owed, at most */
+	struct world_event events[8];
+} faults[] = {
+	{ "nothing happens", 1.8, CALM_REFUSED, { { 0 } } },
+	{ "all send more than they may", 0.4, TROUBLE_REFUSED, { { 0 } } },
+	{ "an entry is cut off",
+	  1.8,
+	  TROUBLE_REFUSED,
+	  { { 6000, WORLD_CUT, 4000, 3, 1, 0 } } },
+	{ "a third of the entries is cut off",
+	  0.4,
+	  1,
+	  { { 6000, WORLD_CUT, 9000, 3, 4, 0 } } },
+	{ "entries freeze over their lease and wake",
+	  0.4,
+	  1,
+	  { { 6000, WORLD_FREEZE, 6000, 0, 6, 0 },
+	    { 14000, WORLD_FREEZE, 6000, 6, 6, 0 } } },
+	{ "entries restart in a row: no fresh burst",
+	  0.4,
+	  1,
+	  { { 5000, WORLD_RESTART, 300, 0, 6, 0 },
+	    { 7000, WORLD_RESTART, 300, 6, 6, 0 },
+	    { 9000, WORLD_RESTART, 300, 0, 6, 0 },
+	    { 11000, WORLD_RESTART, 300, 6, 6, 0 },
+	    { 13000, WORLD_RESTART, 300, 0, 12, 0 },
+	    { 15000, WORLD_RESTART, 300, 0, 12, 0 } } },
+	{ "entries join",
+	  1.8,
+	  CALM_REFUSED,
+	  { { 8000, WORLD_JOIN, 0, 8, 4, 0 } } },
+	{ "entries are five times slower",
+	  1.8,
+	  TROUBLE_REFUSED,
+	  { { 6000, WORLD_SLOW, 10000, 0, 4, 0 } } },
+	{ "the place is lost once",
+	  1.8,
+	  TROUBLE_REFUSED,
+	  { { 10000, WORLD_LEADER, 1200, 0, 0, 0 } } },
+	{ "the place is lost in series", 0.3, 1, { LEADERS(4000, 2000) } },
+	{ "the place is lost in quick series",
+	  0.3,
+	  1,
+	  { LEADERS(6000, 1400) } },
+	{ "all lose power, twice",
+	  0.4,
+	  1,
+	  { { 6000, WORLD_POWER, 1200, 0, 0, 0 },
+	    { 9000, WORLD_POWER, 1200, 0, 0, 0 } } },
+	{ "limits fall far below what is sent, in series",
+	  1.8,
+	  1,
+	  { { 5000, WORLD_LIMIT, 0, 0, 1, 0.3 },
+	    { 7000, WORLD_LIMIT, 0, 0, 1, 0.3 },
+	    { 9000, WORLD_LIMIT, 0, 0, 1, 0.5 },
+	    { 5000, WORLD_LIMIT, 0, 1, 1, 0.05 } } },
+	{ "one sends twelve times as much, from one failure domain",
+	  1.8,
+	  CALM_REFUSED,
+	  { { 6000, WORLD_HOT, 12000, 0, 1, 12 } } },
+	{ "the same while the place is lost",
+	  1.8,
+	  1,
+	  { { 6000, WORLD_HOT, 14000, 0, 1, 12 },
+	    { 9000, WORLD_LEADER, 2500, 0, 0, 0 } } },
+};
+
+static void run(const struct quota_way *way, const struct fault *f,
+		uint64_t seed, struct world_result *r)
+{
+	struct world_options o = { .way = way,
+				   .entries = 12,
+				   .customers = 6,
+				   .domains = 4,
+				   .length_ms = 26000,
+				   .requests_per_s = 100,
+				   .limit_x = f->limit_x,
+				   .floor_per_s = 4200 * MIN(f->limit_x, 1),
+				   .slack = { 8, 0.1, 17000 },
+				   .delay_ms = 1.4,
+				   .cpu_share = 0.32,
+				   .drift = 0.001,
+				   .seed = seed,
+				   .events = f->events };
+
+	while (o.n_events < G_N_ELEMENTS(f->events) &&
+	       f->events[o.n_events].at_ms)
+		o.n_events++;
+	world_run(&o, r);
+}
+
+/* A customer gets more than its limit, or is refused what it is owed. */
+static void limits_hold_under_faults(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++)
+		for (uint64_t seed = 1; seed <= 3; seed++) {
+			struct world_result r;
+
+			run(&quota_lease, &faults[i], seed, &r);
+			if (r.worst > 1)
+				fail_msg("%s, seed %" PRIu64 ": %s",
+					 faults[i].label, seed, r.worst_at);
+			if (r.refused > faults[i].refused)
+				fail_msg("%s, seed %" PRIu64
+					 ": %.2f%% of what is owed refused",
+					 faults[i].label, seed,
+					 100 * r.refused);
+		}
+}
+
+/* Even parts keep each limit, and refuse much of what is owed. */
+static void even_parts_refuse_what_is_owed(void **state)
+{
+	struct world_result r;
+
+	(void)state;
+	run(&quota_even, &faults[0], 1, &r);
+	assert_true(r.worst <= 1);
+	assert_true(r.refused > 20 * CALM_REFUSED);
+}
+
+static struct customer *customer(double per_s)
+{
+	struct customer *c = customer_new();
+
+	c->name = g_strdup("a");
+	c->limit = (struct customer_limit){ per_s, per_s, true, 200 };
+	return c;
+}
+
+/* One entry and its place, without a network between. */
+struct pair {
+	void *entry, *place;
+	struct customer *c;
+	int64_t now;
+};
+
+static void pair_open(struct pair *p, double per_s)
+{
+	struct quota_options o = { { 8, 0.1, 17000 } };
+
+	p->now = 10000;
+	p->c = customer(per_s);
+	p->entry = quota_lease.entry_new(&o, p->now);
+	p->place = quota_lease.place_new(&o, p->now);
+	quota_lease.entry_link(p->entry, NULL, true, p->now);
+	/* It no longer counts what others may spend that it doesn't hear. */
+	p->now += 6000;
+}
+
+static void pair_close(struct pair *p)
+{
+	quota_lease.entry_free(p->entry);
+	quota_lease.place_free(p->place);
+	customer_unref(p->c);
+}
+
+/* All that is asked is answered at once. */
+static void talk(struct pair *p)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct quota_ask));
+
+	quota_lease.asks(p->entry, p->now, out);
+	for (guint i = 0; i < out->len; i++) {
+		struct quota_word w;
+
+		if (quota_lease.place_ask(p->place, 1, p->c,
+					  &g_array_index(out, struct quota_ask,
+							 i),
+					  p->now, &w))
+			quota_lease.word(p->entry, &w, p->now);
+	}
+	g_array_unref(out);
+}
+
+static enum quota_answer ask(struct pair *p, double cost, bool waits)
+{
+	int64_t back;
+
+	return quota_lease.take(p->entry, p->c, cost, waits, p->now, &back);
+}
+
+/* Each request waits for the place, though its entry could hold enough. */
+static void no_request_waits_where_enough_is_held(void **state)
+{
+	struct pair p;
+	int waited = 0;
+
+	(void)state;
+	pair_open(&p, 100000);
+	for (int i = 0; i < 200; i++) {
+		p.now += 10;
+		if (ask(&p, 500, false) == QUOTA_WAIT) {
+			waited++;
+			talk(&p);
+			assert_int_equal(ask(&p, 500, true), QUOTA_YES);
+		}
+		talk(&p);
+	}
+	assert_true(waited <= 3);
+	pair_close(&p);
+}
+
+/* A request that is larger than the burst is refused for ever. */
+static void large_request_is_served(void **state)
+{
+	struct pair p;
+
+	(void)state;
+	pair_open(&p, 4200);
+	assert_int_equal(ask(&p, 9000, false), QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(ask(&p, 9000, true), QUOTA_YES);
+	/* It counts whole: nothing is left for a while. */
+	assert_int_equal(ask(&p, 1000, false), QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(ask(&p, 1000, true), QUOTA_NO);
+	p.now += 2500;
+	assert_int_equal(ask(&p, 1000, false), QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(ask(&p, 1000, true), QUOTA_YES);
+	pair_close(&p);
+}
+
+/* A refused caller is told a time at which it is refused again. */
+static void refused_are_told_when_it_is_there(void **state)
+{
+	struct pair p;
+	int64_t back;
+
+	(void)state;
+	pair_open(&p, 1000);
+	assert_int_equal(ask(&p, 3000, false), QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(ask(&p, 3000, true), QUOTA_YES);
+	assert_int_equal(ask(&p, 1000, false), QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(quota_lease.take(p.entry, p.c, 1000, true, p.now,
+					  &back),
+			 QUOTA_NO);
+	assert_in_range(back, 2500, 3500);
+	p.now += back + 100;
+	assert_int_equal(ask(&p, 1000, false), QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(ask(&p, 1000, true), QUOTA_YES);
+	pair_close(&p);
+}
+
+/* An entry whose place is gone waits for it for ever, or spends without end. */
+static void entry_alone_goes_on_for_its_lease(void **state)
+{
+	double spent = 0;
+	struct pair p;
+
+	(void)state;
+	pair_open(&p, 20000);
+	for (int i = 0; i < 300; i++) {
+		p.now += 10;
+		if (ask(&p, 100, false) == QUOTA_WAIT) {
+			talk(&p);
+			ask(&p, 100, true);
+		}
+		talk(&p);
+	}
+	quota_lease.entry_link(p.entry, NULL, false, p.now);
+	for (int i = 0; i < 2000; i++) {
+		p.now += 10;
+		if (ask(&p, 100, false) == QUOTA_YES)
+			spent += 100;
+		else
+			quota_lease.leave(p.entry, p.c, 100);
+	}
+	/* Its part of the limit for its lease, and no more. */
+	assert_true(spent > 0.3 * 20000 * 5);
+	assert_true(spent < 20000 * 5);
+	assert_int_equal(ask(&p, 100, false), QUOTA_NO);
+	pair_close(&p);
+}
+
+/* All that a place has for an entry. */
+static double drain(struct pair *p, uint64_t id)
+{
+	struct quota_ask a = { .customer = SS_LIT("a"),
+			       .number = 1,
+			       .want = 2000 * QUOTA_MILLI,
+			       .demand = 20000 * QUOTA_MILLI,
+			       .usual = 1000 * QUOTA_MILLI };
+	struct quota_word w;
+	double sum = 0;
+
+	do {
+		quota_lease.place_ask(p->place, id, p->c, &a, p->now, &w);
+		sum += (double)w.grant / QUOTA_MILLI;
+	} while (w.grant > 0);
+	return sum;
+}
+
+/* What an entry that is gone spends alone is handed out once more. */
+static void place_counts_what_is_spent_alone(void **state)
+{
+	struct pair p;
+	double all;
+
+	(void)state;
+	pair_open(&p, 10000);
+	drain(&p, 1);
+	drain(&p, 2);
+	p.now += 500;
+	all = drain(&p, 2);
+	assert_true(all > 4990 && all < 5010);
+	quota_lease.place_gone(p.place, 1, p.now);
+	p.now += 500;
+	assert_true(drain(&p, 2) < 0.9 * all);
+	/* It is heard again, and has spent nothing. */
+	drain(&p, 1);
+	p.now += 500;
+	assert_true(drain(&p, 2) >= 0.99 * all);
+	pair_close(&p);
+}
+
+/* A place that has just begun hands out a burst that was spent already. */
+static void new_place_begins_empty(void **state)
+{
+	struct quota_options o = { { 8, 0.1, 17000 } };
+	struct pair p;
+
+	(void)state;
+	pair_open(&p, 10000);
+	quota_lease.place_free(p.place);
+	p.place = quota_lease.place_new(&o, p.now);
+	assert_true(drain(&p, 1) < 1);
+	p.now += 1000;
+	/* Others that it hasn't heard may be spending their part. */
+	assert_true(drain(&p, 1) < 0.7 * 10000);
+	pair_close(&p);
+}
+
+/* What an entry spent alone, or beyond what it held, isn't taken out. */
+static void what_was_spent_alone_is_taken_out(void **state)
+{
+	static const struct {
+		int64_t alone, held;
+	} rows[] = { { 4000, 0 }, { 0, -4000 } };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct quota_ask a = { .customer = SS_LIT("a"), .number = 9 };
+		struct quota_word w;
+		struct pair p;
+
+		pair_open(&p, 10000);
+		drain(&p, 1);
+		p.now += 500;
+		a.alone = rows[i].alone * QUOTA_MILLI;
+		a.held = rows[i].held * QUOTA_MILLI;
+		quota_lease.place_ask(p.place, 1, p.c, &a, p.now, &w);
+		assert_true(drain(&p, 1) < 1100);
+		pair_close(&p);
+	}
+}
+
+/* A word on a customer that nobody here asked for. */
+static void words_of_others_change_nothing(void **state)
+{
+	struct quota_word w = { .customer = SS_LIT("nobody"),
+				.number = 7,
+				.grant = 5000 * QUOTA_MILLI };
+	struct pair p;
+
+	(void)state;
+	pair_open(&p, 1000);
+	quota_lease.word(p.entry, &w, p.now);
+	assert_true(quota_lease.held(p.entry, "nobody") == 0);
+	pair_close(&p);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(limits_hold_under_faults),
+		cmocka_unit_test(even_parts_refuse_what_is_owed),
+		cmocka_unit_test(no_request_waits_where_enough_is_held),
+		cmocka_unit_test(large_request_is_served),
+		cmocka_unit_test(refused_are_told_when_it_is_there),
+		cmocka_unit_test(entry_alone_goes_on_for_its_lease),
+		cmocka_unit_test(place_counts_what_is_spent_alone),
+		cmocka_unit_test(new_place_begins_empty),
+		cmocka_unit_test(what_was_spent_alone_is_taken_out),
+		cmocka_unit_test(words_of_others_change_nothing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
