Let one queue say who is next, at the gate and through agents

What callers saw: the gate's lanes knew no customers; of the requests that wait for a model the most urgent and earliest went first, whoever sent them, so a hot customer's went before a small one's. The library's queue shares turns among customers, and served the other way to endpoints only.

Change: the gate's lanes are that queue now (peek and take beside pop); its own ordered list is gone. A customer's share of turns is what it may ask for a second, so that none gets more of a crowded model than its limit's part. The queue stands in src/customer with keys and limits; presets, settings, metrics and logs say customer where they said tenant. Presets that stand in a log under the old names are read.

Kept for what it guards: a played load (test_queue, hot_customer_pushes_nobody_out) in which one sends twelve times its share.

--- a/docs/example/embed.c
+++ b/docs/example/embed.c
@@ -1,6 +1,6 @@
 /*
  * Embedding the admission queue and the replicated log's types in another
- * program: a libevent loop that admits made-up calls by class and tenant
+ * program: a libevent loop that admits made-up calls by class and customer
  * and serves them one at a time.
  */
 #include <event2/event.h>
@@ -31,8 +31,8 @@
 		event_base_loopbreak(s->base);
 		return;
 	}
-	printf("%s (tenant %.*s, priority %d)\n", c->name,
-	       SS_FMT(c->item.tenant), c->item.priority);
+	printf("%s (customer %.*s, priority %d)\n", c->name,
+	       SS_FMT(c->item.customer), c->item.priority);
 }
 
 int main(void)
@@ -44,15 +44,15 @@
 	struct call calls[] = {
 		{ { .priority = 1,
 		    .deadline_ms = 60000,
-		    .tenant = SS_LIT("desk") },
+		    .customer = SS_LIT("desk") },
 		  "nightly summary" },
 		{ { .priority = 5,
 		    .deadline_ms = 9000,
-		    .tenant = SS_LIT("desk") },
+		    .customer = SS_LIT("desk") },
 		  "draft" },
 		{ { .priority = 6,
 		    .deadline_ms = 4000,
-		    .tenant = SS_LIT("phone") },
+		    .customer = SS_LIT("phone") },
 		  "status query" },
 	};
 	struct event *timer = event_new(s.base, -1, EV_PERSIST, serve_next, &s);
--- a/include/sapphireshift/base.h
+++ b/include/sapphireshift/base.h
@@ -108,7 +108,7 @@
 	SS_ERROR_NOT_LEADER,
 	SS_ERROR_UNAVAILABLE, /* nobody can serve this now */
 	SS_ERROR_DEADLINE,    /* the deadline can't be or wasn't met */
-	SS_ERROR_OVERLOAD,    /* a limit of the class or tenant is reached */
+	SS_ERROR_OVERLOAD,    /* a limit of the class or customer is reached */
 	SS_ERROR_FENCED,      /* an order with an old fencing number */
 	SS_ERROR_MEMORY,      /* not enough accelerator memory */
 	SS_ERROR_DRAINING,
--- a/include/sapphireshift/queue.h
+++ b/include/sapphireshift/queue.h
@@ -1,8 +1,8 @@
 /*
- * Admission queue: calls that wait, by class, tenant and deadline.
+ * Admission queue: calls that wait, by class, customer and deadline.
  *
- * The highest priority goes first; within it tenants get fair shares, and
- * within a tenant the earliest deadline goes first. An item whose deadline
+ * The highest priority goes first; within it customers get fair shares, and
+ * within a customer the earliest deadline goes first. An item whose deadline
  * comes near is raised above its class, so that nothing low starves.
  */
 #ifndef SAPPHIRESHIFT_QUEUE_H
@@ -20,8 +20,9 @@
 /* Embed it in what waits; set the first fields, leave the rest at zero. */
 struct ss_queue_item {
 	int64_t deadline_ms;
-	int priority;	      /* 0 (lowest) to SS_QUEUE_PRIORITIES - 1 */
-	struct ss_str tenant; /* must live as long as the item waits */
+	int priority;		/* 0 (lowest) to SS_QUEUE_PRIORITIES - 1 */
+	struct ss_str customer; /* must live as long as the item waits */
+	unsigned int share;	/* of turns; 0: as the options tell */
 	/* The queue's own. */
 	GSequenceIter *iter;
 	void *lane;
@@ -30,9 +31,9 @@
 
 struct ss_queue_options {
 	int64_t raise_ms; /* slack at which an item is raised; 0: 2000 */
-	/* A tenant's share (1 where NULL) and limit (none where NULL). */
-	unsigned int (*share)(void *arg, struct ss_str tenant);
-	size_t (*limit)(void *arg, struct ss_str tenant);
+	/* A customer's share (1 where NULL) and limit (none where NULL). */
+	unsigned int (*share)(void *arg, struct ss_str customer);
+	size_t (*limit)(void *arg, struct ss_str customer);
 	void *arg;
 };
 
@@ -42,12 +43,18 @@
 /* Items that still wait are forgotten, not freed. */
 void ss_queue_free(struct ss_queue *q);
 
-/* SS_ERROR_OVERLOAD where the tenant's limit is reached. */
+/* SS_ERROR_OVERLOAD where the customer's limit is reached. */
 bool ss_queue_push(struct ss_queue *q, struct ss_queue_item *i, GError **error);
 
-/* Take the next item with at least this priority; NULL for none. */
+/* The next item with at least this priority; NULL for none. It stays. */
+struct ss_queue_item *ss_queue_peek(const struct ss_queue *q, int64_t now,
+				    int least_priority);
+/* Take an item: it counts as its customer's turn. */
+void ss_queue_take(struct ss_queue *q, struct ss_queue_item *i);
+/* Both. */
 struct ss_queue_item *ss_queue_pop(struct ss_queue *q, int64_t now,
 				   int least_priority);
+/* It leaves, and that was nobody's turn. */
 void ss_queue_remove(struct ss_queue *q, struct ss_queue_item *i);
 
 /* Take one item whose deadline isn't after now; NULL for none. */
--- a/src/config/config.c
+++ b/src/config/config.c
@@ -49,7 +49,7 @@
 static const struct setting header_fields[] = {
 	STR("deadline", config_headers, deadline, "X-Deadline-Ms"),
 	STR("class", config_headers, class_name, "X-Class"),
-	STR("tenant", config_headers, tenant, "X-Tenant"),
+	STR("customer", config_headers, customer, "X-Tenant"),
 	STR("once", config_headers, once, "X-Run-Once"),
 };
 static const struct setting_type header_type =
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -15,7 +15,7 @@
 };
 
 struct config_headers {
-	char *deadline, *class_name, *tenant, *once;
+	char *deadline, *class_name, *customer, *once;
 };
 
 struct config_entry {
--- a/src/core/preset.c
+++ b/src/core/preset.c
@@ -18,15 +18,15 @@
 static const struct setting_type class_type =
 	SETTING_TYPE(struct preset_class, class_fields);
 
-static const struct setting tenant_fields[] = {
-	{ "share", SETTING_INT, offsetof(struct preset_tenant, share), 1, 1000,
-	  1, NULL, NULL, NULL, false },
+static const struct setting customer_fields[] = {
+	{ "share", SETTING_INT, offsetof(struct preset_customer, share), 1,
+	  1000, 1, NULL, NULL, NULL, false },
 	{ "max_waiting", SETTING_INT,
-	  offsetof(struct preset_tenant, max_waiting), 1, 1000000, 1000, NULL,
+	  offsetof(struct preset_customer, max_waiting), 1, 1000000, 1000, NULL,
 	  NULL, NULL, false },
 };
-static const struct setting_type tenant_type =
-	SETTING_TYPE(struct preset_tenant, tenant_fields);
+static const struct setting_type customer_type =
+	SETTING_TYPE(struct preset_customer, customer_fields);
 
 static const struct setting preset_fields[] = {
 	{ "cold_weight", SETTING_INT, offsetof(struct preset, cold_weight), 0,
@@ -47,15 +47,15 @@
 	  false },
 	{ "retry_percent", SETTING_INT, offsetof(struct preset, retry_percent),
 	  0, 100, 10, NULL, NULL, NULL, false },
-	{ "tenant_max_waiting", SETTING_INT,
-	  offsetof(struct preset, tenant_max_waiting), 1, 1000000, 1000, NULL,
+	{ "customer_max_waiting", SETTING_INT,
+	  offsetof(struct preset, customer_max_waiting), 1, 1000000, 1000, NULL,
 	  NULL, NULL, false },
 	{ "default_class", SETTING_STR, offsetof(struct preset, default_class),
 	  0, 0, 0, "interactive", NULL, NULL, false },
 	{ "classes", SETTING_MAP, offsetof(struct preset, classes), 0, 0, 0,
 	  NULL, NULL, &class_type, true },
-	{ "tenants", SETTING_MAP, offsetof(struct preset, tenants), 0, 0, 0,
-	  NULL, NULL, &tenant_type, false },
+	{ "customers", SETTING_MAP, offsetof(struct preset, customers), 0, 0, 0,
+	  NULL, NULL, &customer_type, false },
 	{ "pinned", SETTING_STRS, offsetof(struct preset, pinned), 0, 1000, 0,
 	  NULL, NULL, NULL, false },
 };
@@ -80,16 +80,33 @@
 	return NULL;
 }
 
+/* One that stands in a log may be from before customers were called so. */
+static GString *named_anew(struct ss_str text)
+{
+	GString *s = g_string_new_len(text.p, (gssize)text.n);
+
+	g_string_replace(s, "\"tenants\"", "\"customers\"", 0);
+	g_string_replace(s, "\"tenant_max_waiting\"",
+			 "\"customer_max_waiting\"", 0);
+	return s;
+}
+
 bool preset_parse(struct preset *p, const char *file, struct ss_str text,
 		  GError **error)
 {
+	GString *named;
+	bool ok;
+
 	if (text.n > PRESET_BYTES_MAX) {
 		g_set_error(error, SS_ERROR, SS_ERROR_TOO_LARGE,
 			    "%s: %zu bytes; a preset has at most %d", file,
 			    text.n, PRESET_BYTES_MAX);
 		return false;
 	}
-	if (!settings_parse(&preset_type, p, file, text, error))
+	named = named_anew(text);
+	ok = settings_parse(&preset_type, p, file, ss_str_gs(named), error);
+	g_string_free(named, TRUE);
+	if (!ok)
 		return false;
 	if (!class_named(p, ss_str(p->default_class))) {
 		g_set_error(error, SS_ERROR, SS_ERROR_SETTINGS,
@@ -122,11 +139,11 @@
 	return c ? c : class_named(p, ss_str(p->default_class));
 }
 
-const struct preset_tenant *preset_tenant_of(const struct preset *p,
-					     struct ss_str name)
+const struct preset_customer *preset_customer_of(const struct preset *p,
+						 struct ss_str name)
 {
-	for (guint i = 0; i < p->tenants->len; i++) {
-		const struct preset_tenant *t = p->tenants->pdata[i];
+	for (guint i = 0; i < p->customers->len; i++) {
+		const struct preset_customer *t = p->customers->pdata[i];
 
 		if (ss_str_eq(ss_str(t->name), name))
 			return t;
--- a/src/core/preset.h
+++ b/src/core/preset.h
@@ -14,7 +14,7 @@
 	int64_t reserve_percent; /* of slots, kept from lower classes */
 };
 
-struct preset_tenant {
+struct preset_customer {
 	char *name;
 	int64_t share;
 	int64_t max_waiting;
@@ -28,11 +28,11 @@
 	int64_t max_replicas; /* of one model */
 	int64_t store_per_minute, store_parallel;
 	int64_t retry_percent;
-	int64_t tenant_max_waiting; /* where a tenant names none */
+	int64_t customer_max_waiting; /* where a customer names none */
 	char *default_class;
-	GPtrArray *classes; /* struct preset_class */
-	GPtrArray *tenants; /* struct preset_tenant */
-	GPtrArray *pinned;  /* names of models never unloaded */
+	GPtrArray *classes;   /* struct preset_class */
+	GPtrArray *customers; /* struct preset_customer */
+	GPtrArray *pinned;    /* names of models never unloaded */
 };
 
 extern const struct setting_type preset_type;
@@ -45,9 +45,9 @@
 /* The class by name, or the default one; never NULL for a checked preset. */
 const struct preset_class *preset_class_of(const struct preset *p,
 					   struct ss_str name);
-/* NULL where the preset doesn't name the tenant. */
-const struct preset_tenant *preset_tenant_of(const struct preset *p,
-					     struct ss_str name);
+/* NULL where the preset doesn't name the customer. */
+const struct preset_customer *preset_customer_of(const struct preset *p,
+						 struct ss_str name);
 bool preset_pins(const struct preset *p, struct ss_str model);
 
 /* The preset that holds before any was put in force. */
--- a/src/core/router.c
+++ b/src/core/router.c
@@ -7,24 +7,24 @@
 /* An unclaimed call asks again after so long without a leader. */
 #define CLAIM_RETRY_MS 200
 
-static unsigned int tenant_share(void *arg, struct ss_str tenant)
+static unsigned int customer_share(void *arg, struct ss_str customer)
 {
 	const struct router *r = arg;
-	const struct preset_tenant *t =
-		r->preset ? preset_tenant_of(r->preset, tenant) : NULL;
+	const struct preset_customer *t =
+		r->preset ? preset_customer_of(r->preset, customer) : NULL;
 
 	return t ? (unsigned int)t->share : 1;
 }
 
-static size_t tenant_limit(void *arg, struct ss_str tenant)
+static size_t customer_limit(void *arg, struct ss_str customer)
 {
 	const struct router *r = arg;
-	const struct preset_tenant *t;
+	const struct preset_customer *t;
 
 	if (!r->preset)
 		return SIZE_MAX;
-	t = preset_tenant_of(r->preset, tenant);
-	return (size_t)(t ? t->max_waiting : r->preset->tenant_max_waiting);
+	t = preset_customer_of(r->preset, customer);
+	return (size_t)(t ? t->max_waiting : r->preset->customer_max_waiting);
 }
 
 static void agent_free(void *p)
@@ -48,8 +48,8 @@
 					  agent_free);
 	r->by_sub = g_hash_table_new(g_int64_hash, g_int64_equal);
 	r->deadlines = g_sequence_new(NULL);
-	r->queue.share = tenant_share;
-	r->queue.limit = tenant_limit;
+	r->queue.share = customer_share;
+	r->queue.limit = customer_limit;
 	r->queue.arg = r;
 	ss_budget_init(&r->budget, 10, RETRY_BUDGET_MOST);
 	return r;
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -62,7 +62,7 @@
 /* What a caller asks; strings are copied. */
 struct router_call {
 	struct ss_str model; /* or "/svc/" and a pool */
-	struct ss_str tenant;
+	struct ss_str customer;
 	struct ss_str method, path;
 	const struct header *headers;
 	size_t n_headers;
--- a/src/core/router_call.c
+++ b/src/core/router_call.c
@@ -29,7 +29,7 @@
 	disown(&c->m.path);
 	disown(&c->m.body);
 	disown(&c->key);
-	disown(&c->item.tenant);
+	disown(&c->item.customer);
 	g_free(c);
 }
 
@@ -147,7 +147,7 @@
 	c->data = o->data;
 	c->item.deadline_ms = o->deadline_ms;
 	c->item.priority = o->priority;
-	c->item.tenant = own(o->tenant);
+	c->item.customer = own(o->customer);
 	return c;
 }
 
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -85,7 +85,7 @@
 };
 
 struct claim_rec {
-	struct ss_str key;    /* hash of tenant and idempotency key */
+	struct ss_str key;    /* hash of customer and idempotency key */
 	uint64_t fingerprint; /* of the request */
 	uint64_t entry, seq;  /* the call that may run */
 	struct ss_str node;   /* where it runs */
--- a/src/core/queue.c
+++ b/src/customer/queue.c
@@ -4,12 +4,12 @@
 /* An item with less time left than this goes before its priority, in ms: a
  * common answer's time. Default of the option. */
 #define RAISE_MS 2000
-/* Virtual time that one item costs a tenant with a share of one. */
-#define SHARE_UNIT 1000
+/* Virtual time that one item costs a customer with a share of one. */
+#define SHARE_UNIT 1000000000
 
-/* One tenant's items of one priority. */
+/* One customer's items of one priority. */
 struct lane {
-	struct ss_str tenant;
+	struct ss_str customer;
 	int priority;
 	GSequence *items; /* by deadline, then order of arrival */
 	uint64_t served;  /* virtual time: less goes first */
@@ -28,7 +28,7 @@
 	struct lane *l = p;
 
 	g_sequence_free(l->items);
-	g_free((char *)l->tenant.p);
+	g_free((char *)l->customer.p);
 	g_free(l);
 }
 
@@ -83,7 +83,7 @@
 	return least == UINT64_MAX ? 0 : least;
 }
 
-static struct lane *lane_for(struct ss_queue *q, struct ss_str tenant,
+static struct lane *lane_for(struct ss_queue *q, struct ss_str customer,
 			     int priority)
 {
 	GPtrArray *lanes = q->lanes[priority];
@@ -91,18 +91,18 @@
 
 	for (guint i = 0; i < lanes->len; i++) {
 		l = lanes->pdata[i];
-		if (ss_str_eq(l->tenant, tenant))
+		if (ss_str_eq(l->customer, customer))
 			return l;
 	}
 	l = g_new0(struct lane, 1);
-	l->tenant = (struct ss_str){ ss_str_dup(tenant), tenant.n };
+	l->customer = (struct ss_str){ ss_str_dup(customer), customer.n };
 	l->priority = priority;
 	l->items = g_sequence_new(NULL);
 	g_ptr_array_add(lanes, l);
 	return l;
 }
 
-static size_t tenant_count(const struct ss_queue *q, struct ss_str tenant)
+static size_t customer_count(const struct ss_queue *q, struct ss_str customer)
 {
 	size_t n = 0;
 
@@ -110,7 +110,7 @@
 		for (guint i = 0; i < q->lanes[p]->len; i++) {
 			const struct lane *l = q->lanes[p]->pdata[i];
 
-			if (ss_str_eq(l->tenant, tenant))
+			if (ss_str_eq(l->customer, customer))
 				n += (size_t)g_sequence_get_length(l->items);
 		}
 	return n;
@@ -119,16 +119,17 @@
 bool ss_queue_push(struct ss_queue *q, struct ss_queue_item *i, GError **error)
 {
 	int priority = CLAMP(i->priority, 0, SS_QUEUE_PRIORITIES - 1);
-	size_t limit = q->o.limit ? q->o.limit(q->o.arg, i->tenant) : SIZE_MAX;
+	size_t limit = q->o.limit ? q->o.limit(q->o.arg, i->customer) :
+				    SIZE_MAX;
 	struct lane *l;
 
-	if (tenant_count(q, i->tenant) >= limit) {
+	if (customer_count(q, i->customer) >= limit) {
 		g_set_error(error, SS_ERROR, SS_ERROR_OVERLOAD,
-			    "%zu calls of this tenant wait already", limit);
+			    "%zu calls of this customer wait already", limit);
 		return false;
 	}
-	l = lane_for(q, i->tenant, priority);
-	/* A tenant that was away gets no credit for the time. */
+	l = lane_for(q, i->customer, priority);
+	/* A customer that was away gets no credit for the time. */
 	if (!first(l))
 		l->served = MAX(l->served, least_served(q->lanes[priority]));
 	i->priority = priority;
@@ -183,15 +184,19 @@
 	return best ? first(best) : NULL;
 }
 
-static void charge(struct ss_queue *q, struct lane *l)
+static void charge(struct ss_queue *q, const struct ss_queue_item *i)
 {
-	unsigned int share = q->o.share ? q->o.share(q->o.arg, l->tenant) : 1;
+	struct lane *l = i->lane;
+	unsigned int share = i->share;
+
+	if (!share)
+		share = q->o.share ? q->o.share(q->o.arg, l->customer) : 1;
 
-	l->served += SHARE_UNIT / CLAMP(share, 1, SHARE_UNIT);
+	l->served += SHARE_UNIT / MAX(share, 1);
 }
 
-struct ss_queue_item *ss_queue_pop(struct ss_queue *q, int64_t now,
-				   int least_priority)
+struct ss_queue_item *ss_queue_peek(const struct ss_queue *q, int64_t now,
+				    int least_priority)
 {
 	struct ss_queue_item *best = NULL;
 
@@ -210,10 +215,22 @@
 		    e->deadline_ms < best->deadline_ms)
 			best = e;
 	}
-	if (best) {
-		charge(q, best->lane);
-		ss_queue_remove(q, best);
-	}
+	return best;
+}
+
+void ss_queue_take(struct ss_queue *q, struct ss_queue_item *i)
+{
+	charge(q, i);
+	ss_queue_remove(q, i);
+}
+
+struct ss_queue_item *ss_queue_pop(struct ss_queue *q, int64_t now,
+				   int least_priority)
+{
+	struct ss_queue_item *best = ss_queue_peek(q, now, least_priority);
+
+	if (best)
+		ss_queue_take(q, best);
 	return best;
 }
 
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -20,7 +20,7 @@
 void entry_request_free(struct request *q)
 {
 	g_free(q->id);
-	g_free(q->tenant);
+	g_free(q->customer);
 	g_free(q->class_name);
 	g_free(q->model);
 	g_free(q);
@@ -49,19 +49,19 @@
 static void record_latency(struct request *q, int64_t ms)
 {
 	struct entry_role *e = q->e;
-	char *key = g_strdup_printf("%s\n%s", q->tenant, q->class_name);
+	char *key = g_strdup_printf("%s\n%s", q->customer, q->class_name);
 	struct hist *h = g_hash_table_lookup(e->hists, key);
 
 	if (!h) {
-		char *tenant = label(q->tenant);
+		char *customer = label(q->customer);
 		char *class_name = label(q->class_name);
-		char *labels = g_strdup_printf("tenant=\"%s\",class=\"%s\"",
-					       tenant, class_name);
+		char *labels = g_strdup_printf("customer=\"%s\",class=\"%s\"",
+					       customer, class_name);
 
 		h = metrics_hist(e->d->metrics, "ss_entry_latency_ms", labels);
 		g_hash_table_insert(e->hists, g_strdup(key), h);
 		g_free(labels);
-		g_free(tenant);
+		g_free(customer);
 		g_free(class_name);
 	}
 	hist_add(h, (uint64_t)MAX(ms, 0));
--- a/src/daemon/entry_int.h
+++ b/src/daemon/entry_int.h
@@ -20,7 +20,7 @@
 	struct link *link;
 	struct event *tick;
 	GHashTable *agents; /* node -> struct agent_conn */
-	GHashTable *hists;  /* "tenant\nclass" -> struct hist */
+	GHashTable *hists;  /* "customer\nclass" -> struct hist */
 	struct preset preset;
 	uint64_t config; /* version of the preset in force; 0: built in */
 	char *config_name;
@@ -38,7 +38,7 @@
 	struct entry_role *e;
 	struct caller_req *req;
 	struct rcall *call;
-	char *id, *tenant, *class_name, *model;
+	char *id, *customer, *class_name, *model;
 	bool sse;	  /* the answer is a stream of events */
 	uint64_t listing; /* of the models, if it is that */
 	int64_t start_ms;
--- a/src/daemon/entry_request.c
+++ b/src/daemon/entry_request.c
@@ -7,7 +7,7 @@
 
 /* A longer deadline than a day is a mistake; night work has less. */
 #define DEADLINE_MAX_MS (24 * 3600 * 1000LL)
-/* Model, tenant, key: longer ones would fill logs and metrics. */
+/* Model, customer, key: longer ones would fill logs and metrics. */
 #define NAME_MAX_BYTES 200
 /* The prompt's start that decides which replica may have it cached. */
 #define PREFIX_BYTES 256
@@ -112,7 +112,7 @@
 	if (!k.set)
 		return k;
 	XXH3_128bits_reset(&s);
-	XXH3_128bits_update(&s, q->tenant, strlen(q->tenant) + 1);
+	XXH3_128bits_update(&s, q->customer, strlen(q->customer) + 1);
 	XXH3_128bits_update(&s, idempotency_key, strlen(idempotency_key));
 	XXH128_canonicalFromHash(&c, XXH3_128bits_digest(&s));
 	memcpy(k.bytes, c.digest, sizeof(k.bytes));
@@ -167,7 +167,7 @@
 	struct rcall *call;
 	GArray *headers;
 	struct router_call c = { .model = ss_str(q->model),
-				 .tenant = ss_str(q->tenant),
+				 .customer = ss_str(q->customer),
 				 .method = h->method,
 				 .path = path,
 				 .body = h->body,
@@ -326,16 +326,16 @@
 			g_strdup_printf("%s-%08x-%" PRIu64, e->d->config.name,
 					(uint32_t)e->d->hello.incarnation,
 					++e->requests);
-	q->tenant = or_default(caller_header(h, names->tenant), "default");
+	q->customer = or_default(caller_header(h, names->customer), "default");
 	q->class_name = or_default(caller_header(h, names->class_name),
 				   e->preset.default_class);
 	caller_set_data(r, q);
 	if (status_request(q, without_query(h->path)))
 		return;
 	(*e->n_requests)++;
-	if (!name_is_sane(q->tenant))
+	if (!name_is_sane(q->customer))
 		entry_refuse(q, SS_ERROR_BAD_REQUEST,
-			     "the tenant's name is unusable", OUTCOME_NOT_RUN,
+			     "the customer's name is unusable", OUTCOME_NOT_RUN,
 			     0);
 	else
 		route_request(q, h);
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -15,6 +15,10 @@
 #define QUOTA_SPREAD_MS 300
 /* What was spent for a request that hasn't run is given back for so long. */
 #define REFUND_MS 500
+/* Beyond so much a second customers' shares of turns are alike; those without a
+ * limit count as large ones. */
+#define SHARE_MOST 1e9
+#define SHARE_UNLIMITED 1000000u
 
 static struct ss_str path_of(struct ss_str target)
 {
@@ -111,6 +115,24 @@
 	return may_be_revoked(g) ? 503 : 0;
 }
 
+/* Who goes first where not all can: urgent requests, and then customers in
+ * proportion to what they may ask for, so that none pushes out another by
+ * asking for more than that. */
+static void set_turn(struct forward *f)
+{
+	const struct customer *c = f->customer;
+	int64_t last = SS_QUEUE_PRIORITIES - 1;
+
+	f->item.deadline_ms = f->deadline_ms;
+	f->item.priority = (int)(last - CLAMP(forward_priority(f), 0, last));
+	f->item.share = SHARE_UNLIMITED;
+	if (c)
+		f->item.customer = ss_str(c->name);
+	if (c && c->limit.per_s > 0)
+		f->item.share =
+			(unsigned int)CLAMP(c->limit.per_s, 1, SHARE_MOST);
+}
+
 static struct forward *forward_new(struct gate *g, struct caller_call *c,
 				   struct routing_route *rt,
 				   const struct platform_call *call,
@@ -131,7 +153,6 @@
 		routing_pick(g->routing, rt, ss_random(&g->seed)));
 	f->customer = customer_ref(who);
 	f->keyed = g->routing->keyed;
-	f->priority = who && who->priority >= 0 ? who->priority : rt->priority;
 	f->call = *call;
 	f->id = ss_str_dup(call->id);
 	f->model = f->service->engine ? ss_str_dup(call->model) : g_strdup("");
@@ -144,6 +165,7 @@
 	f->charged_ms = -1;
 	f->expected_ms = SS_NEVER;
 	f->deadline_ms = now + wait;
+	set_turn(f);
 	f->objective_ms = now + rt->objective_ms;
 	f->begin_by_ms = f->deadline_ms;
 	if (rt->kind == ROUTE_STREAM)
@@ -161,7 +183,7 @@
 	fleet_rate_add(&f->home->rate, 1, gate_now(f->g));
 	forward_wait(f);
 	/* Nobody goes ahead of those who wait for the same. */
-	if (f->lane->waits.length == 1)
+	if (ss_queue_length(f->lane->waits) == 1)
 		forward_try(f);
 }
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -78,6 +78,13 @@
 	g_clear_pointer(&f->ep_addr, g_free);
 }
 
+int64_t forward_priority(const struct forward *f)
+{
+	return f->customer && f->customer->priority >= 0 ?
+		       f->customer->priority :
+		       f->route->priority;
+}
+
 static const char *customer_of(const struct forward *f)
 {
 	return f->customer ? f->customer->name : "";
@@ -265,7 +272,7 @@
 	int64_t now = gate_now(g);
 	struct platform_send s = { .deadline_ms = f->deadline_ms - now,
 				   .instance = ss_str(ep->self.id),
-				   .priority = MIN(f->priority, 9),
+				   .priority = MIN(forward_priority(f), 9),
 				   .keyed = f->keyed,
 				   .customer = ss_str(customer_of(f)),
 				   .after_event = f->is_events ?
@@ -342,7 +349,7 @@
 	f->ep_life = ep->life;
 	gate_ep_begin(ep, f->model);
 	if (f->lane)
-		lane_remove(f);
+		lane_take(f);
 }
 
 void forward_refuse_for_stop(struct forward *f)
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -27,10 +27,13 @@
 
 /* Lanes. */
 
+static const struct ss_queue_options lane_queue = { .raise_ms = 1 };
+
 static void lane_free(void *p)
 {
 	struct lane *l = p;
 
+	ss_queue_free(l->waits);
 	g_free(l->service);
 	g_free(l->model);
 	g_free(l);
@@ -49,52 +52,50 @@
 	l->service = g_strdup(service);
 	l->model = g_strdup(model);
 	l->eta_ms = SS_NEVER;
-	g_queue_init(&l->waits);
+	l->waits = ss_queue_new(&lane_queue);
 	g_hash_table_insert(g->lanes, key, l);
 	return l;
 }
 
-/* Higher priority first, then the earlier deadline. */
-static gint by_urgency(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct forward *x = a, *y = b;
-
-	(void)data;
-	if (x->priority != y->priority)
-		return x->priority < y->priority ? -1 : 1;
-	return x->deadline_ms < y->deadline_ms ?
-		       -1 :
-		       x->deadline_ms > y->deadline_ms;
-}
-
 void lane_add(struct lane *l, struct forward *f)
 {
-	GList *at = l->waits.tail;
-
-	/* Mostly the newest is the last, so look from the end. */
-	while (at && by_urgency(at->data, f, NULL) > 0)
-		at = at->prev;
-	g_queue_insert_after(&l->waits, at, f);
-	f->in_lane = at ? at->next : l->waits.head;
+	/* It has no limit on what waits. */
+	ss_queue_push(l->waits, &f->item, NULL);
 	f->lane = l;
 	(*f->g->n_waiting)++;
 }
 
-void lane_remove(struct forward *f)
+static void left(struct forward *f)
 {
-	g_queue_delete_link(&f->lane->waits, f->in_lane);
 	f->lane = NULL;
-	f->in_lane = NULL;
 	(*f->g->n_waiting)--;
 }
 
-static void pump_lane(struct lane *l)
+void lane_take(struct forward *f)
+{
+	ss_queue_take(f->lane->waits, &f->item);
+	left(f);
+}
+
+void lane_remove(struct forward *f)
+{
+	ss_queue_remove(f->lane->waits, &f->item);
+	left(f);
+}
+
+struct forward *lane_next(const struct lane *l, int64_t now)
+{
+	/* The item is its first member. */
+	return (struct forward *)ss_queue_peek(l->waits, now, 0);
+}
+
+static void pump_lane(struct gate *g, struct lane *l)
 {
 	struct forward *f;
 
 	/* The first in line decides: what it can't get, nobody behind it
 	 * may take. It leaves the lane where forward_try() says true. */
-	while ((f = g_queue_peek_head(&l->waits)) && forward_try(f))
+	while ((f = lane_next(l, gate_now(g))) && forward_try(f))
 		;
 }
 
@@ -109,7 +110,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct lane *l = p;
 
-		if (l->waits.length &&
+		if (ss_queue_length(l->waits) &&
 		    (!service || !strcmp(l->service, service)))
 			out = g_list_prepend(out, l);
 	}
@@ -125,7 +126,7 @@
 	g->pumping = true;
 	all = lanes_of(g, service);
 	for (GList *l = all; l; l = l->next)
-		pump_lane(l->data);
+		pump_lane(g, l->data);
 	g_list_free(all);
 	g->pumping = false;
 }
@@ -299,7 +300,7 @@
 
 static void report_lane(struct gate *g, struct gate_report *r, struct lane *l)
 {
-	const struct forward *first = g_queue_peek_head(&l->waits);
+	const struct forward *first = lane_next(l, gate_now(g));
 	uint64_t waiting = 0;
 	struct model_demand d = { .service = ss_str(l->service),
 				  .model = ss_str(l->model),
@@ -307,7 +308,7 @@
 
 	/* Those that wait for a place on a replica count as well: they are
 	 * what a second replica is for. */
-	waiting = l->waits.length;
+	waiting = ss_queue_length(l->waits);
 	if (!*l->model || (!l->arrivals && !waiting && !l->told))
 		return;
 	d.waiting = waiting;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -3,6 +3,7 @@
 #define SS_GATE_INT_H
 
 #include <sapphireshift/limit.h>
+#include <sapphireshift/queue.h>
 
 #include "../core/balance.h"
 #include "../core/end_log.h"
@@ -55,6 +56,7 @@
 
 /* One caller's request. */
 struct forward {
+	struct ss_queue_item item; /* in its lane */
 	struct gate *g;
 	struct caller_call *caller;
 	struct ss_str body;
@@ -63,7 +65,6 @@
 	struct routing_service *service;
 	struct customer *customer; /* NULL: none is known, or needed */
 	bool keyed;		   /* by the routing that it came under */
-	int64_t priority;	   /* 0 is first */
 	double cost;		   /* against the customer's limit */
 	int64_t charged_ms;	   /* when that was spent; -1: it isn't */
 	GQueue *quota_line;	   /* that it waits in; NULL: none */
@@ -81,7 +82,6 @@
 	/* Of its service's streams; of a plain request: of its route. */
 	struct pace *pace;
 	struct lane *lane; /* NULL: it doesn't wait */
-	GList *in_lane;
 	/* Sends. */
 	GPtrArray *tried; /* struct fleet_incarnation, that it was sent to */
 	unsigned int sends, asks;
@@ -115,10 +115,10 @@
 	int64_t event_ms, pause_ms;
 };
 
-/* Requests for one model of a service that wait, most urgent first. */
+/* Requests for one model of a service that wait. */
 struct lane {
 	char *service, *model;
-	GQueue waits;		/* struct forward */
+	struct ss_queue *waits; /* struct forward */
 	int64_t eta_ms;		/* on the clock; SS_NEVER: not told */
 	uint64_t arrivals;	/* since the last report */
 	struct fleet_rate rate; /* of arrivals here */
@@ -237,6 +237,8 @@
 void quota_tick(struct gate *g);
 
 /* forward.c */
+/* 0 is first. */
+int64_t forward_priority(const struct forward *f);
 void forward_gone(struct forward *f);
 /* Try to send a request that waits; false where it goes on waiting. */
 bool forward_try(struct forward *f);
@@ -284,7 +286,11 @@
 /* gate.c */
 struct lane *gate_lane(struct gate *g, const char *service, const char *model);
 void lane_add(struct lane *l, struct forward *f);
+/* It is sent: its customer's turn. */
+void lane_take(struct forward *f);
 void lane_remove(struct forward *f);
+/* The next to be sent; NULL: nobody waits. */
+struct forward *lane_next(const struct lane *l, int64_t now);
 /* Send what can be sent of the lanes of a service. */
 void gate_pump(struct gate *g, const char *service);
 struct pace *gate_pace(struct gate *g, const struct forward *f);
--- a/test/proc_input.py
+++ b/test/proc_input.py
@@ -60,7 +60,7 @@
      {"X-Deadline-Ms": "0"}, 400, "bad_request"),
     ("deadline of years", "POST", CHAT, json.dumps(HELLO),
      {"X-Deadline-Ms": "99999999999999"}, 400, "bad_request"),
-    ("tenant that is no name", "POST", CHAT, json.dumps(HELLO),
+    ("customer that is no name", "POST", CHAT, json.dumps(HELLO),
      {"X-Tenant": "a\"b"}, 400, "bad_request"),
 ]
 
--- a/test/test_queue.c
+++ b/test/test_queue.c
@@ -7,7 +7,7 @@
 #include "../src/core/choose.h"
 
 struct row {
-	const char *name, *tenant;
+	const char *name, *customer;
 	int priority;
 	int64_t deadline;
 };
@@ -41,7 +41,7 @@
 	  10000,
 	  0,
 	  "ab" },
-	{ "tenants take turns",
+	{ "customers take turns",
 	  { { "a", "t", 4, 1000 },
 	    { "b", "t", 4, 2000 },
 	    { "c", "t", 4, 3000 },
@@ -65,16 +65,16 @@
 	  "b" },
 };
 
-static unsigned int share_of(void *arg, struct ss_str tenant)
+static unsigned int share_of(void *arg, struct ss_str customer)
 {
 	(void)arg;
-	return ss_str_eq(tenant, SS_LIT("big")) ? 3 : 1;
+	return ss_str_eq(customer, SS_LIT("big")) ? 3 : 1;
 }
 
-static size_t limit_of(void *arg, struct ss_str tenant)
+static size_t limit_of(void *arg, struct ss_str customer)
 {
 	(void)arg;
-	return ss_str_eq(tenant, SS_LIT("small")) ? 2 : 100;
+	return ss_str_eq(customer, SS_LIT("small")) ? 2 : 100;
 }
 
 struct waiting {
@@ -96,7 +96,7 @@
 
 		for (int k = 0; k < 6 && c->rows[k].name; k++) {
 			w[k].name = c->rows[k].name;
-			w[k].item.tenant = ss_str(c->rows[k].tenant);
+			w[k].item.customer = ss_str(c->rows[k].customer);
 			w[k].item.priority = c->rows[k].priority;
 			w[k].item.deadline_ms = c->rows[k].deadline;
 			assert_true(ss_queue_push(q, &w[k].item, NULL));
@@ -110,6 +110,78 @@
 	}
 }
 
+/* Customers that send so much, with these shares, where a server takes 100 a
+ * second: what each has got after ten seconds. */
+static const struct load_case {
+	const char *label;
+	struct {
+		const char *name;
+		unsigned int share;
+		int per_s, least; /* of 10 s, served in time */
+	} c[4];
+} loads[] = {
+	{ "nobody asks for too much",
+	  { { "big", 50, 50, 495 },
+	    { "small", 5, 5, 49 },
+	    { "tiny", 1, 1, 9 } } },
+	{ "a hot one beside small ones",
+	  { { "hot", 50, 600, 490 },
+	    { "big", 40, 40, 395 },
+	    { "small", 5, 5, 49 },
+	    { "tiny", 1, 1, 9 } } },
+	{ "two hot ones, and less room than all may ask for",
+	  { { "hot", 100, 1200, 420 },
+	    { "warm", 100, 300, 420 },
+	    { "small", 30, 10, 97 },
+	    { "tiny", 3, 1, 9 } } },
+};
+
+struct load {
+	struct ss_queue_item item;
+	int customer;
+};
+
+/* A hot customer pushes out small ones, or all are served by who asks most. */
+static void hot_customer_pushes_nobody_out(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+		struct ss_queue_options o = { .raise_ms = 1 };
+		struct ss_queue *q = ss_queue_new(&o);
+		int served[4] = { 0 }, due[4] = { 0 };
+		struct ss_queue_item *x;
+
+		for (int64_t now = 0; now < 10000; now += 10) {
+			for (int k = 0; k < 4 && loads[i].c[k].name; k++) {
+				for (due[k] += loads[i].c[k].per_s;
+				     due[k] >= 100; due[k] -= 100) {
+					struct load *l = g_new0(struct load, 1);
+
+					l->customer = k;
+					l->item.customer =
+						ss_str(loads[i].c[k].name);
+					l->item.share = loads[i].c[k].share;
+					l->item.deadline_ms = now + 1000;
+					ss_queue_push(q, &l->item, NULL);
+				}
+			}
+			while ((x = ss_queue_expired(q, now)))
+				g_free(x);
+			x = ss_queue_pop(q, now, 0);
+			if (x)
+				served[((struct load *)x)->customer]++;
+			g_free(x);
+		}
+		for (int k = 0; k < 4 && loads[i].c[k].name; k++)
+			if (served[k] < loads[i].c[k].least)
+				fail_msg("%s: %s got %d", loads[i].label,
+					 loads[i].c[k].name, served[k]);
+		while ((x = ss_queue_pop(q, 0, 0)))
+			g_free(x);
+		ss_queue_free(q);
+	}
+}
+
 static void limits_and_expiry(void **state)
 {
 	struct ss_queue_options o = { .limit = limit_of };
@@ -119,7 +191,7 @@
 
 	(void)state;
 	for (int k = 0; k < 3; k++) {
-		w[k].item.tenant = SS_LIT("small");
+		w[k].item.customer = SS_LIT("small");
 		w[k].item.deadline_ms = 100 * (k + 1);
 	}
 	assert_true(ss_queue_push(q, &w[0].item, NULL));
@@ -245,6 +317,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(items_leave_in_order),
+		cmocka_unit_test(hot_customer_pushes_nobody_out),
 		cmocka_unit_test(limits_and_expiry),
 		cmocka_unit_test(budget_bounds_a_storm),
 		cmocka_unit_test(breaker_opens_and_tries_again),
--- a/test/test_router.c
+++ b/test/test_router.c
@@ -110,7 +110,7 @@
 			    const char *key)
 {
 	struct router_call c = { .model = SS_LIT("m"),
-				 .tenant = SS_LIT("t"),
+				 .customer = SS_LIT("t"),
 				 .method = SS_LIT("POST"),
 				 .path = SS_LIT("/"),
 				 .deadline_ms = f->now + deadline,
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -132,6 +132,21 @@
 	"conf/fleet/control.json",     "conf/fleet/entry.json",
 	"conf/fleet/agent.json",
 };
+/* A preset that stands in a log can't be read after an upgrade. */
+static void presets_of_before_are_read(void **state)
+{
+	static const char text[] =
+		"{\"classes\":{\"interactive\":{\"deadline_ms\":9}},"
+		"\"tenant_max_waiting\":7,\"tenants\":{\"a\":{\"share\":3}}}";
+	struct preset p;
+
+	(void)state;
+	assert_true(preset_parse(&p, "p", ss_str(text), NULL));
+	assert_int_equal(p.customer_max_waiting, 7);
+	assert_int_equal(preset_customer_of(&p, SS_LIT("a"))->share, 3);
+	preset_clear(&p);
+}
+
 static const char *const presets[] = {
 	"conf/dotace/presets/ordinary.json",
 	"conf/dotace/presets/peak.json",
@@ -174,6 +189,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(preset_faults_are_named),
+		cmocka_unit_test(presets_of_before_are_read),
 		cmocka_unit_test(all_faults_at_once),
 		cmocka_unit_test(defaults_and_comments_work),
 		cmocka_unit_test(examples_are_right),
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -24,9 +24,9 @@
     """One request, written down in its record."""
     entry = rng.choice(s.entries)
     host, port = s.addr[entry].split(":")
-    # A key belongs to its tenant: a resend comes from the same one.
-    tenant = ["desk", "phone", "portal"][sum(r.key.encode()) % 3]
-    headers = {"X-Tenant": tenant,
+    # A key belongs to its customer: a resend comes from the same one.
+    customer = ["desk", "phone", "portal"][sum(r.key.encode()) % 3]
+    headers = {"X-Tenant": customer,
                "X-Deadline-Ms": str(rng.choice([4000, 8000, 12000]))}
     if r.kind == "book":
         path = "/svc/portal-web/book?seat=%s&delay_ms=%d" % (
