Hold a request for tokens no longer than half of its objective

Nearly all that it was served was late.

Cause: a request waited where tokens were expected within a second; who asks for six times its limit has that always, so that its line stood at a second.

Change: a request waits for what is expected within half of its route's objective; the rest is refused at once. After a place that was lost is found again all wait for up to a second, for two seconds: what came meanwhile is owed, and served one after the other.

--- a/src/customer/quota.h
+++ b/src/customer/quota.h
@@ -23,6 +23,13 @@
 	struct quota_slack slack;
 };
 
+/* What a request needs. */
+struct quota_need {
+	double cost;
+	bool waits;	 /* it was told to wait before */
+	int64_t hold_ms; /* it waits only for what is expected within this */
+};
+
 enum quota_answer {
 	QUOTA_YES,
 	QUOTA_NO,
@@ -77,11 +84,11 @@
 			   int64_t now);
 	/*
 	 * Whether a request may run: it is spent with QUOTA_YES. With
-	 * QUOTA_WAIT it is to be asked for again (waits: it was told to wait
-	 * before). With QUOTA_NO, *back_ms is when it may.
+	 * QUOTA_WAIT it is to be asked for again. With QUOTA_NO, *back_ms is
+	 * when it may.
 	 */
 	enum quota_answer (*take)(void *entry, const struct customer *c,
-				  double cost, bool waits, int64_t now,
+				  const struct quota_need *n, int64_t now,
 				  int64_t *back_ms);
 	/* One that waits has left. */
 	void (*leave)(void *entry, const struct customer *c, double cost);
--- a/src/customer/quota_even.c
+++ b/src/customer/quota_even.c
@@ -69,17 +69,16 @@
 }
 
 static enum quota_answer even_take(void *entry, const struct customer *c,
-				   double cost, bool waits, int64_t now,
+				   const struct quota_need *n, int64_t now,
 				   int64_t *back_ms)
 {
 	struct even *e = entry;
 	struct bucket *b = bucket_of(e, c, now);
 	double part = 1.0 / (double)e->entries;
-	double need = MIN(cost, c->limit.burst * part);
+	double need = MIN(n->cost, c->limit.burst * part);
 
-	(void)waits;
 	if (b->tokens >= need) {
-		b->tokens -= cost;
+		b->tokens -= n->cost;
 		return QUOTA_YES;
 	}
 	*back_ms =
--- a/src/customer/quota_lease.h
+++ b/src/customer/quota_lease.h
@@ -53,7 +53,7 @@
 void quota_lease_entry_link(void *entry, const char *customer, bool up,
 			    int64_t now);
 enum quota_answer quota_lease_take(void *entry, const struct customer *c,
-				   double cost, bool waits, int64_t now,
+				   const struct quota_need *n, int64_t now,
 				   int64_t *back);
 void quota_lease_leave(void *entry, const struct customer *c, double cost);
 void quota_lease_give_back(void *entry, const struct customer *c, double cost,
--- a/src/customer/quota_purse.c
+++ b/src/customer/quota_purse.c
@@ -18,11 +18,12 @@
 /* Where a request is expected within so long, in s, there is to be enough for
  * one. */
 #define NEXT_S 2.0
-/* A request waits for tokens that are there within this, in ms. */
-#define HOLD_MS 1000
 /* A place that is lost is mostly replaced within this, in ms: requests wait for
  * the next. */
 #define AWAIT_MS 2000
+/* For as long after that, in ms, all wait for what is expected within the
+ * other: what came meanwhile is served one after the other. */
+#define RETURN_HOLD_MS 1000
 /* A customer that sends nothing here for so long, in ms, gets its allotment
  * back. */
 #define IDLE_MS 4000
@@ -47,10 +48,11 @@
 	double waiting, first; /* cost of all requests that wait; of one */
 	double wanted;	       /* when it was asked for last */
 	uint64_t number;
-	bool up;	 /* its place is reached, ... */
-	int64_t lost_ms; /* ... or not, since then */
-	bool told;	 /* that place knows what is held here */
-	bool asked;	 /* and hasn't answered yet, ... */
+	bool up;	  /* its place is reached, ... */
+	int64_t lost_ms;  /* ... or not, since then */
+	int64_t found_ms; /* when it was found last */
+	bool told;	  /* that place knows what is held here */
+	bool asked;	  /* and hasn't answered yet, ... */
 	int64_t asked_ms;
 	int64_t silent_ms; /* ... since then */
 	int64_t none_ms;   /* the place has none before then */
@@ -63,7 +65,7 @@
 	GHashTable *purses; /* name -> struct purse */
 	GPtrArray *due;	    /* struct purse */
 	bool up;
-	int64_t lost_ms; /* as of a purse */
+	int64_t lost_ms, found_ms; /* as of a purse */
 	int64_t sweep_ms;
 };
 
@@ -79,6 +81,7 @@
 
 	(void)o;
 	e->lost_ms = now;
+	e->found_ms = INT64_MIN / 2;
 	e->purses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  purse_free);
 	e->due = g_ptr_array_new();
@@ -118,6 +121,7 @@
 	u->name = g_strdup(name);
 	u->up = e->up;
 	u->lost_ms = e->lost_ms;
+	u->found_ms = e->found_ms;
 	u->demand_ms = u->alone_ms = now;
 	g_hash_table_insert(e->purses, u->name, u);
 	return u;
@@ -175,6 +179,8 @@
 	if (!customer) {
 		if (e->up && !up)
 			e->lost_ms = now;
+		if (up)
+			e->found_ms = now;
 		e->up = up;
 	}
 	g_hash_table_iter_init(&it, e->purses);
@@ -186,6 +192,8 @@
 		settle_purse(u, now);
 		if (u->up && !up)
 			u->lost_ms = now;
+		if (up)
+			u->found_ms = now;
 		u->up = up;
 		u->asked = u->told = false;
 		u->none_ms = 0;
@@ -231,34 +239,41 @@
 	return u->none_ms - now + (int64_t)(u->waiting * 1000 / MAX(u->got, 1));
 }
 
+static int64_t hold_ms(const struct purse *u, const struct quota_need *n,
+		       int64_t now)
+{
+	return now - u->found_ms < AWAIT_MS ? MAX(n->hold_ms, RETURN_HOLD_MS) :
+					      n->hold_ms;
+}
+
 enum quota_answer quota_lease_take(void *entry, const struct customer *c,
-				   double cost, bool waits, int64_t now,
+				   const struct quota_need *n, int64_t now,
 				   int64_t *back)
 {
 	struct entry *e = entry;
 	struct purse *u = purse_of(e, c->name, now);
 
 	settle_purse(u, now);
-	if (!waits)
-		note_demand(u, cost, now);
-	if (waits)
-		u->waiting = MAX(u->waiting - cost, 0);
+	if (n->waits)
+		u->waiting = MAX(u->waiting - n->cost, 0);
+	else
+		note_demand(u, n->cost, now);
 	/* Nobody goes before those who wait. */
-	if (may_spend(u, now) >= cost && (waits || u->waiting <= 0)) {
+	if (may_spend(u, now) >= n->cost && (n->waits || u->waiting <= 0)) {
 		u->first = 0;
-		return spend(e, u, cost);
+		return spend(e, u, n->cost);
 	}
 	if (is_alone(u, now) && now - alone_since(u) >= AWAIT_MS) {
-		*back = quota_back_ms(cost - u->tokens,
+		*back = quota_back_ms(n->cost - u->tokens,
 				      now < u->rate_ms ? u->rate : 0);
 		return QUOTA_NO;
 	}
 	*back = none_for(u, now);
-	if (*back > HOLD_MS)
+	if (*back > hold_ms(u, n, now))
 		return QUOTA_NO;
-	if (u->waiting <= 0 || waits)
-		u->first = cost;
-	u->waiting += cost;
+	if (u->waiting <= 0 || n->waits)
+		u->first = n->cost;
+	u->waiting += n->cost;
 	make_due(e, u);
 	return QUOTA_WAIT;
 }
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -13,6 +13,9 @@
  * ask for less. Those refused together return within the spread. */
 #define QUOTA_BACK_MAX_MS 4000
 #define QUOTA_SPREAD_MS 300
+/* Of its objective: a request waits for tokens that are expected within that,
+ * so that who asks for too much has some served in time, not all too late. */
+#define QUOTA_HOLD_SHARE 0.5
 /* What was spent for a request that hasn't run is given back for so long. */
 #define REFUND_MS 500
 /* Beyond so much a second customers' shares of turns are alike; those without a
@@ -208,13 +211,16 @@
 {
 	struct gate *g = f->g;
 	int64_t now = gate_now(g), back_ms = 0;
+	struct quota_need need = { f->cost, waits,
+				   (int64_t)((double)f->route->objective_ms *
+					     QUOTA_HOLD_SHARE) };
 
-	switch (quota_lease.take(g->quota, f->customer, f->cost, waits, now,
-				 &back_ms)) {
+	switch (quota_lease.take(g->quota, f->customer, &need, now, &back_ms)) {
 	case QUOTA_WAIT:
 		return true;
 	case QUOTA_YES:
 		f->charged_ms = now;
+		f->quota_ms = now - f->start_ms;
 		leave_line(f);
 		enter_lane(f);
 		return false;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -67,6 +67,7 @@
 	bool keyed;		   /* by the routing that it came under */
 	double cost;		   /* against the customer's limit */
 	int64_t charged_ms;	   /* when that was spent; -1: it isn't */
+	int64_t quota_ms;	   /* that it waited for that */
 	GQueue *quota_line;	   /* that it waits in; NULL: none */
 	struct platform_call call; /* views into the caller's head */
 	char *id, *model, *adapter;
--- a/test/quota_world.c
+++ b/test/quota_world.c
@@ -18,6 +18,8 @@
 #define SPREAD_MS 200
 /* A request waits no longer for an allotment, in ms. */
 #define WAIT_MS 2500
+/* It waits for tokens that are expected within this, in ms. */
+#define HOLD_MS 300
 /* After a change of limits a window is judged once it has been in force for a
  * window's length and the time that a change takes, in ms. */
 #define APPLY_MS 2500
@@ -319,8 +321,9 @@
 	int64_t back, now = clock_of(w, n);
 
 	while (all && (first = g_queue_peek_head(all))) {
-		enum quota_answer a = w->o->way->take(
-			n->entry, p->c, first->cost, true, now, &back);
+		struct quota_need need = { first->cost, true, HOLD_MS };
+		enum quota_answer a =
+			w->o->way->take(n->entry, p->c, &need, now, &back);
 
 		if (a == QUOTA_WAIT && w->now - first->at_ms < WAIT_MS)
 			return;
@@ -370,6 +373,7 @@
 	struct person *p = &w->p[customer];
 	struct node *n = &w->n[entry];
 	struct request q = { w->now, customer, cost };
+	struct quota_need need = { cost, false, HOLD_MS };
 	int64_t back;
 
 	/* Callers don't reach it: nobody's quota is at fault. */
@@ -377,8 +381,7 @@
 		return;
 	w->requests++;
 	owe(w, p, cost);
-	switch (w->o->way->take(n->entry, p->c, cost, false, clock_of(w, n),
-				&back)) {
+	switch (w->o->way->take(n->entry, p->c, &need, clock_of(w, n), &back)) {
 	case QUOTA_YES:
 		admit(w, p, &q);
 		break;
--- a/test/test_gate_quota.c
+++ b/test/test_gate_quota.c
@@ -4,7 +4,7 @@
 #define CONFIG(customers)                                                      \
 	"{\"version\":2,\"routes\":["                                          \
 	"{\"name\":\"safe\",\"host\":\"h\",\"prefix\":\"/safe/\","             \
-	"\"type\":\"safe\",\"timeoutMs\":9000,\"attempts\":2,"                 \
+	"\"type\":\"safe\",\"timeoutMs\":9000,\"goalMs\":300,\"attempts\":2,"  \
 	"\"service\":\"web\"},"                                                \
 	"{\"name\":\"night\",\"host\":\"h\",\"prefix\":\"/night/\","           \
 	"\"type\":\"stream\",\"timeoutMs\":9000,\"attempts\":2,"               \
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -200,7 +200,9 @@
 {
 	int64_t back;
 
-	return quota_lease.take(p->entry, p->c, cost, waits, p->now, &back);
+	struct quota_need n = { cost, waits, 300 };
+
+	return quota_lease.take(p->entry, p->c, &n, p->now, &back);
 }
 
 /* Each request waits for the place, though its entry could hold enough. */
@@ -248,6 +250,7 @@
 /* A refused caller is told a time at which it is refused again. */
 static void refused_are_told_when_it_is_there(void **state)
 {
+	struct quota_need need = { 1000, true, 300 };
 	struct pair p;
 	int64_t back;
 
@@ -258,8 +261,7 @@
 	assert_int_equal(ask(&p, 3000, true), QUOTA_YES);
 	assert_int_equal(ask(&p, 1000, false), QUOTA_WAIT);
 	talk(&p);
-	assert_int_equal(quota_lease.take(p.entry, p.c, 1000, true, p.now,
-					  &back),
+	assert_int_equal(quota_lease.take(p.entry, p.c, &need, p.now, &back),
 			 QUOTA_NO);
 	assert_in_range(back, 2500, 3500);
 	p.now += back + 100;
