Show operators customers' limits, what is left of them and who was refused

What an on-call engineer lacked: which customer is over its limit, what entries hold of it and how old that is, how many keys are in force.

Change: sapphireshiftctl customers (limit, number of keys, left, held, entries, granted, refused), the same in a status; counters by customer at entries, two hundred of them and the rest together; a log line for each request that is over a limit (held, age of the allotment, whether the entry is alone, time to return, version); losses tells waiting for a limit from waiting for a leader. Keys are told nowhere.

Tests: test_quota sides_tell_what_they_know, test_gate_quota metrics_by_customer_are_bounded, test_summary (a row).

--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -402,12 +402,18 @@
 };
 
 static const struct wire_field quota_ask_item_fields[] = {
-	F(1, WIRE_STR, quota_ask, customer), F(2, WIRE_UINT, quota_ask, number),
-	F(3, WIRE_INT, quota_ask, held),     F(4, WIRE_INT, quota_ask, want),
-	F(5, WIRE_INT, quota_ask, first),    F(6, WIRE_INT, quota_ask, demand),
-	F(7, WIRE_INT, quota_ask, alone),    F(8, WIRE_INT, quota_ask, rate),
-	F(9, WIRE_INT, quota_ask, back),     F(10, WIRE_INT, quota_ask, usual),
+	F(1, WIRE_STR, quota_ask, customer),
+	F(2, WIRE_UINT, quota_ask, number),
+	F(3, WIRE_INT, quota_ask, held),
+	F(4, WIRE_INT, quota_ask, want),
+	F(5, WIRE_INT, quota_ask, first),
+	F(6, WIRE_INT, quota_ask, demand),
+	F(7, WIRE_INT, quota_ask, alone),
+	F(8, WIRE_INT, quota_ask, rate),
+	F(9, WIRE_INT, quota_ask, back),
+	F(10, WIRE_INT, quota_ask, usual),
 	F(11, WIRE_INT, quota_ask, reserve),
+	F(12, WIRE_INT, quota_ask, refused),
 };
 static const struct wire_type quota_ask_type =
 	T(quota_ask, quota_ask_item_fields);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -302,6 +302,11 @@
 	return ask_print(c, "GET", "/v1/status", NULL, print_status);
 }
 
+static int cmd_customers(struct ctl *c)
+{
+	return ask_print(c, "GET", "/v1/status", NULL, print_customers);
+}
+
 static int cmd_why(struct ctl *c)
 {
 	char *path = path_of("/v1/why/", c->args[0]);
@@ -476,6 +481,7 @@
 	{ "members", "list", 0, "", cmd_members_list, false },
 	{ "members", "remove", 1, "ID", cmd_members_remove, false },
 	{ "status", NULL, 0, "", cmd_status, false },
+	{ "customers", NULL, 0, "", cmd_customers, false },
 	{ "why", NULL, 1, "MODEL", cmd_why, false },
 	{ "explain", NULL, 2, "REQUEST LOG...", cmd_explain, true },
 	{ "losses", NULL, 1, "LOG...", cmd_losses, true },
--- a/src/ctl/print.c
+++ b/src/ctl/print.c
@@ -164,6 +164,24 @@
 	each(o, "queues", print_queue);
 }
 
+static void print_customer(json_object *c)
+{
+	printf("%-24s %4" PRId64 " %-8s %12" PRId64 " %12" PRId64 " %12" PRId64
+	       " %12" PRId64 " %7" PRId64 " %14" PRId64 " %14" PRId64 "\n",
+	       text(c, "name"), number(c, "keys"), text(c, "unit"),
+	       number(c, "per_s"), number(c, "burst"), number(c, "left"),
+	       number(c, "held"), number(c, "entries"), number(c, "granted"),
+	       number(c, "refused"));
+}
+
+void print_customers(json_object *o)
+{
+	printf("%-24s %4s %-8s %12s %12s %12s %12s %7s %14s %14s\n", "customer",
+	       "keys", "unit", "a second", "burst", "left", "held", "entries",
+	       "granted", "refused");
+	each(o, "customers", print_customer);
+}
+
 void print_why(json_object *o)
 {
 	printf("%s: %" PRId64 " waiting; %s\n", text(o, "model"),
--- a/src/ctl/print.h
+++ b/src/ctl/print.h
@@ -11,6 +11,7 @@
 void print_models(struct json_object *o);
 void print_members(struct json_object *o);
 void print_status(struct json_object *o);
+void print_customers(struct json_object *o);
 void print_why(struct json_object *o);
 
 /* Fields in which two objects differ, one a line. */
--- a/src/ctl/summary.c
+++ b/src/ctl/summary.c
@@ -9,6 +9,7 @@
 /* Why a request wasn't answered within its objective. */
 enum reason {
 	REASON_IN_TIME,
+	REASON_QUOTA,	/* late: it waited for its customer's limit */
 	REASON_START,	/* late: its entry had just started, nobody led */
 	REASON_MODEL,	/* late: it waited, and no engine had its model */
 	REASON_PLACE,	/* late: it waited for a place on a full endpoint */
@@ -25,6 +26,7 @@
 
 static const char *const reasons[REASONS] = {
 	[REASON_IN_TIME] = "in time",
+	[REASON_QUOTA] = "late: its customer's limit",
 	[REASON_START] = "late: nobody led yet",
 	[REASON_MODEL] = "late: no engine had its model",
 	[REASON_PLACE] = "late: full endpoint",
@@ -109,6 +111,8 @@
 		return paused(l) ? REASON_PAUSE : REASON_IN_TIME;
 	if (number(l, "sends") > 1)
 		return REASON_AGAIN;
+	if (number(l, "quota_ms") * 2 > first)
+		return REASON_QUOTA;
 	if (waited * 2 > first)
 		return waited_reason(log_line_get(l, "held_for"));
 	return number(l, "asks") > 0 ? REASON_ADAPTER : REASON_ENGINE;
--- a/src/customer/quota.h
+++ b/src/customer/quota.h
@@ -23,6 +23,21 @@
 	struct quota_slack slack;
 };
 
+/* What an entry holds of a customer's limit. */
+struct quota_view {
+	double held;
+	int64_t age_ms; /* of its place's last word; -1: none */
+	bool alone;	/* the place isn't reached, or says nothing */
+};
+
+/* What a place knows of a customer, for those who look. */
+struct quota_sight {
+	double level;		 /* that it has to hand out; below 0: a debt */
+	double held;		 /* by entries, not spent by their last word */
+	double granted, refused; /* since the place began */
+	uint64_t entries;	 /* that hold some, or may */
+};
+
 /* What a request needs. */
 struct quota_need {
 	double cost;
@@ -52,6 +67,7 @@
 	int64_t rate;	 /* that it may go on at alone, a second, ... */
 	int64_t reserve; /* ... and spend beyond what it holds */
 	int64_t back;	 /* that it gives back */
+	int64_t refused; /* to callers since the last ask */
 };
 
 /* The answer. */
@@ -98,8 +114,9 @@
 	/* Asks that are due; their strings live until the entry's next call. */
 	void (*asks)(void *entry, int64_t now, GArray *out);
 	void (*word)(void *entry, const struct quota_word *w, int64_t now);
-	/* Tokens held for a customer, for those who look. */
-	double (*held)(const void *entry, const char *customer);
+	/* What is held for a customer, for those who look. */
+	struct quota_view (*look)(const void *entry, const char *customer,
+				  int64_t now);
 
 	/* The side of the place that hands allotments out. */
 	void *(*place_new)(const struct quota_options *o, int64_t now);
@@ -109,6 +126,9 @@
 			  const struct customer *c, const struct quota_ask *a,
 			  int64_t now, struct quota_word *out);
 	void (*place_gone)(void *place, uint64_t holder, int64_t now);
+	/* False where nobody has asked for that customer. */
+	bool (*place_look)(void *place, const char *customer, int64_t now,
+			   struct quota_sight *out);
 	/* Forget what no longer counts; now and then. */
 	void (*place_tidy)(void *place, int64_t now);
 };
--- a/src/customer/quota_even.c
+++ b/src/customer/quota_even.c
@@ -113,12 +113,14 @@
 	(void)now;
 }
 
-static double even_held(const void *entry, const char *customer)
+static struct quota_view even_look(const void *entry, const char *customer,
+				   int64_t now)
 {
 	const struct even *e = entry;
 	const struct bucket *b = g_hash_table_lookup(e->buckets, customer);
 
-	return b ? b->tokens : 0;
+	(void)now;
+	return (struct quota_view){ b ? b->tokens : 0, -1, true };
 }
 
 const struct quota_way quota_even = {
@@ -132,5 +134,5 @@
 	.give_back = even_back,
 	.asks = even_asks,
 	.word = even_word,
-	.held = even_held,
+	.look = even_look,
 };
--- a/src/customer/quota_lease.c
+++ b/src/customer/quota_lease.c
@@ -38,6 +38,7 @@
 	double level;
 	int64_t ms; /* until when that was added up */
 	GArray *holders;
+	double granted, refused; /* since it was made */
 };
 
 struct place {
@@ -279,6 +280,8 @@
 	double n = grant(p, a, ask), first = quota_whole(ask->first);
 
 	a->level -= n;
+	a->granted += n;
+	a->refused += quota_whole(ask->refused);
 	h->held += n;
 	h->rate = alone_rate(p, a, h, now);
 	h->reserve = alone_reserve(p, a, h, quota_whole(ask->usual));
@@ -294,6 +297,24 @@
 	return true;
 }
 
+bool quota_lease_place_look(void *place, const char *customer, int64_t now,
+			    struct quota_sight *out)
+{
+	struct place *p = place;
+	struct account *a = g_hash_table_lookup(p->accounts, customer);
+
+	if (!a)
+		return false;
+	settle(p, a, now);
+	*out = (struct quota_sight){ .level = a->level,
+				     .granted = a->granted,
+				     .refused = a->refused,
+				     .entries = a->holders->len };
+	for (guint i = 0; i < a->holders->len; i++)
+		out->held += g_array_index(a->holders, struct holder, i).held;
+	return true;
+}
+
 void quota_lease_place_gone(void *place, uint64_t id, int64_t now)
 {
 	struct place *p = place;
@@ -353,10 +374,11 @@
 	.give_back = quota_lease_give_back,
 	.asks = quota_lease_asks,
 	.word = quota_lease_word,
-	.held = quota_lease_held,
+	.look = quota_lease_look,
 	.place_new = quota_lease_place_new,
 	.place_free = quota_lease_place_free,
 	.place_ask = quota_lease_place_ask,
 	.place_gone = quota_lease_place_gone,
+	.place_look = quota_lease_place_look,
 	.place_tidy = quota_lease_place_tidy,
 };
--- a/src/customer/quota_lease.h
+++ b/src/customer/quota_lease.h
@@ -60,12 +60,15 @@
 			   int64_t now);
 void quota_lease_asks(void *entry, int64_t now, GArray *out);
 void quota_lease_word(void *entry, const struct quota_word *w, int64_t now);
-double quota_lease_held(const void *entry, const char *customer);
+struct quota_view quota_lease_look(const void *entry, const char *customer,
+				   int64_t now);
 void *quota_lease_place_new(const struct quota_options *o, int64_t now);
 void quota_lease_place_free(void *place);
 bool quota_lease_place_ask(void *place, uint64_t id, const struct customer *c,
 			   const struct quota_ask *ask, int64_t now,
 			   struct quota_word *out);
+bool quota_lease_place_look(void *place, const char *customer, int64_t now,
+			    struct quota_sight *out);
 void quota_lease_place_gone(void *place, uint64_t id, int64_t now);
 void quota_lease_place_tidy(void *place, int64_t now);
 
--- a/src/customer/quota_owner.c
+++ b/src/customer/quota_owner.c
@@ -36,10 +36,11 @@
 	.give_back = quota_lease_give_back,
 	.asks = quota_lease_asks,
 	.word = quota_lease_word,
-	.held = quota_lease_held,
+	.look = quota_lease_look,
 	.place_new = quota_lease_place_new,
 	.place_free = quota_lease_place_free,
 	.place_ask = quota_lease_place_ask,
 	.place_gone = quota_lease_place_gone,
+	.place_look = quota_lease_place_look,
 	.place_tidy = quota_lease_place_tidy,
 };
--- a/src/customer/quota_purse.c
+++ b/src/customer/quota_purse.c
@@ -47,6 +47,7 @@
 	double mean;	       /* cost of a request */
 	double waiting, first; /* cost of all requests that wait; of one */
 	double wanted;	       /* when it was asked for last */
+	double refused;	       /* since then */
 	uint64_t number;
 	bool up;	  /* its place is reached, ... */
 	int64_t lost_ms;  /* ... or not, since then */
@@ -266,11 +267,14 @@
 	if (is_alone(u, now) && now - alone_since(u) >= AWAIT_MS) {
 		*back = quota_back_ms(n->cost - u->tokens,
 				      now < u->rate_ms ? u->rate : 0);
+		u->refused += n->cost;
 		return QUOTA_NO;
 	}
 	*back = none_for(u, now);
-	if (*back > hold_ms(u, n, now))
+	if (*back > hold_ms(u, n, now)) {
+		u->refused += n->cost;
 		return QUOTA_NO;
+	}
 	if (u->waiting <= 0 || n->waits)
 		u->first = n->cost;
 	u->waiting += n->cost;
@@ -331,7 +335,8 @@
 			       .want = quota_milli(MAX(want - u->tokens, 0)),
 			       .demand = quota_milli(u->demand),
 			       .alone = quota_milli(u->alone),
-			       .usual = quota_milli(u->mean) };
+			       .usual = quota_milli(u->mean),
+			       .refused = quota_milli(u->refused) };
 
 	if (now < u->rate_ms) {
 		a.rate = quota_milli(u->rate);
@@ -346,7 +351,7 @@
 		a.held = 0;
 		u->tokens = 0;
 	}
-	u->alone = 0;
+	u->alone = u->refused = 0;
 	if (!u->asked)
 		u->silent_ms = now;
 	u->told = u->asked = true;
@@ -423,10 +428,18 @@
 		make_due(e, u);
 }
 
-double quota_lease_held(const void *entry, const char *customer)
+struct quota_view quota_lease_look(const void *entry, const char *customer,
+				   int64_t now)
 {
 	const struct entry *e = entry;
 	const struct purse *u = g_hash_table_lookup(e->purses, customer);
+	struct quota_view v = { .age_ms = -1, .alone = !e->up };
 
-	return u ? u->tokens : 0;
+	if (!u)
+		return v;
+	v.held = u->tokens;
+	v.alone = is_alone(u, now);
+	if (u->until_ms)
+		v.age_ms = now - (u->until_ms - QUOTA_LEASE_MS);
+	return v;
 }
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -673,6 +673,7 @@
 	}
 	json_object_object_add(o, "endpoints", list);
 	fleet_suspects_status(l, o);
+	fleet_quota_status(l, o);
 	json_object_object_add(
 		o, "routing",
 		json_object_new_int64((int64_t)l->routing->version));
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -195,6 +195,7 @@
 /* The connection is gone, but still in the table of peers. */
 void fleet_quota_gone(struct fleet_lead *l, const struct conn *c);
 void fleet_quota_tick(struct fleet_lead *l, int64_t now);
+void fleet_quota_status(struct fleet_lead *l, json_object *o);
 
 /* fleet_push.c */
 /* Entries that know nothing yet get all of it. */
--- a/src/daemon/fleet_quota.c
+++ b/src/daemon/fleet_quota.c
@@ -1,10 +1,14 @@
 /* The fleet leader as the place that hands out customers' allotments. */
 #include "fleet_lead_int.h"
 
+#include <json-c/json.h>
+
 /* What an entry is told of a customer that isn't in the routing here, in ms: it
  * may be newer there. */
 #define UNKNOWN_WAIT_MS 200
 #define TIDY_MS 1000
+/* Customers in a status: some 100 KB. */
+#define STATUS_MOST 1000
 
 void fleet_quota_begin(struct fleet_lead *l)
 {
@@ -78,3 +82,42 @@
 	l->quota_ms = now;
 	quota_lease.place_tidy(l->quota, now);
 }
+
+/* Keys are told by their number only. */
+static json_object *status_of(struct fleet_lead *l, const struct customer *c)
+{
+	json_object *o = json_object_new_object();
+	struct quota_sight s = { 0 };
+
+	quota_lease.place_look(l->quota, c->name, fleet_lead_now(l), &s);
+	json_object_object_add(o, "name", json_object_new_string(c->name));
+	json_object_object_add(o, "keys", json_object_new_int64(c->keys->len));
+	json_object_object_add(o, "unit",
+			       json_object_new_string(c->limit.tokens ?
+							      "tokens" :
+							      "requests"));
+	json_object_object_add(o, "per_s",
+			       json_object_new_double(c->limit.per_s));
+	json_object_object_add(o, "burst",
+			       json_object_new_double(c->limit.burst));
+	json_object_object_add(o, "left", json_object_new_double(s.level));
+	json_object_object_add(o, "held", json_object_new_double(s.held));
+	json_object_object_add(o, "entries",
+			       json_object_new_int64((int64_t)s.entries));
+	json_object_object_add(o, "granted", json_object_new_double(s.granted));
+	json_object_object_add(o, "refused", json_object_new_double(s.refused));
+	return o;
+}
+
+void fleet_quota_status(struct fleet_lead *l, json_object *o)
+{
+	json_object *list = json_object_new_array();
+	GHashTableIter it;
+	void *c;
+
+	g_hash_table_iter_init(&it, l->routing->customers.by_name);
+	while (json_object_array_length(list) < STATUS_MOST &&
+	       g_hash_table_iter_next(&it, NULL, &c))
+		json_object_array_add(list, status_of(l, c));
+	json_object_object_add(o, "customers", list);
+}
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -22,6 +22,8 @@
  * limit count as large ones. */
 #define SHARE_MOST 1e9
 #define SHARE_UNLIMITED 1000000u
+/* Customers with metrics of their own. */
+#define COUNTED_MOST 200
 
 static struct ss_str path_of(struct ss_str target)
 {
@@ -136,6 +138,30 @@
 			(unsigned int)CLAMP(c->limit.per_s, 1, SHARE_MOST);
 }
 
+/* A customer's own, or those of all others: labels are bounded. */
+static struct customer_counts *counts_of(struct gate *g, const char *name)
+{
+	struct customer_counts *n = g_hash_table_lookup(g->counts, name);
+	struct metrics *m = g->o.metrics;
+	char *labels;
+
+	if (!n && g_hash_table_size(g->counts) >= COUNTED_MOST)
+		name = "";
+	if (!n)
+		n = g_hash_table_lookup(g->counts, name);
+	if (n)
+		return n;
+	n = g_new0(struct customer_counts, 1);
+	labels = g_strdup_printf("customer=\"%s\"", name);
+	n->requests =
+		metrics_value(m, "ss_gate_customer_requests_total", labels);
+	n->spent = metrics_value(m, "ss_gate_customer_spent_total", labels);
+	n->over = metrics_value(m, "ss_gate_customer_over_quota_total", labels);
+	g_hash_table_insert(g->counts, g_strdup(name), n);
+	g_free(labels);
+	return n;
+}
+
 static struct forward *forward_new(struct gate *g, struct caller_call *c,
 				   struct routing_route *rt,
 				   const struct platform_call *call,
@@ -211,6 +237,7 @@
 {
 	struct gate *g = f->g;
 	int64_t now = gate_now(g), back_ms = 0;
+	struct quota_view view;
 	struct quota_need need = { f->cost, waits,
 				   (int64_t)((double)f->route->objective_ms *
 					     QUOTA_HOLD_SHARE) };
@@ -221,6 +248,7 @@
 	case QUOTA_YES:
 		f->charged_ms = now;
 		f->quota_ms = now - f->start_ms;
+		*counts_of(g, f->customer->name)->spent += (uint64_t)f->cost;
 		leave_line(f);
 		enter_lane(f);
 		return false;
@@ -229,13 +257,16 @@
 	}
 	leave_line(f);
 	(*g->n_over_quota)++;
+	(*counts_of(g, f->customer->name)->over)++;
+	view = quota_lease.look(g->quota, f->customer->name, now);
 	log_info("over_quota",
-		 "request=%s customer=%s cost=%.0f held=%.0f waited_ms=%" PRId64
-		 " back_ms=%" PRId64 " per_s=%.0f burst=%.0f routing=%" PRIu64,
-		 f->id, f->customer->name, f->cost,
-		 quota_lease.held(g->quota, f->customer->name),
-		 now - f->start_ms, back_ms, f->customer->limit.per_s,
-		 f->customer->limit.burst, f->routing);
+		 "request=%s customer=%s cost=%.0f held=%.0f age_ms=%" PRId64
+		 " alone=%d waited_ms=%" PRId64 " back_ms=%" PRId64
+		 " per_s=%.0f burst=%.0f routing=%" PRIu64,
+		 f->id, f->customer->name, f->cost, view.held, view.age_ms,
+		 view.alone, now - f->start_ms, back_ms,
+		 f->customer->limit.per_s, f->customer->limit.burst,
+		 f->routing);
 	forward_refuse(
 		f, 429, "quota", "its customer's limit is reached",
 		MIN(back_ms, QUOTA_BACK_MAX_MS) +
@@ -366,6 +397,8 @@
 		return;
 	}
 	f = forward_new(g, c, rt, &call, who, body, came_ms);
+	if (who)
+		(*counts_of(g, who->name)->requests)++;
 	repeat_first(gate_budget(g, f->service->name), gate_now(g));
 	if (*f->model && !routing_model(f->service, f->model)) {
 		forward_refuse(f, 503, "unknown_model",
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -500,6 +500,8 @@
 	g->early = early_new();
 	g->quota = quota_lease.entry_new(&(struct quota_options){ 0 },
 					 g->since_ms);
+	g->counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->quota_lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)g_queue_free);
 	g->endings = g_ptr_array_new_with_free_func(ending_free);
@@ -549,6 +551,7 @@
 	g_hash_table_unref(g->paces);
 	g_hash_table_unref(g->hists);
 	g_hash_table_unref(g->quota_lines);
+	g_hash_table_unref(g->counts);
 	quota_lease.entry_free(g->quota);
 	routing_unref(g->routing);
 	g_free(g);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -116,6 +116,11 @@
 	int64_t event_ms, pause_ms;
 };
 
+/* Metrics of one customer; of all that came after the first hundreds. */
+struct customer_counts {
+	uint64_t *requests, *spent, *over;
+};
+
 /* Requests for one model of a service that wait. */
 struct lane {
 	char *service, *model;
@@ -160,6 +165,7 @@
 	void *quota;		 /* the entry's side of customers' limits */
 	GHashTable *quota_lines; /* customer -> GQueue of struct forward */
 	guint quota_waiting;	 /* in all of them */
+	GHashTable *counts;	 /* customer -> struct customer_counts */
 	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
 		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
 		*n_ended, *n_quarantined, *n_over_quota;
--- a/test/test_gate_quota.c
+++ b/test/test_gate_quota.c
@@ -1,7 +1,8 @@
 /* What callers get of a customer's limit at a gate. */
 #include "gate_fix.h"
 
-#define CONFIG(customers)                                                      \
+#define CONFIG(customers) CONFIG_HEAD customers "]}"
+#define CONFIG_HEAD                                                            \
 	"{\"version\":2,\"routes\":["                                          \
 	"{\"name\":\"safe\",\"host\":\"h\",\"prefix\":\"/safe/\","             \
 	"\"type\":\"safe\",\"timeoutMs\":9000,\"goalMs\":300,\"attempts\":2,"  \
@@ -11,7 +12,7 @@
 	"\"resumable\":true,\"service\":\"lm\"}],"                             \
 	"\"services\":[{\"name\":\"web\"},{\"name\":\"lm\",\"engine\":"        \
 	"{\"slots\":8,\"weightsMb\":80,\"models\":[{\"name\":\"m\","           \
-	"\"weightsMb\":30,\"loadS\":6}]}}],\"tenants\":[" customers "]}"
+	"\"weightsMb\":30,\"loadS\":6}]}}],\"tenants\":["
 #define ACME(per_s)                                                            \
 	"{\"name\":\"acme\",\"keys\":[\"key-1\"],\"unit\":\"token\","          \
 	"\"rawTokens\":200,\"ratePerS\":" per_s ",\"burst\":" per_s "}"
@@ -185,6 +186,43 @@
 	limited_close(&l);
 }
 
+/* Hundreds of customers make thousands of metrics. */
+static void metrics_by_customer_are_bounded(void **state)
+{
+	GString *config = g_string_new(ACME("1000")), *text;
+	struct limited l;
+	char *all;
+
+	(void)state;
+	for (int i = 0; i < 230; i++)
+		g_string_append_printf(
+			config, ",{\"name\":\"c%d\",\"keys\":[\"k%d\"]}", i, i);
+	all = g_strdup_printf("%s%s]}", CONFIG_HEAD, config->str);
+	limited_open(&l, all, "web", "");
+	script_both(&l, OK_TEXT);
+	for (int i = 0; i < 230; i++) {
+		char *q = g_strdup_printf(REQ("GET", "/safe/x") "Authorization:"
+								" Bearer k%d"
+								"\r\n\r\n",
+					  i);
+		struct caller *c = call(&l.f, q);
+
+		UNTIL(&l.f, ends(c, "hello"));
+		leave(c);
+		g_free(q);
+	}
+	text = g_string_new(NULL);
+	metrics_print(l.f.metrics, text);
+	assert_non_null(strstr(text->str, "{customer=\"c7\"} 1\n"));
+	assert_non_null(strstr(text->str, "{customer=\"\"} 30\n"));
+	assert_null(strstr(text->str, "c229"));
+	assert_null(strstr(text->str, "k7"));
+	g_string_free(text, TRUE);
+	g_string_free(config, TRUE);
+	g_free(all);
+	limited_close(&l);
+}
+
 /* A caller who leaves blocks those behind it for ever. */
 static void those_behind_one_who_left_go_on(void **state)
 {
@@ -263,6 +301,7 @@
 		cmocka_unit_test(request_waits_for_its_allotment),
 		cmocka_unit_test(refused_at_once_with_a_time),
 		cmocka_unit_test(refused_request_gets_its_tokens_back),
+		cmocka_unit_test(metrics_by_customer_are_bounded),
 		cmocka_unit_test(those_behind_one_who_left_go_on),
 		cmocka_unit_test(entry_alone_says_so_in_time),
 		cmocka_unit_test(second_try_costs_nothing),
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -384,6 +384,38 @@
 	}
 }
 
+/* What operators are told of a customer. */
+static void sides_tell_what_they_know(void **state)
+{
+	struct quota_sight s;
+	struct quota_view v;
+	struct pair p;
+
+	(void)state;
+	pair_open(&p, 1000);
+	assert_false(quota_lease.place_look(p.place, "a", p.now, &s));
+	assert_int_equal(quota_lease.look(p.entry, "a", p.now).age_ms, -1);
+	assert_int_equal(ask(&p, 2000, false), QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(ask(&p, 2000, true), QUOTA_YES);
+	p.now += 50;
+	v = quota_lease.look(p.entry, "a", p.now);
+	assert_int_equal(v.age_ms, 50);
+	assert_false(v.alone);
+	/* It lacks more than a request waits for: refused, and told. */
+	ask(&p, 2000, false);
+	talk(&p);
+	assert_int_equal(ask(&p, 2000, true), QUOTA_NO);
+	p.now += 5000;
+	ask(&p, 100, false);
+	talk(&p);
+	assert_true(quota_lease.place_look(p.place, "a", p.now, &s));
+	assert_true(s.granted >= 2000);
+	assert_true(s.refused >= 1999 && s.refused <= 2000);
+	assert_int_equal(s.entries, 1);
+	pair_close(&p);
+}
+
 /* A word on a customer that nobody here asked for. */
 static void words_of_others_change_nothing(void **state)
 {
@@ -395,7 +427,7 @@
 	(void)state;
 	pair_open(&p, 1000);
 	quota_lease.word(p.entry, &w, p.now);
-	assert_true(quota_lease.held(p.entry, "nobody") == 0);
+	assert_true(quota_lease.look(p.entry, "nobody", p.now).held == 0);
 	pair_close(&p);
 }
 
@@ -411,6 +443,7 @@
 		cmocka_unit_test(place_counts_what_is_spent_alone),
 		cmocka_unit_test(new_place_begins_empty),
 		cmocka_unit_test(what_was_spent_alone_is_taken_out),
+		cmocka_unit_test(sides_tell_what_they_know),
 		cmocka_unit_test(words_of_others_change_nothing),
 	};
 
--- a/test/test_summary.c
+++ b/test/test_summary.c
@@ -26,6 +26,11 @@
 	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=900 "
 		     "first_ms=1000 ms=1100 objective_ms=300 held_for=-"),
 	  "late: nobody led yet " },
+	{ "it waited for an allotment of its customer's",
+	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=900 "
+		     "first_ms=1000 ms=1100 objective_ms=300 quota_ms=900 "
+		     "held_for=-"),
+	  "late: its customer's limit " },
 	{ "its replicas were full",
 	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=900 "
 		     "first_ms=1000 ms=1100 objective_ms=300 held_for=place"),
