Play customers, keys and limits in the soak

Requests of a soak belong to three customers now, one of which may send less than it does; a check sees that no key reaches an endpoint, that each endpoint is told whose request it is, that nobody without a limit is refused for one, and that no window of the third has more than its limit and the slack.

--- a/test/fleet/soak.py
+++ b/test/fleet/soak.py
@@ -18,6 +18,8 @@
 from soak_checks import Checks
 from soak_faults import FAMILIES, Faults
 from soak_fleet import RELAYS, ROOT, Fleet
+from soak_customer_checks import CustomerChecks
+from soak_customers import listed
 from soak_operators import Operators
 
 # Seeds that failed once, with the time of their faults, their size and the
@@ -125,7 +127,7 @@
     fleet = Fleet(seed, daemon, entries, max(4, size - entries), relays)
     fleet.draw_speeds(random.Random(seed))
     callers = Callers(fleet)
-    operators = Operators(fleet, seed)
+    operators = Operators(fleet, seed, listed())
     faults = Faults(fleet, seed, only)
     lag = asyncio.ensure_future(watch_lag(fleet.world))
     try:
@@ -139,6 +141,7 @@
         await fleet.stop()
         lag.cancel()
     Checks(fleet, callers).all()
+    CustomerChecks(fleet, callers).all()
     return Played(fleet, callers, operators, faults)
 
 
--- a/test/fleet/soak_callers.py
+++ b/test/fleet/soak_callers.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+from soak_customers import bearer, customer_of
 from soak_http import Ended, connect
 from standin import MODELS
 
@@ -44,7 +45,8 @@
         self.outcome = ""
 
     def headers(self):
-        h = {"X-Request-Id": self.rid, "X-Deadline-Ms": self.deadline_ms}
+        h = {**bearer(customer_of(self.rid)),
+             "X-Request-Id": self.rid, "X-Deadline-Ms": self.deadline_ms}
         if self.kind in STREAMS:
             h["X-Model"] = self.model
             h["X-Events"] = self.total
--- a/test/fleet/soak_fleet.py
+++ b/test/fleet/soak_fleet.py
@@ -20,6 +20,9 @@
 GRACE_MS = 4000      # of an entry's planned stop
 # What the system may repeat: a share of the requests, and so many besides.
 RETRY_RATIO, RETRY_SLACK = 0.1, 20
+# By how much a customer's limit may be exceeded in a window.
+QUOTA_SLACK = {"quota_window_s": 4.0, "quota_overage": 0.1,
+               "quota_extra": 400}
 # A process that isn't harmed ends its planned stop so long after SIGTERM;
 # a control VM hands over first.
 STOP_BOUND_S = {"entry": GRACE_MS / 1000 + 0.5, "agent": 2.0, "control": 8.0,
@@ -210,7 +213,7 @@
             "control-%d" % i, "control", "%s:%d" % (own, self.frame_port),
             advertise="%s:%d" % (self.control_ip(i), self.frame_port),
             control_vm={"data": self.data_of(i), "found_group": first},
-            fleet={"operator_listen": "%s:%d" % (own, self.operator_port),
+            fleet={**QUOTA_SLACK, "operator_listen": "%s:%d" % (own, self.operator_port),
                    "vm_list": self.listing.addr})
 
     def relay_settings(self, i):
--- a/test/fleet/soak_operators.py
+++ b/test/fleet/soak_operators.py
@@ -27,10 +27,10 @@
 
 
 def mark(name, prefix):
-    return route(name, prefix, "safe", "web", 2.0, attempts=2)
+    return route(name, prefix, "safe", "web", 2.0, attempts=2, public=True)
 
 
-def routing(version, label, rate):
+def routing(version, label, rate, customers=None):
     t = TIMEOUT_S
     routes = [
         route("once", "/once/", "unsafe", "web", t["once"], attempts=1),
@@ -42,8 +42,11 @@
     routes += [mark("v%d" % k, "/v/%d/" % k)
                for k in range(max(1, version - MARKS), version + 1)]
     routes.append(mark("w" + label, "/w/%s/" % label))
-    return {"version": version, "routes": routes, "services": [
+    out = {"version": version, "routes": routes, "services": [
         {"name": "web"}, {"name": "lm", "engine": engine_parts(rate)}]}
+    if customers is not None:
+        out["tenants"] = customers
+    return out
 
 
 def label_of(got):
@@ -57,8 +60,9 @@
 class Operators:
     """What they have asked for, and what was acknowledged."""
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, customers=None):
         self.f, self.world = fleet, fleet.world
+        self.customers = customers
         self.rng = random.Random(seed)
         self.version, self.acked = 0, 0
         self.acked_at = {}   # version -> time of its first acknowledgement
@@ -99,7 +103,8 @@
         self.labels += 1
         label = "c%d" % self.labels
         self.asked.setdefault(n, set()).add(label)
-        body = json.dumps(routing(n, label, self.f.loads_per_s())).encode()
+        body = json.dumps(routing(n, label, self.f.loads_per_s(),
+                                  self.customers)).encode()
         status, _ = await self.operate(
             "POST", "/sapphireshift/Config.Put", body)
         if status == 200:
--- a/test/fleet/soak_poison.py
+++ b/test/fleet/soak_poison.py
@@ -2,6 +2,7 @@
 import asyncio
 import time
 
+from soak_customers import CUSTOMERS, bearer
 from soak_http import Ended, http
 
 # Endpoints that a request may end before it has to be stopped everywhere.
@@ -30,7 +31,8 @@
         self.n += 1
         rid = "%s-%d" % (self.path.strip("/").replace("/", "-"), self.n)
         self.f.world.sent_to[rid] = entry
-        headers = dict(self.headers, X_Request_Id=rid, X_Deadline_Ms=4000)
+        headers = dict(self.headers, X_Request_Id=rid, X_Deadline_Ms=4000,
+                       **bearer(CUSTOMERS[0]))
         headers = {k.replace("_", "-"): v for k, v in headers.items()}
         try:
             status, fields, _ = await asyncio.wait_for(http(
--- a/test/fleet/standin.py
+++ b/test/fleet/standin.py
@@ -61,6 +61,7 @@
     def __init__(self):
         self.runs = {}       # request id -> [Run, ...]
         self.sent_to = {}    # request id -> the entry that it was sent to
+        self.heard = {}      # request id -> headers of each that came
         self.arrivals = {}   # service -> [(time, request id), ...]
         self.loads = []      # when a load from the store began
         self.ended_by = {}   # poison request's body -> [time of an end, ...]
@@ -70,6 +71,11 @@
         self.over = 0.0      # when the run ended
         self.lag = 0.0       # the longest that the soak itself was late
 
+    def hear(self, headers):
+        rid = headers.get("x-request-id")
+        if rid:
+            self.heard.setdefault(rid, []).append(headers)
+
     def arrived(self, service, rid):
         self.arrivals.setdefault(service, []).append((time.monotonic(), rid))
 
@@ -188,6 +194,7 @@
                 line, headers = head
                 n = int(headers.get("content-length", 0))
                 body = await reader.readexactly(n) if n else b""
+                self.world.hear(headers)
                 self.received(line, headers, body)
                 while self.silent:
                     await asyncio.sleep(STEP)
