Measure what customers' limits add to a request's path

./measure path has a fourth way: the gate with one customer's key and a limit that is never reached, in turns with the gate without.

--- a/bench/load.c
+++ b/bench/load.c
@@ -22,7 +22,7 @@
 	struct event_base *base;
 	char *ip;
 	uint16_t port;
-	const char *path, *body, *method;
+	const char *path, *body, *method, *key; /* key: NULL for none */
 	struct hist latency, first, pause;
 	uint64_t requests, events, errors, asked;
 };
@@ -87,6 +87,8 @@
 	evhttp_add_header(h, "X-Deadline-Ms", "30000");
 	g_snprintf(id, sizeof(id), "%d-%" PRIu64, getpid(), ++c->l->asked);
 	evhttp_add_header(h, "X-Request-Id", id);
+	if (c->l->key)
+		evhttp_add_header(h, "Authorization", c->l->key);
 	if (post)
 		http_add_body(req, ss_str(c->l->body));
 	c->sent_us = now_us();
@@ -120,6 +122,8 @@
 		{ "body", 'b', POPT_ARG_STRING, &l.body, 0, "body", NULL },
 		{ "method", 'm', POPT_ARG_STRING, &l.method, 0, "method",
 		  NULL },
+		{ "key", 'k', POPT_ARG_STRING, &l.key, 0,
+		  "of a customer, with its scheme", NULL },
 		{ "connections", 'c', POPT_ARG_INT, &conns, 0, "count", NULL },
 		{ "seconds", 's', POPT_ARG_INT, &seconds, 0, "how long", NULL },
 		{ "spread", 'r', POPT_ARG_INT, &spread_ms, 0,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -9,7 +9,7 @@
 HOST = "x"  # as bench-load names it
 
 
-def routing():
+def routing(customers):
     routes = [
         {"name": "read", "prefix": "/svc/portal-web/", "type": "safe",
          "service": "web", "attempts": 2},
@@ -17,15 +17,23 @@
          "service": "lm", "attempts": 1}]
     for r in routes:
         r.update(host=HOST, timeoutMs=30000)
-    return {"version": 1, "routes": routes,
-            "services": [{"name": "web"}, {"name": "lm"}]}
+    out = {"version": 1, "routes": routes,
+           "services": [{"name": "web"}, {"name": "lm"}]}
+    if customers:
+        out["tenants"] = customers
+    return out
 
 
 class Fleet:
     """addr is the entry's for callers, status that of its metrics."""
 
-    def __init__(self, folder, build, ports, endpoints):
+    def __init__(self, folder, build, ports, endpoints, customers=None):
         """endpoints: service -> address of a stand-in that is up."""
+        self.customers = customers
+        self.headers = {"Host": HOST}
+        if customers:
+            self.headers["Authorization"] = (
+                "Bearer " + customers[0]["keys"][0])
         self.folder, self.build = folder, os.path.join(ROOT, build)
         shutil.rmtree(folder, ignore_errors=True)
         os.makedirs(folder)
@@ -55,7 +63,7 @@
 
     def _try(self, addr, method, path, body=None):
         try:
-            return request(addr, method, path, body, {"Host": HOST})[0]
+            return request(addr, method, path, body, self.headers)[0]
         except OSError:
             return 0
 
@@ -71,7 +79,7 @@
                  why="the list is up")
         wait_for(lambda: self._try(
             self.operator, "POST", "/sapphireshift/Config.Put",
-            routing()) == 200, why="the routing is in force")
+            routing(self.customers)) == 200, why="the routing is in force")
         wait_for(lambda: self._try(
             self.addr, "GET", "/svc/portal-web/seats/1") == 200,
             why="the fleet's entry answers")
--- a/tools/path.py
+++ b/tools/path.py
@@ -1,5 +1,5 @@
 """Speed of the path: at the stand-in directly, through agents, and through
-the gate of a fleet, in turns within one run, so that all meet the same noise.
+the gate of a fleet, with and without customers' limits, in turns within one run, so that all meet the same noise.
 """
 import argparse
 import json
@@ -18,6 +18,9 @@
 # A stream of TOKENS at 1 ms each; they begin spread over that time, so that
 # each newcomer is seen beside others, not beside a crowd of newcomers.
 TOKENS, STREAM_MS = 400, 400
+# Of the way with limits: one that is never reached.
+CUSTOMERS = [{"name": "one", "keys": ["key-1"], "unit": "token",
+              "rawTokens": 200, "ratePerS": 1e12, "burst": 1e12}]
 
 
 def load(build, addr, path, *args):
@@ -38,8 +41,9 @@
 class Way:
     """One way to the endpoint, and the processes that it goes through."""
 
-    def __init__(self, name, web, lm, procs):
-        self.name, self.web, self.lm, self.procs = name, web, lm, procs
+    def __init__(self, name, web, lm, procs, *more):
+        self.name, self.procs = name, procs
+        self.web, self.lm = web + more, lm + more
 
     def cpu_us(self):
         return {name: metrics(addr)["ss_process_cpu_ms_total"] * 1e3
@@ -114,7 +118,7 @@
         c.close()
 
 
-def ways_of(s, f):
+def ways_of(s, f, limited):
     lm = "/v1/chat/completions"
     web = "/svc/portal-web/seats/1"
     entry = s.addr["entry-1"]
@@ -125,11 +129,14 @@
             "entry": entry,
             "service agent": s.addr["agent-service-1-status"],
             "engine agent": s.addr["agent-engine-1-status"]}),
-        Way("gate", (f.addr, web), (f.addr, lm), {"entry": f.status})]
+        Way("gate", (f.addr, web), (f.addr, lm), {"entry": f.status}),
+        Way("limited", (limited.addr, web), (limited.addr, lm),
+            {"entry": limited.status}, "-k",
+            limited.headers["Authorization"])]
 
 
-def measure(s, f, args):
-    ways = [w for w in ways_of(s, f) if not args.ways or
+def measure(s, f, limited, args):
+    ways = [w for w in ways_of(s, f, limited) if not args.ways or
             w.name in args.ways.split(",")]
     print("each entry is one thread, on one of %d processors; load of the "
           "machine %.1f" % (len(os.sched_getaffinity(0)), os.getloadavg()[0]))
@@ -144,7 +151,7 @@
     p.add_argument("--build", default="build")
     p.add_argument("--seconds", type=int, default=2)
     p.add_argument("--ways", default="",
-                   help="only these, of directly,agents,gate")
+                   help="only these, of directly,agents,gate,limited")
     args = p.parse_args()
     models = {"letter-writer": {"pool": "lm-pool", "bytes": 1 << 30,
                                 "slots": MANY}}
@@ -153,19 +160,23 @@
     keep = dict(PRESETS["ordinary"], keep_min_ms=3600000,
                 keep_max_ms=3600000)
     s = System(folder, build=args.build, entries=1, engines=1, token_ms=1,
-               models=models, log_level="warn", spare_ports=6,
+               models=models, log_level="warn", spare_ports=12,
                presets={"ordinary": keep})
-    f = Fleet(folder + "-fleet", args.build, s.spare, {
-        "web": s.addr["service-1"], "lm": s.addr["engine-1"]})
+    endpoints = {"web": s.addr["service-1"], "lm": s.addr["engine-1"]}
+    f = Fleet(folder + "-fleet", args.build, s.spare[:6], endpoints)
+    limited = Fleet(folder + "-limited", args.build, s.spare[6:], endpoints,
+                    CUSTOMERS)
     try:
         s.start()
         wait_for(lambda: request(
             s.addr["entry-1"], "GET", "/svc/portal-web/seats/1")[0] == 200)
         chat(s.addr["entry-1"], "letter-writer", "warm", max_tokens=1)
         f.start()
-        measure(s, f, args)
+        limited.start()
+        measure(s, f, limited, args)
         idle_memory(s)
     finally:
+        limited.kill()
         f.kill()
         s.kill()
     return 0
