Let a new leader hand out part of the slack at once

Cause: a new place begins with empty buckets, since what the former handed out last isn't known; all that waited then waited for the rate.

Change: it begins with a fifth of the slack. Entries may hold a fifth of it (a quarter before) and spend a quarter alone (35 % before), so that all of it together with the former leader's stays within the slack.

Ruled out: asking entries what they have spent lately; those that were lost with the leader can't say.

--- a/src/customer/quota_lease.c
+++ b/src/customer/quota_lease.c
@@ -6,8 +6,11 @@
 /* Parts of the slack that entries may hold, and may spend beyond that alone.
  * The rest is for those that a new place doesn't hear, and for single requests
  * beyond the limit. */
-#define HELD_SHARE 0.25
-#define RESERVE_SHARE 0.35
+#define HELD_SHARE 0.2
+#define RESERVE_SHARE 0.25
+/* And that a new place begins with: what came before isn't known, and those who
+ * wait for it needn't all wait for the rate. */
+#define START_SHARE 0.2
 /* Without slack, a part of the burst is kept for what they hold. */
 #define HELD_BURST 0.25
 /* Part of the burst that comes with the rate, over a window: who asks for more
@@ -156,8 +159,10 @@
 		a->name = g_strdup(c->name);
 		a->holders = g_array_new(FALSE, TRUE, sizeof(struct holder));
 		a->limit = c->limit;
-		/* Empty when this place began; what has come since is there. */
+		/* What has come since this place began is there, too. */
 		a->ms = p->since_ms;
+		a->level = MIN(START_SHARE * slack_of(p, &c->limit),
+			       burst_of(p, &c->limit));
 		g_hash_table_insert(p->accounts, a->name, a);
 	}
 	settle(p, a, now);
--- a/src/customer/quota_lease.h
+++ b/src/customer/quota_lease.h
@@ -9,7 +9,7 @@
  * and haven't spent is bounded by the slack. An entry that loses the place goes
  * on at the rate that it was told last, for a lease's time, and the place takes
  * that out of the bucket until it hears what was spent. A new place begins with
- * empty buckets, and for a lease's time leaves alone what entries that it
+ * part of the slack, and for a lease's time leaves alone what entries that it
  * doesn't hear may spend.
  */
 #ifndef SS_QUOTA_LEASE_H
