--- a/src/customer/quota_lease.c
+++ b/src/customer/quota_lease.c
@@ -211,47 +211,54 @@
 	return h;
 }
 
-/* Part of the limit that an entry may go on at alone: by its demand, within
- * what the others have. */
-static double alone_rate(const struct place *p, const struct account *a,
-			 const struct holder *h, int64_t now)
+/* What the other holders have, and all holders' demand. */
+struct others {
+	double rate, reserve, demand;
+};
+
+static struct others others_of(const struct account *a, const struct holder *h)
 {
-	double all = ALONE_SHARE * a->limit.per_s;
-	double others = 0, demand = 0;
+	struct others o = { 0 };
 
 	for (guint i = 0; i < a->holders->len; i++) {
 		const struct holder *x =
 			&g_array_index(a->holders, struct holder, i);
 
-		demand += x->demand;
-		if (x != h)
-			others += x->rate;
+		o.demand += x->demand;
+		o.rate += x == h ? 0 : x->rate;
+		o.reserve += x == h ? 0 : x->reserve;
 	}
-	if (now - p->since_ms < QUOTA_LEASE_MS + LEASE_MARGIN_MS)
-		others += unheard_rate(p, a, now);
-	if (demand <= 0)
-		return 0;
-	return MAX(MIN(all * h->demand / demand, all - others), 0);
+	return o;
+}
+
+/* Its part of something, by its demand. */
+static double part_of(double all, const struct holder *h,
+		      const struct others *o)
+{
+	return o->demand > 0 ? all * h->demand / o->demand : 0;
+}
+
+/* Part of the limit that an entry may go on at alone, within what the others
+ * have. */
+static double alone_rate(const struct place *p, const struct account *a,
+			 const struct holder *h, const struct others *o,
+			 int64_t now)
+{
+	double all = ALONE_SHARE * a->limit.per_s;
+	double left = all - o->rate - unheard_rate(p, a, now);
+
+	return MAX(MIN(part_of(all, h, o), left), 0);
 }
 
 /* What an entry may spend beyond what it holds: less than a request is of no
  * use. */
 static double alone_reserve(const struct place *p, const struct account *a,
-			    const struct holder *h, double usual)
+			    const struct holder *h, const struct others *o,
+			    double usual)
 {
 	double all = RESERVE_SHARE * slack_of(p, &a->limit);
-	double others = 0, demand = 0, part;
 
-	for (guint i = 0; i < a->holders->len; i++) {
-		const struct holder *x =
-			&g_array_index(a->holders, struct holder, i);
-
-		demand += x->demand;
-		if (x != h)
-			others += x->reserve;
-	}
-	part = demand > 0 ? all * h->demand / demand : 0;
-	return MAX(MIN(MAX(part, usual), all - others), 0);
+	return MAX(MIN(MAX(part_of(all, h, o), usual), all - o->reserve), 0);
 }
 
 /* Until a request can be granted. */
@@ -283,13 +290,15 @@
 	struct account *a = account_of(p, c, now);
 	struct holder *h = hear(a, id, ask, now);
 	double n = grant(p, a, ask), first = quota_whole(ask->first);
+	struct others o;
 
 	a->level -= n;
 	a->granted += n;
 	a->refused += quota_whole(ask->refused);
 	h->held += n;
-	h->rate = alone_rate(p, a, h, now);
-	h->reserve = alone_reserve(p, a, h, quota_whole(ask->usual));
+	o = others_of(a, h);
+	h->rate = alone_rate(p, a, h, &o, now);
+	h->reserve = alone_reserve(p, a, h, &o, quota_whole(ask->usual));
 	*out = (struct quota_word){ .customer = ask->customer,
 				    .number = ask->number,
 				    .grant = quota_milli(n),
