Refuse a request that a customer would pay off for hours

A request that tells a hundred million tokens was granted once its customer's bucket was full, as any request larger than the burst is, and left a debt of hours in which all of its other requests were refused.

Change: one that takes more than the burst and four seconds of the rate is refused at once, with the time that it would take. Those that are merely larger than the burst are served as before.

test_quota: absurd_request_blocks_nobody (failed before: the customer's next request got nothing).

--- a/src/customer/quota_purse.c
+++ b/src/customer/quota_purse.c
@@ -15,6 +15,11 @@
 /* Demand is the mean of the last seconds, in ms: one request alone says that
  * no other will come while an allotment lasts. */
 #define DEMAND_MS 3000
+/* A request that takes more than a burst and the whole rate for so long, in s,
+ * is a mistake: its customer would pay it off for as long. */
+#define LARGEST_S 4
+/* The usual cost is a mean of some so many requests. */
+#define MEAN_OF 8
 /* Where a request is expected within so long, in s, there is to be enough for
  * one. */
 #define NEXT_S 2.0
@@ -206,7 +211,7 @@
 static void note_demand(struct purse *u, double cost, int64_t now)
 {
 	u->demand += cost * 1000 / DEMAND_MS;
-	u->mean += (cost - u->mean) / (u->mean > 0 ? 8 : 1);
+	u->mean += (cost - u->mean) / (u->mean > 0 ? MEAN_OF : 1);
 	u->used_ms = now;
 }
 
@@ -255,6 +260,10 @@
 	struct purse *u = purse_of(e, c->name, now);
 
 	settle_purse(u, now);
+	if (n->cost > c->limit.burst + c->limit.per_s * LARGEST_S) {
+		*back = quota_back_ms(n->cost, c->limit.per_s);
+		return QUOTA_NO;
+	}
 	if (n->waits)
 		u->waiting = MAX(u->waiting - n->cost, 0);
 	else
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -247,6 +247,25 @@
 	pair_close(&p);
 }
 
+/* A request that tells millions of tokens is a debt of hours. */
+static void absurd_request_blocks_nobody(void **state)
+{
+	struct pair p;
+
+	(void)state;
+	pair_open(&p, 4200);
+	assert_int_equal(ask(&p, 1e8, false), QUOTA_NO);
+	for (int i = 0; i < 5; i++) {
+		p.now += 500;
+		assert_int_equal(ask(&p, 1e8, false), QUOTA_NO);
+		if (ask(&p, 1000, false) == QUOTA_WAIT) {
+			talk(&p);
+			assert_int_equal(ask(&p, 1000, true), QUOTA_YES);
+		}
+	}
+	pair_close(&p);
+}
+
 /* A refused caller is told a time at which it is refused again. */
 static void refused_are_told_when_it_is_there(void **state)
 {
@@ -439,6 +458,7 @@
 		cmocka_unit_test(even_parts_refuse_what_is_owed),
 		cmocka_unit_test(no_request_waits_where_enough_is_held),
 		cmocka_unit_test(large_request_is_served),
+		cmocka_unit_test(absurd_request_blocks_nobody),
 		cmocka_unit_test(refused_are_told_when_it_is_there),
 		cmocka_unit_test(entry_alone_goes_on_for_its_lease),
 		cmocka_unit_test(place_counts_what_is_spent_alone),
