Tell of an end though other connections close a moment later

An endpoint that still has connections passes for one that runs: the end was forgotten, and only the last of the three requests was told of. Ruled out: the leader's count (it was told of nothing), a log of ends that forgets, an entry without a leader. Change: where nobody listens the other connections have 200 ms to be seen closed, too; a call that goes on for longer means that the endpoint hasn't ended.

--- a/src/proxy/endings.c
+++ b/src/proxy/endings.c
@@ -5,7 +5,7 @@
  * little: the answer may have broken off, the connection may have been reset,
  * or the endpoint has ended with all that it ran. It has ended where nobody
  * listens at its address just after that, and no other connection to it is
- * left.
+ * left when those that its end closed have been looked at.
  */
 #include "gate_int.h"
 
@@ -17,16 +17,20 @@
 /* The endpoint's VM answers by then, in ms, also where the first packet was
  * lost; an endpoint takes longer to start again. */
 #define PROBE_WAIT_MS 1500
+/* A process that is short of time has looked at all closed connections by then,
+ * in ms; calls that go on without a listener are under way for longer. */
+#define CLOSED_WAIT_MS 200
 /* Requests kept of one end: more than any endpoint runs at a time. */
 #define PRINTS_MAX 512
 
 struct ending {
 	struct gate *g;
 	char *addr, *id;
-	uint64_t life;	      /* the gate's number of that incarnation */
-	uint64_t global_life; /* the same in all processes */
-	struct probe *probe;
-	GArray *prints; /* struct fingerprint, each once */
+	uint64_t life;	       /* the gate's number of that incarnation */
+	uint64_t global_life;  /* the same in all processes */
+	struct probe *probe;   /* NULL: nobody listens */
+	int64_t wait_until_ms; /* for other connections to be closed, then */
+	GArray *prints;	       /* struct fingerprint, each once */
 };
 
 void ending_free(void *p)
@@ -58,11 +62,28 @@
 	struct gate *g = e->g;
 
 	e->probe = NULL;
-	if (r == PROBE_REFUSED && !upstream_reaches(g->upstream, e->addr))
+	e->wait_until_ms = gate_now(g) + CLOSED_WAIT_MS;
+	if (r == PROBE_REFUSED && upstream_reaches(g->upstream, e->addr))
+		return;
+	if (r == PROBE_REFUSED)
 		confirm(e);
 	g_ptr_array_remove_fast(g->endings, e);
 }
 
+void endings_tick(struct gate *g, int64_t now)
+{
+	for (guint i = g->endings->len; i-- > 0;) {
+		struct ending *e = g->endings->pdata[i];
+		bool alone = !upstream_reaches(g->upstream, e->addr);
+
+		if (e->probe || (!alone && now < e->wait_until_ms))
+			continue;
+		if (alone)
+			confirm(e);
+		g_ptr_array_remove_index_fast(g->endings, i);
+	}
+}
+
 /* By its id; by its start too, which one that keeps its id tells. */
 static uint64_t life_of(const struct gate_ep *ep)
 {
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -412,6 +412,7 @@
 		times_look_at_open(g, now);
 	freshness_turn(&g->freshness, now);
 	early_tick(g);
+	endings_tick(g, now);
 	quarantine_tick(g, now);
 	quota_tick(g);
 	tick_forwards(g, now);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -41,7 +41,7 @@
 	struct failing told;	   /* by what all have seen */
 	uint64_t answered, failed; /* since the last report */
 	struct ss_breaker breaker;
-	struct pace pace; /* of its streams, all models */
+	struct pace pace;      /* of its streams, all models */
 	struct pace_open open;
 };
 
@@ -213,6 +213,7 @@
 /* endings.c: requests under which an endpoint has ended */
 /* The endpoint has closed the connection before its answer was whole. */
 void endings_note(struct forward *f);
+void endings_tick(struct gate *g, int64_t now);
 void ending_free(void *ending);
 
 /* quarantine.c: requests that endpoints ended under too often */
--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -115,16 +115,28 @@
 
 void end_endpoint(struct fix *f, int i)
 {
-	struct endpoint *e = &f->eps[i];
+	stop_listening(f, i);
+	while (reset_oldest(f, i))
+		continue;
+}
 
-	evconnlistener_free(e->listener);
-	e->listener = NULL;
-	while (e->lines->len) {
-		struct line *l = e->lines->pdata[0];
+bool reset_oldest(struct fix *f, int i)
+{
+	GPtrArray *lines = f->eps[i].lines;
+	struct line *l;
 
-		l->reset = true;
-		line_free(l);
-	}
+	if (!lines->len)
+		return false;
+	l = lines->pdata[0];
+	l->reset = true;
+	line_free(l);
+	return true;
+}
+
+void stop_listening(struct fix *f, int i)
+{
+	evconnlistener_free(f->eps[i].listener);
+	f->eps[i].listener = NULL;
 }
 
 static void endpoint_open(struct fix *f, int i)
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -86,6 +86,9 @@
 void tell_fleet(struct fix *f, const char *service, const char *model);
 /* The endpoint's process ends: its connections are reset, nobody listens. */
 void end_endpoint(struct fix *f, int i);
+/* The same a step at a time. */
+void stop_listening(struct fix *f, int i);
+bool reset_oldest(struct fix *f, int i);
 /* Another incarnation starts there; the gate isn't told. */
 void start_endpoint(struct fix *f, int i);
 
--- a/test/test_gate_quarantine.c
+++ b/test/test_gate_quarantine.c
@@ -400,12 +400,71 @@
 	fix_close(&f);
 }
 
+/*
+ * Symptom: a request that ends endpoints isn't stopped after the third.
+ * Sequence: another call runs beside it; the gate sees its connection closed,
+ * and that nobody listens, before it sees that the other's is closed, too.
+ * Cause: the endpoint passed for one that still runs, and the end was
+ * forgotten.
+ */
+static void end_is_told_of_though_others_close_later(void **state)
+{
+	struct told t = { 0 };
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	c = ask(&f, "m", POST_CHAT);
+	UNTIL(&f, f.eps[0].requests == 1);
+	ask(&f, "m", OTHER_CHAT);
+	UNTIL(&f, f.eps[0].requests == 2);
+	stop_listening(&f, 0);
+	reset_oldest(&f, 0);
+	UNTIL(&f, got(c, "HTTP/1.1 502 "));
+	/* The probe has been answered by then. */
+	turns(&f, 5);
+	reset_oldest(&f, 0);
+	UNTIL(&f, metric(&f, "ss_gate_endpoints_ended_total") == 1);
+	take_told(&f, &t, true);
+	assert_int_equal(t.under, 2);
+	fix_close(&f);
+}
+
+/* A call that goes on where nobody listens any more: that isn't an end. */
+static void endpoint_that_goes_on_has_not_ended(void **state)
+{
+	struct told t = { 0 };
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	c = ask(&f, "m", POST_CHAT);
+	UNTIL(&f, f.eps[0].requests == 1);
+	ask(&f, "m", OTHER_CHAT);
+	UNTIL(&f, f.eps[0].requests == 2);
+	stop_listening(&f, 0);
+	reset_oldest(&f, 0);
+	UNTIL(&f, got(c, "HTTP/1.1 502 "));
+	turns(&f, 5);
+	f.clock.fake_ms += 200;
+	turns(&f, 1);
+	reset_oldest(&f, 0);
+	UNTIL(&f, metric(&f, "ss_gate_endpoints_ended_total") == 1);
+	take_told(&f, &t, true);
+	assert_int_equal(t.under, 1);
+	fix_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(third_end_stops_a_request),
 		cmocka_unit_test(other_ends_dont_count),
 		cmocka_unit_test(all_that_ran_there_are_told_of),
+		cmocka_unit_test(end_is_told_of_though_others_close_later),
+		cmocka_unit_test(endpoint_that_goes_on_has_not_ended),
 		cmocka_unit_test(leaders_word_stops_a_request),
 		cmocka_unit_test(trial_is_asked_for),
 		cmocka_unit_test(trial_isnt_repeated),
