Try an endpoint that takes no connection now and then

Seen in the same logs: an entry that is the first to notice the end of a model's only holder tried it some 2,000 times in half a second, until it was told of the end: a core busy, the log full, lines of others dropped. Cause: an endpoint that rests is used where all others rest, and a try that no connection was made for is followed by the next at once. Change: not tried again for 50 ms; another incarnation is tried at once. Kept for the processor time, and because it keeps the log.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -28,6 +28,9 @@
 #define ADAPTER_LATE_MS 100
 /* Times that an adapter is asked for before the request is refused. */
 #define ADAPTER_ASKS 3
+/* An endpoint that takes no connection is tried again after so long, in ms: its
+ * end is told within half a second. */
+#define CONNECT_AGAIN_MS 50
 /* A kept connection that rested for longer may be silent without anybody
  * knowing; a request that can't be repeated doesn't take the risk. */
 #define REST_ONCE_MS 2000
@@ -318,8 +321,10 @@
 	struct gate_ep *ep = gate_ep_of(f);
 
 	unsend(f);
-	if (ep)
+	if (ep) {
 		gate_ep_note(f->g, ep, true);
+		ep->shut_until_ms = gate_now(f->g) + CONNECT_AGAIN_MS;
+	}
 	forward_again(f, true, "no connection");
 }
 
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -105,6 +105,7 @@
 	ep->life = ++g->lives;
 	ep->failing = 0;
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
+	ep->shut_until_ms = 0;
 	memset(&ep->pace, 0, sizeof(ep->pace));
 	memset(&ep->told, 0, sizeof(ep->told));
 	ep->answered = ep->failed = 0;
@@ -489,7 +490,8 @@
 	int64_t now = gate_now(g);
 	bool fresh = now - ep->reported_ms < LOAD_OLD_MS;
 
-	n->usable = ep->known && !ep->leaving && may_send(f, ep) &&
+	n->usable = ep->known && !ep->leaving && now >= ep->shut_until_ms &&
+		    may_send(f, ep) &&
 		    (!*f->model || g_hash_table_contains(ep->held, f->model));
 	n->near = !strcmp(ep->domain, g->o.domain);
 	n->has_adapter = gate_ep_has_adapter(ep, f->model, f->adapter) ||
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -41,6 +41,7 @@
 	struct failing told;	   /* by what all have seen */
 	uint64_t answered, failed; /* since the last report */
 	struct ss_breaker breaker;
+	int64_t shut_until_ms; /* no connection could be made */
 	struct pace pace;      /* of its streams, all models */
 	struct pace_open open;
 };
--- a/test/test_gate_failing.c
+++ b/test/test_gate_failing.c
@@ -128,12 +128,50 @@
 	fix_close(&f);
 }
 
+static uint64_t opened(struct fix *f)
+{
+	return *metrics_value(f->metrics, "ss_gate_connections_opened_total",
+			      "");
+}
+
+static uint64_t waiting(struct fix *f)
+{
+	return *metrics_value(f->metrics, "ss_gate_waiting", "");
+}
+
+/* Symptom: an entry is busy with nothing but connections that are refused,
+ * until it is told that the model's only holders have ended. */
+static void shut_endpoint_is_tried_now_and_then(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "web", "");
+	end_endpoint(&f, 0);
+	end_endpoint(&f, 1);
+	c = call(&f, POST_ONCE);
+	UNTIL(&f, opened(&f) == ENDPOINTS && waiting(&f) == 1);
+	for (int i = 0; i < 20; i++)
+		turn(&f);
+	assert_int_equal(opened(&f), ENDPOINTS);
+	f.clock.fake_ms += 50;
+	UNTIL(&f, opened(&f) == 2 * ENDPOINTS && waiting(&f) == 1);
+	start_endpoint(&f, 0);
+	script(&f, 0, OK_TEXT, false, false);
+	tell_fleet(&f, "web", "");
+	UNTIL(&f, got(c, "HTTP/1.1 200 "));
+	assert_int_equal(f.eps[0].requests, 1);
+	fix_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(told_failures_turn_calls_away),
 		cmocka_unit_test(failures_are_told_with_answers),
 		cmocka_unit_test(what_isnt_reached_is_told_to_nobody),
+		cmocka_unit_test(shut_endpoint_is_tried_now_and_then),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
