--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -90,28 +90,6 @@
 	return n;
 }
 
-/* Print free ports on loopback, all different, chosen by the kernel. */
-static int print_ports(int n)
-{
-	int *fds = calloc((size_t)n, sizeof(int));
-
-	for (int i = 0; i < n; i++) {
-		struct sockaddr_in sin = { .sin_family = AF_INET };
-		socklen_t len = sizeof(sin);
-
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
-		if (bind(fds[i], (struct sockaddr *)&sin, len))
-			return 1;
-		getsockname(fds[i], (struct sockaddr *)&sin, &len);
-		printf("%u\n", ntohs(sin.sin_port));
-	}
-	for (int i = 0; i < n; i++)
-		close(fds[i]);
-	free(fds);
-	return 0;
-}
-
 static void on_term(evutil_socket_t sig, short what, void *arg)
 {
 	(void)sig;
@@ -166,7 +144,6 @@
 			     .store_parallel = 4,
 			     .cached = 4,
 			     .journal_fd = -1 };
-	int ports = 0;
 	struct poptOption options[] = {
 		{ "listen", 'l', POPT_ARG_STRING, &s.listen, 0, "ip:port",
 		  NULL },
@@ -192,8 +169,6 @@
 		  "loads at a time at full speed", NULL },
 		{ "cached", 0, POPT_ARG_INT, &s.cached, 0,
 		  "checkpoints that an engine's disk keeps", NULL },
-		{ "ports", 0, POPT_ARG_INT, &ports, 0,
-		  "print so many free ports and exit", NULL },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 	poptContext ctx = poptGetContext("standin", argc, argv, options, 0);
@@ -204,10 +179,6 @@
 		fprintf(stderr, "standin: %s\n", poptStrerror(rc));
 		return 2;
 	}
-	if (ports) {
-		poptFreeContext(ctx);
-		return print_ports(ports);
-	}
 	signal(SIGPIPE, SIG_IGN);
 	ss_clock_init(&s.clock);
 	s.base = precise_base();
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -15,7 +15,7 @@
 import poison
 import shared
 from look import leader_of, log_count, log_has, logged
-from soak import FILL_S, RECOVERY_S, first_change, until
+from soak import FILL_S, RECOVERY_S, first_change, part_of, until
 from soak_callers import Callers
 from soak_fleet import CONTROLS, ROOT, Fleet
 from soak_http import http
@@ -688,9 +688,11 @@
     ap = argparse.ArgumentParser(description=__doc__)
     ap.add_argument("--build", default=os.path.join(ROOT, "build"))
     ap.add_argument("--only", help="part of a scenario's name")
+    ap.add_argument("--part", default="1/1",
+                    help="K/N: only each N-th from the K-th on")
     a = ap.parse_args()
     failed = 0
-    for seed, scenario in enumerate(SCENARIOS, 1):
+    for seed, scenario in part_of(list(enumerate(SCENARIOS, 1)), a.part):
         if a.only and a.only not in scenario.__name__:
             continue
         fleet, bad = asyncio.run(play(
--- a/test/fleet/soak_fleet.py
+++ b/test/fleet/soak_fleet.py
@@ -9,7 +9,8 @@
 import time
 
 from standin import (ADAPTER_SLOTS, MEMORY_MB, MODELS, STEP, Engine, Listing,
-                     Proxy, Web, World, free_port, free_ports_again)
+                     Proxy, Web, World)
+from ports import free_port, free_ports_again
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
--- a/test/fleet/standin.py
+++ b/test/fleet/standin.py
@@ -6,11 +6,16 @@
 """
 import asyncio
 import json
-import socket
+import os
+import sys
 import time
 
 from soak_journal import Journal
 
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..",
+                                "tools"))
+from ports import free_port
+
 STEP = 0.02          # seconds between two events of a stream, as a rule
 LOAD_STORE = 0.6     # seconds of a load, by where the copy is
 LOAD_DISK = 0.1
@@ -23,27 +28,6 @@
 BACK_S = 1.0         # until it has started again
 
 
-_held = []
-
-
-def free_ports_again():
-    """Give back the ports of a run that is over."""
-    while _held:
-        _held.pop().close()
-
-
-def free_port():
-    """A port that stays ours: a bound socket that doesn't listen keeps the
-    kernel from giving it to others before a process listens on it, and
-    SO_REUSEADDR lets that process bind it all the same.
-    """
-    s = socket.socket()
-    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    s.bind(("127.0.0.1", 0))
-    _held.append(s)
-    return s.getsockname()[1]
-
-
 class Run:
     """A request at an endpoint; times are those of time.monotonic."""
 
--- a/test/quota_world.c
+++ b/test/quota_world.c
@@ -109,7 +109,7 @@
 	GSequence *actions;
 	uint64_t order, ids, seed;
 	int64_t now;
-	uint64_t messages, bytes, far, asks, waited, requests, served;
+	uint64_t messages, bytes, far, asks, waited, late, requests, served;
 	double waited_ms;
 	GHashTable *asked_at; /* place -> asks */
 	double place_s;
@@ -309,6 +309,7 @@
 	w->served++;
 	if (w->now > q->at_ms) {
 		w->waited++;
+		w->late += w->now - q->at_ms > WORLD_LATE_MS;
 		w->waited_ms += (double)(w->now - q->at_ms);
 	}
 }
@@ -839,6 +840,7 @@
 	r->refused = owed > 0 ? lacks / owed : 0;
 	r->served = w->requests ? (double)w->served / (double)w->requests : 1;
 	r->waited = w->requests ? (double)w->waited / (double)w->requests : 0;
+	r->late = w->requests ? (double)w->late / (double)w->requests : 0;
 	r->waited_ms = w->waited ? w->waited_ms / (double)w->waited : 0;
 	r->messages = (double)w->messages / s;
 	r->bytes = (double)w->bytes / s;
--- a/test/quota_world.h
+++ b/test/quota_world.h
@@ -44,6 +44,9 @@
 	size_t n_events;
 };
 
+/* A caller of plain requests wants an answer within this, in ms. */
+#define WORLD_LATE_MS 100
+
 struct world_result {
 	double worst;	      /* of all windows, against what is allowed */
 	char worst_at[96];    /* where and when that was */
@@ -52,6 +55,7 @@
 	double served;	      /* share of the requests */
 	double waited;	      /* share of the requests that waited ... */
 	double waited_ms;     /* ... for so long in the mean */
+	double late;	      /* share that waited longer than WORLD_LATE_MS */
 	double messages, bytes, far_bytes; /* a second, over all links */
 	double place_asks;		   /* a second, at the busiest place */
 	double place_us;		   /* processor time of one ask there */
--- a/test/run.sh
+++ b/test/run.sh
@@ -127,13 +127,36 @@
 		judge "$(basename "$t")" '^OK, passed' '^Falsifiable'
 	done
 fi
-# Real processes and their clocks: one after the other.
+# A program in so many parts beside each other, judged as one.
+in_parts() { # number, command...
+	n=$1
+	shift
+	dir=$(mktemp -d "$logs/parts.XXXXXX")
+	pids="" rc=0
+	for k in $(seq "$n"); do
+		"$@" --part "$k/$n" >"$dir/$k" 2>&1 &
+		pids="$pids $!"
+	done
+	for p in $pids; do
+		wait "$p" || rc=$?
+	done
+	cat "$dir"/*
+	return "$rc"
+}
+
+# Real processes, whose clocks are real ones: beside each other only what leaves
+# most processors at rest, the soak's hundreds of processes after the others.
 if [ "${PROCESSES:-1}" = 1 ]; then
-	JOBS=1
+	python="timeout 900 /usr/bin/python3"
+	for t in test/proc_*.py; do
+		start "$(basename "$t")" $python "$t" --build "$build"
+	done
+	start scenarios.py in_parts 3 $python test/fleet/scenarios.py \
+		--build "$build"
+	wait
+	start soak.py in_parts 2 $python test/fleet/soak.py --build "$build"
+	wait
 	for t in test/proc_*.py test/fleet/scenarios.py test/fleet/soak.py; do
-		start "$(basename "$t")" timeout 900 /usr/bin/python3 "$t" \
-			--build "$build"
-		wait
 		judge "$(basename "$t")" '^ok ' '^FAILED '
 	done
 fi
--- a/tools/system.py
+++ b/tools/system.py
@@ -12,6 +12,8 @@
 import subprocess
 import time
 
+from ports import free_port, free_ports_again
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 GB = 1 << 30
 MARK = "X-Signature"  # by which an entry of a fleet knows an endpoint's answer
@@ -147,12 +149,8 @@
         self.receive_ms = receive_ms
         self.procs = {}
         self.addr = {}
-        n = entries + controls * 2 + engines * 2 + services * 2 + 2
-        n += engines + services
-        # All at once: a second call could name the same ports again.
-        ports = self._ports(n + spare_ports)
-        self.spare = ["127.0.0.1:" + ports.pop() for _ in range(spare_ports)]
-        take = lambda: "127.0.0.1:%s" % ports.pop()
+        take = lambda: "127.0.0.1:%d" % free_port()
+        self.spare = [take() for _ in range(spare_ports)]
         self.entries = ["entry-%d" % (i + 1) for i in range(entries)]
         self.controls = ["ctl-%d" % (i + 1) for i in range(controls)]
         self.engines = ["engine-%d" % (i + 1) for i in range(engines)]
@@ -189,11 +187,6 @@
             self.addr[e] = take()
             self._entry(e)
 
-    def _ports(self, n):
-        out = subprocess.check_output(
-            [os.path.join(self.build, "standin"), "--ports", str(n)])
-        return out.decode().split()
-
     def _path(self, name):
         return os.path.join(self.folder, name)
 
@@ -365,3 +358,4 @@
         for p in self.procs.values():
             if p.alive():
                 p.kill()
+        free_ports_again()
