--- a/bench/quota.c
+++ b/bench/quota.c
@@ -77,35 +77,38 @@
 {
 	if (csv)
 		printf("entries,customers,day,way,seed,window,refused,"
-		       "refused_most,served,waited,waited_ms,messages_s,"
+		       "refused_most,served,waited,waited_ms,late,messages_s,"
 		       "bytes_s,far_bytes_s,place_asks_s,place_us\n");
 	else
-		printf("%-7s %-6s %-14s %-6s %7s %8s %8s %7s %7s %6s %7s %8s "
+		printf("%-7s %-6s %-14s %-6s %7s %8s %8s %7s %7s %6s %6s %7s "
+		       "%8s "
 		       "%8s %7s %6s\n",
 		       "entries", "cust.", "day", "way", "window", "refused",
-		       "of one", "served", "waited", "ms", "msg/s", "bytes/s",
-		       "far b/s", "asks/s", "us");
+		       "of one", "served", "waited", "ms", "late", "msg/s",
+		       "bytes/s", "far b/s", "asks/s", "us");
 }
 
 static void print_one(const struct world_options *o, const char *day,
 		      uint64_t seed, const struct world_result *r)
 {
 	if (csv)
-		printf("%d,%d,%s,%s,%" PRIu64
-		       ",%.4f,%.5f,%.5f,%.4f,%.4f,%.1f,%.0f,%.0f,%.0f,%.0f,"
+		printf("%d,%d,%s,%s,%" PRIu64 ",%.4f,%.5f,%.5f,%.4f,%.4f,%.1f,%"
+					      ".4f,%.0f,%.0f,%.0f,%.0f,"
 		       "%.2f\n",
 		       o->entries, o->customers, day, o->way->name, seed,
 		       r->worst, r->refused, r->worst_refused, r->served,
-		       r->waited, r->waited_ms, r->messages, r->bytes,
+		       r->waited, r->waited_ms, r->late, r->messages, r->bytes,
 		       r->far_bytes, r->place_asks, r->place_us);
 	else
 		printf("%-7d %-6d %-14s %-6s %7.3f %7.2f%% %7.2f%% %6.1f%% "
-		       "%6.1f%% %6.1f %7.0f %8.0f %8.0f %7.0f %6.2f  %s\n",
+		       "%6.1f%% %6.1f %5.2f%% %7.0f %8.0f %8.0f %7.0f %6.2f  "
+		       "%s\n",
 		       o->entries, o->customers, day, o->way->name, r->worst,
 		       100 * r->refused, 100 * r->worst_refused,
 		       100 * r->served, 100 * r->waited, r->waited_ms,
-		       r->messages, r->bytes, r->far_bytes, r->place_asks,
-		       r->place_us, r->worst > 1 ? r->worst_at : "");
+		       100 * r->late, r->messages, r->bytes, r->far_bytes,
+		       r->place_asks, r->place_us,
+		       r->worst > 1 ? r->worst_at : "");
 	fflush(stdout);
 }
 
