Serve customers below their limit while the leader is lost: learned answer times, and the bucket as a pledge

Cause, from the entries' log lines (quota_ms of every request): at half a request a second of an entry and customer nearly each request asks the leader (the model: 91 % wait, 10 ms in the mean), so who loses the leader holds nothing; an entry waited 300 ms before it took an unanswered ask for a lost leader, by when a plain request (100 ms) and a stream (300 ms) are late; and what it may spend alone was part of the slack only, less than one request an entry, while the lost leader's full bucket, which the next leader doesn't have, was used by nobody.

Change: the time after which a place is silent is learned (mean and four deviations, 30 to 300 ms); the bucket's level is pledged to entries by demand beside the part of the slack; it is taken out where an entry is gone, and isn't a debt at a new place.

Other deployments have no limits: nothing of this runs there.

Failing first: the three new cases of test_quota.

--- a/src/customer/quota_lease.c
+++ b/src/customer/quota_lease.c
@@ -112,13 +112,19 @@
 	return l->per_s + SPREAD_SHARE * l->burst / p->slack.window_s;
 }
 
+/* Entries may still go on by the word of the place before. */
+static bool is_new(const struct place *p, int64_t now)
+{
+	return now - p->since_ms < QUOTA_LEASE_MS + LEASE_MARGIN_MS;
+}
+
 /* Of what entries may spend alone by another place's word: told by none. */
 static double unheard_rate(const struct place *p, const struct account *a,
 			   int64_t now)
 {
 	double rate = ALONE_SHARE * a->limit.per_s;
 
-	if (now - p->since_ms >= QUOTA_LEASE_MS + LEASE_MARGIN_MS)
+	if (!is_new(p, now))
 		return 0;
 	for (guint i = 0; i < a->holders->len; i++)
 		rate -= g_array_index(a->holders, struct holder, i).rate;
@@ -182,11 +188,17 @@
 	return NULL;
 }
 
-/* What it says of itself; the record of one that was there before is right. */
-static struct holder *hear(struct account *a, uint64_t id,
-			   const struct quota_ask *ask, int64_t now)
+/*
+ * What it says of itself; the record of one that was there before is right.
+ * What it spent beyond that by another place's word was that place's, whose
+ * bucket is gone.
+ */
+static struct holder *hear(const struct place *p, struct account *a,
+			   uint64_t id, const struct quota_ask *ask,
+			   int64_t now)
 {
 	struct holder *h = holder_of(a, id);
+	bool known = h != NULL;
 
 	if (h) {
 		if (h->gone)
@@ -204,7 +216,8 @@
 				   a->holders->len - 1);
 	}
 	h->held = MAX(quota_whole(ask->held), 0);
-	a->level += MIN(quota_whole(ask->held), 0);
+	if (known || !is_new(p, now))
+		a->level += MIN(quota_whole(ask->held), 0);
 	h->demand = quota_whole(ask->demand);
 	h->until_ms = now + QUOTA_LEASE_MS + LEASE_MARGIN_MS;
 	a->level += quota_whole(ask->back);
@@ -250,13 +263,17 @@
 	return MAX(MIN(part_of(all, h, o), left), 0);
 }
 
-/* What an entry may spend beyond what it holds: less than a request is of no
- * use. */
+/*
+ * What an entry may spend beyond what it holds, alone: part of the slack, and
+ * of the bucket, which the next place won't have. So a customer far below its
+ * limit is served while a place is looked for, and one at its limit spends no
+ * more. Less than a request is of no use.
+ */
 static double alone_reserve(const struct place *p, const struct account *a,
 			    const struct holder *h, const struct others *o,
 			    double usual)
 {
-	double all = RESERVE_SHARE * slack_of(p, &a->limit);
+	double all = RESERVE_SHARE * slack_of(p, &a->limit) + MAX(a->level, 0);
 
 	return MAX(MIN(MAX(part_of(all, h, o), usual), all - o->reserve), 0);
 }
@@ -288,7 +305,7 @@
 {
 	struct place *p = place;
 	struct account *a = account_of(p, c, now);
-	struct holder *h = hear(a, id, ask, now);
+	struct holder *h = hear(p, a, id, ask, now);
 	double n = grant(p, a, ask), first = quota_whole(ask->first);
 	struct others o;
 
@@ -345,6 +362,8 @@
 		if (!h || h->gone)
 			continue;
 		h->gone = true;
+		h->counted += h->reserve;
+		a->level -= h->reserve;
 		h->gone_ms = now;
 	}
 }
--- a/src/customer/quota_lease.h
+++ b/src/customer/quota_lease.h
@@ -8,9 +8,10 @@
  * that is cut off) more than the limit is never handed out; what entries hold
  * and haven't spent is bounded by the slack. An entry that loses the place goes
  * on at the rate that it was told last, for a lease's time, and the place takes
- * that out of the bucket until it hears what was spent. A new place begins with
- * part of the slack, and for a lease's time leaves alone what entries that it
- * doesn't hear may spend.
+ * that out of the bucket until it hears what was spent. What the bucket holds is
+ * pledged to entries besides: the next place doesn't have it. A new place begins
+ * with part of the slack, and for a lease's time leaves alone what entries that
+ * it doesn't hear may spend.
  */
 #ifndef SS_QUOTA_LEASE_H
 #define SS_QUOTA_LEASE_H
--- a/src/customer/quota_purse.c
+++ b/src/customer/quota_purse.c
@@ -1,6 +1,8 @@
 /* Allotments at an entry: spent by requests, asked for ahead of them. */
 #include "quota_lease.h"
 
+#include "../core/pace.h"
+
 #include <math.h>
 
 /* An allotment is for so long of an entry's demand, in s, and is renewed when
@@ -8,9 +10,12 @@
  * waits. */
 #define AHEAD_S 0.4
 #define RENEW_S 0.2
-/* A place that hasn't answered for so long, in ms, stands still: the entry goes
- * on alone; after the other it asks again. */
-#define ANSWER_MS 300
+/* A place that takes longer to answer than it mostly does stands still: the
+ * entry goes on alone. Bounds of that time, in ms: a few turns of both loops,
+ * and what holds until answers have come. */
+#define ANSWER_MIN_MS 30
+#define ANSWER_MAX_MS 300
+/* After so long, in ms, it asks again. */
 #define LOST_MS 1000
 /* Demand is the mean of the last seconds, in ms: one request alone says that
  * no other will come while an allotment lasts. */
@@ -37,6 +42,7 @@
 #define SCARCE_MS 2000
 
 struct purse {
+	struct entry *e;
 	char *name;
 	double tokens;
 	int64_t until_ms; /* that they may be spent */
@@ -68,8 +74,9 @@
 };
 
 struct entry {
-	GHashTable *purses; /* name -> struct purse */
-	GPtrArray *due;	    /* struct purse */
+	GHashTable *purses;	      /* name -> struct purse */
+	GPtrArray *due;		      /* struct purse */
+	struct pace_estimate answers; /* of places */
 	bool up;
 	int64_t lost_ms, found_ms; /* as of a purse */
 	int64_t sweep_ms;
@@ -124,6 +131,7 @@
 	if (u)
 		return u;
 	u = g_new0(struct purse, 1);
+	u->e = e;
 	u->name = g_strdup(name);
 	u->up = e->up;
 	u->lost_ms = e->lost_ms;
@@ -133,15 +141,25 @@
 	return u;
 }
 
+/* Later a place has stopped answering. */
+static int64_t answer_ms(const struct purse *u)
+{
+	const struct pace_estimate *a = &u->e->answers;
+
+	return a->n ? CLAMP((int64_t)pace_bound(a), ANSWER_MIN_MS,
+			    ANSWER_MAX_MS) :
+		      ANSWER_MAX_MS;
+}
+
 /* The place isn't reached, or says nothing. */
 static bool is_alone(const struct purse *u, int64_t now)
 {
-	return !u->up || (u->asked && now - u->silent_ms >= ANSWER_MS);
+	return !u->up || (u->asked && now - u->silent_ms >= answer_ms(u));
 }
 
 static int64_t alone_since(const struct purse *u)
 {
-	return u->up ? u->silent_ms + ANSWER_MS : u->lost_ms;
+	return u->up ? u->silent_ms + answer_ms(u) : u->lost_ms;
 }
 
 static void add_alone(struct purse *u, int64_t now)
@@ -425,6 +443,7 @@
 	u->got += quota_whole(w->grant) * 1000 / DEMAND_MS;
 	if (w->number != u->number)
 		return;
+	pace_add(&e->answers, (double)(now - u->asked_ms));
 	u->asked = false;
 	u->until_ms = u->asked_ms + QUOTA_LEASE_MS;
 	u->rate = quota_whole(w->rate);
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -196,6 +196,15 @@
 	g_array_unref(out);
 }
 
+/* What is asked is lost. */
+static void ask_in_vain(struct pair *p)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct quota_ask));
+
+	quota_lease.asks(p->entry, p->now, out);
+	g_array_unref(out);
+}
+
 static enum quota_answer ask(struct pair *p, double cost, bool waits)
 {
 	int64_t back;
@@ -404,6 +413,100 @@
 	}
 }
 
+/* Each request waits for as long as a lost place is looked for, though its
+ * customer is far below its limit. */
+static void full_bucket_serves_while_the_place_is_lost(void **state)
+{
+	static const struct {
+		const char *label;
+		bool cut; /* or it is silent, for longer than it ever was */
+		int64_t ms;
+	} rows[] = { { "cut off", true, 10 }, { "silent", false, 60 } };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct quota_ask other = { .customer = SS_LIT("a"),
+					   .demand = 5000 * QUOTA_MILLI,
+					   .usual = 1000 * QUOTA_MILLI };
+		struct quota_word w;
+		struct pair p;
+		int served = 0;
+
+		pair_open(&p, 20000);
+		for (int k = 0; k < 20; k++) {
+			p.now += 1000;
+			if (ask(&p, 1000, false) == QUOTA_WAIT) {
+				p.now += 10;
+				talk(&p);
+				ask(&p, 1000, true);
+			}
+			talk(&p);
+			quota_lease.place_ask(p.place, 2, p.c, &other, p.now,
+					      &w);
+		}
+		if (rows[i].cut)
+			quota_lease.entry_link(p.entry, NULL, false, p.now);
+		while (!rows[i].cut && ask(&p, 1000, false) == QUOTA_YES)
+			;
+		ask_in_vain(&p);
+		p.now += rows[i].ms;
+		if (!rows[i].cut)
+			served += ask(&p, 1000, true) == QUOTA_YES;
+		while (ask(&p, 1000, false) == QUOTA_YES)
+			served++;
+		if (served < 2 || served > 12)
+			fail_msg("%s: %d served", rows[i].label, served);
+		pair_close(&p);
+	}
+}
+
+/* What a lost place had pledged is a debt at the next, which begins without
+ * what that one had: all wait until it is paid. */
+static void pledge_of_a_lost_place_is_no_debt_at_the_next(void **state)
+{
+	struct quota_options o = { { 8, 0.1, 1000 } };
+	struct quota_ask a = { .customer = SS_LIT("a"),
+			       .number = 1,
+			       .held = -8000 * QUOTA_MILLI };
+	struct quota_word w;
+	struct pair p;
+	double fresh;
+
+	(void)state;
+	pair_open(&p, 10000);
+	quota_lease.place_free(p.place);
+	p.place = quota_lease.place_new(&o, p.now);
+	fresh = drain(&p, 1);
+	quota_lease.place_free(p.place);
+	p.place = quota_lease.place_new(&o, p.now);
+	quota_lease.place_ask(p.place, 2, p.c, &a, p.now, &w);
+	assert_true(drain(&p, 1) >= 0.99 * fresh);
+	pair_close(&p);
+}
+
+/* An entry that is cut off spends what was pledged to it, and the place hands
+ * it out once more. */
+static void pledge_to_an_entry_that_is_gone_is_taken_out(void **state)
+{
+	struct quota_ask a = { .customer = SS_LIT("a"),
+			       .demand = 5000 * QUOTA_MILLI,
+			       .usual = 1000 * QUOTA_MILLI };
+	struct quota_sight before, after;
+	struct quota_word w;
+	struct pair p;
+
+	(void)state;
+	pair_open(&p, 10000);
+	quota_lease.place_ask(p.place, 1, p.c, &a, p.now, &w);
+	quota_lease.place_look(p.place, "a", p.now, &before);
+	quota_lease.place_gone(p.place, 1, p.now);
+	quota_lease.place_look(p.place, "a", p.now, &after);
+	assert_true(w.reserve >= 2000 * QUOTA_MILLI);
+	assert_true(after.level <=
+		    before.level - (double)w.reserve / QUOTA_MILLI + 1);
+	pair_close(&p);
+}
+
 /* What operators are told of a customer. */
 static void sides_tell_what_they_know(void **state)
 {
@@ -464,6 +567,9 @@
 		cmocka_unit_test(place_counts_what_is_spent_alone),
 		cmocka_unit_test(new_place_begins_with_slack_only),
 		cmocka_unit_test(what_was_spent_alone_is_taken_out),
+		cmocka_unit_test(full_bucket_serves_while_the_place_is_lost),
+		cmocka_unit_test(pledge_of_a_lost_place_is_no_debt_at_the_next),
+		cmocka_unit_test(pledge_to_an_entry_that_is_gone_is_taken_out),
 		cmocka_unit_test(sides_tell_what_they_know),
 		cmocka_unit_test(words_of_others_change_nothing),
 	};
