Look for the next leader while the present one is quiet

Cause, from leader_lost and leader_found lines: nobody asks anybody while a leader is known, however long it has said nothing.

Ruled out: a shorter silence (a busy leader would be given up), and asking as those do who know no leader (one address more each 50 to 100 ms: all processes would do so whenever a leader stands still for half a second).

Change: once two pings are missing (400 ms) at most two others are asked who leads, one with each ping; a VM that is asked tells as soon as it knows. Where one says that it leads itself and the old one is still quiet, it takes its place; a leader that speaks again ends the questions. No timer more: it hangs on the connection's own ping.

Failing first: quiet_leader_is_left_for_the_next.

--- a/src/node/conn.c
+++ b/src/node/conn.c
@@ -12,6 +12,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+/* So many pings of a peer that are missing make it quiet. */
+#define PINGS_MISSING 2
+
 struct conn {
 	struct conn_options o;
 	struct bufferevent *bev;
@@ -234,6 +237,8 @@
 	if (c->open && !c->sent)
 		send_frame(c, MSG_PING, &ping);
 	c->sent = false;
+	if (c->open && c->o.quiet && conn_is_quiet(c))
+		c->o.quiet(c->o.arg, c);
 }
 
 static struct conn *conn_new(const struct conn_options *o, int fd)
@@ -346,6 +351,11 @@
 	return ss_clock_now(c->o.clock) - c->heard_ms;
 }
 
+bool conn_is_quiet(const struct conn *c)
+{
+	return conn_quiet_ms(c) > PINGS_MISSING * c->o.ping_ms;
+}
+
 size_t conn_backlog(const struct conn *c)
 {
 	return evbuffer_get_length(bufferevent_get_output(c->bev));
--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -54,6 +54,9 @@
 	struct msg_hello *self; /* read at each connection */
 	const struct conn_ops *ops;
 	void *arg;
+	/* The peer is quiet; told with each ping of ours. It doesn't close c;
+	 * NULL: nobody wants to know. */
+	void (*quiet)(void *arg, struct conn *c);
 	int64_t ping_ms;		/* 0: CONN_PING_MS */
 	int64_t silent_ms;		/* 0: CONN_SILENT_MS */
 	uint64_t *bytes_out, *bytes_in; /* counters, may be NULL */
@@ -89,5 +92,7 @@
 size_t conn_backlog(const struct conn *c);
 /* Milliseconds since the peer was last heard. */
 int64_t conn_quiet_ms(const struct conn *c);
+/* Two of the peer's pings are missing, or more. */
+bool conn_is_quiet(const struct conn *c);
 
 #endif
--- a/src/node/link.c
+++ b/src/node/link.c
@@ -15,6 +15,13 @@
 #define ASK_MS 50
 #define ASK_SPREAD_MS 50
 
+/*
+ * While the leader is quiet so many others are asked who leads, and switched to
+ * where one says that it does: a leader that stands still is replaced before
+ * its connection is given up. No more, as all processes ask at once.
+ */
+#define QUIET_ASKS 2
+
 /* A control VM that is asked, or leads. */
 struct ask {
 	char *addr;
@@ -120,15 +127,37 @@
 	(void)c;
 }
 
-static void found(struct link *l, struct ask *a, uint64_t group)
+static void end_others(struct link *l, const struct ask *a)
 {
 	for (guint i = l->asks->len; i-- > 0;)
 		if (l->asks->pdata[i] != a)
 			end_ask(l, l->asks->pdata[i]);
+}
+
+static void found(struct link *l, struct ask *a, uint64_t group)
+{
+	if (l->lead) {
+		log_warn("leader_lost", "addr=%s why=\"quiet, and %s leads\"",
+			 l->lead->addr, a->addr);
+		l->lead = NULL;
+		l->o.ops->down(l->o.arg);
+	}
+	end_others(l, a);
 	l->lead = a;
 	l->o.ops->up(l->o.arg, group);
 }
 
+static void on_quiet(void *arg, struct conn *c)
+{
+	struct link *l = arg;
+
+	if (!l->lead || conn_data(c) != l->lead)
+		return;
+	end_unanswered(l);
+	if (l->asks->len <= QUIET_ASKS)
+		ask_next(l);
+}
+
 static void learn(struct link *l, const struct msg_leader *m)
 {
 	const struct control_addr *all = m->members.items;
@@ -142,8 +171,12 @@
 			const struct msg_leader *m)
 {
 	learn(l, m);
-	if (m->here && l->lead != a)
-		found(l, a, m->group);
+	if (m->here && l->lead != a) {
+		if (!l->lead || conn_is_quiet(l->lead->conn))
+			found(l, a, m->group);
+		else
+			end_ask(l, a);
+	}
 	if (m->here)
 		return;
 	if (l->lead == a)
@@ -159,6 +192,9 @@
 
 	if (!a)
 		return;
+	/* It was quiet, and is back. */
+	if (a == l->lead && l->asks->len > 1)
+		end_others(l, a);
 	if (f->kind == MSG_LEADER)
 		take_leader(l, a, &f->u.leader);
 	else if (a == l->lead)
@@ -188,6 +224,7 @@
 	l->o = *o;
 	l->o.conn.ops = &link_conn_ops;
 	l->o.conn.arg = l;
+	l->o.conn.quiet = on_quiet;
 	l->discovery = discovery_new(o->control, ss_random(&l->o.seed));
 	l->asks = g_ptr_array_new_with_free_func(ask_free);
 	l->timer = evtimer_new(o->conn.base, on_timer, l);
