--- a/src/customer/quota_lease.h
+++ b/src/customer/quota_lease.h
@@ -8,10 +8,10 @@
  * that is cut off) more than the limit is never handed out; what entries hold
  * and haven't spent is bounded by the slack. An entry that loses the place goes
  * on at the rate that it was told last, for a lease's time, and the place takes
- * that out of the bucket until it hears what was spent. What the bucket holds is
- * pledged to entries besides: the next place doesn't have it. A new place begins
- * with part of the slack, and for a lease's time leaves alone what entries that
- * it doesn't hear may spend.
+ * that out of the bucket until it hears what was spent. What the bucket holds
+ * is pledged to entries besides: the next place doesn't have it. A new place
+ * begins with part of the slack, and for a lease's time leaves alone what
+ * entries that it doesn't hear may spend.
  */
 #ifndef SS_QUOTA_LEASE_H
 #define SS_QUOTA_LEASE_H
@@ -73,4 +73,19 @@
 void quota_lease_place_gone(void *place, uint64_t id, int64_t now);
 void quota_lease_place_tidy(void *place, int64_t now);
 
+/* Both sides, for ways that differ only in who hands out. */
+#define QUOTA_LEASE_SIDES                                                      \
+	.entry_new = quota_lease_entry_new,                                    \
+	.entry_free = quota_lease_entry_free,                                  \
+	.entry_count = quota_lease_entry_count,                                \
+	.entry_link = quota_lease_entry_link, .take = quota_lease_take,        \
+	.leave = quota_lease_leave, .give_back = quota_lease_give_back,        \
+	.asks = quota_lease_asks, .word = quota_lease_word,                    \
+	.look = quota_lease_look, .place_new = quota_lease_place_new,          \
+	.place_free = quota_lease_place_free,                                  \
+	.place_ask = quota_lease_place_ask,                                    \
+	.place_gone = quota_lease_place_gone,                                  \
+	.place_look = quota_lease_place_look,                                  \
+	.place_tidy = quota_lease_place_tidy
+
 #endif
