Call a restarted engine by the id that its agent knows, not by the list's old one

Cause, from one engine's lines: its agent asked it at 35.127 (event=instance id=i-c1765a7616) and loaded the model at 35.867; entries sent by the list's id of its former life, i-a5bede791a, which any other incarnation answers with 421, until the list told the new one at 36.1 (event=endpoint). Reports told when an engine had started, where that is known, but not its id.

Ruled out: an adapter's load told too early (requests without an adapter fail alike, and the engine runs all of them from 36.15 s on, with nothing loaded anew).

Change: a report tells the id too; while it is fresh, a list's entry with another id is that of a former life: it says whose the address is, and no more, as one with an older start already did. Calls name the id as before, so nothing runs on another endpoint.

Failing first: restarted_engine_serves_before_it_is_listed (scenario): "the restarted engine isn't called" on the code before.

--- a/src/core/fleet_wire.c
+++ b/src/core/fleet_wire.c
@@ -39,6 +39,7 @@
 
 	memset(r, 0, sizeof(*r));
 	r->self.started_ms = m->started_ms;
+	r->self.id = m->id.n ? ss_str_dup(m->id) : NULL;
 	r->busy = m->busy;
 	r->leaving = m->leaving;
 	r->remaining_ms = m->remaining_ms;
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -243,6 +243,7 @@
 	L(14, msg_endpoint, on_disk, name_type),
 	F(15, WIRE_INT, msg_endpoint, started_ms),
 	F(16, WIRE_BOOL, msg_endpoint, remote),
+	F(17, WIRE_STR, msg_endpoint, id),
 };
 static const struct wire_field load_fields[] = {
 	F(1, WIRE_UINT, msg_load, fence),     F(2, WIRE_UINT, msg_load, step),
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -287,6 +287,7 @@
 	struct wire_list on_disk;   /* struct name_item */
 	int64_t started_ms;	    /* as in struct fleet_incarnation */
 	bool remote;		    /* a control VM speaks for it */
+	struct ss_str id;	    /* of the incarnation; empty: not known */
 };
 
 /* One step of a plan for an endpoint: first unload, then load. */
--- a/src/daemon/engine_agent.c
+++ b/src/daemon/engine_agent.c
@@ -85,6 +85,7 @@
 		.in_memory = { memory->data, memory->len },
 		.on_disk = { disk->data, disk->len },
 		.started_ms = a->self.started_ms,
+		.id = ss_str(a->self.id ? a->self.id : ""),
 	};
 
 	for (guint i = 0; r->held && i < r->held->len; i++)
@@ -200,6 +201,8 @@
 	a->self.id = g_strdup(r->header);
 	log_info("instance", "id=%s started=%" PRId64, a->self.id,
 		 a->self.started_ms);
+	a->news = true;
+	maybe_tell(a);
 }
 
 static void ask_instance(struct engine_agent *a)
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -286,6 +286,7 @@
 	char *addr = ss_str_dup(m->addr);
 	struct fleet_ep *ep = fleet_ep_for(l, addr);
 	struct fleet_report r;
+	enum fleet_told how;
 
 	g_free(addr);
 	if (!owns(l, ep, c, m->remote))
@@ -300,12 +301,13 @@
 	}
 	ep->down = false;
 	fleet_report_read(&r, m);
-	if (learn(l, ep, &r.self) == FLEET_LATE) {
+	how = learn(l, ep, &r.self);
+	if (how == FLEET_LATE) {
 		fleet_report_clear(&r);
 		return;
 	}
-	if (!ep->reported || ep->report.leaving != r.leaving ||
-	    ep->report.busy != r.busy ||
+	if (how == FLEET_RESTARTED || !ep->reported ||
+	    ep->report.leaving != r.leaving || ep->report.busy != r.busy ||
 	    !fleet_same_held(ep->report.held, r.held))
 		ep->changed = l->urgent = true;
 	ep->load_changed |= ep->report.running != r.running ||
@@ -454,6 +456,17 @@
 
 /* The list. */
 
+/*
+ * The list tells of a restart a second late and more; its agent asks the engine
+ * itself. Requests name the id, so by the list's they are refused until then.
+ */
+static bool is_outdated(const struct fleet_lead *l, const struct fleet_ep *ep,
+			const struct fleet_incarnation *listed)
+{
+	return ep->conn && fleet_ep_reported(l, ep) &&
+	       fleet_other_id(&ep->report.self, listed);
+}
+
 /*
  * An entry of a former incarnation still tells whose the address is, and that
  * it is listed; what it held and that it was leaving is over.
@@ -476,7 +489,7 @@
 		return;
 	}
 	fleet_ep_readable(l, ep, now);
-	how = learn(l, ep, &told);
+	how = is_outdated(l, ep, &told) ? FLEET_LATE : learn(l, ep, &told);
 	late = how == FLEET_LATE;
 	leaving = i->leaving && !late;
 	models = late ? &none : i->models;
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -434,6 +434,31 @@
     callers.check()
 
 
+async def restarted_engine_serves_before_it_is_listed(fleet):
+    """An engine that has started under another id is refused all calls until
+    the list tells that id."""
+    await first_change(fleet.operators)
+    callers = Callers(fleet)
+    loops = [asyncio.ensure_future(callers.loop(i)) for i in range(8)]
+    e = fleet.engines[0]
+
+    count_streams(e)
+
+    async def called():
+        return e.streams > 0
+
+    await until(called, RECOVERY_S, "the engine isn't called")
+    fleet.listing.old = fleet.listing.body()
+    await e.crash()
+    e.streams = 0
+    await e.start()
+    await until(called, RECOVERY_S, "the restarted engine isn't called")
+    assert fleet.listing.old, "the list has told of it"
+    callers.on = False
+    await asyncio.gather(*loops)
+    fleet.listing.old = None
+
+
 async def order_outlives_a_restart(fleet):
     """Symptom: an engine is ordered to hold more than fits, and crashes.
     Sequence: a load gets no answer; the engine restarts under its id and is
@@ -657,7 +682,8 @@
     fleet.check_processes()
 
 
-SCENARIOS = [list_lags_behind_a_restart, order_outlives_a_restart,
+SCENARIOS = [list_lags_behind_a_restart,
+             restarted_engine_serves_before_it_is_listed, order_outlives_a_restart,
              silent_engine_doesnt_end_its_agent,
              wiped_vm_finds_a_leader_it_doesnt_know,
              settings_change_without_a_restart, bad_settings_change_nothing,
