--- a/bench/quota.c
+++ b/bench/quota.c
@@ -93,7 +93,7 @@
 {
 	if (csv)
 		printf("%d,%d,%s,%s,%" PRIu64 ",%.4f,%.5f,%.5f,%.4f,%.4f,%.1f,%"
-					      ".4f,%.0f,%.0f,%.0f,%.0f,"
+		       ".4f,%.0f,%.0f,%.0f,%.0f,"
 		       "%.2f\n",
 		       o->entries, o->customers, day, o->way->name, seed,
 		       r->worst, r->refused, r->worst_refused, r->served,
