--- a/src/customer/quota_purse.c
+++ b/src/customer/quota_purse.c
@@ -10,9 +10,9 @@
  * waits. */
 #define AHEAD_S 0.4
 #define RENEW_S 0.2
-/* A place that takes longer to answer than it mostly does stands still: the
+/* A place that takes longer to answer than it mostly does stands still, and the
  * entry goes on alone. Bounds of that time, in ms: a few turns of both loops,
- * and what holds until answers have come. */
+ * and what is waited for until answers have come. */
 #define ANSWER_MIN_MS 30
 #define ANSWER_MAX_MS 300
 /* After so long, in ms, it asks again. */
@@ -42,7 +42,7 @@
 #define SCARCE_MS 2000
 
 struct purse {
-	struct entry *e;
+	struct entry *e; /* that it belongs to */
 	char *name;
 	double tokens;
 	int64_t until_ms; /* that they may be spent */
@@ -76,7 +76,7 @@
 struct entry {
 	GHashTable *purses;	      /* name -> struct purse */
 	GPtrArray *due;		      /* struct purse */
-	struct pace_estimate answers; /* of places */
+	struct pace_estimate answers; /* time that places take to */
 	bool up;
 	int64_t lost_ms, found_ms; /* as of a purse */
 	int64_t sweep_ms;
@@ -141,7 +141,7 @@
 	return u;
 }
 
-/* Later a place has stopped answering. */
+/* Without an answer for so long a place stands still. */
 static int64_t answer_ms(const struct purse *u)
 {
 	const struct pace_estimate *a = &u->e->answers;
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -457,8 +457,9 @@
 /* The list. */
 
 /*
- * The list tells of a restart a second late and more; its agent asks the engine
- * itself. Requests name the id, so by the list's they are refused until then.
+ * The list tells of a restart a second late and more, while the engine's agent
+ * asks the engine itself. Requests name the id: by the list's the engine would
+ * refuse all of them until then.
  */
 static bool is_outdated(const struct fleet_lead *l, const struct fleet_ep *ep,
 			const struct fleet_incarnation *listed)
