--- a/test/test_gate_stop.c
+++ b/test/test_gate_stop.c
@@ -587,7 +587,7 @@
 
 static const struct close_case closes[] = {
 	{ "not yet accepted", false, 0, false },
-	{ "accepted, its request not yet read", false, 1, true },
+	{ "connected, sent after the close", false, 1, true },
 	{ "on a kept connection", true, 0, false },
 };
 
