--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -15,7 +15,7 @@
 import poison
 import shared
 from look import leader_of, log_count, log_has, logged
-from soak import FILL_S, RECOVERY_S, first_change, part_of, until
+from soak import FILL_S, RECOVERY_S, first_change, until
 from soak_callers import Callers
 from soak_fleet import CONTROLS, ROOT, Fleet
 from soak_http import http
@@ -23,6 +23,12 @@
 from standin import LATE
 
 
+def part_of(scenarios, part):
+    """Each N-th of them from the K-th on, for "K/N"."""
+    k, n = map(int, part.split("/"))
+    return scenarios[k - 1::n]
+
+
 async def wipe(fleet, i):
     """Control VM i loses its disk, starts again and joins anew."""
     name = "control-%d" % i
