Leave the story of their tuning out of the planner's and the early requests' constants

Eight comments of fleet.c and one of early.c lose their figures; no code changes (the diff has comment lines only).

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -5,26 +5,19 @@
 
 /* A replica carries so many calls before another is wanted. Not all of the
  * slots: an engine reads prompts one after the other between its steps, so the
- * first event of a call is late long before the slots are taken. On 18 engines
- * it took over 250 ms for one call in ten at 8 calls, one in three at 24, nine
- * in ten at 36. */
+ * first event of a call is late long before the slots are taken. */
 #define FILL_CALLS 24
 /* And where slots are few, half of them: their number tells how many calls an
- * engine runs at its pace. On 180 engines of 16 slots 60 carried six times the
- * calls of the others; with it 7 % of calls had a late event instead of 10 %,
- * for 0.008 of the credit of a calm day and 0.027 of one with crashes and
- * bursts. */
+ * engine runs at its pace. */
 #define FILL_PART 2
 /* Calls a second from which a model is kept twice, and three times, so that
  * the loss of engines doesn't leave dozens of callers without it for the
  * seconds that a load from the store takes. Each place less is one more for
- * rare models: the third from 6 calls on cost 0.008 of the credit of twelve
- * engines, and made no difference to eighteen. */
+ * rare models. */
 #define TWICE_PER_S 2.0
 #define THRICE_PER_S 9.0
 /* What unloading a replica costs for each call a second that it gets, in ms of
- * waiting. Against what the calls of the moment need, with replicas beyond that
- * for free: 0.007 of the credit of days with trouble, the mean of fifty. */
+ * waiting. */
 #define CALLS_LOST_MS 1000.0
 /* An engine that is full makes a load's callers wait; in ms. */
 #define FULL_MS 200.0
@@ -34,13 +27,10 @@
  * asking the store, unless the engine is taken up for longer than this share
  * of a load from the store, or callers have been late for as long as the store
  * takes. A load from the store costs its engine some ten from disk: asking it
- * for callers who are about to be late took a quarter of twelve engines' time,
- * and 0.08 of the credit of a calm day. */
+ * for callers who are about to be late takes up engines that others need. */
 #define SOON_SHARE 0.4
-/* No step makes a model ready sooner: a load from disk, 0.35 to 0.52 s. Callers
- * with less slack are late whatever is done; serving those with more first
- * gained 0.003 of the credit of days with trouble, the mean of thirty. In ms.
- */
+/* No step makes a model ready sooner, in ms: a load from disk. Callers with
+ * less slack are late whatever is done, so those with more go first. */
 #define SOONEST_MS 500
 /* A load from the store takes its engine up for seconds, and with it all the
  * copies that only it has; each of them weighs so much, in ms. */
@@ -495,8 +485,7 @@
  * Models that no engine has, those whose replicas are full, and those that
  * one loss would take away: most waiting callers first. Each engine takes one
  * step at a time, so a model with dozens of callers before one full replica
- * must not come behind all those with a single caller: 0.015 of the credit of
- * days with trouble, the mean of twenty.
+ * must not come behind all those with a single caller.
  */
 static void place_needed(struct pass *s)
 {
@@ -578,8 +567,7 @@
 /*
  * Models that callers ask for and no engine has a copy of: the store brings
  * them one after the other, and that is known now. A caller who can't wait so
- * long is told when to come back, instead of being held for seconds first:
- * 0.014 of the credit of a calm day on 180 engines.
+ * long is told when to come back, instead of being held for seconds first.
  */
 static void set_store_etas(struct pass *s)
 {
--- a/src/proxy/early.c
+++ b/src/proxy/early.c
@@ -9,8 +9,7 @@
  * and the new leader, which knows no demand either, brings models one by one
  * as callers return. So requests are held for as long as a leader takes to be
  * elected (0.5 s) and found (1 s), counted from the start; afterwards it is
- * known that nobody leads, and all are refused at once. On five days that end
- * with a loss of power 80 to 100 requests a day were refused so.
+ * known that nobody leads, and all are refused at once.
  */
 #define EARLY_MS 1500
 /* At most so many: a tenth of the descriptors of a small VM. */
