--- a/test/test_gate_quarantine.c
+++ b/test/test_gate_quarantine.c
@@ -400,28 +400,30 @@
 	fix_close(&f);
 }
 
-/*
- * Symptom: a request that ends endpoints isn't stopped after the third.
- * Sequence: another call runs beside it; the gate sees its connection closed,
- * and that nobody listens, before it sees that the other's is closed, too.
- * Cause: the endpoint passed for one that still runs, and the end was
- * forgotten.
- */
+/* Of two calls the first is cut by an endpoint that no longer listens. */
+static void cut_one_of_two_calls(struct fix *f)
+{
+	struct caller *c;
+
+	fix_open(f, "lm", "m");
+	c = ask(f, "m", POST_CHAT);
+	UNTIL(f, f->eps[0].requests == 1);
+	ask(f, "m", OTHER_CHAT);
+	UNTIL(f, f->eps[0].requests == 2);
+	stop_listening(f, 0);
+	reset_oldest(f, 0);
+	UNTIL(f, got(c, "HTTP/1.1 502 "));
+}
+
+/* An endpoint that has ended passes for one that runs, as its other connections
+ * are seen to close later. */
 static void end_is_told_of_though_others_close_later(void **state)
 {
 	struct told t = { 0 };
-	struct caller *c;
 	struct fix f;
 
 	(void)state;
-	fix_open(&f, "lm", "m");
-	c = ask(&f, "m", POST_CHAT);
-	UNTIL(&f, f.eps[0].requests == 1);
-	ask(&f, "m", OTHER_CHAT);
-	UNTIL(&f, f.eps[0].requests == 2);
-	stop_listening(&f, 0);
-	reset_oldest(&f, 0);
-	UNTIL(&f, got(c, "HTTP/1.1 502 "));
+	cut_one_of_two_calls(&f);
 	/* The probe has been answered by then. */
 	turns(&f, 5);
 	reset_oldest(&f, 0);
@@ -435,18 +437,10 @@
 static void endpoint_that_goes_on_has_not_ended(void **state)
 {
 	struct told t = { 0 };
-	struct caller *c;
 	struct fix f;
 
 	(void)state;
-	fix_open(&f, "lm", "m");
-	c = ask(&f, "m", POST_CHAT);
-	UNTIL(&f, f.eps[0].requests == 1);
-	ask(&f, "m", OTHER_CHAT);
-	UNTIL(&f, f.eps[0].requests == 2);
-	stop_listening(&f, 0);
-	reset_oldest(&f, 0);
-	UNTIL(&f, got(c, "HTTP/1.1 502 "));
+	cut_one_of_two_calls(&f);
 	turns(&f, 5);
 	f.clock.fake_ms += 200;
 	turns(&f, 1);
