--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -637,12 +637,22 @@
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n"
 	  "Content-Length: 0\r\n\r\n",
 	  false, true, true, false, 0 },
+	{ "a load with the speed of its machine",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\n"
+	  "X-Server-Load: 3,1,8,140\r\nContent-Length: 0\r\n\r\n",
+	  false, true, false, true, 0 },
 	{ "an absurd load",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Server-Load: a,,\r\n"
 	  "Keep-Alive: timeout=x\r\nContent-Length: 0\r\n\r\n",
 	  false, true, false, false, 0 },
 };
 
+/* All loads above are the same one. */
+static bool load_is_read(const struct platform_answer *a)
+{
+	return a->running == 3 && a->waiting == 1 && a->slots == 8;
+}
+
 static void answers_are_told_apart(void **state)
 {
 	(void)state;
@@ -655,6 +665,7 @@
 		    x.answer.authentic != c->authentic ||
 		    x.answer.encoded != c->encoded ||
 		    x.answer.has_load != c->has_load ||
+		    (c->has_load && !load_is_read(&x.answer)) ||
 		    x.answer.idle_ms != c->idle_ms)
 			fail_msg("%s: read wrongly", c->label);
 	}
