Bound the memory that callers' requests and unread answers take

Callers of an entry: a hundred who read nothing (half a megabyte each), or forty who send 4 MB each, end the process on a VM of 160 MB, and with it all answers under way. A connection kept the buffer of its largest request for as long as it lived.

Cause: bounds were those of one connection (512 KB, the routing's body limit); nobody added up. Ruled out: the input of a connection (64 KB, in the kernel beyond), plain answers that are held to be asked for again (256 KB each, by places of the endpoints; not bounded as a sum, see PROMISES).

Change: half of the process's memory is the callers'. Requests that are being read may take an eighth of the whole, as each stands twice on its way; the next one is refused before it is sent on (503, a time to come back, true: not run). A slow reader may have an eighth of what is free of the answers' quarter and never less than 16 KB, so room is left for others however many there are. Large buffers are let go with their request. memory_mb comes from the platform's limits; 0 keeps no bound.

--- a/Makefile
+++ b/Makefile
@@ -82,7 +82,8 @@
 	$(BUILD)/test_gate_restart $(BUILD)/test_gate_list \
 	$(BUILD)/test_gate_early $(BUILD)/test_gate_quarantine \
 	$(BUILD)/test_gate_failing $(BUILD)/test_gate_behind \
-	$(BUILD)/test_gate_customers $(BUILD)/test_gate_quota: \
+	$(BUILD)/test_gate_customers $(BUILD)/test_gate_quota \
+	$(BUILD)/test_gate_memory: \
 	$(BUILD)/test/gate_fix.o
 $(BUILD)/test_explain: $(BUILD)/src/ctl/explain.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_summary: $(BUILD)/src/ctl/summary.o $(BUILD)/src/ctl/logline.o
--- a/src/config/config.c
+++ b/src/config/config.c
@@ -121,6 +121,7 @@
 	    4),
 	INT("patience_pauses", config_fleet, patience_pauses, 0, 1000, 8),
 	NUM("keys_trust_ms", config_fleet, keys_trust_ms, 0, HOUR_MS, 0),
+	NUM("memory_mb", config_fleet, memory_mb, 0, 1e9, 0),
 };
 static const struct setting_type fleet_type =
 	SETTING_TYPE(struct config_fleet, fleet_fields);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -82,6 +82,7 @@
 	 * defaults are the platform's description of its callers. */
 	int64_t patience_ms, patience_objectives, patience_pauses;
 	double keys_trust_ms; /* as in struct gate_options */
+	double memory_mb;     /* of this process; 0: not told */
 };
 
 struct config {
--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -32,6 +32,10 @@
  * before; each 100 ms more would cut some of them. */
 #define GRACE_MARGIN_MS 100
 
+/* Of this process's memory; the rest is for what it knows and for what comes
+ * in before it is read. */
+#define CALLERS_SHARE 0.5
+
 struct agent_line {
 	char *addr;
 	struct conn *conn;
@@ -425,6 +429,7 @@
 		.patience = { c->patience_ms, c->patience_objectives,
 			      c->patience_pauses },
 		.keys_trust_ms = (int64_t)c->keys_trust_ms,
+		.memory = (size_t)(c->memory_mb * CALLERS_SHARE * (1 << 20)),
 		.seed = d->seed,
 		.ops = &gate_table,
 		.arg = e
--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -6,8 +6,6 @@
 /* A plain answer up to this size is held until it is whole, so that one
  * that breaks off can still be asked for again; in bytes. */
 #define HOLD_MAX (256 << 10)
-/* A caller who reads slowly stops the endpoint at this backlog, bytes. */
-#define BACKLOG_MAX (512u << 10)
 
 static void note(const struct forward *f, bool failed)
 {
@@ -158,7 +156,7 @@
 
 static void slow_down(struct forward *f)
 {
-	if (f->paused || caller_call_backlog(f->caller) <= BACKLOG_MAX)
+	if (f->paused || !caller_call_is_full(f->caller))
 		return;
 	f->paused = true;
 	upstream_pause(f->up, true);
--- a/src/proxy/callers.c
+++ b/src/proxy/callers.c
@@ -11,7 +11,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-/* A caller who acknowledges nothing for so long isn't there any more. */
+/* A caller who takes nothing for so long isn't there any more, or reads too
+ * slowly for anybody to wait for. */
 #define UNACKED_MS 4000
 /* Requests that are sent before the one in progress is answered; more are
  * left in the kernel, so that nobody makes this process hold them. */
@@ -27,9 +28,23 @@
  * lost, and sent again a second later. */
 #define BACKLOG 1024
 
-/* A larger buffer for answers isn't kept by a connection, in bytes: twice what
- * one read from an endpoint gives. */
-#define OUT_KEEP (32u << 10)
+/* A larger buffer isn't kept by a connection, in bytes: twice what one read
+ * gives. */
+#define BUFFER_KEEP (32u << 10)
+/* The shares of the memory that requests and answers may take. A request stands
+ * twice: here, and on its way to an endpoint that reads slowly. */
+#define BODIES_SHARE 4
+#define UNREAD_SHARE 2
+/* What may wait for one caller, in bytes, while there is room: half a second of
+ * a link of 10 Mbit/s. */
+#define UNREAD_MOST (512u << 10)
+/* And always: an answer goes on, if slowly. */
+#define UNREAD_LEAST (16u << 10)
+/* One caller may take this part of what is still free, so that room is left for
+ * those who come after it, however many read slowly. */
+#define UNREAD_PART 8
+/* A caller whose request has no room may come back after so long, in s. */
+#define NO_ROOM_BACK_S 1
 
 struct caller_call {
 	struct peer *peer;
@@ -52,6 +67,7 @@
 	bool shut;     /* all is written; only the caller's close is missing */
 	bool used;     /* it has brought a request */
 	bool too_large;
+	bool no_room;
 	int64_t since_ms; /* of the state it is in */
 	int depth;
 	bool closing;
@@ -61,6 +77,9 @@
 	struct callers_options o;
 	struct evconnlistener *listener;
 	GHashTable *peers;
+	size_t bodies; /* bytes, of all peers */
+	size_t unread; /* bytes; counted now and then, and as they are written
+			*/
 	bool draining;
 };
 
@@ -69,6 +88,21 @@
 	return ss_clock_now(s->o.clock);
 }
 
+static void trim(GString **buffer)
+{
+	if ((*buffer)->allocated_len > BUFFER_KEEP) {
+		g_string_free(*buffer, TRUE);
+		*buffer = g_string_new(NULL);
+	}
+	g_string_truncate(*buffer, 0);
+}
+
+static void drop_body(struct peer *p)
+{
+	p->s->bodies -= p->body->len;
+	trim(&p->body);
+}
+
 static void peer_free(struct peer *p)
 {
 	struct callers *s = p->s;
@@ -78,6 +112,7 @@
 		g_free(p->call);
 	}
 	g_hash_table_remove(s->peers, p);
+	drop_body(p);
 	bufferevent_free(p->bev);
 	http1_reader_free(p->reader);
 	g_string_free(p->body, TRUE);
@@ -112,15 +147,19 @@
 /* Refuse what can't be read; the rest of it isn't waited for. */
 static void refuse(struct peer *p, int status)
 {
-	char text[160];
+	GString *text = g_string_new(NULL);
 
-	g_snprintf(text, sizeof(text),
-		   "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
-		   "Connection: close\r\n\r\n",
-		   status, http1_reason(status));
-	bufferevent_write(p->bev, text, strlen(text));
+	g_string_printf(text, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n", status,
+			http1_reason(status));
+	if (status == 503)
+		g_string_append_printf(text, "Retry-After: %d\r\n",
+				       NO_ROOM_BACK_S);
+	g_string_append(text, "Connection: close\r\n\r\n");
+	bufferevent_write(p->bev, text->str, text->len);
+	g_string_free(text, TRUE);
 	p->s->o.ops->refused(p->s->o.arg, status);
 	p->refused = true;
+	drop_body(p);
 	finish(p);
 }
 
@@ -141,17 +180,23 @@
 {
 	struct peer *p = arg;
 
-	if (p->body->len + piece.n > p->s->o.limits.body_bytes)
+	struct callers *s = p->s;
+
+	if (p->body->len + piece.n > s->o.limits.body_bytes)
 		p->too_large = true;
-	if (!p->too_large)
-		g_string_append_len(p->body, piece.p, (gssize)piece.n);
+	if (s->o.memory && s->bodies + piece.n > s->o.memory / BODIES_SHARE)
+		p->no_room = true;
+	if (p->too_large || p->no_room)
+		return;
+	g_string_append_len(p->body, piece.p, (gssize)piece.n);
+	s->bodies += piece.n;
 }
 
 static void on_done(void *arg)
 {
 	struct peer *p = arg;
 
-	if (p->too_large)
+	if (p->too_large || p->no_room)
 		return;
 	p->call = g_new0(struct caller_call, 1);
 	p->call->peer = p;
@@ -165,7 +210,7 @@
 {
 	http1_reader_reset(p->reader, false);
 	p->head = NULL;
-	g_string_truncate(p->body, 0);
+	drop_body(p);
 	p->since_ms = now_ms(p->s);
 }
 
@@ -186,6 +231,10 @@
 		refuse(p, 413);
 		return;
 	}
+	if (p->no_room) {
+		refuse(p, 503);
+		return;
+	}
 	if (!p->call)
 		return;
 	s->o.ops->request(s->o.arg, p->call, p->head,
@@ -283,22 +332,34 @@
 	return c->peer->head;
 }
 
-size_t caller_call_backlog(const struct caller_call *c)
+static size_t unread(const struct peer *p)
+{
+	return evbuffer_get_length(bufferevent_get_output(p->bev)) +
+	       p->out->len;
+}
+
+bool caller_call_is_full(const struct caller_call *c)
 {
-	return evbuffer_get_length(bufferevent_get_output(c->peer->bev)) +
-	       c->peer->out->len;
+	const struct callers *s = c->peer->s;
+	size_t room = s->o.memory / UNREAD_SHARE;
+	size_t most = UNREAD_MOST;
+
+	if (s->o.memory)
+		most = MIN(most, (room - MIN(room, s->unread)) / UNREAD_PART);
+	return unread(c->peer) > MAX(most, UNREAD_LEAST);
 }
 
 static void flush(struct peer *p)
 {
+	size_t before, after;
+
 	if (p->out->len == 0)
 		return;
+	before = evbuffer_get_length(bufferevent_get_output(p->bev));
 	send_now(p->bev, ss_str_gs(p->out));
-	if (p->out->allocated_len > OUT_KEEP) {
-		g_string_free(p->out, TRUE);
-		p->out = g_string_new(NULL);
-	}
-	g_string_truncate(p->out, 0);
+	after = evbuffer_get_length(bufferevent_get_output(p->bev));
+	p->s->unread += after - MIN(before, after);
+	trim(&p->out);
 }
 
 void caller_call_flush(struct caller_call *c)
@@ -491,6 +552,29 @@
 	return n;
 }
 
+size_t callers_held(const struct callers *s)
+{
+	return s->bodies;
+}
+
+size_t callers_unread(const struct callers *s)
+{
+	return s->unread;
+}
+
+void callers_count(struct callers *s)
+{
+	GHashTableIter it;
+	void *p;
+
+	if (!s->unread)
+		return;
+	s->unread = 0;
+	g_hash_table_iter_init(&it, s->peers);
+	while (g_hash_table_iter_next(&it, &p, NULL))
+		s->unread += unread(p);
+}
+
 static void tidy(struct peer *p, int64_t now)
 {
 	const struct callers_limits *l = &p->s->o.limits;
--- a/src/proxy/callers.h
+++ b/src/proxy/callers.h
@@ -29,7 +29,7 @@
 	void (*drained)(void *arg, struct caller_call *c);
 	/* The caller has left; c is freed on return. */
 	void (*gone)(void *arg, struct caller_call *c);
-	/* A request that couldn't be read was refused. */
+	/* A request that couldn't be read, or had no room, was refused. */
 	void (*refused)(void *arg, int status);
 };
 
@@ -38,6 +38,9 @@
 	const struct ss_clock *clock;
 	const char *addr;
 	struct callers_limits limits;
+	/* Bytes that requests which are read, and answers that callers don't
+	 * read, may take in this process; 0: no bound. */
+	size_t memory;
 	const struct callers_ops *ops;
 	void *arg;
 };
@@ -56,6 +59,11 @@
 bool callers_close(struct callers *s);
 /* Connections that have a request or unwritten bytes. */
 size_t callers_busy(const struct callers *s);
+/* Bytes of requests that are held, and of answers that wait for callers. */
+size_t callers_held(const struct callers *s);
+size_t callers_unread(const struct callers *s);
+/* Look what still waits for callers; to be called at each tick. */
+void callers_count(struct callers *s);
 /* Close what rested or dawdled too long; to be called now and then. */
 void callers_tidy(struct callers *s);
 
@@ -74,8 +82,9 @@
  * caller can tell. c is freed.
  */
 void caller_call_end(struct caller_call *c, bool whole);
-/* Bytes that wait for a caller who reads slowly. */
-size_t caller_call_backlog(const struct caller_call *c);
+/* More bytes wait for its caller than one who reads slowly may have, beside
+ * what waits for all others. */
+bool caller_call_is_full(const struct caller_call *c);
 
 /* A whole answer of our own. */
 void caller_call_reply(struct caller_call *c, int status,
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -212,6 +212,12 @@
 {
 	struct gate *g = arg;
 
+	if (status == 503) {
+		(*g->n_no_room)++;
+		log_warn("no_room", "held=%zu unread=%zu",
+			 callers_held(g->callers), callers_unread(g->callers));
+		return;
+	}
 	(*g->n_bad)++;
 	log_info("unreadable", "status=%d", status);
 }
@@ -415,6 +421,9 @@
 	endings_tick(g, now);
 	quarantine_tick(g, now);
 	quota_tick(g);
+	callers_count(g->callers);
+	*g->n_held = callers_held(g->callers);
+	*g->n_unread = callers_unread(g->callers);
 	tick_forwards(g, now);
 	gate_pump(g, NULL);
 	if (now - g->tidy_ms < TIDY_MS)
@@ -468,6 +477,9 @@
 	g->n_waiting = metrics_value(m, "ss_gate_waiting", "");
 	g->n_adapters = metrics_value(m, "ss_gate_adapters_asked_total", "");
 	g->n_bad = metrics_value(m, "ss_gate_bad_requests_total", "");
+	g->n_no_room = metrics_value(m, "ss_gate_no_room_total", "");
+	g->n_held = metrics_value(m, "ss_gate_held_bytes", "");
+	g->n_unread = metrics_value(m, "ss_gate_unread_bytes", "");
 	g->n_ended = metrics_value(m, "ss_gate_endpoints_ended_total", "");
 	g->n_quarantined = metrics_value(m, "ss_gate_quarantined_total", "");
 	g->n_over_quota = metrics_value(m, "ss_gate_over_quota_total", "");
@@ -480,6 +492,7 @@
 				      .clock = o->clock,
 				      .addr = o->addr,
 				      .limits = first_limits,
+				      .memory = o->memory,
 				      .ops = &callers_table,
 				      .arg = g };
 	struct upstream_options uo = {
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -43,6 +43,7 @@
 	struct metrics *metrics;
 	const char *addr;   /* callers connect to it */
 	const char *domain; /* failure domain of this entry */
+	size_t memory; /* for requests and answers, in bytes; 0: no bound */
 	double retry_ratio;
 	int64_t retry_window_ms, retry_slack;
 	int64_t adapter_wait_ms; /* for an agent to load an adapter */
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -169,7 +169,8 @@
 	GHashTable *counts;	 /* customer -> struct customer_counts */
 	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
 		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
-		*n_ended, *n_quarantined, *n_over_quota;
+		*n_no_room, *n_held, *n_unread, *n_ended, *n_quarantined,
+		*n_over_quota;
 };
 
 static inline int64_t gate_now(const struct gate *g)
--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -257,7 +257,7 @@
 	routing_unref(r);
 }
 
-void fix_open_trusting(struct fix *f, int64_t keys_trust_ms)
+void fix_open_with(struct fix *f, const struct fix_options *x)
 {
 	struct gate_options o = { .platform = &users_platform,
 				  .addr = "127.0.0.1:0",
@@ -267,7 +267,8 @@
 				  .retry_slack = 200,
 				  .adapter_wait_ms = 400,
 				  .patience = { 2000, 4, 8 },
-				  .keys_trust_ms = keys_trust_ms,
+				  .keys_trust_ms = x->keys_trust_ms,
+				  .memory = x->memory,
 				  .seed = 7,
 				  .ops = &gate_table,
 				  .arg = f };
@@ -288,7 +289,7 @@
 
 void fix_open_fresh(struct fix *f)
 {
-	fix_open_trusting(f, 0);
+	fix_open_with(f, &(struct fix_options){ 0 });
 }
 
 void fix_open(struct fix *f, const char *service, const char *model)
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -76,8 +76,11 @@
 void fix_open(struct fix *f, const char *service, const char *model);
 /* A gate that knows neither routing nor fleet. */
 void fix_open_fresh(struct fix *f);
-/* One that believes keys for so long without a leader. */
-void fix_open_trusting(struct fix *f, int64_t keys_trust_ms);
+struct fix_options {
+	int64_t keys_trust_ms; /* keys are believed so long without a leader */
+	size_t memory;
+};
+void fix_open_with(struct fix *f, const struct fix_options *x);
 void fix_close(struct fix *f);
 
 void tell_routing(struct fix *f);
--- a/test/test_gate_customers.c
+++ b/test/test_gate_customers.c
@@ -278,7 +278,7 @@
 	struct fix f;
 
 	(void)state;
-	fix_open_trusting(&f, 2000);
+	fix_open_with(&f, &(struct fix_options){ .keys_trust_ms = 2000 });
 	tell_fleet(&f, "web", "");
 	take(&f, CONFIG("2", TWO));
 	script(&f, 0, OK_TEXT, false, false);
--- a/test/test_template.c
+++ b/test/test_template.c
@@ -108,6 +108,7 @@
 		"\"ready\":\"127.0.0.1:8141\","
 		"\"control\":\"127.0.0.1:8144\"},\"bootstrap\":true,"
 		"\"dataDir\":\"/data/c\","
+		"\"limits\":{\"memoryLimitMb\":160.5},"
 		"\"cloud\":{\"addr\":\"127.0.0.1:8142\"},\"bounds\":{%s}}",
 		bounds);
 	json_object *o = json_tokener_parse(text);
@@ -241,6 +242,8 @@
 		assert_true(c.fleet.on);
 		assert_true(c.fleet.lease_ms ==
 			    (c.role == CONFIG_CONTROL ? 2500 : 3000));
+		assert_true(c.fleet.memory_mb ==
+			    (c.role == CONFIG_ENTRY ? 160.5 : 0));
 		config_clear(&c);
 		g_string_free(text, TRUE);
 	}
