--- a/test/test_gate_memory.c
+++ b/test/test_gate_memory.c
@@ -118,13 +118,13 @@
 	}
 }
 
-/* Until nothing more comes in, nor goes out. */
+/* Until the kernel is full, and nothing more comes in or goes out. */
 static void fill(struct fix *f)
 {
 	double before = -1, now = 0;
 
-	for (int same = 0; same < TURNS_SAME;
-	     same = now == before ? same + 1 : 0) {
+	for (int same = 0;
+	     same<TURNS_SAME; same = now> 0 && now == before ? same + 1 : 0) {
 		before = now;
 		turn(f);
 		now = metric(f, "ss_gate_unread_bytes ");
