sapphireshiftctl spread: how long news took to reach all processes

Nobody could say, but by hand, how long a change, a lost leader, a start or a reborn engine takes to reach hundreds of processes. The command reads their logs as losses does and prints for each kind how many heard, the middle, the last but one in a hundred, and the last with its name. Entries log when they know the endpoints (event=fleet_known from=leader or list, ms since the start).

--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -10,6 +10,7 @@
 
 #include "explain.h"
 #include "print.h"
+#include "spread.h"
 #include "summary.h"
 
 enum exit_code {
@@ -420,6 +421,11 @@
 	summary_add(arg, line);
 }
 
+static void add_news(void *arg, const char *line)
+{
+	spread_add(arg, line);
+}
+
 static int cmd_explain(struct ctl *c)
 {
 	struct explain *e = explain_new(c->args[0]);
@@ -458,6 +464,22 @@
 	return rc;
 }
 
+static int cmd_spread(struct ctl *c)
+{
+	struct spread *s = spread_new();
+	int rc = EXIT_REFUSED;
+	char *text;
+
+	if (read_logs(c->args, s, add_news)) {
+		rc = 0;
+		text = spread_tell(s);
+		fputs(text, stdout);
+		g_free(text);
+	}
+	spread_free(s);
+	return rc;
+}
+
 static const struct {
 	const char *group, *verb;
 	int n_args; /* with more: at least */
@@ -485,6 +507,7 @@
 	{ "why", NULL, 1, "MODEL", cmd_why, false },
 	{ "explain", NULL, 2, "REQUEST LOG...", cmd_explain, true },
 	{ "losses", NULL, 1, "LOG...", cmd_losses, true },
+	{ "spread", NULL, 1, "LOG...", cmd_spread, true },
 };
 
 static int usage(void)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -266,6 +266,16 @@
 	}
 }
 
+/* Enough is known to take callers. */
+static void know_fleet(struct gate *g, const char *from)
+{
+	if (g->fleet_known)
+		return;
+	g->fleet_known = true;
+	log_info("fleet_known", "endpoints=%u from=%s ms=%" PRId64,
+		 g_hash_table_size(g->eps), from, gate_now(g) - g->since_ms);
+}
+
 void gate_take_fleet(struct gate *g, const struct msg_fleet *m)
 {
 	const struct fleet_endpoint *e = m->endpoints.items;
@@ -284,7 +294,8 @@
 	drop_unlisted(g);
 	take_loads(g, &m->loads);
 	take_etas(g, &m->etas);
-	g->fleet_known |= m->whole;
+	if (m->whole)
+		know_fleet(g, "leader");
 	if (m->round > g->round) {
 		g->round = m->round;
 		g->o.ops->demand(g->o.arg);
@@ -371,7 +382,8 @@
 	g_hash_table_unref(seen);
 	drop_unlisted(g);
 	/* Of a list in parts, what it names can be called. */
-	g->fleet_known |= list->whole || list->instances->len;
+	if (list->whole || list->instances->len)
+		know_fleet(g, "list");
 	gate_pump(g, NULL);
 }
 
