Count what the fleet's leader does, and log it once a second

Nobody could say from logs what a leader's processor time goes to. Counters by kind of work (reports taken, frames, sends, bytes, what they tell, passes of placing, rows looked at to take a message) and event=lead_work with the sums of each second. No decision changed.

--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -56,9 +56,11 @@
 	void *p;
 
 	g_hash_table_iter_init(&it, l->eps);
-	while (g_hash_table_iter_next(&it, NULL, &p))
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		fleet_work(l, WORK_VISITS, 1);
 		if (((struct fleet_ep *)p)->conn == c)
 			return p;
+	}
 	return NULL;
 }
 
@@ -121,6 +123,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct fleet_peer *p = v;
 
+		fleet_work(l, WORK_VISITS, 1);
 		if (p->entry && p->routing < version)
 			return;
 	}
@@ -172,15 +175,19 @@
 	group_confirm(l->g, (struct read_done){ on_confirmed, k });
 }
 
-static void drop_calls(struct fleet_ep *ep, const struct conn *c)
+static void drop_calls(struct fleet_lead *l, struct fleet_ep *ep,
+		       const struct conn *c)
 {
+	fleet_work(l, WORK_VISITS, 1 + ep->calls->len);
 	for (guint i = ep->calls->len; i-- > 0;)
 		if (g_array_index(ep->calls, struct calls_at, i).entry == c)
 			g_array_remove_index_fast(ep->calls, i);
 }
 
-static void drop_waits(struct fleet_want *w, const struct conn *c)
+static void drop_waits(struct fleet_lead *l, struct fleet_want *w,
+		       const struct conn *c)
 {
+	fleet_work(l, WORK_VISITS, 1 + w->waits->len);
 	for (guint i = w->waits->len; i-- > 0;)
 		if (g_array_index(w->waits, struct wait_at, i).entry == c)
 			g_array_remove_index_fast(w->waits, i);
@@ -203,7 +210,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct fleet_ep *ep = p;
 
-		drop_calls(ep, c);
+		drop_calls(l, ep, c);
 		if (ep->conn != c)
 			continue;
 		log_info("agent_lost", "endpoint=%s", ep->addr);
@@ -213,7 +220,7 @@
 	}
 	g_hash_table_iter_init(&it, l->wants);
 	while (g_hash_table_iter_next(&it, NULL, &p))
-		drop_waits(p, c);
+		drop_waits(l, p, c);
 	l->dirty = true;
 }
 
@@ -291,6 +298,7 @@
 	g_free(addr);
 	if (!owns(l, ep, c, m->remote))
 		return;
+	fleet_work(l, WORK_AGENTS, 1);
 	ss_str_set(&ep->agent, m->agent);
 	if (!m->reachable) {
 		if (ep->reported)
@@ -336,7 +344,7 @@
 	g_free(model);
 	if (m->arrivals)
 		fleet_rate_add(&w->rate, m->arrivals, now);
-	drop_waits(w, c);
+	drop_waits(l, w, c);
 	if (m->waiting) {
 		g_array_append_val(w->waits, at);
 		/* An entry that waits wants to hear at once when. */
@@ -363,7 +371,7 @@
 
 	g_hash_table_iter_init(&it, l->eps);
 	while (g_hash_table_iter_next(&it, NULL, &p))
-		drop_calls(p, c);
+		drop_calls(l, p, c);
 	for (size_t i = 0; i < list->n; i++) {
 		const struct held_model *h = e[i].models.items;
 		char *addr = ss_str_dup(e[i].addr);
@@ -412,6 +420,7 @@
 
 	if (!p)
 		return;
+	fleet_work(l, WORK_REPORTS, 1);
 	p->round = MAX(p->round, m->round);
 	p->routing = m->routing;
 	fleet_push_confirmed(l, p);
@@ -583,6 +592,7 @@
 	if (l->urgent || now - l->plan_ms >= PLAN_EVERY_MS) {
 		l->plan_ms = now;
 		l->urgent = false;
+		fleet_work(l, WORK_PLANS, 1);
 		forget_waits(l, now);
 		fleet_steps_plan(l, now);
 	}
@@ -591,6 +601,7 @@
 	fleet_remote_tick(l, now);
 	fleet_suspects_tick(l, now);
 	fleet_quota_tick(l, now);
+	fleet_work_tick(l, now);
 	if (!l->dirty || (!loads && now - l->push_ms < PUSH_EVERY_MS))
 		return;
 	l->dirty = false;
@@ -632,6 +643,7 @@
 		metrics_value(m, "ss_fleet_loads_total", "from=\"memory\"");
 	l->n_failed = metrics_value(m, "ss_fleet_steps_failed_total", "");
 	l->load_hist = metrics_hist(m, "ss_fleet_load_ms", "");
+	fleet_work_begin(l);
 	fleet_suspects_begin(l);
 	fleet_quota_begin(l);
 	read_state(l);
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -98,6 +98,22 @@
 	uint64_t suspects;     /* mark of those that it was told of */
 };
 
+/* What a leader does, by count. */
+enum fleet_work {
+	WORK_REPORTS,	/* of entries */
+	WORK_AGENTS,	/* reports of agents */
+	WORK_FRAMES,	/* to entries, each made once */
+	WORK_SENDS,	/* of these, to one receiver each */
+	WORK_BYTES,	/* of these sends */
+	WORK_ENDPOINTS, /* told in frames */
+	WORK_LOADS,	/* told without more of their endpoints */
+	WORK_ETAS,	/* wake times told */
+	WORK_WHOLES,	/* whole fleets sent */
+	WORK_PLANS,	/* passes of placing */
+	WORK_VISITS,	/* rows looked at to take a message, or a loss */
+	FLEET_WORKS
+};
+
 struct fleet_lead {
 	struct daemon *d;
 	struct group *g;
@@ -129,6 +145,9 @@
 	void *quota;	  /* place of customers' allotments */
 	int64_t quota_ms; /* when it was last tidied */
 	uint64_t *n_quota_asks;
+	uint64_t *n_work[FLEET_WORKS];
+	uint64_t work_told[FLEET_WORKS]; /* in the last line */
+	int64_t work_ms;
 };
 
 static inline int64_t fleet_lead_now(const struct fleet_lead *l)
@@ -136,6 +155,16 @@
 	return ss_clock_now(&l->d->clock);
 }
 
+static inline void fleet_work(struct fleet_lead *l, enum fleet_work w,
+			      uint64_t n)
+{
+	*l->n_work[w] += n;
+}
+
+/* fleet_work.c */
+void fleet_work_begin(struct fleet_lead *l);
+void fleet_work_tick(struct fleet_lead *l, int64_t now);
+
 /* fleet_table.c */
 /* The endpoint at an address, made where there is none. */
 struct fleet_ep *fleet_ep_for(struct fleet_lead *l, const char *addr);
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -150,7 +150,7 @@
 }
 
 /* One frame for all of them: hundreds of entries get the same bytes. */
-static GString *push_frame(const struct fleet_lead *l, const struct push *p,
+static GString *push_frame(struct fleet_lead *l, const struct push *p,
 			   bool whole)
 {
 	struct msg_fleet m = { .fence = l->fence,
@@ -163,6 +163,10 @@
 	GString *frame = g_string_new(NULL);
 
 	frame_add(frame, MSG_FLEET, &m);
+	fleet_work(l, WORK_FRAMES, 1);
+	fleet_work(l, WORK_ENDPOINTS, p->eps->len);
+	fleet_work(l, WORK_LOADS, p->loads->len);
+	fleet_work(l, WORK_ETAS, p->etas->len);
 	return frame;
 }
 
@@ -180,6 +184,7 @@
 	peer->whole = conn_send_frame(peer->conn, frame);
 	if (!peer->whole)
 		return;
+	fleet_work(l, WORK_WHOLES, 1);
 	peer->whole_sent = peer->whole_bytes = frame->len;
 	peer->whole_round = l->round;
 	peer->whole_ms = fleet_lead_now(l);
@@ -280,9 +285,12 @@
 		struct fleet_peer *peer = v;
 
 		/* One that missed a change gets all of it next time. */
-		if (peer->entry && peer->whole)
-			peer->whole = takes_more(peer) &&
-				      conn_send_frame(peer->conn, frame);
+		if (!peer->entry || !peer->whole)
+			continue;
+		peer->whole = takes_more(peer) &&
+			      conn_send_frame(peer->conn, frame);
+		fleet_work(l, WORK_SENDS, 1);
+		fleet_work(l, WORK_BYTES, frame->len);
 	}
 	g_string_free(frame, TRUE);
 	push_end(&p);
