Let the window of bulk grow where receivers, not the link, set the pace

Callers after a return of all processes at 996 machines: entries answer "not ready yet" for seconds although control is back after 0.4 s. An entry is ready once it has the whole fleet, which the leader alone sends, by a window of bulk.

Cause: the window was what had been acknowledged within 50 ms, at first 64 KB. A receiver on 10 Mbit/s needs longer than that for its copy alone, so the window could only shrink to one or two copies, whatever the leader's link carries, and all entries stood in line. Nor was a copy confirmed at once: the next report (100 ms) did, and one that was sent before the copy arrived counted as well, as its round was no newer.

Ruled out: the size of a copy (frames are packed since before).

Change: where what arrives follows the window, up or down, the window binds and doubles; where it doesn't, the link is full and the window is what arrived in 50 ms, as before. A whole fleet has a round of its own, and an entry confirms a round when it comes.

--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,21 @@
 $(BUILD)/standin: $(call obj,$(STANDIN_SRC) src/net/http.c src/net/addr.c) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
+# The fleet's leader between played peers: of the network's files only those
+# that nothing in the world stands for.
+FLEET_WORLD := $(BUILD)/test/fleet_world.o $(call obj,$(sort \
+	$(filter-out src/daemon/fleet_agent.c src/daemon/fleet_entry.c, \
+	$(wildcard src/daemon/fleet_*.c))))
+NETLIB := $(BUILD)/libnet.a
+$(NETLIB): $(call obj,$(NET_SRC))
+	rm -f $@ && ar rcs $@ $^
+$(BUILD)/bench-fleet: $(BUILD)/bench/fleet.o $(FLEET_WORLD) $(NETLIB) $(LIB)
+	$(CC) $(LDFLAGS) $(filter %.o,$^) $(NETLIB) $(LIB) -o $@ $(LDLIBS)
+$(BUILD)/test_fleet_lead: $(BUILD)/test/test_fleet_lead.o $(FLEET_WORLD) \
+		$(NETLIB) $(LIB)
+	$(CC) $(LDFLAGS) $(filter %.o,$^) $(NETLIB) $(LIB) -o $@ $(LDLIBS) \
+		-lcmocka
+
 $(BUILD)/bench-quota $(BUILD)/test_quota: $(BUILD)/test/quota_world.o
 $(BUILD)/bench-%: $(BUILD)/bench/%.o $(call obj,$(NET_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) $(filter %.o,$^) $(LIB) -o $@ $(LDLIBS)
--- /dev/null
+++ b/bench/fleet.c
@@ -0,0 +1,75 @@
+/*
+ * What a fleet costs its leader: the real leader before so many entries and
+ * engines, in simulated time. Sends are counted; what the kernel takes for
+ * each isn't in the processor time.
+ */
+#include <popt.h>
+#include <stdio.h>
+
+#include "../test/fleet_world.h"
+
+#define WARM_MS 3000
+
+static int length_ms = 5000, models = 370;
+static double calls = 1.0; /* a second, of each entry */
+
+static const struct {
+	int entries, engines;
+} sizes[] = { { 90, 159 }, { 180, 318 }, { 360, 636 }, { 720, 1272 } };
+
+static const char *const counted[] = { "reports", "agents", "plans", "sends",
+				       "visits" };
+
+static void play(int entries, int engines)
+{
+	struct fleet_world_options o = { .entries = entries,
+					 .engines = engines,
+					 .models = models,
+					 .calls_per_s = calls * entries,
+					 .call_ms = 1000,
+					 .seed = 9 };
+	struct fleet_world *w = fleet_world_new(&o);
+	struct fleet_world_cost c;
+	double s = length_ms / 1000.0;
+
+	fleet_world_run(w, WARM_MS);
+	fleet_world_cost(w);
+	for (size_t i = 0; i < G_N_ELEMENTS(counted); i++)
+		fleet_world_work(w, counted[i]);
+	fleet_world_run(w, length_ms);
+	c = fleet_world_cost(w);
+	printf("| %d, %d | %.1f | %.1f | %.1f | %.1f |", entries, engines,
+	       (c.reports + c.agents + c.ticks) / s, c.reports / s,
+	       c.agents / s, c.ticks / s);
+	for (size_t i = 0; i < G_N_ELEMENTS(counted); i++)
+		printf(" %.0f |", (double)fleet_world_work(w, counted[i]) / s);
+	printf(" %d |\n", fleet_world_steps(w));
+	fflush(stdout);
+	fleet_world_free(w);
+}
+
+int main(int argc, const char **argv)
+{
+	struct poptOption options[] = {
+		{ "ms", 0, POPT_ARG_INT, &length_ms, 0,
+		  "measure for so long, in simulated ms", "MS" },
+		{ "models", 0, POPT_ARG_INT, &models, 0, "models", "N" },
+		{ "calls", 0, POPT_ARG_DOUBLE, &calls, 0,
+		  "calls a second of each entry", "N" },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	poptContext ctx = poptGetContext(NULL, argc, argv, options, 0);
+	int rc = poptGetNextOpt(ctx);
+
+	poptFreeContext(ctx);
+	if (rc < -1)
+		return 2;
+	printf("| entries, engines | ms of processor time a second | reports |"
+	       " agents | ticks |");
+	for (size_t i = 0; i < G_N_ELEMENTS(counted); i++)
+		printf(" %s a s |", counted[i]);
+	printf(" steps |\n|---|---|---|---|---|---|---|---|---|---|---|\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		play(sizes[i].entries, sizes[i].engines);
+	return 0;
+}
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -232,7 +232,7 @@
 {
 	struct fetcher *f = fetcher_for(m, peer);
 
-	send_window_acked(&m->window, f->sent);
+	send_window_acked(&m->window, f->sent, f->since_ms);
 	f->sent = 0;
 	f->have = ask->have;
 	f->want = ask->want;
--- a/src/core/send_window.c
+++ b/src/core/send_window.c
@@ -19,6 +19,7 @@
 void send_window_sent(struct send_window *w, size_t bytes)
 {
 	w->in_flight += bytes;
+	w->most = MAX(w->most, w->in_flight);
 }
 
 void send_window_lost(struct send_window *w, size_t bytes)
@@ -26,25 +27,43 @@
 	w->in_flight -= MIN(bytes, w->in_flight);
 }
 
-void send_window_acked(struct send_window *w, size_t bytes)
+void send_window_acked(struct send_window *w, size_t bytes, int64_t sent_ms)
 {
 	send_window_lost(w, bytes);
 	w->carried += bytes;
+	w->answered |= bytes && sent_ms >= w->since_ms;
+}
+
+/* What arrived in a round in which something had to wait. */
+static void follow(struct send_window *w, double rate)
+{
+	bool binds = rate >= w->rate * SEND_WINDOW_FOLLOWED ||
+		     rate * SEND_WINDOW_FOLLOWED <= w->rate;
+	double size = rate * SEND_WINDOW_MS;
+
+	/* One piece may be larger than the window. */
+	if (binds)
+		size = MAX(size,
+			   SEND_WINDOW_GROWS * (double)MAX(w->size, w->most));
+	w->rate = rate;
+	w->size = (size_t)CLAMP(size, SEND_WINDOW_LEAST, SEND_WINDOW_MOST);
 }
 
 void send_window_tick(struct send_window *w, int64_t now)
 {
 	int64_t age = now - w->since_ms;
-	size_t carried;
 
-	if (age < SEND_WINDOW_MS)
+	/* What arrives earlier was sent by the window before. */
+	if (age < SEND_WINDOW_MS ||
+	    (w->full && !w->answered && age < SEND_WINDOW_LOST_MS))
 		return;
 	/* A link that wasn't used in full shows nothing of what it carries. */
-	if (w->full) {
-		carried = w->carried * SEND_WINDOW_MS / (size_t)age;
-		w->size = CLAMP(carried, SEND_WINDOW_LEAST, SEND_WINDOW_MOST);
-	}
+	if (w->full)
+		follow(w, (double)w->carried / (double)age);
+	else
+		w->rate = 0;
 	w->carried = 0;
-	w->full = false;
+	w->most = w->in_flight;
+	w->full = w->answered = false;
 	w->since_ms = now;
 }
--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -240,6 +240,19 @@
 	e->demand_due = true;
 }
 
+static void send_demand(struct fleet_entry *e, int64_t now)
+{
+	struct gate_report r;
+
+	if (!e->link_up || (!e->demand_due && now - e->demand_ms < DEMAND_MS))
+		return;
+	e->demand_ms = now;
+	e->demand_due = false;
+	gate_report(e->gate, &r);
+	link_send(e->link, MSG_DEMAND, &r.m);
+	gate_report_done(&r);
+}
+
 static void on_message(void *arg, struct frame *f)
 {
 	struct fleet_entry *e = arg;
@@ -252,6 +265,10 @@
 	case MSG_FLEET:
 		e->leader_ms = now_ms(e);
 		gate_take_fleet(e->gate, &f->u.fleet);
+		/* The leader waits for it: before models leave, and to send
+		 * others what they lack. */
+		if (e->demand_due)
+			send_demand(e, now_ms(e));
 		break;
 	case MSG_QUARANTINE:
 		gate_take_quarantine(e->gate, &f->u.quarantine);
@@ -269,19 +286,6 @@
 
 static const struct link_ops link_table = { on_up, on_message, on_down };
 
-static void send_demand(struct fleet_entry *e, int64_t now)
-{
-	struct gate_report r;
-
-	if (!e->link_up || (!e->demand_due && now - e->demand_ms < DEMAND_MS))
-		return;
-	e->demand_ms = now;
-	e->demand_due = false;
-	gate_report(e->gate, &r);
-	link_send(e->link, MSG_DEMAND, &r.m);
-	gate_report_done(&r);
-}
-
 /* What customers' limits need here. */
 static void send_quota(struct fleet_entry *e)
 {
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -121,11 +121,13 @@
 	struct routing *routing;
 	struct preset preset;
 	uint64_t preset_version;
-	GHashTable *peers; /* conn -> struct fleet_peer */
-	GHashTable *eps;   /* addr -> struct fleet_ep */
-	GHashTable *wants; /* "service\nmodel" -> struct fleet_want */
-	uint64_t fence;	   /* of this leadership */
-	uint64_t round, steps;
+	GHashTable *peers;   /* conn -> struct fleet_peer */
+	GHashTable *eps;     /* addr -> struct fleet_ep */
+	GHashTable *wants;   /* "service\nmodel" -> struct fleet_want */
+	uint64_t fence;	     /* of this leadership */
+	uint64_t round;	     /* the newest; a whole fleet has one of its own */
+	uint64_t step_round; /* that all entries are to confirm */
+	uint64_t steps;
 	int64_t since_ms, plan_ms, push_ms, load_push_ms;
 	bool list_seen;
 	bool dirty, urgent;
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -155,7 +155,7 @@
 {
 	struct msg_fleet m = { .fence = l->fence,
 			       .entries = entries(l),
-			       .round = l->round,
+			       .round = whole ? l->round : l->step_round,
 			       .whole = whole,
 			       .endpoints = { p->eps->data, p->eps->len },
 			       .etas = { p->etas->data, p->etas->len },
@@ -210,6 +210,8 @@
 	while (g_hash_table_iter_next(&at, NULL, &e))
 		push_add(l, &p, e);
 	add_etas(l, &p, true);
+	/* What confirms it can't have been sent before it arrived. */
+	l->round++;
 	frame = push_frame(l, &p, true);
 	g_hash_table_iter_init(&it, l->peers);
 	while (g_hash_table_iter_next(&it, NULL, &v))
@@ -223,7 +225,7 @@
 {
 	if (!p->whole_sent || p->round < p->whole_round)
 		return;
-	send_window_acked(&l->window, p->whole_sent);
+	send_window_acked(&l->window, p->whole_sent, p->whole_ms);
 	p->whole_sent = 0;
 	/* Others may wait for room. */
 	l->dirty = true;
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -236,7 +236,7 @@
 	r->load = g_strdup(model);
 	r->since_ms = w->now;
 	if (s->n_victims) {
-		r->round = ++w->l->round;
+		r->round = w->l->step_round = ++w->l->round;
 		ep->changed = w->l->dirty = true;
 	}
 	(*w->l->n_steps)++;
--- /dev/null
+++ b/test/fleet_world.c
@@ -0,0 +1,863 @@
+/* A fleet's leader between entries and engines that are played. */
+#include "fleet_world.h"
+
+#include <math.h>
+#include <time.h>
+
+#include "../platform/platform.h"
+#include "../src/core/fleet_wire.h"
+#include "../src/core/state.h"
+#include "../src/daemon/fleet_lead.h"
+#include "../src/vmlist/instances.h"
+
+#define TICK_MS 20
+#define REPORT_MS 100
+#define AGENT_MS 1000
+#define LIST_MS 900
+#define LOAD_MS 400
+/* A message's way, each. */
+#define WAY_MS 2
+#define ENGINE_HOLDS 3
+#define ADDRESS_MAX 32
+
+struct call {
+	int model, engine; /* -1: it waits */
+	int64_t end_ms;
+};
+
+struct conn {
+	struct fleet_world *w;
+	struct msg_hello peer;
+	char name[ADDRESS_MAX];
+	int entry, engine; /* -1: not one */
+	bool gone, muted;
+	/* Of an entry. */
+	GArray *calls;	/* struct call */
+	GArray *counts; /* uint64_t: arrivals by model since the last report */
+	uint64_t round; /* in force */
+	bool whole, soon;
+	uint64_t sent;
+	int64_t report_ms;
+};
+
+struct engine {
+	char addr[ADDRESS_MAX], id[ADDRESS_MAX];
+	GArray *held;	 /* int */
+	GArray *on_disk; /* int */
+	int running;
+	int64_t report_ms;
+	bool news;
+	/* What it was told to do; done_ms 0: nothing. */
+	int64_t done_ms;
+	uint64_t step, fence;
+	int load;
+	GArray *unload; /* int */
+};
+
+struct instances {
+	struct instances_options o;
+	bool on;
+};
+
+struct fleet_world {
+	struct fleet_world_options o;
+	struct daemon d;
+	struct ss_state *state;
+	struct routing *routing;
+	struct instances list;
+	int64_t list_ms, tick_ms;
+	GPtrArray *entries, *agents; /* struct conn */
+	struct engine *engines;
+	GArray **holders; /* int, engines by model */
+	GHashTable *model_index;
+	double *popularity; /* summed up */
+	double arrivals;
+	void *lead;
+	uint64_t seed;
+	struct fleet_world_cost cost;
+	GHashTable *work_told;
+	int steps;
+	/* The frame that was read last. */
+	const char *frame;
+	size_t frame_len;
+	int64_t frame_ms;
+	uint64_t frame_round;
+	bool frame_whole;
+};
+
+/* The world that is played now: what stands for the network finds it here. */
+static struct fleet_world *world;
+
+static double cpu_ms(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec * 1000 + (double)t.tv_nsec / 1e6;
+}
+
+static double draw(struct fleet_world *w)
+{
+	return (double)(ss_random(&w->seed) >> 11) / (double)(1ULL << 53);
+}
+
+/* What stands for connections. */
+
+const struct msg_hello *conn_peer(const struct conn *c)
+{
+	return &c->peer;
+}
+
+size_t conn_backlog(const struct conn *c)
+{
+	(void)c;
+	return 0;
+}
+
+static int model_of(struct fleet_world *w, struct ss_str name)
+{
+	char *s = ss_str_dup(name);
+	int i = GPOINTER_TO_INT(g_hash_table_lookup(w->model_index, s)) - 1;
+
+	g_free(s);
+	return i;
+}
+
+static void take_order(struct fleet_world *w, struct engine *e,
+		       const struct msg_load *m)
+{
+	const struct name_item *n = m->unload.items;
+
+	e->step = m->step;
+	e->fence = m->fence;
+	e->load = model_of(w, m->load);
+	g_array_set_size(e->unload, 0);
+	for (size_t i = 0; i < m->unload.n; i++) {
+		int model = model_of(w, n[i].name);
+
+		g_array_append_val(e->unload, model);
+	}
+	e->done_ms = w->d.clock.fake_ms + LOAD_MS;
+	w->steps++;
+}
+
+bool conn_send(struct conn *c, enum msg_kind kind, const void *msg)
+{
+	if (kind == MSG_LOAD && c->engine >= 0)
+		take_order(c->w, &c->w->engines[c->engine], msg);
+	c->sent++;
+	return !c->gone;
+}
+
+static void read_frame(struct fleet_world *w, const GString *frame)
+{
+	struct frame f;
+
+	if (w->frame == frame->str && w->frame_len == frame->len &&
+	    w->frame_ms == w->d.clock.fake_ms)
+		return;
+	w->frame = frame->str;
+	w->frame_len = frame->len;
+	w->frame_ms = w->d.clock.fake_ms;
+	w->frame_round = 0;
+	w->frame_whole = false;
+	if (!frame_decode((const uint8_t *)frame->str, frame->len, &f, NULL))
+		return;
+	if (f.kind == MSG_FLEET) {
+		w->frame_round = f.u.fleet.round;
+		w->frame_whole = f.u.fleet.whole;
+	}
+	frame_done(&f);
+}
+
+bool conn_send_frame(struct conn *c, const GString *frame)
+{
+	struct fleet_world *w = c->w;
+
+	read_frame(w, frame);
+	c->sent++;
+	c->whole |= w->frame_whole;
+	/* It tells at once that a round is in force. */
+	if (w->frame_round > c->round && !c->muted) {
+		c->round = w->frame_round;
+		c->soon = true;
+	}
+	return !c->gone;
+}
+
+/* What stands for the control group. */
+
+const struct ss_state *group_state(const struct group *g)
+{
+	(void)g;
+	return world->state;
+}
+
+const struct ss_raft *group_raft(const struct group *g)
+{
+	(void)g;
+	return NULL;
+}
+
+void group_confirm(struct group *g, struct read_done done)
+{
+	(void)g;
+	done.fn(done.arg, true);
+}
+
+bool group_tell(struct group *g, uint64_t id, enum msg_kind kind,
+		const void *msg)
+{
+	(void)g;
+	(void)id;
+	(void)kind;
+	(void)msg;
+	return true;
+}
+
+uint64_t ss_raft_term(const struct ss_raft *r)
+{
+	(void)r;
+	return 1;
+}
+
+uint64_t ss_raft_leader(const struct ss_raft *r)
+{
+	(void)r;
+	return 1;
+}
+
+int64_t ss_raft_quiet_ms(const struct ss_raft *r, uint64_t id)
+{
+	(void)r;
+	(void)id;
+	return 0;
+}
+
+const struct ss_raft_members *ss_raft_members(const struct ss_raft *r)
+{
+	static struct ss_raft_member one = { .id = 1 };
+	static const struct ss_raft_members all = { &one, 1 };
+
+	(void)r;
+	return &all;
+}
+
+/* What stands for the platform's list. */
+
+struct instances *instances_new(const struct instances_options *o)
+{
+	world->list.o = *o;
+	return &world->list;
+}
+
+void instances_free(struct instances *v)
+{
+	v->on = false;
+}
+
+void instances_run(struct instances *v, bool on)
+{
+	v->on = on;
+}
+
+static char *model_name(int i)
+{
+	return g_strdup_printf("model-%d", i);
+}
+
+static GPtrArray *names_of(const GArray *models)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < models->len; i++)
+		g_ptr_array_add(out, model_name(g_array_index(models, int, i)));
+	return out;
+}
+
+static void tell_list(struct fleet_world *w)
+{
+	struct fleet_list all;
+
+	fleet_list_init(&all);
+	for (int i = 0; i < w->o.engines; i++) {
+		const struct engine *e = &w->engines[i];
+		struct fleet_instance x = {
+			.id = g_strdup(e->id),
+			.started_ms = 1,
+			.service = g_strdup("lm"),
+			.addr = g_strdup(e->addr),
+			.domain = g_strdup_printf("domain-%d", i % 6),
+			.slots = 16,
+			.models = names_of(e->held),
+		};
+
+		g_array_append_val(all.instances, x);
+	}
+	w->list.o.list(w->list.o.arg, &all);
+	fleet_list_clear(&all);
+}
+
+/* Messages to the leader, as bytes. */
+
+static void deliver(struct conn *c, enum msg_kind kind, const void *msg,
+		    double *cost)
+{
+	GString *bytes = g_string_new(NULL);
+	struct frame f;
+	double from;
+
+	frame_add(bytes, kind, msg);
+	from = cpu_ms();
+	if (frame_decode((const uint8_t *)bytes->str, bytes->len, &f, NULL)) {
+		fleet_lead_ops.message(c->w->lead, c, &f);
+		frame_done(&f);
+	}
+	*cost += cpu_ms() - from;
+	g_string_free(bytes, TRUE);
+}
+
+static struct conn *peer_new(struct fleet_world *w, enum role role, int entry,
+			     int engine)
+{
+	struct conn *c = g_new0(struct conn, 1);
+
+	c->w = w;
+	c->entry = entry;
+	c->engine = engine;
+	g_snprintf(c->name, sizeof(c->name), "%s-%d",
+		   entry >= 0 ? "entry" : "agent", MAX(entry, engine));
+	c->peer.role = role;
+	c->peer.name = ss_str(c->name);
+	c->peer.incarnation = ss_random(&w->seed);
+	c->calls = g_array_new(FALSE, FALSE, sizeof(struct call));
+	c->counts = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	g_array_set_size(c->counts, (guint)w->o.models);
+	c->report_ms =
+		w->d.clock.fake_ms + (int64_t)(ss_random(&w->seed) % REPORT_MS);
+	return c;
+}
+
+static void peer_free(void *p)
+{
+	struct conn *c = p;
+
+	g_array_unref(c->calls);
+	g_array_unref(c->counts);
+	g_free(c);
+}
+
+/* Entries. */
+
+static int pick_model(struct fleet_world *w)
+{
+	double x = draw(w) * w->popularity[w->o.models - 1];
+	int low = 0, high = w->o.models - 1;
+
+	while (low < high) {
+		int mid = (low + high) / 2;
+
+		if (w->popularity[mid] < x)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+static int pick_engine(struct fleet_world *w, int model)
+{
+	const GArray *h = w->holders[model];
+
+	return h->len ? g_array_index(h, int, ss_random(&w->seed) % h->len) :
+			-1;
+}
+
+static void begin(struct fleet_world *w, struct call *k)
+{
+	k->engine = pick_engine(w, k->model);
+	if (k->engine < 0)
+		return;
+	k->end_ms = w->d.clock.fake_ms + w->o.call_ms;
+	w->engines[k->engine].running++;
+}
+
+void fleet_world_call(struct fleet_world *w, int entry, int model)
+{
+	struct conn *c = w->entries->pdata[entry];
+	struct call k = { .model = model };
+
+	g_array_index(c->counts, uint64_t, model)++;
+	begin(w, &k);
+	c->soon |= k.engine < 0;
+	g_array_append_val(c->calls, k);
+}
+
+static void end_calls(struct fleet_world *w, struct conn *c)
+{
+	for (guint i = c->calls->len; i-- > 0;) {
+		struct call *k = &g_array_index(c->calls, struct call, i);
+
+		if (k->engine < 0) {
+			begin(w, k);
+		} else if (w->d.clock.fake_ms >= k->end_ms) {
+			w->engines[k->engine].running--;
+			g_array_remove_index_fast(c->calls, i);
+		}
+	}
+}
+
+static void add_demand(struct fleet_world *w, struct conn *c, GArray *out,
+		       GPtrArray *names)
+{
+	for (int m = 0; m < w->o.models; m++) {
+		uint64_t *n = &g_array_index(c->counts, uint64_t, m);
+		struct model_demand d = { .service = SS_LIT("lm"),
+					  .arrivals = *n };
+
+		for (guint i = 0; i < c->calls->len; i++) {
+			const struct call *k =
+				&g_array_index(c->calls, struct call, i);
+
+			d.waiting += k->model == m && k->engine < 0;
+		}
+		if (!*n && !d.waiting)
+			continue;
+		*n = 0;
+		d.slack_ms = 300;
+		g_ptr_array_add(names, model_name(m));
+		d.model = ss_str(names->pdata[names->len - 1]);
+		g_array_append_val(out, d);
+	}
+}
+
+static void add_calls(struct fleet_world *w, struct conn *c, GArray *out,
+		      GArray *held, GPtrArray *names)
+{
+	/* One row a call: the leader adds them up. */
+	for (guint i = 0; i < c->calls->len; i++) {
+		const struct call *k = &g_array_index(c->calls, struct call, i);
+		struct held_model h = { .calls = 1 };
+
+		if (k->engine < 0)
+			continue;
+		g_ptr_array_add(names, model_name(k->model));
+		h.model = ss_str(names->pdata[names->len - 1]);
+		g_array_append_val(held, h);
+	}
+	for (guint i = 0, at = 0; i < c->calls->len; i++) {
+		const struct call *k = &g_array_index(c->calls, struct call, i);
+		struct endpoint_calls e = { .started_ms = 1 };
+
+		if (k->engine < 0)
+			continue;
+		e.addr = ss_str(w->engines[k->engine].addr);
+		e.models = (struct wire_list){
+			&g_array_index(held, struct held_model, at++), 1
+		};
+		g_array_append_val(out, e);
+	}
+}
+
+static void report(struct fleet_world *w, struct conn *c)
+{
+	GArray *models = g_array_new(FALSE, FALSE, sizeof(struct model_demand));
+	GArray *calls =
+		g_array_new(FALSE, FALSE, sizeof(struct endpoint_calls));
+	GArray *held = g_array_new(FALSE, FALSE, sizeof(struct held_model));
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	struct msg_demand m = { .round = c->round, .routing = 1 };
+
+	c->report_ms = w->d.clock.fake_ms + REPORT_MS;
+	c->soon = false;
+	add_demand(w, c, models, names);
+	add_calls(w, c, calls, held, names);
+	m.models = (struct wire_list){ models->data, models->len };
+	m.calls = (struct wire_list){ calls->data, calls->len };
+	deliver(c, MSG_DEMAND, &m, &w->cost.reports);
+	g_array_unref(models);
+	g_array_unref(calls);
+	g_array_unref(held);
+	g_ptr_array_unref(names);
+}
+
+/* Engines. */
+
+static void hold(struct fleet_world *w, int engine, int model, bool on)
+{
+	GArray *held = w->engines[engine].held;
+	GArray *holders = w->holders[model];
+
+	for (guint i = held->len; i-- > 0;)
+		if (g_array_index(held, int, i) == model)
+			g_array_remove_index(held, i);
+	for (guint i = holders->len; i-- > 0;)
+		if (g_array_index(holders, int, i) == engine)
+			g_array_remove_index(holders, i);
+	if (!on)
+		return;
+	g_array_append_val(held, model);
+	g_array_append_val(holders, engine);
+}
+
+static GArray *held_list(const struct engine *e, GPtrArray *names)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct held_model));
+
+	for (guint i = 0; i < e->held->len; i++) {
+		struct held_model h = { 0 };
+
+		g_ptr_array_add(names,
+				model_name(g_array_index(e->held, int, i)));
+		h.model = ss_str(names->pdata[names->len - 1]);
+		g_array_append_val(out, h);
+	}
+	return out;
+}
+
+static void report_engine(struct fleet_world *w, int i)
+{
+	struct conn *c = w->agents->pdata[i];
+	struct engine *e = &w->engines[i];
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *disk = names_of(e->on_disk);
+	GArray *held = held_list(e, names), *copies = fleet_wire_names(disk);
+	struct msg_endpoint m = { .addr = ss_str(e->addr),
+				  .agent = ss_str(c->name),
+				  .reachable = true,
+				  .busy = e->done_ms > 0,
+				  .running = e->running,
+				  .tokens_used = e->running * 800,
+				  .tokens_total = 86000,
+				  .started_ms = 1,
+				  .id = ss_str(e->id) };
+
+	e->report_ms = w->d.clock.fake_ms + AGENT_MS;
+	e->news = false;
+	m.held = (struct wire_list){ held->data, held->len };
+	m.on_disk = (struct wire_list){ copies->data, copies->len };
+	deliver(c, MSG_ENDPOINT, &m, &w->cost.agents);
+	g_array_unref(held);
+	g_array_unref(copies);
+	g_ptr_array_unref(disk);
+	g_ptr_array_unref(names);
+}
+
+static void end_load(struct fleet_world *w, int i)
+{
+	struct engine *e = &w->engines[i];
+	struct msg_loaded m = { .fence = e->fence,
+				.step = e->step,
+				.took_ms = LOAD_MS };
+
+	for (guint k = 0; k < e->unload->len; k++)
+		hold(w, i, g_array_index(e->unload, int, k), false);
+	if (e->load >= 0)
+		hold(w, i, e->load, true);
+	e->done_ms = 0;
+	report_engine(w, i);
+	deliver(w->agents->pdata[i], MSG_LOADED, &m, &w->cost.agents);
+}
+
+static void run_engine(struct fleet_world *w, int i)
+{
+	struct engine *e = &w->engines[i];
+	int64_t now = w->d.clock.fake_ms;
+
+	if (((struct conn *)w->agents->pdata[i])->gone)
+		return;
+	if (e->done_ms && now >= e->done_ms)
+		end_load(w, i);
+	else if (e->news || now >= e->report_ms)
+		report_engine(w, i);
+}
+
+static void engine_init(struct fleet_world *w, int i)
+{
+	struct engine *e = &w->engines[i];
+
+	g_snprintf(e->addr, sizeof(e->addr), "10.%d.%d.%d:8000", i % 6, i / 200,
+		   i % 200);
+	g_snprintf(e->id, sizeof(e->id), "i-%08x",
+		   (unsigned int)ss_random(&w->seed));
+	e->held = g_array_new(FALSE, FALSE, sizeof(int));
+	e->on_disk = g_array_new(FALSE, FALSE, sizeof(int));
+	e->unload = g_array_new(FALSE, FALSE, sizeof(int));
+	e->report_ms = (int64_t)(ss_random(&w->seed) % AGENT_MS);
+	for (int k = 0; k < ENGINE_HOLDS; k++) {
+		int model = k ? pick_model(w) : i % w->o.models;
+
+		hold(w, i, model, true);
+	}
+	for (int k = 0; k < 4 * ENGINE_HOLDS; k++) {
+		int model = (int)(ss_random(&w->seed) % (uint64_t)w->o.models);
+
+		g_array_append_val(e->on_disk, model);
+	}
+}
+
+/* The whole. */
+
+static struct routing *make_routing(int models)
+{
+	GString *s = g_string_new("{\"version\":1,\"routes\":[],\"services\":["
+				  "{\"name\":\"lm\",\"engine\":{\"slots\":16,"
+				  "\"weightsMb\":83000,\"adapterSlots\":8,"
+				  "\"loadPerS\":200,\"models\":[");
+	struct routing *r;
+
+	for (int i = 0; i < models; i++)
+		g_string_append_printf(
+			s,
+			"%s{\"name\":\"model-%d\",\"weightsMb\":16100,"
+			"\"loadS\":13.2,\"adapters\":0,\"adapterMb\":14,"
+			"\"warmS\":0.3,\"diskLoadS\":0.4}",
+			i ? "," : "", i);
+	g_string_append(s, "]}}]}");
+	r = routing_read(users_platform.routing, ss_str_gs(s), NULL);
+	g_assert(r);
+	g_string_free(s, TRUE);
+	return r;
+}
+
+static void add_entry(struct fleet_world *w, int i)
+{
+	struct conn *c = peer_new(w, ROLE_ENTRY, i, -1);
+
+	w->entries->pdata[i] = c;
+	fleet_lead_ops.open(w->lead, c);
+}
+
+static void add_agent(struct fleet_world *w, int i)
+{
+	struct conn *c = peer_new(w, ROLE_AGENT, -1, i);
+
+	w->agents->pdata[i] = c;
+	c->gone = i >= w->o.engines - w->o.agents_missing;
+	if (c->gone)
+		return;
+	fleet_lead_ops.open(w->lead, c);
+	w->engines[i].news = true;
+}
+
+static void make_models(struct fleet_world *w)
+{
+	double sum = 0;
+
+	w->popularity = g_new(double, w->o.models);
+	w->holders = g_new(GArray *, w->o.models);
+	w->model_index =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (int i = 0; i < w->o.models; i++) {
+		sum += 1.0 / (i + 1);
+		w->popularity[i] = sum;
+		w->holders[i] = g_array_new(FALSE, FALSE, sizeof(int));
+		g_hash_table_insert(w->model_index, model_name(i),
+				    GINT_TO_POINTER(i + 1));
+	}
+}
+
+struct fleet_world *fleet_world_new(const struct fleet_world_options *o)
+{
+	struct fleet_world *w = g_new0(struct fleet_world, 1);
+
+	world = w;
+	w->o = *o;
+	w->seed = o->seed;
+	w->d.clock.fake_ms = 1000;
+	w->d.metrics = metrics_new();
+	settings_defaults(&config_type, &w->d.config);
+	w->state = ss_state_new();
+	w->routing = make_routing(o->models);
+	w->work_told =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	make_models(w);
+	w->engines = g_new0(struct engine, o->engines);
+	for (int i = 0; i < o->engines; i++)
+		engine_init(w, i);
+	w->lead = fleet_lead_ops.begin(&w->d, NULL, w->routing);
+	w->entries = g_ptr_array_new_with_free_func(peer_free);
+	w->agents = g_ptr_array_new_with_free_func(peer_free);
+	g_ptr_array_set_size(w->entries, o->entries);
+	g_ptr_array_set_size(w->agents, o->engines);
+	for (int i = 0; i < o->entries; i++)
+		add_entry(w, i);
+	for (int i = 0; i < o->engines; i++)
+		add_agent(w, i);
+	tell_list(w);
+	w->list_ms = w->d.clock.fake_ms;
+	return w;
+}
+
+void fleet_world_free(struct fleet_world *w)
+{
+	fleet_lead_ops.end(w->lead);
+	for (int i = 0; i < w->o.engines; i++) {
+		g_array_unref(w->engines[i].held);
+		g_array_unref(w->engines[i].on_disk);
+		g_array_unref(w->engines[i].unload);
+	}
+	for (int i = 0; i < w->o.models; i++)
+		g_array_unref(w->holders[i]);
+	g_free(w->engines);
+	g_free(w->holders);
+	g_free(w->popularity);
+	g_hash_table_unref(w->model_index);
+	g_hash_table_unref(w->work_told);
+	g_ptr_array_unref(w->entries);
+	g_ptr_array_unref(w->agents);
+	routing_unref(w->routing);
+	ss_state_free(w->state);
+	settings_clear(&config_type, &w->d.config);
+	metrics_free(w->d.metrics);
+	g_free(w);
+}
+
+static void arrive(struct fleet_world *w)
+{
+	w->arrivals += w->o.calls_per_s / 1000.0;
+	for (; w->arrivals >= 1; w->arrivals--)
+		fleet_world_call(
+			w, (int)(ss_random(&w->seed) % (uint64_t)w->o.entries),
+			pick_model(w));
+}
+
+static void run_entries(struct fleet_world *w)
+{
+	for (int i = 0; i < w->o.entries; i++) {
+		struct conn *c = w->entries->pdata[i];
+
+		end_calls(w, c);
+		if (!c->muted &&
+		    (c->soon || w->d.clock.fake_ms >= c->report_ms))
+			report(w, c);
+	}
+}
+
+static void step(struct fleet_world *w)
+{
+	int64_t now = ++w->d.clock.fake_ms;
+	double from;
+
+	arrive(w);
+	/* A message takes its way; what is done each ms is done each second
+	 * one here. */
+	if (now % WAY_MS == 0) {
+		run_entries(w);
+		for (int i = 0; i < w->o.engines; i++)
+			run_engine(w, i);
+	}
+	if (now - w->list_ms >= LIST_MS) {
+		w->list_ms = now;
+		from = cpu_ms();
+		tell_list(w);
+		w->cost.ticks += cpu_ms() - from;
+	}
+	if (now - w->tick_ms >= TICK_MS) {
+		w->tick_ms = now;
+		from = cpu_ms();
+		fleet_lead_ops.tick(w->lead);
+		w->cost.ticks += cpu_ms() - from;
+	}
+}
+
+void fleet_world_run(struct fleet_world *w, int64_t ms)
+{
+	world = w;
+	while (ms--)
+		step(w);
+}
+
+uint64_t fleet_world_work(struct fleet_world *w, const char *what)
+{
+	char *label = g_strdup_printf("what=\"%s\"", what);
+	uint64_t now =
+		*metrics_value(w->d.metrics, "ss_fleet_work_total", label);
+	uint64_t *told = g_hash_table_lookup(w->work_told, what);
+	uint64_t before = told ? *told : 0;
+
+	g_free(label);
+	g_hash_table_replace(w->work_told, g_strdup(what),
+			     g_memdup2(&now, sizeof(now)));
+	return now - before;
+}
+
+struct fleet_world_cost fleet_world_cost(struct fleet_world *w)
+{
+	struct fleet_world_cost c = w->cost;
+
+	memset(&w->cost, 0, sizeof(w->cost));
+	return c;
+}
+
+int fleet_world_informed(const struct fleet_world *w)
+{
+	int n = 0;
+
+	for (int i = 0; i < w->o.entries; i++)
+		n += ((struct conn *)w->entries->pdata[i])->whole;
+	return n;
+}
+
+static void close_peer(struct fleet_world *w, struct conn *c, double *cost)
+{
+	double from = cpu_ms();
+
+	c->gone = true;
+	fleet_lead_ops.closed(w->lead, c);
+	*cost += cpu_ms() - from;
+}
+
+void fleet_world_restart_entry(struct fleet_world *w, int entry)
+{
+	struct conn *c = w->entries->pdata[entry];
+
+	world = w;
+	close_peer(w, c, &w->cost.reports);
+	for (guint i = 0; i < c->calls->len; i++) {
+		int e = g_array_index(c->calls, struct call, i).engine;
+
+		if (e >= 0)
+			w->engines[e].running--;
+	}
+	peer_free(c);
+	add_entry(w, entry);
+}
+
+void fleet_world_restart_agent(struct fleet_world *w, int engine)
+{
+	struct conn *c = w->agents->pdata[engine];
+
+	world = w;
+	close_peer(w, c, &w->cost.agents);
+	peer_free(c);
+	add_agent(w, engine);
+}
+
+void fleet_world_mute_entry(struct fleet_world *w, int entry)
+{
+	((struct conn *)w->entries->pdata[entry])->muted = true;
+}
+
+int fleet_world_steps(const struct fleet_world *w)
+{
+	return w->steps;
+}
+
+int fleet_world_waiting(const struct fleet_world *w)
+{
+	int n = 0;
+
+	for (int i = 0; i < w->o.entries; i++) {
+		const struct conn *c = w->entries->pdata[i];
+
+		for (guint k = 0; k < c->calls->len; k++)
+			n += g_array_index(c->calls, struct call, k).engine < 0;
+	}
+	return n;
+}
+
+uint64_t fleet_world_sent(const struct fleet_world *w, int entry)
+{
+	return ((struct conn *)w->entries->pdata[entry])->sent;
+}
--- /dev/null
+++ b/test/fleet_world.h
@@ -0,0 +1,54 @@
+/*
+ * The real leader of a fleet with all its peers in one process, in simulated
+ * time: entries with calls, engines that load what they are told to, and the
+ * platform's list. What it shows is what the leader does, by its own counters
+ * and by processor time.
+ */
+#ifndef SS_FLEET_WORLD_H
+#define SS_FLEET_WORLD_H
+
+#include <sapphireshift/base.h>
+
+struct fleet_world_options {
+	int entries, engines, models;
+	double calls_per_s; /* of all entries */
+	int64_t call_ms;
+	int agents_missing; /* the last engines have none beside them */
+	uint64_t seed;
+};
+
+/* Processor time of the leader, in ms, by what it was called for. */
+struct fleet_world_cost {
+	double reports, agents, ticks;
+};
+
+struct fleet_world;
+
+struct fleet_world *fleet_world_new(const struct fleet_world_options *o);
+void fleet_world_free(struct fleet_world *w);
+
+/* Go on for so long, in simulated ms. */
+void fleet_world_run(struct fleet_world *w, int64_t ms);
+
+/* A counter of the leader's work since the last call for it. */
+uint64_t fleet_world_work(struct fleet_world *w, const char *what);
+/* Since the last call. */
+struct fleet_world_cost fleet_world_cost(struct fleet_world *w);
+
+/* Entries that hold the whole fleet. */
+int fleet_world_informed(const struct fleet_world *w);
+/* An entry's process ends; another comes in its place. */
+void fleet_world_restart_entry(struct fleet_world *w, int entry);
+/* An engine's agent ends, and comes back. */
+void fleet_world_restart_agent(struct fleet_world *w, int engine);
+/* A call for a model begins at an entry. */
+void fleet_world_call(struct fleet_world *w, int entry, int model);
+/* The entry answers nothing, and confirms nothing, from now on. */
+void fleet_world_mute_entry(struct fleet_world *w, int entry);
+/* Steps that were sent to engines, and callers that wait for a model. */
+int fleet_world_steps(const struct fleet_world *w);
+int fleet_world_waiting(const struct fleet_world *w);
+/* Messages that an entry was sent. */
+uint64_t fleet_world_sent(const struct fleet_world *w, int entry);
+
+#endif
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -840,7 +840,9 @@
 
 			queue -= out;
 			carried += out;
-			send_window_acked(&w, (size_t)out);
+			/* They were sent when what is left stood before. */
+			send_window_acked(&w, (size_t)out,
+					  now - (int64_t)(queue / rate) - 1);
 			while (send_window_open(&w, 1000)) {
 				send_window_sent(&w, 1000);
 				queue += 1000;
