A message costs the fleet's leader what it is about

Change: what a peer has a part in stands with it (endpoints that it owns, addresses where its calls are, models that it waits for); entries, and those behind the routing in force, are counted as they come, go and tell.

test_fleet_lead: rows a message at 20 entries and 40 engines and at ten times that (the code before looks at 40 and more, by the size); rows at a connection's end; who comes back is told all.

--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -50,18 +50,9 @@
 	l->preset_version = ss_state_config_version(s);
 }
 
-static struct fleet_ep *ep_of_agent(struct fleet_lead *l, const struct conn *c)
+static struct fleet_ep *ep_of_agent(const struct fleet_peer *p)
 {
-	GHashTableIter it;
-	void *p;
-
-	g_hash_table_iter_init(&it, l->eps);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		fleet_work(l, WORK_VISITS, 1);
-		if (((struct fleet_ep *)p)->conn == c)
-			return p;
-	}
-	return NULL;
+	return p && p->owned->len ? p->owned->pdata[0] : NULL;
 }
 
 /* An agent needs the services only, and is told when these change. */
@@ -80,7 +71,7 @@
  */
 static void tell_term(struct fleet_lead *l, struct fleet_peer *p)
 {
-	const struct fleet_ep *ep = p->entry ? NULL : ep_of_agent(l, p->conn);
+	const struct fleet_ep *ep = p->entry ? NULL : ep_of_agent(p);
 	struct msg_term m = { .routing = routing_for(l, p) };
 
 	if (!p->entry && !ep)
@@ -90,6 +81,22 @@
 		p->routing_told = m.routing;
 }
 
+static bool is_behind(const struct fleet_lead *l, const struct fleet_peer *p)
+{
+	return p->entry && p->routing < l->routing_told;
+}
+
+static void count_behind(struct fleet_lead *l)
+{
+	GHashTableIter it;
+	void *p;
+
+	l->behind = 0;
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		l->behind += is_behind(l, p);
+}
+
 static void tell_routing(struct fleet_lead *l)
 {
 	uint64_t version =
@@ -100,6 +107,7 @@
 	if (version != l->routing_told) {
 		l->routing_told = version;
 		l->routing_ms = fleet_lead_now(l);
+		count_behind(l);
 	}
 	g_hash_table_iter_init(&it, l->peers);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -114,24 +122,24 @@
 static void note_routing(struct fleet_lead *l)
 {
 	uint64_t version = l->routing_told;
-	GHashTableIter it;
-	void *v;
 
-	if (l->routing_everywhere == version)
+	if (l->behind || l->routing_everywhere == version)
 		return;
-	g_hash_table_iter_init(&it, l->peers);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const struct fleet_peer *p = v;
-
-		fleet_work(l, WORK_VISITS, 1);
-		if (p->entry && p->routing < version)
-			return;
-	}
 	l->routing_everywhere = version;
 	log_info("routing_everywhere", "version=%" PRIu64 " ms=%" PRId64,
 		 version, fleet_lead_now(l) - l->routing_ms);
 }
 
+/* An entry has told what it follows. */
+static void take_version(struct fleet_lead *l, struct fleet_peer *p,
+			 uint64_t version)
+{
+	l->behind -= is_behind(l, p);
+	p->routing = version;
+	l->behind += is_behind(l, p);
+	note_routing(l);
+}
+
 /* Connections. */
 
 struct confirm {
@@ -164,63 +172,44 @@
 static void on_open(void *arg, struct conn *c)
 {
 	struct fleet_lead *l = arg;
-	struct fleet_peer *p = g_new0(struct fleet_peer, 1);
+	struct fleet_peer *p = fleet_peer_new(c);
 	struct confirm *k = g_new0(struct confirm, 1);
 
-	p->conn = c;
 	p->entry = conn_peer(c)->role == ROLE_ENTRY;
 	g_hash_table_insert(l->peers, c, p);
+	l->entries += p->entry;
+	l->behind += is_behind(l, p);
 	k->l = l;
 	k->conn = c;
 	group_confirm(l->g, (struct read_done){ on_confirmed, k });
 }
 
-static void drop_calls(struct fleet_lead *l, struct fleet_ep *ep,
-		       const struct conn *c)
-{
-	fleet_work(l, WORK_VISITS, 1 + ep->calls->len);
-	for (guint i = ep->calls->len; i-- > 0;)
-		if (g_array_index(ep->calls, struct calls_at, i).entry == c)
-			g_array_remove_index_fast(ep->calls, i);
-}
-
-static void drop_waits(struct fleet_lead *l, struct fleet_want *w,
-		       const struct conn *c)
+static void lose_agent(struct fleet_lead *l, struct fleet_ep *ep)
 {
-	fleet_work(l, WORK_VISITS, 1 + w->waits->len);
-	for (guint i = w->waits->len; i-- > 0;)
-		if (g_array_index(w->waits, struct wait_at, i).entry == c)
-			g_array_remove_index_fast(w->waits, i);
+	log_info("agent_lost", "endpoint=%s", ep->addr);
+	fleet_ep_owned_by(l, ep, NULL);
+	ep->down = false;
+	ep->changed = true;
 }
 
 static void on_closed(void *arg, struct conn *c)
 {
 	struct fleet_lead *l = arg;
 	struct fleet_peer *gone = g_hash_table_lookup(l->peers, c);
-	GHashTableIter it;
-	void *p;
 
 	if (!gone)
 		return;
 	fleet_push_lost(l, gone);
 	if (gone->entry)
 		fleet_quota_gone(l, c);
+	l->entries -= gone->entry;
+	l->behind -= is_behind(l, gone);
+	fleet_drop_calls(l, gone);
+	fleet_drop_wants(l, gone);
+	while (gone->owned->len)
+		lose_agent(l, gone->owned->pdata[0]);
 	g_hash_table_remove(l->peers, c);
-	g_hash_table_iter_init(&it, l->eps);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct fleet_ep *ep = p;
-
-		drop_calls(l, ep, c);
-		if (ep->conn != c)
-			continue;
-		log_info("agent_lost", "endpoint=%s", ep->addr);
-		ep->conn = NULL;
-		ep->down = false;
-		ep->changed = true;
-	}
-	g_hash_table_iter_init(&it, l->wants);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		drop_waits(l, p, c);
+	note_routing(l);
 	l->dirty = true;
 }
 
@@ -234,7 +223,7 @@
 		 "addr=%s id=%s started=%" PRId64 " before=%" PRId64, ep->addr,
 		 ep->self.id, started_ms, ep->self.started_ms);
 	fleet_step_restarted(l, ep);
-	g_array_set_size(ep->calls, 0);
+	g_hash_table_remove_all(ep->calls);
 	memset(&ep->failing, 0, sizeof(ep->failing));
 	memset(&ep->failing_told, 0, sizeof(ep->failing_told));
 	g_hash_table_remove_all(ep->refused);
@@ -281,7 +270,7 @@
 		return false;
 	if (ep->conn == c)
 		return true;
-	ep->conn = c;
+	fleet_ep_owned_by(l, ep, c);
 	if (p && p->confirmed)
 		tell_term(l, p);
 	return true;
@@ -329,14 +318,13 @@
 
 /* Entries. */
 
-static void take_wait(struct fleet_lead *l, struct conn *c,
+static void take_wait(struct fleet_lead *l, struct fleet_peer *p,
 		      const struct model_demand *m)
 {
 	char *service = ss_str_dup(m->service), *model = ss_str_dup(m->model);
 	struct fleet_want *w = fleet_want_for(l, service, model);
 	int64_t now = fleet_lead_now(l);
-	struct wait_at at = { .entry = c,
-			      .waiting = m->waiting,
+	struct wait_at at = { .waiting = m->waiting,
 			      .due_ms = now + m->slack_ms,
 			      .at_ms = now };
 
@@ -344,9 +332,9 @@
 	g_free(model);
 	if (m->arrivals)
 		fleet_rate_add(&w->rate, m->arrivals, now);
-	drop_waits(l, w, c);
+	fleet_want_drop(l, w, p);
 	if (m->waiting) {
-		g_array_append_val(w->waits, at);
+		fleet_want_add(w, p, &at);
 		/* An entry that waits wants to hear at once when. */
 		w->eta_changed = true;
 		l->urgent = true;
@@ -362,30 +350,20 @@
 	return fleet_incarnation_judge(&ep->self, &told) == FLEET_LATE;
 }
 
-static void take_calls(struct fleet_lead *l, struct conn *c,
+static void take_calls(struct fleet_lead *l, struct fleet_peer *p,
 		       const struct wire_list *list)
 {
 	const struct endpoint_calls *e = list->items;
-	GHashTableIter it;
-	void *p;
 
-	g_hash_table_iter_init(&it, l->eps);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		drop_calls(l, p, c);
+	fleet_drop_calls(l, p);
+	fleet_work(l, WORK_VISITS, list->n);
 	for (size_t i = 0; i < list->n; i++) {
-		const struct held_model *h = e[i].models.items;
 		char *addr = ss_str_dup(e[i].addr);
 		struct fleet_ep *ep = g_hash_table_lookup(l->eps, addr);
 
 		g_free(addr);
-		if (ep && is_former(ep, e[i].started_ms))
-			continue;
-		for (size_t k = 0; ep && k < e[i].models.n; k++) {
-			struct calls_at at = { c, ss_str_dup(h[k].model),
-					       h[k].calls };
-
-			g_array_append_val(ep->calls, at);
-		}
+		if (ep && !is_former(ep, e[i].started_ms))
+			fleet_ep_add_calls(ep, p, &e[i].models);
 	}
 }
 
@@ -422,12 +400,11 @@
 		return;
 	fleet_work(l, WORK_REPORTS, 1);
 	p->round = MAX(p->round, m->round);
-	p->routing = m->routing;
+	take_version(l, p, m->routing);
 	fleet_push_confirmed(l, p);
-	note_routing(l);
 	for (size_t i = 0; i < m->models.n; i++)
-		take_wait(l, c, &d[i]);
-	take_calls(l, c, &m->calls);
+		take_wait(l, p, &d[i]);
+	take_calls(l, p, &m->calls);
 	take_ends(l, &m->ends);
 	l->dirty = true;
 }
@@ -442,7 +419,7 @@
 		take_endpoint(l, c, &f->u.endpoint);
 		break;
 	case MSG_LOADED:
-		ep = ep_of_agent(l, c);
+		ep = ep_of_agent(g_hash_table_lookup(l->peers, c));
 		if (ep)
 			fleet_steps_done(l, ep, &f->u.loaded);
 		break;
@@ -566,23 +543,36 @@
 	l->dirty = true;
 }
 
-static void forget_waits(struct fleet_lead *l, int64_t now)
+/* What was told so long ago. */
+static void forget_waits(struct fleet_lead *l, struct fleet_want *w,
+			 int64_t now)
 {
 	GHashTableIter it;
-	void *p;
+	void *c, *v;
 
-	g_hash_table_iter_init(&it, l->wants);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		GArray *waits = ((struct fleet_want *)p)->waits;
+	g_hash_table_iter_init(&it, w->waits);
+	while (g_hash_table_iter_next(&it, &c, &v)) {
+		struct fleet_peer *p = g_hash_table_lookup(l->peers, c);
 
-		for (guint i = waits->len; i-- > 0;)
-			if (now - g_array_index(waits, struct wait_at, i)
-					    .at_ms >
-			    WANT_MS)
-				g_array_remove_index_fast(waits, i);
+		if (now - ((struct wait_at *)v)->at_ms <= WANT_MS)
+			continue;
+		g_hash_table_iter_remove(&it);
+		if (p)
+			g_hash_table_remove(p->wants, w);
 	}
 }
 
+static void forget_old_waits(struct fleet_lead *l, int64_t now)
+{
+	GHashTableIter it;
+	void *w;
+
+	g_hash_table_iter_init(&it, l->wants);
+	while (g_hash_table_iter_next(&it, NULL, &w))
+		if (g_hash_table_size(((struct fleet_want *)w)->waits))
+			forget_waits(l, w, now);
+}
+
 static void on_tick(void *arg)
 {
 	struct fleet_lead *l = arg;
@@ -593,7 +583,7 @@
 		l->plan_ms = now;
 		l->urgent = false;
 		fleet_work(l, WORK_PLANS, 1);
-		forget_waits(l, now);
+		forget_old_waits(l, now);
 		fleet_steps_plan(l, now);
 	}
 	fleet_steps_run(l, now);
@@ -631,7 +621,7 @@
 	l->since_ms = fleet_lead_now(l);
 	send_window_init(&l->window, l->since_ms);
 	l->store_ms = l->since_ms;
-	l->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	l->peers = g_hash_table_new_full(NULL, NULL, NULL, fleet_peer_free);
 	l->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				       fleet_ep_free);
 	l->wants = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -33,9 +33,8 @@
 	bool slow;     /* and it was seen to take longer by that */
 };
 
-/* Calls of one entry on one model of an endpoint. */
-struct calls_at {
-	struct conn *entry;
+/* Calls on one model of an endpoint. */
+struct model_calls {
 	char *model;
 	int64_t calls;
 };
@@ -57,8 +56,8 @@
 	bool reported;
 	int64_t report_ms;
 	struct fleet_report report;
-	GArray *calls;		     /* struct calls_at */
-	struct failing failing;	     /* by what all entries see */
+	GHashTable *calls;	/* conn of an entry -> GArray of model_calls */
+	struct failing failing; /* by what all entries see */
 	struct failing failing_told; /* as they were told last */
 	struct step_run step;
 	bool changed;	     /* what entries are told of it */
@@ -66,8 +65,8 @@
 	GHashTable *refused; /* model -> when a load of it failed, ms */
 };
 
+/* What one entry waits for. */
 struct wait_at {
-	struct conn *entry;
 	uint64_t waiting;
 	int64_t due_ms; /* when the first of them is late */
 	int64_t at_ms;
@@ -77,15 +76,22 @@
 struct fleet_want {
 	char *service, *model;
 	struct fleet_rate rate;
-	GArray *waits;	/* struct wait_at */
-	int64_t eta_ms; /* on the clock; -1: unknown */
+	GHashTable *waits; /* conn of an entry -> struct wait_at */
+	int64_t eta_ms;	   /* on the clock; -1: unknown */
 	bool eta_changed;
 	int64_t blocked_ms; /* when that was last logged */
 };
 
+/*
+ * What a peer has a part in is kept with it, so that its messages and its end
+ * cost what they are about, and not all endpoints and models that there are.
+ */
 struct fleet_peer {
 	struct conn *conn;
 	bool entry;
+	GPtrArray *owned;      /* struct fleet_ep whose conn it is */
+	GPtrArray *called;     /* char *, addresses where its calls are */
+	GHashTable *wants;     /* set of struct fleet_want that it waits for */
 	bool confirmed;	       /* a majority has answered since it came */
 	bool whole;	       /* has been sent the whole fleet */
 	size_t whole_bytes;    /* of the last that it was sent */
@@ -122,6 +128,8 @@
 	struct preset preset;
 	uint64_t preset_version;
 	GHashTable *peers;   /* conn -> struct fleet_peer */
+	uint64_t entries;    /* of them */
+	uint64_t behind;     /* entries that don\'t follow routing_told yet */
 	GHashTable *eps;     /* addr -> struct fleet_ep */
 	GHashTable *wants;   /* "service\nmodel" -> struct fleet_want */
 	uint64_t fence;	     /* of this leadership */
@@ -171,6 +179,27 @@
 /* The endpoint at an address, made where there is none. */
 struct fleet_ep *fleet_ep_for(struct fleet_lead *l, const char *addr);
 void fleet_ep_free(void *ep);
+/* Its agent speaks by this connection from now on; NULL: by none. */
+void fleet_ep_owned_by(struct fleet_lead *l, struct fleet_ep *ep,
+		       struct conn *c);
+/* The calls of an entry there, of which none were known. */
+void fleet_ep_add_calls(struct fleet_ep *ep, struct fleet_peer *p,
+			const struct wire_list *models);
+/* All calls of an entry, at any endpoint, are over. */
+void fleet_drop_calls(struct fleet_lead *l, struct fleet_peer *p);
+uint32_t fleet_ep_calls(const struct fleet_ep *ep, const char *model);
+
+/* An entry waits for a model; it waits no more. */
+void fleet_want_add(struct fleet_want *w, struct fleet_peer *p,
+		    const struct wait_at *at);
+void fleet_want_drop(struct fleet_lead *l, struct fleet_want *w,
+		     struct fleet_peer *p);
+/* It waits for nothing more. */
+void fleet_drop_wants(struct fleet_lead *l, struct fleet_peer *p);
+
+struct fleet_peer *fleet_peer_new(struct conn *c);
+void fleet_peer_free(void *peer);
+
 /* A model's demand, made where there is none. */
 struct fleet_want *fleet_want_for(struct fleet_lead *l, const char *service,
 				  const char *model);
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -129,7 +129,7 @@
 		struct fleet_eta e = { ss_str(w->service), ss_str(w->model),
 				       -1 };
 
-		if (w->waits->len == 0 || !(all || w->eta_changed))
+		if (!g_hash_table_size(w->waits) || !(all || w->eta_changed))
 			continue;
 		if (w->eta_ms >= 0)
 			e.eta_ms = MAX(w->eta_ms - now, 0);
@@ -137,24 +137,12 @@
 	}
 }
 
-static uint64_t entries(const struct fleet_lead *l)
-{
-	GHashTableIter it;
-	uint64_t n = 0;
-	void *p;
-
-	g_hash_table_iter_init(&it, l->peers);
-	while (g_hash_table_iter_next(&it, NULL, &p))
-		n += ((struct fleet_peer *)p)->entry;
-	return n;
-}
-
 /* One frame for all of them: hundreds of entries get the same bytes. */
 static GString *push_frame(struct fleet_lead *l, const struct push *p,
 			   bool whole)
 {
 	struct msg_fleet m = { .fence = l->fence,
-			       .entries = entries(l),
+			       .entries = l->entries,
 			       .round = whole ? l->round : l->step_round,
 			       .whole = whole,
 			       .endpoints = { p->eps->data, p->eps->len },
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -78,11 +78,13 @@
 		};
 		struct fleet_want *want =
 			fleet_want_for(w->l, w->service->name, m.spec->name);
+		GHashTableIter it;
+		void *v;
 
 		m.rate = fleet_rate_at(&want->rate, w->now);
-		for (guint k = 0; k < want->waits->len; k++) {
-			const struct wait_at *at =
-				&g_array_index(want->waits, struct wait_at, k);
+		g_hash_table_iter_init(&it, want->waits);
+		while (g_hash_table_iter_next(&it, NULL, &v)) {
+			const struct wait_at *at = v;
 
 			m.waiting += (uint32_t)at->waiting;
 			m.slack_ms = MIN(m.slack_ms, at->due_ms - w->now);
@@ -91,20 +93,6 @@
 	}
 }
 
-static uint32_t calls_on(const struct fleet_ep *ep, const char *model)
-{
-	int64_t n = 0;
-
-	for (guint i = 0; i < ep->calls->len; i++) {
-		const struct calls_at *at =
-			&g_array_index(ep->calls, struct calls_at, i);
-
-		if (!strcmp(at->model, model))
-			n += at->calls;
-	}
-	return (uint32_t)n;
-}
-
 static double adapters_mb(const struct routing_service *s)
 {
 	double most = 0;
@@ -131,7 +119,7 @@
 		if (m < 0)
 			continue;
 		p.model = (uint32_t)m;
-		p.calls = calls_on(ep, h->model);
+		p.calls = fleet_ep_calls(ep, h->model);
 		p.closing = fleet_step_closes(ep, h->model);
 		g_array_index(w->models, struct fleet_model, m).calls +=
 			p.calls;
@@ -283,7 +271,7 @@
 		if ((eta < 0) != (want->eta_ms < 0) ||
 		    ABS(eta - want->eta_ms) > ETA_STEP_MS) {
 			want->eta_changed = true;
-			w->l->dirty |= want->waits->len > 0;
+			w->l->dirty |= g_hash_table_size(want->waits) > 0;
 		}
 		want->eta_ms = eta;
 	}
@@ -425,7 +413,7 @@
 	uint32_t n = 0;
 
 	for (guint i = 0; i < ep->step.unload->len; i++)
-		n += calls_on(ep, ep->step.unload->pdata[i]);
+		n += fleet_ep_calls(ep, ep->step.unload->pdata[i]);
 	return n;
 }
 
--- a/src/daemon/fleet_table.c
+++ b/src/daemon/fleet_table.c
@@ -1,4 +1,5 @@
-/* The fleet leader's tables: endpoints by address, demand by model. */
+/* The fleet leader's tables: endpoints by address, demand by model, and what
+ * each peer has a part in. */
 #include "fleet_lead_int.h"
 
 /* Owners of one engine under one leader: one each 3.5 s for two days. */
@@ -7,7 +8,7 @@
 
 static void calls_clear(void *p)
 {
-	g_free(((struct calls_at *)p)->model);
+	g_free(((struct model_calls *)p)->model);
 }
 
 void fleet_ep_free(void *p)
@@ -22,7 +23,7 @@
 	g_free(ep->domain);
 	g_free(ep->agent);
 	g_ptr_array_unref(ep->on_list);
-	g_array_unref(ep->calls);
+	g_hash_table_unref(ep->calls);
 	g_hash_table_unref(ep->refused);
 	fleet_report_clear(&ep->report);
 	g_free(ep);
@@ -43,8 +44,8 @@
 	ep->domain = g_strdup("");
 	ep->agent = g_strdup("");
 	ep->on_list = g_ptr_array_new_with_free_func(g_free);
-	ep->calls = g_array_new(FALSE, FALSE, sizeof(struct calls_at));
-	g_array_set_clear_func(ep->calls, calls_clear);
+	ep->calls = g_hash_table_new_full(NULL, NULL, NULL,
+					  (GDestroyNotify)g_array_unref);
 	ep->refused =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(l->eps, ep->addr, ep);
@@ -62,7 +63,7 @@
 
 	g_free(w->service);
 	g_free(w->model);
-	g_array_unref(w->waits);
+	g_hash_table_unref(w->waits);
 	g_free(w);
 }
 
@@ -79,12 +80,134 @@
 	w = g_new0(struct fleet_want, 1);
 	w->service = g_strdup(service);
 	w->model = g_strdup(model);
-	w->waits = g_array_new(FALSE, FALSE, sizeof(struct wait_at));
+	w->waits = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	w->eta_ms = -1;
 	g_hash_table_insert(l->wants, key, w);
 	return w;
 }
 
+/* Peers. */
+
+struct fleet_peer *fleet_peer_new(struct conn *c)
+{
+	struct fleet_peer *p = g_new0(struct fleet_peer, 1);
+
+	p->conn = c;
+	p->owned = g_ptr_array_new();
+	p->called = g_ptr_array_new_with_free_func(g_free);
+	p->wants = g_hash_table_new(NULL, NULL);
+	return p;
+}
+
+void fleet_peer_free(void *peer)
+{
+	struct fleet_peer *p = peer;
+
+	g_ptr_array_unref(p->owned);
+	g_ptr_array_unref(p->called);
+	g_hash_table_unref(p->wants);
+	g_free(p);
+}
+
+static struct fleet_peer *peer_at(struct fleet_lead *l, const struct conn *c)
+{
+	return c ? g_hash_table_lookup(l->peers, c) : NULL;
+}
+
+void fleet_ep_owned_by(struct fleet_lead *l, struct fleet_ep *ep,
+		       struct conn *c)
+{
+	struct fleet_peer *before = peer_at(l, ep->conn), *p = peer_at(l, c);
+
+	if (before)
+		g_ptr_array_remove_fast(before->owned, ep);
+	if (p)
+		g_ptr_array_add(p->owned, ep);
+	ep->conn = c;
+}
+
+void fleet_ep_add_calls(struct fleet_ep *ep, struct fleet_peer *p,
+			const struct wire_list *models)
+{
+	const struct held_model *h = models->items;
+	GArray *calls = g_hash_table_lookup(ep->calls, p->conn);
+
+	if (!calls) {
+		calls = g_array_new(FALSE, FALSE, sizeof(struct model_calls));
+		g_array_set_clear_func(calls, calls_clear);
+		g_hash_table_insert(ep->calls, p->conn, calls);
+		g_ptr_array_add(p->called, g_strdup(ep->addr));
+	}
+	for (size_t i = 0; i < models->n; i++) {
+		struct model_calls x = { ss_str_dup(h[i].model), h[i].calls };
+
+		g_array_append_val(calls, x);
+	}
+}
+
+void fleet_drop_calls(struct fleet_lead *l, struct fleet_peer *p)
+{
+	fleet_work(l, WORK_VISITS, p->called->len);
+	for (guint i = 0; i < p->called->len; i++) {
+		struct fleet_ep *ep =
+			g_hash_table_lookup(l->eps, p->called->pdata[i]);
+
+		/* One that is gone took its calls with it. */
+		if (ep)
+			g_hash_table_remove(ep->calls, p->conn);
+	}
+	g_ptr_array_set_size(p->called, 0);
+}
+
+uint32_t fleet_ep_calls(const struct fleet_ep *ep, const char *model)
+{
+	GHashTableIter it;
+	int64_t n = 0;
+	void *v;
+
+	g_hash_table_iter_init(&it, ep->calls);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const GArray *calls = v;
+
+		for (guint i = 0; i < calls->len; i++) {
+			const struct model_calls *x =
+				&g_array_index(calls, struct model_calls, i);
+
+			if (!strcmp(x->model, model))
+				n += x->calls;
+		}
+	}
+	return (uint32_t)n;
+}
+
+void fleet_want_add(struct fleet_want *w, struct fleet_peer *p,
+		    const struct wait_at *at)
+{
+	g_hash_table_replace(w->waits, p->conn, g_memdup2(at, sizeof(*at)));
+	g_hash_table_add(p->wants, w);
+}
+
+void fleet_want_drop(struct fleet_lead *l, struct fleet_want *w,
+		     struct fleet_peer *p)
+{
+	fleet_work(l, WORK_VISITS, 1);
+	g_hash_table_remove(w->waits, p->conn);
+	g_hash_table_remove(p->wants, w);
+}
+
+void fleet_drop_wants(struct fleet_lead *l, struct fleet_peer *p)
+{
+	GHashTableIter it;
+	void *w;
+
+	g_hash_table_iter_init(&it, p->wants);
+	while (g_hash_table_iter_next(&it, &w, NULL)) {
+		fleet_work(l, WORK_VISITS, 1);
+		g_hash_table_remove(((struct fleet_want *)w)->waits, p->conn);
+	}
+	g_hash_table_remove_all(p->wants);
+}
+
 bool fleet_ep_reported(const struct fleet_lead *l, const struct fleet_ep *ep)
 {
 	return ep->reported &&
--- /dev/null
+++ b/test/test_fleet_lead.c
@@ -0,0 +1,108 @@
+/* What a fleet's leader does at a size, by its own counters: the real one
+ * between played entries and engines. */
+#include "unit.h"
+
+#include "fleet_world.h"
+
+#define SECOND_MS 1000
+/* Rows that one message may cost: those it names, and those of the one before
+ * it from the same peer. */
+#define VISITS_A_MESSAGE 8
+
+static const struct size {
+	int entries, engines;
+} sizes[] = { { 20, 40 }, { 200, 400 } };
+
+static struct fleet_world *world_of(const struct size *s)
+{
+	struct fleet_world_options o = { .entries = s->entries,
+					 .engines = s->engines,
+					 .models = 60,
+					 .calls_per_s = s->entries,
+					 .call_ms = 1000,
+					 .seed = 5 };
+
+	return fleet_world_new(&o);
+}
+
+/* A leader whose work grows with entries times endpoints. */
+static void a_message_costs_what_it_is_about(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet_world *w = world_of(&sizes[i]);
+		uint64_t visits, messages;
+
+		fleet_world_run(w, SECOND_MS);
+		fleet_world_work(w, "visits");
+		fleet_world_work(w, "reports");
+		fleet_world_run(w, SECOND_MS);
+		visits = fleet_world_work(w, "visits");
+		messages = fleet_world_work(w, "reports");
+		assert_true(messages >= (uint64_t)sizes[i].entries * 5);
+		if (visits > messages * VISITS_A_MESSAGE)
+			fail_msg("%d entries: %" PRIu64 " rows for %" PRIu64
+				 " messages",
+				 sizes[i].entries, visits, messages);
+		fleet_world_free(w);
+	}
+}
+
+/* A loss of power ends all connections at once, and each end walked through
+ * all endpoints and models. */
+static void an_end_costs_what_it_had(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet_world *w = world_of(&sizes[i]);
+		uint64_t visits;
+
+		fleet_world_run(w, SECOND_MS);
+		fleet_world_work(w, "visits");
+		for (int k = 0; k < 10; k++) {
+			fleet_world_restart_entry(w, k);
+			fleet_world_restart_agent(w, k);
+		}
+		visits = fleet_world_work(w, "visits");
+		if (visits > 20 * VISITS_A_MESSAGE)
+			fail_msg("%d entries: %" PRIu64 " rows for 20 ends",
+				 sizes[i].entries, visits);
+		fleet_world_free(w);
+	}
+}
+
+/* A peer that comes back is left without what it needs. */
+static void who_comes_back_is_told_all(void **state)
+{
+	struct fleet_world *w = world_of(&sizes[0]);
+	int waiting;
+
+	(void)state;
+	fleet_world_run(w, SECOND_MS);
+	assert_int_equal(fleet_world_informed(w), sizes[0].entries);
+	for (int k = 0; k < sizes[0].entries; k++)
+		fleet_world_restart_entry(w, k);
+	for (int k = 0; k < sizes[0].engines; k++)
+		fleet_world_restart_agent(w, k);
+	assert_int_equal(fleet_world_informed(w), 0);
+	fleet_world_run(w, SECOND_MS);
+	assert_int_equal(fleet_world_informed(w), sizes[0].entries);
+	/* Models that are called for are loaded, by the new connections. */
+	for (int m = 0; m < 60; m++)
+		fleet_world_call(w, m % sizes[0].entries, m);
+	waiting = fleet_world_waiting(w);
+	fleet_world_run(w, 3 * SECOND_MS);
+	assert_true(fleet_world_waiting(w) <= waiting / 2);
+	fleet_world_free(w);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_message_costs_what_it_is_about),
+		cmocka_unit_test(an_end_costs_what_it_had),
+		cmocka_unit_test(who_comes_back_is_told_all),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
