Adapters that engines have loaded go out with the loads

Nobody waits for that news: the entry that asked for the adapter is answered by the engine's agent. A passing frame was also made, and thrown away, at each tick in which nothing had changed (47 a second).

Ruled out: loads (five times a second, 1,800 sends) and wake times (1 to 11 a second).

Change: a report in which only adapters differ goes out with the next loads (200 ms) and starts no pass of placing; without anything to tell no frame is made; a load that changed just after the others were told isn't forgotten in a quiet fleet.

test_fleet_lead: fifty such news within a second at 200 entries are told in no more sends than loads need; on the code before the case fails.

--- a/src/core/fleet_types.c
+++ b/src/core/fleet_types.c
@@ -138,7 +138,7 @@
 	return true;
 }
 
-bool fleet_same_held(const GArray *a, const GArray *b)
+static bool same_held(const GArray *a, const GArray *b, bool adapters)
 {
 	if (!a || !b || a->len != b->len)
 		return false;
@@ -149,8 +149,18 @@
 			&g_array_index(b, struct fleet_held, i);
 
 		if (strcmp(x->model, y->model) ||
-		    !fleet_same_names(x->adapters, y->adapters))
+		    (adapters && !fleet_same_names(x->adapters, y->adapters)))
 			return false;
 	}
 	return true;
 }
+
+bool fleet_same_held(const GArray *a, const GArray *b)
+{
+	return same_held(a, b, true);
+}
+
+bool fleet_same_models(const GArray *a, const GArray *b)
+{
+	return same_held(a, b, false);
+}
--- a/src/core/fleet_types.h
+++ b/src/core/fleet_types.h
@@ -104,6 +104,8 @@
 bool fleet_same_names(const GPtrArray *a, const GPtrArray *b);
 /* The same models and adapters (struct fleet_held) in the same order. */
 bool fleet_same_held(const GArray *a, const GArray *b);
+/* The same models, whatever their adapters. */
+bool fleet_same_models(const GArray *a, const GArray *b);
 
 struct fleet_order {
 	bool load; /* else unload */
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -305,8 +305,9 @@
 	}
 	if (how == FLEET_RESTARTED || !ep->reported ||
 	    ep->report.leaving != r.leaving || ep->report.busy != r.busy ||
-	    !fleet_same_held(ep->report.held, r.held))
+	    !fleet_same_models(ep->report.held, r.held))
 		ep->changed = l->urgent = true;
+	ep->adapters_changed |= !fleet_same_held(ep->report.held, r.held);
 	ep->load_changed |= ep->report.running != r.running ||
 			    ep->report.waiting != r.waiting;
 	fleet_report_clear(&ep->report);
@@ -592,6 +593,7 @@
 	fleet_suspects_tick(l, now);
 	fleet_quota_tick(l, now);
 	fleet_work_tick(l, now);
+	l->dirty |= loads && l->loads_left;
 	if (!l->dirty || (!loads && now - l->push_ms < PUSH_EVERY_MS))
 		return;
 	l->dirty = false;
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -60,9 +60,10 @@
 	struct failing failing; /* by what all entries see */
 	struct failing failing_told; /* as they were told last */
 	struct step_run step;
-	bool changed;	     /* what entries are told of it */
-	bool load_changed;   /* only its load */
-	GHashTable *refused; /* model -> when a load of it failed, ms */
+	bool changed;	       /* what entries are told of it */
+	bool load_changed;     /* only its load */
+	bool adapters_changed; /* and no model: who asked for one knows it */
+	GHashTable *refused;   /* model -> when a load of it failed, ms */
 };
 
 /* What one entry waits for. */
@@ -139,8 +140,9 @@
 	int64_t since_ms, plan_ms, push_ms, load_push_ms;
 	bool list_seen;
 	bool dirty, urgent;
-	int64_t routing_ms;	     /* when the version in force was read */
-	uint64_t routing_told;	     /* that version */
+	bool loads_left;       /* changes that go out with the next loads */
+	int64_t routing_ms;    /* when the version in force was read */
+	uint64_t routing_told; /* that version */
 	uint64_t routing_everywhere; /* version that all entries follow */
 	struct send_window window;   /* of whole fleets on their way */
 	struct fleet_store store;
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -243,11 +243,32 @@
 	}
 }
 
+static void send_changes(struct fleet_lead *l, const struct push *p)
+{
+	GString *frame = push_frame(l, p, false);
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, l->peers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct fleet_peer *peer = v;
+
+		/* One that missed a change gets all of it next time. */
+		if (!peer->entry || !peer->whole)
+			continue;
+		peer->whole = takes_more(peer) &&
+			      conn_send_frame(peer->conn, frame);
+		fleet_work(l, WORK_SENDS, 1);
+		fleet_work(l, WORK_BYTES, frame->len);
+	}
+	g_string_free(frame, TRUE);
+}
+
 void fleet_push_changes(struct fleet_lead *l, bool loads)
 {
 	GHashTableIter it;
 	struct push p;
-	GString *frame;
+	bool left = false;
 	void *v;
 
 	push_begin(&p);
@@ -255,33 +276,24 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct fleet_ep *ep = v;
 
-		if (ep->changed)
+		if (ep->changed || (loads && ep->adapters_changed))
 			push_add(l, &p, ep);
 		else if (loads && ep->load_changed)
 			push_load(l, &p, ep);
-		else
+		else {
+			left |= ep->load_changed || ep->adapters_changed;
 			continue;
+		}
 		ep->changed = ep->load_changed = false;
+		ep->adapters_changed = false;
 		ep->failing_told = ep->failing;
 	}
 	add_etas(l, &p, false);
 	g_hash_table_iter_init(&it, l->wants);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		((struct fleet_want *)v)->eta_changed = false;
-	frame = push_frame(l, &p, false);
-	g_hash_table_iter_init(&it, l->peers);
-	while ((p.eps->len || p.loads->len || p.etas->len) &&
-	       g_hash_table_iter_next(&it, NULL, &v)) {
-		struct fleet_peer *peer = v;
-
-		/* One that missed a change gets all of it next time. */
-		if (!peer->entry || !peer->whole)
-			continue;
-		peer->whole = takes_more(peer) &&
-			      conn_send_frame(peer->conn, frame);
-		fleet_work(l, WORK_SENDS, 1);
-		fleet_work(l, WORK_BYTES, frame->len);
-	}
-	g_string_free(frame, TRUE);
+	if (p.eps->len || p.loads->len || p.etas->len)
+		send_changes(l, &p);
+	l->loads_left = left;
 	push_end(&p);
 }
--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -44,6 +44,7 @@
 	char addr[ADDRESS_MAX], id[ADDRESS_MAX];
 	GArray *held;	 /* int */
 	GArray *on_disk; /* int */
+	int adapters;	 /* of its first model */
 	int running;
 	int64_t report_ms;
 	bool news;
@@ -500,7 +501,22 @@
 	g_array_append_val(holders, engine);
 }
 
-static GArray *held_list(const struct engine *e, GPtrArray *names)
+static GArray *adapter_list(const struct engine *e, GPtrArray *names)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct name_item));
+
+	for (int i = 0; i < e->adapters; i++) {
+		struct name_item n;
+
+		g_ptr_array_add(names, g_strdup_printf("a%d", i));
+		n.name = ss_str(names->pdata[names->len - 1]);
+		g_array_append_val(out, n);
+	}
+	return out;
+}
+
+static GArray *held_list(const struct engine *e, GPtrArray *names,
+			 const GArray *adapters)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct held_model));
 
@@ -510,6 +526,9 @@
 		g_ptr_array_add(names,
 				model_name(g_array_index(e->held, int, i)));
 		h.model = ss_str(names->pdata[names->len - 1]);
+		if (!i)
+			h.adapters = (struct wire_list){ adapters->data,
+							 adapters->len };
 		g_array_append_val(out, h);
 	}
 	return out;
@@ -521,7 +540,9 @@
 	struct engine *e = &w->engines[i];
 	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *disk = names_of(e->on_disk);
-	GArray *held = held_list(e, names), *copies = fleet_wire_names(disk);
+	GArray *adapters = adapter_list(e, names);
+	GArray *held = held_list(e, names, adapters);
+	GArray *copies = fleet_wire_names(disk);
 	struct msg_endpoint m = { .addr = ss_str(e->addr),
 				  .agent = ss_str(c->name),
 				  .reachable = true,
@@ -537,6 +558,7 @@
 	m.held = (struct wire_list){ held->data, held->len };
 	m.on_disk = (struct wire_list){ copies->data, copies->len };
 	deliver(c, MSG_ENDPOINT, &m, &w->cost.agents);
+	g_array_unref(adapters);
 	g_array_unref(held);
 	g_array_unref(copies);
 	g_ptr_array_unref(disk);
@@ -834,6 +856,12 @@
 	add_agent(w, engine);
 }
 
+void fleet_world_adapter(struct fleet_world *w, int engine)
+{
+	w->engines[engine].adapters++;
+	w->engines[engine].news = true;
+}
+
 void fleet_world_mute_entry(struct fleet_world *w, int entry)
 {
 	((struct conn *)w->entries->pdata[entry])->muted = true;
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -43,6 +43,8 @@
 void fleet_world_restart_agent(struct fleet_world *w, int engine);
 /* A call for a model begins at an entry. */
 void fleet_world_call(struct fleet_world *w, int entry, int model);
+/* An engine has loaded an adapter of its first model, and says so. */
+void fleet_world_adapter(struct fleet_world *w, int engine);
 /* The entry answers nothing, and confirms nothing, from now on. */
 void fleet_world_mute_entry(struct fleet_world *w, int entry);
 /* Steps that were sent to engines, and callers that wait for a model. */
--- a/test/test_fleet_lead.c
+++ b/test/test_fleet_lead.c
@@ -5,6 +5,8 @@
 #include "fleet_world.h"
 
 #define SECOND_MS 1000
+/* Loads are told this often. */
+#define LOADS_MS 200
 /* Rows that one message may cost: those it names, and those of the one before
  * it from the same peer. */
 #define VISITS_A_MESSAGE 8
@@ -71,6 +73,31 @@
 	}
 }
 
+/* Each adapter that some engine loads is told to all entries by itself, though
+ * the one that asked knows it. */
+static void adapters_go_out_with_the_loads(void **state)
+{
+	const int news = 50, every_ms = 20;
+	struct fleet_world *w = world_of(&sizes[1]);
+	uint64_t sends;
+
+	(void)state;
+	fleet_world_run(w, 2 * SECOND_MS);
+	fleet_world_work(w, "sends");
+	fleet_world_work(w, "endpoints");
+	for (int i = 0; i < news; i++) {
+		fleet_world_adapter(w, i);
+		fleet_world_run(w, every_ms);
+	}
+	fleet_world_run(w, LOADS_MS);
+	/* All are told, and no more often than loads are. */
+	assert_true(fleet_world_work(w, "endpoints") >= (uint64_t)news);
+	sends = fleet_world_work(w, "sends");
+	assert_true(sends <= (uint64_t)sizes[1].entries *
+				     (2 + news * every_ms / LOADS_MS));
+	fleet_world_free(w);
+}
+
 /* A peer that comes back is left without what it needs. */
 static void who_comes_back_is_told_all(void **state)
 {
@@ -101,6 +128,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_message_costs_what_it_is_about),
 		cmocka_unit_test(an_end_costs_what_it_had),
+		cmocka_unit_test(adapters_go_out_with_the_loads),
 		cmocka_unit_test(who_comes_back_is_told_all),
 	};
 
