Passes over the whole fleet take a part of the leader's time

With 360 entries somebody always waits, so that a pass of placing (2.7 ms of a core at 360 entries and 636 engines, twice that on half of one; 5.7 at twice the size) ran up to 50 times a second, and each change of an endpoint was written 360 times at each tick. Both are constants that hold while the fleet is small.

Change: the pause after a pass follows what the last one took: placing gets a tenth of the leader's time where callers wait (at most 100 ms between two), a fiftieth where nobody does (50 to 500 ms), telling changes a tenth (20 to 100 ms). Where a pass takes less than a millisecond nothing changes.

Ruled out: plans only where something changed (arrivals change each second at any load, and wake-ahead follows them).

test_fleet: passes_take_a_part_of_the_time.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -72,6 +72,12 @@
 	return CLAMP(s->most ? s->most : STORE_FIRST, 1, MAX(limit, 1));
 }
 
+int64_t fleet_pause_ms(int64_t took_ms, int64_t part, int64_t least_ms,
+		       int64_t most_ms)
+{
+	return CLAMP(took_ms * part, least_ms, most_ms);
+}
+
 int64_t fleet_store_slow_ms(int64_t alone_ms)
 {
 	return (int64_t)((double)alone_ms * STORE_SLOW);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -96,6 +96,14 @@
 void fleet_plan(struct fleet_view *v, const struct fleet_plan_ops *ops,
 		void *arg);
 
+/*
+ * The pause after work that took so long, so that it takes one part in so many
+ * of the time: what a pass over the whole costs grows with the fleet, and is
+ * the leader's to see.
+ */
+int64_t fleet_pause_ms(int64_t took_ms, int64_t part, int64_t least_ms,
+		       int64_t most_ms);
+
 /* How long a load from a tier takes. */
 int64_t fleet_load_ms(const struct routing_model *m, enum ss_tier tier);
 
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -15,9 +15,19 @@
 #define PUSH_EVERY_MS 20
 /* Load alone is told this often: entries add what they send themselves. */
 #define LOAD_EVERY_MS 200
-/* At least so often is planned: a seventh of a load from disk, the step that
- * is over first. What is urgent is planned at the next tick. */
+/* And no more of the leader's time than a tenth; but for a fleet that is larger
+ * than any that is planned a change waits no longer than this. */
+#define PUSH_PART 10
+#define PUSH_MOST_MS 100
+/* So often is planned where nobody waits: a seventh of a load from disk, the
+ * step that is over first. A pass over a large fleet takes its time, and what
+ * it finds changes no faster: it gets a fiftieth of the leader's. */
 #define PLAN_EVERY_MS 50
+#define PLAN_PART 50
+#define PLAN_MOST_MS 500
+/* Where callers wait, at the next tick, and a tenth of its time. */
+#define PLAN_URGENT_PART 10
+#define PLAN_URGENT_MOST_MS 100
 /* A new leader begins with a list that isn't whole after so long: three
  * readings, and it waits no longer for its agents either. */
 #define LIST_PARTS_MS 3000
@@ -574,34 +584,59 @@
 			forget_waits(l, w, now);
 }
 
+static bool plan_is_due(const struct fleet_lead *l, int64_t now)
+{
+	int64_t pause = l->urgent ? fleet_pause_ms(l->plan_took_ms,
+						   PLAN_URGENT_PART, 0,
+						   PLAN_URGENT_MOST_MS) :
+				    fleet_pause_ms(l->plan_took_ms, PLAN_PART,
+						   PLAN_EVERY_MS, PLAN_MOST_MS);
+
+	return now - l->plan_ms >= pause;
+}
+
+static void plan(struct fleet_lead *l, int64_t now)
+{
+	l->urgent = false;
+	fleet_work(l, WORK_PLANS, 1);
+	forget_old_waits(l, now);
+	fleet_steps_plan(l, now);
+	l->plan_ms = fleet_lead_now(l);
+	l->plan_took_ms = l->plan_ms - now;
+}
+
+static void push(struct fleet_lead *l, int64_t now)
+{
+	bool loads = now - l->load_push_ms >= LOAD_EVERY_MS;
+	int64_t pause = fleet_pause_ms(l->push_took_ms, PUSH_PART,
+				       PUSH_EVERY_MS, PUSH_MOST_MS);
+
+	l->dirty |= loads && l->loads_left;
+	if (!l->dirty || (!loads && now - l->push_ms < pause))
+		return;
+	l->dirty = false;
+	if (loads)
+		l->load_push_ms = now;
+	fleet_push_changes(l, loads);
+	fleet_push_whole(l);
+	l->push_ms = fleet_lead_now(l);
+	l->push_took_ms = l->push_ms - now;
+}
+
 static void on_tick(void *arg)
 {
 	struct fleet_lead *l = arg;
 	int64_t now = fleet_lead_now(l);
-	bool loads = now - l->load_push_ms >= LOAD_EVERY_MS;
 
-	if (l->urgent || now - l->plan_ms >= PLAN_EVERY_MS) {
-		l->plan_ms = now;
-		l->urgent = false;
-		fleet_work(l, WORK_PLANS, 1);
-		forget_old_waits(l, now);
-		fleet_steps_plan(l, now);
-	}
+	if (plan_is_due(l, now))
+		plan(l, now);
 	fleet_steps_run(l, now);
 	fleet_push_tick(l, now);
 	fleet_remote_tick(l, now);
 	fleet_suspects_tick(l, now);
 	fleet_quota_tick(l, now);
 	fleet_work_tick(l, now);
-	l->dirty |= loads && l->loads_left;
-	if (!l->dirty || (!loads && now - l->push_ms < PUSH_EVERY_MS))
-		return;
-	l->dirty = false;
-	l->push_ms = now;
-	if (loads)
-		l->load_push_ms = now;
-	fleet_push_changes(l, loads);
-	fleet_push_whole(l);
+	push(l, now);
 }
 
 static void *begin(struct daemon *d, struct group *g, struct routing *r)
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -138,6 +138,7 @@
 	uint64_t step_round; /* that all entries are to confirm */
 	uint64_t steps;
 	int64_t since_ms, plan_ms, push_ms, load_push_ms;
+	int64_t plan_took_ms, push_took_ms;
 	bool list_seen;
 	bool dirty, urgent;
 	bool loads_left;       /* changes that go out with the next loads */
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -711,6 +711,26 @@
 	}
 }
 
+static const struct {
+	int64_t took_ms, part, least_ms, most_ms, pause_ms;
+} pauses[] = {
+	{ 0, 10, 20, 100, 20 },	 { 1, 10, 20, 100, 20 },
+	{ 5, 10, 20, 100, 50 },	 { 80, 10, 20, 100, 100 },
+	{ 0, 10, 0, 100, 0 },	 { -3, 50, 50, 500, 50 },
+	{ 9, 50, 50, 500, 450 },
+};
+
+/* Passes over all of a large fleet that leave time for nothing else. */
+static void passes_take_a_part_of_the_time(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(pauses); i++)
+		assert_int_equal(
+			fleet_pause_ms(pauses[i].took_ms, pauses[i].part,
+				       pauses[i].least_ms, pauses[i].most_ms),
+			pauses[i].pause_ms);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -720,6 +740,7 @@
 		cmocka_unit_test(rates_fade),
 		cmocka_unit_test(what_blocks_a_model_is_told),
 		cmocka_unit_test(store_speed_is_learned),
+		cmocka_unit_test(passes_take_a_part_of_the_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
