An entry at rest says the same once a second, not ten times

3,500 of the 3,600 reports that the leader of 360 entries took each second said what the one before had said. Change: a report that tells of no arrivals, waits or ends, and whose bytes are those of the last one, is left out for up to a second; where anything waits, a round is to be confirmed or a leader is new it is sent as before. The connection's own pings go on as its sign of life.

--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -11,6 +11,8 @@
 /* Demand is told this often where it changes, and at once where a model
  * leaves or is waited for. */
 #define DEMAND_MS 100
+/* And where it doesn't: hundreds of entries are mostly at rest. */
+#define DEMAND_SAME_MS 1000
 /* Without the leader's word for so long the list is read directly: a
  * leaving endpoint must be left within 3 s of showing there. */
 #define LEADERLESS_MS 1200
@@ -57,7 +59,8 @@
 	struct event *tick;
 	GHashTable *agents;	    /* addr -> struct agent_line */
 	int64_t leader_ms;	    /* when it was last up */
-	int64_t demand_ms, idle_ms; /* last said, last looked for idle agents */
+	int64_t demand_ms, told_ms; /* when it was looked at, and said, last */
+	int64_t idle_ms;	    /* when idle agents were last looked for */
 	bool demand_due;
 	bool link_up;
 	int64_t stop_ms; /* of a planned stop; 0: none */
@@ -247,9 +250,12 @@
 	if (!e->link_up || (!e->demand_due && now - e->demand_ms < DEMAND_MS))
 		return;
 	e->demand_ms = now;
-	e->demand_due = false;
 	gate_report(e->gate, &r);
-	link_send(e->link, MSG_DEMAND, &r.m);
+	if (r.news || e->demand_due || now - e->told_ms >= DEMAND_SAME_MS) {
+		e->told_ms = now;
+		link_send(e->link, MSG_DEMAND, &r.m);
+	}
+	e->demand_due = false;
 	gate_report_done(&r);
 }
 
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -2,6 +2,9 @@
 #include "gate_int.h"
 
 #include "../base/log.h"
+#include "../node/frame.h"
+
+#include <xxhash.h>
 
 /* Part of the allowed ratio that is spent: the rest covers requests that
  * are counted in another window than their repeats. */
@@ -364,6 +367,17 @@
 	ep->failed = ep->answered = 0;
 }
 
+static bool has_news(struct gate *g, const struct gate_report *r)
+{
+	GString *bytes = g_string_new(NULL);
+	uint64_t before = g->report_print;
+
+	frame_add(bytes, MSG_DEMAND, &r->m);
+	g->report_print = XXH3_64bits(bytes->str, bytes->len);
+	g_string_free(bytes, TRUE);
+	return r->models->len || r->ends->len || g->report_print != before;
+}
+
 void gate_report(struct gate *g, struct gate_report *r)
 {
 	GHashTableIter it;
@@ -388,6 +402,7 @@
 	r->m.models = (struct wire_list){ r->models->data, r->models->len };
 	r->m.calls = (struct wire_list){ r->calls->data, r->calls->len };
 	r->m.ends = (struct wire_list){ r->ends->data, r->ends->len };
+	r->news = has_news(g, r);
 }
 
 void gate_report_done(struct gate_report *r)
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -87,6 +87,9 @@
  */
 struct gate_report {
 	struct msg_demand m;
+	/* It says something else than the last one, or tells of arrivals,
+	 * waits or ends. */
+	bool news;
 	GArray *models, *calls, *ends;
 	GPtrArray *lists;
 };
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -163,6 +163,7 @@
 	bool pumping;	/* a request that ends meanwhile pumps no more */
 	int64_t end_ms; /* of a planned stop; 0: none */
 	int64_t tidy_ms;
+	uint64_t report_print;	 /* of the last report */
 	void *quota;		 /* the entry's side of customers' limits */
 	GHashTable *quota_lines; /* customer -> GQueue of struct forward */
 	guint quota_waiting;	 /* in all of them */
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -471,6 +471,42 @@
 	g_string_free(text, TRUE);
 }
 
+static bool reports_news(struct fix *f)
+{
+	struct gate_report r;
+	bool news;
+
+	gate_report(f->gate, &r);
+	news = r.news;
+	gate_report_done(&r);
+	return news;
+}
+
+/* Hundreds of entries at rest that say the same ten times a second. */
+static void same_report_is_no_news(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	assert_true(reports_news(&f));
+	assert_false(reports_news(&f));
+	script(&f, 0, EVENTS "f\r\nid: 1\ndata: a\n\n\r\n", false, false);
+	script(&f, 1, EVENTS "f\r\nid: 1\ndata: a\n\n\r\n", false, false);
+	c = call(&f, POST_CHAT);
+	UNTIL(&f, got(c, "data: a"));
+	/* An arrival and a call, and then nothing new while it lasts. */
+	assert_true(reports_news(&f));
+	reports_news(&f);
+	assert_false(reports_news(&f));
+	leave(c);
+	UNTIL(&f, gate_busy(f.gate) == 0);
+	assert_true(reports_news(&f));
+	assert_false(reports_news(&f));
+	fix_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -484,6 +520,7 @@
 		cmocka_unit_test(chunked_request_arrives_whole),
 		cmocka_unit_test(leaving_endpoint_gets_no_new_work),
 		cmocka_unit_test(slow_reader_gets_the_whole_answer),
+		cmocka_unit_test(same_report_is_no_news),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
