--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -151,6 +151,7 @@
 	int64_t store_ms;
 	int64_t remote_ms; /* when members were last told whose agents they run
 			    */
+	int64_t remote_looked_ms; /* when engines were last looked through */
 	struct suspects *suspects;
 	uint64_t *n_suspects, *n_quarantined; /* now */
 	uint64_t *n_steps, *n_store, *n_disk, *n_memory, *n_failed;
--- a/src/daemon/fleet_remote.c
+++ b/src/daemon/fleet_remote.c
@@ -4,6 +4,9 @@
 /* Members are told this often whose agents they run, in ms: a quarter of the
  * time after which they end them unheard. */
 #define TELL_MS 500
+/* Engines are looked through this often, in ms: exact to a small part of a
+ * lease. */
+#define LOOK_MS 100
 /* A member that hasn't answered for so long runs none, in ms: as long as a
  * connection between own processes stays silent until it is given up. */
 #define MEMBER_QUIET_MS CONN_FAST_SILENT_MS
@@ -84,8 +87,9 @@
 	GArray *ids;
 	void *p;
 
-	if (!l->list_seen)
+	if (!l->list_seen || now - l->remote_looked_ms < LOOK_MS)
 		return;
+	l->remote_looked_ms = now;
 	ids = able_members(l);
 	g_hash_table_iter_init(&it, l->eps);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
