Replicas by the calls that a model begins, too

Prompts are read between the steps, some 20 to 60 ms each. A model that is called 25 to 35 times a second ran on three engines, ten starts a second on each, while most of the 41 engines served models that are called now and then: three replicas stood from nine calls a second on, and more only where 24 calls run on each.

Change: a replica begins 4 calls a second before another is wanted, or a quarter more than an engine's part where the fleet is busier than that.

test_fleet: two rows of steps_are_chosen; the first fails on the code before.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -16,6 +16,14 @@
  * rare models. */
 #define TWICE_PER_S 2.0
 #define THRICE_PER_S 9.0
+/* A replica begins so many calls a second before another is wanted. Each prompt
+ * is read in some 20 to 60 ms, in which all other calls of the engine wait: ten
+ * a second leave pauses that callers who read along don't bear, while few of
+ * the slots are taken. */
+#define STARTS_PER_S 4.0
+/* Where the engines on the whole begin more than that, this multiple of what is
+ * an engine's part: all of them are busy, and evenly is the best there is. */
+#define STARTS_OVER_PART 1.25
 /* What unloading a replica costs for each call a second that it gets, in ms of
  * waiting. */
 #define CALLS_LOST_MS 1000.0
@@ -128,6 +136,7 @@
 	uint32_t *only; /* of each node: models that no other has a copy of */
 	size_t from_store; /* loads from the store under way */
 	uint32_t calls;	   /* under way on all engines */
+	double starts;	   /* calls a second that a replica is to begin */
 	GArray *needs;	   /* struct need, in order */
 };
 
@@ -161,12 +170,13 @@
 }
 
 /* Replicas that a model needs. */
-static uint32_t replicas_for(const struct fleet_view *v,
-			     const struct fleet_model *m)
+static uint32_t replicas_for(const struct pass *s, const struct fleet_model *m)
 {
-	uint32_t most = MIN(FILL_CALLS, (uint32_t)MAX(v->slots / FILL_PART, 1));
+	uint32_t most =
+		MIN(FILL_CALLS, (uint32_t)MAX(s->v->slots / FILL_PART, 1));
 	uint32_t n = (m->calls + m->waiting + most - 1) / most;
 
+	n = MAX(n, (uint32_t)ceil(m->rate / s->starts));
 	if (m->rate >= TWICE_PER_S)
 		n = MAX(n, 2);
 	if (m->rate >= THRICE_PER_S)
@@ -482,7 +492,7 @@
 		return NULL;
 	if (!x->waiting)
 		have += t->paused;
-	if (have < replicas_for(s->v, x))
+	if (have < replicas_for(s, x))
 		return "its replicas are full";
 	return NULL;
 }
@@ -610,6 +620,16 @@
 		set_store_etas(s);
 }
 
+static double starts_of(const struct fleet_view *v)
+{
+	double all = 0;
+
+	for (size_t m = 0; m < v->n_models; m++)
+		all += v->models[m].rate;
+	return MAX(STARTS_PER_S,
+		   STARTS_OVER_PART * all / (double)MAX(v->n_nodes, 1));
+}
+
 void fleet_plan(struct fleet_view *v, const struct fleet_plan_ops *ops,
 		void *arg)
 {
@@ -617,6 +637,7 @@
 
 	s.tally = g_new0(struct tally, v->n_models + 1);
 	s.only = g_new0(uint32_t, v->n_nodes + 1);
+	s.starts = starts_of(v);
 	for (size_t m = 0; m < v->n_models; m++)
 		s.tally[m].left_ms = INT64_MAX;
 	for (size_t i = 0; i < v->n_nodes; i++)
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -31,7 +31,7 @@
 
 struct plan_case {
 	const char *label;
-	struct node_row nodes[3];
+	struct node_row nodes[4];
 	size_t n_nodes;
 	struct want_row wants[MODELS];
 	bool ahead;
@@ -299,6 +299,27 @@
 	  false,
 	  4,
 	  "2:1d " },
+	/* Hundreds of prompts read on three engines, beside idle ones. */
+	{ "at thirteen there are four, though few calls run",
+	  { { "a", { { 1, 1, false } }, 1, "dddddd", false, 0, 0 },
+	    { "b", { { 1, 1, false } }, 1, "dddddd", false, 0, 0 },
+	    { "c", { { 1, 1, false } }, 1, "dddddd", false, 0, 0 },
+	    { "a", { { 0 } }, 0, "dddddd", false, 0, 0 } },
+	  4,
+	  { [1] = { 13, 0, 0 } },
+	  false,
+	  4,
+	  "3:1d " },
+	{ "where all engines begin more, their part and a quarter is enough",
+	  { { "a", { { 1, 1, false } }, 1, "dddddd", false, 0, 0 },
+	    { "b", { { 1, 1, false } }, 1, "dddddd", false, 0, 0 },
+	    { "c", { { 1, 1, false } }, 1, "dddddd", false, 0, 0 },
+	    { "a", { { 2, 1, false } }, 1, "dddddd", false, 0, 0 } },
+	  4,
+	  { [1] = { 18, 0, 0 }, [2] = { 6, 0, 0 } },
+	  false,
+	  4,
+	  "0:2d " },
 	{ "a replica with calls stays, though the model has another",
 	  { { "a",
 	      { { 0, 2, false }, { 3, 0, false } },
@@ -474,8 +495,8 @@
 	for (size_t c = 0; c < G_N_ELEMENTS(plan_cases); c++) {
 		const struct plan_case *pc = &plan_cases[c];
 		struct fleet_model models[MODELS];
-		struct fleet_node nodes[3];
-		uint8_t tiers[3][MODELS];
+		struct fleet_node nodes[4];
+		uint8_t tiers[4][MODELS];
 		struct fleet_view v = { .models = models,
 					.n_models = MODELS,
 					.nodes = nodes,
