Draw an engine's calls by its room, not by the emptiest

Cause: the emptiest engine by the last report (200 to 500 ms old at 24 entries) gets all calls until the next; the draw over what others may have sent is smaller than the difference between an engine that has just loaded the model and one with twenty calls. By calls that run that is right, but prompts are read one after the other, and all calls of that engine pause.

Change: for engines, calls are drawn by the room below twice the mean of those that have some, less what speaks against one (far, no adapter, cold prompt, failures); where nothing runs the best is taken as before. Plain endpoints keep the choice that stood: their answers tell their load and take 20 to 60 ms.

--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -8,6 +8,9 @@
 #define AFFINITY_SCORE 1.5 /* reading a shared prompt again, some 5 ms */
 #define FAILING_SCORE 20.0 /* a tenth of failures: as two calls more */
 #define TRIED_SCORE 10.0
+/* Engines have room up to this multiple of their mean: what they run turns over
+ * once while calls as many as that come. */
+#define ROOM_OVER_MEAN 2.0
 /* A leader doesn't hear the entries that are cut off or start, and they spend
  * their part all the same. Before a word from it there may be many. */
 #define ENTRIES_MIN 20
@@ -26,16 +29,10 @@
 	return (double)(ss_random(seed) >> 11) / (double)(1ULL << 53);
 }
 
-/*
- * Entries that all take the emptiest by reports of the same age send a hundred
- * calls to one node before the next report. How many others have sent since,
- * and where, nobody knows; so each draws it anew, up to as many as come, and
- * nodes that differ by less than that get their share of calls by chance.
- */
-static double score(const struct balance_node *n, uint64_t most_affine,
-		    uint64_t *seed)
+/* How much a node is worse than another with as many calls, in calls. */
+static double penalty(const struct balance_node *n, uint64_t most_affine)
 {
-	double s = (double)balance_load(n) + n->unseen * draw(seed);
+	double s = FAILING_SCORE * n->failing;
 
 	if (!n->near)
 		s += FAR_SCORE;
@@ -45,27 +42,51 @@
 		s += AFFINITY_SCORE;
 	if (n->tried)
 		s += TRIED_SCORE;
-	return s + FAILING_SCORE * n->failing;
+	return s;
+}
+
+/*
+ * Entries that all take the emptiest by reports of the same age send a hundred
+ * calls to one node before the next report. How many others have sent since,
+ * and where, nobody knows; so each draws it anew, up to as many as come, and
+ * nodes that differ by less than that get their share of calls by chance.
+ */
+static double score(const struct balance_node *n, uint64_t most_affine,
+		    uint64_t *seed)
+{
+	return (double)balance_load(n) + n->unseen * draw(seed) +
+	       penalty(n, most_affine);
+}
+
+static uint64_t most_affine_of(const struct balance_node *n, size_t count)
+{
+	uint64_t most = 0;
+
+	for (size_t i = 0; i < count; i++)
+		if (n[i].usable)
+			most = MAX(most, n[i].affinity);
+	return most;
+}
+
+static bool is_full(const struct balance_node *n, double fill)
+{
+	return (double)balance_load(n) >= (double)MAX(n->slots, 1) * fill;
 }
 
 int balance_choose(const struct balance_node *n, size_t count, double fill,
 		   uint64_t tie)
 {
-	uint64_t most_affine = 0, seed = tie;
+	uint64_t most_affine = most_affine_of(n, count), seed = tie;
 	double best_score = 0;
 	int best = BALANCE_NOBODY;
 
-	for (size_t i = 0; i < count; i++)
-		if (n[i].usable)
-			most_affine = MAX(most_affine, n[i].affinity);
 	for (size_t k = 0; k < count; k++) {
 		size_t i = (k + tie) % count;
 		double s;
 
 		if (!n[i].usable)
 			continue;
-		if ((double)balance_load(&n[i]) >=
-		    (double)MAX(n[i].slots, 1) * fill) {
+		if (is_full(&n[i], fill)) {
 			if (best == BALANCE_NOBODY)
 				best = BALANCE_FULL;
 			continue;
@@ -79,6 +100,48 @@
 	return best;
 }
 
+/* The mean of those that have room; 0: none has. */
+static double mean_load(const struct balance_node *n, size_t count, double fill)
+{
+	double sum = 0;
+	size_t open = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		if (!n[i].usable || is_full(&n[i], fill))
+			continue;
+		sum += (double)balance_load(&n[i]);
+		open++;
+	}
+	return open ? sum / (double)open : 0;
+}
+
+int balance_share(const struct balance_node *n, size_t count, double fill,
+		  uint64_t tie)
+{
+	uint64_t most_affine = most_affine_of(n, count), seed = tie;
+	double level = ROOM_OVER_MEAN * mean_load(n, count, fill);
+	double *room = g_newa(double, count + 1);
+	double all = 0, at;
+
+	for (size_t i = 0; i < count; i++) {
+		room[i] = level - (double)balance_load(&n[i]) -
+			  penalty(&n[i], most_affine);
+		if (!n[i].usable || is_full(&n[i], fill))
+			room[i] = 0;
+		room[i] = MAX(room[i], 0);
+		all += room[i];
+	}
+	if (all <= 0)
+		return balance_choose(n, count, fill, tie);
+	at = draw(&seed) * all;
+	for (size_t i = 0; i < count; i++) {
+		if (room[i] > at)
+			return (int)i;
+		at -= room[i];
+	}
+	return balance_choose(n, count, fill, tie);
+}
+
 void balance_note(double *failing, bool failed)
 {
 	*failing += FAILING_ALPHA * ((failed ? 1.0 : 0.0) - *failing);
--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -29,6 +29,17 @@
 int balance_choose(const struct balance_node *n, size_t count, double fill,
 		   uint64_t tie);
 
+/*
+ * The same for engines, whose calls wait while the prompt of another is read.
+ * One that has just loaded a model, or was emptied, is the emptiest in all
+ * reports until the next: it would get dozens of prompts at once, and all of
+ * them pause. So calls are drawn by the room below twice the mean: a node
+ * that is emptier gets more, and fills within the time of a call or two. Where
+ * nothing runs the best one is taken.
+ */
+int balance_share(const struct balance_node *n, size_t count, double fill,
+		  uint64_t tie);
+
 /* Calls that a node has by the entry's estimate. */
 int64_t balance_load(const struct balance_node *n);
 
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -530,7 +530,8 @@
 {
 	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct balance_node));
 	GPtrArray *eps = g_ptr_array_new();
-	double fill = f->service->engine ? ENGINE_FILL : SERVICE_FILL;
+	bool engine = f->service->engine;
+	double fill = engine ? ENGINE_FILL : SERVICE_FILL;
 	struct gate_ep *found = NULL;
 	unsigned int working = 0;
 	GHashTableIter it;
@@ -555,8 +556,9 @@
 		if (rests(g, eps->pdata[i]))
 			g_array_index(nodes, struct balance_node, i).usable =
 				false;
-	at = balance_choose((struct balance_node *)nodes->data, nodes->len,
-			    fill, ss_random(&g->seed));
+	at = (engine ? balance_share :
+		       balance_choose)((struct balance_node *)nodes->data,
+				       nodes->len, fill, ss_random(&g->seed));
 	if (at >= 0)
 		found = eps->pdata[at];
 	else
--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -368,12 +368,100 @@
 	}
 }
 
+struct share_case {
+	const char *label;
+	struct balance_node nodes[5];
+	size_t n;
+	int least[5], most[5]; /* of a hundred calls */
+};
+
+static const struct share_case shares[] = {
+	{ "one that has just loaded its model gets more, and not all",
+	  { NODE(.reported = 0), NODE(.reported = 20), NODE(.reported = 22),
+	    NODE(.reported = 18), NODE(.reported = 25) },
+	  5,
+	  { 30, 8, 6, 10, 3 },
+	  { 55, 26, 24, 28, 20 } },
+	{ "as full as each other",
+	  { NODE(.reported = 9), NODE(.reported = 9) },
+	  2,
+	  { 40, 40 },
+	  { 60, 60 } },
+	{ "nothing runs: the warm prompt",
+	  { NODE(.affinity = 1), NODE(.affinity = 9) },
+	  2,
+	  { 0, 100 },
+	  { 0, 100 } },
+	{ "one that is twice as full as all of them gets nothing",
+	  { NODE(.reported = 30), NODE(.reported = 2), NODE(.reported = 1) },
+	  3,
+	  { 0, 40, 40 },
+	  { 0, 60, 60 } },
+	{ "not one that fails half of its calls",
+	  { NODE(.reported = 4, .failing = 0.5), NODE(.reported = 4) },
+	  2,
+	  { 0, 100 },
+	  { 0, 100 } },
+	{ "not the one that it came back from",
+	  { NODE(.reported = 4, .tried = true), NODE(.reported = 4) },
+	  2,
+	  { 0, 100 },
+	  { 0, 100 } },
+	{ "a full one has no room, however empty the others",
+	  { NODE(.reported = 40), NODE(.reported = 39) },
+	  2,
+	  { 0, 100 },
+	  { 0, 100 } },
+};
+
+/* Dozens of prompts that are read at once on the one engine that the last
+ * report showed empty: all its callers see their events pause. */
+static void engines_share_the_prompts(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(shares); i++) {
+		struct share_case c = shares[i];
+		int got[5] = { 0 };
+		uint64_t seed = 3;
+
+		for (size_t k = 0; k < c.n; k++) {
+			c.nodes[k].near = c.nodes[k].has_adapter = true;
+			c.nodes[k].slots = 40;
+		}
+		for (int call = 0; call < 100; call++) {
+			int at = balance_share(c.nodes, c.n, 1.0,
+					       ss_random(&seed));
+
+			assert_in_range(at, 0, c.n - 1);
+			got[at]++;
+		}
+		for (size_t k = 0; k < c.n; k++)
+			if (got[k] < c.least[k] || got[k] > c.most[k])
+				fail_msg("%s: %d of 100 to %zu", c.label,
+					 got[k], k);
+	}
+}
+
+/* Where none may be chosen it says why, as for other endpoints. */
+static void engines_that_have_no_room_are_told_apart(void **state)
+{
+	struct balance_node n[2] = { NODE(.reported = 8), NODE(.own = 9) };
+
+	(void)state;
+	assert_int_equal(balance_share(n, 2, 1.0, 1), BALANCE_FULL);
+	n[0].usable = n[1].usable = false;
+	assert_int_equal(balance_share(n, 2, 1.0, 1), BALANCE_NOBODY);
+	assert_int_equal(balance_share(n, 0, 1.0, 1), BALANCE_NOBODY);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(the_best_is_chosen),
 		cmocka_unit_test(entries_dont_run_after_one_report),
 		cmocka_unit_test(equals_share_the_calls),
+		cmocka_unit_test(engines_share_the_prompts),
+		cmocka_unit_test(engines_that_have_no_room_are_told_apart),
 		cmocka_unit_test(repeats_keep_to_their_window),
 		cmocka_unit_test(entries_share_the_slack),
 		cmocka_unit_test(only_whole_events_pass),
