A file each for the leader's peers, reports and list

fleet_lead.c had grown to 737 lines over five subjects. Moved as they are, with the part's prefix where other files call them: fleet_peers.c (who comes and goes, and what they are told), fleet_reports.c (what agents and entries tell), fleet_listed.c (the platform's list, and which start is believed); fleet_lead.c keeps begin, end, ticks and status (262 lines). No behaviour changed; tests of the leader, unchanged, pass.

--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -217,6 +217,32 @@
  * leader. */
 uint64_t fleet_ep_fence(const struct fleet_lead *l, const struct fleet_ep *ep);
 
+/* fleet_peers.c */
+void fleet_peer_open(struct fleet_lead *l, struct conn *c);
+void fleet_peer_closed(struct fleet_lead *l, struct conn *c);
+/* The engine that it speaks for; NULL: none. */
+struct fleet_ep *fleet_peer_engine(const struct fleet_peer *p);
+void fleet_tell_term(struct fleet_lead *l, struct fleet_peer *p);
+/* To all that don't know the version in force. */
+void fleet_tell_routing(struct fleet_lead *l);
+void fleet_peer_follows(struct fleet_lead *l, struct fleet_peer *p,
+			uint64_t version);
+
+/* fleet_reports.c */
+void fleet_take_endpoint(struct fleet_lead *l, struct conn *c,
+			 const struct msg_endpoint *m);
+void fleet_take_demand(struct fleet_lead *l, struct conn *c,
+		       const struct msg_demand *m);
+/* What entries waited for too long ago to be true. */
+void fleet_forget_wants(struct fleet_lead *l, int64_t now);
+
+/* fleet_listed.c */
+void fleet_take_list(struct fleet_lead *l, struct fleet_list *all);
+/* An endpoint's start was told of: what of a former one no longer holds is
+ * forgotten. */
+enum fleet_told fleet_ep_learn(struct fleet_lead *l, struct fleet_ep *ep,
+			       const struct fleet_incarnation *told);
+
 /* fleet_unread.c */
 /* Its entry can't be read; is read; none of the entries names it. */
 void fleet_ep_unreadable(struct fleet_lead *l, struct fleet_ep *ep,
