--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -31,13 +31,16 @@
 	struct msg_hello peer;
 	char name[ADDRESS_MAX];
 	int entry, engine; /* -1: not one */
-	bool gone, muted;
+	bool gone, stopped;
+	size_t backlog; /* bytes that it hasn't read */
 	/* Of an entry. */
 	GArray *calls;	/* struct call */
 	GArray *counts; /* uint64_t: arrivals by model since the last report */
 	uint64_t round; /* in force */
 	bool whole, soon, news;
-	uint64_t sent;
+	int wholes;
+	uint64_t unread_round;
+	bool unread_whole;
 	int64_t report_ms, told_ms;
 };
 
@@ -112,8 +115,7 @@
 
 size_t conn_backlog(const struct conn *c)
 {
-	(void)c;
-	return 0;
+	return c->backlog;
 }
 
 static int model_of(struct fleet_world *w, struct ss_str name)
@@ -147,7 +149,6 @@
 {
 	if (kind == MSG_LOAD && c->engine >= 0)
 		take_order(c->w, &c->w->engines[c->engine], msg);
-	c->sent++;
 	return !c->gone;
 }
 
@@ -172,17 +173,28 @@
 	frame_done(&f);
 }
 
+/* It tells at once that a round is in force. */
+static void take_frame(struct conn *c, uint64_t round, bool whole)
+{
+	c->whole |= whole;
+	c->wholes += whole;
+	if (round <= c->round)
+		return;
+	c->round = round;
+	c->soon = true;
+}
+
 bool conn_send_frame(struct conn *c, const GString *frame)
 {
 	struct fleet_world *w = c->w;
 
 	read_frame(w, frame);
-	c->sent++;
-	c->whole |= w->frame_whole;
-	/* It tells at once that a round is in force. */
-	if (w->frame_round > c->round && !c->muted) {
-		c->round = w->frame_round;
-		c->soon = true;
+	if (c->stopped) {
+		c->backlog += frame->len;
+		c->unread_round = MAX(c->unread_round, w->frame_round);
+		c->unread_whole |= w->frame_whole;
+	} else {
+		take_frame(c, w->frame_round, w->frame_whole);
 	}
 	return !c->gone;
 }
@@ -759,7 +771,7 @@
 		struct conn *c = w->entries->pdata[i];
 
 		end_calls(w, c);
-		if (!c->muted &&
+		if (!c->stopped &&
 		    (c->soon || w->d.clock.fake_ms >= c->report_ms))
 			report(w, c);
 	}
@@ -871,9 +883,29 @@
 	w->engines[engine].news = true;
 }
 
-void fleet_world_mute_entry(struct fleet_world *w, int entry)
+void fleet_world_stop_entry(struct fleet_world *w, int entry)
 {
-	((struct conn *)w->entries->pdata[entry])->muted = true;
+	((struct conn *)w->entries->pdata[entry])->stopped = true;
+}
+
+void fleet_world_continue_entry(struct fleet_world *w, int entry)
+{
+	struct conn *c = w->entries->pdata[entry];
+
+	c->stopped = false;
+	c->backlog = 0;
+	take_frame(c, c->unread_round, c->unread_whole);
+	c->unread_whole = false;
+}
+
+size_t fleet_world_backlog(const struct fleet_world *w, int entry)
+{
+	return ((struct conn *)w->entries->pdata[entry])->backlog;
+}
+
+int fleet_world_wholes(const struct fleet_world *w, int entry)
+{
+	return ((struct conn *)w->entries->pdata[entry])->wholes;
 }
 
 int fleet_world_steps(const struct fleet_world *w)
@@ -893,8 +925,3 @@
 	}
 	return n;
 }
-
-uint64_t fleet_world_sent(const struct fleet_world *w, int entry)
-{
-	return ((struct conn *)w->entries->pdata[entry])->sent;
-}
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -45,12 +45,15 @@
 void fleet_world_call(struct fleet_world *w, int entry, int model);
 /* An engine has loaded an adapter of its first model, and says so. */
 void fleet_world_adapter(struct fleet_world *w, int engine);
-/* The entry answers nothing, and confirms nothing, from now on. */
-void fleet_world_mute_entry(struct fleet_world *w, int entry);
+/* The entry reads nothing from now on, and says nothing; it reads on. */
+void fleet_world_stop_entry(struct fleet_world *w, int entry);
+void fleet_world_continue_entry(struct fleet_world *w, int entry);
+/* Bytes that wait for it. */
+size_t fleet_world_backlog(const struct fleet_world *w, int entry);
+/* Whole fleets that it has read. */
+int fleet_world_wholes(const struct fleet_world *w, int entry);
 /* Steps that were sent to engines, and callers that wait for a model. */
 int fleet_world_steps(const struct fleet_world *w);
 int fleet_world_waiting(const struct fleet_world *w);
-/* Messages that an entry was sent. */
-uint64_t fleet_world_sent(const struct fleet_world *w, int entry);
 
 #endif
--- a/test/test_fleet_lead.c
+++ b/test/test_fleet_lead.c
@@ -7,6 +7,8 @@
 #define SECOND_MS 1000
 /* Loads are told this often. */
 #define LOADS_MS 200
+/* What may wait for one entry, in bytes. */
+#define BACKLOG_MOST (64u << 10)
 /* Rows that one message may cost: those it names, and those of the one before
  * it from the same peer. */
 #define VISITS_A_MESSAGE 8
@@ -98,6 +100,33 @@
 	fleet_world_free(w);
 }
 
+/* Changes pile up for an entry that reads nothing, for hundreds of them; and
+ * one that missed some goes on by what it knew. */
+static void who_reads_nothing_is_told_all_later(void **state)
+{
+	struct fleet_world *w = world_of(&sizes[1]);
+	size_t before, after;
+	int wholes;
+
+	(void)state;
+	fleet_world_run(w, SECOND_MS);
+	wholes = fleet_world_wholes(w, 0);
+	fleet_world_stop_entry(w, 0);
+	for (int i = 0; i < 40 * SECOND_MS / LOADS_MS; i++) {
+		fleet_world_adapter(w, i);
+		fleet_world_run(w, LOADS_MS);
+	}
+	before = fleet_world_backlog(w, 0);
+	assert_in_range(before, BACKLOG_MOST / 2, 2 * BACKLOG_MOST);
+	fleet_world_run(w, 2 * SECOND_MS);
+	after = fleet_world_backlog(w, 0);
+	assert_int_equal(before, after);
+	fleet_world_continue_entry(w, 0);
+	fleet_world_run(w, SECOND_MS);
+	assert_int_equal(fleet_world_wholes(w, 0), wholes + 1);
+	fleet_world_free(w);
+}
+
 /* A peer that comes back is left without what it needs. */
 static void who_comes_back_is_told_all(void **state)
 {
@@ -129,6 +158,7 @@
 		cmocka_unit_test(a_message_costs_what_it_is_about),
 		cmocka_unit_test(an_end_costs_what_it_had),
 		cmocka_unit_test(adapters_go_out_with_the_loads),
+		cmocka_unit_test(who_reads_nothing_is_told_all_later),
 		cmocka_unit_test(who_comes_back_is_told_all),
 	};
 
