Share out the calls of a model only where it is called often

The rate is an entry's own times the entries, so that one call at one of hundreds passes for a rush; a model with one replica has no choice, and with two the room decides.

--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -30,7 +30,8 @@
 		   uint64_t tie);
 
 /*
- * The same for engines, whose calls wait while the prompt of another is read.
+ * The same for a model that is called often, as an engine's calls wait while
+ * the prompt of another is read.
  * One that has just loaded a model, or was emptied, is the emptiest in all
  * reports until the next: it would get dozens of prompts at once, and all of
  * them pause. So calls are drawn by the room below twice the mean: a node
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -11,6 +11,10 @@
 /* Plain services answer within some 10 ms; a short queue there keeps their
  * slots from running dry between two calls. */
 #define SERVICE_FILL 2.0
+/* Calls a second for one model that a single engine can begin without its other
+ * callers' events pausing: a prompt takes up to 60 ms to read. More than that
+ * are shared out. */
+#define RUSH_PER_S 10.0
 /* An incarnation that is over sends nothing more; its last bytes are given so
  * long to arrive, ten round trips of a slow link, before its calls go on. */
 #define LAST_BYTES_MS 500
@@ -496,6 +500,15 @@
 	return fleet_rate_at(&f->home->rate, now) * others * age_s;
 }
 
+/* Of all entries, if as many come to each of them as here. */
+static bool is_rush(struct gate *g, const struct forward *f)
+{
+	double here = fleet_rate_at(&f->home->rate, gate_now(g));
+
+	return f->service->engine &&
+	       here * (double)MAX(g->entries, 1) > RUSH_PER_S;
+}
+
 static void fill_node(struct gate *g, const struct forward *f,
 		      const struct gate_ep *ep, struct balance_node *n)
 {
@@ -530,8 +543,10 @@
 {
 	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct balance_node));
 	GPtrArray *eps = g_ptr_array_new();
-	bool engine = f->service->engine;
-	double fill = engine ? ENGINE_FILL : SERVICE_FILL;
+	double fill = f->service->engine ? ENGINE_FILL : SERVICE_FILL;
+	int (*choose)(const struct balance_node *n, size_t count, double fill,
+		      uint64_t tie) = is_rush(g, f) ? balance_share :
+						      balance_choose;
 	struct gate_ep *found = NULL;
 	unsigned int working = 0;
 	GHashTableIter it;
@@ -556,9 +571,8 @@
 		if (rests(g, eps->pdata[i]))
 			g_array_index(nodes, struct balance_node, i).usable =
 				false;
-	at = (engine ? balance_share :
-		       balance_choose)((struct balance_node *)nodes->data,
-				       nodes->len, fill, ss_random(&g->seed));
+	at = choose((struct balance_node *)nodes->data, nodes->len, fill,
+		    ss_random(&g->seed));
 	if (at >= 0)
 		found = eps->pdata[at];
 	else
