--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -30,13 +30,12 @@
 		   uint64_t tie);
 
 /*
- * The same for a model that is called often, as an engine's calls wait while
- * the prompt of another is read.
- * One that has just loaded a model, or was emptied, is the emptiest in all
- * reports until the next: it would get dozens of prompts at once, and all of
- * them pause. So calls are drawn by the room below twice the mean: a node
- * that is emptier gets more, and fills within the time of a call or two. Where
- * nothing runs the best one is taken.
+ * The same for a model that is called often. An engine's calls wait while the
+ * prompt of another is read; one that has just loaded the model is the
+ * emptiest in all reports until the next, would get dozens of prompts at once,
+ * and the events of all its calls would pause. So calls are drawn by the room
+ * that nodes have below twice the mean: an emptier one gets more, and fills
+ * within the time of a call or two. Where nothing runs the best one is taken.
  */
 int balance_share(const struct balance_node *n, size_t count, double fill,
 		  uint64_t tie);
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -12,17 +12,18 @@
 #define PUSH_EVERY_MS 20
 /* Load alone is told this often: entries add what they send themselves. */
 #define LOAD_EVERY_MS 200
-/* And no more of the leader's time than a tenth; but for a fleet that is larger
- * than any that is planned a change waits no longer than this. */
+/* Telling takes no more than a tenth of the leader's time; a change waits no
+ * longer than PUSH_MOST_MS all the same. */
 #define PUSH_PART 10
 #define PUSH_MOST_MS 100
-/* So often is planned where nobody waits: a seventh of a load from disk, the
- * step that is over first. A pass over a large fleet takes its time, and what
- * it finds changes no faster: it gets a fiftieth of the leader's. */
+/* Passes of placing where nobody waits: so often, a seventh of a load from
+ * disk, the step that is over first. A pass over a large fleet takes longer,
+ * and what it finds changes no faster, so that it gets a fiftieth of the
+ * leader's time. */
 #define PLAN_EVERY_MS 50
 #define PLAN_PART 50
 #define PLAN_MOST_MS 500
-/* Where callers wait, at the next tick, and a tenth of its time. */
+/* Where callers wait: at the next tick, and up to a tenth of its time. */
 #define PLAN_URGENT_PART 10
 #define PLAN_URGENT_MOST_MS 100
 
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -62,7 +62,7 @@
 	struct step_run step;
 	bool changed;	       /* what entries are told of it */
 	bool load_changed;     /* only its load */
-	bool adapters_changed; /* and no model: who asked for one knows it */
+	bool adapters_changed; /* not its models: entries that wait know it */
 	GHashTable *refused;   /* model -> when a load of it failed, ms */
 };
 
