--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -130,7 +130,7 @@
 	uint64_t preset_version;
 	GHashTable *peers;   /* conn -> struct fleet_peer */
 	uint64_t entries;    /* of them */
-	uint64_t behind;     /* entries that don\'t follow routing_told yet */
+	uint64_t behind;     /* entries that don't follow routing_told yet */
 	GHashTable *eps;     /* addr -> struct fleet_ep */
 	GHashTable *wants;   /* "service\nmodel" -> struct fleet_want */
 	uint64_t fence;	     /* of this leadership */
