--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -130,8 +130,10 @@
 	f->g->o.platform->read_answer(h, &a);
 	if (a.idle_ms)
 		upstream_keep_for(f->up, a.idle_ms);
-	if (ep)
+	if (ep) {
 		gate_ep_load(f->g, ep, &a);
+		gate_ep_words(ep, &a);
+	}
 	why = why_spoiled(f, h, &a);
 	if (why)
 		spoiled(f, why);
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -192,6 +192,7 @@
 	f->start_ms = now;
 	f->waited_ms = f->first_ms = f->stop_left_ms = -1;
 	f->charged_ms = -1;
+	f->limit_per_s = -1;
 	f->expected_ms = SS_NEVER;
 	f->deadline_ms = now + wait;
 	set_turn(f);
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -129,14 +129,15 @@
 		 " pause_most_ms=%" PRId64 " held_for=%s"
 		 " left_ms=%" PRId64 " tokens=%" PRId64
 		 " cost=%.0f quota_ms=%" PRId64 " stop_left_ms=%" PRId64
-		 " expected_ms=%" PRId64 " routing=%" PRIu64 " why=\"%s\"",
+		 " limit=%.3f expected_ms=%" PRId64 " routing=%" PRIu64
+		 " why=\"%s\"",
 		 f->id, f->customer ? f->customer->name : "-", f->route->name,
 		 f->service->name, f->model, f->adapter,
 		 f->ep_id ? f->ep_id : "-", f->sends, f->asks, outcome,
 		 f->status, f->waited_ms, f->first_ms, ms,
 		 f->objective_ms - f->start_ms, f->pause_ms, f->route->pause_ms,
 		 held_for(f), f->deadline_ms - gate_now(g), f->call.tokens_out,
-		 f->cost, f->quota_ms, f->stop_left_ms,
+		 f->cost, f->quota_ms, f->stop_left_ms, f->limit_per_s,
 		 f->expected_ms == SS_NEVER ? -1 : f->expected_ms, f->routing,
 		 f->why ? f->why : "");
 }
@@ -295,6 +296,8 @@
 	g_string_append_len(r.bytes, f->body.p, (gssize)f->body.n);
 	f->state = FORWARD_SENT;
 	f->sent_ms = now;
+	f->limit_per_s = ep->limit_per_s;
+	*g->n_limited += ep->limit_per_s >= 0;
 	f->mark = (struct pace_mark){ 0 };
 	if (g->end_ms)
 		f->stop_left_ms = g->end_ms - now;
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -498,6 +498,7 @@
 	g->n_ended = metrics_value(m, "ss_gate_endpoints_ended_total", "");
 	g->n_quarantined = metrics_value(m, "ss_gate_quarantined_total", "");
 	g->n_over_quota = metrics_value(m, "ss_gate_over_quota_total", "");
+	g->n_limited = metrics_value(m, "ss_gate_sent_limited_total", "");
 }
 
 struct gate *gate_new(const struct gate_options *o, GError **error)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -71,6 +71,7 @@
 	ep->addr = key;
 	ep->self.id = g_strdup("");
 	ep->life = ++g->lives;
+	ep->limit_per_s = -1;
 	ep->service = g_strdup("");
 	ep->domain = g_strdup("");
 	ep->agent = g_strdup("");
@@ -110,6 +111,7 @@
 	ep->failing = 0;
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
 	ep->shut_until_ms = 0;
+	ep->limit_per_s = -1;
 	memset(&ep->pace, 0, sizeof(ep->pace));
 	memset(&ep->told, 0, sizeof(ep->told));
 	ep->answered = ep->failed = 0;
@@ -467,6 +469,15 @@
 		ep->slots = a->slots;
 }
 
+void gate_ep_words(struct gate_ep *ep, const struct platform_answer *a)
+{
+	if (a->limit_per_s == ep->limit_per_s)
+		return;
+	log_info("endpoint_limit", "addr=%s id=%s per_s=%.3f before=%.3f",
+		 ep->addr, ep->self.id, a->limit_per_s, ep->limit_per_s);
+	ep->limit_per_s = a->limit_per_s;
+}
+
 static uint64_t affinity_of(const struct forward *f, const struct gate_ep *ep)
 {
 	return XXH3_64bits_withSeed(ep->addr, strlen(ep->addr), f->affinity);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -42,6 +42,7 @@
 	uint64_t answered, failed; /* since the last report */
 	struct ss_breaker breaker;
 	int64_t shut_until_ms; /* no connection could be made */
+	double limit_per_s;    /* by its newest answer; -1: none */
 	struct pace pace;      /* of its streams, all models */
 	struct pace_open open;
 };
@@ -94,6 +95,7 @@
 			   */
 	uint64_t ticket;
 	int64_t sent_ms;
+	double limit_per_s;   /* of its endpoint when it was sent; -1: none */
 	int64_t waited_ms;    /* until it was first sent; -1: not yet */
 	int64_t first_ms;     /* until the answer began; -1: not yet */
 	int64_t stop_left_ms; /* of a planned stop when sent; -1: none */
@@ -171,7 +173,7 @@
 	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
 		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
 		*n_no_room, *n_held, *n_unread, *n_ended, *n_quarantined,
-		*n_over_quota;
+		*n_over_quota, *n_limited;
 };
 
 static inline int64_t gate_now(const struct gate *g)
@@ -197,6 +199,8 @@
 void gate_ep_note(struct gate *g, struct gate_ep *ep, bool failed);
 void gate_ep_load(struct gate *g, struct gate_ep *ep,
 		  const struct platform_answer *a);
+/* What else an answer says of its endpoint. */
+void gate_ep_words(struct gate_ep *ep, const struct platform_answer *a);
 void gate_ep_free(void *ep);
 
 /* early.c */
--- a/src/proxy/platform_ops.h
+++ b/src/proxy/platform_ops.h
@@ -42,6 +42,9 @@
 	int64_t idle_ms; /* how long it keeps the connection; 0: not told */
 	bool has_load;
 	int64_t running, waiting, slots;
+	/* It takes no more requests a second than this, of all VMs together;
+	 * -1: it names no limit. */
+	double limit_per_s;
 };
 
 struct platform_ops {
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -618,33 +618,54 @@
 	const char *label, *text;
 	bool not_run, authentic, encoded, has_load;
 	int64_t idle_ms;
+	double limit_per_s;
 };
 
 static const struct answer_case answers[] = {
 	{ "a signed one",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Server-Load: 3,1,8\r\n"
 	  "Keep-Alive: timeout=5, max=10\r\nContent-Length: 0\r\n\r\n",
-	  false, true, false, true, 5000 },
+	  false, true, false, true, 5000, -1 },
 	{ "a full endpoint",
 	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-	  true, false, false, false, 0 },
+	  true, false, false, false, 0, -1 },
 	{ "503 without the word",
 	  "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, false, false,
-	  false, 0 },
+	  false, 0, -1 },
 	{ "another incarnation", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n",
-	  true, false, false, false, 0 },
+	  true, false, false, false, 0, -1 },
 	{ "a coded body",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n"
 	  "Content-Length: 0\r\n\r\n",
-	  false, true, true, false, 0 },
+	  false, true, true, false, 0, -1 },
 	{ "a load with the speed of its machine",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\n"
 	  "X-Server-Load: 3,1,8,140\r\nContent-Length: 0\r\n\r\n",
-	  false, true, false, true, 0 },
+	  false, true, false, true, 0, -1 },
 	{ "an absurd load",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Server-Load: a,,\r\n"
 	  "Keep-Alive: timeout=x\r\nContent-Length: 0\r\n\r\n",
-	  false, true, false, false, 0 },
+	  false, true, false, false, 0, -1 },
+	{ "a limit of its own",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Limit: 1.4\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  false, true, false, false, 0, 1.4 },
+	{ "a limit beside a refusal",
+	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nserver-limit: 0\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  true, false, false, false, 0, 0 },
+	{ "a limit that is no number",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Limit: 2x\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  false, true, false, false, 0, -1 },
+	{ "an absurd limit",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Limit: 1e99\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  false, true, false, false, 0, -1 },
+	{ "a negative limit",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Limit: -1\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  false, true, false, false, 0, -1 },
 };
 
 /* All loads above are the same one. */
@@ -666,7 +687,8 @@
 		    x.answer.encoded != c->encoded ||
 		    x.answer.has_load != c->has_load ||
 		    (c->has_load && !load_is_read(&x.answer)) ||
-		    x.answer.idle_ms != c->idle_ms)
+		    x.answer.idle_ms != c->idle_ms ||
+		    x.answer.limit_per_s != c->limit_per_s)
 			fail_msg("%s: read wrongly", c->label);
 	}
 }
