--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -283,6 +283,7 @@
 	o.metrics = f->metrics;
 	for (int i = 0; i < ENDPOINTS; i++)
 		endpoint_open(f, i);
+	f->options = o;
 	f->gate = gate_new(&o, NULL);
 	assert_non_null(f->gate);
 }
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -62,6 +62,7 @@
 	struct ss_clock clock;
 	struct metrics *metrics;
 	struct gate *gate;
+	struct gate_options options; /* that it was made with */
 	struct endpoint eps[ENDPOINTS];
 	GPtrArray *callers;
 	int at; /* the endpoint that is emptier, and speaks */
--- /dev/null
+++ b/test/test_gate_limit.c
@@ -0,0 +1,203 @@
+/* Many gates before endpoints that name a limit of their own. */
+#include "gate_fix.h"
+
+#define GATES 9
+/* Of the promise: from so long after a limit was first named on, an endpoint
+ * gets in any window no more than the ratio of what it allows, and some. */
+#define CONTACT_MS 3000
+#define WINDOW_MS 4000
+#define RATIO 1.5
+#define EXTRA 5.0
+
+#define LIMIT(per_s) "Server-Limit: " per_s "\r\n"
+#define OK_LIMIT(per_s)                                                        \
+	"HTTP/1.1 200 OK\r\n" HEAD LIMIT(per_s) "Content-Length: 5\r\n\r\n"    \
+						"hello"
+#define FAILS_LIMIT(per_s)                                                     \
+	"HTTP/1.1 500 No\r\n" HEAD LIMIT(per_s) "Content-Length: 0\r\n\r\n"
+#define SHED_LIMIT(per_s)                                                      \
+	"HTTP/1.1 503 No\r\nX-Request-Id: q1\r\nX-Not-Executed: 1\r\n" LIMIT(  \
+		per_s) "Content-Length: 0\r\n\r\n"
+/* Its second event never comes. */
+#define CUT_LIMIT(per_s)                                                       \
+	"HTTP/1.1 200 OK\r\n" HEAD LIMIT(                                      \
+		per_s) "Content-Type: text/event-stream\r\n\r\nid: 0\ndata: "  \
+		       "x\n\n"
+
+enum trouble {
+	NO_TROUBLE,
+	ENTRY_STARTS_ANEW,
+	LEADER_LOST, /* and another comes */
+};
+
+struct limit_case {
+	const char *label, *request, *answer, *service, *model;
+	bool close; /* after the answer */
+	double per_s;
+	int gap_ms; /* between two requests */
+	enum trouble trouble;
+};
+
+struct crowd {
+	struct fix f;
+	struct gate *gates[GATES];
+	GArray *arrivals[ENDPOINTS]; /* int64_t, when each request came */
+	int64_t named_ms;	     /* when the first one came */
+};
+
+static void with_gate(struct crowd *c, int i)
+{
+	c->f.gate = c->gates[i];
+}
+
+static void know_all(struct crowd *c, int i, const struct limit_case *x)
+{
+	with_gate(c, i);
+	tell_routing(&c->f);
+	tell_fleet(&c->f, x->service, x->model);
+}
+
+static void crowd_open(struct crowd *c, const struct limit_case *x)
+{
+	fix_open_fresh(&c->f);
+	c->named_ms = 0;
+	for (int i = 0; i < ENDPOINTS; i++) {
+		c->arrivals[i] = g_array_new(FALSE, FALSE, sizeof(int64_t));
+		script(&c->f, i, x->answer, x->close, false);
+	}
+	for (int i = 0; i < GATES; i++) {
+		c->f.options.seed = (uint64_t)i + 1;
+		c->gates[i] = i ? gate_new(&c->f.options, NULL) : c->f.gate;
+		know_all(c, i, x);
+	}
+}
+
+static void crowd_close(struct crowd *c)
+{
+	for (int i = 1; i < GATES; i++)
+		gate_free(c->gates[i]);
+	with_gate(c, 0);
+	fix_close(&c->f);
+	for (int i = 0; i < ENDPOINTS; i++)
+		g_array_unref(c->arrivals[i]);
+}
+
+static void note_arrivals(struct crowd *c)
+{
+	int64_t now = c->f.clock.fake_ms;
+
+	for (int i = 0; i < ENDPOINTS; i++)
+		while (c->arrivals[i]->len < (guint)c->f.eps[i].requests)
+			g_array_append_val(c->arrivals[i], now);
+	if (!c->named_ms && c->arrivals[0]->len + c->arrivals[1]->len)
+		c->named_ms = now;
+}
+
+/* A tick of all, in simulated time, and whatever is on its way. */
+static void crowd_turn(struct crowd *c)
+{
+	c->f.clock.fake_ms += 10;
+	for (int i = 0; i < GATES; i++)
+		gate_tick(c->gates[i]);
+	for (int k = 0; k < 4; k++)
+		event_base_loop(c->f.base, EVLOOP_NONBLOCK);
+	note_arrivals(c);
+}
+
+static void strike(struct crowd *c, const struct limit_case *x, int64_t at)
+{
+	if (x->trouble == ENTRY_STARTS_ANEW && at % 2000 == 0) {
+		int i = 1 + (int)(at / 2000) % (GATES - 1);
+
+		gate_free(c->gates[i]);
+		c->gates[i] = gate_new(&c->f.options, NULL);
+		know_all(c, i, x);
+	}
+	if (x->trouble == LEADER_LOST && at == 5000)
+		for (int i = 0; i < GATES; i++)
+			gate_leader_lost(c->gates[i]);
+	if (x->trouble == LEADER_LOST && at == 6500)
+		for (int i = 0; i < GATES; i++)
+			gate_leader_found(c->gates[i]);
+}
+
+/* The most that came in a window, from when the promise holds. */
+static double most_in_a_window(const struct crowd *c, int endpoint)
+{
+	const GArray *a = c->arrivals[endpoint];
+	guint most = 0, n;
+
+	for (guint i = 0; i < a->len; i++) {
+		int64_t from = g_array_index(a, int64_t, i);
+
+		if (from < c->named_ms + CONTACT_MS)
+			continue;
+		for (n = i; n < a->len &&
+			    g_array_index(a, int64_t, n) < from + WINDOW_MS;)
+			n++;
+		most = MAX(most, n - i);
+	}
+	return most;
+}
+
+static const struct limit_case cases[] = {
+	{ "first tries", POST_ONCE, OK_LIMIT("1"), "web", "", false, 1, 50,
+	  NO_TROUBLE },
+	{ "a limit with a fraction", POST_ONCE, OK_LIMIT("2.5"), "web", "",
+	  false, 2.5, 20, NO_TROUBLE },
+	{ "fewer than one in a window", POST_ONCE, OK_LIMIT("0.1"), "web", "",
+	  false, 0.1, 50, NO_TROUBLE },
+	{ "repeats", GET_SAFE, FAILS_LIMIT("1"), "web", "", false, 1, 50,
+	  NO_TROUBLE },
+	{ "refusals", GET_SAFE, SHED_LIMIT("1"), "web", "", false, 1, 50,
+	  NO_TROUBLE },
+	{ "streams that are resumed", POST_NIGHT, CUT_LIMIT("1"), "lm", "m",
+	  true, 1, 50, NO_TROUBLE },
+	{ "entries that start anew", POST_ONCE, OK_LIMIT("1"), "web", "", false,
+	  1, 50, ENTRY_STARTS_ANEW },
+	{ "a lost leader", POST_ONCE, OK_LIMIT("1"), "web", "", false, 1, 50,
+	  LEADER_LOST },
+};
+
+/* Symptom: each of nine entries keeps an endpoint's limit for itself, or not
+ * at all, and the endpoint gets several times as much. */
+static void limit_of_an_endpoint_holds_over_all_entries(void **state)
+{
+	(void)state;
+	for (size_t k = 0; k < G_N_ELEMENTS(cases); k++) {
+		const struct limit_case *x = &cases[k];
+		double may = RATIO * x->per_s * WINDOW_MS / 1000 + EXTRA;
+		struct crowd c;
+
+		crowd_open(&c, x);
+		for (int64_t at = 0; at < 16000; at += 10) {
+			strike(&c, x, at);
+			if (at % x->gap_ms == 0) {
+				with_gate(&c, (int)(at / x->gap_ms) % GATES);
+				call(&c.f, x->request);
+			}
+			crowd_turn(&c);
+		}
+		for (int i = 0; i < ENDPOINTS; i++) {
+			double most = most_in_a_window(&c, i);
+
+			if (most > may)
+				fail_msg("%s: %.0f in a window, allowed %.1f",
+					 x->label, most, may);
+			/* It isn't starved either. */
+			if (c.arrivals[i]->len < x->per_s * 16 / 2)
+				fail_msg("%s: %u in all", x->label,
+					 c.arrivals[i]->len);
+		}
+		crowd_close(&c);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(limit_of_an_endpoint_holds_over_all_entries),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
