--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -23,7 +23,11 @@
 };
 
 /* Why none was chosen. */
-enum balance_none { BALANCE_NOBODY = -1, BALANCE_FULL = -2 };
+enum balance_none {
+	BALANCE_NOBODY = -1,
+	BALANCE_FULL = -2,
+	BALANCE_LIMITED = -3, /* by what an endpoint itself admits */
+};
 
 /* Index of the node, or an enum balance_none; tie breaks equal scores. */
 int balance_choose(const struct balance_node *n, size_t count, double fill,
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -273,6 +273,8 @@
 	F(15, WIRE_BOOL, fleet_endpoint, busy),
 	F(16, WIRE_INT, fleet_endpoint, started_ms),
 	F(17, WIRE_INT, fleet_endpoint, failing),
+	F(18, WIRE_INT, fleet_endpoint, limit),
+	F(19, WIRE_INT, fleet_endpoint, limit_age),
 };
 static const struct wire_type fleet_endpoint_type =
 	T(fleet_endpoint, fleet_endpoint_fields);
@@ -326,12 +328,22 @@
 };
 static const struct wire_type endpoint_ends_type =
 	T(endpoint_ends, endpoint_ends_fields);
+static const struct wire_field endpoint_word_fields[] = {
+	F(1, WIRE_STR, endpoint_word, addr),
+	F(2, WIRE_STR, endpoint_word, id),
+	F(3, WIRE_INT, endpoint_word, started_ms),
+	F(4, WIRE_INT, endpoint_word, limit),
+	F(5, WIRE_INT, endpoint_word, limit_age),
+};
+static const struct wire_type endpoint_word_type =
+	T(endpoint_word, endpoint_word_fields);
 static const struct wire_field demand_fields[] = {
 	F(1, WIRE_UINT, msg_demand, round),
 	F(2, WIRE_UINT, msg_demand, routing),
 	L(3, msg_demand, models, model_demand_type),
 	L(4, msg_demand, calls, endpoint_calls_type),
 	L(5, msg_demand, ends, endpoint_ends_type),
+	L(6, msg_demand, words, endpoint_word_type),
 };
 static const struct wire_field routing_bytes_fields[] = {
 	F(1, WIRE_STR, routing_bytes, packed),
@@ -473,6 +485,8 @@
 	[MSG_TRIAL] = T(msg_trial, trial_fields),
 	[MSG_QUOTA_ASK] = T(msg_quota_ask, quota_asks_fields),
 	[MSG_QUOTA_WORD] = T(msg_quota_word, quota_words_fields),
+	[MSG_LIMIT_ASK] = T(msg_quota_ask, quota_asks_fields),
+	[MSG_LIMIT_WORD] = T(msg_quota_word, quota_words_fields),
 };
 
 const struct wire_type *msg_type(enum msg_kind kind)
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -46,6 +46,8 @@
 	MSG_TRIAL,	/* entry to leader: may this one run? and its answer */
 	MSG_QUOTA_ASK,	/* entry to leader: what customers need there */
 	MSG_QUOTA_WORD, /* its answer */
+	MSG_LIMIT_ASK,	/* entry to leader: what endpoints' own limits allow */
+	MSG_LIMIT_WORD, /* its answer */
 	MSG_KINDS
 };
 
@@ -318,6 +320,7 @@
 	bool busy;	    /* it loads or unloads: no adapter can be loaded */
 	int64_t started_ms; /* as in struct fleet_incarnation */
 	int64_t failing;    /* by what all entries see, as in failing.h */
+	int64_t limit, limit_age; /* as in endpoint_limit.h */
 };
 
 struct fleet_eta {
@@ -365,12 +368,20 @@
 	uint64_t failed, answered;
 };
 
+/* What an endpoint has said of itself in its answers. */
+struct endpoint_word {
+	struct ss_str addr, id;
+	int64_t started_ms;	  /* as in struct endpoint_calls */
+	int64_t limit, limit_age; /* as in endpoint_limit.h */
+};
+
 struct msg_demand {
 	uint64_t round;		 /* of the newest fleet message in force here */
 	uint64_t routing;	 /* version in force here */
 	struct wire_list models; /* struct model_demand, what changed */
 	struct wire_list calls;	 /* struct endpoint_calls, all */
 	struct wire_list ends;	 /* struct endpoint_ends */
+	struct wire_list words;	 /* struct endpoint_word */
 };
 
 /* Versions of the routing that the sender holds (0: none) and wants. Where it
--- a/src/daemon/fleet_entry.c
+++ b/src/daemon/fleet_entry.c
@@ -285,6 +285,9 @@
 	case MSG_QUOTA_WORD:
 		gate_take_quota(e->gate, &f->u.quota_word);
 		break;
+	case MSG_LIMIT_WORD:
+		gate_take_limit(e->gate, &f->u.quota_word);
+		break;
 	default:
 		break;
 	}
@@ -292,8 +295,9 @@
 
 static const struct link_ops link_table = { on_up, on_message, on_down };
 
-/* What customers' limits need here. */
-static void send_quota(struct fleet_entry *e)
+/* What limits need here. */
+static void send_asks(struct fleet_entry *e, enum msg_kind kind,
+		      void (*add)(struct gate *g, GArray *out))
 {
 	GArray *asks;
 	struct msg_quota_ask m;
@@ -301,10 +305,10 @@
 	if (!e->link_up)
 		return;
 	asks = g_array_new(FALSE, FALSE, sizeof(struct quota_ask));
-	gate_quota_asks(e->gate, asks);
+	add(e->gate, asks);
 	m.asks = (struct wire_list){ asks->data, asks->len };
 	if (asks->len)
-		link_send(e->link, MSG_QUOTA_ASK, &m);
+		link_send(e->link, kind, &m);
 	g_array_unref(asks);
 }
 
@@ -392,8 +396,10 @@
 	gate_tick(e->gate);
 	routing_fetch_tick(e->routing);
 	send_ends(e);
-	send_quota(e);
+	send_asks(e, MSG_QUOTA_ASK, gate_quota_asks);
 	send_demand(e, now);
+	/* The leader hears of a limit first. */
+	send_asks(e, MSG_LIMIT_ASK, gate_limit_asks);
 	instances_run(e->list,
 		      !e->link_up &&
 			      now - e->leader_ms > (gate_knows_fleet(e->gate) ?
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -89,6 +89,9 @@
 	case MSG_QUOTA_ASK:
 		fleet_quota_ask(l, c, &f->u.quota_ask);
 		break;
+	case MSG_LIMIT_ASK:
+		fleet_limit_ask(l, c, &f->u.quota_ask);
+		break;
 	default:
 		break;
 	}
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -10,6 +10,7 @@
 #include "../core/preset.h"
 #include "../core/send_window.h"
 #include "../core/end_log.h"
+#include "../core/endpoint_limit.h"
 #include "../core/failing.h"
 #include "../core/suspects.h"
 #include "../vmlist/instances.h"
@@ -59,6 +60,7 @@
 	GHashTable *calls;	/* conn of an entry -> GArray of model_calls */
 	struct failing failing; /* by what all entries see */
 	struct failing failing_told; /* as they were told last */
+	struct endpoint_limit limit;
 	struct step_run step;
 	bool changed;	       /* what entries are told of it */
 	bool load_changed;     /* only its load */
@@ -157,8 +159,9 @@
 	uint64_t *n_steps, *n_store, *n_disk, *n_memory, *n_failed;
 	struct hist *load_hist;
 	void *quota;	  /* place of customers' allotments */
+	void *limits;	  /* and of what endpoints' own limits allow */
 	int64_t quota_ms; /* when it was last tidied */
-	uint64_t *n_quota_asks;
+	uint64_t *n_quota_asks, *n_limit_asks;
 	uint64_t *n_work[FLEET_WORKS];
 	uint64_t work_told[FLEET_WORKS]; /* in the last line */
 	int64_t work_ms;
@@ -210,6 +213,8 @@
 bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep);
 /* Alive by its agent's word while its entry in the list can't be read. */
 bool fleet_ep_suspended(const struct fleet_lead *l, const struct fleet_ep *ep);
+/* It takes so little by its own word that models are to stand elsewhere. */
+bool fleet_ep_narrow(const struct fleet_lead *l, const struct fleet_ep *ep);
 /* Its agent's last report is fresh enough to be believed. */
 bool fleet_ep_reported(const struct fleet_lead *l, const struct fleet_ep *ep);
 void fleet_want_free(void *want);
@@ -282,6 +287,9 @@
 /* What an entry needs of customers' limits; it is answered. */
 void fleet_quota_ask(struct fleet_lead *l, struct conn *c,
 		     const struct msg_quota_ask *m);
+/* The same of endpoints' own limits. */
+void fleet_limit_ask(struct fleet_lead *l, struct conn *c,
+		     const struct msg_quota_ask *m);
 /* The connection is gone, but still in the table of peers. */
 void fleet_quota_gone(struct fleet_lead *l, const struct conn *c);
 void fleet_quota_tick(struct fleet_lead *l, int64_t now);
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -85,6 +85,8 @@
 		.gone = !ep->listed,
 		.busy = ep->report.busy || (ep->step.on && ep->step.sent),
 		.failing = failing_of_whole(&ep->failing, fleet_lead_now(l)),
+		.limit = endpoint_limit_wire(&ep->limit),
+		.limit_age = endpoint_limit_age(&ep->limit, fleet_lead_now(l)),
 	};
 
 	if (fleet_ep_reported(l, ep)) {
--- a/src/daemon/fleet_quota.c
+++ b/src/daemon/fleet_quota.c
@@ -1,4 +1,5 @@
-/* The fleet leader as the place that hands out customers' allotments. */
+/* The fleet leader as the place that hands out allotments: of customers'
+ * limits, and of endpoints' own. */
 #include "fleet_lead_int.h"
 
 #include <json-c/json.h>
@@ -19,25 +20,51 @@
 	l->quota = quota_lease.place_new(&o, l->since_ms);
 	l->n_quota_asks =
 		metrics_value(l->d->metrics, "ss_fleet_quota_asks_total", "");
+	l->limits = quota_lease.place_new(&endpoint_limit_quota, l->since_ms);
+	l->n_limit_asks =
+		metrics_value(l->d->metrics, "ss_fleet_limit_asks_total", "");
 }
 
 void fleet_quota_end(struct fleet_lead *l)
 {
 	quota_lease.place_free(l->quota);
+	quota_lease.place_free(l->limits);
 }
 
-static struct customer *customer_of(const struct fleet_lead *l,
-				    struct ss_str name)
+/* A place of allotments, and whose limits it keeps. */
+struct quota_kind {
+	enum msg_kind answer;
+	void *place;
+	/* Fill in by the name in an ask; false where it isn't known here. */
+	bool (*find)(struct fleet_lead *l, const char *name,
+		     struct customer *out);
+};
+
+static bool find_customer(struct fleet_lead *l, const char *name,
+			  struct customer *out)
 {
-	char *s = ss_str_dup(name);
-	struct customer *c = customers_named(&l->routing->customers, s);
+	const struct customer *c =
+		customers_named(&l->routing->customers, name);
 
-	g_free(s);
-	return c;
+	if (c)
+		*out = *c;
+	return c != NULL;
 }
 
-void fleet_quota_ask(struct fleet_lead *l, struct conn *conn,
-		     const struct msg_quota_ask *m)
+static bool find_endpoint(struct fleet_lead *l, const char *name,
+			  struct customer *out)
+{
+	const struct fleet_ep *ep = g_hash_table_lookup(l->eps, name);
+
+	if (!ep || ep->limit.per_s < 0)
+		return false;
+	*out = endpoint_limit_account(&ep->limit, ep->addr);
+	return true;
+}
+
+static void answer_asks(struct fleet_lead *l, struct conn *conn,
+			const struct quota_kind *k,
+			const struct msg_quota_ask *m)
 {
 	const struct quota_ask *a = m->asks.items;
 	GArray *words = g_array_new(FALSE, FALSE, sizeof(struct quota_word));
@@ -48,19 +75,39 @@
 		struct quota_word w = { .customer = a[i].customer,
 					.number = a[i].number,
 					.wait_ms = UNKNOWN_WAIT_MS };
-		const struct customer *c = customer_of(l, a[i].customer);
+		char *name = ss_str_dup(a[i].customer);
+		struct customer c;
 
-		if (!c || quota_lease.place_ask(l->quota, holder, c, &a[i],
-						fleet_lead_now(l), &w))
+		if (!k->find(l, name, &c) ||
+		    quota_lease.place_ask(k->place, holder, &c, &a[i],
+					  fleet_lead_now(l), &w))
 			g_array_append_val(words, w);
+		g_free(name);
 	}
-	*l->n_quota_asks += m->asks.n;
 	out.words = (struct wire_list){ words->data, words->len };
 	if (words->len)
-		conn_send(conn, MSG_QUOTA_WORD, &out);
+		conn_send(conn, k->answer, &out);
 	g_array_unref(words);
 }
 
+void fleet_quota_ask(struct fleet_lead *l, struct conn *conn,
+		     const struct msg_quota_ask *m)
+{
+	struct quota_kind k = { MSG_QUOTA_WORD, l->quota, find_customer };
+
+	*l->n_quota_asks += m->asks.n;
+	answer_asks(l, conn, &k, m);
+}
+
+void fleet_limit_ask(struct fleet_lead *l, struct conn *conn,
+		     const struct msg_quota_ask *m)
+{
+	struct quota_kind k = { MSG_LIMIT_WORD, l->limits, find_endpoint };
+
+	*l->n_limit_asks += m->asks.n;
+	answer_asks(l, conn, &k, m);
+}
+
 /* Unless it is there by a newer connection already. */
 void fleet_quota_gone(struct fleet_lead *l, const struct conn *conn)
 {
@@ -73,6 +120,7 @@
 		if (other != conn && conn_peer(other)->incarnation == holder)
 			return;
 	quota_lease.place_gone(l->quota, holder, fleet_lead_now(l));
+	quota_lease.place_gone(l->limits, holder, fleet_lead_now(l));
 }
 
 void fleet_quota_tick(struct fleet_lead *l, int64_t now)
@@ -81,6 +129,7 @@
 		return;
 	l->quota_ms = now;
 	quota_lease.place_tidy(l->quota, now);
+	quota_lease.place_tidy(l->limits, now);
 }
 
 /* Keys are told by their number only. */
--- a/src/daemon/fleet_reports.c
+++ b/src/daemon/fleet_reports.c
@@ -149,6 +149,32 @@
 	}
 }
 
+/*
+ * An entry that an endpoint hasn't answered yet doesn't know what it says, and
+ * neither does one that has just started: all are told.
+ */
+static void take_words(struct fleet_lead *l, const struct wire_list *list)
+{
+	const struct endpoint_word *w = list->items;
+
+	for (size_t i = 0; i < list->n; i++) {
+		char *addr = ss_str_dup(w[i].addr), *id = ss_str_dup(w[i].id);
+		struct fleet_ep *ep = g_hash_table_lookup(l->eps, addr);
+		struct fleet_incarnation told = { id, w[i].started_ms };
+
+		if (ep &&
+		    fleet_incarnation_judge(&ep->self, &told) == FLEET_SAME &&
+		    endpoint_limit_told(&ep->limit, w[i].limit, w[i].limit_age,
+					fleet_lead_now(l))) {
+			log_info("endpoint_limit", "addr=%s id=%s per_s=%.3f",
+				 ep->addr, ep->self.id, ep->limit.per_s);
+			ep->changed = l->dirty = l->urgent = true;
+		}
+		g_free(addr);
+		g_free(id);
+	}
+}
+
 void fleet_take_demand(struct fleet_lead *l, struct conn *c,
 		       const struct msg_demand *m)
 {
@@ -165,6 +191,7 @@
 		take_wait(l, p, &d[i]);
 	take_calls(l, p, &m->calls);
 	take_ends(l, &m->ends);
+	take_words(l, &m->words);
 	l->dirty = true;
 }
 
--- a/src/daemon/fleet_table.c
+++ b/src/daemon/fleet_table.c
@@ -40,6 +40,7 @@
 	owner_init(&ep->owner, (int64_t)l->d->config.fleet.lease_ms,
 		   fleet_lead_now(l));
 	ep->self.id = g_strdup("");
+	ep->limit.per_s = ENDPOINT_LIMIT_NONE;
 	ep->service = g_strdup("");
 	ep->domain = g_strdup("");
 	ep->agent = g_strdup("");
@@ -230,3 +231,9 @@
 {
 	return is_sound(l, ep) && ep->unread_ms && fleet_ep_reported(l, ep);
 }
+
+bool fleet_ep_narrow(const struct fleet_lead *l, const struct fleet_ep *ep)
+{
+	return endpoint_limit_is_narrow(&ep->limit, ep->slots,
+					fleet_lead_now(l));
+}
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -101,6 +101,8 @@
 		return "model";
 	case BALANCE_FULL:
 		return "place";
+	case BALANCE_LIMITED:
+		return "limit";
 	default:
 		return "-";
 	}
@@ -216,6 +218,8 @@
 
 	if (l && l->eta_ms != SS_NEVER)
 		ms = MAX(l->eta_ms - now, 0) + BACK_MIN_MS;
+	else if (f->open_ms > now)
+		ms = MAX(f->open_ms - now, ms);
 	return CLAMP(ms + spread_ms(f), BACK_MIN_MS, BACK_MAX_MS);
 }
 
@@ -296,8 +300,9 @@
 	g_string_append_len(r.bytes, f->body.p, (gssize)f->body.n);
 	f->state = FORWARD_SENT;
 	f->sent_ms = now;
-	f->limit_per_s = ep->limit_per_s;
-	*g->n_limited += ep->limit_per_s >= 0;
+	f->limit_per_s = ep->limit.per_s;
+	*g->n_limited += ep->limit.per_s >= 0;
+	f->permits = 0;
 	f->mark = (struct pace_mark){ 0 };
 	if (g->end_ms)
 		f->stop_left_ms = g->end_ms - now;
@@ -388,6 +393,7 @@
 		return false;
 	}
 	if (times_stop_cuts(f, ep)) {
+		gate_limit_unused(f, ep);
 		forward_refuse_for_stop(f);
 		return true;
 	}
@@ -395,6 +401,7 @@
 	if (f->sends > 0 &&
 	    !repeat_take(gate_budget(f->g, f->service->name), gate_now(f->g))) {
 		(*f->g->n_repeats_refused)++;
+		gate_limit_unused(f, ep);
 		if (f->started)
 			forward_end(f, false, "the repeat budget is used up");
 		else if (f->unknown)
@@ -507,8 +514,9 @@
 
 	if (now + first > f->begin_by_ms)
 		return true;
+	/* A model may come to another engine before one admits it. */
 	if (!*f->model)
-		return false;
+		return f->open_ms + first > f->begin_by_ms;
 	if (l->eta_ms != SS_NEVER)
 		return MAX(l->eta_ms, now) + first > f->begin_by_ms;
 	return (double)(now - f->start_ms) > (double)whole * NO_ETA_SHARE;
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -262,6 +262,7 @@
 {
 	freshness_lose(&g->freshness, gate_now(g));
 	quota_lease.entry_link(g->quota, NULL, false, gate_now(g));
+	quota_lease.entry_link(g->limits, NULL, false, gate_now(g));
 }
 
 bool gate_is_stale(const struct gate *g)
@@ -375,7 +376,8 @@
 	frame_add(bytes, MSG_DEMAND, &r->m);
 	g->report_print = XXH3_64bits(bytes->str, bytes->len);
 	g_string_free(bytes, TRUE);
-	return r->models->len || r->ends->len || g->report_print != before;
+	return r->models->len || r->ends->len || r->words->len ||
+	       g->report_print != before;
 }
 
 void gate_report(struct gate *g, struct gate_report *r)
@@ -387,6 +389,7 @@
 	r->models = g_array_new(FALSE, TRUE, sizeof(struct model_demand));
 	r->calls = g_array_new(FALSE, TRUE, sizeof(struct endpoint_calls));
 	r->ends = g_array_new(FALSE, TRUE, sizeof(struct endpoint_ends));
+	r->words = g_array_new(FALSE, TRUE, sizeof(struct endpoint_word));
 	r->lists =
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
 	g_hash_table_iter_init(&it, g->lanes);
@@ -396,12 +399,14 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		report_calls(r, p);
 		report_ends(g, r, p);
+		gate_limit_report(g, p, r->words);
 	}
 	r->m.round = g->round;
 	r->m.routing = gate_routing_version(g);
 	r->m.models = (struct wire_list){ r->models->data, r->models->len };
 	r->m.calls = (struct wire_list){ r->calls->data, r->calls->len };
 	r->m.ends = (struct wire_list){ r->ends->data, r->ends->len };
+	r->m.words = (struct wire_list){ r->words->data, r->words->len };
 	r->news = has_news(g, r);
 }
 
@@ -410,6 +415,7 @@
 	g_array_unref(r->models);
 	g_array_unref(r->calls);
 	g_array_unref(r->ends);
+	g_array_unref(r->words);
 	g_ptr_array_unref(r->lists);
 }
 
@@ -436,6 +442,7 @@
 	endings_tick(g, now);
 	quarantine_tick(g, now);
 	quota_tick(g);
+	gate_limits_tick(g, now);
 	callers_count(g->callers);
 	*g->n_held = callers_held(g->callers);
 	*g->n_unread = callers_unread(g->callers);
@@ -530,6 +537,7 @@
 	g->early = early_new();
 	g->quota = quota_lease.entry_new(&(struct quota_options){ 0 },
 					 g->since_ms);
+	g->limits = quota_lease.entry_new(&endpoint_limit_quota, g->since_ms);
 	g->counts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->quota_lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -583,6 +591,7 @@
 	g_hash_table_unref(g->quota_lines);
 	g_hash_table_unref(g->counts);
 	quota_lease.entry_free(g->quota);
+	quota_lease.entry_free(g->limits);
 	routing_unref(g->routing);
 	g_free(g);
 }
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -90,7 +90,7 @@
 	/* It says something else than the last one, or tells of arrivals,
 	 * waits or ends. */
 	bool news;
-	GArray *models, *calls, *ends;
+	GArray *models, *calls, *ends, *words;
 	GPtrArray *lists;
 };
 void gate_report(struct gate *g, struct gate_report *r);
@@ -119,6 +119,10 @@
 void gate_quota_asks(struct gate *g, GArray *out);
 void gate_take_quota(struct gate *g, const struct msg_quota_word *m);
 
+/* The same for endpoints' own limits, by address. */
+void gate_limit_asks(struct gate *g, GArray *out);
+void gate_take_limit(struct gate *g, const struct msg_quota_word *m);
+
 void gate_tick(struct gate *g);
 
 /*
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -71,7 +71,7 @@
 	ep->addr = key;
 	ep->self.id = g_strdup("");
 	ep->life = ++g->lives;
-	ep->limit_per_s = -1;
+	ep->limit.per_s = ENDPOINT_LIMIT_NONE;
 	ep->service = g_strdup("");
 	ep->domain = g_strdup("");
 	ep->agent = g_strdup("");
@@ -111,7 +111,7 @@
 	ep->failing = 0;
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
 	ep->shut_until_ms = 0;
-	ep->limit_per_s = -1;
+	gate_limit_reset(g, ep);
 	memset(&ep->pace, 0, sizeof(ep->pace));
 	memset(&ep->told, 0, sizeof(ep->told));
 	ep->answered = ep->failed = 0;
@@ -206,6 +206,7 @@
 	ep->unread_ms = 0;
 	ep->busy = e->busy;
 	take_failing(g, ep, e->failing);
+	gate_limit_told(g, ep, e->limit, e->limit_age);
 	if (e->tokens_total)
 		take_load(g, ep, e->running + e->waiting, e->age_ms);
 	take_held(ep, &e->held);
@@ -249,7 +250,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct gate_ep *ep = p;
 
-		if (ep->known || ep->own)
+		if (ep->known || ep->own || gate_limit_keeps(g, ep))
 			continue;
 		upstream_forget(g->upstream, ep->addr);
 		g_hash_table_iter_remove(&it);
@@ -469,15 +470,6 @@
 		ep->slots = a->slots;
 }
 
-void gate_ep_words(struct gate_ep *ep, const struct platform_answer *a)
-{
-	if (a->limit_per_s == ep->limit_per_s)
-		return;
-	log_info("endpoint_limit", "addr=%s id=%s per_s=%.3f before=%.3f",
-		 ep->addr, ep->self.id, a->limit_per_s, ep->limit_per_s);
-	ep->limit_per_s = a->limit_per_s;
-}
-
 static uint64_t affinity_of(const struct forward *f, const struct gate_ep *ep)
 {
 	return XXH3_64bits_withSeed(ep->addr, strlen(ep->addr), f->affinity);
@@ -543,13 +535,19 @@
 	n->affinity = affinity_of(f, ep);
 }
 
+/* An endpoint admits it at that time, if nothing else is in the way. */
+static void opens_at(struct forward *f, int64_t ms)
+{
+	f->open_ms = f->open_ms ? MIN(f->open_ms, ms) : ms;
+}
+
 /* One that rests is used only where all others rest too. */
 static bool rests(struct gate *g, const struct gate_ep *ep)
 {
 	return !ss_breaker_allows(&ep->breaker, gate_now(g));
 }
 
-struct gate_ep *gate_choose(struct gate *g, const struct forward *f,
+struct gate_ep *gate_choose(struct gate *g, struct forward *f,
 			    enum balance_none *none)
 {
 	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct balance_node));
@@ -560,6 +558,7 @@
 						      balance_choose;
 	struct gate_ep *found = NULL;
 	unsigned int working = 0;
+	bool limited = false;
 	GHashTableIter it;
 	void *p;
 	int at;
@@ -582,12 +581,21 @@
 		if (rests(g, eps->pdata[i]))
 			g_array_index(nodes, struct balance_node, i).usable =
 				false;
-	at = choose((struct balance_node *)nodes->data, nodes->len, fill,
-		    ss_random(&g->seed));
-	if (at >= 0)
-		found = eps->pdata[at];
-	else
-		*none = (enum balance_none)at;
+	f->open_ms = 0;
+	while ((at = choose((struct balance_node *)nodes->data, nodes->len,
+			    fill, ss_random(&g->seed))) >= 0) {
+		struct gate_ep *ep = eps->pdata[at];
+
+		if (gate_limit_admits(f, ep)) {
+			found = ep;
+			break;
+		}
+		g_array_index(nodes, struct balance_node, at).usable = false;
+		opens_at(f, MAX(ep->permit_ms, gate_now(g)));
+		limited = true;
+	}
+	if (!found)
+		*none = limited ? BALANCE_LIMITED : (enum balance_none)at;
 	g_array_unref(nodes);
 	g_ptr_array_unref(eps);
 	return found;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -7,6 +7,7 @@
 
 #include "../core/balance.h"
 #include "../core/end_log.h"
+#include "../core/endpoint_limit.h"
 #include "../core/failing.h"
 #include "../core/fleet.h"
 #include "../core/freshness.h"
@@ -42,8 +43,13 @@
 	uint64_t answered, failed; /* since the last report */
 	struct ss_breaker breaker;
 	int64_t shut_until_ms; /* no connection could be made */
-	double limit_per_s;    /* by its newest answer; -1: none */
-	struct pace pace;      /* of its streams, all models */
+	struct endpoint_limit limit;
+	int64_t limit_changed_ms; /* by an answer here; 0: by none */
+	int64_t limit_told_ms;	  /* when the leader was told; 0: not yet */
+	int64_t permit_ms;	  /* none is to be had before then */
+	double seat; /* permits that a request here waits for; 0: none does */
+	int64_t seat_ms;  /* when it was heard of last */
+	struct pace pace; /* of its streams, all models */
 	struct pace_open open;
 };
 
@@ -96,6 +102,8 @@
 	uint64_t ticket;
 	int64_t sent_ms;
 	double limit_per_s;   /* of its endpoint when it was sent; -1: none */
+	double permits;	      /* taken for its endpoint, and not used yet */
+	int64_t open_ms;      /* no endpoint admits it before; 0: nobody says */
 	int64_t waited_ms;    /* until it was first sent; -1: not yet */
 	int64_t first_ms;     /* until the answer began; -1: not yet */
 	int64_t stop_left_ms; /* of a planned stop when sent; -1: none */
@@ -167,6 +175,8 @@
 	int64_t tidy_ms;
 	uint64_t report_print;	 /* of the last report */
 	void *quota;		 /* the entry's side of customers' limits */
+	void *limits;		 /* and of endpoints' own */
+	int64_t seats_ms;	 /* when seats were last looked through */
 	GHashTable *quota_lines; /* customer -> GQueue of struct forward */
 	guint quota_waiting;	 /* in all of them */
 	GHashTable *counts;	 /* customer -> struct customer_counts */
@@ -185,8 +195,9 @@
 struct gate_ep *gate_ep_at(const struct gate *g, const char *addr);
 /* Where the request has its place; NULL where that incarnation is over. */
 struct gate_ep *gate_ep_of(const struct forward *f);
-/* The endpoint for a request, or NULL with the reason. */
-struct gate_ep *gate_choose(struct gate *g, const struct forward *f,
+/* The endpoint for a request, with the permits that it needs there, or NULL
+ * with the reason. */
+struct gate_ep *gate_choose(struct gate *g, struct forward *f,
 			    enum balance_none *none);
 bool gate_ep_has_adapter(const struct gate_ep *ep, const char *model,
 			 const char *adapter);
@@ -199,10 +210,26 @@
 void gate_ep_note(struct gate *g, struct gate_ep *ep, bool failed);
 void gate_ep_load(struct gate *g, struct gate_ep *ep,
 		  const struct platform_answer *a);
-/* What else an answer says of its endpoint. */
-void gate_ep_words(struct gate_ep *ep, const struct platform_answer *a);
 void gate_ep_free(void *ep);
 
+/* gate_limits.c */
+/* What an answer says of its endpoint's limit; what the leader says. */
+void gate_limit_heard(struct forward *f, struct gate_ep *ep,
+		      const struct platform_answer *a);
+void gate_limit_told(struct gate *g, struct gate_ep *ep, int64_t limit,
+		     int64_t age);
+/* Another incarnation is there. */
+void gate_limit_reset(struct gate *g, struct gate_ep *ep);
+/* Its word holds though it is no longer listed. */
+bool gate_limit_keeps(const struct gate *g, const struct gate_ep *ep);
+/* Whether a request may go there now; the permits for it are taken. */
+bool gate_limit_admits(struct forward *f, struct gate_ep *ep);
+/* It isn't sent there after all. */
+void gate_limit_unused(struct forward *f, struct gate_ep *ep);
+/* Add what the leader is to be told, as struct endpoint_word. */
+void gate_limit_report(struct gate *g, struct gate_ep *ep, GArray *words);
+void gate_limits_tick(struct gate *g, int64_t now);
+
 /* early.c */
 GArray *early_new(void);
 /* Keep a request that came before it is known where it leads; false where
--- /dev/null
+++ b/src/proxy/gate_limits.c
@@ -0,0 +1,179 @@
+/* Endpoints' own limits: a request goes to such an endpoint with a permit. */
+#include "gate_int.h"
+
+#include "../base/log.h"
+
+/* A word in force is told again this often, in ms: to a leader that has just
+ * begun, and to one that didn't know the endpoint yet. A word that ends one is
+ * told again for LIFTED_MS. */
+#define AGAIN_MS 1000
+#define LIFTED_MS 3000
+/* An endpoint that is no longer listed is remembered with its word for so
+ * long, in ms: a leader may just have begun with a list in parts. */
+#define UNLISTED_MS 60000
+/* Whoever asked for a permit and isn't heard of for so long, in ms, has found
+ * another endpoint, or left. */
+#define SEAT_MS 300
+
+static void log_limit(const struct gate_ep *ep, double before, const char *by)
+{
+	log_info("endpoint_limit", "addr=%s id=%s per_s=%.3f before=%.3f by=%s",
+		 ep->addr, ep->self.id, ep->limit.per_s, before, by);
+}
+
+void gate_limit_heard(struct forward *f, struct gate_ep *ep,
+		      const struct platform_answer *a)
+{
+	double before = ep->limit.per_s;
+	struct gate *g = f->g;
+
+	/* Only a signed answer to what was sent in spite of a limit says that
+	 * it is over: others may be of before, or not the endpoint's own. */
+	if (a->limit_per_s < 0 && (f->limit_per_s < 0 || !a->authentic))
+		return;
+	if (!endpoint_limit_say(&ep->limit, a->limit_per_s, gate_now(g)))
+		return;
+	log_limit(ep, before, "answer");
+	ep->limit_changed_ms = gate_now(g);
+	ep->limit_told_ms = 0;
+	g->o.ops->demand(g->o.arg);
+}
+
+void gate_limit_told(struct gate *g, struct gate_ep *ep, int64_t limit,
+		     int64_t age)
+{
+	double before = ep->limit.per_s;
+
+	if (endpoint_limit_told(&ep->limit, limit, age, gate_now(g)))
+		log_limit(ep, before, "leader");
+}
+
+bool gate_limit_keeps(const struct gate *g, const struct gate_ep *ep)
+{
+	return ep->limit.per_s >= 0 &&
+	       gate_now(g) - ep->limit.said_ms < UNLISTED_MS;
+}
+
+static void leave_seat(struct gate *g, struct gate_ep *ep)
+{
+	struct customer c = endpoint_limit_account(&ep->limit, ep->addr);
+
+	if (ep->seat > 0)
+		quota_lease.leave(g->limits, &c, ep->seat);
+	ep->seat = 0;
+}
+
+void gate_limit_reset(struct gate *g, struct gate_ep *ep)
+{
+	leave_seat(g, ep);
+	ep->limit = (struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
+	ep->permit_ms = ep->limit_changed_ms = ep->limit_told_ms = 0;
+}
+
+/* An adapter that has to be loaded first is one request more. */
+static double cost_of(const struct forward *f, const struct gate_ep *ep)
+{
+	bool asks = *f->adapter &&
+		    !gate_ep_has_adapter(ep, f->model, f->adapter);
+
+	return asks ? 2 : 1;
+}
+
+/*
+ * One seat for all that wait here: they are of several lanes, and whoever is
+ * first when a permit comes takes it.
+ */
+bool gate_limit_admits(struct forward *f, struct gate_ep *ep)
+{
+	struct gate *g = f->g;
+	int64_t now = gate_now(g), back_ms = 0;
+	struct customer c = endpoint_limit_account(&ep->limit, ep->addr);
+	struct quota_need need = { .cost = cost_of(f, ep),
+				   .waits = ep->seat > 0,
+				   .hold_ms = f->begin_by_ms - now };
+
+	if (ep->limit.per_s < 0)
+		return true;
+	if (now < ep->permit_ms)
+		return false;
+	/* Seats are of one size; this one needs another. */
+	if (need.waits && ep->seat != need.cost) {
+		leave_seat(g, ep);
+		need.waits = false;
+	}
+	ep->seat = 0;
+	switch (quota_lease.take(g->limits, &c, &need, now, &back_ms)) {
+	case QUOTA_YES:
+		f->permits = need.cost;
+		return true;
+	case QUOTA_WAIT:
+		ep->seat = need.cost;
+		ep->seat_ms = now;
+		return false;
+	case QUOTA_NO:
+		break;
+	}
+	ep->permit_ms = now + back_ms;
+	return false;
+}
+
+void gate_limit_unused(struct forward *f, struct gate_ep *ep)
+{
+	struct customer c = endpoint_limit_account(&ep->limit, ep->addr);
+
+	if (f->permits > 0)
+		quota_lease.give_back(f->g->limits, &c, f->permits,
+				      gate_now(f->g));
+	f->permits = 0;
+}
+
+void gate_limits_tick(struct gate *g, int64_t now)
+{
+	GHashTableIter it;
+	void *p;
+
+	if (now - g->seats_ms < SEAT_MS)
+		return;
+	g->seats_ms = now;
+	g_hash_table_iter_init(&it, g->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct gate_ep *ep = p;
+
+		if (ep->seat > 0 && now - ep->seat_ms > SEAT_MS)
+			leave_seat(g, ep);
+	}
+}
+
+void gate_limit_report(struct gate *g, struct gate_ep *ep, GArray *words)
+{
+	int64_t now = gate_now(g);
+	struct endpoint_word w = { .addr = ss_str(ep->addr),
+				   .id = ss_str(ep->self.id),
+				   .started_ms = ep->self.started_ms,
+				   .limit = endpoint_limit_wire(&ep->limit),
+				   .limit_age = endpoint_limit_age(&ep->limit,
+								   now) };
+	bool holds = ep->limit.per_s >= 0 ||
+		     now - ep->limit_changed_ms < LIFTED_MS;
+
+	/* What only the leader told is the leader's already. */
+	if (!ep->limit_changed_ms || !holds ||
+	    (ep->limit_told_ms && now - ep->limit_told_ms < AGAIN_MS))
+		return;
+	ep->limit_told_ms = now;
+	g_array_append_val(words, w);
+}
+
+void gate_limit_asks(struct gate *g, GArray *out)
+{
+	quota_lease.asks(g->limits, gate_now(g), out);
+}
+
+void gate_take_limit(struct gate *g, const struct msg_quota_word *m)
+{
+	const struct quota_word *w = m->words.items;
+
+	for (size_t i = 0; i < m->words.n; i++)
+		quota_lease.word(g->limits, &w[i], gate_now(g));
+	gate_pump(g, NULL);
+}
--- a/src/proxy/quarantine.c
+++ b/src/proxy/quarantine.c
@@ -178,6 +178,7 @@
 	end_log_again(&g->end_log);
 	g->recall = 0;
 	quota_lease.entry_link(g->quota, NULL, true, gate_now(g));
+	quota_lease.entry_link(g->limits, NULL, true, gate_now(g));
 }
 
 void gate_take_quarantine(struct gate *g, const struct msg_quarantine *m)
--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -241,6 +241,9 @@
 		e[i].tokens_total = 1000;
 		e[i].started_ms = f->eps[i].started_ms;
 		e[i].leaving = f->eps[i].leaving;
+		e[i].limit = endpoint_limit_wire(&f->limits[i]);
+		e[i].limit_age =
+			endpoint_limit_age(&f->limits[i], f->clock.fake_ms);
 		e[i].held = (struct wire_list){
 			&held, *model && !f->eps[i].empty ? 1 : 0
 		};
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -9,6 +9,7 @@
 #include "unit.h"
 
 #include "../platform/platform.h"
+#include "../src/core/endpoint_limit.h"
 #include "../src/net/addr.h"
 #include "../src/proxy/gate.h"
 
@@ -64,6 +65,7 @@
 	struct gate *gate;
 	struct gate_options options; /* that it was made with */
 	struct endpoint eps[ENDPOINTS];
+	struct endpoint_limit limits[ENDPOINTS]; /* as the leader knows them */
 	GPtrArray *callers;
 	int at; /* the endpoint that is emptier, and speaks */
 	int demands;
--- a/test/test_gate_limit.c
+++ b/test/test_gate_limit.c
@@ -41,6 +41,11 @@
 struct crowd {
 	struct fix f;
 	struct gate *gates[GATES];
+	uint64_t holders[GATES]; /* their incarnations, as the leader sees */
+	uint64_t incarnations;
+	void *place; /* the leader's, of permits; NULL: there is no leader */
+	const struct limit_case *x;
+	int asks;
 	GArray *arrivals[ENDPOINTS]; /* int64_t, when each request came */
 	int64_t named_ms;	     /* when the first one came */
 };
@@ -53,14 +58,101 @@
 static void know_all(struct crowd *c, int i, const struct limit_case *x)
 {
 	with_gate(c, i);
+	c->holders[i] = ++c->incarnations;
 	tell_routing(&c->f);
 	tell_fleet(&c->f, x->service, x->model);
+	gate_leader_found(c->gates[i]);
+}
+
+/* The leader. */
+
+static int endpoint_at(const struct crowd *c, struct ss_str addr)
+{
+	for (int i = 0; i < ENDPOINTS; i++)
+		if (ss_str_eq(addr, ss_str(c->f.eps[i].addr)))
+			return i;
+	return -1;
+}
+
+static bool hear_words(struct crowd *c, struct gate *g)
+{
+	const struct endpoint_word *w;
+	struct gate_report r;
+	bool news = false;
+
+	gate_report(g, &r);
+	w = r.m.words.items;
+	for (size_t k = 0; k < r.m.words.n; k++) {
+		int at = endpoint_at(c, w[k].addr);
+
+		news |= endpoint_limit_told(&c->f.limits[at], w[k].limit,
+					    w[k].limit_age, c->f.clock.fake_ms);
+	}
+	gate_report_done(&r);
+	return news;
+}
+
+static void answer_asks(struct crowd *c, int i)
+{
+	GArray *asks = g_array_new(FALSE, FALSE, sizeof(struct quota_ask));
+	GArray *words = g_array_new(FALSE, FALSE, sizeof(struct quota_word));
+	struct msg_quota_word m;
+
+	gate_limit_asks(c->gates[i], asks);
+	for (guint k = 0; k < asks->len; k++) {
+		const struct quota_ask *a =
+			&g_array_index(asks, struct quota_ask, k);
+		int at = endpoint_at(c, a->customer);
+		struct customer who = endpoint_limit_account(&c->f.limits[at],
+							     c->f.eps[at].addr);
+		struct quota_word w;
+
+		assert_true(c->f.limits[at].per_s >= 0);
+		quota_lease.place_ask(c->place, c->holders[i], &who, a,
+				      c->f.clock.fake_ms, &w);
+		g_array_append_val(words, w);
+	}
+	c->asks += (int)asks->len;
+	m.words = (struct wire_list){ words->data, words->len };
+	if (words->len)
+		gate_take_limit(c->gates[i], &m);
+	g_array_unref(asks);
+	g_array_unref(words);
+}
+
+static void lead(struct crowd *c)
+{
+	bool news = false;
+
+	if (!c->place)
+		return;
+	for (int i = 0; i < GATES; i++)
+		news |= hear_words(c, c->gates[i]);
+	for (int i = 0; news && i < GATES; i++) {
+		with_gate(c, i);
+		tell_fleet(&c->f, c->x->service, c->x->model);
+	}
+	for (int i = 0; i < GATES; i++)
+		answer_asks(c, i);
+}
+
+static void begin_to_lead(struct crowd *c)
+{
+	c->place = quota_lease.place_new(&endpoint_limit_quota,
+					 c->f.clock.fake_ms);
+	for (int i = 0; i < ENDPOINTS; i++)
+		c->f.limits[i] =
+			(struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
 }
 
 static void crowd_open(struct crowd *c, const struct limit_case *x)
 {
 	fix_open_fresh(&c->f);
 	c->named_ms = 0;
+	c->x = x;
+	c->asks = 0;
+	c->incarnations = 0;
+	begin_to_lead(c);
 	for (int i = 0; i < ENDPOINTS; i++) {
 		c->arrivals[i] = g_array_new(FALSE, FALSE, sizeof(int64_t));
 		script(&c->f, i, x->answer, x->close, false);
@@ -78,6 +170,7 @@
 		gate_free(c->gates[i]);
 	with_gate(c, 0);
 	fix_close(&c->f);
+	quota_lease.place_free(c->place);
 	for (int i = 0; i < ENDPOINTS; i++)
 		g_array_unref(c->arrivals[i]);
 }
@@ -101,6 +194,7 @@
 		gate_tick(c->gates[i]);
 	for (int k = 0; k < 4; k++)
 		event_base_loop(c->f.base, EVLOOP_NONBLOCK);
+	lead(c);
 	note_arrivals(c);
 }
 
@@ -110,15 +204,22 @@
 		int i = 1 + (int)(at / 2000) % (GATES - 1);
 
 		gate_free(c->gates[i]);
+		quota_lease.place_gone(c->place, c->holders[i],
+				       c->f.clock.fake_ms);
 		c->gates[i] = gate_new(&c->f.options, NULL);
 		know_all(c, i, x);
 	}
-	if (x->trouble == LEADER_LOST && at == 5000)
+	if (x->trouble == LEADER_LOST && at == 5000) {
+		quota_lease.place_free(c->place);
+		c->place = NULL;
 		for (int i = 0; i < GATES; i++)
 			gate_leader_lost(c->gates[i]);
-	if (x->trouble == LEADER_LOST && at == 6500)
+	}
+	if (x->trouble == LEADER_LOST && at == 6500) {
+		begin_to_lead(c);
 		for (int i = 0; i < GATES; i++)
 			gate_leader_found(c->gates[i]);
+	}
 }
 
 /* The most that came in a window, from when the promise holds. */
