--- a/src/core/endpoint_limit.c
+++ b/src/core/endpoint_limit.c
@@ -13,6 +13,10 @@
 #define LEAST_PER_S 0.001
 /* A call keeps a slot of an engine for some so long, in s. */
 #define CALL_S 2
+/* Part of a limit that its agent's reads may take beside callers; read more
+ * seldom than so often, in ms, it would pass for lost. */
+#define READ_SHARE 0.25
+#define READ_MOST_MS 2000
 /* A word that wasn't repeated for so long, in ms, keeps no model away. */
 #define NARROW_MS 10000
 
@@ -57,6 +61,16 @@
 	       now - l->said_ms < NARROW_MS;
 }
 
+int64_t endpoint_limit_pause_ms(const struct endpoint_limit *l,
+				int64_t least_ms)
+{
+	if (l->per_s < 0)
+		return least_ms;
+	return MAX(least_ms,
+		   (int64_t)MIN(1000 / MAX(l->per_s * READ_SHARE, LEAST_PER_S),
+				READ_MOST_MS));
+}
+
 struct customer endpoint_limit_account(const struct endpoint_limit *l,
 				       char *addr)
 {
--- a/src/core/endpoint_limit.h
+++ b/src/core/endpoint_limit.h
@@ -38,6 +38,11 @@
 bool endpoint_limit_is_narrow(const struct endpoint_limit *l, int64_t slots,
 			      int64_t now);
 
+/* The pause between two reads of it by its agent, beside what callers send: at
+ * least so long. */
+int64_t endpoint_limit_pause_ms(const struct endpoint_limit *l,
+				int64_t least_ms);
+
 /* The limit as a customer's; it points to addr. */
 struct customer endpoint_limit_account(const struct endpoint_limit *l,
 				       char *addr);
--- a/src/daemon/engine_agent.c
+++ b/src/daemon/engine_agent.c
@@ -5,6 +5,7 @@
 #include "engine_agent.h"
 
 #include "../../platform/platform.h"
+#include "../core/endpoint_limit.h"
 #include "../core/engine.h"
 #include "../core/fleet_wire.h"
 #include "../net/keep.h"
@@ -23,6 +24,8 @@
 /* Load is told to the leader this often, and anything at least so often. */
 #define LOAD_MS 200
 #define REPORT_MS 1000
+/* Headers of an answer that are looked at. */
+#define HEADERS_MOST 32
 /* Reads in a row without an answer after which the engine is down. */
 #define LOST_AFTER 2
 
@@ -37,6 +40,7 @@
 	struct fleet_report *report;	 /* the newest; NULL: none */
 	/* Of the engine; its id is NULL while it has to be asked for. */
 	struct fleet_incarnation self;
+	struct endpoint_limit limit; /* by its answers here */
 	bool reachable, reading;
 	unsigned int unanswered;
 	int64_t read_ms, told_ms;
@@ -58,6 +62,26 @@
 	return ss_clock_now(&a->o.daemon->clock);
 }
 
+/* What an answer says of the engine itself, as those to callers do. */
+static void hear(struct engine_agent *a, const struct keep_answer *r)
+{
+	struct http1_field fields[HEADERS_MOST];
+	struct http1_head h = { .status = r->status, .fields = fields };
+	struct platform_answer says;
+	const struct evkeyval *x;
+
+	if (!r->headers)
+		return;
+	for (x = r->headers->tqh_first; x && h.n_fields < HEADERS_MOST;
+	     x = x->next.tqe_next)
+		fields[h.n_fields++] = (struct http1_field){ ss_str(x->key),
+							     ss_str(x->value) };
+	users_platform.read_answer(&h, &says);
+	if (endpoint_limit_say(&a->limit, says.limit_per_s, now_ms(a)))
+		log_info("endpoint_limit", "endpoint=%s per_s=%.3f", a->addr,
+			 a->limit.per_s);
+}
+
 /* Telling the leader. */
 
 static void tell_leader(struct engine_agent *a)
@@ -187,6 +211,7 @@
 {
 	struct engine_agent *a = arg;
 
+	hear(a, r);
 	a->reading = false;
 	if (!r->header || !*r->header) {
 		log_info("instance_unknown", "endpoint=%s status=%d", a->addr,
@@ -258,6 +283,7 @@
 	struct fleet_report report;
 	GError *error = NULL;
 
+	hear(a, r);
 	a->reading = false;
 	(*a->n_reads)++;
 	if (r->status != 200) {
@@ -302,6 +328,7 @@
 	struct engine_agent *a = arg;
 	enum fleet_order_answer answer = users_platform.order_answer(r->status);
 
+	hear(a, r);
 	if (answer != FLEET_ORDER_TAKEN && answer != FLEET_ORDER_HOLDS)
 		log_info("order_answer", "endpoint=%s status=%d", a->addr,
 			 r->status);
@@ -493,7 +520,10 @@
 	int64_t calm = a->o.remote ? REMOTE_CALM_MS : READ_CALM_MS;
 	int64_t pause = a->o.remote ? REMOTE_BUSY_MS : READ_BUSY_MS;
 
-	if (!a->reading && now - a->read_ms >= (busy ? pause : calm))
+	/* Whoever waits for an order to end waits for this. */
+	if (!busy)
+		pause = endpoint_limit_pause_ms(&a->limit, calm);
+	if (!a->reading && now - a->read_ms >= pause)
 		read_engine(a);
 	if (busy)
 		engine_tick(a->engine, now);
@@ -535,6 +565,7 @@
 
 	a->o = *o;
 	a->addr = g_strdup(o->endpoint);
+	a->limit.per_s = ENDPOINT_LIMIT_NONE;
 	/* Also where a control VM runs it, it is led like any agent. */
 	a->hello = d->hello;
 	a->hello.role = ROLE_AGENT;
--- a/src/net/keep.c
+++ b/src/net/keep.c
@@ -30,9 +30,9 @@
 
 	if (a.status) {
 		a.body = http_body(req);
+		a.headers = evhttp_request_get_input_headers(req);
 		if (c->want)
-			a.header = evhttp_find_header(
-				evhttp_request_get_input_headers(req), c->want);
+			a.header = evhttp_find_header(a.headers, c->want);
 	}
 	if (!c->k->freeing)
 		c->done(c->arg, &a);
--- a/src/net/keep.h
+++ b/src/net/keep.h
@@ -6,6 +6,7 @@
 #define SS_KEEP_H
 
 #include <event2/event.h>
+#include <event2/keyvalq_struct.h>
 #include <sapphireshift/base.h>
 
 struct keep;
@@ -14,6 +15,7 @@
 	int status; /* 0: none came, and the call may have been carried out */
 	struct ss_str body;
 	const char *header; /* the wanted one; NULL: it isn't there */
+	const struct evkeyvalq *headers; /* all; NULL: no answer came */
 };
 
 struct keep_call {
--- a/test/test_endpoint_limit.c
+++ b/test/test_endpoint_limit.c
@@ -256,6 +256,32 @@
 	assert_false(endpoint_limit_is_narrow(&l, 8, 1100));
 }
 
+struct pause_case {
+	double per_s;
+	int64_t least_ms, pause_ms;
+};
+
+/* Symptom: an endpoint in need is read ten times a second beside its callers,
+ * or so seldom that it passes for lost. */
+static void reads_take_a_part_of_the_limit(void **state)
+{
+	static const struct pause_case rows[] = {
+		{ ENDPOINT_LIMIT_NONE, 100, 100 },
+		{ 400, 100, 100 },
+		{ 8, 20, 500 },
+		{ 2, 100, 2000 },
+		{ 0, 100, 2000 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct endpoint_limit l = { rows[i].per_s, 1 };
+
+		assert_int_equal(endpoint_limit_pause_ms(&l, rows[i].least_ms),
+				 rows[i].pause_ms);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -263,6 +289,7 @@
 		cmocka_unit_test(newest_word_holds),
 		cmocka_unit_test(words_travel_with_their_age),
 		cmocka_unit_test(old_word_keeps_no_model_away),
+		cmocka_unit_test(reads_take_a_part_of_the_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
