--- a/src/ctl/summary.c
+++ b/src/ctl/summary.c
@@ -13,6 +13,7 @@
 	REASON_START,	/* late: its entry had just started, nobody led */
 	REASON_MODEL,	/* late: it waited, and no engine had its model */
 	REASON_PLACE,	/* late: it waited for a place on a full endpoint */
+	REASON_LIMIT,	/* late: it waited for what an endpoint itself admits */
 	REASON_ADAPTER, /* late: an adapter was loaded for it */
 	REASON_AGAIN,	/* late: it was sent more than once */
 	REASON_ENGINE,	/* late: its endpoint was slow to begin */
@@ -30,6 +31,7 @@
 	[REASON_START] = "late: nobody led yet",
 	[REASON_MODEL] = "late: no engine had its model",
 	[REASON_PLACE] = "late: full endpoint",
+	[REASON_LIMIT] = "late: its endpoint's own limit",
 	[REASON_ADAPTER] = "late: adapter",
 	[REASON_AGAIN] = "late: sent again",
 	[REASON_ENGINE] = "late: slow endpoint",
@@ -90,6 +92,8 @@
 {
 	if (!strcmp(held_for, "place"))
 		return REASON_PLACE;
+	if (!strcmp(held_for, "limit"))
+		return REASON_LIMIT;
 	return strcmp(held_for, "model") ? REASON_START : REASON_MODEL;
 }
 
