--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include "../platform/platform.h"
+#include "../src/core/endpoint_limit.h"
 #include "../src/core/fleet_wire.h"
 #include "../src/core/state.h"
 #include "../src/daemon/fleet_lead.h"
@@ -41,6 +42,8 @@
 	int wholes;
 	uint64_t unread_round;
 	bool unread_whole;
+	char *limited; /* the last endpoint that it was told of so */
+	int permits;   /* that the leader has granted, in thousandths */
 	int64_t report_ms, told_ms;
 };
 
@@ -49,7 +52,7 @@
 	GArray *held;	 /* int */
 	GArray *on_disk; /* int */
 	int adapters;	 /* of its first model */
-	int running;
+	int running, orders;
 	int64_t report_ms;
 	bool news;
 	/* What it was told to do; done_ms 0: nothing. */
@@ -88,6 +91,7 @@
 	int64_t frame_ms;
 	uint64_t frame_round;
 	bool frame_whole;
+	char *frame_limited; /* the first endpoint in it that names a limit */
 };
 
 /* The world that is played now: what stands for the network finds it here. */
@@ -143,15 +147,36 @@
 	}
 	e->done_ms = w->d.clock.fake_ms + LOAD_MS;
 	w->steps++;
+	e->orders++;
+}
+
+static void take_permits(struct conn *c, const struct msg_quota_word *m)
+{
+	const struct quota_word *x = m->words.items;
+
+	for (size_t i = 0; i < m->words.n; i++)
+		c->permits += (int)x[i].grant;
 }
 
 bool conn_send(struct conn *c, enum msg_kind kind, const void *msg)
 {
 	if (kind == MSG_LOAD && c->engine >= 0)
 		take_order(c->w, &c->w->engines[c->engine], msg);
+	if (kind == MSG_LIMIT_WORD)
+		take_permits(c, msg);
 	return !c->gone;
 }
 
+static char *first_limited(const struct msg_fleet *m)
+{
+	const struct fleet_endpoint *e = m->endpoints.items;
+
+	for (size_t i = 0; i < m->endpoints.n; i++)
+		if (e[i].limit > 0 && e[i].limit_age > 0)
+			return ss_str_dup(e[i].addr);
+	return NULL;
+}
+
 static void read_frame(struct fleet_world *w, const GString *frame)
 {
 	struct frame f;
@@ -164,11 +189,13 @@
 	w->frame_ms = w->d.clock.fake_ms;
 	w->frame_round = 0;
 	w->frame_whole = false;
+	g_clear_pointer(&w->frame_limited, g_free);
 	if (!frame_decode((const uint8_t *)frame->str, frame->len, &f, NULL))
 		return;
 	if (f.kind == MSG_FLEET) {
 		w->frame_round = f.u.fleet.round;
 		w->frame_whole = f.u.fleet.whole;
+		w->frame_limited = first_limited(&f.u.fleet);
 	}
 	frame_done(&f);
 }
@@ -195,6 +222,10 @@
 		c->unread_whole |= w->frame_whole;
 	} else {
 		take_frame(c, w->frame_round, w->frame_whole);
+		if (w->frame_limited) {
+			g_free(c->limited);
+			c->limited = g_strdup(w->frame_limited);
+		}
 	}
 	return !c->gone;
 }
@@ -358,6 +389,7 @@
 
 	g_array_unref(c->calls);
 	g_array_unref(c->counts);
+	g_free(c->limited);
 	g_free(c);
 }
 
@@ -503,6 +535,56 @@
 	g_ptr_array_unref(names);
 }
 
+void fleet_world_limit(struct fleet_world *w, int entry, int engine,
+		       double per_s)
+{
+	struct endpoint_limit l = { per_s, w->d.clock.fake_ms };
+	struct endpoint_word x = { .addr = ss_str(w->engines[engine].addr),
+				   .id = ss_str(w->engines[engine].id),
+				   .started_ms = 1,
+				   .limit = endpoint_limit_wire(&l),
+				   .limit_age = 1 };
+	struct conn *c = w->entries->pdata[entry];
+	struct msg_demand m = { .round = c->round,
+				.routing = 1,
+				.words = { &x, 1 } };
+
+	deliver(c, MSG_DEMAND, &m, &w->cost.reports);
+}
+
+int fleet_world_limited(const struct fleet_world *w, int engine)
+{
+	int n = 0;
+
+	for (guint i = 0; i < w->entries->len; i++) {
+		const struct conn *c = w->entries->pdata[i];
+
+		n += c->limited && !strcmp(c->limited, w->engines[engine].addr);
+	}
+	return n;
+}
+
+int fleet_world_permits(struct fleet_world *w, int entry, int engine)
+{
+	struct quota_ask a = { .customer = ss_str(w->engines[engine].addr),
+			       .number = 1,
+			       .want = QUOTA_MILLI,
+			       .first = QUOTA_MILLI,
+			       .demand = QUOTA_MILLI,
+			       .usual = QUOTA_MILLI };
+	struct msg_quota_ask m = { .asks = { &a, 1 } };
+	struct conn *c = w->entries->pdata[entry];
+
+	c->permits = 0;
+	deliver(c, MSG_LIMIT_ASK, &m, &w->cost.reports);
+	return c->permits;
+}
+
+int fleet_world_orders(const struct fleet_world *w, int engine)
+{
+	return w->engines[engine].orders;
+}
+
 /* Engines. */
 
 static void hold(struct fleet_world *w, int engine, int model, bool on)
@@ -742,6 +824,7 @@
 	}
 	for (int i = 0; i < w->o.models; i++)
 		g_array_unref(w->holders[i]);
+	g_free(w->frame_limited);
 	g_free(w->engines);
 	g_free(w->holders);
 	g_free(w->popularity);
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -45,6 +45,15 @@
 void fleet_world_call(struct fleet_world *w, int entry, int model);
 /* An engine has loaded an adapter of its first model, and says so. */
 void fleet_world_adapter(struct fleet_world *w, int engine);
+/* An engine has named a limit in an answer at an entry; entries that the
+ * leader has told so; the thousandths of permits that an entry gets there when
+ * it asks for one. */
+void fleet_world_limit(struct fleet_world *w, int entry, int engine,
+		       double per_s);
+int fleet_world_limited(const struct fleet_world *w, int engine);
+int fleet_world_permits(struct fleet_world *w, int entry, int engine);
+/* Steps that an engine was sent. */
+int fleet_world_orders(const struct fleet_world *w, int engine);
 /* The entry reads nothing from now on, and says nothing; it reads on. */
 void fleet_world_stop_entry(struct fleet_world *w, int entry);
 void fleet_world_continue_entry(struct fleet_world *w, int entry);
--- a/test/test_fleet_lead.c
+++ b/test/test_fleet_lead.c
@@ -2,6 +2,8 @@
  * between played entries and engines. */
 #include "unit.h"
 
+#include "../src/customer/quota.h"
+
 #include "fleet_world.h"
 
 #define SECOND_MS 1000
@@ -152,9 +154,68 @@
 	fleet_world_free(w);
 }
 
+/* What an endpoint tells one entry's callers stays with that entry, and the
+ * others send on; one that starts anew knows nothing either. */
+static void limit_is_told_to_all(void **state)
+{
+	const int engine = 3;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet_world *w = world_of(&sizes[i]);
+		int granted = 0;
+
+		fleet_world_run(w, 2 * SECOND_MS);
+		fleet_world_work(w, "endpoints");
+		fleet_world_limit(w, 0, engine, 2);
+		fleet_world_run(w, LOADS_MS);
+		assert_int_equal(fleet_world_limited(w, engine),
+				 sizes[i].entries);
+		fleet_world_restart_entry(w, 1);
+		fleet_world_run(w, SECOND_MS);
+		assert_int_equal(fleet_world_limited(w, engine),
+				 sizes[i].entries);
+		for (int k = 0; k < sizes[i].entries; k++)
+			granted += fleet_world_permits(w, k, engine);
+		/* Of one bucket: what its slack lets entries hold. */
+		assert_in_range(granted, 1, 5 * QUOTA_MILLI);
+		/* Of an endpoint that names none there is nothing to grant. */
+		assert_int_equal(fleet_world_permits(w, 0, engine + 1), 0);
+		fleet_world_free(w);
+	}
+}
+
+/* An engine in need is filled with models that it can't serve. */
+static void limited_engine_is_loaded_with_nothing(void **state)
+{
+	const struct size one = { 20, 6 };
+	struct fleet_world *w = world_of(&one);
+	int before, free = 0;
+
+	(void)state;
+	fleet_world_run(w, SECOND_MS);
+	fleet_world_limit(w, 0, 3, 0.5);
+	fleet_world_run(w, SECOND_MS);
+	before = fleet_world_orders(w, 3);
+	for (int k = 0; k < 10; k++) {
+		/* Its word is repeated while callers come. */
+		fleet_world_limit(w, k, 3, 0.5);
+		for (int m = 0; m < 60; m++)
+			fleet_world_call(w, k, m);
+		fleet_world_run(w, SECOND_MS);
+	}
+	assert_int_equal(fleet_world_orders(w, 3), before);
+	for (int i = 0; i < one.engines; i++)
+		free += i != 3 && fleet_world_orders(w, i) > 0;
+	assert_true(free > 0);
+	fleet_world_free(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(limit_is_told_to_all),
+		cmocka_unit_test(limited_engine_is_loaded_with_nothing),
 		cmocka_unit_test(a_message_costs_what_it_is_about),
 		cmocka_unit_test(an_end_costs_what_it_had),
 		cmocka_unit_test(adapters_go_out_with_the_loads),
