--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -133,6 +133,7 @@
 	if (ep) {
 		gate_ep_load(f->g, ep, &a);
 		gate_limit_heard(f, ep, &a);
+		gate_ep_heard(f->g, ep, &a);
 	}
 	why = why_spoiled(f, h, &a);
 	if (why)
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -302,6 +302,8 @@
 	f->sent_ms = now;
 	f->limit_per_s = ep->limit.per_s;
 	*g->n_limited += ep->limit.per_s >= 0;
+	*g->n_sent_resting += now < ep->rest_until_ms;
+	*g->n_sent_leaving += ep->says_leaving;
 	f->permits = 0;
 	f->mark = (struct pace_mark){ 0 };
 	if (g->end_ms)
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -506,6 +506,9 @@
 	g->n_quarantined = metrics_value(m, "ss_gate_quarantined_total", "");
 	g->n_over_quota = metrics_value(m, "ss_gate_over_quota_total", "");
 	g->n_limited = metrics_value(m, "ss_gate_sent_limited_total", "");
+	g->n_rests = metrics_value(m, "ss_gate_rests_total", "");
+	g->n_sent_resting = metrics_value(m, "ss_gate_sent_resting_total", "");
+	g->n_sent_leaving = metrics_value(m, "ss_gate_sent_leaving_total", "");
 }
 
 struct gate *gate_new(const struct gate_options *o, GError **error)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -112,6 +112,8 @@
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
 	ep->shut_until_ms = 0;
 	gate_limit_reset(g, ep);
+	ep->says_leaving = false;
+	ep->rest_until_ms = 0;
 	memset(&ep->pace, 0, sizeof(ep->pace));
 	memset(&ep->told, 0, sizeof(ep->told));
 	ep->answered = ep->failed = 0;
@@ -470,6 +472,25 @@
 		ep->slots = a->slots;
 }
 
+void gate_ep_heard(struct gate *g, struct gate_ep *ep,
+		   const struct platform_answer *a)
+{
+	int64_t now = gate_now(g);
+
+	if (a->leaving && !ep->says_leaving) {
+		log_info("endpoint_leaving", "addr=%s id=%s", ep->addr,
+			 ep->self.id);
+		ep->says_leaving = true;
+	}
+	if (!a->rest_ms)
+		return;
+	(*g->n_rests)++;
+	log_info("endpoint_asks_rest",
+		 "addr=%s id=%s ms=%" PRId64 " left_before=%" PRId64, ep->addr,
+		 ep->self.id, a->rest_ms, MAX(ep->rest_until_ms - now, 0));
+	ep->rest_until_ms = MAX(ep->rest_until_ms, now + a->rest_ms);
+}
+
 static uint64_t affinity_of(const struct forward *f, const struct gate_ep *ep)
 {
 	return XXH3_64bits_withSeed(ep->addr, strlen(ep->addr), f->affinity);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -43,6 +43,8 @@
 	uint64_t answered, failed; /* since the last report */
 	struct ss_breaker breaker;
 	int64_t shut_until_ms; /* no connection could be made */
+	bool says_leaving;     /* by its own answer here */
+	int64_t rest_until_ms; /* by its own answer; 0: it asked for none */
 	struct endpoint_limit limit;
 	int64_t limit_changed_ms; /* by an answer here; 0: by none */
 	int64_t limit_told_ms;	  /* when the leader was told; 0: not yet */
@@ -183,7 +185,8 @@
 	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
 		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
 		*n_no_room, *n_held, *n_unread, *n_ended, *n_quarantined,
-		*n_over_quota, *n_limited;
+		*n_over_quota, *n_limited, *n_rests, *n_sent_resting,
+		*n_sent_leaving;
 };
 
 static inline int64_t gate_now(const struct gate *g)
@@ -210,6 +213,9 @@
 void gate_ep_note(struct gate *g, struct gate_ep *ep, bool failed);
 void gate_ep_load(struct gate *g, struct gate_ep *ep,
 		  const struct platform_answer *a);
+/* What else an answer says of its endpoint. */
+void gate_ep_heard(struct gate *g, struct gate_ep *ep,
+		   const struct platform_answer *a);
 void gate_ep_free(void *ep);
 
 /* gate_limits.c */
--- a/src/proxy/platform_ops.h
+++ b/src/proxy/platform_ops.h
@@ -45,6 +45,10 @@
 	/* It takes no more requests a second than this, of all VMs together;
 	 * -1: it names no limit. */
 	double limit_per_s;
+	bool leaving; /* it is about to end: no new requests */
+	/* It turned the request away, and wants nothing from this VM for so
+	 * long; 0: it doesn't say so. */
+	int64_t rest_ms;
 };
 
 struct platform_ops {
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -619,53 +619,80 @@
 	bool not_run, authentic, encoded, has_load;
 	int64_t idle_ms;
 	double limit_per_s;
+	bool leaving;
+	int64_t rest_ms;
 };
 
 static const struct answer_case answers[] = {
 	{ "a signed one",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Server-Load: 3,1,8\r\n"
 	  "Keep-Alive: timeout=5, max=10\r\nContent-Length: 0\r\n\r\n",
-	  false, true, false, true, 5000, -1 },
+	  false, true, false, true, 5000, -1, false, 0 },
 	{ "a full endpoint",
 	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-	  true, false, false, false, 0, -1 },
+	  true, false, false, false, 0, -1, false, 0 },
 	{ "503 without the word",
 	  "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, false, false,
-	  false, 0, -1 },
+	  false, 0, -1, false, 0 },
 	{ "another incarnation", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n",
-	  true, false, false, false, 0, -1 },
+	  true, false, false, false, 0, -1, false, 0 },
 	{ "a coded body",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n"
 	  "Content-Length: 0\r\n\r\n",
-	  false, true, true, false, 0, -1 },
+	  false, true, true, false, 0, -1, false, 0 },
 	{ "a load with the speed of its machine",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\n"
 	  "X-Server-Load: 3,1,8,140\r\nContent-Length: 0\r\n\r\n",
-	  false, true, false, true, 0, -1 },
+	  false, true, false, true, 0, -1, false, 0 },
 	{ "an absurd load",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Server-Load: a,,\r\n"
 	  "Keep-Alive: timeout=x\r\nContent-Length: 0\r\n\r\n",
-	  false, true, false, false, 0, -1 },
+	  false, true, false, false, 0, -1, false, 0 },
 	{ "a limit of its own",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Limit: 1.4\r\n"
 	  "Content-Length: 0\r\n\r\n",
-	  false, true, false, false, 0, 1.4 },
+	  false, true, false, false, 0, 1.4, false, 0 },
 	{ "a limit beside a refusal",
 	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nserver-limit: 0\r\n"
 	  "Content-Length: 0\r\n\r\n",
-	  true, false, false, false, 0, 0 },
+	  true, false, false, false, 0, 0, false, 0 },
 	{ "a limit that is no number",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Limit: 2x\r\n"
 	  "Content-Length: 0\r\n\r\n",
-	  false, true, false, false, 0, -1 },
+	  false, true, false, false, 0, -1, false, 0 },
+	{ "one that leaves",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Leaving: 1\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  false, true, false, false, 0, -1, true, 0 },
+	{ "one that says that it doesn't",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Leaving: 0\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  false, true, false, false, 0, -1, false, 0 },
+	{ "a rest of some seconds",
+	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nRetry-After: 2.5\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  true, false, false, false, 0, -1, false, 2500 },
+	{ "a rest beside too many requests",
+	  "HTTP/1.1 429 No\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  true, false, false, false, 0, -1, false, 1000 },
+	{ "a rest that is a date",
+	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n"
+	  "Retry-After: Wed, 21 Oct 2026 07:28:00 GMT\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  true, false, false, false, 0, -1, false, 0 },
+	{ "a time beside an answer of another kind",
+	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nRetry-After: 3\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  false, true, false, false, 0, -1, false, 0 },
 	{ "an absurd limit",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Limit: 1e99\r\n"
 	  "Content-Length: 0\r\n\r\n",
-	  false, true, false, false, 0, -1 },
+	  false, true, false, false, 0, -1, false, 0 },
 	{ "a negative limit",
 	  "HTTP/1.1 200 OK\r\nX-Signature: s\r\nServer-Limit: -1\r\n"
 	  "Content-Length: 0\r\n\r\n",
-	  false, true, false, false, 0, -1 },
+	  false, true, false, false, 0, -1, false, 0 },
 };
 
 /* All loads above are the same one. */
@@ -688,7 +715,9 @@
 		    x.answer.has_load != c->has_load ||
 		    (c->has_load && !load_is_read(&x.answer)) ||
 		    x.answer.idle_ms != c->idle_ms ||
-		    x.answer.limit_per_s != c->limit_per_s)
+		    x.answer.limit_per_s != c->limit_per_s ||
+		    x.answer.leaving != c->leaving ||
+		    x.answer.rest_ms != c->rest_ms)
 			fail_msg("%s: read wrongly", c->label);
 	}
 }
