--- /dev/null
+++ b/test/test_gate_rest.c
@@ -0,0 +1,138 @@
+/* Endpoints that ask a gate for rest. */
+#include "gate_fix.h"
+
+#define REST_MS 3000
+/* Of the promise: so long after its answer an endpoint that asked for rest
+ * gets no more than MOST requests until the rest is over. */
+#define HEARD_MS 500
+#define MOST 2
+
+#define SHED_REST                                                              \
+	"HTTP/1.1 503 No\r\nX-Request-Id: q1\r\nX-Not-Executed: 1\r\n"         \
+	"Retry-After: 3\r\nContent-Length: 0\r\n\r\n"
+#define BUSY_REST                                                              \
+	"HTTP/1.1 503 No\r\nX-Request-Id: q1\r\nRetry-After: 3\r\n"            \
+	"Content-Length: 0\r\n\r\n"
+#define CALL(path) REQ("POST", path) "X-Model: m\r\nContent-Length: 2\r\n\r\nhi"
+#define CALL_ADAPTER(path)                                                     \
+	REQ("POST", path) "X-Model: m/a1\r\nContent-Length: 2\r\n\r\nhi"
+
+enum told { /* of the endpoint, meanwhile */
+	    NOTHING,
+	    ALL_ANEW,	   /* the whole fleet, by one leader after the other */
+	    GONE_AND_BACK, /* it is missing from the list for a moment */
+};
+
+struct rest_case {
+	const char *label, *request, *answer, *service, *model;
+	bool alone; /* no other endpoint can be called */
+	enum told told;
+};
+
+static const struct rest_case rests[] = {
+	{ "first tries and repeats", GET_SAFE, SHED_REST, "web", "", false,
+	  NOTHING },
+	{ "the only endpoint", POST_ONCE, SHED_REST, "web", "", true, NOTHING },
+	{ "the only holder of a model", CALL("/chat/x"), SHED_REST, "lm", "m",
+	  true, NOTHING },
+	{ "streams that may be resumed", CALL("/night/x"), SHED_REST, "lm", "m",
+	  true, NOTHING },
+	{ "a model's adapter", CALL_ADAPTER("/chat/x"), SHED_REST, "lm", "m",
+	  true, NOTHING },
+	{ "a failure that asks for rest", GET_SAFE, BUSY_REST, "web", "", true,
+	  NOTHING },
+	{ "it is told anew", POST_ONCE, SHED_REST, "web", "", true, ALL_ANEW },
+	{ "it is missing and back", POST_ONCE, SHED_REST, "web", "", true,
+	  GONE_AND_BACK },
+};
+
+static void tell_nobody(struct fix *f)
+{
+	struct msg_fleet m = { .fence = 1, .whole = true };
+
+	gate_take_fleet(f->gate, &m);
+}
+
+static void tell_again(struct fix *f, const struct rest_case *x, int64_t at)
+{
+	if (x->told == GONE_AND_BACK && at % 600 == 0)
+		tell_nobody(f);
+	if ((x->told == ALL_ANEW && at % 200 == 0) ||
+	    (x->told == GONE_AND_BACK && at % 600 == 100))
+		tell_fleet(f, x->service, x->model);
+}
+
+static void pass(struct fix *f)
+{
+	f->clock.fake_ms += 10;
+	gate_tick(f->gate);
+	/* Whatever adapter is asked for is loaded at once. */
+	if (f->asked) {
+		struct msg_adapter_done done = { .sub = f->asked };
+
+		f->asked = 0;
+		gate_adapter_done(f->gate, &done);
+	}
+	for (int k = 0; k < 4; k++)
+		event_base_loop(f->base, EVLOOP_NONBLOCK);
+}
+
+static void rest_open(struct fix *f, const struct rest_case *x)
+{
+	fix_open_fresh(f);
+	f->agents = true;
+	f->at = 0;
+	f->eps[1].leaving = x->alone;
+	for (int i = 0; i < 3; i++)
+		script(f, 0, x->answer, false, false);
+	script(f, 1, OK_TEXT, false, false);
+	tell_routing(f);
+	tell_fleet(f, x->service, x->model);
+	call(f, x->request);
+	UNTIL(f, f->eps[0].requests + f->eps[1].requests > 0);
+}
+
+/* Symptom: an endpoint that has turned a request away and asked for seconds
+ * of rest gets the same one again at once, and new ones all the while. */
+static void asked_rest_is_kept(void **state)
+{
+	(void)state;
+	for (size_t k = 0; k < G_N_ELEMENTS(rests); k++) {
+		const struct rest_case *x = &rests[k];
+		int before = 0, after;
+		struct fix f;
+
+		rest_open(&f, x);
+		for (int64_t at = 0; at < REST_MS - 20; at += 10) {
+			if (at == HEARD_MS)
+				before = f.eps[0].requests;
+			tell_again(&f, x, at);
+			if (at % 50 == 0)
+				call(&f, x->request);
+			pass(&f);
+		}
+		after = f.eps[0].requests;
+		if (after - before > MOST)
+			fail_msg("%s: %d requests in its rest", x->label,
+				 after - before);
+		/* Then it is called again. */
+		tell_fleet(&f, x->service, x->model);
+		for (int64_t at = 0; at < 2000; at += 10) {
+			if (at % 50 == 0)
+				call(&f, x->request);
+			pass(&f);
+		}
+		if (x->alone && f.eps[0].requests == after)
+			fail_msg("%s: never called again", x->label);
+		fix_close(&f);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(asked_rest_is_kept),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
