--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -27,6 +27,7 @@
 	BALANCE_NOBODY = -1,
 	BALANCE_FULL = -2,
 	BALANCE_LIMITED = -3, /* by what an endpoint itself admits */
+	BALANCE_RESTING = -4, /* an endpoint has asked for rest */
 };
 
 /* Index of the node, or an enum balance_none; tie breaks equal scores. */
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -373,6 +373,7 @@
 	struct ss_str addr, id;
 	int64_t started_ms;	  /* as in struct endpoint_calls */
 	int64_t limit, limit_age; /* as in endpoint_limit.h */
+	int64_t rest_ms; /* left of the rest that it asked an entry for */
 };
 
 struct msg_demand {
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -61,6 +61,7 @@
 	struct failing failing; /* by what all entries see */
 	struct failing failing_told; /* as they were told last */
 	struct endpoint_limit limit;
+	int64_t rest_until_ms; /* that it has asked some entry for */
 	struct step_run step;
 	bool changed;	       /* what entries are told of it */
 	bool load_changed;     /* only its load */
@@ -213,8 +214,9 @@
 bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep);
 /* Alive by its agent's word while its entry in the list can't be read. */
 bool fleet_ep_suspended(const struct fleet_lead *l, const struct fleet_ep *ep);
-/* It takes so little by its own word that models are to stand elsewhere. */
-bool fleet_ep_narrow(const struct fleet_lead *l, const struct fleet_ep *ep);
+/* By its own word it takes so little, or rests, that models are to stand
+ * elsewhere. */
+bool fleet_ep_strained(const struct fleet_lead *l, const struct fleet_ep *ep);
 /* Its agent's last report is fresh enough to be believed. */
 bool fleet_ep_reported(const struct fleet_lead *l, const struct fleet_ep *ep);
 void fleet_want_free(void *want);
--- a/src/daemon/fleet_listed.c
+++ b/src/daemon/fleet_listed.c
@@ -21,6 +21,7 @@
 	memset(&ep->failing, 0, sizeof(ep->failing));
 	memset(&ep->failing_told, 0, sizeof(ep->failing_told));
 	ep->limit = (struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
+	ep->rest_until_ms = 0;
 	g_hash_table_remove_all(ep->refused);
 	fleet_report_clear(&ep->report);
 	ep->reported = ep->leaving_listed = false;
--- a/src/daemon/fleet_reports.c
+++ b/src/daemon/fleet_reports.c
@@ -151,8 +151,25 @@
 
 /*
  * An entry that an endpoint hasn't answered yet doesn't know what it says, and
- * neither does one that has just started: all are told.
+ * neither does one that has just started: all are told of a limit. A rest is
+ * asked of one VM; others may be served there.
  */
+static void take_word(struct fleet_lead *l, struct fleet_ep *ep,
+		      const struct endpoint_word *w)
+{
+	int64_t now = fleet_lead_now(l);
+
+	if (endpoint_limit_told(&ep->limit, w->limit, w->limit_age, now)) {
+		log_info("endpoint_limit", "addr=%s id=%s per_s=%.3f", ep->addr,
+			 ep->self.id, ep->limit.per_s);
+		ep->changed = l->dirty = l->urgent = true;
+	}
+	if (now + w->rest_ms > ep->rest_until_ms && w->rest_ms) {
+		l->urgent |= now >= ep->rest_until_ms;
+		ep->rest_until_ms = now + w->rest_ms;
+	}
+}
+
 static void take_words(struct fleet_lead *l, const struct wire_list *list)
 {
 	const struct endpoint_word *w = list->items;
@@ -163,13 +180,8 @@
 		struct fleet_incarnation told = { id, w[i].started_ms };
 
 		if (ep &&
-		    fleet_incarnation_judge(&ep->self, &told) == FLEET_SAME &&
-		    endpoint_limit_told(&ep->limit, w[i].limit, w[i].limit_age,
-					fleet_lead_now(l))) {
-			log_info("endpoint_limit", "addr=%s id=%s per_s=%.3f",
-				 ep->addr, ep->self.id, ep->limit.per_s);
-			ep->changed = l->dirty = l->urgent = true;
-		}
+		    fleet_incarnation_judge(&ep->self, &told) == FLEET_SAME)
+			take_word(l, ep, &w[i]);
 		g_free(addr);
 		g_free(id);
 	}
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -154,7 +154,7 @@
 {
 	return ep->conn && ep->reported && !ep->step.on && !ep->report.busy &&
 	       now - ep->report_ms < FLEET_REPORT_MS &&
-	       fleet_ep_usable(l, ep) && !fleet_ep_narrow(l, ep);
+	       fleet_ep_usable(l, ep) && !fleet_ep_strained(l, ep);
 }
 
 /* An order that this leader didn't give is being carried out. */
@@ -166,15 +166,15 @@
 static void add_node(struct view *w, struct fleet_ep *ep)
 {
 	bool usable = fleet_ep_usable(w->l, ep);
-	bool narrow = fleet_ep_narrow(w->l, ep);
-	struct fleet_node n = {
-		.domain = ep->domain,
-		.usable = usable && !narrow,
-		.suspended = fleet_ep_suspended(w->l, ep) || (usable && narrow),
-		.loading = -1,
-		.slots = w->service->slots,
-		.running = ep->report.running + ep->report.waiting
-	};
+	bool strained = fleet_ep_strained(w->l, ep);
+	struct fleet_node n = { .domain = ep->domain,
+				.usable = usable && !strained,
+				.suspended = fleet_ep_suspended(w->l, ep) ||
+					     (usable && strained),
+				.loading = -1,
+				.slots = w->service->slots,
+				.running = ep->report.running +
+					   ep->report.waiting };
 	uint8_t *tiers = g_new0(uint8_t, w->models->len + 1);
 
 	n.places = g_array_new(FALSE, FALSE, sizeof(struct fleet_place));
--- a/src/daemon/fleet_table.c
+++ b/src/daemon/fleet_table.c
@@ -232,8 +232,10 @@
 	return is_sound(l, ep) && ep->unread_ms && fleet_ep_reported(l, ep);
 }
 
-bool fleet_ep_narrow(const struct fleet_lead *l, const struct fleet_ep *ep)
+bool fleet_ep_strained(const struct fleet_lead *l, const struct fleet_ep *ep)
 {
-	return endpoint_limit_is_narrow(&ep->limit, ep->slots,
-					fleet_lead_now(l));
+	int64_t now = fleet_lead_now(l);
+
+	return now < ep->rest_until_ms ||
+	       endpoint_limit_is_narrow(&ep->limit, ep->slots, now);
 }
--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -132,8 +132,7 @@
 		upstream_keep_for(f->up, a.idle_ms);
 	if (ep) {
 		gate_ep_load(f->g, ep, &a);
-		gate_limit_heard(f, ep, &a);
-		gate_ep_heard(f->g, ep, &a);
+		gate_words_heard(f, ep, &a);
 	}
 	why = why_spoiled(f, h, &a);
 	if (why)
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -103,6 +103,8 @@
 		return "place";
 	case BALANCE_LIMITED:
 		return "limit";
+	case BALANCE_RESTING:
+		return "rest";
 	default:
 		return "-";
 	}
@@ -432,7 +434,7 @@
 		forward_refuse_for_stop(f);
 	} else if (quarantine_stops(f)) {
 		return;
-	} else if (ep->known && !ep->leaving) {
+	} else if (ep->known && !ep->leaving && gate_words_admit(f->g, ep)) {
 		send_to(f, ep);
 	} else {
 		forward_leave(f);
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -399,7 +399,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		report_calls(r, p);
 		report_ends(g, r, p);
-		gate_limit_report(g, p, r->words);
+		gate_words_report(g, p, r->words);
 	}
 	r->m.round = g->round;
 	r->m.routing = gate_routing_version(g);
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -111,9 +111,7 @@
 	ep->failing = 0;
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
 	ep->shut_until_ms = 0;
-	gate_limit_reset(g, ep);
-	ep->says_leaving = false;
-	ep->rest_until_ms = 0;
+	gate_words_reset(g, ep);
 	memset(&ep->pace, 0, sizeof(ep->pace));
 	memset(&ep->told, 0, sizeof(ep->told));
 	ep->answered = ep->failed = 0;
@@ -252,7 +250,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct gate_ep *ep = p;
 
-		if (ep->known || ep->own || gate_limit_keeps(g, ep))
+		if (ep->known || ep->own || gate_words_hold(g, ep))
 			continue;
 		upstream_forget(g->upstream, ep->addr);
 		g_hash_table_iter_remove(&it);
@@ -472,25 +470,6 @@
 		ep->slots = a->slots;
 }
 
-void gate_ep_heard(struct gate *g, struct gate_ep *ep,
-		   const struct platform_answer *a)
-{
-	int64_t now = gate_now(g);
-
-	if (a->leaving && !ep->says_leaving) {
-		log_info("endpoint_leaving", "addr=%s id=%s", ep->addr,
-			 ep->self.id);
-		ep->says_leaving = true;
-	}
-	if (!a->rest_ms)
-		return;
-	(*g->n_rests)++;
-	log_info("endpoint_asks_rest",
-		 "addr=%s id=%s ms=%" PRId64 " left_before=%" PRId64, ep->addr,
-		 ep->self.id, a->rest_ms, MAX(ep->rest_until_ms - now, 0));
-	ep->rest_until_ms = MAX(ep->rest_until_ms, now + a->rest_ms);
-}
-
 static uint64_t affinity_of(const struct forward *f, const struct gate_ep *ep)
 {
 	return XXH3_64bits_withSeed(ep->addr, strlen(ep->addr), f->affinity);
@@ -556,6 +535,15 @@
 	n->affinity = affinity_of(f, ep);
 }
 
+static enum balance_none why_none(int at, bool limited, bool resting)
+{
+	if (limited)
+		return BALANCE_LIMITED;
+	if (resting && at == BALANCE_NOBODY)
+		return BALANCE_RESTING;
+	return (enum balance_none)at;
+}
+
 /* An endpoint admits it at that time, if nothing else is in the way. */
 static void opens_at(struct forward *f, int64_t ms)
 {
@@ -579,11 +567,12 @@
 						      balance_choose;
 	struct gate_ep *found = NULL;
 	unsigned int working = 0;
-	bool limited = false;
+	bool limited = false, resting = false;
 	GHashTableIter it;
 	void *p;
 	int at;
 
+	f->open_ms = 0;
 	g_hash_table_iter_init(&it, g->eps);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct balance_node n = { 0 };
@@ -594,6 +583,11 @@
 		fill_node(g, f, ep, &n);
 		if (!n.usable)
 			continue;
+		if (!gate_words_admit(g, ep)) {
+			opens_at(f, ep->rest_until_ms);
+			resting = true;
+			continue;
+		}
 		working += !rests(g, ep);
 		g_array_append_val(nodes, n);
 		g_ptr_array_add(eps, ep);
@@ -602,7 +596,6 @@
 		if (rests(g, eps->pdata[i]))
 			g_array_index(nodes, struct balance_node, i).usable =
 				false;
-	f->open_ms = 0;
 	while ((at = choose((struct balance_node *)nodes->data, nodes->len,
 			    fill, ss_random(&g->seed))) >= 0) {
 		struct gate_ep *ep = eps->pdata[at];
@@ -616,7 +609,10 @@
 		limited = true;
 	}
 	if (!found)
-		*none = limited ? BALANCE_LIMITED : (enum balance_none)at;
+		*none = why_none(at, limited, resting);
+	/* A place is free soon. */
+	if (found || at == BALANCE_FULL)
+		f->open_ms = 0;
 	g_array_unref(nodes);
 	g_ptr_array_unref(eps);
 	return found;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -45,6 +45,7 @@
 	int64_t shut_until_ms; /* no connection could be made */
 	bool says_leaving;     /* by its own answer here */
 	int64_t rest_until_ms; /* by its own answer; 0: it asked for none */
+	bool rest_told;	       /* to the leader */
 	struct endpoint_limit limit;
 	int64_t limit_changed_ms; /* by an answer here; 0: by none */
 	int64_t limit_told_ms;	  /* when the leader was told; 0: not yet */
@@ -213,27 +214,26 @@
 void gate_ep_note(struct gate *g, struct gate_ep *ep, bool failed);
 void gate_ep_load(struct gate *g, struct gate_ep *ep,
 		  const struct platform_answer *a);
-/* What else an answer says of its endpoint. */
-void gate_ep_heard(struct gate *g, struct gate_ep *ep,
-		   const struct platform_answer *a);
 void gate_ep_free(void *ep);
 
-/* gate_limits.c */
-/* What an answer says of its endpoint's limit; what the leader says. */
-void gate_limit_heard(struct forward *f, struct gate_ep *ep,
+/* gate_words.c: what endpoints say of themselves */
+/* What an answer says; what the leader says of a limit. */
+void gate_words_heard(struct forward *f, struct gate_ep *ep,
 		      const struct platform_answer *a);
 void gate_limit_told(struct gate *g, struct gate_ep *ep, int64_t limit,
 		     int64_t age);
 /* Another incarnation is there. */
-void gate_limit_reset(struct gate *g, struct gate_ep *ep);
-/* Its word holds though it is no longer listed. */
-bool gate_limit_keeps(const struct gate *g, const struct gate_ep *ep);
-/* Whether a request may go there now; the permits for it are taken. */
+void gate_words_reset(struct gate *g, struct gate_ep *ep);
+/* They hold though it is no longer listed. */
+bool gate_words_hold(const struct gate *g, const struct gate_ep *ep);
+/* Whether it takes requests of this entry at all now, ... */
+bool gate_words_admit(const struct gate *g, const struct gate_ep *ep);
+/* ... and this one; the permits for it are taken. */
 bool gate_limit_admits(struct forward *f, struct gate_ep *ep);
 /* It isn't sent there after all. */
 void gate_limit_unused(struct forward *f, struct gate_ep *ep);
 /* Add what the leader is to be told, as struct endpoint_word. */
-void gate_limit_report(struct gate *g, struct gate_ep *ep, GArray *words);
+void gate_words_report(struct gate *g, struct gate_ep *ep, GArray *words);
 void gate_limits_tick(struct gate *g, int64_t now);
 
 /* early.c */
--- a/src/proxy/gate_limits.c
+++ b/src/proxy/gate_words.c
@@ -1,4 +1,8 @@
-/* Endpoints' own limits: a request goes to such an endpoint with a permit. */
+/*
+ * What endpoints say of themselves in answers: a limit, for which a request
+ * needs a permit, and rests. An endpoint that isn't heeded fails those who are
+ * served there, and turns away whoever is sent all the same.
+ */
 #include "gate_int.h"
 
 #include "../base/log.h"
@@ -21,8 +25,8 @@
 		 ep->addr, ep->self.id, ep->limit.per_s, before, by);
 }
 
-void gate_limit_heard(struct forward *f, struct gate_ep *ep,
-		      const struct platform_answer *a)
+static void hear_limit(struct forward *f, struct gate_ep *ep,
+		       const struct platform_answer *a)
 {
 	double before = ep->limit.per_s;
 	struct gate *g = f->g;
@@ -48,10 +52,45 @@
 		log_limit(ep, before, "leader");
 }
 
-bool gate_limit_keeps(const struct gate *g, const struct gate_ep *ep)
+static void hear_rest(struct gate *g, struct gate_ep *ep,
+		      const struct platform_answer *a)
+{
+	int64_t now = gate_now(g);
+
+	if (!a->rest_ms)
+		return;
+	(*g->n_rests)++;
+	log_info("endpoint_asks_rest",
+		 "addr=%s id=%s ms=%" PRId64 " left_before=%" PRId64, ep->addr,
+		 ep->self.id, a->rest_ms, MAX(ep->rest_until_ms - now, 0));
+	ep->rest_until_ms = MAX(ep->rest_until_ms, now + a->rest_ms);
+	ep->rest_told = false;
+	g->o.ops->demand(g->o.arg);
+}
+
+void gate_words_heard(struct forward *f, struct gate_ep *ep,
+		      const struct platform_answer *a)
+{
+	hear_limit(f, ep, a);
+	hear_rest(f->g, ep, a);
+	if (a->leaving && !ep->says_leaving) {
+		log_info("endpoint_leaving", "addr=%s id=%s", ep->addr,
+			 ep->self.id);
+		ep->says_leaving = true;
+	}
+}
+
+bool gate_words_hold(const struct gate *g, const struct gate_ep *ep)
 {
-	return ep->limit.per_s >= 0 &&
-	       gate_now(g) - ep->limit.said_ms < UNLISTED_MS;
+	int64_t now = gate_now(g);
+
+	return now < ep->rest_until_ms ||
+	       (ep->limit.per_s >= 0 && now - ep->limit.said_ms < UNLISTED_MS);
+}
+
+bool gate_words_admit(const struct gate *g, const struct gate_ep *ep)
+{
+	return gate_now(g) >= ep->rest_until_ms;
 }
 
 static void leave_seat(struct gate *g, struct gate_ep *ep)
@@ -63,9 +102,11 @@
 	ep->seat = 0;
 }
 
-void gate_limit_reset(struct gate *g, struct gate_ep *ep)
+void gate_words_reset(struct gate *g, struct gate_ep *ep)
 {
 	leave_seat(g, ep);
+	ep->says_leaving = false;
+	ep->rest_until_ms = 0;
 	ep->limit = (struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
 	ep->permit_ms = ep->limit_changed_ms = ep->limit_told_ms = 0;
 }
@@ -144,23 +185,33 @@
 	}
 }
 
-void gate_limit_report(struct gate *g, struct gate_ep *ep, GArray *words)
+static bool limit_is_due(const struct gate_ep *ep, int64_t now)
+{
+	bool holds = ep->limit.per_s >= 0 ||
+		     now - ep->limit_changed_ms < LIFTED_MS;
+
+	/* What only the leader told is the leader's already. */
+	return ep->limit_changed_ms && holds &&
+	       (!ep->limit_told_ms || now - ep->limit_told_ms >= AGAIN_MS);
+}
+
+void gate_words_report(struct gate *g, struct gate_ep *ep, GArray *words)
 {
 	int64_t now = gate_now(g);
 	struct endpoint_word w = { .addr = ss_str(ep->addr),
 				   .id = ss_str(ep->self.id),
 				   .started_ms = ep->self.started_ms,
-				   .limit = endpoint_limit_wire(&ep->limit),
-				   .limit_age = endpoint_limit_age(&ep->limit,
-								   now) };
-	bool holds = ep->limit.per_s >= 0 ||
-		     now - ep->limit_changed_ms < LIFTED_MS;
+				   .rest_ms = MAX(ep->rest_until_ms - now, 0) };
+	bool limit = limit_is_due(ep, now);
 
-	/* What only the leader told is the leader's already. */
-	if (!ep->limit_changed_ms || !holds ||
-	    (ep->limit_told_ms && now - ep->limit_told_ms < AGAIN_MS))
+	if (!limit && (!w.rest_ms || ep->rest_told))
 		return;
-	ep->limit_told_ms = now;
+	ep->rest_told = true;
+	if (limit) {
+		w.limit = endpoint_limit_wire(&ep->limit);
+		w.limit_age = endpoint_limit_age(&ep->limit, now);
+		ep->limit_told_ms = now;
+	}
 	g_array_append_val(words, w);
 }
 
--- a/test/test_gate_rest.c
+++ b/test/test_gate_rest.c
@@ -62,17 +62,22 @@
 		tell_fleet(f, x->service, x->model);
 }
 
+/* Whatever adapter is asked for is loaded at once. */
+static void load_adapter(struct fix *f)
+{
+	struct msg_adapter_done done = { .sub = f->asked };
+
+	if (!f->asked)
+		return;
+	f->asked = 0;
+	gate_adapter_done(f->gate, &done);
+}
+
 static void pass(struct fix *f)
 {
 	f->clock.fake_ms += 10;
 	gate_tick(f->gate);
-	/* Whatever adapter is asked for is loaded at once. */
-	if (f->asked) {
-		struct msg_adapter_done done = { .sub = f->asked };
-
-		f->asked = 0;
-		gate_adapter_done(f->gate, &done);
-	}
+	load_adapter(f);
 	for (int k = 0; k < 4; k++)
 		event_base_loop(f->base, EVLOOP_NONBLOCK);
 }
@@ -89,7 +94,7 @@
 	tell_routing(f);
 	tell_fleet(f, x->service, x->model);
 	call(f, x->request);
-	UNTIL(f, f->eps[0].requests + f->eps[1].requests > 0);
+	UNTIL(f, (load_adapter(f), f->eps[0].requests > 0));
 }
 
 /* Symptom: an endpoint that has turned a request away and asked for seconds
@@ -128,10 +133,36 @@
 	}
 }
 
+/* Symptom: a caller whose request can't be served before its time is up waits
+ * for that, or comes back in the midst of the rest. */
+static void refusal_tells_when_the_rest_ends(void **state)
+{
+	static const struct rest_case x = { "", POST_ONCE, SHED_REST, "web",
+					    "", true,	   NOTHING };
+	struct caller *c;
+	const char *at;
+	struct fix f;
+	double s;
+
+	(void)state;
+	rest_open(&f, &x);
+	c = call(&f, POST_ONCE);
+	UNTIL(&f, got(c, "\r\n\r\n"));
+	assert_true(got(c, "HTTP/1.1 503 "));
+	assert_true(got(c, "\"outcome\":\"not_run\""));
+	at = strstr(c->got->str, "Retry-After: ");
+	assert_non_null(at);
+	s = g_ascii_strtod(at + strlen("Retry-After: "), NULL);
+	assert_true(s >= 2.9 && s <= 3.3);
+	assert_int_equal(f.eps[0].requests, 1);
+	fix_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(asked_rest_is_kept),
+		cmocka_unit_test(refusal_tells_when_the_rest_ends),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
