--- a/src/daemon/fleet_listed.c
+++ b/src/daemon/fleet_listed.c
@@ -9,6 +9,13 @@
 
 /* Incarnations. */
 
+/* What it said of itself. */
+static void forget_words(struct fleet_ep *ep)
+{
+	ep->limit = (struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
+	ep->rest_until_ms = 0;
+}
+
 /* Nothing that is known or was ordered of the former one holds. */
 static void forget_former(struct fleet_lead *l, struct fleet_ep *ep,
 			  int64_t started_ms)
@@ -20,8 +27,6 @@
 	g_hash_table_remove_all(ep->calls);
 	memset(&ep->failing, 0, sizeof(ep->failing));
 	memset(&ep->failing_told, 0, sizeof(ep->failing_told));
-	ep->limit = (struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
-	ep->rest_until_ms = 0;
 	g_hash_table_remove_all(ep->refused);
 	fleet_report_clear(&ep->report);
 	ep->reported = ep->leaving_listed = false;
@@ -39,6 +44,8 @@
 {
 	enum fleet_told how = fleet_incarnation_judge(&ep->self, told);
 
+	if (how == FLEET_RESTARTED)
+		forget_words(ep);
 	if (how == FLEET_RESTARTED && ep->self.started_ms && told->started_ms &&
 	    ep->self.started_ms != told->started_ms)
 		forget_former(l, ep, told->started_ms);
--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -580,6 +580,15 @@
 	return c->permits;
 }
 
+void fleet_world_restart_engine(struct fleet_world *w, int engine)
+{
+	struct engine *e = &w->engines[engine];
+
+	g_snprintf(e->id, sizeof(e->id), "i-%08x",
+		   (unsigned int)ss_random(&w->seed));
+	e->news = true;
+}
+
 int fleet_world_orders(const struct fleet_world *w, int engine)
 {
 	return w->engines[engine].orders;
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -52,6 +52,8 @@
 		       double per_s);
 int fleet_world_limited(const struct fleet_world *w, int engine);
 int fleet_world_permits(struct fleet_world *w, int entry, int engine);
+/* Another start of it, with an id of its own and nothing else that tells. */
+void fleet_world_restart_engine(struct fleet_world *w, int engine);
 /* Steps that an engine was sent. */
 int fleet_world_orders(const struct fleet_world *w, int engine);
 /* The entry reads nothing from now on, and says nothing; it reads on. */
--- a/test/test_fleet_lead.c
+++ b/test/test_fleet_lead.c
@@ -185,6 +185,22 @@
 	}
 }
 
+/* An endpoint that starts anew is kept to the limit of the one before it. */
+static void limit_ends_with_its_incarnation(void **state)
+{
+	struct fleet_world *w = world_of(&sizes[0]);
+
+	(void)state;
+	fleet_world_run(w, SECOND_MS);
+	fleet_world_limit(w, 0, 3, 2);
+	fleet_world_run(w, SECOND_MS);
+	assert_in_range(fleet_world_permits(w, 1, 3), 1, 5 * QUOTA_MILLI);
+	fleet_world_restart_engine(w, 3);
+	fleet_world_run(w, 2 * SECOND_MS);
+	assert_int_equal(fleet_world_permits(w, 2, 3), 0);
+	fleet_world_free(w);
+}
+
 /* An engine in need is filled with models that it can't serve. */
 static void limited_engine_is_loaded_with_nothing(void **state)
 {
@@ -216,6 +232,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(limit_is_told_to_all),
 		cmocka_unit_test(limited_engine_is_loaded_with_nothing),
+		cmocka_unit_test(limit_ends_with_its_incarnation),
 		cmocka_unit_test(a_message_costs_what_it_is_about),
 		cmocka_unit_test(an_end_costs_what_it_had),
 		cmocka_unit_test(adapters_go_out_with_the_loads),
