--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -335,6 +335,7 @@
 	F(4, WIRE_INT, endpoint_word, limit),
 	F(5, WIRE_INT, endpoint_word, limit_age),
 	F(6, WIRE_INT, endpoint_word, rest_ms),
+	F(7, WIRE_BOOL, endpoint_word, leaving),
 };
 static const struct wire_type endpoint_word_type =
 	T(endpoint_word, endpoint_word_fields);
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -374,6 +374,7 @@
 	int64_t started_ms;	  /* as in struct endpoint_calls */
 	int64_t limit, limit_age; /* as in endpoint_limit.h */
 	int64_t rest_ms; /* left of the rest that it asked an entry for */
+	bool leaving;	 /* it is about to end */
 };
 
 struct msg_demand {
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -62,6 +62,7 @@
 	struct failing failing_told; /* as they were told last */
 	struct endpoint_limit limit;
 	int64_t rest_until_ms; /* that it has asked some entry for */
+	bool says_leaving;     /* in its answers to some entry */
 	struct step_run step;
 	bool changed;	       /* what entries are told of it */
 	bool load_changed;     /* only its load */
--- a/src/daemon/fleet_listed.c
+++ b/src/daemon/fleet_listed.c
@@ -14,6 +14,7 @@
 {
 	ep->limit = (struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
 	ep->rest_until_ms = 0;
+	ep->says_leaving = false;
 }
 
 /* Nothing that is known or was ordered of the former one holds. */
--- a/src/daemon/fleet_reports.c
+++ b/src/daemon/fleet_reports.c
@@ -164,6 +164,12 @@
 			 ep->self.id, ep->limit.per_s);
 		ep->changed = l->dirty = l->urgent = true;
 	}
+	if (w->leaving && !ep->says_leaving) {
+		log_info("endpoint_leaving", "addr=%s id=%s", ep->addr,
+			 ep->self.id);
+		ep->says_leaving = true;
+		ep->changed = l->dirty = l->urgent = true;
+	}
 	if (now + w->rest_ms > ep->rest_until_ms && w->rest_ms) {
 		l->urgent |= now >= ep->rest_until_ms;
 		ep->rest_until_ms = now + w->rest_ms;
--- a/src/daemon/fleet_table.c
+++ b/src/daemon/fleet_table.c
@@ -218,8 +218,8 @@
 /* Nothing but its entry may say that it gets no new work. */
 static bool is_sound(const struct fleet_lead *l, const struct fleet_ep *ep)
 {
-	return ep->listed && !ep->leaving_listed && !ep->down &&
-	       !(fleet_ep_reported(l, ep) && ep->report.leaving);
+	return ep->listed && !ep->leaving_listed && !ep->says_leaving &&
+	       !ep->down && !(fleet_ep_reported(l, ep) && ep->report.leaving);
 }
 
 bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep)
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -305,7 +305,7 @@
 	f->limit_per_s = ep->limit.per_s;
 	*g->n_limited += ep->limit.per_s >= 0;
 	*g->n_sent_resting += now < ep->rest_until_ms;
-	*g->n_sent_leaving += ep->says_leaving;
+	*g->n_sent_leaving += ep->leaving_ms != 0;
 	f->permits = 0;
 	f->mark = (struct pace_mark){ 0 };
 	if (g->end_ms)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -518,8 +518,8 @@
 	int64_t now = gate_now(g);
 	bool fresh = now - ep->reported_ms < LOAD_OLD_MS;
 
-	n->usable = ep->known && !ep->leaving && now >= ep->shut_until_ms &&
-		    may_send(f, ep) &&
+	n->usable = ep->known && !ep->leaving && !ep->leaving_ms &&
+		    now >= ep->shut_until_ms && may_send(f, ep) &&
 		    (!*f->model || g_hash_table_contains(ep->held, f->model));
 	n->near = !strcmp(ep->domain, g->o.domain);
 	n->has_adapter = gate_ep_has_adapter(ep, f->model, f->adapter) ||
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -43,9 +43,10 @@
 	uint64_t answered, failed; /* since the last report */
 	struct ss_breaker breaker;
 	int64_t shut_until_ms; /* no connection could be made */
-	bool says_leaving;     /* by its own answer here */
-	int64_t rest_until_ms; /* by its own answer; 0: it asked for none */
-	bool rest_told;	       /* to the leader */
+	int64_t leaving_ms; /* since when its answers say so; 0: they don't */
+	int64_t leaving_told_ms; /* when the leader was told */
+	int64_t rest_until_ms;	 /* by its own answer; 0: it asked for none */
+	bool rest_told;		 /* to the leader */
 	struct endpoint_limit limit;
 	int64_t limit_changed_ms; /* by an answer here; 0: by none */
 	int64_t limit_told_ms;	  /* when the leader was told; 0: not yet */
--- a/src/proxy/gate_words.c
+++ b/src/proxy/gate_words.c
@@ -68,16 +68,24 @@
 	g->o.ops->demand(g->o.arg);
 }
 
+/* What leaves doesn't stay after all: only another incarnation is called. */
+static void hear_leaving(struct gate *g, struct gate_ep *ep)
+{
+	if (ep->leaving_ms)
+		return;
+	log_info("endpoint_leaving", "addr=%s id=%s", ep->addr, ep->self.id);
+	ep->leaving_ms = gate_now(g);
+	ep->leaving_told_ms = 0;
+	g->o.ops->demand(g->o.arg);
+}
+
 void gate_words_heard(struct forward *f, struct gate_ep *ep,
 		      const struct platform_answer *a)
 {
 	hear_limit(f, ep, a);
 	hear_rest(f->g, ep, a);
-	if (a->leaving && !ep->says_leaving) {
-		log_info("endpoint_leaving", "addr=%s id=%s", ep->addr,
-			 ep->self.id);
-		ep->says_leaving = true;
-	}
+	if (a->leaving)
+		hear_leaving(f->g, ep);
 }
 
 bool gate_words_hold(const struct gate *g, const struct gate_ep *ep)
@@ -85,12 +93,13 @@
 	int64_t now = gate_now(g);
 
 	return now < ep->rest_until_ms ||
+	       (ep->leaving_ms && now - ep->leaving_ms < UNLISTED_MS) ||
 	       (ep->limit.per_s >= 0 && now - ep->limit.said_ms < UNLISTED_MS);
 }
 
 bool gate_words_admit(const struct gate *g, const struct gate_ep *ep)
 {
-	return gate_now(g) >= ep->rest_until_ms;
+	return !ep->leaving_ms && gate_now(g) >= ep->rest_until_ms;
 }
 
 static void leave_seat(struct gate *g, struct gate_ep *ep)
@@ -105,7 +114,7 @@
 void gate_words_reset(struct gate *g, struct gate_ep *ep)
 {
 	leave_seat(g, ep);
-	ep->says_leaving = false;
+	ep->leaving_ms = ep->leaving_told_ms = 0;
 	ep->rest_until_ms = 0;
 	ep->limit = (struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
 	ep->permit_ms = ep->limit_changed_ms = ep->limit_told_ms = 0;
@@ -195,6 +204,12 @@
 	       (!ep->limit_told_ms || now - ep->limit_told_ms >= AGAIN_MS);
 }
 
+static bool leaving_is_due(const struct gate_ep *ep, int64_t now)
+{
+	return ep->leaving_ms &&
+	       (!ep->leaving_told_ms || now - ep->leaving_told_ms >= AGAIN_MS);
+}
+
 void gate_words_report(struct gate *g, struct gate_ep *ep, GArray *words)
 {
 	int64_t now = gate_now(g);
@@ -204,8 +219,11 @@
 				   .rest_ms = MAX(ep->rest_until_ms - now, 0) };
 	bool limit = limit_is_due(ep, now);
 
-	if (!limit && (!w.rest_ms || ep->rest_told))
+	w.leaving = leaving_is_due(ep, now);
+	if (!limit && !w.leaving && (!w.rest_ms || ep->rest_told))
 		return;
+	if (w.leaving)
+		ep->leaving_told_ms = now;
 	ep->rest_told = true;
 	if (limit) {
 		w.limit = endpoint_limit_wire(&ep->limit);
--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -42,8 +42,8 @@
 	int wholes;
 	uint64_t unread_round;
 	bool unread_whole;
-	char *limited; /* the last endpoint that it was told of so */
-	int permits;   /* that the leader has granted, in thousandths */
+	char *word;  /* the last endpoint that it was told of so */
+	int permits; /* that the leader has granted, in thousandths */
 	int64_t report_ms, told_ms;
 };
 
@@ -91,7 +91,8 @@
 	int64_t frame_ms;
 	uint64_t frame_round;
 	bool frame_whole;
-	char *frame_limited; /* the first endpoint in it that names a limit */
+	char *frame_word; /* the first endpoint in it with a limit, or that
+			     leaves */
 };
 
 /* The world that is played now: what stands for the network finds it here. */
@@ -167,12 +168,12 @@
 	return !c->gone;
 }
 
-static char *first_limited(const struct msg_fleet *m)
+static char *first_word(const struct msg_fleet *m)
 {
 	const struct fleet_endpoint *e = m->endpoints.items;
 
 	for (size_t i = 0; i < m->endpoints.n; i++)
-		if (e[i].limit > 0 && e[i].limit_age > 0)
+		if (e[i].leaving || (e[i].limit > 0 && e[i].limit_age > 0))
 			return ss_str_dup(e[i].addr);
 	return NULL;
 }
@@ -189,13 +190,13 @@
 	w->frame_ms = w->d.clock.fake_ms;
 	w->frame_round = 0;
 	w->frame_whole = false;
-	g_clear_pointer(&w->frame_limited, g_free);
+	g_clear_pointer(&w->frame_word, g_free);
 	if (!frame_decode((const uint8_t *)frame->str, frame->len, &f, NULL))
 		return;
 	if (f.kind == MSG_FLEET) {
 		w->frame_round = f.u.fleet.round;
 		w->frame_whole = f.u.fleet.whole;
-		w->frame_limited = first_limited(&f.u.fleet);
+		w->frame_word = first_word(&f.u.fleet);
 	}
 	frame_done(&f);
 }
@@ -222,9 +223,9 @@
 		c->unread_whole |= w->frame_whole;
 	} else {
 		take_frame(c, w->frame_round, w->frame_whole);
-		if (w->frame_limited) {
-			g_free(c->limited);
-			c->limited = g_strdup(w->frame_limited);
+		if (w->frame_word) {
+			g_free(c->word);
+			c->word = g_strdup(w->frame_word);
 		}
 	}
 	return !c->gone;
@@ -389,7 +390,7 @@
 
 	g_array_unref(c->calls);
 	g_array_unref(c->counts);
-	g_free(c->limited);
+	g_free(c->word);
 	g_free(c);
 }
 
@@ -535,31 +536,43 @@
 	g_ptr_array_unref(names);
 }
 
-void fleet_world_limit(struct fleet_world *w, int entry, int engine,
-		       double per_s)
+static void say(struct fleet_world *w, int entry, int engine,
+		struct endpoint_word x)
 {
-	struct endpoint_limit l = { per_s, w->d.clock.fake_ms };
-	struct endpoint_word x = { .addr = ss_str(w->engines[engine].addr),
-				   .id = ss_str(w->engines[engine].id),
-				   .started_ms = 1,
-				   .limit = endpoint_limit_wire(&l),
-				   .limit_age = 1 };
 	struct conn *c = w->entries->pdata[entry];
 	struct msg_demand m = { .round = c->round,
 				.routing = 1,
 				.words = { &x, 1 } };
 
+	x.addr = ss_str(w->engines[engine].addr);
+	x.id = ss_str(w->engines[engine].id);
+	x.started_ms = 1;
 	deliver(c, MSG_DEMAND, &m, &w->cost.reports);
 }
 
-int fleet_world_limited(const struct fleet_world *w, int engine)
+void fleet_world_limit(struct fleet_world *w, int entry, int engine,
+		       double per_s)
+{
+	struct endpoint_limit l = { per_s, w->d.clock.fake_ms };
+	struct endpoint_word x = { .limit = endpoint_limit_wire(&l),
+				   .limit_age = 1 };
+
+	say(w, entry, engine, x);
+}
+
+void fleet_world_leave(struct fleet_world *w, int entry, int engine)
+{
+	say(w, entry, engine, (struct endpoint_word){ .leaving = true });
+}
+
+int fleet_world_told(const struct fleet_world *w, int engine)
 {
 	int n = 0;
 
 	for (guint i = 0; i < w->entries->len; i++) {
 		const struct conn *c = w->entries->pdata[i];
 
-		n += c->limited && !strcmp(c->limited, w->engines[engine].addr);
+		n += c->word && !strcmp(c->word, w->engines[engine].addr);
 	}
 	return n;
 }
@@ -833,7 +846,7 @@
 	}
 	for (int i = 0; i < w->o.models; i++)
 		g_array_unref(w->holders[i]);
-	g_free(w->frame_limited);
+	g_free(w->frame_word);
 	g_free(w->engines);
 	g_free(w->holders);
 	g_free(w->popularity);
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -45,12 +45,13 @@
 void fleet_world_call(struct fleet_world *w, int entry, int model);
 /* An engine has loaded an adapter of its first model, and says so. */
 void fleet_world_adapter(struct fleet_world *w, int engine);
-/* An engine has named a limit in an answer at an entry; entries that the
- * leader has told so; the thousandths of permits that an entry gets there when
- * it asks for one. */
+/* An engine has named a limit in an answer at an entry, or said that it leaves;
+ * entries that the leader has told so; the thousandths of permits that an entry
+ * gets there when it asks for one. */
 void fleet_world_limit(struct fleet_world *w, int entry, int engine,
 		       double per_s);
-int fleet_world_limited(const struct fleet_world *w, int engine);
+void fleet_world_leave(struct fleet_world *w, int entry, int engine);
+int fleet_world_told(const struct fleet_world *w, int engine);
 int fleet_world_permits(struct fleet_world *w, int entry, int engine);
 /* Another start of it, with an id of its own and nothing else that tells. */
 void fleet_world_restart_engine(struct fleet_world *w, int engine);
--- a/test/test_fleet_lead.c
+++ b/test/test_fleet_lead.c
@@ -169,12 +169,10 @@
 		fleet_world_work(w, "endpoints");
 		fleet_world_limit(w, 0, engine, 2);
 		fleet_world_run(w, LOADS_MS);
-		assert_int_equal(fleet_world_limited(w, engine),
-				 sizes[i].entries);
+		assert_int_equal(fleet_world_told(w, engine), sizes[i].entries);
 		fleet_world_restart_entry(w, 1);
 		fleet_world_run(w, SECOND_MS);
-		assert_int_equal(fleet_world_limited(w, engine),
-				 sizes[i].entries);
+		assert_int_equal(fleet_world_told(w, engine), sizes[i].entries);
 		for (int k = 0; k < sizes[i].entries; k++)
 			granted += fleet_world_permits(w, k, engine);
 		/* Of one bucket: what its slack lets entries hold. */
@@ -185,6 +183,21 @@
 	}
 }
 
+/* Only the entry that an endpoint has answered so knows that it leaves. */
+static void leaving_is_told_to_all(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet_world *w = world_of(&sizes[i]);
+
+		fleet_world_run(w, 2 * SECOND_MS);
+		fleet_world_leave(w, 0, 5);
+		fleet_world_run(w, LOADS_MS);
+		assert_int_equal(fleet_world_told(w, 5), sizes[i].entries);
+		fleet_world_free(w);
+	}
+}
+
 /* An endpoint that starts anew is kept to the limit of the one before it. */
 static void limit_ends_with_its_incarnation(void **state)
 {
@@ -231,6 +244,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(limit_is_told_to_all),
+		cmocka_unit_test(leaving_is_told_to_all),
 		cmocka_unit_test(limited_engine_is_loaded_with_nothing),
 		cmocka_unit_test(limit_ends_with_its_incarnation),
 		cmocka_unit_test(a_message_costs_what_it_is_about),
--- a/test/test_gate_rest.c
+++ b/test/test_gate_rest.c
@@ -1,4 +1,4 @@
-/* Endpoints that ask a gate for rest. */
+/* Endpoints that ask a gate for rest, or say that they leave. */
 #include "gate_fix.h"
 
 #define REST_MS 3000
@@ -6,6 +6,10 @@
  * gets no more than MOST requests until the rest is over. */
 #define HEARD_MS 500
 #define MOST 2
+/* And one that says that it leaves gets none from so long after it said so. */
+#define DRAIN_MS 3000
+/* So long it may go on serving what it has. */
+#define LEAVES_MS 12000
 
 #define SHED_REST                                                              \
 	"HTTP/1.1 503 No\r\nX-Request-Id: q1\r\nX-Not-Executed: 1\r\n"         \
@@ -13,6 +17,14 @@
 #define BUSY_REST                                                              \
 	"HTTP/1.1 503 No\r\nX-Request-Id: q1\r\nRetry-After: 3\r\n"            \
 	"Content-Length: 0\r\n\r\n"
+#define LEAVING "Server-Leaving: 1\r\n"
+#define OK_LEAVING                                                             \
+	"HTTP/1.1 200 OK\r\n" HEAD LEAVING "Content-Length: 5\r\n\r\nhello"
+#define FAILS_LEAVING                                                          \
+	"HTTP/1.1 500 No\r\n" HEAD LEAVING "Content-Length: 0\r\n\r\n"
+#define SHED_LEAVING                                                           \
+	"HTTP/1.1 503 No\r\nX-Request-Id: q1\r\nX-Not-Executed: 1\r\n" LEAVING \
+	"Content-Length: 0\r\n\r\n"
 #define CALL(path) REQ("POST", path) "X-Model: m\r\nContent-Length: 2\r\n\r\nhi"
 #define CALL_ADAPTER(path)                                                     \
 	REQ("POST", path) "X-Model: m/a1\r\nContent-Length: 2\r\n\r\nhi"
@@ -158,11 +170,92 @@
 	fix_close(&f);
 }
 
+static const struct rest_case leaves[] = {
+	{ "answers", POST_ONCE, OK_LEAVING, "web", "", true, NOTHING },
+	{ "failures and repeats", GET_SAFE, FAILS_LEAVING, "web", "", false,
+	  NOTHING },
+	{ "refusals", CALL("/chat/x"), SHED_LEAVING, "lm", "m", true, NOTHING },
+	{ "streams that may be resumed", CALL("/night/x"), SHED_LEAVING, "lm",
+	  "m", true, NOTHING },
+	{ "a model's adapter", CALL_ADAPTER("/chat/x"), OK_LEAVING, "lm", "m",
+	  true, NOTHING },
+	{ "it is told anew", POST_ONCE, OK_LEAVING, "web", "", true, ALL_ANEW },
+	{ "it is missing and back", POST_ONCE, OK_LEAVING, "web", "", true,
+	  GONE_AND_BACK },
+};
+
+/* Symptom: an endpoint says in its answers that it leaves, and gets requests
+ * for as long as the list calls it ready. */
+static void word_of_leaving_is_heeded(void **state)
+{
+	(void)state;
+	for (size_t k = 0; k < G_N_ELEMENTS(leaves); k++) {
+		const struct rest_case *x = &leaves[k];
+		int before = 0;
+		struct fix f;
+
+		rest_open(&f, x);
+		for (int64_t at = 0; at < LEAVES_MS; at += 10) {
+			if (at == DRAIN_MS)
+				before = f.eps[0].requests;
+			tell_again(&f, x, at);
+			if (at % 100 == 0)
+				call(&f, x->request);
+			pass(&f);
+		}
+		if (f.eps[0].requests > before)
+			fail_msg("%s: %d requests later than %d ms", x->label,
+				 f.eps[0].requests - before, DRAIN_MS);
+		/* Another start of it is no longer leaving. */
+		g_strlcpy(f.eps[0].id, "i-next", sizeof(f.eps[0].id));
+		tell_fleet(&f, x->service, x->model);
+		for (int64_t at = 0; at < 1000; at += 10) {
+			if (at % 100 == 0)
+				call(&f, x->request);
+			pass(&f);
+		}
+		if (x->alone && f.eps[0].requests == before)
+			fail_msg("%s: never called again", x->label);
+		fix_close(&f);
+	}
+}
+
+/* Symptom: only the entry that was answered leaves it alone. */
+static void word_of_leaving_is_told_on(void **state)
+{
+	static const struct rest_case x = { "", POST_ONCE, OK_LEAVING, "web",
+					    "", true,	   NOTHING };
+	const struct endpoint_word *w;
+	struct gate_report r;
+	struct fix f;
+
+	(void)state;
+	rest_open(&f, &x);
+	UNTIL(&f, f.demands > 0);
+	gate_report(f.gate, &r);
+	w = r.m.words.items;
+	assert_int_equal(r.m.words.n, 1);
+	assert_true(ss_str_eq(w->addr, ss_str(f.eps[0].addr)));
+	assert_true(w->leaving);
+	gate_report_done(&r);
+	/* To the next leader too, and not with each report. */
+	gate_report(f.gate, &r);
+	assert_int_equal(r.m.words.n, 0);
+	gate_report_done(&r);
+	f.clock.fake_ms += 1000;
+	gate_report(f.gate, &r);
+	assert_int_equal(r.m.words.n, 1);
+	gate_report_done(&r);
+	fix_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(asked_rest_is_kept),
 		cmocka_unit_test(refusal_tells_when_the_rest_ends),
+		cmocka_unit_test(word_of_leaving_is_heeded),
+		cmocka_unit_test(word_of_leaving_is_told_on),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
