--- a/src/daemon/engine_agent.c
+++ b/src/daemon/engine_agent.c
@@ -41,6 +41,8 @@
 	/* Of the engine; its id is NULL while it has to be asked for. */
 	struct fleet_incarnation self;
 	struct endpoint_limit limit; /* by its answers here */
+	bool says_leaving;	     /* the same */
+	int64_t rest_until_ms; /* it wants nothing before; 0: it didn't ask */
 	bool reachable, reading;
 	unsigned int unanswered;
 	int64_t read_ms, told_ms;
@@ -62,6 +64,16 @@
 	return ss_clock_now(&a->o.daemon->clock);
 }
 
+/*
+ * Which incarnation stands there isn't known any more. Nothing may be ordered
+ * until it is: an order has to name it.
+ */
+static void forget_instance(struct engine_agent *a)
+{
+	g_clear_pointer(&a->self.id, g_free);
+	engine_lost(a->engine, now_ms(a));
+}
+
 /* What an answer says of the engine itself, as those to callers do. */
 static void hear(struct engine_agent *a, const struct keep_answer *r)
 {
@@ -80,6 +92,18 @@
 	if (endpoint_limit_say(&a->limit, says.limit_per_s, now_ms(a)))
 		log_info("endpoint_limit", "endpoint=%s per_s=%.3f", a->addr,
 			 a->limit.per_s);
+	if (says.leaving && !a->says_leaving)
+		log_info("endpoint_leaving", "endpoint=%s", a->addr);
+	/* Unlike an entry, which hears what is sent to one incarnation, an
+	 * agent doesn't know which one has answered. */
+	a->says_leaving = says.leaving;
+	if (!says.rest_ms)
+		return;
+	log_info("endpoint_asks_rest", "endpoint=%s ms=%" PRId64, a->addr,
+		 says.rest_ms);
+	a->rest_until_ms = now_ms(a) + says.rest_ms;
+	/* Nothing is ordered until it has told its id again, after that. */
+	forget_instance(a);
 }
 
 /* Telling the leader. */
@@ -159,7 +183,8 @@
 
 	a->report = g_memdup2(new, sizeof(*new));
 	a->report->self.id = g_strdup(a->self.id);
-	a->news |= !a->reachable || !old || !same_holdings(old, new);
+	a->report->leaving |= a->says_leaving;
+	a->news |= !a->reachable || !old || !same_holdings(old, a->report);
 	a->load_news |= old && (old->running != new->running ||
 				old->waiting != new->waiting);
 	if (!a->reachable)
@@ -177,16 +202,6 @@
 	maybe_tell(a);
 }
 
-/*
- * Which incarnation stands there isn't known any more. Nothing may be ordered
- * until it is: an order has to name it.
- */
-static void forget_instance(struct engine_agent *a)
-{
-	g_clear_pointer(&a->self.id, g_free);
-	engine_lost(a->engine, now_ms(a));
-}
-
 static void read_failed(struct engine_agent *a, const char *why)
 {
 	(*a->n_lost)++;
@@ -312,6 +327,8 @@
 			       .done = on_read,
 			       .arg = a };
 
+	if (now_ms(a) < a->rest_until_ms)
+		return;
 	if (a->reachable && !a->self.id && !engine_asking(a->engine)) {
 		ask_instance(a);
 		return;
