--- a/src/daemon/fleet_remote.c
+++ b/src/daemon/fleet_remote.c
@@ -59,7 +59,9 @@
 	return at < 0 ? 0 : g_array_index(ids, uint64_t, at);
 }
 
-static void tell_member(struct fleet_lead *l, uint64_t id)
+/* One that has asked an entry for rest is read by no control VM meanwhile: the
+ * entry may be beside it on its VM, and it is the VM that was asked. */
+static void tell_member(struct fleet_lead *l, uint64_t id, int64_t now)
 {
 	GArray *names = g_array_new(FALSE, FALSE, sizeof(struct name_item));
 	struct msg_remote m = { .fence = l->fence };
@@ -71,7 +73,7 @@
 		const struct fleet_ep *ep = p;
 		struct name_item n = { ss_str(ep->addr) };
 
-		if (ep->remote_at == id)
+		if (ep->remote_at == id && now >= ep->rest_until_ms)
 			g_array_append_val(names, n);
 	}
 	m.engines = (struct wire_list){ names->data, names->len };
@@ -109,5 +111,5 @@
 	l->remote_ms = now;
 	all = ss_raft_members(group_raft(l->g));
 	for (size_t i = 0; i < all->n; i++)
-		tell_member(l, all->m[i].id);
+		tell_member(l, all->m[i].id, now);
 }
--- a/src/daemon/fleet_reports.c
+++ b/src/daemon/fleet_reports.c
@@ -172,6 +172,8 @@
 	}
 	if (now + w->rest_ms > ep->rest_until_ms && w->rest_ms) {
 		l->urgent |= now >= ep->rest_until_ms;
+		/* Members are told at once. */
+		l->remote_ms = 0;
 		ep->rest_until_ms = now + w->rest_ms;
 	}
 }
--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -85,6 +85,8 @@
 	struct fleet_world_cost cost;
 	GHashTable *work_told;
 	int steps;
+	GHashTable *
+		remote; /* set of addresses: engines that a member is to read */
 	/* The frame that was read last. */
 	const char *frame;
 	size_t frame_len;
@@ -254,10 +256,17 @@
 bool group_tell(struct group *g, uint64_t id, enum msg_kind kind,
 		const void *msg)
 {
+	const struct msg_remote *m = msg;
+	const struct name_item *n;
+
 	(void)g;
 	(void)id;
-	(void)kind;
-	(void)msg;
+	if (kind != MSG_REMOTE)
+		return true;
+	n = m->engines.items;
+	g_hash_table_remove_all(world->remote);
+	for (size_t i = 0; i < m->engines.n; i++)
+		g_hash_table_add(world->remote, ss_str_dup(n[i].name));
 	return true;
 }
 
@@ -560,6 +569,16 @@
 	say(w, entry, engine, x);
 }
 
+void fleet_world_rest(struct fleet_world *w, int entry, int engine, int64_t ms)
+{
+	say(w, entry, engine, (struct endpoint_word){ .rest_ms = ms });
+}
+
+bool fleet_world_is_remote(const struct fleet_world *w, int engine)
+{
+	return g_hash_table_contains(w->remote, w->engines[engine].addr);
+}
+
 void fleet_world_leave(struct fleet_world *w, int entry, int engine)
 {
 	say(w, entry, engine, (struct endpoint_word){ .leaving = true });
@@ -815,6 +834,8 @@
 	w->d.metrics = metrics_new();
 	settings_defaults(&config_type, &w->d.config);
 	w->state = ss_state_new();
+	w->remote =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->routing = make_routing(o->models);
 	w->work_told =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -846,6 +867,7 @@
 	}
 	for (int i = 0; i < w->o.models; i++)
 		g_array_unref(w->holders[i]);
+	g_hash_table_unref(w->remote);
 	g_free(w->frame_word);
 	g_free(w->engines);
 	g_free(w->holders);
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -53,6 +53,9 @@
 void fleet_world_leave(struct fleet_world *w, int entry, int engine);
 int fleet_world_told(const struct fleet_world *w, int engine);
 int fleet_world_permits(struct fleet_world *w, int entry, int engine);
+/* An engine has asked an entry for rest; a control VM is to read it. */
+void fleet_world_rest(struct fleet_world *w, int entry, int engine, int64_t ms);
+bool fleet_world_is_remote(const struct fleet_world *w, int engine);
 /* Another start of it, with an id of its own and nothing else that tells. */
 void fleet_world_restart_engine(struct fleet_world *w, int engine);
 /* Steps that an engine was sent. */
--- a/test/test_fleet_lead.c
+++ b/test/test_fleet_lead.c
@@ -198,6 +198,34 @@
 	}
 }
 
+/* A control VM reads an engine that has asked the entry on the same VM for
+ * rest, four times a second. */
+static void resting_engine_is_read_by_no_control_vm(void **state)
+{
+	const int engine = 5, rest_ms = 3 * SECOND_MS;
+	struct fleet_world_options o = { .entries = 10,
+					 .engines = engine + 1,
+					 .models = 10,
+					 .calls_per_s = 10,
+					 .call_ms = 1000,
+					 .agents_missing = 1,
+					 .seed = 5 };
+	struct fleet_world *w = fleet_world_new(&o);
+
+	(void)state;
+	fleet_world_run(w, 6 * SECOND_MS);
+	assert_true(fleet_world_is_remote(w, engine));
+	fleet_world_rest(w, 3, engine, rest_ms);
+	fleet_world_run(w, SECOND_MS / 4);
+	for (int at = SECOND_MS / 4; at < rest_ms; at += 50) {
+		assert_false(fleet_world_is_remote(w, engine));
+		fleet_world_run(w, 50);
+	}
+	fleet_world_run(w, SECOND_MS);
+	assert_true(fleet_world_is_remote(w, engine));
+	fleet_world_free(w);
+}
+
 /* An endpoint that starts anew is kept to the limit of the one before it. */
 static void limit_ends_with_its_incarnation(void **state)
 {
@@ -245,6 +273,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(limit_is_told_to_all),
 		cmocka_unit_test(leaving_is_told_to_all),
+		cmocka_unit_test(resting_engine_is_read_by_no_control_vm),
 		cmocka_unit_test(limited_engine_is_loaded_with_nothing),
 		cmocka_unit_test(limit_ends_with_its_incarnation),
 		cmocka_unit_test(a_message_costs_what_it_is_about),
