--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -48,9 +48,10 @@
 	int64_t rest_until_ms;	 /* by its own answer; 0: it asked for none */
 	bool rest_told;		 /* to the leader */
 	struct endpoint_limit limit;
-	int64_t limit_changed_ms; /* by an answer here; 0: by none */
-	int64_t limit_told_ms;	  /* when the leader was told; 0: not yet */
-	int64_t permit_ms;	  /* none is to be had before then */
+	bool limit_owed;	/* the leader says something else, or nothing */
+	int64_t limit_told_ms;	/* when it was told; 0: not yet */
+	int64_t limit_heard_ms; /* in an answer here; 0: never */
+	int64_t permit_ms;	/* none is to be had before then */
 	double seat; /* permits that a request here waits for; 0: none does */
 	int64_t seat_ms;  /* when it was heard of last */
 	struct pace pace; /* of its streams, all models */
--- a/src/proxy/gate_words.c
+++ b/src/proxy/gate_words.c
@@ -7,11 +7,12 @@
 
 #include "../base/log.h"
 
-/* A word in force is told again this often, in ms: to a leader that has just
- * begun, and to one that didn't know the endpoint yet. A word that ends one is
- * told again for LIFTED_MS. */
+/* A word that the leader doesn't have is told again this often, in ms: it may
+ * not know the endpoint yet. */
 #define AGAIN_MS 1000
-#define LIFTED_MS 3000
+/* A limit that answers go on naming is told this often, in ms: the leader takes
+ * a word of ten seconds ago for over. */
+#define REPEAT_MS 4000
 /* An endpoint that is no longer listed is remembered with its word for so
  * long, in ms: a leader may just have begun with a list in parts. */
 #define UNLISTED_MS 60000
@@ -35,14 +36,19 @@
 	 * it is over: others may be of before, or not the endpoint's own. */
 	if (a->limit_per_s < 0 && (f->limit_per_s < 0 || !a->authentic))
 		return;
+	ep->limit_heard_ms = gate_now(g);
 	if (!endpoint_limit_say(&ep->limit, a->limit_per_s, gate_now(g)))
 		return;
 	log_limit(ep, before, "answer");
-	ep->limit_changed_ms = gate_now(g);
+	ep->limit_owed = true;
 	ep->limit_told_ms = 0;
 	g->o.ops->demand(g->o.arg);
 }
 
+/*
+ * Where the leader says something else than is known here, it hasn't heard of
+ * it yet, or has just begun: whoever told the one before may have ended.
+ */
 void gate_limit_told(struct gate *g, struct gate_ep *ep, int64_t limit,
 		     int64_t age)
 {
@@ -50,6 +56,7 @@
 
 	if (endpoint_limit_told(&ep->limit, limit, age, gate_now(g)))
 		log_limit(ep, before, "leader");
+	ep->limit_owed = endpoint_limit_wire(&ep->limit) != limit;
 }
 
 static void hear_rest(struct gate *g, struct gate_ep *ep,
@@ -117,7 +124,8 @@
 	ep->leaving_ms = ep->leaving_told_ms = 0;
 	ep->rest_until_ms = 0;
 	ep->limit = (struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
-	ep->permit_ms = ep->limit_changed_ms = ep->limit_told_ms = 0;
+	ep->limit_owed = false;
+	ep->permit_ms = ep->limit_told_ms = ep->limit_heard_ms = 0;
 }
 
 /* An adapter that has to be loaded first is one request more. */
@@ -194,20 +202,18 @@
 	}
 }
 
-static bool limit_is_due(const struct gate_ep *ep, int64_t now)
+static bool is_due(int64_t told_ms, int64_t now)
 {
-	bool holds = ep->limit.per_s >= 0 ||
-		     now - ep->limit_changed_ms < LIFTED_MS;
-
-	/* What only the leader told is the leader's already. */
-	return ep->limit_changed_ms && holds &&
-	       (!ep->limit_told_ms || now - ep->limit_told_ms >= AGAIN_MS);
+	return !told_ms || now - told_ms >= AGAIN_MS;
 }
 
-static bool leaving_is_due(const struct gate_ep *ep, int64_t now)
+static bool limit_is_due(const struct gate_ep *ep, int64_t now)
 {
-	return ep->leaving_ms &&
-	       (!ep->leaving_told_ms || now - ep->leaving_told_ms >= AGAIN_MS);
+	bool repeat = ep->limit.per_s >= 0 &&
+		      ep->limit_heard_ms > ep->limit_told_ms &&
+		      now - ep->limit_told_ms >= REPEAT_MS;
+
+	return repeat || (ep->limit_owed && is_due(ep->limit_told_ms, now));
 }
 
 void gate_words_report(struct gate *g, struct gate_ep *ep, GArray *words)
@@ -219,7 +225,9 @@
 				   .rest_ms = MAX(ep->rest_until_ms - now, 0) };
 	bool limit = limit_is_due(ep, now);
 
-	w.leaving = leaving_is_due(ep, now);
+	/* Until the leader counts it as leaving, too. */
+	w.leaving = ep->leaving_ms && ep->known && !ep->leaving &&
+		    is_due(ep->leaving_told_ms, now);
 	if (!limit && !w.leaving && (!w.rest_ms || ep->rest_told))
 		return;
 	if (w.leaving)
