--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from demo_words import words
 from system import GB, ROOT, System, chat, request, wait_for
 
 FOLDER = os.path.join(ROOT, "build", "demo")
@@ -140,6 +141,7 @@
         print("\nstopped %s" % ("cleanly" if clean else "NOT cleanly"))
     finally:
         s.kill()
+    bad += words()
     return 0 if bad == 0 and clean else 1
 
 
