--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -1,27 +1,13 @@
-/* What the gate knows of endpoints, and choosing one. */
+/* What the gate knows of endpoints. */
 #include "gate_int.h"
 
 #include "../base/log.h"
 
-#include <xxhash.h>
-
-/* Engines get no more calls than they run at a time: what waits, waits
- * here, where its order and its deadline are seen. */
-#define ENGINE_FILL 1.0
-/* Plain services answer within some 10 ms; a short queue there keeps their
- * slots from running dry between two calls. */
-#define SERVICE_FILL 2.0
-/* Calls a second for one model that a single engine can begin without its other
- * callers' events pausing: a prompt takes up to 60 ms to read. More than that
- * are shared out. */
-#define RUSH_PER_S 10.0
 /* An incarnation that is over sends nothing more; its last bytes are given so
  * long to arrive, ten round trips of a slow link, before its calls go on. */
 #define LAST_BYTES_MS 500
 /* A share of failures that has grown by so much is logged, in thousandths. */
 #define FAILING_LOGGED 100
-/* A load that was told longer ago says nothing any more. */
-#define LOAD_OLD_MS 2000
 
 static void held_free(void *p)
 {
@@ -71,7 +57,7 @@
 	ep->addr = key;
 	ep->self.id = g_strdup("");
 	ep->life = ++g->lives;
-	ep->limit.per_s = ENDPOINT_LIMIT_NONE;
+	ep->words.limit.per_s = ENDPOINT_LIMIT_NONE;
 	ep->service = g_strdup("");
 	ep->domain = g_strdup("");
 	ep->agent = g_strdup("");
@@ -469,151 +455,3 @@
 	if (a->slots > 0)
 		ep->slots = a->slots;
 }
-
-static uint64_t affinity_of(const struct forward *f, const struct gate_ep *ep)
-{
-	return XXH3_64bits_withSeed(ep->addr, strlen(ep->addr), f->affinity);
-}
-
-/* An incarnation that it was sent to: one that has restarted since is another,
- * though it may have the same id. */
-static bool was_tried(const struct forward *f, const struct gate_ep *ep)
-{
-	for (guint i = 0; i < f->tried->len; i++)
-		if (fleet_incarnation_judge(f->tried->pdata[i], &ep->self) ==
-		    FLEET_SAME)
-			return true;
-	return false;
-}
-
-/* A route bounds how many endpoints one request may be sent to. */
-static bool may_send(const struct forward *f, const struct gate_ep *ep)
-{
-	return f->tried->len < (guint)f->route->attempts || was_tried(f, ep);
-}
-
-/* Calls for the same that others have sent since an endpoint told its load, if
- * as many come to each of them as here. */
-static double unseen_calls(struct gate *g, const struct forward *f,
-			   const struct gate_ep *ep, int64_t now)
-{
-	double others = g->entries > 1 ? (double)g->entries - 1 : 0;
-	double age_s = (double)(now - ep->reported_ms) / 1000.0;
-
-	return fleet_rate_at(&f->home->rate, now) * others * age_s;
-}
-
-/* Of all entries, if as many come to each of them as here. */
-static bool is_rush(struct gate *g, const struct forward *f)
-{
-	double here = fleet_rate_at(&f->home->rate, gate_now(g));
-
-	return f->service->engine &&
-	       here * (double)MAX(g->entries, 1) > RUSH_PER_S;
-}
-
-static void fill_node(struct gate *g, const struct forward *f,
-		      const struct gate_ep *ep, struct balance_node *n)
-{
-	int64_t now = gate_now(g);
-	bool fresh = now - ep->reported_ms < LOAD_OLD_MS;
-
-	n->usable = ep->known && !ep->leaving && !ep->leaving_ms &&
-		    now >= ep->shut_until_ms && may_send(f, ep) &&
-		    (!*f->model || g_hash_table_contains(ep->held, f->model));
-	n->near = !strcmp(ep->domain, g->o.domain);
-	n->has_adapter = gate_ep_has_adapter(ep, f->model, f->adapter) ||
-			 !*f->adapter;
-	n->usable &= n->has_adapter || !ep->busy;
-	n->tried = was_tried(f, ep);
-	n->slots = ep->slots;
-	n->reported = fresh ? ep->reported : 0;
-	n->since = fresh ? ep->since : 0;
-	n->own = ep->own;
-	n->unseen = fresh ? unseen_calls(g, f, ep, now) : 0;
-	n->failing = MAX(ep->failing, failing_share(&ep->told, now));
-	n->affinity = affinity_of(f, ep);
-}
-
-static enum balance_none why_none(int at, bool limited, bool resting)
-{
-	if (limited)
-		return BALANCE_LIMITED;
-	if (resting && at == BALANCE_NOBODY)
-		return BALANCE_RESTING;
-	return (enum balance_none)at;
-}
-
-/* An endpoint admits it at that time, if nothing else is in the way. */
-static void opens_at(struct forward *f, int64_t ms)
-{
-	f->open_ms = f->open_ms ? MIN(f->open_ms, ms) : ms;
-}
-
-/* One that rests is used only where all others rest too. */
-static bool rests(struct gate *g, const struct gate_ep *ep)
-{
-	return !ss_breaker_allows(&ep->breaker, gate_now(g));
-}
-
-struct gate_ep *gate_choose(struct gate *g, struct forward *f,
-			    enum balance_none *none)
-{
-	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct balance_node));
-	GPtrArray *eps = g_ptr_array_new();
-	double fill = f->service->engine ? ENGINE_FILL : SERVICE_FILL;
-	int (*choose)(const struct balance_node *n, size_t count, double fill,
-		      uint64_t tie) = is_rush(g, f) ? balance_share :
-						      balance_choose;
-	struct gate_ep *found = NULL;
-	unsigned int working = 0;
-	bool limited = false, resting = false;
-	GHashTableIter it;
-	void *p;
-	int at;
-
-	f->open_ms = 0;
-	g_hash_table_iter_init(&it, g->eps);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct balance_node n = { 0 };
-		struct gate_ep *ep = p;
-
-		if (strcmp(ep->service, f->service->name))
-			continue;
-		fill_node(g, f, ep, &n);
-		if (!n.usable)
-			continue;
-		if (!gate_words_admit(g, ep)) {
-			opens_at(f, ep->rest_until_ms);
-			resting = true;
-			continue;
-		}
-		working += !rests(g, ep);
-		g_array_append_val(nodes, n);
-		g_ptr_array_add(eps, ep);
-	}
-	for (guint i = 0; working && i < eps->len; i++)
-		if (rests(g, eps->pdata[i]))
-			g_array_index(nodes, struct balance_node, i).usable =
-				false;
-	while ((at = choose((struct balance_node *)nodes->data, nodes->len,
-			    fill, ss_random(&g->seed))) >= 0) {
-		struct gate_ep *ep = eps->pdata[at];
-
-		if (gate_limit_admits(f, ep)) {
-			found = ep;
-			break;
-		}
-		g_array_index(nodes, struct balance_node, at).usable = false;
-		opens_at(f, MAX(ep->permit_ms, gate_now(g)));
-		limited = true;
-	}
-	if (!found)
-		*none = why_none(at, limited, resting);
-	/* A place is free soon. */
-	if (found || at == BALANCE_FULL)
-		f->open_ms = 0;
-	g_array_unref(nodes);
-	g_ptr_array_unref(eps);
-	return found;
-}
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -24,6 +24,21 @@
 	GHashTable *adapters; /* set of names */
 };
 
+/* What an endpoint says of itself: it holds for one incarnation. */
+struct gate_words {
+	int64_t leaving_ms;	 /* since when; 0: it doesn't say so */
+	int64_t leaving_told_ms; /* when the leader was told; 0: not yet */
+	int64_t rest_until_ms;	 /* it wants nothing before; 0: it didn't ask */
+	bool rest_told;		 /* to the leader */
+	struct endpoint_limit limit;
+	bool limit_owed;	/* the leader says something else, or nothing */
+	int64_t limit_told_ms;	/* when it was told; 0: not yet */
+	int64_t limit_heard_ms; /* in an answer here; 0: never */
+	int64_t permit_ms;	/* none is to be had before then */
+	double seat; /* permits that a request here waits for; 0: none does */
+	int64_t seat_ms; /* when it was heard of last */
+};
+
 struct gate_ep {
 	char *addr, *service, *domain, *agent;
 	struct fleet_incarnation self;
@@ -43,17 +58,7 @@
 	uint64_t answered, failed; /* since the last report */
 	struct ss_breaker breaker;
 	int64_t shut_until_ms; /* no connection could be made */
-	int64_t leaving_ms; /* since when its answers say so; 0: they don't */
-	int64_t leaving_told_ms; /* when the leader was told */
-	int64_t rest_until_ms;	 /* by its own answer; 0: it asked for none */
-	bool rest_told;		 /* to the leader */
-	struct endpoint_limit limit;
-	bool limit_owed;	/* the leader says something else, or nothing */
-	int64_t limit_told_ms;	/* when it was told; 0: not yet */
-	int64_t limit_heard_ms; /* in an answer here; 0: never */
-	int64_t permit_ms;	/* none is to be had before then */
-	double seat; /* permits that a request here waits for; 0: none does */
-	int64_t seat_ms;  /* when it was heard of last */
+	struct gate_words words;
 	struct pace pace; /* of its streams, all models */
 	struct pace_open open;
 };
@@ -201,10 +206,6 @@
 struct gate_ep *gate_ep_at(const struct gate *g, const char *addr);
 /* Where the request has its place; NULL where that incarnation is over. */
 struct gate_ep *gate_ep_of(const struct forward *f);
-/* The endpoint for a request, with the permits that it needs there, or NULL
- * with the reason. */
-struct gate_ep *gate_choose(struct gate *g, struct forward *f,
-			    enum balance_none *none);
 bool gate_ep_has_adapter(const struct gate_ep *ep, const char *model,
 			 const char *adapter);
 void gate_ep_add_adapter(struct gate_ep *ep, const char *model,
@@ -218,6 +219,12 @@
 		  const struct platform_answer *a);
 void gate_ep_free(void *ep);
 
+/* gate_choose.c */
+/* The endpoint for a request, with the permits that it needs there, or NULL
+ * with the reason. */
+struct gate_ep *gate_choose(struct gate *g, struct forward *f,
+			    enum balance_none *none);
+
 /* gate_words.c: what endpoints say of themselves */
 /* What an answer says; what the leader says of a limit. */
 void gate_words_heard(struct forward *f, struct gate_ep *ep,
--- a/src/proxy/gate_words.c
+++ b/src/proxy/gate_words.c
@@ -23,25 +23,25 @@
 static void log_limit(const struct gate_ep *ep, double before, const char *by)
 {
 	log_info("endpoint_limit", "addr=%s id=%s per_s=%.3f before=%.3f by=%s",
-		 ep->addr, ep->self.id, ep->limit.per_s, before, by);
+		 ep->addr, ep->self.id, ep->words.limit.per_s, before, by);
 }
 
 static void hear_limit(struct forward *f, struct gate_ep *ep,
 		       const struct platform_answer *a)
 {
-	double before = ep->limit.per_s;
+	double before = ep->words.limit.per_s;
 	struct gate *g = f->g;
 
 	/* Only a signed answer to what was sent in spite of a limit says that
 	 * it is over: others may be of before, or not the endpoint's own. */
 	if (a->limit_per_s < 0 && (f->limit_per_s < 0 || !a->authentic))
 		return;
-	ep->limit_heard_ms = gate_now(g);
-	if (!endpoint_limit_say(&ep->limit, a->limit_per_s, gate_now(g)))
+	ep->words.limit_heard_ms = gate_now(g);
+	if (!endpoint_limit_say(&ep->words.limit, a->limit_per_s, gate_now(g)))
 		return;
 	log_limit(ep, before, "answer");
-	ep->limit_owed = true;
-	ep->limit_told_ms = 0;
+	ep->words.limit_owed = true;
+	ep->words.limit_told_ms = 0;
 	g->o.ops->demand(g->o.arg);
 }
 
@@ -52,11 +52,11 @@
 void gate_limit_told(struct gate *g, struct gate_ep *ep, int64_t limit,
 		     int64_t age)
 {
-	double before = ep->limit.per_s;
+	double before = ep->words.limit.per_s;
 
-	if (endpoint_limit_told(&ep->limit, limit, age, gate_now(g)))
+	if (endpoint_limit_told(&ep->words.limit, limit, age, gate_now(g)))
 		log_limit(ep, before, "leader");
-	ep->limit_owed = endpoint_limit_wire(&ep->limit) != limit;
+	ep->words.limit_owed = endpoint_limit_wire(&ep->words.limit) != limit;
 }
 
 static void hear_rest(struct gate *g, struct gate_ep *ep,
@@ -69,20 +69,22 @@
 	(*g->n_rests)++;
 	log_info("endpoint_asks_rest",
 		 "addr=%s id=%s ms=%" PRId64 " left_before=%" PRId64, ep->addr,
-		 ep->self.id, a->rest_ms, MAX(ep->rest_until_ms - now, 0));
-	ep->rest_until_ms = MAX(ep->rest_until_ms, now + a->rest_ms);
-	ep->rest_told = false;
+		 ep->self.id, a->rest_ms,
+		 MAX(ep->words.rest_until_ms - now, 0));
+	ep->words.rest_until_ms =
+		MAX(ep->words.rest_until_ms, now + a->rest_ms);
+	ep->words.rest_told = false;
 	g->o.ops->demand(g->o.arg);
 }
 
 /* What leaves doesn't stay after all: only another incarnation is called. */
 static void hear_leaving(struct gate *g, struct gate_ep *ep)
 {
-	if (ep->leaving_ms)
+	if (ep->words.leaving_ms)
 		return;
 	log_info("endpoint_leaving", "addr=%s id=%s", ep->addr, ep->self.id);
-	ep->leaving_ms = gate_now(g);
-	ep->leaving_told_ms = 0;
+	ep->words.leaving_ms = gate_now(g);
+	ep->words.leaving_told_ms = 0;
 	g->o.ops->demand(g->o.arg);
 }
 
@@ -99,33 +101,33 @@
 {
 	int64_t now = gate_now(g);
 
-	return now < ep->rest_until_ms ||
-	       (ep->leaving_ms && now - ep->leaving_ms < UNLISTED_MS) ||
-	       (ep->limit.per_s >= 0 && now - ep->limit.said_ms < UNLISTED_MS);
+	return now < ep->words.rest_until_ms ||
+	       (ep->words.leaving_ms &&
+		now - ep->words.leaving_ms < UNLISTED_MS) ||
+	       (ep->words.limit.per_s >= 0 &&
+		now - ep->words.limit.said_ms < UNLISTED_MS);
 }
 
 bool gate_words_admit(const struct gate *g, const struct gate_ep *ep)
 {
-	return !ep->leaving_ms && gate_now(g) >= ep->rest_until_ms;
+	return !ep->words.leaving_ms && gate_now(g) >= ep->words.rest_until_ms;
 }
 
 static void leave_seat(struct gate *g, struct gate_ep *ep)
 {
-	struct customer c = endpoint_limit_account(&ep->limit, ep->addr);
+	struct customer c = endpoint_limit_account(&ep->words.limit, ep->addr);
 
-	if (ep->seat > 0)
-		quota_lease.leave(g->limits, &c, ep->seat);
-	ep->seat = 0;
+	if (ep->words.seat > 0)
+		quota_lease.leave(g->limits, &c, ep->words.seat);
+	ep->words.seat = 0;
 }
 
 void gate_words_reset(struct gate *g, struct gate_ep *ep)
 {
 	leave_seat(g, ep);
-	ep->leaving_ms = ep->leaving_told_ms = 0;
-	ep->rest_until_ms = 0;
-	ep->limit = (struct endpoint_limit){ .per_s = ENDPOINT_LIMIT_NONE };
-	ep->limit_owed = false;
-	ep->permit_ms = ep->limit_told_ms = ep->limit_heard_ms = 0;
+	ep->words = (struct gate_words){
+		.limit = { .per_s = ENDPOINT_LIMIT_NONE }
+	};
 }
 
 /* An adapter that has to be loaded first is one request more. */
@@ -145,39 +147,39 @@
 {
 	struct gate *g = f->g;
 	int64_t now = gate_now(g), back_ms = 0;
-	struct customer c = endpoint_limit_account(&ep->limit, ep->addr);
+	struct customer c = endpoint_limit_account(&ep->words.limit, ep->addr);
 	struct quota_need need = { .cost = cost_of(f, ep),
-				   .waits = ep->seat > 0,
+				   .waits = ep->words.seat > 0,
 				   .hold_ms = f->begin_by_ms - now };
 
-	if (ep->limit.per_s < 0)
+	if (ep->words.limit.per_s < 0)
 		return true;
-	if (now < ep->permit_ms)
+	if (now < ep->words.permit_ms)
 		return false;
 	/* Seats are of one size; this one needs another. */
-	if (need.waits && ep->seat != need.cost) {
+	if (need.waits && ep->words.seat != need.cost) {
 		leave_seat(g, ep);
 		need.waits = false;
 	}
-	ep->seat = 0;
+	ep->words.seat = 0;
 	switch (quota_lease.take(g->limits, &c, &need, now, &back_ms)) {
 	case QUOTA_YES:
 		f->permits = need.cost;
 		return true;
 	case QUOTA_WAIT:
-		ep->seat = need.cost;
-		ep->seat_ms = now;
+		ep->words.seat = need.cost;
+		ep->words.seat_ms = now;
 		return false;
 	case QUOTA_NO:
 		break;
 	}
-	ep->permit_ms = now + back_ms;
+	ep->words.permit_ms = now + back_ms;
 	return false;
 }
 
 void gate_limit_unused(struct forward *f, struct gate_ep *ep)
 {
-	struct customer c = endpoint_limit_account(&ep->limit, ep->addr);
+	struct customer c = endpoint_limit_account(&ep->words.limit, ep->addr);
 
 	if (f->permits > 0)
 		quota_lease.give_back(f->g->limits, &c, f->permits,
@@ -197,7 +199,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct gate_ep *ep = p;
 
-		if (ep->seat > 0 && now - ep->seat_ms > SEAT_MS)
+		if (ep->words.seat > 0 && now - ep->words.seat_ms > SEAT_MS)
 			leave_seat(g, ep);
 	}
 }
@@ -209,11 +211,12 @@
 
 static bool limit_is_due(const struct gate_ep *ep, int64_t now)
 {
-	bool repeat = ep->limit.per_s >= 0 &&
-		      ep->limit_heard_ms > ep->limit_told_ms &&
-		      now - ep->limit_told_ms >= REPEAT_MS;
+	bool repeat = ep->words.limit.per_s >= 0 &&
+		      ep->words.limit_heard_ms > ep->words.limit_told_ms &&
+		      now - ep->words.limit_told_ms >= REPEAT_MS;
 
-	return repeat || (ep->limit_owed && is_due(ep->limit_told_ms, now));
+	return repeat ||
+	       (ep->words.limit_owed && is_due(ep->words.limit_told_ms, now));
 }
 
 void gate_words_report(struct gate *g, struct gate_ep *ep, GArray *words)
@@ -222,21 +225,22 @@
 	struct endpoint_word w = { .addr = ss_str(ep->addr),
 				   .id = ss_str(ep->self.id),
 				   .started_ms = ep->self.started_ms,
-				   .rest_ms = MAX(ep->rest_until_ms - now, 0) };
+				   .rest_ms = MAX(ep->words.rest_until_ms - now,
+						  0) };
 	bool limit = limit_is_due(ep, now);
 
 	/* Until the leader counts it as leaving, too. */
-	w.leaving = ep->leaving_ms && ep->known && !ep->leaving &&
-		    is_due(ep->leaving_told_ms, now);
-	if (!limit && !w.leaving && (!w.rest_ms || ep->rest_told))
+	w.leaving = ep->words.leaving_ms && ep->known && !ep->leaving &&
+		    is_due(ep->words.leaving_told_ms, now);
+	if (!limit && !w.leaving && (!w.rest_ms || ep->words.rest_told))
 		return;
 	if (w.leaving)
-		ep->leaving_told_ms = now;
-	ep->rest_told = true;
+		ep->words.leaving_told_ms = now;
+	ep->words.rest_told = true;
 	if (limit) {
-		w.limit = endpoint_limit_wire(&ep->limit);
-		w.limit_age = endpoint_limit_age(&ep->limit, now);
-		ep->limit_told_ms = now;
+		w.limit = endpoint_limit_wire(&ep->words.limit);
+		w.limit_age = endpoint_limit_age(&ep->words.limit, now);
+		ep->words.limit_told_ms = now;
 	}
 	g_array_append_val(words, w);
 }
