--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -10,7 +10,7 @@
 
 #define WARM_MS 3000
 
-static int length_ms = 5000, models = 370;
+static int length_ms = 5000, models = 370, limited;
 static double calls = 1.0; /* a second, of each entry */
 
 static const struct {
@@ -27,23 +27,27 @@
 					 .models = models,
 					 .calls_per_s = calls * entries,
 					 .call_ms = 1000,
+					 .limited = limited,
 					 .seed = 9 };
 	struct fleet_world *w = fleet_world_new(&o);
 	struct fleet_world_cost c;
 	double s = length_ms / 1000.0;
 
 	fleet_world_run(w, WARM_MS);
+	if (limited)
+		fleet_world_name_limits(w);
 	fleet_world_cost(w);
 	for (size_t i = 0; i < G_N_ELEMENTS(counted); i++)
 		fleet_world_work(w, counted[i]);
 	fleet_world_run(w, length_ms);
 	c = fleet_world_cost(w);
-	printf("| %d, %d | %.1f | %.1f | %.1f | %.1f |", entries, engines,
-	       (c.reports + c.agents + c.ticks) / s, c.reports / s,
-	       c.agents / s, c.ticks / s);
+	printf("| %d, %d | %.1f | %.1f | %.1f | %.1f | %.2f |", entries,
+	       engines, (c.reports + c.agents + c.ticks + c.limits) / s,
+	       c.reports / s, c.agents / s, c.ticks / s, c.limits / s);
 	for (size_t i = 0; i < G_N_ELEMENTS(counted); i++)
 		printf(" %.0f |", (double)fleet_world_work(w, counted[i]) / s);
-	printf(" %d |\n", fleet_world_steps(w));
+	printf(" %d | %.0f | %.1f |\n", fleet_world_steps(w),
+	       fleet_world_asked(w) / s, fleet_world_admitted(w) / s);
 	fflush(stdout);
 	fleet_world_free(w);
 }
@@ -56,6 +60,8 @@
 		{ "models", 0, POPT_ARG_INT, &models, 0, "models", "N" },
 		{ "calls", 0, POPT_ARG_DOUBLE, &calls, 0,
 		  "calls a second of each entry", "N" },
+		{ "limited", 0, POPT_ARG_INT, &limited, 0,
+		  "engines that name a limit of one request a second", "N" },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 	poptContext ctx = poptGetContext(NULL, argc, argv, options, 0);
@@ -65,10 +71,11 @@
 	if (rc < -1)
 		return 2;
 	printf("| entries, engines | ms of processor time a second | reports |"
-	       " agents | ticks |");
+	       " agents | ticks | limits |");
 	for (size_t i = 0; i < G_N_ELEMENTS(counted); i++)
 		printf(" %s a s |", counted[i]);
-	printf(" steps |\n|---|---|---|---|---|---|---|---|---|---|---|\n");
+	printf(" steps | limits' asks a s | admitted a s |\n"
+	       "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 		play(sizes[i].entries, sizes[i].engines);
 	return 0;
--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -17,6 +17,11 @@
 #define AGENT_MS 1000
 #define LIST_MS 900
 #define LOAD_MS 400
+/* An entry's turn for permits, and the pause between two requests of one for an
+ * engine that names a limit. */
+#define TURN_MS 10
+#define LIMIT_GAP_MS 200
+#define LIMIT_PER_S 1.0
 /* A message's way, each. */
 #define WAY_MS 2
 #define ENGINE_HOLDS 3
@@ -42,8 +47,10 @@
 	int wholes;
 	uint64_t unread_round;
 	bool unread_whole;
-	char *word;  /* the last endpoint that it was told of so */
-	int permits; /* that the leader has granted, in thousandths */
+	char *word;   /* the last endpoint that it was told of so */
+	int permits;  /* that the leader has granted, in thousandths */
+	void *purses; /* of permits, as a real entry's; NULL: it wants none */
+	bool *seats;  /* of each limited engine: a request waits for a permit */
 	int64_t report_ms, told_ms;
 };
 
@@ -85,6 +92,7 @@
 	struct fleet_world_cost cost;
 	GHashTable *work_told;
 	int steps;
+	int asked, admitted; /* permits */
 	GHashTable *
 		remote; /* set of addresses: engines that a member is to read */
 	/* The frame that was read last. */
@@ -159,6 +167,8 @@
 
 	for (size_t i = 0; i < m->words.n; i++)
 		c->permits += (int)x[i].grant;
+	for (size_t i = 0; c->purses && i < m->words.n; i++)
+		quota_lease.word(c->purses, &x[i], c->w->d.clock.fake_ms);
 }
 
 bool conn_send(struct conn *c, enum msg_kind kind, const void *msg)
@@ -400,6 +410,9 @@
 	g_array_unref(c->calls);
 	g_array_unref(c->counts);
 	g_free(c->word);
+	g_free(c->seats);
+	if (c->purses)
+		quota_lease.entry_free(c->purses);
 	g_free(c);
 }
 
@@ -892,12 +905,71 @@
 			pick_model(w));
 }
 
+/* A request there; one that waits tries again at each turn. */
+static void want_permit(struct conn *c, int engine)
+{
+	struct endpoint_limit l = { LIMIT_PER_S, 1 };
+	struct customer who =
+		endpoint_limit_account(&l, c->w->engines[engine].addr);
+	struct quota_need need = { 1, c->seats[engine], 2000 };
+	int64_t back;
+	enum quota_answer a = quota_lease.take(c->purses, &who, &need,
+					       c->w->d.clock.fake_ms, &back);
+
+	c->seats[engine] = a == QUOTA_WAIT;
+	c->w->admitted += a == QUOTA_YES;
+}
+
+static void run_limits(struct fleet_world *w, struct conn *c)
+{
+	GArray *asks = g_array_new(FALSE, FALSE, sizeof(struct quota_ask));
+	struct msg_quota_ask m;
+
+	for (int k = 0; k < w->o.limited; k++)
+		if (c->seats[k] ||
+		    (w->d.clock.fake_ms + c->entry) % LIMIT_GAP_MS < TURN_MS)
+			want_permit(c, k);
+	quota_lease.asks(c->purses, w->d.clock.fake_ms, asks);
+	m.asks = (struct wire_list){ asks->data, asks->len };
+	w->asked += asks->len;
+	if (asks->len)
+		deliver(c, MSG_LIMIT_ASK, &m, &w->cost.limits);
+	g_array_unref(asks);
+}
+
+void fleet_world_name_limits(struct fleet_world *w)
+{
+	for (int k = 0; k < w->o.limited; k++)
+		fleet_world_limit(w, 0, k, LIMIT_PER_S);
+	for (int i = 0; i < w->o.entries; i++) {
+		struct conn *c = w->entries->pdata[i];
+
+		c->purses = quota_lease.entry_new(&endpoint_limit_quota,
+						  w->d.clock.fake_ms);
+		c->seats = g_new0(bool, w->o.limited);
+		quota_lease.entry_link(c->purses, NULL, true,
+				       w->d.clock.fake_ms);
+	}
+}
+
+int fleet_world_admitted(const struct fleet_world *w)
+{
+	return w->admitted;
+}
+
+int fleet_world_asked(const struct fleet_world *w)
+{
+	return w->asked;
+}
+
 static void run_entries(struct fleet_world *w)
 {
 	for (int i = 0; i < w->o.entries; i++) {
 		struct conn *c = w->entries->pdata[i];
 
 		end_calls(w, c);
+		if (c->purses && w->d.clock.fake_ms % TURN_MS == 0)
+			run_limits(w, c);
 		if (!c->stopped &&
 		    (c->soon || w->d.clock.fake_ms >= c->report_ms))
 			report(w, c);
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -14,12 +14,13 @@
 	double calls_per_s; /* of all entries */
 	int64_t call_ms;
 	int agents_missing; /* the last engines have none beside them */
+	int limited; /* the first engines may name limits, one a second each */
 	uint64_t seed;
 };
 
 /* Processor time of the leader, in ms, by what it was called for. */
 struct fleet_world_cost {
-	double reports, agents, ticks;
+	double reports, agents, ticks, limits;
 };
 
 struct fleet_world;
@@ -56,6 +57,11 @@
 /* An engine has asked an entry for rest; a control VM is to read it. */
 void fleet_world_rest(struct fleet_world *w, int entry, int engine, int64_t ms);
 bool fleet_world_is_remote(const struct fleet_world *w, int engine);
+/* They do so from now on, and all entries want to send there all the time:
+ * requests that were admitted, and asks of the leader for them, since. */
+void fleet_world_name_limits(struct fleet_world *w);
+int fleet_world_admitted(const struct fleet_world *w);
+int fleet_world_asked(const struct fleet_world *w);
 /* Another start of it, with an id of its own and nothing else that tells. */
 void fleet_world_restart_engine(struct fleet_world *w, int engine);
 /* Steps that an engine was sent. */
