--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -676,6 +676,14 @@
 	  "HTTP/1.1 429 No\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\n"
 	  "Content-Length: 0\r\n\r\n",
 	  true, false, false, false, 0, -1, false, 1000 },
+	{ "a rest with a fraction, not cut short",
+	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nRetry-After: 0.0305\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  true, false, false, false, 0, -1, false, 31 },
+	{ "a rest of two days",
+	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nRetry-After: 172800\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  true, false, false, false, 0, -1, false, 24 * 3600 * 1000 },
 	{ "a rest that is a date",
 	  "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n"
 	  "Retry-After: Wed, 21 Oct 2026 07:28:00 GMT\r\n"
