--- a/src/core/endpoint_limit.c
+++ b/src/core/endpoint_limit.c
@@ -1,6 +1,8 @@
 /* An endpoint's own limit. */
 #include "endpoint_limit.h"
 
+#include <math.h>
+
 /* In any such window, in s, an endpoint gets no more than one and a half times
  * what its limit allows, and five requests. */
 #define WINDOW_S 4
@@ -24,9 +26,20 @@
 	{ WINDOW_S, RATIO, EXTRA - (1 + RATIO) * BURST }
 };
 
+static int64_t wire_of(double per_s)
+{
+	return per_s < 0 ? 0 : (int64_t)lround(per_s * QUOTA_MILLI) + 1;
+}
+
+int64_t endpoint_limit_wire(const struct endpoint_limit *l)
+{
+	return wire_of(l->per_s);
+}
+
+/* Rates that travel alike are alike. */
 bool endpoint_limit_say(struct endpoint_limit *l, double per_s, int64_t at_ms)
 {
-	bool news = per_s != l->per_s;
+	bool news = wire_of(per_s) != wire_of(l->per_s);
 
 	if (at_ms < l->said_ms)
 		return false;
@@ -35,11 +48,6 @@
 	return news;
 }
 
-int64_t endpoint_limit_wire(const struct endpoint_limit *l)
-{
-	return l->per_s < 0 ? 0 : (int64_t)(l->per_s * QUOTA_MILLI) + 1;
-}
-
 int64_t endpoint_limit_age(const struct endpoint_limit *l, int64_t now)
 {
 	return l->said_ms ? MAX(now - l->said_ms, 0) + 1 : 0;
--- a/src/daemon/fleet_lead.c
+++ b/src/daemon/fleet_lead.c
@@ -247,6 +247,17 @@
 			json_object_new_boolean(fleet_ep_usable(l, ep)));
 		json_object_object_add(
 			e, "agent", json_object_new_boolean(ep->conn != NULL));
+		json_object_object_add(
+			e, "rests",
+			json_object_new_boolean(fleet_lead_now(l) <
+						ep->rest_until_ms));
+		json_object_object_add(
+			e, "says_leaving",
+			json_object_new_boolean(ep->says_leaving));
+		if (ep->limit.per_s >= 0)
+			json_object_object_add(
+				e, "limit_per_s",
+				json_object_new_double(ep->limit.per_s));
 		json_object_object_add(
 			e, "loads",
 			json_object_new_string(ep->step.load ? ep->step.load :
--- a/test/test_endpoint_limit.c
+++ b/test/test_endpoint_limit.c
@@ -241,6 +241,25 @@
 	}
 }
 
+/* Symptom: a rate is a little less each time that it is told on, so that
+ * entries and leader correct each other for ever. */
+static void rate_stays_the_same_when_told_on(void **state)
+{
+	static const double rates[] = { 2.3, 0.29, 1.23456, 17.0001, 0.0004 };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rates); i++) {
+		struct endpoint_limit heard = { rates[i], 100 };
+		struct endpoint_limit told = { .per_s = ENDPOINT_LIMIT_NONE };
+		int64_t wire = endpoint_limit_wire(&heard);
+
+		endpoint_limit_told(&told, wire, 1, 200);
+		assert_int_equal(endpoint_limit_wire(&told), wire);
+		assert_false(endpoint_limit_told(&heard, wire, 1, 300));
+		assert_false(endpoint_limit_say(&heard, rates[i], 400));
+	}
+}
+
 /* Symptom: an endpoint that nobody calls can't say that its need is over, and
  * stays without work for good. */
 static void old_word_keeps_no_model_away(void **state)
@@ -288,6 +307,7 @@
 		cmocka_unit_test(limit_holds_at_any_number_of_entries),
 		cmocka_unit_test(newest_word_holds),
 		cmocka_unit_test(words_travel_with_their_age),
+		cmocka_unit_test(rate_stays_the_same_when_told_on),
 		cmocka_unit_test(old_word_keeps_no_model_away),
 		cmocka_unit_test(reads_take_a_part_of_the_limit),
 	};
