--- a/test/fleet/standin.py
+++ b/test/fleet/standin.py
@@ -159,6 +159,9 @@
             self.world.arrived(self.service, rid)
         self.got.append((time.monotonic(), rid, self.instance))
 
+    def calls(self):
+        return sum(rid is not None for _, rid, _ in self.got)
+
     def starts_of_runs(self):
         return sum(run.server == self.name for runs in self.world.runs.values()
                    for run in runs)
--- a/test/fleet/words.py
+++ b/test/fleet/words.py
@@ -7,21 +7,37 @@
 from soak_words import (CONTACT_S, DRAIN_S, WINDOW_S, over_leaving,
                         over_limit, over_rest)
 
+CALLED = 50          # requests that an endpoint gets before it says anything
 
-async def limit_holds_over_all_entries(fleet):
-    """Symptom: an endpoint in need says how many requests it takes, and gets
-    as many as before. Sequence: an engine and a plain endpoint name a limit
-    while callers come to all entries; then they name none. Cause: the word is in the answers, and nobody reads it.
-    """
+
+async def call_all(fleet, called):
+    """Callers at all entries, once so many endpoints have been called."""
     await first_change(fleet.operators)
     callers = Callers(fleet, longest=20)
-    loops = [asyncio.ensure_future(callers.loop(i)) for i in range(10)]
+    callers.loops = [asyncio.ensure_future(callers.loop(i)) for i in range(10)]
 
     async def served():
-        return all(len(s.got) > 5 for s in needy)
+        return all(s.calls() > CALLED for s in called)
 
-    needy = [fleet.engines[0], fleet.webs[0]]
     await until(served, FILL_S + RECOVERY_S, "they aren't called")
+    return callers
+
+
+async def end_all(fleet, callers):
+    callers.on = False
+    await asyncio.gather(*callers.loops)
+    callers.check()
+    fleet.check_processes()
+
+
+async def limit_holds_over_all_entries(fleet):
+    """Symptom: an endpoint in need says how many requests it takes, and gets
+    as many as before. Sequence: an engine and a plain endpoint name a limit
+    while callers come to all entries; then they name none. Cause: the word is
+    in the answers, and nobody reads it.
+    """
+    needy = [fleet.engines[0], fleet.webs[0]]
+    callers = await call_all(fleet, needy)
     for s in needy:
         s.name_limit(1)
 
@@ -30,18 +46,15 @@
 
     await until(known, RECOVERY_S, "the leader isn't told")
     await asyncio.sleep(CONTACT_S + 2 * WINDOW_S)
-    before = [len(s.got) for s in needy]
+    before = [s.calls() for s in needy]
     for s in needy:
         s.drop_limit()
 
     async def used_again():
-        return all(len(s.got) > n + 20 for s, n in zip(needy, before))
+        return all(s.calls() > n + 20 for s, n in zip(needy, before))
 
     await until(used_again, FILL_S + RECOVERY_S, "they aren't used again")
-    callers.on = False
-    await asyncio.gather(*loops)
-    callers.check()
-    fleet.check_processes()
+    await end_all(fleet, callers)
     assert not over_limit(fleet), over_limit(fleet)[0]
 
 
@@ -52,15 +65,8 @@
     Cause: a refusal passes for a full endpoint, which is the emptiest by the
     next report.
     """
-    await first_change(fleet.operators)
-    callers = Callers(fleet, longest=20)
-    loops = [asyncio.ensure_future(callers.loop(i)) for i in range(10)]
     tired = [fleet.engines[0], fleet.webs[0]]
-
-    async def served():
-        return all(len(s.got) > 50 for s in tired)
-
-    await until(served, FILL_S + RECOVERY_S, "they aren't called")
+    callers = await call_all(fleet, tired)
     for s in tired:
         s.rest_s = 3
     await asyncio.sleep(8)
@@ -72,10 +78,7 @@
         return all(s.starts_of_runs() > runs[s.name] + 5 for s in tired)
 
     await until(used_again, FILL_S + RECOVERY_S, "they aren't used again")
-    callers.on = False
-    await asyncio.gather(*loops)
-    callers.check()
-    fleet.check_processes()
+    await end_all(fleet, callers)
     assert all(s.asked for s in tired), "nobody was turned away"
     assert not over_rest(fleet), over_rest(fleet)[0]
 
@@ -86,15 +89,8 @@
     telling the same, an engine and a plain endpoint leave. Cause: only the
     list and the engine's report were believed.
     """
-    await first_change(fleet.operators)
-    callers = Callers(fleet, longest=20)
-    loops = [asyncio.ensure_future(callers.loop(i)) for i in range(10)]
     going = [fleet.engines[0], fleet.webs[0]]
-
-    async def served():
-        return all(len(s.got) > 50 for s in going)
-
-    await until(served, FILL_S + RECOVERY_S, "they aren't called")
+    callers = await call_all(fleet, going)
     fleet.listing.old = fleet.listing.body()
     for s in going:
         s.leave()
@@ -111,10 +107,7 @@
     await until(known, RECOVERY_S, "the leader isn't told")
     await asyncio.sleep(2 * DRAIN_S)
     fleet.listing.old = None
-    callers.on = False
-    await asyncio.gather(*loops)
-    callers.check()
-    fleet.check_processes()
+    await end_all(fleet, callers)
     assert not over_leaving(fleet), over_leaving(fleet)[0]
 
 
--- a/test/test_gate_rest.c
+++ b/test/test_gate_rest.c
@@ -109,6 +109,18 @@
 	UNTIL(f, (load_adapter(f), f->eps[0].requests > 0));
 }
 
+/* Requests one after the other, from a time of the case to another. */
+static void call_from_to(struct fix *f, const struct rest_case *x, int64_t from,
+			 int64_t to, int64_t gap_ms)
+{
+	for (int64_t at = from; at < to; at += 10) {
+		tell_again(f, x, at);
+		if (at % gap_ms == 0)
+			call(f, x->request);
+		pass(f);
+	}
+}
+
 /* Symptom: an endpoint that has turned a request away and asked for seconds
  * of rest gets the same one again at once, and new ones all the while. */
 static void asked_rest_is_kept(void **state)
@@ -116,29 +128,20 @@
 	(void)state;
 	for (size_t k = 0; k < G_N_ELEMENTS(rests); k++) {
 		const struct rest_case *x = &rests[k];
-		int before = 0, after;
+		int before, after;
 		struct fix f;
 
 		rest_open(&f, x);
-		for (int64_t at = 0; at < REST_MS - 20; at += 10) {
-			if (at == HEARD_MS)
-				before = f.eps[0].requests;
-			tell_again(&f, x, at);
-			if (at % 50 == 0)
-				call(&f, x->request);
-			pass(&f);
-		}
+		call_from_to(&f, x, 0, HEARD_MS, 50);
+		before = f.eps[0].requests;
+		call_from_to(&f, x, HEARD_MS, REST_MS - 20, 50);
 		after = f.eps[0].requests;
 		if (after - before > MOST)
 			fail_msg("%s: %d requests in its rest", x->label,
 				 after - before);
 		/* Then it is called again. */
 		tell_fleet(&f, x->service, x->model);
-		for (int64_t at = 0; at < 2000; at += 10) {
-			if (at % 50 == 0)
-				call(&f, x->request);
-			pass(&f);
-		}
+		call_from_to(&f, x, REST_MS, REST_MS + 2000, 50);
 		if (x->alone && f.eps[0].requests == after)
 			fail_msg("%s: never called again", x->label);
 		fix_close(&f);
@@ -191,29 +194,20 @@
 	(void)state;
 	for (size_t k = 0; k < G_N_ELEMENTS(leaves); k++) {
 		const struct rest_case *x = &leaves[k];
-		int before = 0;
 		struct fix f;
+		int before;
 
 		rest_open(&f, x);
-		for (int64_t at = 0; at < LEAVES_MS; at += 10) {
-			if (at == DRAIN_MS)
-				before = f.eps[0].requests;
-			tell_again(&f, x, at);
-			if (at % 100 == 0)
-				call(&f, x->request);
-			pass(&f);
-		}
+		call_from_to(&f, x, 0, DRAIN_MS, 100);
+		before = f.eps[0].requests;
+		call_from_to(&f, x, DRAIN_MS, LEAVES_MS, 100);
 		if (f.eps[0].requests > before)
 			fail_msg("%s: %d requests later than %d ms", x->label,
 				 f.eps[0].requests - before, DRAIN_MS);
 		/* Another start of it is no longer leaving. */
 		g_strlcpy(f.eps[0].id, "i-next", sizeof(f.eps[0].id));
 		tell_fleet(&f, x->service, x->model);
-		for (int64_t at = 0; at < 1000; at += 10) {
-			if (at % 100 == 0)
-				call(&f, x->request);
-			pass(&f);
-		}
+		call_from_to(&f, x, LEAVES_MS, LEAVES_MS + 1000, 100);
 		if (x->alone && f.eps[0].requests == before)
 			fail_msg("%s: never called again", x->label);
 		fix_close(&f);
