--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -306,6 +306,7 @@
 	*g->n_limited += ep->words.limit.per_s >= 0;
 	*g->n_sent_resting += now < ep->words.rest_until_ms;
 	*g->n_sent_leaving += ep->words.leaving_ms != 0;
+	gate_words_sent(ep, now);
 	f->permits = 0;
 	f->mark = (struct pace_mark){ 0 };
 	if (g->end_ms)
--- a/src/proxy/gate_choose.c
+++ b/src/proxy/gate_choose.c
@@ -135,7 +135,7 @@
 		if (!n.usable)
 			continue;
 		if (!gate_words_admit(g, ep)) {
-			opens_at(f, ep->words.rest_until_ms);
+			opens_at(f, MAX(ep->words.rest_until_ms, gate_now(g)));
 			c->resting = true;
 			continue;
 		}
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -30,6 +30,7 @@
 	int64_t leaving_told_ms; /* when the leader was told; 0: not yet */
 	int64_t rest_until_ms;	 /* it wants nothing before; 0: it didn't ask */
 	bool rest_told;		 /* to the leader */
+	int64_t trial_ms; /* when one was sent after a rest; 0: none was */
 	struct endpoint_limit limit;
 	bool limit_owed;	/* the leader says something else, or nothing */
 	int64_t limit_told_ms;	/* when it was told; 0: not yet */
@@ -235,6 +236,8 @@
 void gate_words_reset(struct gate *g, struct gate_ep *ep);
 /* They hold though it is no longer listed. */
 bool gate_words_hold(const struct gate *g, const struct gate_ep *ep);
+/* A request is sent there. */
+void gate_words_sent(struct gate_ep *ep, int64_t now);
 /* Whether it takes requests of this entry at all now, ... */
 bool gate_words_admit(const struct gate *g, const struct gate_ep *ep);
 /* ... and this one; the permits for it are taken. */
--- a/src/proxy/gate_words.c
+++ b/src/proxy/gate_words.c
@@ -16,6 +16,9 @@
 /* An endpoint that is no longer listed is remembered with its word for so
  * long, in ms: a leader may just have begun with a list in parts. */
 #define UNLISTED_MS 60000
+/* The first after a rest is waited for so long, in ms: longer than an engine
+ * that isn't at its end takes to begin. */
+#define TRIAL_MS 1000
 /* Whoever asked for a permit and isn't heard of for so long, in ms, has found
  * another endpoint, or left. */
 #define SEAT_MS 300
@@ -64,8 +67,12 @@
 {
 	int64_t now = gate_now(g);
 
-	if (!a->rest_ms)
+	ep->words.trial_ms = 0;
+	if (!a->rest_ms) {
+		if (now >= ep->words.rest_until_ms)
+			ep->words.rest_until_ms = 0;
 		return;
+	}
 	(*g->n_rests)++;
 	log_info("endpoint_asks_rest",
 		 "addr=%s id=%s ms=%" PRId64 " left_before=%" PRId64, ep->addr,
@@ -110,7 +117,19 @@
 
 bool gate_words_admit(const struct gate *g, const struct gate_ep *ep)
 {
-	return !ep->words.leaving_ms && gate_now(g) >= ep->words.rest_until_ms;
+	const struct gate_words *w = &ep->words;
+	int64_t now = gate_now(g);
+
+	return !w->leaving_ms && now >= w->rest_until_ms &&
+	       (!w->trial_ms || now - w->trial_ms >= TRIAL_MS);
+}
+
+/* After a rest one goes first: those that waited for its end would be turned
+ * away together, at a repeat each. */
+void gate_words_sent(struct gate_ep *ep, int64_t now)
+{
+	if (ep->words.rest_until_ms && now >= ep->words.rest_until_ms)
+		ep->words.trial_ms = now;
 }
 
 static void leave_seat(struct gate *g, struct gate_ep *ep)
--- a/test/test_gate_rest.c
+++ b/test/test_gate_rest.c
@@ -148,6 +148,55 @@
 	}
 }
 
+#define WAITERS 5
+#define SHED_BRIEFLY                                                           \
+	"HTTP/1.1 503 No\r\nX-Request-Id: q1\r\nX-Not-Executed: 1\r\n"         \
+	"Retry-After: 0.5\r\nContent-Length: 0\r\n\r\n"
+
+/* The leader tells of its load five times a second. */
+static void pass_for(struct fix *f, int64_t ms)
+{
+	for (int64_t at = 0; at < ms; at += 10) {
+		if (at % 200 == 0)
+			tell_fleet(f, "lm", "m");
+		pass(f);
+	}
+}
+
+/* Symptom: all that wait for the end of a rest are sent together, and turned
+ * away together: each has used up a repeat of its service's. */
+static void one_goes_first_after_a_rest(void **state)
+{
+	static const struct rest_case x = {
+		"", CALL("/chat/x"), SHED_BRIEFLY, "lm", "m", true, NOTHING
+	};
+	struct fix f;
+
+	(void)state;
+	rest_open(&f, &x);
+	for (int i = 1; i < WAITERS; i++)
+		call(&f, x.request);
+	pass_for(&f, 450);
+	assert_int_equal(f.eps[0].requests, 1);
+	/* It is turned away once more, and then served. */
+	f.eps[0].n_replies = 2;
+	pass_for(&f, 400);
+	assert_int_equal(f.eps[0].requests, 2);
+	f.eps[0].n_replies = 0;
+	script(&f, 0, SHED_BRIEFLY, false, false);
+	script(&f, 0, SHED_BRIEFLY, false, false);
+	script(&f, 0, NULL, false, false);
+	pass_for(&f, 400);
+	/* Nothing is known before it answers; but it isn't waited for long. */
+	assert_int_equal(f.eps[0].requests, 3);
+	pass_for(&f, 500);
+	assert_int_equal(f.eps[0].requests, 3);
+	say(&f, 0, OK_TEXT);
+	pass_for(&f, 100);
+	assert_int_equal(f.eps[0].requests, WAITERS + 2);
+	fix_close(&f);
+}
+
 /* Symptom: a caller whose request can't be served before its time is up waits
  * for that, or comes back in the midst of the rest. */
 static void refusal_tells_when_the_rest_ends(void **state)
@@ -247,6 +296,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(asked_rest_is_kept),
+		cmocka_unit_test(one_goes_first_after_a_rest),
 		cmocka_unit_test(refusal_tells_when_the_rest_ends),
 		cmocka_unit_test(word_of_leaving_is_heeded),
 		cmocka_unit_test(word_of_leaving_is_told_on),
