--- a/test/fleet/words.py
+++ b/test/fleet/words.py
@@ -2,7 +2,7 @@
 import asyncio
 
 from look import logged
-from soak import FILL_S, RECOVERY_S, first_change, until
+from soak import FILL_S, RECOVERY_S, first_change, until, watch_lag
 from soak_callers import Callers
 from soak_words import (CONTACT_S, DRAIN_S, WINDOW_S, over_leaving,
                         over_limit, over_rest)
@@ -14,6 +14,9 @@
     """Callers at all entries, once so many endpoints have been called."""
     await first_change(fleet.operators)
     callers = Callers(fleet, longest=20)
+    # What lies in a connection while this process gets no processor is read
+    # late, and looks as if it had been sent late.
+    callers.lag = asyncio.ensure_future(watch_lag(fleet.world))
     callers.loops = [asyncio.ensure_future(callers.loop(i)) for i in range(10)]
 
     async def served():
@@ -26,6 +29,7 @@
 async def end_all(fleet, callers):
     callers.on = False
     await asyncio.gather(*callers.loops)
+    callers.lag.cancel()
     callers.check()
     fleet.check_processes()
 
