--- a/src/proxy/gate_words.c
+++ b/src/proxy/gate_words.c
@@ -1,7 +1,8 @@
 /*
  * What endpoints say of themselves in answers: a limit, for which a request
- * needs a permit, and rests. An endpoint that isn't heeded fails those who are
- * served there, and turns away whoever is sent all the same.
+ * needs a permit, a rest, or that they leave. An endpoint that isn't heeded
+ * fails those who are served there, and turns away whoever is sent all the
+ * same.
  */
 #include "gate_int.h"
 
