--- a/test/fleet/soak_checks.py
+++ b/test/fleet/soak_checks.py
@@ -7,6 +7,7 @@
 from soak_callers import STREAMS
 from soak_faults import LEAVING_S
 from soak_fleet import GRACE_MS, RETRY_RATIO, RETRY_SLACK
+from soak_journal import most_in_window
 from soak_poison import CONTACT_S, ENDS, LATER
 from soak_words import over_leaving, over_limit, over_rest
 
@@ -27,16 +28,6 @@
 LOADS_FREE = 3
 
 
-def most_in_window(times, window_s):
-    """(count, start) of the window that has most of the sorted times."""
-    best, first = (0, 0.0), 0
-    for i, t in enumerate(times):
-        while times[first] < t - window_s:
-            first += 1
-        best = max(best, (i - first + 1, times[first]))
-    return best
-
-
 class Checks:
     """All checks; each method is one."""
 
--- a/test/fleet/soak_customer_checks.py
+++ b/test/fleet/soak_customer_checks.py
@@ -1,7 +1,7 @@
 """Checks of customers' keys and limits, by what callers and endpoints saw."""
-from soak_checks import most_in_window
 from soak_customers import BURST, CUSTOMERS, PER_S, cost, customer_of
 from soak_fleet import QUOTA_SLACK
+from soak_journal import most_in_window
 
 
 class CustomerChecks:
--- a/test/fleet/soak_journal.py
+++ b/test/fleet/soak_journal.py
@@ -53,3 +53,13 @@
     def at(self, t):
         """A time as the schedule and messages write it."""
         return "%.2f" % (t - self.zero)
+
+
+def most_in_window(times, window_s):
+    """(count, start) of the window that has most of the sorted times."""
+    best, first = (0, 0.0), 0
+    for i, t in enumerate(times):
+        while times[first] < t - window_s:
+            first += 1
+        best = max(best, (i - first + 1, times[first]))
+    return best
--- a/test/fleet/soak_words.py
+++ b/test/fleet/soak_words.py
@@ -3,6 +3,7 @@
 import random
 import time
 
+from soak_journal import most_in_window
 from standin import AGENT
 
 # Of the promise: from so long after a limit was first named, an endpoint gets
@@ -37,15 +38,6 @@
         server.drop_limit()
 
 
-def worst_window(times):
-    worst, first = 0, 0
-    for i, t in enumerate(times):
-        while times[first] < t - WINDOW_S:
-            first += 1
-        worst = max(worst, i - first + 1)
-    return worst
-
-
 def over_limit(fleet):
     """Endpoints that got more than their limit allows from entries that
     nothing had harmed, as text.
@@ -60,7 +52,7 @@
                      if rid is not None and since + CONTACT_S + world.lag <= t <= end and
                      not world.journal.harmed(world.sent_to.get(rid, ""),
                                               since - AFTER_S, t)]
-            worst = worst_window(times)
+            worst, _ = most_in_window(times, WINDOW_S)
             allowed = RATIO * per_s * WINDOW_S + EXTRA
             if worst > allowed:
                 out.append("%s named %s a second and got %d in %.0f s, %.1f "
