--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -448,18 +448,22 @@
 	return rc;
 }
 
+/* Print what was made of logs, and free it; NULL: they can't be read. */
+static int print_told(char *text)
+{
+	if (!text)
+		return EXIT_REFUSED;
+	fputs(text, stdout);
+	g_free(text);
+	return 0;
+}
+
 static int cmd_losses(struct ctl *c)
 {
 	struct summary *s = summary_new();
-	int rc = EXIT_REFUSED;
-	char *text;
+	bool read = read_logs(c->args, s, add_loss);
+	int rc = print_told(read ? summary_tell(s) : NULL);
 
-	if (read_logs(c->args, s, add_loss)) {
-		rc = 0;
-		text = summary_tell(s);
-		fputs(text, stdout);
-		g_free(text);
-	}
 	summary_free(s);
 	return rc;
 }
@@ -467,15 +471,9 @@
 static int cmd_spread(struct ctl *c)
 {
 	struct spread *s = spread_new();
-	int rc = EXIT_REFUSED;
-	char *text;
+	bool read = read_logs(c->args, s, add_news);
+	int rc = print_told(read ? spread_tell(s) : NULL);
 
-	if (read_logs(c->args, s, add_news)) {
-		rc = 0;
-		text = spread_tell(s);
-		fputs(text, stdout);
-		g_free(text);
-	}
 	spread_free(s);
 	return rc;
 }
