--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -303,10 +303,7 @@
 	f->state = FORWARD_SENT;
 	f->sent_ms = now;
 	f->limit_per_s = ep->words.limit.per_s;
-	*g->n_limited += ep->words.limit.per_s >= 0;
-	*g->n_sent_resting += now < ep->words.rest_until_ms;
-	*g->n_sent_leaving += ep->words.leaving_ms != 0;
-	gate_words_sent(ep, now);
+	gate_words_sent(g, ep, now);
 	f->permits = 0;
 	f->mark = (struct pace_mark){ 0 };
 	if (g->end_ms)
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -237,7 +237,7 @@
 /* They hold though it is no longer listed. */
 bool gate_words_hold(const struct gate *g, const struct gate_ep *ep);
 /* A request is sent there. */
-void gate_words_sent(struct gate_ep *ep, int64_t now);
+void gate_words_sent(struct gate *g, struct gate_ep *ep, int64_t now);
 /* Whether it takes requests of this entry at all now, ... */
 bool gate_words_admit(const struct gate *g, const struct gate_ep *ep);
 /* ... and this one; the permits for it are taken. */
--- a/src/proxy/gate_words.c
+++ b/src/proxy/gate_words.c
@@ -127,8 +127,11 @@
 
 /* After a rest one goes first: those that waited for its end would be turned
  * away together, at a repeat each. */
-void gate_words_sent(struct gate_ep *ep, int64_t now)
+void gate_words_sent(struct gate *g, struct gate_ep *ep, int64_t now)
 {
+	*g->n_limited += ep->words.limit.per_s >= 0;
+	*g->n_sent_resting += now < ep->words.rest_until_ms;
+	*g->n_sent_leaving += ep->words.leaving_ms != 0;
 	if (ep->words.rest_until_ms && now >= ep->words.rest_until_ms)
 		ep->words.trial_ms = now;
 }
@@ -167,21 +170,20 @@
 {
 	struct gate *g = f->g;
 	int64_t now = gate_now(g), back_ms = 0;
-	struct customer c = endpoint_limit_account(&ep->words.limit, ep->addr);
-	struct quota_need need = { .cost = cost_of(f, ep),
-				   .waits = ep->words.seat > 0,
-				   .hold_ms = f->begin_by_ms - now };
+	struct quota_need need = { .hold_ms = f->begin_by_ms - now };
+	struct customer c;
 
 	if (ep->words.limit.per_s < 0)
 		return true;
 	if (now < ep->words.permit_ms)
 		return false;
-	/* Seats are of one size; this one needs another. */
-	if (need.waits && ep->words.seat != need.cost) {
+	need.cost = cost_of(f, ep);
+	/* Seats are of one size; this one may need another. */
+	if (ep->words.seat > 0 && ep->words.seat != need.cost)
 		leave_seat(g, ep);
-		need.waits = false;
-	}
+	need.waits = ep->words.seat > 0;
 	ep->words.seat = 0;
+	c = endpoint_limit_account(&ep->words.limit, ep->addr);
 	switch (quota_lease.take(g->limits, &c, &need, now, &back_ms)) {
 	case QUOTA_YES:
 		f->permits = need.cost;
@@ -242,25 +244,29 @@
 void gate_words_report(struct gate *g, struct gate_ep *ep, GArray *words)
 {
 	int64_t now = gate_now(g);
-	struct endpoint_word w = { .addr = ss_str(ep->addr),
-				   .id = ss_str(ep->self.id),
-				   .started_ms = ep->self.started_ms,
-				   .rest_ms = MAX(ep->words.rest_until_ms - now,
-						  0) };
+	struct gate_words *x = &ep->words;
 	bool limit = limit_is_due(ep, now);
-
+	bool rest = now < x->rest_until_ms && !x->rest_told;
 	/* Until the leader counts it as leaving, too. */
-	w.leaving = ep->words.leaving_ms && ep->known && !ep->leaving &&
-		    is_due(ep->words.leaving_told_ms, now);
-	if (!limit && !w.leaving && (!w.rest_ms || ep->words.rest_told))
+	bool leaving = x->leaving_ms && ep->known && !ep->leaving &&
+		       is_due(x->leaving_told_ms, now);
+	struct endpoint_word w = { 0 };
+
+	if (!limit && !rest && !leaving)
 		return;
-	if (w.leaving)
-		ep->words.leaving_told_ms = now;
-	ep->words.rest_told = true;
+	w.addr = ss_str(ep->addr);
+	w.id = ss_str(ep->self.id);
+	w.started_ms = ep->self.started_ms;
+	w.rest_ms = MAX(x->rest_until_ms - now, 0);
+	x->rest_told = true;
+	if (leaving) {
+		w.leaving = true;
+		x->leaving_told_ms = now;
+	}
 	if (limit) {
-		w.limit = endpoint_limit_wire(&ep->words.limit);
-		w.limit_age = endpoint_limit_age(&ep->words.limit, now);
-		ep->words.limit_told_ms = now;
+		w.limit = endpoint_limit_wire(&x->limit);
+		w.limit_age = endpoint_limit_age(&x->limit, now);
+		x->limit_told_ms = now;
 	}
 	g_array_append_val(words, w);
 }
