Logs tell versions of endpoints and what a request goes on with

The list's version travels with the incarnation to entries; event=request has version=, resumes= and after=, event=send_failed version= and after=, event=endpoint and event=endpoint_restarted version=. No decision reads any of it yet.

--- a/src/core/engine.c
+++ b/src/core/engine.c
@@ -494,7 +494,7 @@
  * that hasn't come here yet waits for the report. */
 static bool is_misplaced(const struct engine *e, const struct engine_step *s)
 {
-	struct fleet_incarnation planned = { NULL, s->started_ms };
+	struct fleet_incarnation planned = { .started_ms = s->started_ms };
 
 	return fleet_incarnation_judge(&e->self, &planned) == FLEET_LATE;
 }
--- a/src/core/fleet_types.c
+++ b/src/core/fleet_types.c
@@ -6,6 +6,11 @@
 	return id && *id;
 }
 
+const char *fleet_version(const struct fleet_incarnation *i)
+{
+	return i->version ? i->version : "";
+}
+
 bool fleet_other_id(const struct fleet_incarnation *known,
 		    const struct fleet_incarnation *told)
 {
@@ -30,6 +35,17 @@
 {
 	bool other = fleet_other_id(known, told);
 
+	bool later = known->started_ms && told->started_ms > known->started_ms;
+	bool late = !other && told->started_ms < known->started_ms &&
+		    told->started_ms;
+
+	/* The version is told by the list alone, and comes after the rest. */
+	if (other || later || (!late && is_told(told->version))) {
+		char *version = g_strdup(told->version);
+
+		g_free(known->version);
+		known->version = version;
+	}
 	if (other || told->started_ms > known->started_ms)
 		known->started_ms = told->started_ms;
 	if (!is_told(told->id) || (is_told(known->id) && !other))
@@ -41,6 +57,7 @@
 void fleet_incarnation_clear(struct fleet_incarnation *i)
 {
 	g_clear_pointer(&i->id, g_free);
+	g_clear_pointer(&i->version, g_free);
 	i->started_ms = 0;
 }
 
@@ -55,6 +72,7 @@
 	struct fleet_instance *i = instance;
 
 	g_free(i->id);
+	g_free(i->version);
 	g_free(i->service);
 	g_free(i->addr);
 	g_free(i->domain);
@@ -78,7 +96,7 @@
 
 struct fleet_incarnation fleet_instance_self(const struct fleet_instance *i)
 {
-	return (struct fleet_incarnation){ i->id, i->started_ms };
+	return (struct fleet_incarnation){ i->id, i->started_ms, i->version };
 }
 
 GHashTable *fleet_instances_by_addr(const GArray *instances)
--- a/src/core/fleet_types.h
+++ b/src/core/fleet_types.h
@@ -11,6 +11,7 @@
 struct fleet_incarnation {
 	char *id;	    /* NULL or empty: not told */
 	int64_t started_ms; /* Unix, by the endpoint's own clock; 0: not told */
+	char *version;	    /* of its software; NULL or empty: not told */
 };
 
 /* What is told of an endpoint, against the incarnation believed there. */
@@ -29,6 +30,8 @@
  */
 enum fleet_told fleet_incarnation_judge(const struct fleet_incarnation *known,
 					const struct fleet_incarnation *told);
+/* Its version; empty where that isn't told. */
+const char *fleet_version(const struct fleet_incarnation *i);
 /* Both ids are told, and they differ. */
 bool fleet_other_id(const struct fleet_incarnation *known,
 		    const struct fleet_incarnation *told);
@@ -47,6 +50,7 @@
 struct fleet_instance {
 	char *id;
 	int64_t started_ms; /* as in struct fleet_incarnation */
+	char *version;	    /* the same */
 	char *service;
 	char *addr;
 	char *domain;
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -275,6 +275,7 @@
 	F(17, WIRE_INT, fleet_endpoint, failing),
 	F(18, WIRE_INT, fleet_endpoint, limit),
 	F(19, WIRE_INT, fleet_endpoint, limit_age),
+	F(20, WIRE_STR, fleet_endpoint, version),
 };
 static const struct wire_type fleet_endpoint_type =
 	T(fleet_endpoint, fleet_endpoint_fields);
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -321,6 +321,7 @@
 	int64_t started_ms; /* as in struct fleet_incarnation */
 	int64_t failing;    /* by what all entries see, as in failing.h */
 	int64_t limit, limit_age; /* as in endpoint_limit.h */
+	struct ss_str version;	  /* as in struct fleet_incarnation */
 };
 
 struct fleet_eta {
--- a/src/daemon/fleet_listed.c
+++ b/src/daemon/fleet_listed.c
@@ -82,11 +82,13 @@
 	bool late, leaving, news;
 	enum fleet_told how;
 	const GPtrArray *models;
+	char *version = g_strdup(ep->self.version);
 
 	if (ep->listed &&
 	    fleet_incarnation_judge(&ep->self, &told) == FLEET_SAME &&
 	    fleet_service_spoiled(l->routing, ep->service, i->service)) {
 		fleet_ep_unreadable(l, ep, now);
+		g_free(version);
 		return;
 	}
 	fleet_ep_readable(l, ep, now);
@@ -97,15 +99,17 @@
 	models = late ? &none : i->models;
 	news = first || how == FLEET_RESTARTED ||
 	       strcmp(ep->service, i->service) || !ep->listed ||
-	       ep->leaving_listed != leaving;
+	       ep->leaving_listed != leaving ||
+	       g_strcmp0(version, ep->self.version);
+	g_free(version);
 	if (news || (!ep->reported && !fleet_same_names(ep->on_list, models)))
 		ep->changed = l->dirty = true;
 	if (news)
 		log_info("endpoint",
 			 "addr=%s id=%s started=%" PRId64
-			 " service=%s leaving=%d models=%u late=%d",
-			 i->addr, i->id, i->started_ms, i->service, leaving,
-			 models->len, late);
+			 " version=%s service=%s leaving=%d models=%u late=%d",
+			 i->addr, i->id, i->started_ms, i->version, i->service,
+			 leaving, models->len, late);
 	ss_str_set(&ep->service, ss_str(i->service));
 	ss_str_set(&ep->domain, ss_str(i->domain ? i->domain : ""));
 	ep->slots = i->slots;
--- a/src/daemon/fleet_reports.c
+++ b/src/daemon/fleet_reports.c
@@ -104,7 +104,7 @@
 /* Calls of a former incarnation have ended with it. */
 static bool is_former(const struct fleet_ep *ep, int64_t started_ms)
 {
-	struct fleet_incarnation told = { NULL, started_ms };
+	struct fleet_incarnation told = { .started_ms = started_ms };
 
 	return fleet_incarnation_judge(&ep->self, &told) == FLEET_LATE;
 }
@@ -185,7 +185,9 @@
 	for (size_t i = 0; i < list->n; i++) {
 		char *addr = ss_str_dup(w[i].addr), *id = ss_str_dup(w[i].id);
 		struct fleet_ep *ep = g_hash_table_lookup(l->eps, addr);
-		struct fleet_incarnation told = { id, w[i].started_ms };
+		struct fleet_incarnation told = {
+			.id = id, .started_ms = w[i].started_ms
+		};
 
 		if (ep &&
 		    fleet_incarnation_judge(&ep->self, &told) == FLEET_SAME)
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -36,6 +36,9 @@
 #define REST_ONCE_MS 2000
 #define REST_SAFE_MS 10000
 
+/* Bytes of a caller's word that stand in a log line. */
+#define RESUMES_LOGGED 64
+
 static const char *const states[] = { "quota",	 "waits", "asks",
 				      "adapter", "sent",  "answers" };
 
@@ -60,6 +63,7 @@
 	g_free(f->adapter);
 	g_free(f->ep_addr);
 	g_free(f->ep_id);
+	g_free(f->version);
 	g_free(f);
 }
 
@@ -110,6 +114,16 @@
 	}
 }
 
+/* The request that brought the first event of the stream that it goes on with.
+ */
+static struct ss_str resumed(const struct forward *f)
+{
+	struct ss_str s = f->call.resumes.n ? f->call.resumes : SS_LIT("-");
+
+	s.n = MIN(s.n, RESUMES_LOGGED);
+	return s;
+}
+
 static void record(struct forward *f, const char *outcome)
 {
 	struct gate *g = f->g;
@@ -134,7 +148,7 @@
 		 " left_ms=%" PRId64 " tokens=%" PRId64
 		 " cost=%.0f quota_ms=%" PRId64 " stop_left_ms=%" PRId64
 		 " limit=%.3f expected_ms=%" PRId64 " routing=%" PRIu64
-		 " why=\"%s\"",
+		 " version=%s resumes=%.*s after=%" PRId64 " why=\"%s\"",
 		 f->id, f->customer ? f->customer->name : "-", f->route->name,
 		 f->service->name, f->model, f->adapter,
 		 f->ep_id ? f->ep_id : "-", f->sends, f->asks, outcome,
@@ -143,7 +157,8 @@
 		 held_for(f), f->deadline_ms - gate_now(g), f->call.tokens_out,
 		 f->cost, f->quota_ms, f->stop_left_ms, f->limit_per_s,
 		 f->expected_ms == SS_NEVER ? -1 : f->expected_ms, f->routing,
-		 f->why ? f->why : "");
+		 f->version ? f->version : "-", SS_FMT(resumed(f)),
+		 f->call.after_event, f->why ? f->why : "");
 }
 
 void forward_end(struct forward *f, bool whole, const char *why)
@@ -251,8 +266,10 @@
 	f->why = why;
 	f->unknown |= !not_run;
 	log_info("send_failed",
-		 "request=%s endpoint=%s not_run=%d why=\"%s\" ms=%" PRId64,
-		 f->id, f->ep_id, not_run, why, gate_now(g) - f->sent_ms);
+		 "request=%s endpoint=%s version=%s after=%" PRId64
+		 " not_run=%d why=\"%s\" ms=%" PRId64,
+		 f->id, f->ep_id, f->version, f->events.last_id, not_run, why,
+		 gate_now(g) - f->sent_ms);
 	if (!not_run && !(repeatable(f) && sends_left(f))) {
 		if (f->started)
 			forward_end(f, false, why);
@@ -313,6 +330,8 @@
 	f->sends++;
 	g_free(f->ep_id);
 	f->ep_id = g_strdup(ep->self.id);
+	g_free(f->version);
+	f->version = g_strdup(fleet_version(&ep->self));
 	g_ptr_array_add(f->tried, fleet_incarnation_dup(&ep->self));
 	ss_breaker_sent(&ep->breaker);
 	f->up = upstream_send(g->upstream, &r);
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -115,9 +115,11 @@
 
 	if (how == FLEET_RESTARTED) {
 		log_info("endpoint_restarted",
-			 "addr=%s id=%s started=%" PRId64 " before=%s/%" PRId64,
-			 ep->addr, told->id, told->started_ms, ep->self.id,
-			 ep->self.started_ms);
+			 "addr=%s id=%s started=%" PRId64
+			 " version=%s before=%s/%" PRId64 "/%s",
+			 ep->addr, told->id, told->started_ms,
+			 fleet_version(told), ep->self.id, ep->self.started_ms,
+			 fleet_version(&ep->self));
 		forget_former(g, ep);
 	}
 	fleet_incarnation_learn(&ep->self, told);
@@ -174,11 +176,12 @@
 static void take_endpoint(struct gate *g, const struct fleet_endpoint *e)
 {
 	struct gate_ep *ep = ep_for(g, e->addr);
-	char *id = ss_str_dup(e->id);
-	struct fleet_incarnation told = { id, e->started_ms };
+	char *id = ss_str_dup(e->id), *version = ss_str_dup(e->version);
+	struct fleet_incarnation told = { id, e->started_ms, version };
 	enum fleet_told how = learn(g, ep, &told);
 
 	g_free(id);
+	g_free(version);
 	ss_str_set(&ep->service, e->service);
 	ss_str_set(&ep->domain, e->domain);
 	ss_str_set(&ep->agent, e->agent);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -107,6 +107,7 @@
 	unsigned int sends, asks;
 	int held_for; /* enum balance_none when last tried; 0: nothing */
 	char *ep_addr, *ep_id;
+	char *version;	  /* of the endpoint it was sent to last; NULL: none */
 	uint64_t ep_life; /* of ep_addr, when it took its place there */
 	int64_t lost_ms;  /* when its endpoint is known to be gone; 0: it isn't
 			   */
--- a/src/proxy/platform_ops.h
+++ b/src/proxy/platform_ops.h
@@ -19,8 +19,11 @@
 	int64_t deadline_ms;   /* that the caller will wait; 0: not told */
 	int64_t tokens_in, tokens_out; /* 0: not told */
 	int64_t after_event; /* resume behind this event; -1: from the start */
-	struct ss_str key;   /* its customer's; empty: none, or none readable */
-	bool keys_clash;     /* it carries more than one */
+	/* Id of the request whose answer brought the stream's first event,
+	 * where another one is taken up; empty: not told. */
+	struct ss_str resumes;
+	struct ss_str key; /* its customer's; empty: none, or none readable */
+	bool keys_clash;   /* it carries more than one */
 };
 
 /* What the system sets on a request that it forwards. */
--- a/test/test_engine.c
+++ b/test/test_engine.c
@@ -111,7 +111,8 @@
 	char **models = g_strsplit(held, ",", -1);
 
 	fleet_report_clear(r);
-	r->self = (struct fleet_incarnation){ g_strdup(f->id), f->started_ms };
+	r->self = (struct fleet_incarnation){ .id = g_strdup(f->id),
+					      .started_ms = f->started_ms };
 	r->orders = orders;
 	r->held = g_array_new(FALSE, TRUE, sizeof(struct fleet_held));
 	for (int i = 0; models[i] && *models[i]; i++) {
--- a/test/test_fleet_report.c
+++ b/test/test_fleet_report.c
@@ -124,35 +124,71 @@
  * life are still on their way. Cause: the id taken for the incarnation.
  */
 static const struct judge_case judge_cases[] = {
-	{ "alike", { "a", 5 }, { "a", 5 }, FLEET_SAME, { "a", 5 } },
-	{ "restarted", { "a", 5 }, { "a", 6 }, FLEET_RESTARTED, { "a", 6 } },
-	{ "late", { "a", 6 }, { "a", 5 }, FLEET_LATE, { "a", 6 } },
-	{ "another id", { "a", 5 }, { "b", 6 }, FLEET_RESTARTED, { "b", 6 } },
+	{ "alike",
+	  { "a", 5, NULL },
+	  { "a", 5, NULL },
+	  FLEET_SAME,
+	  { "a", 5, NULL } },
+	{ "restarted",
+	  { "a", 5, NULL },
+	  { "a", 6, NULL },
+	  FLEET_RESTARTED,
+	  { "a", 6, NULL } },
+	{ "late",
+	  { "a", 6, NULL },
+	  { "a", 5, NULL },
+	  FLEET_LATE,
+	  { "a", 6, NULL } },
+	{ "another id",
+	  { "a", 5, NULL },
+	  { "b", 6, NULL },
+	  FLEET_RESTARTED,
+	  { "b", 6, NULL } },
 	{ "of a VM whose clock is behind",
-	  { "a", 6 },
-	  { "b", 5 },
+	  { "a", 6, NULL },
+	  { "b", 5, NULL },
 	  FLEET_RESTARTED,
-	  { "b", 5 } },
+	  { "b", 5, NULL } },
 	{ "another id without a start",
-	  { "a", 5 },
-	  { "b", 0 },
+	  { "a", 5, NULL },
+	  { "b", 0, NULL },
+	  FLEET_RESTARTED,
+	  { "b", 0, NULL } },
+	{ "no start told",
+	  { "a", 5, NULL },
+	  { "a", 0, NULL },
+	  FLEET_SAME,
+	  { "a", 5, NULL } },
+	{ "no start known",
+	  { "a", 0, NULL },
+	  { "a", 5, NULL },
+	  FLEET_SAME,
+	  { "a", 5, NULL } },
+	{ "no id told",
+	  { "a", 5, NULL },
+	  { NULL, 6, NULL },
 	  FLEET_RESTARTED,
-	  { "b", 0 } },
-	{ "no start told", { "a", 5 }, { "a", 0 }, FLEET_SAME, { "a", 5 } },
-	{ "no start known", { "a", 0 }, { "a", 5 }, FLEET_SAME, { "a", 5 } },
-	{ "no id told", { "a", 5 }, { NULL, 6 }, FLEET_RESTARTED, { "a", 6 } },
+	  { "a", 6, NULL } },
 	{ "late without an id",
-	  { "a", 6 },
-	  { NULL, 5 },
+	  { "a", 6, NULL },
+	  { NULL, 5, NULL },
 	  FLEET_LATE,
-	  { "a", 6 } },
+	  { "a", 6, NULL } },
 	{ "late, and its id is all we have",
-	  { "", 6 },
-	  { "a", 5 },
+	  { "", 6, NULL },
+	  { "a", 5, NULL },
 	  FLEET_LATE,
-	  { "a", 6 } },
-	{ "nothing known", { NULL, 0 }, { "a", 5 }, FLEET_SAME, { "a", 5 } },
-	{ "nothing told", { "a", 5 }, { "", 0 }, FLEET_SAME, { "a", 5 } },
+	  { "a", 6, NULL } },
+	{ "nothing known",
+	  { NULL, 0, NULL },
+	  { "a", 5, NULL },
+	  FLEET_SAME,
+	  { "a", 5, NULL } },
+	{ "nothing told",
+	  { "a", 5, NULL },
+	  { "", 0, NULL },
+	  FLEET_SAME,
+	  { "a", 5, NULL } },
 };
 
 static void incarnations_are_judged(void **state)
@@ -160,8 +196,10 @@
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(judge_cases); i++) {
 		const struct judge_case *c = &judge_cases[i];
-		struct fleet_incarnation k = { g_strdup(c->known.id),
-					       c->known.started_ms };
+		struct fleet_incarnation k = {
+			.id = g_strdup(c->known.id),
+			.started_ms = c->known.started_ms,
+		};
 
 		if (fleet_incarnation_judge(&k, &c->told) != c->want)
 			fail_msg("%s: judged wrongly", c->label);
@@ -195,8 +233,9 @@
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(count_cases); i++) {
 		const struct count_case *c = &count_cases[i];
-		struct fleet_incarnation k = { "a", c->known_ms };
-		struct fleet_report r = { .self = { NULL, c->told_ms },
+		struct fleet_incarnation k = { .id = "a",
+					       .started_ms = c->known_ms };
+		struct fleet_report r = { .self = { .started_ms = c->told_ms },
 					  .orders = c->told };
 
 		if (fleet_report_judge(&k, c->known, &r) != c->want)
