Failing: streams go on at another software version than the one that began them

What callers saw: answers with events of two versions. The stand-ins serve versions side by side and keep which version wrote each event.

--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -14,6 +14,7 @@
 import changes
 import poison
 import shared
+import versions
 import words
 from look import leader_of, log_count, log_has, logged
 from soak import FILL_S, RECOVERY_S, first_change, until
@@ -700,7 +701,7 @@
              engine_without_its_agent_is_served,
              relay_leads_to_the_leader, operators_pass_a_frozen_relay,
              seeds_become_relays_before_a_loss_of_power,
-             *poison.SCENARIOS, *shared.SCENARIOS, *changes.SCENARIOS, *words.SCENARIOS]
+             *poison.SCENARIOS, *shared.SCENARIOS, *changes.SCENARIOS, *words.SCENARIOS, *versions.SCENARIOS]
 
 
 async def play(scenario, seed, daemon):
--- a/test/fleet/standin.py
+++ b/test/fleet/standin.py
@@ -52,6 +52,9 @@
         self.ended_by = {}   # poison request's body -> [time of an end, ...]
         self.poison = {}     # the same -> [(time, request id), ...], as they ran
         self.faults = []     # rules that were broken, as text
+        # stream, by the request that began it -> [(time, server, version,
+        # event), ...], an item for each event that an endpoint wrote
+        self.streams = {}
         self.journal = Journal()
         self.over = 0.0      # when the run ended
         self.lag = 0.0       # the longest that the soak itself was late
@@ -64,6 +67,11 @@
     def arrived(self, service, rid):
         self.arrivals.setdefault(service, []).append((time.monotonic(), rid))
 
+    def wrote(self, headers, server, event):
+        stream = headers.get("resumes", headers.get("x-request-id", ""))
+        self.streams.setdefault(stream, []).append(
+            (time.monotonic(), server.name, server.version, event))
+
     def ran(self, rid, server):
         run = Run(server)
         self.runs.setdefault(rid, []).append(run)
@@ -108,6 +116,7 @@
         self.starts = 0
         self.disk = set()    # models that needn't come from the store
         self.ids = 0
+        self.version = "v1"  # of its software
         self.born = 0        # Unix ms of its start
         self.writers = set()
         self.server = None
@@ -201,6 +210,15 @@
             w.transport.abort()
         await self.server.wait_closed()
 
+    async def restart(self, pause, version=None, keep_id=False):
+        """It ends, and is back after a while, as another version at times."""
+        async with self.turn:
+            with self.world.journal.span(self.name, "crash"):
+                await self.crash()
+                await asyncio.sleep(pause)
+                self.version = version or self.version
+                await self.start(keep_id)
+
     async def crash_under(self, body, starts):
         async with self.turn:
             if self.starts != starts:
@@ -459,6 +477,7 @@
             for k in range(first, total + 1):
                 event = ("id: %d\ndata: %s %d of %d\n\n" %
                          (k, rid, k, total)).encode()
+                self.world.wrote(headers, self, k)
                 writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
                 await writer.drain()
                 await self.work(reader)
@@ -486,7 +505,7 @@
         return json.dumps({"next": None, "instances": [
             {"id": s.instance, "born": s.born, "service": s.service,
              "addr": s.listed, "zone": s.zone, "slots": 8, "state": s.state,
-             "version": "v1", "coldLeftMs": 0,
+             "version": s.version, "coldLeftMs": 0,
              "models": [{"name": m} for m in getattr(s, "held", {})]}
             for s in self.servers if s.server.is_serving()]})
 
--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -240,6 +240,8 @@
 		e[i].running = i == f->at ? 0 : 6;
 		e[i].tokens_total = 1000;
 		e[i].started_ms = f->eps[i].started_ms;
+		e[i].version =
+			ss_str(f->eps[i].version ? f->eps[i].version : "");
 		e[i].leaving = f->eps[i].leaving;
 		e[i].limit = endpoint_limit_wire(&f->limits[i]);
 		e[i].limit_age =
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -38,6 +38,7 @@
 	bool leaving; /* as told of it */
 	GPtrArray *lines;
 	int64_t started_ms;	 /* as told of it; 0: not told */
+	const char *version;	 /* the same; NULL: not told */
 	bool empty;		 /* holds no model, as told of it */
 	struct reply replies[4]; /* one a request, the last for the rest */
 	int n_replies, requests, opened, closed;
