An answer goes on at the version that began it

What callers saw: a stream whose endpoint broke off went on, in the same answer, at an endpoint of another software version. Cause: an entry that resumes picks any other endpoint with the model; nobody read the list's version. Now the first event binds a request to the version of the incarnation that it was sent to; where that isn't told yet (the list tells it a second after an agent tells of a restart) only that incarnation will do. Versions differ under one id and without a start: that is another incarnation (new rows of incarnations_are_judged).

--- a/src/core/fleet_types.c
+++ b/src/core/fleet_types.c
@@ -18,6 +18,13 @@
 	       strcmp(known->id, told->id) != 0;
 }
 
+static bool other_version(const struct fleet_incarnation *known,
+			  const struct fleet_incarnation *told)
+{
+	return is_told(known->version) && is_told(told->version) &&
+	       strcmp(known->version, told->version) != 0;
+}
+
 enum fleet_told fleet_incarnation_judge(const struct fleet_incarnation *known,
 					const struct fleet_incarnation *told)
 {
@@ -25,7 +32,8 @@
 		return FLEET_RESTARTED;
 	if (!known->started_ms || !told->started_ms ||
 	    known->started_ms == told->started_ms)
-		return FLEET_SAME;
+		return other_version(known, told) ? FLEET_RESTARTED :
+						    FLEET_SAME;
 	return told->started_ms > known->started_ms ? FLEET_RESTARTED :
 						      FLEET_LATE;
 }
--- a/src/core/fleet_types.h
+++ b/src/core/fleet_types.h
@@ -24,9 +24,10 @@
 /*
  * The rule. Another id is another incarnation, whatever the starts say: they
  * may be of two VMs, whose clocks differ. Under one id, or where one id isn't
- * told, the later start is the later incarnation. A part that isn't told
- * proves nothing, so a message without a start is taken as before starts
- * were told, and doesn't undo the start that is known.
+ * told, the later start is the later incarnation, and where starts don't tell,
+ * another version is. A part that isn't told proves nothing, so a message
+ * without a start is taken as before starts were told, and doesn't undo the
+ * start that is known.
  */
 enum fleet_told fleet_incarnation_judge(const struct fleet_incarnation *known,
 					const struct fleet_incarnation *told);
--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -152,6 +152,7 @@
 static void start(struct forward *f, int64_t length)
 {
 	f->started = true;
+	go_on_begins(f);
 	f->first_ms = gate_now(f->g) - f->start_ms;
 	caller_call_start(f->caller, f->status, f->headers, length);
 }
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -64,6 +64,8 @@
 	g_free(f->ep_addr);
 	g_free(f->ep_id);
 	g_free(f->version);
+	g_free(f->began_version);
+	g_free(f->began_addr);
 	g_free(f);
 }
 
@@ -546,7 +548,9 @@
 static void tick_waits(struct forward *f, int64_t now)
 {
 	if (f->started) {
-		if (now >= f->deadline_ms)
+		if (go_on_hopeless(f))
+			forward_end(f, false, "its version is gone");
+		else if (now >= f->deadline_ms)
 			forward_end(f, false, "nobody could resume it");
 	} else if (times_stop_cuts(f, NULL)) {
 		forward_refuse_for_stop(f);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -109,8 +109,16 @@
 	char *ep_addr, *ep_id;
 	char *version;	  /* of the endpoint it was sent to last; NULL: none */
 	uint64_t ep_life; /* of ep_addr, when it took its place there */
-	int64_t lost_ms;  /* when its endpoint is known to be gone; 0: it isn't
-			   */
+	/*
+	 * The version that its stream began at, once its caller has an event of
+	 * it: it goes on there or nowhere. Empty: not told yet, so only that
+	 * incarnation will do. NULL: nothing has begun.
+	 */
+	char *began_version, *began_addr;
+	uint64_t began_life;
+	int64_t none_ms; /* since when no endpoint of it is there; 0: one is */
+	int64_t lost_ms; /* when its endpoint is known to be gone; 0: it isn't
+			  */
 	uint64_t ticket;
 	int64_t sent_ms;
 	double limit_per_s;   /* of its endpoint when it was sent; -1: none */
@@ -308,6 +316,13 @@
 /* The process ends: answer what can be said. */
 void forward_give_up(struct forward *f);
 
+/* go_on.c: at which endpoints a stream that has begun may go on */
+/* The first event of its answer is about to go out. */
+void go_on_begins(struct forward *f);
+bool go_on_fits(const struct forward *f, const struct gate_ep *ep);
+/* It waits, and nobody who might go on with it is left. */
+bool go_on_hopeless(struct forward *f);
+
 /* times.c: how long requests take here, and what that lets begin */
 /* Events of the answer, its end, or our leaving before it, have come. */
 void times_note_events(struct forward *f);
--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -148,6 +148,7 @@
 	e->lines = g_ptr_array_new();
 	e->port_fd = hold_port();
 	g_snprintf(e->id, sizeof(e->id), "i-%d", i);
+	e->version = "v1";
 	start_endpoint(f, i);
 	g_snprintf(e->addr, sizeof(e->addr), "127.0.0.1:%u",
 		   addr_port(e->port_fd));
--- a/test/test_fleet_report.c
+++ b/test/test_fleet_report.c
@@ -189,6 +189,41 @@
 	  { "", 0, NULL },
 	  FLEET_SAME,
 	  { "a", 5, NULL } },
+	{ "its version",
+	  { "a", 5, NULL },
+	  { "a", 5, "1" },
+	  FLEET_SAME,
+	  { "a", 5, "1" } },
+	{ "no version told",
+	  { "a", 5, "1" },
+	  { "a", 5, NULL },
+	  FLEET_SAME,
+	  { "a", 5, "1" } },
+	{ "restarted, its version not told yet",
+	  { "a", 5, "1" },
+	  { "a", 6, NULL },
+	  FLEET_RESTARTED,
+	  { "a", 6, NULL } },
+	{ "another version under its id",
+	  { "a", 0, "1" },
+	  { "a", 0, "2" },
+	  FLEET_RESTARTED,
+	  { "a", 0, "2" } },
+	{ "the former version, late",
+	  { "a", 6, "2" },
+	  { "a", 5, "1" },
+	  FLEET_LATE,
+	  { "a", 6, "2" } },
+	{ "the former version, late, and this one's not told",
+	  { "a", 6, NULL },
+	  { "a", 5, "1" },
+	  FLEET_LATE,
+	  { "a", 6, NULL } },
+	{ "another id, its version not told yet",
+	  { "a", 5, "1" },
+	  { "b", 0, NULL },
+	  FLEET_RESTARTED,
+	  { "b", 0, NULL } },
 };
 
 static void incarnations_are_judged(void **state)
@@ -199,11 +234,14 @@
 		struct fleet_incarnation k = {
 			.id = g_strdup(c->known.id),
 			.started_ms = c->known.started_ms,
+			.version = g_strdup(c->known.version),
 		};
 
 		if (fleet_incarnation_judge(&k, &c->told) != c->want)
 			fail_msg("%s: judged wrongly", c->label);
 		fleet_incarnation_learn(&k, &c->told);
+		if (g_strcmp0(k.version, c->then.version))
+			fail_msg("%s: learned version %s", c->label, k.version);
 		if (g_strcmp0(k.id, c->then.id) ||
 		    k.started_ms != c->then.started_ms)
 			fail_msg("%s: learned %s %" PRId64, c->label, k.id,
