Streams that wait for a version are heard of: models come to engines of that version

Cause: callers waited in their model's lane, and the leader counted them as served by any engine. Now those who need a version wait in a lane of their own, which holds up nobody else; the leader hears of them by model and version, and places the model on an engine of it (struct fleet_pin), keeps it there, and tells when it comes.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -169,11 +169,16 @@
 	s->from_store += n->loading_tier == TIER_REMOTE;
 }
 
+/* Calls on one replica before another is wanted. */
+static uint32_t calls_most(const struct pass *s)
+{
+	return MIN(FILL_CALLS, (uint32_t)MAX(s->v->slots / FILL_PART, 1));
+}
+
 /* Replicas that a model needs. */
 static uint32_t replicas_for(const struct pass *s, const struct fleet_model *m)
 {
-	uint32_t most =
-		MIN(FILL_CALLS, (uint32_t)MAX(s->v->slots / FILL_PART, 1));
+	uint32_t most = calls_most(s);
 	uint32_t n = (m->calls + m->waiting + most - 1) / most;
 
 	n = MAX(n, (uint32_t)ceil(m->rate / s->starts));
@@ -184,17 +189,42 @@
 	return n;
 }
 
+static bool is_of(const struct fleet_node *n, const char *version)
+{
+	return n->version && !strcmp(n->version, version);
+}
+
+static bool is_pinned(const struct pass *s, const struct fleet_node *n,
+		      uint32_t model)
+{
+	for (size_t i = 0; i < s->v->n_pins; i++)
+		if (s->v->pins[i].model == model &&
+		    is_of(n, s->v->pins[i].version))
+			return true;
+	return false;
+}
+
 /* What an unload costs later, in ms of waiting; negative: it must stay. */
-static double unload_cost(const struct pass *s, const struct fleet_place *p)
+static double unload_cost(const struct pass *s, const struct fleet_node *n,
+			  const struct fleet_place *p)
 {
 	const struct fleet_model *m = &s->v->models[p->model];
 
-	if (p->closing || p->calls || m->waiting)
+	if (p->closing || p->calls || m->waiting || is_pinned(s, n, p->model))
 		return -1;
 	return m->rate * CALLS_LOST_MS /
 	       (double)MAX(s->tally[p->model].open, 1);
 }
 
+/* A model that a replica more is wanted of. */
+struct need {
+	uint32_t model;
+	uint32_t waiting;
+	int64_t slack_ms;
+	const char *version; /* of the engines that will do; NULL: all */
+	size_t pin;	     /* with a version: its index */
+};
+
 struct choice {
 	struct fleet_step step;
 	double cost;
@@ -222,7 +252,7 @@
 			return false;
 		for (guint i = 0; i < n->places->len; i++) {
 			const struct fleet_place *p = place_at(n, i);
-			double cost = unload_cost(s, p);
+			double cost = unload_cost(s, n, p);
 
 			if (cost < 0 || is_victim(&c->step, p->model) ||
 			    (best >= 0 && cost >= best_cost))
@@ -252,12 +282,14 @@
 /* A model to be placed, and the failure domains of the engines that hold it. */
 struct wanted {
 	uint32_t model;
-	GPtrArray *domains; /* views; may name one twice */
+	const char *version; /* of the engines that will do; NULL: all */
+	GPtrArray *domains;  /* views; may name one twice */
 };
 
-static struct wanted want(const struct pass *s, uint32_t model)
+static struct wanted want(const struct pass *s, uint32_t model,
+			  const char *version)
 {
-	struct wanted w = { model, g_ptr_array_new() };
+	struct wanted w = { model, version, g_ptr_array_new() };
 
 	for (size_t i = 0; i < s->v->n_nodes; i++)
 		if (holds(&s->v->nodes[i], model))
@@ -300,6 +332,7 @@
 
 	memset(c, 0, sizeof(*c));
 	if (!n->free || !n->usable || n->loading >= 0 || holds(n, model) ||
+	    (w->version && !is_of(n, w->version)) ||
 	    !make_room(s, n, spec->weights_mb, c))
 		return false;
 	c->step.node = (uint32_t)node;
@@ -362,16 +395,19 @@
  * short step, or waits for calls to end. A load from the store would take
  * longer, and use up its time.
  */
-static bool comes_soon(const struct pass *s, uint32_t model)
+static bool comes_soon(const struct pass *s, const struct need *need)
 {
-	const struct fleet_model *x = &s->v->models[model];
-	double patience = SOON_SHARE * (double)x->spec->store_ms;
+	const struct routing_model *spec = s->v->models[need->model].spec;
+	double patience = SOON_SHARE * (double)spec->store_ms;
+	uint32_t model = need->model;
 
-	if (x->waiting && x->slack_ms < -x->spec->store_ms)
+	if (need->waiting && need->slack_ms < -spec->store_ms)
 		return false;
 	for (size_t i = 0; i < s->v->n_nodes; i++) {
 		const struct fleet_node *n = &s->v->nodes[i];
 
+		if (need->version && !is_of(n, need->version))
+			continue;
 		if (n->usable && n->tier[model] != TIER_REMOTE &&
 		    !holds(n, model) &&
 		    (n->loading < 0 || (double)n->loading_left_ms < patience))
@@ -399,10 +435,11 @@
 
 /* Load a model where that is cheapest; false where nothing can take it, and
  * then b tells why. */
-static bool place(struct pass *s, uint32_t model, const char *why,
+static bool place(struct pass *s, const struct need *need, const char *why,
 		  struct fleet_blocked *b)
 {
-	struct wanted w = want(s, model);
+	uint32_t model = need->model;
+	struct wanted w = want(s, model, need->version);
 	struct choice best = { 0 }, c;
 	bool found = false;
 
@@ -410,7 +447,8 @@
 	for (size_t i = 0; i < s->v->n_nodes; i++) {
 		bool can = weigh(s, &w, i, &c);
 
-		note_blocked(b, &s->v->nodes[i], model, can);
+		if (!need->version || is_of(&s->v->nodes[i], need->version))
+			note_blocked(b, &s->v->nodes[i], model, can);
 		if (!can || (c.step.tier == TIER_REMOTE && b->store) ||
 		    (found && c.cost >= best.cost))
 			continue;
@@ -418,7 +456,7 @@
 		found = true;
 	}
 	g_ptr_array_unref(w.domains);
-	if (found && best.step.tier == TIER_REMOTE && comes_soon(s, model))
+	if (found && best.step.tier == TIER_REMOTE && comes_soon(s, need))
 		return false;
 	if (found)
 		take(s, &best, why);
@@ -428,7 +466,7 @@
 /* Bring a copy to an engine that has none. */
 static void place_copy(struct pass *s, uint32_t model, const char *why)
 {
-	struct wanted w = want(s, model);
+	struct wanted w = want(s, model, NULL);
 	struct choice best = { 0 }, c;
 	bool found = false;
 
@@ -444,12 +482,6 @@
 		take(s, &best, why);
 }
 
-struct need {
-	uint32_t model;
-	uint32_t waiting;
-	int64_t slack_ms;
-};
-
 static bool in_time(const struct need *n)
 {
 	return n->slack_ms >= SOONEST_MS;
@@ -470,7 +502,9 @@
 		return in_time(x) ? -1 : 1;
 	if (x->slack_ms != y->slack_ms)
 		return x->slack_ms < y->slack_ms ? -1 : 1;
-	return x->model < y->model ? -1 : x->model > y->model;
+	if (x->model != y->model)
+		return x->model < y->model ? -1 : 1;
+	return g_strcmp0(x->version, y->version);
 }
 
 /*
@@ -497,6 +531,79 @@
 	return NULL;
 }
 
+/* Replicas of a pin's model on engines of its version. */
+struct pinned {
+	uint32_t open, loading, calls;
+	int64_t left_ms; /* until the first of those on their way */
+};
+
+static struct pinned count_pinned(const struct pass *s,
+				  const struct fleet_pin *pin)
+{
+	struct pinned t = { .left_ms = INT64_MAX };
+
+	for (size_t i = 0; i < s->v->n_nodes; i++) {
+		const struct fleet_node *n = &s->v->nodes[i];
+
+		if (!n->usable || !is_of(n, pin->version))
+			continue;
+		if (n->loading == (int)pin->model) {
+			t.loading++;
+			/* This pass's own has none of its own yet. */
+			t.left_ms = MIN(t.left_ms,
+					n->loading_left_ms ?
+						n->loading_left_ms :
+						s->tally[pin->model].left_ms);
+		}
+		for (guint k = 0; k < n->places->len; k++) {
+			const struct fleet_place *p = place_at(n, k);
+
+			if (p->model != pin->model || p->closing)
+				continue;
+			t.open++;
+			t.calls += p->calls;
+		}
+	}
+	return t;
+}
+
+/* The same for callers who need one version. */
+static const char *pin_wants_more(const struct pass *s,
+				  const struct fleet_pin *pin)
+{
+	struct pinned t = count_pinned(s, pin);
+	uint32_t have = t.open + t.loading;
+
+	if (!pin->waiting)
+		return NULL;
+	if (have == 0)
+		return "callers wait for its version and no engine has it";
+	if (t.calls + pin->waiting > have * calls_most(s))
+		return "its replicas of that version are full";
+	return NULL;
+}
+
+static const char *why_needed(const struct pass *s, const struct need *n)
+{
+	return n->version ? pin_wants_more(s, &s->v->pins[n->pin]) :
+			    wants_more(s, n->model);
+}
+
+static void add_pins(const struct pass *s, GArray *needs)
+{
+	for (size_t i = 0; i < s->v->n_pins; i++) {
+		const struct fleet_pin *p = &s->v->pins[i];
+		struct need n = { .model = p->model,
+				  .waiting = p->waiting,
+				  .slack_ms = p->slack_ms,
+				  .version = p->version,
+				  .pin = i };
+
+		if (pin_wants_more(s, p))
+			g_array_append_val(needs, n);
+	}
+}
+
 /*
  * Models that no engine has, those whose replicas are full, and those that
  * one loss would take away: most waiting callers first. Each engine takes one
@@ -516,16 +623,17 @@
 		if (wants_more(s, n.model))
 			g_array_append_val(needs, n);
 	}
+	add_pins(s, needs);
 	g_array_sort(needs, by_need);
 	for (guint i = 0; i < needs->len; i++) {
-		uint32_t m = g_array_index(needs, struct need, i).model;
+		const struct need *n = &g_array_index(needs, struct need, i);
 		/* Asked anew: its only replica may have been taken away. */
-		const char *why = wants_more(s, m);
+		const char *why = why_needed(s, n);
 		struct fleet_blocked b;
 
-		if (why && !place(s, m, why, &b) && s->v->models[m].waiting &&
+		if (why && !place(s, n, why, &b) && n->waiting &&
 		    s->ops->blocked)
-			s->ops->blocked(s->arg, m, &b);
+			s->ops->blocked(s->arg, n->model, &b);
 	}
 	s->needs = needs;
 }
@@ -590,12 +698,14 @@
 	GArray *ends = NULL;
 
 	for (guint i = 0; i < s->needs->len; i++) {
-		uint32_t m = g_array_index(s->needs, struct need, i).model;
+		const struct need *n = &g_array_index(s->needs, struct need, i);
+		uint32_t m = n->model;
 		const struct tally *t = &s->tally[m];
 		int64_t load = s->v->models[m].spec->store_ms;
 		int64_t *end;
 
-		if (t->open || t->loading || t->copies || t->paused)
+		if (n->version || t->open || t->loading || t->copies ||
+		    t->paused)
 			continue;
 		if (!ends)
 			ends = store_ends(s, load);
@@ -616,6 +726,12 @@
 					 t->loading ? t->left_ms :
 						      -1;
 	}
+	for (size_t i = 0; i < s->v->n_pins; i++) {
+		struct fleet_pin *pin = &s->v->pins[i];
+		struct pinned t = count_pinned(s, pin);
+
+		pin->eta_ms = t.open ? 0 : t.loading ? t.left_ms : -1;
+	}
 	if (s->v->all_known)
 		set_store_etas(s);
 }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -37,9 +37,22 @@
 	bool closing;	/* about to leave: gets no new calls */
 };
 
+/*
+ * Callers whose stream one version of the engines' software began, and who wait
+ * for a model there: no other will do.
+ */
+struct fleet_pin {
+	uint32_t model; /* index */
+	const char *version;
+	uint32_t waiting;
+	int64_t slack_ms; /* as of a model */
+	int64_t eta_ms;	  /* the same, out */
+};
+
 struct fleet_node {
 	const char *domain;
-	bool usable; /* its models can be called */
+	const char *version; /* of its software; NULL: not told */
+	bool usable;	     /* its models can be called */
 	/* Else: sound, but for now it gets no new calls and no step. */
 	bool suspended;
 	bool free;   /* it can take a step now */
@@ -66,6 +79,8 @@
 struct fleet_view {
 	struct fleet_model *models;
 	size_t n_models;
+	struct fleet_pin *pins;
+	size_t n_pins;
 	struct fleet_node *nodes;
 	size_t n_nodes;
 	int64_t slots;	       /* of one engine */
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -284,6 +284,7 @@
 	F(1, WIRE_STR, fleet_eta, service),
 	F(2, WIRE_STR, fleet_eta, model),
 	F(3, WIRE_INT, fleet_eta, eta_ms),
+	F(4, WIRE_STR, fleet_eta, version),
 };
 static const struct wire_type fleet_eta_type = T(fleet_eta, fleet_eta_fields);
 static const struct wire_field fleet_load_fields[] = {
@@ -312,6 +313,7 @@
 	F(3, WIRE_UINT, model_demand, arrivals),
 	F(4, WIRE_UINT, model_demand, waiting),
 	F(5, WIRE_INT, model_demand, slack_ms),
+	F(6, WIRE_STR, model_demand, version),
 };
 static const struct wire_type model_demand_type =
 	T(model_demand, model_demand_fields);
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -331,7 +331,8 @@
 
 struct fleet_eta {
 	struct ss_str service, model;
-	int64_t eta_ms; /* until it can be called; -1: nobody can tell */
+	int64_t eta_ms;	       /* until it can be called; -1: nobody can tell */
+	struct ss_str version; /* for streams that it began; empty: for all */
 };
 
 /* Of an endpoint whose load alone has changed. */
@@ -357,7 +358,8 @@
 	struct ss_str service, model;
 	uint64_t arrivals; /* since the last message */
 	uint64_t waiting;
-	int64_t slack_ms; /* to the earliest time that one must be begun */
+	int64_t slack_ms;      /* to the earliest time that one must be begun */
+	struct ss_str version; /* as in struct fleet_eta */
 };
 
 struct endpoint_calls {
--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -78,9 +78,9 @@
 	int64_t at_ms;
 };
 
-/* One model's demand. */
+/* One model's demand; with a version, of those whose stream that began. */
 struct fleet_want {
-	char *service, *model;
+	char *service, *model, *version;
 	struct fleet_rate rate;
 	GHashTable *waits; /* conn of an entry -> struct wait_at */
 	int64_t eta_ms;	   /* on the clock; -1: unknown */
@@ -135,13 +135,13 @@
 	struct routing *routing;
 	struct preset preset;
 	uint64_t preset_version;
-	GHashTable *peers;   /* conn -> struct fleet_peer */
-	uint64_t entries;    /* of them */
-	uint64_t behind;     /* entries that don't follow routing_told yet */
-	GHashTable *eps;     /* addr -> struct fleet_ep */
-	GHashTable *wants;   /* "service\nmodel" -> struct fleet_want */
-	uint64_t fence;	     /* of this leadership */
-	uint64_t round;	     /* the newest; a whole fleet has one of its own */
+	GHashTable *peers; /* conn -> struct fleet_peer */
+	uint64_t entries;  /* of them */
+	uint64_t behind;   /* entries that don't follow routing_told yet */
+	GHashTable *eps;   /* addr -> struct fleet_ep */
+	GHashTable *wants; /* "service\nmodel\nversion" -> struct fleet_want */
+	uint64_t fence;	   /* of this leadership */
+	uint64_t round;	   /* the newest; a whole fleet has one of its own */
 	uint64_t step_round; /* that all entries are to confirm */
 	uint64_t steps;
 	int64_t since_ms, plan_ms, push_ms, load_push_ms;
@@ -216,9 +216,9 @@
 struct fleet_peer *fleet_peer_new(struct conn *c);
 void fleet_peer_free(void *peer);
 
-/* A model's demand, made where there is none. */
+/* A model's demand, made where there is none; version: empty for all. */
 struct fleet_want *fleet_want_for(struct fleet_lead *l, const char *service,
-				  const char *model);
+				  const char *model, const char *version);
 bool fleet_ep_usable(const struct fleet_lead *l, const struct fleet_ep *ep);
 /* It is about to leave for good. */
 bool fleet_ep_ends(const struct fleet_lead *l, const struct fleet_ep *ep);
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -130,8 +130,8 @@
 	g_hash_table_iter_init(&it, l->wants);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct fleet_want *w = v;
-		struct fleet_eta e = { ss_str(w->service), ss_str(w->model),
-				       -1 };
+		struct fleet_eta e = { ss_str(w->service), ss_str(w->model), -1,
+				       ss_str(w->version) };
 
 		if (!g_hash_table_size(w->waits) || !(all || w->eta_changed))
 			continue;
--- a/src/daemon/fleet_reports.c
+++ b/src/daemon/fleet_reports.c
@@ -81,7 +81,8 @@
 		      const struct model_demand *m)
 {
 	char *service = ss_str_dup(m->service), *model = ss_str_dup(m->model);
-	struct fleet_want *w = fleet_want_for(l, service, model);
+	char *version = ss_str_dup(m->version);
+	struct fleet_want *w = fleet_want_for(l, service, model, version);
 	int64_t now = fleet_lead_now(l);
 	struct wait_at at = { .waiting = m->waiting,
 			      .due_ms = now + m->slack_ms,
@@ -89,6 +90,7 @@
 
 	g_free(service);
 	g_free(model);
+	g_free(version);
 	if (m->arrivals)
 		fleet_rate_add(&w->rate, m->arrivals, now);
 	fleet_want_drop(l, w, p);
@@ -242,7 +244,13 @@
 	void *w;
 
 	g_hash_table_iter_init(&it, l->wants);
-	while (g_hash_table_iter_next(&it, NULL, &w))
-		if (g_hash_table_size(((struct fleet_want *)w)->waits))
+	while (g_hash_table_iter_next(&it, NULL, &w)) {
+		const struct fleet_want *want = w;
+
+		if (g_hash_table_size(want->waits))
 			forget_waits(l, w, now);
+		/* Models stay, versions come and go. */
+		if (*want->version && !g_hash_table_size(want->waits))
+			g_hash_table_iter_remove(&it);
+	}
 }
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -35,9 +35,11 @@
 	struct fleet_lead *l;
 	const struct routing_service *service;
 	struct fleet_view v;
-	GArray *models; /* struct fleet_model */
-	GArray *nodes;	/* struct fleet_node */
-	GPtrArray *eps; /* struct fleet_ep of each node */
+	GArray *models;	   /* struct fleet_model */
+	GArray *pins;	   /* struct fleet_pin */
+	GPtrArray *pinned; /* struct fleet_want of each */
+	GArray *nodes;	   /* struct fleet_node */
+	GPtrArray *eps;	   /* struct fleet_ep of each node */
 	GPtrArray *tiers;
 	int64_t now;
 };
@@ -67,28 +69,61 @@
 		   -1;
 }
 
+/* Callers of all entries, and the time until the first of them is late. */
+static uint32_t add_up_waits(const struct fleet_want *want, int64_t now,
+			     int64_t *slack_ms)
+{
+	uint32_t waiting = 0;
+	GHashTableIter it;
+	void *v;
+
+	*slack_ms = INT64_MAX;
+	g_hash_table_iter_init(&it, want->waits);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct wait_at *at = v;
+
+		waiting += (uint32_t)at->waiting;
+		*slack_ms = MIN(*slack_ms, at->due_ms - now);
+	}
+	return waiting;
+}
+
+static void add_pins(struct view *w)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, w->l->wants);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct fleet_want *want = p;
+		int m = *want->version && g_hash_table_size(want->waits) &&
+					!strcmp(want->service,
+						w->service->name) ?
+				model_index(w, want->model) :
+				-1;
+		struct fleet_pin pin = { .version = want->version };
+
+		if (m < 0)
+			continue;
+		pin.model = (uint32_t)m;
+		pin.waiting = add_up_waits(want, w->now, &pin.slack_ms);
+		g_array_append_val(w->pins, pin);
+		g_ptr_array_add(w->pinned, want);
+	}
+}
+
 static void add_models(struct view *w)
 {
 	for (guint i = 0; i < w->service->models->len; i++) {
 		struct fleet_model m = {
 			.spec = &g_array_index(w->service->models,
 					       struct routing_model, i),
-			.slack_ms = INT64_MAX,
 			.eta_ms = -1,
 		};
-		struct fleet_want *want =
-			fleet_want_for(w->l, w->service->name, m.spec->name);
-		GHashTableIter it;
-		void *v;
-
+		struct fleet_want *want = fleet_want_for(w->l, w->service->name,
+							 m.spec->name, "");
 		m.rate = fleet_rate_at(&want->rate, w->now);
-		g_hash_table_iter_init(&it, want->waits);
-		while (g_hash_table_iter_next(&it, NULL, &v)) {
-			const struct wait_at *at = v;
-
-			m.waiting += (uint32_t)at->waiting;
-			m.slack_ms = MIN(m.slack_ms, at->due_ms - w->now);
-		}
+		m.waiting = add_up_waits(want, w->now, &m.slack_ms);
 		g_array_append_val(w->models, m);
 	}
 }
@@ -168,6 +203,7 @@
 	bool usable = fleet_ep_usable(w->l, ep);
 	bool strained = fleet_ep_strained(w->l, ep);
 	struct fleet_node n = { .domain = ep->domain,
+				.version = ep->self.version,
 				.usable = usable && !strained,
 				.suspended = fleet_ep_suspended(w->l, ep) ||
 					     (usable && strained),
@@ -247,7 +283,7 @@
 {
 	struct view *w = arg;
 	struct fleet_want *want =
-		fleet_want_for(w->l, w->service->name, name_of(w, model));
+		fleet_want_for(w->l, w->service->name, name_of(w, model), "");
 
 	if (w->now - want->blocked_ms < BLOCKED_LOG_MS)
 		return;
@@ -263,22 +299,32 @@
 
 static const struct fleet_plan_ops plan_table = { begin_step, on_blocked };
 
+static void note_eta(struct view *w, struct fleet_want *want, int64_t eta_ms)
+{
+	int64_t eta = eta_ms < 0 ? -1 : w->now + eta_ms;
+
+	if ((eta < 0) != (want->eta_ms < 0) ||
+	    ABS(eta - want->eta_ms) > ETA_STEP_MS) {
+		want->eta_changed = true;
+		w->l->dirty |= g_hash_table_size(want->waits) > 0;
+	}
+	want->eta_ms = eta;
+}
+
 static void note_etas(struct view *w)
 {
 	for (guint i = 0; i < w->models->len; i++) {
 		const struct fleet_model *m =
 			&g_array_index(w->models, struct fleet_model, i);
-		struct fleet_want *want =
-			fleet_want_for(w->l, w->service->name, m->spec->name);
-		int64_t eta = m->eta_ms < 0 ? -1 : w->now + m->eta_ms;
-
-		if ((eta < 0) != (want->eta_ms < 0) ||
-		    ABS(eta - want->eta_ms) > ETA_STEP_MS) {
-			want->eta_changed = true;
-			w->l->dirty |= g_hash_table_size(want->waits) > 0;
-		}
-		want->eta_ms = eta;
+
+		note_eta(w,
+			 fleet_want_for(w->l, w->service->name, m->spec->name,
+					""),
+			 m->eta_ms);
 	}
+	for (guint i = 0; i < w->pins->len; i++)
+		note_eta(w, w->pinned->pdata[i],
+			 g_array_index(w->pins, struct fleet_pin, i).eta_ms);
 }
 
 static void node_clear(void *p)
@@ -320,11 +366,14 @@
 	void *p;
 
 	w.models = g_array_new(FALSE, FALSE, sizeof(struct fleet_model));
+	w.pins = g_array_new(FALSE, FALSE, sizeof(struct fleet_pin));
+	w.pinned = g_ptr_array_new();
 	w.nodes = g_array_new(FALSE, FALSE, sizeof(struct fleet_node));
 	g_array_set_clear_func(w.nodes, node_clear);
 	w.eps = g_ptr_array_new();
 	w.tiers = g_ptr_array_new_with_free_func(g_free);
 	add_models(&w);
+	add_pins(&w);
 	g_hash_table_iter_init(&it, l->eps);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct fleet_ep *ep = p;
@@ -335,6 +384,8 @@
 	w.v = (struct fleet_view){
 		.models = (struct fleet_model *)w.models->data,
 		.n_models = w.models->len,
+		.pins = (struct fleet_pin *)w.pins->data,
+		.n_pins = w.pins->len,
 		.nodes = (struct fleet_node *)w.nodes->data,
 		.n_nodes = w.nodes->len,
 		.slots = service->slots,
@@ -348,6 +399,8 @@
 	l->store_tokens = w.v.store_tokens;
 	note_etas(&w);
 	g_array_unref(w.models);
+	g_array_unref(w.pins);
+	g_ptr_array_unref(w.pinned);
 	g_array_unref(w.nodes);
 	g_ptr_array_unref(w.eps);
 	g_ptr_array_unref(w.tiers);
--- a/src/daemon/fleet_table.c
+++ b/src/daemon/fleet_table.c
@@ -64,14 +64,15 @@
 
 	g_free(w->service);
 	g_free(w->model);
+	g_free(w->version);
 	g_hash_table_unref(w->waits);
 	g_free(w);
 }
 
 struct fleet_want *fleet_want_for(struct fleet_lead *l, const char *service,
-				  const char *model)
+				  const char *model, const char *version)
 {
-	char *key = g_strdup_printf("%s\n%s", service, model);
+	char *key = g_strdup_printf("%s\n%s\n%s", service, model, version);
 	struct fleet_want *w = g_hash_table_lookup(l->wants, key);
 
 	if (w) {
@@ -81,6 +82,7 @@
 	w = g_new0(struct fleet_want, 1);
 	w->service = g_strdup(service);
 	w->model = g_strdup(model);
+	w->version = g_strdup(version);
 	w->waits = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	w->eta_ms = -1;
 	g_hash_table_insert(l->wants, key, w);
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -258,7 +258,7 @@
 {
 	f->state = FORWARD_WAITS;
 	if (!f->lane)
-		lane_add(f->home, f);
+		lane_add(go_on_lane(f), f);
 }
 
 void forward_again(struct forward *f, bool not_run, const char *why)
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -43,12 +43,19 @@
 	ss_queue_free(l->waits);
 	g_free(l->service);
 	g_free(l->model);
+	g_free(l->version);
 	g_free(l);
 }
 
 struct lane *gate_lane(struct gate *g, const char *service, const char *model)
 {
-	char *key = g_strdup_printf("%s\n%s", service, model);
+	return gate_lane_of(g, service, model, "");
+}
+
+struct lane *gate_lane_of(struct gate *g, const char *service,
+			  const char *model, const char *version)
+{
+	char *key = g_strdup_printf("%s\n%s\n%s", service, model, version);
 	struct lane *l = g_hash_table_lookup(g->lanes, key);
 
 	if (l) {
@@ -58,6 +65,7 @@
 	l = g_new0(struct lane, 1);
 	l->service = g_strdup(service);
 	l->model = g_strdup(model);
+	l->version = g_strdup(version);
 	l->eta_ms = SS_NEVER;
 	l->waits = ss_queue_new(&lane_queue);
 	g_hash_table_insert(g->lanes, key, l);
@@ -318,12 +326,14 @@
 	uint64_t waiting = 0;
 	struct model_demand d = { .service = ss_str(l->service),
 				  .model = ss_str(l->model),
+				  .version = ss_str(l->version),
 				  .arrivals = l->arrivals };
 
 	/* Those that wait for a place on a replica count as well: they are
 	 * what a second replica is for. */
 	waiting = ss_queue_length(l->waits);
-	if (!*l->model || (!l->arrivals && !waiting && !l->told))
+	if (!*l->model || !strcmp(l->version, GO_ON_UNNAMED) ||
+	    (!l->arrivals && !waiting && !l->told))
 		return;
 	d.waiting = waiting;
 	d.slack_ms = first ? first->objective_ms - gate_now(g) : 0;
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -259,9 +259,11 @@
 	for (size_t i = 0; i < list->n; i++) {
 		char *service = ss_str_dup(e[i].service);
 		char *model = ss_str_dup(e[i].model);
-		struct lane *l = gate_lane(g, service, model);
+		char *version = ss_str_dup(e[i].version);
+		struct lane *l = gate_lane_of(g, service, model, version);
 
 		l->eta_ms = e[i].eta_ms < 0 ? SS_NEVER : now + e[i].eta_ms;
+		g_free(version);
 		g_free(service);
 		g_free(model);
 	}
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -156,9 +156,10 @@
 	uint64_t *requests, *spent, *over;
 };
 
-/* Requests for one model of a service that wait. */
+/* Requests for one model of a service that wait; with a version, those that go
+ * on with what it began. */
 struct lane {
-	char *service, *model;
+	char *service, *model, *version;
 	struct ss_queue *waits; /* struct forward */
 	int64_t eta_ms;		/* on the clock; SS_NEVER: not told */
 	uint64_t arrivals;	/* since the last report */
@@ -183,7 +184,7 @@
 	uint64_t routing_version; /* of it, when it was last set */
 	struct freshness freshness;
 	GHashTable *eps;     /* addr -> struct gate_ep */
-	GHashTable *lanes;   /* "service\nmodel" -> struct lane */
+	GHashTable *lanes;   /* "service\nmodel\nversion" -> struct lane */
 	GHashTable *budgets; /* service -> struct repeat_budget */
 	/* service -> struct pace, of its streams; "service\nroute" -> of
 	 * plain answers: a slow route hides among a fast one's many. */
@@ -329,6 +330,9 @@
 /* The process ends: answer what can be said. */
 void forward_give_up(struct forward *f);
 
+/* Of a lane: the version that began its streams isn't told yet. */
+#define GO_ON_UNNAMED "?"
+
 /* go_on.c: at which endpoints a stream that has begun may go on */
 /* It is sent there: for whoever takes it up. */
 void go_on_note(struct forward *f, const struct gate_ep *ep);
@@ -340,6 +344,8 @@
  * that: it looks for that, or was refused and freed.
  */
 bool go_on_looks(struct forward *f);
+/* Where it waits. */
+struct lane *go_on_lane(struct forward *f);
 void go_on_tick(struct forward *f, int64_t now);
 void go_on_tidy(struct gate *g, int64_t now);
 /* The first event of its answer is about to go out. */
@@ -386,6 +392,9 @@
 
 /* gate.c */
 struct lane *gate_lane(struct gate *g, const char *service, const char *model);
+/* version: empty for those who may go to any. */
+struct lane *gate_lane_of(struct gate *g, const char *service,
+			  const char *model, const char *version);
 void lane_add(struct lane *l, struct forward *f);
 /* It is sent: its customer's turn. */
 void lane_take(struct forward *f);
--- a/src/proxy/go_on.c
+++ b/src/proxy/go_on.c
@@ -87,6 +87,32 @@
 	return gate_now(g) - MAX(seen, g->since_ms) >= BACK_MS;
 }
 
+/* What waits for one version doesn't hold up those who may go anywhere. */
+struct lane *go_on_lane(struct forward *f)
+{
+	learn_version(f);
+	if (!f->began_version)
+		return f->home;
+	return gate_lane_of(f->g, f->service->name, f->model,
+			    *f->began_version ? f->began_version :
+						GO_ON_UNNAMED);
+}
+
+/* Models' lanes stay, versions come and go. */
+static void drop_lanes(struct gate *g)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, g->lanes);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct lane *l = p;
+
+		if (*l->version && !ss_queue_length(l->waits) && !l->told)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
 /* Streams that are begun here. */
 
 /* A caller who takes it up again does so within its own time. */
@@ -151,6 +177,7 @@
 void go_on_tidy(struct gate *g, int64_t now)
 {
 	stream_log_tidy(g->streams, now);
+	drop_lanes(g);
 	for (guint i = g->unnamed->len; i-- > 0;)
 		if (g_array_index(g->unnamed, struct unnamed_stream, i)
 			    .until_ms <= now)
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -752,11 +752,117 @@
 			pauses[i].pause_ms);
 }
 
+struct pin_case {
+	const char *label;
+	struct node_row nodes[3];
+	const char *versions[3];
+	size_t n_nodes;
+	int waiting; /* callers whose stream v1 began, for model 2 */
+	const char *steps;
+	int64_t eta_ms;
+};
+
+static const struct pin_case pin_cases[] = {
+	{ "another version has the model",
+	  { { "a", { { 2, 0, false } }, 1, "dddddd", 0, 0, 0 },
+	    { "b", { { 0 } }, 0, "dddddd", 0, 0, 0 } },
+	  { "v2", "v1" },
+	  2,
+	  1,
+	  "1:2d ",
+	  500 },
+	{ "another version has the nearer copy",
+	  { { "a", { { 0 } }, 0, "ssmsss", 0, 0, 0 },
+	    { "b", { { 0 } }, 0, "ssssss", 0, 0, 0 } },
+	  { "v2", "v1" },
+	  2,
+	  1,
+	  "1:2s ",
+	  6000 },
+	{ "their version has it",
+	  { { "a", { { 2, 1, false } }, 1, "dddddd", 0, 0, 0 },
+	    { "b", { { 0 } }, 0, "dddddd", 0, 0, 0 } },
+	  { "v1", "v1" },
+	  2,
+	  1,
+	  "",
+	  0 },
+	{ "their version's is full",
+	  { { "a", { { 2, 5, false } }, 1, "dddddd", 0, 0, 0 },
+	    { "b", { { 0 } }, 0, "ddmddd", 0, 0, 0 },
+	    { "c", { { 0 } }, 0, "dddddd", 0, 0, 0 } },
+	  { "v1", "v2", "v1" },
+	  3,
+	  2,
+	  "2:2d ",
+	  0 },
+	{ "what they wait for isn't unloaded for others",
+	  { { "a", { { 2, 0, false }, { 3, 0, false } }, 2, "dddddd", 0, 0, 0 },
+	    { "b", { { 2, 0, false } }, 1, "ssssss", 0, 2, 0 } },
+	  { "v1", "v2" },
+	  2,
+	  1,
+	  "",
+	  0 },
+	{ "no engine is of it",
+	  { { "a", { { 0 } }, 0, "dddddd", 0, 0, 0 },
+	    { "b", { { 0 } }, 0, "dddddd", 0, 0, 0 } },
+	  { "v2", NULL },
+	  2,
+	  1,
+	  "",
+	  -1 },
+};
+
+/* Symptom: streams that callers take up wait in vain, as only engines of
+ * another version are given their model. */
+static void pinned_callers_get_their_version(void **state)
+{
+	(void)state;
+	make_specs();
+	for (size_t c = 0; c < G_N_ELEMENTS(pin_cases); c++) {
+		const struct pin_case *pc = &pin_cases[c];
+		struct fleet_model models[MODELS] = { 0 };
+		struct fleet_node nodes[3];
+		uint8_t tiers[3][MODELS];
+		struct fleet_pin pin = { .model = 2,
+					 .version = "v1",
+					 .waiting = (uint32_t)pc->waiting };
+		struct fleet_view v = { .models = models,
+					.n_models = MODELS,
+					.pins = &pin,
+					.n_pins = 1,
+					.nodes = nodes,
+					.n_nodes = pc->n_nodes,
+					.slots = 10,
+					.store_parallel = 4,
+					.store_tokens = 4 };
+		GString *out = g_string_new(NULL);
+
+		for (int m = 0; m < MODELS; m++)
+			models[m].spec = &specs[m];
+		for (size_t i = 0; i < pc->n_nodes; i++) {
+			fill_node(&pc->nodes[i], &nodes[i], models, tiers[i]);
+			nodes[i].version = pc->versions[i];
+		}
+		fleet_plan(&v, &ops, out);
+		if (strcmp(out->str, pc->steps))
+			fail_msg("%s: \"%s\"", pc->label, out->str);
+		if (pin.eta_ms != pc->eta_ms)
+			fail_msg("%s: in %" PRId64 " ms", pc->label,
+				 pin.eta_ms);
+		for (size_t i = 0; i < pc->n_nodes; i++)
+			g_array_unref(nodes[i].places);
+		g_string_free(out, TRUE);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(steps_are_chosen),
 		cmocka_unit_test(wake_times_are_told),
+		cmocka_unit_test(pinned_callers_get_their_version),
 		cmocka_unit_test(store_queue_is_told),
 		cmocka_unit_test(rates_fade),
 		cmocka_unit_test(what_blocks_a_model_is_told),
--- a/test/test_gate_ends.c
+++ b/test/test_gate_ends.c
@@ -122,7 +122,9 @@
  */
 static void hopeless_request_is_refused_at_once(void **state)
 {
-	struct fleet_eta eta = { SS_LIT("lm"), SS_LIT("m"), 6000 };
+	struct fleet_eta eta = { .service = SS_LIT("lm"),
+				 .model = SS_LIT("m"),
+				 .eta_ms = 6000 };
 	struct msg_fleet m = { .fence = 1, .etas = { &eta, 1 } };
 	struct caller *c;
 	struct fix f;
@@ -149,7 +151,9 @@
  */
 static void silent_wait_ends_before_the_caller_leaves(void **state)
 {
-	struct fleet_eta eta = { SS_LIT("lm"), SS_LIT("m"), 3000 };
+	struct fleet_eta eta = { .service = SS_LIT("lm"),
+				 .model = SS_LIT("m"),
+				 .eta_ms = 3000 };
 	struct msg_fleet m = { .fence = 1, .etas = { &eta, 1 } };
 	struct caller *c;
 	struct fix f;
@@ -201,7 +205,9 @@
  */
 static void slow_first_event_makes_a_wait_hopeless(void **state)
 {
-	struct fleet_eta eta = { SS_LIT("lm"), SS_LIT("m"), 1500 };
+	struct fleet_eta eta = { .service = SS_LIT("lm"),
+				 .model = SS_LIT("m"),
+				 .eta_ms = 1500 };
 	struct msg_fleet m = { .fence = 1, .etas = { &eta, 1 } };
 	struct caller *c;
 	struct fix f;
