A stream that is taken up goes to the service that began it

The same cause elsewhere: where a route is split over services, a caller's second try is drawn anew, and a stream that one service began went on at another, whose versions are its own. Seen by reading; test row "one of a split route's services began it" failed before (its caller was refused). The service is known with the version, so the try goes there if the route still leads there, and is refused at once if it doesn't: what two services write fits together even less.

--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -269,6 +269,18 @@
 	return rt;
 }
 
+bool routing_leads_to(const struct routing_route *rt, const char *service)
+{
+	for (guint i = 0; i < rt->shares->len; i++) {
+		const struct routing_share *s =
+			&g_array_index(rt->shares, struct routing_share, i);
+
+		if (s->weight > 0 && !strcmp(s->service, service))
+			return true;
+	}
+	return false;
+}
+
 struct routing_service *routing_pick(const struct routing *r,
 				     const struct routing_route *rt,
 				     uint64_t random)
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -128,6 +128,9 @@
 struct routing_model *routing_add_model(struct routing_service *s);
 bool routing_service_finish(struct routing_service *s, GError **error);
 
+/* Some of the route's requests go to that service. */
+bool routing_leads_to(const struct routing_route *rt, const char *service);
+
 /* A whole text read; NULL with SS_ERROR_BAD_REQUEST and the place. */
 struct routing *routing_read(const struct routing_format *f, struct ss_str text,
 			     GError **error);
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -162,6 +162,17 @@
 	return n;
 }
 
+void forward_set_service(struct forward *f, struct routing_service *s)
+{
+	routing_service_unref(f->service);
+	g_free(f->model);
+	g_free(f->adapter);
+	f->service = routing_service_ref(s);
+	f->model = s->engine ? ss_str_dup(f->call.model) : g_strdup("");
+	f->adapter = s->engine ? ss_str_dup(f->call.adapter) : g_strdup("");
+	f->pace = gate_pace(f->g, f);
+}
+
 static struct forward *forward_new(struct gate *g, struct caller_call *c,
 				   struct routing_route *rt,
 				   const struct platform_call *call,
@@ -178,16 +189,12 @@
 	f->body = body;
 	f->routing = g->routing->version;
 	f->route = routing_route_ref(rt);
-	f->service = routing_service_ref(
-		routing_pick(g->routing, rt, ss_random(&g->seed)));
 	f->customer = customer_ref(who);
 	f->keyed = g->routing->keyed;
 	f->call = *call;
 	f->id = ss_str_dup(call->id);
-	f->model = f->service->engine ? ss_str_dup(call->model) : g_strdup("");
-	f->adapter = f->service->engine ? ss_str_dup(call->adapter) :
-					  g_strdup("");
-	f->pace = gate_pace(g, f);
+	forward_set_service(f,
+			    routing_pick(g->routing, rt, ss_random(&g->seed)));
 	f->affinity = affinity_of(call);
 	f->start_ms = now;
 	f->waited_ms = f->first_ms = f->stop_left_ms = -1;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -312,6 +312,8 @@
 /* A request that came at a time on the clock. */
 void forward_begin(struct gate *g, struct caller_call *c, struct ss_str body,
 		   int64_t came_ms);
+/* What it is for is one of this service's. */
+void forward_set_service(struct forward *f, struct routing_service *s);
 /* It is being freed: it waits no longer for an allotment. */
 void forward_leave_quota(struct forward *f);
 /* It ends without having run. */
--- a/src/proxy/go_on.c
+++ b/src/proxy/go_on.c
@@ -226,13 +226,31 @@
 	forward_refuse(f, 503, "unavailable", why, back_ms);
 }
 
+/* Of the services that a route is split over, each begins its own streams. */
+static bool move_to(struct forward *f, const char *service)
+{
+	struct gate *g = f->g;
+	struct routing_service *s = routing_service(g->routing, service);
+	struct ss_str model = f->call.model;
+	char *name = ss_str_dup(model);
+	bool can = s && routing_leads_to(f->route, service) &&
+		   (!s->engine || !model.n || routing_model(s, name));
+
+	g_free(name);
+	if (!can)
+		return false;
+	forward_set_service(f, s);
+	f->home = gate_lane(g, s->name, f->model);
+	return true;
+}
+
 /* False where the route doesn't lead to the service that began it any more: f
  * is refused and freed. */
 static bool bind_to(struct forward *f, const char *service, const char *version,
 		    const char *from)
 {
-	if (strcmp(service, f->service->name)) {
-		refuse(f, "its service began no such stream", 0);
+	if (strcmp(service, f->service->name) && !move_to(f, service)) {
+		refuse(f, "the route no longer leads to where it began", 0);
 		return false;
 	}
 	f->began_version = g_strdup(version);
@@ -276,13 +294,14 @@
 		     const char *version, const char *from)
 {
 	struct gate *g = f->g;
-	char *name = g_strdup(f->service->name);
+	char *name;
 
-	if (bind_to(f, service, version, from)) {
-		g_hash_table_remove(g->tickets, &f->ticket);
-		forward_wait(f);
-		gate_pump(g, name);
-	}
+	if (!bind_to(f, service, version, from))
+		return;
+	name = g_strdup(f->service->name);
+	g_hash_table_remove(g->tickets, &f->ticket);
+	forward_wait(f);
+	gate_pump(g, name);
 	g_free(name);
 }
 
--- a/test/test_gate_versions.c
+++ b/test/test_gate_versions.c
@@ -75,6 +75,7 @@
 	"chunked\r\n\r\n" EVENT("3") "0\r\n\r\n"
 
 static const char take_up[] = TAKE_UP("/night/x", "q2", RESUMES);
+static const char split[] = TAKE_UP("/split/x", "q2", RESUMES);
 static const char unnamed[] = TAKE_UP("/night/x", "q2", "");
 
 /* A gate between an endpoint of v1 and one of v2, the emptier. */
@@ -102,17 +103,22 @@
 	const char *label, *request;
 	bool asked; /* what it names, else what it serves */
 	int64_t word;
-	const char *version;
+	const char *service, *version;
 	int served; /* by that endpoint; -1: refused at once */
 };
 
 static const struct word_case words[] = {
-	{ "begun at v1", take_up, true, STREAM_KNOWN, "v1", 0 },
-	{ "begun at v2", take_up, true, STREAM_KNOWN, "v2", 1 },
-	{ "one version has served", take_up, true, STREAM_ONLY, "v1", 0 },
-	{ "nobody knows", take_up, true, STREAM_UNKNOWN, "", -1 },
-	{ "not named, one version", unnamed, false, STREAM_ONLY, "v2", 1 },
-	{ "not named, several", unnamed, false, STREAM_UNKNOWN, "", -1 },
+	{ "begun at v1", take_up, true, STREAM_KNOWN, "lm", "v1", 0 },
+	{ "begun at v2", take_up, true, STREAM_KNOWN, "lm", "v2", 1 },
+	{ "one version has served", take_up, true, STREAM_ONLY, "lm", "v1", 0 },
+	{ "nobody knows", take_up, true, STREAM_UNKNOWN, "lm", "", -1 },
+	{ "one of a split route's services began it", split, true, STREAM_KNOWN,
+	  "lm", "v1", 0 },
+	{ "the route doesn't lead to its service", take_up, true, STREAM_KNOWN,
+	  "web", "v1", -1 },
+	{ "not named, one version", unnamed, false, STREAM_ONLY, "lm", "v2",
+	  1 },
+	{ "not named, several", unnamed, false, STREAM_UNKNOWN, "lm", "", -1 },
 };
 
 /* Symptom: a caller whose entry was killed takes its stream up at another one,
@@ -123,7 +129,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(words); i++) {
 		const struct word_case *x = &words[i];
 		struct msg_stream_word m = { .word = x->word,
-					     .service = SS_LIT("lm"),
+					     .service = ss_str(x->service),
 					     .version = ss_str(x->version) };
 		struct caller *c;
 		struct fix f;
@@ -132,7 +138,6 @@
 		c = call(&f, x->request);
 		UNTIL(&f, f.streams_asked);
 		assert_int_equal(f.stream.key != 0, x->asked);
-		assert_true(ss_str_eq(f.stream.service, SS_LIT("lm")));
 		m.sub = f.stream.sub;
 		gate_take_stream(f.gate, &m);
 		if (x->served < 0)
