--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,7 @@
 NETLIB := $(BUILD)/libnet.a
 $(NETLIB): $(call obj,$(NET_SRC))
 	rm -f $@ && ar rcs $@ $^
-$(BUILD)/bench-fleet: $(BUILD)/bench/fleet.o $(FLEET_WORLD) $(NETLIB) $(LIB)
+$(BUILD)/bench-fleet $(BUILD)/bench-streams: $(BUILD)/bench-%: $(BUILD)/bench/%.o $(FLEET_WORLD) $(NETLIB) $(LIB)
 	$(CC) $(LDFLAGS) $(filter %.o,$^) $(NETLIB) $(LIB) -o $@ $(LDLIBS)
 $(BUILD)/test_fleet_lead: $(BUILD)/test/test_fleet_lead.o $(FLEET_WORLD) \
 		$(NETLIB) $(LIB)
--- a/src/core/stream_log.c
+++ b/src/core/stream_log.c
@@ -258,3 +258,9 @@
 {
 	return g_hash_table_size(l->streams);
 }
+
+size_t stream_log_bytes(void)
+{
+	/* Key, value and hash of a table that is half full. */
+	return sizeof(struct entry) + 2 * (2 * sizeof(void *) + sizeof(guint));
+}
--- a/src/core/stream_log.h
+++ b/src/core/stream_log.h
@@ -64,5 +64,7 @@
 /* Forget what is over. */
 void stream_log_tidy(struct stream_log *l, int64_t now);
 size_t stream_log_length(const struct stream_log *l);
+/* Memory of one stream, with its place in the tables; in bytes. */
+size_t stream_log_bytes(void);
 
 #endif
--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -57,6 +57,7 @@
 
 struct engine {
 	char addr[ADDRESS_MAX], id[ADDRESS_MAX];
+	const char *version;
 	GArray *held;	 /* int */
 	GArray *on_disk; /* int */
 	int adapters;	 /* of its first model */
@@ -88,7 +89,10 @@
 	GHashTable *model_index;
 	double *popularity; /* summed up */
 	double arrivals;
-	struct stream_log *streams;
+	struct stream_log *streams, *follower;
+	struct fleet_world_streams stream_cost;
+	int64_t stream_word; /* the last that the leader gave */
+	char *stream_version;
 	void *lead;
 	uint64_t seed;
 	struct fleet_world_cost cost;
@@ -173,12 +177,22 @@
 		quota_lease.word(c->purses, &x[i], c->w->d.clock.fake_ms);
 }
 
+static void take_stream_word(struct fleet_world *w,
+			     const struct msg_stream_word *m)
+{
+	w->stream_word = m->word;
+	g_free(w->stream_version);
+	w->stream_version = ss_str_dup(m->version);
+}
+
 bool conn_send(struct conn *c, enum msg_kind kind, const void *msg)
 {
 	if (kind == MSG_LOAD && c->engine >= 0)
 		take_order(c->w, &c->w->engines[c->engine], msg);
 	if (kind == MSG_LIMIT_WORD)
 		take_permits(c, msg);
+	if (kind == MSG_STREAM_WORD)
+		take_stream_word(c->w, msg);
 	return !c->gone;
 }
 
@@ -265,6 +279,24 @@
 	done.fn(done.arg, true);
 }
 
+static size_t frame_bytes(enum msg_kind kind, const void *msg)
+{
+	GString *bytes = g_string_new(NULL);
+	size_t n;
+
+	frame_add(bytes, kind, msg);
+	n = bytes->len;
+	g_string_free(bytes, TRUE);
+	return n;
+}
+
+static void take_spread(struct fleet_world *w, const struct msg_streams *m)
+{
+	stream_wire_take(w->follower, m, w->d.clock.fake_ms);
+	w->stream_cost.spread++;
+	w->stream_cost.spread_bytes += frame_bytes(MSG_STREAMS, m);
+}
+
 bool group_tell(struct group *g, uint64_t id, enum msg_kind kind,
 		const void *msg)
 {
@@ -273,6 +305,8 @@
 
 	(void)g;
 	(void)id;
+	if (kind == MSG_STREAMS)
+		take_spread(world, msg);
 	if (kind != MSG_REMOTE)
 		return true;
 	n = m->engines.items;
@@ -303,8 +337,8 @@
 
 const struct ss_raft_members *ss_raft_members(const struct ss_raft *r)
 {
-	static struct ss_raft_member one = { .id = 1 };
-	static const struct ss_raft_members all = { &one, 1 };
+	static struct ss_raft_member two[] = { { .id = 1 }, { .id = 2 } };
+	static const struct ss_raft_members all = { two, 2 };
 
 	(void)r;
 	return &all;
@@ -351,6 +385,7 @@
 		const struct engine *e = &w->engines[i];
 		struct fleet_instance x = {
 			.id = g_strdup(e->id),
+			.version = g_strdup(e->version),
 			.started_ms = 1,
 			.service = g_strdup("lm"),
 			.addr = g_strdup(e->addr),
@@ -757,6 +792,8 @@
 {
 	struct engine *e = &w->engines[i];
 
+	e->version = "v1";
+
 	g_snprintf(e->addr, sizeof(e->addr), "10.%d.%d.%d:8000", i % 6, i / 200,
 		   i % 200);
 	g_snprintf(e->id, sizeof(e->id), "i-%08x",
@@ -859,6 +896,7 @@
 	for (int i = 0; i < o->engines; i++)
 		engine_init(w, i);
 	w->streams = stream_log_new(STREAM_LOG_MOST);
+	w->follower = stream_log_new(STREAM_LOG_MOST);
 	w->lead = fleet_lead_ops.begin(&w->d, NULL, w->routing, w->streams);
 	w->entries = g_ptr_array_new_with_free_func(peer_free);
 	w->agents = g_ptr_array_new_with_free_func(peer_free);
@@ -877,6 +915,8 @@
 {
 	fleet_lead_ops.end(w->lead);
 	stream_log_free(w->streams);
+	stream_log_free(w->follower);
+	g_free(w->stream_version);
 	for (int i = 0; i < w->o.engines; i++) {
 		g_array_unref(w->engines[i].held);
 		g_array_unref(w->engines[i].on_disk);
@@ -1128,3 +1168,102 @@
 	}
 	return n;
 }
+
+void fleet_world_version(struct fleet_world *w, int engine, const char *version)
+{
+	for (int i = engine; i < w->o.engines; i++) {
+		fleet_world_restart_engine(w, i);
+		w->engines[i].version = version;
+	}
+}
+
+void fleet_world_streams(struct fleet_world *w, int entry, uint64_t key,
+			 uint64_t n, const char *version)
+{
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct stream_item));
+	struct stream_wire wire;
+
+	world = w;
+	for (uint64_t i = 0; i < n; i++) {
+		struct stream_item x = { key + i, "lm", version, 20000 };
+
+		g_array_append_val(items, x);
+	}
+	stream_wire_pack(&wire, items);
+	w->stream_cost.told++;
+	w->stream_cost.told_bytes += frame_bytes(MSG_STREAMS, &wire.m);
+	deliver(w->entries->pdata[entry], MSG_STREAMS, &wire.m,
+		&w->cost.reports);
+	stream_wire_clear(&wire);
+	g_array_unref(items);
+}
+
+int64_t fleet_world_ask_stream(struct fleet_world *w, int entry, uint64_t key,
+			       const char **version)
+{
+	struct msg_stream_ask m = { .sub = 1,
+				    .key = key,
+				    .service = SS_LIT("lm") };
+
+	world = w;
+	w->stream_word = 0;
+	deliver(w->entries->pdata[entry], MSG_STREAM_ASK, &m, &w->cost.reports);
+	*version = w->stream_version ? w->stream_version : "";
+	return w->stream_word;
+}
+
+void fleet_world_lose_leader(struct fleet_world *w)
+{
+	world = w;
+	fleet_lead_ops.end(w->lead);
+	stream_log_free(w->streams);
+	w->streams = w->follower;
+	w->follower = stream_log_new(STREAM_LOG_MOST);
+	w->lead = fleet_lead_ops.begin(&w->d, NULL, w->routing, w->streams);
+	for (int i = 0; i < w->o.entries; i++)
+		fleet_lead_ops.open(w->lead, w->entries->pdata[i]);
+	for (int i = 0; i < w->o.engines; i++) {
+		fleet_lead_ops.open(w->lead, w->agents->pdata[i]);
+		w->engines[i].news = true;
+	}
+}
+
+struct fleet_world_streams fleet_world_stream_cost(struct fleet_world *w)
+{
+	struct fleet_world_streams c = w->stream_cost;
+
+	c.kept = stream_log_length(w->streams);
+	memset(&w->stream_cost, 0, sizeof(w->stream_cost));
+	return c;
+}
+
+void fleet_world_wait_at(struct fleet_world *w, int entry, int model,
+			 const char *version)
+{
+	struct conn *c = w->entries->pdata[entry];
+	char *name = model_name(model);
+	struct model_demand d = { .service = SS_LIT("lm"),
+				  .model = ss_str(name),
+				  .version = ss_str(version),
+				  .waiting = 1,
+				  .slack_ms = 1000 };
+	struct msg_demand m = { .round = c->round,
+				.routing = 1,
+				.models = { &d, 1 } };
+
+	world = w;
+	deliver(c, MSG_DEMAND, &m, &w->cost.reports);
+	g_free(name);
+}
+
+bool fleet_world_holds_at(const struct fleet_world *w, int model,
+			  const char *version)
+{
+	const GArray *h = w->holders[model];
+
+	for (guint i = 0; i < h->len; i++)
+		if (!strcmp(w->engines[g_array_index(h, int, i)].version,
+			    version))
+			return true;
+	return false;
+}
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -66,6 +66,31 @@
 void fleet_world_restart_engine(struct fleet_world *w, int engine);
 /* Steps that an engine was sent. */
 int fleet_world_orders(const struct fleet_world *w, int engine);
+/* Engines from this one on are of another version than those before. */
+void fleet_world_version(struct fleet_world *w, int engine,
+			 const char *version);
+/* An entry has begun so many streams, from this key on, at a version. */
+void fleet_world_streams(struct fleet_world *w, int entry, uint64_t key,
+			 uint64_t n, const char *version);
+/* What an entry is told of one; its version, or "" with the word. */
+int64_t fleet_world_ask_stream(struct fleet_world *w, int entry, uint64_t key,
+			       const char **version);
+/* Its follower leads from now on, and all entries come to it. */
+void fleet_world_lose_leader(struct fleet_world *w);
+/* Messages on streams and their bytes, to the leader and to its follower, since
+ * the last call; streams that the leader keeps. */
+struct fleet_world_streams {
+	uint64_t told, told_bytes, spread, spread_bytes;
+	size_t kept;
+};
+struct fleet_world_streams fleet_world_stream_cost(struct fleet_world *w);
+/* Callers of an entry wait for a model at a version; steps that engines of it
+ * were sent since. */
+void fleet_world_wait_at(struct fleet_world *w, int entry, int model,
+			 const char *version);
+/* An engine of that version holds the model. */
+bool fleet_world_holds_at(const struct fleet_world *w, int model,
+			  const char *version);
 /* The entry reads nothing from now on, and says nothing; it reads on. */
 void fleet_world_stop_entry(struct fleet_world *w, int entry);
 void fleet_world_continue_entry(struct fleet_world *w, int entry);
--- a/test/test_fleet_lead.c
+++ b/test/test_fleet_lead.c
@@ -2,6 +2,7 @@
  * between played entries and engines. */
 #include "unit.h"
 
+#include "../src/core/msg.h"
 #include "../src/customer/quota.h"
 
 #include "fleet_world.h"
@@ -268,9 +269,99 @@
 	fleet_world_free(w);
 }
 
+/* Symptom: who knows a stream's version is lost with the entry that began it,
+ * or with the leader, and it can go on nowhere. */
+static void begun_streams_outlive_their_entry_and_the_leader(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet_world *w = world_of(&sizes[i]);
+		const char *version;
+
+		(void)state;
+		fleet_world_version(w, sizes[i].engines / 2, "v2");
+		fleet_world_run(w, 2 * SECOND_MS);
+		fleet_world_streams(w, 0, 100, 50, "v1");
+		fleet_world_streams(w, 1, 200, 50, "v2");
+		assert_int_equal(fleet_world_ask_stream(w, 2, 130, &version),
+				 STREAM_KNOWN);
+		assert_string_equal(version, "v1");
+		/* Followers have it a moment later. */
+		fleet_world_run(w, 100);
+		fleet_world_restart_entry(w, 0);
+		fleet_world_lose_leader(w);
+		assert_int_equal(fleet_world_ask_stream(w, 2, 130, &version),
+				 STREAM_KNOWN);
+		assert_string_equal(version, "v1");
+		assert_int_equal(fleet_world_ask_stream(w, 2, 230, &version),
+				 STREAM_KNOWN);
+		assert_string_equal(version, "v2");
+		fleet_world_free(w);
+	}
+}
+
+/* Symptom: a leader that has just begun, or sees two versions, answers as if it
+ * knew. */
+static void leader_guesses_no_version(void **state)
+{
+	struct fleet_world *w = world_of(&sizes[0]);
+	const char *version;
+
+	(void)state;
+	assert_int_equal(fleet_world_ask_stream(w, 0, 7, &version),
+			 STREAM_LATER);
+	fleet_world_run(w, 2 * SECOND_MS);
+	assert_int_equal(fleet_world_ask_stream(w, 0, 7, &version),
+			 STREAM_ONLY);
+	assert_string_equal(version, "v1");
+	fleet_world_version(w, 20, "v2");
+	fleet_world_run(w, 2 * SECOND_MS);
+	assert_int_equal(fleet_world_ask_stream(w, 0, 7, &version),
+			 STREAM_UNKNOWN);
+	/* The last of them has gone, its streams may yet come. */
+	fleet_world_version(w, 0, "v2");
+	fleet_world_run(w, 2 * SECOND_MS);
+	assert_int_equal(fleet_world_ask_stream(w, 0, 7, &version),
+			 STREAM_UNKNOWN);
+	fleet_world_lose_leader(w);
+	fleet_world_run(w, 2 * SECOND_MS);
+	assert_int_equal(fleet_world_ask_stream(w, 0, 7, &version),
+			 STREAM_UNKNOWN);
+	fleet_world_run(w, 60 * SECOND_MS);
+	assert_int_equal(fleet_world_ask_stream(w, 0, 7, &version),
+			 STREAM_ONLY);
+	assert_string_equal(version, "v2");
+	fleet_world_free(w);
+}
+
+/* Symptom: callers wait in vain for engines of their stream's version, and
+ * another version is given the model. */
+static void model_comes_to_the_version_that_is_waited_for(void **state)
+{
+	const struct size few = { 4, 8 };
+	struct fleet_world *w = world_of(&few);
+
+	(void)state;
+	fleet_world_version(w, 6, "v2");
+	fleet_world_run(w, 4 * SECOND_MS);
+	for (int m = 40; m < 44; m++) {
+		for (int k = 0; k < 20 && !fleet_world_holds_at(w, m, "v2");
+		     k++) {
+			fleet_world_wait_at(w, 1, m, "v2");
+			fleet_world_run(w, SECOND_MS / 4);
+		}
+		if (!fleet_world_holds_at(w, m, "v2"))
+			fail_msg("model %d isn't loaded there", m);
+	}
+	fleet_world_free(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			begun_streams_outlive_their_entry_and_the_leader),
+		cmocka_unit_test(leader_guesses_no_version),
+		cmocka_unit_test(model_comes_to_the_version_that_is_waited_for),
 		cmocka_unit_test(limit_is_told_to_all),
 		cmocka_unit_test(leaving_is_told_to_all),
 		cmocka_unit_test(resting_engine_is_read_by_no_control_vm),
