losses and explain tell streams that are taken up

losses counts late by their stream's version apart from late by a missing model, and says how many streams were taken up, went whole, and were of two versions; explain tells all tries at one stream together, whichever of them is asked for. Tests: rows and a case each, which failed without.

--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -39,6 +39,8 @@
 struct explain {
 	char *request;
 	bool found;
+	GHashTable
+		*streams; /* set of requests that are of one stream with it */
 	int64_t from_ms, to_ms;
 	GHashTable *models, *endpoints, *nodes; /* sets of names */
 	GPtrArray *lines;			/* struct log_line */
@@ -52,6 +54,17 @@
 		g_hash_table_add(set, g_strdup(name));
 }
 
+/* A caller's tries at one stream name the one that began it. */
+static void learn_stream(struct explain *e, const struct log_line *l)
+{
+	const char *resumes = log_line_get(l, "resumes");
+
+	if (!strcmp(resumes, e->request))
+		note(e->streams, log_line_get(l, "request"));
+	else if (!strcmp(log_line_get(l, "request"), e->request))
+		note(e->streams, resumes);
+}
+
 void explain_learn(struct explain *e, const char *line)
 {
 	struct log_line *l;
@@ -60,6 +73,7 @@
 	/* Most lines are of other requests. */
 	if (!strstr(line, e->request) || !(l = log_line_read(line)))
 		return;
+	learn_stream(e, l);
 	if (!strcmp(log_line_get(l, "request"), e->request)) {
 		from = l->ts_ms -
 		       g_ascii_strtoll(log_line_get(l, "ms"), NULL, 10);
@@ -98,7 +112,10 @@
 
 static bool belongs(const struct explain *e, const struct log_line *l)
 {
-	if (!strcmp(log_line_get(l, "request"), e->request))
+	const char *request = log_line_get(l, "request");
+
+	if (!strcmp(request, e->request) ||
+	    g_hash_table_contains(e->streams, request))
 		return true;
 	if (l->ts_ms < e->from_ms - BEFORE_MS || l->ts_ms > e->to_ms)
 		return false;
@@ -198,6 +215,8 @@
 	struct explain *e = g_new0(struct explain, 1);
 
 	e->request = g_strdup(request);
+	e->streams =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->models =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->endpoints =
@@ -210,6 +229,7 @@
 void explain_free(struct explain *e)
 {
 	g_free(e->request);
+	g_hash_table_unref(e->streams);
 	g_hash_table_unref(e->models);
 	g_hash_table_unref(e->endpoints);
 	g_hash_table_unref(e->nodes);
--- a/src/ctl/summary.c
+++ b/src/ctl/summary.c
@@ -12,6 +12,7 @@
 	REASON_QUOTA,	/* late: it waited for its customer's limit */
 	REASON_START,	/* late: its entry had just started, nobody led */
 	REASON_MODEL,	/* late: it waited, and no engine had its model */
+	REASON_VERSION, /* late: none of its stream's version had its model */
 	REASON_PLACE,	/* late: it waited for a place on a full endpoint */
 	REASON_LIMIT,	/* late: it waited for what an endpoint itself admits */
 	REASON_REST,	/* late: it waited for the end of an endpoint's rest */
@@ -31,6 +32,7 @@
 	[REASON_QUOTA] = "late: its customer's limit",
 	[REASON_START] = "late: nobody led yet",
 	[REASON_MODEL] = "late: no engine had its model",
+	[REASON_VERSION] = "late: its stream's version",
 	[REASON_PLACE] = "late: full endpoint",
 	[REASON_LIMIT] = "late: its endpoint's own limit",
 	[REASON_REST] = "late: its endpoint rested",
@@ -54,10 +56,18 @@
 	uint64_t n[REASONS];
 };
 
+/* A stream that was taken up: at which version, and what became of that. */
+struct taken_up {
+	char *stream, *version; /* the request that began it */
+	bool whole;
+};
+
 struct summary {
-	GArray *routes;	     /* struct route_row */
-	GArray *seconds;     /* struct second_row, by time */
-	GHashTable *refused; /* why -> GUINT count */
+	GArray *taken;	      /* struct taken_up */
+	GHashTable *versions; /* request -> char *, of its endpoint */
+	GArray *routes;	      /* struct route_row */
+	GArray *seconds;      /* struct second_row, by time */
+	GHashTable *refused;  /* why -> GUINT count */
 };
 
 static void route_clear(void *p)
@@ -65,10 +75,21 @@
 	g_free(((struct route_row *)p)->name);
 }
 
+static void taken_clear(void *p)
+{
+	g_free(((struct taken_up *)p)->stream);
+	g_free(((struct taken_up *)p)->version);
+}
+
 struct summary *summary_new(void)
 {
 	struct summary *s = g_new0(struct summary, 1);
 
+	s->taken = g_array_new(FALSE, TRUE, sizeof(struct taken_up));
+	g_array_set_clear_func(s->taken, taken_clear);
+	s->versions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+
 	s->routes = g_array_new(FALSE, TRUE, sizeof(struct route_row));
 	g_array_set_clear_func(s->routes, route_clear);
 	s->seconds = g_array_new(FALSE, TRUE, sizeof(struct second_row));
@@ -79,6 +100,8 @@
 
 void summary_free(struct summary *s)
 {
+	g_array_unref(s->taken);
+	g_hash_table_unref(s->versions);
 	g_array_unref(s->routes);
 	g_array_unref(s->seconds);
 	g_hash_table_unref(s->refused);
@@ -92,6 +115,8 @@
 
 static enum reason waited_reason(const char *held_for)
 {
+	if (!strcmp(held_for, "version"))
+		return REASON_VERSION;
 	if (!strcmp(held_for, "place"))
 		return REASON_PLACE;
 	if (!strcmp(held_for, "limit"))
@@ -172,6 +197,26 @@
 	return &g_array_index(s->seconds, struct second_row, i - 1);
 }
 
+/* Which version began a stream, and which went on with it. */
+static void add_version(struct summary *s, const struct log_line *l)
+{
+	const char *version = log_line_get(l, "version");
+	bool whole = !strcmp(log_line_get(l, "outcome"), "answered");
+	struct taken_up t = { .whole = whole && number(l, "status") == 200 };
+
+	if (!*version)
+		return;
+	if (number(l, "after") < 0) {
+		g_hash_table_replace(s->versions,
+				     g_strdup(log_line_get(l, "request")),
+				     g_strdup(version));
+		return;
+	}
+	t.stream = g_strdup(log_line_get(l, "resumes"));
+	t.version = g_strdup(version);
+	g_array_append_val(s->taken, t);
+}
+
 void summary_add(struct summary *s, const char *line)
 {
 	struct log_line *l;
@@ -183,6 +228,7 @@
 	route = log_line_get(l, "route");
 	why = reason_of(l);
 	route_for(s, *route ? route : "-")->n[why]++;
+	add_version(s, l);
 	second_for(s, (l->ts_ms - number(l, "ms")) / 1000)->n[why]++;
 	if (why == REASON_REFUSED) {
 		const char *text = log_line_get(l, "why");
@@ -300,11 +346,35 @@
 	g_ptr_array_unref(all);
 }
 
+/* An entry that is killed writes no line of what it had begun. */
+static void tell_taken(const struct summary *s, GString *out)
+{
+	guint whole = 0, known = 0, mixed = 0;
+
+	for (guint i = 0; i < s->taken->len; i++) {
+		const struct taken_up *t =
+			&g_array_index(s->taken, struct taken_up, i);
+		const char *began = g_hash_table_lookup(s->versions, t->stream);
+		bool sent = strcmp(t->version, "-") != 0;
+
+		whole += t->whole;
+		known += began && sent;
+		mixed += began && sent && strcmp(began, t->version) != 0;
+	}
+	if (s->taken->len)
+		g_string_append_printf(
+			out,
+			"streams taken up %u, whole %u, of two versions %u of "
+			"%u whose first request is in the logs\n",
+			s->taken->len, whole, mixed, known);
+}
+
 char *summary_tell(const struct summary *s)
 {
 	GString *out = g_string_new(NULL);
 
 	tell_reasons(s, out);
+	tell_taken(s, out);
 	tell_refused(s, out);
 	tell_seconds(s, out);
 	return g_string_free(out, FALSE);
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -105,7 +105,7 @@
 {
 	switch (f->held_for) {
 	case BALANCE_NOBODY:
-		return "model";
+		return f->began_version ? "version" : "model";
 	case BALANCE_FULL:
 		return "place";
 	case BALANCE_LIMITED:
--- a/test/test_explain.c
+++ b/test/test_explain.c
@@ -23,6 +23,10 @@
 	AT "48.000Z" CONTROL "endpoint_gone addr=1.2.3.4:5 id=i-7",
 	AT "48.100Z" CONTROL "endpoint_gone addr=1.2.3.4:9 id=i-9",
 	AT "48.200Z" ENTRY "routing version=7",
+	AT "50.000Z" ENTRY "taken_up request=r6 resumes=r5 version=v1 ms=2",
+	AT "52.000Z" ENTRY "request request=r6 resumes=r5 after=4 model=s ms=9",
+	AT "49.500Z" ENTRY "send_failed request=r5 endpoint=i-3 version=v1",
+	AT "49.700Z" ENTRY "request request=r5 resumes=- after=-1 model=s ms=5",
 	"not a log line",
 	"ts=nonsense node=entry-1 event=request request=r1",
 	"",
@@ -82,6 +86,25 @@
 	g_free(text);
 }
 
+/* Symptom: of a stream that broke off and was taken up, only one try is told.
+ */
+static void tries_at_one_stream_are_told_together(void **state)
+{
+	static const char *const asked[] = { "r5", "r6" };
+	bool found;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(asked); i++) {
+		char *text = story(asked[i], false, &found);
+
+		assert_non_null(strstr(text, "send_failed    request=r5"));
+		assert_non_null(strstr(text, "taken_up       request=r6"));
+		assert_non_null(strstr(text, "request        request=r5"));
+		assert_non_null(strstr(text, "request        request=r6"));
+		g_free(text);
+	}
+}
+
 static void unknown_request_is_said_so(void **state)
 {
 	bool found;
@@ -96,6 +119,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(tries_at_one_stream_are_told_together),
 		cmocka_unit_test(what_belongs_is_told_in_order),
 		cmocka_unit_test(json_has_every_field),
 		cmocka_unit_test(unknown_request_is_said_so),
--- a/test/test_summary.c
+++ b/test/test_summary.c
@@ -31,6 +31,10 @@
 		     "first_ms=1000 ms=1100 objective_ms=300 quota_ms=900 "
 		     "held_for=-"),
 	  "late: its customer's limit " },
+	{ "no engine of its stream's version had its model",
+	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=900 "
+		     "first_ms=1000 ms=1100 objective_ms=300 held_for=version"),
+	  "late: its stream's version " },
 	{ "its replicas were full",
 	  LINE("40", "sends=1 asks=0 outcome=answered status=200 waited_ms=900 "
 		     "first_ms=1000 ms=1100 objective_ms=300 held_for=place"),
@@ -146,9 +150,40 @@
 	summary_free(s);
 }
 
+#define STREAM(id, rest)                                                       \
+	"ts=2026-06-07T09:51:40.500Z level=INFO node=entry-1 "                 \
+	"event=request request=" id " route=night sends=1 status=200 ms=100 "  \
+	"outcome=" rest " why=\"\""
+
+/* Symptom: nobody can tell from the logs how many streams went on at another
+ * version, or of how many that is unknown. */
+static void taken_up_streams_are_added_up(void **state)
+{
+	static const char *const lines[] = {
+		STREAM("b1", "answered version=v1 resumes=a1 after=4"),
+		STREAM("b2", "answered version=v2 resumes=a2 after=4"),
+		STREAM("b3", "cut version=v1 resumes=a3 after=9"),
+		STREAM("b4", "not_run version=- resumes=a1 after=2"),
+		STREAM("a1", "cut version=v1 resumes=- after=-1"),
+		STREAM("a2", "cut version=v1 resumes=- after=-1"),
+	};
+	struct summary *s = summary_new();
+	char *text;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
+		summary_add(s, lines[i]);
+	text = summary_tell(s);
+	assert_non_null(strstr(text, "streams taken up 4, whole 2, of two "
+				     "versions 1 of 2 whose"));
+	g_free(text);
+	summary_free(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(taken_up_streams_are_added_up),
 		cmocka_unit_test(each_request_has_one_reason),
 		cmocka_unit_test(worst_seconds_come_first),
 		cmocka_unit_test(nothing_is_told_of_nothing),
