The soak serves versions side by side, and its callers take streams up

Two checks: no stream of two versions, and of 12 or more that are taken up at entries in touch while two engines of their version are sound, at least half as many go on as new ones begin.

--- a/test/fleet/soak.py
+++ b/test/fleet/soak.py
@@ -21,6 +21,7 @@
 from soak_customer_checks import CustomerChecks
 from soak_customers import listed
 from soak_operators import Operators
+from soak_versions import TAKERS, begin_with_versions, take_up
 
 # Seeds that failed once, with the time of their faults, their size and the
 # cause. They are played as they were then, without relays.
@@ -97,6 +98,8 @@
     await first_change(operators)
     tasks = [asyncio.ensure_future(callers.loop(seed * 1000 + i))
              for i in range(6 + 2 * len(fleet.entries))]
+    tasks += [asyncio.ensure_future(take_up(fleet, callers, seed * 1000 + i))
+              for i in range(TAKERS if fleet.n_relays else 0)]
     try:
         await until(kinds_served, RECOVERY_S, "not all kinds are served")
         tasks += [asyncio.ensure_future(loop)
@@ -126,6 +129,7 @@
     entries = max(3, size * 2 // 5)
     fleet = Fleet(seed, daemon, entries, max(4, size - entries), relays)
     fleet.draw_speeds(random.Random(seed))
+    begin_with_versions(fleet, seed)
     callers = Callers(fleet)
     operators = Operators(fleet, seed, listed())
     faults = Faults(fleet, seed, only)
@@ -147,10 +151,12 @@
 
 def report(seed, p):
     print("%s seed %d: %d processes, %d requests, %d faults, "
-          "%d changes, %d ends by poison, late by %.2f s at most" % (
+          "%d changes, %d ends by poison, %d of %d taken up went on, late by "
+          "%.2f s at most" % (
               "FAILED" if p.bad else "ok", seed, len(p.fleet.procs),
               p.callers.n, len(p.faults.log), p.operators.acked,
               sum(map(len, p.fleet.world.ended_by.values())),
+              p.fleet.judged[1], p.fleet.judged[0],
               p.fleet.world.lag))
     for line in p.bad[:10]:
         print("    " + line)
--- a/test/fleet/soak_checks.py
+++ b/test/fleet/soak_checks.py
@@ -9,6 +9,7 @@
 from soak_fleet import GRACE_MS, RETRY_RATIO, RETRY_SLACK
 from soak_journal import most_in_window
 from soak_poison import CONTACT_S, ENDS, LATER
+from soak_versions import lost, mixed
 from soak_words import over_leaving, over_limit, over_rest
 
 # A fault still shows so long after its end: what it broke has to be found.
@@ -214,8 +215,14 @@
             for text in check(self.f):
                 self.fail(text)
 
+    def versions(self):
+        """Streams go on at the version that began them, and mostly do."""
+        for text in mixed(self.world) + lost(self.f):
+            self.fail(text)
+
     def all(self):
         self.words()
+        self.versions()
         self.callers.check()
         self.unreachable()
         self.left()
--- a/test/fleet/soak_fleet.py
+++ b/test/fleet/soak_fleet.py
@@ -126,6 +126,8 @@
         self.seeds = self.control_addrs()
         self.n_entries, self.n_relays = entries, relays
         self.entries = {}    # name -> address for callers
+        self.takers = []     # callers who take streams up
+        self.judged = (0, 0, 0, 0)  # of these: taken up, went on, new, began
 
     def draw_speeds(self, rng):
         """Engines differ; in half of the runs one is far slower."""
--- a/test/fleet/soak_versions.py
+++ b/test/fleet/soak_versions.py
@@ -1,13 +1,27 @@
-"""Callers who take broken streams up, and what that shows of versions."""
+"""Several software versions of the engines side by side, callers who take
+broken streams up, and what that shows.
+"""
 import asyncio
+import random
 import time
 
+from soak_customers import CUSTOMERS, bearer
 from soak_http import Ended, connect
+from standin import MODELS
 
 DEADLINE_S = 8.0
 TRIES = 6
 # A caller whose stream breaks off comes back after so long.
 PAUSE_S = 0.05
+# Of a run with relays: callers who take streams up, and restarts of engines as
+# other versions.
+TAKERS = 4
+VERSIONS = ["v1", "v2", "v3"]
+# Of the promise: of the streams that are taken up while two endpoints of their
+# version serve, half as many go on as new ones begin; judged from so many on.
+JUDGED_FROM, SHARE = 12, 0.5
+# A process that was harmed needs so long until it is in touch.
+AFTER_S = 3.0
 
 
 class Taker:
@@ -15,9 +29,10 @@
     whole; entries are asked in turn, the last of them again and again.
     """
 
-    def __init__(self, fleet, name, model, total, entries):
+    def __init__(self, fleet, name, model, total, entries, leaves_at=None):
         self.f, self.name, self.model = fleet, name, model
         self.total, self.entries = total, entries
+        self.leaves_at = leaves_at   # its connection ends after that event
         self.first = None    # request whose answer brought the first event
         self.events = 0      # that have come
         self.taken = 0       # tries with which it went on
@@ -25,6 +40,8 @@
         self.whole = self.done = False
         self.waited = 0.0    # for the refusal that came last
         self.tries = []      # (request, entry, what became of it)
+        # (events before, start, end, entry, whether events came) of each try
+        self.spans = []
 
     @property
     def version(self):
@@ -36,7 +53,7 @@
         return "%s (%s): %s" % (self.name, self.version, self.tries)
 
     def headers(self, rid, until):
-        h = {"X-Request-Id": rid, "X-Model": self.model,
+        h = {**bearer(CUSTOMERS[0]), "X-Request-Id": rid, "X-Model": self.model,
              "X-Events": self.total, "X-Token-Usage": "10,%d" % self.total,
              "X-Deadline-Ms": int(1000 * (until - time.monotonic()))}
         if self.events:
@@ -55,6 +72,9 @@
                 if status == 200 and part:
                     self.first = self.first or rid
                     self.events += part.count(b"\n\n")
+                if self.leaves_at and self.events >= self.leaves_at:
+                    self.leaves_at = None
+                    raise Ended
             self.whole = status == 200 and self.events == self.total
             self.tries.append((rid, entry, status, self.events))
             if status != 200:
@@ -83,6 +103,8 @@
             except OSError:
                 pause = PAUSE_S
             self.waited = time.monotonic() - start
+            self.spans.append((before, start, time.monotonic(), entry,
+                               self.events > before))
             if self.whole or time.monotonic() + pause > until:
                 break
             await asyncio.sleep(pause)
@@ -110,3 +132,75 @@
     """Of those who took a stream up: how many got the rest of it."""
     taken = [t for t in takers if t.taken]
     return sum(t.whole for t in taken) / len(taken) if taken else 1.0
+
+
+async def take_up(fleet, callers, seed):
+    """Streams, one after the other, that break off and are taken up."""
+    rng = random.Random("takers %d" % seed)
+    entries, n = sorted(fleet.entries), 0
+    while callers.on:
+        n += 1
+        total = rng.randrange(10, 80)
+        t = Taker(fleet, "t%d.%d" % (seed, n), rng.choice(sorted(MODELS)),
+                  total, rng.sample(entries, min(3, len(entries))),
+                  rng.randrange(1, total) if rng.random() < 0.6 else None)
+        fleet.takers.append(t)
+        await t.run()
+        await asyncio.sleep(rng.random() * 0.1)
+
+
+def begin_with_versions(fleet, seed):
+    rng = random.Random("versions %d" % seed)
+    for e in fleet.engines if fleet.n_relays else []:
+        e.version = rng.choice(VERSIONS[:2])
+
+
+async def release(faults, seconds):
+    """Engines start again as another version, under their id at times."""
+    rng = random.Random("releases %d" % faults.seed)
+    for _ in range(rng.randrange(1, 5) if faults.f.n_relays else 0):
+        await asyncio.sleep(rng.uniform(0, seconds / 3))
+        e = rng.choice(faults.f.engines)
+        version = rng.choice(VERSIONS)
+        faults.log.append("%s %s starts as %s" % (
+            faults.journal.at(time.monotonic()), e.name, version))
+        await e.restart(rng.uniform(0.1, 1), version, rng.random() < 0.5)
+
+
+def calm(fleet, entry, since, until):
+    """In touch: neither the entry nor a control VM was harmed or stopped."""
+    names = [entry] + [p.name for p in fleet.of_role("control")]
+    return not any(fleet.journal.touched(n, since - AFTER_S, until)
+                   for n in names)
+
+
+def served_by_two(fleet, version, since, until):
+    """Engines that were of that version, and sound, all the while."""
+    return sum(e.version == version and
+               not fleet.journal.touched(e.name, since - AFTER_S, until) and
+               not fleet.journal.touched(e.name.replace("engine", "agent"),
+                                         since - AFTER_S, until)
+               for e in fleet.engines) >= 2
+
+
+def lost(fleet):
+    """Streams that were taken up at sound entries, and went on too seldom, as
+    text.
+    """
+    new, taken = [], []
+    for t in fleet.takers:
+        for before, start, end, entry, came in t.spans:
+            if not calm(fleet, entry, start, end):
+                continue
+            if not before:
+                new.append(came)
+            elif served_by_two(fleet, t.version, start, end):
+                taken.append(came)
+    fleet.judged = (len(taken), sum(taken), len(new), sum(new))
+    if len(taken) < JUDGED_FROM or not new:
+        return []
+    share, begin = sum(taken) / len(taken), sum(new) / len(new)
+    if share >= SHARE * begin:
+        return []
+    return ["%.2f of %d streams that were taken up went on, %.2f of %d new ones "
+            "began" % (share, len(taken), begin, len(new))]
