--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from demo_versions import versions
 from demo_words import words
 from system import GB, ROOT, System, chat, request, wait_for
 
@@ -141,7 +142,7 @@
         print("\nstopped %s" % ("cleanly" if clean else "NOT cleanly"))
     finally:
         s.kill()
-    bad += words()
+    bad += words() + versions()
     return 0 if bad == 0 and clean else 1
 
 
