A leader that may yet know is waited for; one start has one version

A caller who came while another leader began was sent away after 1.5 s though that leader said "ask again" (its first second): the time counts from its last word now, and ends where the stream can't be begun any more (two cases; the first failed before).

--- a/src/core/fleet_types.c
+++ b/src/core/fleet_types.c
@@ -30,8 +30,9 @@
 {
 	if (fleet_other_id(known, told))
 		return FLEET_RESTARTED;
-	if (!known->started_ms || !told->started_ms ||
-	    known->started_ms == told->started_ms)
+	if (known->started_ms && known->started_ms == told->started_ms)
+		return FLEET_SAME;
+	if (!known->started_ms || !told->started_ms)
 		return other_version(known, told) ? FLEET_RESTARTED :
 						    FLEET_SAME;
 	return told->started_ms > known->started_ms ? FLEET_RESTARTED :
@@ -47,8 +48,14 @@
 	bool late = !other && told->started_ms < known->started_ms &&
 		    told->started_ms;
 
-	/* The version is told by the list alone, and comes after the rest. */
-	if (other || later || (!late && is_told(told->version))) {
+	bool same = !other && known->started_ms &&
+		    known->started_ms == told->started_ms;
+
+	/* The version is told by the list alone, and comes after the rest. One
+	 * start has one version: another one of it is somebody's slip. */
+	if (other || later ||
+	    (!late && is_told(told->version) &&
+	     !(same && is_told(known->version)))) {
 		char *version = g_strdup(told->version);
 
 		g_free(known->version);
--- a/src/core/fleet_types.h
+++ b/src/core/fleet_types.h
@@ -24,7 +24,7 @@
 /*
  * The rule. Another id is another incarnation, whatever the starts say: they
  * may be of two VMs, whose clocks differ. Under one id, or where one id isn't
- * told, the later start is the later incarnation, and where starts don't tell,
+ * told, the later start is the later incarnation, and where a start isn't told,
  * another version is. A part that isn't told proves nothing, so a message
  * without a start is taken as before starts were told, and doesn't undo the
  * start that is known.
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -121,8 +121,9 @@
 	uint64_t
 		taken_up; /* key of the stream that it takes up; 0: not named */
 	int64_t look_ms, asked_ms; /* when it looked for that first, and last */
-	int64_t lost_ms; /* when its endpoint is known to be gone; 0: it isn't
-			  */
+	int64_t heard_ms; /* when the leader last said that it may yet know */
+	int64_t lost_ms;  /* when its endpoint is known to be gone; 0: it isn't
+			   */
 	uint64_t ticket;
 	int64_t sent_ms;
 	double limit_per_s;   /* of its endpoint when it was sent; -1: none */
--- a/src/proxy/go_on.c
+++ b/src/proxy/go_on.c
@@ -334,8 +334,12 @@
 	struct forward *f = g_hash_table_lookup(g->tickets, &m->sub);
 	char *service, *version;
 
-	if (!f || f->state != FORWARD_LOOKS || m->word == STREAM_LATER)
+	if (!f || f->state != FORWARD_LOOKS)
 		return;
+	if (m->word == STREAM_LATER) {
+		f->heard_ms = gate_now(g);
+		return;
+	}
 	if (m->word == STREAM_UNKNOWN) {
 		refuse(f, "nobody knows which version began it", 0);
 		return;
@@ -352,7 +356,9 @@
 {
 	if (times_stop_cuts(f, NULL))
 		forward_refuse_for_stop(f);
-	else if (now - f->look_ms >= LOOK_MS)
+	else if (now + times_first_ms(f) > f->begin_by_ms)
+		refuse(f, "it can't be begun in time", 0);
+	else if (now - MAX(f->look_ms, f->heard_ms) >= LOOK_MS)
 		go_on_alone(f);
 	else if (now - f->asked_ms >= ASK_AGAIN_MS)
 		send_ask(f);
--- a/test/test_gate_versions.c
+++ b/test/test_gate_versions.c
@@ -247,6 +247,54 @@
 	fix_close(&f);
 }
 
+/* Symptom: callers who come while another leader begins are sent away, though
+ * it learns what they need a moment later. */
+static void leader_that_may_yet_know_is_waited_for(void **state)
+{
+	struct msg_stream_word m = { .word = STREAM_LATER,
+				     .service = SS_LIT("lm"),
+				     .version = SS_LIT("v1") };
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	open_two(&f);
+	c = call(&f, take_up);
+	UNTIL(&f, f.streams_asked);
+	for (int k = 0; k < 30; k++) {
+		m.sub = f.stream.sub;
+		gate_take_stream(f.gate, &m);
+		pass_ms(&f, 100);
+	}
+	assert_false(got(c, "503"));
+	m.word = STREAM_KNOWN;
+	gate_take_stream(f.gate, &m);
+	UNTIL(&f, got(c, "event3"));
+	assert_int_equal(f.eps[0].requests, 1);
+	fix_close(&f);
+}
+
+/* But for no longer than it could still be begun. */
+static void hopeless_take_up_is_refused(void **state)
+{
+	struct msg_stream_word m = { .word = STREAM_LATER };
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	open_two(&f);
+	c = call(&f, take_up);
+	UNTIL(&f, f.streams_asked);
+	for (int k = 0; k < 100 && !got(c, "503"); k++) {
+		m.sub = f.stream.sub;
+		gate_take_stream(f.gate, &m);
+		pass_ms(&f, 100);
+	}
+	assert_true(got(c, "503"));
+	assert_int_equal(f.eps[0].requests + f.eps[1].requests, 0);
+	fix_close(&f);
+}
+
 /* The entry that began it needs nobody's word, and another version's room is
  * no reason. */
 static void entry_knows_what_it_began(void **state)
@@ -278,6 +326,8 @@
 		cmocka_unit_test(begun_streams_are_told_before_their_events),
 		cmocka_unit_test(version_that_is_listed_later_is_told),
 		cmocka_unit_test(take_up_without_a_leader_is_told_soon),
+		cmocka_unit_test(leader_that_may_yet_know_is_waited_for),
+		cmocka_unit_test(hopeless_take_up_is_refused),
 		cmocka_unit_test(entry_knows_what_it_began),
 	};
 
