Streams that have begun are tried first where a model is full

Found by reading: with a lane for each version, the order in which lanes are tried decided who gets a place that comes free, and new callers of a full model took each of them (taken_up_stream_isnt_starved_by_new_ones failed: 20 of them went before). Those who go on with a stream are few and can go to fewer endpoints, so their lanes come first.

--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -114,10 +114,11 @@
 		;
 }
 
-/* Lanes of a service in a list: pumping one may add another. */
+/* Lanes of a service in a list: pumping one may add another. Streams that have
+ * begun go first: they are few, and can go to fewer endpoints. */
 static GList *lanes_of(struct gate *g, const char *service)
 {
-	GList *out = NULL;
+	GList *out = NULL, *begun = NULL;
 	GHashTableIter it;
 	void *p;
 
@@ -125,11 +126,15 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct lane *l = p;
 
-		if (ss_queue_length(l->waits) &&
-		    (!service || !strcmp(l->service, service)))
+		if (!ss_queue_length(l->waits) ||
+		    (service && strcmp(l->service, service)))
+			continue;
+		if (*l->version)
+			begun = g_list_prepend(begun, l);
+		else
 			out = g_list_prepend(out, l);
 	}
-	return out;
+	return g_list_concat(begun, out);
 }
 
 void gate_pump(struct gate *g, const char *service)
--- a/test/test_gate_versions.c
+++ b/test/test_gate_versions.c
@@ -295,6 +295,58 @@
 	fix_close(&f);
 }
 
+/* The first endpoint alone holds the model, with so many calls of others. */
+static void tell_running(struct fix *f, int64_t running)
+{
+	struct held_model held = { .model = SS_LIT("m") };
+	struct fleet_endpoint e = { .addr = ss_str(f->eps[0].addr),
+				    .id = ss_str(f->eps[0].id),
+				    .version = SS_LIT("v1"),
+				    .service = SS_LIT("lm"),
+				    .domain = SS_LIT("here"),
+				    .slots = 8,
+				    .running = running,
+				    .tokens_total = 1000,
+				    .held = { &held, 1 } };
+	struct msg_fleet m = { .fence = 1,
+			       .whole = true,
+			       .endpoints = { &e, 1 } };
+
+	gate_take_fleet(f->gate, &m);
+}
+
+/* Symptom: on a full model a stream that is taken up never gets a place: those
+ * who come anew take each one that is free. */
+static void taken_up_stream_isnt_starved_by_new_ones(void **state)
+{
+	struct msg_stream_word m = { .word = STREAM_KNOWN,
+				     .service = SS_LIT("lm"),
+				     .version = SS_LIT("v1") };
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open_fresh(&f);
+	f.leads = true;
+	script(&f, 0, ANSWERS_ID("q2"), false, false);
+	tell_routing(&f);
+	tell_running(&f, 8);
+	for (int k = 0; k < 20; k++)
+		call(&f, POST_NIGHT);
+	pass_ms(&f, 100);
+	c = call(&f, take_up);
+	UNTIL(&f, f.streams_asked);
+	m.sub = f.stream.sub;
+	gate_take_stream(f.gate, &m);
+	pass_ms(&f, 100);
+	assert_int_equal(f.eps[0].requests, 0);
+	tell_running(&f, 7);
+	UNTIL(&f, f.eps[0].requests >= 1);
+	assert_non_null(strstr(f.eps[0].seen->str, "X-Request-Id: q2"));
+	UNTIL(&f, got(c, "event3"));
+	fix_close(&f);
+}
+
 /* The entry that began it needs nobody's word, and another version's room is
  * no reason. */
 static void entry_knows_what_it_began(void **state)
@@ -328,6 +380,7 @@
 		cmocka_unit_test(take_up_without_a_leader_is_told_soon),
 		cmocka_unit_test(leader_that_may_yet_know_is_waited_for),
 		cmocka_unit_test(hopeless_take_up_is_refused),
+		cmocka_unit_test(taken_up_stream_isnt_starved_by_new_ones),
 		cmocka_unit_test(entry_knows_what_it_began),
 	};
 
