--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -1,5 +1,5 @@
 /* Which engine of a fleet holds which model. */
-#include "fleet.h"
+#include "fleet_int.h"
 
 #include <math.h>
 
@@ -45,12 +45,6 @@
 #define ONLY_COPY_MS 60.0
 /* Copies of a model that are made while nobody calls. */
 #define COPIES_AHEAD 2
-/* Loads from the store at once before it has shown how many it serves at full
- * speed; doubled each time that so many were as fast as one alone. */
-#define STORE_FIRST 2
-/* A load that takes this multiple of its time alone was slowed down by
- * others: above what orders and reports add, below what one load more does. */
-#define STORE_SLOW 1.25
 /* While calls run, loads ahead of demand take up one in so many of the
  * store's loads: each takes many seconds, and a model whose replicas are full
  * must not stand behind them. */
@@ -58,9 +52,6 @@
 /* A model that is called at this rate was asked for in the last seconds: one
  * call within the memory of a rate. */
 #define ASKED_PER_S 0.05
-/* Memory of a rate, in ms: long enough to tell an idle model from one that
- * is asked for every few seconds. */
-#define RATE_MS 8000.0
 
 int64_t fleet_load_ms(const struct routing_model *m, enum ss_tier tier)
 {
@@ -75,82 +66,12 @@
 	return m->store_ms;
 }
 
-size_t fleet_store_most(const struct fleet_store *s, size_t limit)
-{
-	return CLAMP(s->most ? s->most : STORE_FIRST, 1, MAX(limit, 1));
-}
-
-int64_t fleet_pause_ms(int64_t took_ms, int64_t part, int64_t least_ms,
-		       int64_t most_ms)
-{
-	return CLAMP(took_ms * part, least_ms, most_ms);
-}
-
-int64_t fleet_store_slow_ms(int64_t alone_ms)
-{
-	return (int64_t)((double)alone_ms * STORE_SLOW);
-}
-
-void fleet_store_seen(struct fleet_store *s, size_t n, int64_t took_ms,
-		      int64_t alone_ms, bool done)
-{
-	size_t most = s->most ? s->most : STORE_FIRST;
-
-	if (took_ms > fleet_store_slow_ms(alone_ms)) {
-		double at_once =
-			done ? (double)n * (double)alone_ms / (double)took_ms :
-			       (double)n - 1;
-
-		s->most = MAX(MIN(most, (size_t)(at_once + 0.5)), 1);
-	} else if (done && n >= most) {
-		s->most = most * 2;
-	}
-}
-
-double fleet_rate_at(const struct fleet_rate *r, int64_t now)
-{
-	return r->at_ms ? r->per_s * exp(-(double)(now - r->at_ms) / RATE_MS) :
-			  0;
-}
-
-void fleet_rate_add(struct fleet_rate *r, uint64_t arrivals, int64_t now)
-{
-	r->per_s = fleet_rate_at(r, now) + (double)arrivals * 1000.0 / RATE_MS;
-	r->at_ms = MAX(now, 1);
-}
-
-/* What a pass knows of a model beside the view. */
-struct tally {
-	uint32_t open;	  /* replicas that take calls */
-	uint32_t paused;  /* that will again, on suspended engines */
-	uint32_t loading; /* on their way, this pass's too */
-	uint32_t copies;  /* engines that have it in memory or on disk */
-	int64_t left_ms;  /* until the first of those on their way */
-};
-
-struct pass {
-	struct fleet_view *v;
-	const struct fleet_plan_ops *ops;
-	void *arg;
-	struct tally *tally;
-	uint32_t *only; /* of each node: models that no other has a copy of */
-	size_t from_store; /* loads from the store under way */
-	uint32_t calls;	   /* under way on all engines */
-	double starts;	   /* calls a second that a replica is to begin */
-	GArray *needs;	   /* struct need, in order */
-};
-
-static struct fleet_place *place_at(const struct fleet_node *n, guint i)
-{
-	return &g_array_index(n->places, struct fleet_place, i);
-}
-
 static void count_node(struct pass *s, const struct fleet_node *n)
 {
 	bool there = n->usable || n->suspended;
 
 	for (guint i = 0; there && i < n->places->len; i++) {
-		const struct fleet_place *p = place_at(n, i);
+		const struct fleet_place *p = fleet_place_at(n, i);
 		struct tally *t = &s->tally[p->model];
 
 		*(n->usable ? &t->open : &t->paused) += !p->closing;
@@ -189,17 +110,12 @@
 	return n;
 }
 
-static bool is_of(const struct fleet_node *n, const char *version)
-{
-	return n->version && !strcmp(n->version, version);
-}
-
 static bool is_pinned(const struct pass *s, const struct fleet_node *n,
 		      uint32_t model)
 {
 	for (size_t i = 0; i < s->v->n_pins; i++)
 		if (s->v->pins[i].model == model &&
-		    is_of(n, s->v->pins[i].version))
+		    fleet_is_of(n, s->v->pins[i].version))
 			return true;
 	return false;
 }
@@ -216,15 +132,6 @@
 	       (double)MAX(s->tally[p->model].open, 1);
 }
 
-/* A model that a replica more is wanted of. */
-struct need {
-	uint32_t model;
-	uint32_t waiting;
-	int64_t slack_ms;
-	const char *version; /* of the engines that will do; NULL: all */
-	size_t pin;	     /* with a version: its index */
-};
-
 struct choice {
 	struct fleet_step step;
 	double cost;
@@ -251,7 +158,7 @@
 		if (c->step.n_victims == FLEET_VICTIMS_MAX)
 			return false;
 		for (guint i = 0; i < n->places->len; i++) {
-			const struct fleet_place *p = place_at(n, i);
+			const struct fleet_place *p = fleet_place_at(n, i);
 			double cost = unload_cost(s, n, p);
 
 			if (cost < 0 || is_victim(&c->step, p->model) ||
@@ -263,8 +170,8 @@
 		if (best < 0)
 			return false;
 		c->step.victims[c->step.n_victims++] =
-			place_at(n, (guint)best)->model;
-		room += s->v->models[place_at(n, (guint)best)->model]
+			fleet_place_at(n, (guint)best)->model;
+		room += s->v->models[fleet_place_at(n, (guint)best)->model]
 				.spec->weights_mb;
 		c->cost += best_cost;
 	}
@@ -274,7 +181,7 @@
 static bool holds(const struct fleet_node *n, uint32_t model)
 {
 	for (guint i = 0; i < n->places->len; i++)
-		if (place_at(n, i)->model == model)
+		if (fleet_place_at(n, i)->model == model)
 			return true;
 	return false;
 }
@@ -332,7 +239,7 @@
 
 	memset(c, 0, sizeof(*c));
 	if (!n->free || !n->usable || n->loading >= 0 || holds(n, model) ||
-	    (w->version && !is_of(n, w->version)) ||
+	    (w->version && !fleet_is_of(n, w->version)) ||
 	    !make_room(s, n, spec->weights_mb, c))
 		return false;
 	c->step.node = (uint32_t)node;
@@ -376,7 +283,7 @@
 		add_copy(s, (uint32_t)c->step.load);
 	t->left_ms = MIN(t->left_ms, c->step.expected_ms);
 	for (guint i = 0; i < n->places->len; i++) {
-		struct fleet_place *p = place_at(n, i);
+		struct fleet_place *p = fleet_place_at(n, i);
 
 		if (!is_victim(&c->step, p->model))
 			continue;
@@ -406,7 +313,7 @@
 	for (size_t i = 0; i < s->v->n_nodes; i++) {
 		const struct fleet_node *n = &s->v->nodes[i];
 
-		if (need->version && !is_of(n, need->version))
+		if (need->version && !fleet_is_of(n, need->version))
 			continue;
 		if (n->usable && n->tier[model] != TIER_REMOTE &&
 		    !holds(n, model) &&
@@ -443,11 +350,15 @@
 	struct choice best = { 0 }, c;
 	bool found = false;
 
-	*b = (struct fleet_blocked){ .store = !store_allows(s) };
+	*b = (struct fleet_blocked){ .waiting = need->waiting,
+				     .slack_ms = need->slack_ms,
+				     .version = need->version,
+				     .store = !store_allows(s) };
 	for (size_t i = 0; i < s->v->n_nodes; i++) {
 		bool can = weigh(s, &w, i, &c);
 
-		if (!need->version || is_of(&s->v->nodes[i], need->version))
+		if (!need->version ||
+		    fleet_is_of(&s->v->nodes[i], need->version))
 			note_blocked(b, &s->v->nodes[i], model, can);
 		if (!can || (c.step.tier == TIER_REMOTE && b->store) ||
 		    (found && c.cost >= best.cost))
@@ -531,47 +442,11 @@
 	return NULL;
 }
 
-/* Replicas of a pin's model on engines of its version. */
-struct pinned {
-	uint32_t open, loading, calls;
-	int64_t left_ms; /* until the first of those on their way */
-};
-
-static struct pinned count_pinned(const struct pass *s,
-				  const struct fleet_pin *pin)
-{
-	struct pinned t = { .left_ms = INT64_MAX };
-
-	for (size_t i = 0; i < s->v->n_nodes; i++) {
-		const struct fleet_node *n = &s->v->nodes[i];
-
-		if (!n->usable || !is_of(n, pin->version))
-			continue;
-		if (n->loading == (int)pin->model) {
-			t.loading++;
-			/* This pass's own has none of its own yet. */
-			t.left_ms = MIN(t.left_ms,
-					n->loading_left_ms ?
-						n->loading_left_ms :
-						s->tally[pin->model].left_ms);
-		}
-		for (guint k = 0; k < n->places->len; k++) {
-			const struct fleet_place *p = place_at(n, k);
-
-			if (p->model != pin->model || p->closing)
-				continue;
-			t.open++;
-			t.calls += p->calls;
-		}
-	}
-	return t;
-}
-
 /* The same for callers who need one version. */
 static const char *pin_wants_more(const struct pass *s,
 				  const struct fleet_pin *pin)
 {
-	struct pinned t = count_pinned(s, pin);
+	struct pinned t = fleet_count_pinned(s, pin);
 	uint32_t have = t.open + t.loading;
 
 	if (!pin->waiting)
@@ -659,83 +534,6 @@
 		place_copies(s, COPIES_AHEAD, "one engine has the only copy");
 }
 
-/* When each of the store's loads under way is over, the first first. */
-static GArray *store_ends(const struct pass *s, int64_t load_ms)
-{
-	GArray *ends = g_array_new(FALSE, TRUE, sizeof(int64_t));
-
-	for (size_t i = 0; i < s->v->n_nodes; i++) {
-		const struct fleet_node *n = &s->v->nodes[i];
-		int64_t left = n->engaged ? load_ms : n->loading_left_ms;
-
-		if (n->engaged ||
-		    (n->loading >= 0 && n->loading_tier == TIER_REMOTE))
-			g_array_append_val(ends, left);
-	}
-	while (ends->len < s->v->store_parallel)
-		g_array_set_size(ends, ends->len + 1);
-	return ends;
-}
-
-static guint first_end(const GArray *ends)
-{
-	guint best = 0;
-
-	for (guint i = 1; i < ends->len; i++)
-		if (g_array_index(ends, int64_t, i) <
-		    g_array_index(ends, int64_t, best))
-			best = i;
-	return best;
-}
-
-/*
- * Models that callers ask for and no engine has a copy of: the store brings
- * them one after the other, and that is known now. A caller who can't wait so
- * long is told when to come back, instead of being held for seconds first.
- */
-static void set_store_etas(struct pass *s)
-{
-	GArray *ends = NULL;
-
-	for (guint i = 0; i < s->needs->len; i++) {
-		const struct need *n = &g_array_index(s->needs, struct need, i);
-		uint32_t m = n->model;
-		const struct tally *t = &s->tally[m];
-		int64_t load = s->v->models[m].spec->store_ms;
-		int64_t *end;
-
-		if (n->version || t->open || t->loading || t->copies ||
-		    t->paused)
-			continue;
-		if (!ends)
-			ends = store_ends(s, load);
-		end = &g_array_index(ends, int64_t, first_end(ends));
-		*end += load;
-		s->v->models[m].eta_ms = *end;
-	}
-	if (ends)
-		g_array_unref(ends);
-}
-
-static void set_etas(struct pass *s)
-{
-	for (size_t m = 0; m < s->v->n_models; m++) {
-		const struct tally *t = &s->tally[m];
-
-		s->v->models[m].eta_ms = t->open    ? 0 :
-					 t->loading ? t->left_ms :
-						      -1;
-	}
-	for (size_t i = 0; i < s->v->n_pins; i++) {
-		struct fleet_pin *pin = &s->v->pins[i];
-		struct pinned t = count_pinned(s, pin);
-
-		pin->eta_ms = t.open ? 0 : t.loading ? t.left_ms : -1;
-	}
-	if (s->v->all_known)
-		set_store_etas(s);
-}
-
 static double starts_of(const struct fleet_view *v)
 {
 	double all = 0;
@@ -762,7 +560,7 @@
 	place_needed(&s);
 	if (v->ahead)
 		place_ahead(&s);
-	set_etas(&s);
+	fleet_set_etas(&s);
 	g_array_unref(s.needs);
 	g_free(s.tally);
 	g_free(s.only);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -93,6 +93,10 @@
 /* Why a model that callers wait for can't be loaded now: engines that are
  * usable, by what stands in the way. */
 struct fleet_blocked {
+	/* The callers, and the version that they need; NULL: any. */
+	uint32_t waiting;
+	int64_t slack_ms;
+	const char *version;
 	uint32_t copies;      /* engines that have a copy */
 	uint32_t copies_busy; /* of these: taken up */
 	uint32_t copies_full; /* of these: nothing may leave them */
--- a/src/daemon/fleet_steps.c
+++ b/src/daemon/fleet_steps.c
@@ -282,19 +282,19 @@
 static void on_blocked(void *arg, uint32_t model, const struct fleet_blocked *b)
 {
 	struct view *w = arg;
-	struct fleet_want *want =
-		fleet_want_for(w->l, w->service->name, name_of(w, model), "");
+	struct fleet_want *want = fleet_want_for(w->l, w->service->name,
+						 name_of(w, model),
+						 b->version ? b->version : "");
 
 	if (w->now - want->blocked_ms < BLOCKED_LOG_MS)
 		return;
 	want->blocked_ms = w->now;
 	log_info("model_blocked",
-		 "model=%s waiting=%u slack_ms=%" PRId64
+		 "model=%s version=%s waiting=%u slack_ms=%" PRId64
 		 " copies=%u busy=%u full=%u others=%u store_closed=%d",
-		 want->model,
-		 g_array_index(w->models, struct fleet_model, model).waiting,
-		 g_array_index(w->models, struct fleet_model, model).slack_ms,
-		 b->copies, b->copies_busy, b->copies_full, b->free, b->store);
+		 want->model, b->version ? b->version : "-", b->waiting,
+		 b->slack_ms, b->copies, b->copies_busy, b->copies_full,
+		 b->free, b->store);
 }
 
 static const struct fleet_plan_ops plan_table = { begin_step, on_blocked };
--- a/test/test_gate_versions.c
+++ b/test/test_gate_versions.c
@@ -91,6 +91,17 @@
 	tell_fleet(f, "lm", "m");
 }
 
+/* The leader has been asked about the stream. */
+static struct caller *open_and_take_up(struct fix *f)
+{
+	struct caller *c;
+
+	open_two(f);
+	c = call(f, take_up);
+	UNTIL(f, f->streams_asked);
+	return c;
+}
+
 static void pass_ms(struct fix *f, int64_t ms)
 {
 	for (int64_t at = 0; at < ms; at += 10) {
@@ -258,9 +269,7 @@
 	struct fix f;
 
 	(void)state;
-	open_two(&f);
-	c = call(&f, take_up);
-	UNTIL(&f, f.streams_asked);
+	c = open_and_take_up(&f);
 	for (int k = 0; k < 30; k++) {
 		m.sub = f.stream.sub;
 		gate_take_stream(f.gate, &m);
@@ -282,9 +291,7 @@
 	struct fix f;
 
 	(void)state;
-	open_two(&f);
-	c = call(&f, take_up);
-	UNTIL(&f, f.streams_asked);
+	c = open_and_take_up(&f);
 	for (int k = 0; k < 100 && !got(c, "503"); k++) {
 		m.sub = f.stream.sub;
 		gate_take_stream(f.gate, &m);
--- a/tools/demo_versions.py
+++ b/tools/demo_versions.py
@@ -2,21 +2,14 @@
 An entry is killed in their midst, and callers take them up at the others.
 """
 import asyncio
-import os
-import shutil
 import signal
-import sys
 
-from system import ROOT
+# Which makes the tests' stand-ins known.
+from demo_words import SEED, run
+from soak_operators import Operators
+from soak_versions import mixed
+from versions import begin, end_all, two_versions
 
-sys.path.insert(0, os.path.join(ROOT, "test", "fleet"))
-
-from soak_fleet import Fleet  # noqa: E402
-from soak_operators import Operators  # noqa: E402
-from soak_versions import mixed  # noqa: E402
-from versions import begin, end_all, two_versions  # noqa: E402
-
-SEED = 1
 STREAMS = 8
 
 
@@ -38,16 +31,6 @@
     return (whole < STREAMS) + bool(bad)
 
 
-async def run():
-    fleet = Fleet(SEED, os.path.join(ROOT, "build", "sapphireshiftd"))
-    try:
-        await fleet.start()
-        return await play(fleet)
-    finally:
-        await fleet.stop()
-        shutil.rmtree(fleet.folder)
-
-
 def versions():
     print("\nstreams that go on at the version that began them", flush=True)
-    return asyncio.run(run())
+    return asyncio.run(run(play))
--- a/tools/demo_words.py
+++ b/tools/demo_words.py
@@ -122,8 +122,8 @@
     return words.bad
 
 
-async def run():
-    """The number of steps that went wrong."""
+async def run(play):
+    """A fleet for play(fleet); the number of steps that went wrong there."""
     fleet = Fleet(SEED, os.path.join(ROOT, "build", "sapphireshiftd"))
     try:
         await fleet.start()
@@ -136,4 +136,4 @@
 def words():
     print("\nendpoints that are called directly, and what they say of "
           "themselves", flush=True)
-    return asyncio.run(run())
+    return asyncio.run(run(play))
