--- a/src/disk/disk.c
+++ b/src/disk/disk.c
@@ -1,6 +1,7 @@
 /* The control VM's data folder. */
 #include "disk.h"
 
+#include "../base/log.h"
 #include "../base/wire.h"
 
 #include <errno.h>
@@ -12,6 +13,8 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+/* A sync that takes longer is logged, in ms: twice what an election waits. */
+#define SLOW_SYNC_MS 1000
 /* Of the files; others are refused at the start. */
 #define FORMAT_VERSION 1
 #define RECORD_HEAD 16 /* length (4), its checksum (4), the body's (8) */
@@ -60,7 +63,24 @@
 static const struct wire_type record_type =
 	WIRE_TYPE(struct record, record_fields);
 
-static const struct disk_io kernel_io = { pwrite, fdatasync };
+/* The whole process waits for the disk: nobody else can tell from its silence
+ * whether it stands still, is frozen or has ended. */
+static int timed_sync(int fd)
+{
+	struct ss_clock clock;
+	int64_t from, ms;
+	int rc;
+
+	ss_clock_init(&clock);
+	from = ss_clock_now(&clock);
+	rc = fdatasync(fd);
+	ms = ss_clock_now(&clock) - from;
+	if (ms >= SLOW_SYNC_MS)
+		log_warn("slow_sync", "ms=%" PRId64, ms);
+	return rc;
+}
+
+static const struct disk_io kernel_io = { pwrite, timed_sync };
 
 static bool io_error(GError **error, const char *what, const char *name)
 {
