--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -117,9 +117,7 @@
 	}
 }
 
-/* The request that brought the first event of the stream that it goes on with.
- */
-static struct ss_str resumed(const struct forward *f)
+struct ss_str forward_resumes(const struct forward *f)
 {
 	struct ss_str s = f->call.resumes.n ? f->call.resumes : SS_LIT("-");
 
@@ -160,7 +158,7 @@
 		 held_for(f), f->deadline_ms - gate_now(g), f->call.tokens_out,
 		 f->cost, f->quota_ms, f->stop_left_ms, f->limit_per_s,
 		 f->expected_ms == SS_NEVER ? -1 : f->expected_ms, f->routing,
-		 f->version ? f->version : "-", SS_FMT(resumed(f)),
+		 f->version ? f->version : "-", SS_FMT(forward_resumes(f)),
 		 f->call.after_event, f->why ? f->why : "");
 }
 
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -323,6 +323,9 @@
 void quota_tick(struct gate *g);
 
 /* forward.c */
+/* The request that brought the first event of the stream that it takes up, for
+ * a log line. */
+struct ss_str forward_resumes(const struct forward *f);
 /* 0 is first. */
 int64_t forward_priority(const struct forward *f);
 void forward_gone(struct forward *f);
--- a/src/proxy/go_on.c
+++ b/src/proxy/go_on.c
@@ -215,7 +215,7 @@
 	log_info("taken_up",
 		 "request=%s resumes=%.*s after=%" PRId64
 		 " service=%s version=%s from=%s ms=%" PRId64,
-		 f->id, SS_FMT(f->call.resumes), f->call.after_event,
+		 f->id, SS_FMT(forward_resumes(f)), f->call.after_event,
 		 f->service->name, f->began_version, from,
 		 f->look_ms ? now - f->look_ms : 0);
 }
