--- a/test/fleet/soak_fleet.py
+++ b/test/fleet/soak_fleet.py
@@ -283,6 +283,10 @@
             p.send(signal.SIGKILL)
         for p in self.procs.values():
             await p.end()
+        # A port that is still listened on here mustn't be given to others.
+        for x in self.proxies + self.servers:
+            if x.server:
+                x.server.close()
         free_ports_again()
 
 
