Waits for a model are logged as such after the answer has begun

Cause: the cause of a wait was kept as a number and put into words when the line is written, at the request's end. By then the first event has bound the answer to a version, and "no endpoint" reads as "none of its version".

Change: the words are chosen when the request begins to wait. A test reads the gate's own log: it fails on the code before (held_for=version), and passes.

Conclusion: held_for tells what stood in the way at that time; the shares of "version" and "model" in losses are right from here on.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -100,10 +100,10 @@
 	return f->customer ? f->customer->name : "";
 }
 
-/* What it waited for last. */
-static const char *held_for(const struct forward *f)
+/* Which of these it waits for. */
+static const char *held_for(const struct forward *f, enum balance_none none)
 {
-	switch (f->held_for) {
+	switch (none) {
 	case BALANCE_NOBODY:
 		return f->began_version ? "version" : "model";
 	case BALANCE_FULL:
@@ -112,9 +112,8 @@
 		return "limit";
 	case BALANCE_RESTING:
 		return "rest";
-	default:
-		return "-";
 	}
+	return "-";
 }
 
 struct ss_str forward_resumes(const struct forward *f)
@@ -155,8 +154,9 @@
 		 f->ep_id ? f->ep_id : "-", f->sends, f->asks, outcome,
 		 f->status, f->waited_ms, f->first_ms, ms,
 		 f->objective_ms - f->start_ms, f->pause_ms, f->route->pause_ms,
-		 held_for(f), f->deadline_ms - gate_now(g), f->call.tokens_out,
-		 f->cost, f->quota_ms, f->stop_left_ms, f->limit_per_s,
+		 f->held_for ? f->held_for : "-", f->deadline_ms - gate_now(g),
+		 f->call.tokens_out, f->cost, f->quota_ms, f->stop_left_ms,
+		 f->limit_per_s,
 		 f->expected_ms == SS_NEVER ? -1 : f->expected_ms, f->routing,
 		 f->version ? f->version : "-", SS_FMT(forward_resumes(f)),
 		 f->call.after_event, f->why ? f->why : "");
@@ -412,7 +412,7 @@
 		return true;
 	ep = gate_choose(f->g, f, &none);
 	if (!ep) {
-		f->held_for = (int)none;
+		f->held_for = held_for(f, none);
 		return false;
 	}
 	if (times_stop_cuts(f, ep)) {
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -107,7 +107,8 @@
 	/* Sends. */
 	GPtrArray *tried; /* struct fleet_incarnation, that it was sent to */
 	unsigned int sends, asks;
-	int held_for; /* enum balance_none when last tried; 0: nothing */
+	const char *held_for; /* what it waited for when last tried, for a log
+				 line; NULL: nothing */
 	char *ep_addr, *ep_id;
 	char *version;	  /* of the endpoint it was sent to last; NULL: none */
 	uint64_t ep_life; /* of ep_addr, when it took its place there */
