A log line keeps its last fields

Cause: the text of an event is cut at 512 bytes, and event=request with a long id, model or version is longer; its last field, why=, is lost.

Change: the text may fill the line but for 128 bytes of time, level, node and event. A line that is still too long is cut before its newline, so that the next one isn't joined to it.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -10,6 +10,8 @@
 
 /* Below PIPE_BUF, so that a line which a pipe has room for never blocks. */
 #define LINE_MAX_BYTES 1024
+/* Of a line, for time, level, node and event. */
+#define LINE_HEAD_BYTES 128
 /*
  * Lines a second, and lines that may come at once. An entry writes one a
  * request: twice what one is meant to carry, and a burst of some seconds.
@@ -91,14 +93,18 @@
 	char stamp[32];
 	struct tm tm;
 	time_t sec = e->evt_timestamp.tv_sec;
+	int n;
 
 	(void)layout;
 	gmtime_r(&sec, &tm);
 	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
-	snprintf(line, sizeof(line), "ts=%s.%03dZ level=%s node=%s %s\n", stamp,
-		 (int)(e->evt_timestamp.tv_usec / 1000),
-		 log4c_priority_to_string(e->evt_priority),
-		 node_name ? node_name : "-", e->evt_msg);
+	n = snprintf(line, sizeof(line), "ts=%s.%03dZ level=%s node=%s %s\n",
+		     stamp, (int)(e->evt_timestamp.tv_usec / 1000),
+		     log4c_priority_to_string(e->evt_priority),
+		     node_name ? node_name : "-", e->evt_msg);
+	/* What is cut is a line all the same. */
+	if (n >= (int)sizeof(line))
+		line[sizeof(line) - 2] = '\n';
 	return line;
 }
 
@@ -136,7 +142,7 @@
 
 void log_event(int level, const char *event, const char *fmt, ...)
 {
-	char text[LINE_MAX_BYTES / 2];
+	char text[LINE_MAX_BYTES - LINE_HEAD_BYTES];
 	va_list ap;
 
 	if (!category ||
