Turns: an absence isn't slowness

Cause: a cause that served nothing for some seconds, as its endpoints rested or were gone, passed for a slow one, and callers were told to stay away for up to 13 s after it was back.

Change: time counts once something is served after it, and a gap of more than 2 s doesn't. The flag of callers whose cause is absent isn't needed for this.

Result (test_return_turns): after 10 s of refusals alone, 50 callers get turns within 700 ms, at the rate of 100 a second from before.

--- a/src/core/return_turns.c
+++ b/src/core/return_turns.c
@@ -9,6 +9,9 @@
 /* A cause counts as fully used for so long after a refusal, in ms: entries get
  * allotments, and endpoints places, several times in a second. */
 #define FULL_MS 1000
+/* A cause that serves nothing for longer, in ms, isn't slow but absent: the
+ * rate at which it served before holds. */
+#define ABSENT_MS 2000
 /* The rate is known when it has been seen for so long, in ms: some two
  * allotments, or a few calls of a plain service. */
 #define KNOWN_MS 500
@@ -39,8 +42,8 @@
 	int64_t full_ms; /* it counts as fully used until then */
 	/* What was served in the time seen, both fading. */
 	double served, seen_ms;
-	int64_t seen_until_ms;
-	int64_t first; /* number of the turn that taken begins with */
+	int64_t seen_until_ms; /* when it served last, or refused anew */
+	int64_t first;	       /* number of the turn that taken begins with */
 	float taken[TURNS];
 };
 
@@ -107,18 +110,17 @@
 	return c;
 }
 
-/* Add the time for which it was fully used. */
-static void see(struct cause *c, int64_t now)
+/* It has served something: add the time since it did so last. */
+static void see(struct cause *c, double cost, int64_t now)
 {
-	int64_t until = MIN(now, c->full_ms);
-	double fade;
+	int64_t ms = now - c->seen_until_ms;
+	double fade = exp(-(double)ms / RATE_MS);
 
-	if (until <= c->seen_until_ms)
+	c->seen_until_ms = now;
+	if (ms > ABSENT_MS)
 		return;
-	fade = exp(-(double)(until - c->seen_until_ms) / RATE_MS);
-	c->served *= fade;
+	c->served = c->served * fade + MAX(cost, 0);
 	c->seen_ms = c->seen_ms * fade + RATE_MS * (1 - fade);
-	c->seen_until_ms = until;
 }
 
 /* A second; 0: it isn't known. */
@@ -142,9 +144,9 @@
 {
 	double fade = exp(-(double)(now - c->asked_ms) / ASKED_MS);
 
-	see(c, now);
-	c->seen_until_ms = now;
-	c->full_ms = a->absent ? now : now + FULL_MS;
+	if (now > c->full_ms)
+		c->seen_until_ms = now;
+	c->full_ms = now + FULL_MS;
 	for (int i = 0; i < SS_QUEUE_PRIORITIES; i++)
 		c->asked[i] *= fade;
 	c->asked[rank_of(a)] += MAX(a->cost, 0);
@@ -259,10 +261,8 @@
 {
 	struct cause *c = g_hash_table_lookup(t->causes, &key);
 
-	if (!c || now > c->full_ms)
-		return;
-	see(c, now);
-	c->served += MAX(cost, 0);
+	if (c && now <= c->full_ms)
+		see(c, cost, now);
 }
 
 void return_turns_tidy(struct return_turns *t, int64_t now)
--- a/src/core/return_turns.h
+++ b/src/core/return_turns.h
@@ -36,8 +36,6 @@
 	double per_s; /* of that, the most that is served; 0: not known */
 	int64_t least_ms; /* it can't be served before */
 	int64_t most_ms;  /* it returns no later */
-	bool absent;	  /* nobody serves it before least_ms: that it isn't
-			     served now doesn't count */
 };
 
 struct return_turn {
