Refused callers are told to return in turn

Cause: those who are refused for a customer's limit or a full model get one time and a spread of 0.2 or 0.3 s, however many they are.

Change: turns.c gives the refusals of forward.c and those for a customer's limit the next turn of their cause (customer and route priority; service and model). While no rate is known the time and the random draw are as before, and one refusal alone stays within the same bounds.

Result: test_gate_turns passes (3 tests; also with sanitizers). Its bounds: of 30 callers over a limit of 20 requests a second, 5 to 15 are told less than 0.9 s and the last one 1.5 to 2.5 s; the last of 30 refused by a full model 1.2 to 2.2 s; another customer's caller 0.4 to 0.7 s, as before. No deployment was measured.

--- a/Makefile
+++ b/Makefile
@@ -101,6 +101,7 @@
 	$(BUILD)/test_gate_memory $(BUILD)/test_gate_limit \
 	$(BUILD)/test_gate_rest $(BUILD)/test_gate_versions: \
 	$(BUILD)/test/gate_fix.o
+$(BUILD)/test_gate_turns: $(BUILD)/test/gate_fix.o
 $(BUILD)/test_explain: $(BUILD)/src/ctl/explain.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_spread: $(BUILD)/src/ctl/spread.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_summary: $(BUILD)/src/ctl/summary.o $(BUILD)/src/ctl/logline.o
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -277,10 +277,9 @@
 		 view.alone, now - f->start_ms, back_ms,
 		 f->customer->limit.per_s, f->customer->limit.burst,
 		 f->routing);
-	forward_refuse(
-		f, 429, "quota", "its customer's limit is reached",
-		MIN(back_ms, QUOTA_BACK_MAX_MS) +
-			(int64_t)(ss_random(&g->seed) % QUOTA_SPREAD_MS));
+	forward_refuse(f, 429, "quota", "its customer's limit is reached",
+		       turns_quota_ms(f, MIN(back_ms, QUOTA_BACK_MAX_MS),
+				      QUOTA_SPREAD_MS));
 	return false;
 }
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -148,7 +148,8 @@
 		 " left_ms=%" PRId64 " tokens=%" PRId64
 		 " cost=%.0f quota_ms=%" PRId64 " stop_left_ms=%" PRId64
 		 " limit=%.3f expected_ms=%" PRId64 " routing=%" PRIu64
-		 " version=%s resumes=%.*s after=%" PRId64 " why=\"%s\"",
+		 " version=%s resumes=%.*s after=%" PRId64 " back_ms=%" PRId64
+		 " why=\"%s\"",
 		 f->id, f->customer ? f->customer->name : "-", f->route->name,
 		 f->service->name, f->model, f->adapter,
 		 f->ep_id ? f->ep_id : "-", f->sends, f->asks, outcome,
@@ -159,7 +160,7 @@
 		 f->limit_per_s,
 		 f->expected_ms == SS_NEVER ? -1 : f->expected_ms, f->routing,
 		 f->version ? f->version : "-", SS_FMT(forward_resumes(f)),
-		 f->call.after_event, f->why ? f->why : "");
+		 f->call.after_event, f->back_ms, f->why ? f->why : "");
 }
 
 void forward_end(struct forward *f, bool whole, const char *why)
@@ -208,6 +209,7 @@
 		forward_refund(f);
 	f->why = why;
 	f->status = status;
+	f->back_ms = MAX(retry_after_ms, 0);
 	(*(not_run ? g->n_refused : g->n_failed))++;
 	record(f, not_run ? "not_run" : "unknown");
 	if (f->lane)
@@ -227,18 +229,21 @@
 	return (int64_t)(ss_random(&f->g->seed) % BACK_SPREAD_MS);
 }
 
-/* A true time to come back: when the model stands, or a place is free. */
-static int64_t come_back_ms(const struct forward *f)
+/* A true time to come back: when the model stands, or a place is free, and it
+ * is its turn. Only turns are later than the most. */
+static int64_t come_back_ms(struct forward *f)
 {
 	const struct lane *l = f->lane;
 	int64_t now = gate_now(f->g);
-	int64_t ms = BACK_FULL_MS;
+	int64_t ms = BACK_FULL_MS, back;
 
 	if (l && l->eta_ms != SS_NEVER)
 		ms = MAX(l->eta_ms - now, 0) + BACK_MIN_MS;
 	else if (f->open_ms > now)
 		ms = MAX(f->open_ms - now, ms);
-	return CLAMP(ms + spread_ms(f), BACK_MIN_MS, BACK_MAX_MS);
+	ms = MIN(ms, BACK_MAX_MS);
+	back = turns_model_ms(f, ms, BACK_SPREAD_MS);
+	return back < ms + BACK_SPREAD_MS ? MIN(back, BACK_MAX_MS) : back;
 }
 
 static bool repeatable(const struct forward *f)
@@ -326,8 +331,10 @@
 	f->mark = (struct pace_mark){ 0 };
 	if (g->end_ms)
 		f->stop_left_ms = g->end_ms - now;
-	if (f->waited_ms < 0)
+	if (f->waited_ms < 0) {
 		f->waited_ms = now - f->start_ms;
+		turns_served(f);
+	}
 	f->sends++;
 	g_free(f->ep_id);
 	f->ep_id = g_strdup(ep->self.id);
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -473,6 +473,7 @@
 	callers_tidy(g->callers);
 	upstream_tidy(g->upstream);
 	go_on_tidy(g, now);
+	return_turns_tidy(g->turns, now);
 }
 
 void gate_drain(struct gate *g, int64_t end_ms)
@@ -532,6 +533,8 @@
 	g->n_rests = metrics_value(m, "ss_gate_rests_total", "");
 	g->n_sent_resting = metrics_value(m, "ss_gate_sent_resting_total", "");
 	g->n_sent_leaving = metrics_value(m, "ss_gate_sent_leaving_total", "");
+	g->n_turns_given = metrics_value(m, "ss_gate_turns_given_total", "");
+	g->n_turns_beyond = metrics_value(m, "ss_gate_turns_beyond_total", "");
 }
 
 struct gate *gate_new(const struct gate_options *o, GError **error)
@@ -569,6 +572,7 @@
 	g->quota_lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)g_queue_free);
 	g->streams = stream_log_new(STREAMS_MOST);
+	g->turns = return_turns_new();
 	g->unnamed = g_array_new(FALSE, FALSE, sizeof(struct unnamed_stream));
 	g->endings = g_ptr_array_new_with_free_func(ending_free);
 	g->suspects = suspects_new(&so, g->since_ms);
@@ -608,6 +612,7 @@
 	g_array_unref(g->early);
 	g_ptr_array_unref(g->endings);
 	stream_log_free(g->streams);
+	return_turns_free(g->turns);
 	g_array_unref(g->unnamed);
 	suspects_free(g->suspects);
 	end_log_clear(&g->end_log);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -12,6 +12,7 @@
 #include "../core/fleet.h"
 #include "../core/freshness.h"
 #include "../core/pace.h"
+#include "../core/return_turns.h"
 #include "../core/suspects.h"
 #include "callers.h"
 #include "events.h"
@@ -139,6 +140,7 @@
 	struct upstream_call *up;
 	bool unknown; /* an earlier send may have run */
 	const char *why;
+	int64_t back_ms; /* until it may return, as told; 0: not told */
 	/* The answer. */
 	int status;
 	bool is_events, started;
@@ -203,7 +205,9 @@
 	struct stream_log *streams; /* begun here, and versions seen here */
 	GArray *unnamed;	    /* struct unnamed_stream */
 	uint64_t streams_told, streams_sent; /* marks */
-	int64_t since_ms;		     /* of this process's start */
+	struct return_turns *turns;	     /* of those who are refused */
+	uint64_t *n_turns_given, *n_turns_beyond;
+	int64_t since_ms; /* of this process's start */
 	uint64_t entries; /* that share the repeats, the most told of */
 	bool fleet_known;
 	bool pumping;	/* a request that ends meanwhile pumps no more */
@@ -374,6 +378,15 @@
  * of a planned stop. ep: where it would go; NULL: not chosen yet. */
 bool times_stop_cuts(struct forward *f, const struct gate_ep *ep);
 
+/* turns.c: when those who are refused are to return, in ms from now, at random
+ * within the spread; the least is for one alone */
+/* Its model, or plain service, is full or absent. */
+int64_t turns_model_ms(struct forward *f, int64_t least_ms, int64_t spread_ms);
+/* Its customer's limit is reached. */
+int64_t turns_quota_ms(struct forward *f, int64_t least_ms, int64_t spread_ms);
+/* It is sent for the first time. */
+void turns_served(struct forward *f);
+
 /* answer.c */
 extern const struct upstream_ops forward_upstream_ops;
 /* The caller has read all that was written: read on. */
--- /dev/null
+++ b/test/test_gate_turns.c
@@ -0,0 +1,252 @@
+/* When callers that a gate refuses are told to return. */
+#include "gate_fix.h"
+
+#include "../src/base/log.h"
+
+#define BURST 30
+#define LOG_BYTES 8192
+/* Each request costs 200; 20 of them a second. */
+#define CONFIG                                                                 \
+	"{\"version\":2,\"routes\":["                                          \
+	"{\"name\":\"safe\",\"host\":\"h\",\"prefix\":\"/safe/\","             \
+	"\"type\":\"safe\",\"timeoutMs\":9000,\"goalMs\":300,\"attempts\":2,"  \
+	"\"service\":\"web\"}],\"services\":[{\"name\":\"web\"}],"             \
+	"\"tenants\":[" CUSTOMER("acme", "key-1") "," CUSTOMER("free",         \
+							       "key-2") "]}"
+#define CUSTOMER(name, key)                                                    \
+	"{\"name\":\"" name "\",\"keys\":[\"" key "\"],\"unit\":\"token\","    \
+	"\"rawTokens\":200,\"ratePerS\":4000,\"burst\":4000}"
+#define GET_KEY(k) REQ("GET", "/safe/x") "Authorization: Bearer " k "\r\n\r\n"
+
+static double retry_after(const struct caller *c)
+{
+	const char *at = strstr(c->got->str, "Retry-After: ");
+
+	assert_non_null(at);
+	return g_ascii_strtod(at + strlen("Retry-After: "), NULL);
+}
+
+static uint64_t count(struct fix *f, const char *name)
+{
+	return *metrics_value(f->metrics, name, "");
+}
+
+/* Take what the gate asks the leader; the number of its last ask. */
+static bool hear_asks(struct fix *f, uint64_t *number)
+{
+	GArray *asks = g_array_new(FALSE, FALSE, sizeof(struct quota_ask));
+
+	gate_quota_asks(f->gate, asks);
+	for (guint i = 0; i < asks->len; i++)
+		*number = g_array_index(asks, struct quota_ask, i).number;
+	g_array_unref(asks);
+	return *number > 0;
+}
+
+/* The leader has so many requests for a customer, and more in 400 ms. */
+static void grant(struct fix *f, const char *customer, int requests,
+		  uint64_t *number)
+{
+	struct quota_word w = { .customer = ss_str(customer),
+				.grant = 200 * requests * QUOTA_MILLI,
+				.wait_ms = 400 };
+	struct msg_quota_word m = { .words = { &w, 1 } };
+
+	hear_asks(f, number);
+	w.number = *number;
+	gate_take_quota(f->gate, &m);
+}
+
+static struct caller *refused(struct fix *f, const char *text)
+{
+	struct caller *c = call(f, text);
+
+	UNTIL(f, got(c, "\r\n\r\n"));
+	assert_true(got(c, "HTTP/1.1 429 "));
+	return c;
+}
+
+static void open_limited(struct fix *f)
+{
+	struct routing *r =
+		routing_read(users_platform.routing, ss_str(CONFIG), NULL);
+
+	fix_open(f, "web", "");
+	gate_set_routing(f->gate, r);
+	routing_unref(r);
+	gate_leader_found(f->gate);
+	/* Requests don't wait as they do for a leader that was just found. */
+	f->clock.fake_ms += 3000;
+	script(f, 0, OK_TEXT, false, false);
+	script(f, 1, OK_TEXT, false, false);
+}
+
+/* One request is served, of what is granted meanwhile. */
+static void serve(struct fix *f, const char *customer, const char *text,
+		  uint64_t *number)
+{
+	struct caller *c = call(f, text);
+
+	UNTIL(f, hear_asks(f, number));
+	grant(f, customer, 1, number);
+	UNTIL(f, ends(c, "hello"));
+}
+
+/* A second in which one request in two is over the limit. */
+static void exceed_limit(struct fix *f, uint64_t *number)
+{
+	for (int i = 0; i < 20; i++) {
+		struct caller *c;
+
+		f->clock.fake_ms += 50;
+		grant(f, "acme", 1, number);
+		c = call(f, GET_KEY("key-1"));
+		UNTIL(f, ends(c, "hello"));
+		refused(f, GET_KEY("key-1"));
+	}
+}
+
+/* A customer's refused callers return in one moment, most of them for nothing;
+ * another customer's are delayed with them. */
+static void callers_over_a_limit_return_in_turn(void **state)
+{
+	double last = 0, s;
+	uint64_t number = 0, other = 0;
+	int soon = 0;
+	struct fix f;
+
+	(void)state;
+	open_limited(&f);
+	serve(&f, "acme", GET_KEY("key-1"), &number);
+	/* Nobody knows a rate yet: as for one alone. */
+	s = retry_after(refused(&f, GET_KEY("key-1")));
+	assert_true(s >= 0.4 && s < 0.7);
+	assert_int_equal(count(&f, "ss_gate_turns_given_total"), 0);
+	exceed_limit(&f, &number);
+	for (int i = 0; i < BURST; i++) {
+		s = retry_after(refused(&f, GET_KEY("key-1")));
+		soon += s < 0.9;
+		last = MAX(last, s);
+	}
+	assert_in_range(soon, 5, 15);
+	assert_true(last > 1.5 && last < 2.5);
+	assert_true(count(&f, "ss_gate_turns_given_total") >= BURST);
+	assert_int_equal(count(&f, "ss_gate_turns_beyond_total"), 0);
+	serve(&f, "free", GET_KEY("key-2"), &other);
+	s = retry_after(refused(&f, GET_KEY("key-2")));
+	assert_true(s >= 0.4 && s < 0.7);
+	fix_close(&f);
+}
+
+static void tell_running(struct fix *f, int64_t running, int64_t eta_ms)
+{
+	struct held_model held = { .model = SS_LIT("m") };
+	struct fleet_endpoint e = { .addr = ss_str(f->eps[0].addr),
+				    .id = ss_str(f->eps[0].id),
+				    .service = SS_LIT("lm"),
+				    .domain = SS_LIT("here"),
+				    .slots = 8,
+				    .running = running,
+				    .tokens_total = 1000,
+				    .held = { &held, eta_ms < 0 ? 1 : 0 } };
+	struct fleet_eta eta = { .service = SS_LIT("lm"),
+				 .model = SS_LIT("m"),
+				 .eta_ms = eta_ms };
+	struct msg_fleet m = { .fence = 1,
+			       .whole = true,
+			       .endpoints = { &e, 1 },
+			       .etas = { &eta, 1 } };
+
+	gate_take_fleet(f->gate, &m);
+}
+
+/* So many callers wait for a full model until they are refused. */
+static void refuse_full(struct fix *f, struct caller **c, int n)
+{
+	tell_running(f, 8, -1);
+	for (int i = 0; i < n; i++)
+		c[i] = call(f, POST_BRIEF);
+	UNTIL(f, count(f, "ss_gate_waiting") == (uint64_t)n);
+	f->clock.fake_ms += 1700;
+	for (int i = 0; i < n; i++)
+		UNTIL(f, got(c[i], "HTTP/1.1 503 "));
+}
+
+/* Callers whom a full model refuses return in one moment; where it is to be
+ * loaded, they return before it is there. */
+static void callers_of_a_full_model_return_in_turn(void **state)
+{
+	struct caller *c[BURST];
+	double last = 0, s;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script(&f, 0, OK_TEXT, false, false);
+	refuse_full(&f, c, 1);
+	s = retry_after(c[0]);
+	assert_true(s >= 0.4 && s < 0.6);
+	for (int i = 0; i < 20; i++) {
+		f.clock.fake_ms += 40;
+		tell_running(&f, 1, -1);
+		c[0] = call(&f, POST_BRIEF);
+		UNTIL(&f, ends(c[0], "hello"));
+	}
+	refuse_full(&f, c, BURST);
+	for (int i = 0; i < BURST; i++)
+		last = MAX(last, retry_after(c[i]));
+	assert_true(last > 1.2 && last < 2.2);
+	/* It is gone, and on its way. */
+	tell_running(&f, 0, 2500);
+	c[0] = call(&f, POST_BRIEF);
+	UNTIL(&f, got(c[0], "HTTP/1.1 503 "));
+	s = retry_after(c[0]);
+	assert_true(s >= 2.6 && s < 2.9);
+	fix_close(&f);
+}
+
+/* The line of a request with long fields loses its last ones. */
+static void long_line_keeps_its_last_field(void **state)
+{
+	char *id = g_strnfill(500, 'i'), *text = g_malloc0(LOG_BYTES);
+	char *request = g_strdup_printf("POST /chat/x HTTP/1.1\r\nHost: h\r\n"
+					"X-Request-Id: %s\r\nX-Model: zz\r\n"
+					"Content-Length: 0\r\n\r\n",
+					id);
+	int out = dup(STDOUT_FILENO);
+	FILE *to = tmpfile();
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	fflush(stdout);
+	dup2(fileno(to), STDOUT_FILENO);
+	log_open("test", "INFO");
+	c = call(&f, request);
+	UNTIL(&f, got(c, "HTTP/1.1 503 "));
+	log_close();
+	dup2(out, STDOUT_FILENO);
+	close(out);
+	rewind(to);
+	assert_true(fread(text, 1, LOG_BYTES - 1, to) > 0);
+	assert_non_null(strstr(text,
+			       " back_ms=0 why=\"the routing in force has "
+			       "no such model\"\n"));
+	fclose(to);
+	fix_close(&f);
+	g_free(request);
+	g_free(text);
+	g_free(id);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(callers_over_a_limit_return_in_turn),
+		cmocka_unit_test(callers_of_a_full_model_return_in_turn),
+		cmocka_unit_test(long_line_keeps_its_last_field),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
