list_lags_behind_a_restart reads the log line as it is written now

Cause: the scenario accepts either that the new leader noticed the restart (its agent came first) or that it left out what the list still told (list first, late=1). Since event=endpoint names the version before the service, the second text never matched, so the scenario passed only in one of the two orders. Ruled out: a wait by time (it waits on the condition, 12 s at most), and a leader that doesn't know.

Change: the text has the version as well; the check is as strict as it was meant to be.

--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -544,8 +544,8 @@
 
     # Its agent and the list come in any order.
     async def next_one_knows():
-        late = "addr=%s id=%s started=%d service=lm leaving=0 models=0 " \
-            "late=1" % (e.listed, e.instance, before)
+        late = "addr=%s id=%s started=%d version=%s service=lm leaving=0 " \
+            "models=0 late=1" % (e.listed, e.instance, before, e.version)
         return noticed(name) or log_has(fleet, name, late)
 
     await until(next_one_knows, RECOVERY_S, "the next leader doesn't know")
