Lanes move from gate.c to lanes.c

Change: lane_*, gate_lane*, lanes_of, pump_lane and gate_pump move to a file of their own, unchanged but for the name gate_lane_free, which gate.c calls.

--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -397,7 +397,7 @@
 /* Leave the endpoint: it doesn't work on this any more. */
 void forward_leave(struct forward *f);
 
-/* gate.c */
+/* lanes.c */
 struct lane *gate_lane(struct gate *g, const char *service, const char *model);
 /* version: empty for those who may go to any. */
 struct lane *gate_lane_of(struct gate *g, const char *service,
@@ -410,6 +410,9 @@
 struct forward *lane_next(const struct lane *l, int64_t now);
 /* Send what can be sent of the lanes of a service. */
 void gate_pump(struct gate *g, const char *service);
+void gate_lane_free(void *lane);
+
+/* gate.c */
 struct pace *gate_pace(struct gate *g, const struct forward *f);
 void gate_note_entries(struct gate *g, uint64_t entries);
 struct repeat_budget *gate_budget(struct gate *g, const char *service);
