Tests of the order in which lanes are tried

Cause: gate_pump goes through lanes in the order of a hash table, raises a request 1 ms before its deadline, and looks at every lane that ever existed.

Change: a gate before one engine of one slot. Rows for one lane with one priority, which stays as it is, and for the order over lanes, a lane that can't be served, the guaranteed part, and raising; a count of lanes examined.

--- /dev/null
+++ b/test/test_gate_admission.c
@@ -0,0 +1,244 @@
+/* Requests for several models that wait for one engine of one slot. */
+#include "gate_fix.h"
+
+#define IDLE_MODELS 300
+
+#define ROUTE(name, rest)                                                      \
+	"{\"name\":\"" name "\",\"host\":\"h\",\"prefix\":\"/" name            \
+	"/\",\"type\":\"stream\",\"attempts\":1,\"service\":\"lm\"," rest "}"
+#define MODEL(name) "{\"name\":\"" name "\",\"weightsMb\":9,\"loadS\":6}"
+
+static const char routing_text[] = "{\"version\":2,\"routes\":[" ROUTE(
+	"U",
+	"\""
+	"ti"
+	"me"
+	"ou"
+	"tM"
+	"s"
+	"\""
+	":9"
+	"00"
+	"0,"
+	"\""
+	"pr"
+	"io"
+	"ri"
+	"ty"
+	"\""
+	":"
+	"0") "," ROUTE("P",
+		       "\"timeoutMs\":9000,\"priority\":2") "," ROUTE("S",
+								      "\"timeou"
+								      "tMs\":"
+								      "1500,"
+								      "\"priori"
+								      "ty\":"
+								      "2") "],"
+									   "\"s"
+									   "erv"
+									   "ice"
+									   "s\""
+									   ":"
+									   "[{"
+									   "\"n"
+									   "ame"
+									   "\":"
+									   "\"l"
+									   "m\""
+									   ","
+									   "\"e"
+									   "ngi"
+									   "ne"
+									   "\":"
+									   "{"
+									   "\"s"
+									   "lot"
+									   "s\""
+									   ":1,"
+									   "\"w"
+									   "eig"
+									   "hts"
+									   "Mb"
+									   "\""
+									   ":80"
+									   ","
+									   "\"m"
+									   "ode"
+									   "ls"
+									   "\":"
+									   "[" MODEL("m") "," MODEL("n") "," MODEL(
+										   "x") "]}}],\"limits\":{\"maxHeaderBytes\":2048,"
+											"\"maxBodyBytes\":4096,\"headerTimeoutMs\":3000,"
+											"\"idleTimeoutMs\":15000}}";
+
+static uint64_t metric(struct fix *f, const char *name, const char *labels)
+{
+	return *metrics_value(f->metrics, name, labels);
+}
+
+static uint64_t waiting(struct fix *f)
+{
+	return metric(f, "ss_gate_waiting", "");
+}
+
+/* One engine, which holds m and n. Nobody holds x. */
+static void engine_open(struct fix *f)
+{
+	struct held_model held[] = { { .model = SS_LIT("m") },
+				     { .model = SS_LIT("n") } };
+	struct fleet_endpoint e = { .service = SS_LIT("lm"),
+				    .domain = SS_LIT("here"),
+				    .slots = 1,
+				    .tokens_total = 1000,
+				    .limit = ENDPOINT_LIMIT_NONE,
+				    .held = { held, 2 } };
+	struct msg_fleet m = { .fence = 1,
+			       .whole = true,
+			       .endpoints = { &e, 1 } };
+	struct routing *r;
+
+	fix_open_fresh(f);
+	r = routing_read(users_platform.routing, ss_str(routing_text), NULL);
+	assert_non_null(r);
+	gate_set_routing(f->gate, r);
+	routing_unref(r);
+	e.addr = ss_str(f->eps[0].addr);
+	e.id = ss_str(f->eps[0].id);
+	gate_take_fleet(f->gate, &m);
+}
+
+/* A request by its route and model: "Um" is an urgent one for m. */
+static struct caller *ask_for(struct fix *f, const char *what, char name)
+{
+	char *text = g_strdup_printf("POST /%c/%c HTTP/1.1\r\nHost: h\r\n"
+				     "X-Request-Id: q1\r\nX-Model: %c\r\n"
+				     "Content-Length: 0\r\n\r\n",
+				     what[0], name, what[1]);
+	struct caller *c = call(f, text);
+
+	g_free(text);
+	return c;
+}
+
+static char newest(const struct fix *f)
+{
+	const char *at = g_strrstr(f->eps[0].seen->str, "POST /");
+
+	return at[strlen("POST /U/")];
+}
+
+/* The engine is busy while all of them come, then takes so long for each. */
+static void play(struct fix *f, const char *asks, int64_t turn_ms, GString *got)
+{
+	size_t n = strlen(asks) / 2;
+
+	ask_for(f, "Um", '-');
+	UNTIL(f, f->eps[0].requests == 1);
+	for (size_t i = 0; i < n; i++) {
+		ask_for(f, asks + 2 * i, (char)('a' + i));
+		UNTIL(f, waiting(f) == i + 1);
+		f->clock.fake_ms++;
+	}
+	while (n) {
+		int before = f->eps[0].requests;
+		int rounds = 0;
+
+		f->clock.fake_ms += turn_ms;
+		gate_tick(f->gate);
+		say(f, 0, OK_TEXT);
+		while (f->eps[0].requests == before && ++rounds < 50)
+			turn(f);
+		if (f->eps[0].requests == before)
+			return;
+		g_string_append_c(got, newest(f));
+		n--;
+	}
+}
+
+struct order_case {
+	const char *label, *asks;
+	int64_t turn_ms;
+	const char *want;
+	uint64_t raised, left;
+};
+
+static const struct order_case orders[] = {
+	{ "one lane and one priority: as they came", "PmPmPm", 1, "abc", 0, 0 },
+	{ "over lanes as well", "PmPnPmPn", 1, "abcd", 0, 0 },
+	{ "urgent ones first, whatever their model", "PmPnUmUn", 1, "cdab", 0,
+	  0 },
+	{ "a model that nobody holds stops no other", "UxPmPn", 1, "bc", 0, 1 },
+	{ "one turn in four for the others", "PnUmUmUmUmUm", 1, "bcdaef", 0,
+	  0 },
+	{ "in one lane as well", "PmUmUmUmUmUm", 1, "bcdaef", 0, 0 },
+	{ "raised while it can be begun", "SnUmUmUmUm", 400, "abcde", 1, 0 },
+	{ "which is its turn in advance", "SnPnUmUmUmUmUmUm", 400, "acdefghb",
+	  1, 0 },
+};
+
+/* Failures: table order of lanes decides who goes first; one lane blocks the
+ * others; what is less urgent starves, or is refused beside free turns. */
+static void turns_go_in_one_order_over_lanes(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(orders); i++) {
+		const struct order_case *x = &orders[i];
+		GString *got = g_string_new(NULL);
+		struct fix f;
+
+		engine_open(&f);
+		play(&f, x->asks, x->turn_ms, got);
+		if (strcmp(got->str, x->want))
+			fail_msg("%s: %s, not %s", x->label, got->str, x->want);
+		assert_int_equal(metric(&f, "ss_gate_raised_total", ""),
+				 x->raised);
+		assert_int_equal(waiting(&f), x->left);
+		g_string_free(got, TRUE);
+		fix_close(&f);
+	}
+}
+
+/* Failure: each pump looks at all models that were ever asked for. */
+static void pump_looks_only_at_lanes_that_wait(void **state)
+{
+	struct fleet_eta etas[IDLE_MODELS] = { 0 };
+	struct msg_fleet m = { .fence = 1, .etas = { etas, IDLE_MODELS } };
+	char names[IDLE_MODELS][8];
+	uint64_t before;
+	struct fix f;
+
+	(void)state;
+	engine_open(&f);
+	for (int i = 0; i < IDLE_MODELS; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "i%d", i);
+		etas[i].service = SS_LIT("lm");
+		etas[i].model = ss_str(names[i]);
+		etas[i].eta_ms = -1;
+	}
+	gate_take_fleet(f.gate, &m);
+	ask_for(&f, "Px", 'a');
+	ask_for(&f, "Um", 'b');
+	UNTIL(&f, f.eps[0].requests == 1);
+	ask_for(&f, "Un", 'c');
+	UNTIL(&f, waiting(&f) == 2);
+	assert_int_equal(
+		metric(&f, "ss_gate_waiting_by_priority", "priority=\"0\""), 1);
+	assert_int_equal(
+		metric(&f, "ss_gate_waiting_by_priority", "priority=\"2\""), 1);
+	before = metric(&f, "ss_gate_lanes_examined_total", "");
+	gate_tick(f.gate);
+	assert_int_equal(metric(&f, "ss_gate_lanes_examined_total", ""),
+			 before + 2);
+	fix_close(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(turns_go_in_one_order_over_lanes),
+		cmocka_unit_test(pump_looks_only_at_lanes_that_wait),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
