Lanes of a service are tried in one order

Cause: gate_pump tried lanes in the order of a hash table and looked at all that ever existed.

Change: lanes of a service form a group with its own admission state. The group keeps a list of lanes in which a request waits, and the gate a list of such groups; a pump looks at no others. A lane that can't be served is passed until the next pump. A lane's queue goes by begin-by time in place of the deadline; these are equal unless the route of a stream has an objective of its own. A request that is sent as it comes takes no turn.

ss_gate_waiting_by_priority, ss_gate_raised_total, ss_gate_lanes_examined_total; turn= in event=request.

The rows of one lane and one priority give the same order as before.

--- a/include/sapphireshift/queue.h
+++ b/include/sapphireshift/queue.h
@@ -49,6 +49,10 @@
 /* The next item with at least this priority; NULL for none. It stays. */
 struct ss_queue_item *ss_queue_peek(const struct ss_queue *q, int64_t now,
 				    int least_priority);
+/* Of just one priority, without raising: the next by shares, and the one with
+ * the earliest deadline; NULL for none. They stay. */
+struct ss_queue_item *ss_queue_fairest(const struct ss_queue *q, int priority);
+struct ss_queue_item *ss_queue_earliest(const struct ss_queue *q, int priority);
 /* Take an item: it counts as its customer's turn. */
 void ss_queue_take(struct ss_queue *q, struct ss_queue_item *i);
 /* Both. */
--- a/src/customer/queue.c
+++ b/src/customer/queue.c
@@ -218,6 +218,16 @@
 	return best;
 }
 
+struct ss_queue_item *ss_queue_fairest(const struct ss_queue *q, int priority)
+{
+	return q->counts[priority] ? fairest(q->lanes[priority]) : NULL;
+}
+
+struct ss_queue_item *ss_queue_earliest(const struct ss_queue *q, int priority)
+{
+	return q->counts[priority] ? earliest(q->lanes[priority]) : NULL;
+}
+
 void ss_queue_take(struct ss_queue *q, struct ss_queue_item *i)
 {
 	charge(q, i);
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -128,7 +128,9 @@
 	const struct customer *c = f->customer;
 	int64_t last = SS_QUEUE_PRIORITIES - 1;
 
-	f->item.deadline_ms = f->deadline_ms;
+	/* A lane's streams need the same time to a first event at least: this
+	 * is the order of their latest starts too. */
+	f->item.deadline_ms = f->begin_by_ms;
 	f->item.priority = (int)(last - CLAMP(forward_priority(f), 0, last));
 	f->item.share = SHARE_UNLIMITED;
 	if (c)
@@ -202,11 +204,11 @@
 	f->limit_per_s = -1;
 	f->expected_ms = SS_NEVER;
 	f->deadline_ms = now + wait;
-	set_turn(f);
 	f->objective_ms = now + rt->objective_ms;
 	f->begin_by_ms = f->deadline_ms;
 	if (rt->kind == ROUTE_STREAM)
 		f->begin_by_ms = MIN(f->deadline_ms, now + patience_ms(g, rt));
+	set_turn(f);
 	f->tried = g_ptr_array_new_with_free_func(fleet_incarnation_free);
 	f->events.last_id = call->after_event;
 	caller_call_set_data(c, f);
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -144,7 +144,7 @@
 		 "endpoint=%s sends=%u asks=%u outcome=%s status=%d "
 		 "waited_ms=%" PRId64 " first_ms=%" PRId64 " ms=%" PRId64
 		 " objective_ms=%" PRId64 " pause_ms=%" PRId64
-		 " pause_most_ms=%" PRId64 " held_for=%s"
+		 " pause_most_ms=%" PRId64 " held_for=%s turn=%s"
 		 " left_ms=%" PRId64 " tokens=%" PRId64
 		 " cost=%.0f quota_ms=%" PRId64 " stop_left_ms=%" PRId64
 		 " limit=%.3f expected_ms=%" PRId64 " routing=%" PRIu64
@@ -154,9 +154,9 @@
 		 f->ep_id ? f->ep_id : "-", f->sends, f->asks, outcome,
 		 f->status, f->waited_ms, f->first_ms, ms,
 		 f->objective_ms - f->start_ms, f->pause_ms, f->route->pause_ms,
-		 f->held_for ? f->held_for : "-", f->deadline_ms - gate_now(g),
-		 f->call.tokens_out, f->cost, f->quota_ms, f->stop_left_ms,
-		 f->limit_per_s,
+		 f->held_for ? f->held_for : "-", lane_turn(f),
+		 f->deadline_ms - gate_now(g), f->call.tokens_out, f->cost,
+		 f->quota_ms, f->stop_left_ms, f->limit_per_s,
 		 f->expected_ms == SS_NEVER ? -1 : f->expected_ms, f->routing,
 		 f->version ? f->version : "-", SS_FMT(forward_resumes(f)),
 		 f->call.after_event, f->why ? f->why : "");
@@ -545,6 +545,19 @@
 	return (double)(now - f->start_ms) > (double)whole * NO_ETA_SHARE;
 }
 
+int64_t forward_latest_ms(const struct forward *f)
+{
+	double whole = (double)(f->begin_by_ms - f->start_ms);
+	int64_t first = times_first_ms(f);
+
+	if (f->started)
+		return f->deadline_ms - first;
+	if (!*f->model || f->lane->eta_ms != SS_NEVER)
+		return f->begin_by_ms - first;
+	return MIN(f->begin_by_ms - first,
+		   f->start_ms + (int64_t)(whole * NO_ETA_SHARE));
+}
+
 static void tick_waits(struct forward *f, int64_t now)
 {
 	if (f->started) {
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -397,7 +397,6 @@
 	g->n_repeats = metrics_value(m, "ss_gate_repeats_total", "");
 	g->n_repeats_refused =
 		metrics_value(m, "ss_gate_repeats_refused_total", "");
-	g->n_waiting = metrics_value(m, "ss_gate_waiting", "");
 	g->n_adapters = metrics_value(m, "ss_gate_adapters_asked_total", "");
 	g->n_bad = metrics_value(m, "ss_gate_bad_requests_total", "");
 	g->n_no_room = metrics_value(m, "ss_gate_no_room_total", "");
@@ -456,8 +455,7 @@
 	end_log_init(&g->end_log, ENDS_MOST);
 	g->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				       gate_ep_free);
-	g->lanes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 gate_lane_free);
+	lanes_init(g);
 	g->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->paces =
@@ -494,7 +492,7 @@
 	end_log_clear(&g->end_log);
 	g_hash_table_unref(g->forwards);
 	g_hash_table_unref(g->tickets);
-	g_hash_table_unref(g->lanes);
+	lanes_clear(g);
 	g_hash_table_unref(g->eps);
 	g_hash_table_unref(g->budgets);
 	g_hash_table_unref(g->paces);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -5,6 +5,7 @@
 #include <sapphireshift/limit.h>
 #include <sapphireshift/queue.h>
 
+#include "../core/admission.h"
 #include "../core/balance.h"
 #include "../core/end_log.h"
 #include "../core/endpoint_limit.h"
@@ -103,7 +104,8 @@
 	struct lane *home; /* the lane that it waits in when it waits */
 	/* Of its service's streams; of a plain request: of its route. */
 	struct pace *pace;
-	struct lane *lane; /* NULL: it doesn't wait */
+	struct lane *lane;	  /* NULL: it doesn't wait */
+	enum admission_turn turn; /* by which it was sent last */
 	/* Sends. */
 	GPtrArray *tried; /* struct fleet_incarnation, that it was sent to */
 	unsigned int sends, asks;
@@ -170,6 +172,11 @@
 	bool changed;
 	struct pace pace; /* of the model's streams */
 	struct pace_open open;
+	struct lane_group *group;
+	GList link; /* in the group's list, while a request waits here */
+	/* The last pump in which its first couldn't be sent; the same of one
+	 * that went before it by time. */
+	uint64_t passed, passed_by_time;
 };
 
 /* A stream that was sent to an incarnation whose version isn't told yet. */
@@ -185,9 +192,12 @@
 	struct routing *routing;
 	uint64_t routing_version; /* of it, when it was last set */
 	struct freshness freshness;
-	GHashTable *eps;     /* addr -> struct gate_ep */
-	GHashTable *lanes;   /* "service\nmodel\nversion" -> struct lane */
-	GHashTable *budgets; /* service -> struct repeat_budget */
+	GHashTable *eps;       /* addr -> struct gate_ep */
+	GHashTable *lanes;     /* "service\nmodel\nversion" -> struct lane */
+	GHashTable *groups;    /* service -> struct lane_group */
+	GQueue groups_waiting; /* those in which a request waits */
+	uint64_t pumps;	       /* of groups, until now */
+	GHashTable *budgets;   /* service -> struct repeat_budget */
 	/* service -> struct pace, of its streams; "service\nroute" -> of
 	 * plain answers: a slow route hides among a fast one's many. */
 	GHashTable *paces;
@@ -220,7 +230,8 @@
 		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
 		*n_no_room, *n_held, *n_unread, *n_ended, *n_quarantined,
 		*n_taken_up, *n_taken_up_refused, *n_over_quota, *n_limited,
-		*n_rests, *n_sent_resting, *n_sent_leaving;
+		*n_rests, *n_sent_resting, *n_sent_leaving, *n_raised,
+		*n_examined, *n_waiting_by[SS_QUEUE_PRIORITIES];
 };
 
 static inline int64_t gate_now(const struct gate *g)
@@ -332,6 +343,8 @@
 void forward_gone(struct forward *f);
 /* Try to send a request that waits; false where it goes on waiting. */
 bool forward_try(struct forward *f);
+/* Of one that waits: it is refused if it isn't sent by then, on the clock. */
+int64_t forward_latest_ms(const struct forward *f);
 void forward_tick(struct forward *f, int64_t now);
 void forward_adapter(struct forward *f, int64_t code, struct ss_str text);
 /* The process ends: answer what can be said. */
@@ -410,7 +423,10 @@
 struct forward *lane_next(const struct lane *l, int64_t now);
 /* Send what can be sent of the lanes of a service. */
 void gate_pump(struct gate *g, const char *service);
-void gate_lane_free(void *lane);
+/* By which rule it was sent, for a log line. */
+const char *lane_turn(const struct forward *f);
+void lanes_init(struct gate *g);
+void lanes_clear(struct gate *g);
 
 /* gate.c */
 struct pace *gate_pace(struct gate *g, const struct forward *f);
--- a/test/test_gate_admission.c
+++ b/test/test_gate_admission.c
@@ -165,6 +165,7 @@
 
 static const struct order_case orders[] = {
 	{ "one lane and one priority: as they came", "PmPmPm", 1, "abc", 0, 0 },
+	{ "and by their deadlines, as before", "PmSmPm", 1, "bac", 0, 0 },
 	{ "over lanes as well", "PmPnPmPn", 1, "abcd", 0, 0 },
 	{ "urgent ones first, whatever their model", "PmPnUmUn", 1, "cdab", 0,
 	  0 },
