Calls are weighted by how slow an endpoint is

Cause: the choice counts calls. An engine that is five times slower until its first event, with calls that stay as long, got 79 to 85 % of an even part in a play of ten engines.

Change: nodes have a slowness and the part of the caller's objective that passes until they answer. balance_share divides a node's room by its slowness. balance_choose counts a slow node's calls, the next one included, times its slowness; in its own turns a slow node counts as any other, one time in as many as it is slow, or it would never be seen to recover. A far endpoint is preferred as soon as the near ones would be late.

Ruled out by a trial: multiplying the load alone (and the load within the room) leaves an idle slow engine its even part: 85 % with few calls, and 7 % where its calls stay five times longer, as those already count in its load.

--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -11,6 +11,8 @@
 /* Engines have room up to this multiple of their mean: what they run turns over
  * once while calls as many as that come. */
 #define ROOM_OVER_MEAN 2.0
+/* Near ones fill up from this part of their callers' objective on. */
+#define LATE_FROM 0.5
 /* A leader doesn't hear the entries that are cut off or start, and they spend
  * their part all the same. Before a word from it there may be many. */
 #define ENTRIES_MIN 20
@@ -29,33 +31,61 @@
 	return (double)(ss_random(seed) >> 11) / (double)(1ULL << 53);
 }
 
+/* What a request is compared by. */
+struct measure {
+	uint64_t most_affine;
+	double far; /* how much worse a far node is, in calls */
+};
+
 /* How much a node is worse than another with as many calls, in calls. */
-static double penalty(const struct balance_node *n, uint64_t most_affine)
+static double penalty(const struct balance_node *n, const struct measure *m)
 {
 	double s = FAILING_SCORE * n->failing;
 
 	if (!n->near)
-		s += FAR_SCORE;
+		s += m->far;
 	if (!n->has_adapter)
 		s += ADAPTER_SCORE;
-	if (n->affinity != most_affine)
+	if (n->affinity != m->most_affine)
 		s += AFFINITY_SCORE;
 	if (n->tried)
 		s += TRIED_SCORE;
 	return s;
 }
 
+static double slowness(const struct balance_node *n)
+{
+	return n->slow > 0 ? n->slow : 1;
+}
+
+/*
+ * A slow node's calls weigh as many as others do in the same time, the one that
+ * is to be sent among them. So idle ones that are faster go first; but of its
+ * own turns a slow one has its part as any other, or it would never be seen to
+ * recover.
+ */
+static double weighed_load(const struct balance_node *n, bool turn,
+			   uint64_t *seed)
+{
+	double load = (double)balance_load(n), slow = slowness(n);
+
+	if (slow > 1 && turn && draw(seed) < 1 / slow)
+		return load;
+	return load * slow + MAX(slow - 1, 0);
+}
+
 /*
  * Entries that all take the emptiest by reports of the same age send a hundred
  * calls to one node before the next report. How many others have sent since,
  * and where, nobody knows; so each draws it anew, up to as many as come, and
  * nodes that differ by less than that get their share of calls by chance.
  */
-static double score(const struct balance_node *n, uint64_t most_affine,
-		    uint64_t *seed)
+static double score(const struct balance_node *n, const struct measure *m,
+		    bool turn, uint64_t *seed)
 {
-	return (double)balance_load(n) + n->unseen * draw(seed) +
-	       penalty(n, most_affine);
+	double load = weighed_load(n, turn, seed);
+
+	return load + n->unseen * draw(seed) + penalty(n, m);
 }
 
 static uint64_t most_affine_of(const struct balance_node *n, size_t count)
@@ -73,10 +103,36 @@
 	return (double)balance_load(n) >= (double)MAX(n->slots, 1) * fill;
 }
 
+/* A call is better off far away than late: the nearer the best of the near
+ * ones comes to that, the less the distance counts. */
+static double far_score(const struct balance_node *n, size_t count, double fill)
+{
+	double late = -1;
+
+	for (size_t i = 0; i < count; i++) {
+		if (!n[i].usable || !n[i].near || is_full(&n[i], fill))
+			continue;
+		late = late < 0 ? n[i].late : MIN(late, n[i].late);
+	}
+	if (late <= LATE_FROM)
+		return FAR_SCORE;
+	return FAR_SCORE * MAX(1 - late, 0) / (1 - LATE_FROM);
+}
+
+static struct measure measure_of(const struct balance_node *n, size_t count,
+				 double fill)
+{
+	struct measure m = { most_affine_of(n, count),
+			     far_score(n, count, fill) };
+
+	return m;
+}
+
 int balance_choose(const struct balance_node *n, size_t count, double fill,
 		   uint64_t tie)
 {
-	uint64_t most_affine = most_affine_of(n, count), seed = tie;
+	struct measure m = measure_of(n, count, fill);
+	uint64_t seed = tie;
 	double best_score = 0;
 	int best = BALANCE_NOBODY;
 
@@ -91,7 +147,7 @@
 				best = BALANCE_FULL;
 			continue;
 		}
-		s = score(&n[i], most_affine, &seed);
+		s = score(&n[i], &m, k == 0, &seed);
 		if (best >= 0 && s >= best_score)
 			continue;
 		best = (int)i;
@@ -118,14 +174,16 @@
 int balance_share(const struct balance_node *n, size_t count, double fill,
 		  uint64_t tie)
 {
-	uint64_t most_affine = most_affine_of(n, count), seed = tie;
+	struct measure m = measure_of(n, count, fill);
+	uint64_t seed = tie;
 	double level = ROOM_OVER_MEAN * mean_load(n, count, fill);
 	double *room = g_newa(double, count + 1);
 	double all = 0, at;
 
 	for (size_t i = 0; i < count; i++) {
 		room[i] = level - (double)balance_load(&n[i]) -
-			  penalty(&n[i], most_affine);
+			  penalty(&n[i], &m);
+		room[i] /= slowness(&n[i]);
 		if (!n[i].usable || is_full(&n[i], fill))
 			room[i] = 0;
 		room[i] = MAX(room[i], 0);
--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -1,7 +1,9 @@
 /*
  * Which endpoint gets a call: a function of what an entry knows of each.
- * The load it answers: calls of a second or two on engines that batch, and
- * bursts that many entries see at once on reports some 100 ms old.
+ * The load it answers: calls of a second or two on engines that batch, bursts
+ * that many entries see at once on reports some 100 ms old, and endpoints that
+ * differ in speed several times over: one that takes twice as long gets half
+ * as many calls.
  */
 #ifndef SS_BALANCE_H
 #define SS_BALANCE_H
@@ -20,6 +22,9 @@
 	double unseen;	   /* calls that others may have sent since */
 	double failing;	   /* share of calls that failed lately, decayed */
 	uint64_t affinity; /* larger: its prompt cache is more likely warm */
+	double slow;	   /* times as slow as others; 0: not known, as 1 */
+	double late;	   /* part of the caller's objective that passes until
+			      it answers; 0: not known */
 };
 
 /* Why none was chosen. */
@@ -41,6 +46,8 @@
  * and the events of all its calls would pause. So calls are drawn by the room
  * that nodes have below twice the mean: an emptier one gets more, and fills
  * within the time of a call or two. Where nothing runs the best one is taken.
+ * The room of a slower one fills with fewer calls. What it runs isn't weighted
+ * besides: its calls stay longer, and so count for longer.
  */
 int balance_share(const struct balance_node *n, size_t count, double fill,
 		  uint64_t tie);
--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -454,6 +454,70 @@
 	assert_int_equal(balance_share(n, 0, 1.0, 1), BALANCE_NOBODY);
 }
 
+/* Symptom: deployments whose engines are all as fast are served otherwise than
+ * before, by a draw more or a sum that is rounded. The print is that of the
+ * choices made before nodes had a speed. */
+static void even_engines_are_chosen_as_before(void **state)
+{
+	uint64_t seed = 5, print = 0;
+
+	(void)state;
+	for (int call = 0; call < 20000; call++) {
+		struct balance_node n[5] = { 0 };
+		uint64_t tie = ss_random(&seed);
+
+		for (int i = 0; i < 5; i++) {
+			n[i] = (struct balance_node)NODE(.has_adapter = true);
+			n[i].near = ss_random(&seed) % 2;
+			n[i].reported = (int64_t)(ss_random(&seed) % 9);
+			n[i].unseen = (double)(ss_random(&seed) % 5);
+			n[i].affinity = ss_random(&seed);
+			n[i].slow = call / 2 % 2;
+			n[i].late = (double)(call % 3) / 4;
+		}
+		print = print * 31 +
+			(uint64_t)(call % 2 ? balance_share :
+					      balance_choose)(n, 5, 1.0, tie);
+	}
+	assert_true(print == 0xa3f4c7c7cbb88945ULL);
+}
+
+struct far_case {
+	const char *label;
+	double late[2]; /* of the near ones; a far one is idle */
+	double failing; /* of them: less than the distance weighs */
+	bool far;
+};
+
+/* Symptom: callers are late beside engines of another failure domain that have
+ * room. */
+static void far_engines_take_what_would_be_late(void **state)
+{
+	static const struct far_case cases[] = {
+		{ "nothing is known", { 0, 0 }, 0.02, false },
+		{ "half of the time passes", { 0.5, 0.5 }, 0.02, false },
+		{ "all would be late", { 1, 1.5 }, 0.02, true },
+		{ "nearly late", { 0.95, 0.9 }, 0.02, true },
+		{ "one of them is in time", { 3, 0.1 }, 0.02, false },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct far_case *c = &cases[i];
+		struct balance_node n[3] = { NODE(.has_adapter = true),
+					     NODE(.has_adapter = true),
+					     NODE(.has_adapter = true) };
+
+		for (int k = 0; k < 2; k++) {
+			n[k].near = true;
+			n[k].late = c->late[k];
+			n[k].failing = c->failing;
+		}
+		if ((balance_choose(n, 3, 1.0, 0) == 2) != c->far)
+			fail_msg("%s", c->label);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -461,6 +525,8 @@
 		cmocka_unit_test(entries_dont_run_after_one_report),
 		cmocka_unit_test(equals_share_the_calls),
 		cmocka_unit_test(engines_share_the_prompts),
+		cmocka_unit_test(even_engines_are_chosen_as_before),
+		cmocka_unit_test(far_engines_take_what_would_be_late),
 		cmocka_unit_test(engines_that_have_no_room_are_told_apart),
 		cmocka_unit_test(repeats_keep_to_their_window),
 		cmocka_unit_test(entries_share_the_slack),
