The fourth figure of the load header is read

Cause: a plain service tells the time that work takes there in percent, and it was skipped.

Change: struct platform_answer.work_percent; 0 where it is absent, torn, no whole number or above a million. The three before it are read as they were.

--- a/src/proxy/platform_ops.h
+++ b/src/proxy/platform_ops.h
@@ -45,6 +45,9 @@
 	int64_t idle_ms; /* how long it keeps the connection; 0: not told */
 	bool has_load;
 	int64_t running, waiting, slots;
+	/* Time that a piece of work takes there at the moment, in percent of
+	 * the usual; 0: not reported, or not to be read. */
+	int64_t work_percent;
 	/* It takes no more requests a second than this, of all VMs together;
 	 * -1: it names no limit. */
 	double limit_per_s;
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -730,6 +730,47 @@
 	}
 }
 
+struct work_case {
+	const char *load;
+	int64_t percent;
+};
+
+/* Guards against a torn or absurd fourth figure that is taken for a speed, and
+ * against one that spoils the three before it. */
+static void work_time_is_read_or_not_reported(void **state)
+{
+	static const struct work_case cases[] = {
+		{ "3,1,8,140", 140 },
+		{ "3,1,8,1000000", 1000000 },
+		{ "3,1,8", 0 },
+		{ "3,1,8,", 0 },
+		{ "3,1,8,-50", 0 },
+		{ "3,1,8,1e2", 0 },
+		{ "3,1,8,14.5", 0 },
+		{ "3,1,8,99999999999999999999", 0 },
+		{ "3,1,8,1 40", 0 },
+		{ "3,1,8,NaN", 0 },
+		{ "3,1,8,120,more", 120 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct work_case *c = &cases[i];
+		char *text = g_strdup_printf("HTTP/1.1 200 OK\r\n"
+					     "X-Server-Load: %s\r\n"
+					     "Content-Length: 0\r\n\r\n",
+					     c->load);
+		struct heads x = { 0 };
+
+		read_head(&x, false, text);
+		if (!x.answer.has_load || !load_is_read(&x.answer) ||
+		    x.answer.work_percent != c->percent)
+			fail_msg("%s: %" PRId64, c->load,
+				 x.answer.work_percent);
+		g_free(text);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -746,6 +787,7 @@
 		cmocka_unit_test(calls_are_read),
 		cmocka_unit_test(own_headers_are_replaced),
 		cmocka_unit_test(answers_are_told_apart),
+		cmocka_unit_test(work_time_is_read_or_not_reported),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
