Entries send fewer calls to slow endpoints and rest the slowest

Change: gate_speed.c notes first events and plain answers, and ten times a second looks at calls under way and takes each service's median. What is compared: streams by 500 tokens plus those of the prompt, plain answers by their route's mean. It weighs the nodes of a choice, and rests those that are four times slower and would be late, up to half of the usable ones and none where all are; an endpoint's own word brings no rest. A new incarnation begins with nothing known and a twelfth of its calls. Only for routes whose objective is shorter than their timeout, and for plain services that report their work time.

--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -585,6 +585,7 @@
 	g->forwards = g_hash_table_new(NULL, NULL);
 	g->tickets = g_hash_table_new(g_int64_hash, g_int64_equal);
 	make_counters(g);
+	g->speeds = gate_speeds_new(o->metrics);
 	g->upstream = upstream_new(&uo);
 	g->callers = callers_new(&co, error);
 	if (g->callers)
@@ -618,6 +619,7 @@
 	g_hash_table_unref(g->budgets);
 	g_hash_table_unref(g->paces);
 	g_hash_table_unref(g->hists);
+	gate_speeds_free(g->speeds);
 	g_hash_table_unref(g->quota_lines);
 	g_hash_table_unref(g->counts);
 	quota_lease.entry_free(g->quota);
--- a/src/proxy/gate_choose.c
+++ b/src/proxy/gate_choose.c
@@ -175,6 +175,7 @@
 	f->open_ms = 0;
 	gather(g, f, &c);
 	pass_by_breakers(g, &c);
+	gate_speed_weigh(f, (struct balance_node *)c.nodes->data, c.eps);
 	while (!found && (at = best_of(g, f, &c)) >= 0) {
 		struct gate_ep *ep = c.eps->pdata[at];
 
@@ -186,7 +187,9 @@
 		opens_at(f, MAX(ep->words.permit_ms, gate_now(g)));
 		c.limited = true;
 	}
-	if (!found)
+	if (found)
+		speed_rest_sent(&found->slow_rest, gate_now(g));
+	else
 		*none = why_none(at, &c);
 	/* A place is free soon. */
 	if (found || at == BALANCE_FULL)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -57,6 +57,7 @@
 	ep->addr = key;
 	ep->self.id = g_strdup("");
 	ep->life = ++g->lives;
+	ep->began_ms = g->fleet_known ? gate_now(g) : 0;
 	ep->words.limit.per_s = ENDPOINT_LIMIT_NONE;
 	ep->service = g_strdup("");
 	ep->domain = g_strdup("");
@@ -94,6 +95,10 @@
 {
 	lose_calls(g, ep);
 	ep->life = ++g->lives;
+	ep->began_ms = gate_now(g);
+	ep->speed = (struct speed){ 0 };
+	ep->slow_rest = (struct speed_rest){ 0 };
+	ep->ratio = 0;
 	ep->failing = 0;
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
 	ep->shut_until_ms = 0;
@@ -463,6 +468,7 @@
 	ep->reported = a->running + a->waiting;
 	ep->since = 0;
 	ep->reported_ms = gate_now(g);
+	speed_work(&ep->speed, a->work_percent, gate_now(g));
 	if (a->slots > 0)
 		ep->slots = a->slots;
 }
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -12,6 +12,7 @@
 #include "../core/fleet.h"
 #include "../core/freshness.h"
 #include "../core/pace.h"
+#include "../core/speed.h"
 #include "../core/suspects.h"
 #include "callers.h"
 #include "events.h"
@@ -63,6 +64,10 @@
 	struct gate_words words;
 	struct pace pace; /* of its streams, all models */
 	struct pace_open open;
+	int64_t began_ms; /* this incarnation was first told of; 0: with all */
+	struct speed speed;
+	double ratio; /* of it, as looked at last; 0: not known */
+	struct speed_rest slow_rest;
 };
 
 enum forward_state {
@@ -209,7 +214,8 @@
 	bool pumping;	/* a request that ends meanwhile pumps no more */
 	int64_t end_ms; /* of a planned stop; 0: none */
 	int64_t tidy_ms;
-	uint64_t report_print;	 /* of the last report */
+	uint64_t report_print; /* of the last report */
+	struct gate_speeds *speeds;
 	void *quota;		 /* the entry's side of customers' limits */
 	void *limits;		 /* and of endpoints' own */
 	int64_t seats_ms;	 /* when seats were last looked through */
@@ -251,6 +257,18 @@
 struct gate_ep *gate_choose(struct gate *g, struct forward *f,
 			    enum balance_none *none);
 
+/* gate_speed.c: how slow endpoints are beside each other */
+struct gate_speeds *gate_speeds_new(struct metrics *m);
+void gate_speeds_free(struct gate_speeds *x);
+/* The first event or the plain answer has come, before it is noted elsewhere;
+ * it was left before. */
+void gate_speed_answered(struct forward *f);
+void gate_speed_left(struct forward *f);
+/* Set what the nodes' speeds mean for the request; those that are too slow for
+ * it, and rest, are no longer usable. eps: struct gate_ep of each. */
+void gate_speed_weigh(struct forward *f, struct balance_node *n,
+		      const GPtrArray *eps);
+
 /* gate_words.c: what endpoints say of themselves */
 /* What an answer says; what the leader says of a limit. */
 void gate_words_heard(struct forward *f, struct gate_ep *ep,
--- /dev/null
+++ b/src/proxy/gate_speed.c
@@ -0,0 +1,304 @@
+/* How slow endpoints are beside each other, and what that lets be sent. */
+#include "gate_int.h"
+
+#include "../base/log.h"
+#include "../core/speed.h"
+
+/* Medians are taken anew this often, in ms. */
+#define LOOK_MS 100
+/* An engine's time to the first event has a fixed part, as long as it takes to
+ * read so many tokens, and a part for each token of the prompt. */
+#define FIXED_TOKENS 500.0
+/* A longer prompt is compared as one of so many tokens: callers may say
+ * anything. */
+#define TOKENS_MAX 32768
+/* Answers of a plain route by which its mean is known: later ones of all
+ * routes are then compared, each with its own. */
+#define ROUTE_ANSWERS 8
+/* What endpoints take is counted in percent of the median. */
+#define PERCENT 100.0
+
+/* Endpoints of one service. */
+struct service_speed {
+	GArray *ms; /* double, of those that are known */
+	double median;
+};
+
+struct gate_speeds {
+	GHashTable *services; /* name -> struct service_speed */
+	int64_t look_ms;
+	uint64_t *n_rests;
+	struct hist *slowness;
+};
+
+static void service_free(void *p)
+{
+	struct service_speed *s = p;
+
+	g_array_unref(s->ms);
+	g_free(s);
+}
+
+struct gate_speeds *gate_speeds_new(struct metrics *m)
+{
+	struct gate_speeds *x = g_new0(struct gate_speeds, 1);
+
+	x->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    service_free);
+	x->n_rests = metrics_value(m, "ss_gate_slow_rests_total", "");
+	x->slowness = metrics_hist(m, "ss_gate_endpoint_slowness", "");
+	return x;
+}
+
+void gate_speeds_free(struct gate_speeds *x)
+{
+	g_hash_table_unref(x->services);
+	g_free(x);
+}
+
+static struct service_speed *service_at(struct gate_speeds *x, const char *name)
+{
+	struct service_speed *s = g_hash_table_lookup(x->services, name);
+
+	if (s)
+		return s;
+	s = g_new0(struct service_speed, 1);
+	s->ms = g_array_new(FALSE, FALSE, sizeof(double));
+	g_hash_table_insert(x->services, g_strdup(name), s);
+	return s;
+}
+
+/* Times are compared after division by this; 0: they can't be yet. */
+static double scale(const struct forward *f)
+{
+	if (f->route->kind == ROUTE_STREAM)
+		return 1 + (double)MIN(f->call.tokens_in, TOKENS_MAX) /
+				   FIXED_TOKENS;
+	return f->pace->first.n >= ROUTE_ANSWERS ? f->pace->first.mean_ms : 0;
+}
+
+/* Since it was sent, at least the clock's own step. */
+static double sent_for(const struct forward *f, int64_t now)
+{
+	return (double)MAX(now - f->sent_ms, 1);
+}
+
+static void look_at_forward(struct gate *g, const struct forward *f,
+			    int64_t now)
+{
+	struct gate_ep *ep = gate_ep_of(f);
+	double by = scale(f);
+
+	if (!ep || f->state < FORWARD_SENT || f->mark.events || f->paused ||
+	    by <= 0)
+		return;
+	speed_open(&ep->speed, sent_for(f, now) / by,
+		   service_at(g->speeds, ep->service)->median, now);
+}
+
+static void look_at_open(struct gate *g, int64_t now)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, g->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		speed_open_begin(&((struct gate_ep *)p)->speed);
+	g_hash_table_iter_init(&it, g->forwards);
+	while (g_hash_table_iter_next(&it, &p, NULL))
+		look_at_forward(g, p, now);
+}
+
+static void take_medians(struct gate *g, int64_t now)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, g->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct gate_ep *ep = p;
+		double ms = ep->known ? speed_ms(&ep->speed, now) : 0;
+
+		if (ms > 0)
+			g_array_append_val(
+				service_at(g->speeds, ep->service)->ms, ms);
+	}
+	g_hash_table_iter_init(&it, g->speeds->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct service_speed *s = p;
+
+		s->median = speed_median((double *)s->ms->data, s->ms->len);
+		g_array_set_size(s->ms, 0);
+	}
+}
+
+static void look(struct gate *g, int64_t now)
+{
+	GHashTableIter it;
+	void *p;
+
+	if (now - g->speeds->look_ms < LOOK_MS)
+		return;
+	g->speeds->look_ms = now;
+	look_at_open(g, now);
+	take_medians(g, now);
+	g_hash_table_iter_init(&it, g->eps);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct gate_ep *ep = p;
+
+		ep->ratio = speed_ratio(
+			&ep->speed, service_at(g->speeds, ep->service)->median,
+			now);
+	}
+}
+
+static void begin_rest(struct gate *g, struct gate_ep *ep, double median_ms)
+{
+	speed_rest_begin(&ep->slow_rest, gate_now(g));
+	(*g->speeds->n_rests)++;
+	log_info("endpoint_slow",
+		 "addr=%s id=%s ratio=%.1f first_ms=%.0f median_ms=%.0f "
+		 "ms=%" PRId64,
+		 ep->addr, ep->self.id, ep->ratio, ep->ratio * median_ms,
+		 median_ms, ep->slow_rest.pause_ms);
+}
+
+void gate_speed_answered(struct forward *f)
+{
+	struct gate *g = f->g;
+	struct gate_ep *ep = gate_ep_of(f);
+	int64_t now = gate_now(g);
+	double by = scale(f), median;
+
+	if (!ep || by <= 0)
+		return;
+	speed_note(&ep->speed, sent_for(f, now) / by, now);
+	median = service_at(g->speeds, ep->service)->median;
+	ep->ratio = speed_ratio(&ep->speed, median, now);
+	if (ep->ratio > 0)
+		hist_add(g->speeds->slowness, (uint64_t)(ep->ratio * PERCENT));
+	if (speed_rest_answered(&ep->slow_rest, ep->ratio))
+		begin_rest(g, ep, median * by);
+}
+
+void gate_speed_left(struct forward *f)
+{
+	struct gate_ep *ep = gate_ep_of(f);
+	int64_t now = gate_now(f->g);
+	double by = scale(f);
+
+	if (ep && by > 0 && f->state >= FORWARD_SENT && !f->mark.events &&
+	    !f->paused)
+		speed_note_least(&ep->speed, sent_for(f, now) / by,
+				 service_at(f->g->speeds, ep->service)->median,
+				 now);
+}
+
+/* Its callers are to be answered sooner than by its end. */
+static bool has_objective(const struct forward *f)
+{
+	return f->route->objective_ms < f->route->timeout_ms;
+}
+
+static double ratio_of(const struct forward *f, const struct gate_ep *ep,
+		       int64_t now)
+{
+	double told = f->service->engine ? 0 : speed_reported(&ep->speed, now);
+
+	if (told > 0)
+		return told;
+	return has_objective(f) ? ep->ratio : 0;
+}
+
+static double start_of(const struct forward *f, const struct gate_ep *ep,
+		       int64_t now)
+{
+	return has_objective(f) && ep->began_ms ?
+		       speed_start(now - ep->began_ms, ep->speed.n) :
+		       1;
+}
+
+static void weigh(const struct forward *f, const struct gate_ep *ep,
+		  struct balance_node *n, double median_ms)
+{
+	int64_t now = gate_now(f->g);
+	double ratio = ratio_of(f, ep, now), start = start_of(f, ep, now);
+
+	n->slow = speed_weight(ratio);
+	if (start < 1)
+		n->slow = MAX(n->slow, 1) / start;
+	if (has_objective(f))
+		n->late = (ratio > 0 ? ratio : 1) * median_ms /
+			  (double)f->route->objective_ms;
+}
+
+/* Too slow for this request, by what was seen here: an endpoint's own word
+ * brings no rest. */
+static bool is_too_slow(const struct forward *f, const struct gate_ep *ep,
+			double median_ms)
+{
+	return has_objective(f) &&
+	       speed_is_rest(ep->ratio, ep->ratio * median_ms,
+			     f->route->objective_ms);
+}
+
+static int slowest_first(const void *a, const void *b)
+{
+	const struct gate_ep *x = *(struct gate_ep *const *)a;
+	const struct gate_ep *y = *(struct gate_ep *const *)b;
+
+	return (x->ratio < y->ratio) - (x->ratio > y->ratio);
+}
+
+/* Those that are too slow, without the ones that the others need beside them:
+ * half of all, and where nobody is faster, all. */
+static void keep_half(GPtrArray *slow, guint usable)
+{
+	if (slow->len >= usable) {
+		g_ptr_array_set_size(slow, 0);
+		return;
+	}
+	g_ptr_array_sort(slow, slowest_first);
+	g_ptr_array_set_size(slow, (gint)MIN(slow->len, usable / 2));
+}
+
+static void rest(struct gate *g, GPtrArray *slow, double median_ms)
+{
+	int64_t now = gate_now(g);
+
+	for (guint i = 0; i < slow->len; i++) {
+		struct gate_ep *ep = slow->pdata[i];
+
+		if (speed_rest_is_due(&ep->slow_rest, now))
+			begin_rest(g, ep, median_ms);
+	}
+}
+
+void gate_speed_weigh(struct forward *f, struct balance_node *n,
+		      const GPtrArray *eps)
+{
+	struct gate *g = f->g;
+	int64_t now = gate_now(g);
+	GPtrArray *slow = g_ptr_array_new();
+	double median_ms;
+	guint usable = 0;
+
+	look(g, now);
+	median_ms = service_at(g->speeds, f->service->name)->median * scale(f);
+	for (guint i = 0; i < eps->len; i++) {
+		weigh(f, eps->pdata[i], &n[i], median_ms);
+		usable += n[i].usable;
+		if (n[i].usable && is_too_slow(f, eps->pdata[i], median_ms))
+			g_ptr_array_add(slow, eps->pdata[i]);
+	}
+	keep_half(slow, usable);
+	rest(g, slow, median_ms);
+	for (guint i = 0; slow->len && i < eps->len; i++) {
+		const struct gate_ep *ep = eps->pdata[i];
+
+		if (speed_rests(&ep->slow_rest, now) &&
+		    g_ptr_array_find(slow, ep, NULL))
+			n[i].usable = false;
+	}
+	g_ptr_array_unref(slow);
+}
--- a/src/proxy/times.c
+++ b/src/proxy/times.c
@@ -50,6 +50,7 @@
 	note_pause(f, now);
 
 	if (f->mark.events == 0) {
+		gate_speed_answered(f);
 		note(f, pace_note_first, (double)(now - f->sent_ms));
 		f->mark = (struct pace_mark){ now, f->events.count };
 	} else if (pace_measure(&f->mark, f->events.count, now, &gap_ms)) {
@@ -58,6 +59,12 @@
 	}
 }
 
+static void note_plain(struct forward *f)
+{
+	gate_speed_answered(f);
+	note(f, pace_note_first, (double)(gate_now(f->g) - f->sent_ms));
+}
+
 void times_note_end(struct forward *f)
 {
 	/* Of one that was resumed only the rest has come. */
@@ -66,7 +73,7 @@
 	else if (f->is_events)
 		pace_note_length(f->pace, f->events.count, f->call.tokens_out);
 	else if (f->status / 100 == 2)
-		note(f, pace_note_first, (double)(gate_now(f->g) - f->sent_ms));
+		note_plain(f);
 }
 
 /* What hasn't come yet of a request that was sent. */
@@ -89,6 +96,7 @@
 
 	if (f->state < FORWARD_SENT)
 		return;
+	gate_speed_left(f);
 	note(f, pace_raise_first, o.first_ms);
 	note(f, pace_raise_event, o.event_ms);
 }
