Engines get a bounded number of an entry's prompts at a time

Cause: a burst of prompts goes to an engine at once, and the engine's other streams pause for longer than their routes allow.

Change: each endpoint's incarnation has a start_limit, fed with the time to the first event and the pauses of this entry's streams there; a pause that its caller caused by reading slowly, or the time until a stream was resumed, isn't counted. gate_choose skips an engine at its limit where another with the model has room. Else a stream whose route states a pause limit waits in its lane (held_for=starts), a quarter of its objective at most and not beyond the time by which its first event is expected within the objective, then goes to the engine with the fewest prompts. Streams that have begun don't wait. Metrics ss_gate_start_limit, ss_gate_start_waits_total, ss_gate_start_cuts_total; event=start_limit.

Not measured on a deployment.

--- a/Makefile
+++ b/Makefile
@@ -99,7 +99,8 @@
 	$(BUILD)/test_gate_failing $(BUILD)/test_gate_behind \
 	$(BUILD)/test_gate_customers $(BUILD)/test_gate_quota \
 	$(BUILD)/test_gate_memory $(BUILD)/test_gate_limit \
-	$(BUILD)/test_gate_rest $(BUILD)/test_gate_versions: \
+	$(BUILD)/test_gate_rest $(BUILD)/test_gate_starts \
+	$(BUILD)/test_gate_versions: \
 	$(BUILD)/test/gate_fix.o
 $(BUILD)/test_explain: $(BUILD)/src/ctl/explain.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_spread: $(BUILD)/src/ctl/spread.o $(BUILD)/src/ctl/logline.o
--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -73,6 +73,11 @@
 	return (double)balance_load(n) >= (double)MAX(n->slots, 1) * fill;
 }
 
+bool balance_has_room(const struct balance_node *n, double fill)
+{
+	return !is_full(n, fill);
+}
+
 int balance_choose(const struct balance_node *n, size_t count, double fill,
 		   uint64_t tie)
 {
--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -28,6 +28,7 @@
 	BALANCE_FULL = -2,
 	BALANCE_LIMITED = -3, /* by what an endpoint itself admits */
 	BALANCE_RESTING = -4, /* an endpoint has asked for rest */
+	BALANCE_STARTS = -5,  /* engines read as many prompts as they may */
 };
 
 /* Index of the node, or an enum balance_none; tie breaks equal scores. */
@@ -45,6 +46,9 @@
 int balance_share(const struct balance_node *n, size_t count, double fill,
 		  uint64_t tie);
 
+/* Whether a call more fits there. */
+bool balance_has_room(const struct balance_node *n, double fill);
+
 /* Calls that a node has by the entry's estimate. */
 int64_t balance_load(const struct balance_node *n);
 
--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -161,7 +161,7 @@
 {
 	if (f->paused || !caller_call_is_full(f->caller))
 		return;
-	f->paused = true;
+	f->paused = f->slowed = true;
 	upstream_pause(f->up, true);
 }
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -83,6 +83,7 @@
 	f->up = NULL;
 	f->paused = false;
 	f->lost_ms = 0;
+	gate_start_done(f);
 	if (ep)
 		gate_ep_end(ep, f->model);
 	g_clear_pointer(&f->ep_addr, g_free);
@@ -112,6 +113,8 @@
 		return "limit";
 	case BALANCE_RESTING:
 		return "rest";
+	case BALANCE_STARTS:
+		return "starts";
 	}
 	return "-";
 }
@@ -255,8 +258,10 @@
 void forward_wait(struct forward *f)
 {
 	f->state = FORWARD_WAITS;
-	if (!f->lane)
-		lane_add(go_on_lane(f), f);
+	if (f->lane)
+		return;
+	f->lane_ms = gate_now(f->g);
+	lane_add(go_on_lane(f), f);
 }
 
 void forward_again(struct forward *f, bool not_run, const char *why)
@@ -384,6 +389,7 @@
 	f->ep_addr = g_strdup(ep->addr);
 	f->ep_life = ep->life;
 	gate_ep_begin(ep, f->model);
+	gate_start_begin(f, ep);
 	if (f->lane)
 		lane_take(f);
 }
@@ -561,6 +567,8 @@
 		forward_refuse(f, f->unknown ? 502 : 503, "unavailable",
 			       "it can't be begun in time",
 			       f->unknown ? 0 : come_back_ms(f));
+	} else if (gate_start_waited(f, now)) {
+		forward_try(f);
 	}
 }
 
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -532,6 +532,9 @@
 	g->n_rests = metrics_value(m, "ss_gate_rests_total", "");
 	g->n_sent_resting = metrics_value(m, "ss_gate_sent_resting_total", "");
 	g->n_sent_leaving = metrics_value(m, "ss_gate_sent_leaving_total", "");
+	g->n_start_waits = metrics_value(m, "ss_gate_start_waits_total", "");
+	g->n_start_cuts = metrics_value(m, "ss_gate_start_cuts_total", "");
+	g->start_limits = metrics_hist(m, "ss_gate_start_limit", "");
 }
 
 struct gate *gate_new(const struct gate_options *o, GError **error)
--- a/src/proxy/gate_choose.c
+++ b/src/proxy/gate_choose.c
@@ -88,6 +88,7 @@
 	GPtrArray *eps; /* struct gate_ep of each */
 	/* Left out for now, as endpoints themselves say. */
 	bool limited, resting;
+	GArray *reading; /* guint: left out, they read enough prompts */
 };
 
 /* An endpoint admits it at that time, if nothing else is in the way. */
@@ -125,6 +126,7 @@
 
 	c->nodes = g_array_new(FALSE, TRUE, sizeof(struct balance_node));
 	c->eps = g_ptr_array_new();
+	c->reading = g_array_new(FALSE, FALSE, sizeof(guint));
 	g_hash_table_iter_init(&it, g->eps);
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct balance_node n = { 0 };
@@ -158,6 +160,8 @@
 
 static enum balance_none why_none(int at, const struct choice *c)
 {
+	if (at == BALANCE_STARTS)
+		return BALANCE_STARTS;
 	if (c->limited)
 		return BALANCE_LIMITED;
 	if (c->resting && at == BALANCE_NOBODY)
@@ -165,32 +169,105 @@
 	return (enum balance_none)at;
 }
 
+/* The best that admits it; NULL with an enum balance_none in at. */
+static struct gate_ep *take_best(struct gate *g, struct forward *f,
+				 struct choice *c, int *at)
+{
+	while ((*at = best_of(g, f, c)) >= 0) {
+		struct gate_ep *ep = c->eps->pdata[*at];
+
+		if (gate_limit_admits(f, ep))
+			return ep;
+		node_at(c, (guint)*at)->usable = false;
+		opens_at(f, MAX(ep->words.permit_ms, gate_now(g)));
+		c->limited = true;
+	}
+	return NULL;
+}
+
+/* Engines that have room, but read as many prompts as they may. */
+static void pass_by_reading(const struct forward *f, struct choice *c)
+{
+	for (guint i = 0; i < c->eps->len; i++) {
+		struct balance_node *n = node_at(c, i);
+
+		if (!n->usable || !balance_has_room(n, ENGINE_FILL) ||
+		    gate_start_admits(f, c->eps->pdata[i]))
+			continue;
+		n->usable = false;
+		g_array_append_val(c->reading, i);
+	}
+}
+
+static struct gate_ep *reading_at(const struct choice *c, guint k)
+{
+	return c->eps->pdata[g_array_index(c->reading, guint, k)];
+}
+
+/* The longest that a first event takes at one of them. */
+static int64_t reading_ms(const struct forward *f, const struct choice *c)
+{
+	double ms = (double)times_first_ms(f);
+
+	for (guint k = 0; k < c->reading->len; k++)
+		ms = MAX(ms, pace_bound(&reading_at(c, k)->pace.first));
+	return (int64_t)ms;
+}
+
+/* Those that read the fewest are no longer left out. */
+static void open_fewest(struct choice *c)
+{
+	int64_t least = INT64_MAX;
+
+	for (guint k = 0; k < c->reading->len; k++)
+		least = MIN(least, reading_at(c, k)->starts);
+	for (guint k = c->reading->len; k-- > 0;) {
+		if (reading_at(c, k)->starts > least)
+			continue;
+		node_at(c, g_array_index(c->reading, guint, k))->usable = true;
+		g_array_remove_index(c->reading, k);
+	}
+}
+
+/* No other has room: it waits for a bounded time, then goes to one of them. */
+static struct gate_ep *take_reading(struct gate *g, struct forward *f,
+				    struct choice *c, int *at)
+{
+	struct gate_ep *found = NULL;
+
+	if (gate_start_waits(f, reading_ms(f, c))) {
+		*at = BALANCE_STARTS;
+		return NULL;
+	}
+	while (!found && c->reading->len) {
+		open_fewest(c);
+		found = take_best(g, f, c, at);
+	}
+	return found;
+}
+
 struct gate_ep *gate_choose(struct gate *g, struct forward *f,
 			    enum balance_none *none)
 {
-	struct gate_ep *found = NULL;
+	struct gate_ep *found;
 	struct choice c = { 0 };
 	int at;
 
 	f->open_ms = 0;
 	gather(g, f, &c);
 	pass_by_breakers(g, &c);
-	while (!found && (at = best_of(g, f, &c)) >= 0) {
-		struct gate_ep *ep = c.eps->pdata[at];
-
-		if (gate_limit_admits(f, ep)) {
-			found = ep;
-			continue;
-		}
-		node_at(&c, (guint)at)->usable = false;
-		opens_at(f, MAX(ep->words.permit_ms, gate_now(g)));
-		c.limited = true;
-	}
-	if (!found)
+	pass_by_reading(f, &c);
+	found = take_best(g, f, &c, &at);
+	if (!found && c.reading->len)
+		found = take_reading(g, f, &c, &at);
+	if (!found) {
 		*none = why_none(at, &c);
+		gate_start_held(f, *none);
+	}
 	/* A place is free soon. */
-	if (found || at == BALANCE_FULL)
+	if (found || at == BALANCE_FULL || at == BALANCE_STARTS)
 		f->open_ms = 0;
+	g_array_unref(c.reading);
 	g_array_unref(c.nodes);
 	g_ptr_array_unref(c.eps);
 	return found;
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -58,6 +58,7 @@
 	ep->self.id = g_strdup("");
 	ep->life = ++g->lives;
 	ep->words.limit.per_s = ENDPOINT_LIMIT_NONE;
+	gate_starts_reset(ep);
 	ep->service = g_strdup("");
 	ep->domain = g_strdup("");
 	ep->agent = g_strdup("");
@@ -98,6 +99,7 @@
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
 	ep->shut_until_ms = 0;
 	gate_words_reset(g, ep);
+	gate_starts_reset(ep);
 	memset(&ep->pace, 0, sizeof(ep->pace));
 	memset(&ep->told, 0, sizeof(ep->told));
 	ep->answered = ep->failed = 0;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -12,6 +12,7 @@
 #include "../core/fleet.h"
 #include "../core/freshness.h"
 #include "../core/pace.h"
+#include "../core/start_limit.h"
 #include "../core/suspects.h"
 #include "callers.h"
 #include "events.h"
@@ -62,6 +63,9 @@
 	int64_t shut_until_ms; /* no connection could be made */
 	struct gate_words words;
 	struct pace pace; /* of its streams, all models */
+	struct start_limit start_limit;
+	int64_t starts; /* this gate's prompts there without an event yet */
+	int64_t start_logged_ms; /* a fall of the limit; 0: not yet */
 	struct pace_open open;
 };
 
@@ -126,6 +130,9 @@
 	int64_t lost_ms;  /* when its endpoint is known to be gone; 0: it isn't
 			   */
 	uint64_t ticket;
+	bool starting;	   /* it counts among its endpoint's starts */
+	bool start_waited; /* for engines to read other prompts */
+	int64_t lane_ms;   /* when it came into its lane */
 	int64_t sent_ms;
 	double limit_per_s;   /* of its endpoint when it was sent; -1: none */
 	double permits;	      /* taken for its endpoint, and not used yet */
@@ -151,6 +158,7 @@
 	/* Its newest event, and the longest time between two that came. */
 	uint64_t event;
 	int64_t event_ms, pause_ms;
+	bool slowed; /* since that event its caller has held it up */
 };
 
 /* Metrics of one customer; of all that came after the first hundreds. */
@@ -168,7 +176,10 @@
 	struct fleet_rate rate; /* of arrivals here */
 	uint64_t told;		/* waiting, by the last report */
 	bool changed;
-	struct pace pace; /* of the model's streams */
+	int64_t starts_ms;	 /* since when requests wait for engines to read
+				    other prompts; 0: they don't */
+	int64_t starts_first_ms; /* that a first event will take there */
+	struct pace pace;	 /* of the model's streams */
 	struct pace_open open;
 };
 
@@ -220,7 +231,9 @@
 		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
 		*n_no_room, *n_held, *n_unread, *n_ended, *n_quarantined,
 		*n_taken_up, *n_taken_up_refused, *n_over_quota, *n_limited,
-		*n_rests, *n_sent_resting, *n_sent_leaving;
+		*n_rests, *n_sent_resting, *n_sent_leaving, *n_start_waits,
+		*n_start_cuts;
+	struct hist *start_limits; /* in force at prompts that were sent */
 };
 
 static inline int64_t gate_now(const struct gate *g)
@@ -273,6 +286,27 @@
 void gate_words_report(struct gate *g, struct gate_ep *ep, GArray *words);
 void gate_limits_tick(struct gate *g, int64_t now);
 
+/* gate_starts.c: prompts that engines read for this entry */
+/* Another incarnation is there: it has no limit, and reads none. */
+void gate_starts_reset(struct gate_ep *ep);
+/* It takes its place there: a stream's prompt counts until its first event. */
+void gate_start_begin(struct forward *f, struct gate_ep *ep);
+/* Its first event came, or it leaves; any number of times. */
+void gate_start_done(struct forward *f);
+/* The first event came so long after it was sent. */
+void gate_start_first(struct forward *f, int64_t ms);
+/* The engine let so long pass between two events of one send. */
+void gate_start_pause(struct forward *f, int64_t ms);
+/* Whether the engine may read its prompt beside those that it reads. */
+bool gate_start_admits(const struct forward *f, const struct gate_ep *ep);
+/* No engine that has room may read its prompt; first_ms: what a first event
+ * takes there. True where it waits; else it is to be sent all the same. */
+bool gate_start_waits(struct forward *f, int64_t first_ms);
+/* It isn't sent now for this reason: its lane waits for that if it is first. */
+void gate_start_held(struct forward *f, enum balance_none none);
+/* Its lane waits for that, and its own time to do so is over. */
+bool gate_start_waited(const struct forward *f, int64_t now);
+
 /* early.c */
 GArray *early_new(void);
 /* Keep a request that came before it is known where it leads; false where
--- a/src/proxy/times.c
+++ b/src/proxy/times.c
@@ -38,6 +38,10 @@
 		return;
 	if (f->event)
 		f->pause_ms = MAX(f->pause_ms, now - f->event_ms);
+	/* Before its first event here it was elsewhere. */
+	if (f->mark.events && !f->slowed)
+		gate_start_pause(f, now - f->event_ms);
+	f->slowed = f->paused;
 	f->event = f->events.count;
 	f->event_ms = now;
 }
@@ -51,6 +55,7 @@
 
 	if (f->mark.events == 0) {
 		note(f, pace_note_first, (double)(now - f->sent_ms));
+		gate_start_first(f, now - f->sent_ms);
 		f->mark = (struct pace_mark){ now, f->events.count };
 	} else if (pace_measure(&f->mark, f->events.count, now, &gap_ms)) {
 		note(f, pace_note_event, gap_ms);
