Merge the limit on starts at an engine

An entry learns how many prompts it may have in flight on an engine from the pauses of its own streams there.

--- a/Makefile
+++ b/Makefile
@@ -93,17 +93,7 @@
 $(BUILD)/test_%: $(BUILD)/test/test_%.o $(call obj,$(NET_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) $(filter %.o,$^) $(LIB) -o $@ $(LDLIBS) -lcmocka
 
-$(BUILD)/test_gate $(BUILD)/test_gate_ends $(BUILD)/test_gate_stop \
-	$(BUILD)/test_gate_restart $(BUILD)/test_gate_list \
-	$(BUILD)/test_gate_early $(BUILD)/test_gate_quarantine \
-	$(BUILD)/test_gate_failing $(BUILD)/test_gate_behind \
-	$(BUILD)/test_gate_customers $(BUILD)/test_gate_quota \
-	$(BUILD)/test_gate_memory $(BUILD)/test_gate_limit \
-	$(BUILD)/test_gate_rest $(BUILD)/test_gate_versions \
-	$(BUILD)/test_gate_admission: \
-	$(BUILD)/test_gate_speed: \
-	$(BUILD)/test/gate_fix.o
-$(BUILD)/test_gate_turns: $(BUILD)/test/gate_fix.o
+$(filter $(BUILD)/test_gate%,$(TESTS)): $(BUILD)/test/gate_fix.o
 $(BUILD)/test_explain: $(BUILD)/src/ctl/explain.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_spread: $(BUILD)/src/ctl/spread.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_summary: $(BUILD)/src/ctl/summary.o $(BUILD)/src/ctl/logline.o
--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -128,6 +128,11 @@
 	return m;
 }
 
+bool balance_has_room(const struct balance_node *n, double fill)
+{
+	return !is_full(n, fill);
+}
+
 int balance_choose(const struct balance_node *n, size_t count, double fill,
 		   uint64_t tie)
 {
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -415,6 +415,9 @@
 	g->n_sent_leaving = metrics_value(m, "ss_gate_sent_leaving_total", "");
 	g->n_turns_given = metrics_value(m, "ss_gate_turns_given_total", "");
 	g->n_turns_beyond = metrics_value(m, "ss_gate_turns_beyond_total", "");
+	g->n_start_waits = metrics_value(m, "ss_gate_start_waits_total", "");
+	g->n_start_cuts = metrics_value(m, "ss_gate_start_cuts_total", "");
+	g->start_limits = metrics_hist(m, "ss_gate_start_limit", "");
 }
 
 struct gate *gate_new(const struct gate_options *o, GError **error)
