--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -25,8 +25,7 @@
 	return MAX(n->own, n->reported + n->since);
 }
 
-/* From 0 up to 1. */
-static double draw(uint64_t *seed)
+double balance_draw(uint64_t *seed)
 {
 	return (double)(ss_random(seed) >> 11) / (double)(1ULL << 53);
 }
@@ -69,7 +68,7 @@
 {
 	double load = (double)balance_load(n), slow = slowness(n);
 
-	if (slow > 1 && turn && draw(seed) < 1 / slow)
+	if (slow > 1 && turn && balance_draw(seed) < 1 / slow)
 		return load;
 	return load * slow + MAX(slow - 1, 0);
 }
@@ -85,7 +84,7 @@
 {
 	double load = weighed_load(n, turn, seed);
 
-	return load + n->unseen * draw(seed) + penalty(n, m);
+	return load + n->unseen * balance_draw(seed) + penalty(n, m);
 }
 
 static uint64_t most_affine_of(const struct balance_node *n, size_t count)
@@ -196,7 +195,7 @@
 	}
 	if (all <= 0)
 		return balance_choose(n, count, fill, tie);
-	at = draw(&seed) * all;
+	at = balance_draw(&seed) * all;
 	for (size_t i = 0; i < count; i++) {
 		if (room[i] > at)
 			return (int)i;
--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -59,6 +59,9 @@
 /* Calls that a node has by the entry's estimate. */
 int64_t balance_load(const struct balance_node *n);
 
+/* At random, from 0 up to 1. */
+double balance_draw(uint64_t *seed);
+
 /* A decayed share of failures. */
 void balance_note(double *failing, bool failed);
 
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -277,6 +277,7 @@
 	F(19, WIRE_INT, fleet_endpoint, limit_age),
 	F(20, WIRE_STR, fleet_endpoint, version),
 	F(21, WIRE_BOOL, fleet_endpoint, ending),
+	F(22, WIRE_INT, fleet_endpoint, slow),
 };
 static const struct wire_type fleet_endpoint_type =
 	T(fleet_endpoint, fleet_endpoint_fields);
@@ -295,6 +296,7 @@
 	F(5, WIRE_INT, fleet_load, tokens_total),
 	F(6, WIRE_INT, fleet_load, age_ms),
 	F(7, WIRE_INT, fleet_load, failing),
+	F(8, WIRE_INT, fleet_load, slow),
 };
 static const struct wire_type fleet_load_type =
 	T(fleet_load, fleet_load_fields);
@@ -329,6 +331,8 @@
 	F(2, WIRE_INT, endpoint_ends, started_ms),
 	F(3, WIRE_UINT, endpoint_ends, failed),
 	F(4, WIRE_UINT, endpoint_ends, answered),
+	F(5, WIRE_INT, endpoint_ends, slow_ln),
+	F(6, WIRE_UINT, endpoint_ends, slow_n),
 };
 static const struct wire_type endpoint_ends_type =
 	T(endpoint_ends, endpoint_ends_fields);
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -326,7 +326,8 @@
 	int64_t failing;    /* by what all entries see, as in failing.h */
 	int64_t limit, limit_age; /* as in endpoint_limit.h */
 	struct ss_str version;	  /* as in struct fleet_incarnation */
-	bool ending; /* it leaves for good, and not only until it is back */
+	bool ending;  /* it leaves for good, and not only until it is back */
+	int64_t slow; /* by what all entries see, as in slow_pool.h */
 };
 
 struct fleet_eta {
@@ -342,6 +343,7 @@
 	int64_t tokens_used, tokens_total;
 	int64_t age_ms;
 	int64_t failing; /* as in struct fleet_endpoint */
+	int64_t slow;	 /* the same */
 };
 
 struct msg_fleet {
@@ -369,11 +371,14 @@
 };
 
 /* How calls ended at an endpoint since the last message: told of those that
- * fail some. */
+ * fail some; and how long they took, told of those that are slower or faster
+ * than others. */
 struct endpoint_ends {
 	struct ss_str addr;
 	int64_t started_ms; /* as in struct endpoint_calls */
 	uint64_t failed, answered;
+	int64_t slow_ln; /* sum, as in slow_pool.h, of so many answers */
+	uint64_t slow_n;
 };
 
 /* What an endpoint has said of itself in its answers. */
--- a/src/core/speed.c
+++ b/src/core/speed.c
@@ -145,6 +145,14 @@
 	return (w * s->mean_ln + s->open_ln) / *weight;
 }
 
+double speed_known(const struct speed *s, int64_t now)
+{
+	double weight;
+
+	known_ln(s, now, &weight);
+	return weight;
+}
+
 double speed_ms(const struct speed *s, int64_t now)
 {
 	double weight, ln = known_ln(s, now, &weight);
@@ -224,6 +232,14 @@
 	r->trial_ms = 0;
 }
 
+void speed_rest_share(struct speed_rest *r, uint64_t entries, double draw,
+		      int64_t now)
+{
+	double ms = 2 * draw * (double)entries * REST_MS;
+
+	r->until_ms = MAX(r->until_ms, now + (int64_t)ms);
+}
+
 void speed_rest_sent(struct speed_rest *r, int64_t now)
 {
 	if (r->until_ms && now >= r->until_ms && !r->trial_ms)
--- a/src/core/speed.h
+++ b/src/core/speed.h
@@ -46,6 +46,8 @@
 /* That as a ratio; 0: it isn't fresh, or there is none. */
 double speed_reported(const struct speed *s, int64_t now);
 
+/* Answers that what is known is worth by now. */
+double speed_known(const struct speed *s, int64_t now);
 /* The time that its calls take now, in ms; 0: not known. */
 double speed_ms(const struct speed *s, int64_t now);
 /* The median of n times, the lower of two; sorts them. 0: fewer than two are
@@ -70,6 +72,11 @@
 bool speed_rest_is_due(const struct speed_rest *r, int64_t now);
 /* Begin a rest, longer than one shortly before. */
 void speed_rest_begin(struct speed_rest *r, int64_t now);
+/* All of so many entries rest it by what they were told: the rest just begun is
+ * drawn (draw: from 0 up to 1) so long that together they try it as often as
+ * one entry does after its first rest. */
+void speed_rest_share(struct speed_rest *r, uint64_t entries, double draw,
+		      int64_t now);
 /* A call is sent there; the first one after a rest is its trial. */
 void speed_rest_sent(struct speed_rest *r, int64_t now);
 /* One was answered at that ratio. True where it was the trial, and a rest is to
