--- a/src/daemon/fleet_lead_int.h
+++ b/src/daemon/fleet_lead_int.h
@@ -12,6 +12,7 @@
 #include "../core/end_log.h"
 #include "../core/endpoint_limit.h"
 #include "../core/failing.h"
+#include "../core/slow_pool.h"
 #include "../core/stream_log.h"
 #include "../core/suspects.h"
 #include "../vmlist/instances.h"
@@ -61,6 +62,7 @@
 	GHashTable *calls;	/* conn of an entry -> GArray of model_calls */
 	struct failing failing; /* by what all entries see */
 	struct failing failing_told; /* as they were told last */
+	struct slow_pool slow;	     /* by what all entries see */
 	struct endpoint_limit limit;
 	int64_t rest_until_ms; /* that it has asked some entry for */
 	bool says_leaving;     /* in its answers to some entry */
--- a/src/daemon/fleet_listed.c
+++ b/src/daemon/fleet_listed.c
@@ -45,8 +45,10 @@
 {
 	enum fleet_told how = fleet_incarnation_judge(&ep->self, told);
 
-	if (how == FLEET_RESTARTED)
+	if (how == FLEET_RESTARTED) {
 		forget_words(ep);
+		ep->slow = (struct slow_pool){ 0 };
+	}
 	if (how == FLEET_RESTARTED && ep->self.started_ms && told->started_ms &&
 	    ep->self.started_ms != told->started_ms)
 		forget_former(l, ep, told->started_ms);
--- a/src/daemon/fleet_push.c
+++ b/src/daemon/fleet_push.c
@@ -56,8 +56,8 @@
 {
 	int64_t now = fleet_lead_now(l);
 	struct fleet_load x = { .addr = ss_str(ep->addr),
-				.failing =
-					failing_of_whole(&ep->failing, now) };
+				.failing = failing_of_whole(&ep->failing, now),
+				.slow = slow_pool_ratio(&ep->slow, now) };
 
 	if (fleet_ep_reported(l, ep)) {
 		x.running = ep->report.running;
@@ -85,6 +85,7 @@
 		.gone = !ep->listed,
 		.busy = ep->report.busy || (ep->step.on && ep->step.sent),
 		.failing = failing_of_whole(&ep->failing, fleet_lead_now(l)),
+		.slow = slow_pool_ratio(&ep->slow, fleet_lead_now(l)),
 		.limit = endpoint_limit_wire(&ep->limit),
 		.limit_age = endpoint_limit_age(&ep->limit, fleet_lead_now(l)),
 		.ending = fleet_ep_ends(l, ep),
@@ -291,6 +292,7 @@
 		ep->changed = ep->load_changed = false;
 		ep->adapters_changed = false;
 		ep->failing_told = ep->failing;
+		slow_pool_tell(&ep->slow, fleet_lead_now(l));
 	}
 	add_etas(l, &p, false);
 	g_hash_table_iter_init(&it, l->wants);
--- a/src/daemon/fleet_reports.c
+++ b/src/daemon/fleet_reports.c
@@ -148,6 +148,9 @@
 		if (fabs(failing_share(&ep->failing, now) -
 			 failing_share(&ep->failing_told, now)) > FAILING_NEWS)
 			ep->load_changed = true;
+		slow_pool_add(&ep->slow, e[i].slow_ln, e[i].slow_n, now);
+		if (slow_pool_is_news(&ep->slow, now))
+			ep->load_changed = true;
 	}
 }
 
