Entries report slow endpoints and heed the leader's ratio

An entry reports answers of endpoints that it sees, or was told, outside the even range, and takes the told ratio for its choice and rests while that is fresh and weighs more than its own.

--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -251,21 +251,29 @@
 }
 
 /* Of an endpoint that nobody has seen failing there is nothing to tell. */
-static void report_ends(const struct gate *g, struct gate_report *r,
-			struct gate_ep *ep)
+static bool report_failed(const struct gate *g, struct gate_ep *ep,
+			  struct endpoint_ends *e)
 {
-	struct endpoint_ends e = { .addr = ss_str(ep->addr),
-				   .started_ms = ep->self.started_ms,
-				   .failed = ep->failed,
-				   .answered = ep->answered };
-
-	if (!e.failed &&
-	    !(e.answered && failing_of_whole(&ep->told, gate_now(g)))) {
+	if (!ep->failed &&
+	    !(ep->answered && failing_of_whole(&ep->told, gate_now(g)))) {
 		ep->answered = MIN(ep->answered, ANSWERED_KEPT);
-		return;
+		return false;
 	}
-	g_array_append_val(r->ends, e);
+	e->failed = ep->failed;
+	e->answered = ep->answered;
 	ep->failed = ep->answered = 0;
+	return true;
+}
+
+static void report_ends(struct gate *g, struct gate_report *r,
+			struct gate_ep *ep)
+{
+	struct endpoint_ends e = { .addr = ss_str(ep->addr),
+				   .started_ms = ep->self.started_ms };
+	bool failed = report_failed(g, ep, &e);
+
+	if (gate_speed_report(g, ep, &e) || failed)
+		g_array_append_val(r->ends, e);
 }
 
 static bool has_news(struct gate *g, const struct gate_report *r)
--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -99,7 +99,9 @@
 	ep->began_ms = gate_now(g);
 	ep->speed = (struct speed){ 0 };
 	ep->slow_rest = (struct speed_rest){ 0 };
-	ep->ratio = 0;
+	ep->ratio = ep->own_ratio = 0;
+	ep->slow_seen = (struct slow_seen){ 0 };
+	ep->slow_told = (struct slow_told){ 0 };
 	ep->failing = 0;
 	memset(&ep->breaker, 0, sizeof(ep->breaker));
 	ep->shut_until_ms = 0;
@@ -205,6 +207,7 @@
 	ep->unread_ms = 0;
 	ep->busy = e->busy;
 	take_failing(g, ep, e->failing);
+	gate_speed_told(g, ep, e->slow);
 	gate_limit_told(g, ep, e->limit, e->limit_age);
 	if (e->tokens_total)
 		take_load(g, ep, e->running + e->waiting, e->age_ms);
@@ -223,6 +226,7 @@
 		if (!ep)
 			continue;
 		take_failing(g, ep, x[i].failing);
+		gate_speed_told(g, ep, x[i].slow);
 		if (x[i].tokens_total)
 			take_load(g, ep, x[i].running + x[i].waiting,
 				  x[i].age_ms);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -10,6 +10,7 @@
 #include "../core/end_log.h"
 #include "../core/endpoint_limit.h"
 #include "../core/failing.h"
+#include "../core/slow_pool.h"
 #include "../core/fleet.h"
 #include "../core/freshness.h"
 #include "../core/pace.h"
@@ -72,7 +73,10 @@
 	struct pace_open open;
 	int64_t began_ms; /* this incarnation was first told of; 0: with all */
 	struct speed speed;
-	double ratio; /* of it, as looked at last; 0: not known */
+	double own_ratio; /* of it, as looked at last; 0: not known */
+	double ratio;	  /* the same, or as told */
+	struct slow_seen slow_seen;
+	struct slow_told slow_told;
 	struct speed_rest slow_rest;
 };
 
@@ -142,6 +146,7 @@
 	bool start_waited; /* for engines to read other prompts */
 	int64_t lane_ms;   /* when it came into its lane */
 	int64_t sent_ms;
+	double seen_ms; /* its normalised time, told of last as slow; 0: not */
 	double limit_per_s;   /* of its endpoint when it was sent; -1: none */
 	double permits;	      /* taken for its endpoint, and not used yet */
 	int64_t open_ms;      /* no endpoint admits it before; 0: nobody says */
@@ -292,6 +297,12 @@
  * it was left before. */
 void gate_speed_answered(struct forward *f);
 void gate_speed_left(struct forward *f);
+/* The leader's word, in thousandths; 0 says nothing. */
+void gate_speed_told(struct gate *g, struct gate_ep *ep, int64_t ratio);
+/* What its answers have shown since the last report, if others are to know;
+ * false: nothing. */
+bool gate_speed_report(struct gate *g, struct gate_ep *ep,
+		       struct endpoint_ends *e);
 /* Set what the nodes' speeds mean for the request; those that are too slow for
  * it, and rest, are no longer usable. eps: struct gate_ep of each. */
 void gate_speed_weigh(struct forward *f, struct balance_node *n,
--- a/src/proxy/gate_speed.c
+++ b/src/proxy/gate_speed.c
@@ -17,6 +17,9 @@
 #define ROUTE_ANSWERS 8
 /* What endpoints take is counted in percent of the median. */
 #define PERCENT 100.0
+/* A call under way is told of as slow from this many times the median on, and
+ * again each time that its time has doubled. */
+#define OPEN_SLOW 2.0
 
 /* Endpoints of one service. */
 struct service_speed {
@@ -83,17 +86,37 @@
 	return (double)MAX(now - f->sent_ms, 1);
 }
 
-static void look_at_forward(struct gate *g, const struct forward *f,
-			    int64_t now)
+/* For the other entries. */
+static void note_seen(struct gate_ep *ep, double ms, double median)
+{
+	if (median > 0)
+		slow_seen_note(&ep->slow_seen, ms / median);
+}
+
+static void note_seen_open(struct gate_ep *ep, struct forward *f, double ms,
+			   double median)
+{
+	/* It was sent anew. */
+	if (ms < f->seen_ms)
+		f->seen_ms = 0;
+	if (ms < OPEN_SLOW * MAX(median, f->seen_ms))
+		return;
+	f->seen_ms = ms;
+	note_seen(ep, ms, median);
+}
+
+static void look_at_forward(struct gate *g, struct forward *f, int64_t now)
 {
 	struct gate_ep *ep = gate_ep_of(f);
-	double by = scale(f);
+	double by = scale(f), ms, median;
 
 	if (!ep || f->state < FORWARD_SENT || f->mark.events || f->paused ||
 	    by <= 0)
 		return;
-	speed_open(&ep->speed, sent_for(f, now) / by,
-		   service_at(g->speeds, ep->service)->median, now);
+	ms = sent_for(f, now) / by;
+	median = service_at(g->speeds, ep->service)->median;
+	speed_open(&ep->speed, ms, median, now);
+	note_seen_open(ep, f, ms, median);
 }
 
 static void look_at_open(struct gate *g, int64_t now)
@@ -132,6 +155,13 @@
 	}
 }
 
+static void take_ratio(struct gate_ep *ep, double median, int64_t now)
+{
+	ep->own_ratio = speed_ratio(&ep->speed, median, now);
+	ep->ratio = slow_told_or_own(&ep->slow_told, ep->own_ratio,
+				     speed_known(&ep->speed, now), now);
+}
+
 static void look(struct gate *g, int64_t now)
 {
 	GHashTableIter it;
@@ -146,21 +176,29 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		struct gate_ep *ep = p;
 
-		ep->ratio = speed_ratio(
-			&ep->speed, service_at(g->speeds, ep->service)->median,
-			now);
+		take_ratio(ep, service_at(g->speeds, ep->service)->median, now);
 	}
 }
 
+static bool is_uneven(double ratio)
+{
+	return ratio > 0 && speed_weight(ratio) != 1;
+}
+
 static void begin_rest(struct gate *g, struct gate_ep *ep, double median_ms)
 {
-	speed_rest_begin(&ep->slow_rest, gate_now(g));
+	int64_t now = gate_now(g);
+
+	speed_rest_begin(&ep->slow_rest, now);
+	if (is_uneven(slow_told_ratio(&ep->slow_told, now)))
+		speed_rest_share(&ep->slow_rest, MAX(g->entries, 1),
+				 balance_draw(&g->seed), now);
 	(*g->speeds->n_rests)++;
 	log_info("endpoint_slow",
 		 "addr=%s id=%s ratio=%.1f first_ms=%.0f median_ms=%.0f "
 		 "ms=%" PRId64,
 		 ep->addr, ep->self.id, ep->ratio, ep->ratio * median_ms,
-		 median_ms, ep->slow_rest.pause_ms);
+		 median_ms, ep->slow_rest.until_ms - now);
 }
 
 void gate_speed_answered(struct forward *f)
@@ -168,16 +206,19 @@
 	struct gate *g = f->g;
 	struct gate_ep *ep = gate_ep_of(f);
 	int64_t now = gate_now(g);
-	double by = scale(f), median;
+	double by = scale(f), median, ms;
 
 	if (!ep || by <= 0)
 		return;
-	speed_note(&ep->speed, sent_for(f, now) / by, now);
+	ms = sent_for(f, now) / by;
+	speed_note(&ep->speed, ms, now);
 	median = service_at(g->speeds, ep->service)->median;
-	ep->ratio = speed_ratio(&ep->speed, median, now);
-	if (ep->ratio > 0)
-		hist_add(g->speeds->slowness, (uint64_t)(ep->ratio * PERCENT));
-	if (speed_rest_answered(&ep->slow_rest, ep->ratio))
+	take_ratio(ep, median, now);
+	note_seen(ep, ms, median);
+	if (ep->own_ratio > 0)
+		hist_add(g->speeds->slowness,
+			 (uint64_t)(ep->own_ratio * PERCENT));
+	if (speed_rest_answered(&ep->slow_rest, ep->own_ratio))
 		begin_rest(g, ep, median * by);
 }
 
@@ -185,13 +226,43 @@
 {
 	struct gate_ep *ep = gate_ep_of(f);
 	int64_t now = gate_now(f->g);
-	double by = scale(f);
+	double by = scale(f), median, ms;
 
-	if (ep && by > 0 && f->state >= FORWARD_SENT && !f->mark.events &&
-	    !f->paused)
-		speed_note_least(&ep->speed, sent_for(f, now) / by,
-				 service_at(f->g->speeds, ep->service)->median,
-				 now);
+	if (!ep || by <= 0 || f->state < FORWARD_SENT || f->mark.events ||
+	    f->paused)
+		return;
+	ms = sent_for(f, now) / by;
+	median = service_at(f->g->speeds, ep->service)->median;
+	speed_note_least(&ep->speed, ms, median, now);
+	note_seen_open(ep, f, ms, median);
+}
+
+void gate_speed_told(struct gate *g, struct gate_ep *ep, int64_t ratio)
+{
+	int64_t now = gate_now(g);
+	double before = slow_told_ratio(&ep->slow_told, now), told;
+
+	slow_told_take(&ep->slow_told, ratio, now);
+	told = slow_told_ratio(&ep->slow_told, now);
+	if (speed_weight(told) > 1 && speed_weight(before) <= 1)
+		log_info("endpoint_told_slow",
+			 "addr=%s id=%s ratio=%.1f own=%.1f", ep->addr,
+			 ep->self.id, told, ep->own_ratio);
+}
+
+bool gate_speed_report(struct gate *g, struct gate_ep *ep,
+		       struct endpoint_ends *e)
+{
+	bool news = is_uneven(ep->own_ratio) ||
+		    is_uneven(slow_told_ratio(&ep->slow_told, gate_now(g)));
+
+	if (news) {
+		e->slow_ln = slow_seen_sum(&ep->slow_seen);
+		e->slow_n = ep->slow_seen.n;
+	}
+	/* An endpoint that is even costs no byte. */
+	ep->slow_seen = (struct slow_seen){ 0 };
+	return e->slow_n;
 }
 
 /* Its callers are to be answered sooner than by its end. */
@@ -232,7 +303,7 @@
 			  (double)f->route->objective_ms;
 }
 
-/* Too slow for this request, by what was seen here: an endpoint's own word
+/* Too slow for this request, by what entries have seen: an endpoint's own word
  * brings no rest. */
 static bool is_too_slow(const struct forward *f, const struct gate_ep *ep,
 			double median_ms)
