--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -7,6 +7,7 @@
 #include "../platform/platform.h"
 #include "../src/core/endpoint_limit.h"
 #include "../src/core/fleet_wire.h"
+#include "../src/core/slow_pool.h"
 #include "../src/core/state.h"
 #include "../src/core/stream_wire.h"
 #include "../src/daemon/fleet_lead.h"
@@ -62,6 +63,7 @@
 	GArray *on_disk; /* int */
 	int adapters;	 /* of its first model */
 	int running, orders;
+	int64_t slow; /* as entries were told last; 0: not */
 	int64_t report_ms;
 	bool news;
 	/* What it was told to do; done_ms 0: nothing. */
@@ -206,6 +208,24 @@
 	return NULL;
 }
 
+static void take_slow(struct fleet_world *w, struct ss_str addr, int64_t slow)
+{
+	for (int i = 0; slow && i < w->o.engines; i++)
+		if (ss_str_eq(addr, ss_str(w->engines[i].addr)))
+			w->engines[i].slow = slow;
+}
+
+static void read_slow(struct fleet_world *w, const struct msg_fleet *m)
+{
+	const struct fleet_endpoint *e = m->endpoints.items;
+	const struct fleet_load *x = m->loads.items;
+
+	for (size_t i = 0; i < m->endpoints.n; i++)
+		take_slow(w, e[i].addr, e[i].slow);
+	for (size_t i = 0; i < m->loads.n; i++)
+		take_slow(w, x[i].addr, x[i].slow);
+}
+
 static void read_frame(struct fleet_world *w, const GString *frame)
 {
 	struct frame f;
@@ -225,6 +245,7 @@
 		w->frame_round = f.u.fleet.round;
 		w->frame_whole = f.u.fleet.whole;
 		w->frame_word = first_word(&f.u.fleet);
+		read_slow(w, &f.u.fleet);
 	}
 	frame_done(&f);
 }
@@ -609,6 +630,29 @@
 	deliver(c, MSG_DEMAND, &m, &w->cost.reports);
 }
 
+void fleet_world_slow(struct fleet_world *w, int entry, int engine,
+		      double ratio)
+{
+	struct conn *c = w->entries->pdata[entry];
+	struct endpoint_ends e = { .addr = ss_str(w->engines[engine].addr),
+				   .started_ms = 1,
+				   .slow_ln = llround(log(ratio) * SLOW_WHOLE),
+				   .slow_n = 1 };
+	struct msg_demand m = { .round = c->round,
+				.routing = 1,
+				.ends = { &e, 1 } };
+
+	deliver(c, MSG_DEMAND, &m, &w->cost.reports);
+}
+
+int64_t fleet_world_told_slow(struct fleet_world *w, int engine)
+{
+	int64_t slow = w->engines[engine].slow;
+
+	w->engines[engine].slow = 0;
+	return slow;
+}
+
 void fleet_world_limit(struct fleet_world *w, int entry, int engine,
 		       double per_s)
 {
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -54,6 +54,11 @@
 void fleet_world_leave(struct fleet_world *w, int entry, int engine);
 int fleet_world_told(const struct fleet_world *w, int engine);
 int fleet_world_permits(struct fleet_world *w, int entry, int engine);
+/* An engine's answer took so many times an entry's median; the ratio, in
+ * thousandths, that entries were told since the last call; 0: none. */
+void fleet_world_slow(struct fleet_world *w, int entry, int engine,
+		      double ratio);
+int64_t fleet_world_told_slow(struct fleet_world *w, int engine);
 /* An engine has asked an entry for rest; a control VM is to read it. */
 void fleet_world_rest(struct fleet_world *w, int entry, int engine, int64_t ms);
 bool fleet_world_is_remote(const struct fleet_world *w, int engine);
--- a/test/test_fleet_lead.c
+++ b/test/test_fleet_lead.c
@@ -355,6 +355,56 @@
 	fleet_world_free(w);
 }
 
+/* One answer from each entry, in a second. */
+static void report_slow(struct fleet_world *w, int engine, double ratio)
+{
+	for (int k = 0; k < sizes[0].entries; k++) {
+		fleet_world_slow(w, k, engine, ratio);
+		fleet_world_run(w, SECOND_MS / sizes[0].entries);
+	}
+	fleet_world_run(w, LOADS_MS);
+}
+
+/* One more answer is not enough for the leader to tell of it. */
+static bool is_forgotten(struct fleet_world *w, int engine)
+{
+	fleet_world_told_slow(w, engine);
+	fleet_world_run(w, SECOND_MS);
+	fleet_world_slow(w, 0, engine, 6);
+	fleet_world_run(w, LOADS_MS);
+	return !fleet_world_told_slow(w, engine);
+}
+
+/* Guards against a slow engine that each entry finds out by itself, with a call
+ * that is late; and against a ratio that outlives the engine's incarnation or
+ * that a new leader makes up. */
+static void slowness_of_all_entries_is_told_to_all(void **state)
+{
+	struct fleet_world *w = world_of(&sizes[0]);
+
+	(void)state;
+	fleet_world_run(w, SECOND_MS);
+	report_slow(w, 1, 1.2);
+	assert_int_equal(fleet_world_told_slow(w, 1), 0);
+	report_slow(w, 3, 6);
+	assert_in_range(fleet_world_told_slow(w, 3), 4000, 6000);
+	/* Without reports it isn't told for ever. */
+	fleet_world_run(w, 20 * SECOND_MS);
+	fleet_world_told_slow(w, 3);
+	fleet_world_run(w, 2 * SECOND_MS);
+	assert_int_equal(fleet_world_told_slow(w, 3), 0);
+	report_slow(w, 3, 6);
+	fleet_world_lose_leader(w);
+	fleet_world_run(w, SECOND_MS);
+	assert_true(is_forgotten(w, 3));
+	report_slow(w, 3, 6);
+	assert_in_range(fleet_world_told_slow(w, 3), 4000, 6000);
+	fleet_world_restart_engine(w, 3);
+	fleet_world_run(w, SECOND_MS);
+	assert_true(is_forgotten(w, 3));
+	fleet_world_free(w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -363,6 +413,7 @@
 		cmocka_unit_test(leader_guesses_no_version),
 		cmocka_unit_test(model_comes_to_the_version_that_is_waited_for),
 		cmocka_unit_test(limit_is_told_to_all),
+		cmocka_unit_test(slowness_of_all_entries_is_told_to_all),
 		cmocka_unit_test(leaving_is_told_to_all),
 		cmocka_unit_test(resting_engine_is_read_by_no_control_vm),
 		cmocka_unit_test(limited_engine_is_loaded_with_nothing),
