--- a/src/proxy/gate_speed.c
+++ b/src/proxy/gate_speed.c
@@ -30,7 +30,7 @@
 struct gate_speeds {
 	GHashTable *services; /* name -> struct service_speed */
 	int64_t look_ms;
-	uint64_t *n_rests;
+	uint64_t *n_rests, *n_told;
 	struct hist *slowness;
 };
 
@@ -49,6 +49,7 @@
 	x->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    service_free);
 	x->n_rests = metrics_value(m, "ss_gate_slow_rests_total", "");
+	x->n_told = metrics_value(m, "ss_gate_told_slow_total", "");
 	x->slowness = metrics_hist(m, "ss_gate_endpoint_slowness", "");
 	return x;
 }
@@ -190,7 +191,7 @@
 	int64_t now = gate_now(g);
 
 	speed_rest_begin(&ep->slow_rest, now);
-	if (is_uneven(slow_told_ratio(&ep->slow_told, now)))
+	if (speed_weight(slow_told_ratio(&ep->slow_told, now)) > 1)
 		speed_rest_share(&ep->slow_rest, MAX(g->entries, 1),
 				 balance_draw(&g->seed), now);
 	(*g->speeds->n_rests)++;
@@ -244,10 +245,11 @@
 
 	slow_told_take(&ep->slow_told, ratio, now);
 	told = slow_told_ratio(&ep->slow_told, now);
-	if (speed_weight(told) > 1 && speed_weight(before) <= 1)
-		log_info("endpoint_told_slow",
-			 "addr=%s id=%s ratio=%.1f own=%.1f", ep->addr,
-			 ep->self.id, told, ep->own_ratio);
+	if (speed_weight(told) <= 1 || speed_weight(before) > 1)
+		return;
+	(*g->speeds->n_told)++;
+	log_info("endpoint_told_slow", "addr=%s id=%s ratio=%.1f own=%.1f",
+		 ep->addr, ep->self.id, told, ep->own_ratio);
 }
 
 bool gate_speed_report(struct gate *g, struct gate_ep *ep,
--- a/test/test_gate_told.c
+++ b/test/test_gate_told.c
@@ -79,6 +79,8 @@
 	f.clock.fake_ms += 100;
 	for (int i = 0; i < 5; i++)
 		assert_int_equal(goes_to(&f), 0);
+	assert_int_equal(
+		*metrics_value(f.metrics, "ss_gate_told_slow_total", ""), 1);
 	assert_int_equal(rests(&f), 1);
 	f.clock.fake_ms += 3000;
 	assert_int_equal(goes_to(&f), 1);
