The gate's code for customers' limits moves to gate_quota.c

Cause: begin.c read requests and kept customers' limits; sharing a limit by urgency would have made it larger still.

Change: the lines move as they are; what begin.c calls gets a prefix and a declaration in gate_int.h. No behaviour changes.

--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -316,6 +316,16 @@
 		   int64_t came_ms);
 /* What it is for is one of this service's. */
 void forward_set_service(struct forward *f, struct routing_service *s);
+/* Where it waits for an endpoint, or goes there at once. */
+void forward_enter_lane(struct forward *f);
+
+/* gate_quota.c: customers' limits */
+struct customer_counts *gate_customer_counts(struct gate *g, const char *name);
+/* Its customer has a limit. */
+bool quota_limits(const struct forward *f);
+/* It waits for an allotment, has gone on to its lane, or is refused and freed.
+ */
+void quota_begin(struct forward *f);
 /* It is being freed: it waits no longer for an allotment. */
 void forward_leave_quota(struct forward *f);
 /* It ends without having run. */
