--- a/bench/quota.c
+++ b/bench/quota.c
@@ -70,7 +70,7 @@
 	{ "limits change", changes, G_N_ELEMENTS(changes) },
 };
 
-static int seeds = 1, entries, customers, csv;
+static int seeds = 1, entries, customers, csv, classes;
 static char *only_way, *only_day;
 
 static void print_head(void)
@@ -139,6 +139,137 @@
 	}
 }
 
+/* Requests of several classes, of customers that send three times their
+ * limit. */
+static const struct world_class two[] = {
+	{ 0, 500, 0.6, 600 },
+	{ 2, 4000, 0.4, 1743 },
+};
+static const struct world_class three[] = {
+	{ 0, 500, 0.4, 600 },
+	{ 1, 600, 0.1, 900 },
+	{ 2, 4000, 0.2, 1743 },
+	{ 2, 150, 0.3, 200 },
+};
+
+static const struct {
+	const char *name;
+	const struct world_class *classes;
+	size_t n;
+} mixes[] = {
+	{ "two", two, G_N_ELEMENTS(two) },
+	{ "three", three, G_N_ELEMENTS(three) },
+};
+
+static const char *const sharings[] = {
+	[WORLD_IN_ORDER] = "in order",
+	[WORLD_AT_ENTRY] = "at entry",
+	[WORLD_BY_CLASS] = "by class",
+};
+
+static void print_shares(const struct world_options *o, const char *day,
+			 const char *mix, uint64_t seed,
+			 const struct world_result *r)
+{
+	for (size_t i = 0; i < o->n_classes; i++) {
+		const struct world_class *k = &o->classes[i];
+		const struct world_share *x = &r->classes[i];
+
+		if (csv)
+			printf("%d,%s,%s,%s,%" PRIu64 ",%d,%" PRId64
+			       ",%.4f,%.4f,%.4f,%.0f\n",
+			       o->entries, day, mix, sharings[o->sharing], seed,
+			       k->class_id, k->objective_ms, x->served,
+			       x->in_time, r->worst, r->place_asks);
+		else
+			printf("%-7d %-14s %-6s %-9s %4" PRIu64 " %5d %9" PRId64
+			       " %6.1f%% %6.1f%% %7.3f %7.0f\n",
+			       o->entries, day, mix, sharings[o->sharing], seed,
+			       k->class_id, k->objective_ms, 100 * x->served,
+			       100 * x->in_time, r->worst, r->place_asks);
+	}
+	fflush(stdout);
+}
+
+/* Half a customer's time it sends some three times its limit. */
+static const struct world_event bursts[] = {
+	{ 2000, WORLD_HOT, 3000, 0, 4, 6 },
+	{ 8000, WORLD_HOT, 3000, 0, 4, 6 },
+	{ 14000, WORLD_HOT, 3000, 0, 4, 6 },
+	{ 20000, WORLD_HOT, 3000, 0, 4, 6 },
+	{ 26000, WORLD_HOT, 3000, 0, 4, 6 },
+	{ 32000, WORLD_HOT, 3000, 0, 4, 6 },
+};
+
+static const struct {
+	const char *name;
+	double limit_x;
+	const struct world_event *events;
+	size_t n;
+} loads[] = {
+	{ "steady", 1.0 / 3, none, 0 },
+	{ "bursts", 2, bursts, G_N_ELEMENTS(bursts) },
+	{ "leader lost", 1.0 / 3, leader, G_N_ELEMENTS(leader) },
+	{ "entries cut", 1.0 / 3, cuts, G_N_ELEMENTS(cuts) },
+};
+
+static void run_shares(int size, size_t day, size_t mix,
+		       enum world_sharing sharing)
+{
+	for (int s = 1; s <= seeds; s++) {
+		struct world_options o = {
+			.way = &quota_lease,
+			.entries = size,
+			.customers = 4,
+			.domains = 4,
+			.length_ms = DAY_MS,
+			.requests_per_s = 5.0 * size,
+			.limit_x = loads[day].limit_x,
+			.slack = { 8, 0.1, 4000 },
+			.delay_ms = 1.4,
+			.cpu_share = 0.32,
+			.drift = 0.001,
+			.seed = (uint64_t)s * 7919,
+			.events = loads[day].events,
+			.n_events = loads[day].n,
+			.classes = mixes[mix].classes,
+			.n_classes = mixes[mix].n,
+			.sharing = sharing,
+		};
+		struct world_result r;
+
+		world_run(&o, &r);
+		print_shares(&o, loads[day].name, mixes[mix].name, (uint64_t)s,
+			     &r);
+	}
+}
+
+static void run_classes(void)
+{
+	static const int shared[] = { 12, 24, 105 };
+
+	if (csv)
+		printf("entries,day,classes,shared,seed,class,objective_ms,"
+		       "served,in_time,window,place_asks_s\n");
+	else
+		printf("%-7s %-14s %-6s %-9s %4s %5s %9s %7s %7s %7s %7s\n",
+		       "entries", "day", "mix", "shared", "seed", "class",
+		       "objective", "served", "in time", "window", "asks/s");
+	for (size_t i = 0; i < G_N_ELEMENTS(shared); i++)
+		for (size_t d = 0; d < G_N_ELEMENTS(loads); d++)
+			for (size_t m = 0; m < G_N_ELEMENTS(mixes); m++)
+				for (size_t k = G_N_ELEMENTS(sharings);
+				     k-- > 0;)
+					if ((!entries ||
+					     entries == shared[i]) &&
+					    (!only_day ||
+					     !strncmp(only_day, loads[d].name,
+						      strlen(only_day))))
+						run_shares(
+							shared[i], d, m,
+							(enum world_sharing)k);
+}
+
 static bool wanted(size_t size, size_t day, size_t way)
 {
 	return (!entries || entries == sizes[size].entries) &&
@@ -161,6 +292,9 @@
 		  "only this way (even, lease, owner)", "NAME" },
 		{ "day", 'd', POPT_ARG_STRING, &only_day, 0,
 		  "only days that begin so", "NAME" },
+		{ "classes", 0, POPT_ARG_NONE, &classes, 0,
+		  "only requests of several classes, by how these share",
+		  NULL },
 		{ "csv", 0, POPT_ARG_NONE, &csv, 0, "as comma-separated values",
 		  NULL },
 		POPT_AUTOHELP POPT_TABLEEND
@@ -174,6 +308,11 @@
 		poptFreeContext(ctx);
 		return 2;
 	}
+	if (classes) {
+		run_classes();
+		poptFreeContext(ctx);
+		return 0;
+	}
 	print_head();
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 		for (size_t d = 0; d < G_N_ELEMENTS(days); d++)
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -420,6 +420,17 @@
 	F(5, WIRE_INT, msg_trial, wait_ms),
 };
 
+static const struct wire_field quota_part_fields[] = {
+	F(1, WIRE_INT, quota_part, class_id),
+	F(2, WIRE_INT, quota_part, demand),
+	F(3, WIRE_INT, quota_part, spent),
+	F(4, WIRE_INT, quota_part, want),
+	F(5, WIRE_INT, quota_part, first),
+	F(6, WIRE_INT, quota_part, grant),
+	F(7, WIRE_INT, quota_part, wait_ms),
+};
+static const struct wire_type quota_part_type =
+	T(quota_part, quota_part_fields);
 static const struct wire_field quota_ask_item_fields[] = {
 	F(1, WIRE_STR, quota_ask, customer),
 	F(2, WIRE_UINT, quota_ask, number),
@@ -433,6 +444,7 @@
 	F(10, WIRE_INT, quota_ask, usual),
 	F(11, WIRE_INT, quota_ask, reserve),
 	F(12, WIRE_INT, quota_ask, refused),
+	L(13, quota_ask, parts, quota_part_type),
 };
 static const struct wire_type quota_ask_type =
 	T(quota_ask, quota_ask_item_fields);
@@ -443,6 +455,7 @@
 	F(4, WIRE_INT, quota_word, rate),
 	F(5, WIRE_INT, quota_word, wait_ms),
 	F(6, WIRE_INT, quota_word, reserve),
+	L(7, quota_word, parts, quota_part_type),
 };
 static const struct wire_type quota_word_type =
 	T(quota_word, quota_word_item_fields);
--- a/src/customer/quota.h
+++ b/src/customer/quota.h
@@ -9,6 +9,9 @@
 #ifndef SS_QUOTA_H
 #define SS_QUOTA_H
 
+#include <sapphireshift/queue.h>
+
+#include "../base/wire.h"
 #include "customer.h"
 
 /* By how much a customer may exceed its limit in a window: room for what
@@ -23,11 +26,17 @@
 	struct quota_slack slack;
 };
 
+/* Classes of a customer's requests; what is less urgent counts as the last. */
+#define QUOTA_CLASSES SS_QUEUE_PRIORITIES
+
 /* What an entry holds of a customer's limit. */
 struct quota_view {
 	double held;
 	int64_t age_ms; /* of its place's last word; -1: none */
 	bool alone;	/* the place isn't reached, or says nothing */
+	/* Part of each class's demand of late that was served here; 1 where
+	 * there was none. */
+	double share[QUOTA_CLASSES];
 };
 
 /* What a place knows of a customer, for those who look. */
@@ -45,6 +54,16 @@
 	int64_t hold_ms; /* it waits only for what is expected within this */
 };
 
+/*
+ * Which of a customer's requests go first: those of a more urgent class, and
+ * within a class those whose objective is earlier. The rank of zeros is that of
+ * all requests of a limit that knows no classes.
+ */
+struct quota_rank {
+	int class_id;  /* 0 is first */
+	int64_t by_ms; /* its objective, on the clock */
+};
+
 enum quota_answer {
 	QUOTA_YES,
 	QUOTA_NO,
@@ -54,6 +73,24 @@
 /* Amounts travel in thousandths of what a limit counts. */
 #define QUOTA_MILLI 1000
 
+/*
+ * One class of a customer's requests, in an ask or a word. Only classes in use
+ * are listed, the most urgent first; with fewer than two there is no list, and
+ * all requests are of one class.
+ */
+struct quota_part {
+	int64_t class_id;
+	/* In an ask. */
+	int64_t demand; /* of late, a second */
+	int64_t spent;	/* and of that, served */
+
+	int64_t want;  /* more, for those that wait and for the next ones */
+	int64_t first; /* that the first request that waits lacks */
+	/* In a word. */
+	int64_t grant;
+	int64_t wait_ms; /* where the first lacks more: when to ask again */
+};
+
 /* An entry's word to the place that hands out a customer's allotments. */
 struct quota_ask {
 	struct ss_str customer;
@@ -68,6 +105,9 @@
 	int64_t reserve; /* ... and spend beyond what it holds */
 	int64_t back;	 /* that it gives back */
 	int64_t refused; /* to callers since the last ask */
+	/* struct quota_part; lives until the entry's next call. The amounts
+	 * above are those of all classes together. */
+	struct wire_list parts;
 };
 
 /* The answer. */
@@ -78,6 +118,9 @@
 	int64_t rate;	 /* that it may go on at alone, a second, ... */
 	int64_t reserve; /* ... and spend beyond what it holds */
 	int64_t wait_ms; /* where the first lacks more: when to ask again */
+	/* struct quota_part, which together have the grant; lives until the
+	 * place's next call for that customer. */
+	struct wire_list parts;
 };
 
 struct quota_way {
@@ -106,11 +149,22 @@
 	enum quota_answer (*take)(void *entry, const struct customer *c,
 				  const struct quota_need *n, int64_t now,
 				  int64_t *back_ms);
+	/*
+	 * The same for a request of a rank. Callers ask first for the first of
+	 * each class, in the order of their ranks, and after it for those whose
+	 * hold_ms are over: these go as soon as there is enough for them.
+	 */
+	enum quota_answer (*take_ranked)(void *entry, const struct customer *c,
+					 const struct quota_need *n,
+					 const struct quota_rank *r,
+					 int64_t now, int64_t *back_ms);
 	/* One that waits has left. */
 	void (*leave)(void *entry, const struct customer *c, double cost);
+	void (*leave_ranked)(void *entry, const struct customer *c, double cost,
+			     const struct quota_rank *r);
 	/* One that was told YES wasn't run after all. */
 	void (*give_back)(void *entry, const struct customer *c, double cost,
-			  int64_t now);
+			  const struct quota_rank *r, int64_t now);
 	/* Asks that are due; their strings live until the entry's next call. */
 	void (*asks)(void *entry, int64_t now, GArray *out);
 	void (*word)(void *entry, const struct quota_word *w, int64_t now);
--- /dev/null
+++ b/src/customer/quota_classes.c
@@ -0,0 +1,109 @@
+/* A customer's tokens, divided between classes of requests. */
+#include "quota_classes.h"
+
+/* A class with less than this part of the demand isn't in use. */
+#define USED_RATIO 0.001
+/* The next moment, in s: a class keeps what its requests of that time take. */
+#define KEEP_S 0.4
+
+/* However little of the more urgent classes' demand was served, a class counts
+ * with so much of its own. */
+#define WEIGHT_LEAST 0.25
+
+int quota_classes_clamp(int64_t class)
+{
+	return (int)CLAMP(class, 0, QUOTA_CLASSES - 1);
+}
+
+static double sum(const double *n)
+{
+	double all = 0;
+
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		all += n[i];
+	return all;
+}
+
+bool quota_classes_used(const struct quota_classes *s, int class)
+{
+	return s->waiting[class] > 0 ||
+	       s->demand[class] > USED_RATIO * sum(s->demand);
+}
+
+bool quota_classes_several(const struct quota_classes *s)
+{
+	int n = 0;
+
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		n += quota_classes_used(s, i);
+	return n > 1;
+}
+
+double quota_classes_share(const struct quota_classes *s, int class)
+{
+	return s->demand[class] > 0 ? s->spent[class] / s->demand[class] : 1;
+}
+
+/* Its demand, less where its share is larger than that of a more urgent class.
+ */
+static double weight(const struct quota_classes *s, int class)
+{
+	double share = quota_classes_share(s, class), least = share;
+
+	for (int i = 0; i < class; i++)
+		if (quota_classes_used(s, i))
+			least = MIN(least, quota_classes_share(s, i));
+	return s->demand[class] *
+	       (share > 0 ? MAX(least / share, WEIGHT_LEAST) : 1);
+}
+
+double quota_classes_ratio(const struct quota_classes *s, int class)
+{
+	double all = 0;
+
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		all += weight(s, i);
+	return all > 0 ? weight(s, class) / all : 0;
+}
+
+static double kept_most(const struct quota_classes *s, int class)
+{
+	return s->demand[class] * KEEP_S + s->waiting[class];
+}
+
+void quota_classes_settle(struct quota_classes *s, double total)
+{
+	double left = total - sum(s->part);
+
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		s->part[i] += left * quota_classes_ratio(s, i);
+	/* What is more than a class keeps goes to the most urgent. */
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		s->part[i] = MIN(s->part[i], kept_most(s, i));
+	left = total - sum(s->part);
+	for (int i = 0; i < QUOTA_CLASSES && left > 0; i++) {
+		double n = MIN(kept_most(s, i) - s->part[i], left);
+
+		s->part[i] += n;
+		left -= n;
+	}
+}
+
+double quota_classes_free(const struct quota_classes *s, int class,
+			  double total)
+{
+	if (!quota_classes_several(s))
+		return total;
+	return MIN(s->part[class] + total - sum(s->part), total);
+}
+
+void quota_classes_spend(struct quota_classes *s, int class, double n,
+			 double total)
+{
+	double left = MAX(total - sum(s->part), 0);
+
+	/* Its own first, and then what is free for all. */
+	s->part[class] -= n;
+	if (s->part[class] < 0)
+		s->part[class] += MIN(left, -s->part[class]);
+}
--- a/src/customer/quota_even.c
+++ b/src/customer/quota_even.c
@@ -86,6 +86,15 @@
 	return QUOTA_NO;
 }
 
+static enum quota_answer even_take_ranked(void *entry, const struct customer *c,
+					  const struct quota_need *n,
+					  const struct quota_rank *r,
+					  int64_t now, int64_t *back_ms)
+{
+	(void)r;
+	return even_take(entry, c, n, now, back_ms);
+}
+
 static void even_leave(void *entry, const struct customer *c, double cost)
 {
 	(void)entry;
@@ -93,9 +102,17 @@
 	(void)cost;
 }
 
+static void even_leave_ranked(void *entry, const struct customer *c,
+			      double cost, const struct quota_rank *r)
+{
+	(void)r;
+	even_leave(entry, c, cost);
+}
+
 static void even_back(void *entry, const struct customer *c, double cost,
-		      int64_t now)
+		      const struct quota_rank *r, int64_t now)
 {
+	(void)r;
 	bucket_of(entry, c, now)->tokens += cost;
 }
 
@@ -120,7 +137,9 @@
 	const struct bucket *b = g_hash_table_lookup(e->buckets, customer);
 
 	(void)now;
-	return (struct quota_view){ b ? b->tokens : 0, -1, true };
+	return (struct quota_view){ .held = b ? b->tokens : 0,
+				    .age_ms = -1,
+				    .alone = true };
 }
 
 const struct quota_way quota_even = {
@@ -130,7 +149,9 @@
 	.entry_count = even_count,
 	.entry_link = even_link,
 	.take = even_take,
+	.take_ranked = even_take_ranked,
 	.leave = even_leave,
+	.leave_ranked = even_leave_ranked,
 	.give_back = even_back,
 	.asks = even_asks,
 	.word = even_word,
--- a/src/customer/quota_lease.c
+++ b/src/customer/quota_lease.c
@@ -1,4 +1,5 @@
 /* Allotments at the place that hands them out. */
+#include "quota_classes.h"
 #include "quota_lease.h"
 
 /* A place counts a lease a little longer, in ms: clocks differ. */
@@ -28,6 +29,7 @@
 	uint64_t id;
 	double held;
 	double demand;
+	double demands[QUOTA_CLASSES], spent[QUOTA_CLASSES]; /* of classes */
 	double rate, reserve; /* that it may go on at, and spend, alone */
 	int64_t until_ms;     /* that it holds it, and may go on */
 	bool gone;	      /* it isn't heard */
@@ -41,7 +43,9 @@
 	double level;
 	int64_t ms; /* until when that was added up */
 	GArray *holders;
-	double granted, refused; /* since it was made */
+	double granted, refused;		/* since it was made */
+	struct quota_classes shares;		/* of the level */
+	struct quota_part parts[QUOTA_CLASSES]; /* of the last word */
 };
 
 struct place {
@@ -131,6 +135,25 @@
 	return MAX(rate, 0);
 }
 
+static void count_demands(struct account *a, const struct holder *h, int sign)
+{
+	struct quota_classes *s = &a->shares;
+
+	for (int i = 0; i < QUOTA_CLASSES; i++) {
+		s->demand[i] = MAX(s->demand[i] + sign * h->demands[i], 0);
+		s->spent[i] = MAX(s->spent[i] + sign * h->spent[i], 0);
+	}
+}
+
+static void remove_holder(struct account *a, guint at)
+{
+	count_demands(a, &g_array_index(a->holders, struct holder, at), -1);
+	g_array_remove_index_fast(a->holders, at);
+	/* What sums leave by rounding is nobody's. */
+	if (!a->holders->len)
+		memset(&a->shares, 0, sizeof(a->shares));
+}
+
 static void settle(const struct place *p, struct account *a, int64_t now)
 {
 	int64_t known = p->since_ms + QUOTA_LEASE_MS + LEASE_MARGIN_MS;
@@ -149,7 +172,7 @@
 		a->level -= n;
 		h->counted += n;
 		if (now >= h->until_ms)
-			g_array_remove_index_fast(a->holders, i);
+			remove_holder(a, i);
 	}
 	a->level = MIN(a->level, burst_of(p, &a->limit));
 	a->ms = now;
@@ -188,6 +211,26 @@
 	return NULL;
 }
 
+/* Without a list all is of the first class. */
+static void hear_demands(struct account *a, struct holder *h,
+			 const struct quota_ask *ask)
+{
+	const struct quota_part *x = ask->parts.items;
+
+	count_demands(a, h, -1);
+	memset(h->demands, 0, sizeof(h->demands));
+	memset(h->spent, 0, sizeof(h->spent));
+	for (size_t i = 0; i < ask->parts.n; i++) {
+		int class = quota_classes_clamp(x[i].class_id);
+
+		h->demands[class] += MAX(quota_whole(x[i].demand), 0);
+		h->spent[class] += MAX(quota_whole(x[i].spent), 0);
+	}
+	if (!ask->parts.n)
+		h->demands[0] = MAX(h->demand, 0);
+	count_demands(a, h, 1);
+}
+
 /*
  * What it says of itself; the record of one that was there before is right.
  * What it spent beyond that by another place's word was that place's, whose
@@ -219,6 +262,7 @@
 	if (known || !is_new(p, now))
 		a->level += MIN(quota_whole(ask->held), 0);
 	h->demand = quota_whole(ask->demand);
+	hear_demands(a, h, ask);
 	h->until_ms = now + QUOTA_LEASE_MS + LEASE_MARGIN_MS;
 	a->level += quota_whole(ask->back);
 	return h;
@@ -278,27 +322,112 @@
 	return MAX(MIN(MAX(part_of(all, h, o), usual), all - o->reserve), 0);
 }
 
-/* Until a request can be granted. */
-static double lacks(const struct place *p, const struct account *a, double cost)
+/* Until a request can be granted out of so much. */
+static double lacks(const struct place *p, const struct account *a, double cost,
+		    double level)
 {
-	return MIN(cost, burst_of(p, &a->limit)) - a->level;
+	return MIN(cost, burst_of(p, &a->limit)) - level;
 }
 
-static double grant(const struct place *p, const struct account *a,
-		    const struct quota_ask *ask)
+/* All that entries may hold beside what they do. */
+static double room_of(const struct place *p, const struct account *a)
 {
-	double room = held_most(p, &a->limit), first = quota_whole(ask->first),
-	       n;
+	double room = held_most(p, &a->limit);
 
 	for (guint i = 0; i < a->holders->len; i++)
 		room -= g_array_index(a->holders, struct holder, i).held;
-	n = MAX(MIN(quota_whole(ask->want), MIN(a->level, room)), 0);
+	return room;
+}
+
+/* Until so much has come for requests that wait, at a rate; the entries that
+ * lack some ask in turn. */
+static int64_t ask_again_ms(const struct account *a, double lack, double per_s)
+{
+	return MAX(quota_back_ms(lack, per_s),
+		   TURN_MS * (int64_t)a->holders->len);
+}
+
+/* Out of the level, for an entry that wants some, whose first request lacks
+ * some. */
+static double grant(const struct place *p, const struct account *a,
+		    double level, double room, double want, double first)
+{
+	double n = MAX(MIN(want, MIN(level, room)), 0);
+
 	/* One request may be larger than the burst, or than the room. */
-	if (n < first && lacks(p, a, first) <= 0)
+	if (n < first && lacks(p, a, first, level) <= 0)
 		n = first;
 	return n;
 }
 
+/*
+ * The same for a class that may have so much. Where that is scarce an entry
+ * gets what its first request lacks, or nothing: a part of it would lie there
+ * while those of other entries are refused for it.
+ */
+static double grant_part(const struct place *p, const struct account *a,
+			 double level, double room, const struct quota_part *x)
+{
+	double want = quota_whole(x->want), first = quota_whole(x->first);
+
+	if (level < want)
+		want = first > 0 && level >= first ? first : 0;
+	return grant(p, a, level, room, want, first);
+}
+
+/* To each class out of what it may spend, the most urgent first. */
+static double grant_classes(const struct place *p, struct account *a,
+			    const struct quota_ask *ask, struct quota_word *out)
+{
+	const struct quota_part whole = { .want = ask->want,
+					  .first = ask->first };
+	const struct quota_part *x = ask->parts.n ? ask->parts.items : &whole;
+	size_t most = ask->parts.n ? MIN(ask->parts.n, QUOTA_CLASSES) : 1;
+	double room = room_of(p, a), all = 0;
+
+	quota_classes_settle(&a->shares, a->level);
+	for (size_t i = 0; i < most; i++) {
+		int class = quota_classes_clamp(x[i].class_id);
+		double level = a->level - all;
+		double mine = quota_classes_free(&a->shares, class, level);
+		double first = quota_whole(x[i].first);
+		double n = grant_part(p, a, mine, room - all, &x[i]);
+
+		quota_classes_spend(&a->shares, class, n, level);
+		all += n;
+		a->parts[i] = (struct quota_part){ .class_id = class,
+						   .grant = quota_milli(n) };
+		out->grant += a->parts[i].grant;
+		if (n >= first)
+			continue;
+		a->parts[i].wait_ms = ask_again_ms(
+			a, lacks(p, a, first, mine),
+			a->limit.per_s *
+				quota_classes_ratio(&a->shares, class));
+		out->wait_ms = out->wait_ms ?
+				       MIN(out->wait_ms, a->parts[i].wait_ms) :
+				       a->parts[i].wait_ms;
+	}
+	if (ask->parts.n)
+		out->parts = (struct wire_list){ a->parts, most };
+	return all;
+}
+
+/* To all of its requests, which are alike. */
+static double grant_whole(const struct place *p, const struct account *a,
+			  const struct quota_ask *ask, struct quota_word *out)
+{
+	double first = quota_whole(ask->first);
+	double n = grant(p, a, a->level, room_of(p, a), quota_whole(ask->want),
+			 first);
+
+	out->grant = quota_milli(n);
+	if (n < first)
+		out->wait_ms = ask_again_ms(a, lacks(p, a, first, a->level - n),
+					    a->limit.per_s);
+	return n;
+}
+
 bool quota_lease_place_ask(void *place, uint64_t id, const struct customer *c,
 			   const struct quota_ask *ask, int64_t now,
 			   struct quota_word *out)
@@ -306,9 +435,13 @@
 	struct place *p = place;
 	struct account *a = account_of(p, c, now);
 	struct holder *h = hear(p, a, id, ask, now);
-	double n = grant(p, a, ask), first = quota_whole(ask->first);
 	struct others o;
+	double n;
 
+	*out = (struct quota_word){ .customer = ask->customer,
+				    .number = ask->number };
+	n = quota_classes_several(&a->shares) ? grant_classes(p, a, ask, out) :
+						grant_whole(p, a, ask, out);
 	a->level -= n;
 	a->granted += n;
 	a->refused += quota_whole(ask->refused);
@@ -316,15 +449,8 @@
 	o = others_of(a, h);
 	h->rate = alone_rate(p, a, h, &o, now);
 	h->reserve = alone_reserve(p, a, h, &o, quota_whole(ask->usual));
-	*out = (struct quota_word){ .customer = ask->customer,
-				    .number = ask->number,
-				    .grant = quota_milli(n),
-				    .rate = quota_milli(h->rate),
-				    .reserve = quota_milli(h->reserve) };
-	if (n < first)
-		out->wait_ms =
-			MAX(quota_back_ms(lacks(p, a, first), a->limit.per_s),
-			    TURN_MS * (int64_t)a->holders->len);
+	out->rate = quota_milli(h->rate);
+	out->reserve = quota_milli(h->reserve);
 	return true;
 }
 
--- a/src/customer/quota_lease.h
+++ b/src/customer/quota_lease.h
@@ -56,9 +56,15 @@
 enum quota_answer quota_lease_take(void *entry, const struct customer *c,
 				   const struct quota_need *n, int64_t now,
 				   int64_t *back);
+enum quota_answer quota_lease_take_ranked(void *entry, const struct customer *c,
+					  const struct quota_need *n,
+					  const struct quota_rank *r,
+					  int64_t now, int64_t *back);
 void quota_lease_leave(void *entry, const struct customer *c, double cost);
+void quota_lease_leave_ranked(void *entry, const struct customer *c,
+			      double cost, const struct quota_rank *r);
 void quota_lease_give_back(void *entry, const struct customer *c, double cost,
-			   int64_t now);
+			   const struct quota_rank *r, int64_t now);
 void quota_lease_asks(void *entry, int64_t now, GArray *out);
 void quota_lease_word(void *entry, const struct quota_word *w, int64_t now);
 struct quota_view quota_lease_look(const void *entry, const char *customer,
@@ -79,9 +85,11 @@
 	.entry_free = quota_lease_entry_free,                                  \
 	.entry_count = quota_lease_entry_count,                                \
 	.entry_link = quota_lease_entry_link, .take = quota_lease_take,        \
-	.leave = quota_lease_leave, .give_back = quota_lease_give_back,        \
-	.asks = quota_lease_asks, .word = quota_lease_word,                    \
-	.look = quota_lease_look, .place_new = quota_lease_place_new,          \
+	.take_ranked = quota_lease_take_ranked, .leave = quota_lease_leave,    \
+	.leave_ranked = quota_lease_leave_ranked,                              \
+	.give_back = quota_lease_give_back, .asks = quota_lease_asks,          \
+	.word = quota_lease_word, .look = quota_lease_look,                    \
+	.place_new = quota_lease_place_new,                                    \
 	.place_free = quota_lease_place_free,                                  \
 	.place_ask = quota_lease_place_ask,                                    \
 	.place_gone = quota_lease_place_gone,                                  \
--- a/src/customer/quota_purse.c
+++ b/src/customer/quota_purse.c
@@ -1,4 +1,5 @@
 /* Allotments at an entry: spent by requests, asked for ahead of them. */
+#include "quota_classes.h"
 #include "quota_lease.h"
 
 #include "../core/pace.h"
@@ -41,6 +42,17 @@
  * often, in ms. */
 #define SCARCE_MS 2000
 
+/* Requests of one class. */
+struct class
+{
+	double mean; /* cost of one */
+
+	double got;	 /* by the place, a second */
+	double first;	 /* cost of the first that waits, or that is overdue */
+	int64_t by_ms;	 /* objective of the first that waits */
+	int64_t none_ms; /* the place has none before then */
+};
+
 struct purse {
 	struct entry *e; /* that it belongs to */
 	char *name;
@@ -53,12 +65,11 @@
 	double alone;	  /* of the tokens, not told yet */
 	int64_t alone_ms; /* until when they were added up */
 	double demand;	  /* a second */
-	double got;	  /* by the place, a second */
 	int64_t demand_ms;
-	double mean;	       /* cost of a request */
-	double waiting, first; /* cost of all requests that wait; of one */
-	double wanted;	       /* when it was asked for last */
-	double refused;	       /* since then */
+	double mean;	/* cost of a request */
+	double waiting; /* cost of all requests that wait */
+	double wanted;	/* when it was asked for last */
+	double refused; /* since then */
 	uint64_t number;
 	bool up;	  /* its place is reached, ... */
 	int64_t lost_ms;  /* ... or not, since then */
@@ -67,10 +78,13 @@
 	bool asked;	  /* and hasn't answered yet, ... */
 	int64_t asked_ms;
 	int64_t silent_ms; /* ... since then */
-	int64_t none_ms;   /* the place has none before then */
+	int64_t none_ms;   /* the place has none for any class before then */
 	int64_t next_ms; /* it had less than was wanted: no sooner than then */
 	int64_t used_ms;
 	bool due; /* in the list of those that have something to ask */
+	struct quota_classes shares;		/* of the tokens */
+	struct class classes[QUOTA_CLASSES];	/* the same ones */
+	struct quota_part parts[QUOTA_CLASSES]; /* of the last ask */
 };
 
 struct entry {
@@ -137,6 +151,8 @@
 	u->lost_ms = e->lost_ms;
 	u->found_ms = e->found_ms;
 	u->demand_ms = u->alone_ms = now;
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		u->classes[i].by_ms = INT64_MAX;
 	g_hash_table_insert(e->purses, u->name, u);
 	return u;
 }
@@ -189,10 +205,22 @@
 		return;
 	fade = exp(-(double)(now - u->demand_ms) / DEMAND_MS);
 	u->demand *= fade;
-	u->got *= fade;
+	for (int i = 0; i < QUOTA_CLASSES; i++) {
+		u->shares.demand[i] *= fade;
+		u->shares.spent[i] *= fade;
+		u->classes[i].got *= fade;
+	}
 	u->demand_ms = now;
 }
 
+/* The place may have some again. */
+static void no_wait(struct purse *u)
+{
+	u->none_ms = 0;
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		u->classes[i].none_ms = 0;
+}
+
 void quota_lease_entry_link(void *entry, const char *customer, bool up,
 			    int64_t now)
 {
@@ -220,32 +248,51 @@
 			u->found_ms = now;
 		u->up = up;
 		u->asked = u->told = false;
-		u->none_ms = 0;
+		no_wait(u);
 		if (up)
 			make_due(e, u);
 	}
 }
 
-static void note_demand(struct purse *u, double cost, int64_t now)
+static void note_mean(double *mean, double cost)
+{
+	*mean += (cost - *mean) / (*mean > 0 ? MEAN_OF : 1);
+}
+
+static void note_demand(struct purse *u, int class, double cost, int64_t now)
 {
 	u->demand += cost * 1000 / DEMAND_MS;
-	u->mean += (cost - u->mean) / (u->mean > 0 ? MEAN_OF : 1);
+	u->shares.demand[class] += cost * 1000 / DEMAND_MS;
+	note_mean(&u->mean, cost);
+	note_mean(&u->classes[class].mean, cost);
 	u->used_ms = now;
 }
 
-/* What is to be held at the least, before more is asked for. */
+/* What is to be held at the least for such demand. */
+static double least(double demand, double mean)
+{
+	return MAX(demand * RENEW_S, demand * NEXT_S >= mean ? mean : 0);
+}
+
+/* The same, before more is asked for. */
 static double low(const struct purse *u)
 {
-	return MAX(u->demand * RENEW_S,
-		   u->demand * NEXT_S >= u->mean ? u->mean : 0);
+	return least(u->demand, u->mean);
 }
 
-static enum quota_answer spend(struct entry *e, struct purse *u, double cost)
+static double class_low(const struct purse *u, int class)
 {
-	u->tokens -= cost;
-	if (u->tokens < low(u))
-		make_due(e, u);
-	return QUOTA_YES;
+	return least(u->shares.demand[class], u->classes[class].mean);
+}
+
+static bool is_low(const struct purse *u)
+{
+	if (!quota_classes_several(&u->shares))
+		return u->tokens < low(u);
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		if (u->shares.part[i] < class_low(u, i))
+			return true;
+	return false;
 }
 
 static double may_spend(const struct purse *u, int64_t now)
@@ -255,41 +302,120 @@
 	return u->tokens + (more ? u->reserve : 0);
 }
 
+static enum quota_answer spend(struct purse *u, int class, double cost,
+			       int64_t now)
+{
+	quota_classes_spend(&u->shares, class, cost, may_spend(u, now));
+	u->tokens -= cost;
+	u->shares.spent[class] += cost * 1000 / DEMAND_MS;
+	if (is_low(u))
+		make_due(u->e, u);
+	return QUOTA_YES;
+}
+
+/* Those that wait are one less, or one more. */
+static void add_waiting(struct purse *u, int class, double cost)
+{
+	double *mine = &u->shares.waiting[class];
+
+	*mine = MAX(*mine + cost, 0);
+	u->waiting = 0;
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		u->waiting += u->shares.waiting[i];
+}
+
+static void leave_line(struct purse *u, int class, double cost,
+		       const struct quota_rank *r)
+{
+	struct class *k = &u->classes[class];
+
+	add_waiting(u, class, -cost);
+	if (r->by_ms <= k->by_ms)
+		k->by_ms = INT64_MAX;
+}
+
 /* Until there is enough for one more, by what came of late. */
-static int64_t none_for(const struct purse *u, int64_t now)
+static int64_t none_for(const struct purse *u, int class, int64_t now)
 {
-	if (now >= u->none_ms)
+	const struct class *k = &u->classes[class];
+
+	if (now >= k->none_ms)
 		return 0;
-	return u->none_ms - now + (int64_t)(u->waiting * 1000 / MAX(u->got, 1));
+	return k->none_ms - now +
+	       (int64_t)(u->shares.waiting[class] * 1000 / MAX(k->got, 1));
 }
 
+/* Where classes share, one that waits does so no longer than it was to. */
 static int64_t hold_ms(const struct purse *u, const struct quota_need *n,
-		       int64_t now)
+		       const struct quota_rank *r, int64_t now)
 {
-	return now - u->found_ms < AWAIT_MS ? MAX(n->hold_ms, RETURN_HOLD_MS) :
-					      n->hold_ms;
+	int64_t ms = n->hold_ms;
+
+	if (now - u->found_ms < AWAIT_MS)
+		return MAX(ms, RETURN_HOLD_MS);
+	if (n->waits && quota_classes_several(&u->shares))
+		ms = MIN(ms, r->by_ms - n->hold_ms - now);
+	return ms;
 }
 
-enum quota_answer quota_lease_take(void *entry, const struct customer *c,
-				   const struct quota_need *n, int64_t now,
-				   int64_t *back)
+/* A new one isn't while it isn't known who is the first. */
+static bool is_earlier(const struct class *k, const struct quota_need *n,
+		       const struct quota_rank *r)
+{
+	return r->by_ms < k->by_ms && (n->waits || k->by_ms != INT64_MAX);
+}
+
+/* Whether its turn has come: nobody goes before those of its class who wait,
+ * but by an earlier objective, or when it can't wait for them any longer. */
+static bool is_next(const struct purse *u, int class,
+		    const struct quota_need *n, const struct quota_rank *r,
+		    int64_t now)
+{
+	if (u->shares.waiting[class] <= 0 ||
+	    is_earlier(&u->classes[class], n, r))
+		return true;
+	return n->waits && now >= r->by_ms - n->hold_ms;
+}
+
+/* It is the first, or it is overdue and needs less. */
+static void add_first(struct class *k, const struct quota_need *n,
+		      const struct quota_rank *r, bool alone)
 {
+	if (alone || is_earlier(k, n, r)) {
+		k->first = n->cost;
+		k->by_ms = r->by_ms;
+	} else if (n->waits) {
+		k->first = MIN(k->first, n->cost);
+	}
+}
+
+enum quota_answer quota_lease_take_ranked(void *entry, const struct customer *c,
+					  const struct quota_need *n,
+					  const struct quota_rank *r,
+					  int64_t now, int64_t *back)
+{
+	int class = quota_classes_clamp(r->class_id);
 	struct entry *e = entry;
 	struct purse *u = purse_of(e, c->name, now);
+	struct class *k = &u->classes[class];
 
 	settle_purse(u, now);
 	if (n->cost > c->limit.burst + c->limit.per_s * LARGEST_S) {
 		*back = quota_back_ms(n->cost, c->limit.per_s);
 		return QUOTA_NO;
 	}
+	/* What is kept for it is divided before it is one that waits no more.
+	 */
+	quota_classes_settle(&u->shares, may_spend(u, now));
 	if (n->waits)
-		u->waiting = MAX(u->waiting - n->cost, 0);
+		leave_line(u, class, n->cost, r);
 	else
-		note_demand(u, n->cost, now);
-	/* Nobody goes before those who wait. */
-	if (may_spend(u, now) >= n->cost && (n->waits || u->waiting <= 0)) {
-		u->first = 0;
-		return spend(e, u, n->cost);
+		note_demand(u, class, n->cost, now);
+	if (quota_classes_free(&u->shares, class, may_spend(u, now)) >=
+		    n->cost &&
+	    is_next(u, class, n, r, now)) {
+		k->first = 0;
+		return spend(u, class, n->cost, now);
 	}
 	if (is_alone(u, now) && now - alone_since(u) >= AWAIT_MS) {
 		*back = quota_back_ms(n->cost - u->tokens,
@@ -297,36 +423,52 @@
 		u->refused += n->cost;
 		return QUOTA_NO;
 	}
-	*back = none_for(u, now);
-	if (*back > hold_ms(u, n, now)) {
+	*back = none_for(u, class, now);
+	if (*back > hold_ms(u, n, r, now)) {
 		u->refused += n->cost;
 		return QUOTA_NO;
 	}
-	if (u->waiting <= 0 || n->waits)
-		u->first = n->cost;
-	u->waiting += n->cost;
+	add_first(k, n, r, u->shares.waiting[class] <= 0);
+	add_waiting(u, class, n->cost);
 	make_due(e, u);
 	return QUOTA_WAIT;
 }
 
-void quota_lease_leave(void *entry, const struct customer *c, double cost)
+static const struct quota_rank only_rank;
+
+enum quota_answer quota_lease_take(void *entry, const struct customer *c,
+				   const struct quota_need *n, int64_t now,
+				   int64_t *back)
+{
+	return quota_lease_take_ranked(entry, c, n, &only_rank, now, back);
+}
+
+void quota_lease_leave_ranked(void *entry, const struct customer *c,
+			      double cost, const struct quota_rank *r)
 {
 	struct entry *e = entry;
 	struct purse *u = g_hash_table_lookup(e->purses, c->name);
 
 	if (u)
-		u->waiting = MAX(u->waiting - cost, 0);
+		leave_line(u, quota_classes_clamp(r->class_id), cost, r);
+}
+
+void quota_lease_leave(void *entry, const struct customer *c, double cost)
+{
+	quota_lease_leave_ranked(entry, c, cost, &only_rank);
 }
 
 void quota_lease_give_back(void *entry, const struct customer *c, double cost,
-			   int64_t now)
+			   const struct quota_rank *r, int64_t now)
 {
 	struct purse *u = purse_of(entry, c->name, now);
 
 	settle_purse(u, now);
 	/* No more than would be asked for: the rest would be held for long. */
-	if (u->tokens + cost <= MAX(u->demand * AHEAD_S, low(u)))
-		u->tokens += cost;
+	if (u->tokens + cost > MAX(u->demand * AHEAD_S, low(u)))
+		return;
+	u->tokens += cost;
+	u->shares.part[quota_classes_clamp(r->class_id)] += cost;
 }
 
 /* What would be held if there were enough. */
@@ -337,20 +479,84 @@
 	return u->waiting + MAX(u->demand * AHEAD_S, low(u));
 }
 
+/* What would be held for a class beside what is. */
+static double class_wants(const struct purse *u, int class)
+{
+	double ahead =
+		MAX(u->shares.demand[class] * AHEAD_S, class_low(u, class));
+
+	return u->shares.waiting[class] + ahead - u->shares.part[class];
+}
+
+/* The place has none before then for any class that waits. */
+static int64_t none_until(const struct purse *u)
+{
+	int64_t ms = INT64_MAX;
+
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		if (u->shares.waiting[i] > 0)
+			ms = MIN(ms, u->classes[i].none_ms);
+	return ms == INT64_MAX ? u->none_ms : ms;
+}
+
 static bool has_news(const struct purse *u, int64_t now)
 {
 	if (u->asked)
 		return now - u->asked_ms >= LOST_MS;
 	if (!u->told && (u->tokens != 0 || u->alone > 0 || now < u->rate_ms))
 		return true;
-	if (now < u->none_ms)
+	if (now < none_until(u))
 		return false;
 	/* Less isn't worth a message. */
 	if (now - u->used_ms >= IDLE_MS)
 		return u->tokens >= 1;
 	if (u->waiting > 0)
 		return true;
-	return now >= u->next_ms && u->tokens < low(u);
+	return now >= u->next_ms && is_low(u);
+}
+
+/* What the first that waits lacks, of what there is. */
+static int64_t class_lacks(const struct purse *u, int class)
+{
+	double has = quota_classes_free(&u->shares, class, u->tokens);
+
+	if (u->shares.waiting[class] <= 0)
+		return 0;
+	return quota_milli(MAX(u->classes[class].first - MAX(has, 0), 0)) + 1;
+}
+
+/* With one class in use, the first, there is nothing to list. */
+static void add_parts(struct purse *u, struct quota_ask *a)
+{
+	size_t n = 0;
+
+	for (int i = 0; i < QUOTA_CLASSES; i++) {
+		struct quota_part *x = &u->parts[n];
+
+		if (!quota_classes_used(&u->shares, i))
+			continue;
+		*x = (struct quota_part){
+			.class_id = i,
+			.demand = quota_milli(u->shares.demand[i]),
+			.spent = quota_milli(u->shares.spent[i]),
+
+			.want = quota_milli(MAX(class_wants(u, i), 0)),
+			.first = class_lacks(u, i)
+		};
+		x->want = MAX(x->want, x->first);
+		n++;
+	}
+	if (n > 1 || (n == 1 && u->parts[0].class_id))
+		a->parts = (struct wire_list){ u->parts, n };
+}
+
+/* Where one class is asked for, or the place knows none. */
+static int64_t first_lacks(const struct purse *u)
+{
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		if (u->shares.waiting[i] > 0)
+			return class_lacks(u, i);
+	return 0;
 }
 
 static void add_ask(struct purse *u, int64_t now, GArray *out)
@@ -371,8 +577,9 @@
 	}
 	/* What was spent beyond is the place's to count. */
 	u->tokens = MAX(u->tokens, 0);
-	if (u->waiting > 0)
-		a.first = quota_milli(MAX(u->first - u->tokens, 0)) + 1;
+	quota_classes_settle(&u->shares, u->tokens);
+	a.first = first_lacks(u);
+	add_parts(u, &a);
 	if (want <= 0 && a.held > 0) {
 		a.back = a.held;
 		a.held = 0;
@@ -429,6 +636,38 @@
 	g_ptr_array_set_size(e->due, (gint)kept);
 }
 
+/* To classes as the place says; else by demand. */
+static void take_parts(struct purse *u, const struct quota_word *w)
+{
+	const struct quota_part *x = w->parts.items;
+
+	for (size_t i = 0; i < w->parts.n; i++) {
+		int class = quota_classes_clamp(x[i].class_id);
+
+		u->shares.part[class] += quota_whole(x[i].grant);
+		u->classes[class].got +=
+			quota_whole(x[i].grant) * 1000 / DEMAND_MS;
+	}
+	for (int i = 0; i < QUOTA_CLASSES && !w->parts.n; i++)
+		u->classes[i].got += quota_classes_ratio(&u->shares, i) *
+				     quota_whole(w->grant) * 1000 / DEMAND_MS;
+}
+
+static void wait_parts(struct purse *u, const struct quota_word *w, int64_t now)
+{
+	const struct quota_part *x = w->parts.items;
+
+	no_wait(u);
+	if (w->wait_ms > 0)
+		u->none_ms = now + w->wait_ms;
+	for (size_t i = 0; i < w->parts.n; i++)
+		if (x[i].wait_ms > 0)
+			u->classes[quota_classes_clamp(x[i].class_id)].none_ms =
+				now + x[i].wait_ms;
+	for (int i = 0; i < QUOTA_CLASSES && !w->parts.n; i++)
+		u->classes[i].none_ms = u->none_ms;
+}
+
 void quota_lease_word(void *entry, const struct quota_word *w, int64_t now)
 {
 	struct entry *e = entry;
@@ -440,7 +679,7 @@
 		return;
 	settle_purse(u, now);
 	u->tokens += quota_whole(w->grant);
-	u->got += quota_whole(w->grant) * 1000 / DEMAND_MS;
+	take_parts(u, w);
 	if (w->number != u->number)
 		return;
 	pace_add(&e->answers, (double)(now - u->asked_ms));
@@ -449,7 +688,7 @@
 	u->rate = quota_whole(w->rate);
 	u->reserve = quota_whole(w->reserve);
 	u->rate_ms = u->asked_ms + QUOTA_LEASE_MS;
-	u->none_ms = w->wait_ms > 0 ? now + w->wait_ms : 0;
+	wait_parts(u, w, now);
 	u->next_ms = quota_whole(w->grant) < u->wanted ? now + SCARCE_MS : 0;
 	u->alone_ms = now;
 	if (u->waiting > 0)
@@ -463,8 +702,12 @@
 	const struct purse *u = g_hash_table_lookup(e->purses, customer);
 	struct quota_view v = { .age_ms = -1, .alone = !e->up };
 
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		v.share[i] = 1;
 	if (!u)
 		return v;
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		v.share[i] = quota_classes_share(&u->shares, i);
 	v.held = u->tokens;
 	v.alone = is_alone(u, now);
 	if (u->until_ms)
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -567,7 +567,7 @@
 	g->counts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->quota_lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       (GDestroyNotify)g_queue_free);
+					       quota_line_free);
 	g->streams = stream_log_new(STREAMS_MOST);
 	g->unnamed = g_array_new(FALSE, FALSE, sizeof(struct unnamed_stream));
 	g->endings = g_ptr_array_new_with_free_func(ending_free);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -90,6 +90,7 @@
 	int64_t charged_ms;	   /* when that was spent; -1: it isn't */
 	int64_t quota_ms;	   /* that it waited for that */
 	GQueue *quota_line;	   /* that it waits in; NULL: none */
+	struct quota_rank rank;	   /* among its customer's requests */
 	struct platform_call call; /* views into the caller's head */
 	char *id, *model, *adapter;
 	uint64_t affinity;
@@ -213,7 +214,7 @@
 	void *quota;		 /* the entry's side of customers' limits */
 	void *limits;		 /* and of endpoints' own */
 	int64_t seats_ms;	 /* when seats were last looked through */
-	GHashTable *quota_lines; /* customer -> GQueue of struct forward */
+	GHashTable *quota_lines; /* customer -> struct quota_line */
 	guint quota_waiting;	 /* in all of them */
 	GHashTable *counts;	 /* customer -> struct customer_counts */
 	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
@@ -221,6 +222,8 @@
 		*n_no_room, *n_held, *n_unread, *n_ended, *n_quarantined,
 		*n_taken_up, *n_taken_up_refused, *n_over_quota, *n_limited,
 		*n_rests, *n_sent_resting, *n_sent_leaving;
+	/* By class; NULL: none yet. */
+	uint64_t *n_class_spent[QUOTA_CLASSES], *n_class_over[QUOTA_CLASSES];
 };
 
 static inline int64_t gate_now(const struct gate *g)
@@ -320,6 +323,8 @@
 void forward_enter_lane(struct forward *f);
 
 /* gate_quota.c: customers' limits */
+/* A customer's requests that wait for allotments. */
+void quota_line_free(void *line);
 struct customer_counts *gate_customer_counts(struct gate *g, const char *name);
 /* Its customer has a limit. */
 bool quota_limits(const struct forward *f);
--- a/src/proxy/gate_words.c
+++ b/src/proxy/gate_words.c
@@ -205,6 +205,7 @@
 
 	if (f->permits > 0)
 		quota_lease.give_back(f->g->limits, &c, f->permits,
+				      &(struct quota_rank){ 0 },
 				      gate_now(f->g));
 	f->permits = 0;
 }
--- a/test/quota_world.c
+++ b/test/quota_world.c
@@ -28,11 +28,15 @@
 #define COST_MAX 9000
 /* Only the largest customers become hot. */
 #define HOT_MOST 16
+#define CUSTOMERS_MOST 1000000
 
 struct request {
 	int64_t at_ms;
 	int customer;
 	double cost;
+	int kind; /* of the options' classes */
+	int64_t hold_ms;
+	struct quota_rank rank;
 };
 
 struct node {
@@ -48,7 +52,7 @@
 	double clock; /* of the true time */
 	int64_t offset;
 	int64_t busy_us;   /* a place is busy until then */
-	GHashTable *waits; /* customer -> GQueue of struct request */
+	GHashTable *waits; /* line_of() -> GQueue of struct request */
 	int64_t next_ms;
 };
 
@@ -97,6 +101,7 @@
 	char *customer;
 	struct quota_ask ask;
 	struct quota_word word;
+	void *parts; /* of either */
 };
 
 struct world {
@@ -113,6 +118,7 @@
 	double waited_ms;
 	GHashTable *asked_at; /* place -> asks */
 	double place_s;
+	struct world_share shares[QUOTA_CLASSES]; /* in tokens */
 };
 
 static double draw(struct world *w)
@@ -135,9 +141,20 @@
 	struct action *a = p;
 
 	g_free(a->customer);
+	g_free(a->parts);
 	g_free(a);
 }
 
+/* A list's own copy, as long as the action. */
+static struct wire_list keep(struct action *a, const struct wire_list *parts)
+{
+	if (!parts->n)
+		return (struct wire_list){ 0 };
+	a->parts =
+		g_memdup2(parts->items, parts->n * sizeof(struct quota_part));
+	return (struct wire_list){ a->parts, parts->n };
+}
+
 static struct action *plan(struct world *w, int64_t at_us, enum deed deed,
 			   int node)
 {
@@ -293,6 +310,7 @@
 	back->customer = g_strdup(p->c->name);
 	back->word = word;
 	back->word.customer = ss_str(back->customer);
+	back->word.parts = keep(back, &word.parts);
 	count_message(w, MSG_QUOTA_WORD, &word,
 		      !at || at->domain != from->domain);
 	add(w, back);
@@ -307,6 +325,9 @@
 	g_array_append_val(p->admitted, a);
 	p->served += q->cost;
 	w->served++;
+	w->shares[q->kind].served += q->cost;
+	if (w->now - q->at_ms <= q->hold_ms)
+		w->shares[q->kind].in_time += q->cost;
 	if (w->now > q->at_ms) {
 		w->waited++;
 		w->late += w->now - q->at_ms > WORLD_LATE_MS;
@@ -314,40 +335,84 @@
 	}
 }
 
-static void try_waiting(struct world *w, struct node *n, int customer)
+/* A customer's line of a class. */
+static void *line_of(int customer, int class)
 {
-	GQueue *all = g_hash_table_lookup(n->waits, GINT_TO_POINTER(customer));
-	struct person *p = &w->p[customer];
-	struct request *first;
-	int64_t back, now = clock_of(w, n);
+	return GINT_TO_POINTER(class * CUSTOMERS_MOST + customer);
+}
 
-	while (all && (first = g_queue_peek_head(all))) {
-		struct quota_need need = { first->cost, true, HOLD_MS };
-		enum quota_answer a =
-			w->o->way->take(n->entry, p->c, &need, now, &back);
+/* True where it waits on. */
+static bool waits_on(struct world *w, struct node *n, const struct request *q)
+{
+	struct quota_need need = { q->cost, true, q->hold_ms };
+	struct person *p = &w->p[q->customer];
+	int64_t back;
 
-		if (a == QUOTA_WAIT && w->now - first->at_ms < WAIT_MS)
-			return;
-		if (a == QUOTA_WAIT)
-			w->o->way->leave(n->entry, p->c, first->cost);
-		if (a == QUOTA_YES)
-			admit(w, p, first);
+	switch (w->o->way->take_ranked(n->entry, p->c, &need, &q->rank,
+				       clock_of(w, n), &back)) {
+	case QUOTA_YES:
+		admit(w, p, q);
+		return false;
+	case QUOTA_NO:
+		return false;
+	case QUOTA_WAIT:
+		break;
+	}
+	if (w->now - q->at_ms < WAIT_MS)
+		return true;
+	w->o->way->leave_ranked(n->entry, p->c, q->cost, &q->rank);
+	return false;
+}
+
+/* The first of a line, and after it those whose hold is over. */
+static void try_line(struct world *w, struct node *n, void *line)
+{
+	GQueue *all = g_hash_table_lookup(n->waits, line);
+	GList *next;
+
+	while (all && all->head && !waits_on(w, n, all->head->data))
 		g_free(g_queue_pop_head(all));
+	for (GList *l = all && all->head ? all->head->next : NULL; l;
+	     l = next) {
+		const struct request *q = l->data;
+
+		next = l->next;
+		if (!q->rank.by_ms || w->now - q->at_ms < q->hold_ms ||
+		    waits_on(w, n, q))
+			continue;
+		g_free(l->data);
+		g_queue_delete_link(all, l);
 	}
-	g_hash_table_remove(n->waits, GINT_TO_POINTER(customer));
+	if (all && !all->head)
+		g_hash_table_remove(n->waits, line);
+}
+
+static void try_waiting(struct world *w, struct node *n, int customer)
+{
+	for (int k = 0; k < QUOTA_CLASSES; k++)
+		try_line(w, n, line_of(customer, k));
+}
+
+static gint by_objective(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct request *x = a, *y = b;
+
+	(void)data;
+	/* Of those that have the same the first stays first. */
+	return x->rank.by_ms <= y->rank.by_ms ? -1 : 1;
 }
 
 static void add_waiting(struct node *n, const struct request *q)
 {
-	GQueue *all =
-		g_hash_table_lookup(n->waits, GINT_TO_POINTER(q->customer));
+	void *line = line_of(q->customer, q->rank.class_id);
+	GQueue *all = g_hash_table_lookup(n->waits, line);
 
 	if (!all) {
 		all = g_queue_new();
-		g_hash_table_insert(n->waits, GINT_TO_POINTER(q->customer),
-				    all);
+		g_hash_table_insert(n->waits, line, all);
 	}
-	g_queue_push_tail(all, g_memdup2(q, sizeof(*q)));
+	g_queue_insert_sorted(all, g_memdup2(q, sizeof(*q)), by_objective,
+			      NULL);
 }
 
 static void waits_free(void *all)
@@ -369,20 +434,48 @@
 	p->owed += cost;
 }
 
+/* Make it one of the classes. */
+static void draw_class(struct world *w, const struct node *n, struct request *q)
+{
+	const struct world_class *k = w->o->classes;
+	double at = draw(w);
+
+	while (q->kind + 1 < (int)w->o->n_classes && at >= k->share) {
+		at -= k->share;
+		q->kind++;
+		k++;
+	}
+	q->cost = k->cost * (0.5 + draw(w));
+	q->hold_ms = k->objective_ms / 2;
+	if (w->o->sharing != WORLD_IN_ORDER)
+		q->rank =
+			(struct quota_rank){ k->class_id,
+					     clock_of(w, n) + k->objective_ms };
+}
+
 static void on_request(struct world *w, int customer, int entry, double cost)
 {
 	struct person *p = &w->p[customer];
 	struct node *n = &w->n[entry];
-	struct request q = { w->now, customer, cost };
-	struct quota_need need = { cost, false, HOLD_MS };
+	struct request q = { .at_ms = w->now,
+			     .customer = customer,
+			     .cost = cost,
+			     .hold_ms = HOLD_MS };
+	struct quota_need need = { 0 };
 	int64_t back;
 
 	/* Callers don't reach it: nobody's quota is at fault. */
 	if (!n->there || !n->running || n->frozen)
 		return;
 	w->requests++;
-	owe(w, p, cost);
-	switch (w->o->way->take(n->entry, p->c, &need, clock_of(w, n), &back)) {
+	if (w->o->n_classes)
+		draw_class(w, n, &q);
+	owe(w, p, q.cost);
+	w->shares[q.kind].asked += q.cost;
+	need.cost = q.cost;
+	need.hold_ms = q.hold_ms;
+	switch (w->o->way->take_ranked(n->entry, p->c, &need, &q.rank,
+				       clock_of(w, n), &back)) {
 	case QUOTA_YES:
 		admit(w, p, &q);
 		break;
@@ -674,7 +767,7 @@
 	n->next_ms = w->now + TICK_MS * MAX(n->slow, 1);
 	waiting = g_hash_table_get_keys(n->waits);
 	for (GList *l = waiting; l; l = l->next)
-		try_waiting(w, n, GPOINTER_TO_INT(l->data));
+		try_line(w, n, l->data);
 	g_list_free(waiting);
 	out = g_array_new(FALSE, FALSE, sizeof(struct quota_ask));
 	w->o->way->asks(n->entry, clock_of(w, n), out);
@@ -691,7 +784,11 @@
 		a->peer = w->leader_id;
 		a->customer = g_strdup(p->c->name);
 		a->ask.customer = ss_str(a->customer);
-		count_message(w, MSG_QUOTA_ASK, q, far);
+		if (w->o->sharing == WORLD_BY_CLASS)
+			a->ask.parts = keep(a, &q->parts);
+		else
+			a->ask.parts = (struct wire_list){ 0 };
+		count_message(w, MSG_QUOTA_ASK, &a->ask, far);
 		add(w, a);
 	}
 	g_array_unref(out);
@@ -846,6 +943,13 @@
 	r->bytes = (double)w->bytes / s;
 	r->far_bytes = (double)w->far / s;
 	r->place_us = w->asks ? w->place_s * 1e6 / (double)w->asks : 0;
+	for (int k = 0; k < QUOTA_CLASSES; k++) {
+		const struct world_share *x = &w->shares[k];
+
+		r->classes[k].asked = x->asked;
+		r->classes[k].served = x->served / MAX(x->asked, 1);
+		r->classes[k].in_time = x->in_time / MAX(x->asked, 1);
+	}
 	g_hash_table_iter_init(&it, w->asked_at);
 	while (g_hash_table_iter_next(&it, NULL, &n))
 		r->place_asks = MAX(r->place_asks, (double)*(gint64 *)n / s);
@@ -853,6 +957,15 @@
 
 /* Making it. */
 
+static double mean_cost(const struct world *w)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < w->o->n_classes; i++)
+		sum += w->o->classes[i].share * w->o->classes[i].cost;
+	return w->o->n_classes ? sum : COST_MEAN;
+}
+
 static void make_people(struct world *w)
 {
 	double all = 0;
@@ -873,7 +986,7 @@
 		p->c = customer_new();
 		p->c->name = g_strdup_printf("c%d", c);
 		p->c->limit.tokens = true;
-		p->c->limit.per_s = MAX(p->rate * COST_MEAN * w->o->limit_x,
+		p->c->limit.per_s = MAX(p->rate * mean_cost(w) * w->o->limit_x,
 					w->o->floor_per_s);
 		p->c->limit.burst = p->c->limit.per_s;
 		l.limit = p->c->limit;
@@ -949,9 +1062,11 @@
 		if (a->at_us > w->now * 1000 + 999)
 			return;
 		a->customer = NULL;
+		a->parts = NULL;
 		g_sequence_remove(it);
 		act(w, &copy);
 		g_free(copy.customer);
+		g_free(copy.parts);
 	}
 }
 
--- a/test/quota_world.h
+++ b/test/quota_world.h
@@ -28,6 +28,21 @@
 	double x;
 };
 
+/* Requests of one class. */
+struct world_class {
+	int class_id; /* 0 is first */
+	int64_t objective_ms;
+	double share; /* of the requests */
+	double cost;  /* in the mean */
+};
+
+/* What is told of classes. */
+enum world_sharing {
+	WORLD_BY_CLASS, /* all: entries ask, and the place grants, by class */
+	WORLD_AT_ENTRY, /* the place isn't told */
+	WORLD_IN_ORDER, /* nothing: first come, first served */
+};
+
 struct world_options {
 	const struct quota_way *way;
 	int entries, customers, domains;
@@ -42,11 +57,20 @@
 	uint64_t seed;
 	const struct world_event *events;
 	size_t n_events;
+	const struct world_class *classes; /* NULL: all are alike */
+	size_t n_classes;
+	enum world_sharing sharing;
 };
 
 /* A caller of plain requests wants an answer within this, in ms. */
 #define WORLD_LATE_MS 100
 
+struct world_share {
+	double asked;	/* tokens */
+	double served;	/* part of that */
+	double in_time; /* part that waited half of its objective at most */
+};
+
 struct world_result {
 	double worst;	      /* of all windows, against what is allowed */
 	char worst_at[96];    /* where and when that was */
@@ -59,6 +83,7 @@
 	double messages, bytes, far_bytes; /* a second, over all links */
 	double place_asks;		   /* a second, at the busiest place */
 	double place_us;		   /* processor time of one ask there */
+	struct world_share classes[QUOTA_CLASSES]; /* as in the options */
 };
 
 void world_run(const struct world_options *o, struct world_result *r);
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -539,6 +539,110 @@
 	pair_close(&p);
 }
 
+/* Urgent requests and patient ones that may wait for tokens for long. */
+static const struct world_class two[] = {
+	{ 0, 500, 0.6, 600 },
+	{ 2, 4000, 0.4, 1743 },
+};
+/* A class may be of requests of several kinds. */
+static const struct world_class three[] = {
+	{ 0, 500, 0.4, 600 },
+	{ 1, 600, 0.1, 900 },
+	{ 2, 4000, 0.2, 1743 },
+	{ 2, 150, 0.3, 200 },
+};
+
+/* Part of its demand by which a class may have more than one before it, and
+ * part of the share of all that each class gets at the least. */
+#define SHARE_NOISE 0.03
+#define SHARE_LEAST 0.5
+
+static const struct {
+	const char *label;
+	const struct world_class *classes;
+	size_t n;
+	enum world_sharing sharing;
+	struct world_event events[2];
+} overloads[] = {
+	{ "two classes", two, 2, WORLD_BY_CLASS, { { 0 } } },
+	{ "three classes", three, 4, WORLD_BY_CLASS, { { 0 } } },
+	{ "a place of an older version", two, 2, WORLD_AT_ENTRY, { { 0 } } },
+	{ "the place is lost",
+	  two,
+	  2,
+	  WORLD_BY_CLASS,
+	  { { 10000, WORLD_LEADER, 1200, 0, 0, 0 } } },
+	{ "a third of the entries is cut off",
+	  two,
+	  2,
+	  WORLD_BY_CLASS,
+	  { { 8000, WORLD_CUT, 6000, 0, 4, 0 } } },
+};
+
+static double class_share(const struct world_result *r,
+			  const struct world_class *k, size_t n, int class)
+{
+	double asked = 0, served = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		if (k[i].class_id != class)
+			continue;
+		asked += r->classes[i].asked;
+		served += r->classes[i].asked * r->classes[i].served;
+	}
+	return asked > 0 ? served / asked : -1;
+}
+
+/* Under a limit that is a third of what is sent, patient requests, which wait
+ * for longer, get the tokens of urgent ones; or one class gets all. */
+static void urgent_requests_get_no_smaller_share(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(overloads); i++) {
+		size_t k = i / 2;
+		struct world_options o = { .way = &quota_lease,
+					   .entries = 12,
+					   .customers = 2,
+					   .domains = 4,
+					   .length_ms = 26000,
+					   .requests_per_s = 60,
+					   .limit_x = 1.0 / 3,
+					   .slack = { 8, 0.1, 4000 },
+					   .delay_ms = 1.4,
+					   .cpu_share = 0.32,
+					   .drift = 0.001,
+					   .seed = i + 1,
+					   .classes = overloads[k].classes,
+					   .n_classes = overloads[k].n,
+					   .sharing = overloads[k].sharing,
+					   .events = overloads[k].events };
+		struct world_result r;
+		double before = 1;
+
+		o.n_events = overloads[k].events[0].at_ms ? 1 : 0;
+		world_run(&o, &r);
+		if (r.worst > 1)
+			fail_msg("%s: %s", overloads[k].label, r.worst_at);
+		for (int c = 0; c < QUOTA_CLASSES; c++) {
+			double share =
+				class_share(&r, o.classes, o.n_classes, c);
+
+			if (share < 0)
+				continue;
+			print_message("%s, seed %zu: class %d %.3f\n",
+				      overloads[k].label, i, c, share);
+			if (share > before + SHARE_NOISE)
+				fail_msg("%s: class %d has %.3f, one before it "
+					 "%.3f",
+					 overloads[k].label, c, share, before);
+			if (share < SHARE_LEAST * o.limit_x)
+				fail_msg("%s: class %d has %.3f",
+					 overloads[k].label, c, share);
+			before = share;
+		}
+	}
+}
+
 /* A word on a customer that nobody here asked for. */
 static void words_of_others_change_nothing(void **state)
 {
@@ -571,6 +675,7 @@
 		cmocka_unit_test(pledge_of_a_lost_place_is_no_debt_at_the_next),
 		cmocka_unit_test(pledge_to_an_entry_that_is_gone_is_taken_out),
 		cmocka_unit_test(sides_tell_what_they_know),
+		cmocka_unit_test(urgent_requests_get_no_smaller_share),
 		cmocka_unit_test(words_of_others_change_nothing),
 	};
 
