--- a/test/prop_quota.cc
+++ b/test/prop_quota.cc
@@ -55,7 +55,15 @@
 	return out;
 }
 
-void NoWindowExceeds(const quota_way *way)
+// Requests of three classes, one of them of two kinds.
+const world_class kClasses[] = {
+	{ 0, 500, 0.4, 600 },
+	{ 1, 600, 0.1, 900 },
+	{ 2, 4000, 0.2, 1743 },
+	{ 2, 150, 0.3, 200 },
+};
+
+void NoWindowExceeds(const quota_way *way, bool classes = false)
 {
 	uint64_t seed = *rc::gen::arbitrary<uint32_t>();
 	std::vector<world_event> events = DrawEvents(&seed);
@@ -77,6 +85,11 @@
 	o.seed = seed;
 	o.events = events.data();
 	o.n_events = events.size();
+	if (classes) {
+		o.classes = kClasses;
+		o.n_classes = G_N_ELEMENTS(kClasses);
+		o.sharing = static_cast<world_sharing>(ss_random(&seed) % 2);
+	}
 	world_run(&o, &r);
 	RC_LOG() << r.worst_at;
 	RC_ASSERT(r.worst <= 1);
@@ -92,5 +105,8 @@
 
 	ok &= rc::check("owners keep every window",
 			[] { NoWindowExceeds(&quota_owner); });
+	ok &= rc::check("classes keep every window", [] {
+		NoWindowExceeds(&quota_lease, true);
+	});
 	return !ok;
 }
--- a/test/test_gate_quota.c
+++ b/test/test_gate_quota.c
@@ -23,6 +23,20 @@
 	"Authorization: Bearer key-1\r\nX-Model: m\r\nX-Token-Usage: " tokens  \
 	"\r\nContent-Length: 0\r\n\r\n"
 
+/* Routes of an urgent class and of a patient one. */
+#define CLASSES(customers)                                                     \
+	"{\"version\":2,\"routes\":["                                          \
+	"{\"name\":\"safe\",\"host\":\"h\",\"prefix\":\"/safe/\","             \
+	"\"type\":\"safe\",\"timeoutMs\":9000,\"goalMs\":2000,\"attempts\":2," \
+	"\"service\":\"web\"},"                                                \
+	"{\"name\":\"late\",\"host\":\"h\",\"prefix\":\"/late/\","             \
+	"\"type\":\"safe\",\"timeoutMs\":9000,\"goalMs\":8000,\"attempts\":2," \
+	"\"priority\":2,\"service\":\"web\"}],"                                \
+	"\"services\":[{\"name\":\"web\"}],\"tenants\":[" customers "]}"
+#define GET_COST(path, tokens)                                                 \
+	REQ("GET", path)                                                       \
+	"Authorization: Bearer key-1\r\nX-Token-Usage: " tokens "\r\n\r\n"
+
 /* A gate with the place that hands out its customers' allotments. */
 struct limited {
 	struct fix f;
@@ -294,6 +308,48 @@
 	limited_close(&l);
 }
 
+/* Patient requests that wait take what is granted for an urgent one that came
+ * later, and operators aren't told whose limit was reached by class. */
+static void urgent_request_goes_before_patient_ones(void **state)
+{
+	struct caller *large, *patient, *urgent;
+	struct limited l;
+	GString *text;
+
+	(void)state;
+	limited_open(&l, CLASSES(ACME("1000")), "web", "");
+	script_both(&l, OK_TEXT);
+	/* More than is there at once: a debt of some 0.3 s. */
+	large = call(&l.f, GET_COST("/safe/x", "800,0"));
+	TALK_UNTIL(&l, ends(large, "hello"));
+	patient = call(&l.f, GET_COST("/late/x", "300,0"));
+	UNTIL(&l.f, gate_busy(l.f.gate) > 0);
+	for (int i = 0; i < 20; i++)
+		turn(&l.f);
+	urgent = call(&l.f, GET_COST("/safe/x", "100,0"));
+	for (int i = 0; i < 100 && !ends(urgent, "hello"); i++) {
+		l.f.clock.fake_ms += 10;
+		talk(&l);
+		turn(&l.f);
+	}
+	assert_true(ends(urgent, "hello"));
+	assert_int_equal(patient->got->len, 0);
+	for (int i = 0; i < 500 && !ends(patient, "hello"); i++) {
+		l.f.clock.fake_ms += 10;
+		talk(&l);
+		turn(&l.f);
+	}
+	assert_true(ends(patient, "hello"));
+	text = g_string_new(NULL);
+	metrics_print(l.f.metrics, text);
+	assert_non_null(strstr(
+		text->str, "ss_gate_quota_class_spent_total{class=\"0\"} 900"));
+	assert_non_null(strstr(
+		text->str, "ss_gate_quota_class_spent_total{class=\"2\"} 300"));
+	g_string_free(text, TRUE);
+	limited_close(&l);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -305,6 +361,7 @@
 		cmocka_unit_test(those_behind_one_who_left_go_on),
 		cmocka_unit_test(entry_alone_says_so_in_time),
 		cmocka_unit_test(second_try_costs_nothing),
+		cmocka_unit_test(urgent_request_goes_before_patient_ones),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -643,6 +643,75 @@
 	}
 }
 
+static enum quota_answer ask_ranked(struct pair *p, double cost, bool waits,
+				    int class_id, int64_t by_ms,
+				    int64_t hold_ms)
+{
+	struct quota_need n = { cost, waits, hold_ms };
+	struct quota_rank r = { class_id, by_ms };
+	int64_t back;
+
+	return quota_lease.take_ranked(p->entry, p->c, &n, &r, p->now, &back);
+}
+
+/* A large request that is first in its class holds back a small one for longer
+ * than that may wait. */
+static void first_that_lacks_some_blocks_nobody_for_long(void **state)
+{
+	struct pair p;
+	int64_t by;
+
+	(void)state;
+	pair_open(&p, 1000);
+	/* All that is there, and more. */
+	assert_int_equal(ask_ranked(&p, 1400, false, 2, p.now + 600, 2000),
+			 QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(ask_ranked(&p, 1400, true, 2, p.now + 600, 2000),
+			 QUOTA_YES);
+	p.now += 900;
+	by = p.now + 600;
+	assert_int_equal(ask_ranked(&p, 250, false, 2, by - 100, 2000),
+			 QUOTA_WAIT);
+	assert_int_equal(ask_ranked(&p, 50, false, 2, by, 300), QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(ask_ranked(&p, 250, true, 2, by - 100, 2000),
+			 QUOTA_WAIT);
+	/* There is enough for it, and it can wait no longer. */
+	p.now = by - 300;
+	assert_int_equal(ask_ranked(&p, 50, true, 2, by, 300), QUOTA_YES);
+	pair_close(&p);
+}
+
+/* A customer of one class is served otherwise than without classes. */
+static void one_class_is_served_as_none(void **state)
+{
+	struct pair p[2];
+
+	(void)state;
+	for (int k = 0; k < 2; k++)
+		pair_open(&p[k], 4200);
+	for (int i = 0; i < 2000; i++) {
+		double cost = 100 + (double)(i * 7919 % 900);
+		bool waits = i % 3 == 1;
+		enum quota_answer a[2];
+
+		p[0].now += 10;
+		p[1].now += 10;
+		a[0] = ask(&p[0], cost, waits);
+		a[1] = ask_ranked(&p[1], cost, waits, 2, 0, 300);
+		assert_int_equal(a[0], a[1]);
+		if (i % 2)
+			talk(&p[0]);
+		if (i % 2)
+			talk(&p[1]);
+		assert_true(quota_lease.look(p[0].entry, "a", p[0].now).held ==
+			    quota_lease.look(p[1].entry, "a", p[1].now).held);
+	}
+	for (int k = 0; k < 2; k++)
+		pair_close(&p[k]);
+}
+
 /* A word on a customer that nobody here asked for. */
 static void words_of_others_change_nothing(void **state)
 {
@@ -676,6 +745,8 @@
 		cmocka_unit_test(pledge_to_an_entry_that_is_gone_is_taken_out),
 		cmocka_unit_test(sides_tell_what_they_know),
 		cmocka_unit_test(urgent_requests_get_no_smaller_share),
+		cmocka_unit_test(first_that_lacks_some_blocks_nobody_for_long),
+		cmocka_unit_test(one_class_is_served_as_none),
 		cmocka_unit_test(words_of_others_change_nothing),
 	};
 
