--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -105,6 +105,7 @@
 	int64_t charged_ms;	   /* when that was spent; -1: it isn't */
 	int64_t quota_ms;	   /* that it waited for that */
 	GQueue *quota_line;	   /* that it waits in; NULL: none */
+	struct quota_rank rank;	   /* among its customer's requests */
 	struct platform_call call; /* views into the caller's head */
 	char *id, *model, *adapter;
 	uint64_t affinity;
@@ -249,7 +250,7 @@
 	void *quota;		 /* the entry's side of customers' limits */
 	void *limits;		 /* and of endpoints' own */
 	int64_t seats_ms;	 /* when seats were last looked through */
-	GHashTable *quota_lines; /* customer -> GQueue of struct forward */
+	GHashTable *quota_lines; /* customer -> struct quota_line */
 	guint quota_waiting;	 /* in all of them */
 	GHashTable *counts;	 /* customer -> struct customer_counts */
 	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
@@ -260,6 +261,8 @@
 		*n_examined, *n_waiting_by[SS_QUEUE_PRIORITIES], *n_start_waits,
 		*n_start_cuts;
 	struct hist *start_limits; /* in force at prompts that were sent */
+	/* By class; NULL: none yet. */
+	uint64_t *n_class_spent[QUOTA_CLASSES], *n_class_over[QUOTA_CLASSES];
 };
 
 static inline int64_t gate_now(const struct gate *g)
@@ -394,6 +397,18 @@
 		   int64_t came_ms);
 /* What it is for is one of this service's. */
 void forward_set_service(struct forward *f, struct routing_service *s);
+/* Where it waits for an endpoint, or goes there at once. */
+void forward_enter_lane(struct forward *f);
+
+/* gate_quota.c: customers' limits */
+/* A customer's requests that wait for allotments. */
+void quota_line_free(void *line);
+struct customer_counts *gate_customer_counts(struct gate *g, const char *name);
+/* Its customer has a limit. */
+bool quota_limits(const struct forward *f);
+/* It waits for an allotment, has gone on to its lane, or is refused and freed.
+ */
+void quota_begin(struct forward *f);
 /* It is being freed: it waits no longer for an allotment. */
 void forward_leave_quota(struct forward *f);
 /* It ends without having run. */
