Soak: classes of one customer, and callers who return when refused

Cause: all routes of the soak had priority 0, and refused callers came back at random, so neither the sharing of a limit nor retry times were played.

--- a/test/fleet/soak_operators.py
+++ b/test/fleet/soak_operators.py
@@ -10,7 +10,8 @@
 import random
 import time
 
-from soak_callers import TIMEOUT_S
+from soak_callers import CLASSES, TIMEOUT_S
+from soak_customers import SURGE
 from soak_fleet import engine_parts
 from soak_http import http
 
@@ -19,6 +20,7 @@
 CONTACT_S = 5.0      # that bound holds so long after the last fault
 RACING_SHARE = 0.25  # changes under a number that was already asked for
 ASK_S = 2.0
+CLASS_GOALS_MS = (500, 1000, 4000)   # by priority
 
 
 def route(name, prefix, kind, service, timeout_s, **more):
@@ -42,6 +44,11 @@
     routes += [mark("v%d" % k, "/v/%d/" % k)
                for k in range(max(1, version - MARKS), version + 1)]
     routes.append(mark("w" + label, "/w/%s/" % label))
+    if any(c["name"] == SURGE for c in customers or ()):
+        routes += [route(name, "/%s/" % name, "stream", "lm", t[name],
+                         attempts=1, goalMs=goal, priority=i)
+                   for i, (name, goal) in enumerate(zip(
+                       CLASSES, CLASS_GOALS_MS))]
     out = {"version": version, "routes": routes, "services": [
         {"name": "web"}, {"name": "lm", "engine": engine_parts(rate)}]}
     if customers is not None:
