Demo: uneven engines, and callers who compete

Nothing in the demo showed how calls are divided among engines of different speed, nor who goes first at a full engine. A fourth part does, on a fleet of one entry and two engines: one engine five times as slow, then stalled, then patient and urgent callers of two models at the one that is left. It counts each step that isn't as promised. run() of the second part takes the fleet's size.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from demo_load import load
 from demo_versions import versions
 from demo_words import words
 from system import GB, ROOT, System, chat, request, wait_for
@@ -142,7 +143,7 @@
         print("\nstopped %s" % ("cleanly" if clean else "NOT cleanly"))
     finally:
         s.kill()
-    bad += words() + versions()
+    bad += words() + versions() + load()
     return 0 if bad == 0 and clean else 1
 
 
--- /dev/null
+++ b/tools/demo_load.py
@@ -0,0 +1,149 @@
+"""The demo's fourth part: an engine that is slower than the one beside it, and
+urgent and patient callers at a full engine, with the stand-ins of the tests.
+"""
+import asyncio
+import json
+import time
+from collections import namedtuple
+
+# Which makes the tests' stand-ins known.
+from demo_words import SEED, run
+from soak import RECOVERY_S, until
+from soak_fleet import engine_parts
+from soak_http import connect
+from soak_operators import Operators, route
+from standin import STEP
+
+MODELS = ("m0", "m1")
+SLOTS = 8            # of an engine
+GOAL_MS = 400        # within which a chat is to begin
+# Name, priority, goal.
+ROUTES = (("urgent", 0, 10000), ("chat", 1, GOAL_MS), ("patient", 2, 10000))
+A_SECOND, SECONDS = 40, 2.5
+FAST_S, SLOW_S, STALLED_S = 0.05, 0.25, 0.8     # until an answer begins
+LISTED_S = 1         # by then entries know who has left
+# Chats on a stalled engine: those before that is known, and trials.
+STALL_PART = 0.1
+NOISE = 2            # chats that are late on a busy machine
+WAITING = 24         # callers of each kind
+TURN_PART = 4        # one turn in so many is for the patient
+
+
+def routing():
+    """Two models, and routes that differ in priority."""
+    routes = [route(name, "/%s/" % name, "stream", "lm", 20, attempts=1,
+                    priority=priority, goalMs=goal_ms)
+              for name, priority, goal_ms in ROUTES]
+    engine = engine_parts(1)
+    engine["models"] = [m for m in engine["models"] if m["name"] in MODELS]
+    return {"version": 1, "routes": routes,
+            "services": [{"name": "web"}, {"name": "lm", "engine": engine}]}
+
+
+# One stream, as its caller saw it.
+Call = namedtuple("Call", "rid kind began first_ms whole")
+
+
+async def ask(addr, rid, kind, model, events):
+    start = time.monotonic()
+    c = await connect(addr)
+    await c.send("POST", "/%s/x" % kind, rid.encode(), {
+        "X-Request-Id": rid, "X-Model": model, "X-Events": events,
+        "X-Deadline-Ms": 15000})
+    status, fields = await c.head()
+    began = time.monotonic()
+    body = b"".join([part async for part in c.parts(fields)])
+    c.close()
+    return Call(rid, kind, began, (began - start) * 1000,
+                status == 200 and body.count(b"\n\n") == events)
+
+
+class Load:
+    """What is sent to an entry, and what came of it."""
+
+    def __init__(self, fleet):
+        self.f = fleet
+        self.fast, self.slow = fleet.engines
+        self.n = self.bad = 0
+
+    def send(self, kind, model, events=1):
+        self.n += 1
+        return asyncio.ensure_future(ask(
+            self.f.entries["entry-0"], "load-%d" % self.n, kind, model, events))
+
+    async def chats(self, seconds):
+        calls = []
+        for i in range(int(seconds * A_SECOND)):
+            calls.append(self.send("chat", MODELS[i % len(MODELS)]))
+            await asyncio.sleep(1 / A_SECOND)
+        return await asyncio.gather(*calls)
+
+    def show(self, title, lines, ok):
+        print("\n== " + "\n   ".join(
+            [title] + lines + ([] if ok else ["^ not as promised"])))
+        self.bad += not ok
+
+    async def uneven(self, title, slow_s, part, late_most):
+        """The slow engine is to get less than this part of the chats."""
+        self.fast.step, self.slow.step = FAST_S, slow_s
+        calls = await self.chats(SECONDS)
+        late = sum(c.first_ms > GOAL_MS for c in calls)
+        whole = sum(c.whole for c in calls)
+        ran = [self.f.world.runs[c.rid][0].server for c in calls if c.whole]
+        fast, slow = [ran.count(e.name) for e in (self.fast, self.slow)]
+        self.show(title, [
+            "%d of %d answered, %d of them after more than %d ms" % (
+                whole, len(calls), late, GOAL_MS),
+            "the fast engine got %d, the slow one %d" % (fast, slow)],
+            whole == len(calls) and slow < whole * part and late <= late_most)
+
+    async def full(self):
+        """The patient callers are the first to wait."""
+        self.fast.step = STEP
+        await self.slow.crash()
+        await asyncio.sleep(LISTED_S)
+        held = [self.send("urgent", "m0", 40) for _ in range(SLOTS)]
+        await asyncio.sleep(0.2)
+        patient = [self.send("patient", "m0", 3) for _ in range(WAITING)]
+        await asyncio.sleep(0.1)
+        urgent = [self.send("urgent", "m1", 3) for _ in range(WAITING)]
+        await asyncio.gather(*held)
+        kinds = [await asyncio.gather(*k) for k in (patient, urgent)]
+        order = sorted(sum(kinds, []), key=lambda c: c.began)
+        # Turns while both waited: until the last urgent one had its own.
+        both = max(i for i, c in enumerate(order) if c.kind == "urgent") + 1
+        early = both - WAITING
+        lines = ["%d of %d %s callers answered, after %.0f ms in the mean" % (
+            sum(c.whole for c in k), WAITING, k[0].kind,
+            sum(c.first_ms for c in k) / WAITING) for k in kinds]
+        lines.append("while both waited, %d patient ones got a turn" % early)
+        # Answers that begin together may come in any order.
+        self.show("%d patient callers wait for a full engine, then as many "
+                  "urgent ones for its other model" % WAITING, lines,
+                  all(c.whole for c in order) and
+                  abs(early - WAITING // (TURN_PART - 1)) <= SLOTS // 2)
+
+
+async def play(fleet):
+    operators, sent = Operators(fleet, SEED), Load(fleet)
+    for e in fleet.engines:
+        e.held = {m: set() for m in MODELS}
+    body = json.dumps(routing()).encode()
+
+    async def served():
+        status, _ = await operators.operate(
+            "POST", "/sapphireshift/Config.Put", body)
+        return status == 200 and all(c.whole for c in await sent.chats(0.2))
+
+    await until(served, RECOVERY_S, "the models aren't served")
+    await sent.uneven("an engine five times as slow as the one beside it",
+                       SLOW_S, 1 / 6, NOISE)
+    await sent.uneven("its answers begin after %.1f s" % STALLED_S, STALLED_S,
+                       STALL_PART, STALL_PART * SECONDS * A_SECOND)
+    await sent.full()
+    return sent.bad
+
+
+def load():
+    print("\nengines that differ, callers who compete", flush=True)
+    return asyncio.run(run(play, entries=1, engines=2))
--- a/tools/demo_words.py
+++ b/tools/demo_words.py
@@ -122,9 +122,9 @@
     return words.bad
 
 
-async def run(play):
+async def run(play, **size):
     """A fleet for play(fleet); the number of steps that went wrong there."""
-    fleet = Fleet(SEED, os.path.join(ROOT, "build", "sapphireshiftd"))
+    fleet = Fleet(SEED, os.path.join(ROOT, "build", "sapphireshiftd"), **size)
     try:
         await fleet.start()
         return await play(fleet)
