--- a/src/customer/quota_classes.c
+++ b/src/customer/quota_classes.c
@@ -24,18 +24,23 @@
 	return all;
 }
 
+static bool used_of(const struct quota_classes *s, int class, double demand)
+{
+	return s->waiting[class] > 0 || s->demand[class] > USED_RATIO * demand;
+}
+
 bool quota_classes_used(const struct quota_classes *s, int class)
 {
-	return s->waiting[class] > 0 ||
-	       s->demand[class] > USED_RATIO * sum(s->demand);
+	return used_of(s, class, sum(s->demand));
 }
 
 bool quota_classes_several(const struct quota_classes *s)
 {
+	double demand = sum(s->demand);
 	int n = 0;
 
 	for (int i = 0; i < QUOTA_CLASSES; i++)
-		n += quota_classes_used(s, i);
+		n += used_of(s, i, demand);
 	return n > 1;
 }
 
@@ -46,24 +51,35 @@
 
 /* Its demand, less where its share is larger than that of a more urgent class.
  */
-static double weight(const struct quota_classes *s, int class)
+static double weight(const struct quota_classes *s, int class, double demand)
 {
 	double share = quota_classes_share(s, class), least = share;
 
 	for (int i = 0; i < class; i++)
-		if (quota_classes_used(s, i))
+		if (used_of(s, i, demand))
 			least = MIN(least, quota_classes_share(s, i));
 	return s->demand[class] *
 	       (share > 0 ? MAX(least / share, WEIGHT_LEAST) : 1);
 }
 
-double quota_classes_ratio(const struct quota_classes *s, int class)
+static void divide(const struct quota_classes *s, double *ratios)
 {
-	double all = 0;
+	double demand = sum(s->demand), all = 0;
 
+	for (int i = 0; i < QUOTA_CLASSES; i++) {
+		ratios[i] = s->demand[i] > 0 ? weight(s, i, demand) : 0;
+		all += ratios[i];
+	}
 	for (int i = 0; i < QUOTA_CLASSES; i++)
-		all += weight(s, i);
-	return all > 0 ? weight(s, class) / all : 0;
+		ratios[i] = all > 0 ? ratios[i] / all : 0;
+}
+
+double quota_classes_ratio(const struct quota_classes *s, int class)
+{
+	double ratios[QUOTA_CLASSES];
+
+	divide(s, ratios);
+	return ratios[class];
 }
 
 static double kept_most(const struct quota_classes *s, int class)
@@ -73,10 +89,11 @@
 
 void quota_classes_settle(struct quota_classes *s, double total)
 {
-	double left = total - sum(s->part);
+	double left = total - sum(s->part), ratios[QUOTA_CLASSES];
 
+	divide(s, ratios);
 	for (int i = 0; i < QUOTA_CLASSES; i++)
-		s->part[i] += left * quota_classes_ratio(s, i);
+		s->part[i] += left * ratios[i];
 	/* What is more than a class keeps goes to the most urgent. */
 	for (int i = 0; i < QUOTA_CLASSES; i++)
 		s->part[i] = MIN(s->part[i], kept_most(s, i));
