Turns use the class that the quota has set

Cause: the class of a request under its customer's limit was computed twice, in gate_quota.c and, with another name of the same bound, in turns.c.

Change: turns.c reads it from the request's rank, which is set before a turn is given or anything is charged. No change of behaviour.

--- a/src/proxy/turns.c
+++ b/src/proxy/turns.c
@@ -20,9 +20,9 @@
 /* Each class of a customer gets its own part of the limit. */
 static uint64_t quota_key(const struct forward *f)
 {
-	int64_t class = CLAMP(f->route->priority, 0, SS_QUEUE_PRIORITIES - 1);
+	uint64_t class_id = (uint64_t)f->rank.class_id;
 
-	return hash(f->customer->name, hash("customer\n", (uint64_t) class));
+	return hash(f->customer->name, hash("customer\n", class_id));
 }
 
 /* Those of one turn don't return in one moment. */
