--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -117,8 +117,8 @@
 	const struct customer *c = f->customer;
 	int64_t last = SS_QUEUE_PRIORITIES - 1;
 
-	/* A lane's streams need the same time to a first event at least: this
-	 * is the order of their latest starts too. */
+	/* The least time to a first event is the same for all streams of a
+	 * lane, so that this is also the order of their latest starts. */
 	f->item.deadline_ms = f->begin_by_ms;
 	f->item.priority = (int)(last - CLAMP(forward_priority(f), 0, last));
 	f->item.share = SHARE_UNLIMITED;
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -96,7 +96,7 @@
 		       f->route->priority;
 }
 
-static const char *customer_of(const struct forward *f)
+const char *forward_customer(const struct forward *f)
 {
 	return f->customer ? f->customer->name : "";
 }
@@ -312,7 +312,7 @@
 				   .instance = ss_str(ep->self.id),
 				   .priority = MIN(forward_priority(f), 9),
 				   .keyed = f->keyed,
-				   .customer = ss_str(customer_of(f)),
+				   .customer = ss_str(forward_customer(f)),
 				   .after_event = f->is_events ?
 							  f->events.last_id :
 							  f->call.after_event };
@@ -587,7 +587,7 @@
 		forward_refuse(f, f->unknown ? 502 : 503, "unavailable",
 			       "it can't be begun in time",
 			       f->unknown ? 0 : come_back_ms(f));
-	} else if (gate_start_waited(f, now)) {
+	} else if (gate_start_wait_over(f, now)) {
 		forward_try(f);
 	}
 }
--- a/src/proxy/gate_choose.c
+++ b/src/proxy/gate_choose.c
@@ -88,7 +88,7 @@
 	GPtrArray *eps; /* struct gate_ep of each */
 	/* Left out for now, as endpoints themselves say. */
 	bool limited, resting;
-	GArray *reading; /* guint: left out, they read enough prompts */
+	GArray *reading; /* guint: left out, at their start limit */
 };
 
 /* An endpoint admits it at that time, if nothing else is in the way. */
@@ -185,7 +185,7 @@
 	return NULL;
 }
 
-/* Engines that have room, but read as many prompts as they may. */
+/* Leaves out engines that have room, but are at their start limit. */
 static void pass_by_reading(const struct forward *f, struct choice *c)
 {
 	for (guint i = 0; i < c->eps->len; i++) {
@@ -204,7 +204,7 @@
 	return c->eps->pdata[g_array_index(c->reading, guint, k)];
 }
 
-/* The longest that a first event takes at one of them. */
+/* The longest time to a first event at one of them. */
 static int64_t reading_ms(const struct forward *f, const struct choice *c)
 {
 	double ms = (double)times_first_ms(f);
@@ -214,7 +214,7 @@
 	return (int64_t)ms;
 }
 
-/* Those that read the fewest are no longer left out. */
+/* Those with the fewest prompts in flight become usable again. */
 static void open_fewest(struct choice *c)
 {
 	int64_t least = INT64_MAX;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -10,11 +10,11 @@
 #include "../core/end_log.h"
 #include "../core/endpoint_limit.h"
 #include "../core/failing.h"
-#include "../core/slow_pool.h"
 #include "../core/fleet.h"
 #include "../core/freshness.h"
 #include "../core/pace.h"
 #include "../core/return_turns.h"
+#include "../core/slow_pool.h"
 #include "../core/speed.h"
 #include "../core/start_limit.h"
 #include "../core/suspects.h"
@@ -147,7 +147,9 @@
 	bool start_waited; /* for engines to read other prompts */
 	int64_t lane_ms;   /* when it came into its lane */
 	int64_t sent_ms;
-	double seen_ms; /* its normalised time, told of last as slow; 0: not */
+	/* Its time, as gate_speed.c compares it, when it was last counted as
+	 * slow while under way; 0: it wasn't. */
+	double seen_ms;
 	double limit_per_s;   /* of its endpoint when it was sent; -1: none */
 	double permits;	      /* taken for its endpoint, and not used yet */
 	int64_t open_ms;      /* no endpoint admits it before; 0: nobody says */
@@ -296,9 +298,9 @@
 /* gate_speed.c: how slow endpoints are beside each other */
 struct gate_speeds *gate_speeds_new(struct metrics *m);
 void gate_speeds_free(struct gate_speeds *x);
-/* The first event or the plain answer has come, before it is noted elsewhere;
- * it was left before. */
+/* The first event or the plain answer has come, and isn't in f->pace yet. */
 void gate_speed_answered(struct forward *f);
+/* It leaves its endpoint; counts where neither has come. */
 void gate_speed_left(struct forward *f);
 /* The leader's word, in thousandths; 0 says nothing. */
 void gate_speed_told(struct gate *g, struct gate_ep *ep, int64_t ratio);
@@ -352,7 +354,7 @@
 /* It isn't sent now for this reason: its lane waits for that if it is first. */
 void gate_start_held(struct forward *f, enum balance_none none);
 /* Its lane waits for that, and its own time to do so is over. */
-bool gate_start_waited(const struct forward *f, int64_t now);
+bool gate_start_wait_over(const struct forward *f, int64_t now);
 
 /* early.c */
 GArray *early_new(void);
@@ -422,6 +424,8 @@
 struct ss_str forward_resumes(const struct forward *f);
 /* 0 is first. */
 int64_t forward_priority(const struct forward *f);
+/* Its customer's name; empty: it has none. */
+const char *forward_customer(const struct forward *f);
 void forward_gone(struct forward *f);
 /* Try to send a request that waits; false where it goes on waiting. */
 bool forward_try(struct forward *f);
--- a/src/proxy/gate_speed.c
+++ b/src/proxy/gate_speed.c
@@ -2,7 +2,6 @@
 #include "gate_int.h"
 
 #include "../base/log.h"
-#include "../core/speed.h"
 
 /* Medians are taken anew this often, in ms. */
 #define LOOK_MS 100
@@ -15,10 +14,10 @@
 /* Answers of a plain route by which its mean is known: later ones of all
  * routes are then compared, each with its own. */
 #define ROUTE_ANSWERS 8
-/* What endpoints take is counted in percent of the median. */
+/* The histogram of slowness is in percent of the median. */
 #define PERCENT 100.0
-/* A call under way is told of as slow from this many times the median on, and
- * again each time that its time has doubled. */
+/* A call under way is counted as slow for the other entries from this many
+ * times the median on, and again each time that its time has doubled. */
 #define OPEN_SLOW 2.0
 
 /* Endpoints of one service. */
@@ -73,7 +72,7 @@
 }
 
 /* Times are compared after division by this; 0: they can't be yet. */
-static double scale(const struct forward *f)
+static double scale_of(const struct forward *f)
 {
 	if (f->route->kind == ROUTE_STREAM)
 		return 1 + (double)MIN(f->call.tokens_in, TOKENS_MAX) /
@@ -81,13 +80,22 @@
 	return f->pace->first.n >= ROUTE_ANSWERS ? f->pace->first.mean_ms : 0;
 }
 
-/* Since it was sent, at least the clock's own step. */
-static double sent_for(const struct forward *f, int64_t now)
+/* The time since it was sent, at least the clock's own step, as it is compared;
+ * 0: it can't be yet. */
+static double compared_ms(const struct forward *f, int64_t now)
 {
-	return (double)MAX(now - f->sent_ms, 1);
+	double scale = scale_of(f);
+
+	return scale > 0 ? (double)MAX(now - f->sent_ms, 1) / scale : 0;
+}
+
+/* Its endpoint has it, and no event has come; not held up by its caller. */
+static bool is_open(const struct forward *f)
+{
+	return f->state >= FORWARD_SENT && !f->mark.events && !f->paused;
 }
 
-/* For the other entries. */
+/* Counts a time for the report to the other entries. */
 static void note_seen(struct gate_ep *ep, double ms, double median)
 {
 	if (median > 0)
@@ -109,12 +117,10 @@
 static void look_at_forward(struct gate *g, struct forward *f, int64_t now)
 {
 	struct gate_ep *ep = gate_ep_of(f);
-	double by = scale(f), ms, median;
+	double ms = compared_ms(f, now), median;
 
-	if (!ep || f->state < FORWARD_SENT || f->mark.events || f->paused ||
-	    by <= 0)
+	if (!ep || ms <= 0 || !is_open(f))
 		return;
-	ms = sent_for(f, now) / by;
 	median = service_at(g->speeds, ep->service)->median;
 	speed_open(&ep->speed, ms, median, now);
 	note_seen_open(ep, f, ms, median);
@@ -207,11 +213,10 @@
 	struct gate *g = f->g;
 	struct gate_ep *ep = gate_ep_of(f);
 	int64_t now = gate_now(g);
-	double by = scale(f), median, ms;
+	double ms = compared_ms(f, now), median;
 
-	if (!ep || by <= 0)
+	if (!ep || ms <= 0)
 		return;
-	ms = sent_for(f, now) / by;
 	speed_note(&ep->speed, ms, now);
 	median = service_at(g->speeds, ep->service)->median;
 	take_ratio(ep, median, now);
@@ -220,19 +225,17 @@
 		hist_add(g->speeds->slowness,
 			 (uint64_t)(ep->own_ratio * PERCENT));
 	if (speed_rest_answered(&ep->slow_rest, ep->own_ratio))
-		begin_rest(g, ep, median * by);
+		begin_rest(g, ep, median * scale_of(f));
 }
 
 void gate_speed_left(struct forward *f)
 {
 	struct gate_ep *ep = gate_ep_of(f);
 	int64_t now = gate_now(f->g);
-	double by = scale(f), median, ms;
+	double ms = compared_ms(f, now), median;
 
-	if (!ep || by <= 0 || f->state < FORWARD_SENT || f->mark.events ||
-	    f->paused)
+	if (!ep || ms <= 0 || !is_open(f))
 		return;
-	ms = sent_for(f, now) / by;
 	median = service_at(f->g->speeds, ep->service)->median;
 	speed_note_least(&ep->speed, ms, median, now);
 	note_seen_open(ep, f, ms, median);
@@ -357,7 +360,8 @@
 	guint usable = 0;
 
 	look(g, now);
-	median_ms = service_at(g->speeds, f->service->name)->median * scale(f);
+	median_ms =
+		service_at(g->speeds, f->service->name)->median * scale_of(f);
 	for (guint i = 0; i < eps->len; i++) {
 		weigh(f, eps->pdata[i], &n[i], median_ms);
 		usable += n[i].usable;
--- a/src/proxy/gate_starts.c
+++ b/src/proxy/gate_starts.c
@@ -126,7 +126,7 @@
 		f->lane->starts_ms = 0;
 }
 
-bool gate_start_waited(const struct forward *f, int64_t now)
+bool gate_start_wait_over(const struct forward *f, int64_t now)
 {
 	return f->lane && f->lane->starts_ms && now >= wait_until(f);
 }
--- a/src/proxy/go_on.c
+++ b/src/proxy/go_on.c
@@ -121,11 +121,6 @@
 	return MAX(f->route->timeout_ms, f->call.deadline_ms) + LATE_MS;
 }
 
-static struct ss_str customer_of(const struct forward *f)
-{
-	return ss_str(f->customer ? f->customer->name : "");
-}
-
 static void add(struct gate *g, uint64_t key, const struct gate_ep *ep,
 		int64_t left_ms)
 {
@@ -143,7 +138,7 @@
 	if (f->route->kind != ROUTE_STREAM || !f->route->resumable ||
 	    f->began_version || f->call.after_event >= 0 || !f->call.id.n)
 		return;
-	u.key = stream_key(customer_of(f), f->call.id);
+	u.key = stream_key(ss_str(forward_customer(f)), f->call.id);
 	if (*fleet_version(&ep->self)) {
 		add(g, u.key, ep, life_ms(f));
 		return;
@@ -277,7 +272,8 @@
 	if (f->route->kind != ROUTE_STREAM || f->call.after_event < 0)
 		return false;
 	if (f->call.resumes.n)
-		f->taken_up = stream_key(customer_of(f), f->call.resumes);
+		f->taken_up = stream_key(ss_str(forward_customer(f)),
+					 f->call.resumes);
 	if (f->taken_up &&
 	    stream_log_find(g->streams, f->taken_up, gate_now(g), &x))
 		return !bind_to(f, x.service, x.version, "here");
--- a/src/proxy/lanes.c
+++ b/src/proxy/lanes.c
@@ -109,11 +109,6 @@
 	return SS_QUEUE_PRIORITIES - 1 - i->priority;
 }
 
-static const char *customer_of(const struct forward *f)
-{
-	return f->customer ? f->customer->name : "";
-}
-
 void lane_add(struct lane *l, struct forward *f)
 {
 	struct lane_group *gr = l->group;
@@ -164,7 +159,7 @@
 
 	if (!h || h->request != f)
 		return;
-	f->turn = admission_taken(&gr->admission, h, customer_of(f),
+	f->turn = admission_taken(&gr->admission, h, forward_customer(f),
 				  f->item.share, gate_now(f->g));
 	*f->g->n_raised += f->turn == ADMISSION_RAISED;
 }
@@ -211,7 +206,7 @@
 				    .request = f };
 
 	h.share = admission_share(&l->group->admission, h.priority,
-				  customer_of(f));
+				  forward_customer(f));
 	g_array_append_val(l->group->heads, h);
 }
 
