--- a/test/gate_fix.c
+++ b/test/gate_fix.c
@@ -473,6 +473,22 @@
 	say_end(f, c);
 }
 
+int carry_event(struct fix *f, const char *text,
+		const int64_t first_ms[ENDPOINTS])
+{
+	int before[ENDPOINTS] = { f->eps[0].requests, f->eps[1].requests };
+	struct caller *c = ask(f, "m", text);
+	int at;
+
+	UNTIL(f,
+	      f->eps[0].requests + f->eps[1].requests > before[0] + before[1]);
+	at = f->eps[0].requests > before[0] ? 0 : 1;
+	f->clock.fake_ms += first_ms[at];
+	say(f, at, "1b\r\nid: 1\ndata: 0123456789abc\n\n\r\n0\r\n\r\n");
+	UNTIL(f, ends(c, "0\r\n\r\n"));
+	return at;
+}
+
 /* The log. */
 
 void log_capture_begin(struct log_capture *l)
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -126,6 +126,10 @@
 void say_end(struct fix *f, struct caller *c);
 /* A stream of 100 tokens, from its request to its end. */
 void carry_stream(struct fix *f, int64_t first_ms, int64_t gap_ms);
+/* A stream of one event, which comes after the time of the endpoint that the
+ * gate chooses; the index of that. */
+int carry_event(struct fix *f, const char *text,
+		const int64_t first_ms[ENDPOINTS]);
 
 /* What the process writes to its log between begin and end. */
 struct log_capture {
--- a/test/quota_world.c
+++ b/test/quota_world.c
@@ -28,6 +28,7 @@
 #define COST_MAX 9000
 /* Only the largest customers become hot. */
 #define HOT_MOST 16
+/* Above the customers of any world: line_of() counts classes in these. */
 #define CUSTOMERS_MOST 1000000
 
 struct request {
@@ -145,8 +146,9 @@
 	g_free(a);
 }
 
-/* A list's own copy, as long as the action. */
-static struct wire_list keep(struct action *a, const struct wire_list *parts)
+/* A copy of the list, which the action frees. */
+static struct wire_list copy_parts(struct action *a,
+				   const struct wire_list *parts)
 {
 	if (!parts->n)
 		return (struct wire_list){ 0 };
@@ -310,7 +312,7 @@
 	back->customer = g_strdup(p->c->name);
 	back->word = word;
 	back->word.customer = ss_str(back->customer);
-	back->word.parts = keep(back, &word.parts);
+	back->word.parts = copy_parts(back, &word.parts);
 	count_message(w, MSG_QUOTA_WORD, &word,
 		      !at || at->domain != from->domain);
 	add(w, back);
@@ -785,7 +787,7 @@
 		a->customer = g_strdup(p->c->name);
 		a->ask.customer = ss_str(a->customer);
 		if (w->o->sharing == WORLD_BY_CLASS)
-			a->ask.parts = keep(a, &q->parts);
+			a->ask.parts = copy_parts(a, &q->parts);
 		else
 			a->ask.parts = (struct wire_list){ 0 };
 		count_message(w, MSG_QUOTA_ASK, &a->ask, far);
--- a/test/test_gate_speed.c
+++ b/test/test_gate_speed.c
@@ -39,17 +39,9 @@
  * answered. */
 static int goes_to(struct fix *f, const char *text, int64_t slow_ms)
 {
-	int before[ENDPOINTS] = { f->eps[0].requests, f->eps[1].requests };
-	struct caller *c = ask(f, "m", text);
-	int at;
-
-	UNTIL(f,
-	      f->eps[0].requests + f->eps[1].requests > before[0] + before[1]);
-	at = f->eps[0].requests > before[0] ? 0 : 1;
-	f->clock.fake_ms += at ? slow_ms : FAST_MS;
-	say(f, at, "1b\r\nid: 1\ndata: 0123456789abc\n\n\r\n0\r\n\r\n");
-	UNTIL(f, ends(c, "0\r\n\r\n"));
-	return at;
+	const int64_t first_ms[] = { FAST_MS, slow_ms };
+
+	return carry_event(f, text, first_ms);
 }
 
 /* Guards against callers with an objective who are late on a slow engine while
--- a/test/test_gate_told.c
+++ b/test/test_gate_told.c
@@ -33,17 +33,9 @@
 /* Where a request goes that is in a hurry. */
 static int goes_to(struct fix *f)
 {
-	int before[ENDPOINTS] = { f->eps[0].requests, f->eps[1].requests };
-	struct caller *c = ask(f, "m", STREAM("/brief/x", "100"));
-	int at;
-
-	UNTIL(f,
-	      f->eps[0].requests + f->eps[1].requests > before[0] + before[1]);
-	at = f->eps[0].requests > before[0] ? 0 : 1;
-	f->clock.fake_ms += FAST_MS;
-	say(f, at, "1b\r\nid: 1\ndata: 0123456789abc\n\n\r\n0\r\n\r\n");
-	UNTIL(f, ends(c, "0\r\n\r\n"));
-	return at;
+	static const int64_t first_ms[] = { FAST_MS, FAST_MS };
+
+	return carry_event(f, STREAM("/brief/x", "100"), first_ms);
 }
 
 /* Answers that are reported of an endpoint. */
--- a/tools/demo_load.py
+++ b/tools/demo_load.py
@@ -6,7 +6,7 @@
 import time
 from collections import namedtuple
 
-# Which makes the tests' stand-ins known.
+# Importing it puts the tests' stand-ins on the module path.
 from demo_words import SEED, run
 from soak import RECOVERY_S, until
 from soak_fleet import engine_parts
