Proxy: leaving out resting endpoints is a function of its own

Cause: gate_speed_weigh() did five things; two comments on start limits said "that" of things not named before; a comment in test_balance told how its number came about.

Change: leave_out_resting() is split off; the comments say what holds. No change of behaviour.

--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -351,9 +351,10 @@
 /* No engine that has room may read its prompt; first_ms: what a first event
  * takes there. True where it waits; else it is to be sent all the same. */
 bool gate_start_waits(struct forward *f, int64_t first_ms);
-/* It isn't sent now for this reason: its lane waits for that if it is first. */
+/* It isn't sent now for this reason. Where it is the first of its lane and the
+ * reason isn't a start limit, the lane no longer waits for one. */
 void gate_start_held(struct forward *f, enum balance_none none);
-/* Its lane waits for that, and its own time to do so is over. */
+/* Its lane waits for start limits, and its own time to do so is over. */
 bool gate_start_wait_over(const struct forward *f, int64_t now);
 
 /* early.c */
--- a/src/proxy/gate_speed.c
+++ b/src/proxy/gate_speed.c
@@ -350,6 +350,18 @@
 	}
 }
 
+static void leave_out_resting(struct balance_node *n, const GPtrArray *eps,
+			      GPtrArray *slow, int64_t now)
+{
+	for (guint i = 0; slow->len && i < eps->len; i++) {
+		const struct gate_ep *ep = eps->pdata[i];
+
+		if (speed_rests(&ep->slow_rest, now) &&
+		    g_ptr_array_find(slow, ep, NULL))
+			n[i].usable = false;
+	}
+}
+
 void gate_speed_weigh(struct forward *f, struct balance_node *n,
 		      const GPtrArray *eps)
 {
@@ -370,12 +382,6 @@
 	}
 	keep_half(slow, usable);
 	rest(g, slow, median_ms);
-	for (guint i = 0; slow->len && i < eps->len; i++) {
-		const struct gate_ep *ep = eps->pdata[i];
-
-		if (speed_rests(&ep->slow_rest, now) &&
-		    g_ptr_array_find(slow, ep, NULL))
-			n[i].usable = false;
-	}
+	leave_out_resting(n, eps, slow, now);
 	g_ptr_array_unref(slow);
 }
--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -455,8 +455,8 @@
 }
 
 /* Symptom: deployments whose engines are all as fast are served otherwise than
- * before, by a draw more or a sum that is rounded. The print is that of the
- * choices made before nodes had a speed. */
+ * without speeds, by a draw more or a sum that is rounded. The print is that of
+ * the choices between nodes whose speed isn't known. */
 static void even_engines_are_chosen_as_before(void **state)
 {
 	uint64_t seed = 5, print = 0;
