Grants to classes are made one class at a time

Cause: grant_classes kept, granted, told waits and added up in one function of 45 lines; quota_classes_free reads like a destructor, and quota_classes_reach says nothing of what it returns.

Change: grant_class and keep_for_first; quota_classes_available and quota_classes_next_ratio. Demands are added up once where the least served class is looked for. Nothing is granted otherwise.

--- a/src/customer/quota.h
+++ b/src/customer/quota.h
@@ -83,9 +83,8 @@
 	/* In an ask. */
 	int64_t demand; /* of late, a second */
 	int64_t spent;	/* and of that, served */
-
-	int64_t want;  /* more, for those that wait and for the next ones */
-	int64_t first; /* that the first request that waits lacks */
+	int64_t want;	/* more, for those that wait and for the next ones */
+	int64_t first;	/* that the first request that waits lacks */
 	/* In a word. */
 	int64_t grant;
 	int64_t wait_ms; /* where the first lacks more: when to ask again */
--- a/src/customer/quota_classes.c
+++ b/src/customer/quota_classes.c
@@ -5,7 +5,6 @@
 #define USED_RATIO 0.001
 /* The next moment, in s: a class keeps what its requests of that time take. */
 #define KEEP_S 0.4
-
 /* However little of the more urgent classes' demand was served, a class counts
  * with so much of its own. */
 #define WEIGHT_LEAST 0.25
@@ -112,22 +111,22 @@
 /* No other class is served a clearly smaller part of its demand. */
 static bool is_least_served(const struct quota_classes *s, int class)
 {
-	double share = quota_classes_share(s, class);
+	double demand = sum(s->demand), share = quota_classes_share(s, class);
 
 	for (int i = 0; i < QUOTA_CLASSES; i++)
-		if (i != class && quota_classes_used(s, i) &&
+		if (i != class && used_of(s, i, demand) &&
 		    quota_classes_share(s, i) < share - SHARE_NOISE)
 			return false;
 	return true;
 }
 
-double quota_classes_reach(const struct quota_classes *s, int class)
+double quota_classes_next_ratio(const struct quota_classes *s, int class)
 {
 	return is_least_served(s, class) ? 1 : quota_classes_ratio(s, class);
 }
 
-double quota_classes_free(const struct quota_classes *s, int class,
-			  double total)
+double quota_classes_available(const struct quota_classes *s, int class,
+			       double total)
 {
 	if (!quota_classes_several(s) || is_least_served(s, class))
 		return total;
--- a/src/customer/quota_classes.h
+++ b/src/customer/quota_classes.h
@@ -31,7 +31,7 @@
 double quota_classes_ratio(const struct quota_classes *s, int class_id);
 /* Part of what comes that its next request may have: all of it for the class
  * that is served least. */
-double quota_classes_reach(const struct quota_classes *s, int class_id);
+double quota_classes_next_ratio(const struct quota_classes *s, int class_id);
 /* Part of its demand of late that was served; 1 where there was none. */
 double quota_classes_share(const struct quota_classes *s, int class_id);
 
@@ -39,8 +39,8 @@
  * there is now. */
 void quota_classes_settle(struct quota_classes *s, double total);
 /* Of the total: what a request of that class may spend. */
-double quota_classes_free(const struct quota_classes *s, int class_id,
-			  double total);
+double quota_classes_available(const struct quota_classes *s, int class_id,
+			       double total);
 /* It does; total is what there was before. */
 void quota_classes_spend(struct quota_classes *s, int class_id, double n,
 			 double total);
--- a/src/customer/quota_lease.c
+++ b/src/customer/quota_lease.c
@@ -375,6 +375,43 @@
 	return grant(p, a, level, room, want, first);
 }
 
+/* To one class, after what others were granted by the same word. */
+static double grant_class(const struct place *p, struct account *a,
+			  const struct quota_part *x, double room,
+			  double granted, struct quota_part *out)
+{
+	int class = quota_classes_clamp(x->class_id);
+	double level = a->level - granted, first = quota_whole(x->first);
+	double mine = quota_classes_available(&a->shares, class, level);
+	double n = grant_part(p, a, mine, room - granted, x), per_s;
+
+	quota_classes_spend(&a->shares, class, n, level);
+	*out = (struct quota_part){ .class_id = class,
+				    .grant = quota_milli(n) };
+	if (n >= first)
+		return n;
+	per_s = a->limit.per_s * quota_classes_next_ratio(&a->shares, class);
+	out->wait_ms = ask_again_ms(a, lacks(p, a, first, mine), per_s);
+	return n;
+}
+
+/* What the first request of each lacks is kept for it, however rare they are.
+ */
+static void keep_for_first(struct account *a, const struct quota_part *x,
+			   size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		a->shares.waiting[quota_classes_clamp(x[i].class_id)] =
+			quota_whole(x[i].first);
+	quota_classes_settle(&a->shares, a->level);
+}
+
+/* 0: there is none. */
+static int64_t sooner(int64_t x, int64_t y)
+{
+	return x && y ? MIN(x, y) : MAX(x, y);
+}
+
 /* To each class out of what it may spend, the most urgent first. */
 static double grant_classes(const struct place *p, struct account *a,
 			    const struct quota_ask *ask, struct quota_word *out)
@@ -385,32 +422,13 @@
 	size_t most = ask->parts.n ? MIN(ask->parts.n, QUOTA_CLASSES) : 1;
 	double room = room_of(p, a), all = 0;
 
-	/* Each keeps enough for a request that waits, however rare they are. */
-	for (size_t i = 0; i < most; i++)
-		a->shares.waiting[quota_classes_clamp(x[i].class_id)] =
-			quota_whole(x[i].first);
-	quota_classes_settle(&a->shares, a->level);
+	keep_for_first(a, x, most);
 	for (size_t i = 0; i < most; i++) {
-		int class = quota_classes_clamp(x[i].class_id);
-		double level = a->level - all;
-		double mine = quota_classes_free(&a->shares, class, level);
-		double first = quota_whole(x[i].first);
-		double n = grant_part(p, a, mine, room - all, &x[i]);
-
-		quota_classes_spend(&a->shares, class, n, level);
-		all += n;
-		a->parts[i] = (struct quota_part){ .class_id = class,
-						   .grant = quota_milli(n) };
-		out->grant += a->parts[i].grant;
-		if (n >= first)
-			continue;
-		a->parts[i].wait_ms = ask_again_ms(
-			a, lacks(p, a, first, mine),
-			a->limit.per_s *
-				quota_classes_reach(&a->shares, class));
-		out->wait_ms = out->wait_ms ?
-				       MIN(out->wait_ms, a->parts[i].wait_ms) :
-				       a->parts[i].wait_ms;
+		struct quota_part *part = &a->parts[i];
+
+		all += grant_class(p, a, &x[i], room, all, part);
+		out->grant += part->grant;
+		out->wait_ms = sooner(out->wait_ms, part->wait_ms);
 	}
 	if (ask->parts.n)
 		out->parts = (struct wire_list){ a->parts, most };
--- a/src/customer/quota_purse.c
+++ b/src/customer/quota_purse.c
@@ -269,7 +269,7 @@
 
 	for (int i = 0; i < QUOTA_CLASSES; i++)
 		all += u->classes[i].got;
-	return MAX(all * quota_classes_reach(&u->shares, class),
+	return MAX(all * quota_classes_next_ratio(&u->shares, class),
 		   u->classes[class].got);
 }
 
@@ -333,7 +333,8 @@
 static bool is_enough(const struct purse *u, int class, double cost,
 		      int64_t now)
 {
-	return quota_classes_free(&u->shares, class, may_spend(u, now)) >= cost;
+	return quota_classes_available(&u->shares, class, may_spend(u, now)) >=
+	       cost;
 }
 
 /* Of one that can't be served now: it isn't to wait here, but to return after
--- a/src/customer/quota_purse_ask.c
+++ b/src/customer/quota_purse_ask.c
@@ -54,7 +54,7 @@
 /* What the first that waits lacks, of what there is. */
 static int64_t class_lacks(const struct purse *u, int class)
 {
-	double has = quota_classes_free(&u->shares, class, u->tokens);
+	double has = quota_classes_available(&u->shares, class, u->tokens);
 
 	if (u->shares.waiting[class] <= 0)
 		return 0;
