--- a/bench/quota.c
+++ b/bench/quota.c
@@ -244,6 +244,19 @@
 	}
 }
 
+static bool is_wanted_day(int size, const char *day)
+{
+	return (!entries || entries == size) &&
+	       (!only_day || !strncmp(only_day, day, strlen(only_day)));
+}
+
+static void run_load(int size, size_t day)
+{
+	for (size_t m = 0; m < G_N_ELEMENTS(mixes); m++)
+		for (size_t k = G_N_ELEMENTS(sharings); k-- > 0;)
+			run_shares(size, day, m, (enum world_sharing)k);
+}
+
 static void run_classes(void)
 {
 	static const int shared[] = { 12, 24, 105 };
@@ -257,26 +270,15 @@
 		       "objective", "served", "in time", "window", "asks/s");
 	for (size_t i = 0; i < G_N_ELEMENTS(shared); i++)
 		for (size_t d = 0; d < G_N_ELEMENTS(loads); d++)
-			for (size_t m = 0; m < G_N_ELEMENTS(mixes); m++)
-				for (size_t k = G_N_ELEMENTS(sharings);
-				     k-- > 0;)
-					if ((!entries ||
-					     entries == shared[i]) &&
-					    (!only_day ||
-					     !strncmp(only_day, loads[d].name,
-						      strlen(only_day))))
-						run_shares(
-							shared[i], d, m,
-							(enum world_sharing)k);
+			if (is_wanted_day(shared[i], loads[d].name))
+				run_load(shared[i], d);
 }
 
 static bool wanted(size_t size, size_t day, size_t way)
 {
-	return (!entries || entries == sizes[size].entries) &&
+	return is_wanted_day(sizes[size].entries, days[day].name) &&
 	       (!customers || customers == sizes[size].customers) &&
-	       (!only_way || !strcmp(only_way, ways[way]->name)) &&
-	       (!only_day ||
-		!strncmp(only_day, days[day].name, strlen(only_day)));
+	       (!only_way || !strcmp(only_way, ways[way]->name));
 }
 
 int main(int argc, const char **argv)
