Names of rests: needs one, is resting

Cause: speed_is_rest and speed_rests differ by what they ask only in their comments.

Change: speed_needs_rest and speed_is_resting, also at their uses.

--- a/src/core/speed.c
+++ b/src/core/speed.c
@@ -199,13 +199,13 @@
 	return MIN(MAX(by_time, by_answers), 1);
 }
 
-bool speed_is_rest(double ratio, double first_ms, int64_t objective_ms)
+bool speed_needs_rest(double ratio, double first_ms, int64_t objective_ms)
 {
 	return ratio >= SLOW_REST && objective_ms > 0 &&
 	       first_ms > (double)objective_ms;
 }
 
-bool speed_rests(const struct speed_rest *r, int64_t now)
+bool speed_is_resting(const struct speed_rest *r, int64_t now)
 {
 	return now < r->until_ms ||
 	       (r->trial_ms && now - r->trial_ms < TRIAL_MS);
--- a/src/core/speed.h
+++ b/src/core/speed.h
@@ -64,9 +64,9 @@
 double speed_start(int64_t age_ms, uint64_t answers);
 
 /* It is this much slower, and its next caller would be late: a rest. */
-bool speed_is_rest(double ratio, double first_ms, int64_t objective_ms);
+bool speed_needs_rest(double ratio, double first_ms, int64_t objective_ms);
 /* No call is to be sent. */
-bool speed_rests(const struct speed_rest *r, int64_t now);
+bool speed_is_resting(const struct speed_rest *r, int64_t now);
 /* One that is too slow is to begin a rest: it had none of late, or its trial
  * hasn't come back in time. */
 bool speed_rest_is_due(const struct speed_rest *r, int64_t now);
--- a/src/proxy/gate_speed.c
+++ b/src/proxy/gate_speed.c
@@ -311,8 +311,8 @@
 			double median_ms)
 {
 	return has_objective(f) &&
-	       speed_is_rest(ep->ratio, ep->ratio * median_ms,
-			     f->route->objective_ms);
+	       speed_needs_rest(ep->ratio, ep->ratio * median_ms,
+				f->route->objective_ms);
 }
 
 static int slowest_first(const void *a, const void *b)
@@ -369,7 +369,7 @@
 	for (guint i = 0; slow->len && i < eps->len; i++) {
 		const struct gate_ep *ep = eps->pdata[i];
 
-		if (speed_rests(&ep->slow_rest, now) &&
+		if (speed_is_resting(&ep->slow_rest, now) &&
 		    g_ptr_array_find(slow, ep, NULL))
 			n[i].usable = false;
 	}
--- a/test/test_speed.c
+++ b/test/test_speed.c
@@ -116,26 +116,26 @@
 	assert_true(speed_rest_is_due(&r, now));
 	speed_rest_begin(&r, now);
 	first = r.pause_ms;
-	assert_true(speed_rests(&r, now) && !speed_rest_is_due(&r, now));
+	assert_true(speed_is_resting(&r, now) && !speed_rest_is_due(&r, now));
 	now = r.until_ms;
-	assert_false(speed_rests(&r, now) || speed_rest_is_due(&r, now));
+	assert_false(speed_is_resting(&r, now) || speed_rest_is_due(&r, now));
 	speed_rest_sent(&r, now);
-	assert_true(speed_rests(&r, now + 100));
+	assert_true(speed_is_resting(&r, now + 100));
 	assert_true(speed_rest_answered(&r, 6));
 	speed_rest_begin(&r, now + 300);
 	assert_int_equal(r.pause_ms, 2 * first);
 	now = r.until_ms;
 	speed_rest_sent(&r, now);
 	assert_false(speed_rest_answered(&r, 1.2));
-	assert_false(speed_rests(&r, now));
+	assert_false(speed_is_resting(&r, now));
 	/* A trial that doesn't come back. */
 	speed_rest_begin(&r, now);
 	now = r.until_ms;
 	speed_rest_sent(&r, now);
 	assert_true(speed_rest_is_due(&r, now + 1000));
-	assert_false(speed_is_rest(6, 250, 300));
-	assert_false(speed_is_rest(3, 400, 300));
-	assert_true(speed_is_rest(6, 400, 300));
+	assert_false(speed_needs_rest(6, 250, 300));
+	assert_false(speed_needs_rest(3, 400, 300));
+	assert_true(speed_needs_rest(6, 400, 300));
 }
 
 /* Guards against a burst of calls to an endpoint that has just started. */
