Clearer names in balance, admission and return turns

Change: struct comparison, struct turns_view, add_served, is_at_base; bound_shares is a function of its own. Behaviour stays.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -102,7 +102,7 @@
 		     stamp, (int)(e->evt_timestamp.tv_usec / 1000),
 		     log4c_priority_to_string(e->evt_priority),
 		     node_name ? node_name : "-", e->evt_msg);
-	/* What is cut is a line all the same. */
+	/* A line that was cut ends as others do. */
 	if (n >= (int)sizeof(line))
 		line[sizeof(line) - 2] = '\n';
 	return line;
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -61,12 +61,21 @@
 	return served ? MAX(*served, a->base[priority]) : a->base[priority];
 }
 
-static gboolean is_alike(gpointer customer, gpointer served, gpointer base)
+static gboolean is_at_base(gpointer customer, gpointer served, gpointer base)
 {
 	(void)customer;
 	return *(uint64_t *)served <= *(uint64_t *)base;
 }
 
+static void bound_shares(GHashTable *all, uint64_t *base)
+{
+	if (g_hash_table_size(all) <= SHARES_MOST)
+		return;
+	g_hash_table_foreach_remove(all, is_at_base, base);
+	if (g_hash_table_size(all) > SHARES_MOST)
+		g_hash_table_remove_all(all);
+}
+
 static void charge(struct admission *a, const struct admission_head *h,
 		   const char *customer, unsigned int share)
 {
@@ -80,11 +89,7 @@
 	}
 	*base = MAX(*base, h->share);
 	*served = MAX(*served, *base) + SHARE_UNIT / MAX(share, 1);
-	if (g_hash_table_size(all) <= SHARES_MOST)
-		return;
-	g_hash_table_foreach_remove(all, is_alike, base);
-	if (g_hash_table_size(all) > SHARES_MOST)
-		g_hash_table_remove_all(all);
+	bound_shares(all, base);
 }
 
 /* Order. */
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -51,7 +51,7 @@
 	int credit;
 	double turn_ms;	 /* mean time between turns while both wait */
 	int64_t last_ms; /* last turn, or since both wait; 0: they don't */
-	/* Customer -> virtual time, and the one up to which all are alike. */
+	/* Customer -> virtual time, and the least that any customer has. */
 	GHashTable *served[SS_QUEUE_PRIORITIES];
 	uint64_t base[SS_QUEUE_PRIORITIES];
 	enum admission_turn turn; /* by which the last was chosen */
@@ -83,8 +83,8 @@
 				    int64_t now);
 /*
  * It can't be sent now: its lane has no more turns of that kind, and none at
- * all where it was chosen by the order. The rest's number. What is less urgent
- * doesn't stop what is more urgent in its own lane.
+ * all where it was chosen by the order. Returns how many are left. What is less
+ * urgent doesn't stop what is more urgent in its own lane.
  */
 size_t admission_passed(const struct admission *a, struct admission_head *heads,
 			size_t n, size_t at);
--- a/src/core/balance.c
+++ b/src/core/balance.c
@@ -30,22 +30,22 @@
 	return (double)(ss_random(seed) >> 11) / (double)(1ULL << 53);
 }
 
-/* What a request is compared by. */
-struct measure {
+/* What all nodes of one choice are compared by. */
+struct comparison {
 	uint64_t most_affine;
 	double far; /* how much worse a far node is, in calls */
 };
 
 /* How much a node is worse than another with as many calls, in calls. */
-static double penalty(const struct balance_node *n, const struct measure *m)
+static double penalty(const struct balance_node *n, const struct comparison *c)
 {
 	double s = FAILING_SCORE * n->failing;
 
 	if (!n->near)
-		s += m->far;
+		s += c->far;
 	if (!n->has_adapter)
 		s += ADAPTER_SCORE;
-	if (n->affinity != m->most_affine)
+	if (n->affinity != c->most_affine)
 		s += AFFINITY_SCORE;
 	if (n->tried)
 		s += TRIED_SCORE;
@@ -58,17 +58,17 @@
 }
 
 /*
- * A slow node's calls weigh as many as others do in the same time, the one that
- * is to be sent among them. So idle ones that are faster go first; but of its
- * own turns a slow one has its part as any other, or it would never be seen to
- * recover.
+ * A slow node's calls count for as many as others run in the same time, also
+ * the one that is to be sent: idle nodes that are faster go first. A slow node
+ * with which the comparison begins is taken to be like others in one case of
+ * so many, or it would get no calls and never be seen to recover.
  */
-static double weighed_load(const struct balance_node *n, bool turn,
+static double weighed_load(const struct balance_node *n, bool begins,
 			   uint64_t *seed)
 {
 	double load = (double)balance_load(n), slow = slowness(n);
 
-	if (slow > 1 && turn && balance_draw(seed) < 1 / slow)
+	if (slow > 1 && begins && balance_draw(seed) < 1 / slow)
 		return load;
 	return load * slow + MAX(slow - 1, 0);
 }
@@ -79,12 +79,12 @@
  * and where, nobody knows; so each draws it anew, up to as many as come, and
  * nodes that differ by less than that get their share of calls by chance.
  */
-static double score(const struct balance_node *n, const struct measure *m,
-		    bool turn, uint64_t *seed)
+static double score(const struct balance_node *n, const struct comparison *c,
+		    bool begins, uint64_t *seed)
 {
-	double load = weighed_load(n, turn, seed);
+	double load = weighed_load(n, begins, seed);
 
-	return load + n->unseen * balance_draw(seed) + penalty(n, m);
+	return load + n->unseen * balance_draw(seed) + penalty(n, c);
 }
 
 static uint64_t most_affine_of(const struct balance_node *n, size_t count)
@@ -118,13 +118,13 @@
 	return FAR_SCORE * MAX(1 - late, 0) / (1 - LATE_FROM);
 }
 
-static struct measure measure_of(const struct balance_node *n, size_t count,
-				 double fill)
+static struct comparison comparison_of(const struct balance_node *n,
+				       size_t count, double fill)
 {
-	struct measure m = { most_affine_of(n, count),
-			     far_score(n, count, fill) };
+	struct comparison c = { most_affine_of(n, count),
+				far_score(n, count, fill) };
 
-	return m;
+	return c;
 }
 
 bool balance_has_room(const struct balance_node *n, double fill)
@@ -135,7 +135,7 @@
 int balance_choose(const struct balance_node *n, size_t count, double fill,
 		   uint64_t tie)
 {
-	struct measure m = measure_of(n, count, fill);
+	struct comparison c = comparison_of(n, count, fill);
 	uint64_t seed = tie;
 	double best_score = 0;
 	int best = BALANCE_NOBODY;
@@ -151,7 +151,7 @@
 				best = BALANCE_FULL;
 			continue;
 		}
-		s = score(&n[i], &m, k == 0, &seed);
+		s = score(&n[i], &c, k == 0, &seed);
 		if (best >= 0 && s >= best_score)
 			continue;
 		best = (int)i;
@@ -178,7 +178,7 @@
 int balance_share(const struct balance_node *n, size_t count, double fill,
 		  uint64_t tie)
 {
-	struct measure m = measure_of(n, count, fill);
+	struct comparison c = comparison_of(n, count, fill);
 	uint64_t seed = tie;
 	double level = ROOM_OVER_MEAN * mean_load(n, count, fill);
 	double *room = g_newa(double, count + 1);
@@ -186,7 +186,7 @@
 
 	for (size_t i = 0; i < count; i++) {
 		room[i] = level - (double)balance_load(&n[i]) -
-			  penalty(&n[i], &m);
+			  penalty(&n[i], &c);
 		room[i] /= slowness(&n[i]);
 		if (!n[i].usable || is_full(&n[i], fill))
 			room[i] = 0;
--- a/src/core/return_turns.c
+++ b/src/core/return_turns.c
@@ -111,7 +111,7 @@
 }
 
 /* It has served something: add the time since it did so last. */
-static void see(struct cause *c, double cost, int64_t now)
+static void add_served(struct cause *c, double cost, int64_t now)
 {
 	int64_t ms = now - c->seen_until_ms;
 	double fade = exp(-(double)ms / RATE_MS);
@@ -123,7 +123,7 @@
 	c->seen_ms = c->seen_ms * fade + RATE_MS * (1 - fade);
 }
 
-/* A second; 0: it isn't known. */
+/* What is served a second; 0: it isn't known. */
 static double rate_of(const struct cause *c, double most)
 {
 	double per_s;
@@ -176,33 +176,33 @@
 	return all > 0 ? MIN(urgent / all * URGENT_PARTS, URGENT_MOST) : 0;
 }
 
-/* What a caller sees of its cause's turns. */
-struct sight {
+/* The turns of a cause, for callers of one priority. */
+struct turns_view {
 	struct cause *c;
 	double holds; /* a turn, in all */
-	double kept;  /* of that, for others */
+	double kept;  /* of that, for more urgent callers */
 	int64_t now;
 };
 
-static int64_t begins_ms(const struct sight *s, int64_t i)
+static int64_t begins_ms(const struct turns_view *v, int64_t i)
 {
-	return (s->c->first + i) * RETURN_TURN_MS - s->now;
+	return (v->c->first + i) * RETURN_TURN_MS - v->now;
 }
 
-static double room(const struct sight *s, int64_t i)
+static double room(const struct turns_view *v, int64_t i)
 {
-	double kept = begins_ms(s, i) < RELEASE_MS ? 0 : s->kept;
+	double kept = begins_ms(v, i) < RELEASE_MS ? 0 : v->kept;
 
-	return MAX(s->holds - kept - (double)s->c->taken[i], 0);
+	return MAX(v->holds - kept - (double)v->c->taken[i], 0);
 }
 
 /* One that needs more than a turn holds takes of those after it, too. */
-static void take(const struct sight *s, int64_t i, double cost)
+static void take(const struct turns_view *v, int64_t i, double cost)
 {
 	for (; i < TURNS && cost > 0; i++) {
-		double n = MIN(room(s, i), cost);
+		double n = MIN(room(v, i), cost);
 
-		s->c->taken[i] += (float)n;
+		v->c->taken[i] += (float)n;
 		cost -= n;
 	}
 }
@@ -212,19 +212,19 @@
 	return CLAMP(ms / RETURN_TURN_MS - c->first, 0, TURNS);
 }
 
-static struct return_turn next_turn(const struct sight *s,
+static struct return_turn next_turn(const struct turns_view *v,
 				    const struct return_ask *a)
 {
-	int64_t from = turn_at(s->c, s->now + a->least_ms), i = from;
-	double needs = MIN(a->cost, s->holds - s->kept) * ROOM_PART;
+	int64_t from = turn_at(v->c, v->now + a->least_ms), i = from;
+	double needs = MIN(a->cost, v->holds - v->kept) * ROOM_PART;
 	struct return_turn turn = { .width_ms = RETURN_TURN_MS };
 
-	while (i < TURNS && room(s, i) < needs)
+	while (i < TURNS && room(v, i) < needs)
 		i++;
-	turn.ms = MAX(begins_ms(s, i), a->least_ms);
+	turn.ms = MAX(begins_ms(v, i), a->least_ms);
 	turn.taken = turn.ms <= a->most_ms;
 	if (turn.taken)
-		take(s, from, a->cost);
+		take(v, from, a->cost);
 	return turn;
 }
 
@@ -243,7 +243,7 @@
 				     const struct return_ask *a, int64_t now)
 {
 	struct cause *c = cause_of(t, a->key, now);
-	struct sight s = { .c = c, .now = now };
+	struct turns_view v = { .c = c, .now = now };
 	double rate;
 
 	note_refusal(c, a, now);
@@ -251,9 +251,9 @@
 	rate = rate_of(c, a->per_s);
 	if (rate <= 0)
 		return unknown_turn(c, a, now);
-	s.holds = rate * RETURN_TURN_MS / 1000;
-	s.kept = s.holds * kept_share(c, rank_of(a));
-	return next_turn(&s, a);
+	v.holds = rate * RETURN_TURN_MS / 1000;
+	v.kept = v.holds * kept_share(c, rank_of(a));
+	return next_turn(&v, a);
 }
 
 void return_turns_served(struct return_turns *t, uint64_t key, double cost,
@@ -262,7 +262,7 @@
 	struct cause *c = g_hash_table_lookup(t->causes, &key);
 
 	if (c && now <= c->full_ms)
-		see(c, cost, now);
+		add_served(c, cost, now);
 }
 
 void return_turns_tidy(struct return_turns *t, int64_t now)
--- a/src/core/slow_pool.h
+++ b/src/core/slow_pool.h
@@ -54,6 +54,7 @@
 /* It has changed by enough to matter since it was told, or entries would
  * forget it. */
 bool slow_pool_is_news(const struct slow_pool *p, int64_t now);
+/* It is told now. */
 void slow_pool_tell(struct slow_pool *p, int64_t now);
 
 /* The leader's word, in thousandths; what isn't above 0 says nothing. */
