Comments of memory and of the least weight of a pool

Cause: the comment of set_memory told what the value stands for in a riddle, that of WEIGHT_LEAST had to be read with the code of the entries.

Change: comments only.

--- a/src/core/slow_pool.c
+++ b/src/core/slow_pool.c
@@ -13,8 +13,9 @@
 /* An answer as many times slower or faster than the median counts as this: a
  * call waits for seconds where others take some 50 ms. */
 #define RATIO_MAX 100.0
-/* Fewer answers may be long prompts by chance, told of by those entries alone
- * that had them. The trials of a rest that all entries share keep it above. */
+/* Fewer answers may be some long prompts, as entries report only what differs
+ * from their median. The trials after rests that all entries take bring more.
+ */
 #define WEIGHT_LEAST 5.0
 /* The pool is taken to be even until answers of this weight have come. */
 #define PRIOR 1.0
--- a/src/core/speed.c
+++ b/src/core/speed.c
@@ -49,7 +49,8 @@
 	return s->weight * exp2(-age / (double)s->memory_ms);
 }
 
-/* Whether it goes on as it was says how long that is worth remembering. */
+/* It doubles at most once in its own length while answers agree, and starts
+ * anew when one doesn't. */
 static void set_memory(struct speed *s, bool agrees, int64_t now)
 {
 	if (agrees && now - s->agreed_ms < s->memory_ms)
