--- a/src/core/speed.c
+++ b/src/core/speed.c
@@ -49,7 +49,8 @@
 	return s->weight * exp2(-age / (double)s->memory_ms);
 }
 
-/* Whether it goes on as it was says how long that is worth remembering. */
+/* It doubles at most once in its own length while answers agree, and starts
+ * anew when one doesn't. */
 static void set_memory(struct speed *s, bool agrees, int64_t now)
 {
 	if (agrees && now - s->agreed_ms < s->memory_ms)
@@ -199,13 +200,13 @@
 	return MIN(MAX(by_time, by_answers), 1);
 }
 
-bool speed_is_rest(double ratio, double first_ms, int64_t objective_ms)
+bool speed_needs_rest(double ratio, double first_ms, int64_t objective_ms)
 {
 	return ratio >= SLOW_REST && objective_ms > 0 &&
 	       first_ms > (double)objective_ms;
 }
 
-bool speed_rests(const struct speed_rest *r, int64_t now)
+bool speed_is_resting(const struct speed_rest *r, int64_t now)
 {
 	return now < r->until_ms ||
 	       (r->trial_ms && now - r->trial_ms < TRIAL_MS);
