An endpoint that rests for its slowness is called where no other has room

What callers saw (a reviewer's trial with two endpoints): a request waited 500 ms beside an idle engine while the fast one was full; with a slowness told by the leader it was refused after 1,650 ms.

Cause: those that rest were left out whatever the others' room. Ruled out: the bound on how many rest (half of those that hold the model, never the last one), which counts endpoints and not their places.

Change: they are left out only while another usable endpoint has room. A slow answer is better than none.

Measured: the new case fails on the code before ("never came") and passes; test_gate_speed 6 of 6, test_gate_told 3 of 3.

--- a/src/proxy/gate_choose.c
+++ b/src/proxy/gate_choose.c
@@ -147,11 +147,16 @@
 	}
 }
 
+double gate_fill(const struct forward *f)
+{
+	return f->service->engine ? ENGINE_FILL : SERVICE_FILL;
+}
+
 static int best_of(struct gate *g, const struct forward *f,
 		   const struct choice *c)
 {
 	const struct balance_node *n = (struct balance_node *)c->nodes->data;
-	double fill = f->service->engine ? ENGINE_FILL : SERVICE_FILL;
+	double fill = gate_fill(f);
 	uint64_t tie = ss_random(&g->seed);
 
 	return is_rush(g, f) ? balance_share(n, c->nodes->len, fill, tie) :
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -295,6 +295,9 @@
 struct gate_ep *gate_choose(struct gate *g, struct forward *f,
 			    enum balance_none *none);
 
+/* Calls that an endpoint may have there, in multiples of its slots. */
+double gate_fill(const struct forward *f);
+
 /* gate_speed.c: how slow endpoints are beside each other */
 struct gate_speeds *gate_speeds_new(struct metrics *m);
 void gate_speeds_free(struct gate_speeds *x);
--- a/src/proxy/gate_speed.c
+++ b/src/proxy/gate_speed.c
@@ -350,16 +350,26 @@
 	}
 }
 
-static void leave_out_resting(struct balance_node *n, const GPtrArray *eps,
-			      GPtrArray *slow, int64_t now)
+static bool is_left_out(const struct gate_ep *ep, GPtrArray *slow, int64_t now)
 {
-	for (guint i = 0; slow->len && i < eps->len; i++) {
-		const struct gate_ep *ep = eps->pdata[i];
+	return speed_is_resting(&ep->slow_rest, now) &&
+	       g_ptr_array_find(slow, ep, NULL);
+}
 
-		if (speed_is_resting(&ep->slow_rest, now) &&
-		    g_ptr_array_find(slow, ep, NULL))
+/* Where no other has room, a slow answer is better than none. */
+static void leave_out_resting(const struct forward *f, struct balance_node *n,
+			      const GPtrArray *eps, GPtrArray *slow,
+			      int64_t now)
+{
+	double fill = gate_fill(f);
+	bool room = false;
+
+	for (guint i = 0; !room && i < eps->len; i++)
+		room = n[i].usable && balance_has_room(&n[i], fill) &&
+		       !is_left_out(eps->pdata[i], slow, now);
+	for (guint i = 0; room && slow->len && i < eps->len; i++)
+		if (is_left_out(eps->pdata[i], slow, now))
 			n[i].usable = false;
-	}
 }
 
 void gate_speed_weigh(struct forward *f, struct balance_node *n,
@@ -382,6 +392,6 @@
 	}
 	keep_half(slow, usable);
 	rest(g, slow, median_ms);
-	leave_out_resting(n, eps, slow, now);
+	leave_out_resting(f, n, eps, slow, now);
 	g_ptr_array_unref(slow);
 }
--- a/test/test_gate_speed.c
+++ b/test/test_gate_speed.c
@@ -68,6 +68,26 @@
 	fix_close(&f);
 }
 
+/* Guards against a request that waits, or is refused, beside an idle engine:
+ * one that rests is called where no other has room. */
+static void resting_engine_is_called_where_others_are_full(void **state)
+{
+	struct fix f;
+	int before;
+
+	(void)state;
+	open_uneven(&f);
+	f.clock.fake_ms += 100;
+	assert_int_equal(goes_to(&f, POST_BRIEF_NOW, SLOW_MS), 0);
+	assert_int_equal(rests(&f), 1);
+	before = f.eps[1].requests;
+	/* The fast one has places for two. */
+	for (int i = 0; i < 3; i++)
+		call(&f, POST_BRIEF_NOW);
+	UNTIL(&f, f.eps[1].requests == before + 1);
+	fix_close(&f);
+}
+
 /* Guards against a rest of the only endpoint that can be called. */
 static void the_last_engine_does_not_rest(void **state)
 {
@@ -178,6 +198,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(slow_engines_rest_from_callers_in_a_hurry),
+		cmocka_unit_test(
+			resting_engine_is_called_where_others_are_full),
 		cmocka_unit_test(the_last_engine_does_not_rest),
 		cmocka_unit_test(a_stall_is_seen_before_any_answer),
 		cmocka_unit_test(restart_begins_slowly_and_unknown),
