What was kept for a class goes with its requests

Cause: the place set the cost that a class's first request lacks when an entry listed the class, and never cleared it when no entry did any more. The class counted as in use for as long as the customer sent anything, and the others got whole requests or nothing: 400, 0, 400 tokens where a customer without classes gets 212.5 each time.

Change: it goes when the entry that listed the class asks again or is forgotten, and is noted with the demands, so that a rare class that waits counts as in use from its first ask on.

--- a/src/customer/quota_lease.c
+++ b/src/customer/quota_lease.c
@@ -145,9 +145,18 @@
 	}
 }
 
+/* What was kept for its requests that wait isn't kept any more either. */
+static void forget_demands(struct account *a, const struct holder *h)
+{
+	count_demands(a, h, -1);
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		if (h->demands[i] > 0)
+			a->shares.waiting[i] = 0;
+}
+
 static void remove_holder(struct account *a, guint at)
 {
-	count_demands(a, &g_array_index(a->holders, struct holder, at), -1);
+	forget_demands(a, &g_array_index(a->holders, struct holder, at));
 	g_array_remove_index_fast(a->holders, at);
 	/* What sums leave by rounding is nobody's. */
 	if (!a->holders->len)
@@ -211,13 +220,14 @@
 	return NULL;
 }
 
-/* Without a list all is of the first class. */
+/* Without a list all is of the first class. Each class keeps what its first
+ * request lacks, however rare they are. */
 static void hear_demands(struct account *a, struct holder *h,
 			 const struct quota_ask *ask)
 {
 	const struct quota_part *x = ask->parts.items;
 
-	count_demands(a, h, -1);
+	forget_demands(a, h);
 	memset(h->demands, 0, sizeof(h->demands));
 	memset(h->spent, 0, sizeof(h->spent));
 	for (size_t i = 0; i < ask->parts.n; i++) {
@@ -225,9 +235,12 @@
 
 		h->demands[class] += MAX(quota_whole(x[i].demand), 0);
 		h->spent[class] += MAX(quota_whole(x[i].spent), 0);
+		a->shares.waiting[class] = quota_whole(x[i].first);
 	}
-	if (!ask->parts.n)
+	if (!ask->parts.n) {
 		h->demands[0] = MAX(h->demand, 0);
+		a->shares.waiting[0] = quota_whole(ask->first);
+	}
 	count_demands(a, h, 1);
 }
 
@@ -395,17 +408,6 @@
 	return n;
 }
 
-/* What the first request of each lacks is kept for it, however rare they are.
- */
-static void keep_for_first(struct account *a, const struct quota_part *x,
-			   size_t n)
-{
-	for (size_t i = 0; i < n; i++)
-		a->shares.waiting[quota_classes_clamp(x[i].class_id)] =
-			quota_whole(x[i].first);
-	quota_classes_settle(&a->shares, a->level);
-}
-
 /* 0: there is none. */
 static int64_t sooner(int64_t x, int64_t y)
 {
@@ -422,7 +424,7 @@
 	size_t most = ask->parts.n ? MIN(ask->parts.n, QUOTA_CLASSES) : 1;
 	double room = room_of(p, a), all = 0;
 
-	keep_for_first(a, x, most);
+	quota_classes_settle(&a->shares, a->level);
 	for (size_t i = 0; i < most; i++) {
 		struct quota_part *part = &a->parts[i];
 
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -745,6 +745,50 @@
 		pair_close(&p[k]);
 }
 
+static int64_t grant_of(void *place, int64_t now, const struct quota_ask *ask)
+{
+	struct customer c = { .name = "a",
+			      .limit = { .per_s = 1000, .burst = 1000 } };
+	struct quota_word w;
+
+	assert_true(quota_lease.place_ask(place, 1, &c, ask, now, &w));
+	return w.grant;
+}
+
+/* A class whose requests have left goes on to take from the others what was
+ * kept for the one that waited. */
+static void class_that_has_left_keeps_nothing(void **state)
+{
+	struct quota_options o = { .slack = { 8, 0.1, 4000 } };
+	struct quota_part parts[] = {
+		{ .class_id = 0, .demand = 900000, .want = 100000 },
+		{ .class_id = 2, .demand = 100000, .first = 200000 },
+	};
+	struct quota_ask before[] = {
+		{ .customer = SS_LIT("a"), .want = 300000, .demand = 1000000 },
+		{ .customer = SS_LIT("a"), .want = 300000, .demand = 1000000 },
+	};
+	struct quota_ask after = { .customer = SS_LIT("a"),
+				   .want = 400000,
+				   .demand = 2000000 };
+	void *place[2];
+
+	(void)state;
+	before[1].parts = (struct wire_list){ parts, G_N_ELEMENTS(parts) };
+	for (int k = 0; k < 2; k++) {
+		place[k] = quota_lease.place_new(&o, 0);
+		grant_of(place[k], 20000, &before[k]);
+		/* Until what was granted before makes no difference. */
+		for (int64_t now = 20200; now < 23000; now += 200)
+			grant_of(place[k], now, &after);
+	}
+	for (int64_t now = 23000; now < 25000; now += 200)
+		assert_int_equal(grant_of(place[0], now, &after),
+				 grant_of(place[1], now, &after));
+	for (int k = 0; k < 2; k++)
+		quota_lease.place_free(place[k]);
+}
+
 /* A word on a customer that nobody here asked for. */
 static void words_of_others_change_nothing(void **state)
 {
@@ -781,6 +825,7 @@
 		cmocka_unit_test(rare_class_within_the_limit_is_served),
 		cmocka_unit_test(first_that_lacks_some_blocks_nobody_for_long),
 		cmocka_unit_test(one_class_is_served_as_none),
+		cmocka_unit_test(class_that_has_left_keeps_nothing),
 		cmocka_unit_test(words_of_others_change_nothing),
 	};
 
