--- a/test/fleet/soak_checks.py
+++ b/test/fleet/soak_checks.py
@@ -9,7 +9,7 @@
 from soak_fleet import GRACE_MS, RETRY_RATIO, RETRY_SLACK
 from soak_journal import most_in_window
 from soak_poison import CONTACT_S, ENDS, LATER
-from soak_uneven import SLOW_JUDGED, slow_preferred
+from soak_uneven import slow_preferred
 from soak_versions import lost, mixed
 from soak_words import over_leaving, over_limit, over_rest
 
@@ -231,7 +231,7 @@
 
     def uneven(self):
         """Slow engines get fewer calls than fast ones beside them."""
-        for text in slow_preferred(self.f) if SLOW_JUDGED else ():
+        for text in slow_preferred(self.f):
             self.fail(text)
 
     def all(self):
--- a/test/fleet/soak_customer_checks.py
+++ b/test/fleet/soak_customer_checks.py
@@ -7,8 +7,6 @@
 from soak_fleet import QUOTA_SLACK
 from soak_journal import most_in_window
 
-# Whether shares of a limit by class are judged.
-SHARES_JUDGED = False
 # Requests of a class from which on its share is judged: with fewer the slack
 # could be more than 0.3.
 SHARE_FROM = 50
@@ -100,5 +98,4 @@
         for customer in LIMITS:
             self.limit_holds(customer)
         self.none_starved()
-        if SHARES_JUDGED:
-            self.urgent_first()
+        self.urgent_first()
--- a/test/fleet/soak_uneven.py
+++ b/test/fleet/soak_uneven.py
@@ -13,8 +13,6 @@
 AFTER_S = 5.0
 # Callers of one model: so many that several engines hold it.
 CALLERS, LONGEST = 6, 7
-# Whether calls to slow engines are judged.
-SLOW_JUDGED = False
 # With fewer calls chance alone could give the slow ones an even share.
 JUDGED_FROM = 30
 
