The budget of repeats is a file of its own

Cause: balance.c chooses endpoints; the budget of repeats stood at its end and is about to grow. Change: it moves to src/core/repeats.c, its two tests to test_repeats, unchanged.

--- a/src/core/balance.h
+++ b/src/core/balance.h
@@ -65,28 +65,4 @@
 /* A decayed share of failures. */
 void balance_note(double *failing, bool failed);
 
-/*
- * Repeats within a sliding window, as a share of first sends and a little
- * beside. Each entry holds its own share of the bound, so that all of them
- * together keep it without a word between them, whoever is cut off.
- */
-#define REPEAT_BUCKETS 10
-struct repeat_budget {
-	int64_t window_ms;
-	double ratio;	/* of first sends in the window */
-	int64_t slack;	/* beside them */
-	int64_t bucket; /* the newest one's number */
-	uint32_t firsts[REPEAT_BUCKETS], repeats[REPEAT_BUCKETS];
-};
-
-/* An entry's part of the slack that all of them share. entries: the most that
- * it was told of; 0: none yet. */
-int64_t repeat_slack(int64_t all, uint64_t entries);
-
-void repeat_budget_init(struct repeat_budget *b, int64_t window_ms,
-			double ratio, int64_t slack);
-void repeat_first(struct repeat_budget *b, int64_t now);
-/* Take one repeat; false where the window has none left. */
-bool repeat_take(struct repeat_budget *b, int64_t now);
-
 #endif
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -13,6 +13,7 @@
 #include "../core/fleet.h"
 #include "../core/freshness.h"
 #include "../core/pace.h"
+#include "../core/repeats.h"
 #include "../core/return_turns.h"
 #include "../core/slow_pool.h"
 #include "../core/speed.h"
