An entry logs what its repeats were refused on

Cause: a refusal "the repeat budget is used up" said nothing of the window, the share of the slack or how long the process had run, so a fresh budget and a short window looked alike in the logs. Change: event=repeats_refused, once a second and service at most; what an entry does with its budgets moves to gate_repeats.c. No decision changes.

--- a/src/core/repeats.c
+++ b/src/core/repeats.c
@@ -39,17 +39,25 @@
 	(*roll(b, b->firsts, now))++;
 }
 
-bool repeat_take(struct repeat_budget *b, int64_t now)
+struct repeat_counts repeat_counts(struct repeat_budget *b, int64_t now)
 {
-	uint32_t *at = roll(b, b->repeats, now);
-	uint64_t firsts = 0, repeats = 0;
+	struct repeat_counts n = { 0 };
 
+	roll(b, b->repeats, now);
 	for (int i = 0; i < REPEAT_BUCKETS; i++) {
-		firsts += b->firsts[i];
-		repeats += b->repeats[i];
+		n.firsts += b->firsts[i];
+		n.repeats += b->repeats[i];
 	}
-	if ((double)repeats + 1 > (double)firsts * b->ratio + (double)b->slack)
+	return n;
+}
+
+bool repeat_take(struct repeat_budget *b, int64_t now)
+{
+	struct repeat_counts n = repeat_counts(b, now);
+
+	if ((double)n.repeats + 1 >
+	    (double)n.firsts * b->ratio + (double)b->slack)
 		return false;
-	(*at)++;
+	(*roll(b, b->repeats, now))++;
 	return true;
 }
--- a/src/core/repeats.h
+++ b/src/core/repeats.h
@@ -28,4 +28,11 @@
 /* Take one repeat; false where the window has none left. */
 bool repeat_take(struct repeat_budget *b, int64_t now);
 
+/* What the window holds now. */
+struct repeat_counts {
+	uint64_t firsts, repeats;
+};
+
+struct repeat_counts repeat_counts(struct repeat_budget *b, int64_t now);
+
 #endif
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -434,9 +434,7 @@
 		return true;
 	}
 	/* Only a first send is free; every other one is a repeat. */
-	if (f->sends > 0 &&
-	    !repeat_take(gate_budget(f->g, f->service->name), gate_now(f->g))) {
-		(*f->g->n_repeats_refused)++;
+	if (f->sends > 0 && !forward_take_repeat(f)) {
 		gate_limit_unused(f, ep);
 		if (f->started)
 			forward_end(f, false, "the repeat budget is used up");
@@ -449,8 +447,6 @@
 				       come_back_ms(f));
 		return true;
 	}
-	if (f->sends > 0)
-		(*f->g->n_repeats)++;
 	take_place(f, ep);
 	if (!gate_ep_has_adapter(ep, f->model, f->adapter) && *f->adapter)
 		ask_adapter(f, ep);
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -6,9 +6,6 @@
 
 #include <xxhash.h>
 
-/* Part of the allowed ratio that is spent: the rest covers requests that
- * are counted in another window than their repeats. */
-#define RATIO_SHARE 0.85
 /* Connections at rest are looked through this often: a third of what is kept
  * free before an endpoint would close them. */
 #define TIDY_MS 200
@@ -32,20 +29,6 @@
 static const struct callers_limits first_limits = { 16 << 10, 4 << 20, 3000,
 						    15000 };
 
-struct repeat_budget *gate_budget(struct gate *g, const char *service)
-{
-	struct repeat_budget *b = g_hash_table_lookup(g->budgets, service);
-
-	if (b)
-		return b;
-	b = g_new0(struct repeat_budget, 1);
-	repeat_budget_init(b, g->o.retry_window_ms,
-			   g->o.retry_ratio * RATIO_SHARE,
-			   repeat_slack(g->o.retry_slack, g->entries));
-	g_hash_table_insert(g->budgets, g_strdup(service), b);
-	return b;
-}
-
 struct pace *gate_pace(struct gate *g, const struct forward *f)
 {
 	const char *service = f->service->name;
@@ -63,22 +46,6 @@
 	return p;
 }
 
-/* Those that were once there may be cut off and spend their part: the number
- * only grows. */
-void gate_note_entries(struct gate *g, uint64_t entries)
-{
-	GHashTableIter it;
-	void *b;
-
-	if (entries <= g->entries)
-		return;
-	g->entries = entries;
-	g_hash_table_iter_init(&it, g->budgets);
-	while (g_hash_table_iter_next(&it, NULL, &b))
-		((struct repeat_budget *)b)->slack =
-			repeat_slack(g->o.retry_slack, entries);
-}
-
 /* Callers. */
 
 static void on_request(void *arg, struct caller_call *c,
@@ -471,7 +438,7 @@
 	g->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				       gate_ep_free);
 	lanes_init(g);
-	g->budgets =
+	g->repeats =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->paces =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -511,7 +478,7 @@
 	g_hash_table_unref(g->tickets);
 	lanes_clear(g);
 	g_hash_table_unref(g->eps);
-	g_hash_table_unref(g->budgets);
+	g_hash_table_unref(g->repeats);
 	g_hash_table_unref(g->paces);
 	g_hash_table_unref(g->hists);
 	gate_speeds_free(g->speeds);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -224,7 +224,7 @@
 	GHashTable *groups;    /* service -> struct lane_group */
 	GQueue groups_waiting; /* those in which a request waits */
 	uint64_t pumps;	       /* of groups, until now */
-	GHashTable *budgets;   /* service -> struct repeat_budget */
+	GHashTable *repeats;   /* service -> struct service_repeats */
 	/* service -> struct pace, of its streams; "service\nroute" -> of
 	 * plain answers: a slow route hides among a fast one's many. */
 	GHashTable *paces;
@@ -530,7 +530,11 @@
 
 /* gate.c */
 struct pace *gate_pace(struct gate *g, const struct forward *f);
+
+/* gate_repeats.c */
 void gate_note_entries(struct gate *g, uint64_t entries);
-struct repeat_budget *gate_budget(struct gate *g, const char *service);
+void forward_count_first(struct forward *f);
+/* It has been sent before; false where it may not be sent again now. */
+bool forward_take_repeat(struct forward *f);
 
 #endif
