Repeats count until a whole window has passed

Cause: ten buckets of a second, the newest of which has just begun, cover 9 to 10 s; a repeat was forgotten up to a second early. Ruled out: a clock that jumps (it is monotonic).

Change: a window has twenty slices, and repeats of one slice more count; the requests of that slice, of which only a part lies within the window, allow for none.

--- a/src/core/repeats.c
+++ b/src/core/repeats.c
@@ -16,37 +16,48 @@
 			double ratio, int64_t slack)
 {
 	memset(b, 0, sizeof(*b));
-	b->window_ms = MAX(window_ms, REPEAT_BUCKETS);
+	b->slice_ms = MAX((window_ms + REPEAT_SLICES - 1) / REPEAT_SLICES, 1);
 	b->ratio = ratio;
 	b->slack = slack;
 }
 
-static uint32_t *roll(struct repeat_budget *b, uint32_t *in, int64_t now)
+/* Where a slice that is held is counted. */
+static size_t place(int64_t slice)
 {
-	int64_t bucket = now / (b->window_ms / REPEAT_BUCKETS);
+	return (size_t)(slice % (REPEAT_SLICES + 1));
+}
+
+static void roll(struct repeat_budget *b, int64_t now)
+{
+	int64_t slice = now / b->slice_ms;
 
-	while (b->bucket < bucket) {
+	while (b->slice < slice) {
 		/* A long rest empties all of them. */
-		b->bucket = MAX(b->bucket, bucket - REPEAT_BUCKETS) + 1;
-		b->firsts[b->bucket % REPEAT_BUCKETS] = 0;
-		b->repeats[b->bucket % REPEAT_BUCKETS] = 0;
+		b->slice = MAX(b->slice, slice - REPEAT_SLICES - 1) + 1;
+		b->firsts[place(b->slice)] = 0;
+		b->repeats[place(b->slice)] = 0;
 	}
-	return &in[b->bucket % REPEAT_BUCKETS];
 }
 
 void repeat_first(struct repeat_budget *b, int64_t now)
 {
-	(*roll(b, b->firsts, now))++;
+	roll(b, now);
+	b->firsts[place(b->slice)]++;
 }
 
 struct repeat_counts repeat_counts(struct repeat_budget *b, int64_t now)
 {
 	struct repeat_counts n = { 0 };
+	int64_t oldest;
 
-	roll(b, b->repeats, now);
-	for (int i = 0; i < REPEAT_BUCKETS; i++) {
-		n.firsts += b->firsts[i];
-		n.repeats += b->repeats[i];
+	roll(b, now);
+	/* A part of the oldest slice lies within the window: its repeats count,
+	 * its requests allow for none. */
+	oldest = b->slice - REPEAT_SLICES;
+	for (int64_t s = MAX(oldest, 0); s <= b->slice; s++) {
+		n.repeats += b->repeats[place(s)];
+		if (s > oldest)
+			n.firsts += b->firsts[place(s)];
 	}
 	return n;
 }
@@ -58,6 +69,6 @@
 	if ((double)n.repeats + 1 >
 	    (double)n.firsts * b->ratio + (double)b->slack)
 		return false;
-	(*roll(b, b->repeats, now))++;
+	b->repeats[place(b->slice)]++;
 	return true;
 }
--- a/src/core/repeats.h
+++ b/src/core/repeats.h
@@ -9,13 +9,14 @@
  * beside. Each entry holds its own share of the bound, so that all of them
  * together keep it without a word between them, whoever is cut off.
  */
-#define REPEAT_BUCKETS 10
+#define REPEAT_SLICES 20 /* of a window */
 struct repeat_budget {
-	int64_t window_ms;
-	double ratio;	/* of first sends in the window */
-	int64_t slack;	/* beside them */
-	int64_t bucket; /* the newest one's number */
-	uint32_t firsts[REPEAT_BUCKETS], repeats[REPEAT_BUCKETS];
+	int64_t slice_ms;
+	double ratio;  /* of first sends in the window */
+	int64_t slack; /* beside them */
+	int64_t slice; /* the newest one's number */
+	/* One more than a window has: the newest has just begun. */
+	uint32_t firsts[REPEAT_SLICES + 1], repeats[REPEAT_SLICES + 1];
 };
 
 /* An entry's part of the slack that all of them share. entries: the most that
