A repeat that was never sent is free again

What callers saw: refusals "the repeat budget is used up" though nothing had been sent: a repeat that found no connection, or whose adapter couldn't be loaded, stayed taken, and each further try took one more.

Cause: a send that wasn't made was taken back as a send, not as a repeat. Ruled out that something arrived: a connection counts as made before the first byte is written (upstream.c), and an adapter is asked of an agent.

Change: what was taken is given back where the request leaves before it is sent, or its connection isn't made. The counter of repeats counts what was taken, as before.

Evidence: send_that_never_left_costs_no_repeat failed before (five repeats of six arrived). test_gate*, test_repeats pass.

--- a/src/core/repeats.c
+++ b/src/core/repeats.c
@@ -85,6 +85,15 @@
 	return true;
 }
 
+void repeat_give_back(struct repeat_budget *b, int64_t taken_ms)
+{
+	int64_t slice = taken_ms / b->slice_ms;
+
+	if (b->slice - slice < REPEAT_SLICES_HELD &&
+	    b->repeats[place(slice)] > 0)
+		b->repeats[place(slice)]--;
+}
+
 struct repeat_counts repeat_counts(struct repeat_budget *b, int64_t now)
 {
 	struct repeat_counts n = { 0 };
--- a/src/core/repeats.h
+++ b/src/core/repeats.h
@@ -48,6 +48,8 @@
 void repeat_first(struct repeat_budget *b, int64_t now);
 /* Take one repeat; false where there is none left. */
 bool repeat_take(struct repeat_budget *b, int64_t now);
+/* The one that was taken at a time wasn't sent. */
+void repeat_give_back(struct repeat_budget *b, int64_t taken_ms);
 
 /* What was counted in the last window. */
 struct repeat_counts {
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -76,6 +76,10 @@
 	if (f->state == FORWARD_ADAPTER || f->state == FORWARD_ASKS ||
 	    f->state == FORWARD_LOOKS)
 		g_hash_table_remove(f->g->tickets, &f->ticket);
+	if (f->state >= FORWARD_SENT)
+		f->repeat_ms = 0;
+	else
+		forward_return_repeat(f);
 	if (f->up) {
 		times_note_left(f);
 		upstream_cancel(f->up);
@@ -364,6 +368,7 @@
 	struct gate_ep *ep = gate_ep_of(f);
 
 	unsend(f);
+	forward_return_repeat(f);
 	if (ep) {
 		gate_ep_note(f->g, ep, true);
 		ep->shut_until_ms = gate_now(f->g) + CONNECT_AGAIN_MS;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -153,6 +153,8 @@
 	double seen_ms;
 	double limit_per_s;   /* of its endpoint when it was sent; -1: none */
 	double permits;	      /* taken for its endpoint, and not used yet */
+	int64_t repeat_ms;    /* when it took a repeat that isn't used yet; 0:
+				 it has none */
 	int64_t open_ms;      /* no endpoint admits it before; 0: nobody says */
 	int64_t waited_ms;    /* until it was first sent; -1: not yet */
 	int64_t first_ms;     /* until the answer began; -1: not yet */
@@ -536,5 +538,7 @@
 void forward_count_first(struct forward *f);
 /* It has been sent before; false where it may not be sent again now. */
 bool forward_take_repeat(struct forward *f);
+/* The one that it has taken isn't used after all; nothing without one. */
+void forward_return_repeat(struct forward *f);
 
 #endif
--- a/src/proxy/gate_repeats.c
+++ b/src/proxy/gate_repeats.c
@@ -78,9 +78,19 @@
 
 	if (repeat_take(&s->budget, gate_now(g))) {
 		(*g->n_repeats)++;
+		f->repeat_ms = gate_now(g);
 		return true;
 	}
 	(*g->n_repeats_refused)++;
 	log_refused(g, f->service->name, s);
 	return false;
 }
+
+void forward_return_repeat(struct forward *f)
+{
+	if (!f->repeat_ms)
+		return;
+	repeat_give_back(&repeats_of(f->g, f->service->name)->budget,
+			 f->repeat_ms);
+	f->repeat_ms = 0;
+}
--- a/test/test_gate_repeats.c
+++ b/test/test_gate_repeats.c
@@ -65,6 +65,20 @@
 	}
 }
 
+/* Guards against repeats that are used up by connections that aren't made. */
+static void send_that_never_left_costs_no_repeat(void **state)
+{
+	const struct repeats_case x = { "", WINDOW_MS + 500, ENTRIES, 0 };
+	struct fix f;
+
+	(void)state;
+	fix_open_with(&f, &bound);
+	stop_listening(&f, 1);
+	fail_all(&f, &x);
+	assert_int_equal(arrivals(&f) - REQUESTS, 6);
+	fix_close(&f);
+}
+
 /* Guards against refusals that don't tell a spent budget from a new one. */
 static void refused_repeats_are_logged(void **state)
 {
@@ -89,6 +103,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(started_process_earns_its_repeats),
+		cmocka_unit_test(send_that_never_left_costs_no_repeat),
 		cmocka_unit_test(refused_repeats_are_logged),
 	};
 
