A request that waits borrows what classes without one keep

What callers saw: a customer at four fifths of its limit had 1.3 % of a rare class's requests refused; 1 % is allowed, none were without classes.

Cause: what comes is divided by demand, and each class keeps its part for the next 0.4 s. A rare class's part is below one of its requests for longer than that request may wait, while the bucket is full of what others keep and don't use. Traced by the place's words: first 1,239 tokens, 1,090 for the class, 4,835 in the bucket, nobody else waits, told to wait 350 ms of 294.

Change: a class whose request waits may have what is kept for classes of which none waits, and pays it back out of its own part.

--- a/src/customer/quota_classes.c
+++ b/src/customer/quota_classes.c
@@ -125,12 +125,31 @@
 	return is_least_served(s, class) ? 1 : quota_classes_ratio(s, class);
 }
 
+/*
+ * What classes whose requests don't wait keep for the next moment, for a class
+ * whose request waits now: a rare class would have it refused before its own
+ * part of what comes makes up one request.
+ */
+static double lent_to(const struct quota_classes *s, int class)
+{
+	double n = 0;
+
+	if (s->waiting[class] <= 0)
+		return 0;
+	for (int i = 0; i < QUOTA_CLASSES; i++)
+		if (s->waiting[i] <= 0)
+			n += MAX(s->part[i], 0);
+	return n;
+}
+
 double quota_classes_available(const struct quota_classes *s, int class,
 			       double total)
 {
+	double free = total - sum(s->part);
+
 	if (!quota_classes_several(s) || is_least_served(s, class))
 		return total;
-	return MIN(s->part[class] + total - sum(s->part), total);
+	return MIN(s->part[class] + free + lent_to(s, class), total);
 }
 
 void quota_classes_spend(struct quota_classes *s, int class, double n,
--- a/src/customer/quota_classes.h
+++ b/src/customer/quota_classes.h
@@ -7,7 +7,8 @@
  * which may wait for longest. So what comes is divided by demand, less to a
  * class of whose demand more was served than of a more urgent one's; each class
  * keeps its part for the next moment, and what is more goes to the others, the
- * most urgent first. With one class in use it has all.
+ * most urgent first. A request that waits borrows what is kept for classes of
+ * which none does. With one class in use it has all.
  */
 #ifndef SS_QUOTA_CLASSES_H
 #define SS_QUOTA_CLASSES_H
@@ -17,8 +18,8 @@
 struct quota_classes {
 	double demand[QUOTA_CLASSES];  /* of late, a second */
 	double spent[QUOTA_CLASSES];   /* and of that, served */
-	double waiting[QUOTA_CLASSES]; /* cost of requests that wait: kept for
-					  them, and not lent */
+	double waiting[QUOTA_CLASSES]; /* cost of requests that wait; what is
+					  kept for them isn't lent */
 	double part[QUOTA_CLASSES];    /* of the tokens; below 0: borrowed */
 };
 
