A few short streams don't tell how long the next one is

Cause: a stop begins what is foretold to end in time. The length of a stream was foretold by the most events for a token that any whole stream had shown; a process that has seen one to six streams end takes the longest of these for the longest there is. Traced: 954 tokens, rate by one stream 0.019, 18 events foretold (2,000 ms), 81 came (5,071 ms). Class: a process that has just started acts as if it knew.

Change: the length counts as known after twenty whole streams, as for plain answers; before that each token may be an event, so in a stop only brief streams are begun and the others' callers go elsewhere at once.

Tests: two new ones failed before (the gate's and a row of test_pace). The others that needed a known length saw four streams end, or one; they see twenty now, and assert the same.

--- a/src/core/pace.c
+++ b/src/core/pace.c
@@ -19,9 +19,10 @@
  * too: a service's mean is that of its most called models, and large ones need
  * twice as long. */
 #define KNOWN_SAMPLES 8
-/* Plain calls of a route by which the next can be foretold: of a kind that
- * makes up a tenth of them, two have been seen by then. */
-#define PLAIN_SAMPLES 20
+/* Plain answers of a route, or whole streams of a service, by which the next
+ * can be foretold: of a kind that makes up a tenth of them, two have been seen
+ * by then. */
+#define FORETOLD_SAMPLES 20
 /* A model that has shown nothing yet may be so many times slower than the
  * slowest one seen. An endpoint that has shown nothing isn't judged by the
  * others at all: a stream was cut on one that was ten times slower. */
@@ -29,7 +30,7 @@
 /* The largest is kept of so many samples up to twice as many: one in some
  * hundred exceeds it, and a single odd one is forgotten. */
 #define MOST_SAMPLES 128
-/* Until a stream has shown how many tokens an event holds: one. */
+/* Until streams have shown how many tokens an event holds: one. */
 #define EVENTS_PER_TOKEN_UNKNOWN 1.0
 
 /* Of an event: 17 of 100 tokens make 51 of 300, and not 52. */
@@ -152,12 +153,21 @@
 	return p->event.n ? MAX(own, slowest) : slowest * UNSEEN_FACTOR;
 }
 
+/* The longest of a few streams is mostly a short one. */
+static double events_per_token(const struct pace *service)
+{
+	const struct pace_most *m = &service->events_per_token;
+	bool known = m->older > 0 || m->n >= FORETOLD_SAMPLES;
+
+	return known ? pace_most(m) : EVENTS_PER_TOKEN_UNKNOWN;
+}
+
 int64_t pace_stream_ms(const struct pace_ask *a)
 {
 	const struct pace *s = a->service;
 	double first = first_of(a->model, s);
 	double event = event_of(a->model, s);
-	double rate = pace_most(&s->events_per_token);
+	double rate = events_per_token(s);
 	double events;
 
 	if (first < 0 || event < 0 || a->tokens <= 0)
@@ -170,8 +180,6 @@
 	}
 	first = MAX(first, a->open.first_ms);
 	event = MAX(event, a->open.event_ms);
-	if (rate <= 0)
-		rate = EVENTS_PER_TOKEN_UNKNOWN;
 	events = MAX(ceil(rate * (double)a->tokens - EVENTS_ROUNDING) -
 			     (double)a->skip,
 		     0);
@@ -180,7 +188,7 @@
 
 int64_t pace_plain_ms(const struct pace *route, const struct pace_open *open)
 {
-	if (route->first.n < PLAIN_SAMPLES)
+	if (route->first.n < FORETOLD_SAMPLES)
 		return SS_NEVER;
 	/* The largest alone leaves no room while few have come: an answer of
 	 * 1,310 ms was begun with 1,305 left, as 1,222 was the largest. */
--- a/test/test_gate_stop.c
+++ b/test/test_gate_stop.c
@@ -5,6 +5,8 @@
 #define FAST_MS 48
 #define SLOW_MS 240
 #define REFUSED "this process ends before the answer would"
+/* Whole streams after which the length of the next can be foretold. */
+#define KNOWN 20
 
 static void carry_plain(struct fix *f, int64_t ms)
 {
@@ -21,7 +23,7 @@
 static void know_fast_engine(struct fix *f)
 {
 	script(f, 0, EVENTS, false, false);
-	for (int i = 0; i < 4; i++)
+	for (int i = 0; i < KNOWN; i++)
 		carry_stream(f, FAST_MS, FAST_MS);
 }
 
@@ -42,9 +44,9 @@
 	lengthy = ask(&f, "m", STREAM("/chat/x", "950"));
 	UNTIL(&f, got(lengthy, "HTTP/1.1 503 "));
 	assert_true(got(lengthy, "Retry-After: "));
-	assert_int_equal(f.eps[0].requests, 4);
+	assert_int_equal(f.eps[0].requests, KNOWN);
 	brief = ask(&f, "m", STREAM("/chat/x", "100"));
-	UNTIL(&f, f.eps[0].requests == 5);
+	UNTIL(&f, f.eps[0].requests == KNOWN + 1);
 	say_events(&f, brief, 1, EVENTS_FOR(100), FAST_MS);
 	say_end(&f, brief);
 	fix_close(&f);
@@ -85,7 +87,7 @@
 		tell_fleet(&f, "lm", "m");
 		UNTIL(&f, got(c, "HTTP/1.1 503 "));
 		assert_true(got(c, "not_run"));
-		assert_int_equal(f.eps[0].requests, 4);
+		assert_int_equal(f.eps[0].requests, KNOWN);
 		fix_close(&f);
 	}
 }
@@ -180,10 +182,11 @@
 	(void)state;
 	fix_open(&f, "lm", "m");
 	script(&f, 0, EVENTS, false, false);
-	carry_stream(&f, SLOW_MS, SLOW_MS);
+	for (int i = 0; i < KNOWN; i++)
+		carry_stream(&f, SLOW_MS, SLOW_MS);
 	gate_drain(f.gate, f.clock.fake_ms + 3000);
 	c = ask(&f, "m", STREAM("/chat/x", "12"));
-	UNTIL(&f, f.eps[0].requests == 2);
+	UNTIL(&f, f.eps[0].requests == KNOWN + 1);
 	say_events(&f, c, 1, EVENTS_FOR(12), SLOW_MS);
 	say_end(&f, c);
 	fix_close(&f);
@@ -205,14 +208,14 @@
 	fix_open(&f, "lm", "m");
 	know_fast_engine(&f);
 	slow = ask(&f, "m", STREAM("/chat/x", "300"));
-	UNTIL(&f, f.eps[0].requests == 5);
+	UNTIL(&f, f.eps[0].requests == KNOWN + 1);
 	say_events(&f, slow, 1, 8, FAST_MS);
 	say_events(&f, slow, 9, 24, SLOW_MS);
 	gate_drain(f.gate, f.clock.fake_ms + 3000);
 	c = ask(&f, "m", STREAM("/chat/x", "100"));
 	UNTIL(&f, got(c, REFUSED));
 	assert_true(got(c, "not_run"));
-	assert_int_equal(f.eps[0].requests, 5);
+	assert_int_equal(f.eps[0].requests, KNOWN + 1);
 	fix_close(&f);
 }
 
@@ -244,7 +247,7 @@
 	gate_adapter_done(f.gate, &done);
 	UNTIL(&f, got(c, REFUSED));
 	assert_true(got(c, "not_run"));
-	assert_int_equal(f.eps[0].requests, 4);
+	assert_int_equal(f.eps[0].requests, KNOWN);
 	fix_close(&f);
 }
 
@@ -407,14 +410,14 @@
 	fix_open(&f, "lm", "m");
 	know_fast_engine(&f);
 	silent = ask(&f, "m", STREAM("/chat/x", "300"));
-	UNTIL(&f, f.eps[0].requests == 5);
+	UNTIL(&f, f.eps[0].requests == KNOWN + 1);
 	say_events(&f, silent, 1, 8, FAST_MS);
 	f.clock.fake_ms += 1900;
 	gate_drain(f.gate, f.clock.fake_ms + 2000);
 	turn(&f);
 	c = ask(&f, "m", STREAM("/chat/x", "100"));
 	UNTIL(&f, got(c, REFUSED));
-	assert_int_equal(f.eps[0].requests, 5);
+	assert_int_equal(f.eps[0].requests, KNOWN + 1);
 	fix_close(&f);
 }
 
@@ -446,6 +449,30 @@
 	fix_close(&f);
 }
 
+/* Guards against a stream that is begun and cut because the few that have ended
+ * were shorter. */
+static void few_short_streams_say_nothing_of_the_next(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script(&f, 0, EVENTS, false, false);
+	for (int i = 0; i < KNOWN - 1; i++) {
+		c = ask(&f, "m", STREAM("/chat/x", "300"));
+		UNTIL(&f, f.eps[0].requests == i + 1);
+		say_events(&f, c, 1, 10, FAST_MS);
+		say_end(&f, c);
+	}
+	/* Enough for three times as many events, and not for all of them. */
+	gate_drain(f.gate, f.clock.fake_ms + 30 * FAST_MS);
+	c = ask(&f, "m", STREAM("/chat/x", "300"));
+	UNTIL(&f, got(c, REFUSED));
+	assert_int_equal(f.eps[0].requests, KNOWN - 1);
+	fix_close(&f);
+}
+
 /* One odd answer, two events for one token, doesn't make all others long. */
 static void odd_stream_refuses_no_others(void **state)
 {
@@ -456,12 +483,12 @@
 	fix_open(&f, "lm", "m");
 	know_fast_engine(&f);
 	c = ask(&f, "m", STREAM("/chat/x", "1"));
-	UNTIL(&f, f.eps[0].requests == 5);
+	UNTIL(&f, f.eps[0].requests == KNOWN + 1);
 	say_events(&f, c, 1, 2, FAST_MS);
 	say_end(&f, c);
 	gate_drain(f.gate, f.clock.fake_ms + 4000);
 	c = ask(&f, "m", STREAM("/chat/x", "100"));
-	UNTIL(&f, f.eps[0].requests == 6);
+	UNTIL(&f, f.eps[0].requests == KNOWN + 2);
 	say_events(&f, c, 1, EVENTS_FOR(100), FAST_MS);
 	say_end(&f, c);
 	fix_close(&f);
@@ -552,7 +579,7 @@
 	gate_adapter_done(f.gate, &done);
 	/* It is asked for elsewhere. */
 	UNTIL(&f, f.asked != done.sub);
-	assert_int_equal(f.eps[0].requests, 4);
+	assert_int_equal(f.eps[0].requests, KNOWN);
 	fix_close(&f);
 }
 
@@ -564,9 +591,7 @@
 
 	(void)state;
 	fix_open(&f, "lm", "m");
-	script(&f, 0, EVENTS, false, false);
-	for (int i = 0; i < 20; i++)
-		carry_stream(&f, FAST_MS, FAST_MS);
+	know_fast_engine(&f);
 	/* All have taken as long as each other: the next is foretold to end
 	 * a tenth of its time before the stop does. */
 	gate_drain(f.gate,
@@ -574,7 +599,7 @@
 	c = ask(&f, "m", STREAM("/chat/x", "300"));
 	UNTIL(&f, got(c, REFUSED));
 	assert_true(got(c, "not_run"));
-	assert_int_equal(f.eps[0].requests, 20);
+	assert_int_equal(f.eps[0].requests, KNOWN);
 	fix_close(&f);
 }
 
@@ -667,6 +692,7 @@
 		cmocka_unit_test(caller_who_leaves_teaches_no_times),
 		cmocka_unit_test(silence_counts_in_a_stop),
 		cmocka_unit_test(slow_route_has_its_own_figure),
+		cmocka_unit_test(few_short_streams_say_nothing_of_the_next),
 		cmocka_unit_test(odd_stream_refuses_no_others),
 		cmocka_unit_test(brief_stream_is_begun_where_none_has_ended),
 		cmocka_unit_test(adapter_wait_ends_while_others_can_serve),
--- a/test/test_pace.c
+++ b/test/test_pace.c
@@ -76,6 +76,9 @@
 /* How much a case knows of a part of a service. */
 enum { NOTHING, LITTLE, WELL };
 
+/* Whole streams after which the length of the next can be foretold. */
+#define ENOUGH 20
+
 struct stream_case {
 	const char *label;
 	int model, endpoint, service;
@@ -226,7 +229,8 @@
 		know(&model, c->model, 100, 10);
 		know(&endpoint, c->endpoint, 150, 15);
 		know(&service, c->service, 200, 20);
-		pace_note_length(&service, c->events, 60);
+		for (int k = 0; k < ENOUGH; k++)
+			pace_note_length(&service, c->events, 60);
 		got = pace_stream_ms(&a);
 		if (got != c->want)
 			fail_msg("%s: %" PRId64, c->label, got);
@@ -235,14 +239,19 @@
 
 struct length_case {
 	const char *label;
-	uint64_t whole, open; /* events of two streams; 0: there is none */
-	int64_t want;	      /* of a third one; a token takes 10 ms */
+	int n;		      /* whole streams */
+	uint64_t whole, open; /* events of each, and of one that goes on */
+	int64_t want;	      /* of the next; a token takes 10 ms */
 };
 
 static const struct length_case lengths[] = {
-	{ "one that goes on says nothing by itself", 0, 9, 60 * 10 },
-	{ "it raises what a short one has shown", 10, 30, 30 * 10 },
-	{ "it doesn't lower what a long one has shown", 30, 9, 30 * 10 },
+	{ "one that goes on says nothing by itself", 0, 0, 9, 60 * 10 },
+	{ "it raises what short ones have shown", ENOUGH, 10, 30, 30 * 10 },
+	{ "it doesn't lower what long ones have shown", ENOUGH, 30, 9,
+	  30 * 10 },
+	{ "a few short ones say nothing of the next", ENOUGH - 1, 10, 9,
+	  60 * 10 },
+	{ "what was learned lasts", 10 * ENOUGH, 10, 9, 10 * 10 },
 };
 
 static void streams_under_way_only_raise_the_length(void **state)
@@ -257,7 +266,7 @@
 		int64_t got;
 
 		know(&p, WELL, 0, 10);
-		if (c->whole)
+		for (int k = 0; k < c->n; k++)
 			pace_note_length(&p, c->whole, 60);
 		pace_raise_length(&p, c->open, 60);
 		got = pace_stream_ms(&a);
