A request that waited too long for tokens is told when to return

Cause: the time told is that until the place has more; one that waited until its objective passed, while no such time is known, was told 0, and 0 isn't sent. Change: then it is the time in which what it lacks comes at the rate of late. overdue_request_is_told_when_to_return failed before (0).

--- a/src/customer/quota_purse.c
+++ b/src/customer/quota_purse.c
@@ -343,14 +343,21 @@
 		       const struct quota_need *n, const struct quota_rank *r,
 		       int64_t now, int64_t *back)
 {
-	double rate = now < u->rate_ms ? u->rate : 0;
+	double rate = now < u->rate_ms ? u->rate : 0, lacks;
 
 	if (is_alone(u, now) && now - alone_since(u) >= AWAIT_MS) {
 		*back = quota_back_ms(n->cost - u->tokens, rate);
 		return true;
 	}
 	*back = none_for(u, class, now);
-	return *back > hold_ms(u, n, r, now);
+	if (*back <= hold_ms(u, n, r, now))
+		return false;
+	/* One that can't wait any longer, though the place may have some. */
+	lacks = n->cost -
+		quota_classes_available(&u->shares, class, may_spend(u, now));
+	if (!*back)
+		*back = quota_back_ms(lacks, got(u, class));
+	return true;
 }
 
 static void wait_for(struct purse *u, int class, const struct quota_need *n,
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -716,6 +716,33 @@
 	pair_close(&p);
 }
 
+/* Guards against a refusal without a time to return: the request has waited for
+ * as long as it may, and nobody has said when there will be more. */
+static void overdue_request_is_told_when_to_return(void **state)
+{
+	struct quota_need need = { 800, true, 300 };
+	struct quota_rank rank = { 2, 0 };
+	int64_t back = 0;
+	struct pair p;
+
+	(void)state;
+	pair_open(&p, 1000);
+	rank.by_ms = p.now + 600;
+	assert_int_equal(ask_ranked(&p, 1000, false, 0, p.now + 600, 300),
+			 QUOTA_WAIT);
+	talk(&p);
+	assert_int_equal(ask_ranked(&p, 1000, true, 0, p.now + 600, 300),
+			 QUOTA_YES);
+	assert_int_equal(ask_ranked(&p, 800, false, 2, rank.by_ms, 300),
+			 QUOTA_WAIT);
+	p.now = rank.by_ms;
+	assert_int_equal(quota_lease.take_ranked(p.entry, p.c, &need, &rank,
+						 p.now, &back),
+			 QUOTA_NO);
+	assert_in_range(back, 1, 4000);
+	pair_close(&p);
+}
+
 /* A customer of one class is served otherwise than without classes. */
 static void one_class_is_served_as_none(void **state)
 {
@@ -824,6 +851,7 @@
 		cmocka_unit_test(urgent_requests_get_no_smaller_share),
 		cmocka_unit_test(rare_class_within_the_limit_is_served),
 		cmocka_unit_test(first_that_lacks_some_blocks_nobody_for_long),
+		cmocka_unit_test(overdue_request_is_told_when_to_return),
 		cmocka_unit_test(one_class_is_served_as_none),
 		cmocka_unit_test(class_that_has_left_keeps_nothing),
 		cmocka_unit_test(words_of_others_change_nothing),
