--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -299,7 +299,8 @@
 		else if (f->unknown)
 			forward_refuse(f, 504, "deadline", why, 0);
 		else
-			forward_refuse(f, 503, "deadline", why, 0);
+			forward_refuse(f, 503, "deadline", why,
+				       come_back_ms(f));
 		return;
 	}
 	forward_wait(f);
@@ -583,7 +584,8 @@
 		forward_refuse_for_stop(f);
 	} else if (go_on_hopeless(f)) {
 		forward_refuse(f, f->unknown ? 502 : 503, "unavailable",
-			       "its version is gone", 0);
+			       "its version is gone",
+			       f->unknown ? 0 : come_back_ms(f));
 	} else if (is_hopeless(f, now)) {
 		forward_refuse(f, f->unknown ? 502 : 503, "unavailable",
 			       "it can't be begun in time",
@@ -609,7 +611,8 @@
 		forward_refuse_for_stop(f);
 	else if (now >= f->deadline_ms)
 		forward_refuse(f, f->unknown ? 504 : 503, "deadline",
-			       "its adapter came too late", 0);
+			       "its adapter came too late",
+			       f->unknown ? 0 : come_back_ms(f));
 	else if (now - f->sent_ms > f->g->o.adapter_wait_ms + ADAPTER_LATE_MS)
 		forward_adapter(f, SS_ERROR_UNAVAILABLE,
 				SS_LIT("its agent says nothing"));
--- a/test/test_gate_ends.c
+++ b/test/test_gate_ends.c
@@ -133,7 +133,8 @@
 	fix_open(&f, "lm", "");
 	c = call(&f, REQ("POST", "/chat/x") "X-Model: m\r\n"
 					    "X-Deadline-Ms: 3000\r\n"
-					    "Content-Length: 0\r\n\r\n");
+					    "X-Not-Executed: "
+					    "1\r\nContent-Length: 0\r\n\r\n");
 	UNTIL(&f, gate_busy(f.gate) > 0);
 	gate_take_fleet(f.gate, &m);
 	UNTIL(&f, got(c, "HTTP/1.1 503 "));
@@ -269,6 +270,31 @@
 	fix_close(&f);
 }
 
+/* Guards against a refusal without a time to return: the endpoint turned it
+ * away when too little time was left for another. */
+static void refusal_for_want_of_time_says_when_to_return(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script(&f, 0, EVENTS, false, false);
+	script(&f, 0, NULL, false, false);
+	carry_stream(&f, 100, 50);
+	c = ask(&f, "m", POST_BRIEF);
+	UNTIL(&f, f.eps[0].requests == 2);
+	f.clock.fake_ms += 2010;
+	say(&f, 0,
+	    "HTTP/1.1 503 Full\r\nX-Request-Id: q1\r\n"
+	    "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+	UNTIL(&f, ends(c, "}}"));
+	assert_true(got(c, "HTTP/1.1 503 "));
+	assert_true(got(c, "\"deadline\""));
+	assert_true(got(c, "Retry-After: "));
+	fix_close(&f);
+}
+
 /* Nobody led for as long as it takes to find out (test_gate_early has the time
  * before). */
 static void nothing_is_known_yet(void **state)
@@ -299,6 +325,7 @@
 		cmocka_unit_test(slow_first_event_makes_a_wait_hopeless),
 		cmocka_unit_test(time_is_up_at_the_routes_timeout),
 		cmocka_unit_test(stop_ends_connections_after_their_answer),
+		cmocka_unit_test(refusal_for_want_of_time_says_when_to_return),
 		cmocka_unit_test(nothing_is_known_yet),
 	};
 
