Tests of limits share their classes of requests

The tables of two and three classes stood in bench/quota.c, test_quota.c and prop_quota.cc, word for word. They are the simulated world's now.

--- a/bench/quota.c
+++ b/bench/quota.c
@@ -141,24 +141,13 @@
 
 /* Requests of several classes, of customers that send three times their
  * limit. */
-static const struct world_class two[] = {
-	{ 0, 500, 0.6, 600 },
-	{ 2, 4000, 0.4, 1743 },
-};
-static const struct world_class three[] = {
-	{ 0, 500, 0.4, 600 },
-	{ 1, 600, 0.1, 900 },
-	{ 2, 4000, 0.2, 1743 },
-	{ 2, 150, 0.3, 200 },
-};
-
 static const struct {
 	const char *name;
 	const struct world_class *classes;
 	size_t n;
 } mixes[] = {
-	{ "two", two, G_N_ELEMENTS(two) },
-	{ "three", three, G_N_ELEMENTS(three) },
+	{ "two", world_two_classes, WORLD_TWO_CLASSES },
+	{ "three", world_three_classes, WORLD_THREE_CLASSES },
 };
 
 static const char *const sharings[] = {
--- a/test/prop_quota.cc
+++ b/test/prop_quota.cc
@@ -55,14 +55,6 @@
 	return out;
 }
 
-// Requests of three classes, one of them of two kinds.
-const world_class kClasses[] = {
-	{ 0, 500, 0.4, 600 },
-	{ 1, 600, 0.1, 900 },
-	{ 2, 4000, 0.2, 1743 },
-	{ 2, 150, 0.3, 200 },
-};
-
 void NoWindowExceeds(const quota_way *way, bool classes = false)
 {
 	uint64_t seed = *rc::gen::arbitrary<uint32_t>();
@@ -86,8 +78,8 @@
 	o.events = events.data();
 	o.n_events = events.size();
 	if (classes) {
-		o.classes = kClasses;
-		o.n_classes = G_N_ELEMENTS(kClasses);
+		o.classes = world_three_classes;
+		o.n_classes = WORLD_THREE_CLASSES;
 		o.sharing = static_cast<world_sharing>(ss_random(&seed) % 2);
 	}
 	world_run(&o, &r);
--- a/test/quota_world.c
+++ b/test/quota_world.c
@@ -31,6 +31,17 @@
 /* Above the customers of any world: line_of() counts classes in these. */
 #define CUSTOMERS_MOST 1000000
 
+const struct world_class world_two_classes[WORLD_TWO_CLASSES] = {
+	{ 0, 500, 0.6, 600 },
+	{ 2, 4000, 0.4, 1743 },
+};
+const struct world_class world_three_classes[WORLD_THREE_CLASSES] = {
+	{ 0, 500, 0.4, 600 },
+	{ 1, 600, 0.1, 900 },
+	{ 2, 4000, 0.2, 1743 },
+	{ 2, 150, 0.3, 200 },
+};
+
 struct request {
 	int64_t at_ms;
 	int customer;
--- a/test/quota_world.h
+++ b/test/quota_world.h
@@ -36,6 +36,13 @@
 	double cost;  /* in the mean */
 };
 
+/* Urgent requests, and patient ones that may wait for tokens for long. */
+#define WORLD_TWO_CLASSES 2
+extern const struct world_class world_two_classes[WORLD_TWO_CLASSES];
+/* Three classes, one of them of two kinds. */
+#define WORLD_THREE_CLASSES 4
+extern const struct world_class world_three_classes[WORLD_THREE_CLASSES];
+
 /* What is told of classes. */
 enum world_sharing {
 	WORLD_BY_CLASS, /* all: entries ask, and the place grants, by class */
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -539,19 +539,6 @@
 	pair_close(&p);
 }
 
-/* Urgent requests and patient ones that may wait for tokens for long. */
-static const struct world_class two[] = {
-	{ 0, 500, 0.6, 600 },
-	{ 2, 4000, 0.4, 1743 },
-};
-/* A class may be of requests of several kinds. */
-static const struct world_class three[] = {
-	{ 0, 500, 0.4, 600 },
-	{ 1, 600, 0.1, 900 },
-	{ 2, 4000, 0.2, 1743 },
-	{ 2, 150, 0.3, 200 },
-};
-
 /* Part of its demand by which a class may have more than one before it, and
  * part of the share of all that each class gets at the least. */
 #define SHARE_NOISE 0.03
@@ -564,17 +551,29 @@
 	enum world_sharing sharing;
 	struct world_event events[2];
 } overloads[] = {
-	{ "two classes", two, 2, WORLD_BY_CLASS, { { 0 } } },
-	{ "three classes", three, 4, WORLD_BY_CLASS, { { 0 } } },
-	{ "a place of an older version", two, 2, WORLD_AT_ENTRY, { { 0 } } },
+	{ "two classes",
+	  world_two_classes,
+	  WORLD_TWO_CLASSES,
+	  WORLD_BY_CLASS,
+	  { { 0 } } },
+	{ "three classes",
+	  world_three_classes,
+	  WORLD_THREE_CLASSES,
+	  WORLD_BY_CLASS,
+	  { { 0 } } },
+	{ "a place of an older version",
+	  world_two_classes,
+	  WORLD_TWO_CLASSES,
+	  WORLD_AT_ENTRY,
+	  { { 0 } } },
 	{ "the place is lost",
-	  two,
-	  2,
+	  world_two_classes,
+	  WORLD_TWO_CLASSES,
 	  WORLD_BY_CLASS,
 	  { { 10000, WORLD_LEADER, 1200, 0, 0, 0 } } },
 	{ "a third of the entries is cut off",
-	  two,
-	  2,
+	  world_two_classes,
+	  WORLD_TWO_CLASSES,
 	  WORLD_BY_CLASS,
 	  { { 8000, WORLD_CUT, 6000, 0, 4, 0 } } },
 };
@@ -661,8 +660,8 @@
 				   .delay_ms = 1.4,
 				   .cpu_share = 0.32,
 				   .drift = 0.001,
-				   .classes = three,
-				   .n_classes = G_N_ELEMENTS(three),
+				   .classes = world_three_classes,
+				   .n_classes = WORLD_THREE_CLASSES,
 				   .sharing = WORLD_BY_CLASS };
 	struct world_result r;
 
