Retries have the field's name

Change: retry_budget.c, gate_retries.c and their tests use retry and request; the part of the slack is worked out where a retry is taken. Metrics ss_gate_retries_total and ss_gate_retries_refused_total, the event retries_refused and the refusal's text are renamed with them. No decision changes. Also clearer comments on what a class borrows.

--- a/src/customer/quota_classes.c
+++ b/src/customer/quota_classes.c
@@ -126,9 +126,9 @@
 }
 
 /*
- * What classes whose requests don't wait keep for the next moment, for a class
- * whose request waits now: a rare class would have it refused before its own
- * part of what comes makes up one request.
+ * A class whose request waits borrows what classes without one keep for the
+ * next moment. A rare class's request would otherwise be refused before the
+ * class's own part of what comes makes up one.
  */
 static double lent_to(const struct quota_classes *s, int class)
 {
--- a/src/customer/quota_purse.c
+++ b/src/customer/quota_purse.c
@@ -352,7 +352,7 @@
 	*back = none_for(u, class, now);
 	if (*back <= hold_ms(u, n, r, now))
 		return false;
-	/* One that can't wait any longer, though the place may have some. */
+	/* It may wait no longer, and nobody has said when there is more. */
 	lacks = n->cost -
 		quota_classes_available(&u->shares, class, may_spend(u, now));
 	if (!*back)
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -238,7 +238,7 @@
 	f = forward_new(g, c, rt, &call, who, body, came_ms);
 	if (who)
 		(*gate_customer_counts(g, who->name)->requests)++;
-	forward_count_first(f);
+	forward_count_request(f);
 	if (*f->model && !routing_model(f->service, f->model)) {
 		forward_refuse(f, 503, "unknown_model",
 			       "the routing in force has no such model", 0);
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -77,9 +77,9 @@
 	    f->state == FORWARD_LOOKS)
 		g_hash_table_remove(f->g->tickets, &f->ticket);
 	if (f->state >= FORWARD_SENT)
-		f->repeat_ms = 0;
+		f->retry_ms = 0;
 	else
-		forward_return_repeat(f);
+		forward_return_retry(f);
 	if (f->up) {
 		times_note_left(f);
 		upstream_cancel(f->up);
@@ -369,7 +369,7 @@
 	struct gate_ep *ep = gate_ep_of(f);
 
 	unsend(f);
-	forward_return_repeat(f);
+	forward_return_retry(f);
 	if (ep) {
 		gate_ep_note(f->g, ep, true);
 		ep->shut_until_ms = gate_now(f->g) + CONNECT_AGAIN_MS;
@@ -439,17 +439,17 @@
 		forward_refuse_for_stop(f);
 		return true;
 	}
-	/* Only a first send is free; every other one is a repeat. */
-	if (f->sends > 0 && !forward_take_repeat(f)) {
+	/* Only a first send is free; every other one is a retry. */
+	if (f->sends > 0 && !forward_take_retry(f)) {
 		gate_limit_unused(f, ep);
 		if (f->started)
-			forward_end(f, false, "the repeat budget is used up");
+			forward_end(f, false, "the retry budget is used up");
 		else if (f->unknown)
 			forward_refuse(f, 502, "lost",
-				       "the repeat budget is used up", 0);
+				       "the retry budget is used up", 0);
 		else
 			forward_refuse(f, 503, "overload",
-				       "the repeat budget is used up",
+				       "the retry budget is used up",
 				       come_back_ms(f));
 		return true;
 	}
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -370,9 +370,9 @@
 	g->n_failed =
 		metrics_value(m, "ss_gate_ended_total", "outcome=\"unknown\"");
 	g->n_gone = metrics_value(m, "ss_gate_callers_left_total", "");
-	g->n_repeats = metrics_value(m, "ss_gate_repeats_total", "");
-	g->n_repeats_refused =
-		metrics_value(m, "ss_gate_repeats_refused_total", "");
+	g->n_retries = metrics_value(m, "ss_gate_retries_total", "");
+	g->n_retries_refused =
+		metrics_value(m, "ss_gate_retries_refused_total", "");
 	g->n_adapters = metrics_value(m, "ss_gate_adapters_asked_total", "");
 	g->n_bad = metrics_value(m, "ss_gate_bad_requests_total", "");
 	g->n_no_room = metrics_value(m, "ss_gate_no_room_total", "");
@@ -438,7 +438,7 @@
 	g->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				       gate_ep_free);
 	lanes_init(g);
-	g->repeats =
+	g->retries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->paces =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -478,7 +478,7 @@
 	g_hash_table_unref(g->tickets);
 	lanes_clear(g);
 	g_hash_table_unref(g->eps);
-	g_hash_table_unref(g->repeats);
+	g_hash_table_unref(g->retries);
 	g_hash_table_unref(g->paces);
 	g_hash_table_unref(g->hists);
 	gate_speeds_free(g->speeds);
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -13,7 +13,7 @@
 #include "../core/fleet.h"
 #include "../core/freshness.h"
 #include "../core/pace.h"
-#include "../core/repeats.h"
+#include "../core/retry_budget.h"
 #include "../core/return_turns.h"
 #include "../core/slow_pool.h"
 #include "../core/speed.h"
@@ -153,8 +153,8 @@
 	double seen_ms;
 	double limit_per_s;   /* of its endpoint when it was sent; -1: none */
 	double permits;	      /* taken for its endpoint, and not used yet */
-	int64_t repeat_ms;    /* when it took a repeat that isn't used yet; 0:
-				 it has none */
+	int64_t retry_ms;     /* when it took a retry that isn't used yet; 0: it
+				 has none */
 	int64_t open_ms;      /* no endpoint admits it before; 0: nobody says */
 	int64_t waited_ms;    /* until it was first sent; -1: not yet */
 	int64_t first_ms;     /* until the answer began; -1: not yet */
@@ -226,7 +226,7 @@
 	GHashTable *groups;    /* service -> struct lane_group */
 	GQueue groups_waiting; /* those in which a request waits */
 	uint64_t pumps;	       /* of groups, until now */
-	GHashTable *repeats;   /* service -> struct service_repeats */
+	GHashTable *retries;   /* service -> struct service_retries */
 	/* service -> struct pace, of its streams; "service\nroute" -> of
 	 * plain answers: a slow route hides among a fast one's many. */
 	GHashTable *paces;
@@ -245,7 +245,8 @@
 	struct return_turns *turns;	     /* of those who are refused */
 	uint64_t *n_turns_given, *n_turns_beyond;
 	int64_t since_ms; /* of this process's start */
-	uint64_t entries; /* that share the repeats, the most told of */
+	uint64_t
+		entries; /* that share the slack of retries, the most told of */
 	bool fleet_known;
 	bool pumping;	/* a request that ends meanwhile pumps no more */
 	int64_t end_ms; /* of a planned stop; 0: none */
@@ -258,8 +259,8 @@
 	GHashTable *quota_lines; /* customer -> struct quota_line */
 	guint quota_waiting;	 /* in all of them */
 	GHashTable *counts;	 /* customer -> struct customer_counts */
-	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_repeats,
-		*n_repeats_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
+	uint64_t *n_requests, *n_ok, *n_refused, *n_failed, *n_gone, *n_retries,
+		*n_retries_refused, *n_waiting, *n_adapters, *n_bad, *n_cut,
 		*n_no_room, *n_held, *n_unread, *n_ended, *n_quarantined,
 		*n_taken_up, *n_taken_up_refused, *n_over_quota, *n_limited,
 		*n_rests, *n_sent_resting, *n_sent_leaving, *n_raised,
@@ -533,12 +534,14 @@
 /* gate.c */
 struct pace *gate_pace(struct gate *g, const struct forward *f);
 
-/* gate_repeats.c */
+/* gate_retries.c */
+/* So many entries there are, as the leader knows. */
 void gate_note_entries(struct gate *g, uint64_t entries);
-void forward_count_first(struct forward *f);
+/* A request has come: it allows for retries of its service's requests. */
+void forward_count_request(struct forward *f);
 /* It has been sent before; false where it may not be sent again now. */
-bool forward_take_repeat(struct forward *f);
-/* The one that it has taken isn't used after all; nothing without one. */
-void forward_return_repeat(struct forward *f);
+bool forward_take_retry(struct forward *f);
+/* The retry that it has taken isn't used after all; nothing without one. */
+void forward_return_retry(struct forward *f);
 
 #endif
--- a/src/proxy/gate_words.c
+++ b/src/proxy/gate_words.c
@@ -126,7 +126,7 @@
 }
 
 /* After a rest one goes first: those that waited for its end would be turned
- * away together, at a repeat each. */
+ * away together, at a retry each. */
 void gate_words_sent(struct gate *g, struct gate_ep *ep, int64_t now)
 {
 	*g->n_limited += ep->words.limit.per_s >= 0;
--- a/test/gate_fix.h
+++ b/test/gate_fix.h
@@ -85,7 +85,7 @@
 struct fix_options {
 	int64_t keys_trust_ms; /* keys are believed so long without a leader */
 	size_t memory;
-	/* 0: more repeats than a test needs, from the first request on */
+	/* 0: more retries than a test needs, from the first request on */
 	double retry_ratio;
 	int64_t retry_slack;
 };
--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -1,4 +1,4 @@
-/* Choosing an endpoint, the repeat budget, whole events, the routing's
+/* Choosing an endpoint, whole events, the routing's
  * version in the replicated state. */
 #include "unit.h"
 
--- a/test/test_gate_repeats.c
+++ b/test/test_gate_retries.c
@@ -1,4 +1,4 @@
-/* What a gate sends once more, in the process's first seconds and later. */
+/* What a gate sends again, in the process's first seconds and later. */
 #include "gate_fix.h"
 
 #define WINDOW_MS 10000
@@ -6,14 +6,14 @@
 #define FAILS "HTTP/1.1 500 No\r\n" HEAD "Content-Length: 0\r\n\r\n"
 #define ENTRIES 20
 
-struct repeats_case {
+struct retries_case {
 	const char *label;
 	int64_t age_ms; /* of the process */
 	uint64_t entries;
-	int repeats;
+	int retries;
 };
 
-static const struct repeats_case cases[] = {
+static const struct retries_case cases[] = {
 	{ "a process that has just started", 0, ENTRIES, 3 },
 	{ "one that starts, and isn't told of others", 0, 0, 3 },
 	{ "one that has run for less than a window", WINDOW_MS - 1, ENTRIES,
@@ -31,7 +31,7 @@
 	return f->eps[0].requests + f->eps[1].requests;
 }
 
-static void fail_all(struct fix *f, const struct repeats_case *x)
+static void fail_all(struct fix *f, const struct retries_case *x)
 {
 	struct msg_fleet m = { .fence = 1, .entries = x->entries };
 
@@ -48,9 +48,9 @@
 	}
 }
 
-/* Guards against a process that starts with repeats that the one before it on
+/* Guards against a process that starts with retries that the one before it on
  * its VM may have spent. */
-static void started_process_earns_its_repeats(void **state)
+static void started_process_earns_its_retries(void **state)
 {
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -58,17 +58,17 @@
 
 		fix_open_with(&f, &bound);
 		fail_all(&f, &cases[i]);
-		if (arrivals(&f) - REQUESTS != cases[i].repeats)
+		if (arrivals(&f) - REQUESTS != cases[i].retries)
 			fail_msg("%s: %d", cases[i].label,
 				 arrivals(&f) - REQUESTS);
 		fix_close(&f);
 	}
 }
 
-/* Guards against repeats that are used up by connections that aren't made. */
-static void send_that_never_left_costs_no_repeat(void **state)
+/* Guards against retries that are used up by connections that aren't made. */
+static void send_that_never_left_costs_no_retry(void **state)
 {
-	const struct repeats_case x = { "", WINDOW_MS + 500, ENTRIES, 0 };
+	const struct retries_case x = { "", WINDOW_MS + 500, ENTRIES, 0 };
 	struct fix f;
 
 	(void)state;
@@ -80,9 +80,9 @@
 }
 
 /* Guards against refusals that don't tell a spent budget from a new one. */
-static void refused_repeats_are_logged(void **state)
+static void refused_retries_are_logged(void **state)
 {
-	const struct repeats_case x = { "", 2000, ENTRIES, 0 };
+	const struct retries_case x = { "", 2000, ENTRIES, 0 };
 	struct log_capture log;
 	struct fix f;
 	char *text;
@@ -92,8 +92,8 @@
 	log_capture_begin(&log);
 	fail_all(&f, &x);
 	text = log_capture_end(&log);
-	assert_non_null(strstr(text, "event=repeats_refused service=web "
-				     "repeats=0 requests=1 slack=3 entries=20 "
+	assert_non_null(strstr(text, "event=retries_refused service=web "
+				     "retries=0 requests=1 slack=3 entries=20 "
 				     "up_ms=2000"));
 	g_free(text);
 	fix_close(&f);
@@ -102,9 +102,9 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(started_process_earns_its_repeats),
-		cmocka_unit_test(send_that_never_left_costs_no_repeat),
-		cmocka_unit_test(refused_repeats_are_logged),
+		cmocka_unit_test(started_process_earns_its_retries),
+		cmocka_unit_test(send_that_never_left_costs_no_retry),
+		cmocka_unit_test(refused_retries_are_logged),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_repeats.c
+++ b/test/test_retry_budget.c
@@ -1,7 +1,7 @@
-/* Repeats within a window, over all entries. */
+/* Retries within a window, over all entries. */
 #include "unit.h"
 
-#include "../src/core/repeats.h"
+#include "../src/core/retry_budget.h"
 
 #define WINDOW_MS 10000
 #define RATIO 0.2
@@ -32,26 +32,25 @@
 	.last_ms = (last)
 
 struct entry {
-	struct repeat_budget budget;
+	struct retry_budget budget;
 	double due; /* requests, in parts of one */
 };
 
 struct world {
 	const struct load *l;
 	struct entry entries[ENTRIES_MOST];
-	GArray *firsts, *repeats; /* when, in ms */
+	GArray *requests, *retries; /* when, in ms */
 };
 
 static void start_entry(struct world *w, int i, int64_t now)
 {
-	struct repeat_options o = {
+	struct retry_options o = {
 		.window_ms = WINDOW_MS,
 		.ratio = RATIO,
-		.slack = repeat_slack(w->l->slack, w->l->told),
 		.since_ms = now,
 	};
 
-	repeat_budget_init(&w->entries[i].budget, &o);
+	retry_budget_init(&w->entries[i].budget, &o);
 }
 
 static bool starts_at(const struct load *l, int i, int64_t now)
@@ -67,6 +66,7 @@
 static void run_entry(struct world *w, struct entry *e, int64_t now)
 {
 	const struct load *l = w->l;
+	int64_t slack = retry_slack(l->slack, l->told);
 	bool fails = now >= FAILS_MS && now < FAILS_UNTIL_MS;
 	double per_s = l->per_s;
 
@@ -74,11 +74,11 @@
 		per_s = l->then_per_s;
 	e->due += per_s * STEP_MS / 1000;
 	for (; e->due >= 1; e->due--) {
-		repeat_first(&e->budget, now);
-		g_array_append_val(w->firsts, now);
+		retry_budget_request(&e->budget, now);
+		g_array_append_val(w->requests, now);
 		for (int k = 0; fails && k < 2; k++)
-			if (repeat_take(&e->budget, now))
-				g_array_append_val(w->repeats, now);
+			if (retry_budget_take(&e->budget, slack, now))
+				g_array_append_val(w->retries, now);
 	}
 }
 
@@ -106,17 +106,18 @@
  * the one half a window before it. */
 static void judge(const struct world *w)
 {
-	for (guint i = 0; i < w->repeats->len; i++) {
-		int64_t at = g_array_index(w->repeats, int64_t, i);
-		guint again = within(w->repeats, at);
-		guint firsts = within(w->firsts, at);
-
-		firsts = MAX(firsts, within(w->firsts, at - WINDOW_MS));
-		firsts = MAX(firsts, within(w->firsts, at - WINDOW_MS / 2));
-		if (again > RATIO * firsts + (double)w->l->slack)
-			fail_msg("%s: %u repeats from %" PRId64
+	for (guint i = 0; i < w->retries->len; i++) {
+		int64_t at = g_array_index(w->retries, int64_t, i);
+		guint again = within(w->retries, at);
+		guint requests = within(w->requests, at);
+
+		requests = MAX(requests, within(w->requests, at - WINDOW_MS));
+		requests =
+			MAX(requests, within(w->requests, at - WINDOW_MS / 2));
+		if (again > RATIO * requests + (double)w->l->slack)
+			fail_msg("%s: %u retries from %" PRId64
 				 " ms on for %u requests",
-				 w->l->label, again, at, firsts);
+				 w->l->label, again, at, requests);
 	}
 }
 
@@ -124,8 +125,8 @@
  * are allowed. */
 static double share_spent(const struct world *w)
 {
-	return within(w->repeats, FAILS_MS) /
-	       (RATIO * within(w->firsts, FAILS_MS) + (double)w->l->slack);
+	return within(w->retries, FAILS_MS) /
+	       (RATIO * within(w->requests, FAILS_MS) + (double)w->l->slack);
 }
 
 static double play(const struct load *l)
@@ -134,8 +135,8 @@
 	double share;
 
 	w->l = l;
-	w->firsts = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	w->repeats = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	w->requests = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	w->retries = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	for (int i = 0; i < l->entries; i++) {
 		start_entry(w, i, 0);
 		/* Their requests don't all come at the same moment. */
@@ -150,8 +151,8 @@
 	}
 	judge(w);
 	share = share_spent(w);
-	g_array_unref(w->firsts);
-	g_array_unref(w->repeats);
+	g_array_unref(w->requests);
+	g_array_unref(w->retries);
 	g_free(w);
 	return share;
 }
@@ -172,17 +173,18 @@
 }
 
 /* Of a process that has run for long. */
-static const struct repeat_options three = { .window_ms = WINDOW_MS,
-					     .ratio = RATIO,
-					     .slack = 3 };
+static const struct retry_options old = { .window_ms = WINDOW_MS,
+					  .ratio = RATIO };
+/* Its part of the slack. */
+#define THREE 3
 
 struct again_case {
 	int64_t first_ms, then_ms;
 	int allowed; /* of three */
 };
 
-/* Guards against repeats that are forgotten before their window is over. */
-static void repeats_count_for_a_whole_window(void **state)
+/* Guards against retries that are forgotten before their window is over. */
+static void retries_count_for_a_whole_window(void **state)
 {
 	static const struct again_case cases[] = {
 		{ 20999, 30000, 0 }, { 20000, 29999, 0 }, { 20500, 30499, 0 },
@@ -191,14 +193,15 @@
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct repeat_budget b;
+		struct retry_budget b;
 		int taken = 0;
 
-		repeat_budget_init(&b, &three);
+		retry_budget_init(&b, &old);
 		for (int k = 0; k < 3; k++)
-			assert_true(repeat_take(&b, cases[i].first_ms));
+			assert_true(retry_budget_take(&b, THREE,
+						      cases[i].first_ms));
 		for (int k = 0; k < 3; k++)
-			taken += repeat_take(&b, cases[i].then_ms);
+			taken += retry_budget_take(&b, THREE, cases[i].then_ms);
 		if (taken != cases[i].allowed)
 			fail_msg("%" PRId64 " and %" PRId64 ": %d",
 				 cases[i].first_ms, cases[i].then_ms, taken);
@@ -210,7 +213,7 @@
 	double least; /* of what is allowed */
 };
 
-/* Guards against callers who are refused repeats that the bound allows. */
+/* Guards against callers who are refused retries that the bound allows. */
 static void bound_is_made_use_of(void **state)
 {
 	static const struct share_case cases[] = {
@@ -237,7 +240,7 @@
 
 /* Guards against a process that starts with a whole budget, though one that has
  * ended has spent it in the same window. */
-static void restarts_bring_no_repeats(void **state)
+static void restarts_bring_no_retries(void **state)
 {
 	static const struct load loads[] = {
 		{ "all are killed as an outage begins", FLEET(24, 62, 10),
@@ -269,31 +272,31 @@
 		play(&loads[i]);
 }
 
-/* Guards against repeats that add to the load that makes requests fail. */
-static void repeats_keep_to_their_window(void **state)
+/* Guards against retries that add to the load that makes requests fail. */
+static void retries_keep_to_their_window(void **state)
 {
-	struct repeat_budget b;
+	struct retry_budget b;
 	int taken = 0;
 
 	(void)state;
-	repeat_budget_init(&b, &three);
+	retry_budget_init(&b, &old);
 	for (int i = 0; i < 100; i++)
-		repeat_first(&b, 21000 + i);
+		retry_budget_request(&b, 21000 + i);
 	for (int i = 0; i < 100; i++)
-		taken += repeat_take(&b, 21200);
+		taken += retry_budget_take(&b, THREE, 21200);
 	/* Half of the ratio, and the slack. */
 	assert_int_equal(taken, 13);
 	/* Still within the window of those. */
-	assert_false(repeat_take(&b, 29900));
-	/* Firsts and repeats have both left it; the slack is there again. */
+	assert_false(retry_budget_take(&b, THREE, 29900));
+	/* Requests and retries have both left it; the slack is there again. */
 	taken = 0;
 	for (int i = 0; i < 100; i++)
-		taken += repeat_take(&b, 32000);
+		taken += retry_budget_take(&b, THREE, 32000);
 	assert_int_equal(taken, 3);
 	/* After a long rest as well, whatever stands in the slices. */
 	taken = 0;
 	for (int i = 0; i < 100; i++)
-		taken += repeat_take(&b, 900000);
+		taken += retry_budget_take(&b, THREE, 900000);
 	assert_int_equal(taken, 3);
 }
 
@@ -303,7 +306,7 @@
 };
 
 /*
- * Symptom: all entries together repeat more than the users allow. Sequence:
+ * Symptom: all entries together retry more than the users allow. Sequence:
  * a fleet with more entries than each of them counts on. Cause: a number of
  * entries that is written down.
  */
@@ -318,22 +321,22 @@
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
 		for (size_t k = 0; k < G_N_ELEMENTS(slacks); k++)
-			assert_true((int64_t)cases[i].entries *
-					    repeat_slack(slacks[k],
-							 cases[i].told) <=
-				    slacks[k]);
-	assert_int_equal(repeat_slack(102, 4), 5);
+			assert_true(
+				(int64_t)cases[i].entries *
+					retry_slack(slacks[k], cases[i].told) <=
+				slacks[k]);
+	assert_int_equal(retry_slack(102, 4), 5);
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(repeats_keep_to_their_window),
+		cmocka_unit_test(retries_keep_to_their_window),
 		cmocka_unit_test(entries_share_the_slack),
 		cmocka_unit_test(long_outage_keeps_to_the_bound),
-		cmocka_unit_test(repeats_count_for_a_whole_window),
+		cmocka_unit_test(retries_count_for_a_whole_window),
 		cmocka_unit_test(bound_is_made_use_of),
-		cmocka_unit_test(restarts_bring_no_repeats),
+		cmocka_unit_test(restarts_bring_no_retries),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
