Log the shared parts of a prompt whose endpoint closed the connection

Which requests had something in common when an endpoint crashed can't be read from the logs: a fingerprint stands for a whole request.

closed_by_endpoint gets parts= (ids of all parts but the last) and started= (whether events had been passed on). prompt.c is the one place that splits a prompt; the hash that picks a warm endpoint uses it. No decision changes: test_prompt passes, the hashed bytes are the same as before.

--- /dev/null
+++ b/src/core/prompt.c
@@ -0,0 +1,50 @@
+/* Parts of prompts. */
+#include "prompt.h"
+
+#include <xxhash.h>
+
+/* Seed of the hash of parts, which requests are hashed without. */
+#define PART_SEED 0x70617274
+
+struct ss_str prompt_shared(struct ss_str prompt)
+{
+	while (prompt.n && prompt.p[prompt.n - 1] != ',')
+		prompt.n--;
+	return prompt;
+}
+
+static struct ss_str up_to(struct ss_str s, char end)
+{
+	const char *at = s.n ? memchr(s.p, end, s.n) : NULL;
+
+	return at ? (struct ss_str){ s.p, (size_t)(at - s.p) } : s;
+}
+
+static struct ss_str without_spaces(struct ss_str s)
+{
+	for (; s.n && s.p[0] == ' '; s.n--)
+		s.p++;
+	while (s.n && s.p[s.n - 1] == ' ')
+		s.n--;
+	return s;
+}
+
+bool prompt_next(struct ss_str *parts, struct ss_str *id)
+{
+	struct ss_str item;
+
+	if (!parts->n)
+		return false;
+	item = up_to(*parts, ',');
+	*id = without_spaces(up_to(item, ':'));
+	parts->p += MIN(item.n + 1, parts->n);
+	parts->n -= MIN(item.n + 1, parts->n);
+	return true;
+}
+
+struct fingerprint prompt_part_fingerprint(struct ss_str id)
+{
+	XXH128_hash_t h = XXH3_128bits_withSeed(id.p, id.n, PART_SEED);
+
+	return (struct fingerprint){ h.high64, h.low64 };
+}
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -73,10 +73,8 @@
  * own. */
 static uint64_t affinity_of(const struct platform_call *c)
 {
-	struct ss_str shared = c->prompt;
+	struct ss_str shared = prompt_shared(c->prompt);
 
-	while (shared.n && shared.p[shared.n - 1] != ',')
-		shared.n--;
 	return XXH3_64bits_withSeed(shared.p, shared.n,
 				    XXH3_64bits(c->adapter.p, c->adapter.n) ^
 					    XXH3_64bits(c->model.p,
--- a/src/proxy/crash_checks.c
+++ b/src/proxy/crash_checks.c
@@ -23,6 +23,8 @@
 #define CLOSED_WAIT_MS 200
 /* Fingerprints kept for one crash: more than any endpoint runs at a time. */
 #define FINGERPRINTS_MAX 512
+/* Maximum length of the list of a prompt's parts in a log line, in bytes. */
+#define PARTS_LOG_MAX 256
 
 /* An endpoint that may have crashed. */
 struct crash_check {
@@ -140,12 +142,27 @@
 		g_array_append_val(c->fingerprints, *fp);
 }
 
+/* Returns the ids of a prompt's shared parts for a log line, "-" if it has
+ * none. */
+static GString *parts_text(struct ss_str prompt)
+{
+	struct ss_str rest = prompt_shared(prompt), id;
+	GString *s = g_string_new(NULL);
+
+	while (s->len < PARTS_LOG_MAX && prompt_next(&rest, &id))
+		g_string_append_printf(s, "%s%.*s", s->len ? "," : "",
+				       SS_FMT(id));
+	g_string_truncate(s, MIN(s->len, PARTS_LOG_MAX));
+	return s->len ? s : g_string_append_c(s, '-');
+}
+
 void crash_check_begin(struct forward *f)
 {
 	const struct gate_ep *ep = gate_ep_of(f);
 	struct gate *g = f->g;
 	char text[FINGERPRINT_TEXT_SIZE];
 	struct crash_check *c;
+	GString *parts;
 
 	/* A draining endpoint ends as planned, and doesn't crash. */
 	if (!ep || ep->draining)
@@ -153,8 +170,11 @@
 	c = crash_check_of(g, ep);
 	add_fingerprint(c, forward_fingerprint(f));
 	f->trial_reported = true;
+	parts = parts_text(f->call.prompt);
 	log_info("closed_by_endpoint",
-		 "request=%s endpoint=%s print=%s ms=%" PRId64, f->id,
-		 ep->self.id, fingerprint_text(&f->fingerprint, text),
-		 gate_now(g) - f->sent_ms);
+		 "request=%s endpoint=%s print=%s parts=%s started=%d "
+		 "ms=%" PRId64,
+		 f->id, ep->self.id, fingerprint_text(&f->fingerprint, text),
+		 parts->str, f->started, gate_now(g) - f->sent_ms);
+	g_string_free(parts, TRUE);
 }
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -15,6 +15,7 @@
 #include "../core/failure_rate.h"
 #include "../core/fleet.h"
 #include "../core/freshness.h"
+#include "../core/prompt.h"
 #include "../core/stream_timing.h"
 #include "../core/retry_budget.h"
 #include "../core/return_slots.h"
--- a/src/proxy/platform_ops.h
+++ b/src/proxy/platform_ops.h
@@ -15,7 +15,7 @@
 	struct ss_str id;
 	struct ss_str model;   /* empty: the request needs no model */
 	struct ss_str adapter; /* empty: none */
-	struct ss_str prompt;  /* hashes of parts of the prompt, as sent */
+	struct ss_str prompt;  /* its parts, as prompt.h describes them */
 	int64_t deadline_ms;   /* how long the caller waits; 0: not stated */
 	int64_t tokens_in, tokens_out; /* 0: not stated */
 	int64_t after_event; /* resume after this event; -1: from the start */
