--- a/src/core/crash_log.c
+++ b/src/core/crash_log.c
@@ -27,16 +27,20 @@
 void crash_log_add(struct crash_log *l, const struct run_outcome *e)
 {
 	if (e->kind != OUTCOME_CRASHED)
-		crash_log_remove_crashes(l, &e->fingerprint);
+		crash_log_remove_crashes(
+			l, &e->fingerprint,
+			e->kind == OUTCOME_ANSWERED ? e->began_ms : INT64_MAX);
 	if (l->outcomes->len == l->capacity)
 		remove_at(l, 0);
 	g_array_append_val(l->outcomes, *e);
 }
 
-void crash_log_remove_crashes(struct crash_log *l, const struct fingerprint *fp)
+void crash_log_remove_crashes(struct crash_log *l, const struct fingerprint *fp,
+			      int64_t until_ms)
 {
 	for (size_t i = l->outcomes->len; i-- > 0;)
 		if (at(l, i)->kind == OUTCOME_CRASHED &&
+		    at(l, i)->at_ms <= until_ms &&
 		    fingerprint_equal(&at(l, i)->fingerprint, fp))
 			remove_at(l, i);
 }
--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -404,6 +404,9 @@
 	F(3, WIRE_INT, run_outcome_item, kind),
 	F(4, WIRE_UINT, run_outcome_item, incarnation_hash),
 	F(5, WIRE_INT, run_outcome_item, age_ms),
+	F(6, WIRE_INT, run_outcome_item, began_age_ms),
+	F(7, WIRE_INT, run_outcome_item, answered_age_ms),
+	F(8, WIRE_UINT, run_outcome_item, count),
 };
 static const struct wire_type run_outcome_type =
 	T(run_outcome_item, run_outcome_fields);
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -457,16 +457,21 @@
 	struct ss_str text;
 };
 
-/* An outcome that an entry reports of a suspected request, as struct
- * run_outcome. */
+/* An outcome that an entry reports of a suspect, as struct run_outcome; ages in
+ * ms when it is sent. */
 struct run_outcome_item {
 	uint64_t fingerprint_hi, fingerprint_lo;
 	int64_t kind; /* enum run_outcome_kind */
 	uint64_t incarnation_hash;
 	int64_t age_ms;
+	int64_t began_age_ms; /* of the run's start */
+	/* With a crash: age of the start of the newest run that the entry knows
+	 * was answered, plus 1; 0: none. */
+	int64_t answered_age_ms;
+	uint64_t count; /* of OUTCOME_REFUSED: requests since the last report */
 };
 
-/* State of a suspected request, as struct suspect_state. */
+/* State of a suspect, as struct suspect_state. */
 struct suspect_item {
 	uint64_t fingerprint_hi, fingerprint_lo;
 	bool cleared;
--- a/src/core/prompt.c
+++ b/src/core/prompt.c
@@ -1,11 +1,6 @@
 /* Parts of prompts. */
 #include "prompt.h"
 
-#include <xxhash.h>
-
-/* Seed of the hash of parts, which requests are hashed without. */
-#define PART_SEED 0x70617274
-
 struct ss_str prompt_shared(struct ss_str prompt)
 {
 	while (prompt.n && prompt.p[prompt.n - 1] != ',')
@@ -42,9 +37,12 @@
 	return true;
 }
 
-struct fingerprint prompt_part_fingerprint(struct ss_str id)
+bool prompt_next_fingerprint(struct ss_str *parts, struct fingerprint *fp)
 {
-	XXH128_hash_t h = XXH3_128bits_withSeed(id.p, id.n, PART_SEED);
+	struct ss_str id;
 
-	return (struct fingerprint){ h.high64, h.low64 };
+	if (!prompt_next(parts, &id))
+		return false;
+	*fp = fingerprint_of_part(id);
+	return true;
 }
--- a/src/core/prompt.h
+++ b/src/core/prompt.h
@@ -18,9 +18,8 @@
 /* Takes the first item off *parts and sets *id to its id, a view without the
  * number of tokens. Returns false if *parts is empty. */
 bool prompt_next(struct ss_str *parts, struct ss_str *id);
-/* Returns the fingerprint of a part: the same for each prompt that contains
- * it, and different from any request's fingerprint. */
-struct fingerprint prompt_part_fingerprint(struct ss_str id);
+/* Like prompt_next(), for the fingerprint of the item's id. */
+bool prompt_next_fingerprint(struct ss_str *parts, struct fingerprint *fp);
 
 #ifdef __cplusplus
 }
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -345,6 +345,21 @@
 	r->version = document_version(s->routing);
 }
 
+static void apply_quarantines_put(struct ss_state *s, uint64_t index,
+				  const struct command_wire *c,
+				  struct command_result *r)
+{
+	const struct quarantine_rec *q = c->quarantines.items;
+
+	for (size_t i = 0; i < c->quarantines.n; i++)
+		if (q[i].removed)
+			state_drop_quarantine(s, &q[i]);
+		else
+			state_put_quarantine(s, &q[i]);
+	s->quarantines_version = index;
+	r->version = index;
+}
+
 static void apply_command(struct ss_state *s, uint64_t index,
 			  const struct command_wire *c,
 			  struct command_result *r)
@@ -380,6 +395,9 @@
 	case COMMAND_ROUTING_PUT:
 		apply_routing_put(s, c, r);
 		return;
+	case COMMAND_QUARANTINES_PUT:
+		apply_quarantines_put(s, index, c, r);
+		return;
 	}
 	refuse(r, SS_ERROR_BAD_REQUEST, 0, "unknown command");
 }
@@ -393,6 +411,7 @@
 		[COMMAND_PRESET_DELETE] = "delete preset",
 		[COMMAND_MODELS_PUT] = "put models",
 		[COMMAND_NODE_STATE] = "set node",
+		[COMMAND_QUARANTINES_PUT] = "change quarantines",
 	};
 	struct ss_str name = { 0 };
 
@@ -468,8 +487,9 @@
 				  .node = { c->node, c->node != NULL },
 				  .replica = { c->replica, c->replica != NULL },
 				  .claim = { c->claim, c->claim != NULL },
-				  .routing = { c->routing,
-					       c->routing != NULL } };
+				  .routing = { c->routing, c->routing != NULL },
+				  .quarantines = { c->quarantines,
+						   c->n_quarantines } };
 
 	return wire_encode(&command_wire_type, &w);
 }
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -1,6 +1,7 @@
 /*
  * The replicated state machine: presets and the one in force, models, nodes,
- * replicas, the routing, and claims on calls that may run at most once.
+ * replicas, the routing, claims on calls that may run at most once, and
+ * quarantines of what crashes endpoints.
  *
  * The state changes only by ss_state_apply() with the entries of the replicated
  * log, in order, so that it is the same on every control VM. Records own their
@@ -18,6 +19,9 @@
 #define STATE_CLAIMS_MAX 200000
 #define STATE_CLAIM_AGE_MS (24 * 3600 * 1000LL)
 
+/* Quarantines are dropped beyond this count, the oldest first. */
+#define STATE_QUARANTINES_MAX 1024
+
 enum command_kind {
 	COMMAND_PRESET_PUT = 1,
 	COMMAND_PRESET_SWITCH,
@@ -29,6 +33,7 @@
 	COMMAND_REPLICA_STATE,
 	COMMAND_CLAIM,
 	COMMAND_ROUTING_PUT,
+	COMMAND_QUARANTINES_PUT,
 };
 
 enum node_kind { NODE_ENGINE = 1, NODE_SERVICE };
@@ -102,6 +107,15 @@
 	struct ss_str change; /* struct document_change, packed */
 };
 
+/* A quarantine of a request or of a part of prompts. */
+struct quarantine_rec {
+	uint64_t fingerprint_hi, fingerprint_lo;
+	int64_t since_ms; /* wall time of its start */
+	int64_t until_ms; /* wall time from which a trial run is allowed */
+	uint64_t trials;  /* trial runs that failed or may still fail */
+	bool removed;	  /* in a command: delete the quarantine */
+};
+
 struct change_rec {
 	struct ss_str id;
 	struct ss_str author;
@@ -133,6 +147,8 @@
 	struct replica_rec *replica;
 	struct claim_rec *claim;
 	struct routing_rec *routing;
+	struct quarantine_rec *quarantines;
+	size_t n_quarantines;
 	/* Holder of the claim that is known not to run: the claim passes to
 	 * the new call. */
 	uint64_t dead_entry, dead_seq;
@@ -201,6 +217,10 @@
  * none. */
 GPtrArray *ss_state_node_replicas(const struct ss_state *s, const char *node);
 GPtrArray *ss_state_model_replicas(const struct ss_state *s, const char *model);
+/* Returns the quarantines (struct quarantine_rec *), oldest first. */
+GQueue *ss_state_quarantines(const struct ss_state *s);
+/* Returns a number that changes with the quarantines. */
+uint64_t ss_state_quarantines_version(const struct ss_state *s);
 /* Returns the number of claims. */
 size_t ss_state_claims(const struct ss_state *s);
 
--- a/src/core/state_codec.c
+++ b/src/core/state_codec.c
@@ -81,6 +81,17 @@
 const struct wire_type routing_wire =
 	WIRE_TYPE(struct routing_rec, routing_fields);
 
+static const struct wire_field quarantine_fields[] = {
+	F(1, WIRE_UINT, quarantine_rec, fingerprint_hi),
+	F(2, WIRE_UINT, quarantine_rec, fingerprint_lo),
+	F(3, WIRE_INT, quarantine_rec, since_ms),
+	F(4, WIRE_INT, quarantine_rec, until_ms),
+	F(5, WIRE_UINT, quarantine_rec, trials),
+	F(6, WIRE_BOOL, quarantine_rec, removed),
+};
+const struct wire_type quarantine_wire =
+	WIRE_TYPE(struct quarantine_rec, quarantine_fields);
+
 static const struct wire_field command_fields[] = {
 	F(1, WIRE_INT, command_wire, kind),
 	F(2, WIRE_STR, command_wire, change_id),
@@ -95,6 +106,7 @@
 	L(11, command_wire, replica, replica_wire),
 	L(12, command_wire, claim, claim_wire),
 	L(13, command_wire, routing, routing_wire),
+	L(14, command_wire, quarantines, quarantine_wire),
 };
 const struct wire_type command_wire_type =
 	WIRE_TYPE(struct command_wire, command_fields);
@@ -109,6 +121,7 @@
 	L(7, state_snapshot, claims, claim_wire),
 	L(8, state_snapshot, changes, change_wire),
 	L(9, state_snapshot, routing, routing_wire),
+	L(10, state_snapshot, quarantines, quarantine_wire),
 };
 const struct wire_type snapshot_wire =
 	WIRE_TYPE(struct state_snapshot, snapshot_fields);
--- a/src/core/state_int.h
+++ b/src/core/state_int.h
@@ -13,6 +13,8 @@
 	GQueue claim_order;  /* struct claim_rec, oldest first */
 	GHashTable *changes; /* id -> record, owned by history */
 	GQueue history;	     /* struct change_rec, oldest first */
+	GQueue quarantines;  /* struct quarantine_rec, oldest first */
+	uint64_t quarantines_version;
 	char *in_force;
 	uint64_t config_version;
 	struct document *routing;
@@ -32,6 +34,10 @@
 /* The key must be new. Drops the oldest claims beyond the bounds. */
 void state_put_claim(struct ss_state *s, const struct claim_rec *c);
 void state_drop_claim(struct ss_state *s, struct claim_rec *c);
+/* Copies a quarantine; it replaces the one of the same fingerprint. Drops the
+ * oldest beyond STATE_QUARANTINES_MAX. */
+void state_put_quarantine(struct ss_state *s, const struct quarantine_rec *q);
+void state_drop_quarantine(struct ss_state *s, const struct quarantine_rec *q);
 /* Records a result for the history and, if the change has an id, for resends.
  * Drops the oldest beyond STATE_CHANGES_MAX. */
 void state_put_change(struct ss_state *s, const struct change_rec *c);
--- a/src/core/state_store.c
+++ b/src/core/state_store.c
@@ -94,6 +94,7 @@
 	s->changes = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&s->claim_order);
 	g_queue_init(&s->history);
+	g_queue_init(&s->quarantines);
 	s->in_force = g_strdup("");
 	s->routing = document_new();
 	s->routing_change = g_string_new(NULL);
@@ -112,6 +113,7 @@
 	g_hash_table_remove_all(s->changes);
 	g_queue_clear_full(&s->claim_order, free_claim);
 	g_queue_clear_full(&s->history, free_change);
+	g_queue_clear_full(&s->quarantines, g_free);
 	g_free(s->in_force);
 	s->in_force = g_strdup("");
 	s->config_version = 0;
@@ -267,6 +269,42 @@
 	return ok;
 }
 
+static GList *find_quarantine(struct ss_state *s,
+			      const struct quarantine_rec *q)
+{
+	for (GList *p = s->quarantines.head; p; p = p->next) {
+		const struct quarantine_rec *x = p->data;
+
+		if (x->fingerprint_hi == q->fingerprint_hi &&
+		    x->fingerprint_lo == q->fingerprint_lo)
+			return p;
+	}
+	return NULL;
+}
+
+void state_drop_quarantine(struct ss_state *s, const struct quarantine_rec *q)
+{
+	GList *p = find_quarantine(s, q);
+
+	if (!p)
+		return;
+	g_free(p->data);
+	g_queue_delete_link(&s->quarantines, p);
+}
+
+void state_put_quarantine(struct ss_state *s, const struct quarantine_rec *q)
+{
+	GList *p = find_quarantine(s, q);
+
+	if (p) {
+		*(struct quarantine_rec *)p->data = *q;
+		return;
+	}
+	g_queue_push_tail(&s->quarantines, g_memdup2(q, sizeof(*q)));
+	if (s->quarantines.length > STATE_QUARANTINES_MAX)
+		g_free(g_queue_pop_head(&s->quarantines));
+}
+
 /* Copies the records to an array, for encoding; the copies are shallow. */
 static struct wire_list collect(GList *recs, const struct wire_type *t)
 {
@@ -308,6 +346,7 @@
 	snap.replicas = collect_table(s->replicas, &replica_wire);
 	snap.claims = collect(s->claim_order.head, &claim_wire);
 	snap.changes = collect(s->history.head, &change_wire);
+	snap.quarantines = collect(s->quarantines.head, &quarantine_wire);
 	snap.routing = (struct wire_list){ &routing, full != NULL };
 	out = wire_encode(&snapshot_wire, &snap);
 	if (full)
@@ -318,6 +357,7 @@
 	g_free(snap.replicas.items);
 	g_free(snap.claims.items);
 	g_free(snap.changes.items);
+	g_free(snap.quarantines.items);
 	return out;
 }
 
@@ -348,6 +388,9 @@
 	for (size_t i = 0; i < snap.changes.n; i++)
 		state_put_change(s,
 				 (struct change_rec *)snap.changes.items + i);
+	for (size_t i = 0; i < snap.quarantines.n; i++)
+		state_put_quarantine(
+			s, (struct quarantine_rec *)snap.quarantines.items + i);
 	ok = !snap.routing.n || state_put_routing(s, snap.routing.items, NULL);
 out:
 	wire_buf_clear(&buf);
@@ -433,6 +476,16 @@
 	return g_hash_table_lookup(s->by_model, model);
 }
 
+GQueue *ss_state_quarantines(const struct ss_state *s)
+{
+	return (GQueue *)&s->quarantines;
+}
+
+uint64_t ss_state_quarantines_version(const struct ss_state *s)
+{
+	return s->quarantines_version;
+}
+
 size_t ss_state_claims(const struct ss_state *s)
 {
 	return s->claim_order.length;
--- a/src/core/suspects.c
+++ b/src/core/suspects.c
@@ -1,29 +1,42 @@
-/* Table of suspected and quarantined requests. */
+/* Table of suspects and quarantines. */
 #include "suspects.h"
 
 /* A crash counts against a request for this long, in ms: a job that runs every
  * quarter of an hour still reaches the threshold. */
 #define CRASH_KEEP_MS (60 * 60 * 1000LL)
+/* Crashes that a suspect keeps: more than the threshold, so that those of runs
+ * that began after the first one are among them. */
+#define CRASHES_KEPT 8
+/* A suspect that was answered this long before its first crash, in ms, or
+ * later, may be harmless. */
+#define ANSWER_KEEP_MS (10 * 60 * 1000LL)
+/* Time from the first crash in which a harmless suspect that is in use is
+ * answered again, in ms: a first event, ANSWER_PROOF_MS of its stream, and the
+ * report of that. */
+#define DOUBT_MS 2500
+/* Crashes of runs that began after the first crash, without which a suspect
+ * stays in doubt: when all endpoints crash at once, no answer can clear it. */
+#define LATER_CRASHES 2
+/* Interval at which suspects in doubt are judged again, in ms. */
+#define JUDGE_INTERVAL_MS 100
 /*
  * Quarantine periods by the number of failed trial runs, in ms. Each trial run
- * of a poison request costs the answers of all requests that run beside it; an
- * endpoint version that withstands the request takes hours or days. The first
- * failed trial run proves little, as another poison request may have crashed
- * that endpoint.
+ * of a poison suspect costs the answers of all requests that run beside it; an
+ * endpoint version that withstands it takes hours or days.
  */
-static const int64_t periods[] = { 10 * 60 * 1000LL, 10 * 60 * 1000LL,
-				   60 * 60 * 1000LL, 6 * 60 * 60 * 1000LL,
-				   24 * 60 * 60 * 1000LL };
-/* First quarantine period of tied requests, in ms: long enough for endpoints to
- * restart. Requests are tied if they share TIED_CRASHES crashes; most of them
+static const int64_t periods[SUSPECT_TRIALS_MAX + 1] = { 10 * 60 * 1000LL,
+							 10 * 60 * 1000LL,
+							 SUSPECT_FOREVER_MS };
+/* First quarantine period of tied suspects, in ms: long enough for endpoints to
+ * restart. Suspects are tied if they share TIED_CRASHES crashes; most of them
  * are harmless, and their callers wait. */
 #define TIED_PERIOD_MS 3000
 /* Number of shared crashes that is more than chance. */
 #define TIED_CRASHES 2
-/* A quarantined request that isn't sent again is dropped this long after its
+/* A quarantined suspect that isn't sent again is dropped this long after its
  * quarantine period, in ms. */
 #define QUARANTINE_KEEP_MS (24 * 60 * 60 * 1000LL)
-/* A cleared request is kept this long, in ms, to report it to processes that
+/* A cleared suspect is kept this long, in ms, to report it to processes that
  * missed it. */
 #define CLEARED_KEEP_MS 60000
 /* Wait before a request asks for a trial run again while others are open, in
@@ -35,28 +48,44 @@
 #define TRIAL_WINDOW_MAX 64
 #define EXPIRE_INTERVAL_MS 10000
 
+struct kept_crash {
+	uint64_t incarnation_hash;
+	int64_t crashed_ms, began_ms;
+};
+
 struct suspect {
 	struct fingerprint fp;
-	/* Hashes that identify the incarnations of the crashed endpoints. */
-	uint64_t crashes[SUSPECT_CRASH_THRESHOLD];
+	struct kept_crash crashes[CRASHES_KEPT];
 	unsigned int n_crashes;
 	uint64_t last_crash; /* the newest, also beyond those in crashes */
 	int64_t last_ms;     /* time of the last crash, report or clearing */
-	bool cleared, quarantined;
+	int64_t answered_ms; /* start of the newest answered run; INT64_MIN:
+			      * none is known */
+	bool cleared;	     /* a quarantine that others may know has ended */
+	bool quarantined;
+	/* When another process reported its quarantine: an answer to an earlier
+	 * run says nothing about crashes that aren't known here. INT64_MIN:
+	 * quarantined here. */
+	int64_t learned_ms;
 	int64_t until_ms; /* end of the quarantine period */
 	uint64_t failed_trials;
 	int64_t trial_ms; /* start of the open trial run; 0: none */
 	uint64_t changed; /* mark of the last change */
+	int64_t since_ms; /* start of the quarantine */
+	uint64_t refused; /* requests, for its quarantine */
 };
 
 struct suspects {
 	struct suspects_options o;
 	GHashTable *all; /* struct suspect, by its fingerprint */
-	size_t quarantined;
+	size_t quarantined, quarantined_parts;
 	uint64_t mark;
 	unsigned int window; /* trial runs allowed at a time */
 	int64_t no_trial_until_ms;
-	int64_t expired_ms; /* when old requests were last dropped */
+	int64_t expired_ms; /* when old suspects were last dropped */
+	bool any_refused;   /* since suspects_take_refused() */
+	bool any_in_doubt;
+	int64_t judged_ms; /* when those in doubt were last judged */
 };
 
 struct suspects *suspects_new(const struct suspects_options *o, int64_t now)
@@ -86,16 +115,25 @@
 	return g_hash_table_lookup(s->all, fp);
 }
 
-static void set_quarantined(struct suspects *s, struct suspect *x, bool on)
+static void set_quarantined(struct suspects *s, struct suspect *x, bool on,
+			    int64_t now)
 {
+	size_t part = fingerprint_is_part(&x->fp);
+
+	if (on && !x->quarantined) {
+		x->since_ms = now;
+		x->refused = 0;
+	}
 	s->quarantined += (size_t)on;
 	s->quarantined -= (size_t)x->quarantined;
+	s->quarantined_parts += on ? part : 0;
+	s->quarantined_parts -= x->quarantined ? part : 0;
 	x->quarantined = on;
 }
 
 static void drop(struct suspects *s, struct suspect *x)
 {
-	set_quarantined(s, x, false);
+	set_quarantined(s, x, false, 0);
 	g_hash_table_remove(s->all, &x->fp);
 }
 
@@ -104,7 +142,7 @@
 	x->changed = ++s->mark;
 }
 
-/* Order of eviction: requests that aren't quarantined, then those with fewer
+/* Order of eviction: suspects that aren't quarantined, then those with fewer
  * crashes, then older ones. */
 static gint by_eviction(gconstpointer a, gconstpointer b)
 {
@@ -130,7 +168,7 @@
 	return out;
 }
 
-/* Evicts a quarter of a full table at a time, so that a flood of new requests
+/* Evicts a quarter of a full table at a time, so that a flood of new suspects
  * doesn't sort it once for each. */
 static void make_room(struct suspects *s)
 {
@@ -155,6 +193,7 @@
 	make_room(s);
 	x = g_new0(struct suspect, 1);
 	x->fp = *fp;
+	x->answered_ms = INT64_MIN;
 	g_hash_table_insert(s->all, &x->fp, x);
 	return x;
 }
@@ -167,7 +206,7 @@
 static bool has_crash(const struct suspect *x, uint64_t incarnation_hash)
 {
 	for (unsigned int i = 0; i < x->n_crashes; i++)
-		if (x->crashes[i] == incarnation_hash)
+		if (x->crashes[i].incarnation_hash == incarnation_hash)
 			return true;
 	return x->n_crashes && x->last_crash == incarnation_hash;
 }
@@ -177,7 +216,7 @@
 	unsigned int shared = 0;
 
 	for (unsigned int i = 0; i < x->n_crashes; i++)
-		shared += has_crash(y, x->crashes[i]);
+		shared += has_crash(y, x->crashes[i].incarnation_hash);
 	return shared >= TIED_CRASHES;
 }
 
@@ -187,8 +226,8 @@
 	note_change(s, x);
 }
 
-/* Allows trial runs of tied requests soon: only these show which of the
- * requests is the poison one. */
+/* Allows trial runs of tied suspects soon: only these show which of them is the
+ * poison one. */
 static void advance_tied_trials(struct suspects *s, struct suspect *x,
 				int64_t now)
 {
@@ -212,32 +251,117 @@
 
 static void quarantine(struct suspects *s, struct suspect *x, int64_t now)
 {
-	set_quarantined(s, x, true);
+	set_quarantined(s, x, true, now);
+	x->cleared = false;
+	x->learned_ms = INT64_MIN;
 	x->until_ms = now + period_ms(x);
 	note_change(s, x);
 	advance_tied_trials(s, x, now);
 }
 
-static void clear(struct suspects *s, struct suspect *x, int64_t now)
+/* Doubt. */
+
+static int64_t first_crash_ms(const struct suspect *x)
 {
-	set_quarantined(s, x, false);
+	int64_t first = INT64_MAX;
+
+	for (unsigned int i = 0; i < x->n_crashes; i++)
+		first = MIN(first, x->crashes[i].crashed_ms);
+	return first;
+}
+
+static unsigned int crashes_begun_after(const struct suspect *x, int64_t ms)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < x->n_crashes; i++)
+		n += x->crashes[i].began_ms > ms;
+	return n;
+}
+
+/* True if the suspect was answered not long before its first crash, and may be
+ * answered again: it is more likely harmless and in use everywhere. */
+static bool is_in_doubt(const struct suspect *x, int64_t now)
+{
+	int64_t first = first_crash_ms(x);
+
+	/* A whole request isn't shared, so its earlier answers prove little. */
+	if (!fingerprint_is_part(&x->fp) || x->answered_ms == INT64_MIN ||
+	    first - x->answered_ms > ANSWER_KEEP_MS)
+		return false;
+	return now - first < DOUBT_MS ||
+	       crashes_begun_after(x, first) < LATER_CRASHES;
+}
+
+/* Quarantines a suspect with enough crashes unless it is in doubt. */
+static void judge(struct suspects *s, struct suspect *x, int64_t now)
+{
+	if (x->quarantined || x->n_crashes < SUSPECT_CRASH_THRESHOLD)
+		return;
+	if (is_in_doubt(x, now))
+		s->any_in_doubt = true;
+	else
+		quarantine(s, x, now);
+}
+
+/* Judges the suspects that were in doubt again. */
+static void judge_all(struct suspects *s, int64_t now)
+{
+	GHashTableIter it;
+	void *x;
+
+	if (!s->any_in_doubt || now - s->judged_ms < JUDGE_INTERVAL_MS)
+		return;
+	s->judged_ms = now;
+	s->any_in_doubt = false;
+	g_hash_table_iter_init(&it, s->all);
+	while (g_hash_table_iter_next(&it, NULL, &x))
+		judge(s, x, now);
+}
+
+/* Clearing. */
+
+/* Ends a quarantine, if there is one, and keeps the crashes. */
+static void release(struct suspects *s, struct suspect *x, int64_t now)
+{
+	set_quarantined(s, x, false, now);
 	x->cleared = true;
-	x->n_crashes = 0;
-	x->failed_trials = 0;
 	x->last_ms = now;
 	note_change(s, x);
 }
 
+static void clear(struct suspects *s, struct suspect *x, int64_t now)
+{
+	/* A suspect that only this process counted crashes of isn't told to
+	 * others. */
+	bool known = x->quarantined || x->n_crashes >= TIED_CRASHES;
+
+	x->n_crashes = 0;
+	x->failed_trials = 0;
+	if (known)
+		release(s, x, now);
+}
+
 static void remove_crash(struct suspect *x, uint64_t incarnation_hash)
 {
 	for (unsigned int i = x->n_crashes; i-- > 0;)
-		if (x->crashes[i] == incarnation_hash)
+		if (x->crashes[i].incarnation_hash == incarnation_hash)
 			x->crashes[i] = x->crashes[--x->n_crashes];
 }
 
-/* Removes the crashes of a poison request from the other requests, except those
- * whose own trial runs failed: a failed trial run shows which request is the
- * poison one. */
+/* Removes the crashes up to a time; returns whether there were any. */
+static bool remove_crashes_before(struct suspect *x, int64_t ms)
+{
+	unsigned int before = x->n_crashes;
+
+	for (unsigned int i = x->n_crashes; i-- > 0;)
+		if (x->crashes[i].crashed_ms <= ms)
+			x->crashes[i] = x->crashes[--x->n_crashes];
+	return x->n_crashes < before;
+}
+
+/* Removes the crashes of a poison suspect from the others, except those whose
+ * own trial runs failed: a failed trial run shows which one is poison. */
 static void discount_crashes(struct suspects *s, const struct suspect *poison,
 			     int64_t now)
 {
@@ -252,12 +376,12 @@
 		if (x == poison || x->failed_trials)
 			continue;
 		for (unsigned int i = 0; i < poison->n_crashes; i++)
-			remove_crash(x, poison->crashes[i]);
+			remove_crash(x, poison->crashes[i].incarnation_hash);
 		remove_crash(x, poison->last_crash);
 		/* A quarantine that another process reported stays: it doesn't
 		 * depend on the crashes known here. */
-		if (x->quarantined && before == SUSPECT_CRASH_THRESHOLD &&
-		    x->n_crashes < before)
+		if (x->quarantined && before >= SUSPECT_CRASH_THRESHOLD &&
+		    x->n_crashes < SUSPECT_CRASH_THRESHOLD)
 			clear(s, x, now);
 	}
 }
@@ -277,38 +401,82 @@
 	note_change(s, x);
 }
 
+/* Adds a crash, or a later run at one that is known. */
+static void keep_crash(struct suspect *x, const struct suspect_crash *c)
+{
+	for (unsigned int i = 0; i < x->n_crashes; i++) {
+		struct kept_crash *k = &x->crashes[i];
+
+		if (k->incarnation_hash != c->incarnation_hash)
+			continue;
+		k->began_ms = MAX(k->began_ms, c->began_ms);
+		return;
+	}
+	if (x->n_crashes < CRASHES_KEPT)
+		x->crashes[x->n_crashes++] =
+			(struct kept_crash){ c->incarnation_hash, c->crashed_ms,
+					     c->began_ms };
+}
+
 unsigned int suspects_add_crash(struct suspects *s,
 				const struct fingerprint *fp,
-				uint64_t incarnation_hash, int64_t now)
+				const struct suspect_crash *crash, int64_t now)
 {
 	struct suspect *x = find_or_add(s, fp);
+	bool known = has_crash(x, crash->incarnation_hash);
 
-	if (x->cleared) {
-		x->cleared = false;
-		x->n_crashes = 0;
-	}
-	if (has_crash(x, incarnation_hash))
+	if (crash->answered_ms != SS_NEVER)
+		x->answered_ms = MAX(x->answered_ms, crash->answered_ms);
+	/* The answer may have come before the report of this crash. */
+	if (x->answered_ms >= crash->crashed_ms)
 		return x->n_crashes;
-	x->last_crash = incarnation_hash;
-	x->last_ms = now;
-	if (x->n_crashes < SUSPECT_CRASH_THRESHOLD)
-		x->crashes[x->n_crashes++] = incarnation_hash;
-	if (x->quarantined)
+	keep_crash(x, crash);
+	if (!known) {
+		x->last_crash = crash->incarnation_hash;
+		x->last_ms = now;
+	}
+	if (!x->quarantined)
+		judge(s, x, now);
+	else if (!known)
 		extend(s, x, now);
-	else if (x->n_crashes == SUSPECT_CRASH_THRESHOLD)
-		quarantine(s, x, now);
 	return x->n_crashes;
 }
 
 bool suspects_answered(struct suspects *s, const struct fingerprint *fp,
-		       int64_t now)
+		       int64_t began_ms, int64_t now)
 {
 	struct suspect *x = find(s, fp);
+	bool news;
 
-	if (!x || x->cleared)
+	if (!x)
 		return false;
-	if (x->trial_ms)
+	news = x->answered_ms == INT64_MIN || x->quarantined;
+	x->answered_ms = MAX(x->answered_ms, began_ms);
+	if (x->trial_ms && began_ms >= x->trial_ms) {
 		s->window = MIN(s->window * 2, TRIAL_WINDOW_MAX);
+		x->trial_ms = 0;
+	}
+	news |= remove_crashes_before(x, began_ms);
+	if (x->n_crashes == 0 && news &&
+	    (!x->quarantined || began_ms >= x->learned_ms))
+		clear(s, x, now);
+	else if (x->quarantined && !x->failed_trials &&
+		 x->learned_ms == INT64_MIN &&
+		 (x->n_crashes < SUSPECT_CRASH_THRESHOLD ||
+		  is_in_doubt(x, now)))
+		release(s, x, now);
+	judge(s, x, now);
+	return news;
+}
+
+bool suspects_lift(struct suspects *s, const struct fingerprint *fp,
+		   int64_t now)
+{
+	struct suspect *x = find(s, fp);
+
+	if (!x || !x->quarantined)
+		return false;
+	x->answered_ms = INT64_MIN;
 	x->trial_ms = 0;
 	clear(s, x, now);
 	return true;
@@ -325,8 +493,9 @@
 		return;
 	}
 	x = find_or_add(s, &st->fingerprint);
-	set_quarantined(s, x, true);
+	set_quarantined(s, x, true, now);
 	x->cleared = false;
+	x->learned_ms = now;
 	x->until_ms = now + MAX(st->remaining_ms, 0);
 	x->failed_trials = st->failed_trials;
 	x->last_ms = MAX(x->last_ms, now);
@@ -339,13 +508,15 @@
 	int64_t until = now + MAX(st->remaining_ms, 0);
 	struct suspect *x = find(s, &st->fingerprint);
 
-	/* A cleared request stays cleared: processes that still hold its
+	/* A cleared suspect stays cleared: processes that still hold its
 	 * quarantine receive the clearing as a change. */
 	if (st->cleared || (x && x->cleared))
 		return;
 	x = find_or_add(s, &st->fingerprint);
 	if (!x->quarantined || st->failed_trials > x->failed_trials) {
-		set_quarantined(s, x, true);
+		if (!x->quarantined)
+			x->learned_ms = now;
+		set_quarantined(s, x, true, now);
 		x->failed_trials = st->failed_trials;
 		x->until_ms = until;
 		x->last_ms = now;
@@ -367,6 +538,32 @@
 	return MAX(x->until_ms - now, 0);
 }
 
+int64_t suspects_since_ms(const struct suspects *s,
+			  const struct fingerprint *fp, int64_t now)
+{
+	const struct suspect *x = find(s, fp);
+
+	return x && x->quarantined ? x->since_ms : now;
+}
+
+/* Refused requests. */
+
+void suspects_add_refused(struct suspects *s, const struct fingerprint *fp,
+			  uint64_t n)
+{
+	struct suspect *x = find(s, fp);
+
+	if (!x)
+		return;
+	x->refused += n;
+	s->any_refused = true;
+}
+
+void suspects_note_refused(struct suspects *s, const struct fingerprint *fp)
+{
+	suspects_add_refused(s, fp, 1);
+}
+
 bool suspects_any(const struct suspects *s)
 {
 	return g_hash_table_size(s->all) > 0;
@@ -387,6 +584,11 @@
 	return s->quarantined;
 }
 
+size_t suspects_quarantined_parts(const struct suspects *s)
+{
+	return s->quarantined_parts;
+}
+
 /* Trial runs. */
 
 static bool trial_open(const struct suspect *x, int64_t now)
@@ -394,6 +596,14 @@
 	return x->trial_ms && now - x->trial_ms < SUSPECT_TRIAL_TIMEOUT_MS;
 }
 
+uint64_t suspects_trials(const struct suspects *s, const struct fingerprint *fp,
+			 int64_t now)
+{
+	const struct suspect *x = find(s, fp);
+
+	return x ? x->failed_trials + trial_open(x, now) : 0;
+}
+
 static unsigned int open_trials(const struct suspects *s, int64_t now)
 {
 	unsigned int n = 0;
@@ -437,6 +647,15 @@
 
 /* Changes. */
 
+static struct suspect_state state_of(const struct suspect *x, int64_t now)
+{
+	return (struct suspect_state){ .fingerprint = x->fp,
+				       .cleared = !x->quarantined,
+				       .remaining_ms =
+					       MAX(x->until_ms - now, 0),
+				       .failed_trials = x->failed_trials };
+}
+
 static gint by_mark(gconstpointer a, gconstpointer b)
 {
 	const struct suspect *x = *(struct suspect *const *)a;
@@ -462,11 +681,7 @@
 	g_ptr_array_sort(all, by_mark);
 	for (guint i = 0; i < all->len; i++) {
 		const struct suspect *x = all->pdata[i];
-		struct suspect_state st = { .fingerprint = x->fp,
-					    .cleared = x->cleared,
-					    .remaining_ms =
-						    MAX(x->until_ms - now, 0),
-					    .failed_trials = x->failed_trials };
+		struct suspect_state st = state_of(x, now);
 
 		if (x->changed <= mark || !(x->quarantined || x->cleared))
 			continue;
@@ -479,14 +694,60 @@
 	return end;
 }
 
+static struct suspect_info info_of(const struct suspect *x, int64_t now)
+{
+	return (struct suspect_info){ state_of(x, now), x->since_ms,
+				      x->n_crashes, x->refused };
+}
+
+void suspects_list(const struct suspects *s, size_t max, int64_t now,
+		   GArray *out)
+{
+	GPtrArray *all = all_suspects(s);
+
+	g_ptr_array_sort(all, by_mark);
+	for (guint i = 0; i < all->len && out->len < max; i++) {
+		const struct suspect *x = all->pdata[i];
+		struct suspect_info info = info_of(x, now);
+
+		if (x->quarantined)
+			g_array_append_val(out, info);
+	}
+	g_ptr_array_unref(all);
+}
+
+void suspects_take_refused(struct suspects *s, size_t max, GArray *out)
+{
+	GHashTableIter it;
+	void *p;
+
+	if (!s->any_refused)
+		return;
+	s->any_refused = false;
+	g_hash_table_iter_init(&it, s->all);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct suspect *x = p;
+		struct suspect_info info = info_of(x, 0);
+
+		if (!x->refused)
+			continue;
+		if (out->len == max) {
+			s->any_refused = true;
+			return;
+		}
+		g_array_append_val(out, info);
+		x->refused = 0;
+	}
+}
+
 /* Expiry. */
 
 static bool is_old(const struct suspect *x, int64_t now)
 {
-	if (x->cleared)
-		return now - x->last_ms > CLEARED_KEEP_MS;
 	if (x->quarantined)
 		return now - x->until_ms > QUARANTINE_KEEP_MS;
+	if (x->n_crashes == 0)
+		return now - x->last_ms > CLEARED_KEEP_MS;
 	return now - x->last_ms > CRASH_KEEP_MS;
 }
 
@@ -494,6 +755,7 @@
 {
 	GPtrArray *all;
 
+	judge_all(s, now);
 	if (now - s->expired_ms < EXPIRE_INTERVAL_MS)
 		return;
 	s->expired_ms = now;
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -31,10 +31,13 @@
 	event_base_loopbreak(r->base);
 }
 
+/* A fleet's control VM redirects to the leader, any other refuses. */
 static bool not_leader(const struct response *r)
 {
 	json_object *e, *type;
 
+	if (r->status == 307)
+		return true;
 	return r->status == 503 && r->body &&
 	       json_object_object_get_ex(r->body, "error", &e) &&
 	       json_object_object_get_ex(e, "type", &type) &&
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -313,6 +313,21 @@
 	return request_and_print(c, "GET", "/v1/status", NULL, print_customers);
 }
 
+static int cmd_quarantines_list(struct ctl *c)
+{
+	return request_and_print(c, "GET", "/v1/status", NULL,
+				 print_quarantines);
+}
+
+static int cmd_quarantines_lift(struct ctl *c)
+{
+	char *path = api_path("/v1/quarantines/", c->args[0]);
+	int rc = request_and_print(c, "DELETE", path, NULL, print_version);
+
+	g_free(path);
+	return rc;
+}
+
 static int cmd_why(struct ctl *c)
 {
 	char *path = api_path("/v1/why/", c->args[0]);
@@ -507,6 +522,8 @@
 	{ "members", "remove", 1, "ID", cmd_members_remove, false },
 	{ "status", NULL, 0, "", cmd_status, false },
 	{ "customers", NULL, 0, "", cmd_customers, false },
+	{ "quarantines", "list", 0, "", cmd_quarantines_list, false },
+	{ "quarantines", "lift", 1, "PRINT", cmd_quarantines_lift, false },
 	{ "why", NULL, 1, "MODEL", cmd_why, false },
 	{ "explain", NULL, 2, "REQUEST LOG...", cmd_explain, true },
 	{ "losses", NULL, 1, "LOG...", cmd_losses, true },
--- a/src/ctl/print.c
+++ b/src/ctl/print.c
@@ -187,6 +187,31 @@
 	for_each(o, "customers", print_customer);
 }
 
+static void print_quarantine(json_object *q)
+{
+	char since[32], left[32];
+	time_t t = (time_t)(get_number(q, "since_ms") / 1000);
+	int64_t left_ms = get_number(q, "left_ms");
+	struct tm tm;
+
+	strftime(since, sizeof(since), "%Y-%m-%d %H:%M:%S",
+		 localtime_r(&t, &tm));
+	if (left_ms < 0)
+		g_snprintf(left, sizeof(left), "until lifted");
+	else
+		g_snprintf(left, sizeof(left), "%" PRId64 " s", left_ms / 1000);
+	printf("%-34s %s %14s %7" PRId64 " %7" PRId64 " %10" PRId64 "\n",
+	       get_text(q, "print"), since, left, get_number(q, "crashes"),
+	       get_number(q, "trials"), get_number(q, "refused"));
+}
+
+void print_quarantines(json_object *o)
+{
+	printf("%-34s %-19s %14s %7s %7s %10s\n", "print", "since",
+	       "next trial in", "crashes", "trials", "refused");
+	for_each(o, "quarantined", print_quarantine);
+}
+
 void print_why(json_object *o)
 {
 	printf("%s: %" PRId64 " waiting; %s\n", get_text(o, "model"),
--- a/src/ctl/print.h
+++ b/src/ctl/print.h
@@ -12,6 +12,7 @@
 void print_members(struct json_object *o);
 void print_status(struct json_object *o);
 void print_customers(struct json_object *o);
+void print_quarantines(struct json_object *o);
 void print_why(struct json_object *o);
 
 /*
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -458,6 +458,7 @@
 	.change = op_change,
 	.confirm = op_confirm,
 	.state = op_state,
+	.status = op_status,
 	.serve_public = op_public,
 };
 
--- a/src/daemon/fleet_leader.c
+++ b/src/daemon/fleet_leader.c
@@ -118,6 +118,7 @@
 
 	update_preset(l);
 	fleet_send_routing(l);
+	fleet_quarantine_log_applied(l);
 	l->dirty = true;
 }
 
@@ -228,7 +229,7 @@
 	g_hash_table_unref(l->peers);
 	g_hash_table_unref(l->eps);
 	g_hash_table_unref(l->demands);
-	suspects_free(l->suspects);
+	fleet_suspects_end(l);
 	fleet_quota_end(l);
 	fleet_streams_end(l);
 	routing_unref(l->routing);
--- a/src/daemon/fleet_leader_int.h
+++ b/src/daemon/fleet_leader_int.h
@@ -181,7 +181,12 @@
 				 * agents they run */
 	int64_t remote_assigned_ms; /* when engines were last assigned */
 	struct suspects *suspects;
-	uint64_t *n_suspects, *n_quarantined; /* gauges */
+	/* Quarantines in the replicated log: struct quarantine_log_item, by
+	 * their fingerprints. */
+	GHashTable *quarantine_log;
+	uint64_t suspects_logged;     /* mark up to which they were proposed */
+	uint64_t quarantines_version; /* of the state, when last compared */
+	uint64_t *n_suspects, *n_quarantined, *n_quarantined_parts; /* gauges */
 	uint64_t *n_steps, *n_store, *n_disk, *n_memory, *n_failed;
 	struct hist *load_hist;
 	struct stream_log *streams; /* not owned; outlives the leadership */
@@ -318,13 +323,27 @@
 /* fleet_remote.c */
 void fleet_remote_tick(struct fleet_leader *l, int64_t now);
 
-/* fleet_suspects.c: requests under which endpoints crash */
+/* fleet_quarantine_log.c: quarantines in the replicated log */
+void fleet_quarantine_log_begin(struct fleet_leader *l);
+void fleet_quarantine_log_end(struct fleet_leader *l);
+/* Proposes the quarantines that have changed. */
+void fleet_quarantine_log_tick(struct fleet_leader *l, int64_t now);
+/* Proposes one quarantine as it is, with the trial run that may be open; then
+ * calls done, unless the leadership was lost. ok: it is in the log. */
+void fleet_quarantine_log_put(
+	struct fleet_leader *l, const struct fingerprint *fp,
+	void (*done)(struct fleet_leader *l, void *arg, bool ok), void *arg);
+/* Lifts the quarantines that operators have deleted. */
+void fleet_quarantine_log_applied(struct fleet_leader *l);
+
+/* fleet_suspects.c: what endpoints crash under */
 void fleet_suspects_begin(struct fleet_leader *l);
 /* Handle an entry's outcomes of runs, and its request for a trial run. */
 void fleet_suspects_apply(struct fleet_leader *l,
 			  const struct msg_run_outcomes *m);
 void fleet_suspects_request(struct fleet_leader *l, struct conn *c,
 			    const struct msg_trial *m);
+void fleet_suspects_end(struct fleet_leader *l);
 /* Sends entries the suspects that they don't have yet. */
 void fleet_suspects_tick(struct fleet_leader *l, int64_t now);
 void fleet_suspects_status(const struct fleet_leader *l, json_object *o);
--- a/src/daemon/fleet_suspects.c
+++ b/src/daemon/fleet_suspects.c
@@ -1,6 +1,6 @@
-/* The leader's part in stopping requests that crash endpoints: it collects the
- * entries' observations, sends the quarantined requests to all entries, and
- * admits trial runs. */
+/* The leader's part in stopping what crashes endpoints: it collects the
+ * entries' observations, sends the quarantines to all entries, and admits trial
+ * runs. */
 #include "fleet_leader_int.h"
 
 #include <json-c/json.h>
@@ -11,6 +11,9 @@
 /* Suspects in one message, about 2 KB. More of them take several ticks, which
  * bounds what is sent to hundreds of entries at a time. */
 #define SUSPECTS_PER_MESSAGE 64
+/* Wait before the next request for a trial run that couldn't be recorded, in
+ * ms: another leader is elected by then. */
+#define TRIAL_NOT_LOGGED_WAIT_MS 2000
 /* Suspects listed in the status; the metrics have the total. */
 #define MAX_STATUS_SUSPECTS 64
 
@@ -25,6 +28,15 @@
 	l->suspects = suspects_new(&o, l->since_ms);
 	l->n_suspects = metrics_value(m, "ss_fleet_suspects", "");
 	l->n_quarantined = metrics_value(m, "ss_fleet_quarantined", "");
+	l->n_quarantined_parts =
+		metrics_value(m, "ss_fleet_quarantined_parts", "");
+	fleet_quarantine_log_begin(l);
+}
+
+void fleet_suspects_end(struct fleet_leader *l)
+{
+	fleet_quarantine_log_end(l);
+	suspects_free(l->suspects);
 }
 
 static bool is_quarantined(const struct fleet_leader *l,
@@ -51,10 +63,16 @@
 {
 	struct fingerprint fp = { x->fingerprint_hi, x->fingerprint_lo };
 	bool was_quarantined = is_quarantined(l, &fp, now);
+	struct suspect_crash c = { .incarnation_hash = x->incarnation_hash,
+				   .crashed_ms = now - x->age_ms,
+				   .began_ms = now - x->began_age_ms,
+				   .answered_ms = SS_NEVER };
 	char text[FINGERPRINT_TEXT_SIZE];
 	unsigned int n;
 
-	n = suspects_add_crash(l->suspects, &fp, x->incarnation_hash, now);
+	if (x->answered_age_ms)
+		c.answered_ms = now - x->answered_age_ms + 1;
+	n = suspects_add_crash(l->suspects, &fp, &c, now);
 	/* A single crash isn't logged: every request that ran on the endpoint
 	 * is reported for it. */
 	if (n > 1)
@@ -84,11 +102,20 @@
 	bool was_quarantined = is_quarantined(l, &fp, now);
 	char text[FINGERPRINT_TEXT_SIZE];
 
-	if (suspects_answered(l->suspects, &fp, now))
+	if (suspects_answered(l->suspects, &fp, now - x->began_age_ms, now) &&
+	    !is_quarantined(l, &fp, now))
 		log_info("suspect_cleared", "print=%s quarantined=%d",
 			 fingerprint_text(&fp, text), was_quarantined);
 }
 
+static void cancel_trial(struct fleet_leader *l, const struct fingerprint *fp,
+			 int64_t now)
+{
+	suspects_cancel_trial(l->suspects, fp);
+	if (is_quarantined(l, fp, now))
+		fleet_quarantine_log_put(l, fp, NULL, NULL);
+}
+
 void fleet_suspects_apply(struct fleet_leader *l,
 			  const struct msg_run_outcomes *m)
 {
@@ -106,27 +133,60 @@
 			record_crash(l, &x[i], now);
 		else if (x[i].kind == OUTCOME_ANSWERED)
 			clear_suspect(l, &x[i], now);
+		else if (x[i].kind == OUTCOME_REFUSED)
+			suspects_add_refused(l->suspects, &fp, x[i].count);
 		else
-			suspects_cancel_trial(l->suspects, &fp);
+			cancel_trial(l, &fp, now);
+	}
+}
+
+static void reply_trial(struct fleet_leader *l, struct conn *c,
+			const struct msg_trial *m)
+{
+	struct fingerprint fp = { m->fingerprint_hi, m->fingerprint_lo };
+	bool sent = g_hash_table_contains(l->peers, c) &&
+		    conn_send(c, MSG_TRIAL, m);
+
+	if (!sent && m->admission == SUSPECT_TRIAL)
+		cancel_trial(l, &fp, fleet_leader_now(l));
+}
+
+/* A trial run that waits to be in the log. */
+struct admitted_trial {
+	struct conn *conn;
+	struct msg_trial reply;
+};
+
+static void on_trial_logged(struct fleet_leader *l, void *arg, bool ok)
+{
+	struct admitted_trial *t = arg;
+
+	if (!ok) {
+		t->reply.admission = SUSPECT_WAIT;
+		t->reply.wait_ms = TRIAL_NOT_LOGGED_WAIT_MS;
 	}
+	reply_trial(l, t->conn, &t->reply);
+	g_free(t);
 }
 
 void fleet_suspects_request(struct fleet_leader *l, struct conn *c,
 			    const struct msg_trial *m)
 {
 	struct fingerprint fp = { m->fingerprint_hi, m->fingerprint_lo };
-	struct msg_trial reply = *m;
+	struct admitted_trial t = { c, *m };
 	char text[FINGERPRINT_TEXT_SIZE];
 
-	reply.admission = suspects_admit(l->suspects, &fp, fleet_leader_now(l),
-					 &reply.wait_ms);
+	t.reply.admission = suspects_admit(
+		l->suspects, &fp, fleet_leader_now(l), &t.reply.wait_ms);
 	log_info("trial_asked",
 		 "print=%s entry=%.*s leave=%" PRId64 " wait_ms=%" PRId64,
 		 fingerprint_text(&fp, text), SS_FMT(conn_peer(c)->name),
-		 reply.admission, reply.wait_ms);
-	if (!conn_send(c, MSG_TRIAL, &reply) &&
-	    reply.admission == SUSPECT_TRIAL)
-		suspects_cancel_trial(l->suspects, &fp);
+		 t.reply.admission, t.reply.wait_ms);
+	if (t.reply.admission == SUSPECT_TRIAL)
+		fleet_quarantine_log_put(l, &fp, on_trial_logged,
+					 g_memdup2(&t, sizeof(t)));
+	else
+		reply_trial(l, c, &t.reply);
 }
 
 /* Returns the frame with the changes since *mark, and advances *mark past them.
@@ -193,37 +253,48 @@
 	suspects_tick(l->suspects, now);
 	*l->n_suspects = suspects_count(l->suspects);
 	*l->n_quarantined = suspects_quarantined(l->suspects);
+	*l->n_quarantined_parts = suspects_quarantined_parts(l->suspects);
+	fleet_quarantine_log_tick(l, now);
 	send_changes(l, now);
 }
 
-void fleet_suspects_status(const struct fleet_leader *l, json_object *o)
+static json_object *quarantine_json(const struct suspect_info *x, int64_t now)
 {
-	GArray *states =
-		g_array_new(FALSE, FALSE, sizeof(struct suspect_state));
-	json_object *list = json_object_new_array();
+	const struct suspect_state *st = &x->state;
+	bool for_good = st->remaining_ms > SUSPECT_FOREVER_MS / 2;
+	json_object *o = json_object_new_object();
 	char text[FINGERPRINT_TEXT_SIZE];
 
-	suspects_changes(l->suspects, 0, MAX_STATUS_SUSPECTS,
-			 fleet_leader_now(l), states);
-	for (guint i = 0; i < states->len; i++) {
-		const struct suspect_state *w =
-			&g_array_index(states, struct suspect_state, i);
-		json_object *x = json_object_new_object();
+	json_object_object_add(o, "print",
+			       json_object_new_string(fingerprint_text(
+				       &st->fingerprint, text)));
+	json_object_object_add(
+		o, "since_ms",
+		json_object_new_int64(ss_wall_ms() - (now - x->since_ms)));
+	json_object_object_add(
+		o, "left_ms",
+		json_object_new_int64(for_good ? -1 : st->remaining_ms));
+	json_object_object_add(
+		o, "trials", json_object_new_int64((int64_t)st->failed_trials));
+	json_object_object_add(o, "crashes", json_object_new_int64(x->crashes));
+	json_object_object_add(o, "refused",
+			       json_object_new_int64((int64_t)x->refused));
+	return o;
+}
 
-		if (w->cleared) {
-			json_object_put(x);
-			continue;
-		}
-		json_object_object_add(x, "print",
-				       json_object_new_string(fingerprint_text(
-					       &w->fingerprint, text)));
-		json_object_object_add(x, "left_ms",
-				       json_object_new_int64(w->remaining_ms));
-		json_object_object_add(
-			x, "trials",
-			json_object_new_int64((int64_t)w->failed_trials));
-		json_object_array_add(list, x);
-	}
+void fleet_suspects_status(const struct fleet_leader *l, json_object *o)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct suspect_info));
+	json_object *list = json_object_new_array();
+	int64_t now = fleet_leader_now(l);
+
+	suspects_list(l->suspects, MAX_STATUS_SUSPECTS, now, all);
+	for (guint i = 0; i < all->len; i++)
+		json_object_array_add(
+			list,
+			quarantine_json(&g_array_index(all, struct suspect_info,
+						       i),
+					now));
 	json_object_object_add(o, "quarantined", list);
-	g_array_unref(states);
+	g_array_unref(all);
 }
--- a/src/operator/routing_http.c
+++ b/src/operator/routing_http.c
@@ -1,6 +1,8 @@
 /* HTTP API of the platform's operators for the routing. */
 #include "routing_http.h"
 
+#include "fleet_http.h"
+
 #include "../base/log.h"
 #include "../core/routing_update.h"
 
@@ -290,10 +292,12 @@
 
 	if (h->o.ops->serve_public(h->o.arg, req))
 		return;
-	if (!is_put && !is_get)
+	if (!is_put && !is_get && !fleet_http_knows(req))
 		refuse(req, SS_ERROR_NOT_FOUND, "no such call");
 	else if (!h->o.ops->leads(h->o.arg))
 		redirect_or_hold(h, req);
+	else if (fleet_http_knows(req))
+		fleet_http_answer(h->o.ops, h->o.arg, req);
 	else if (is_put)
 		enqueue_put(h, req);
 	else
--- a/src/operator/routing_http.h
+++ b/src/operator/routing_http.h
@@ -24,6 +24,8 @@
 	void (*confirm)(void *arg, void (*fn)(void *fn_arg, bool ok),
 			void *fn_arg);
 	const struct ss_state *(*state)(void *arg);
+	/* Adds the state of the group and of the fleet. */
+	void (*status)(void *arg, struct json_object *o);
 	/* Replies to /healthz, /readyz and /metrics. False for other paths. */
 	bool (*serve_public)(void *arg, struct evhttp_request *req);
 };
--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -196,6 +196,7 @@
 	if (!f->started)
 		start_answer(f, -1);
 	times_note_events(f);
+	quarantine_note_events(f);
 	caller_call_write(f->caller, ss_str_gs(complete));
 }
 
--- a/src/proxy/begin.c
+++ b/src/proxy/begin.c
@@ -265,6 +265,8 @@
 		forward_refuse_draining(f);
 		return;
 	}
+	if (quarantine_refuses(f))
+		return;
 	if (quota_applies(f))
 		quota_begin(f);
 	else
--- a/src/proxy/crash_checks.c
+++ b/src/proxy/crash_checks.c
@@ -21,8 +21,9 @@
  * short of CPU has by then handled those that a crash closed, while calls that
  * continue without a listener run for longer. */
 #define CLOSED_WAIT_MS 200
-/* Fingerprints kept for one crash: more than any endpoint runs at a time. */
-#define FINGERPRINTS_MAX 512
+/* Suspects kept for one crash: more than the requests that an endpoint runs at
+ * a time, and the parts of their prompts. */
+#define SUSPECTS_PER_CRASH_MAX 4096
 /* Maximum length of the list of a prompt's parts in a log line, in bytes. */
 #define PARTS_LOG_MAX 256
 
@@ -36,7 +37,14 @@
 	/* End of the wait for other connections to close; set once the probe
 	 * is done. */
 	int64_t wait_until_ms;
-	GArray *fingerprints; /* struct fingerprint, each once */
+	GHashTable *runs; /* struct crashed_run, by its fingerprint */
+	unsigned int requests;
+};
+
+/* The newest run of a suspect on the endpoint. */
+struct crashed_run {
+	struct fingerprint fp;
+	int64_t began_ms;
 };
 
 void crash_check_free(void *p)
@@ -45,7 +53,7 @@
 
 	if (c->probe)
 		probe_cancel(c->probe);
-	g_array_unref(c->fingerprints);
+	g_hash_table_unref(c->runs);
 	g_free(c->addr);
 	g_free(c->id);
 	g_free(c);
@@ -54,14 +62,20 @@
 /* Reports the crash with the requests that were running. */
 static void report_crash(const struct crash_check *c)
 {
+	GHashTableIter it;
+	void *p;
+
 	log_warn("endpoint_ended", "addr=%s id=%s requests=%u", c->addr, c->id,
-		 c->fingerprints->len);
+		 c->requests);
 	(*c->g->n_crashes)++;
-	for (guint i = 0; i < c->fingerprints->len; i++)
-		quarantine_note_crash(c->g,
-				      &g_array_index(c->fingerprints,
-						     struct fingerprint, i),
-				      c->incarnation_hash);
+	g_hash_table_iter_init(&it, c->runs);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct crashed_run *r = p;
+
+		quarantine_note_crash(c->g, &r->fp, c->incarnation_hash,
+				      r->began_ms);
+	}
+	quarantine_end_crash(c->g);
 }
 
 static void on_probe(void *arg, enum probe_result r)
@@ -124,22 +138,40 @@
 	c->id = g_strdup(ep->self.id);
 	c->incarnation_no = ep->incarnation_no;
 	c->incarnation_hash = hash_incarnation(ep);
-	c->fingerprints = g_array_new(FALSE, FALSE, sizeof(struct fingerprint));
+	c->runs = g_hash_table_new_full(fingerprint_hash, fingerprint_equal,
+					NULL, g_free);
 	c->probe =
 		probe_start(g->o.base, c->addr, PROBE_TIMEOUT_MS, on_probe, c);
 	g_ptr_array_add(g->crash_checks, c);
 	return c;
 }
 
-static void add_fingerprint(struct crash_check *c, const struct fingerprint *fp)
+static void add_run(struct crash_check *c, const struct fingerprint *fp,
+		    int64_t began_ms)
+{
+	struct crashed_run *r = g_hash_table_lookup(c->runs, fp);
+
+	if (!r && g_hash_table_size(c->runs) == SUSPECTS_PER_CRASH_MAX)
+		return;
+	if (!r) {
+		r = g_new0(struct crashed_run, 1);
+		r->fp = *fp;
+		r->began_ms = began_ms;
+		g_hash_table_insert(c->runs, &r->fp, r);
+	}
+	r->began_ms = MAX(r->began_ms, began_ms);
+}
+
+/* Adds a request and the shared parts of its prompt. */
+static void add_request(struct crash_check *c, struct forward *f)
 {
-	for (guint i = 0; i < c->fingerprints->len; i++)
-		if (fingerprint_equal(&g_array_index(c->fingerprints,
-						     struct fingerprint, i),
-				      fp))
-			return;
-	if (c->fingerprints->len < FINGERPRINTS_MAX)
-		g_array_append_val(c->fingerprints, *fp);
+	struct ss_str parts = prompt_shared(f->call.prompt);
+	struct fingerprint fp;
+
+	c->requests++;
+	add_run(c, forward_fingerprint(f), f->sent_ms);
+	while (prompt_next_fingerprint(&parts, &fp))
+		add_run(c, &fp, f->sent_ms);
 }
 
 /* Returns the ids of a prompt's shared parts for a log line, "-" if it has
@@ -168,7 +200,7 @@
 	if (!ep || ep->draining)
 		return;
 	c = crash_check_of(g, ep);
-	add_fingerprint(c, forward_fingerprint(f));
+	add_request(c, f);
 	f->trial_reported = true;
 	parts = parts_text(f->call.prompt);
 	log_info("closed_by_endpoint",
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -357,6 +357,8 @@
 	gate_signals_on_send(g, ep, now);
 	f->grants = 0;
 	f->event_mark = (struct timing_mark){ 0 };
+	f->first_event_ms = 0;
+	f->answer_proved = false;
 	if (g->stop_end_ms)
 		f->stop_left_ms = g->stop_end_ms - now;
 	if (f->waited_ms < 0) {
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -19,7 +19,10 @@
 #define SUSPECTS_MAX 4096
 /* Crash reports kept for a new leader: those of several endpoints with the
  * calls of this entry. Hundreds of entries send some MB in all, in pieces. */
-#define CRASH_REPORTS_MAX 256
+#define CRASH_REPORTS_MAX 2048
+/* Parts of prompts whose last answer is remembered: the ones in use, at some
+ * 100 bytes each. */
+#define ANSWERED_PARTS_MAX 8192
 
 /* Streams kept in the log: one minute at hundreds a second, in 1.5 MB. */
 #define STREAMS_MAX 16384
@@ -446,6 +449,7 @@
 	g->crash_checks = g_ptr_array_new_with_free_func(crash_check_free);
 	g->suspects = suspects_new(&so, g->since_ms);
 	crash_log_init(&g->crash_log, CRASH_REPORTS_MAX);
+	g->answered_parts = answer_history_new(ANSWERED_PARTS_MAX);
 	g->eps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				       gate_ep_free);
 	model_queues_init(g);
@@ -486,6 +490,7 @@
 	g_array_unref(g->unversioned);
 	suspects_free(g->suspects);
 	crash_log_clear(&g->crash_log);
+	answer_history_free(g->answered_parts);
 	g_hash_table_unref(g->forwards);
 	g_hash_table_unref(g->tickets);
 	model_queues_clear(g);
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -114,7 +114,8 @@
 struct gate_crash_report {
 	struct msg_run_outcomes m;
 	GArray *crashes, *recalled;
-	uint64_t recall; /* mark up to which suspects are reported again */
+	size_t n_refused; /* items in crashes that aren't in the crash log */
+	uint64_t recall;  /* mark up to which suspects are reported again */
 };
 bool gate_crash_report(struct gate *g, struct gate_crash_report *r);
 void gate_crash_report_done(struct gate *g, struct gate_crash_report *r,
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -9,6 +9,7 @@
 #include <sapphireshift/queue.h>
 
 #include "../core/admission.h"
+#include "../core/answer_history.h"
 #include "../core/balance.h"
 #include "../core/crash_log.h"
 #include "../core/endpoint_limit.h"
@@ -121,7 +122,8 @@
 	char *id, *model, *adapter;
 	uint64_t affinity;
 	bool has_fingerprint;
-	struct fingerprint fingerprint; /* computed on first use */
+	struct fingerprint fingerprint;	      /* computed on first use */
+	struct fingerprint trial_fingerprint; /* of the suspect on trial */
 	bool trial_run;	     /* quarantined, and allowed one trial run */
 	bool trial_reported; /* its result is reported or will be */
 	int64_t start_ms, deadline_ms, objective_ms; /* on the clock */
@@ -188,6 +190,8 @@
 	int64_t length;	     /* of the body, as the answer's head states it */
 	struct events events;
 	struct timing_mark event_mark; /* of this send; zeroed: no event yet */
+	int64_t first_event_ms;	       /* of this send; 0: no event yet */
+	bool answer_proved; /* of this send: its endpoint withstands it */
 	/* The newest event, and the longest time between two events. */
 	uint64_t last_event;
 	int64_t last_event_ms, longest_pause_ms;
@@ -258,6 +262,8 @@
 	GPtrArray *crash_checks; /* struct crash_check: suspected crashes */
 	struct suspects *suspects;
 	struct crash_log crash_log;
+	struct answer_history *answered_parts; /* of prompts */
+	int64_t refused_reported_ms;
 	uint64_t suspects_mark;	    /* up to which the leader knows them */
 	struct stream_log *streams; /* begun here, and versions seen here */
 	GArray *unversioned;	    /* struct unversioned_stream */
@@ -423,19 +429,33 @@
 void crash_checks_tick(struct gate *g, int64_t now);
 void crash_check_free(void *p);
 
-/* quarantine.c: requests that endpoints crashed under too often */
+/* quarantine.c: requests, and parts of prompts, that endpoints crashed under
+ * too often */
 const struct fingerprint *forward_fingerprint(struct forward *f);
-/* Records that an endpoint crashed while running the request. incarnation_hash:
- * the same for that incarnation in all processes. */
+/* Records that an endpoint crashed while running a suspect, and the end of the
+ * suspects of one crash. incarnation_hash: the same for that incarnation in all
+ * processes; began_ms: start of the suspect's newest run there. */
 void quarantine_note_crash(struct gate *g, const struct fingerprint *fp,
-			   uint64_t incarnation_hash);
+			   uint64_t incarnation_hash, int64_t began_ms);
+void quarantine_end_crash(struct gate *g);
 /* Records that the request's answer is complete. */
 void quarantine_note_answer(struct forward *f);
+/* Called for the events of a stream: one that goes on proves its prompt. */
+void quarantine_note_events(struct forward *f);
+/* Returns the start of a part's newest run that is known to be answered, in ms;
+ * SS_NEVER: none, and this entry would know. */
+int64_t quarantine_answered_ms(const struct gate *g,
+			       const struct fingerprint *fp);
+/* True: the request was refused and freed, as it can't even be tried yet. */
+bool quarantine_refuses(struct forward *f);
 /*
  * True: the request isn't to be sent now, as it was refused or the leader is
  * asked for a trial run. May free f.
  */
 bool quarantine_blocks(struct forward *f);
+/* Refuses the requests that a change of the suspects has quarantined, or asks
+ * the leader for their trial runs. */
+void quarantine_stop_requests(struct gate *g);
 /* Reports the result of a trial run, before f is freed. */
 void quarantine_end_trial(struct forward *f);
 void quarantine_trial_tick(struct forward *f, int64_t now);
--- a/src/proxy/quarantine.c
+++ b/src/proxy/quarantine.c
@@ -1,6 +1,7 @@
 /*
- * Quarantine: a request that too many endpoints crashed on is refused at once,
- * or run as a trial where the leader allows it.
+ * Quarantine: a request is refused at once, or run as a trial where the leader
+ * allows it, if too many endpoints crashed while they ran it or a part of its
+ * prompt.
  */
 #include "gate_int.h"
 
@@ -9,12 +10,23 @@
 /* Retry-After where it isn't known when a trial run will be allowed: by then a
  * leader is usually found, or the trial run in progress has ended. */
 #define TRIAL_RETRY_AFTER_MS 2000
+/* Retry-After of a request that only an operator can allow: sooner it is
+ * refused again. */
+#define LIFT_RETRY_AFTER_MS (24 * 3600 * 1000LL)
 /* Timeout of the leader's reply to a request for a trial run. */
 #define TRIAL_REPLY_TIMEOUT_MS 500
-/* Maximum number of outcomes, and of suspects, in one message: some 3 KB. */
-#define ITEMS_PER_MESSAGE 64
+/* A request that carries several quarantined suspects asks for a trial run this
+ * much later than one with a single suspect, whose trial tells more, in ms. */
+#define MIXED_TRIAL_DELAY_MS 5000
+/* A stream that goes on this long after its first event, in ms, shows that the
+ * endpoint withstands its prompt: a poison part crashes it as the answer
+ * begins. */
+#define ANSWER_PROOF_MS 500
 /* Older outcomes are no longer reported to a leader. */
 #define OUTCOME_MAX_AGE_MS (60 * 60 * 1000LL)
+/* An entry that hasn't run for this long, in ms, can't tell what is answered
+ * elsewhere. */
+#define HISTORY_WARMUP_MS 10000
 
 const struct fingerprint *forward_fingerprint(struct forward *f)
 {
@@ -27,87 +39,177 @@
 	return &f->fingerprint;
 }
 
-/* Outcomes of requests that this entry observes. */
+/* Outcomes of runs that this entry observes. */
 
 static void record(struct gate *g, const struct fingerprint *fp,
-		   enum run_outcome_kind kind, uint64_t incarnation_hash)
+		   enum run_outcome_kind kind, uint64_t incarnation_hash,
+		   int64_t began_ms)
 {
-	struct run_outcome e = { *fp, kind, incarnation_hash, gate_now(g) };
+	struct run_outcome e = { *fp, kind, incarnation_hash, gate_now(g),
+				 began_ms };
 
 	crash_log_add(&g->crash_log, &e);
 }
 
-/* Refuses waiting requests that a change of the suspects has quarantined, or
- * asks the leader for their trial runs. */
-static void block_quarantined(struct gate *g)
+int64_t quarantine_answered_ms(const struct gate *g,
+			       const struct fingerprint *fp)
 {
-	GList *all = g_hash_table_get_keys(g->forwards);
-
-	for (GList *p = all; p; p = p->next) {
-		struct forward *f = p->data;
+	int64_t ms = answer_history_find(g->answered_parts, fp);
 
-		if (g_hash_table_contains(g->forwards, f) &&
-		    f->state == FORWARD_WAIT_ENDPOINT)
-			quarantine_blocks(f);
-	}
-	g_list_free(all);
+	if (ms != SS_NEVER || !fingerprint_is_part(fp) ||
+	    gate_now(g) - g->since_ms >= HISTORY_WARMUP_MS)
+		return ms;
+	return g->since_ms;
 }
 
 void quarantine_note_crash(struct gate *g, const struct fingerprint *fp,
-			   uint64_t incarnation_hash)
+			   uint64_t incarnation_hash, int64_t began_ms)
 {
 	int64_t now = gate_now(g);
-	bool quarantined = suspects_remaining_ms(g->suspects, fp, now) >= 0;
+	struct suspect_crash c = { .incarnation_hash = incarnation_hash,
+				   .crashed_ms = now,
+				   .began_ms = began_ms,
+				   .answered_ms =
+					   quarantine_answered_ms(g, fp) };
+
+	record(g, fp, OUTCOME_CRASHED, incarnation_hash, began_ms);
+	suspects_add_crash(g->suspects, fp, &c, now);
+}
 
-	record(g, fp, OUTCOME_CRASHED, incarnation_hash);
-	suspects_add_crash(g->suspects, fp, incarnation_hash, now);
-	if (!quarantined && suspects_remaining_ms(g->suspects, fp, now) >= 0)
-		block_quarantined(g);
+void quarantine_end_crash(struct gate *g)
+{
+	if (suspects_any_quarantined(g->suspects))
+		quarantine_stop_requests(g);
 }
 
-void quarantine_note_answer(struct forward *f)
+static void note_answered(struct forward *f, const struct fingerprint *fp)
 {
 	struct gate *g = f->g;
 
-	if (!suspects_any(g->suspects) ||
-	    !suspects_answered(g->suspects, forward_fingerprint(f),
-			       gate_now(g)))
+	if (!suspects_answered(g->suspects, fp, f->sent_ms, gate_now(g)))
 		return;
-	record(g, &f->fingerprint, OUTCOME_ANSWERED, 0);
+	record(g, fp, OUTCOME_ANSWERED, 0, f->sent_ms);
 	f->trial_reported = true;
 }
 
+static void note_parts_answered(struct forward *f)
+{
+	struct ss_str parts = prompt_shared(f->call.prompt);
+	struct gate *g = f->g;
+	struct fingerprint fp;
+
+	while (prompt_next_fingerprint(&parts, &fp)) {
+		answer_history_add(g->answered_parts, &fp, f->sent_ms);
+		if (suspects_any(g->suspects))
+			note_answered(f, &fp);
+	}
+}
+
+void quarantine_note_answer(struct forward *f)
+{
+	if (f->status / 100 == 2)
+		note_parts_answered(f);
+	if (suspects_any(f->g->suspects))
+		note_answered(f, forward_fingerprint(f));
+}
+
+void quarantine_note_events(struct forward *f)
+{
+	int64_t now = gate_now(f->g);
+
+	if (!f->first_event_ms)
+		f->first_event_ms = now;
+	if (f->answer_proved || now - f->first_event_ms < ANSWER_PROOF_MS)
+		return;
+	f->answer_proved = true;
+	note_parts_answered(f);
+}
+
 void quarantine_end_trial(struct forward *f)
 {
 	if (f->trial_run && !f->trial_reported)
-		record(f->g, &f->fingerprint, OUTCOME_INCONCLUSIVE, 0);
+		record(f->g, &f->trial_fingerprint, OUTCOME_INCONCLUSIVE, 0, 0);
+}
+
+/* What blocks a request. */
+
+struct quarantine_hit {
+	struct fingerprint fp; /* the suspect that blocks for longest */
+	int64_t left_ms;       /* until it may ask for a trial run; -1: nothing
+				* blocks */
+	unsigned int suspects;
+};
+
+static void check_suspect(const struct gate *g, const struct fingerprint *fp,
+			  struct quarantine_hit *hit)
+{
+	int64_t left = suspects_remaining_ms(g->suspects, fp, gate_now(g));
+
+	if (left < 0)
+		return;
+	hit->suspects++;
+	if (left <= hit->left_ms)
+		return;
+	hit->left_ms = left;
+	hit->fp = *fp;
+}
+
+static struct quarantine_hit check_quarantine(struct forward *f)
+{
+	struct quarantine_hit hit = { .left_ms = -1 };
+	struct ss_str parts = prompt_shared(f->call.prompt);
+	struct gate *g = f->g;
+	struct fingerprint fp;
+
+	if (!suspects_any_quarantined(g->suspects))
+		return hit;
+	check_suspect(g, forward_fingerprint(f), &hit);
+	while (prompt_next_fingerprint(&parts, &fp))
+		check_suspect(g, &fp, &hit);
+	if (hit.suspects > 1)
+		hit.left_ms = suspects_remaining_ms(
+			g->suspects, &hit.fp,
+			gate_now(g) - MIXED_TRIAL_DELAY_MS);
+	return hit;
 }
 
 /* Refusals and trial runs. */
 
-static void refuse(struct forward *f, int64_t retry_after_ms)
+static void refuse(struct forward *f, const struct fingerprint *fp,
+		   int64_t left_ms)
 {
 	static const char why[] =
 		"endpoints have ended while they ran this request";
+	static const char lasting[] =
+		"endpoints have ended while they ran this request; "
+		"an operator has to allow it";
+	bool for_good = left_ms > SUSPECT_FOREVER_MS / 2;
+	char text[FINGERPRINT_TEXT_SIZE];
 
 	(*f->g->n_quarantined)++;
+	suspects_note_refused(f->g->suspects, fp);
+	log_info("refused_quarantined",
+		 "request=%s print=%s left_ms=%" PRId64 " for_good=%d", f->id,
+		 fingerprint_text(fp, text), left_ms, for_good);
 	if (f->started)
 		forward_end(f, false, why);
 	else if (f->may_have_run)
 		forward_refuse(f, 502, "lost", why, 0);
 	else
-		forward_refuse(f, 503, "quarantined", why, retry_after_ms);
+		forward_refuse(f, 503, "quarantined", for_good ? lasting : why,
+			       for_good ? LIFT_RETRY_AFTER_MS : left_ms);
 }
 
-static void request_trial(struct forward *f)
+static void request_trial(struct forward *f, const struct fingerprint *fp)
 {
 	struct gate *g = f->g;
 	struct msg_trial m = { .sub = ++g->ticket,
-			       .fingerprint_hi = f->fingerprint.hi,
-			       .fingerprint_lo = f->fingerprint.lo };
+			       .fingerprint_hi = fp->hi,
+			       .fingerprint_lo = fp->lo };
 
+	f->trial_fingerprint = *fp;
 	if (!g->o.ops->request_trial(g->o.arg, &m)) {
-		refuse(f, TRIAL_RETRY_AFTER_MS);
+		refuse(f, fp, TRIAL_RETRY_AFTER_MS);
 		return;
 	}
 	if (f->queue)
@@ -119,31 +221,69 @@
 	g_hash_table_insert(g->tickets, &f->ticket, f);
 }
 
-bool quarantine_blocks(struct forward *f)
+bool quarantine_refuses(struct forward *f)
 {
-	struct gate *g = f->g;
-	int64_t left;
+	struct quarantine_hit hit = check_quarantine(f);
 
-	if (!suspects_any_quarantined(g->suspects))
+	if (hit.left_ms <= 0)
 		return false;
-	left = suspects_remaining_ms(g->suspects, forward_fingerprint(f),
-				     gate_now(g));
+	refuse(f, &hit.fp, hit.left_ms);
+	return true;
+}
+
+bool quarantine_blocks(struct forward *f)
+{
+	struct quarantine_hit hit = check_quarantine(f);
+
 	/* A trial run is sent to one endpoint only, and never again. */
-	if (left < 0 || (f->trial_run && f->sends == 0))
+	if (hit.left_ms < 0 || (f->trial_run && f->sends == 0))
 		return false;
-	if (left > 0)
-		refuse(f, left);
+	if (hit.left_ms > 0)
+		refuse(f, &hit.fp, hit.left_ms);
 	else if (f->trial_run)
-		refuse(f, TRIAL_RETRY_AFTER_MS);
+		refuse(f, &hit.fp, TRIAL_RETRY_AFTER_MS);
 	else
-		request_trial(f);
+		request_trial(f, &hit.fp);
 	return true;
 }
 
+/* Takes a request back from an endpoint that may not have begun to run it yet:
+ * each that it doesn't begin saves the endpoint and all that runs there. */
+static void stop_sent(struct forward *f)
+{
+	struct quarantine_hit hit = check_quarantine(f);
+
+	if (f->trial_run || hit.left_ms < 0)
+		return;
+	f->may_have_run = true;
+	refuse(f, &hit.fp, MAX(hit.left_ms, 1));
+}
+
+static void stop_request(struct forward *f)
+{
+	if (f->state == FORWARD_WAIT_ENDPOINT)
+		quarantine_blocks(f);
+	else if (f->state == FORWARD_SENT)
+		stop_sent(f);
+	else if (f->state < FORWARD_SENT && f->state != FORWARD_WAIT_TRIAL &&
+		 !f->trial_run)
+		quarantine_refuses(f);
+}
+
+void quarantine_stop_requests(struct gate *g)
+{
+	GList *all = g_hash_table_get_keys(g->forwards);
+
+	for (GList *p = all; p; p = p->next)
+		if (g_hash_table_contains(g->forwards, p->data))
+			stop_request(p->data);
+	g_list_free(all);
+}
+
 void quarantine_trial_tick(struct forward *f, int64_t now)
 {
 	if (now - f->sent_ms >= TRIAL_REPLY_TIMEOUT_MS)
-		refuse(f, TRIAL_RETRY_AFTER_MS);
+		refuse(f, &f->trial_fingerprint, TRIAL_RETRY_AFTER_MS);
 }
 
 void gate_trial_received(struct gate *g, const struct msg_trial *m)
@@ -158,11 +298,11 @@
 	if (!f || f->state != FORWARD_WAIT_TRIAL) {
 		/* The caller has left meanwhile. */
 		if (m->admission == SUSPECT_TRIAL)
-			record(g, &fp, OUTCOME_INCONCLUSIVE, 0);
+			record(g, &fp, OUTCOME_INCONCLUSIVE, 0, 0);
 		return;
 	}
 	if (m->admission == SUSPECT_WAIT) {
-		refuse(f, MAX(m->wait_ms, 1));
+		refuse(f, &fp, MAX(m->wait_ms, 1));
 		return;
 	}
 	g_hash_table_remove(g->tickets, &f->ticket);
@@ -174,99 +314,6 @@
 	g_free(service);
 }
 
-/* Reports to the leader and its decisions. */
-
-void gate_leader_found(struct gate *g)
-{
-	crash_log_rewind(&g->crash_log);
-	g->suspects_mark = 0;
-	g->streams_reported = 0;
-	quota_lease.clients_link(g->quota_client, NULL, true, gate_now(g));
-	quota_lease.clients_link(g->limit_client, NULL, true, gate_now(g));
-}
-
-void gate_quarantine_received(struct gate *g, const struct msg_quarantine *m)
-{
-	const struct suspect_item *x = m->suspects.items;
-	bool leader_knows = g->suspects_mark == suspects_mark(g->suspects);
-	int64_t now = gate_now(g);
-
-	/* Messages of a leader that was replaced may still arrive. */
-	if (m->fence < g->fence)
-		return;
-	for (size_t i = 0; i < m->suspects.n; i++) {
-		struct suspect_state w = { { x[i].fingerprint_hi,
-					     x[i].fingerprint_lo },
-					   x[i].cleared,
-					   x[i].remaining_ms,
-					   x[i].failed_trials };
-
-		suspects_apply(g->suspects, &w, now);
-		if (w.cleared)
-			crash_log_remove_crashes(&g->crash_log, &w.fingerprint);
-	}
-	/* What the leader has sent isn't reported back to it. */
-	if (leader_knows)
-		g->suspects_mark = suspects_mark(g->suspects);
-	block_quarantined(g);
-}
-
-static void add_suspects(struct gate *g, struct gate_crash_report *r)
-{
-	GArray *changes =
-		g_array_new(FALSE, FALSE, sizeof(struct suspect_state));
-
-	r->recall = suspects_changes(g->suspects, g->suspects_mark,
-				     ITEMS_PER_MESSAGE, gate_now(g), changes);
-	for (guint i = 0; i < changes->len; i++) {
-		const struct suspect_state *w =
-			&g_array_index(changes, struct suspect_state, i);
-		struct suspect_item x = { w->fingerprint.hi, w->fingerprint.lo,
-					  w->cleared, w->remaining_ms,
-					  w->failed_trials };
-
-		if (!w->cleared)
-			g_array_append_val(r->recalled, x);
-	}
-	g_array_unref(changes);
-}
-
-bool gate_crash_report(struct gate *g, struct gate_crash_report *r)
-{
-	size_t n;
-	const struct run_outcome *e =
-		crash_log_next(&g->crash_log, ITEMS_PER_MESSAGE, &n);
-
-	if (!n && g->suspects_mark == suspects_mark(g->suspects))
-		return false;
-	r->crashes = g_array_new(FALSE, FALSE, sizeof(struct run_outcome_item));
-	r->recalled = g_array_new(FALSE, FALSE, sizeof(struct suspect_item));
-	for (size_t i = 0; i < n; i++) {
-		struct run_outcome_item x = { e[i].fingerprint.hi,
-					      e[i].fingerprint.lo, e[i].kind,
-					      e[i].incarnation_hash,
-					      gate_now(g) - e[i].at_ms };
-
-		g_array_append_val(r->crashes, x);
-	}
-	add_suspects(g, r);
-	r->m.outcomes = (struct wire_list){ r->crashes->data, r->crashes->len };
-	r->m.suspects =
-		(struct wire_list){ r->recalled->data, r->recalled->len };
-	return true;
-}
-
-void gate_crash_report_done(struct gate *g, struct gate_crash_report *r,
-			    bool sent)
-{
-	if (sent) {
-		crash_log_reported(&g->crash_log, r->crashes->len);
-		g->suspects_mark = r->recall;
-	}
-	g_array_unref(r->crashes);
-	g_array_unref(r->recalled);
-}
-
 void quarantine_tick(struct gate *g, int64_t now)
 {
 	suspects_tick(g->suspects, now);
--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -89,6 +89,7 @@
 	struct fleet_world_options o;
 	struct daemon d;
 	struct ss_state *state;
+	uint64_t log_index;
 	struct routing *routing;
 	struct instances list;
 	int64_t list_ms, tick_ms;
@@ -310,6 +311,18 @@
 	done.fn(done.arg, true);
 }
 
+void group_change(struct group *g, struct command *c, struct change_done done)
+{
+	GString *bytes = ss_command_encode(c);
+	struct command_result r;
+
+	(void)g;
+	ss_state_apply(current_world->state, ++current_world->log_index,
+		       ss_str_gs(bytes), &r);
+	g_string_free(bytes, TRUE);
+	done.fn(done.arg, &r, NULL);
+}
+
 static size_t frame_bytes(enum msg_kind kind, const void *msg)
 {
 	GString *bytes = g_string_new(NULL);
