Model of a poison part in a fleet; an entry leaves parts to its leader

Cause: an entry with few calls saw three crashes and no answer in 2.5 s, quarantined the part that all prompts share, and the leader took that over with a term of ten minutes. Three more from the model's properties, in fleets of four to six endpoints: a run of the poison part that was under way made the early trial of what ran beside it ten minutes; a trial run that entry and leader both saw fail counted twice; two trial runs on one endpoint blamed the wrong one, and cleared the poison one.

Change: while an entry has a leader it leaves parts to it, and the count of failed trials, too. Tied suspects keep their 3 s after a crash under way. Of two trial runs on one endpoint the second reported is repeated alone, and a definite failure clears the other.

--- a/Makefile
+++ b/Makefile
@@ -84,6 +84,7 @@
 		-lcmocka
 
 $(BUILD)/bench-quota $(BUILD)/test_quota: $(BUILD)/test/quota_world.o
+$(BUILD)/bench-parts: $(BUILD)/test/parts_world.o
 $(BUILD)/bench-%: $(BUILD)/bench/%.o $(call obj,$(NET_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) $(filter %.o,$^) $(LIB) -o $@ $(LDLIBS)
 
@@ -99,6 +100,7 @@
 $(BUILD)/test_summary: $(BUILD)/src/ctl/summary.o $(BUILD)/src/ctl/logline.o
 
 $(BUILD)/prop_quota: $(BUILD)/test/quota_world.o $(BUILD)/src/node/frame.o
+$(BUILD)/prop_parts: $(BUILD)/test/parts_world.o
 $(BUILD)/prop_%: test/prop_%.cc $(LIB)
 	@mkdir -p $(@D)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP $< $(filter %.o,$^) $(LIB) \
--- a/src/core/suspects.c
+++ b/src/core/suspects.c
@@ -67,8 +67,12 @@
 	 * run says nothing about crashes that aren't known here. INT64_MIN:
 	 * quarantined here. */
 	int64_t learned_ms;
+	bool tied; /* others shared its crashes, and it may be harmless */
 	int64_t until_ms; /* end of the quarantine period */
 	uint64_t failed_trials;
+	/* Incarnation that the last trial run crashed, if it was this suspect's
+	 * own and not one that it took part in; 0: none. */
+	uint64_t failed_incarnation;
 	int64_t trial_ms; /* start of the open trial run; 0: none */
 	uint64_t changed; /* mark of the last change */
 	int64_t since_ms; /* start of the quarantine */
@@ -81,9 +85,11 @@
 	size_t quarantined, quarantined_parts;
 	uint64_t mark;
 	unsigned int window; /* trial runs allowed at a time */
+	bool one_at_a_time;  /* the window stays at one */
 	int64_t no_trial_until_ms;
 	int64_t expired_ms; /* when old suspects were last dropped */
-	bool any_refused;   /* since suspects_take_refused() */
+	bool deferring;
+	bool any_refused; /* since suspects_take_refused() */
 	bool any_in_doubt;
 	int64_t judged_ms; /* when those in doubt were last judged */
 };
@@ -109,6 +115,11 @@
 	g_free(s);
 }
 
+void suspects_set_deferring(struct suspects *s, bool on)
+{
+	s->deferring = on;
+}
+
 static struct suspect *find(const struct suspects *s,
 			    const struct fingerprint *fp)
 {
@@ -200,6 +211,8 @@
 
 static int64_t period_ms(const struct suspect *x)
 {
+	if (x->tied)
+		return TIED_PERIOD_MS;
 	return periods[MIN(x->failed_trials, G_N_ELEMENTS(periods) - 1)];
 }
 
@@ -222,6 +235,7 @@
 
 static void advance_trial(struct suspects *s, struct suspect *x, int64_t now)
 {
+	x->tied = true;
 	x->until_ms = MIN(x->until_ms, now + TIED_PERIOD_MS);
 	note_change(s, x);
 }
@@ -254,6 +268,7 @@
 	set_quarantined(s, x, true, now);
 	x->cleared = false;
 	x->learned_ms = INT64_MIN;
+	x->tied = false;
 	x->until_ms = now + period_ms(x);
 	note_change(s, x);
 	advance_tied_trials(s, x, now);
@@ -298,7 +313,8 @@
 {
 	if (x->quarantined || x->n_crashes < SUSPECT_CRASH_THRESHOLD)
 		return;
-	if (is_in_doubt(x, now))
+	if ((s->deferring && fingerprint_is_part(&x->fp)) ||
+	    is_in_doubt(x, now))
 		s->any_in_doubt = true;
 	else
 		quarantine(s, x, now);
@@ -330,14 +346,17 @@
 	note_change(s, x);
 }
 
-static void clear(struct suspects *s, struct suspect *x, int64_t now)
+/* Ends the suspicion of one that had a number of crashes. */
+static void clear(struct suspects *s, struct suspect *x, unsigned int crashes,
+		  int64_t now)
 {
-	/* A suspect that only this process counted crashes of isn't told to
-	 * others. */
-	bool known = x->quarantined || x->n_crashes >= TIED_CRASHES;
+	/* Others have no part in a suspect that was never close to a
+	 * quarantine. */
+	bool known = x->quarantined || crashes >= TIED_CRASHES;
 
 	x->n_crashes = 0;
 	x->failed_trials = 0;
+	x->failed_incarnation = 0;
 	if (known)
 		release(s, x, now);
 }
@@ -360,6 +379,16 @@
 	return x->n_crashes < before;
 }
 
+/* True if the suspect's only failed trial run crashed an endpoint on which the
+ * poison suspect was running, too; that one's own trial run has now failed
+ * elsewhere. */
+static bool failed_beside(const struct suspect *x, const struct suspect *poison)
+{
+	return x->failed_trials == 1 && x->failed_incarnation &&
+	       x->failed_incarnation != poison->failed_incarnation &&
+	       has_crash(poison, x->failed_incarnation);
+}
+
 /* Removes the crashes of a poison suspect from the others, except those whose
  * own trial runs failed: a failed trial run shows which one is poison. */
 static void discount_crashes(struct suspects *s, const struct suspect *poison,
@@ -373,7 +402,10 @@
 		struct suspect *x = p;
 		unsigned int before = x->n_crashes;
 
-		if (x == poison || x->failed_trials)
+		/* Its own trial run may be the one that crashed the
+		 * endpoint. */
+		if (x == poison || x->trial_ms ||
+		    (x->failed_trials && !failed_beside(x, poison)))
 			continue;
 		for (unsigned int i = 0; i < poison->n_crashes; i++)
 			remove_crash(x, poison->crashes[i].incarnation_hash);
@@ -381,21 +413,65 @@
 		/* A quarantine that another process reported stays: it doesn't
 		 * depend on the crashes known here. */
 		if (x->quarantined && before >= SUSPECT_CRASH_THRESHOLD &&
-		    x->n_crashes < SUSPECT_CRASH_THRESHOLD)
-			clear(s, x, now);
+		    (x->failed_trials ||
+		     x->n_crashes < SUSPECT_CRASH_THRESHOLD))
+			clear(s, x, before, now);
 	}
 }
 
+/* True if a trial run of another suspect crashed the same incarnation, and may
+ * have been the cause. */
+static bool other_trial_failed_there(const struct suspects *s,
+				     const struct suspect *x,
+				     uint64_t incarnation_hash)
+{
+	GHashTableIter it;
+	void *p;
+
+	g_hash_table_iter_init(&it, s->all);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct suspect *y = p;
+
+		if (y != x && y->failed_incarnation == incarnation_hash)
+			return true;
+	}
+	return false;
+}
+
+/* Two trial runs were on one endpoint, and the other one already counts as
+ * failed: this one is repeated, and none runs beside another from then on. */
+static void repeat_trial(struct suspects *s, struct suspect *x, int64_t now)
+{
+	s->one_at_a_time = true;
+	s->window = 1;
+	x->trial_ms = 0;
+	x->tied = true;
+	x->until_ms = now + TIED_PERIOD_MS;
+	note_change(s, x);
+}
+
 /* Extends a quarantine after another crash. The crash is a failed trial run if
  * one is open or the period is over; otherwise the request was already running
- * when it was quarantined. */
-static void extend(struct suspects *s, struct suspect *x, int64_t now)
+ * when it was quarantined, which is for the process that counted to judge. */
+static void extend(struct suspects *s, struct suspect *x,
+		   uint64_t incarnation_hash, int64_t now)
 {
+	/* The leader counts; it would count a trial run twice. */
+	if (s->deferring && x->learned_ms != INT64_MIN)
+		return;
+	if (x->trial_ms && other_trial_failed_there(s, x, incarnation_hash)) {
+		repeat_trial(s, x, now);
+		return;
+	}
 	if (x->trial_ms || now >= x->until_ms) {
 		x->failed_trials++;
+		x->failed_incarnation = x->trial_ms ? incarnation_hash : 0;
+		x->tied = false;
 		x->trial_ms = 0;
 		s->window = 1;
 		discount_crashes(s, x, now);
+	} else if (x->learned_ms != INT64_MIN) {
+		return;
 	}
 	x->until_ms = MAX(x->until_ms, now + period_ms(x));
 	note_change(s, x);
@@ -438,7 +514,7 @@
 	if (!x->quarantined)
 		judge(s, x, now);
 	else if (!known)
-		extend(s, x, now);
+		extend(s, x, crash->incarnation_hash, now);
 	return x->n_crashes;
 }
 
@@ -446,20 +522,23 @@
 		       int64_t began_ms, int64_t now)
 {
 	struct suspect *x = find(s, fp);
+	unsigned int before;
 	bool news;
 
 	if (!x)
 		return false;
+	before = x->n_crashes;
 	news = x->answered_ms == INT64_MIN || x->quarantined;
 	x->answered_ms = MAX(x->answered_ms, began_ms);
 	if (x->trial_ms && began_ms >= x->trial_ms) {
-		s->window = MIN(s->window * 2, TRIAL_WINDOW_MAX);
+		if (!s->one_at_a_time)
+			s->window = MIN(s->window * 2, TRIAL_WINDOW_MAX);
 		x->trial_ms = 0;
 	}
 	news |= remove_crashes_before(x, began_ms);
 	if (x->n_crashes == 0 && news &&
 	    (!x->quarantined || began_ms >= x->learned_ms))
-		clear(s, x, now);
+		clear(s, x, before, now);
 	else if (x->quarantined && !x->failed_trials &&
 		 x->learned_ms == INT64_MIN &&
 		 (x->n_crashes < SUSPECT_CRASH_THRESHOLD ||
@@ -478,7 +557,7 @@
 		return false;
 	x->answered_ms = INT64_MIN;
 	x->trial_ms = 0;
-	clear(s, x, now);
+	clear(s, x, x->n_crashes, now);
 	return true;
 }
 
--- a/src/core/suspects.h
+++ b/src/core/suspects.h
@@ -53,6 +53,10 @@
 struct suspects *suspects_new(const struct suspects_options *o, int64_t now);
 void suspects_free(struct suspects *s);
 
+/* While set, parts aren't quarantined here, but only as the leader reports: a
+ * single entry sees too few answers to judge what the whole fleet uses. */
+void suspects_set_deferring(struct suspects *s, bool on);
+
 /* State of a suspect, as processes exchange it. */
 struct suspect_state {
 	struct fingerprint fingerprint;
--- a/src/proxy/gate.c
+++ b/src/proxy/gate.c
@@ -135,6 +135,7 @@
 	freshness_leader_lost(&g->freshness, gate_now(g));
 	quota_lease.clients_link(g->quota_client, NULL, false, gate_now(g));
 	quota_lease.clients_link(g->limit_client, NULL, false, gate_now(g));
+	suspects_set_deferring(g->suspects, false);
 }
 
 bool gate_is_stale(const struct gate *g)
--- a/src/proxy/quarantine_report.c
+++ b/src/proxy/quarantine_report.c
@@ -13,6 +13,7 @@
 {
 	crash_log_rewind(&g->crash_log);
 	g->suspects_mark = 0;
+	suspects_set_deferring(g->suspects, true);
 	g->streams_reported = 0;
 	quota_lease.clients_link(g->quota_client, NULL, true, gate_now(g));
 	quota_lease.clients_link(g->limit_client, NULL, true, gate_now(g));
--- a/test/test_gate_quarantine.c
+++ b/test/test_gate_quarantine.c
@@ -460,9 +460,222 @@
 	fix_close(&f);
 }
 
+/* Requests with other bodies and paths whose prompts share parts. */
+#define PROMPT(path, parts)                                                    \
+	REQ("POST", path)                                                      \
+	"X-Model: m\r\nX-Prefix-Hash: " parts "\r\nContent-Length: "           \
+					      "2\r\n\r\nhi"
+
+static void send_part(struct fix *f, const char *id, int64_t left_ms)
+{
+	struct fingerprint p = fingerprint_of_part(ss_str(id));
+	struct suspect_item x = { p.hi, p.lo, false, left_ms, 0 };
+	struct msg_quarantine m = { .fence = 1, .suspects = { &x, 1 } };
+
+	gate_quarantine_received(f->gate, &m);
+}
+
+/*
+ * Guards against a poison part that is taken for another request each time: a
+ * quarantined part stops any request that has it at any place but the last.
+ */
+static void quarantined_part_stops_any_request(void **state)
+{
+	static const struct {
+		const char *text;
+		bool refused;
+	} cases[] = {
+		{ PROMPT("/chat/1", "bad:10,a:20,x1:5"), true },
+		{ PROMPT("/chat/2", "a:20,bad:10,x2:5"), true },
+		{ PROMPT("/chat/3", "a:20,b:3,bad:10,x3:5"), true },
+		{ PROMPT("/chat/4", "a:20, BAD :10,x4:5"), true },
+		{ PROMPT("/chat/5", "a:20,b:3,x5:5"), false },
+		{ PROMPT("/chat/6", "a:20,bad:10"), false },
+		{ PROMPT("/chat/7", "bad"), false },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct caller *c;
+		struct fix f;
+
+		fix_open(&f, "lm", "m");
+		send_part(&f, "bad", 7000);
+		script_answer(&f, 0, COMPLETE_STREAM, false, false);
+		c = call_endpoint(&f, "m", cases[i].text);
+		if (cases[i].refused) {
+			UNTIL(&f, has_received(c, "HTTP/1.1 503 "));
+			assert_true(has_received(c, "Retry-After: 7.000"));
+			assert_true(has_received(c, "\"not_run\""));
+		} else {
+			UNTIL(&f, received_ends_with(c, "0\r\n\r\n"));
+		}
+		assert_int_equal(requests(&f), !cases[i].refused);
+		fix_close(&f);
+	}
+}
+
+/* A part that only an operator can allow again is refused with a time at which
+ * that may have been done, and says so. */
+static void part_quarantined_for_good_says_so(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	send_part(&f, "bad", SUSPECT_FOREVER_MS);
+	c = call_endpoint(&f, "m", PROMPT("/chat/1", "bad:10,x:5"));
+	UNTIL(&f, has_received(c, "HTTP/1.1 503 "));
+	assert_true(has_received(c, "Retry-After: 86400.000"));
+	assert_true(has_received(c, "an operator has to allow it"));
+	fix_close(&f);
+}
+
+/*
+ * Guards against an endpoint that crashes under a request which was sent before
+ * its part was quarantined, and waits there: it is taken back, a stream that
+ * has begun isn't.
+ */
+static void sent_request_is_taken_back(void **state)
+{
+	struct caller *sent, *begun, *sound;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script_answer(&f, 0, FIRST_EVENT, false, false);
+	begun = call_endpoint(&f, "m", PROMPT("/chat/1", "bad:10,x1:5"));
+	UNTIL(&f, has_received(begun, "id: 1"));
+	f.at = 1;
+	sent = call_endpoint(&f, "m", PROMPT("/chat/2", "bad:10,x2:5"));
+	UNTIL(&f, f.eps[1].requests == 1);
+	sound = call_endpoint(&f, "m", PROMPT("/chat/3", "a:10,x3:5"));
+	UNTIL(&f, f.eps[1].requests == 2);
+	send_part(&f, "bad", 7000);
+	UNTIL(&f, has_received(sent, "HTTP/1.1 502 "));
+	UNTIL(&f, f.eps[1].reset == 1);
+	run_loop(&f, 5);
+	assert_false(begun->ended);
+	assert_false(sound->ended);
+	assert_int_equal(f.eps[0].reset, 0);
+	fix_close(&f);
+}
+
+/* Numbers of reported crashes and answers of a part. */
+static void take_part_reports(struct fix *f, const char *id, int *crashes,
+			      int *answers, int64_t *answered_age_ms)
+{
+	struct fingerprint p = fingerprint_of_part(ss_str(id));
+	struct gate_crash_report r;
+
+	*crashes = *answers = 0;
+	*answered_age_ms = -1;
+	while (gate_crash_report(f->gate, &r)) {
+		const struct run_outcome_item *x = r.m.outcomes.items;
+
+		for (size_t i = 0; i < r.m.outcomes.n; i++) {
+			if (x[i].fingerprint_hi != p.hi ||
+			    x[i].fingerprint_lo != p.lo)
+				continue;
+			*crashes += x[i].kind == OUTCOME_CRASHED;
+			*answers += x[i].kind == OUTCOME_ANSWERED;
+			if (x[i].kind == OUTCOME_CRASHED)
+				*answered_age_ms = x[i].answered_age_ms;
+		}
+		gate_crash_report_done(f->gate, &r, true);
+	}
+}
+
+/*
+ * A crash is reported for each shared part once, with the age of the part's
+ * last answer: that is how the leader tells a part in use from a poison one.
+ */
+static void crash_report_tells_of_earlier_answers(void **state)
+{
+	int crashes, answers;
+	struct caller *c;
+	int64_t age_ms;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	f.clock.fake_ms += 20000;
+	script_answer(&f, 0, COMPLETE_STREAM, false, false);
+	c = call_endpoint(&f, "m", PROMPT("/chat/1", "a:10,x1:5"));
+	UNTIL(&f, received_ends_with(c, "0\r\n\r\n"));
+	f.clock.fake_ms += 400;
+	f.at = 1;
+	call_endpoint(&f, "m", PROMPT("/chat/2", "a:10,bad:3,x2:5"));
+	UNTIL(&f, f.eps[1].requests == 1);
+	call_endpoint(&f, "m", PROMPT("/chat/3", "a:10,bad:3,x3:5"));
+	UNTIL(&f, f.eps[1].requests == 2);
+	crash_endpoint(&f, 1);
+	UNTIL(&f, metric(&f, "ss_gate_endpoints_ended_total") == 1);
+	take_part_reports(&f, "bad", &crashes, &answers, &age_ms);
+	assert_int_equal(crashes, 1);
+	assert_int_equal(age_ms, 0);
+	fix_close(&f);
+
+	fix_open(&f, "lm", "m");
+	f.clock.fake_ms += 20000;
+	script_answer(&f, 0, COMPLETE_STREAM, false, false);
+	c = call_endpoint(&f, "m", PROMPT("/chat/1", "a:10,x1:5"));
+	UNTIL(&f, received_ends_with(c, "0\r\n\r\n"));
+	f.clock.fake_ms += 400;
+	f.at = 1;
+	call_endpoint(&f, "m", PROMPT("/chat/2", "a:10,bad:3,x2:5"));
+	UNTIL(&f, f.eps[1].requests == 1);
+	crash_endpoint(&f, 1);
+	UNTIL(&f, metric(&f, "ss_gate_endpoints_ended_total") == 1);
+	take_part_reports(&f, "a", &crashes, &answers, &age_ms);
+	assert_int_equal(crashes, 1);
+	assert_true(age_ms >= 400);
+	/* An entry that didn't see the crashes tells of its answers when the
+	 * part is quarantined. */
+	send_part(&f, "a", 7000);
+	take_part_reports(&f, "a", &crashes, &answers, &age_ms);
+	assert_int_equal(answers, 1);
+	fix_close(&f);
+}
+
+/*
+ * Guards against a poison part that is cleared by the first events of an
+ * answer, which may come just before the crash; a stream that goes on for half
+ * a second proves its prompt.
+ */
+static void events_prove_a_prompt_after_a_while(void **state)
+{
+	int crashes, answers;
+	int64_t age_ms;
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	f.clock.fake_ms += 20000;
+	script_answer(&f, 0, FIRST_EVENT, false, false);
+	c = call_endpoint(&f, "m", PROMPT("/chat/1", "a:10,x1:5"));
+	UNTIL(&f, has_received(c, "id: 1"));
+	send_part(&f, "a", 7000);
+	take_part_reports(&f, "a", &crashes, &answers, &age_ms);
+	assert_int_equal(answers, 0);
+	f.clock.fake_ms += 500;
+	endpoint_send(&f, 0, "f\r\nid: 2\ndata: b\n\n\r\n");
+	UNTIL(&f, has_received(c, "id: 2"));
+	take_part_reports(&f, "a", &crashes, &answers, &age_ms);
+	assert_int_equal(answers, 1);
+	fix_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(quarantined_part_stops_any_request),
+		cmocka_unit_test(part_quarantined_for_good_says_so),
+		cmocka_unit_test(sent_request_is_taken_back),
+		cmocka_unit_test(crash_report_tells_of_earlier_answers),
+		cmocka_unit_test(events_prove_a_prompt_after_a_while),
 		cmocka_unit_test(third_crash_quarantines_a_request),
 		cmocka_unit_test(other_ends_arent_crashes),
 		cmocka_unit_test(crash_is_reported_for_each_request),
