Bound what is read from an endpoint that sends bytes without end

What would be seen: a control VM, an agent or an entry grows until its memory is gone, or an entry reads garbage until its caller's deadline.

Held already: status line, field names and values, many fields.

Change: HTTP clients bound head, body and all that they read for one answer (8 MB); an entry's reader bounds interim answers (16) and what comes between two bytes of a body; a plain answer over 64 MB is cut and counts as the endpoint's failure. In each case the connection is closed and the caller answered at once.

--- a/Makefile
+++ b/Makefile
@@ -94,7 +94,8 @@
 $(BUILD)/test_%: $(BUILD)/test/test_%.o $(call obj,$(NET_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) $(filter %.o,$^) $(LIB) -o $@ $(LDLIBS) -lcmocka
 
-$(filter $(BUILD)/test_gate%,$(TESTS)): $(BUILD)/test/gate_fix.o
+$(filter $(BUILD)/test_gate%,$(TESTS)) $(BUILD)/test_endless: \
+		$(BUILD)/test/gate_fix.o
 $(BUILD)/test_explain: $(BUILD)/src/ctl/explain.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_spread: $(BUILD)/src/ctl/spread.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_summary: $(BUILD)/src/ctl/summary.o $(BUILD)/src/ctl/logline.o
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -3,6 +3,7 @@
 
 #include "../base/timeval.h"
 
+#include <event2/bufferevent.h>
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/listener.h>
@@ -12,6 +13,9 @@
 
 /* Size limit of request headers, in bytes, as in common servers. */
 #define HEADERS_MAX 16384
+/* Maximum size of an answer's body, in bytes: a page of the list of thousands
+ * of endpoints, or a routing. */
+#define ANSWER_MAX (8 << 20)
 /* An idle client is disconnected after this time; scrapers send a request every
  * 5 to 15 s. */
 #define SERVER_TIMEOUT_S 20
@@ -228,6 +232,7 @@
 struct client_request {
 	struct http_request_options o;
 	struct evhttp_connection *conn;
+	struct http_read_bound bound;
 };
 
 static void on_response(struct evhttp_request *req, void *arg)
@@ -244,6 +249,7 @@
 		c->o.done(c->o.arg, 0, (struct ss_str){ 0 }, e);
 		g_error_free(e);
 	}
+	http_unbound_answers(&c->bound);
 	http_free_later(c->o.base, c->conn);
 	g_free(c);
 }
@@ -275,6 +281,39 @@
 	evhttp_make_request(conn, req, method_of(method), path);
 }
 
+/* Ends a connection whose answer is too large in any part that libevent doesn't
+ * bound itself, such as interim answers. */
+static void on_input(struct evbuffer *in, const struct evbuffer_cb_info *info,
+		     void *arg)
+{
+	struct http_read_bound *b = arg;
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(b->conn);
+
+	(void)in;
+	b->bytes += info->n_added;
+	if (b->bytes > ANSWER_MAX + HEADERS_MAX)
+		shutdown(bufferevent_getfd(bev), SHUT_RDWR);
+}
+
+void http_bound_answers(struct http_read_bound *b,
+			struct evhttp_connection *conn)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+
+	evhttp_connection_set_max_headers_size(conn, HEADERS_MAX);
+	evhttp_connection_set_max_body_size(conn, ANSWER_MAX);
+	b->conn = conn;
+	b->bytes = 0;
+	b->entry = evbuffer_add_cb(bufferevent_get_input(bev), on_input, b);
+}
+
+void http_unbound_answers(struct http_read_bound *b)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(b->conn);
+
+	evbuffer_remove_cb_entry(bufferevent_get_input(bev), b->entry);
+}
+
 void http_request(const struct http_request_options *o)
 {
 	struct client_request *c = g_new0(struct client_request, 1);
@@ -289,6 +328,7 @@
 		ip = g_strdup("");
 	c->conn = evhttp_connection_base_new(o->base, NULL, ip, port);
 	evhttp_connection_set_timeout_tv(c->conn, &tv);
+	http_bound_answers(&c->bound, c->conn);
 	evhttp_add_header(headers, "Connection", "close");
 	if (o->token) {
 		char *bearer = g_strdup_printf("Bearer %s", o->token);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -2,6 +2,7 @@
 #ifndef SS_HTTP_H
 #define SS_HTTP_H
 
+#include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <sapphireshift/base.h>
@@ -73,6 +74,20 @@
  * its callback. */
 void http_free_later(struct event_base *base, struct evhttp_connection *conn);
 
+/*
+ * Bounds what a client connection reads, as its timeout only bounds silence: an
+ * answer beyond that counts as no answer. The bound lives as long as the
+ * connection, or until http_unbound_answers().
+ */
+struct http_read_bound {
+	struct evhttp_connection *conn;
+	struct evbuffer_cb_entry *entry;
+	size_t bytes; /* read since the last request was sent */
+};
+void http_bound_answers(struct http_read_bound *b,
+			struct evhttp_connection *conn);
+void http_unbound_answers(struct http_read_bound *b);
+
 /* Splits "ip:port". ip has no brackets and is freed by the caller. */
 bool http_split_addr(const char *addr, char **ip, uint16_t *port);
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -11,6 +11,7 @@
 	char *addr, *ip;
 	uint16_t port;
 	struct evhttp_connection *conn;
+	struct http_read_bound bound;
 	bool freeing;
 };
 
@@ -35,6 +36,7 @@
 			a.header = evhttp_find_header(a.headers,
 						      c->response_header);
 	}
+	c->client->bound.bytes = 0;
 	if (!c->client->freeing)
 		c->done(c->arg, &a);
 	g_free(c->response_header);
@@ -51,6 +53,7 @@
 		client->ip = g_strdup("");
 	client->conn = evhttp_connection_base_new(base, NULL, client->ip,
 						  client->port);
+	http_bound_answers(&client->bound, client->conn);
 	return client;
 }
 
@@ -59,6 +62,7 @@
 	if (!client)
 		return;
 	client->freeing = true;
+	http_unbound_answers(&client->bound);
 	evhttp_connection_free(client->conn);
 	g_free(client->addr);
 	g_free(client->ip);
--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -7,6 +7,9 @@
  * request can still be retried if the answer breaks off. */
 #define BUFFER_MAX_BYTES (256 << 10)
 
+/* Larger plain answers are cut: more likely the endpoint sends without end. */
+#define ANSWER_MAX_BYTES (64 << 20)
+
 /* Counts the result of a send for its endpoint. */
 static void note_result(const struct forward *f, bool failed)
 {
@@ -112,6 +115,7 @@
 static void accept_answer(struct forward *f, const struct http1_head *h)
 {
 	f->state = FORWARD_ANSWERING;
+	f->answer_bytes = 0;
 	if (f->started)
 		return;
 	f->status = h->status;
@@ -211,6 +215,11 @@
 		relay_events(f, piece);
 		return;
 	}
+	f->answer_bytes += piece.n;
+	if (f->answer_bytes > ANSWER_MAX_BYTES) {
+		fail_send(f, "the answer has no end");
+		return;
+	}
 	if (!f->started && f->withheld->len + piece.n <= BUFFER_MAX_BYTES) {
 		g_string_append_len(f->withheld, piece.p, (gssize)piece.n);
 		return;
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -187,6 +187,7 @@
 	bool reading_paused; /* until the caller has caught up */
 	GString *headers;    /* to be passed on */
 	GString *withheld;   /* body bytes not passed on yet */
+	size_t answer_bytes; /* of a plain answer's body so far */
 	int64_t length;	     /* of the body, as the answer's head states it */
 	struct events events;
 	struct timing_mark event_mark; /* of this send; zeroed: no event yet */
--- a/src/proxy/http1.c
+++ b/src/proxy/http1.c
@@ -22,7 +22,10 @@
 	struct http1_head head;
 	size_t target_n;
 	size_t head_bytes;
+	size_t frame_bytes; /* since the last byte of a body: sizes of chunks,
+			     * their extensions, trailers */
 	bool in_value, headers_done, no_body, started, complete, too_large;
+	bool got_body; /* in the piece that is being read */
 };
 
 bool http1_name_is(struct ss_str name, const char *other)
@@ -165,6 +168,8 @@
 {
 	struct http1_reader *r = p->data;
 
+	r->frame_bytes = 0;
+	r->got_body = true;
 	r->o.ops->body(r->o.arg, (struct ss_str){ at, n });
 	return 0;
 }
@@ -193,7 +198,7 @@
 	r->p.data = r;
 	g_string_truncate(r->text, 0);
 	g_array_set_size(r->spans, 0);
-	r->target_n = r->head_bytes = 0;
+	r->target_n = r->head_bytes = r->frame_bytes = 0;
 	r->in_value = r->headers_done = r->started = r->complete = false;
 	r->too_large = false;
 	r->no_body = no_body;
@@ -252,15 +257,19 @@
 		if (evbuffer_peek(in, -1, NULL, &v, 1) < 1)
 			return true;
 		r->started = true;
+		r->got_body = false;
 		n = http_parser_execute(&r->p, &settings, v.iov_base,
 					v.iov_len);
 		evbuffer_drain(in, n);
 		if (in_head)
 			r->head_bytes += n;
+		else if (!r->got_body)
+			r->frame_bytes += n;
 		if (r->complete)
 			break;
 		if (HTTP_PARSER_ERRNO(&r->p) != HPE_OK ||
-		    (!r->headers_done && r->head_bytes > r->o.head_max))
+		    (!r->headers_done && r->head_bytes > r->o.head_max) ||
+		    r->frame_bytes > r->o.head_max)
 			return fail(r, error);
 	}
 	if (r->complete) {
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -26,6 +26,10 @@
  * timeout, so that no request races with the endpoint's close. */
 #define IDLE_MARGIN_MS 600
 
+/* Maximum number of interim (1xx) responses before the final one; endpoints
+ * send one or two. */
+#define INTERIM_MAX 16
+
 struct upstream_conn {
 	struct upstream *u;
 	char *addr;
@@ -39,6 +43,7 @@
 	int64_t idle_since_ms; /* start of the idle time */
 	int64_t close_at_ms;   /* end of the idle time */
 	int64_t keep_alive_ms; /* timeout of the endpoint; 0: not stated */
+	int interim;	       /* interim responses to this call */
 	int depth;	       /* number of callbacks that still use it */
 	bool closing;	       /* freed when depth is 0 */
 };
@@ -186,6 +191,7 @@
 		return;
 	/* An interim (1xx) response; the final one follows. */
 	if (!l->got_head) {
+		l->interim++;
 		http1_reader_reset(l->reader, l->call->r.no_body);
 		return;
 	}
@@ -212,7 +218,8 @@
 
 	l->depth++;
 	while (ok && l->call && !l->closing && evbuffer_get_length(in))
-		ok = http1_read(l->reader, in, NULL);
+		ok = http1_read(l->reader, in, NULL) &&
+		     l->interim <= INTERIM_MAX;
 	if (ok && l->call && !l->closing)
 		l->call->r.ops->flush(l->call->r.arg);
 	/* Surplus bytes prevent reuse here as in on_done(). */
@@ -385,6 +392,7 @@
 		c->conn = l;
 		l->call = c;
 		l->got_head = l->framed = l->reusable = false;
+		l->interim = 0;
 		http1_reader_reset(l->reader, r->no_body);
 		if (l->connected)
 			send_now(l->bev, ss_str_gs(r->bytes));
