Take a stream that ends inside an event for a possible crash

What callers would see: a poison request or part that isn't stopped, as some of the crashes don't count.

Cause: a stream with neither length nor chunks ends with its connection, so the entry took the close of a crash for the end of an answer, then failed the answer for its incomplete event, and never asked whether the endpoint was gone. test_gate_quarantine, crash_inside_an_event_is_reported, failed first.

Otherwise the new line held: such streams end at the close, are resumed or cut after an incomplete event and after a reset (test_gate, four new cases, all passed on the code as it was); plain ones had cases already.

--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -249,6 +249,8 @@
 
 	f->up = NULL;
 	if (f->is_events && !events_at_end(&f->events)) {
+		if (f->length < 0)
+			crash_check_begin(f);
 		fail_send(f, "the stream ended inside an event");
 		return;
 	}
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -11,6 +11,10 @@
 	int requests[ENDPOINTS];
 };
 
+/* A stream with neither a length nor chunks, which ends with its connection. */
+#define BARE_EVENTS                                                            \
+	"HTTP/1.1 200 OK\r\n" HEAD "Content-Type: text/event-stream\r\n\r\n"
+
 static const struct answer_case answer_cases[] = {
 	{ "a plain answer is passed on unchanged",
 	  POST_ONCE,
@@ -197,6 +201,33 @@
 	  NULL,
 	  NULL,
 	  { 1, 0 } },
+	{ "a stream without a length or chunks ends at the close",
+	  POST_CHAT,
+	  "lm",
+	  "m",
+	  { BARE_EVENTS "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true, false },
+	  { NULL, false, false },
+	  "id: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	  NULL,
+	  { 1, 0 } },
+	{ "one that ends inside an event is resumed elsewhere",
+	  POST_NIGHT,
+	  "lm",
+	  "m",
+	  { BARE_EVENTS "id: 1\ndata: a\n\nid: 2\nd", true, false },
+	  { BARE_EVENTS "id: 2\ndata: b\n\n", true, false },
+	  "id: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	  NULL,
+	  { 1, 1 } },
+	{ "one that is reset after an event is resumed elsewhere",
+	  POST_NIGHT,
+	  "lm",
+	  "m",
+	  { BARE_EVENTS "id: 1\ndata: a\n\n", false, true },
+	  { BARE_EVENTS "id: 2\ndata: b\n\n", true, false },
+	  "id: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+	  NULL,
+	  { 1, 1 } },
 	{ "a resumable stream is resumed elsewhere",
 	  POST_NIGHT,
 	  "lm",
@@ -245,19 +276,27 @@
  */
 static void cut_stream_gets_no_last_chunk(void **state)
 {
-	struct caller *c;
-	struct fix f;
+	static const struct reply cases[] = {
+		{ EVENTS "f\r\nid: 1\ndata: a\n\n\r\n7\r\nid: 2\nd\r\n", true,
+		  false },
+		{ BARE_EVENTS "id: 1\ndata: a\n\nid: 2\nd", true, false },
+		{ BARE_EVENTS "id: 1\ndata: a\n\n", false, true },
+	};
 
 	(void)state;
-	fix_open(&f, "lm", "m");
-	script_answer(&f, 0,
-		      EVENTS "f\r\nid: 1\ndata: a\n\n\r\n7\r\nid: 2\nd\r\n",
-		      true, false);
-	c = call(&f, POST_CHAT);
-	UNTIL(&f, c->ended);
-	assert_true(received_ends_with(c, "id: 1\ndata: a\n\n\r\n"));
-	assert_int_equal(f.eps[1].requests, 0);
-	fix_close(&f);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct caller *c;
+		struct fix f;
+
+		fix_open(&f, "lm", "m");
+		script_answer(&f, 0, cases[i].text, cases[i].close,
+			      cases[i].reset);
+		c = call(&f, POST_CHAT);
+		UNTIL(&f, c->ended);
+		assert_true(received_ends_with(c, "id: 1\ndata: a\n\n\r\n"));
+		assert_int_equal(f.eps[1].requests, 0);
+		fix_close(&f);
+	}
 }
 
 static void resumed_stream_sends_last_event_id(void **state)
--- a/test/test_gate_quarantine.c
+++ b/test/test_gate_quarantine.c
@@ -201,6 +201,37 @@
 	fix_close(&f);
 }
 
+/*
+ * Guards against crashes that aren't counted, as a stream without a length or
+ * chunks ends with its connection: one that ends inside an event was cut.
+ */
+static void crash_inside_an_event_is_reported(void **state)
+{
+	struct reported t = { 0 };
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script_answer(&f, 0, COMPLETE_STREAM, false, false);
+	script_answer(&f, 0,
+		      "HTTP/1.1 200 OK\r\n" HEAD
+		      "Content-Type: text/event-stream\r\n\r\n"
+		      "id: 1\ndata: a\n\nid: 2\nd",
+		      true, false);
+	c = call_endpoint(&f, "m", OTHER_CHAT);
+	UNTIL(&f, received_ends_with(c, "0\r\n\r\n"));
+	/* The kept connection is used, and nothing listens after its close. */
+	stop_listening(&f, 0);
+	c = call_endpoint(&f, "m", POST_CHAT);
+	UNTIL(&f, c->ended);
+	assert_int_equal(f.eps[0].opened, 1);
+	UNTIL(&f, metric(&f, "ss_gate_endpoints_ended_total") == 1);
+	take_reports(&f, &t, true);
+	assert_int_equal(t.crashes, 1);
+	fix_close(&f);
+}
+
 /* A quarantine that the leader reports takes effect at once, also for requests
  * that wait. */
 static void leaders_report_stops_a_request(void **state)
@@ -464,7 +495,7 @@
 #define PROMPT(path, parts)                                                    \
 	REQ("POST", path)                                                      \
 	"X-Model: m\r\nX-Prefix-Hash: " parts "\r\nContent-Length: "           \
-					      "2\r\n\r\nhi"
+	"2\r\n\r\nhi"
 
 static void send_part(struct fix *f, const char *id, int64_t left_ms)
 {
@@ -676,6 +707,7 @@
 		cmocka_unit_test(sent_request_is_taken_back),
 		cmocka_unit_test(crash_report_tells_of_earlier_answers),
 		cmocka_unit_test(events_prove_a_prompt_after_a_while),
+		cmocka_unit_test(crash_inside_an_event_is_reported),
 		cmocka_unit_test(third_crash_quarantines_a_request),
 		cmocka_unit_test(other_ends_arent_crashes),
 		cmocka_unit_test(crash_is_reported_for_each_request),
