Scenarios for new lines of the platform, and poison parts in the soak

The soak sends prompts with a poison part in half of its seeds, at a random place, before, in and after an answer's head; the check allows three requests later than 3 s after the fifth crash.

--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -13,8 +13,10 @@
 import sys
 
 import changes
+import entry_surge
 import poison
 import poison_parts
+import power_loss
 import shared_failures
 import versions
 import signal_scenarios
@@ -745,7 +747,8 @@
              seeds_become_relays_before_all_are_killed,
              *poison.SCENARIOS, *shared_failures.SCENARIOS, *changes.SCENARIOS,
              *signal_scenarios.SCENARIOS, *versions.SCENARIOS,
-             *poison_parts.SCENARIOS]
+             *poison_parts.SCENARIOS, *entry_surge.SCENARIOS,
+             *power_loss.SCENARIOS]
 
 
 async def run_scenario(scenario, seed, daemon):
--- a/test/fleet/soak_checks.py
+++ b/test/fleet/soak_checks.py
@@ -10,6 +10,7 @@
 from soak_faults import DRAIN_BOUND_S
 from soak_fleet import GRACE_MS, RETRY_RATIO, RETRY_SLACK
 from soak_journal import most_in_window
+from soak_parts import PART_CRASH_LIMIT
 from soak_poison import CRASH_LIMIT, MAX_LATER_RUNS, POISON_KNOWN_S
 from soak_slow_engines import slow_preferred
 from soak_versions import mixed_version_streams, too_few_resumed
@@ -214,15 +215,18 @@
                                        self.journal.at(start), allowed))
 
     def poisoned(self):
-        """A request that has crashed CRASH_LIMIT endpoints reaches few more,
-        once entries without a fault have had POISON_KNOWN_S to learn of it.
+        """A request that has crashed CRASH_LIMIT endpoints, or a part of
+        prompts that has crashed PART_CRASH_LIMIT, reaches few more, once
+        entries without a fault have had POISON_KNOWN_S to learn of it.
         """
         controls = [p.name for p in self.f.of_role("control")]
         for body, crash_times in self.world.crashes_by_body.items():
-            if len(crash_times) < CRASH_LIMIT:
+            limit = PART_CRASH_LIMIT if body in self.world.poison_parts \
+                else CRASH_LIMIT
+            if len(crash_times) < limit:
                 continue
             late = [(t, rid) for t, rid in self.world.poison[body]
-                    if t > crash_times[CRASH_LIMIT - 1] + POISON_KNOWN_S]
+                    if t > crash_times[limit - 1] + POISON_KNOWN_S]
             undisturbed = [rid for t, rid in late if not any(
                 self.journal.touched(
                     name, t - POISON_KNOWN_S - FAULT_TAIL_S, t)
--- a/test/fleet/soak_faults.py
+++ b/test/fleet/soak_faults.py
@@ -13,6 +13,7 @@
 
 from soak_fleet import CONTROLS, ZONES
 from soak_outage import outage
+from soak_parts import WRITTEN_BEFORE_CRASH, PromptSender
 from soak_poison import PoisonSender
 from soak_slow_engines import slow_first_events
 from soak_versions import roll_out
@@ -340,9 +341,36 @@
             s.on = False
         await asyncio.gather(*loops)
 
+    async def poison_parts(self, seconds):
+        """Sends prompts that share parts to all entries, some of them with a
+        part that crashes their endpoint, concurrently with all other faults.
+
+        A separate generator keeps the schedules of older seeds unchanged;
+        REGRESSIONS run without poison parts.
+        """
+        rng = random.Random("parts %d" % self.seed)
+        if not self.f.n_relays or rng.random() < 0.5:
+            return
+        shared = ["aa%06x" % i for i in range(rng.randrange(1, 4))]
+        bad = list(shared)
+        bad.insert(rng.randrange(0, len(bad) + 1), "bad%05x" % self.seed)
+        part = next(p for p in bad if p not in shared)
+        self.f.world.poison_parts[part] = rng.choice(WRITTEN_BEFORE_CRASH)
+        senders = [PromptSender(self.f, "sound-part", shared,
+                                interval_s=0.2),
+                   PromptSender(self.f, "bad-part", bad,
+                                interval_s=rng.uniform(0.2, 1.0))]
+        self.log.append("poison part at place %d" % bad.index(part))
+        loops = [asyncio.ensure_future(s.loop()) for s in senders]
+        await asyncio.sleep(seconds)
+        for s in senders:
+            s.on = False
+        await asyncio.gather(*loops)
+
     async def run(self, seconds):
         tasks = [asyncio.ensure_future(self.exchange_seeds(seconds)),
                  asyncio.ensure_future(self.poison(seconds)),
+                 asyncio.ensure_future(self.poison_parts(seconds)),
                  asyncio.ensure_future(state_rate_limits(self, seconds)),
                  asyncio.ensure_future(request_backoffs(self, seconds)),
                  asyncio.ensure_future(roll_out(self, seconds)),
--- a/test/fleet/soak_parts.py
+++ b/test/fleet/soak_parts.py
@@ -3,6 +3,7 @@
 """
 import asyncio
 import time
+import zlib
 
 from soak_customers import CUSTOMERS, bearer
 from soak_http import ConnectionClosed, http
@@ -27,6 +28,9 @@
     return head + event
 
 
+WRITTEN_BEFORE_CRASH = (nothing, head_only, head_and_event)
+
+
 class PromptSender:
     """Sends requests to the entries in turn whose prompts consist of the given
     parts and a last one that is new each time.
@@ -42,7 +46,7 @@
         self.on = True
 
     def headers(self, rid):
-        ids = [*self.parts, "%08x" % (hash(rid) & 0xffffffff)]
+        ids = [*self.parts, "%08x" % zlib.crc32(rid.encode())]
         return {"X-Request-Id": rid, "X-Deadline-Ms": 4000,
                 "X-Model": self.model, "X-Events": self.events,
                 "X-Token-Usage": "400,%d" % self.events,
