--- a/test/parts_world.c
+++ b/test/parts_world.c
@@ -68,7 +68,8 @@
 	struct suspects *leader; /* NULL: none */
 	GArray *log;		 /* struct record: survives all */
 	uint64_t logged, leadership, incarnations, seed;
-	int64_t now, leader_from_ms;
+	int64_t now, passed_ms; /* with and without jumps */
+	int64_t leader_from_ms;
 	struct fingerprint poison;
 	int64_t third_ms, fifth_ms; /* 0: not yet */
 	int before[2], after[2];    /* sound requests: answered, all */
@@ -503,8 +504,8 @@
 
 static bool is_due(const struct world *w, int64_t interval_ms)
 {
-	return interval_ms && w->now % interval_ms < STEP_MS &&
-	       w->now >= interval_ms;
+	return interval_ms && w->passed_ms % interval_ms < STEP_MS &&
+	       w->passed_ms >= interval_ms;
 }
 
 /* Nothing happens for PARTS_JUMP_MS. */
@@ -548,6 +549,7 @@
 	int64_t every = MAX(w->o->report_ms / STEP_MS, 1);
 
 	w->now += STEP_MS;
+	w->passed_ms = passed_ms;
 	faults(w);
 	if (!w->leader && w->now >= w->leader_from_ms)
 		elect(w);
