--- a/src/core/suspects.c
+++ b/src/core/suspects.c
@@ -1,12 +1,9 @@
 /* Table of suspects and quarantines. */
-#include "suspects.h"
+#include "suspects_int.h"
 
 /* A crash counts against a request for this long, in ms: a job that runs every
  * quarter of an hour still reaches the threshold. */
 #define CRASH_KEEP_MS (60 * 60 * 1000LL)
-/* Crashes that a suspect keeps: more than the threshold, so that those of runs
- * that began after the first one are among them. */
-#define CRASHES_KEPT 8
 /* A suspect that was answered this long before its first crash, in ms, or
  * later, may be harmless. */
 #define ANSWER_KEEP_MS (10 * 60 * 1000LL)
@@ -39,61 +36,12 @@
 /* A cleared suspect is kept this long, in ms, to report it to processes that
  * missed it. */
 #define CLEARED_KEEP_MS 60000
-/* Wait before a request asks for a trial run again while others are open, in
- * ms. */
-#define TRIAL_RETRY_MS 1000
 /* Maximum number of trial runs at a time. The window starts at one and doubles
  * with each trial run that is answered, so that harmless requests needn't wait
  * for each other. */
 #define TRIAL_WINDOW_MAX 64
 #define EXPIRE_INTERVAL_MS 10000
 
-struct kept_crash {
-	uint64_t incarnation_hash;
-	int64_t crashed_ms, began_ms;
-};
-
-struct suspect {
-	struct fingerprint fp;
-	struct kept_crash crashes[CRASHES_KEPT];
-	unsigned int n_crashes;
-	uint64_t last_crash; /* the newest, also beyond those in crashes */
-	int64_t last_ms;     /* time of the last crash, report or clearing */
-	int64_t answered_ms; /* start of the newest answered run; INT64_MIN:
-			      * none is known */
-	bool cleared;	     /* a quarantine that others may know has ended */
-	bool quarantined;
-	/* When another process reported its quarantine: an answer to an earlier
-	 * run says nothing about crashes that aren't known here. INT64_MIN:
-	 * quarantined here. */
-	int64_t learned_ms;
-	bool tied; /* others shared its crashes, and it may be harmless */
-	int64_t until_ms; /* end of the quarantine period */
-	uint64_t failed_trials;
-	/* Incarnation that the last trial run crashed, if it was this suspect's
-	 * own and not one that it took part in; 0: none. */
-	uint64_t failed_incarnation;
-	int64_t trial_ms; /* start of the open trial run; 0: none */
-	uint64_t changed; /* mark of the last change */
-	int64_t since_ms; /* start of the quarantine */
-	uint64_t refused; /* requests, for its quarantine */
-};
-
-struct suspects {
-	struct suspects_options o;
-	GHashTable *all; /* struct suspect, by its fingerprint */
-	size_t quarantined, quarantined_parts;
-	uint64_t mark;
-	unsigned int window; /* trial runs allowed at a time */
-	bool one_at_a_time;  /* the window stays at one */
-	int64_t no_trial_until_ms;
-	int64_t expired_ms; /* when old suspects were last dropped */
-	bool deferring;
-	bool any_refused; /* since suspects_take_refused() */
-	bool any_in_doubt;
-	int64_t judged_ms; /* when those in doubt were last judged */
-};
-
 struct suspects *suspects_new(const struct suspects_options *o, int64_t now)
 {
 	struct suspects *s = g_new0(struct suspects, 1);
@@ -120,8 +68,8 @@
 	s->deferring = on;
 }
 
-static struct suspect *find(const struct suspects *s,
-			    const struct fingerprint *fp)
+struct suspect *suspects_find(const struct suspects *s,
+			      const struct fingerprint *fp)
 {
 	return g_hash_table_lookup(s->all, fp);
 }
@@ -167,7 +115,7 @@
 	return x->last_ms < y->last_ms ? -1 : x->last_ms > y->last_ms;
 }
 
-static GPtrArray *all_suspects(const struct suspects *s)
+GPtrArray *suspects_all(const struct suspects *s)
 {
 	GPtrArray *out = g_ptr_array_new();
 	GHashTableIter it;
@@ -187,7 +135,7 @@
 
 	if (g_hash_table_size(s->all) < s->o.capacity)
 		return;
-	all = all_suspects(s);
+	all = suspects_all(s);
 	g_ptr_array_sort(all, by_eviction);
 	for (guint i = 0; i <= all->len / 4 && i < all->len; i++)
 		drop(s, all->pdata[i]);
@@ -197,7 +145,7 @@
 static struct suspect *find_or_add(struct suspects *s,
 				   const struct fingerprint *fp)
 {
-	struct suspect *x = find(s, fp);
+	struct suspect *x = suspects_find(s, fp);
 
 	if (x)
 		return x;
@@ -521,7 +469,7 @@
 bool suspects_answered(struct suspects *s, const struct fingerprint *fp,
 		       int64_t began_ms, int64_t now)
 {
-	struct suspect *x = find(s, fp);
+	struct suspect *x = suspects_find(s, fp);
 	unsigned int before;
 	bool news;
 
@@ -551,7 +499,7 @@
 bool suspects_lift(struct suspects *s, const struct fingerprint *fp,
 		   int64_t now)
 {
-	struct suspect *x = find(s, fp);
+	struct suspect *x = suspects_find(s, fp);
 
 	if (!x || !x->quarantined)
 		return false;
@@ -564,7 +512,7 @@
 void suspects_apply(struct suspects *s, const struct suspect_state *st,
 		    int64_t now)
 {
-	struct suspect *x = find(s, &st->fingerprint);
+	struct suspect *x = suspects_find(s, &st->fingerprint);
 
 	if (st->cleared) {
 		if (x)
@@ -585,7 +533,7 @@
 		    int64_t now)
 {
 	int64_t until = now + MAX(st->remaining_ms, 0);
-	struct suspect *x = find(s, &st->fingerprint);
+	struct suspect *x = suspects_find(s, &st->fingerprint);
 
 	/* A cleared suspect stays cleared: processes that still hold its
 	 * quarantine receive the clearing as a change. */
@@ -607,218 +555,6 @@
 		x->until_ms = MAX(x->until_ms, until);
 }
 
-int64_t suspects_remaining_ms(const struct suspects *s,
-			      const struct fingerprint *fp, int64_t now)
-{
-	const struct suspect *x = find(s, fp);
-
-	if (!x || !x->quarantined)
-		return -1;
-	return MAX(x->until_ms - now, 0);
-}
-
-int64_t suspects_since_ms(const struct suspects *s,
-			  const struct fingerprint *fp, int64_t now)
-{
-	const struct suspect *x = find(s, fp);
-
-	return x && x->quarantined ? x->since_ms : now;
-}
-
-/* Refused requests. */
-
-void suspects_add_refused(struct suspects *s, const struct fingerprint *fp,
-			  uint64_t n)
-{
-	struct suspect *x = find(s, fp);
-
-	if (!x)
-		return;
-	x->refused += n;
-	s->any_refused = true;
-}
-
-void suspects_note_refused(struct suspects *s, const struct fingerprint *fp)
-{
-	suspects_add_refused(s, fp, 1);
-}
-
-bool suspects_any(const struct suspects *s)
-{
-	return g_hash_table_size(s->all) > 0;
-}
-
-bool suspects_any_quarantined(const struct suspects *s)
-{
-	return s->quarantined > 0;
-}
-
-size_t suspects_count(const struct suspects *s)
-{
-	return g_hash_table_size(s->all);
-}
-
-size_t suspects_quarantined(const struct suspects *s)
-{
-	return s->quarantined;
-}
-
-size_t suspects_quarantined_parts(const struct suspects *s)
-{
-	return s->quarantined_parts;
-}
-
-/* Trial runs. */
-
-static bool trial_open(const struct suspect *x, int64_t now)
-{
-	return x->trial_ms && now - x->trial_ms < SUSPECT_TRIAL_TIMEOUT_MS;
-}
-
-uint64_t suspects_trials(const struct suspects *s, const struct fingerprint *fp,
-			 int64_t now)
-{
-	const struct suspect *x = find(s, fp);
-
-	return x ? x->failed_trials + trial_open(x, now) : 0;
-}
-
-static unsigned int open_trials(const struct suspects *s, int64_t now)
-{
-	unsigned int n = 0;
-	GHashTableIter it;
-	void *x;
-
-	g_hash_table_iter_init(&it, s->all);
-	while (g_hash_table_iter_next(&it, NULL, &x))
-		n += trial_open(x, now);
-	return n;
-}
-
-enum suspect_admission suspects_admit(struct suspects *s,
-				      const struct fingerprint *fp, int64_t now,
-				      int64_t *wait_ms)
-{
-	struct suspect *x = find(s, fp);
-	int64_t allowed_ms;
-
-	if (!x || !x->quarantined)
-		return SUSPECT_FREE;
-	allowed_ms = MAX(x->until_ms, s->no_trial_until_ms);
-	*wait_ms = MAX(allowed_ms - now, 0);
-	if (*wait_ms)
-		return SUSPECT_WAIT;
-	if (trial_open(x, now) || open_trials(s, now) >= s->window) {
-		*wait_ms = TRIAL_RETRY_MS;
-		return SUSPECT_WAIT;
-	}
-	x->trial_ms = now;
-	return SUSPECT_TRIAL;
-}
-
-void suspects_cancel_trial(struct suspects *s, const struct fingerprint *fp)
-{
-	struct suspect *x = find(s, fp);
-
-	if (x)
-		x->trial_ms = 0;
-}
-
-/* Changes. */
-
-static struct suspect_state state_of(const struct suspect *x, int64_t now)
-{
-	return (struct suspect_state){ .fingerprint = x->fp,
-				       .cleared = !x->quarantined,
-				       .remaining_ms =
-					       MAX(x->until_ms - now, 0),
-				       .failed_trials = x->failed_trials };
-}
-
-static gint by_mark(gconstpointer a, gconstpointer b)
-{
-	const struct suspect *x = *(struct suspect *const *)a;
-	const struct suspect *y = *(struct suspect *const *)b;
-
-	return x->changed < y->changed ? -1 : x->changed > y->changed;
-}
-
-uint64_t suspects_mark(const struct suspects *s)
-{
-	return s->mark;
-}
-
-uint64_t suspects_changes(const struct suspects *s, uint64_t mark, size_t max,
-			  int64_t now, GArray *out)
-{
-	uint64_t end = s->mark;
-	GPtrArray *all;
-
-	if (mark >= s->mark)
-		return s->mark;
-	all = all_suspects(s);
-	g_ptr_array_sort(all, by_mark);
-	for (guint i = 0; i < all->len; i++) {
-		const struct suspect *x = all->pdata[i];
-		struct suspect_state st = state_of(x, now);
-
-		if (x->changed <= mark || !(x->quarantined || x->cleared))
-			continue;
-		if (out->len == max)
-			break;
-		g_array_append_val(out, st);
-		end = out->len == max ? x->changed : s->mark;
-	}
-	g_ptr_array_unref(all);
-	return end;
-}
-
-static struct suspect_info info_of(const struct suspect *x, int64_t now)
-{
-	return (struct suspect_info){ state_of(x, now), x->since_ms,
-				      x->n_crashes, x->refused };
-}
-
-void suspects_list(const struct suspects *s, size_t max, int64_t now,
-		   GArray *out)
-{
-	GPtrArray *all = all_suspects(s);
-
-	g_ptr_array_sort(all, by_mark);
-	for (guint i = 0; i < all->len && out->len < max; i++) {
-		const struct suspect *x = all->pdata[i];
-		struct suspect_info info = info_of(x, now);
-
-		if (x->quarantined)
-			g_array_append_val(out, info);
-	}
-	g_ptr_array_unref(all);
-}
-
-void suspects_take_refused(struct suspects *s, size_t max, GArray *out)
-{
-	GHashTableIter it;
-	void *p;
-
-	if (!s->any_refused)
-		return;
-	s->any_refused = false;
-	g_hash_table_iter_init(&it, s->all);
-	while (g_hash_table_iter_next(&it, NULL, &p)) {
-		struct suspect *x = p;
-		struct suspect_info info = info_of(x, 0);
-
-		if (!x->refused)
-			continue;
-		if (out->len == max) {
-			s->any_refused = true;
-			return;
-		}
-		g_array_append_val(out, info);
-		x->refused = 0;
-	}
-}
-
 /* Expiry. */
 
 static bool is_old(const struct suspect *x, int64_t now)
@@ -838,7 +574,7 @@
 	if (now - s->expired_ms < EXPIRE_INTERVAL_MS)
 		return;
 	s->expired_ms = now;
-	all = all_suspects(s);
+	all = suspects_all(s);
 	for (guint i = 0; i < all->len; i++)
 		if (is_old(all->pdata[i], now))
 			drop(s, all->pdata[i]);
