--- a/test/test_state.c
+++ b/test/test_state.c
@@ -328,9 +328,56 @@
 	ss_state_free(s);
 }
 
+static void put_quarantine(struct ss_state *s, uint64_t fp, uint64_t trials,
+			   bool removed)
+{
+	struct quarantine_rec q = { .fingerprint_hi = 7,
+				    .fingerprint_lo = fp,
+				    .since_ms = 100,
+				    .until_ms = 200,
+				    .trials = trials,
+				    .removed = removed };
+	struct command c = { .kind = COMMAND_QUARANTINES_PUT,
+			     .quarantines = &q,
+			     .n_quarantines = 1 };
+
+	assert_int_equal(apply(s, &c).code, 0);
+}
+
+/* Guards against a poison part that may crash as many endpoints again after a
+ * snapshot, or after all members have lost their memory. */
+static void quarantines_are_kept_and_bounded(void **state)
+{
+	struct ss_state *s = ss_state_new(), *copy;
+	const struct quarantine_rec *q;
+	uint64_t version;
+
+	(void)state;
+	put_quarantine(s, 1, 0, false);
+	put_quarantine(s, 2, 0, false);
+	put_quarantine(s, 1, 2, false);
+	version = ss_state_quarantines_version(s);
+	put_quarantine(s, 2, 0, true);
+	assert_true(ss_state_quarantines_version(s) != version);
+	copy = restored(s);
+	assert_int_equal(ss_state_quarantines(copy)->length, 1);
+	q = ss_state_quarantines(copy)->head->data;
+	assert_int_equal(q->fingerprint_lo, 1);
+	assert_int_equal(q->trials, 2);
+	assert_int_equal(q->until_ms, 200);
+	for (uint64_t i = 0; i < STATE_QUARANTINES_MAX; i++)
+		put_quarantine(copy, 10 + i, 0, false);
+	assert_int_equal(ss_state_quarantines(copy)->length,
+			 STATE_QUARANTINES_MAX);
+	q = ss_state_quarantines(copy)->head->data;
+	assert_int_equal(q->fingerprint_lo, 10);
+	ss_state_free(copy);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(quarantines_are_kept_and_bounded),
 		cmocka_unit_test(equal_versions_have_one_winner),
 		cmocka_unit_test(resend_gets_the_same_answer),
 		cmocka_unit_test(preset_in_force_is_not_deleted),
