--- a/src/core/suspects.c
+++ b/src/core/suspects.c
@@ -8,7 +8,7 @@
  * later, may be harmless. */
 #define ANSWER_KEEP_MS (10 * 60 * 1000LL)
 /* Time from the first crash in which a harmless suspect that is in use is
- * answered again, in ms: a first event, ANSWER_PROOF_MS of its stream, and the
+ * answered again, in ms: a first event, the events that follow it, and the
  * report of that. */
 #define DOUBT_MS 2500
 /* Crashes of runs that began after the first crash, without which a suspect
@@ -294,11 +294,11 @@
 	note_change(s, x);
 }
 
-/* Ends the suspicion of one that had a number of crashes. */
+/* Clears a suspect. crashes: how many it had before the answer. */
 static void clear(struct suspects *s, struct suspect *x, unsigned int crashes,
 		  int64_t now)
 {
-	/* Others have no part in a suspect that was never close to a
+	/* Other processes needn't hear of a suspect that was never close to a
 	 * quarantine. */
 	bool known = x->quarantined || crashes >= TIED_CRASHES;
 
@@ -400,7 +400,8 @@
 
 /* Extends a quarantine after another crash. The crash is a failed trial run if
  * one is open or the period is over; otherwise the request was already running
- * when it was quarantined, which is for the process that counted to judge. */
+ * when it was quarantined. Only the process that quarantined it extends it
+ * then. */
 static void extend(struct suspects *s, struct suspect *x,
 		   uint64_t incarnation_hash, int64_t now)
 {
@@ -425,7 +426,7 @@
 	note_change(s, x);
 }
 
-/* Adds a crash, or a later run at one that is known. */
+/* Keeps a crash; of a known one, the start of the newest run there. */
 static void keep_crash(struct suspect *x, const struct suspect_crash *c)
 {
 	for (unsigned int i = 0; i < x->n_crashes; i++) {
--- a/src/daemon/fleet_quarantine_log.c
+++ b/src/daemon/fleet_quarantine_log.c
@@ -211,7 +211,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct quarantine_log_item *x = v;
 
-		/* An own deletion isn't logged any more, or pending. */
+		/* This leader's own deletions aren't marked as logged. */
 		if (!x->logged || x->pending ||
 		    g_hash_table_contains(logged, &x->fp))
 			continue;
