--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,9 +28,7 @@
 
 
 class Deployment(d.Deployment):
-    """Keeps the ports of the control VMs free at the successor's address."""
-
-    CONTROL_IPS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
+    MORE_IPS = [SUCCESSOR_IP]
 
     def add_successor(self):
         self.add("control-3", "control", d.ZONES[0],
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -7,6 +7,7 @@
 """
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -43,18 +44,14 @@
 
 
 def free_port(hosts):
-    """Returns a port that is free on all hosts."""
+    """Returns a port that is free on all hosts, below the range from which the
+    kernel takes the ports of outgoing connections."""
     for _ in range(200):
-        socks = []
+        port = random.randint(10240, 30000)
+        socks = [socket.socket() for _ in hosts]
         try:
-            s = socket.socket()
-            socks.append(s)
-            s.bind((hosts[0], 0))
-            port = s.getsockname()[1]
-            for h in hosts[1:]:
-                t = socket.socket()
-                socks.append(t)
-                t.bind((h, port))
+            for s, h in zip(socks, hosts):
+                s.bind((h, port))
             return port
         except OSError:
             continue
@@ -318,6 +315,7 @@
     """Three control VMs and some entries before the given servers."""
 
     CONTROL_IPS = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
+    MORE_IPS = []   # of control VMs that start later, at the same ports
 
     def __init__(self, servers, config, entries=2, engines=()):
         if not os.access(DAEMON, os.X_OK):
@@ -325,10 +323,11 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.cloud = Cloud(servers)
         self.config, self.version = config, 0
-        self.frames = free_port(self.CONTROL_IPS)
-        self.operators = free_port(self.CONTROL_IPS)
+        ips = self.CONTROL_IPS + self.MORE_IPS
+        self.frames = free_port(ips)
+        self.operators = free_port(ips)
         while self.operators == self.frames:
-            self.operators = free_port(self.CONTROL_IPS)
+            self.operators = free_port(ips)
         self.seeds = ["%s:%d" % (ip, self.frames) for ip in self.CONTROL_IPS]
         self.procs, self.entries, self.ready = [], [], []
         for i, ip in enumerate(self.CONTROL_IPS):
