Control group: log who counts as lost and why repair waits

The logs named steps of repair that were taken and nothing else, so three hypotheses about a successor that stays a learner couldn't be told apart. The leader now logs voters, lost voters, learners and ready learners when these counts change, and why a step is refused. No decision changes.

--- a/src/core/repair.c
+++ b/src/core/repair.c
@@ -34,18 +34,15 @@
 	return m[i].voter && (is_dead(&m[i]) || is_replaced(m, n, i, false));
 }
 
-struct counts {
-	size_t healthy; /* voters that aren't lost */
-	size_t ready;	/* learners that can become voters */
-};
-
-static struct counts count(const struct repair_member *m, size_t n,
-			   uint64_t last)
+struct repair_counts repair_count(const struct repair_member *m, size_t n,
+				  uint64_t last)
 {
-	struct counts c = { 0 };
+	struct repair_counts c = { 0 };
 
 	for (size_t i = 0; i < n; i++) {
-		c.healthy += m[i].voter && !is_lost(m, n, i);
+		c.voters += m[i].voter;
+		c.lost += is_lost(m, n, i);
+		c.learners += !m[i].voter;
 		c.ready += is_promotable(&m[i], last);
 	}
 	return c;
@@ -57,10 +54,12 @@
  * spare if promoting it would make the number even. Lost voters aren't counted:
  * they are removed once the spare has replaced them.
  */
-static bool needs_voter(const struct counts *c)
+static bool needs_voter(const struct repair_counts *c)
 {
-	return c->ready && (c->healthy < REPAIR_MIN_VOTERS ||
-			    c->healthy % 2 == 0 || c->ready > 1);
+	size_t healthy = c->voters - c->lost;
+
+	return c->ready && (healthy < REPAIR_MIN_VOTERS || healthy % 2 == 0 ||
+			    c->ready > 1);
 }
 
 /* Finds a member to remove; dead learners first, as they cost no majority. */
@@ -83,7 +82,7 @@
 struct repair_step repair_next(const struct repair_member *m, size_t n,
 			       uint64_t last)
 {
-	struct counts c = count(m, n, last);
+	struct repair_counts c = repair_count(m, n, last);
 	size_t removable = 0;
 
 	for (size_t i = 0; i < n && needs_voter(&c); i++)
@@ -92,7 +91,7 @@
 	for (size_t i = 0; i < n; i++)
 		if (is_replaced(m, n, i, true))
 			return (struct repair_step){ REPAIR_REMOVE, i };
-	if (find_removable(m, n, c.healthy, &removable))
+	if (find_removable(m, n, c.voters - c.lost, &removable))
 		return (struct repair_step){ REPAIR_REMOVE, removable };
 	return (struct repair_step){ REPAIR_NONE, 0 };
 }
--- a/src/core/repair.h
+++ b/src/core/repair.h
@@ -35,6 +35,17 @@
 	size_t member; /* index into the members */
 };
 
+/* The members as repair sees them, for a log line. */
+struct repair_counts {
+	size_t voters;
+	size_t lost;	 /* voters that count as lost */
+	size_t learners; /* members without a vote */
+	size_t ready;	 /* learners that can become voters */
+};
+
+struct repair_counts repair_count(const struct repair_member *m, size_t n,
+				  uint64_t last);
+
 /* Returns the next step. The members are in the order in which they joined;
  * last is the index of the leader's last log entry. */
 struct repair_step repair_next(const struct repair_member *m, size_t n,
--- a/src/daemon/group_int.h
+++ b/src/daemon/group_int.h
@@ -2,6 +2,7 @@
 #ifndef SS_GROUP_INT_H
 #define SS_GROUP_INT_H
 
+#include "../core/repair.h"
 #include "group.h"
 
 /* An outgoing connection to another control VM's address. */
@@ -36,6 +37,7 @@
 	uint64_t ctx;	   /* number of the latest read */
 	struct event *tick, *flush;
 	char *leader_hint; /* leader's address as another process reported it */
+	struct repair_counts counts; /* of the members, as last logged */
 	int64_t join_ms, repair_ms, announce_ms; /* last time of each */
 	int64_t leader_ms;     /* last time a leader was known */
 	int64_t append_ms;     /* last append to the log */
--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -1,5 +1,4 @@
 /* Membership of the control group: joining, announcements and repair. */
-#include "../core/repair.h"
 #include "group_int.h"
 
 /* Interval between join requests, in ms; a reply takes a round trip and the
@@ -161,12 +160,32 @@
 	request_join_leader(g, m->addr);
 }
 
+/* Logs who counts as lost and who could replace it, when that has changed: it
+ * explains the steps that repair doesn't take. */
+static void log_members(struct group *g, const struct repair_member *m,
+			size_t n)
+{
+	struct repair_counts c = repair_count(m, n, ss_raft_last(g->raft));
+	int64_t quiet = 0;
+
+	if (!memcmp(&c, &g->counts, sizeof(c)))
+		return;
+	g->counts = c;
+	for (size_t i = 0; i < n; i++)
+		quiet = MAX(quiet, m[i].quiet_ms);
+	log_info("members",
+		 "voters=%zu lost=%zu learners=%zu ready=%zu "
+		 "quiet_most_ms=%" PRId64,
+		 c.voters, c.lost, c.learners, c.ready, quiet);
+}
+
 void group_repair(struct group *g)
 {
 	const struct ss_raft_members *all = ss_raft_members(g->raft);
 	struct repair_member *m = g_new0(struct repair_member, all->n + 1);
 	struct ss_raft_member voter;
 	struct repair_step step;
+	GError *error = NULL;
 
 	for (size_t i = 0; i < all->n; i++)
 		m[i] = (struct repair_member){
@@ -178,6 +197,7 @@
 			.quiet_ms = ss_raft_quiet_ms(g->raft, all->m[i].id),
 			.match = ss_raft_match(g->raft, all->m[i].id),
 		};
+	log_members(g, m, all->n);
 	step = repair_next(m, all->n, ss_raft_last(g->raft));
 	if (step.act != REPAIR_NONE)
 		log_info(step.act == REPAIR_PROMOTE ? "promote" : "drop_member",
@@ -187,10 +207,13 @@
 	if (step.act == REPAIR_PROMOTE) {
 		voter = all->m[step.member];
 		voter.voter = true;
-		ss_raft_set_member(g->raft, &voter, NULL);
+		ss_raft_set_member(g->raft, &voter, &error);
 	} else if (step.act == REPAIR_REMOVE) {
-		ss_raft_remove_member(g->raft, m[step.member].id, NULL);
+		ss_raft_remove_member(g->raft, m[step.member].id, &error);
 	}
+	if (error)
+		log_info("repair_waits", "why=\"%s\"", error->message);
+	g_clear_error(&error);
 	if (step.act != REPAIR_NONE)
 		group_flush_soon(g);
 	g_free(m);
