--- a/src/core/repair.c
+++ b/src/core/repair.c
@@ -95,3 +95,33 @@
 		return (struct repair_step){ REPAIR_REMOVE, removable };
 	return (struct repair_step){ REPAIR_NONE, 0 };
 }
+
+void repair_members(const struct ss_raft *r, uint64_t self,
+		    struct repair_member *out)
+{
+	const struct ss_raft_members *all = ss_raft_members(r);
+
+	for (size_t i = 0; i < all->n; i++)
+		out[i] = (struct repair_member){
+			.id = all->m[i].id,
+			.name = all->m[i].name,
+			.addr = all->m[i].addr,
+			.voter = all->m[i].voter,
+			.self = all->m[i].id == self,
+			.quiet_ms = ss_raft_quiet_ms(r, all->m[i].id),
+			.match = ss_raft_match(r, all->m[i].id),
+		};
+}
+
+bool repair_propose(struct ss_raft *r, struct repair_step step, GError **error)
+{
+	struct ss_raft_member m;
+
+	if (step.act == REPAIR_NONE)
+		return true;
+	m = ss_raft_members(r)->m[step.member];
+	if (step.act == REPAIR_REMOVE)
+		return ss_raft_remove_member(r, m.id, error);
+	m.voter = true;
+	return ss_raft_set_member(r, &m, error);
+}
--- a/src/core/repair.h
+++ b/src/core/repair.h
@@ -5,7 +5,7 @@
 #ifndef SS_REPAIR_H
 #define SS_REPAIR_H
 
-#include <sapphireshift/base.h>
+#include <sapphireshift/raft.h>
 
 /* A learner at most this many entries behind may become a voter. */
 #define REPAIR_MAX_LAG 64
@@ -51,4 +51,13 @@
 struct repair_step repair_next(const struct repair_member *m, size_t n,
 			       uint64_t last);
 
+/* Fills in all of ss_raft_members() as their leader sees them; out has room for
+ * that many. The strings are the log's. */
+void repair_members(const struct ss_raft *r, uint64_t self,
+		    struct repair_member *out);
+
+/* Proposes a step to the log. Returns false with the errors of
+ * ss_raft_set_member() and ss_raft_remove_member(). */
+bool repair_propose(struct ss_raft *r, struct repair_step step, GError **error);
+
 #endif
--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -181,40 +181,23 @@
 
 void group_repair(struct group *g)
 {
-	const struct ss_raft_members *all = ss_raft_members(g->raft);
-	struct repair_member *m = g_new0(struct repair_member, all->n + 1);
-	struct ss_raft_member voter;
+	size_t n = ss_raft_members(g->raft)->n;
+	struct repair_member *m = g_new0(struct repair_member, n + 1);
 	struct repair_step step;
 	GError *error = NULL;
 
-	for (size_t i = 0; i < all->n; i++)
-		m[i] = (struct repair_member){
-			.id = all->m[i].id,
-			.name = all->m[i].name,
-			.addr = all->m[i].addr,
-			.voter = all->m[i].voter,
-			.self = all->m[i].id == g->loaded.id,
-			.quiet_ms = ss_raft_quiet_ms(g->raft, all->m[i].id),
-			.match = ss_raft_match(g->raft, all->m[i].id),
-		};
-	log_members(g, m, all->n);
-	step = repair_next(m, all->n, ss_raft_last(g->raft));
-	if (step.act != REPAIR_NONE)
+	repair_members(g->raft, g->loaded.id, m);
+	log_members(g, m, n);
+	step = repair_next(m, n, ss_raft_last(g->raft));
+	if (step.act != REPAIR_NONE) {
 		log_info(step.act == REPAIR_PROMOTE ? "promote" : "drop_member",
 			 "name=%.*s id=%" PRIx64 " voter=%d quiet_ms=%" PRId64,
 			 SS_FMT(m[step.member].name), m[step.member].id,
 			 m[step.member].voter, m[step.member].quiet_ms);
-	if (step.act == REPAIR_PROMOTE) {
-		voter = all->m[step.member];
-		voter.voter = true;
-		ss_raft_set_member(g->raft, &voter, &error);
-	} else if (step.act == REPAIR_REMOVE) {
-		ss_raft_remove_member(g->raft, m[step.member].id, &error);
-	}
-	if (error)
-		log_info("repair_waits", "why=\"%s\"", error->message);
-	g_clear_error(&error);
-	if (step.act != REPAIR_NONE)
+		if (!repair_propose(g->raft, step, &error))
+			log_info("repair_waits", "why=\"%s\"", error->message);
+		g_clear_error(&error);
 		group_flush_soon(g);
+	}
 	g_free(m);
 }
