Raft: a learner forgets a leader that fell silent

Symptom: a spare control VM that was cut off or stood still until it was removed (6 s) never joins again; it isn't in the group when its turn to replace a lost voter comes, and it redirects operators to a leader that may be gone.

Cause: a follower gives up its leader by campaigning, and a learner can't campaign. So ss_raft_leader() stayed set for good, and the daemon asks to join again only while no leader is known.

Change: an election timeout without a message ends a learner's leader.

--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -85,16 +85,27 @@
 	}
 }
 
+/* Handles the end of an election timeout without a message from a leader. A
+ * learner can't campaign; it may have been removed, and asks to join again once
+ * it knows no leader. */
+static void handle_timeout(struct ss_raft *r)
+{
+	if (!raft_is_voter(r)) {
+		raft_become_follower(r, r->term, 0);
+		return;
+	}
+	r->transfer = false;
+	raft_campaign(r, true);
+}
+
 void ss_raft_tick(struct ss_raft *r, int64_t now)
 {
 	if (r->broken)
 		return;
 	r->now = MAX(r->now, now);
 	if (r->role != SS_RAFT_LEADER) {
-		if (r->now >= r->deadline_ms && raft_is_voter(r)) {
-			r->transfer = false;
-			raft_campaign(r, true);
-		}
+		if (r->now >= r->deadline_ms)
+			handle_timeout(r);
 		return;
 	}
 	/*
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -113,11 +113,17 @@
 	.failed = failed,
 };
 
-/* Starts member 1 of three voters at term 3 with an entry of term 2. */
-static void start_with(struct fake *f, int64_t election_ms, int64_t first_ms)
+/* How member 1 of three starts. */
+struct start {
+	bool learner;
+	int64_t election_ms, first_ms;
+};
+
+/* Starts member 1 of three at term 3 with an entry of term 2. */
+static void start_with(struct fake *f, struct start s)
 {
 	struct ss_raft_member m[] = {
-		{ 1, SS_LIT("a"), SS_LIT("x"), true },
+		{ 1, SS_LIT("a"), SS_LIT("x"), !s.learner },
 		{ 2, SS_LIT("b"), SS_LIT("y"), true },
 		{ 3, SS_LIT("c"), SS_LIT("z"), true },
 	};
@@ -131,8 +137,8 @@
 				     .ops = &ops,
 				     .arg = f,
 				     .seed = 1,
-				     .election_ms = election_ms,
-				     .first_ms = first_ms,
+				     .election_ms = s.election_ms,
+				     .first_ms = s.first_ms,
 				     .term = 3,
 				     .entries = log,
 				     .n_entries = 2 };
@@ -145,7 +151,7 @@
 
 static void start(struct fake *f)
 {
-	start_with(f, 0, 0);
+	start_with(f, (struct start){ 0 });
 }
 
 static void step(struct fake *f, int64_t kind, uint64_t from, uint64_t term,
@@ -314,7 +320,7 @@
 	struct fake f;
 
 	(void)state;
-	start_with(&f, 1000, 100);
+	start_with(&f, (struct start){ .election_ms = 1000, .first_ms = 100 });
 	ss_raft_tick(f.r, f.now + 99);
 	assert_int_equal(f.sent, 0);
 	ss_raft_tick(f.r, f.now + 200);
@@ -325,6 +331,26 @@
 	ss_raft_free(f.r);
 }
 
+/* Guards against a spare that was removed while it was cut off, and takes the
+ * last leader for its own for good, so that it never joins again. */
+static void learner_forgets_a_silent_leader(void **state)
+{
+	struct fake f;
+
+	(void)state;
+	start_with(&f, (struct start){ .learner = true, .election_ms = 400 });
+	step(&f, SS_RAFT_APPEND, 2, 4, 2, true);
+	assert_int_equal(ss_raft_leader(f.r), 2);
+	f.now += 399;
+	ss_raft_tick(f.r, f.now);
+	assert_int_equal(ss_raft_leader(f.r), 2);
+	f.now += 401;
+	ss_raft_tick(f.r, f.now);
+	assert_int_equal(ss_raft_leader(f.r), 0);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_FOLLOWER);
+	ss_raft_free(f.r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -335,6 +361,7 @@
 		cmocka_unit_test(working_leader_is_not_deposed),
 		cmocka_unit_test(full_disk_lets_others_lead),
 		cmocka_unit_test(first_campaign_starts_early),
+		cmocka_unit_test(learner_forgets_a_silent_leader),
 	};
 
 	return cmocka_run_group_tests_name("raft", tests, NULL, NULL);
