Repair: a lost voter leaves before the next loss has to be borne

Cause: a voter that is gone counted as healthy until it had been silent for 6 s, so the successor, which was ready after 0.2 s, stayed a spare beside "three" voters. Ruled out: a successor that lags, a refused step. Beside it: a learner passed for ready until 6 s of silence, and it was promoted before the lost voter left, so a VM whose disk is new at each start could hold two votes and no voice.

Change, derived from what has to be borne 4 s after a successor's start (docs/design/0006): a voter that was silent for two election timeouts is replaced once a learner is ready, or where the others bear more losses without it; a learner is ready by an answer within 0.5 s; a lost voter leaves before its successor gets a vote. A new leader waits for a round of heartbeats before it judges anybody.

prop_members, new: losses in a row at 3 to 8 VMs, two at once from five on.

--- a/src/core/repair.c
+++ b/src/core/repair.c
@@ -6,12 +6,6 @@
 	return !m->self && m->quiet_ms > REPAIR_DEAD_MS;
 }
 
-static bool is_promotable(const struct repair_member *m, uint64_t last)
-{
-	return !m->voter && !is_dead(m) && m->match &&
-	       m->match + REPAIR_MAX_LAG >= last;
-}
-
 /*
  * Returns true if a later member has the same name or address: this one lost
  * its disk. The leader itself is never replaced. by_voter: only a later voter
@@ -28,10 +22,22 @@
 	return false;
 }
 
-/* Returns true for a voter that won't return, or only under a new id. */
+/* Returns true for a learner that can vote from now on. */
+static bool is_ready(const struct repair_member *m, size_t n, size_t i,
+		     uint64_t last)
+{
+	return !m[i].voter && m[i].quiet_ms <= REPAIR_READY_MS && m[i].match &&
+	       m[i].match + REPAIR_MAX_LAG >= last &&
+	       !is_replaced(m, n, i, false);
+}
+
+/* Returns true for a voter that a ready learner is to replace: it won't return,
+ * or nobody knows whether it will. */
 static bool is_lost(const struct repair_member *m, size_t n, size_t i)
 {
-	return m[i].voter && (is_dead(&m[i]) || is_replaced(m, n, i, false));
+	return m[i].voter &&
+	       ((!m[i].self && m[i].quiet_ms > REPAIR_SUSPECT_MS) ||
+		is_replaced(m, n, i, false));
 }
 
 struct repair_counts repair_count(const struct repair_member *m, size_t n,
@@ -43,56 +49,78 @@
 		c.voters += m[i].voter;
 		c.lost += is_lost(m, n, i);
 		c.learners += !m[i].voter;
-		c.ready += is_promotable(&m[i], last);
+		c.ready += is_ready(m, n, i, last);
 	}
 	return c;
 }
 
+/* Returns how many more losses the voters bear; negative: they have no
+ * majority. */
+static int bearable_losses(size_t voters, size_t healthy)
+{
+	return (int)healthy - (int)(voters / 2 + 1);
+}
+
 /*
- * An even number of voters tolerates no more losses than one voter less, and a
- * partition into equal halves leaves it without a leader. So a learner stays a
- * spare if promoting it would make the number even. Lost voters aren't counted:
- * they are removed once the spare has replaced them.
+ * Returns true if a lost voter is to be removed. It leaves before its successor
+ * gets a vote: without it the group bears as many further losses as with it,
+ * while a successor that is lost again would otherwise leave two voters that
+ * can't vote. Without a successor it leaves where the others bear more losses
+ * by themselves, or once it is dead.
  */
-static bool needs_voter(const struct repair_counts *c)
+static bool is_removable(const struct repair_member *m, size_t n, size_t i,
+			 const struct repair_counts *c)
 {
 	size_t healthy = c->voters - c->lost;
 
-	return c->ready && (healthy < REPAIR_MIN_VOTERS || healthy % 2 == 0 ||
-			    c->ready > 1);
+	if (is_replaced(m, n, i, true))
+		return true;
+	if (!is_lost(m, n, i))
+		return false;
+	if (c->ready || bearable_losses(healthy, healthy) >
+				bearable_losses(c->voters, healthy))
+		return true;
+	return healthy >= REPAIR_MIN_VOTERS && is_dead(&m[i]);
 }
 
-/* Finds a member to remove; dead learners first, as they cost no majority. */
+/* Finds a member to remove; learners first, as they cost no majority. */
 static bool find_removable(const struct repair_member *m, size_t n,
-			   size_t healthy, size_t *at)
+			   const struct repair_counts *c, size_t *at)
 {
-	for (size_t i = 0; i < n; i++) {
-		*at = i;
-		if (!m[i].voter && is_dead(&m[i]))
+	for (*at = 0; *at < n; ++*at)
+		if (!m[*at].voter &&
+		    (is_dead(&m[*at]) || is_replaced(m, n, *at, false)))
 			return true;
-	}
-	for (size_t i = 0; i < n && healthy >= REPAIR_MIN_VOTERS; i++) {
-		*at = i;
-		if (is_lost(m, n, i))
+	for (*at = 0; *at < n; ++*at)
+		if (m[*at].voter && is_removable(m, n, *at, c))
 			return true;
-	}
 	return false;
 }
 
+/*
+ * An even number of voters tolerates no more losses than one voter less, and a
+ * partition into equal halves leaves it without a leader. So a learner stays a
+ * spare if promoting it would make the number even.
+ */
+static bool needs_voter(const struct repair_counts *c)
+{
+	size_t healthy = c->voters - c->lost;
+
+	return c->ready && (healthy < REPAIR_MIN_VOTERS || healthy % 2 == 0 ||
+			    c->ready > 1);
+}
+
 struct repair_step repair_next(const struct repair_member *m, size_t n,
 			       uint64_t last)
 {
 	struct repair_counts c = repair_count(m, n, last);
-	size_t removable = 0;
-
-	for (size_t i = 0; i < n && needs_voter(&c); i++)
-		if (is_promotable(&m[i], last))
-			return (struct repair_step){ REPAIR_PROMOTE, i };
-	for (size_t i = 0; i < n; i++)
-		if (is_replaced(m, n, i, true))
-			return (struct repair_step){ REPAIR_REMOVE, i };
-	if (find_removable(m, n, c.voters - c.lost, &removable))
-		return (struct repair_step){ REPAIR_REMOVE, removable };
+	size_t at;
+
+	if (find_removable(m, n, &c, &at))
+		return (struct repair_step){ REPAIR_REMOVE, at };
+	for (at = 0; at < n && needs_voter(&c); at++)
+		if (is_ready(m, n, at, last))
+			return (struct repair_step){ REPAIR_PROMOTE, at };
 	return (struct repair_step){ REPAIR_NONE, 0 };
 }
 
--- a/src/core/repair.h
+++ b/src/core/repair.h
@@ -9,12 +9,20 @@
 
 /* A learner at most this many entries behind may become a voter. */
 #define REPAIR_MAX_LAG 64
+/* A learner that was silent for longer, in ms, isn't ready: it missed five
+ * heartbeats. */
+#define REPAIR_READY_MS 500
 /*
- * Silence in ms after which a member counts as dead and is removed if enough
- * others are left. Longer than a restart (about 2 s) or an election, and short
- * against the time until a second VM may be lost. A removed member that
- * returns joins again with its log.
+ * Silence in ms after which a ready learner takes a voter's place: twice an
+ * election timeout. The next VM may be lost 4 s after a successor has started;
+ * until then an election, the successor's catching up and two changes of
+ * members have to fit. A voter that was silent for another reason joins again
+ * and is the spare.
  */
+#define REPAIR_SUSPECT_MS 1000
+/* Silence in ms after which a member counts as dead and is removed without a
+ * successor if enough others are left. Longer than a restart (about 2 s). A
+ * removed member that returns joins again with its log. */
 #define REPAIR_DEAD_MS 6000
 /* Fewer voters than this tolerate no loss. */
 #define REPAIR_MIN_VOTERS 3
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -262,10 +262,13 @@
 	leads = ss_raft_role(g->raft) == SS_RAFT_LEADER;
 	*g->n_term = ss_raft_term(g->raft);
 	*g->n_leads = leads;
-	if (leads)
+	if (leads) {
 		g->leader_first = ss_raft_last(g->raft);
-	else
+		/* Members need a heartbeat to show that they are there. */
+		g->repair_ms = group_now(g);
+	} else {
 		drop_proposals(g);
+	}
 	log_info("role", "role=%s term=%" PRIu64 " leader=%" PRIx64,
 		 leads ? "leader" : "follower", ss_raft_term(g->raft),
 		 ss_raft_leader(g->raft));
--- /dev/null
+++ b/test/fleet/membership.py
@@ -0,0 +1,126 @@
+"""Scenarios of control VMs that are lost one after another."""
+import asyncio
+import shutil
+import signal
+
+from soak import RECOVERY_S, await_first_change, until
+from soak_fleet import CONTROLS
+from soak_http import http
+
+# From a VM's return, or a successor's start, until the next loss.
+CATCH_UP_S = 4.0
+EMPTY_AFTER_S = 1.0  # from a loss for good until the successor starts
+PLANNED_AFTER_S = 1.0  # from the successor's start until SIGTERM
+DOWN_S = 0.5
+
+
+def forget_disk(fleet, i):
+    """Deletes the disk of control VM i, which must be down."""
+    name = "control-%d" % i
+    shutil.rmtree(fleet.data_dir(i))
+    fleet.process_settings[name]["control_vm"]["found_group"] = False
+    fleet.write_settings(name)
+
+
+class Core:
+    """The control VMs of a fleet, some of them successors of others."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.vms = list(range(CONTROLS))
+        self.next = CONTROLS + fleet.n_relays
+
+    def process(self, i):
+        return self.fleet.procs["control-%d" % i]
+
+    async def leader(self):
+        """Returns the VM that answers a read itself, or None."""
+        for i in self.vms:
+            addr = "%s:%d" % (self.fleet.control_ip(i, False),
+                              self.fleet.operator_port)
+            try:
+                status, _, _ = await asyncio.wait_for(
+                    http(addr, "GET", "/sapphireshift/Config.Get"), 1.0)
+            except (OSError, EOFError, asyncio.TimeoutError):
+                continue
+            if status == 200:
+                return i
+        return None
+
+    async def await_leader(self):
+        async def found():
+            return await self.leader() is not None
+
+        await until(found, RECOVERY_S, "nobody leads")
+        return await self.leader()
+
+    async def another(self):
+        leader = await self.await_leader()
+        return next(i for i in self.vms if i != leader)
+
+    def add(self):
+        """Starts an empty VM at a new address."""
+        i, self.next = self.next, self.next + 1
+        self.fleet.add("control-%d" % i,
+                       self.fleet.control_settings(i, False, proxied=False))
+        self.process(i).start()
+        self.vms.append(i)
+
+    async def end(self, i, sig):
+        await self.process(i).end(sig)
+        self.vms.remove(i)
+        del self.fleet.procs["control-%d" % i]
+
+    # Losses; each returns as it is made good.
+
+    async def replace(self, i):
+        await self.end(i, signal.SIGKILL)
+        await asyncio.sleep(EMPTY_AFTER_S)
+        self.add()
+
+    async def replace_as_planned(self, i):
+        """Returns PLANNED_AFTER_S and the stop's time later."""
+        self.add()
+        await asyncio.sleep(PLANNED_AFTER_S)
+        await self.end(i, signal.SIGTERM)
+
+    async def lose_disk(self, i):
+        await self.process(i).end(signal.SIGKILL)
+        forget_disk(self.fleet, i)
+        await asyncio.sleep(DOWN_S)
+        self.process(i).start()
+
+
+async def await_spare(fleet):
+    async def follows():
+        with open(fleet.procs["control-3"].log) as f:
+            return "event=role role=follower" in f.read()
+
+    await until(follows, RECOVERY_S, "the fourth control VM never joined")
+
+
+async def read_back(fleet, core, acked):
+    async def read():
+        return await fleet.operators.get() >= acked
+
+    await core.await_leader()
+    await until(read, RECOVERY_S, "the change isn't read back")
+
+
+async def losses_in_a_row_are_borne(fleet):
+    """Guards against a control group that never leads again, as voters that
+    are gone still count when the next VM is lost.
+    """
+    await await_first_change(fleet.operators)
+    await await_spare(fleet)
+    acked, core = fleet.operators.acked, Core(fleet)
+    await core.replace_as_planned(await core.another())
+    await asyncio.sleep(CATCH_UP_S - PLANNED_AFTER_S)
+    for lose, leads in ((core.replace, True), (core.lose_disk, False),
+                        (core.replace, True), (core.lose_disk, True)):
+        await lose(await (core.await_leader() if leads else core.another()))
+        await asyncio.sleep(CATCH_UP_S)
+        await read_back(fleet, core, acked)
+
+
+SCENARIOS = [losses_in_a_row_are_borne]
--- /dev/null
+++ b/test/prop_members.cc
@@ -0,0 +1,516 @@
+/*
+ * The control group bears the loss of one VM after another (of two at once from
+ * five VMs on), each as soon as the loss before it has been made good, whoever
+ * leads: kills, power losses, freezes, cuts, lost disks and replacements. Log,
+ * elections and repair are the real ones; VMs, links, disks and the way to join
+ * are simulated.
+ */
+#include "raft_world.hh"
+
+#include <functional>
+
+extern "C" {
+#include "../src/core/repair.h"
+}
+
+namespace
+{
+
+using namespace raft_world;
+
+const int64_t kStepMs = 10;
+/* As in the daemon. */
+const int64_t kTickMs = 20, kRepairMs = 200, kJoinMs = 500;
+const int64_t kLeaderlessMs = 2000;
+const int64_t kTransferMs = 300;
+/* From a VM's return, or a successor's start, until the next loss. */
+const int64_t kCatchUpMs = 4000;
+/* Until all VMs of a new group have joined. */
+const int64_t kFoundedMs = 8000;
+/* Longest time without an accepted change. */
+const int64_t kRecoverMs = 12000;
+/* From the start of a successor until SIGTERM in a planned replacement. */
+const int64_t kPlannedMs = 1000;
+/* Changes of members that one absence of a VM may cause: two removals and two
+ * promotions, of the VM and of the one that stands in for it, and a join. */
+const size_t kChangesPerAbsence = 5;
+
+struct Vm {
+	Node *node = nullptr;
+	std::string name, addr;
+	bool running = false, joined = false, frozen = false;
+	bool cut_in = false, cut_out = false;
+	int64_t join_ms = 0, repair_ms = 0, leader_ms = 0;
+	bool lost = false;    /* until its loss has been made good */
+	std::deque<Msg> held; /* arrived while it was frozen */
+};
+
+struct Sim {
+	World w;
+	std::vector<std::unique_ptr<Vm>> vms;
+	std::vector<Vm *> core; /* one in each place, successors included */
+	std::multimap<int64_t, std::function<void()>> events;
+	std::deque<std::pair<int64_t, Msg>> wire;
+	int64_t link_ms = kStepMs;
+	int64_t propose_every_ms = 100;
+	size_t accepted = 0, changes = 0, absences = 0;
+	int64_t accepted_ms = 0;
+	int64_t end_ms = 0; /* when the last loss is made good */
+
+	void at(int64_t ms, std::function<void()> f)
+	{
+		events.emplace(ms, std::move(f));
+	}
+};
+
+Vm *vm_of(Sim &s, uint64_t id)
+{
+	for (auto &v : s.vms)
+		if (v->node->id == id)
+			return v.get();
+	return nullptr;
+}
+
+bool leads(const Vm *v)
+{
+	return v->running && v->joined && !v->frozen && v->node->raft &&
+	       ss_raft_role(v->node->raft) == SS_RAFT_LEADER;
+}
+
+bool path(const Vm *from, const Vm *to)
+{
+	return to->running && !from->cut_out && !to->cut_in;
+}
+
+/* The leader that the operator's changes reach. */
+Vm *leading(Sim &s)
+{
+	Vm *best = nullptr;
+
+	for (auto &v : s.vms)
+		if (leads(v.get()) && !v->cut_in && !v->cut_out &&
+		    (!best || ss_raft_term(v->node->raft) >
+				      ss_raft_term(best->node->raft)))
+			best = v.get();
+	return best;
+}
+
+/* Processes and disks. */
+
+void run_process(Sim &s, Vm *v)
+{
+	v->running = true;
+	v->join_ms = v->leader_ms = s.w.now;
+	if (v->joined)
+		start(v->node);
+}
+
+void end_process(Vm *v, bool power)
+{
+	if (!v->running)
+		return;
+	v->running = v->frozen = false;
+	v->held.clear();
+	if (v->node->raft)
+		crash(v->node, power ? 0 : SIZE_MAX / 2);
+}
+
+void wipe(Sim &s, Vm *v)
+{
+	v->node->disk = Disk();
+	v->node->id = s.w.next_id++;
+	v->joined = false;
+}
+
+Vm *new_vm(Sim &s)
+{
+	s.w.nodes.push_back(std::make_unique<Node>());
+	s.vms.push_back(std::make_unique<Vm>());
+	Node *n = s.w.nodes.back().get();
+	Vm *v = s.vms.back().get();
+
+	n->world = &s.w;
+	n->slot = (int)s.w.nodes.size() - 1;
+	n->id = s.w.next_id++;
+	v->node = n;
+	v->name = "vm-" + std::to_string(n->slot);
+	v->addr = "addr-" + std::to_string(n->slot);
+	return v;
+}
+
+struct ss_raft_member member_of(const Vm *v, bool voter)
+{
+	struct ss_raft_member m = member(v->node->id, voter);
+
+	m.name = str(v->name);
+	m.addr = str(v->addr);
+	return m;
+}
+
+/* Asks every VM that it reaches, which names the leader. */
+void request_join(Sim &s, Vm *v)
+{
+	struct ss_raft_member m = member_of(v, false);
+
+	v->join_ms = s.w.now;
+	for (auto &to : s.vms) {
+		if (!leads(to.get()) || !path(v, to.get()) ||
+		    !path(to.get(), v))
+			continue;
+		if (!ss_raft_member(to->node->raft, m.id)) {
+			if (!ss_raft_set_member(to->node->raft, &m, nullptr))
+				continue;
+			s.changes++;
+		}
+		if (!v->joined) {
+			v->joined = true;
+			start(v->node);
+		}
+		return;
+	}
+}
+
+void repair(Sim &s, Vm *v)
+{
+	struct ss_raft *r = v->node->raft;
+	std::vector<repair_member> m(ss_raft_members(r)->n);
+
+	v->repair_ms = s.w.now;
+	repair_members(r, v->node->id, m.data());
+	struct repair_step step =
+		repair_next(m.data(), m.size(), ss_raft_last(r));
+
+	if (step.act != REPAIR_NONE && repair_propose(r, step, nullptr))
+		s.changes++;
+}
+
+void tick(Sim &s, Vm *v)
+{
+	if (!v->running || v->frozen)
+		return;
+	if (!v->joined) {
+		if (s.w.now - v->join_ms >= kJoinMs)
+			request_join(s, v);
+		return;
+	}
+	ss_raft_tick(v->node->raft, s.w.now);
+	if (ss_raft_leader(v->node->raft))
+		v->leader_ms = s.w.now;
+	else if (s.w.now - v->leader_ms > kLeaderlessMs &&
+		 s.w.now - v->join_ms >= kJoinMs)
+		request_join(s, v);
+	if (leads(v) && s.w.now - v->repair_ms >= kRepairMs)
+		repair(s, v);
+}
+
+/* Puts what the nodes have sent on the wire. */
+void take_messages(Sim &s)
+{
+	for (Msg &x : s.w.net) {
+		Vm *from = vm_of(s, x.m.from), *to = vm_of(s, x.m.to);
+
+		if (from && to && path(from, to))
+			s.wire.emplace_back(s.w.now + s.link_ms, x);
+	}
+	s.w.net.clear();
+}
+
+void deliver_due(Sim &s)
+{
+	while (!s.wire.empty() && s.wire.front().first <= s.w.now) {
+		Msg x = s.wire.front().second;
+		Vm *to = vm_of(s, x.m.to);
+
+		s.wire.pop_front();
+		if (to && to->frozen)
+			to->held.push_back(x);
+		else if (to && !to->cut_in)
+			receive(s.w, x);
+	}
+}
+
+void propose_change(Sim &s)
+{
+	Vm *v = leading(s);
+
+	if (v)
+		propose(s.w, v->node);
+	if (s.w.committed.size() > s.accepted) {
+		s.accepted = s.w.committed.size();
+		s.accepted_ms = s.w.now;
+	}
+	RC_ASSERT(s.w.now - s.accepted_ms <= kRecoverMs);
+}
+
+void run_until(Sim &s, int64_t end)
+{
+	while (s.w.now < end) {
+		s.w.now += kStepMs;
+		while (!s.events.empty() &&
+		       s.events.begin()->first <= s.w.now) {
+			auto f = s.events.begin()->second;
+
+			s.events.erase(s.events.begin());
+			f();
+		}
+		deliver_due(s);
+		if (s.w.now % kTickMs == 0)
+			for (size_t i = 0; i < s.vms.size(); i++)
+				tick(s, s.vms[i].get());
+		if (s.w.now % s.propose_every_ms == 0)
+			propose_change(s);
+		for (auto &v : s.vms)
+			if (v->running && !v->frozen && v->node->raft)
+				ss_raft_flush(v->node->raft, s.w.now);
+		take_messages(s);
+	}
+}
+
+/* Losses. Each function begins one now and returns when it is made good: when
+ * the VM is back for good, or its successor has started. */
+
+int64_t range(uint32_t v, int64_t low, int64_t high)
+{
+	return low + (int64_t)(v % 1009) * (high - low) / 1008;
+}
+
+/* The VM's process ends and comes back after down_ms. */
+int64_t restart(Sim &s, Vm *v, int64_t now, int64_t down_ms, bool power,
+		bool lose_disk)
+{
+	s.absences++;
+	s.at(now, [&s, v, power, lose_disk] {
+		end_process(v, power);
+		if (lose_disk)
+			wipe(s, v);
+	});
+	s.at(now + down_ms, [&s, v] { run_process(s, v); });
+	return now + down_ms;
+}
+
+int64_t freeze(Sim &s, Vm *v, int64_t now, int64_t ms)
+{
+	s.absences++;
+	s.at(now, [v] { v->frozen = v->running; });
+	s.at(now + ms, [&s, v] {
+		v->frozen = false;
+		for (const Msg &x : v->held)
+			receive(s.w, x);
+		v->held.clear();
+	});
+	return now + ms;
+}
+
+int64_t cut(Sim &s, Vm *v, int64_t now, int64_t ms, bool in, bool out)
+{
+	s.absences++;
+	s.at(now, [v, in, out] {
+		v->cut_in = in;
+		v->cut_out = out;
+	});
+	s.at(now + ms, [v] { v->cut_in = v->cut_out = false; });
+	return now + ms;
+}
+
+int64_t planned_stop(Sim &s, Vm *v, int64_t now)
+{
+	s.at(now, [&s, v] {
+		if (v->running && v->node->raft)
+			ss_raft_transfer(v->node->raft, s.w.now);
+	});
+	s.at(now + kTransferMs, [v] { end_process(v, false); });
+	return now + kTransferMs;
+}
+
+int64_t replace(Sim &s, size_t place, int64_t gap_ms, bool planned)
+{
+	Vm *old = s.core[place], *v = new_vm(s);
+	int64_t now = s.w.now;
+
+	s.absences++;
+	s.core[place] = v;
+	v->lost = true;
+	if (planned) {
+		s.at(now, [&s, v] { run_process(s, v); });
+		planned_stop(s, old, now + kPlannedMs);
+		return now;
+	}
+	s.at(now, [old] { end_process(old, true); });
+	s.at(now + gap_ms, [&s, v] { run_process(s, v); });
+	return now + gap_ms;
+}
+
+/* The same loss again and again: lost until the last return. */
+int64_t flap(Sim &s, Vm *v, uint32_t x)
+{
+	int64_t at = s.w.now;
+	int kind = (int)(x % 3);
+
+	for (uint32_t k = 0; k < 3 + x / 3 % 6; k++) {
+		uint32_t y = x >> (k + 2);
+
+		if (kind == 0)
+			at = freeze(s, v, at, range(y, 300, 2500));
+		else
+			at = restart(s, v, at, range(y, 200, 1200), kind == 2,
+				     kind == 2);
+		at += range(y / 7, 150, 1500);
+	}
+	return at;
+}
+
+/* Chooses a VM that isn't lost: half of the time the leader. */
+size_t choose_place(const Sim &s, uint32_t x, const Vm *leader)
+{
+	size_t place = (x >> 8) % s.core.size();
+
+	if ((x & 1) && leader && !leader->lost)
+		for (size_t i = 0; i < s.core.size(); i++)
+			if (s.core[i] == leader)
+				place = i;
+	while (s.core[place]->lost)
+		place = (place + 1) % s.core.size();
+	return place;
+}
+
+int64_t lose(Sim &s, size_t place, uint32_t x)
+{
+	uint32_t how = x >> 13;
+	int64_t now = s.w.now;
+	Vm *v = s.core[place];
+
+	v->lost = true;
+	switch ((x >> 1) % 12) {
+	case 0:
+		return restart(s, v, now, range(how, 100, 3100), false, false);
+	case 1:
+		return restart(s, v, now, range(how, 300, 8000), true, false);
+	case 2:
+		return freeze(s, v, now, range(how, 300, 5000));
+	case 3:
+		return cut(s, v, now, range(how, 500, 8000), true, true);
+	case 4:
+		return cut(s, v, now, range(how, 500, 5000), how & 1,
+			   !(how & 1));
+	case 5:
+	case 6:
+		return restart(s, v, now, range(how, 300, 2300), true, true);
+	case 7:
+	case 8:
+		return replace(s, place, range(how, 200, 3300), false);
+	case 9:
+		return replace(s, place, 0, true);
+	case 10:
+		return flap(s, v, how);
+	default:
+		return restart(s, v, planned_stop(s, v, now), 500, false,
+			       false);
+	}
+}
+
+/* Start and end of a play. */
+
+void found_group(Sim &s, int n)
+{
+	std::vector<struct ss_raft_member> all;
+
+	s.w.election_ms = 400;
+	s.w.first_ms = 120;
+	s.w.batch_bytes = 256 << 10;
+	for (int i = 0; i < n; i++)
+		s.core.push_back(new_vm(s));
+	for (int i = 0; i < 3; i++)
+		all.push_back(member_of(s.core[(size_t)i], true));
+	struct ss_raft_members m = { all.data(), all.size() };
+
+	for (int i = 0; i < n; i++) {
+		Vm *v = s.core[(size_t)i];
+
+		if (i < 3) {
+			v->joined = true;
+			v->node->disk.term = 1;
+			v->node->disk.log.push_back(
+				{ 1, 1, SS_RAFT_MEMBERS, encode(&m) });
+			v->node->disk.synced = 1;
+		}
+		run_process(s, v);
+	}
+	s.accepted_ms = s.w.now;
+	s.absences = (size_t)n;
+}
+
+void check_all_accepted(Sim &s)
+{
+	Vm *v = leading(s);
+
+	RC_ASSERT(bool(v));
+	std::set<std::string> have(v->node->state.begin(),
+				   v->node->state.end());
+
+	RC_ASSERT(have.size() == v->node->state.size());
+	for (const std::string &x : s.w.committed)
+		RC_ASSERT(have.count(x) == 1);
+	for (Vm *c : s.core)
+		RC_ASSERT(bool(ss_raft_member(v->node->raft, c->node->id)));
+	RC_ASSERT(s.changes <= s.absences * kChangesPerAbsence);
+}
+
+/* Begins the next loss of a series; the one after it follows as soon as this
+ * one is made good. */
+void lose_next(Sim &s, std::deque<uint32_t> *losses)
+{
+	if (losses->empty())
+		return;
+	uint32_t x = losses->front();
+	size_t place = choose_place(s, x, leading(s));
+
+	losses->pop_front();
+	int64_t good = lose(s, place, x) + kCatchUpMs;
+
+	s.end_ms = std::max(s.end_ms, good);
+	s.at(good, [&s, place] { s.core[place]->lost = false; });
+	s.at(good + (int64_t)(x >> 20) % 300,
+	     [&s, losses] { lose_next(s, losses); });
+}
+
+/* series: of losses, each of which overlaps the others. */
+void play(int n, std::vector<std::deque<uint32_t>> series)
+{
+	Sim s;
+
+	found_group(s, n);
+	run_until(s, s.w.now + kFoundedMs);
+	s.end_ms = s.w.now;
+	for (auto &l : series)
+		lose_next(s, &l);
+	while (s.w.now < s.end_ms + kRecoverMs)
+		run_until(s, s.w.now + kRecoverMs);
+	check_all_accepted(s);
+	for (auto &v : s.vms)
+		ss_raft_free(v->node->raft);
+}
+
+} // namespace
+
+int main()
+{
+	auto number = rc::gen::resize(rc::kNominalSize,
+				      rc::gen::arbitrary<uint32_t>());
+	auto losses = rc::gen::container<std::vector<uint32_t>>(number);
+	bool ok = true;
+
+	for (int n : { 3, 4, 5, 6, 8 })
+		ok &= rc::check(
+			std::to_string(n) + " control VMs bear losses in a row",
+			[&] {
+				std::vector<std::deque<uint32_t>> series;
+
+				for (int k = 0; k < (n < 5 ? 1 : 2); k++) {
+					auto l = *rc::gen::resize(8, losses);
+
+					series.emplace_back(l.begin(), l.end());
+				}
+				play(n, series);
+			});
+	return ok ? 0 : 1;
+}
--- a/test/raft_world.hh
+++ b/test/raft_world.hh
@@ -336,6 +336,14 @@
 	receive(w, x);
 }
 
+inline void propose(World &w, Node *n)
+{
+	std::string v = "v" + std::to_string(w.next_value++);
+
+	if (n->raft)
+		ss_raft_propose(n->raft, str(v), nullptr, nullptr);
+}
+
 } // namespace raft_world
 
 #endif
