Raft: a new leader counts its predecessor's silence from its last message

Symptom: after a change of leader, the leader that was lost counts as alive for a second longer than any other member that was lost, since a new leader began to count all members' silence at its own election.

For the leader before it a new leader knows better: its last message is at least an election timeout old.

test_raft/former_leader_is_silent_since_its_last_message fails without the change (0 in place of 1,500 ms).

--- a/src/core/raft_append.c
+++ b/src/core/raft_append.c
@@ -196,6 +196,7 @@
 {
 	raft_become_follower(r, m->term, m->from);
 	r->leader_contact_ms = r->now;
+	r->former = m->from;
 	raft_reset_deadline(r);
 }
 
--- a/src/core/raft_elect.c
+++ b/src/core/raft_elect.c
@@ -11,6 +11,15 @@
 	return p->granted;
 }
 
+/* Returns the time from which a new leader counts a member's silence. It can
+ * tell for the leader before it only; the others owe it no message so far. */
+static int64_t last_contact_ms(const struct ss_raft *r, const struct peer *p)
+{
+	if (p->id == r->former && !p->granted)
+		return r->leader_contact_ms;
+	return r->now;
+}
+
 static void become_leader(struct ss_raft *r)
 {
 	GError *error = NULL;
@@ -23,9 +32,10 @@
 		p->next = raft_log_last(&r->log) + 1;
 		p->match = 0;
 		p->round = 0;
-		p->contact_ms = r->now;
+		p->contact_ms = last_contact_ms(r, p);
 		p->snap_index = 0;
 	}
+	r->former = 0;
 	/*
 	 * Entries of earlier terms are committed only through a later entry of
 	 * this term; without one a read could miss committed entries.
--- a/src/core/raft_int.h
+++ b/src/core/raft_int.h
@@ -37,6 +37,7 @@
 	GArray *peers; /* struct peer, one per member including this one */
 	int64_t now;
 	int64_t leader_contact_ms; /* time of the leader's last message */
+	uint64_t former;	   /* leader that sent it; 0: none */
 	int64_t deadline_ms;	   /* time of the next campaign */
 	int64_t last_heartbeat_ms; /* time of the last heartbeat */
 	uint64_t round;		   /* current heartbeat round */
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -351,6 +351,25 @@
 	ss_raft_free(f.r);
 }
 
+/* Guards against a lost leader that counts as alive for longer than any other
+ * member, as its successor begins to count at its own election. */
+static void former_leader_is_silent_since_its_last_message(void **state)
+{
+	struct fake f;
+
+	(void)state;
+	start(&f);
+	step(&f, SS_RAFT_APPEND, 2, 4, 2, false);
+	f.now += 1500;
+	ss_raft_tick(f.r, f.now);
+	step(&f, SS_RAFT_PREVOTE_REPLY, 3, 5, 0, true);
+	step(&f, SS_RAFT_VOTE_REPLY, 3, 5, 0, true);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_LEADER);
+	assert_int_equal(ss_raft_quiet_ms(f.r, 2), 1500);
+	assert_int_equal(ss_raft_quiet_ms(f.r, 3), 0);
+	ss_raft_free(f.r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -362,6 +381,8 @@
 		cmocka_unit_test(full_disk_lets_others_lead),
 		cmocka_unit_test(first_campaign_starts_early),
 		cmocka_unit_test(learner_forgets_a_silent_leader),
+		cmocka_unit_test(
+			former_leader_is_silent_since_its_last_message),
 	};
 
 	return cmocka_run_group_tests_name("raft", tests, NULL, NULL);
