Raft: a leader hands over only to a voter with all entries

Symptom: a planned stop of the leader under constant changes leaves the group without a leader for an election timeout or two, as if it had been killed.

Cause: the voter was told to campaign at once, with the last entry still on its way, and others with that entry denied their vote; a change that was taken after the transfer had the same effect.

Change: the leader takes no more changes while it hands over, for an election timeout at most, and tells the voter to campaign once it has all entries. A change in that time gets SS_ERROR_NOT_LEADER, as after it.

--- a/include/sapphireshift/raft.h
+++ b/include/sapphireshift/raft.h
@@ -198,7 +198,8 @@
 
 /*
  * Transfers leadership to the reachable voter with the most entries, before
- * a planned stop.
+ * a planned stop. The leader takes no changes until that voter leads, or an
+ * election timeout has passed.
  */
 void ss_raft_transfer(struct ss_raft *r, int64_t now);
 
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -20,6 +20,11 @@
 	return p->id == r->o.self || r->now - p->contact_ms < r->o.election_ms;
 }
 
+static bool is_transferring(const struct ss_raft *r)
+{
+	return r->transfer_to && r->now < r->transfer_until_ms;
+}
+
 /* Applies Raft's term rules; returns false if the message must not be handled.
  */
 static bool check_term(struct ss_raft *r, const struct ss_raft_msg *m)
@@ -116,6 +121,8 @@
 		raft_become_follower(r, r->term, 0);
 		return;
 	}
+	if (!is_transferring(r))
+		r->transfer_to = 0;
 	if (r->now - r->last_heartbeat_ms >= r->o.heartbeat_ms) {
 		r->round++;
 		raft_broadcast(r);
@@ -176,10 +183,23 @@
 	return false;
 }
 
+/* Fails for a leader that hands over, too: an entry that the next leader
+ * doesn't have yet would cost it the election. */
+static bool require_writable(const struct ss_raft *r, GError **error)
+{
+	if (!require_leader(r, error))
+		return false;
+	if (!is_transferring(r))
+		return true;
+	g_set_error(error, SS_ERROR, SS_ERROR_NOT_LEADER,
+		    "the leadership is being transferred");
+	return false;
+}
+
 bool ss_raft_propose(struct ss_raft *r, struct ss_str data, uint64_t *index,
 		     GError **error)
 {
-	if (!require_leader(r, error))
+	if (!require_writable(r, error))
 		return false;
 	return raft_append_local(r, SS_RAFT_DATA, data, index, error);
 }
@@ -203,7 +223,7 @@
 
 static bool check_member_change(struct ss_raft *r, GError **error)
 {
-	if (!require_leader(r, error))
+	if (!require_writable(r, error))
 		return false;
 	/*
 	 * Two uncommitted changes, or one before this term has a committed
@@ -278,11 +298,10 @@
 
 void ss_raft_transfer(struct ss_raft *r, int64_t now)
 {
-	struct ss_raft_msg m = { .kind = SS_RAFT_TIMEOUT_NOW };
 	struct peer *best = NULL;
 
 	r->now = MAX(r->now, now);
-	if (r->role != SS_RAFT_LEADER)
+	if (r->role != SS_RAFT_LEADER || is_transferring(r))
 		return;
 	for (guint i = 0; i < r->peers->len; i++) {
 		struct peer *p = raft_peer_at(r, i);
@@ -291,8 +310,11 @@
 		    (!best || p->match > best->match))
 			best = p;
 	}
-	if (best)
-		raft_send(r, &m, best->id);
+	if (!best)
+		return;
+	r->transfer_to = best->id;
+	r->transfer_until_ms = r->now + r->o.election_ms;
+	raft_continue_transfer(r);
 }
 
 static bool load_log(struct ss_raft *r, const struct ss_raft_options *o,
--- a/src/core/raft_append.c
+++ b/src/core/raft_append.c
@@ -264,6 +264,15 @@
 	}
 }
 
+void raft_continue_transfer(struct ss_raft *r)
+{
+	struct ss_raft_msg m = { .kind = SS_RAFT_TIMEOUT_NOW };
+	struct peer *p = raft_peer_find(r, r->transfer_to);
+
+	if (p && p->match == raft_log_last(&r->log))
+		raft_send(r, &m, p->id);
+}
+
 void raft_handle_append_reply(struct ss_raft *r, const struct ss_raft_msg *m)
 {
 	struct peer *p = raft_peer_find(r, m->from);
@@ -287,4 +296,6 @@
 	    p->next > r->log.snapshot.index)
 		raft_send_append(r, p);
 	raft_complete_reads(r);
+	if (r->transfer_to == m->from)
+		raft_continue_transfer(r);
 }
--- a/src/core/raft_elect.c
+++ b/src/core/raft_elect.c
@@ -36,6 +36,7 @@
 		p->snap_index = 0;
 	}
 	r->former = 0;
+	r->transfer_to = 0;
 	/*
 	 * Entries of earlier terms are committed only through a later entry of
 	 * this term; without one a read could miss committed entries.
--- a/src/core/raft_int.h
+++ b/src/core/raft_int.h
@@ -49,6 +49,9 @@
 	GString *incoming; /* received chunks of a snapshot */
 	uint64_t incoming_index;
 	bool transfer; /* the old leader requested this campaign */
+	/* Voter that this leader hands over to, until when; 0: none. */
+	uint64_t transfer_to;
+	int64_t transfer_until_ms;
 	bool broken;   /* storage failed */
 };
 
@@ -111,6 +114,9 @@
 /* Completes the reads whose round a majority has echoed. */
 void raft_complete_reads(struct ss_raft *r);
 void raft_handle_append_reply(struct ss_raft *r, const struct ss_raft_msg *m);
+/* Makes the voter that this leader hands over to campaign, once it has all
+ * entries: without the last one it could not be elected. */
+void raft_continue_transfer(struct ss_raft *r);
 
 /* raft_snapshot.c */
 void raft_handle_snapshot(struct ss_raft *r, const struct ss_raft_msg *m);
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -8,6 +8,7 @@
 	uint64_t term, vote;
 	unsigned int applied, sent;
 	struct ss_raft_msg last;
+	uint64_t told_to_campaign; /* member; 0: none */
 	bool full;
 	int64_t now;
 };
@@ -65,6 +66,8 @@
 	struct fake *f = arg;
 
 	f->last = *m;
+	if (m->kind == SS_RAFT_TIMEOUT_NOW)
+		f->told_to_campaign = m->to;
 	f->sent++;
 }
 
@@ -370,6 +373,33 @@
 	ss_raft_free(f.r);
 }
 
+/* Guards against a planned stop that costs an election timeout under load: the
+ * voter that is to lead lacks the last entry, and nobody votes for it. */
+static void transfer_waits_for_the_last_entry(void **state)
+{
+	GError *error = NULL;
+	struct fake f;
+
+	(void)state;
+	start(&f);
+	elect(&f);
+	step(&f, SS_RAFT_APPEND_REPLY, 2, 4, 3, true);
+	assert_true(ss_raft_propose(f.r, SS_LIT("x"), NULL, NULL));
+	ss_raft_transfer(f.r, f.now);
+	assert_int_equal(f.told_to_campaign, 0);
+	assert_false(ss_raft_propose(f.r, SS_LIT("y"), NULL, &error));
+	assert_int_equal(error->code, SS_ERROR_NOT_LEADER);
+	g_clear_error(&error);
+	step(&f, SS_RAFT_APPEND_REPLY, 2, 4, 4, true);
+	assert_int_equal(f.told_to_campaign, 2);
+	f.now += 599;
+	step(&f, SS_RAFT_APPEND_REPLY, 3, 4, 4, true);
+	f.now += 1;
+	step(&f, SS_RAFT_APPEND_REPLY, 3, 4, 4, true);
+	assert_true(ss_raft_propose(f.r, SS_LIT("y"), NULL, NULL));
+	ss_raft_free(f.r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -383,6 +413,7 @@
 		cmocka_unit_test(learner_forgets_a_silent_leader),
 		cmocka_unit_test(
 			former_leader_is_silent_since_its_last_message),
+		cmocka_unit_test(transfer_waits_for_the_last_entry),
 	};
 
 	return cmocka_run_group_tests_name("raft", tests, NULL, NULL);
