Control group: a planned stop hands the vote over to the spare

Symptom: a VM is replaced as planned, SIGTERM comes late in the 4 s that its successor has, and the next loss leaves no leader for good.

The process knows that it ends and tells nobody but its successor as leader; the others learn it by a second of silence.

Change: a member that ends says so in a join request, each 50 ms until it is gone; the leader replaces it as it replaces a lost one, if a learner is ready. Without a spare nothing changes. A VM that returns has lost its vote, so a candidate that isn't a member is told who leads and joins again at once instead of after 2 s. Older leaders take the message for a join request of a member, which changes nothing.

--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -51,6 +51,7 @@
 	F(1, WIRE_UINT, msg_join, id),
 	F(2, WIRE_STR, msg_join, name),
 	F(3, WIRE_STR, msg_join, addr),
+	F(4, WIRE_BOOL, msg_join, leaving),
 };
 static const struct wire_field control_addr_fields[] = {
 	F(1, WIRE_STR, control_addr, addr),
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -11,7 +11,7 @@
 	MSG_HELLO = 1, /* first on a connection, in both directions */
 	MSG_PING,      /* keepalive on an idle connection */
 	MSG_RAFT,      /* control to control */
-	MSG_JOIN,     /* control VM without a group to a member: join request */
+	MSG_JOIN,     /* control VM to a member: join request, or planned stop */
 	MSG_JOINED,   /* reply to MSG_JOIN */
 	MSG_LEADER,   /* control to others: the current leader */
 	MSG_REGISTER, /* agent to leader: the endpoint and what it holds */
@@ -76,11 +76,13 @@
 	uint64_t config;      /* version of the preset that it applies */
 };
 
-/* Sent by a control VM that has no group yet. */
+/* Sent by a control VM that is in no group or no longer a member, and by a
+ * member that ends. */
 struct msg_join {
 	uint64_t id; /* of its data directory */
 	struct ss_str name;
 	struct ss_str addr;
+	bool leaving; /* the process ends soon: nothing is joined */
 };
 
 struct msg_leader {
--- a/src/core/repair.c
+++ b/src/core/repair.c
@@ -26,7 +26,8 @@
 static bool is_ready(const struct repair_member *m, size_t n, size_t i,
 		     uint64_t last)
 {
-	return !m[i].voter && m[i].quiet_ms <= REPAIR_READY_MS && m[i].match &&
+	return !m[i].voter && !m[i].leaving &&
+	       m[i].quiet_ms <= REPAIR_READY_MS && m[i].match &&
 	       m[i].match + REPAIR_MAX_LAG >= last &&
 	       !is_replaced(m, n, i, false);
 }
@@ -35,9 +36,10 @@
  * or nobody knows whether it will. */
 static bool is_lost(const struct repair_member *m, size_t n, size_t i)
 {
-	return m[i].voter &&
-	       ((!m[i].self && m[i].quiet_ms > REPAIR_SUSPECT_MS) ||
-		is_replaced(m, n, i, false));
+	if (!m[i].voter || m[i].self)
+		return false;
+	return m[i].leaving || m[i].quiet_ms > REPAIR_SUSPECT_MS ||
+	       is_replaced(m, n, i, false);
 }
 
 struct repair_counts repair_count(const struct repair_member *m, size_t n,
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -569,7 +569,7 @@
 	struct control_role *k = role;
 
 	k->stop_ms = ss_clock_now(&k->d->clock);
-	group_transfer(k->group);
+	group_leave(k->group);
 }
 
 const struct role_ops control_role = { "control", control_start, control_stop,
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -363,6 +363,7 @@
 				 .data = w->data };
 
 	g_hash_table_replace(g->last_conns, id, c);
+	group_redirect_candidate(g, c, w);
 	if (w->members.n)
 		ss_raft_decode_members(w->members, &m.members);
 	ss_raft_step(g->raft, group_now(g), &m);
@@ -446,6 +447,8 @@
 	connect_members(g);
 	group_announce(g, now);
 	ss_raft_tick(g->raft, now);
+	if (g->leaving)
+		group_announce_leaving(g, now);
 	if (ss_raft_leader(g->raft))
 		g->leader_ms = now;
 	else if (now - g->leader_ms > LEADERLESS_MS)
@@ -583,8 +586,9 @@
 	return ok;
 }
 
-void group_transfer(struct group *g)
+void group_leave(struct group *g)
 {
+	g->leaving = true;
 	if (g->raft)
 		ss_raft_transfer(g->raft, group_now(g));
 }
@@ -613,6 +617,8 @@
 					      g_free, NULL);
 	g->reads = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					 NULL);
+	g->leaving_members = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   g_free, g_free);
 	g_queue_init(&g->proposals);
 	g->n_applied = metrics_value(d->metrics, "ss_log_applied", "");
 	g->n_term = metrics_value(d->metrics, "ss_log_term", "");
@@ -646,6 +652,7 @@
 	event_free(g->flush);
 	g_hash_table_unref(g->member_conns);
 	g_hash_table_unref(g->last_conns);
+	g_hash_table_unref(g->leaving_members);
 	g_queue_clear_full(&g->proposals, g_free);
 	ss_raft_free(g->raft);
 	g_hash_table_unref(g->reads);
--- a/src/daemon/group.h
+++ b/src/daemon/group.h
@@ -78,7 +78,8 @@
 
 bool group_remove_member(struct group *g, uint64_t id, GError **error);
 
-/* Transfers the leadership, if held, before a planned stop. */
-void group_transfer(struct group *g);
+/* Begins a planned stop: transfers the leadership, if held, and hands the vote
+ * over to a spare, if there is one. */
+void group_leave(struct group *g);
 
 #endif
--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -4,6 +4,9 @@
 /* Interval between join requests, in ms; a reply takes a round trip and the
  * commit of a membership change. */
 #define JOIN_INTERVAL_MS 500
+/* Interval at which a process that ends tells the leader, in ms: the leader may
+ * just be elected. */
+#define LEAVE_INTERVAL_MS 50
 /* Interval of announcements to the control addresses of the settings, in ms. */
 #define ANNOUNCE_MS 1000
 /* Interval of checks for a new leader or connection, which are announced
@@ -14,7 +17,8 @@
 {
 	struct msg_join m = { .id = g->loaded.id,
 			      .name = g->d->hello.name,
-			      .addr = ss_str(g->addr) };
+			      .addr = ss_str(g->addr),
+			      .leaving = g->leaving };
 	struct member_conn *o;
 
 	if (!strcmp(addr, g->addr))
@@ -55,6 +59,59 @@
 	g_array_unref(members);
 }
 
+void group_announce_leaving(struct group *g, int64_t now)
+{
+	const char *leader = group_leader_addr(g);
+
+	if (!leader || now - g->leave_ms < LEAVE_INTERVAL_MS)
+		return;
+	g->leave_ms = now;
+	request_join(g, leader);
+}
+
+/* Returns true if the member has said within the last second that its process
+ * ends. After that its silence tells, or it is back. */
+static bool is_leaving(const struct group *g, uint64_t id)
+{
+	const int64_t *ms = g_hash_table_lookup(g->leaving_members, &id);
+
+	return ms && group_now(g) - *ms <= REPAIR_SUSPECT_MS;
+}
+
+static gboolean has_left(gpointer id, gpointer ms, gpointer group)
+{
+	(void)ms;
+	return !is_leaving(group, *(const uint64_t *)id);
+}
+
+static void note_leaving(struct group *g, const struct msg_join *m)
+{
+	int64_t now = group_now(g);
+
+	g_hash_table_foreach_remove(g->leaving_members, has_left, g);
+	if (!group_leads(g) || !ss_raft_member(g->raft, m->id))
+		return;
+	if (!is_leaving(g, m->id))
+		log_info("leaving", "name=%.*s id=%" PRIx64, SS_FMT(m->name),
+			 m->id);
+	g_hash_table_replace(g->leaving_members,
+			     g_memdup2(&m->id, sizeof(m->id)),
+			     g_memdup2(&now, sizeof(now)));
+}
+
+void group_redirect_candidate(struct group *g, struct conn *c,
+			      const struct msg_raft *m)
+{
+	const char *leader = group_leader_addr(g);
+	struct msg_leader reply = { 0 };
+
+	if (m->kind != SS_RAFT_PREVOTE || !leader ||
+	    ss_raft_member(g->raft, m->from))
+		return;
+	reply.addr = ss_str(leader);
+	conn_send(c, MSG_JOINED, &reply);
+}
+
 void group_handle_join(struct group *g, struct conn *c,
 		       const struct msg_join *m)
 {
@@ -65,6 +122,10 @@
 					 .addr = m->addr };
 	GError *error = NULL;
 
+	if (m->leaving) {
+		note_leaving(g, m);
+		return;
+	}
 	/* The joining VM may not know the leader: its settings name only the
 	 * first control VMs. */
 	if (!group_leads(g)) {
@@ -187,6 +248,8 @@
 	GError *error = NULL;
 
 	repair_members(g->raft, g->loaded.id, m);
+	for (size_t i = 0; i < n; i++)
+		m[i].leaving = is_leaving(g, m[i].id);
 	log_members(g, m, n);
 	step = repair_next(m, n, ss_raft_last(g->raft));
 	if (step.act != REPAIR_NONE) {
--- a/test/prop_members.cc
+++ b/test/prop_members.cc
@@ -29,8 +29,9 @@
 const int64_t kFoundedMs = 8000;
 /* Longest time without an accepted change. */
 const int64_t kRecoverMs = 12000;
-/* From the start of a successor until SIGTERM in a planned replacement. */
-const int64_t kPlannedMs = 1000;
+/* Longest time from the start of a successor until SIGTERM in a planned
+ * replacement. The VM is to be gone when the successor has caught up. */
+const int64_t kPlannedMaxMs = 3500;
 /* Changes of members that one absence of a VM may cause: two removals and two
  * promotions, of the VM and of the one that stands in for it, and a join. */
 const size_t kChangesPerAbsence = 5;
@@ -40,7 +41,10 @@
 	std::string name, addr;
 	bool running = false, joined = false, frozen = false;
 	bool cut_in = false, cut_out = false;
+	bool leaving = false;
 	int64_t join_ms = 0, repair_ms = 0, leader_ms = 0;
+	/* The last time that each member has said that it ends. */
+	std::map<uint64_t, int64_t> leaving_ms;
 	bool lost = false;    /* until its loss has been made good */
 	std::deque<Msg> held; /* arrived while it was frozen */
 };
@@ -109,7 +113,8 @@
 {
 	if (!v->running)
 		return;
-	v->running = v->frozen = false;
+	v->running = v->frozen = v->leaving = false;
+	v->leaving_ms.clear();
 	v->held.clear();
 	if (v->node->raft)
 		crash(v->node, power ? 0 : SIZE_MAX / 2);
@@ -177,6 +182,9 @@
 
 	v->repair_ms = s.w.now;
 	repair_members(r, v->node->id, m.data());
+	for (repair_member &x : m)
+		x.leaving = v->leaving_ms.count(x.id) &&
+			    s.w.now - v->leaving_ms[x.id] <= REPAIR_SUSPECT_MS;
 	struct repair_step step =
 		repair_next(m.data(), m.size(), ss_raft_last(r));
 
@@ -184,6 +192,13 @@
 		s.changes++;
 }
 
+void announce_leaving(Sim &s, const Vm *v)
+{
+	for (auto &to : s.vms)
+		if (leads(to.get()) && path(v, to.get()))
+			to->leaving_ms[v->node->id] = s.w.now;
+}
+
 void tick(Sim &s, Vm *v)
 {
 	if (!v->running || v->frozen)
@@ -194,6 +209,8 @@
 		return;
 	}
 	ss_raft_tick(v->node->raft, s.w.now);
+	if (v->leaving)
+		announce_leaving(s, v);
 	if (ss_raft_leader(v->node->raft))
 		v->leader_ms = s.w.now;
 	else if (s.w.now - v->leader_ms > kLeaderlessMs &&
@@ -215,6 +232,18 @@
 	s.w.net.clear();
 }
 
+/* A candidate that isn't a member is told who leads, and joins again. */
+void redirect_candidate(Sim &s, const Vm *to, const ss_raft_msg &m)
+{
+	Vm *from = vm_of(s, m.from);
+
+	if (m.kind == SS_RAFT_PREVOTE && from && from->running &&
+	    !from->frozen && !from->leaving && to->node->raft &&
+	    ss_raft_leader(to->node->raft) &&
+	    !ss_raft_member(to->node->raft, m.from))
+		request_join(s, from);
+}
+
 void deliver_due(Sim &s)
 {
 	while (!s.wire.empty() && s.wire.front().first <= s.w.now) {
@@ -224,8 +253,10 @@
 		s.wire.pop_front();
 		if (to && to->frozen)
 			to->held.push_back(x);
-		else if (to && !to->cut_in)
+		else if (to && !to->cut_in) {
 			receive(s.w, x);
+			redirect_candidate(s, to, x.m);
+		}
 	}
 }
 
@@ -315,6 +346,7 @@
 int64_t planned_stop(Sim &s, Vm *v, int64_t now)
 {
 	s.at(now, [&s, v] {
+		v->leaving = true;
 		if (v->running && v->node->raft)
 			ss_raft_transfer(v->node->raft, s.w.now);
 	});
@@ -332,7 +364,7 @@
 	v->lost = true;
 	if (planned) {
 		s.at(now, [&s, v] { run_process(s, v); });
-		planned_stop(s, old, now + kPlannedMs);
+		planned_stop(s, old, now + gap_ms);
 		return now;
 	}
 	s.at(now, [old] { end_process(old, true); });
@@ -399,7 +431,7 @@
 	case 8:
 		return replace(s, place, range(how, 200, 3300), false);
 	case 9:
-		return replace(s, place, 0, true);
+		return replace(s, place, range(how, 200, kPlannedMaxMs), true);
 	case 10:
 		return flap(s, v, how);
 	default:
--- a/test/test_repair.c
+++ b/test/test_repair.c
@@ -16,6 +16,11 @@
 		.name = SS_LIT(who), .addr = SS_LIT(who), .voter = true,       \
 		.quiet_ms = (quiet), .match = 100                              \
 	}
+#define LEAVING(who)                                                           \
+	{                                                                      \
+		.name = SS_LIT(who), .addr = SS_LIT(who), .voter = true,       \
+		.leaving = true, .match = 100                                  \
+	}
 #define LEARNER(who, quiet, index)                                             \
 	{                                                                      \
 		.name = SS_LIT(who), .addr = SS_LIT(who), .quiet_ms = (quiet), \
@@ -151,6 +156,16 @@
 	  REPAIR_NONE,
 	  0 },
 	/* Guards against a vote for a VM that is gone again. */
+	{ "a voter that ends as planned leaves once a successor is ready",
+	  { VOTER("a", 0), VOTER("b", 0), LEAVING("c"), LEARNER("e", 0, 1000) },
+	  4,
+	  REPAIR_REMOVE,
+	  2 },
+	{ "a voter that ends as planned stays without a successor",
+	  { VOTER("a", 0), VOTER("b", 0), LEAVING("c") },
+	  3,
+	  REPAIR_NONE,
+	  0 },
 	{ "a learner that fell silent isn't promoted",
 	  { VOTER("a", 0), VOTER("b", 0),
 	    LEARNER("e", REPAIR_READY_MS + 1, 1000) },
