--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -748,7 +748,8 @@
              *poison.SCENARIOS, *shared_failures.SCENARIOS, *changes.SCENARIOS,
              *signal_scenarios.SCENARIOS, *versions.SCENARIOS,
              *poison_parts.SCENARIOS, *entry_surge.SCENARIOS,
-             *power_loss.SCENARIOS, *membership.SCENARIOS]
+             *power_loss.SCENARIOS, *membership.SCENARIOS,
+             *versions.LATER_SCENARIOS]
 
 
 async def run_scenario(scenario, seed, daemon):
--- a/test/fleet/soak_versions.py
+++ b/test/fleet/soak_versions.py
@@ -32,11 +32,12 @@
     """
 
     def __init__(self, fleet, name, model, total, entries,
-                 disconnects_at=None):
+                 disconnects_at=None, max_tries=TRIES):
         self.f, self.name, self.model = fleet, name, model
         self.total, self.entries = total, entries
         # Event after which the caller disconnects, once.
         self.disconnects_at = disconnects_at
+        self.max_tries = max_tries
         self.first = None    # id of the request that got the first event
         self.events = 0      # events received
         self.resume_tries = 0
@@ -95,7 +96,7 @@
     async def run(self):
         """Requests the stream, and resumes it until it is complete."""
         until = time.monotonic() + DEADLINE_S
-        for i in range(TRIES):
+        for i in range(self.max_tries):
             rid = "%s.%d" % (self.name, i)
             entry = self.entries[min(i, len(self.entries) - 1)]
             self.f.world.sent_to[rid] = entry
--- a/test/fleet/versions.py
+++ b/test/fleet/versions.py
@@ -6,7 +6,8 @@
 
 from fleet_logs import leader_of
 from soak import MODELS_LOADED_S, RECOVERY_S, await_first_change, until
-from soak_versions import ResumingCaller, mixed_version_streams, resumed_share
+from soak_versions import (MIN_RESUME_RATIO, TRIES, ResumingCaller,
+                           mixed_version_streams, resumed_share)
 from standin import MODELS
 
 OLD, NEW = "v1", "v2"
@@ -16,6 +17,12 @@
 # Time within which a stream that can't be resumed has to be refused, once that
 # is known.
 REFUSAL_BOUND_S = 0.5
+# Tries of a caller while all entries are down.
+PATIENT_TRIES = 60
+# From a stream's begin until all of them are in the log.
+LOGGED_S = 0.5
+# From the end of a version's last endpoint until all processes are killed.
+LEFT_BEFORE_S = (0.0, 0.6)
 # Guaranteed share of the streams resumed while their version serves. Callers
 # who hit the fault itself retry.
 SHARE = 0.9
@@ -45,15 +52,15 @@
     await t.run()
 
 
-async def begin(fleet, name, entries, n=STREAMS):
+async def begin(fleet, name, entries, n=STREAMS, max_tries=TRIES):
     """Starts n callers of streams of all models at these entries, and waits
     until each has got its first events.
     """
     callers = [ResumingCaller(
         fleet, "%s-%d" % (name, i), "m%d" % (i % len(MODELS)), EVENTS,
         [entries[i % len(entries)]] +
-        [e for e in sorted(fleet.entries, reverse=True) if e not in entries])
-        for i in range(n)]
+        [e for e in sorted(fleet.entries, reverse=True) if e not in entries],
+        max_tries=max_tries) for i in range(n)]
     for t in callers:
         t.task = asyncio.ensure_future(t.run())
 
@@ -137,6 +144,53 @@
     assert not late, "refused late: %s" % late[0]
 
 
+async def kill_all(fleet):
+    """Kills all entries and control VMs at once, and starts them again."""
+    procs = [p for p in fleet.procs.values() if p.role != "agent"]
+    for p in procs:
+        p.send(signal.SIGKILL)
+    await asyncio.gather(*[p.end() for p in procs])
+    for p in procs:
+        p.start()
+
+
+async def streams_outlive_all_entries_and_control_vms(fleet):
+    """Guards against the refusal of all resumed streams, and against answers
+    of two versions, when nobody is left who knows which version began them.
+    """
+    await two_versions(fleet)
+    callers = await begin(fleet, "a", sorted(fleet.entries),
+                          max_tries=PATIENT_TRIES)
+    await asyncio.sleep(LOGGED_S)
+    await kill_all(fleet)
+    await end_all(callers)
+    check(fleet, callers, MIN_RESUME_RATIO)
+
+
+async def stream_of_a_version_that_left_before_all_were_killed(fleet):
+    """Guards against a stream that is resumed at the only version that is
+    listed after all entries and control VMs were killed, while the version
+    that began it had just left.
+    """
+    await two_versions(fleet)
+    for i, gap in enumerate(LEFT_BEFORE_S):
+        callers = await begin(fleet, "b%d" % i, sorted(fleet.entries),
+                              max_tries=PATIENT_TRIES)
+        old = [e for e in fleet.engines if e.version == OLD]
+        await asyncio.gather(*[e.restart(0.1, NEW) for e in old])
+        await asyncio.sleep(gap)
+        await kill_all(fleet)
+        await end_all(callers)
+        check(fleet, [t for t in callers if t.version == NEW],
+              MIN_RESUME_RATIO)
+        await asyncio.gather(*[e.restart(0.1, OLD) for e in old])
+        for m in MODELS:
+            await request_stream(fleet, m)
+
+
 SCENARIOS = [streams_resume_at_their_version,
              streams_resume_after_leader_and_entry_are_killed,
              stream_of_a_gone_version_is_refused]
+# At the end of all scenarios, whose seeds follow from their places.
+LATER_SCENARIOS = [streams_outlive_all_entries_and_control_vms,
+                   stream_of_a_version_that_left_before_all_were_killed]
