Streams of several versions outlive a loss of all processes

Cause: what a process knows of a stream's lifetime before it started.

With one version nothing but that version is written. ss_str_dup() copies all bytes: keys of streams hold zero bytes, and records were copied up to the first one.

What is left: streams begun in the last tenth of a second before the kill are refused, not joined.

--- a/include/sapphireshift/base.h
+++ b/include/sapphireshift/base.h
@@ -47,10 +47,15 @@
 	return a.n == b.n && (a.n == 0 || memcmp(a.p, b.p, a.n) == 0);
 }
 
-/* Returns a NUL-terminated copy, to be freed with g_free(). */
+/* Returns a NUL-terminated copy of all bytes, to be freed with g_free(). */
 static inline char *ss_str_dup(struct ss_str s)
 {
-	return g_strndup(s.p ? s.p : "", s.n);
+	char *copy = (char *)g_malloc(s.n + 1);
+
+	if (s.n)
+		memcpy(copy, s.p, s.n);
+	copy[s.n] = 0;
+	return copy;
 }
 
 /* Replaces the owned string *at with a copy of s and frees the old one. */
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -345,6 +345,21 @@
 	r->version = document_version(s->routing);
 }
 
+static void apply_streams_put(struct ss_state *s, uint64_t index,
+			      const struct command_wire *c,
+			      struct command_result *r)
+{
+	const struct stream_rec *x = c->streams.items;
+
+	state_expire_streams(s, c->at_ms);
+	for (size_t i = 0; i < c->streams.n; i++)
+		if (x[i].removed)
+			state_drop_version(s, &x[i]);
+		else
+			state_put_streams(s, &x[i]);
+	r->version = index;
+}
+
 static void apply_quarantines_put(struct ss_state *s, uint64_t index,
 				  const struct command_wire *c,
 				  struct command_result *r)
@@ -398,6 +413,9 @@
 	case COMMAND_QUARANTINES_PUT:
 		apply_quarantines_put(s, index, c, r);
 		return;
+	case COMMAND_STREAMS_PUT:
+		apply_streams_put(s, index, c, r);
+		return;
 	}
 	refuse(r, SS_ERROR_BAD_REQUEST, 0, "unknown command");
 }
@@ -489,7 +507,8 @@
 				  .claim = { c->claim, c->claim != NULL },
 				  .routing = { c->routing, c->routing != NULL },
 				  .quarantines = { c->quarantines,
-						   c->n_quarantines } };
+						   c->n_quarantines },
+				  .streams = { c->streams, c->n_streams } };
 
 	return wire_encode(&command_wire_type, &w);
 }
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -1,7 +1,7 @@
 /*
  * The replicated state machine: presets and the one in force, models, nodes,
- * replicas, the routing, claims on calls that may run at most once, and
- * quarantines of what crashes endpoints.
+ * replicas, the routing, claims on calls that may run at most once, quarantines
+ * of what crashes endpoints, and which software version began a stream.
  *
  * The state changes only by ss_state_apply() with the entries of the replicated
  * log, in order, so that it is the same on every control VM. Records own their
@@ -22,6 +22,10 @@
 /* Quarantines are dropped beyond this count, the oldest first. */
 #define STATE_QUARANTINES_MAX 1024
 
+/* Records of streams are dropped beyond this count, the oldest first: those of
+ * a minute, some of them of several versions. */
+#define STATE_STREAMS_MAX 4096
+
 enum command_kind {
 	COMMAND_PRESET_PUT = 1,
 	COMMAND_PRESET_SWITCH,
@@ -34,6 +38,7 @@
 	COMMAND_CLAIM,
 	COMMAND_ROUTING_PUT,
 	COMMAND_QUARANTINES_PUT,
+	COMMAND_STREAMS_PUT,
 };
 
 enum node_kind { NODE_ENGINE = 1, NODE_SERVICE };
@@ -116,6 +121,15 @@
 	bool removed;	  /* in a command: delete the quarantine */
 };
 
+/* Streams that a version of endpoints' software began. Without streams: a
+ * version that may have begun any, as it served lately. */
+struct stream_rec {
+	struct ss_str service, version;
+	struct ss_str keys; /* as in struct stream_group */
+	int64_t until_ms;   /* of streams: wall time when they expire */
+	bool removed;	    /* in a command: delete the version */
+};
+
 struct change_rec {
 	struct ss_str id;
 	struct ss_str author;
@@ -149,6 +163,8 @@
 	struct routing_rec *routing;
 	struct quarantine_rec *quarantines;
 	size_t n_quarantines;
+	struct stream_rec *streams;
+	size_t n_streams;
 	/* Holder of the claim that is known not to run: the claim passes to
 	 * the new call. */
 	uint64_t dead_entry, dead_seq;
@@ -221,6 +237,11 @@
 GQueue *ss_state_quarantines(const struct ss_state *s);
 /* Returns a number that changes with the quarantines. */
 uint64_t ss_state_quarantines_version(const struct ss_state *s);
+/* Returns the streams and versions (struct stream_rec *), oldest first. */
+GQueue *ss_state_streams(const struct ss_state *s);
+/* Returns true if the version is recorded as one that served lately. */
+bool ss_state_has_version(const struct ss_state *s, const char *service,
+			  const char *version);
 /* Returns the number of claims. */
 size_t ss_state_claims(const struct ss_state *s);
 
--- a/src/core/state_codec.c
+++ b/src/core/state_codec.c
@@ -92,6 +92,16 @@
 const struct wire_type quarantine_wire =
 	WIRE_TYPE(struct quarantine_rec, quarantine_fields);
 
+static const struct wire_field stream_rec_fields[] = {
+	F(1, WIRE_STR, stream_rec, service),
+	F(2, WIRE_STR, stream_rec, version),
+	F(3, WIRE_STR, stream_rec, keys),
+	F(4, WIRE_INT, stream_rec, until_ms),
+	F(5, WIRE_BOOL, stream_rec, removed),
+};
+const struct wire_type stream_rec_wire =
+	WIRE_TYPE(struct stream_rec, stream_rec_fields);
+
 static const struct wire_field command_fields[] = {
 	F(1, WIRE_INT, command_wire, kind),
 	F(2, WIRE_STR, command_wire, change_id),
@@ -107,6 +117,7 @@
 	L(12, command_wire, claim, claim_wire),
 	L(13, command_wire, routing, routing_wire),
 	L(14, command_wire, quarantines, quarantine_wire),
+	L(15, command_wire, streams, stream_rec_wire),
 };
 const struct wire_type command_wire_type =
 	WIRE_TYPE(struct command_wire, command_fields);
@@ -122,6 +133,7 @@
 	L(8, state_snapshot, changes, change_wire),
 	L(9, state_snapshot, routing, routing_wire),
 	L(10, state_snapshot, quarantines, quarantine_wire),
+	L(11, state_snapshot, streams, stream_rec_wire),
 };
 const struct wire_type snapshot_wire =
 	WIRE_TYPE(struct state_snapshot, snapshot_fields);
--- a/src/core/state_codec.h
+++ b/src/core/state_codec.h
@@ -5,15 +5,15 @@
 #include "../base/wire.h"
 #include "state.h"
 
-/* A command as encoded in the log: lists of models and of quarantines, and at
- * most one of each other record. */
+/* A command as encoded in the log: lists of models, quarantines and streams,
+ * and at most one of each other record. */
 struct command_wire {
 	int64_t kind;
 	struct ss_str change_id, author;
 	int64_t at_ms;
 	uint64_t expect, dead_entry, dead_seq;
 	struct wire_list preset, models, node, replica, claim, routing,
-		quarantines;
+		quarantines, streams;
 };
 
 /* The whole state, as encoded in a snapshot. */
@@ -21,11 +21,11 @@
 	struct ss_str in_force;
 	uint64_t config_version;
 	struct wire_list presets, models, nodes, replicas, claims, changes,
-		routing, quarantines;
+		routing, quarantines, streams;
 };
 
 extern const struct wire_type preset_wire, model_wire, node_wire, replica_wire,
-	claim_wire, change_wire, routing_wire, quarantine_wire,
+	claim_wire, change_wire, routing_wire, quarantine_wire, stream_rec_wire,
 	command_wire_type, snapshot_wire;
 
 #endif
--- a/src/core/state_int.h
+++ b/src/core/state_int.h
@@ -15,6 +15,7 @@
 	GQueue history;	     /* struct change_rec, oldest first */
 	GQueue quarantines;  /* struct quarantine_rec, oldest first */
 	uint64_t quarantines_version;
+	GQueue streams; /* struct stream_rec, oldest first */
 	char *in_force;
 	uint64_t config_version;
 	struct document *routing;
@@ -38,6 +39,11 @@
  * oldest beyond STATE_QUARANTINES_MAX. */
 void state_put_quarantine(struct ss_state *s, const struct quarantine_rec *q);
 void state_drop_quarantine(struct ss_state *s, const struct quarantine_rec *q);
+/* Copies streams or a version that isn't recorded yet. Drops the oldest streams
+ * beyond STATE_STREAMS_MAX. */
+void state_put_streams(struct ss_state *s, const struct stream_rec *x);
+void state_drop_version(struct ss_state *s, const struct stream_rec *x);
+void state_expire_streams(struct ss_state *s, int64_t wall_ms);
 /* Records a result for the history and, if the change has an id, for resends.
  * Drops the oldest beyond STATE_CHANGES_MAX. */
 void state_put_change(struct ss_state *s, const struct change_rec *c);
--- a/src/core/state_store.c
+++ b/src/core/state_store.c
@@ -70,6 +70,11 @@
 	return ss_str_eq(*(const struct ss_str *)a, *(const struct ss_str *)b);
 }
 
+static void free_streams(void *r)
+{
+	rec_free(&stream_rec_wire, r);
+}
+
 static GHashTable *index_new(void)
 {
 	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -95,6 +100,7 @@
 	g_queue_init(&s->claim_order);
 	g_queue_init(&s->history);
 	g_queue_init(&s->quarantines);
+	g_queue_init(&s->streams);
 	s->in_force = g_strdup("");
 	s->routing = document_new();
 	s->routing_change = g_string_new(NULL);
@@ -114,6 +120,7 @@
 	g_queue_clear_full(&s->claim_order, free_claim);
 	g_queue_clear_full(&s->history, free_change);
 	g_queue_clear_full(&s->quarantines, g_free);
+	g_queue_clear_full(&s->streams, free_streams);
 	g_free(s->in_force);
 	s->in_force = g_strdup("");
 	s->config_version = 0;
@@ -305,6 +312,68 @@
 		g_free(g_queue_pop_head(&s->quarantines));
 }
 
+static GList *find_version(const struct ss_state *s, struct ss_str service,
+			   struct ss_str version)
+{
+	for (GList *p = s->streams.head; p; p = p->next) {
+		const struct stream_rec *x = p->data;
+
+		if (!x->keys.n && ss_str_eq(x->service, service) &&
+		    ss_str_eq(x->version, version))
+			return p;
+	}
+	return NULL;
+}
+
+static void drop_streams(struct ss_state *s, GList *p)
+{
+	free_streams(p->data);
+	g_queue_delete_link(&s->streams, p);
+}
+
+void state_drop_version(struct ss_state *s, const struct stream_rec *x)
+{
+	GList *p = find_version(s, x->service, x->version);
+
+	if (p)
+		drop_streams(s, p);
+}
+
+void state_expire_streams(struct ss_state *s, int64_t wall_ms)
+{
+	GList *p = s->streams.head;
+
+	while (p) {
+		const struct stream_rec *x = p->data;
+		GList *next = p->next;
+
+		if (x->keys.n && x->until_ms <= wall_ms)
+			drop_streams(s, p);
+		p = next;
+	}
+}
+
+static void drop_oldest_streams(struct ss_state *s)
+{
+	for (GList *p = s->streams.head; p; p = p->next)
+		if (((const struct stream_rec *)p->data)->keys.n) {
+			drop_streams(s, p);
+			return;
+		}
+}
+
+void state_put_streams(struct ss_state *s, const struct stream_rec *x)
+{
+	struct stream_rec *copy;
+
+	if (!x->keys.n && find_version(s, x->service, x->version))
+		return;
+	copy = rec_dup(&stream_rec_wire, x);
+	g_queue_push_tail(&s->streams, copy);
+	if (s->streams.length > STATE_STREAMS_MAX)
+		drop_oldest_streams(s);
+}
+
 /* Copies the records to an array, for encoding; the copies are shallow. */
 static struct wire_list collect(GList *recs, const struct wire_type *t)
 {
@@ -347,6 +416,7 @@
 	snap.claims = collect(s->claim_order.head, &claim_wire);
 	snap.changes = collect(s->history.head, &change_wire);
 	snap.quarantines = collect(s->quarantines.head, &quarantine_wire);
+	snap.streams = collect(s->streams.head, &stream_rec_wire);
 	snap.routing = (struct wire_list){ &routing, full != NULL };
 	out = wire_encode(&snapshot_wire, &snap);
 	if (full)
@@ -358,6 +428,7 @@
 	g_free(snap.claims.items);
 	g_free(snap.changes.items);
 	g_free(snap.quarantines.items);
+	g_free(snap.streams.items);
 	return out;
 }
 
@@ -391,6 +462,9 @@
 	for (size_t i = 0; i < snap.quarantines.n; i++)
 		state_put_quarantine(
 			s, (struct quarantine_rec *)snap.quarantines.items + i);
+	for (size_t i = 0; i < snap.streams.n; i++)
+		state_put_streams(s,
+				  (struct stream_rec *)snap.streams.items + i);
 	ok = !snap.routing.n || state_put_routing(s, snap.routing.items, NULL);
 out:
 	wire_buf_clear(&buf);
@@ -486,6 +560,17 @@
 	return s->quarantines_version;
 }
 
+GQueue *ss_state_streams(const struct ss_state *s)
+{
+	return (GQueue *)&s->streams;
+}
+
+bool ss_state_has_version(const struct ss_state *s, const char *service,
+			  const char *version)
+{
+	return find_version(s, ss_str(service), ss_str(version)) != NULL;
+}
+
 size_t ss_state_claims(const struct ss_state *s)
 {
 	return s->claim_order.length;
--- a/src/core/stream_log.c
+++ b/src/core/stream_log.c
@@ -208,13 +208,30 @@
 	return found;
 }
 
-int64_t stream_log_last_served(const struct stream_log *l, const char *service,
-			       const char *version)
+static const struct record *find_version(const struct stream_log *l,
+					 const char *service,
+					 const char *version)
 {
 	char *name = version_name(service, version);
 	const struct record *r = g_hash_table_lookup(l->versions, name);
 
 	g_free(name);
+	return r;
+}
+
+bool stream_log_has_version(const struct stream_log *l, const char *service,
+			    const char *version, int64_t now)
+{
+	const struct record *r = find_version(l, service, version);
+
+	return r && r->until_ms > now;
+}
+
+int64_t stream_log_last_served(const struct stream_log *l, const char *service,
+			       const char *version)
+{
+	const struct record *r = find_version(l, service, version);
+
 	return r ? r->until_ms - STREAM_LIFETIME_MAX_MS : 0;
 }
 
--- a/src/core/stream_log.h
+++ b/src/core/stream_log.h
@@ -54,6 +54,9 @@
 const char *stream_log_sole_version(const struct stream_log *l,
 				    const char *service, int64_t now);
 
+/* Returns true if the version served within STREAM_LIFETIME_MAX_MS. */
+bool stream_log_has_version(const struct stream_log *l, const char *service,
+			    const char *version, int64_t now);
 /* Returns when a version was last reported to serve, on the callers' clock; 0:
  * never, or too long ago. */
 int64_t stream_log_last_served(const struct stream_log *l, const char *service,
--- a/src/daemon/fleet_leader.c
+++ b/src/daemon/fleet_leader.c
@@ -174,6 +174,7 @@
 	fleet_suspects_tick(l, now);
 	fleet_quota_tick(l, now);
 	fleet_streams_tick(l, now);
+	fleet_streams_log_tick(l, now);
 	fleet_work_tick(l, now);
 	push(l, now);
 }
@@ -214,6 +215,7 @@
 	fleet_suspects_begin(l);
 	fleet_quota_begin(l);
 	fleet_streams_begin(l, streams);
+	fleet_streams_log_begin(l);
 	update_preset(l);
 	fleet_send_routing(l);
 	l->list = instances_new(&o);
--- a/src/daemon/fleet_leader_int.h
+++ b/src/daemon/fleet_leader_int.h
@@ -193,6 +193,9 @@
 	GHashTable *streams_sent;   /* member -> mark of what was sent to it */
 	int64_t streams_sent_ms, streams_expired_ms;
 	uint64_t *n_streams, *n_stream_requests;
+	uint64_t streams_logged; /* mark of what was proposed to the log */
+	bool streams_pending;	 /* a proposal isn't applied yet */
+	int64_t streams_proposed_ms, versions_checked_ms;
 	void *quota_allocator;	 /* of grants from customers' limits */
 	void *limit_allocator;	 /* of grants from endpoints' own limits */
 	int64_t quota_pruned_ms; /* when both were last pruned */
@@ -375,6 +378,11 @@
 			   const struct msg_stream_request *m);
 void fleet_streams_tick(struct fleet_leader *l, int64_t now);
 
+/* fleet_streams_log.c: versions and streams in the replicated log */
+void fleet_streams_log_begin(struct fleet_leader *l);
+/* Proposes the versions and streams that have changed. */
+void fleet_streams_log_tick(struct fleet_leader *l, int64_t now);
+
 /* fleet_push.c */
 /* Sends a snapshot of the fleet to the entries that have none. */
 void fleet_push_snapshots(struct fleet_leader *l);
--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -1292,13 +1292,9 @@
 	return w->stream_reply;
 }
 
-void fleet_world_lose_leader(struct fleet_world *w)
+/* Starts a leader with the state of the log and the streams in memory. */
+static void begin_leader(struct fleet_world *w)
 {
-	current_world = w;
-	fleet_leader_ops.end(w->leader);
-	stream_log_free(w->streams);
-	w->streams = w->follower;
-	w->follower = stream_log_new(STREAM_LOG_CAPACITY);
 	w->leader = fleet_leader_ops.begin(&w->d, NULL, w->routing, w->streams);
 	for (int i = 0; i < w->o.entries; i++)
 		fleet_leader_ops.open(w->leader, w->entries->pdata[i]);
@@ -1308,6 +1304,25 @@
 	}
 }
 
+void fleet_world_lose_leader(struct fleet_world *w)
+{
+	current_world = w;
+	fleet_leader_ops.end(w->leader);
+	stream_log_free(w->streams);
+	w->streams = w->follower;
+	w->follower = stream_log_new(STREAM_LOG_CAPACITY);
+	begin_leader(w);
+}
+
+void fleet_world_lose_all(struct fleet_world *w)
+{
+	for (int i = 0; i < w->o.entries; i++)
+		fleet_world_restart_entry(w, i);
+	stream_log_free(w->follower);
+	w->follower = stream_log_new(STREAM_LOG_CAPACITY);
+	fleet_world_lose_leader(w);
+}
+
 struct fleet_world_streams fleet_world_stream_cost(struct fleet_world *w)
 {
 	struct fleet_world_streams c = w->stream_cost;
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -95,6 +95,8 @@
 /* Replaces the leader by its follower, to which all entries and agents
  * connect. */
 void fleet_world_lose_leader(struct fleet_world *w);
+/* Restarts all entries and control VMs, which keep the replicated log. */
+void fleet_world_lose_all(struct fleet_world *w);
 /* Messages on streams and their bytes, from entries to the leader and
  * from the leader to its follower, since the last call; and the number
  * of streams that the leader keeps. */
--- a/test/test_fleet_leader.c
+++ b/test/test_fleet_leader.c
@@ -346,6 +346,45 @@
 	fleet_world_free(w);
 }
 
+/* Guards against a stream that is resumed at the only version that is listed,
+ * or at none, after all entries and control VMs were killed. */
+static void stream_versions_outlive_all_processes(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet_world *w = world_of(&sizes[i]);
+		const char *version;
+
+		(void)state;
+		fleet_world_run(w, 2 * SECOND_MS);
+		fleet_world_streams(w, 0, 100, 50, "v1");
+		fleet_world_set_version(w, sizes[i].engines / 2, "v2");
+		fleet_world_run(w, 2 * SECOND_MS);
+		fleet_world_streams(w, 1, 256, 50, "v2");
+		fleet_world_run(w, SECOND_MS);
+		fleet_world_lose_all(w);
+		assert_int_equal(fleet_world_request_stream(w, 2, 130,
+							    &version),
+				 STREAM_KNOWN);
+		assert_string_equal(version, "v1");
+		assert_int_equal(fleet_world_request_stream(w, 2, 300,
+							    &version),
+				 STREAM_KNOWN);
+		assert_string_equal(version, "v2");
+		/* The last endpoint of v1 leaves, and all are lost again. */
+		fleet_world_set_version(w, 0, "v2");
+		fleet_world_run(w, 2 * SECOND_MS);
+		fleet_world_lose_all(w);
+		fleet_world_run(w, 2 * SECOND_MS);
+		assert_int_equal(fleet_world_request_stream(w, 2, 7, &version),
+				 STREAM_UNKNOWN);
+		fleet_world_run(w, 60 * SECOND_MS);
+		assert_int_equal(fleet_world_request_stream(w, 2, 7, &version),
+				 STREAM_SOLE_VERSION);
+		assert_string_equal(version, "v2");
+		fleet_world_free(w);
+	}
+}
+
 /* Guards against callers who wait for a model at their stream's version while
  * the model is loaded into engines of another version. */
 static void model_is_loaded_into_the_version_waited_for(void **state)
@@ -424,6 +463,7 @@
 		cmocka_unit_test(
 			stream_versions_outlive_their_entry_and_the_leader),
 		cmocka_unit_test(leader_guesses_no_version),
+		cmocka_unit_test(stream_versions_outlive_all_processes),
 		cmocka_unit_test(model_is_loaded_into_the_version_waited_for),
 		cmocka_unit_test(limit_is_sent_to_all_entries),
 		cmocka_unit_test(slowness_is_combined_and_sent_to_all_entries),
--- a/test/test_state.c
+++ b/test/test_state.c
@@ -374,10 +374,53 @@
 	ss_state_free(copy);
 }
 
+static void put_streams(struct ss_state *s, int64_t at_ms, struct stream_rec x)
+{
+	struct command c = { .kind = COMMAND_STREAMS_PUT,
+			     .at_ms = at_ms,
+			     .streams = &x,
+			     .n_streams = 1 };
+
+	assert_int_equal(apply(s, &c).code, 0);
+}
+
+/* Guards against streams that nobody can resume after all members have lost
+ * their memory: keys hold zero bytes, and records of streams expire. */
+static void streams_are_kept_and_bounded(void **state)
+{
+	static const struct ss_str keys = { "\1\0\0\0\0\0\0\0", 8 };
+	struct stream_rec v1 = { .service = SS_LIT("lm"),
+				 .version = SS_LIT("v1") };
+	struct stream_rec x = { v1.service, v1.version, keys, 500, false };
+	struct ss_state *s = ss_state_new();
+	const struct stream_rec *got;
+
+	(void)state;
+	put_streams(s, 100, v1);
+	put_streams(s, 100, v1);
+	put_streams(s, 100, x);
+	s = restored(s);
+	assert_int_equal(ss_state_streams(s)->length, 2);
+	assert_true(ss_state_has_version(s, "lm", "v1"));
+	got = ss_state_streams(s)->tail->data;
+	assert_true(ss_str_eq(got->keys, keys));
+	assert_int_equal(got->until_ms, 500);
+	x.until_ms = 9000;
+	for (int i = 0; i < STATE_STREAMS_MAX; i++)
+		put_streams(s, 500, x);
+	assert_int_equal(ss_state_streams(s)->length, STATE_STREAMS_MAX);
+	assert_true(ss_state_has_version(s, "lm", "v1"));
+	v1.removed = true;
+	put_streams(s, 9000, v1);
+	assert_int_equal(ss_state_streams(s)->length, 0);
+	ss_state_free(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(quarantines_are_kept_and_bounded),
+		cmocka_unit_test(streams_are_kept_and_bounded),
 		cmocka_unit_test(equal_versions_have_one_winner),
 		cmocka_unit_test(resend_gets_the_same_answer),
 		cmocka_unit_test(preset_in_force_is_not_deleted),
