Answers: a plain answer that has begun is never continued by another run

Cause: forward_retry() sent a repeatable request again whatever had been passed on, and on_body() appended the second run from its first byte. Only an event stream can go on behind what its caller has; its position was asked for, a plain answer's beginning wasn't. The same holds where an endpoint's restart is listed during the answer (should_give_up()).

Change: an answer that has begun is continued only if it is a stream whose position is known, and only by an event stream: a plain answer, e.g. an empty one, ended a resumed stream as if it were complete. Else the caller's connection ends without the rest, which a length and chunks both show. Related: answers up to 256 KiB are held back and sent again as before; a head alone is never passed on before the first bytes; HEAD has no body to join. By reading only: the way through agents re-attaches to the run by piece numbers, and a lost agent ends the answer.

--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -148,7 +148,7 @@
 		fail_send(f, why);
 	else if (a.not_run)
 		handle_not_run(f, h);
-	else if (f->started && h->status != 200)
+	else if (f->started && (h->status != 200 || !is_event_stream(h)))
 		fail_send(f, "it can't be resumed there");
 	else if (should_retry(f, h->status))
 		fail_send(f, "the endpoint failed");
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -283,10 +283,13 @@
 }
 
 /* Returns true if another run's answer would fit behind what the caller has got
- * so far. */
+ * so far. A plain answer comes whole from one run: two runs' bytes may differ,
+ * and the second one begins anew. */
 static bool can_continue(const struct forward *f)
 {
-	return !f->is_events || events_can_continue(&f->events);
+	if (!f->started)
+		return true;
+	return f->is_events && events_can_continue(&f->events);
 }
 
 /* Returns true if a request that may have run can be sent once more. */
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -339,6 +339,74 @@
 	}
 }
 
+/* An answer of which the gate has to pass on a part before its end. */
+static char *long_answer(const char *framing, size_t bytes)
+{
+	GString *s = g_string_new("HTTP/1.1 200 OK\r\n" HEAD);
+
+	g_string_append_printf(s, "%s\r\n", framing);
+	for (size_t i = 0; i < bytes; i++)
+		g_string_append_c(s, 'x');
+	return g_string_free(s, FALSE);
+}
+
+/* Guards against an answer of one run's first part and another run's whole
+ * body, which looks complete. */
+static void long_answer_that_breaks_off_is_cut(void **state)
+{
+	static const struct {
+		const char *framing;
+		bool crashes; /* the endpoint, beside its connection */
+	} cases[] = {
+		{ "Content-Length: 600000\r\n", false },
+		{ "", false },
+		{ "Content-Length: 600000\r\n", true },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = long_answer(cases[i].framing, 400000);
+		struct caller *c;
+		struct fix f;
+
+		fix_open(&f, "web", "");
+		script_answer(&f, 0, text, false, false);
+		script_answer(&f, 1, OK_TEXT, false, false);
+		c = call(&f, GET_SAFE);
+		UNTIL(&f, has_received(c, "xxxx"));
+		if (cases[i].crashes)
+			crash_endpoint(&f, 0);
+		else
+			assert_true(reset_oldest(&f, 0));
+		UNTIL(&f, c->ended);
+		assert_false(has_received(c, "hello"));
+		assert_false(received_ends_with(c, "0\r\n\r\n"));
+		assert_int_equal(f.eps[1].requests, 0);
+		fix_close(&f);
+		g_free(text);
+	}
+}
+
+/* Guards against a stream that is ended as complete by an answer of another
+ * kind. */
+static void stream_isnt_resumed_by_a_plain_answer(void **state)
+{
+	struct caller *c;
+	struct fix f;
+
+	(void)state;
+	fix_open(&f, "lm", "m");
+	script_answer(&f, 0, EVENTS "f\r\nid: 1\ndata: a\n\n\r\n", true, false);
+	script_answer(&f, 1,
+		      "HTTP/1.1 200 OK\r\n" HEAD "Content-Length: 0\r\n\r\n",
+		      false, false);
+	c = call(&f, POST_NIGHT);
+	UNTIL(&f, c->ended || received_ends_with(c, "0\r\n\r\n"));
+	assert_int_equal(f.eps[1].requests, 1);
+	assert_false(received_ends_with(c, "0\r\n\r\n"));
+	fix_close(&f);
+}
+
 static void resumed_stream_sends_last_event_id(void **state)
 {
 	struct caller *c;
@@ -597,6 +665,8 @@
 		cmocka_unit_test(answers_are_passed_on),
 		cmocka_unit_test(cut_stream_gets_no_last_chunk),
 		cmocka_unit_test(stream_without_position_is_cut),
+		cmocka_unit_test(long_answer_that_breaks_off_is_cut),
+		cmocka_unit_test(stream_isnt_resumed_by_a_plain_answer),
 		cmocka_unit_test(resumed_stream_sends_last_event_id),
 		cmocka_unit_test(connection_with_extra_bytes_isnt_reused),
 		cmocka_unit_test(connection_is_reused),
