Limits: an agent passes on the limit that its endpoint states to it

The agent kept the limit to itself: it only paced its own reads by it. So a limit was spread from the first answer to a caller on, and the 3 s in which all have to know it had passed.

Change: the agent's report names the limit and its age, and is due at once when an endpoint states one; the leader treats it like an entry's. That a limit has ended is left to entries: an answer to an agent may be older than one to a caller. An older leader skips the fields.

test_fleet_leader/limit_stated_to_an_agent_reaches_all_entries fails without the change (0 of 20 entries).

--- a/src/core/msg.c
+++ b/src/core/msg.c
@@ -252,6 +252,8 @@
 	F(15, WIRE_INT, msg_endpoint, started_ms),
 	F(16, WIRE_BOOL, msg_endpoint, remote),
 	F(17, WIRE_STR, msg_endpoint, id),
+	F(18, WIRE_INT, msg_endpoint, limit),
+	F(19, WIRE_INT, msg_endpoint, limit_age),
 };
 static const struct wire_field load_fields[] = {
 	F(1, WIRE_UINT, msg_load, fence),     F(2, WIRE_UINT, msg_load, step),
--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -11,19 +11,19 @@
 	MSG_HELLO = 1, /* first on a connection, in both directions */
 	MSG_PING,      /* keepalive on an idle connection */
 	MSG_RAFT,      /* control to control */
-	MSG_JOIN,     /* control VM to a member: join request, or planned stop */
-	MSG_JOINED,   /* reply to MSG_JOIN */
-	MSG_LEADER,   /* control to others: the current leader */
-	MSG_REGISTER, /* agent to leader: the endpoint and what it holds */
-	MSG_ASSIGN,   /* leader to agent: replicas that it is to hold */
-	MSG_REPORT,   /* agent to leader: replicas that it holds, and load */
-	MSG_CONFIG,   /* leader to entry and agent: the preset in force */
-	MSG_ACK,      /* reply to MSG_CONFIG: that version is applied */
-	MSG_WATCH,    /* entry to leader: callers that wait for a model */
-	MSG_ROUTE,    /* leader to entry: replicas of a model */
-	MSG_CLAIM,    /* entry to leader: asks to run a call at most once */
-	MSG_CLAIMED,  /* reply to MSG_CLAIM */
-	MSG_MODELS,   /* entry to leader: asks for the model names */
+	MSG_JOIN,   /* control VM to a member: join request, or planned stop */
+	MSG_JOINED, /* reply to MSG_JOIN */
+	MSG_LEADER, /* control to others: the current leader */
+	MSG_REGISTER,	/* agent to leader: the endpoint and what it holds */
+	MSG_ASSIGN,	/* leader to agent: replicas that it is to hold */
+	MSG_REPORT,	/* agent to leader: replicas that it holds, and load */
+	MSG_CONFIG,	/* leader to entry and agent: the preset in force */
+	MSG_ACK,	/* reply to MSG_CONFIG: that version is applied */
+	MSG_WATCH,	/* entry to leader: callers that wait for a model */
+	MSG_ROUTE,	/* leader to entry: replicas of a model */
+	MSG_CLAIM,	/* entry to leader: asks to run a call at most once */
+	MSG_CLAIMED,	/* reply to MSG_CLAIM */
+	MSG_MODELS,	/* entry to leader: asks for the model names */
 	MSG_MODEL_LIST, /* reply to MSG_MODELS */
 	MSG_CALL,	/* entry to agent: runs a request */
 	MSG_REPLY,	/* agent to entry: a piece of the reply */
@@ -302,6 +302,9 @@
 	int64_t started_ms;	    /* as in struct fleet_incarnation */
 	bool remote;		    /* its agent runs on a control VM */
 	struct ss_str id;	    /* of the incarnation; empty: unknown */
+	/* The rate limit in its latest answer to the agent and the age of that,
+	 * as in struct endpoint_signals; 0: none. */
+	int64_t limit, limit_age;
 };
 
 /* One step of an endpoint's plan: unload first, then load. */
--- a/src/daemon/engine_agent.c
+++ b/src/daemon/engine_agent.c
@@ -95,9 +95,11 @@
 		fields[h.n_fields++] = (struct http1_field){ ss_str(x->key),
 							     ss_str(x->value) };
 	users_platform.read_answer(&h, &signals);
-	if (endpoint_limit_update(&a->limit, signals.limit_per_s, now_ms(a)))
+	if (endpoint_limit_update(&a->limit, signals.limit_per_s, now_ms(a))) {
 		log_info("endpoint_limit", "endpoint=%s per_s=%.3f", a->addr,
 			 a->limit.per_s);
+		a->report_due |= a->limit.per_s >= 0;
+	}
 	if (signals.draining && !a->draining)
 		log_info("endpoint_leaving", "endpoint=%s", a->addr);
 	/* An entry knows which incarnation an answer came from; an agent
@@ -143,6 +145,12 @@
 		.id = ss_str(a->incarnation.id ? a->incarnation.id : ""),
 	};
 
+	/* Entries find out that a limit has ended: an answer to an agent may be
+	 * older than one to a caller. */
+	if (a->limit.per_s >= 0) {
+		m.limit = endpoint_limit_wire(&a->limit);
+		m.limit_age = endpoint_limit_wire_age(&a->limit, now_ms(a));
+	}
 	for (guint i = 0; r->held && i < r->held->len; i++)
 		fleet_wire_add_held(held, lists,
 				    &g_array_index(r->held,
--- a/src/daemon/fleet_reports.c
+++ b/src/daemon/fleet_reports.c
@@ -37,6 +37,17 @@
 	return true;
 }
 
+static void apply_limit(struct fleet_leader *l, struct fleet_ep *ep,
+			int64_t limit, int64_t age)
+{
+	if (!endpoint_limit_received(&ep->limit, limit, age,
+				     fleet_leader_now(l)))
+		return;
+	log_info("endpoint_limit", "addr=%s id=%s per_s=%.3f", ep->addr,
+		 ep->self.id, ep->limit.per_s);
+	ep->changed = l->dirty = l->urgent = true;
+}
+
 void fleet_apply_agent_report(struct fleet_leader *l, struct conn *c,
 			      const struct msg_endpoint *m)
 {
@@ -64,6 +75,7 @@
 		fleet_report_clear(&r);
 		return;
 	}
+	apply_limit(l, ep, m->limit, m->limit_age);
 	if (relation == FLEET_RESTARTED || !ep->reported ||
 	    ep->report.draining != r.draining || ep->report.busy != r.busy ||
 	    !fleet_same_models(ep->report.held, r.held))
@@ -173,11 +185,7 @@
 {
 	int64_t now = fleet_leader_now(l);
 
-	if (endpoint_limit_received(&ep->limit, w->limit, w->limit_age, now)) {
-		log_info("endpoint_limit", "addr=%s id=%s per_s=%.3f", ep->addr,
-			 ep->self.id, ep->limit.per_s);
-		ep->changed = l->dirty = l->urgent = true;
-	}
+	apply_limit(l, ep, w->limit, w->limit_age);
 	if (w->draining && !ep->signals_draining) {
 		log_info("endpoint_leaving", "addr=%s id=%s", ep->addr,
 			 ep->self.id);
--- a/test/fleet_world.c
+++ b/test/fleet_world.c
@@ -73,6 +73,7 @@
 			     0: none */
 	int64_t report_ms;
 	bool report_due;
+	int64_t stated_limit; /* to its agent; 0: none */
 	/* The order that the engine executes; done_ms is 0 if there is none. */
 	int64_t done_ms;
 	uint64_t step, fence;
@@ -678,6 +679,15 @@
 	return slowness;
 }
 
+void fleet_world_state_limit_to_agent(struct fleet_world *w, int engine,
+				      double per_s)
+{
+	struct endpoint_limit l = { per_s, w->d.clock.fake_ms };
+
+	w->engines[engine].stated_limit = endpoint_limit_wire(&l);
+	w->engines[engine].report_due = true;
+}
+
 void fleet_world_report_limit(struct fleet_world *w, int entry, int engine,
 			      double per_s)
 {
@@ -818,7 +828,9 @@
 				  .tokens_used = e->running * 800,
 				  .tokens_total = 86000,
 				  .started_ms = 1,
-				  .id = ss_str(e->id) };
+				  .id = ss_str(e->id),
+				  .limit = e->stated_limit,
+				  .limit_age = e->stated_limit ? 1 : 0 };
 
 	e->report_ms = w->d.clock.fake_ms + AGENT_REPORT_MS;
 	e->report_due = false;
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -47,6 +47,9 @@
 void fleet_world_call(struct fleet_world *w, int entry, int model);
 /* Adds an adapter of the engine's first model, which its agent then reports. */
 void fleet_world_add_adapter(struct fleet_world *w, int engine);
+/* Makes an engine state a limit in its answers to its agent. */
+void fleet_world_state_limit_to_agent(struct fleet_world *w, int engine,
+				      double per_s);
 /* Report, as an entry, that an engine has stated a limit, or that it is
  * draining. */
 void fleet_world_report_limit(struct fleet_world *w, int entry, int engine,
--- a/test/test_fleet_leader.c
+++ b/test/test_fleet_leader.c
@@ -235,6 +235,23 @@
 	fleet_world_free(w);
 }
 
+/* Guards against a limit that an endpoint has stated to its agent alone, which
+ * no entry knows before its own first answer. */
+static void limit_stated_to_an_agent_reaches_all_entries(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct fleet_world *w = world_of(&sizes[i]);
+
+		fleet_world_run(w, 2 * SECOND_MS);
+		fleet_world_state_limit_to_agent(w, 3, 2);
+		fleet_world_run(w, LOAD_PUSH_MS + 100);
+		assert_int_equal(fleet_world_count_informed(w, 3),
+				 sizes[i].entries);
+		fleet_world_free(w);
+	}
+}
+
 /* Guards against a restarted endpoint that is held to the limit of its earlier
  * incarnation. */
 static void limit_ends_with_its_incarnation(void **state)
@@ -470,6 +487,7 @@
 		cmocka_unit_test(draining_is_sent_to_all_entries),
 		cmocka_unit_test(engine_in_backoff_is_polled_by_no_control_vm),
 		cmocka_unit_test(engine_with_low_limit_gets_no_models),
+		cmocka_unit_test(limit_stated_to_an_agent_reaches_all_entries),
 		cmocka_unit_test(limit_ends_with_its_incarnation),
 		cmocka_unit_test(message_cost_is_independent_of_fleet_size),
 		cmocka_unit_test(disconnect_cost_is_independent_of_fleet_size),
