--- a/src/core/raft_int.h
+++ b/src/core/raft_int.h
@@ -52,7 +52,7 @@
 	/* Voter that this leader hands over to, until when; 0: none. */
 	uint64_t transfer_to;
 	int64_t transfer_until_ms;
-	bool broken;   /* storage failed */
+	bool broken; /* storage failed */
 };
 
 /*
--- a/src/core/repair.h
+++ b/src/core/repair.h
@@ -32,7 +32,7 @@
 	struct ss_str name, addr;
 	bool voter;
 	bool self;
-	bool leaving; /* it has said that its process ends now */
+	bool leaving;	  /* it has said that its process ends now */
 	int64_t quiet_ms; /* since its last reply to the leader */
 	uint64_t match;	  /* last log index known to be durable there */
 };
