Streams: a version has a group of its own on the wire

A process that isn't told of a version takes another one for the only one of its service, and a stream may be resumed at it.

Cause: a group without keys says that its version serves. A version and streams of the same remaining lifetime (rounded up to 5 s: streams of routes with timeouts of 50 s and more) were packed into one group, which then had keys, so that the version wasn't told.

Change: a version is packed into a group of its own.

Result: version_isnt_hidden_by_its_streams failed on the code before (version unknown at the receiver), passes now, whichever comes first. The format on the wire is unchanged.

--- a/src/core/stream_wire.c
+++ b/src/core/stream_wire.c
@@ -11,6 +11,8 @@
 	       LIFETIME_STEP_MS;
 }
 
+/* Returns the index of the item's group. A version has one of its own: a group
+ * with streams doesn't tell that its version serves. */
 static guint group_of(struct stream_wire *w, const struct stream_item *x)
 {
 	struct stream_group g = { .service = ss_str(x->service),
@@ -20,8 +22,9 @@
 	for (guint i = 0; i < w->groups->len; i++) {
 		const struct stream_group *other =
 			&g_array_index(w->groups, struct stream_group, i);
+		const GString *keys = w->keys->pdata[i];
 
-		if (other->ttl_ms == g.ttl_ms &&
+		if (!keys->len == !x->key && other->ttl_ms == g.ttl_ms &&
 		    ss_str_eq(other->service, g.service) &&
 		    ss_str_eq(other->version, g.version))
 			return i;
--- a/test/test_stream_log.c
+++ b/test/test_stream_log.c
@@ -212,6 +212,30 @@
 	stream_log_free(b);
 }
 
+/* Guards against a version that another process doesn't learn of, as it is
+ * packed with streams of the same remaining lifetime. */
+static void version_isnt_hidden_by_its_streams(void **state)
+{
+	static const bool version_first[] = { true, false };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(version_first); i++) {
+		struct stream_log *a = stream_log_new(100);
+		struct stream_log *b = stream_log_new(100);
+
+		if (version_first[i])
+			add(a, 0, "lm", "v1", STREAM_LIFETIME_MAX_MS, 0);
+		add(a, 1, "lm", "v1", STREAM_LIFETIME_MAX_MS, 0);
+		if (!version_first[i])
+			add(a, 0, "lm", "v1", STREAM_LIFETIME_MAX_MS, 0);
+		replicate(a, b, 0, 10, 0);
+		assert_string_equal(version_of(b, 1, 0), "v1");
+		assert_true(stream_log_has_version(b, "lm", "v1", 0));
+		stream_log_free(a);
+		stream_log_free(b);
+	}
+}
+
 static void malformed_keys_are_ignored(void **state)
 {
 	struct stream_log *l = stream_log_new(100);
@@ -253,6 +277,7 @@
 		cmocka_unit_test(oldest_streams_are_dropped_and_versions_kept),
 		cmocka_unit_test(flood_of_versions_is_bounded),
 		cmocka_unit_test(changes_reach_another_log),
+		cmocka_unit_test(version_isnt_hidden_by_its_streams),
 		cmocka_unit_test(malformed_keys_are_ignored),
 		cmocka_unit_test(keys_differ_between_customers),
 	};
