Quarantine: entries log what they receive; a scenario waits for that

Cause: the scenario waits until another entry has found the next leader, by 'event=leader_found' anywhere in its log. Nothing in an entry's log told when it knew.

Change: an entry logs event=quarantine_received for what the leader stops; the scenario waits for that line of each entry that didn't see the crashes, and then allows no run at all, as before.

--- a/src/proxy/quarantine_report.c
+++ b/src/proxy/quarantine_report.c
@@ -33,6 +33,22 @@
 		crash_log_add(&g->crash_log, &e);
 }
 
+static void apply_suspect(struct gate *g, const struct suspect_state *w,
+			  int64_t now)
+{
+	bool was = suspects_remaining_ms(g->suspects, &w->fingerprint, now) >=
+		   0;
+	char text[FINGERPRINT_TEXT_SIZE];
+	int64_t left;
+
+	suspects_apply(g->suspects, w, now);
+	left = suspects_remaining_ms(g->suspects, &w->fingerprint, now);
+	if (!was && left >= 0)
+		log_warn("quarantine_received",
+			 "print=%s term_ms=%" PRId64,
+			 fingerprint_text(&w->fingerprint, text), left);
+}
+
 void gate_quarantine_received(struct gate *g, const struct msg_quarantine *m)
 {
 	const struct suspect_item *x = m->suspects.items;
@@ -49,7 +65,7 @@
 					   x[i].remaining_ms,
 					   x[i].failed_trials };
 
-		suspects_apply(g->suspects, &w, now);
+		apply_suspect(g, &w, now);
 		if (w.cleared)
 			crash_log_remove_crashes(&g->crash_log, &w.fingerprint,
 						 INT64_MAX);
--- a/test/fleet/poison.py
+++ b/test/fleet/poison.py
@@ -174,7 +174,7 @@
     """
     callers, loops = await start(fleet)
     sender = PoisonSender(fleet, "p", X_Model="m0", X_Events=50)
-    first, other = sorted(fleet.entries)[:2]
+    first, *others = sorted(fleet.entries)
     controls = fleet.of_role("control")
     for p in controls:
         await p.end(signal.SIGKILL)
@@ -198,11 +198,12 @@
     await until(lambda: has_leader(fleet), RECOVERY_S, "no leader")
 
     async def reported():
-        return log_has(fleet, other, "event=leader_found") and \
-            control_log_count(fleet, "event=quarantined")
+        return control_log_count(fleet, "event=quarantined") and all(
+            log_has(fleet, e, "event=quarantine_received") for e in others)
 
     await until(reported, RECOVERY_S,
-                "the crashes aren't reported to the next leader")
+                "the crashes aren't reported to the next leader, or not passed "
+                "on to the other entries")
     await check_refused_everywhere(fleet, sender)
     assert len(sender.crash_times()) == CRASH_LIMIT, \
         "%d crashed" % len(sender.crash_times())
