Soak: links of control VMs in processes of their own; engines keep their speed

Cause (control VMs' logs of a failing play): rounds of candidates each 0.5 s, terms 1 to 13, one leader for 0.4 s. All heartbeats, votes and pings of 200 processes pass through the soak's one Python loop, beside 120 engines and all callers; with part of the processors taken by others it passes messages on later than an election waits. The test disturbed every link at once, for good. Beside it each late wake-up added to the time of an engine's stream, so that engines were slower than they are said to be.

Change: proxies of control VMs' frames run in processes of their own, one for each 50 processes, driven over a pipe; faults of links stay as they were. An engine works towards the time at which an event is due and catches up after a stall.

--- a/test/fleet/changes.py
+++ b/test/fleet/changes.py
@@ -9,7 +9,8 @@
 from soak import RECOVERY_S, await_first_change, until
 from soak_fleet import CONTROLS
 from soak_operators import APPLY_S, probe_route, routing
-from standin import TO_CLIENT, TO_SERVER, free_port
+from link_proxy import TO_CLIENT, TO_SERVER
+from standin import free_port
 
 ROUTES = 12000
 PROBE_S = 0.05       # pause between two rounds of probes
--- a/test/fleet/soak_faults.py
+++ b/test/fleet/soak_faults.py
@@ -18,7 +18,7 @@
 from soak_slow_engines import slow_first_events
 from soak_versions import roll_out
 from soak_signals import request_backoffs, state_rate_limits
-from standin import TO_CLIENT, TO_SERVER
+from link_proxy import TO_CLIENT, TO_SERVER
 
 DRAIN_BOUND_S = 3.0  # until a draining endpoint gets no new work
 # A wiped control VM counts as replaced once the group has removed it and its
@@ -254,15 +254,15 @@
             await getattr(self, "link_" + how)(rng, p)
 
     async def link_delay(self, rng, p):
-        p.delay = rng.uniform(0.01, 0.2)
+        p.set_delay(rng.uniform(0.01, 0.2))
         await asyncio.sleep(1)
-        p.delay = 0.0
+        p.set_delay(0.0)
 
     async def link_refuse(self, rng, p):
-        p.refuse = True
+        p.set_refuse(True)
         p.reset()
         await asyncio.sleep(rng.uniform(0.3, 2))
-        p.refuse = False
+        p.set_refuse(False)
 
     async def link_reset(self, _rng, p):
         p.reset()
@@ -275,10 +275,10 @@
     async def link_one_way(self, rng, p):
         """Drops the bytes of one direction, also on new connections."""
         direction = rng.choice([TO_SERVER, TO_CLIENT])
-        p.dropping.add(direction)
+        p.drop(direction, True)
         p.silence(direction)
         await asyncio.sleep(rng.uniform(0.5, 3))
-        p.dropping.discard(direction)
+        p.drop(direction, False)
         p.reset()
 
     # Correlated faults.
--- a/test/fleet/soak_fleet.py
+++ b/test/fleet/soak_fleet.py
@@ -8,8 +8,9 @@
 import tempfile
 import time
 
+from link_proxy import Proxy, ProxyProcess, RemoteProxy
 from standin import (ADAPTER_SLOTS, MEMORY_MB, MODELS, STEP, Engine, Listing,
-                     Proxy, Web, World)
+                     Web, World)
 from ports import free_port, release_ports
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
@@ -17,6 +18,8 @@
 CONTROLS = 4
 RELAYS = 3           # control VMs without a disk or a vote
 ENTRIES, ENGINES, WEBS = 3, 4, 2    # defaults of a small fleet
+# Processes whose links to control VMs one proxy process carries.
+LINKED_PROCESSES = 50
 ZONES = ["za", "zb"]
 GRACE_MS = 4000      # grace time of an entry's planned stop
 # Retry budget: a ratio of the requests, plus a number of requests.
@@ -128,6 +131,9 @@
         self.servers = self.engines + self.webs
         self.frame_port, self.operator_port = free_port(), free_port()
         self.proxies = []
+        self.proxy_processes = [
+            ProxyProcess() for _ in range(1 + (entries + engines) //
+                                          LINKED_PROCESSES)]
         self.process_settings = {}   # process name -> settings
         self.seeds = self.control_addrs()
         self.n_entries, self.n_relays = entries, relays
@@ -242,11 +248,16 @@
                    "vm_list": self.listing.addr})
 
     async def start_proxies(self):
+        for process in self.proxy_processes:
+            await process.start()
         for i in range(CONTROLS + self.n_relays):
-            name = "control-%d" if i < CONTROLS else "relay-%d"
-            for port in (self.frame_port, self.operator_port):
-                p = Proxy(name % i, self.control_ip(i), port,
-                          "%s:%d" % (self.control_ip(i, False), port))
+            name = ("control-%d" if i < CONTROLS else "relay-%d") % i
+            process = self.proxy_processes[i % len(self.proxy_processes)]
+            ip, own = self.control_ip(i), self.control_ip(i, False)
+            for p in (RemoteProxy(process, name, ip, self.frame_port,
+                                  "%s:%d" % (own, self.frame_port)),
+                      Proxy(name, ip, self.operator_port,
+                            "%s:%d" % (own, self.operator_port))):
                 await p.start()
                 self.proxies.append(p)
         for s in self.servers:
@@ -301,6 +312,8 @@
         for x in self.proxies + self.servers:
             if x.server:
                 x.server.close()
+        for process in self.proxy_processes:
+            await process.end()
         release_ports()
 
 
--- a/test/fleet/standin.py
+++ b/test/fleet/standin.py
@@ -1,5 +1,5 @@
 """Stand-ins on loopback for the users' platform: model engines, plain
-services, the list of endpoints, and a proxy that injects network faults.
+services, and the list of endpoints.
 
 All run in one asyncio loop. They record which request ran where and when, and
 engines check the orders they get: fences, and the memory that models need.
@@ -36,6 +36,9 @@
         self.server, self.instance = server.name, server.instance
         self.start = time.monotonic()
         self.end = None
+        # When it ends at the endpoint's speed, however late this loop is.
+        self.due_end = None
+        self.blocked_s = 0.0  # time for which the entry read nothing
         # Seconds for which the list has shown the endpoint as draining.
         self.draining_for = server.draining_for()
         # Engine that has the model -> seconds to its first event.
@@ -317,7 +320,9 @@
             run = self.world.record_run(rid, self)
             if POISON in body:
                 await self.run_poison(body, rid)
-            await asyncio.sleep(int(headers.get("x-work-ms", 20)) / 1000)
+            work_s = int(headers.get("x-work-ms", 20)) / 1000
+            run.due_end = time.monotonic() + work_s
+            await asyncio.sleep(work_s)
             run.end = time.monotonic()
             self.send(writer, plain(
                 200, ("answer to " + rid).encode(), X_Request_Id=rid,
@@ -477,13 +482,17 @@
         self.run_delayed_orders()
         self.send(writer, plain(status))
 
-    async def work(self, reader):
-        """Takes the time of one event; a closed connection cancels it."""
-        end = time.monotonic() + self.step
-        while time.monotonic() < end:
-            await asyncio.sleep(min(STEP, max(end - time.monotonic(), 0)))
+    async def work(self, reader, due):
+        """Works until an event is due; a closed connection cancels it.
+
+        After a stall of this loop the engine catches up: its speed is its own.
+        """
+        while True:
+            await asyncio.sleep(min(STEP, max(due - time.monotonic(), 0)))
             if reader.at_eof():
                 raise ConnectionError
+            if time.monotonic() >= due:
+                return
 
     def poison_part(self, headers):
         """Returns the poison part of the request's prompt, None if it has none.
@@ -528,13 +537,19 @@
                 written = self.world.poison_parts[poison](head, event(first))
                 await self.run_poison(poison, rid,
                                       lambda: writer.write(written))
-            await asyncio.sleep(self.until_first_s())
+            due = time.monotonic() + self.until_first_s()
+            run.due_end = due + (total + 1 - first) * self.step
+            await asyncio.sleep(due - time.monotonic())
             self.send(writer, head)
             for k in range(first, total + 1):
                 self.world.record_event(headers, self, k)
                 writer.write(event(k))
+                written = time.monotonic()
                 await writer.drain()
-                await self.work(reader)
+                run.blocked_s += time.monotonic() - written
+                due += self.step
+                run.due_end = due + (total - k) * self.step
+                await self.work(reader, due)
             writer.write(b"0\r\n\r\n")
         finally:
             self.running -= 1
@@ -572,83 +587,3 @@
             writer.write(plain(200, text.encode()))
             await writer.drain()
         writer.close()
-
-
-TO_SERVER, TO_CLIENT = "to server", "to client"
-
-
-class ProxiedConnection:
-    """A connection through a proxy, as its pair of stream writers."""
-
-    def __init__(self, client, server, dropping):
-        self.client, self.server = client, server
-        self.dropping = set(dropping)  # directions whose bytes are dropped
-
-
-class Proxy:
-    """A TCP proxy that delays, drops, refuses and resets on request."""
-
-    def __init__(self, name, ip, port, target):
-        # name: of the process or server behind the proxy.
-        self.name, self.ip, self.port, self.target = name, ip, port, target
-        self.connections = []
-        self.delay = 0.0     # seconds for which data is held back
-        self.refuse = False
-        self.server = None
-        self.dropping = set()  # directions whose bytes new connections drop
-
-    async def start(self):
-        self.server = await asyncio.start_server(
-            self.serve, self.ip, self.port)
-
-    async def close(self):
-        """Refuses connections, as a port without a process, and resets the
-        open ones.
-        """
-        self.server.close()
-        self.reset()
-        await self.server.wait_closed()
-
-    async def forward(self, reader, writer, connection, direction):
-        try:
-            while True:
-                data = await reader.read(65536)
-                if not data:
-                    break
-                if self.delay:
-                    await asyncio.sleep(self.delay)
-                if direction in connection.dropping:
-                    continue  # drop the bytes; both sides stay open
-                writer.write(data)
-                await writer.drain()
-        except (ConnectionError, OSError):
-            pass
-        if direction not in connection.dropping:
-            writer.close()
-
-    async def serve(self, reader, writer):
-        if self.refuse:
-            writer.transport.abort()
-            return
-        host, port = self.target.split(":")
-        try:
-            r, w = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        connection = ProxiedConnection(writer, w, self.dropping)
-        self.connections.append(connection)
-        await asyncio.gather(self.forward(reader, w, connection, TO_SERVER),
-                             self.forward(r, writer, connection, TO_CLIENT))
-        self.connections.remove(connection)
-
-    def reset(self):
-        for connection in self.connections:
-            connection.client.transport.abort()
-            connection.server.transport.abort()
-
-    def silence(self, *directions):
-        """Drops all further bytes of the open connections in these directions.
-        """
-        for connection in self.connections:
-            connection.dropping |= set(directions)
