--- a/src/proxy/quarantine_report.c
+++ b/src/proxy/quarantine_report.c
@@ -44,8 +44,7 @@
 	suspects_apply(g->suspects, w, now);
 	left = suspects_remaining_ms(g->suspects, &w->fingerprint, now);
 	if (!was && left >= 0)
-		log_warn("quarantine_received",
-			 "print=%s term_ms=%" PRId64,
+		log_warn("quarantine_received", "print=%s term_ms=%" PRId64,
 			 fingerprint_text(&w->fingerprint, text), left);
 }
 
