--- a/test/prop_members.cc
+++ b/test/prop_members.cc
@@ -8,6 +8,7 @@
 #include "raft_world.hh"
 
 #include <functional>
+#include <iostream>
 
 extern "C" {
 #include "../src/core/repair.h"
@@ -33,6 +34,9 @@
 /* Longest time from the start of a successor until SIGTERM in a planned
  * replacement: also after the successor has caught up. */
 const int64_t kPlannedMaxMs = 6000;
+/* A large log: changes, bytes of each, and the interval of further ones. */
+const size_t kManyChanges = 10000, kChangeBytes = 200;
+const int64_t kBusyProposeMs = 20;
 /* Changes of members that one absence of a VM may cause: two removals and two
  * promotions, of the VM and of the one that stands in for it, and a join. */
 const size_t kChangesPerAbsence = 5;
@@ -562,6 +566,72 @@
 	});
 }
 
+/* Fills the logs of the founders with changes, half of them in a snapshot. */
+void fill_logs(Sim &s, size_t n)
+{
+	for (Vm *v : s.core) {
+		Disk &d = v->node->disk;
+
+		if (!v->joined)
+			continue;
+		d.snap_members = d.log[0].data;
+		d.log.clear();
+		d.snap_index = n / 2;
+		d.snap_term = 1;
+		for (size_t i = 1; i <= n; i++) {
+			std::string data = "p" + std::to_string(i) +
+					   std::string(kChangeBytes, '.');
+
+			if (i <= n / 2)
+				d.snap_data += data + ";";
+			else
+				d.log.push_back({ i, 1, SS_RAFT_DATA, data });
+		}
+		d.synced = d.log.size();
+	}
+}
+
+/* A successor of the n-th VM votes in time, however much there is to learn. */
+void replace_with_full_logs(int n, size_t place)
+{
+	Sim s;
+	Vm *v;
+
+	found_group(s, n);
+	for (Vm *c : s.core)
+		end_process(c, false);
+	fill_logs(s, kManyChanges);
+	for (Vm *c : s.core)
+		run_process(s, c);
+	s.propose_every_ms = kBusyProposeMs;
+	run_until(s, s.w.now + kFoundedMs);
+	replace(s, place, kStepMs, false);
+	v = s.core[place];
+	run_until(s, s.w.now + kStepMs + kCatchUpMs);
+	RC_ASSERT(bool(leading(s)));
+	const struct ss_raft_member *m =
+		ss_raft_member(leading(s)->node->raft, v->node->id);
+
+	RC_ASSERT(m && m->voter);
+	RC_ASSERT(v->node->state.size() > kManyChanges);
+	for (auto &x : s.vms)
+		ss_raft_free(x->node->raft);
+}
+
+/* Checks a property that has no arguments, once. */
+bool check_once(const std::string &name, std::function<void()> play)
+{
+	std::cerr << "\n- " << name << std::endl;
+	try {
+		play();
+	} catch (const rc::detail::CaseResult &r) {
+		std::cerr << "Falsifiable: " << r.description << std::endl;
+		return false;
+	}
+	std::cerr << "OK, passed 1 tests" << std::endl;
+	return true;
+}
+
 /* series: of losses, each of which overlaps the others. */
 void play(int n, std::vector<std::deque<uint32_t>> series)
 {
@@ -588,6 +658,11 @@
 	auto losses = rc::gen::container<std::vector<uint32_t>>(number);
 	bool ok = true;
 
+	for (size_t place : { 0, 1, 2 })
+		ok &= check_once("a successor of control VM " +
+					 std::to_string(place) +
+					 " learns a full log in time",
+				 [&] { replace_with_full_logs(3, place); });
 	for (int n : { 3, 4, 5, 6, 8 })
 		ok &= rc::check(
 			std::to_string(n) + " control VMs bear losses in a row",
