Scenarios: three versions, with entries or control VMs alone killed

Change: stream_of_one_of_three_versions_that_left: four engines of three versions, the one of the oldest comes back as another as all entries, then all control VMs, are killed.

--- a/test/fleet/membership.py
+++ b/test/fleet/membership.py
@@ -149,4 +149,6 @@
         await read_back(fleet, core, acked)
 
 
-SCENARIOS = [losses_in_a_row_are_borne, loss_beside_a_planned_stop_is_borne]
+SCENARIOS = [losses_in_a_row_are_borne]
+# At the end of all scenarios, whose seeds follow from their places.
+LATER_SCENARIOS = [loss_beside_a_planned_stop_is_borne]
--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -749,7 +749,7 @@
              *signal_scenarios.SCENARIOS, *versions.SCENARIOS,
              *poison_parts.SCENARIOS, *entry_surge.SCENARIOS,
              *power_loss.SCENARIOS, *membership.SCENARIOS,
-             *versions.LATER_SCENARIOS]
+             *versions.LATER_SCENARIOS, *membership.LATER_SCENARIOS]
 
 
 async def run_scenario(scenario, seed, daemon):
--- a/test/fleet/versions.py
+++ b/test/fleet/versions.py
@@ -10,7 +10,7 @@
                            mixed_version_streams, resumed_share)
 from standin import MODELS
 
-OLD, NEW = "v1", "v2"
+OLD, NEW, THIRD = "v1", "v2", "v3"
 EVENTS = 150         # events of a stream, about 20 ms each
 BEGUN = 3            # events received of each stream before the fault
 STREAMS = 24         # concurrent streams of a scenario
@@ -146,9 +146,9 @@
     assert not late, "refused late: %s" % late[0]
 
 
-async def kill_all(fleet):
-    """Kills all entries and control VMs at once, and starts them again."""
-    procs = [p for p in fleet.procs.values() if p.role != "agent"]
+async def kill_all(fleet, roles=("entry", "control", "relay")):
+    """Kills all processes of these roles at once, and starts them again."""
+    procs = [p for p in fleet.procs.values() if p.role in roles]
     for p in procs:
         p.send(signal.SIGKILL)
     await asyncio.gather(*[p.end() for p in procs])
@@ -190,9 +190,30 @@
             await request_stream(fleet, m)
 
 
+async def stream_of_one_of_three_versions_that_left(fleet):
+    """Guards against a stream that is resumed at another version than its own,
+    which had just left, as entries alone, or control VMs alone, were killed.
+    """
+    await two_versions(fleet)
+    old, other = fleet.engines[:2]
+    await other.restart(0.1, THIRD)
+    for i, roles in enumerate((("entry",), ("control",))):
+        for m in MODELS:
+            await request_stream(fleet, m)
+        callers = await begin(fleet, "d%d" % i, sorted(fleet.entries),
+                              max_tries=PATIENT_TRIES)
+        await old.restart(0.1, THIRD)
+        await kill_all(fleet, roles)
+        await end_all(callers)
+        check(fleet, [t for t in callers if t.version == NEW],
+              MIN_RESUME_RATIO)
+        await old.restart(0.1, OLD)
+
+
 SCENARIOS = [streams_resume_at_their_version,
              streams_resume_after_leader_and_entry_are_killed,
              stream_of_a_gone_version_is_refused]
 # At the end of all scenarios, whose seeds follow from their places.
 LATER_SCENARIOS = [streams_outlive_all_entries_and_control_vms,
-                   stream_of_a_version_that_left_before_all_were_killed]
+                   stream_of_a_version_that_left_before_all_were_killed,
+                   stream_of_one_of_three_versions_that_left]
