--- a/test/fleet/membership.py
+++ b/test/fleet/membership.py
@@ -12,6 +12,7 @@
 EMPTY_AFTER_S = 1.0  # from a loss for good until the successor starts
 PLANNED_AFTER_S = 1.0  # from the successor's start until SIGTERM
 DOWN_S = 0.5
+RANDOM_LOSSES = 6
 # From SIGTERM in a planned replacement until the next loss.
 AFTER_SIGTERM_S = (0.0, 0.15, 0.35, 0.6)
 
@@ -86,12 +87,22 @@
         await asyncio.sleep(after_s)
         await self.end(i, signal.SIGTERM)
 
+    async def restart(self, i, sig, down_s):
+        await self.process(i).end(sig)
+        await asyncio.sleep(down_s)
+        self.process(i).start()
+
     async def lose_disk(self, i):
         await self.process(i).end(signal.SIGKILL)
         forget_disk(self.fleet, i)
         await asyncio.sleep(DOWN_S)
         self.process(i).start()
 
+    async def freeze(self, i, seconds):
+        self.process(i).send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.process(i).send(signal.SIGCONT)
+
 
 async def await_spare(fleet):
     async def follows():
@@ -149,6 +160,29 @@
         await read_back(fleet, core, acked)
 
 
+async def random_losses_are_borne(fleet):
+    """Guards against a control group that never leads again after single
+    losses of any kind, each one as soon as the one before it is made good.
+    """
+    await await_first_change(fleet.operators)
+    await await_spare(fleet)
+    core, rng = Core(fleet), fleet.rng
+    for _ in range(RANDOM_LOSSES):
+        lose = rng.choice((
+            core.replace, core.lose_disk,
+            lambda i: core.replace_as_planned(i, rng.uniform(0.3, 6)),
+            lambda i: core.freeze(i, rng.uniform(0.5, 5)),
+            lambda i: core.restart(i, signal.SIGKILL, rng.uniform(0.1, 3)),
+            lambda i: core.restart(i, signal.SIGTERM, rng.uniform(0, 1))))
+        leader = await core.await_leader()
+        i = leader if rng.random() < 0.5 else rng.choice(core.vms)
+        await lose(i)
+        await fleet.operators.put()
+        await asyncio.sleep(CATCH_UP_S)
+    await read_back(fleet, core, fleet.operators.acked)
+
+
 SCENARIOS = [losses_in_a_row_are_borne]
 # At the end of all scenarios, whose seeds follow from their places.
-LATER_SCENARIOS = [loss_beside_a_planned_stop_is_borne]
+LATER_SCENARIOS = [loss_beside_a_planned_stop_is_borne,
+                   random_losses_are_borne]
