Soak: a proxy process ends without a traceback

What was seen: a scenario that passed printed 'Exception in callback StreamReaderProtocol...' with a traceback as its proxy process ended, which test/run.sh counts as a failure of the program, rightly.

Cause: the process ended by returning from its loop, which cancels the tasks of open connections; asyncio's stream callback then raises for each of them.

Change: it exits at the end of its input; the kernel closes the connections.

--- a/test/fleet/link_proxy.py
+++ b/test/fleet/link_proxy.py
@@ -7,6 +7,7 @@
 """
 import asyncio
 import json
+import os
 import sys
 
 TO_SERVER, TO_CLIENT = "to server", "to client"
@@ -166,7 +167,7 @@
     while True:
         line = await commands.readline()
         if not line:
-            return
+            os._exit(0)  # no clean-up: the kernel closes all connections
         method, *args = json.loads(line)
         if method == "add":
             p = Proxy(*args)
