Control group: a VM in no group survives the word of a member that ends

What callers would have seen: a control VM that led, lost its disk and is back at its address crashes (signal 11) when a member tells it that it ends, and restarts, again and again for the 3 s of that stop.

Cause: handle_leaving() counted the members before it asked whether this VM leads, and a VM in no group has no log.

Change: it asks first.

--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -122,15 +122,15 @@
 static void handle_leaving(struct group *g, struct conn *c,
 			   const struct msg_join *m)
 {
-	size_t n = ss_raft_members(g->raft)->n;
-	struct repair_member *all;
 	struct msg_leader reply = { .from_leader = true };
+	struct repair_member *all;
 
 	note_leaving(g, m);
 	if (!group_leads(g) || ss_raft_members_open(g->raft))
 		return;
 	all = view_members(g);
-	reply.may_end = repair_may_end(all, n, m->id, ss_raft_last(g->raft));
+	reply.may_end = repair_may_end(all, ss_raft_members(g->raft)->n, m->id,
+				       ss_raft_last(g->raft));
 	g_free(all);
 	if (reply.may_end)
 		conn_send(c, MSG_JOINED, &reply);
--- a/test/fleet/membership.py
+++ b/test/fleet/membership.py
@@ -13,6 +13,8 @@
 PLANNED_AFTER_S = 1.0  # from the successor's start until SIGTERM
 DOWN_S = 0.5
 RANDOM_LOSSES = 6
+PROTOCOL = 2         # of the frames between processes
+HELLO, PING = 1, 2   # kinds of frames
 # From SIGTERM in a planned replacement until the next loss.
 AFTER_SIGTERM_S = (0.0, 0.15, 0.35, 0.6)
 
@@ -182,10 +184,49 @@
     await read_back(fleet, core, fleet.operators.acked)
 
 
+def frame(body):
+    return len(body).to_bytes(4, "big") + body
+
+
+async def read_frame(reader):
+    """Returns the kind of the next frame."""
+    n = int.from_bytes(await reader.readexactly(4), "big")
+    return (await reader.readexactly(n))[0]
+
+
+async def vm_in_no_group_survives_a_planned_stop(fleet):
+    """Guards against a control VM that crashes when a member tells it that it
+    ends: it led the group, and has just come back without its disk.
+    """
+    for p in fleet.of_role("control"):
+        await p.end(signal.SIGKILL)
+    forget_disk(fleet, 0)
+    p = fleet.procs["control-0"]
+    p.start()
+
+    async def started():
+        return p.has_started()
+
+    await until(started, RECOVERY_S, "it doesn't start")
+    reader, writer = await asyncio.open_connection(
+        fleet.control_ip(0, False), fleet.frame_port)
+    # A control VM's hello, then the word of member 9 at "a" that it ends.
+    writer.write(frame(b"\x01\x84\x01%c\x03\x03\x04\xc4\x01x\x05\xc4\x01z" %
+                       PROTOCOL))
+    writer.write(frame(b"\x04\x84\x01\x09\x02\xc4\x01x\x03\xc4\x01a\x04\xc3"))
+    try:
+        kinds = [await read_frame(reader) for _ in range(2)]
+    except (EOFError, ConnectionError):
+        kinds = []
+    assert kinds == [HELLO, PING] and p.runs(), "it ended: %s" % kinds
+    writer.close()
+
+
 # A seed with which the group lost its leader for good.
 random_losses_are_borne.seed = 7
 
 SCENARIOS = [losses_in_a_row_are_borne]
 # At the end of all scenarios, whose seeds follow from their places.
 LATER_SCENARIOS = [loss_beside_a_planned_stop_is_borne,
-                   random_losses_are_borne]
+                   random_losses_are_borne,
+                   vm_in_no_group_survives_a_planned_stop]
