Soak and scenarios: a failure ends the run instead of hanging it

Cause: a scenario that fails leaves its callers on; asyncio.run() cancels them once, and asyncio.wait_for() of Python 3.11 swallows a cancellation that comes at the moment of a result (a script of ten lines prints 'result' in place of 'cancelled' with 3.11.2 and 3.11.7).

Change: a fleet's stop waits 2 s for handlers of stand-ins to end by themselves, then cancels other tasks until they have ended.

--- a/test/fleet/soak.py
+++ b/test/fleet/soak.py
@@ -156,8 +156,8 @@
     finally:
         fleet.check_processes()
         fleet.world.run_end = time.monotonic()
-        await fleet.stop()
         lag.cancel()
+        await fleet.stop()
     Checks(fleet, callers).all()
     CustomerChecks(fleet, callers).all()
     return RunResult(fleet, callers, operators, faults)
--- a/test/fleet/soak_fleet.py
+++ b/test/fleet/soak_fleet.py
@@ -18,6 +18,9 @@
 CONTROLS = 4
 RELAYS = 3           # control VMs without a disk or a vote
 ENTRIES, ENGINES, WEBS = 3, 4, 2    # defaults of a small fleet
+# Time for handlers of stand-ins to end by themselves, and the interval at which
+# other tasks are cancelled.
+HANDLERS_END_S, CANCEL_INTERVAL_S = 2.0, 0.2
 # Processes whose links to control VMs one proxy process carries.
 LINKED_PROCESSES = 50
 ZONES = ["za", "zb"]
@@ -113,6 +116,22 @@
         await self.end()
 
 
+async def end_others():
+    """Waits for the end of all other tasks, and cancels those that go on.
+
+    A wait with a timeout that is over at that moment swallows a cancellation
+    (before Python 3.12), and a loop of callers goes on then: it is cancelled
+    again.
+    """
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    timeout = HANDLERS_END_S
+    while tasks:
+        _, tasks = await asyncio.wait(tasks, timeout=timeout)
+        timeout = CANCEL_INTERVAL_S
+        for t in tasks:
+            t.cancel()
+
+
 class Fleet:
     """All processes and stand-ins of one run."""
 
@@ -314,6 +333,7 @@
                 x.server.close()
         for process in self.proxy_processes:
             await process.end()
+        await end_others()
         release_ports()
 
 
