Scenarios: settings and operators name the control VMs that are there

Cause (logs of that run): control-9 led all the while; the last of the four VMs that the settings name had just been replaced, so the newest VM, whose settings named none that was there, could not join, and the scenario's operators asked VMs that were gone and relays that no member announces itself to. The platform's settings follow the machines (within seedLagS); the scenario's did not.

Change: each replacement updates all settings and the operators' addresses.

--- a/test/fleet/membership.py
+++ b/test/fleet/membership.py
@@ -34,15 +34,29 @@
         self.fleet = fleet
         self.vms = list(range(CONTROLS))
         self.next = CONTROLS + fleet.n_relays
+        # Operators know the present VMs.
+        fleet.operator_addrs = lambda: [self.operator_addr(i)
+                                        for i in self.vms]
 
     def process(self, i):
         return self.fleet.procs["control-%d" % i]
 
+    def operator_addr(self, i):
+        return "%s:%d" % (self.fleet.control_ip(i, False),
+                          self.fleet.operator_port)
+
+    def update_settings(self):
+        """Names the present VMs in all settings, as the platform does: a
+        successor finds the group by them.
+        """
+        self.fleet.exchange_seeds([
+            "%s:%d" % (self.fleet.control_ip(i, i < CONTROLS),
+                       self.fleet.frame_port) for i in self.vms])
+
     async def leader(self):
         """Returns the VM that answers a read itself, or None."""
         for i in self.vms:
-            addr = "%s:%d" % (self.fleet.control_ip(i, False),
-                              self.fleet.operator_port)
+            addr = self.operator_addr(i)
             try:
                 status, _, _ = await asyncio.wait_for(
                     http(addr, "GET", "/sapphireshift/Config.Get"), 1.0)
@@ -66,6 +80,7 @@
     def add(self):
         """Starts an empty VM at a new address."""
         i, self.next = self.next, self.next + 1
+        self.update_settings()
         self.fleet.add("control-%d" % i,
                        self.fleet.control_settings(i, False, proxied=False))
         self.process(i).start()
@@ -74,6 +89,7 @@
     async def end(self, i, sig):
         await self.process(i).end(sig)
         self.vms.remove(i)
+        self.update_settings()
         del self.fleet.procs["control-%d" % i]
 
     # Losses; each returns as it is made good.
