Comments: a planned stop is called so everywhere

Change: comments of the control group, the stream records, prop_members and one scenario; no name, log line, bound, check or literal.

--- a/src/core/msg.h
+++ b/src/core/msg.h
@@ -82,14 +82,14 @@
 	uint64_t id; /* of its data directory */
 	struct ss_str name;
 	struct ss_str addr;
-	bool leaving; /* the process ends soon: nothing is joined */
+	bool leaving; /* a planned stop has begun: nothing is joined */
 };
 
 struct msg_leader {
 	uint64_t group;
 	struct ss_str addr;	  /* empty: no leader known */
 	bool from_leader;	  /* the sender is the leader */
-	bool may_end;		  /* the receiver, which ends, may be gone */
+	bool may_end;		  /* reply to a planned stop: it may exit */
 	struct wire_list members; /* struct control_addr: the Raft group */
 };
 
--- a/src/core/repair.c
+++ b/src/core/repair.c
@@ -32,7 +32,7 @@
 	       !is_replaced(m, n, i, false);
 }
 
-/* Returns true for a voter whose process ends and still answers. */
+/* Returns true for a voter in a planned stop that still answers. */
 static bool is_leaving(const struct repair_member *m)
 {
 	return m->voter && !m->self && m->leaving &&
@@ -122,9 +122,9 @@
 }
 
 /*
- * Returns true if a voter that ends and still answers is to be removed: enough
- * others stay, they bear more losses without it, and can commit its removal.
- * Its successor votes before, so that the group bears the next loss at any
+ * Returns true if a voter in a planned stop is to be removed: enough others
+ * stay, they bear more losses without it, and can commit its removal. Its
+ * successor is promoted first, so that the group bears the next loss at any
  * time.
  */
 static bool is_releasable(const struct repair_counts *c)
@@ -165,7 +165,7 @@
 	return (struct repair_step){ REPAIR_NONE, 0 };
 }
 
-/* Returns true for a learner that is, or may soon be, able to vote. */
+/* Returns true for a learner that can vote, or may soon be able to. */
 static bool is_successor(const struct repair_member *m)
 {
 	return !m->voter && !m->leaving && m->quiet_ms <= REPAIR_READY_MS;
--- a/src/core/repair.h
+++ b/src/core/repair.h
@@ -32,7 +32,7 @@
 	struct ss_str name, addr;
 	bool voter;
 	bool self;
-	bool leaving;	  /* it has said that its process ends now */
+	bool leaving;	  /* it is in a planned stop */
 	int64_t quiet_ms; /* since its last reply to the leader */
 	uint64_t match;	  /* last log index known to be durable there */
 };
@@ -48,7 +48,7 @@
 struct repair_counts {
 	size_t voters;
 	size_t lost;	 /* voters that count as lost */
-	size_t leaving;	 /* voters whose processes end and still answer */
+	size_t leaving;	 /* voters in a planned stop that still answer */
 	size_t learners; /* members without a vote */
 	size_t ready;	 /* learners that can become voters */
 };
@@ -62,10 +62,10 @@
 			       uint64_t last);
 
 /*
- * Returns true if the process of a member that ends may be gone: it has no vote
- * (any more), or nobody can take its vote over and the others have a majority.
- * Until then it has to vote: the next VM may be lost while the vote is handed
- * over.
+ * Returns true if a member in a planned stop may exit: it has no vote (any
+ * more), or no learner can take its vote over and the others have a majority.
+ * Until then it has to vote, since the next VM may be lost while the vote is
+ * handed over.
  */
 bool repair_may_end(const struct repair_member *m, size_t n, uint64_t id,
 		    uint64_t last);
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -19,8 +19,8 @@
 /* Time for the transfer of the leadership before a planned stop, in ms: three
  * heartbeats. */
 #define TRANSFER_MS 300
-/* Longest time in ms that a process which ends goes on voting until its vote
- * has been handed over; a lost successor or leader is noticed within it. */
+/* Longest time in ms that a planned stop waits until the vote has been handed
+ * over; the loss of a successor or leader is detected within it. */
 #define HANDOVER_MAX_MS 3000
 /* Interval at which a follower discards finished streams, in ms. */
 #define STREAMS_EXPIRE_MS 1000
--- a/src/daemon/fleet_streams_log.c
+++ b/src/daemon/fleet_streams_log.c
@@ -1,8 +1,8 @@
 /*
  * Versions of endpoints' software, and the streams that they began, in the
- * replicated log. After a loss of all processes the new leader knows otherwise
- * only which versions are listed now, and takes the only one of them for that
- * of all streams.
+ * replicated log. Without these records the leader after a loss of all
+ * processes would know the versions that are listed now only, and take a sole
+ * one for that of all streams.
  *
  * A version is recorded from its first endpoint on until its streams can't be
  * resumed any more. Streams are recorded only while their service has several.
--- a/src/daemon/group.h
+++ b/src/daemon/group.h
@@ -82,7 +82,7 @@
  * over to a spare, if there is one. */
 void group_leave(struct group *g);
 /* Returns true once a planned stop may end the process: this VM has no vote any
- * more, or nobody can take it over. */
+ * more, or no other member can take it over. */
 bool group_may_end(const struct group *g);
 
 #endif
--- a/src/daemon/group_int.h
+++ b/src/daemon/group_int.h
@@ -38,11 +38,12 @@
 	struct event *tick, *flush;
 	char *leader_hint; /* leader's address as another process reported it */
 	struct repair_counts counts; /* of the members, as last logged */
-	bool leaving;		     /* this process ends */
-	bool may_end;		     /* the leader needs its vote no more */
-	GHashTable *leaving_members; /* &id -> &time of its last word, in ms */
-	int64_t leave_ms;	     /* last time that this VM said so */
-	int64_t transfer_ms;	     /* last time that it handed over */
+	bool leaving;		     /* a planned stop has begun */
+	bool may_end;		     /* the leader has allowed the exit */
+	GHashTable
+		*leaving_members; /* &id -> &time of its last notice, in ms */
+	int64_t leave_ms;	  /* last notice of the planned stop */
+	int64_t transfer_ms;	  /* last transfer of the leadership */
 	int64_t join_ms, repair_ms, announce_ms; /* last time of each */
 	int64_t leader_ms;     /* last time a leader was known */
 	int64_t append_ms;     /* last append to the log */
@@ -72,7 +73,7 @@
 void group_handle_join(struct group *g, struct conn *c,
 		       const struct msg_join *m);
 void group_handle_joined(struct group *g, const struct msg_leader *m);
-/* Hands over the leadership, or tells the leader that this process ends. */
+/* Transfers the leadership, or tells the leader of the planned stop. */
 void group_continue_leaving(struct group *g, int64_t now);
 /* Names the leader to a VM that campaigns and isn't a member. */
 void group_redirect_candidate(struct group *g, struct conn *c,
--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -4,11 +4,12 @@
 /* Interval between join requests, in ms; a reply takes a round trip and the
  * commit of a membership change. */
 #define JOIN_INTERVAL_MS 500
-/* Interval at which a process that ends tells the leader, in ms: the leader may
- * just be elected. */
+/* Interval of notices of a planned stop to the leader, in ms: a leader that has
+ * just been elected knows none yet. */
 #define LEAVE_INTERVAL_MS 50
-/* Interval at which a leader that ends hands over again, in ms: the voter that
- * was to lead may be gone. Longer than an election timeout. */
+/* Interval at which a leader in a planned stop transfers the leadership again,
+ * in ms: the voter that was to lead may be lost. Longer than an election
+ * timeout. */
 #define TRANSFER_INTERVAL_MS 500
 /* Interval of announcements to the control addresses of the settings, in ms. */
 #define ANNOUNCE_MS 1000
@@ -76,8 +77,8 @@
 	request_join(g, leader);
 }
 
-/* Returns true if the member has said within the last second that its process
- * ends. After that its silence tells, or it is back. */
+/* Returns true if the member has sent a notice of a planned stop within the
+ * last second. After that its silence tells, or it is back. */
 static bool is_leaving(const struct group *g, uint64_t id)
 {
 	const int64_t *ms = g_hash_table_lookup(g->leaving_members, &id);
@@ -118,7 +119,7 @@
 			     g_memdup2(&now, sizeof(now)));
 }
 
-/* Tells a member whose process ends whether it may be gone. */
+/* Tells a member in a planned stop whether it may exit. */
 static void handle_leaving(struct group *g, struct conn *c,
 			   const struct msg_join *m)
 {
--- a/test/fleet/membership.py
+++ b/test/fleet/membership.py
@@ -211,8 +211,8 @@
 
 
 async def vm_in_no_group_survives_a_planned_stop(fleet):
-    """Guards against a control VM that crashes when a member tells it that it
-    ends: it led the group, and has just come back without its disk.
+    """Guards against a control VM that crashes when a member sends it the notice
+    of a planned stop: it led the group, and is back without its disk.
     """
     for p in fleet.of_role("control"):
         await p.end(signal.SIGKILL)
@@ -226,7 +226,7 @@
     await until(started, RECOVERY_S, "it doesn't start")
     reader, writer = await asyncio.open_connection(
         fleet.control_ip(0, False), fleet.frame_port)
-    # A control VM's hello, then the word of member 9 at "a" that it ends.
+    # A control VM's hello, then the notice of a planned stop of member 9.
     writer.write(frame(b"\x01\x84\x01%c\x03\x03\x04\xc4\x01x\x05\xc4\x01z" %
                        PROTOCOL))
     writer.write(frame(b"\x04\x84\x01\x09\x02\xc4\x01x\x03\xc4\x01a\x04\xc3"))
--- a/test/prop_members.cc
+++ b/test/prop_members.cc
@@ -46,7 +46,7 @@
 	std::string name, addr;
 	bool running = false, joined = false, frozen = false;
 	bool cut_in = false, cut_out = false;
-	/* Its process got SIGTERM; the leader needs it no more; then it ends. */
+	/* In a planned stop; and the leader has allowed its exit. */
 	bool leaving = false, released = false;
 	int64_t stop_ms = 0, transfer_ms = 0;
 	std::function<void()> ended;
@@ -225,7 +225,7 @@
 	}
 }
 
-/* A process that ends hands over the leadership, then its vote. */
+/* A planned stop: hands over the leadership, then the vote. */
 void leave(Sim &s, Vm *v)
 {
 	int64_t since_ms = s.w.now - v->stop_ms;
