--- a/src/daemon/group_int.h
+++ b/src/daemon/group_int.h
@@ -40,10 +40,9 @@
 	struct repair_counts counts; /* of the members, as last logged */
 	bool leaving;		     /* a planned stop has begun */
 	bool may_end;		     /* the leader has allowed the exit */
-	GHashTable
-		*leaving_members; /* &id -> &time of its last notice, in ms */
-	int64_t leave_ms;	  /* last notice of the planned stop */
-	int64_t transfer_ms;	  /* last transfer of the leadership */
+	GHashTable *leaving_members; /* &id -> &ms of its last notice */
+	int64_t leave_ms;	     /* last notice of the planned stop */
+	int64_t transfer_ms;	     /* last transfer of the leadership */
 	int64_t join_ms, repair_ms, announce_ms; /* last time of each */
 	int64_t leader_ms;     /* last time a leader was known */
 	int64_t append_ms;     /* last append to the log */
