Control group: logs tell who was asked for a vote, and what they answered

Sight for the incident; decides nothing. Three of its hypotheses couldn't be told apart: a candidate wrote the same role line at each round, a VM in no group wrote nothing, and no line told the members that a process starts with, a refusal's reason, or how long an exchange or a sync takes.

A role is logged when it has changed, not at each round.

--- a/include/sapphireshift/raft.h
+++ b/include/sapphireshift/raft.h
@@ -74,10 +74,14 @@
 	uint64_t index;
 	uint64_t log_term; /* term of the entry at index */
 	uint64_t commit;
-	uint64_t round; /* heartbeat round, echoed; confirms a majority */
+	/*
+	 * Heartbeat round, echoed; confirms a majority. Votes: when the sender
+	 * asked, by its own clock, echoed; 0 from a peer that doesn't say.
+	 */
+	uint64_t round;
 	/*
 	 * Position in the snapshot; in a rejection of APPEND, the index to
-	 * send from next.
+	 * send from next; in a refused vote, the enum ss_raft_answer.
 	 */
 	uint64_t offset;
 	uint64_t total; /* size of the whole snapshot */
@@ -89,6 +93,23 @@
 	struct ss_str data;
 };
 
+/* What a voter answered to a candidate. */
+enum ss_raft_answer {
+	SS_RAFT_NO_ANSWER,
+	SS_RAFT_GRANTED,
+	SS_RAFT_REFUSED, /* without a reason */
+	SS_RAFT_BEHIND,	 /* the candidate lacks entries that the voter has */
+	SS_RAFT_HAS_LEADER,
+	SS_RAFT_VOTED, /* for another candidate in this term */
+	SS_RAFT_OLD_TERM,
+};
+
+/* A voter's latest answer in this member's candidacy. */
+struct ss_raft_ballot {
+	enum ss_raft_answer answer;
+	int64_t ms; /* from the request to the answer; -1: unknown */
+};
+
 enum ss_raft_role {
 	SS_RAFT_FOLLOWER,
 	SS_RAFT_PRECANDIDATE,
@@ -132,6 +153,12 @@
 	void (*read_done)(void *arg, uint64_t ctx, bool ok);
 	/* Called when storage is no longer reliable: the process must stop. */
 	void (*failed)(void *arg, const GError *error);
+	/* Called when a round of votes ends without a majority, before the
+	 * answers are forgotten. May be NULL. */
+	void (*round_lost)(void *arg);
+	/* Called for each answer from another member with the time in ms from
+	 * the request to it. May be NULL. */
+	void (*exchanged)(void *arg, uint64_t id, int64_t ms);
 };
 
 struct ss_raft_options {
@@ -221,6 +248,8 @@
 /* On the leader: ms since the member's last reply. 0 for itself, and on other
  * members. */
 int64_t ss_raft_quiet_ms(const struct ss_raft *r, uint64_t id);
+/* Returns a voter's answer in this member's present or last candidacy. */
+struct ss_raft_ballot ss_raft_ballot(const struct ss_raft *r, uint64_t id);
 /* On the leader: the highest index known to be durable on the member. */
 uint64_t ss_raft_match(const struct ss_raft *r, uint64_t id);
 
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -47,8 +47,11 @@
 					    from_leader ? m->from : 0);
 	}
 	/* The reply carries the current term to a stale leader or candidate. */
-	if (m->kind == SS_RAFT_PREVOTE)
+	if (m->kind == SS_RAFT_PREVOTE) {
 		reply.kind = SS_RAFT_PREVOTE_REPLY;
+		reply.round = m->round;
+		reply.offset = SS_RAFT_OLD_TERM;
+	}
 	if (from_leader || m->kind == SS_RAFT_PREVOTE)
 		raft_send(r, &reply, m->from);
 	return false;
@@ -446,6 +449,13 @@
 	return id == r->o.self ? r->durable : p->match;
 }
 
+struct ss_raft_ballot ss_raft_ballot(const struct ss_raft *r, uint64_t id)
+{
+	struct peer *p = raft_peer_find((struct ss_raft *)r, id);
+
+	return p ? p->ballot : (struct ss_raft_ballot){ 0 };
+}
+
 int64_t ss_raft_quiet_ms(const struct ss_raft *r, uint64_t id)
 {
 	struct peer *p = raft_peer_find((struct ss_raft *)r, id);
--- a/src/core/raft_append.c
+++ b/src/core/raft_append.c
@@ -81,9 +81,17 @@
 
 void raft_broadcast(struct ss_raft *r)
 {
-	for (guint i = 0; i < r->peers->len; i++)
-		if (raft_peer_at(r, i)->id != r->o.self)
-			raft_send_append(r, raft_peer_at(r, i));
+	for (guint i = 0; i < r->peers->len; i++) {
+		struct peer *p = raft_peer_at(r, i);
+
+		if (p->id == r->o.self)
+			continue;
+		raft_send_append(r, p);
+		if (p->timed_round)
+			continue;
+		p->timed_round = r->round;
+		p->timed_ms = r->now;
+	}
 	r->last_heartbeat_ms = r->now;
 }
 
@@ -281,6 +289,10 @@
 		return;
 	p->contact_ms = r->now;
 	p->round = MAX(p->round, m->round);
+	if (p->timed_round && p->round >= p->timed_round) {
+		p->timed_round = 0;
+		raft_note_exchange(r, p, r->now - p->timed_ms);
+	}
 	if (m->ok) {
 		p->match = MAX(p->match, m->index);
 		p->next = MAX(p->next, p->match + 1);
--- a/src/core/raft_base.c
+++ b/src/core/raft_base.c
@@ -121,6 +121,12 @@
 	r->o.ops->send(r->o.arg, m);
 }
 
+void raft_note_exchange(struct ss_raft *r, struct peer *p, int64_t ms)
+{
+	if (r->o.ops->exchanged)
+		r->o.ops->exchanged(r->o.arg, p->id, ms);
+}
+
 uint64_t raft_majority_value(struct ss_raft *r,
 			     uint64_t (*value)(struct ss_raft *r,
 					       const struct peer *p))
--- a/src/core/raft_elect.c
+++ b/src/core/raft_elect.c
@@ -34,6 +34,7 @@
 		p->round = 0;
 		p->contact_ms = last_contact_ms(r, p);
 		p->snap_index = 0;
+		p->timed_round = 0;
 	}
 	r->former = 0;
 	r->transfer_to = 0;
@@ -69,8 +70,12 @@
 	struct ss_raft_msg m = { .kind = pre ? SS_RAFT_PREVOTE : SS_RAFT_VOTE,
 				 .term = r->term + 1,
 				 .index = raft_log_last(&r->log),
+				 .round = (uint64_t)r->now,
 				 .transfer = r->transfer };
 
+	if (pre && r->o.ops->round_lost &&
+	    (r->role == SS_RAFT_PRECANDIDATE || r->role == SS_RAFT_CANDIDATE))
+		r->o.ops->round_lost(r->o.arg);
 	raft_reset_deadline(r);
 	if (!pre && !raft_save_vote(r, r->term + 1, r->o.self))
 		return;
@@ -78,9 +83,12 @@
 	r->leader = 0;
 	r->ack = false;
 	m.log_term = raft_log_term(&r->log, m.index);
-	for (guint i = 0; i < r->peers->len; i++)
-		raft_peer_at(r, i)->granted = raft_peer_at(r, i)->id ==
-					      r->o.self;
+	for (guint i = 0; i < r->peers->len; i++) {
+		struct peer *p = raft_peer_at(r, i);
+
+		p->granted = p->id == r->o.self;
+		p->ballot = (struct ss_raft_ballot){ 0 };
+	}
 	r->o.ops->changed(r->o.arg);
 	for (guint i = 0; i < r->peers->len; i++) {
 		struct peer *p = raft_peer_at(r, i);
@@ -98,13 +106,24 @@
 	return r->leader && r->now - r->leader_contact_ms < r->o.election_ms;
 }
 
+static enum ss_raft_answer refusal(const struct ss_raft *r,
+				   const struct ss_raft_msg *m, bool up_to_date)
+{
+	if (!up_to_date)
+		return SS_RAFT_BEHIND;
+	if (m->kind == SS_RAFT_VOTE)
+		return SS_RAFT_VOTED;
+	return m->term > r->term ? SS_RAFT_HAS_LEADER : SS_RAFT_OLD_TERM;
+}
+
 void raft_handle_vote(struct ss_raft *r, const struct ss_raft_msg *m)
 {
 	bool pre = m->kind == SS_RAFT_PREVOTE;
 	uint64_t last = raft_log_last(&r->log);
 	uint64_t last_term = raft_log_term(&r->log, last);
 	struct ss_raft_msg reply = { .kind = pre ? SS_RAFT_PREVOTE_REPLY :
-						   SS_RAFT_VOTE_REPLY };
+						   SS_RAFT_VOTE_REPLY,
+				     .round = m->round };
 	bool up_to_date = m->log_term > last_term ||
 			  (m->log_term == last_term && m->index >= last);
 
@@ -116,10 +135,28 @@
 			   raft_save_vote(r, r->term, m->from);
 	if (reply.ok && !pre)
 		raft_reset_deadline(r);
+	if (!reply.ok)
+		reply.offset = refusal(r, m, up_to_date);
 	reply.term = reply.ok ? m->term : r->term;
 	raft_send(r, &reply, m->from);
 }
 
+/* Keeps what a voter has answered, and how long that took. */
+static void note_ballot(struct ss_raft *r, struct peer *p,
+			const struct ss_raft_msg *m)
+{
+	int64_t ms = m->round ? r->now - (int64_t)m->round : -1;
+
+	p->ballot.ms = ms;
+	p->ballot.answer = m->ok ? SS_RAFT_GRANTED : SS_RAFT_REFUSED;
+	if (!m->ok && m->offset >= SS_RAFT_REFUSED &&
+	    m->offset <= SS_RAFT_OLD_TERM)
+		p->ballot.answer = (enum ss_raft_answer)m->offset;
+	/* An answer to a request of an earlier boot says nothing. */
+	if (ms >= 0)
+		raft_note_exchange(r, p, ms);
+}
+
 void raft_handle_vote_reply(struct ss_raft *r, const struct ss_raft_msg *m)
 {
 	struct peer *p = raft_peer_find(r, m->from);
@@ -127,6 +164,8 @@
 					   SS_RAFT_PRECANDIDATE :
 					   SS_RAFT_CANDIDATE;
 
+	if (p)
+		note_ballot(r, p, m);
 	if (!p || !m->ok || r->role != wanted)
 		return;
 	p->granted = true;
--- a/src/core/raft_int.h
+++ b/src/core/raft_int.h
@@ -17,6 +17,9 @@
 	uint64_t snap_index;  /* snapshot being sent; 0: none */
 	uint64_t snap_offset; /* bytes of it received there */
 	int64_t snap_ms;      /* time the last chunk was sent; 0: answered */
+	struct ss_raft_ballot ballot;
+	uint64_t timed_round; /* heartbeat whose answer is timed; 0: none */
+	int64_t timed_ms;     /* time it was sent */
 };
 
 struct pending_read {
@@ -83,6 +86,9 @@
 			     uint64_t (*value)(struct ss_raft *r,
 					       const struct peer *p));
 
+/* Reports how long an answer of the member took. */
+void raft_note_exchange(struct ss_raft *r, struct peer *p, int64_t ms);
+
 /* raft_elect.c */
 /*
  * Starts an election. A pre-vote only checks that a vote could be won, so that
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -125,7 +125,12 @@
 
 static bool op_save_vote(void *arg, uint64_t term, uint64_t vote, GError **e)
 {
-	return disk_save_vote(((struct group *)arg)->disk, term, vote, e);
+	struct group *g = arg;
+	int64_t start = group_now(g);
+	bool ok = disk_save_vote(g->disk, term, vote, e);
+
+	group_note_sync(g, start);
+	return ok;
 }
 
 static bool op_append(void *arg, const struct ss_raft_entry *e, size_t n,
@@ -151,7 +156,12 @@
 
 static bool op_sync(void *arg, GError **error)
 {
-	return disk_sync(((struct group *)arg)->disk, error);
+	struct group *g = arg;
+	int64_t start = group_now(g);
+	bool ok = disk_sync(g->disk, error);
+
+	group_note_sync(g, start);
+	return ok;
 }
 
 static bool op_save_snapshot(void *arg, const struct ss_raft_snapshot *s,
@@ -269,9 +279,7 @@
 	} else {
 		drop_proposals(g);
 	}
-	log_info("role", "role=%s term=%" PRIu64 " leader=%" PRIx64,
-		 leads ? "leader" : "follower", ss_raft_term(g->raft),
-		 ss_raft_leader(g->raft));
+	group_log_role(g);
 	g->ops->changed(g->arg);
 }
 
@@ -305,6 +313,16 @@
 	group_disk_failed(arg, error);
 }
 
+static void op_round_lost(void *arg)
+{
+	group_log_votes(arg);
+}
+
+static void op_exchanged(void *arg, uint64_t id, int64_t ms)
+{
+	group_note_exchange(arg, id, ms);
+}
+
 static const struct ss_raft_ops raft_table = {
 	.save_vote = op_save_vote,
 	.append = op_append,
@@ -317,6 +335,8 @@
 	.changed = op_changed,
 	.read_done = op_read_done,
 	.failed = op_failed,
+	.round_lost = op_round_lost,
+	.exchanged = op_exchanged,
 };
 
 bool group_start_raft(struct group *g, GError **error)
@@ -337,6 +357,8 @@
 	if (g->loaded.snapshot.index)
 		o.snapshot = &g->loaded.snapshot;
 	g->raft = ss_raft_new(&o, group_now(g), error);
+	if (g->raft)
+		group_log_start(g);
 	return g->raft != NULL;
 }
 
@@ -441,6 +463,7 @@
 	(void)fd;
 	(void)what;
 	if (!g->raft) {
+		group_log_waiting(g);
 		group_request_join(g, now);
 		return;
 	}
@@ -625,6 +648,8 @@
 	g->n_leads = metrics_value(d->metrics, "ss_log_leads", "");
 	g->n_snapshots =
 		metrics_value(d->metrics, "ss_log_snapshots_total", "");
+	g->sync_ms = metrics_hist(d->metrics, "ss_log_sync_ms", "");
+	g->exchange_ms = metrics_hist(d->metrics, "ss_log_exchange_ms", "");
 	g->flush = event_new(d->base, -1, 0, on_flush, g);
 	g->leader_ms = group_now(g);
 	g->disk = disk_open(&o, &g->loaded, error);
@@ -659,6 +684,7 @@
 	ss_state_free(g->state);
 	disk_close(g->disk);
 	g_free(g->leader_hint);
+	g_free(g->votes_text);
 	g_free(g->addr);
 	g_free(g);
 }
--- a/src/daemon/group_int.h
+++ b/src/daemon/group_int.h
@@ -48,6 +48,12 @@
 	int64_t append_ms;     /* last append to the log */
 	uint64_t leader_first; /* first log entry of its leadership */
 	uint64_t *n_applied, *n_term, *n_leads, *n_snapshots;
+	struct hist *sync_ms, *exchange_ms;
+	/* What was logged last, and when. */
+	enum ss_raft_role role;
+	uint64_t role_term, role_leader;
+	char *votes_text;
+	int64_t votes_ms, waiting_ms, slow_ms;
 	bool broken; /* a write to the disk has failed */
 };
 
@@ -66,6 +72,20 @@
 /* Stops the process after a failed write: the disk's content is unknown. */
 void group_disk_failed(struct group *g, const GError *error);
 
+/* group_log.c: lines that explain why nobody leads, each bounded in number. */
+/* Logs the members with which this process starts. */
+void group_log_start(struct group *g);
+/* Logs role, term and leader when one of them has changed. */
+void group_log_role(struct group *g);
+/* Logs who was asked for a vote, and what they have answered. */
+void group_log_votes(struct group *g);
+/* Logs whom this VM, which is in no group, asks to join. */
+void group_log_waiting(struct group *g);
+/* Counts the time of a sync that began at start_ms; logs a slow one. */
+void group_note_sync(struct group *g, int64_t start_ms);
+/* Counts the time until a member's answer; logs a slow one. */
+void group_note_exchange(struct group *g, uint64_t id, int64_t ms);
+
 /* group_members.c */
 /* Sends join requests to all known addresses. */
 void group_request_join(struct group *g, int64_t now);
