Test: a slow group elects a leader that stays; fails

Callers saw "no leader is known" for as long as they asked. The property plays the real log and elections with 3 to 6 voters, where messages and syncs take a drawn time (up to 1 ms in the fastest plays, 1.6 s in the slowest) and members get a tenth or a sixth of a processor in half of the plays, with kills, power losses, leaders that stop for good and losses of power by all.

Bounds. 12 s (recoveryS) from the last fault to an accepted change; then 30 s in one term with one leader; no more terms than each voter asking once in vain and one that is won. Without a failed round, a change takes 6 messages (pre-vote, vote, append, and their answers) and 5 syncs (the candidate's vote, the voter's, the new leader's first entry, the change at a voter, what the leader then writes), plus the first timeout, and a wait for the processor with each. With 2 s for each at most (0.1 to 2 s, 1.05 s on average) that is 11.6 s and the timeout, so 12 s can't hold by the sum alone; the largest times are taken so that the sum of the expected times is at most half of the bound: 0.9 s for messages and syncs, or 1.6 s for messages with syncs of 0.1 s.

Each voter begins a new round of pre-votes after 0.4 to 0.8 s; answers come after 1.3 to 2.8 s. A pre-vote that comes late is counted if the term is the same, so elections do begin; but the votes for them come once the candidate is back at pre-votes, where they don't count, and the next candidate raises the term again.

Known red until elections fit the time that exchanges take.

--- a/test/raft_world.hh
+++ b/test/raft_world.hh
@@ -71,6 +71,8 @@
 	/* Options of the nodes; 0: the default. */
 	size_t batch_bytes = 64;
 	int64_t election_ms = 0, first_ms = 0;
+	const ss_raft_ops *ops = nullptr;
+	uint64_t seed = 0; /* added to that of each node */
 };
 
 inline struct ss_str str(const std::string &s)
@@ -253,9 +255,9 @@
 		o.snapshot = &snap;
 	}
 	o.self = n->id;
-	o.ops = &kOps;
+	o.ops = n->world->ops ? n->world->ops : &kOps;
 	o.arg = n;
-	o.seed = n->id * 7919;
+	o.seed = n->id * 7919 + n->world->seed;
 	o.batch_bytes = n->world->batch_bytes;
 	o.election_ms = n->world->election_ms;
 	o.first_ms = n->world->first_ms;
