Test: a slow group's faults; the bound counts from the last one

A fault was followed by up to 8 s before the changes made since it were counted; now the time passes before the fault.

--- a/test/prop_elections.cc
+++ b/test/prop_elections.cc
@@ -344,8 +344,10 @@
 		take_down(s, m, true, draw(s, 300, 1500));
 }
 
+/* The next fault comes up to 8 s after the one before it has begun. */
 void fault(Sim &s, uint32_t v)
 {
+	run_until(s, s.now + (int64_t)(v >> 16) % 8000);
 	Member *l = leading(s);
 	Member &m = l && v & 1 ? *l : s.members[(v >> 8) % s.members.size()];
 
@@ -363,7 +365,6 @@
 		lose_power(s);
 		break;
 	}
-	run_until(s, s.now + (int64_t)(v >> 16) % 8000);
 }
 
 /* Start, end and checks. */
