Test: each fault of a slow group has an effect

A leader that may not stop for good loses power instead, and a member that is gone isn't chosen: a fault without effect let the changes be counted from after the bound had passed.

--- a/test/prop_elections.cc
+++ b/test/prop_elections.cc
@@ -324,14 +324,17 @@
 	s.fault_ms = std::max(s.fault_ms, m.back_ms);
 }
 
-void stop_for_good(Sim &s, Member &m)
+bool may_stop_for_good(const Sim &s)
 {
-	size_t gone = 1;
+	size_t gone = 0;
 
-	for (const Member &x : s.members)
-		gone += x.gone;
-	if (m.gone || gone > (s.members.size() - 1) / 2)
-		return;
+	for (const Member &m : s.members)
+		gone += m.gone;
+	return gone < (s.members.size() - 1) / 2;
+}
+
+void stop_for_good(Sim &s, Member &m)
+{
 	stop(s, m, true);
 	drop_packets_of(s, m);
 	m.gone = true;
@@ -344,22 +347,37 @@
 		take_down(s, m, true, draw(s, 300, 1500));
 }
 
+/* The leader, or any member that isn't gone. */
+Member &choose_member(Sim &s, uint32_t v)
+{
+	Member *l = leading(s);
+	size_t i = (v >> 8) % s.members.size();
+
+	if (l && v & 1)
+		return *l;
+	while (s.members[i].gone)
+		i = (i + 1) % s.members.size();
+	return s.members[i];
+}
+
 /* The next fault comes up to 8 s after the one before it has begun. */
 void fault(Sim &s, uint32_t v)
 {
 	run_until(s, s.now + (int64_t)(v >> 16) % 8000);
-	Member *l = leading(s);
-	Member &m = l && v & 1 ? *l : s.members[(v >> 8) % s.members.size()];
+	Member &m = choose_member(s, v);
 
 	switch ((v >> 1) % 4) {
 	case 0:
 		take_down(s, m, false, draw(s, 100, 3000));
 		break;
 	case 1:
-		take_down(s, m, true, draw(s, 300, 3000));
-		break;
+		if (may_stop_for_good(s)) {
+			stop_for_good(s, m);
+			break;
+		}
+		/* fall through */
 	case 2:
-		stop_for_good(s, m);
+		take_down(s, m, true, draw(s, 300, 3000));
 		break;
 	default:
 		lose_power(s);
