Test: a group's pace changes, and some members have a whole processor

A group that was fast turns slow, or the other way round; the change counts as a fault, from which the 12 s begin. On half of the plays some members have a whole processor.

--- a/test/prop_elections.cc
+++ b/test/prop_elections.cc
@@ -54,7 +54,8 @@
 struct Member {
 	Node *node = nullptr;
 	int64_t phase_ms = 0;
-	int64_t at = 0; /* its own time: runs ahead while it syncs */
+	bool whole = false; /* has a whole processor at any pace */
+	int64_t at = 0;	    /* its own time: runs ahead while it syncs */
 	int64_t tick_ms = 0, propose_ms = 0;
 	uint64_t boot = 0;   /* number of its starts */
 	bool gone = false;   /* for good */
@@ -101,7 +102,7 @@
 	const Share &share = s.pace.share;
 	int64_t in = (ms + m.phase_ms) % share.period_ms;
 
-	return in < share.run_ms ? ms : ms + share.period_ms - in;
+	return m.whole || in < share.run_ms ? ms : ms + share.period_ms - in;
 }
 
 void spend_sync(Sim &s, Member &m)
@@ -305,6 +306,45 @@
 	}
 }
 
+/* Paces. */
+
+/* Expected time from the last fault to an accepted change. */
+int64_t expected_ms(const Pace &p)
+{
+	int64_t off = p.share.period_ms - p.share.run_ms;
+	int64_t wait_ms = off * off / (2 * p.share.period_ms);
+	int64_t mean_message =
+		p.message_ms * (kTimeParts + 1) / (2 * kTimeParts);
+	int64_t mean_sync = p.sync_ms * (kTimeParts + 1) / (2 * kTimeParts);
+
+	return kElectionMs * 3 / 2 + kMessages * (mean_message + wait_ms) +
+	       kSyncs * (mean_sync + wait_ms);
+}
+
+/* The slowest paces leave half of the bound for rounds that fail. */
+Pace draw_pace(uint32_t v)
+{
+	const size_t n = std::size(kTimesMs);
+	Pace p = { kTimesMs[v % n], kTimesMs[v / n % n],
+		   kShares[v / n / n % std::size(kShares)] };
+
+	while (expected_ms(p) > kRecoverMs / 2) {
+		if (p.message_ms >= p.sync_ms)
+			p.message_ms -= p.message_ms / 8 + 1;
+		else
+			p.sync_ms -= p.sync_ms / 8 + 1;
+	}
+	return p;
+}
+
+void trace_pace(Sim &s)
+{
+	s.trace << s.now << " messages of up to " << s.pace.message_ms
+		<< " ms, syncs of up to " << s.pace.sync_ms
+		<< " ms, members run " << s.pace.share.run_ms << " of "
+		<< s.pace.share.period_ms << " ms\n";
+}
+
 /* Faults. */
 
 Member *leading(Sim &s)
@@ -347,6 +387,13 @@
 		take_down(s, m, true, draw(s, 300, 1500));
 }
 
+void change_pace(Sim &s, uint32_t v)
+{
+	s.pace = draw_pace(v);
+	s.fault_ms = std::max(s.fault_ms, s.now);
+	trace_pace(s);
+}
+
 /* The leader, or any member that isn't gone. */
 Member &choose_member(Sim &s, uint32_t v)
 {
@@ -366,7 +413,7 @@
 	run_until(s, s.now + (int64_t)(v >> 16) % 8000);
 	Member &m = choose_member(s, v);
 
-	switch ((v >> 1) % 4) {
+	switch ((v >> 1) % 5) {
 	case 0:
 		take_down(s, m, false, draw(s, 100, 3000));
 		break;
@@ -379,46 +426,22 @@
 	case 2:
 		take_down(s, m, true, draw(s, 300, 3000));
 		break;
-	default:
+	case 3:
 		lose_power(s);
 		break;
+	default:
+		change_pace(s, v >> 8);
+		break;
 	}
 }
 
 /* Start, end and checks. */
 
-/* Expected time from the last fault to an accepted change. */
-int64_t expected_ms(const Pace &p)
-{
-	int64_t off = p.share.period_ms - p.share.run_ms;
-	int64_t wait_ms = off * off / (2 * p.share.period_ms);
-	int64_t mean_message =
-		p.message_ms * (kTimeParts + 1) / (2 * kTimeParts);
-	int64_t mean_sync = p.sync_ms * (kTimeParts + 1) / (2 * kTimeParts);
-
-	return kElectionMs * 3 / 2 + kMessages * (mean_message + wait_ms) +
-	       kSyncs * (mean_sync + wait_ms);
-}
-
-/* The slowest paces leave half of the bound for rounds that fail. */
-Pace draw_pace(uint32_t v)
-{
-	const size_t n = std::size(kTimesMs);
-	Pace p = { kTimesMs[v % n], kTimesMs[v / n % n],
-		   kShares[v / n / n % std::size(kShares)] };
-
-	while (expected_ms(p) > kRecoverMs / 2) {
-		if (p.message_ms >= p.sync_ms)
-			p.message_ms -= p.message_ms / 8 + 1;
-		else
-			p.sync_ms -= p.sync_ms / 8 + 1;
-	}
-	return p;
-}
-
 void found_group(Sim &s, int n, Pace pace, uint32_t seed)
 {
 	std::vector<struct ss_raft_member> all;
+	/* All members have the share of the pace, or some. */
+	bool some = seed % 2;
 
 	s.pace = pace;
 	s.random = seed;
@@ -435,7 +458,8 @@
 		m.node->world = &s;
 		m.node->slot = i;
 		m.node->id = s.next_id++;
-		m.phase_ms = draw(s, 0, pace.share.period_ms - 1);
+		m.phase_ms = draw(s, 0, kShares[0].period_ms - 1);
+		m.whole = some && draw(s, 0, 1);
 		all.push_back(member(m.node->id, true));
 	}
 	struct ss_raft_members list = { all.data(), all.size() };
@@ -448,6 +472,7 @@
 		boot(s, m);
 	}
 	s.fault_ms = s.now;
+	trace_pace(s);
 }
 
 uint64_t highest_term(const Sim &s)
@@ -474,11 +499,7 @@
 {
 	if (ok)
 		return;
-	RC_LOG() << "voters " << s.members.size() << ", messages of up to "
-		 << s.pace.message_ms << " ms, syncs of up to "
-		 << s.pace.sync_ms << " ms, each runs " << s.pace.share.run_ms
-		 << " of " << s.pace.share.period_ms << " ms\n"
-		 << s.trace.str();
+	RC_LOG() << s.trace.str();
 	RC_FAIL(what);
 }
 
