--- a/test/prop_elections.cc
+++ b/test/prop_elections.cc
@@ -237,6 +237,15 @@
 	return next_run(s, m, std::max(ms, m.at));
 }
 
+/* A tick that is late delays the ones after it. */
+void tick(Sim &s, Member &m)
+{
+	m.tick_ms += kTickMs;
+	if (m.tick_ms < m.at)
+		m.tick_ms = m.at + kTickMs;
+	ss_raft_tick(m.node->raft, s.now);
+}
+
 /* One round of the member's loop: reads, timers, then the flush. */
 void run_loop(Sim &s, Member &m)
 {
@@ -259,10 +268,8 @@
 		m.propose_ms = begin + kProposeMs;
 		propose(s, m.node);
 	}
-	if (m.tick_ms <= begin) {
-		ss_raft_tick(m.node->raft, s.now);
-		m.tick_ms = std::max(m.tick_ms + kTickMs, m.at);
-	}
+	if (m.tick_ms <= begin)
+		tick(s, m);
 	ss_raft_flush(m.node->raft, m.at);
 	s.now = begin;
 }
