Test: elections at the slowest paces are a property of their own

The sum of the expected times lacked the detection of the loss: a leader's loss shows by a silence of an election timeout and its random part, and a timeout that fits the pace is some exchanges long (three: the answer and its variation). Paces that leave half of the 12 s for rounds that fail with that silence (1.5 times three exchanges, at least 0.6 s) stay in the first property; all slower ones, up to those of before, are in a second one. Checks and bounds of both are the same as before, and each pace of before is in one of them.

--- a/test/prop_elections.cc
+++ b/test/prop_elections.cc
@@ -30,6 +30,9 @@
  * syncs of the candidate's vote and the voter's, of the new leader's first
  * entry, of the change at a voter and of what the leader then writes. */
 const int64_t kMessages = 6, kSyncs = 5;
+/* Exchanges (a message, a sync and the answer) after which a silence shows that
+ * the leader is lost: one is the answer, the others its variation. */
+const int64_t kSilentExchanges = 3;
 
 /* Part of the time that a member runs. */
 struct Share {
@@ -66,6 +69,7 @@
 struct Sim : World {
 	std::vector<Member> members;
 	Pace pace = {};
+	bool slowest = false; /* all its paces are of the slowest ones */
 	uint64_t random = 0;
 	std::map<std::pair<int, int>, int64_t> link; /* last arrival */
 	int64_t fault_ms = 0;			     /* end of the last fault */
@@ -315,32 +319,77 @@
 
 /* Paces. */
 
-/* Expected time from the last fault to an accepted change. */
-int64_t expected_ms(const Pace &p)
+int64_t expected_wait_ms(const Pace &p)
 {
 	int64_t off = p.share.period_ms - p.share.run_ms;
-	int64_t wait_ms = off * off / (2 * p.share.period_ms);
-	int64_t mean_message =
-		p.message_ms * (kTimeParts + 1) / (2 * kTimeParts);
-	int64_t mean_sync = p.sync_ms * (kTimeParts + 1) / (2 * kTimeParts);
 
-	return kElectionMs * 3 / 2 + kMessages * (mean_message + wait_ms) +
-	       kSyncs * (mean_sync + wait_ms);
+	return off * off / (2 * p.share.period_ms);
+}
+
+int64_t expected_message_ms(const Pace &p)
+{
+	return p.message_ms * (kTimeParts + 1) / (2 * kTimeParts) +
+	       expected_wait_ms(p);
+}
+
+int64_t expected_sync_ms(const Pace &p)
+{
+	return p.sync_ms * (kTimeParts + 1) / (2 * kTimeParts) +
+	       expected_wait_ms(p);
+}
+
+/* Expected time from a silence that shows that the leader is lost to an
+ * accepted change. */
+int64_t expected_ms(const Pace &p)
+{
+	return kMessages * expected_message_ms(p) +
+	       kSyncs * expected_sync_ms(p);
+}
+
+/* Expected time of that silence: an election timeout and its random part. */
+int64_t expected_silence_ms(const Pace &p)
+{
+	int64_t exchange = 2 * expected_message_ms(p) + expected_sync_ms(p);
+
+	return std::max(kElectionMs, kSilentExchanges * exchange) * 3 / 2;
 }
 
-/* The slowest paces leave half of the bound for rounds that fail. */
-Pace draw_pace(uint32_t v)
+/* The slowest paces leave no half of the bound for rounds that fail once the
+ * loss of a leader has to be noticed first, too. */
+bool is_slowest(const Pace &p)
+{
+	return expected_silence_ms(p) + expected_ms(p) > kRecoverMs / 2;
+}
+
+void quicken(Pace &p)
+{
+	if (p.message_ms >= p.sync_ms)
+		p.message_ms -= p.message_ms / 8 + 1;
+	else
+		p.sync_ms -= p.sync_ms / 8 + 1;
+}
+
+/* All paces leave half of the bound for rounds that fail, if the loss of the
+ * leader is noticed by the shortest election timeout. */
+Pace draw_any_pace(uint32_t v)
 {
 	const size_t n = std::size(kTimesMs);
 	Pace p = { kTimesMs[v % n], kTimesMs[v / n % n],
 		   kShares[v / n / n % std::size(kShares)] };
 
-	while (expected_ms(p) > kRecoverMs / 2) {
-		if (p.message_ms >= p.sync_ms)
-			p.message_ms -= p.message_ms / 8 + 1;
-		else
-			p.sync_ms -= p.sync_ms / 8 + 1;
-	}
+	while (kElectionMs * 3 / 2 + expected_ms(p) > kRecoverMs / 2)
+		quicken(p);
+	return p;
+}
+
+Pace draw_pace(uint32_t v, bool slowest)
+{
+	Pace p = draw_any_pace(v);
+
+	while (slowest && !is_slowest(p))
+		p = draw_any_pace(++v);
+	while (!slowest && is_slowest(p))
+		quicken(p);
 	return p;
 }
 
@@ -396,7 +445,7 @@
 
 void change_pace(Sim &s, uint32_t v)
 {
-	s.pace = draw_pace(v);
+	s.pace = draw_pace(v, s.slowest);
 	s.fault_ms = std::max(s.fault_ms, s.now);
 	trace_pace(s);
 }
@@ -559,10 +608,11 @@
 	auto faults = rc::gen::resize(
 		5, rc::gen::container<std::vector<uint32_t>>(number));
 	auto voters = rc::gen::inRange(3, 7);
-	bool ok = rc::check("a slow group elects a leader that stays", [&] {
+	auto play = [&](bool slowest) {
 		Sim s;
 
-		found_group(s, *voters, draw_pace(*fixed), *fixed);
+		s.slowest = slowest;
+		found_group(s, *voters, draw_pace(*fixed, slowest), *fixed);
 		for (uint32_t v : *faults)
 			fault(s, v);
 		end_faults(s);
@@ -570,8 +620,12 @@
 		check_terms(s);
 		check_stays(s);
 		end_group(s);
-	});
+	};
+	bool ok = rc::check("a slow group elects a leader that stays",
+			    [&] { play(false); });
 
+	ok &= rc::check("the slowest groups elect a leader that stays",
+			[&] { play(true); });
 	ok &= rc::check("a fast group serves soon after a loss of power", [&] {
 		const Pace kFast = { 1, (*fixed % 2) ? 1 : 10, kShares[0] };
 		Sim s;
