Raft: elections take the time that the group's exchanges take

What callers saw: "no leader is known" for as long as they asked, where messages, syncs or processors are slow; or a leader that changes each second.

Cause: one fixed time, 0.4 s, was the round of votes, the patience of a new leader and the random part of the wait, whatever an exchange takes. A vote that came after the next round of pre-votes had begun didn't count; a leader stepped down before its first heartbeat could be answered; candidates that began within one message voted for themselves at each round; and a process that had stood still took its own pause for the silence of all others.

Rounds are numbered at each broadcast, so that there is always one to be timed. - Candidates go in the order of their logs, then ids; one that has granted a pre-vote or a vote waits for that candidate, once a term. - A pause of the process is told to the log: one between two contacts is excused, and what came meanwhile is read first.

--- a/include/sapphireshift/raft.h
+++ b/include/sapphireshift/raft.h
@@ -102,6 +102,8 @@
 	SS_RAFT_HAS_LEADER,
 	SS_RAFT_VOTED, /* for another candidate in this term */
 	SS_RAFT_OLD_TERM,
+	SS_RAFT_GOES_FIRST, /* the voter is a candidate itself */
+	SS_RAFT_ANSWER_LAST = SS_RAFT_GOES_FIRST,
 };
 
 /* A voter's latest answer in this member's candidacy. */
@@ -190,6 +192,12 @@
 void ss_raft_free(struct ss_raft *r);
 
 void ss_raft_tick(struct ss_raft *r, int64_t now);
+/*
+ * Tells that this process stood still for ms until now: the silence of the
+ * others in that time is no sign of a loss. To be called before what came
+ * meanwhile is handled, and in place of a tick that is late.
+ */
+void ss_raft_paused(struct ss_raft *r, int64_t now, int64_t ms);
 void ss_raft_step(struct ss_raft *r, int64_t now, const struct ss_raft_msg *m);
 void ss_raft_flush(struct ss_raft *r, int64_t now);
 
@@ -248,6 +256,9 @@
 /* On the leader: ms since the member's last reply. 0 for itself, and on other
  * members. */
 int64_t ss_raft_quiet_ms(const struct ss_raft *r, uint64_t id);
+/* The same, less the time by which the election timeout was extended as the
+ * group's exchanges take long. */
+int64_t ss_raft_overdue_ms(const struct ss_raft *r, uint64_t id);
 /* Returns a voter's answer in this member's present or last candidacy. */
 struct ss_raft_ballot ss_raft_ballot(const struct ss_raft *r, uint64_t id);
 /* On the leader: the highest index known to be durable on the member. */
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -17,7 +17,8 @@
 
 static uint64_t value_active(struct ss_raft *r, const struct peer *p)
 {
-	return p->id == r->o.self || r->now - p->contact_ms < r->o.election_ms;
+	return p->id == r->o.self ||
+	       r->now - p->contact_ms < raft_timeout_ms(r);
 }
 
 static bool is_transferring(const struct ss_raft *r)
@@ -25,6 +26,21 @@
 	return r->transfer_to && r->now < r->transfer_until_ms;
 }
 
+/* Follows into a newer term. A candidate that was only behind in terms asks
+ * again without waiting. */
+static bool adopt_term(struct ss_raft *r, const struct ss_raft_msg *m,
+		       bool from_leader)
+{
+	bool asked = r->role == SS_RAFT_PRECANDIDATE &&
+		     m->kind == SS_RAFT_PREVOTE_REPLY;
+
+	if (!raft_become_follower(r, m->term, from_leader ? m->from : 0))
+		return false;
+	if (asked)
+		r->deadline_ms = r->now;
+	return true;
+}
+
 /* Applies Raft's term rules; returns false if the message must not be handled.
  */
 static bool check_term(struct ss_raft *r, const struct ss_raft_msg *m)
@@ -43,8 +59,7 @@
 		if (m->kind == SS_RAFT_VOTE && !m->transfer &&
 		    raft_has_live_leader(r))
 			return false;
-		return raft_become_follower(r, m->term,
-					    from_leader ? m->from : 0);
+		return adopt_term(r, m, from_leader);
 	}
 	/* The reply carries the current term to a stale leader or candidate. */
 	if (m->kind == SS_RAFT_PREVOTE) {
@@ -126,17 +141,13 @@
 	}
 	if (!is_transferring(r))
 		r->transfer_to = 0;
-	if (r->now - r->last_heartbeat_ms >= r->o.heartbeat_ms) {
-		r->round++;
-		raft_broadcast(r);
-	}
+	raft_heartbeat(r);
 }
 
 static void flush_leader(struct ss_raft *r)
 {
 	if (r->reads_new) {
 		r->reads_new = false;
-		r->round++;
 		raft_broadcast(r);
 	}
 	/* Sends before the local sync, so that all disks write at once. */
@@ -316,7 +327,7 @@
 	if (!best)
 		return;
 	r->transfer_to = best->id;
-	r->transfer_until_ms = r->now + r->o.election_ms;
+	r->transfer_until_ms = r->now + raft_timeout_ms(r);
 	raft_continue_transfer(r);
 }
 
@@ -449,6 +460,13 @@
 	return id == r->o.self ? r->durable : p->match;
 }
 
+int64_t ss_raft_overdue_ms(const struct ss_raft *r, uint64_t id)
+{
+	int64_t longer_ms = raft_timeout_ms(r) - r->o.election_ms;
+
+	return MAX(0, ss_raft_quiet_ms(r, id) - longer_ms);
+}
+
 struct ss_raft_ballot ss_raft_ballot(const struct ss_raft *r, uint64_t id)
 {
 	struct peer *p = raft_peer_find((struct ss_raft *)r, id);
--- a/src/core/raft_append.c
+++ b/src/core/raft_append.c
@@ -81,18 +81,24 @@
 
 void raft_broadcast(struct ss_raft *r)
 {
+	r->round++;
 	for (guint i = 0; i < r->peers->len; i++) {
 		struct peer *p = raft_peer_at(r, i);
 
-		if (p->id == r->o.self)
-			continue;
-		raft_send_append(r, p);
-		if (p->timed_round)
-			continue;
-		p->timed_round = r->round;
-		p->timed_ms = r->now;
+		if (p->id != r->o.self)
+			raft_send_append(r, p);
 	}
 	r->last_heartbeat_ms = r->now;
+	if (r->timed_round)
+		return;
+	r->timed_round = r->round;
+	r->timed_ms = r->now;
+}
+
+void raft_heartbeat(struct ss_raft *r)
+{
+	if (r->now - r->last_heartbeat_ms >= r->o.heartbeat_ms)
+		raft_broadcast(r);
 }
 
 bool raft_append_local(struct ss_raft *r, int64_t kind, struct ss_str data,
@@ -203,7 +209,10 @@
 void raft_follow_leader(struct ss_raft *r, const struct ss_raft_msg *m)
 {
 	raft_become_follower(r, m->term, m->from);
+	raft_pace_contact(r, m);
+	raft_clear_votes(r);
 	r->leader_contact_ms = r->now;
+	r->contact_term = m->term;
 	r->former = m->from;
 	raft_reset_deadline(r);
 }
@@ -261,6 +270,7 @@
 {
 	uint64_t round = raft_majority_value(r, value_round);
 
+	raft_pace_round(r, round);
 	while (r->role == SS_RAFT_LEADER && r->reads->len) {
 		struct pending_read rd =
 			g_array_index(r->reads, struct pending_read, 0);
@@ -285,14 +295,15 @@
 {
 	struct peer *p = raft_peer_find(r, m->from);
 
-	if (r->role != SS_RAFT_LEADER || !p)
+	if (r->role != SS_RAFT_LEADER || !p) {
+		/* It came too late; the next leadership has to last longer. */
+		raft_pace_round(r, m->round);
 		return;
+	}
 	p->contact_ms = r->now;
 	p->round = MAX(p->round, m->round);
-	if (p->timed_round && p->round >= p->timed_round) {
-		p->timed_round = 0;
-		raft_note_exchange(r, p, r->now - p->timed_ms);
-	}
+	if (r->timed_round && p->round >= r->timed_round)
+		raft_note_exchange(r, p, r->now - r->timed_ms);
 	if (m->ok) {
 		p->match = MAX(p->match, m->index);
 		p->next = MAX(p->next, p->match + 1);
--- a/src/core/raft_base.c
+++ b/src/core/raft_base.c
@@ -66,6 +66,14 @@
 	g_array_unref(reads);
 }
 
+void raft_clear_votes(struct ss_raft *r)
+{
+	for (guint i = 0; i < r->peers->len; i++) {
+		raft_peer_at(r, i)->voted = false;
+		raft_peer_at(r, i)->prevoted_ms = 0;
+	}
+}
+
 bool raft_save_vote(struct ss_raft *r, uint64_t term, uint64_t vote)
 {
 	GError *error = NULL;
@@ -76,6 +84,10 @@
 		g_clear_error(&error);
 		return false;
 	}
+	if (term != r->term) {
+		raft_clear_votes(r);
+		r->voted_ms = 0;
+	}
 	r->term = term;
 	r->vote = vote;
 	return true;
@@ -89,7 +101,7 @@
 
 void raft_reset_deadline(struct ss_raft *r)
 {
-	raft_set_deadline(r, r->o.election_ms);
+	raft_set_deadline(r, raft_timeout_ms(r));
 }
 
 bool raft_become_follower(struct ss_raft *r, uint64_t term, uint64_t leader)
--- a/src/core/raft_elect.c
+++ b/src/core/raft_elect.c
@@ -5,17 +5,31 @@
  * after it won an election, so that others are elected first. */
 #define DISK_FULL_ELECTIONS 10
 
-static uint64_t value_granted(struct ss_raft *r, const struct peer *p)
+/* Pre-votes count for this many election timeouts: those of a majority may
+ * come one after the other where messages take long. */
+#define PREVOTE_TIMEOUTS 10
+/* Time for which a candidate lets another one go first, in units of the time
+ * that the other one's request took at most: a pre-vote, the request for a
+ * vote, the vote's sync, and a heartbeat. */
+#define YIELD_MESSAGES 4
+
+static uint64_t value_voted(struct ss_raft *r, const struct peer *p)
+{
+	return r->asked_term == r->term && (p->id == r->o.self || p->voted);
+}
+
+static uint64_t value_prevoted(struct ss_raft *r, const struct peer *p)
 {
-	(void)r;
-	return p->granted;
+	return p->id == r->o.self ||
+	       (p->prevoted_ms &&
+		r->now - p->prevoted_ms <= PREVOTE_TIMEOUTS * r->o.election_ms);
 }
 
 /* Returns the time from which a new leader counts a member's silence. It can
  * tell for the leader before it only; the others owe it no message so far. */
 static int64_t last_contact_ms(const struct ss_raft *r, const struct peer *p)
 {
-	if (p->id == r->former && !p->granted)
+	if (p->id == r->former && !p->voted)
 		return r->leader_contact_ms;
 	return r->now;
 }
@@ -34,8 +48,10 @@
 		p->round = 0;
 		p->contact_ms = last_contact_ms(r, p);
 		p->snap_index = 0;
-		p->timed_round = 0;
 	}
+	r->asked_term = 0;
+	r->answered = false;
+	r->timed_round = 0;
 	r->former = 0;
 	r->transfer_to = 0;
 	/*
@@ -50,19 +66,25 @@
 			r->now + DISK_FULL_ELECTIONS * r->o.election_ms;
 		return;
 	}
-	r->round++;
 	r->o.ops->changed(r->o.arg);
 	raft_broadcast(r);
 }
 
+/*
+ * A vote counts as long as its term lasts, whatever this member has asked for
+ * since: where answers take longer than a round, one that forgets them at its
+ * next round is never elected.
+ */
 static void count_votes(struct ss_raft *r)
 {
-	if (!raft_majority_value(r, value_granted))
+	if (r->role != SS_RAFT_PRECANDIDATE && r->role != SS_RAFT_CANDIDATE)
 		return;
-	if (r->role == SS_RAFT_PRECANDIDATE)
-		raft_campaign(r, false);
-	else if (r->role == SS_RAFT_CANDIDATE)
+	if (raft_majority_value(r, value_voted))
 		become_leader(r);
+	else if (r->role == SS_RAFT_PRECANDIDATE &&
+		 r->now >= r->yield_until_ms &&
+		 raft_majority_value(r, value_prevoted))
+		raft_campaign(r, false);
 }
 
 void raft_campaign(struct ss_raft *r, bool pre)
@@ -76,17 +98,22 @@
 	if (pre && r->o.ops->round_lost &&
 	    (r->role == SS_RAFT_PRECANDIDATE || r->role == SS_RAFT_CANDIDATE))
 		r->o.ops->round_lost(r->o.arg);
+	if (r->role == SS_RAFT_FOLLOWER || r->role == SS_RAFT_LEADER)
+		r->campaign_ms = r->now;
 	raft_reset_deadline(r);
 	if (!pre && !raft_save_vote(r, r->term + 1, r->o.self))
 		return;
 	r->role = pre ? SS_RAFT_PRECANDIDATE : SS_RAFT_CANDIDATE;
+	if (!pre)
+		r->asked_term = r->term;
+	r->asked_ms = r->now;
+	r->answered = false;
 	r->leader = 0;
 	r->ack = false;
 	m.log_term = raft_log_term(&r->log, m.index);
 	for (guint i = 0; i < r->peers->len; i++) {
 		struct peer *p = raft_peer_at(r, i);
 
-		p->granted = p->id == r->o.self;
 		p->ballot = (struct ss_raft_ballot){ 0 };
 	}
 	r->o.ops->changed(r->o.arg);
@@ -101,9 +128,75 @@
 
 bool raft_has_live_leader(const struct ss_raft *r)
 {
+	int64_t contact_ms = r->leader ? r->leader_contact_ms : r->voted_ms;
+
 	if (r->role == SS_RAFT_LEADER)
 		return true;
-	return r->leader && r->now - r->leader_contact_ms < r->o.election_ms;
+	return r->role == SS_RAFT_FOLLOWER && (r->leader || r->voted_ms) &&
+	       r->now - contact_ms < raft_timeout_ms(r);
+}
+
+/* Returns true if candidate a goes before b: it has more entries, or as many
+ * and the higher id. */
+static bool outranks(struct raft_rank a, struct raft_rank b)
+{
+	if (a.log_term != b.log_term)
+		return a.log_term > b.log_term;
+	return a.index != b.index ? a.index > b.index : a.id > b.id;
+}
+
+static struct raft_rank rank_of(const struct ss_raft_msg *m)
+{
+	return (struct raft_rank){ m->log_term, m->index, m->from };
+}
+
+/* Returns true if another candidate goes before the sender of a pre-vote: this
+ * member, which awaits votes or ranks higher, or one that it lets go first. */
+static bool goes_first(const struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	uint64_t last = raft_log_last(&r->log);
+	struct raft_rank self = { raft_log_term(&r->log, last), last,
+				  r->o.self };
+
+	if (m->term != r->term + 1)
+		return false;
+	if (r->role == SS_RAFT_CANDIDATE)
+		return r->now < r->deadline_ms;
+	if (r->yield_term == r->term && r->now < r->yield_until_ms &&
+	    outranks(r->yield_to, rank_of(m)))
+		return true;
+	return r->role == SS_RAFT_PRECANDIDATE && outranks(self, rank_of(m));
+}
+
+/* Asks again at the next tick if the last round isn't quite new: who asks for a
+ * pre-vote has given up the leader, and may have refused that round. */
+static void ask_again(struct ss_raft *r)
+{
+	if (r->role == SS_RAFT_PRECANDIDATE &&
+	    r->now - r->asked_ms >= r->o.election_ms)
+		r->deadline_ms = r->now;
+}
+
+/*
+ * Lets another candidate go first. Candidates that begin within the time of a
+ * message would each vote for themselves, again and again, where messages take
+ * longer than the random part of the timeout. Once a term only: the other one
+ * may be unable to receive answers.
+ */
+static void yield(struct ss_raft *r, const struct ss_raft_msg *m)
+{
+	const struct peer *p = raft_peer_find(r, m->from);
+	int64_t ms = 0;
+
+	if (r->yield_term == r->term || !p || !p->voter)
+		return;
+	if (r->role == SS_RAFT_PRECANDIDATE)
+		ms = YIELD_MESSAGES * (r->now - r->campaign_ms);
+	r->yield_term = r->term;
+	r->yield_to = rank_of(m);
+	r->yield_until_ms =
+		r->now + CLAMP(ms, raft_timeout_ms(r), raft_timeout_max_ms(r));
+	r->deadline_ms = MAX(r->deadline_ms, r->yield_until_ms);
 }
 
 static enum ss_raft_answer refusal(const struct ss_raft *r,
@@ -111,6 +204,8 @@
 {
 	if (!up_to_date)
 		return SS_RAFT_BEHIND;
+	if (m->kind == SS_RAFT_PREVOTE && goes_first(r, m))
+		return SS_RAFT_GOES_FIRST;
 	if (m->kind == SS_RAFT_VOTE)
 		return SS_RAFT_VOTED;
 	return m->term > r->term ? SS_RAFT_HAS_LEADER : SS_RAFT_OLD_TERM;
@@ -129,12 +224,18 @@
 
 	if (pre)
 		reply.ok = up_to_date && m->term > r->term &&
-			   !raft_has_live_leader(r);
+			   !raft_has_live_leader(r) && !goes_first(r, m);
 	else
 		reply.ok = up_to_date && (!r->vote || r->vote == m->from) &&
 			   raft_save_vote(r, r->term, m->from);
-	if (reply.ok && !pre)
+	if (reply.ok && !pre) {
+		r->voted_ms = r->now;
 		raft_reset_deadline(r);
+	}
+	if (reply.ok && pre)
+		yield(r, m);
+	else if (pre && goes_first(r, m))
+		ask_again(r);
 	if (!reply.ok)
 		reply.offset = refusal(r, m, up_to_date);
 	reply.term = reply.ok ? m->term : r->term;
@@ -150,7 +251,7 @@
 	p->ballot.ms = ms;
 	p->ballot.answer = m->ok ? SS_RAFT_GRANTED : SS_RAFT_REFUSED;
 	if (!m->ok && m->offset >= SS_RAFT_REFUSED &&
-	    m->offset <= SS_RAFT_OLD_TERM)
+	    m->offset <= SS_RAFT_ANSWER_LAST)
 		p->ballot.answer = (enum ss_raft_answer)m->offset;
 	/* An answer to a request of an earlier boot says nothing. */
 	if (ms >= 0)
@@ -160,16 +261,23 @@
 void raft_handle_vote_reply(struct ss_raft *r, const struct ss_raft_msg *m)
 {
 	struct peer *p = raft_peer_find(r, m->from);
-	enum ss_raft_role wanted = m->kind == SS_RAFT_PREVOTE_REPLY ?
-					   SS_RAFT_PRECANDIDATE :
-					   SS_RAFT_CANDIDATE;
+	enum ss_raft_role role = r->role;
 
-	if (p)
-		note_ballot(r, p, m);
-	if (!p || !m->ok || r->role != wanted)
+	if (!p)
 		return;
-	p->granted = true;
+	note_ballot(r, p, m);
+	if (p->ballot.ms >= 0 &&
+	    (role == SS_RAFT_PRECANDIDATE || role == SS_RAFT_CANDIDATE))
+		raft_pace_add(r, p->ballot.ms);
+	if (!m->ok)
+		return;
+	if (m->kind == SS_RAFT_VOTE_REPLY)
+		p->voted = true;
+	else if (m->term == r->term + 1 && r->role == SS_RAFT_PRECANDIDATE)
+		p->prevoted_ms = r->now;
 	count_votes(r);
+	if (r->role != role && r->role == SS_RAFT_CANDIDATE)
+		raft_reset_deadline(r);
 }
 
 void raft_handle_timeout_now(struct ss_raft *r)
--- a/src/core/raft_int.h
+++ b/src/core/raft_int.h
@@ -9,7 +9,9 @@
 struct peer {
 	uint64_t id;
 	bool voter;
-	bool granted;	      /* its vote or pre-vote in this campaign */
+	bool voted;	      /* for this member in the present term */
+	int64_t prevoted_ms;  /* time of its pre-vote for the next term; 0: none
+			       */
 	uint64_t next;	      /* index of the next entry to send */
 	uint64_t match;	      /* last index known to be durable there */
 	uint64_t round;	      /* latest heartbeat round it echoed */
@@ -18,8 +20,19 @@
 	uint64_t snap_offset; /* bytes of it received there */
 	int64_t snap_ms;      /* time the last chunk was sent; 0: answered */
 	struct ss_raft_ballot ballot;
-	uint64_t timed_round; /* heartbeat whose answer is timed; 0: none */
-	int64_t timed_ms;     /* time it was sent */
+};
+
+/* Number of long exchanges that are kept. */
+#define PACE_SAMPLES 8
+
+/* The long exchanges with the group of late. A single one may come from a pause
+ * of this process; a second one shows that the group is slow. */
+struct raft_pace {
+	struct raft_sample {
+		int64_t ms;
+		int64_t until_ms; /* it is forgotten then */
+	} samples[PACE_SAMPLES];
+	unsigned int next; /* the oldest one */
 };
 
 struct pending_read {
@@ -27,6 +40,11 @@
 	uint64_t round; /* complete once a majority echoes this round */
 };
 
+/* Order of candidates: by their last entry, then by id. */
+struct raft_rank {
+	uint64_t log_term, index, id;
+};
+
 struct ss_raft {
 	struct ss_raft_options o;
 	struct raft_log log;
@@ -39,15 +57,34 @@
 	uint64_t members_index; /* entry that set members */
 	GArray *peers; /* struct peer, one per member including this one */
 	int64_t now;
+	int64_t voted_ms; /* time of its vote for another in this term; 0: none
+			   */
 	int64_t leader_contact_ms; /* time of the leader's last message */
+	int64_t heard_ms; /* the same, later by long pauses of this process */
+	uint64_t contact_term;	   /* its term */
 	uint64_t former;	   /* leader that sent it; 0: none */
 	int64_t deadline_ms;	   /* time of the next campaign */
 	int64_t last_heartbeat_ms; /* time of the last heartbeat */
 	uint64_t round;		   /* current heartbeat round */
-	GArray *reads;		   /* struct pending_read, oldest first */
-	bool reads_new;		   /* the next flush starts a round for reads */
-	bool dirty;		   /* entries appended since the last sync */
-	bool ack;		   /* the next flush acknowledges an APPEND */
+	struct raft_pace pace;
+	bool excused;	      /* a pause since the last contact was excused */
+	uint64_t timed_round; /* heartbeat whose answers are timed; 0: none */
+	int64_t timed_ms;     /* time it was sent */
+	/* A majority has answered this candidate or leader in this role. */
+	bool answered;
+	/* Term in which this process has asked for votes; 0: none since it led
+	 * or started. A vote of before can't be told from a new one. */
+	uint64_t asked_term;
+	int64_t asked_ms;    /* time of the last round of votes */
+	int64_t campaign_ms; /* time at which this member's campaign began */
+	/* The candidate that it has let go first, in which term, until when. */
+	struct raft_rank yield_to;
+	uint64_t yield_term;
+	int64_t yield_until_ms;
+	GArray *reads;	/* struct pending_read, oldest first */
+	bool reads_new; /* the next flush starts a round for reads */
+	bool dirty;	/* entries appended since the last sync */
+	bool ack;	/* the next flush acknowledges an APPEND */
 	uint64_t ack_to, ack_index, ack_round;
 	GString *incoming; /* received chunks of a snapshot */
 	uint64_t incoming_index;
@@ -88,6 +125,21 @@
 
 /* Reports how long an answer of the member took. */
 void raft_note_exchange(struct ss_raft *r, struct peer *p, int64_t ms);
+/* Forgets all votes and pre-votes for this member. */
+void raft_clear_votes(struct ss_raft *r);
+
+/* raft_pace.c */
+/* Notes how long a majority's answer, or the leader's next message, took. */
+void raft_pace_add(struct ss_raft *r, int64_t ms);
+/* Returns the election timeout: that of the options, or longer where exchanges
+ * take longer. */
+int64_t raft_timeout_ms(const struct ss_raft *r);
+/* Returns the longest election timeout. */
+int64_t raft_timeout_max_ms(const struct ss_raft *r);
+/* Notes the leader's next message to a follower. */
+void raft_pace_contact(struct ss_raft *r, const struct ss_raft_msg *m);
+/* Notes that a majority has answered a heartbeat. */
+void raft_pace_round(struct ss_raft *r, uint64_t round);
 
 /* raft_elect.c */
 /*
@@ -96,8 +148,8 @@
  * working leader.
  */
 void raft_campaign(struct ss_raft *r, bool pre);
-/* Returns whether this member leads, or has had a message from the leader
- * within the minimum election timeout. */
+/* Returns whether this member leads, or has had a message from the leader, or
+ * given it its vote, within the election timeout. */
 bool raft_has_live_leader(const struct ss_raft *r);
 void raft_handle_vote(struct ss_raft *r, const struct ss_raft_msg *m);
 void raft_handle_vote_reply(struct ss_raft *r, const struct ss_raft_msg *m);
@@ -108,6 +160,8 @@
  * the snapshot if the member needs compacted entries. */
 void raft_send_append(struct ss_raft *r, struct peer *p);
 void raft_broadcast(struct ss_raft *r);
+/* Sends a heartbeat if one is due. */
+void raft_heartbeat(struct ss_raft *r);
 bool raft_append_local(struct ss_raft *r, int64_t kind, struct ss_str data,
 		       uint64_t *index, GError **error);
 /* Makes the next flush acknowledge m up to index, after the sync. */
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -5,6 +5,8 @@
 
 /* Resolution of heartbeats and election timeouts, in ms. */
 #define TICK_MS 20
+/* A tick that is later than this, in ms, follows a pause of this process. */
+#define LATE_TICK_MS 100
 /* Delay between connection attempts to a member, in ms: a heartbeat. */
 #define RECONNECT_MS 100
 /* Interval of membership repair, in ms; a membership change takes two syncs. */
@@ -390,6 +392,19 @@
 		ss_raft_decode_members(w->members, &m.members);
 	ss_raft_step(g->raft, group_now(g), &m);
 	ss_raft_clear_members(&m.members);
+/* Returns true if this process stood still until now. */
+static bool check_pause(struct group *g, int64_t now)
+{
+	int64_t late_ms = now - g->tick_ms - TICK_MS;
+
+	if (late_ms <= LATE_TICK_MS)
+		return false;
+	g->tick_ms = now;
+	group_note_pause(g, late_ms);
+	ss_raft_paused(g->raft, now, late_ms);
+	return true;
+}
+
 	group_flush_soon(g);
 }
 
@@ -412,6 +427,7 @@
 	default:
 		return false;
 	}
+	check_pause(g, group_now(g));
 }
 
 static void maybe_compact(struct group *g)
@@ -491,10 +507,14 @@
 {
 	GError *error = NULL;
 	uint64_t index;
+		g->tick_ms = now;
 	GString *bytes;
 	struct proposal *p;
 
 	c->at_ms = ss_wall_ms();
+	if (check_pause(g, now))
+		return;
+	g->tick_ms = now;
 	if (!group_leads(g)) {
 		error = g_error_new(SS_ERROR, SS_ERROR_NOT_LEADER,
 				    "this VM doesn't lead");
@@ -651,7 +671,7 @@
 	g->sync_ms = metrics_hist(d->metrics, "ss_log_sync_ms", "");
 	g->exchange_ms = metrics_hist(d->metrics, "ss_log_exchange_ms", "");
 	g->flush = event_new(d->base, -1, 0, on_flush, g);
-	g->leader_ms = group_now(g);
+	g->leader_ms = g->tick_ms = group_now(g);
 	g->disk = disk_open(&o, &g->loaded, error);
 	if (!g->disk ||
 	    !bootstrap_founders(&d->config, g->addr, &g->disk, &g->loaded,
--- a/src/daemon/group_int.h
+++ b/src/daemon/group_int.h
@@ -46,6 +46,7 @@
 	int64_t join_ms, repair_ms, announce_ms; /* last time of each */
 	int64_t leader_ms;     /* last time a leader was known */
 	int64_t append_ms;     /* last append to the log */
+	int64_t tick_ms;			 /* last run of the timer */
 	uint64_t leader_first; /* first log entry of its leadership */
 	uint64_t *n_applied, *n_term, *n_leads, *n_snapshots;
 	struct hist *sync_ms, *exchange_ms;
@@ -85,6 +86,8 @@
 void group_note_sync(struct group *g, int64_t start_ms);
 /* Counts the time until a member's answer; logs a slow one. */
 void group_note_exchange(struct group *g, uint64_t id, int64_t ms);
+/* Logs that this process stood still. */
+void group_note_pause(struct group *g, int64_t ms);
 
 /* group_members.c */
 /* Sends join requests to all known addresses. */
--- a/src/daemon/group_log.c
+++ b/src/daemon/group_log.c
@@ -8,10 +8,14 @@
 #define SLOW_MS 200
 
 static const char *const answer_names[] = {
-	[SS_RAFT_NO_ANSWER] = "none",	     [SS_RAFT_GRANTED] = "granted",
-	[SS_RAFT_REFUSED] = "refused",	     [SS_RAFT_BEHIND] = "behind",
-	[SS_RAFT_HAS_LEADER] = "has_leader", [SS_RAFT_VOTED] = "voted",
+	[SS_RAFT_NO_ANSWER] = "none",
+	[SS_RAFT_GRANTED] = "granted",
+	[SS_RAFT_REFUSED] = "refused",
+	[SS_RAFT_BEHIND] = "behind",
+	[SS_RAFT_HAS_LEADER] = "has_leader",
+	[SS_RAFT_VOTED] = "voted",
 	[SS_RAFT_OLD_TERM] = "old_term",
+	[SS_RAFT_GOES_FIRST] = "goes_first",
 };
 
 void group_log_start(struct group *g)
@@ -143,3 +147,9 @@
 		log_info("slow_exchange", "with=%.*s ms=%" PRId64,
 			 SS_FMT(m->addr), ms);
 }
+
+void group_note_pause(struct group *g, int64_t ms)
+{
+	if (is_slow(g, ms))
+		log_info("paused", "ms=%" PRId64, ms);
+}
--- a/test/prop_elections.cc
+++ b/test/prop_elections.cc
@@ -13,7 +13,8 @@
 using namespace raft_world;
 
 /* As in the daemon. */
-const int64_t kTickMs = 20, kElectionMs = 400, kFirstMs = 120;
+const int64_t kTickMs = 20, kLateTickMs = 100, kElectionMs = 400,
+	      kFirstMs = 120;
 const int64_t kProposeMs = 100;
 /* From the last fault until a change made since is accepted. */
 const int64_t kRecoverMs = 12000;
@@ -60,9 +61,10 @@
 	bool whole = false; /* has a whole processor at any pace */
 	int64_t at = 0;	    /* its own time: runs ahead while it syncs */
 	int64_t tick_ms = 0, propose_ms = 0;
-	uint64_t boot = 0;   /* number of its starts */
-	bool gone = false;   /* for good */
-	int64_t back_ms = 0; /* while it is down */
+	int64_t ticked_ms = 0; /* last tick */
+	uint64_t boot = 0;     /* number of its starts */
+	bool gone = false;     /* for good */
+	int64_t back_ms = 0;   /* while it is down */
 	std::deque<Packet> in;
 };
 
@@ -202,7 +204,7 @@
 void boot(Sim &s, Member &m)
 {
 	m.boot++;
-	m.at = m.tick_ms = m.propose_ms = next_run(s, m, s.now);
+	m.at = m.tick_ms = m.ticked_ms = m.propose_ms = next_run(s, m, s.now);
 	m.in.clear();
 	s.seed = ss_random(&s.random);
 	start(m.node);
@@ -244,10 +246,16 @@
 /* A tick that is late delays the ones after it. */
 void tick(Sim &s, Member &m)
 {
+	int64_t since_ms = s.now - m.ticked_ms;
+
+	m.ticked_ms = s.now;
 	m.tick_ms += kTickMs;
 	if (m.tick_ms < m.at)
 		m.tick_ms = m.at + kTickMs;
-	ss_raft_tick(m.node->raft, s.now);
+	if (since_ms > kTickMs + kLateTickMs)
+		ss_raft_paused(m.node->raft, s.now, since_ms - kTickMs);
+	else
+		ss_raft_tick(m.node->raft, s.now);
 }
 
 /* One round of the member's loop: reads, timers, then the flush. */
--- a/test/prop_members.cc
+++ b/test/prop_members.cc
@@ -370,7 +370,9 @@
 {
 	s.absences++;
 	s.at(now, [v] { v->frozen = v->running; });
-	s.at(now + ms, [&s, v] {
+	s.at(now + ms, [&s, v, ms] {
+		if (v->frozen && v->node->raft)
+			ss_raft_paused(v->node->raft, s.w.now, ms);
 		v->frozen = false;
 		for (const Msg &x : v->held)
 			receive(s.w, x);
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -400,6 +400,165 @@
 	ss_raft_free(f.r);
 }
 
+/* An answer with the time at which it was asked for. */
+static void answer(struct fake *f, int64_t kind, uint64_t from, uint64_t term,
+		   int64_t asked_ms)
+{
+	struct ss_raft_msg m = { .kind = kind,
+				 .from = from,
+				 .to = 1,
+				 .term = term,
+				 .round = (uint64_t)asked_ms,
+				 .ok = true };
+
+	ss_raft_step(f->r, f->now, &m);
+	ss_raft_flush(f->r, f->now);
+}
+
+/* Lets the timeout end without a message. */
+static void time_out(struct fake *f)
+{
+	f->now += 10000;
+	ss_raft_tick(f->r, f->now);
+}
+
+/* Guards against a group that never elects a leader where an answer takes
+ * longer than a round of votes. */
+static void late_vote_counts_in_its_term(void **state)
+{
+	struct fake f;
+
+	(void)state;
+	start(&f);
+	time_out(&f);
+	step(&f, SS_RAFT_PREVOTE_REPLY, 2, 4, 0, true);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_CANDIDATE);
+	time_out(&f);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_PRECANDIDATE);
+	step(&f, SS_RAFT_VOTE_REPLY, 2, 4, 0, true);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_LEADER);
+	assert_int_equal(ss_raft_term(f.r), 4);
+	ss_raft_free(f.r);
+}
+
+/* Guards against two leaders' entries at one index of a term: a vote may be
+ * for the process before the restart, which has led already. */
+static void vote_for_an_earlier_process_doesnt_count(void **state)
+{
+	struct fake f;
+
+	(void)state;
+	start(&f);
+	time_out(&f);
+	step(&f, SS_RAFT_VOTE_REPLY, 2, 3, 0, true);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_PRECANDIDATE);
+	ss_raft_free(f.r);
+}
+
+/* Guards against a leader without a majority that leads again and again on the
+ * votes that it has got once. */
+static void old_votes_make_no_second_leadership(void **state)
+{
+	struct fake f;
+
+	(void)state;
+	start(&f);
+	elect(&f);
+	time_out(&f);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_FOLLOWER);
+	time_out(&f);
+	step(&f, SS_RAFT_VOTE_REPLY, 3, 4, 0, true);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_PRECANDIDATE);
+	ss_raft_free(f.r);
+}
+
+static void ask_for_prevote(struct fake *f, uint64_t from)
+{
+	struct ss_raft_msg m = { .kind = SS_RAFT_PREVOTE,
+				 .from = from,
+				 .to = 1,
+				 .term = 4,
+				 .index = 2,
+				 .log_term = 2 };
+
+	ss_raft_step(f->r, f->now, &m);
+}
+
+/* Guards against candidates that vote for themselves at every round, as each
+ * begins before it hears of the others. */
+static void one_of_two_candidates_goes_first(void **state)
+{
+	struct fake f;
+
+	(void)state;
+	start(&f);
+	time_out(&f);
+	ask_for_prevote(&f, 2);
+	assert_true(f.last.ok);
+	step(&f, SS_RAFT_PREVOTE_REPLY, 3, 4, 0, true);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_PRECANDIDATE);
+	/* Once: the other one may never win. */
+	time_out(&f);
+	ask_for_prevote(&f, 2);
+	step(&f, SS_RAFT_PREVOTE_REPLY, 3, 4, 0, true);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_CANDIDATE);
+	ss_raft_free(f.r);
+}
+
+/* Guards against a leader that gives up before its first heartbeat can be
+ * answered, and against one that keeps a slow group's timeout for good. */
+static void slow_group_keeps_its_leader(void **state)
+{
+	const struct {
+		int64_t answer_ms, silence_ms;
+		enum ss_raft_role role;
+	} cases[] = {
+		{ 5, 500, SS_RAFT_LEADER },
+		{ 5, 700, SS_RAFT_FOLLOWER },
+		{ 1500, 4400, SS_RAFT_LEADER },
+		{ 1500, 4600, SS_RAFT_FOLLOWER },
+		{ 60000, 5900, SS_RAFT_LEADER },
+		{ 60000, 6100, SS_RAFT_FOLLOWER },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fake f;
+
+		start(&f);
+		time_out(&f);
+		f.now += cases[i].answer_ms;
+		answer(&f, SS_RAFT_PREVOTE_REPLY, 2, 4,
+		       f.now - cases[i].answer_ms);
+		f.now += cases[i].answer_ms;
+		answer(&f, SS_RAFT_VOTE_REPLY, 2, 4,
+		       f.now - cases[i].answer_ms);
+		assert_int_equal(ss_raft_role(f.r), SS_RAFT_LEADER);
+		ss_raft_tick(f.r, f.now + cases[i].silence_ms);
+		assert_int_equal(ss_raft_role(f.r), cases[i].role);
+		ss_raft_free(f.r);
+	}
+}
+
+/* Guards against a dead leader that is noticed late, as this process stood
+ * still once and took that for a slow group. */
+static void one_pause_extends_no_timeout(void **state)
+{
+	const int64_t gaps[] = { 100, 3000, 100 };
+	struct fake f;
+
+	(void)state;
+	start(&f);
+	for (size_t i = 0; i < G_N_ELEMENTS(gaps); i++) {
+		f.now += gaps[i];
+		step(&f, SS_RAFT_APPEND, 2, 4, 2, false);
+	}
+	f.now += 1200;
+	ss_raft_tick(f.r, f.now);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_PRECANDIDATE);
+	ss_raft_free(f.r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -414,6 +573,12 @@
 		cmocka_unit_test(
 			former_leader_is_silent_since_its_last_message),
 		cmocka_unit_test(transfer_waits_for_the_last_entry),
+		cmocka_unit_test(late_vote_counts_in_its_term),
+		cmocka_unit_test(vote_for_an_earlier_process_doesnt_count),
+		cmocka_unit_test(old_votes_make_no_second_leadership),
+		cmocka_unit_test(one_of_two_candidates_goes_first),
+		cmocka_unit_test(slow_group_keeps_its_leader),
+		cmocka_unit_test(one_pause_extends_no_timeout),
 	};
 
 	return cmocka_run_group_tests_name("raft", tests, NULL, NULL);
