Repair: a member of a slow group isn't lost for its slowness

By reading: 0.5, 1 and 6 s of silence decide who is ready, lost or dead. Where an answer takes longer than that, a voter that answers leaves the group, a spare takes its place, and the former joins again, without end.

--- a/src/core/repair.c
+++ b/src/core/repair.c
@@ -198,7 +198,7 @@
 			.addr = all->m[i].addr,
 			.voter = all->m[i].voter,
 			.self = all->m[i].id == self,
-			.quiet_ms = ss_raft_quiet_ms(r, all->m[i].id),
+			.quiet_ms = ss_raft_overdue_ms(r, all->m[i].id),
 			.match = ss_raft_match(r, all->m[i].id),
 		};
 }
--- a/src/core/repair.h
+++ b/src/core/repair.h
@@ -32,9 +32,10 @@
 	struct ss_str name, addr;
 	bool voter;
 	bool self;
-	bool leaving;	  /* it is in a planned stop */
-	int64_t quiet_ms; /* since its last reply to the leader */
-	uint64_t match;	  /* last log index known to be durable there */
+	bool leaving; /* it is in a planned stop */
+	/* Since its last reply to the leader, less what replies take. */
+	int64_t quiet_ms;
+	uint64_t match; /* last log index known to be durable there */
 };
 
 enum repair_action { REPAIR_NONE, REPAIR_PROMOTE, REPAIR_REMOVE };
