Connections of control VMs: slow ones are kept for longer

By reading, and by hand with processes that are stopped again and again: a connection without bytes for 0.9 s was closed, also if this process itself had stood still, and begun anew; votes on the way were lost with it.

A connection isn't judged at a timer that is late. The second silence within 10 s doubles the time for the next connection to that member, up to 3.6 s; 30 s without one end that. The side that accepted waits 3.6 s, as the other one closes earlier.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -189,6 +189,8 @@
 	struct control_role *k = arg;
 
 	g_hash_table_add(k->conns, c);
+	if (conn_peer(c)->role == ROLE_CONTROL)
+		conn_set_silent_ms(c, GROUP_SILENT_MAX_MS);
 	if (!is_client(c))
 		return;
 	if (k->leader && is_managed(c))
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -9,6 +9,15 @@
 #define LATE_TICK_MS 100
 /* Delay between connection attempts to a member, in ms: a heartbeat. */
 #define RECONNECT_MS 100
+/*
+ * A second silence within this time, in ms, shows that the member, or this
+ * process, is slow: the next connection is kept for longer. Closed again and
+ * again, it would carry no votes.
+ */
+#define SILENT_AGAIN_MS 10000
+/* Time in ms without such a silence after which connections are closed as early
+ * as at first. */
+#define SILENT_CALM_MS 30000
 /* Interval of membership repair, in ms; a membership change takes two syncs. */
 #define REPAIR_MS 200
 /* Time without a leader, in ms, after which a member asks to join again: it may
@@ -44,7 +53,7 @@
 	if (!o) {
 		o = g_new0(struct member_conn, 1);
 		o->addr = g_strdup(addr);
-		o->tried_ms = INT64_MIN / 2;
+		o->tried_ms = o->lost_ms = INT64_MIN / 2;
 		g_hash_table_insert(g->member_conns, o->addr, o);
 	}
 	if (o->conn && !conn_is_connected(o->conn) &&
@@ -55,6 +64,10 @@
 	}
 	if (!o->conn && group_now(g) - o->tried_ms >= RECONNECT_MS) {
 		o->tried_ms = group_now(g);
+		if (o->tried_ms - o->lost_ms > SILENT_CALM_MS)
+			o->silent_ms = co.silent_ms ? co.silent_ms :
+						      CONN_SILENT_MS;
+		co.silent_ms = o->silent_ms;
 		o->conn = conn_connect(&co, addr);
 		conn_set_data(o->conn, o);
 	}
@@ -82,6 +95,20 @@
 	group_message(arg, c, f);
 }
 
+/* Keeps the next connection for longer if this one is the second of late that
+ * was silent. */
+static void note_silence(struct group *g, struct member_conn *o,
+			 const struct conn *c)
+{
+	int64_t now = group_now(g);
+
+	if (conn_quiet_ms(c) <= o->silent_ms)
+		return;
+	if (now - o->lost_ms < SILENT_AGAIN_MS)
+		o->silent_ms = MIN(2 * o->silent_ms, GROUP_SILENT_MAX_MS);
+	o->lost_ms = now;
+}
+
 static void member_conn_closed(void *arg, struct conn *c, const GError *why)
 {
 	struct group *g = arg;
@@ -89,6 +116,7 @@
 
 	(void)why;
 	if (o) {
+		note_silence(g, o, c);
 		o->conn = NULL;
 		o->sent_ms = 0;
 	}
@@ -364,6 +392,19 @@
 	return g->raft != NULL;
 }
 
+/* Returns true if this process stood still until now. */
+static bool check_pause(struct group *g, int64_t now)
+{
+	int64_t late_ms = now - g->tick_ms - TICK_MS;
+
+	if (late_ms <= LATE_TICK_MS)
+		return false;
+	g->tick_ms = now;
+	group_note_pause(g, late_ms);
+	ss_raft_paused(g->raft, now, late_ms);
+	return true;
+}
+
 /* Messages. */
 
 static void handle_raft(struct group *g, struct conn *c,
@@ -386,25 +427,13 @@
 				 .n_entries = w->entries.n,
 				 .data = w->data };
 
+	check_pause(g, group_now(g));
 	g_hash_table_replace(g->last_conns, id, c);
 	group_redirect_candidate(g, c, w);
 	if (w->members.n)
 		ss_raft_decode_members(w->members, &m.members);
 	ss_raft_step(g->raft, group_now(g), &m);
 	ss_raft_clear_members(&m.members);
-/* Returns true if this process stood still until now. */
-static bool check_pause(struct group *g, int64_t now)
-{
-	int64_t late_ms = now - g->tick_ms - TICK_MS;
-
-	if (late_ms <= LATE_TICK_MS)
-		return false;
-	g->tick_ms = now;
-	group_note_pause(g, late_ms);
-	ss_raft_paused(g->raft, now, late_ms);
-	return true;
-}
-
 	group_flush_soon(g);
 }
 
@@ -427,7 +456,6 @@
 	default:
 		return false;
 	}
-	check_pause(g, group_now(g));
 }
 
 static void maybe_compact(struct group *g)
@@ -479,10 +507,14 @@
 	(void)fd;
 	(void)what;
 	if (!g->raft) {
+		g->tick_ms = now;
 		group_log_waiting(g);
 		group_request_join(g, now);
 		return;
 	}
+	if (check_pause(g, now))
+		return;
+	g->tick_ms = now;
 	connect_members(g);
 	group_announce(g, now);
 	ss_raft_tick(g->raft, now);
@@ -507,14 +539,10 @@
 {
 	GError *error = NULL;
 	uint64_t index;
-		g->tick_ms = now;
 	GString *bytes;
 	struct proposal *p;
 
 	c->at_ms = ss_wall_ms();
-	if (check_pause(g, now))
-		return;
-	g->tick_ms = now;
 	if (!group_leads(g)) {
 		error = g_error_new(SS_ERROR, SS_ERROR_NOT_LEADER,
 				    "this VM doesn't lead");
--- a/src/daemon/group.h
+++ b/src/daemon/group.h
@@ -9,6 +9,10 @@
 #include "../disk/disk.h"
 #include "daemon.h"
 
+/* Longest silence, in ms, of a connection between control VMs that is kept. The
+ * side that accepted it waits so long: the other one closes it earlier. */
+#define GROUP_SILENT_MAX_MS 3600
+
 struct group;
 
 struct group_ops {
--- a/src/daemon/group_int.h
+++ b/src/daemon/group_int.h
@@ -10,6 +10,8 @@
 	char *addr;
 	struct conn *conn;
 	int64_t tried_ms;
+	int64_t silent_ms; /* silence after which it is closed */
+	int64_t lost_ms;   /* when one was closed for its silence last */
 	/* The leader announced last on this connection, and when. */
 	uint64_t sent_leader;
 	int64_t sent_ms; /* 0: never */
@@ -44,9 +46,9 @@
 	int64_t leave_ms;	     /* last notice of the planned stop */
 	int64_t transfer_ms;	     /* last transfer of the leadership */
 	int64_t join_ms, repair_ms, announce_ms; /* last time of each */
+	int64_t tick_ms;			 /* last run of the timer */
 	int64_t leader_ms;     /* last time a leader was known */
 	int64_t append_ms;     /* last append to the log */
-	int64_t tick_ms;			 /* last run of the timer */
 	uint64_t leader_first; /* first log entry of its leadership */
 	uint64_t *n_applied, *n_term, *n_leads, *n_snapshots;
 	struct hist *sync_ms, *exchange_ms;
@@ -84,10 +86,10 @@
 void group_log_waiting(struct group *g);
 /* Counts the time of a sync that began at start_ms; logs a slow one. */
 void group_note_sync(struct group *g, int64_t start_ms);
-/* Counts the time until a member's answer; logs a slow one. */
-void group_note_exchange(struct group *g, uint64_t id, int64_t ms);
 /* Logs that this process stood still. */
 void group_note_pause(struct group *g, int64_t ms);
+/* Counts the time until a member's answer; logs a slow one. */
+void group_note_exchange(struct group *g, uint64_t id, int64_t ms);
 
 /* group_members.c */
 /* Sends join requests to all known addresses. */
--- a/src/node/conn.c
+++ b/src/node/conn.c
@@ -26,7 +26,8 @@
 	bool closing;
 	int depth; /* nested callbacks that use c */
 	int64_t received_ms;
-	GString *out; /* scratch buffer for one frame */
+	int64_t timer_ms; /* last run of the timer */
+	GString *out;	  /* scratch buffer for one frame */
 	void *data;
 };
 
@@ -226,10 +227,15 @@
 {
 	struct conn *c = arg;
 	struct msg_ping ping = { 0 };
+	int64_t now = ss_clock_now(c->o.clock);
+	/* After a pause of this process what the peer has sent may be unread.
+	 */
+	bool paused = now - c->timer_ms > 2 * c->o.ping_ms;
 
 	(void)fd;
 	(void)what;
-	if (conn_quiet_ms(c) > c->o.silent_ms) {
+	c->timer_ms = now;
+	if (!paused && conn_quiet_ms(c) > c->o.silent_ms) {
 		conn_fail(c, g_error_new(SS_ERROR, SS_ERROR_LOST,
 					 "silent for %" PRId64 " ms",
 					 conn_quiet_ms(c)));
@@ -251,7 +257,7 @@
 	c->o.ping_ms = o->ping_ms ? o->ping_ms : CONN_PING_MS;
 	c->o.silent_ms = o->silent_ms ? o->silent_ms : CONN_SILENT_MS;
 	c->out = g_string_sized_new(256);
-	c->received_ms = ss_clock_now(o->clock);
+	c->received_ms = c->timer_ms = ss_clock_now(o->clock);
 	c->bev = bufferevent_socket_new(o->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
@@ -352,6 +358,11 @@
 	return ss_clock_now(c->o.clock) - c->received_ms;
 }
 
+void conn_set_silent_ms(struct conn *c, int64_t ms)
+{
+	c->o.silent_ms = ms;
+}
+
 bool conn_is_quiet(const struct conn *c)
 {
 	return conn_quiet_ms(c) > QUIET_PINGS * c->o.ping_ms;
--- a/src/node/conn.h
+++ b/src/node/conn.h
@@ -93,6 +93,8 @@
 size_t conn_backlog(const struct conn *c);
 /* Returns the milliseconds since the last bytes from the peer. */
 int64_t conn_quiet_ms(const struct conn *c);
+/* Sets the silence in ms after which the connection is closed. */
+void conn_set_silent_ms(struct conn *c, int64_t ms);
 /* Returns true if at least two pings of the peer are overdue. */
 bool conn_is_quiet(const struct conn *c);
 
