Tests: agents take an interim answer, or the first of two lengths, for the answer's (known red)

Callers saw a 200 with an empty or short body, framed as whole. On the way through agents that can happen, shown by the same table of answers, cut at every byte, for the three clients of an agent (relay of calls, client, single request), which use libevent's HTTP:

- an answer behind a 102 or 103: the caller gets the 103 as the final answer; behind a 100 that has a length: that length counts for the final answer (200, empty, whole);
- two differing lengths: the first one counts (200 with 2 of 5 bytes, whole).
RFC 9112 (6.3) has that as an error which isn't recovered from;
- an answer that its connection's end completes: the relay keeps that connection for the next call, which is lost on it.

All other answers of the table are whole or no answer, at every cut.

--- a/test/test_gate_cut_head.c
+++ b/test/test_gate_cut_head.c
@@ -4,12 +4,19 @@
 
 #include <signal.h>
 
+#include "../src/core/msg.h"
+#include "../src/net/http.h"
+#include "../src/net/http_client.h"
+#include "../src/net/relay.h"
+
 #define HEAD_OK "HTTP/1.1 200 OK\r\n" HEAD
 #define CHUNKED "Transfer-Encoding: chunked\r\n"
 #define SSE "Content-Type: text/event-stream\r\n"
 #define EVENT(id) "id: " id "\ndata: e\n\n"
 #define EVENT_BYTES (sizeof(EVENT("1")) - 1)
 #define EVENT_CHUNK(id) "f\r\n" EVENT(id) "\r\n"
+/* Agents refuse an answer with one. */
+#define CHUNK_EXTENSION ";x=1"
 #define EVENTS_MAX 3
 #define EVENTS_BODY EVENT("1") EVENT("2") EVENT("3")
 #define EVENT_CHUNKS EVENT_CHUNK("1") EVENT_CHUNK("2") EVENT_CHUNK("3")
@@ -47,8 +54,9 @@
 	  "Content-Length: 5\n\nhello",
 	  "hello", WHOLE_AT_END },
 	{ "chunks", POST_ONCE,
-	  HEAD_OK CHUNKED "\r\n2\r\nhe\r\n3;x=1\r\nllo\r\n0\r\n\r\n", "hello",
-	  WHOLE_AT_END },
+	  HEAD_OK CHUNKED "\r\n2\r\nhe\r\n3" CHUNK_EXTENSION
+			  "\r\nllo\r\n0\r\n\r\n",
+	  "hello", WHOLE_AT_END },
 	{ "trailers", GET_SAFE,
 	  HEAD_OK CHUNKED
 	  "\r\n5\r\nhello\r\n0\r\nX-Signature: t\r\nContent-Length: 0\r\n\r\n",
@@ -63,7 +71,7 @@
 	  HEAD_OK "Transfer-Encoding: x\r\n\r\nhello", "hello",
 	  WHOLE_BY_CLOSE },
 	{ "100 first", POST_ONCE,
-	  "HTTP/1.1 100 Continue\r\n\r\n" HEAD_OK
+	  "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" HEAD_OK
 	  "Content-Length: 5\r\n\r\nhello",
 	  "hello", WHOLE_AT_END },
 	{ "103 first", GET_SAFE,
@@ -151,6 +159,15 @@
 	return (size_t)(end - text);
 }
 
+static int status_of(const struct answer_case *x)
+{
+	const char *final = x->text + head_length(x->text) - 1;
+
+	while (final > x->text && strncmp(final, "HTTP/1.", 7))
+		final--;
+	return atoi(final + strlen("HTTP/1.1 "));
+}
+
 /* Returns the body that the answer cut there has by its own framing; NULL: it
  * isn't whole. */
 static char *framed_body(const struct answer_case *x, size_t cut, bool reset)
@@ -454,12 +471,259 @@
 	assert_int_equal(failed, 0);
 }
 
+/* What an agent's client got. */
+struct result {
+	bool done, whole;
+	int status;
+	GString *body;
+};
+
+static void on_piece(void *arg, struct msg_reply *m)
+{
+	struct result *o = arg;
+
+	if (m->status)
+		o->status = (int)m->status;
+	g_string_append_len(o->body, m->data.p, (gssize)m->data.n);
+	o->done = m->end;
+	o->whole = m->end && m->code == 0;
+}
+
+static void on_answer(void *arg, int status, struct ss_str body,
+		      const GError *error)
+{
+	struct result *o = arg;
+
+	(void)error;
+	o->done = true;
+	o->whole = status != 0;
+	o->status = status;
+	g_string_append_len(o->body, body.p, (gssize)body.n);
+}
+
+static void on_response(void *arg, const struct http_client_response *a)
+{
+	on_answer(arg, a->status, a->body, NULL);
+}
+
+/* The clients of an agent, on the fixture's endpoint 0. */
+struct clients {
+	struct fix *f;
+	struct relay *relay;
+	struct http_client *client;
+};
+
+static void ask_relay(struct clients *t, const char *method, struct result *o)
+{
+	struct msg_call m = { .method = ss_str(method), .path = SS_LIT("/") };
+
+	relay_start(t->relay, &m, on_piece, o);
+}
+
+static void ask_client(struct clients *t, const char *method, struct result *o)
+{
+	struct http_client_call c = { .method = method,
+				      .path = "/",
+				      .timeout_ms = 2000,
+				      .done = on_response,
+				      .arg = o };
+
+	http_client_send(t->client, &c);
+}
+
+static void ask_request(struct clients *t, const char *method, struct result *o)
+{
+	struct http_request_options r = { .base = t->f->base,
+					  .addr = t->f->eps[0].addr,
+					  .method = method,
+					  .path = "/",
+					  .timeout_ms = 2000,
+					  .done = on_answer,
+					  .arg = o };
+
+	http_request(&r);
+}
+
+static const struct {
+	const char *name;
+	void (*ask)(struct clients *t, const char *method, struct result *o);
+	bool has_head; /* sends HEAD requests */
+} ways[] = {
+	{ "relay", ask_relay, true },
+	{ "client", ask_client, false },
+	{ "request", ask_request, false },
+};
+
+/* Asks once; the endpoint's answer is the text, cut. */
+static struct result ask(struct clients *t, int way, const char *method,
+			 const char *text, bool close, bool reset)
+{
+	struct result o = { .body = g_string_new(NULL) };
+	struct endpoint *e = &t->f->eps[0];
+	struct timeval ms = { 0, 1000 };
+
+	e->replies[0] = (struct reply){ text, close, reset };
+	e->n_replies = 1;
+	ways[way].ask(t, method, &o);
+	for (int i = 0; i < WAIT_ROUNDS && !o.done; i++) {
+		event_base_loopexit(t->f->base, &ms);
+		event_base_loop(t->f->base, EVLOOP_ONCE);
+	}
+	return o;
+}
+
+static bool run_agent_trial(struct clients *t, int way,
+			    const struct answer_case *x, size_t cut, bool reset,
+			    bool reused)
+{
+	const char *method = is_head(x) ? "HEAD" : "GET";
+	char *part = g_strndup(x->text, cut);
+	char *want = framed_body(x, cut, reset);
+	bool may_refuse = x->whole == WHOLE_MAYBE ||
+			  strstr(x->text, CHUNK_EXTENSION);
+	struct result o, next;
+	bool ok = true;
+
+	if (reused) {
+		o = ask(t, way, "GET", OK_TEXT, false, false);
+		ok = o.whole && !strcmp(o.body->str, "hello");
+		g_string_free(o.body, TRUE);
+	}
+	/* A connection that the server is about to close isn't used again. */
+	o = ask(t, way, method, part,
+		x->text[cut] || x->whole == WHOLE_BY_CLOSE, reset);
+	next = ask(t, way, "GET", AGAIN "another", false, false);
+	ok = ok && o.done && (o.whole || !want || may_refuse) &&
+	     (!o.whole || (want && !strcmp(o.body->str, want) &&
+			   o.status == status_of(x))) &&
+	     (!next.whole || !strcmp(next.body->str, "another"));
+	if (!ok)
+		print_error("%s, %s: %zu of %zu (head %zu), %s%s: want %s, got "
+			    "%d %s, then %d %s\n",
+			    ways[way].name, x->label, cut, strlen(x->text),
+			    head_length(x->text), reset ? "reset" : "closed",
+			    reused ? ", used again" : "", want ? want : "none",
+			    o.status, o.whole ? o.body->str : "none",
+			    next.status, next.body->str);
+	g_string_free(o.body, TRUE);
+	g_string_free(next.body, TRUE);
+	g_free(part);
+	g_free(want);
+	return ok;
+}
+
+static bool is_interim(const struct answer_case *x)
+{
+	return g_str_has_prefix(x->text, "HTTP/1.1 10");
+}
+
+static bool is_differing(const struct answer_case *x)
+{
+	return !strcmp(x->label, "differing lengths");
+}
+
+static bool is_other(const struct answer_case *x)
+{
+	return !is_interim(x) && !is_differing(x);
+}
+
+static int run_agent_case(int way, const struct answer_case *x)
+{
+	size_t len = strlen(x->text);
+	struct clients t;
+	struct fix f;
+	int failed = 0;
+
+	fix_open(&f, NULL, "");
+	t = (struct clients){ &f, relay_new(f.base, f.eps[0].addr),
+			      http_client_new(f.base, f.eps[0].addr) };
+	for (size_t cut = 0; cut <= len && failed < SHOWN_MAX; cut++) {
+		for (int k = 0; k < 4; k++) {
+			bool reset = k & 1, reused = k & 2;
+
+			if (!(reset && cut == len))
+				failed += !run_agent_trial(&t, way, x, cut,
+							   reset, reused);
+		}
+	}
+	relay_free(t.relay);
+	http_client_free(t.client);
+	fix_close(&f);
+	return failed;
+}
+
+static void run_agent_cases(bool (*chosen)(const struct answer_case *x))
+{
+	int failed = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		for (int way = 0; way < (int)G_N_ELEMENTS(ways); way++)
+			if (chosen(&cases[i]) &&
+			    (ways[way].has_head || !is_head(&cases[i])))
+				failed += run_agent_case(way, &cases[i]);
+	assert_int_equal(failed, 0);
+}
+
+/* Guards against an answer cut anywhere that an agent takes for a whole one. */
+static void agents_show_each_cut(void **state)
+{
+	(void)state;
+	run_agent_cases(is_other);
+}
+
+/* Guards against an interim answer that an agent takes for the final one. */
+static void agents_skip_interim_answers(void **state)
+{
+	(void)state;
+	run_agent_cases(is_interim);
+}
+
+/* Guards against a body cut to the first of two lengths, framed as whole. */
+static void agents_refuse_differing_lengths(void **state)
+{
+	(void)state;
+	run_agent_cases(is_differing);
+}
+
+/* Guards against a call that is lost on a connection which its server ended. */
+static void relay_leaves_ended_connections(void **state)
+{
+	struct clients t = { 0 };
+	struct result o;
+	struct fix f;
+	int failed = 0;
+
+	(void)state;
+	fix_open(&f, NULL, "");
+	t.f = &f;
+	t.relay = relay_new(f.base, f.eps[0].addr);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		if (cases[i].whole != WHOLE_BY_CLOSE || is_interim(&cases[i]))
+			continue;
+		o = ask(&t, 0, "GET", cases[i].text, true, false);
+		assert_true(o.whole);
+		g_string_free(o.body, TRUE);
+		o = ask(&t, 0, "GET", OK_TEXT, false, false);
+		if (!o.whole)
+			print_error("lost behind: %s\n", cases[i].label);
+		failed += !o.whole;
+		g_string_free(o.body, TRUE);
+	}
+	relay_free(t.relay);
+	fix_close(&f);
+	assert_int_equal(failed, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(gate_shows_each_cut),
 		cmocka_unit_test(gate_shows_second_cut),
 		cmocka_unit_test(gate_reads_single_bytes),
+		cmocka_unit_test(agents_show_each_cut),
+		cmocka_unit_test(agents_skip_interim_answers),
+		cmocka_unit_test(agents_refuse_differing_lengths),
+		cmocka_unit_test(relay_leaves_ended_connections),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
