Agents' HTTP: an answer with differing lengths is no answer

What callers saw: a 200 with a body cut to the first of two lengths, framed as whole.

Cause: evhttp takes the first Content-Length that it finds.

Change: the callback at the end of the head compares them and ends the request, for calls as for orders, reads and lists. Equal ones still count as one.

agents_refuse_differing_lengths got 2 of 5 bytes as a whole 200 in all three clients; now they have no answer at any cut.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -7,6 +7,7 @@
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <json-c/json.h>
@@ -279,11 +280,24 @@
 	return true;
 }
 
+/* evhttp takes the first of several lengths. */
+bool http_lengths_agree(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	const char *first = evhttp_find_header(headers, "Content-Length");
+	const struct evkeyval *kv;
+
+	for (kv = headers->tqh_first; kv; kv = kv->next.tqe_next)
+		if (!g_ascii_strcasecmp(kv->key, "Content-Length") &&
+		    strcmp(kv->value, first))
+			return false;
+	return true;
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	(void)arg;
-	http_skip_interim(req);
-	return 0;
+	return http_skip_interim(req) || http_lengths_agree(req) ? 0 : -1;
 }
 
 void http_send(struct evhttp_connection *conn, struct evhttp_request *req,
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -71,6 +71,10 @@
  * follows. Called from the request's header callback. */
 bool http_skip_interim(struct evhttp_request *req);
 
+/* Returns false if the head of an answer has differing lengths, so that its end
+ * isn't known. */
+bool http_lengths_agree(struct evhttp_request *req);
+
 /* Adds a body to a client request, with any method. */
 void http_add_body(struct evhttp_request *req, struct ss_str body);
 
--- a/src/net/relay.c
+++ b/src/net/relay.c
@@ -111,6 +111,8 @@
 
 	if (http_skip_interim(req))
 		return 0;
+	if (!http_lengths_agree(req))
+		return -1;
 	c->status = evhttp_request_get_response_code(req);
 	for (kv = in->tqh_first; kv; kv = kv->next.tqe_next) {
 		struct header h = { ss_str(g_strdup(kv->key)),
