Gate: no body is awaited behind a 1xx, 204 or 304 that has a length

What callers saw: a GET that the endpoint answered with 304 and the length of what it would have sent is answered only when time is up, or, when the endpoint closes, by a second run or a 502; a 100 with a length garbles the answer behind it, whose first bytes are taken for its body.

Cause: http_parser skips a body by status only where no length is stated. RFC 9112 (6.3): these end with their head whatever its fields say.

Change: the reader tells http_parser at the end of the head that no body follows.

With the lengths added to the table, gate_shows_each_cut and gate_reads_single_bytes failed on all three at their last byte (closed: 502 or a second run); now each is whole there, and at no cut before.

--- a/src/proxy/http1.c
+++ b/src/proxy/http1.c
@@ -144,6 +144,12 @@
 			    (int64_t)r->p.content_length;
 }
 
+/* http_parser would wait for a body of the stated length. */
+static bool has_no_body(int status)
+{
+	return status / 100 == 1 || status == 204 || status == 304;
+}
+
 static int on_headers(http_parser *p)
 {
 	struct http1_reader *r = p->data;
@@ -161,7 +167,7 @@
 	p->upgrade = 0;
 	fill_head(r);
 	r->o.ops->head(r->o.arg, &r->head);
-	return r->no_body ? 1 : 0;
+	return r->no_body || has_no_body(r->head.status) ? 1 : 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t n)
--- a/test/test_gate_cut_head.c
+++ b/test/test_gate_cut_head.c
@@ -70,7 +70,7 @@
 	  HEAD_OK "Transfer-Encoding: x\r\n\r\nhello", "hello",
 	  WHOLE_BY_CLOSE },
 	{ "100 first", POST_ONCE,
-	  "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" HEAD_OK
+	  "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n" HEAD_OK
 	  "Content-Length: 5\r\n\r\nhello",
 	  "hello", WHOLE_AT_END },
 	{ "103 first", GET_SAFE,
@@ -110,6 +110,12 @@
 	{ "304", GET_SAFE,
 	  "HTTP/1.1 304 Not Modified\r\n" HEAD "ETag: x\r\n\r\n", "",
 	  WHOLE_AT_END },
+	{ "204 with length", POST_ONCE,
+	  "HTTP/1.1 204 No Content\r\n" HEAD "Content-Length: 5\r\n\r\n", "",
+	  WHOLE_AT_END },
+	{ "304 with length", GET_SAFE,
+	  "HTTP/1.1 304 Not Modified\r\n" HEAD "Content-Length: 5\r\n\r\n", "",
+	  WHOLE_AT_END },
 	{ "events in chunks", POST_CHAT, EVENTS EVENT_CHUNKS "0\r\n\r\n",
 	  EVENTS_BODY, WHOLE_AT_END },
 	{ "events with length", POST_CHAT,
