Gate: a HEAD answer or a 304 tells the length that its endpoint told

What callers saw: Content-Length: 0 in each answer to HEAD and in each 304, whatever the endpoint's head says; a cache that goes by it (RFC 9110, 8.6) holds an empty body for the whole one.

Cause: a buffered answer is given the length of what was buffered, which is nothing there.

Change: where an answer has no body, the endpoint's length is passed on, and none if it told none.

gate_passes_lengths_without_body failed at its first row.

--- a/src/proxy/answer.c
+++ b/src/proxy/answer.c
@@ -249,6 +249,17 @@
 	pause_if_caller_full(f);
 }
 
+/* Returns the length that a buffered answer's head states; -1: none. Without a
+ * body, it's that of the answer which the endpoint would have sent. */
+static int64_t stated_length(const struct forward *f)
+{
+	const struct http1_head *h = caller_call_head(f->caller);
+
+	if (f->status == 304 || http1_name_is(h->method, "HEAD"))
+		return f->length;
+	return (int64_t)f->withheld->len;
+}
+
 static void on_done(void *arg)
 {
 	struct forward *f = arg;
@@ -266,7 +277,7 @@
 	if (!f->started && f->is_events) {
 		start_answer(f, -1);
 	} else if (!f->started) {
-		start_answer(f, (int64_t)f->withheld->len);
+		start_answer(f, stated_length(f));
 		caller_call_write(f->caller, ss_str_gs(f->withheld));
 	}
 	forward_end(f, true, "");
--- a/test/test_gate_cut_head.c
+++ b/test/test_gate_cut_head.c
@@ -737,12 +737,46 @@
 	assert_int_equal(failed, 0);
 }
 
+/* Guards against a HEAD answer or a 304 that tells a length of 0. */
+static void gate_passes_lengths_without_body(void **state)
+{
+	static const struct {
+		const char *ask, *status, *sent, *want;
+	} table[] = {
+		{ HEAD_SAFE, "200 OK", "Content-Length: 5\r\n",
+		  "\r\nContent-Length: 5\r\n" },
+		{ HEAD_SAFE, "200 OK", "", NULL },
+		{ HEAD_SAFE, "200 OK", CHUNKED, NULL },
+		{ GET_SAFE, "304 Not Modified", "Content-Length: 5\r\n",
+		  "\r\nContent-Length: 5\r\n" },
+		{ GET_SAFE, "304 Not Modified", "", NULL },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(table); i++) {
+		char *text = g_strdup_printf("HTTP/1.1 %s\r\n" HEAD "%s\r\n",
+					     table[i].status, table[i].sent);
+		struct caller *c;
+		struct fix f;
+
+		fix_open(&f, "web", "");
+		script_answer(&f, 0, text, false, false);
+		c = call(&f, table[i].ask);
+		UNTIL(&f, received_ends_with(c, "\r\n\r\n"));
+		assert_true(table[i].want ? has_received(c, table[i].want) :
+					    !has_received(c, "Content-Length"));
+		fix_close(&f);
+		g_free(text);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(gate_shows_each_cut),
 		cmocka_unit_test(gate_shows_second_cut),
 		cmocka_unit_test(gate_reads_single_bytes),
+		cmocka_unit_test(gate_passes_lengths_without_body),
 		cmocka_unit_test(agents_show_each_cut),
 		cmocka_unit_test(agents_skip_interim_answers),
 		cmocka_unit_test(agents_refuse_differing_lengths),
