Fuzz: a message that is cut, or ends with its connection, is whole only by its own framing

The target reads each HTTP message in two parts, and now also its first part alone, up to the end of the connection.

--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -210,17 +210,30 @@
 	g_string_free(page, TRUE);
 }
 
+/* A message that is read. */
+struct message {
+	GString *out;
+	size_t body;	/* bytes */
+	int64_t length; /* stated, of a body that isn't chunked; -1: none */
+	bool head, chunked, bodiless, done;
+};
+
 static void on_head(void *arg, const struct http1_head *h)
 {
 	struct platform_request_headers send = { .deadline_ms = 5,
 						 .after_event = 1 };
 	struct platform_answer answer;
 	struct platform_call call;
-	GString *out = arg;
+	struct message *m = arg;
 
+	m->head = true;
+	m->chunked = h->chunked;
+	m->length = h->chunked ? -1 : h->length;
+	m->bodiless = h->status / 100 == 1 || h->status == 204 ||
+		      h->status == 304;
 	if (h->request) {
 		users_platform.read_call(h, &call, NULL);
-		users_platform.write_request(out, h, &send, 3);
+		users_platform.write_request(m->out, h, &send, 3);
 	} else {
 		users_platform.read_answer(h, &answer);
 	}
@@ -228,38 +241,57 @@
 
 static void on_body(void *arg, struct ss_str piece)
 {
-	g_string_append_len(arg, piece.p, (gssize)piece.n);
+	struct message *m = arg;
+
+	m->body += piece.n;
+	g_string_append_len(m->out, piece.p, (gssize)piece.n);
 }
 
 static void on_done(void *arg)
 {
-	(void)arg;
+	struct message *m = arg;
+
+	require(m->head && !m->done);
+	require(m->length < 0 || m->bodiless || m->body == (size_t)m->length);
+	require(!m->bodiless || m->body == 0);
+	m->done = true;
 }
 
-/* Reads a message that is received in two parts, split at the offset in the
- * second byte of the input. */
-static void fuzz_http(bool request, const uint8_t *p, size_t n)
+/* Reads a message in two parts up to the end of the connection, which completes
+ * it only behind a head that states neither length nor chunks. */
+static void read_message(bool request, struct ss_str first, struct ss_str rest)
 {
 	static const struct http1_ops ops = { on_head, on_body, on_done };
-	GString *out = g_string_new(NULL);
+	struct message m = { .out = g_string_new(NULL), .length = -1 };
 	struct http1_options o = {
-		.request = request, .head_max = 512, .ops = &ops, .arg = out
+		.request = request, .head_max = 512, .ops = &ops, .arg = &m
 	};
 	struct http1_reader *r = http1_reader_new(&o);
 	struct evbuffer *in = evbuffer_new();
-	size_t cut = n ? MIN((size_t)p[0], n - 1) : 0;
 
-	if (n) {
-		evbuffer_add(in, p + 1, cut);
-		if (http1_read(r, in, NULL)) {
-			evbuffer_add(in, p + 1 + cut, n - 1 - cut);
-			http1_read(r, in, NULL);
-			http1_read_eof(r);
-		}
+	evbuffer_add(in, first.p, first.n);
+	if (http1_read(r, in, NULL) && !m.done) {
+		evbuffer_add(in, rest.p, rest.n);
+		if (http1_read(r, in, NULL) && !m.done && http1_read_eof(r))
+			require(!request && !m.chunked && m.length < 0);
 	}
 	evbuffer_free(in);
 	http1_reader_free(r);
-	g_string_free(out, TRUE);
+	g_string_free(m.out, TRUE);
+}
+
+/* Reads a message that is received in two parts, split at the offset in the
+ * second byte of the input, and one that is cut there. */
+static void fuzz_http(bool request, const uint8_t *p, size_t n)
+{
+	size_t cut = n ? MIN((size_t)p[0], n - 1) : 0;
+	struct ss_str first = { (const char *)p + 1, cut };
+
+	if (!n)
+		return;
+	read_message(request, first,
+		     (struct ss_str){ first.p + cut, n - 1 - cut });
+	read_message(request, first, (struct ss_str){ 0 });
 }
 
 /* The position is that of the output, whatever was wrong behind it. */
