--- a/src/core/routing_update.c
+++ b/src/core/routing_update.c
@@ -156,8 +156,12 @@
 static void append_other_text(struct routing_update *u, guint from, guint to)
 {
 	const struct document_pieces *p = &u->r->pieces;
-	const guint8 *parts = p->parts->data, *next = parts + from;
+	const guint8 *parts = p->parts->data, *next;
 
+	/* An empty array has no data to point into. */
+	if (from >= to)
+		return;
+	next = parts + from;
 	while (next < parts + to &&
 	       (next = memchr(next, DOCUMENT_OTHER,
 			      (size_t)(parts + to - next))))
