--- a/test/test_gate_cut_head.c
+++ b/test/test_gate_cut_head.c
@@ -737,6 +737,42 @@
 	assert_int_equal(failed, 0);
 }
 
+/* Guards against a cut head that counts as a crash, and a crash that doesn't.
+ */
+static void cut_heads_arent_crashes(void **state)
+{
+	const struct answer_case *x = &cases[0];
+	size_t cuts[] = { 0, 20, head_length(x->text), strlen(x->text) - 1 };
+
+	(void)state;
+	for (size_t k = 0; k < 2 * G_N_ELEMENTS(cuts); k++) {
+		char *part = g_strndup(x->text, cuts[k / 2]);
+		bool crashes = k & 1;
+		struct caller *c;
+		struct fix f;
+
+		fix_open(&f, "web", "");
+		script_answer(&f, 0, part, true, false);
+		c = call(&f, x->ask);
+		if (crashes) {
+			UNTIL(&f, f.eps[0].conns->len == 1);
+			stop_listening(&f, 0);
+		}
+		UNTIL(&f, is_failure(c, x));
+		for (int i = 0; i < 300; i++) {
+			f.clock.fake_ms++;
+			event_base_loop(f.base, EVLOOP_NONBLOCK);
+			gate_tick(f.gate);
+		}
+		assert_int_equal(*metrics_value(f.metrics,
+						"ss_gate_endpoints_ended_total",
+						""),
+				 crashes);
+		fix_close(&f);
+		g_free(part);
+	}
+}
+
 /* Guards against a HEAD answer or a 304 that tells a length of 0. */
 static void gate_passes_lengths_without_body(void **state)
 {
@@ -776,6 +812,7 @@
 		cmocka_unit_test(gate_shows_each_cut),
 		cmocka_unit_test(gate_shows_second_cut),
 		cmocka_unit_test(gate_reads_single_bytes),
+		cmocka_unit_test(cut_heads_arent_crashes),
 		cmocka_unit_test(gate_passes_lengths_without_body),
 		cmocka_unit_test(agents_show_each_cut),
 		cmocka_unit_test(agents_skip_interim_answers),
