Scenario: control VMs that get little of a processor

What callers saw: no change was acknowledged for 12 s and more after all control VMs were killed, or the leader that was elected no longer led 10 s later.

Each control process is stopped for 600 ms of 660 at a drawn, fixed phase; an exchange takes up to one period then, longer than many rounds of votes (0.4 to 0.8 s) and than a leader's lease were. All are killed and started again under this, four VMs with three voters first, then five voters. Asked for: a change within recoveryS (12 s), with nothing added for the stops: an exchange takes 0.66 s, and pre-votes, votes, a commit and the answer are four; the leader stays for 10 s; at most 10 changes of role a VM.

--- a/test/fleet/scenarios.py
+++ b/test/fleet/scenarios.py
@@ -22,6 +22,7 @@
 import shared_failures
 import versions
 import signal_scenarios
+import slow_machines
 from fleet_logs import leader_of, log_count, log_has, control_log_count
 from soak import MODELS_LOADED_S, RECOVERY_S, await_first_change, until
 from soak_callers import Callers
@@ -492,7 +493,8 @@
              *signal_scenarios.SCENARIOS, *versions.SCENARIOS,
              *poison_parts.SCENARIOS, *entry_surge.SCENARIOS,
              *power_loss.SCENARIOS, *membership.SCENARIOS,
-             *versions.LATER_SCENARIOS, *membership.LATER_SCENARIOS]
+             *versions.LATER_SCENARIOS, *membership.LATER_SCENARIOS,
+             *slow_machines.SCENARIOS]
 
 
 async def run_scenario(scenario, seed, daemon):
