Soak: control VMs that get little of a processor, killed meanwhile

The checks are the soak's own: after the last fault all is served and read back in 12 s.

A group that elects nobody while it lasts is found by the scenario slow_control_vms_elect_a_leader, not by this.

--- a/test/fleet/slow_machines.py
+++ b/test/fleet/slow_machines.py
@@ -1,12 +1,11 @@
-"""Scenario and fault: control VMs that get little of a processor."""
+"""Scenario: control VMs that get little of a processor."""
 import asyncio
-import contextlib
 import signal
-import time
 
 from fleet_logs import log_has
 from membership import Core, await_spare
 from soak import RECOVERY_S, await_first_change, until
+from soak_slices import in_slices
 
 # A process runs for 60 ms in each period of 660 ms.
 PERIOD_S, STOPPED_S = 0.66, 0.6
@@ -16,39 +15,6 @@
 ROLE_LINES_MAX = 10
 
 
-async def run_in_slices(p, phase_s, period_s, stopped_s):
-    """Stops a process in each period, until it is cancelled. Its phase holds:
-    a late wake-up doesn't shift the next one.
-    """
-    start = time.monotonic() + phase_s
-
-    async def sleep_until(t):
-        await asyncio.sleep(max(0.0, t - time.monotonic()))
-
-    try:
-        while True:
-            await sleep_until(start)
-            p.send(signal.SIGSTOP)
-            await sleep_until(start + stopped_s)
-            p.send(signal.SIGCONT)
-            start += period_s
-    finally:
-        p.send(signal.SIGCONT)
-
-
-@contextlib.asynccontextmanager
-async def in_slices(procs, rng, period_s=PERIOD_S, stopped_s=STOPPED_S):
-    """Gives each process a part of the time, with drawn phases."""
-    tasks = [asyncio.ensure_future(run_in_slices(
-        p, rng.uniform(0, period_s), period_s, stopped_s)) for p in procs]
-    try:
-        yield
-    finally:
-        for t in tasks:
-            t.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
 def roles(p):
     """Returns the roles that a process has logged since its start."""
     with open(p.log) as f:
@@ -60,7 +26,7 @@
 async def kill_in_slices(fleet, core):
     """Kills all control VMs, and checks the group that they form again."""
     procs = [core.process(i) for i in core.vms]
-    async with in_slices(procs, fleet.rng):
+    async with in_slices(procs, fleet.rng, PERIOD_S, STOPPED_S):
         for p in procs:
             p.send(signal.SIGKILL)
         await asyncio.gather(*[p.end() for p in procs])
--- a/test/fleet/soak_faults.py
+++ b/test/fleet/soak_faults.py
@@ -15,6 +15,7 @@
 from soak_outage import outage
 from soak_parts import WRITTEN_BEFORE_CRASH, PromptSender
 from soak_poison import PoisonSender
+from soak_slices import slow_control_vms
 from soak_slow_engines import slow_first_events
 from soak_versions import roll_out
 from soak_signals import request_backoffs, state_rate_limits
@@ -375,7 +376,8 @@
                  asyncio.ensure_future(request_backoffs(self, seconds)),
                  asyncio.ensure_future(roll_out(self, seconds)),
                  asyncio.ensure_future(slow_first_events(self, seconds)),
-                 asyncio.ensure_future(outage(self, seconds))]
+                 asyncio.ensure_future(outage(self, seconds)),
+                 asyncio.ensure_future(slow_control_vms(self, seconds))]
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             kind = self.rng.choice(self.kinds)
