Test: losses of power by all amid other losses, with lost disks (known red)

prop_members had no loss of power by all together, and none beside lost disks amid a change of members. Now plays over 3 to 6 VMs with links of 1 to 100 ms: kills of all, losses of power with as many disks as are borne, halves cut for 0.5 to 8 s, all at drawn moments amid the losses in a row, and a last loss of power after 0 to 40 s; within 12 s of the last return a leader has all that was acknowledged, and stays.

Seen: no leader, play 43 of 1,000 (also of 200). A replaced VM ends before its successor votes, and a disk is lost at that moment; no mend is known for this one.

--- a/test/prop_members.cc
+++ b/test/prop_members.cc
@@ -1,9 +1,11 @@
 /*
  * The control group bears the loss of one VM after another (of two at once from
  * five VMs on), each as soon as the loss before it has been made good, whoever
- * leads: kills, power losses, freezes, cuts, lost disks and replacements. Log,
- * elections and repair are the real ones; VMs, links, disks and the way to join
- * are simulated.
+ * leads: kills, power losses, freezes, cuts, lost disks and replacements. At
+ * any moment beside them, all VMs are killed, lose power or are cut into
+ * halves, and no more disks are lost than the group bears. Log, elections and
+ * repair are the real ones; VMs, links, disks and the way to join are
+ * simulated.
  */
 #include "raft_world.hh"
 
@@ -40,6 +42,13 @@
 /* Changes of members that one absence of a VM may cause: two removals and two
  * promotions, of the VM and of the one that stands in for it, and a join. */
 const size_t kChangesPerAbsence = 5;
+/* From five VMs on, the group bears the loss of two. */
+const size_t kBearsTwoFrom = 5;
+/* Faults of all VMs: how long each is down, and until the next one. */
+const int64_t kAllDownMinMs = 200, kAllDownMaxMs = 1500;
+const int64_t kAllEveryMaxMs = 15000;
+const int64_t kLinkMaxMs = 100;
+const int64_t kFinalMaxMs = 40000;
 
 struct Vm {
 	Node *node = nullptr;
@@ -53,8 +62,13 @@
 	int64_t join_ms = 0, repair_ms = 0, leader_ms = 0;
 	/* The last time that each member has said that it ends. */
 	std::map<uint64_t, int64_t> leaving_ms;
-	bool lost = false;    /* until its loss has been made good */
-	std::deque<Msg> held; /* arrived while it was frozen */
+	bool lost = false;	/* until its loss has been made good */
+	bool disk_lost = false; /* its loss is one of a disk */
+	bool replaced = false;	/* its successor has started */
+	bool gone = false;	/* removed for good */
+	int half = 0;		/* of the group, while that is cut */
+	int64_t back_ms = 0;	/* when its loss ends, as far as known */
+	std::deque<Msg> held;	/* arrived while it was frozen */
 };
 
 struct Sim {
@@ -68,6 +82,11 @@
 	size_t accepted = 0, changes = 0, absences = 0;
 	int64_t accepted_ms = 0;
 	int64_t end_ms = 0; /* when the last loss is made good */
+	/* The last return after a fault of all, and when that is made good. */
+	int64_t back_ms = 0, settled_ms = 0;
+	bool over = false; /* no further loss begins */
+	/* A VM that loses power as it ends for good is back to end later. */
+	bool ends_later = true;
 
 	void at(int64_t ms, std::function<void()> f)
 	{
@@ -91,7 +110,8 @@
 
 bool path(const Vm *from, const Vm *to)
 {
-	return to->running && !from->cut_out && !to->cut_in;
+	return to->running && !from->cut_out && !to->cut_in &&
+	       from->half == to->half;
 }
 
 /* The leader that the operator's changes reach. */
@@ -111,6 +131,8 @@
 
 void run_process(Sim &s, Vm *v)
 {
+	if (v->running || v->gone)
+		return;
 	v->running = true;
 	v->join_ms = v->leader_ms = s.w.now;
 	if (v->joined)
@@ -315,7 +337,7 @@
 		s.accepted = s.w.committed.size();
 		s.accepted_ms = s.w.now;
 	}
-	RC_ASSERT(s.w.now - s.accepted_ms <= kRecoverMs);
+	RC_ASSERT(s.w.now - std::max(s.accepted_ms, s.back_ms) <= kRecoverMs);
 }
 
 void run_until(Sim &s, int64_t end)
@@ -396,6 +418,10 @@
 void planned_stop(Sim &s, Vm *v, int64_t now, std::function<void()> ended)
 {
 	s.at(now, [&s, v, ended] {
+		if (!v->running) {
+			ended();
+			return;
+		}
 		v->ended = ended;
 		v->stop_ms = s.w.now;
 		v->leaving = true;
@@ -409,14 +435,18 @@
 
 	s.absences++;
 	s.core[place] = v;
-	v->lost = true;
+	v->lost = v->disk_lost = true;
+	old->replaced = true;
 	if (planned) {
 		s.at(now, [&s, v] { run_process(s, v); });
-		planned_stop(s, old, now + gap_ms, [] {});
+		planned_stop(s, old, now + gap_ms, [old] { old->gone = true; });
 		/* The next loss may come with SIGTERM. */
 		return std::max(now, now + gap_ms - kCatchUpMs);
 	}
-	s.at(now, [old] { end_process(old, true); });
+	s.at(now, [old] {
+		end_process(old, true);
+		old->gone = true;
+	});
 	s.at(now + gap_ms, [&s, v] { run_process(s, v); });
 	return now + gap_ms;
 }
@@ -491,6 +521,8 @@
 	Vm *v = s.core[place];
 
 	v->lost = true;
+	v->disk_lost = (kind >= 5 && kind <= 9) ||
+		       (kind == 10 && (x >> 13) % 3 == 2);
 	if (kind < 11) {
 		good(lose_for(s, place, kind, x >> 13));
 		return;
@@ -500,6 +532,115 @@
 	});
 }
 
+/* Faults of all VMs. */
+
+/* Chooses VMs that aren't lost, to lose their disks: as many as the group still
+ * bears, or fewer. */
+std::set<Vm *> choose_disks(const Sim &s, uint32_t x)
+{
+	size_t n = s.core.size(), bears = n < kBearsTwoFrom ? 1 : 2;
+	std::set<Vm *> out;
+
+	for (const Vm *v : s.core)
+		bears -= std::min(bears, (size_t)v->disk_lost);
+	if (x % 4 == 0)
+		bears /= 2;
+	for (size_t i = 0; i < n && out.size() < bears; i++) {
+		Vm *v = s.core[(x / 4 + i) % n];
+
+		if (!v->lost)
+			out.insert(v);
+	}
+	return out;
+}
+
+/* Returns when the last VM is back whose loss has begun. */
+int64_t last_back(const Sim &s)
+{
+	int64_t ms = s.w.now;
+
+	for (const Vm *v : s.core)
+		ms = std::max(ms, v->back_ms);
+	return ms;
+}
+
+void settle(Sim &s, int64_t back)
+{
+	s.back_ms = std::max(s.back_ms, back);
+	s.settled_ms = std::max(s.settled_ms, back + kCatchUpMs);
+	s.end_ms = std::max(s.end_ms, s.settled_ms);
+}
+
+/* All processes end at once; each is back after a time of its own. */
+void stop_all(Sim &s, uint32_t x, bool power, bool lose_disks)
+{
+	std::set<Vm *> disks;
+
+	if (lose_disks)
+		disks = choose_disks(s, x);
+	for (size_t i = 0; i < s.vms.size(); i++) {
+		Vm *v = s.vms[i].get();
+		uint32_t y = (x ^ (uint32_t)i * 2654435761U) >> 7;
+		int64_t back = s.w.now + range(y, kAllDownMinMs, kAllDownMaxMs);
+
+		if (!v->running)
+			continue;
+		s.absences++;
+		bool ends = v->leaving, returns = v->replaced && s.ends_later;
+
+		end_process(v, power);
+		if (ends && returns)
+			planned_stop(s, v, back + kRecoverMs, v->ended);
+		else if (ends)
+			v->ended();
+		if (ends && !returns)
+			continue;
+		settle(s, back);
+		s.at(back, [&s, v] { run_process(s, v); });
+		if (!disks.count(v))
+			continue;
+		wipe(s, v);
+		v->lost = v->disk_lost = true;
+		s.at(back + kCatchUpMs,
+		     [v] { v->lost = v->disk_lost = false; });
+	}
+	settle(s, last_back(s));
+}
+
+void cut_into_halves(Sim &s, uint32_t x)
+{
+	int64_t back = s.w.now + range(x >> 12, 500, 8000);
+
+	for (size_t i = 0; i < s.vms.size(); i++)
+		s.vms[i]->half = (int)(x >> i & 1);
+	s.absences += s.vms.size();
+	s.at(back, [&s] {
+		for (auto &v : s.vms)
+			v->half = 0;
+	});
+	settle(s, std::max(back, last_back(s)));
+}
+
+/* The next fault of all; another one follows once it is made good. */
+void strike_next(Sim &s, std::deque<uint32_t> *strikes)
+{
+	if (strikes->empty())
+		return;
+	uint32_t x = strikes->front();
+
+	strikes->pop_front();
+	s.at(s.w.now + range(x, 0, kAllEveryMaxMs), [&s, x, strikes] {
+		uint32_t y = x >> 3;
+
+		if (s.over)
+			return;
+		if (x % 4 == 3)
+			cut_into_halves(s, y);
+		else
+			stop_all(s, y, x % 4 == 2, x % 4 == 2);
+		s.at(s.settled_ms, [&s, strikes] { strike_next(s, strikes); });
+	});
+}
 
 /* Start and end of a play. */
 
@@ -552,8 +693,12 @@
  * one is made good. */
 void lose_next(Sim &s, std::deque<uint32_t> *losses)
 {
-	if (losses->empty())
+	if (losses->empty() || s.over)
 		return;
+	if (s.w.now < s.settled_ms) {
+		s.at(s.settled_ms, [&s, losses] { lose_next(s, losses); });
+		return;
+	}
 	uint32_t x = losses->front();
 	size_t place = choose_place(s, x, leading(s));
 
@@ -561,8 +706,11 @@
 	lose(s, place, x, [&s, place, x, losses](int64_t back) {
 		int64_t good = back + kCatchUpMs;
 
+		s.core[place]->back_ms = back;
 		s.end_ms = std::max(s.end_ms, good);
-		s.at(good, [&s, place] { s.core[place]->lost = false; });
+		s.at(good, [&s, place] {
+			s.core[place]->lost = s.core[place]->disk_lost = false;
+		});
 		s.at(good + (int64_t)(x >> 20) % 300,
 		     [&s, losses] { lose_next(s, losses); });
 	});
@@ -651,6 +799,80 @@
 		ss_raft_free(v->node->raft);
 }
 
+/* How a play ends: after its losses, or ms after it began, all lose power while
+ * as many disks are lost as are borne. */
+struct Final {
+	uint32_t x;
+	int64_t ms;
+};
+
+struct PowerPlay {
+	int n;
+	int64_t link_ms;
+	std::vector<std::deque<uint32_t>> series;
+	std::deque<uint32_t> strikes;
+	Final last;
+	bool ends_later;
+};
+
+/* Losses in a row beside faults of all; then the final one, after which a
+ * leader has all that was accepted, and stays. */
+void play_with_power(PowerPlay p)
+{
+	Sim s;
+
+	s.link_ms = p.link_ms;
+	s.ends_later = p.ends_later;
+	found_group(s, p.n);
+	run_until(s, s.w.now + kFoundedMs);
+	s.end_ms = s.w.now;
+	for (auto &l : p.series)
+		lose_next(s, &l);
+	strike_next(s, &p.strikes);
+	run_until(s, s.w.now + p.last.ms);
+	s.over = true;
+	stop_all(s, p.last.x, true, true);
+	while (s.w.now < s.end_ms + kRecoverMs)
+		run_until(s, s.end_ms + kRecoverMs);
+	RC_ASSERT(bool(leading(s)));
+	uint64_t term = ss_raft_term(leading(s)->node->raft);
+
+	run_until(s, s.w.now + kRecoverMs);
+	check_all_accepted(s);
+	RC_ASSERT(ss_raft_term(leading(s)->node->raft) == term);
+	for (auto &v : s.vms)
+		ss_raft_free(v->node->raft);
+}
+
+rc::Gen<uint32_t> any_number()
+{
+	return rc::gen::resize(rc::kNominalSize,
+			       rc::gen::arbitrary<uint32_t>());
+}
+
+std::deque<uint32_t> any_numbers(int most)
+{
+	auto v = *rc::gen::resize(
+		most, rc::gen::container<std::vector<uint32_t>>(any_number()));
+
+	return { v.begin(), v.end() };
+}
+
+PowerPlay any_power_play(bool ends_later)
+{
+	PowerPlay p;
+
+	p.n = *rc::gen::inRange(3, 7);
+	p.link_ms = *rc::gen::inRange<int64_t>(1, kLinkMaxMs + 1);
+	for (int k = 0; k < (p.n < (int)kBearsTwoFrom ? 1 : 2); k++)
+		p.series.push_back(any_numbers(6));
+	p.strikes = any_numbers(3);
+	p.last.x = *any_number();
+	p.last.ms = *rc::gen::inRange<int64_t>(0, kFinalMaxMs);
+	p.ends_later = ends_later;
+	return p;
+}
+
 } // namespace
 
 int main()
@@ -678,5 +900,7 @@
 				}
 				play(n, series);
 			});
+	ok &= rc::check("control VMs bear losses of power by all",
+			[&] { play_with_power(any_power_play(false)); });
 	return ok ? 0 : 1;
 }
