--- a/src/core/repair.c
+++ b/src/core/repair.c
@@ -6,6 +6,11 @@
 	return !m->self && m->quiet_ms > REPAIR_DEAD_MS;
 }
 
+static bool is_gone(const struct repair_member *m)
+{
+	return !m->self && m->quiet_ms > REPAIR_GONE_MS;
+}
+
 /*
  * Returns true if a later member has the same name or address: this one lost
  * its disk. The leader itself is never replaced. by_voter: only a later voter
@@ -72,12 +77,19 @@
 	return (int)healthy - (int)(voters / 2 + 1);
 }
 
+/* Returns true if one voter less bears as many lost disks. */
+static bool is_shrinkable(const struct repair_counts *c)
+{
+	return c->voters % 2 == 0 || c->voters > REPAIR_FULL_VOTERS;
+}
+
 /*
- * Returns true if a lost voter is to be removed. It leaves before its successor
- * gets a vote: without it the group bears as many further losses as with it,
- * while a successor that is lost again would otherwise leave two voters that
- * can't vote. Without a successor it leaves where the others bear more losses
- * by themselves, or once it is dead.
+ * Returns true if a lost voter is to be removed. One that is known not to
+ * return leaves before its successor gets a vote: without it the group bears as
+ * many further losses as with it, while a successor that is lost again would
+ * otherwise leave two voters that can't vote. A silent one may hold what was
+ * committed, and its vote counts again once it is back. It leaves after its
+ * successor got a vote: the majority never shrinks on silence alone.
  */
 static bool is_removable(const struct repair_member *m, size_t n, size_t i,
 			 const struct repair_counts *c)
@@ -88,10 +100,11 @@
 		return true;
 	if (!is_lost(m, n, i))
 		return false;
-	if (c->ready || bearable_losses(healthy, healthy) >
-				bearable_losses(c->voters, healthy))
+	if ((is_shrinkable(c) || is_replaced(m, n, i, false)) &&
+	    (c->ready || bearable_losses(healthy, healthy) >
+				 bearable_losses(c->voters, healthy)))
 		return true;
-	return healthy >= REPAIR_MIN_VOTERS && is_dead(&m[i]);
+	return healthy >= REPAIR_MIN_VOTERS && is_gone(&m[i]);
 }
 
 /* Finds a member to remove; learners first, as they cost no majority. */
@@ -117,8 +130,9 @@
 {
 	size_t staying = c->voters - c->lost - c->leaving;
 
-	return c->ready && (staying < REPAIR_MIN_VOTERS || staying % 2 == 0 ||
-			    c->ready > 1);
+	return c->ready &&
+	       (staying < REPAIR_MIN_VOTERS || staying % 2 == 0 ||
+		c->ready > 1 || (c->voters % 2 && staying < c->voters));
 }
 
 /*
@@ -132,7 +146,7 @@
 	size_t answering = c->voters - c->lost;
 	size_t staying = answering - c->leaving;
 
-	return staying >= REPAIR_MIN_VOTERS &&
+	return c->voters > REPAIR_MIN_VOTERS && is_shrinkable(c) &&
 	       bearable_losses(staying, staying) >
 		       bearable_losses(c->voters, staying) &&
 	       bearable_losses(c->voters - 1, answering - 1) >= 0;
