--- a/include/sapphireshift/raft.h
+++ b/include/sapphireshift/raft.h
@@ -238,10 +238,6 @@
  */
 void ss_raft_transfer(struct ss_raft *r, int64_t now);
 
-/* As ss_raft_transfer(), but to none of these n members. */
-void ss_raft_transfer_except(struct ss_raft *r, int64_t now,
-			     const uint64_t *except, size_t n);
-
 enum ss_raft_role ss_raft_role(const struct ss_raft *r);
 uint64_t ss_raft_term(const struct ss_raft *r);
 /* Returns the id of the leader; 0: unknown. */
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -310,21 +310,7 @@
 	return ok;
 }
 
-static bool is_among(uint64_t id, const uint64_t *ids, size_t n)
-{
-	for (size_t i = 0; i < n; i++)
-		if (ids[i] == id)
-			return true;
-	return false;
-}
-
 void ss_raft_transfer(struct ss_raft *r, int64_t now)
-{
-	ss_raft_transfer_except(r, now, NULL, 0);
-}
-
-void ss_raft_transfer_except(struct ss_raft *r, int64_t now,
-			     const uint64_t *except, size_t n)
 {
 	struct peer *best = NULL;
 
@@ -335,7 +321,6 @@
 		struct peer *p = raft_peer_at(r, i);
 
 		if (p->voter && p->id != r->o.self && value_active(r, p) &&
-		    !is_among(p->id, except, n) &&
 		    (!best || p->match > best->match))
 			best = p;
 	}
--- a/src/core/repair.c
+++ b/src/core/repair.c
@@ -6,11 +6,6 @@
 	return !m->self && m->quiet_ms > REPAIR_DEAD_MS;
 }
 
-static bool is_gone(const struct repair_member *m)
-{
-	return !m->self && m->quiet_ms > REPAIR_GONE_MS;
-}
-
 /*
  * Returns true if a later member has the same name or address: this one lost
  * its disk. The leader itself is never replaced. by_voter: only a later voter
@@ -77,19 +72,12 @@
 	return (int)healthy - (int)(voters / 2 + 1);
 }
 
-/* Returns true if one voter less bears as many lost disks. */
-static bool is_shrinkable(const struct repair_counts *c)
-{
-	return c->voters % 2 == 0 || c->voters > REPAIR_FULL_VOTERS;
-}
-
 /*
- * Returns true if a lost voter is to be removed. One that is known not to
- * return leaves before its successor gets a vote: without it the group bears as
- * many further losses as with it, while a successor that is lost again would
- * otherwise leave two voters that can't vote. A silent one may hold what was
- * committed, and its vote counts again once it is back. It leaves after its
- * successor got a vote: the majority never shrinks on silence alone.
+ * Returns true if a lost voter is to be removed. It leaves before its successor
+ * gets a vote: without it the group bears as many further losses as with it,
+ * while a successor that is lost again would otherwise leave two voters that
+ * can't vote. Without a successor it leaves where the others bear more losses
+ * by themselves, or once it is dead.
  */
 static bool is_removable(const struct repair_member *m, size_t n, size_t i,
 			 const struct repair_counts *c)
@@ -100,11 +88,10 @@
 		return true;
 	if (!is_lost(m, n, i))
 		return false;
-	if ((is_shrinkable(c) || is_replaced(m, n, i, false)) &&
-	    (c->ready || bearable_losses(healthy, healthy) >
-				 bearable_losses(c->voters, healthy)))
+	if (c->ready || bearable_losses(healthy, healthy) >
+				bearable_losses(c->voters, healthy))
 		return true;
-	return healthy >= REPAIR_MIN_VOTERS && is_gone(&m[i]);
+	return healthy >= REPAIR_MIN_VOTERS && is_dead(&m[i]);
 }
 
 /* Finds a member to remove; learners first, as they cost no majority. */
@@ -130,9 +117,8 @@
 {
 	size_t staying = c->voters - c->lost - c->leaving;
 
-	return c->ready &&
-	       (staying < REPAIR_MIN_VOTERS || staying % 2 == 0 ||
-		c->ready > 1 || (c->voters % 2 && staying < c->voters));
+	return c->ready && (staying < REPAIR_MIN_VOTERS || staying % 2 == 0 ||
+			    c->ready > 1);
 }
 
 /*
@@ -146,7 +132,7 @@
 	size_t answering = c->voters - c->lost;
 	size_t staying = answering - c->leaving;
 
-	return c->voters > REPAIR_MIN_VOTERS && is_shrinkable(c) &&
+	return staying >= REPAIR_MIN_VOTERS &&
 	       bearable_losses(staying, staying) >
 		       bearable_losses(c->voters, staying) &&
 	       bearable_losses(c->voters - 1, answering - 1) >= 0;
--- a/src/core/repair.h
+++ b/src/core/repair.h
@@ -20,17 +20,12 @@
  * and is the spare.
  */
 #define REPAIR_SUSPECT_MS 1000
-/* Silence in ms after which a learner counts as dead and is removed. Longer
- * than a restart (about 2 s). One that returns joins again with its log. */
+/* Silence in ms after which a member counts as dead and is removed without a
+ * successor if enough others are left. Longer than a restart (about 2 s). A
+ * removed member that returns joins again with its log. */
 #define REPAIR_DEAD_MS 6000
-/* Silence in ms after which a voter is removed without a successor if enough
- * others are left. Longer than a partition: until then its disk may be needed
- * beside lost ones. */
-#define REPAIR_GONE_MS 60000
 /* Fewer voters than this tolerate no loss. */
 #define REPAIR_MIN_VOTERS 3
-/* So many voters tolerate two losses; no group needs to bear more. */
-#define REPAIR_FULL_VOTERS 5
 
 struct repair_member {
 	uint64_t id;
--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -63,39 +63,13 @@
 	g_array_unref(members);
 }
 
-/* Returns true if the member has sent a notice of a planned stop within the
- * last second. After that its silence tells, or it is back. */
-static bool is_leaving(const struct group *g, uint64_t id)
-{
-	const int64_t *ms = g_hash_table_lookup(g->leaving_members, &id);
-
-	return ms && group_now(g) - *ms <= REPAIR_SUSPECT_MS;
-}
-
-/* Hands the leadership over, but not to a member in a planned stop: the two
- * would hand it to and fro. */
-static void transfer(struct group *g, int64_t now)
-{
-	GArray *leaving = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	GHashTableIter it;
-	gpointer id;
-
-	g_hash_table_iter_init(&it, g->leaving_members);
-	while (g_hash_table_iter_next(&it, &id, NULL))
-		if (is_leaving(g, *(const uint64_t *)id))
-			g_array_append_vals(leaving, id, 1);
-	ss_raft_transfer_except(g->raft, now, (const uint64_t *)leaving->data,
-				leaving->len);
-	g_array_unref(leaving);
-}
-
 void group_continue_leaving(struct group *g, int64_t now)
 {
 	const char *leader = group_leader_addr(g);
 
 	if (now - g->transfer_ms >= TRANSFER_INTERVAL_MS) {
 		g->transfer_ms = now;
-		transfer(g, now);
+		ss_raft_transfer(g->raft, now);
 	}
 	if (!leader || now - g->leave_ms < LEAVE_INTERVAL_MS)
 		return;
@@ -103,6 +77,15 @@
 	request_join(g, leader);
 }
 
+/* Returns true if the member has sent a notice of a planned stop within the
+ * last second. After that its silence tells, or it is back. */
+static bool is_leaving(const struct group *g, uint64_t id)
+{
+	const int64_t *ms = g_hash_table_lookup(g->leaving_members, &id);
+
+	return ms && group_now(g) - *ms <= REPAIR_SUSPECT_MS;
+}
+
 static gboolean has_left(gpointer id, gpointer ms, gpointer group)
 {
 	(void)ms;
