Raft: a candidate of higher rank refuses others for some time only

They refuse for three election timeouts from the start of their campaign. At term 0 a process that hasn't asked counts no vote of its own; a refusal by one that has voted is logged as that, not as a leader.

--- a/src/core/raft_elect.c
+++ b/src/core/raft_elect.c
@@ -13,9 +13,14 @@
  * vote, the vote's sync, and a heartbeat. */
 #define YIELD_MESSAGES 4
 
+/* A candidate that ranks higher refuses the others for this many election
+ * timeouts from the start of its campaign. */
+#define RANK_TIMEOUTS 3
+
 static uint64_t value_voted(struct ss_raft *r, const struct peer *p)
 {
-	return r->asked_term == r->term && (p->id == r->o.self || p->voted);
+	return r->asked_term && r->asked_term == r->term &&
+	       (p->id == r->o.self || p->voted);
 }
 
 static uint64_t value_prevoted(struct ss_raft *r, const struct peer *p)
@@ -165,7 +170,10 @@
 	if (r->yield_term == r->term && r->now < r->yield_until_ms &&
 	    outranks(r->yield_to, rank_of(m)))
 		return true;
-	return r->role == SS_RAFT_PRECANDIDATE && outranks(self, rank_of(m));
+	/* For some time only: it may be unable to win. */
+	return r->role == SS_RAFT_PRECANDIDATE &&
+	       r->now - r->campaign_ms < RANK_TIMEOUTS * raft_timeout_ms(r) &&
+	       outranks(self, rank_of(m));
 }
 
 /* Asks again at the next tick if the last round isn't quite new: who asks for a
@@ -208,7 +216,9 @@
 		return SS_RAFT_GOES_FIRST;
 	if (m->kind == SS_RAFT_VOTE)
 		return SS_RAFT_VOTED;
-	return m->term > r->term ? SS_RAFT_HAS_LEADER : SS_RAFT_OLD_TERM;
+	if (m->term <= r->term)
+		return SS_RAFT_OLD_TERM;
+	return ss_raft_leader(r) ? SS_RAFT_HAS_LEADER : SS_RAFT_VOTED;
 }
 
 void raft_handle_vote(struct ss_raft *r, const struct ss_raft_msg *m)
@@ -267,8 +277,9 @@
 		return;
 	note_ballot(r, p, m);
 	if (p->ballot.ms >= 0 &&
-	    (role == SS_RAFT_PRECANDIDATE || role == SS_RAFT_CANDIDATE))
+	    (role == SS_RAFT_PRECANDIDATE || role == SS_RAFT_CANDIDATE)) {
 		raft_pace_add(r, p->ballot.ms);
+	}
 	if (!m->ok)
 		return;
 	if (m->kind == SS_RAFT_VOTE_REPLY)
--- a/test/prop_raft.cc
+++ b/test/prop_raft.cc
@@ -290,8 +290,70 @@
 		step(w, v);
 	recover(w);
 	check_end(w);
-	for (auto &n : w.nodes)
-		ss_raft_free(n->raft);
+}
+
+/* Links of 5 ms, and a tick each 20 ms. */
+const int64_t kLinkMs = 5, kTickMs = 20;
+/* Longest time without a leader where a majority is connected. */
+const int64_t kElectedMs = 12000;
+
+/* Voters in a star: each reaches the first one only. */
+void found_star(World &w, int voters, int up)
+{
+	std::vector<struct ss_raft_member> all;
+
+	for (int i = 0; i < voters; i++)
+		all.push_back(member((uint64_t)i + 1, true));
+	struct ss_raft_members members = { all.data(), all.size() };
+
+	for (int i = 0; i < voters; i++) {
+		w.nodes.push_back(std::make_unique<Node>());
+		Node *n = w.nodes.back().get();
+
+		n->world = &w;
+		n->slot = i;
+		n->id = (uint64_t)i + 1;
+		n->disk.term = 1;
+		n->disk.log.push_back(
+			{ 1, 1, SS_RAFT_MEMBERS, encode(&members) });
+		n->disk.synced = 1;
+		for (int k = 1; k < voters; k++)
+			if (i && k != i)
+				w.cut.insert({ i, k });
+	}
+	for (int i = 0; i < up; i++)
+		start(w.nodes[(size_t)i].get());
+}
+
+/* Guards against a group without a leader for good, as candidates that can't win
+ * refuse the only one that can. */
+void elect_in_star(int voters, int up, uint64_t seed)
+{
+	World w;
+	std::deque<std::pair<int64_t, Msg>> wire;
+	int64_t end = w.now + kElectedMs;
+	bool elected = false;
+
+	w.election_ms = 400;
+	w.seed = seed;
+	found_star(w, voters, up);
+	while (!elected && w.now < end) {
+		w.now += kLinkMs;
+		for (const Msg &x : w.net)
+			wire.emplace_back(w.now + kLinkMs, x);
+		w.net.clear();
+		for (; !wire.empty() && wire.front().first <= w.now;
+		     wire.pop_front())
+			receive(w, wire.front().second);
+		for (auto &n : w.nodes) {
+			if (n->raft && w.now % kTickMs == 0)
+				ss_raft_tick(n->raft, w.now);
+			if (n->raft)
+				ss_raft_flush(n->raft, w.now);
+		}
+		elected = leader(w) && ss_raft_commit(leader(w)->raft) >= 2;
+	}
+	RC_ASSERT(elected);
 }
 
 } // namespace
@@ -306,5 +368,12 @@
 	bool ok = rc::check("committed changes survive any order of faults",
 			    [&] { run(*ops); });
 
+	ok &= rc::check("the middle of a star is elected", [] {
+		int voters = *rc::gen::inRange(4, 7);
+
+		elect_in_star(voters,
+			      *rc::gen::inRange(voters / 2 + 1, voters + 1),
+			      *rc::gen::arbitrary<uint64_t>());
+	});
 	return ok ? 0 : 1;
 }
