Raft: a long pause isn't remembered for longer than the timeout can grow

Found by a review. Answers that waited in the sockets of a frozen candidate measure its pause: 20 s of it gave timeouts of 4 s for 82 s. What an exchange counts for is bounded by the longest timeout now, so 4 s of timeout end after 7.3 s. A reply of a VM that isn't a member is no answer of a majority.

--- a/src/core/raft_append.c
+++ b/src/core/raft_append.c
@@ -295,8 +295,10 @@
 {
 	struct peer *p = raft_peer_find(r, m->from);
 
-	if (r->role != SS_RAFT_LEADER || !p) {
-		/* It came too late; the next leadership has to last longer. */
+	if (!p)
+		return;
+	/* It came too late; the next leadership has to last longer. */
+	if (r->role != SS_RAFT_LEADER) {
 		raft_pace_round(r, m->round);
 		return;
 	}
--- a/src/core/raft_pace.c
+++ b/src/core/raft_pace.c
@@ -22,22 +22,24 @@
  * a longer one others have taken over, or it is time to find out. */
 #define PAUSE_MAX_MS 1000
 
-static void add_sample(struct ss_raft *r, int64_t ms, int64_t hold_ms)
+static void add_sample(struct ss_raft *r, int64_t ms, int64_t holds)
 {
 	struct raft_pace *p = &r->pace;
 
+	ms = MIN(ms, raft_timeout_max_ms(r) / TIMEOUT_EXCHANGES);
+
 	if (TIMEOUT_EXCHANGES * ms <= r->o.election_ms)
 		return;
 	p->samples[p->next] = (struct raft_sample){
 		.ms = ms,
-		.until_ms = r->now + PACE_HOLD_MS + hold_ms,
+		.until_ms = r->now + PACE_HOLD_MS + holds * ms,
 	};
 	p->next = (p->next + 1) % PACE_SAMPLES;
 }
 
 void raft_pace_add(struct ss_raft *r, int64_t ms)
 {
-	add_sample(r, ms, PACE_HOLD_EXCHANGES * ms);
+	add_sample(r, ms, PACE_HOLD_EXCHANGES);
 }
 
 /* Finds the longest exchange and the second longest one; 0: none. */
@@ -105,8 +107,7 @@
 {
 	r->excused = false;
 	if (r->former == m->from && r->contact_term == m->term)
-		add_sample(r, r->now - r->heard_ms,
-			   PACE_HOLD_GAPS * (r->now - r->heard_ms));
+		add_sample(r, r->now - r->heard_ms, PACE_HOLD_GAPS);
 	r->heard_ms = r->now;
 }
 
