Comments: pauses and silences of the control group

Read by words alone: ss_raft_paused() said that a late tick is to be left out, which was the reviewed fault; heard_ms and PAUSE_MAX_MS weren't understandable; two constants were called multiples of an election timeout that is no longer fixed.

--- a/include/sapphireshift/raft.h
+++ b/include/sapphireshift/raft.h
@@ -194,8 +194,9 @@
 void ss_raft_tick(struct ss_raft *r, int64_t now);
 /*
  * Tells that this process stood still for ms until now: the silence of the
- * others in that time is no sign of a loss. To be called before what came
- * meanwhile is handled, and in place of a tick that is late.
+ * others in that time is no sign of a loss. To be called before messages that
+ * came meanwhile are handled. A late tick may be left out after it, but not two
+ * in a row: each tick of a slow process may be late.
  */
 void ss_raft_paused(struct ss_raft *r, int64_t now, int64_t ms);
 void ss_raft_step(struct ss_raft *r, int64_t now, const struct ss_raft_msg *m);
--- a/src/core/raft_int.h
+++ b/src/core/raft_int.h
@@ -60,7 +60,9 @@
 	int64_t voted_ms; /* time of its vote for another in this term; 0: none
 			   */
 	int64_t leader_contact_ms; /* time of the leader's last message */
-	int64_t heard_ms; /* the same, later by long pauses of this process */
+	/* Time of the leader's last message, moved by the part of this
+	 * process's pauses that shows no slow group. */
+	int64_t heard_ms;
 	uint64_t contact_term;	   /* its term */
 	uint64_t former;	   /* leader that sent it; 0: none */
 	int64_t deadline_ms;	   /* time of the next campaign */
--- a/src/core/raft_pace.c
+++ b/src/core/raft_pace.c
@@ -18,8 +18,8 @@
 /* The same for the time between two messages of the leader, of which there are
  * more. */
 #define PACE_HOLD_GAPS 2
-/* Limit in ms of a pause that is excused, and that shows a slow process: after
- * a longer one others have taken over, or it is time to find out. */
+/* Limit in ms of a pause that is excused: after a longer one others may have
+ * taken over. */
 #define PAUSE_MAX_MS 1000
 
 static void add_sample(struct ss_raft *r, int64_t ms, int64_t holds)
--- a/src/core/repair.h
+++ b/src/core/repair.h
@@ -13,11 +13,11 @@
  * heartbeats. */
 #define REPAIR_READY_MS 500
 /*
- * Silence in ms after which a ready learner takes a voter's place: twice an
- * election timeout. The next VM may be lost 4 s after a successor has started;
- * until then an election, the successor's catching up and two changes of
- * members have to fit. A voter that was silent for another reason joins again
- * and is the spare.
+ * Silence in ms after which a ready learner takes a voter's place: twice the
+ * election timeout of a fast group. The next VM may be lost 4 s after a
+ * successor has started; until then an election, the successor's catching up
+ * and two changes of members have to fit. A voter that was silent for another
+ * reason joins again and is the spare.
  */
 #define REPAIR_SUSPECT_MS 1000
 /* Silence in ms after which a member counts as dead and is removed without a
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -22,7 +22,7 @@
 #define REPAIR_MS 200
 /* Time without a leader, in ms, after which a member asks to join again: it may
  * have been removed while it was disconnected. More than three election
- * timeouts. */
+ * timeouts of a fast group. */
 #define LEADERLESS_MS 2000
 /*
  * Election timeouts of a fleet, in ms. Its entries wait for a leader after a
