Tests: an agent's clients are a fixture of their own

Cause: a second test program needs the three ways on which an agent asks an endpoint (relay, persistent client, single request); they stood in test_gate_cut_head.c.

Change: moved to test/agent_fix.c. No check has changed.

--- a/test/test_gate_cut_head.c
+++ b/test/test_gate_cut_head.c
@@ -1,14 +1,9 @@
 /* Tests of answers that a server cuts at any byte: what a caller gets framed as
  * whole must be whole, and what may run again runs again. */
-#include "gate_fix.h"
+#include "agent_fix.h"
 
 #include <signal.h>
 
-#include "../src/core/msg.h"
-#include "../src/net/http.h"
-#include "../src/net/http_client.h"
-#include "../src/net/relay.h"
-
 #define HEAD_OK "HTTP/1.1 200 OK\r\n" HEAD
 #define CHUNKED "Transfer-Encoding: chunked\r\n"
 #define SSE "Content-Type: text/event-stream\r\n"
@@ -476,121 +471,6 @@
 	assert_int_equal(failed, 0);
 }
 
-/* What an agent's client got. */
-struct result {
-	bool done, whole;
-	int status;
-	GString *body;
-};
-
-static void on_piece(void *arg, struct msg_reply *m)
-{
-	struct result *o = arg;
-
-	if (m->status)
-		o->status = (int)m->status;
-	g_string_append_len(o->body, m->data.p, (gssize)m->data.n);
-	o->done = m->end;
-	o->whole = m->end && m->code == 0;
-}
-
-static void on_answer(void *arg, int status, struct ss_str body,
-		      const GError *error)
-{
-	struct result *o = arg;
-
-	(void)error;
-	o->done = true;
-	o->whole = status != 0;
-	o->status = status;
-	g_string_append_len(o->body, body.p, (gssize)body.n);
-}
-
-static void on_response(void *arg, const struct http_client_response *a)
-{
-	on_answer(arg, a->status, a->body, NULL);
-}
-
-/* The clients of an agent, on the fixture's endpoint 0. */
-struct clients {
-	struct fix *f;
-	struct relay *relay;
-	struct http_client *client;
-};
-
-static void clients_open(struct clients *t, struct fix *f)
-{
-	fix_open(f, NULL, "");
-	*t = (struct clients){ f, relay_new(f->base, f->eps[0].addr),
-			       http_client_new(f->base, f->eps[0].addr) };
-}
-
-static void clients_close(struct clients *t)
-{
-	relay_free(t->relay);
-	http_client_free(t->client);
-	fix_close(t->f);
-}
-
-static void ask_relay(struct clients *t, const char *method, struct result *o)
-{
-	struct msg_call m = { .method = ss_str(method), .path = SS_LIT("/") };
-
-	relay_start(t->relay, &m, on_piece, o);
-}
-
-static void ask_client(struct clients *t, const char *method, struct result *o)
-{
-	struct http_client_call c = { .method = method,
-				      .path = "/",
-				      .timeout_ms = 2000,
-				      .done = on_response,
-				      .arg = o };
-
-	http_client_send(t->client, &c);
-}
-
-static void ask_request(struct clients *t, const char *method, struct result *o)
-{
-	struct http_request_options r = { .base = t->f->base,
-					  .addr = t->f->eps[0].addr,
-					  .method = method,
-					  .path = "/",
-					  .timeout_ms = 2000,
-					  .done = on_answer,
-					  .arg = o };
-
-	http_request(&r);
-}
-
-static const struct {
-	const char *name;
-	void (*ask)(struct clients *t, const char *method, struct result *o);
-	bool has_head; /* sends HEAD requests */
-} ways[] = {
-	{ "relay", ask_relay, true },
-	{ "client", ask_client, false },
-	{ "request", ask_request, false },
-};
-
-/* Asks once; the endpoint's answer is the text, cut. */
-static struct result ask(struct clients *t, int way, const char *method,
-			 const char *text, bool close, bool reset)
-{
-	struct result o = { .body = g_string_new(NULL) };
-	struct endpoint *e = &t->f->eps[0];
-	struct timeval ms = { 0, 1000 };
-
-	e->replies[0] = (struct reply){ text, close, reset };
-	e->n_replies = 1;
-	ways[way].ask(t, method, &o);
-	for (int i = 0; i < WAIT_ROUNDS && !o.done; i++) {
-		event_base_loopexit(t->f->base, &ms);
-		event_base_loop(t->f->base, EVLOOP_ONCE);
-	}
-	return o;
-}
-
 static bool is_interim(const struct answer_case *x)
 {
 	return g_str_has_prefix(x->text, "HTTP/1.1 10");
@@ -604,7 +484,7 @@
 	       (x->whole == WHOLE_BY_CLOSE && is_interim(x));
 }
 
-static bool run_agent_trial(struct clients *t, int way,
+static bool run_agent_trial(struct agent_clients *t, int way,
 			    const struct answer_case *x, size_t cut, bool reset,
 			    bool reused)
 {
@@ -612,18 +492,22 @@
 	char *part = g_strndup(x->text, cut);
 	char *want = framed_body(x, cut, reset);
 	bool refused = may_refuse(x);
-	struct result o, next;
+	struct agent_result o, next;
 	bool ok = true;
 
 	if (reused) {
-		o = ask(t, way, "GET", OK_TEXT, false, false);
+		o = agent_ask(t, way, "GET", (struct reply){ .text = OK_TEXT });
 		ok = o.whole && !strcmp(o.body->str, "hello");
 		g_string_free(o.body, TRUE);
 	}
 	/* A connection that the server is about to close isn't used again. */
-	o = ask(t, way, method, part,
-		x->text[cut] || x->whole == WHOLE_BY_CLOSE, reset);
-	next = ask(t, way, "GET", AGAIN "another", false, false);
+	o = agent_ask(t, way, method,
+		      (struct reply){ .text = part,
+				      .close = x->text[cut] ||
+					       x->whole == WHOLE_BY_CLOSE,
+				      .reset = reset });
+	next = agent_ask(t, way, "GET",
+			 (struct reply){ .text = AGAIN "another" });
 	ok = ok && o.done && (o.whole || !want || refused) &&
 	     (!o.whole || (want && !strcmp(o.body->str, want) &&
 			   o.status == status_of(x))) &&
@@ -631,8 +515,9 @@
 	if (!ok)
 		print_error("%s, %s: %zu of %zu (head %zu), %s%s: want %s, got "
 			    "%d %s, then %d %s\n",
-			    ways[way].name, x->label, cut, strlen(x->text),
-			    head_length(x->text), reset ? "reset" : "closed",
+			    agent_ways[way].name, x->label, cut,
+			    strlen(x->text), head_length(x->text),
+			    reset ? "reset" : "closed",
 			    reused ? ", used again" : "", want ? want : "none",
 			    o.status, o.whole ? o.body->str : "none",
 			    next.status, next.body->str);
@@ -656,11 +541,11 @@
 static int run_agent_case(int way, const struct answer_case *x)
 {
 	size_t len = strlen(x->text);
-	struct clients t;
+	struct agent_clients t;
 	struct fix f;
 	int failed = 0;
 
-	clients_open(&t, &f);
+	agent_clients_open(&t, &f);
 	for (size_t cut = 0; cut <= len && failed < SHOWN_MAX; cut++) {
 		for (int k = 0; k < 4; k++) {
 			bool reset = k & 1, reused = k & 2;
@@ -670,7 +555,7 @@
 							   reset, reused);
 		}
 	}
-	clients_close(&t);
+	agent_clients_close(&t);
 	return failed;
 }
 
@@ -679,9 +564,9 @@
 	int failed = 0;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
-		for (int way = 0; way < (int)G_N_ELEMENTS(ways); way++)
+		for (int way = 0; way < N_AGENT_WAYS; way++)
 			if (chosen(&cases[i]) &&
-			    (ways[way].has_head || !is_head(&cases[i])))
+			    (agent_ways[way].has_head || !is_head(&cases[i])))
 				failed += run_agent_case(way, &cases[i]);
 	assert_int_equal(failed, 0);
 }
@@ -713,26 +598,28 @@
 	int failed = 0;
 
 	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(cases) * G_N_ELEMENTS(ways); i++) {
-		const struct answer_case *x = &cases[i / G_N_ELEMENTS(ways)];
-		int way = (int)(i % G_N_ELEMENTS(ways));
-		struct result o;
-		struct clients t;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases) * N_AGENT_WAYS; i++) {
+		const struct answer_case *x = &cases[i / N_AGENT_WAYS];
+		int way = (int)(i % N_AGENT_WAYS);
+		struct agent_result o;
+		struct agent_clients t;
 		struct fix f;
 
 		if (x->whole != WHOLE_BY_CLOSE || is_interim(x))
 			continue;
-		clients_open(&t, &f);
-		o = ask(&t, way, "GET", x->text, true, false);
+		agent_clients_open(&t, &f);
+		o = agent_ask(&t, way, "GET",
+			      (struct reply){ .text = x->text, .close = true });
 		assert_true(o.whole);
 		g_string_free(o.body, TRUE);
-		o = ask(&t, way, "GET", OK_TEXT, false, false);
+		o = agent_ask(&t, way, "GET",
+			      (struct reply){ .text = OK_TEXT });
 		if (!o.whole)
-			print_error("%s: lost behind: %s\n", ways[way].name,
-				    x->label);
+			print_error("%s: lost behind: %s\n",
+				    agent_ways[way].name, x->label);
 		failed += !o.whole;
 		g_string_free(o.body, TRUE);
-		clients_close(&t);
+		agent_clients_close(&t);
 	}
 	assert_int_equal(failed, 0);
 }
