Answers: a status that isn't one of HTTP reaches no caller

Cause: nobody checks a status line against the grammar. At the gate http_parser takes any number up to 999, with as many digits as come (000, 2, 20, 0200), any version (HTTP/0.9, 2.0) and NULs in the reason; the gate copied the number. On the agents' way libevent's atoi() takes the digits before a letter, a sign, any size (2x0 is 2, 200OK is 200, -200, 2000); only 0 itself was no answer there. An interim answer 0100 counted as 100.

Evidence: test_gate_broken_head, 26 status lines, at once, in single bytes and on a connection that is used again.

Change: http_head (src/core) reads the status line byte by byte: HTTP/1.x, one blank, three digits, 100 to 599 (RFC 9112, 4; RFC 9110, 15), then a blank or the line's end. http1_read() runs it beside http_parser, and a watch on the input of agents' connections beside libevent (it takes the place of http_read_bound, and the relay has one, too). Such an answer is garbled: 502, or another run where that is allowed, and the connection is closed. It holds since both parsers can only narrow what the grammar lets through.

Ruled out: a check of the parsed number alone. It can't tell 0200 from 200, nor 200OK from 200, as neither library keeps the digits.

--- a/Makefile
+++ b/Makefile
@@ -96,7 +96,7 @@
 
 $(filter $(BUILD)/test_gate%,$(TESTS)) $(BUILD)/test_endless: \
 		$(BUILD)/test/gate_fix.o
-$(BUILD)/test_gate_cut_head: \
+$(BUILD)/test_gate_cut_head $(BUILD)/test_gate_broken_head: \
 		$(BUILD)/test/agent_fix.o
 $(BUILD)/test_explain: $(BUILD)/src/ctl/explain.o $(BUILD)/src/ctl/logline.o
 $(BUILD)/test_spread: $(BUILD)/src/ctl/spread.o $(BUILD)/src/ctl/logline.o
--- /dev/null
+++ b/src/core/http_head.h
@@ -0,0 +1,37 @@
+/*
+ * Checks the head of an HTTP/1.1 message byte by byte. Parsers of common
+ * libraries are lenient: they take any number, or the digits before a letter,
+ * for a status.
+ */
+#ifndef SS_HTTP_HEAD_H
+#define SS_HTTP_HEAD_H
+
+#include <sapphireshift/base.h>
+
+enum http_head_state {
+	HTTP_HEAD_START, /* blank lines before the status line are skipped */
+	HTTP_HEAD_STATUS,
+	HTTP_HEAD_STATUS_END, /* behind the three digits */
+	HTTP_HEAD_REASON,
+	HTTP_HEAD_STATUS_LF, /* behind the CR of the status line */
+	HTTP_HEAD_FIRST_LINE,
+	HTTP_HEAD_VALUE,
+	HTTP_HEAD_END_LF, /* behind the CR of the empty line */
+	HTTP_HEAD_COMPLETE,
+	HTTP_HEAD_INVALID,
+};
+
+struct http_head {
+	enum http_head_state state;
+	size_t at;  /* position in the status line */
+	int status; /* 100 to 599, once it has been read */
+};
+
+/* Prepares for the head of an answer. */
+void http_head_init(struct http_head *h);
+
+/* Reads the next bytes up to the end of the head, and returns how many it has
+ * read. The state then tells whether the head is complete or invalid. */
+size_t http_head_read(struct http_head *h, struct ss_str in);
+
+#endif
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -15,9 +15,6 @@
 
 /* Size limit of request headers, in bytes, as in common servers. */
 #define HEADERS_MAX 16384
-/* Maximum size of an answer's body, in bytes: a page of the list of thousands
- * of endpoints, or a routing. */
-#define ANSWER_MAX (8 << 20)
 /* An idle client is disconnected after this time; scrapers send a request every
  * 5 to 15 s. */
 #define SERVER_TIMEOUT_S 20
@@ -234,7 +231,7 @@
 struct client_request {
 	struct http_request_options o;
 	struct evhttp_connection *conn;
-	struct http_read_bound bound;
+	struct http_answer_watch watch;
 };
 
 static void on_response(struct evhttp_request *req, void *arg)
@@ -251,7 +248,7 @@
 		c->o.done(c->o.arg, 0, (struct ss_str){ 0 }, e);
 		g_error_free(e);
 	}
-	http_unbound_answers(&c->bound);
+	http_unwatch_answers(&c->watch);
 	http_free_later(c->o.base, c->conn);
 	g_free(c);
 }
@@ -307,8 +304,11 @@
 	       !(coding && g_str_has_suffix(coding, "chunked"));
 }
 
-int http_check_head(struct evhttp_request *req, bool *final)
+int http_check_head(const struct http_answer_watch *w,
+		    struct evhttp_request *req, bool *final)
 {
+	if (w->head.state == HTTP_HEAD_INVALID)
+		return -1;
 	*final = !skip_interim(req);
 	if (!*final)
 		return 0;
@@ -323,10 +323,10 @@
 
 static int on_head(struct evhttp_request *req, void *arg)
 {
+	const struct client_request *c = arg;
 	bool final;
 
-	(void)arg;
-	return http_check_head(req, &final);
+	return http_check_head(&c->watch, req, &final);
 }
 
 void http_send(struct evhttp_connection *conn, struct evhttp_request *req,
@@ -335,7 +335,6 @@
 {
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
 
-	evhttp_request_set_header_cb(req, on_head);
 	evhttp_add_header(headers, "Host", host);
 	if (body.n) {
 		evhttp_add_header(headers, "Content-Type", "application/json");
@@ -344,37 +343,68 @@
 	evhttp_make_request(conn, req, method_of(method), path);
 }
 
-/* Ends a connection whose answer is too large in any part that libevent doesn't
- * bound itself, such as interim answers. */
+/* Checks the bytes that were added to the input as its last ones. */
+static void watch_heads(struct http_answer_watch *w, struct evbuffer *in,
+			size_t added)
+{
+	struct evbuffer_ptr at;
+	struct evbuffer_iovec v;
+	size_t n;
+
+	evbuffer_ptr_set(in, &at, evbuffer_get_length(in) - added,
+			 EVBUFFER_PTR_SET);
+	while (added > 0 && w->head.state < HTTP_HEAD_COMPLETE &&
+	       evbuffer_peek(in, -1, &at, &v, 1) > 0) {
+		n = http_head_read(&w->head,
+				   (struct ss_str){ v.iov_base, v.iov_len });
+		/* The final answer follows. */
+		if (w->head.state == HTTP_HEAD_COMPLETE &&
+		    w->head.status / 100 == 1)
+			http_head_init(&w->head);
+		evbuffer_ptr_set(in, &at, n, EVBUFFER_PTR_ADD);
+		added -= n;
+	}
+}
+
 static void on_input(struct evbuffer *in, const struct evbuffer_cb_info *info,
 		     void *arg)
 {
-	struct http_read_bound *b = arg;
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(b->conn);
+	struct http_answer_watch *w = arg;
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(w->conn);
 
-	(void)in;
-	b->bytes += info->n_added;
-	if (b->bytes > ANSWER_MAX + HEADERS_MAX)
+	w->bytes += info->n_added;
+	watch_heads(w, in, info->n_added);
+	if ((w->max_bytes && w->bytes > w->max_bytes) ||
+	    w->head.state == HTTP_HEAD_INVALID)
 		shutdown(bufferevent_getfd(bev), SHUT_RDWR);
 }
 
-void http_bound_answers(struct http_read_bound *b,
-			struct evhttp_connection *conn)
+void http_watch_answers(struct http_answer_watch *w,
+			struct evhttp_connection *conn, size_t max_bytes)
 {
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
 
 	evhttp_connection_set_max_headers_size(conn, HEADERS_MAX);
-	evhttp_connection_set_max_body_size(conn, ANSWER_MAX);
-	b->conn = conn;
-	b->bytes = 0;
-	b->entry = evbuffer_add_cb(bufferevent_get_input(bev), on_input, b);
+	if (max_bytes)
+		evhttp_connection_set_max_body_size(conn,
+						    (ev_ssize_t)max_bytes);
+	w->conn = conn;
+	w->max_bytes = max_bytes ? max_bytes + HEADERS_MAX : 0;
+	w->entry = evbuffer_add_cb(bufferevent_get_input(bev), on_input, w);
+	http_watch_next(w);
 }
 
-void http_unbound_answers(struct http_read_bound *b)
+void http_watch_next(struct http_answer_watch *w)
 {
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(b->conn);
+	http_head_init(&w->head);
+	w->bytes = 0;
+}
 
-	evbuffer_remove_cb_entry(bufferevent_get_input(bev), b->entry);
+void http_unwatch_answers(struct http_answer_watch *w)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(w->conn);
+
+	evbuffer_remove_cb_entry(bufferevent_get_input(bev), w->entry);
 }
 
 void http_request(const struct http_request_options *o)
@@ -391,7 +421,8 @@
 		ip = g_strdup("");
 	c->conn = evhttp_connection_base_new(o->base, NULL, ip, port);
 	evhttp_connection_set_timeout_tv(c->conn, &tv);
-	http_bound_answers(&c->bound, c->conn);
+	http_watch_answers(&c->watch, c->conn, HTTP_ANSWER_MAX);
+	evhttp_request_set_header_cb(req, on_head);
 	evhttp_add_header(headers, "Connection", "close");
 	if (o->token) {
 		char *bearer = g_strdup_printf("Bearer %s", o->token);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -7,6 +7,8 @@
 #include <event2/http.h>
 #include <sapphireshift/base.h>
 
+#include "../core/http_head.h"
+
 struct json_object;
 
 /* Maps an error to an HTTP status, for callers and operators. */
@@ -61,16 +63,6 @@
  * loop. */
 void http_request(const struct http_request_options *o);
 
-/* Sends a client request on a connection. body: JSON; empty: none. Strings are
- * copied. */
-void http_send(struct evhttp_connection *conn, struct evhttp_request *req,
-	       const char *host, const char *method, const char *path,
-	       struct ss_str body);
-
-/* Checks the head of an answer; is the result of the request's header callback.
- * final: set to false for an interim (1xx) answer, which is skipped. */
-int http_check_head(struct evhttp_request *req, bool *final);
-
 /* Adds a body to a client request, with any method. */
 void http_add_body(struct evhttp_request *req, struct ss_str body);
 
@@ -79,18 +71,38 @@
 void http_free_later(struct event_base *base, struct evhttp_connection *conn);
 
 /*
- * Bounds what a client connection reads, as its timeout only bounds silence: an
- * answer beyond that counts as no answer. The bound lives as long as the
- * connection, or until http_unbound_answers().
+ * Watches the answers that a client connection reads, for what libevent accepts
+ * although it must not: a head that isn't one of HTTP/1.1, and more bytes than
+ * an answer may have. Such an answer counts as no answer. The watch lives as
+ * long as the connection, or until http_unwatch_answers().
  */
-struct http_read_bound {
+struct http_answer_watch {
 	struct evhttp_connection *conn;
 	struct evbuffer_cb_entry *entry;
-	size_t bytes; /* read since the last request was sent */
+	struct http_head head; /* of the answer to the last request */
+	size_t bytes, max_bytes;
 };
-void http_bound_answers(struct http_read_bound *b,
-			struct evhttp_connection *conn);
-void http_unbound_answers(struct http_read_bound *b);
+/* max_bytes: of an answer; 0: unlimited. */
+void http_watch_answers(struct http_answer_watch *w,
+			struct evhttp_connection *conn, size_t max_bytes);
+/* The next bytes belong to the answer to another request. */
+void http_watch_next(struct http_answer_watch *w);
+void http_unwatch_answers(struct http_answer_watch *w);
+
+/* Maximum size of an answer that is read as a whole, in bytes: a page of the
+ * list of thousands of endpoints, or a routing. */
+#define HTTP_ANSWER_MAX (8 << 20)
+
+/* Checks the head of an answer; is the result of the request's header callback.
+ * final: set to false for an interim (1xx) answer, which is skipped. */
+int http_check_head(const struct http_answer_watch *w,
+		    struct evhttp_request *req, bool *final);
+
+/* Sends a client request on a connection. body: JSON; empty: none. Strings are
+ * copied. */
+void http_send(struct evhttp_connection *conn, struct evhttp_request *req,
+	       const char *host, const char *method, const char *path,
+	       struct ss_str body);
 
 /* Splits "ip:port". ip has no brackets and is freed by the caller. */
 bool http_split_addr(const char *addr, char **ip, uint16_t *port);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -11,7 +11,7 @@
 	char *addr, *ip;
 	uint16_t port;
 	struct evhttp_connection *conn;
-	struct http_read_bound bound;
+	struct http_answer_watch watch;
 	bool freeing;
 };
 
@@ -22,6 +22,14 @@
 	void *arg;
 };
 
+static int on_head(struct evhttp_request *req, void *arg)
+{
+	const struct call *c = arg;
+	bool final;
+
+	return http_check_head(&c->client->watch, req, &final);
+}
+
 static void on_response(struct evhttp_request *req, void *arg)
 {
 	struct call *c = arg;
@@ -36,7 +44,7 @@
 			a.header = evhttp_find_header(a.headers,
 						      c->response_header);
 	}
-	c->client->bound.bytes = 0;
+	http_watch_next(&c->client->watch);
 	if (!c->client->freeing)
 		c->done(c->arg, &a);
 	g_free(c->response_header);
@@ -53,7 +61,7 @@
 		client->ip = g_strdup("");
 	client->conn = evhttp_connection_base_new(base, NULL, client->ip,
 						  client->port);
-	http_bound_answers(&client->bound, client->conn);
+	http_watch_answers(&client->watch, client->conn, HTTP_ANSWER_MAX);
 	return client;
 }
 
@@ -62,7 +70,7 @@
 	if (!client)
 		return;
 	client->freeing = true;
-	http_unbound_answers(&client->bound);
+	http_unwatch_answers(&client->watch);
 	evhttp_connection_free(client->conn);
 	g_free(client->addr);
 	g_free(client->ip);
@@ -81,6 +89,7 @@
 	c->done = o->done;
 	c->arg = o->arg;
 	evhttp_connection_set_timeout_tv(client->conn, &tv);
+	evhttp_request_set_header_cb(req, on_head);
 	if (o->header)
 		evhttp_add_header(evhttp_request_get_output_headers(req),
 				  o->header, o->value);
--- a/src/net/relay.c
+++ b/src/net/relay.c
@@ -14,17 +14,23 @@
 /* The endpoint is taken to have lost a call after this time without data. */
 #define STALL_MS 600000
 
+/* A connection to the endpoint. */
+struct relay_conn {
+	struct evhttp_connection *http;
+	struct http_answer_watch watch;
+};
+
 struct relay {
 	struct event_base *base;
 	char *ip, *addr;
 	uint16_t port;
-	GQueue idle;  /* struct evhttp_connection */
+	GQueue idle;  /* struct relay_conn */
 	GQueue calls; /* struct relay_call */
 };
 
 struct relay_call {
 	struct relay *r;
-	struct evhttp_connection *conn;
+	struct relay_conn *conn;
 	struct evhttp_request *req;
 	void (*piece)(void *arg, struct msg_reply *m);
 	void *arg;
@@ -63,16 +69,41 @@
 	g_free(c);
 }
 
+static struct relay_conn *conn_new(struct relay *r)
+{
+	struct relay_conn *conn = g_new0(struct relay_conn, 1);
+	struct timeval tv = { STALL_MS / 1000, 0 };
+
+	conn->http = evhttp_connection_base_new(r->base, NULL, r->ip, r->port);
+	evhttp_connection_set_timeout_tv(conn->http, &tv);
+	http_watch_answers(&conn->watch, conn->http, 0);
+	return conn;
+}
+
+static void conn_free(struct relay_conn *conn)
+{
+	http_unwatch_answers(&conn->watch);
+	evhttp_connection_free(conn->http);
+	g_free(conn);
+}
+
+static void conn_free_later(struct relay *r, struct relay_conn *conn)
+{
+	http_unwatch_answers(&conn->watch);
+	http_free_later(r->base, conn->http);
+	g_free(conn);
+}
+
 void relay_free(struct relay *r)
 {
-	struct evhttp_connection *conn;
+	struct relay_conn *conn;
 
 	if (!r)
 		return;
 	while (r->calls.head)
 		relay_cancel(r->calls.head->data);
 	while ((conn = g_queue_pop_head(&r->idle)))
-		evhttp_connection_free(conn);
+		conn_free(conn);
 	g_free(r->ip);
 	g_free(r->addr);
 	g_free(r);
@@ -109,7 +140,7 @@
 	struct evkeyvalq *in = evhttp_request_get_input_headers(req);
 	struct evkeyval *kv;
 	bool final;
-	int result = http_check_head(req, &final);
+	int result = http_check_head(&c->conn->watch, req, &final);
 
 	if (result < 0 || !final)
 		return result;
@@ -178,7 +209,7 @@
 {
 	struct relay_call *c = arg;
 	int status = req ? evhttp_request_get_response_code(req) : 0;
-	struct evhttp_connection *conn = c->conn;
+	struct relay_conn *conn = c->conn;
 	struct relay *r = c->r;
 
 	if (c->failed || !req) {
@@ -194,14 +225,13 @@
 	if (status && !c->failed && r->idle.length < IDLE_CONNS_MAX)
 		g_queue_push_head(&r->idle, conn);
 	else
-		http_free_later(r->base, conn);
+		conn_free_later(r, conn);
 	call_free(c);
 }
 
-static struct evhttp_connection *connection(struct relay *r, bool once)
+static struct relay_conn *connection(struct relay *r, bool once)
 {
-	struct evhttp_connection *conn = NULL;
-	struct timeval tv = { STALL_MS / 1000, 0 };
+	struct relay_conn *conn = NULL;
 
 	/*
 	 * The endpoint may close an idle connection while a call is being
@@ -210,10 +240,9 @@
 	 */
 	if (!once)
 		conn = g_queue_pop_head(&r->idle);
-	if (conn)
-		return conn;
-	conn = evhttp_connection_base_new(r->base, NULL, r->ip, r->port);
-	evhttp_connection_set_timeout_tv(conn, &tv);
+	if (!conn)
+		return conn_new(r);
+	http_watch_next(&conn->watch);
 	return conn;
 }
 
@@ -271,16 +300,16 @@
 		g_free(value);
 	}
 	http_add_body(c->req, m->body);
-	evhttp_make_request(c->conn, c->req, method_of(m->method), path);
+	evhttp_make_request(c->conn->http, c->req, method_of(m->method), path);
 	g_free(path);
 	return c;
 }
 
 void relay_cancel(struct relay_call *c)
 {
-	struct evhttp_connection *conn = c->conn;
+	struct relay_conn *conn = c->conn;
 
 	evhttp_cancel_request(c->req);
-	evhttp_connection_free(conn);
+	conn_free(conn);
 	call_free(c);
 }
--- a/src/proxy/http1.c
+++ b/src/proxy/http1.c
@@ -1,6 +1,8 @@
 /* Incremental HTTP/1.1 parser. */
 #include "http1.h"
 
+#include "../core/http_head.h"
+
 #include <strings.h>
 
 /* Maximum number of headers in a message; no client sends more, and each takes
@@ -15,6 +17,7 @@
 
 struct http1_reader {
 	struct http1_options o;
+	struct http_head grammar; /* of an answer's head */
 	http_parser p;
 	GString *text;	/* target, then names and values of headers */
 	GArray *spans;	/* struct header_span */
@@ -202,6 +205,7 @@
 {
 	http_parser_init(&r->p, r->o.request ? HTTP_REQUEST : HTTP_RESPONSE);
 	r->p.data = r;
+	http_head_init(&r->grammar);
 	g_string_truncate(r->text, 0);
 	g_array_set_size(r->spans, 0);
 	r->target_n = r->head_bytes = r->frame_bytes = 0;
@@ -249,10 +253,21 @@
 	else
 		g_set_error(error, SS_ERROR, SS_ERROR_BAD_REQUEST,
 			    "not an HTTP message: %s",
-			    http_errno_description(e));
+			    r->grammar.state == HTTP_HEAD_INVALID ?
+				    "the head is invalid" :
+				    http_errno_description(e));
 	return false;
 }
 
+/* http_parser takes any number up to 999 for a status. */
+static bool is_valid_head(struct http1_reader *r, struct ss_str in)
+{
+	if (r->o.request)
+		return true;
+	http_head_read(&r->grammar, in);
+	return r->grammar.state != HTTP_HEAD_INVALID;
+}
+
 bool http1_read(struct http1_reader *r, struct evbuffer *in, GError **error)
 {
 	while (!r->complete && evbuffer_get_length(in) > 0) {
@@ -264,6 +279,9 @@
 			return true;
 		r->started = true;
 		r->got_body = false;
+		if (in_head &&
+		    !is_valid_head(r, (struct ss_str){ v.iov_base, v.iov_len }))
+			return fail(r, error);
 		n = http_parser_execute(&r->p, &settings, v.iov_base,
 					v.iov_len);
 		evbuffer_drain(in, n);
