Answers: a blank or control byte in a header's name makes them no answer

Callers saw, on other systems: an answer in whose head the name of a field held a blank or a control byte was passed on, with that line, or with a body that was not the server's. Here it was so, too.

Cause: the same as of the status. http_parser, as Debian builds it, takes a blank anywhere in a name ("Wrong Name", " First", "Content-Length "); libevent splits a line at its first colon and takes any byte before it, and cuts a value at a NUL. So behind "Content-Length : 2" the gate reads a length of 2 and passes that line on beside its own, while an agent reads to the connection's end.

Evidence: test_gate_broken_head, 33 heads, interim answers among them.

Change: http_head reads names, values and line ends by RFC 9110, 5.1 and 5.5, and RFC 9112, 5. A folded value stays valid; a blank before the first name isn't a fold (RFC 9112, 2.2). Trailers aren't passed on and aren't checked.

--- a/src/core/http_head.c
+++ b/src/core/http_head.c
@@ -13,12 +13,23 @@
 	memset(h, 0, sizeof(*h));
 }
 
-/* Characters of a reason (RFC 9112, 4). */
+/* Characters of a header's name (RFC 9110, 5.6.2). */
+static bool is_token(unsigned char b)
+{
+	return g_ascii_isalnum(b) || (b && strchr("!#$%&'*+-.^_`|~", b));
+}
+
+/* Characters of a header's value and of a reason (RFC 9110, 5.5). */
 static bool is_text(unsigned char b)
 {
 	return b == '\t' || (b >= ' ' && b != 0x7f);
 }
 
+static bool is_blank(unsigned char b)
+{
+	return b == ' ' || b == '\t';
+}
+
 static enum http_head_state read_status(struct http_head *h, unsigned char b)
 {
 	char want = status_line[h->at];
@@ -67,13 +78,38 @@
 	(void)h;
 	if (b == '\r')
 		return HTTP_HEAD_END_LF;
-	return b == '\n' ? HTTP_HEAD_COMPLETE : HTTP_HEAD_VALUE;
+	if (b == '\n')
+		return HTTP_HEAD_COMPLETE;
+	return is_token(b) ? HTTP_HEAD_NAME : HTTP_HEAD_INVALID;
+}
+
+static enum http_head_state read_line(struct http_head *h, unsigned char b)
+{
+	return is_blank(b) ? HTTP_HEAD_VALUE : read_first_line(h, b);
+}
+
+static enum http_head_state read_name(struct http_head *h, unsigned char b)
+{
+	(void)h;
+	if (b == ':')
+		return HTTP_HEAD_VALUE;
+	return is_token(b) ? HTTP_HEAD_NAME : HTTP_HEAD_INVALID;
 }
 
 static enum http_head_state read_value(struct http_head *h, unsigned char b)
 {
 	(void)h;
-	return b == '\n' ? HTTP_HEAD_FIRST_LINE : HTTP_HEAD_VALUE;
+	if (b == '\r')
+		return HTTP_HEAD_VALUE_LF;
+	if (b == '\n')
+		return HTTP_HEAD_LINE;
+	return is_text(b) ? HTTP_HEAD_VALUE : HTTP_HEAD_INVALID;
+}
+
+static enum http_head_state read_value_lf(struct http_head *h, unsigned char b)
+{
+	(void)h;
+	return b == '\n' ? HTTP_HEAD_LINE : HTTP_HEAD_INVALID;
 }
 
 static enum http_head_state read_end_lf(struct http_head *h, unsigned char b)
@@ -91,7 +127,10 @@
 	[HTTP_HEAD_REASON] = read_reason,
 	[HTTP_HEAD_STATUS_LF] = read_status_lf,
 	[HTTP_HEAD_FIRST_LINE] = read_first_line,
+	[HTTP_HEAD_LINE] = read_line,
+	[HTTP_HEAD_NAME] = read_name,
 	[HTTP_HEAD_VALUE] = read_value,
+	[HTTP_HEAD_VALUE_LF] = read_value_lf,
 	[HTTP_HEAD_END_LF] = read_end_lf,
 };
 
--- a/src/core/http_head.h
+++ b/src/core/http_head.h
@@ -1,7 +1,8 @@
 /*
- * Checks the head of an HTTP/1.1 message byte by byte. Parsers of common
- * libraries are lenient: they take any number, or the digits before a letter,
- * for a status.
+ * Checks the head of an HTTP/1.1 message byte by byte against the grammar of
+ * RFC 9112. Parsers of common libraries are lenient, and not all in the same
+ * way: what one takes for a header named "Content-Length ", another one takes
+ * for the body's length.
  */
 #ifndef SS_HTTP_HEAD_H
 #define SS_HTTP_HEAD_H
@@ -15,8 +16,11 @@
 	HTTP_HEAD_REASON,
 	HTTP_HEAD_STATUS_LF, /* behind the CR of the status line */
 	HTTP_HEAD_FIRST_LINE,
+	HTTP_HEAD_LINE, /* behind a header line, which may be folded */
+	HTTP_HEAD_NAME,
 	HTTP_HEAD_VALUE,
-	HTTP_HEAD_END_LF, /* behind the CR of the empty line */
+	HTTP_HEAD_VALUE_LF, /* behind the CR of a header line */
+	HTTP_HEAD_END_LF,   /* behind the CR of the empty line */
 	HTTP_HEAD_COMPLETE,
 	HTTP_HEAD_INVALID,
 };
--- a/src/proxy/http1.c
+++ b/src/proxy/http1.c
@@ -259,7 +259,8 @@
 	return false;
 }
 
-/* http_parser takes any number up to 999 for a status. */
+/* http_parser takes any number up to 999 for a status, and blanks inside the
+ * names of headers. */
 static bool is_valid_head(struct http1_reader *r, struct ss_str in)
 {
 	if (r->o.request)
--- a/test/test_gate_broken_head.c
+++ b/test/test_gate_broken_head.c
@@ -14,6 +14,8 @@
 	}
 #define START(line) TEXT(line "\r\n" HEAD LENGTH BODY)
 #define FIELD(line) TEXT("HTTP/1.1 200 OK\r\n" HEAD line "\r\n" LENGTH BODY)
+#define ONLY(line) TEXT("HTTP/1.1 200 OK\r\n" HEAD line "\r\n" BODY)
+#define FIRST(line) TEXT("HTTP/1.1 200 OK\r\n" line "\r\n" HEAD LENGTH BODY)
 #define INTERIM(head) TEXT(head "\r\n\r\n" OK_TEXT)
 
 struct head_case {
@@ -50,6 +52,44 @@
 	{ "first answer 0100", INTERIM("HTTP/1.1 0100 Continue") },
 };
 
+static const struct head_case bad_field[] = {
+	{ "blank in the name", FIELD("Wrong Name: x") },
+	{ "tab in the name", FIELD("Wrong\tName: x") },
+	{ "blank behind the name", FIELD("Wrong : x") },
+	{ "tab behind the name", FIELD("Wrong\t: x") },
+	{ "blank before the first name", FIRST(" Wrong: x") },
+	{ "tab before the first name", FIRST("\tWrong: x") },
+	{ "blank behind a shorter length", FIELD("Content-Length : 2") },
+	{ "blank behind the length", ONLY("Content-Length : 2") },
+	{ "tab behind the length", ONLY("Content-Length\t: 2") },
+	{ "blank before the length", FIRST(" Content-Length: 2") },
+	{ "blank in the length", ONLY("Content -Length: 2") },
+	{ "blank behind the coding", ONLY("Transfer-Encoding : chunked") },
+	{ "blank behind Connection", FIELD("Connection : close") },
+	{ "control byte in the length", ONLY("Content-\001Length: 2") },
+	{ "control byte in the name", FIELD("Wrong\001Name: x") },
+	{ "control byte behind the name", FIELD("Wrong\037: x") },
+	{ "control byte before the name", FIELD("\002Wrong: x") },
+	{ "DEL in the name", FIELD("Wrong\177Name: x") },
+	{ "escape in the name", FIELD("Wrong\033[1mName: x") },
+	{ "NUL in the name", FIELD("Wrong\0Name: x") },
+	{ "NUL behind the length", ONLY("Content-Length\0: 2") },
+	{ "line break in the name", FIELD("Wrong\rName: x") },
+	{ "byte over 127 in the name", FIELD("Wrong\351: x") },
+	{ "separator in the name", FIELD("Wrong(Name): x") },
+	{ "quote in the name", FIELD("\"Wrong\": x") },
+	{ "no name", FIELD(": x") },
+	{ "no colon", FIELD("Wrong") },
+	{ "NUL in a value", FIELD("Wrong: x\0y") },
+	{ "NUL in the length's value", ONLY("Content-Length: 5\0009") },
+	{ "control byte in a value", FIELD("Wrong: x\001y") },
+	{ "line break in a value", FIELD("Wrong: x\ry") },
+	{ "in an interim answer",
+	  INTERIM("HTTP/1.1 103 Early Hints\r\nWrong Name: x") },
+	{ "length in an interim answer",
+	  INTERIM("HTTP/1.1 102 Processing\r\nContent-Length : 2") },
+};
+
 static const struct head_case sound[] = {
 	{ "599", START("HTTP/1.1 599 Odd") },
 	{ "299", START("HTTP/1.1 299") },
@@ -205,6 +245,29 @@
 	assert_int_equal(failed, 0);
 }
 
+/* Guards against a header line with a blank or control byte in its name, which
+ * is passed on or hides the body's length. */
+static void gate_refuses_bad_names(void **state)
+{
+	int failed = 0;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_field); i++)
+		failed += gate_failures(&bad_field[i]);
+	assert_int_equal(failed, 0);
+}
+
+/* Guards against the same line on the way through agents. */
+static void agents_refuse_bad_names(void **state)
+{
+	int failed = 0;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_field); i++)
+		failed += agent_failures(&bad_field[i], false);
+	assert_int_equal(failed, 0);
+}
+
 /* Guards against a valid head that is refused. */
 static void valid_heads_are_read(void **state)
 {
@@ -229,6 +292,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(gate_refuses_bad_status),
 		cmocka_unit_test(agents_refuse_bad_status),
+		cmocka_unit_test(gate_refuses_bad_names),
+		cmocka_unit_test(agents_refuse_bad_names),
 		cmocka_unit_test(valid_heads_are_read),
 	};
 
