Requests: a blank in a header's name is answered 400

"Wrong Name: x" was passed on to an endpoint, "X-Request-Id : q2" beside the gate's own line, and behind "Content-Length : 5" the gate awaited a body that other servers don't see.

Change: the grammar of names, values and line ends is checked in requests, too (RFC 9112, 5.1 asks for a 400); their first line is left to http_parser. The fuzz target requires of each head that was read that its status is one and that its names can be passed on.

--- a/src/core/http_head.c
+++ b/src/core/http_head.c
@@ -13,6 +13,12 @@
 	memset(h, 0, sizeof(*h));
 }
 
+void http_head_init_request(struct http_head *h)
+{
+	http_head_init(h);
+	h->state = HTTP_HEAD_REQUEST_START;
+}
+
 /* Characters of a header's name (RFC 9110, 5.6.2). */
 static bool is_token(unsigned char b)
 {
@@ -50,6 +56,20 @@
 	return b == '\r' || b == '\n' ? HTTP_HEAD_START : read_status(h, b);
 }
 
+static enum http_head_state read_request_line(struct http_head *h,
+					      unsigned char b)
+{
+	(void)h;
+	return b == '\n' ? HTTP_HEAD_FIRST_LINE : HTTP_HEAD_REQUEST_LINE;
+}
+
+static enum http_head_state read_request_start(struct http_head *h,
+					       unsigned char b)
+{
+	return b == '\r' || b == '\n' ? HTTP_HEAD_REQUEST_START :
+					read_request_line(h, b);
+}
+
 static enum http_head_state read_status_end(struct http_head *h,
 					    unsigned char b)
 {
@@ -122,6 +142,8 @@
 static enum http_head_state (*const readers[])(struct http_head *h,
 					       unsigned char b) = {
 	[HTTP_HEAD_START] = read_start,
+	[HTTP_HEAD_REQUEST_START] = read_request_start,
+	[HTTP_HEAD_REQUEST_LINE] = read_request_line,
 	[HTTP_HEAD_STATUS] = read_status,
 	[HTTP_HEAD_STATUS_END] = read_status_end,
 	[HTTP_HEAD_REASON] = read_reason,
--- a/src/core/http_head.h
+++ b/src/core/http_head.h
@@ -11,6 +11,8 @@
 
 enum http_head_state {
 	HTTP_HEAD_START, /* blank lines before the status line are skipped */
+	HTTP_HEAD_REQUEST_START,
+	HTTP_HEAD_REQUEST_LINE,
 	HTTP_HEAD_STATUS,
 	HTTP_HEAD_STATUS_END, /* behind the three digits */
 	HTTP_HEAD_REASON,
@@ -31,8 +33,10 @@
 	int status; /* 100 to 599, once it has been read */
 };
 
-/* Prepares for the head of an answer. */
+/* Prepares for the head of an answer, or of a request, whose first line isn't
+ * checked. */
 void http_head_init(struct http_head *h);
+void http_head_init_request(struct http_head *h);
 
 /* Reads the next bytes up to the end of the head, and returns how many it has
  * read. The state then tells whether the head is complete or invalid. */
--- a/src/proxy/http1.c
+++ b/src/proxy/http1.c
@@ -17,7 +17,7 @@
 
 struct http1_reader {
 	struct http1_options o;
-	struct http_head grammar; /* of an answer's head */
+	struct http_head grammar; /* of the head */
 	http_parser p;
 	GString *text;	/* target, then names and values of headers */
 	GArray *spans;	/* struct header_span */
@@ -205,7 +205,10 @@
 {
 	http_parser_init(&r->p, r->o.request ? HTTP_REQUEST : HTTP_RESPONSE);
 	r->p.data = r;
-	http_head_init(&r->grammar);
+	if (r->o.request)
+		http_head_init_request(&r->grammar);
+	else
+		http_head_init(&r->grammar);
 	g_string_truncate(r->text, 0);
 	g_array_set_size(r->spans, 0);
 	r->target_n = r->head_bytes = r->frame_bytes = 0;
@@ -263,8 +266,6 @@
  * names of headers. */
 static bool is_valid_head(struct http1_reader *r, struct ss_str in)
 {
-	if (r->o.request)
-		return true;
 	http_head_read(&r->grammar, in);
 	return r->grammar.state != HTTP_HEAD_INVALID;
 }
--- a/test/fuzz/fuzz.c
+++ b/test/fuzz/fuzz.c
@@ -218,6 +218,19 @@
 	bool head, chunked, bodiless, done;
 };
 
+/* Checks that a head which was read can be passed on as it is. */
+static void check_head(const struct http1_head *h)
+{
+	require(h->request || (h->status >= 100 && h->status <= 599));
+	for (size_t i = 0; i < h->n_fields; i++) {
+		struct ss_str name = h->fields[i].name;
+
+		require(name.n > 0);
+		for (size_t k = 0; k < name.n; k++)
+			require(g_ascii_isgraph(name.p[k]) && name.p[k] != ':');
+	}
+}
+
 static void on_head(void *arg, const struct http1_head *h)
 {
 	struct platform_request_headers send = { .deadline_ms = 5,
@@ -226,6 +239,7 @@
 	struct platform_call call;
 	struct message *m = arg;
 
+	check_head(h);
 	m->head = true;
 	m->chunked = h->chunked;
 	m->length = h->chunked ? -1 : h->length;
--- a/test/test_gate_broken_head.c
+++ b/test/test_gate_broken_head.c
@@ -268,6 +268,57 @@
 	assert_int_equal(failed, 0);
 }
 
+/* Guards against a request whose header line is read differently by its
+ * endpoint. */
+static void requests_with_bad_names_are_refused(void **state)
+{
+	static const char *const lines[] = {
+		"Wrong Name: x",
+		"Wrong : x",
+		"Wrong\t: x",
+		"Content-Length : 5",
+		"Content -Length: 5",
+		"Transfer-Encoding : chunked",
+		"Transfer -Encoding: x",
+		"X-Request-Id : q2",
+		"Wrong\001Name: x",
+		"Wrong\177: x",
+		": x",
+		"Wrong",
+	};
+
+	int failed = 0;
+
+	(void)state;
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(lines); i++) {
+		char *text = g_strdup_printf(
+			i % 2 ? "POST /once/x HTTP/1.1\r\n%s\r\nHost: h\r\n"
+				"X-Request-Id: q1\r\n\r\n" :
+				"POST /once/x HTTP/1.1\r\nHost: h\r\n"
+				"X-Request-Id: q1\r\n%s\r\n\r\n",
+			lines[i / 2]);
+		struct caller *c;
+		struct fix f;
+		int sent;
+
+		fix_open(&f, "web", "");
+		script_answer(&f, 0, OK_TEXT, false, false);
+		script_answer(&f, 1, OK_TEXT, false, false);
+		c = call(&f, text);
+		for (int k = 0; k < 100 && c->got->len == 0; k++)
+			run_loop_once(&f);
+		sent = f.eps[0].requests + f.eps[1].requests;
+		if (!has_received(c, "HTTP/1.1 400 ") || sent > 0) {
+			print_error("%s: %d requests sent on, got %s\n",
+				    lines[i / 2], sent, c->got->str);
+			failed++;
+		}
+		fix_close(&f);
+		g_free(text);
+	}
+	assert_int_equal(failed, 0);
+}
+
 /* Guards against a valid head that is refused. */
 static void valid_heads_are_read(void **state)
 {
@@ -294,6 +345,7 @@
 		cmocka_unit_test(agents_refuse_bad_status),
 		cmocka_unit_test(gate_refuses_bad_names),
 		cmocka_unit_test(agents_refuse_bad_names),
+		cmocka_unit_test(requests_with_bad_names_are_refused),
 		cmocka_unit_test(valid_heads_are_read),
 	};
 
