Agents' HTTP: bytes behind an answer aren't the next request's answer

Callers saw, in the test: an endpoint sent a second answer behind the first one, and the next call on that connection got it as its own (relay and persistent client; a report or an order's answer there). Found while looking at where else answers are read; the gate has checked for it before.

Cause: libevent keeps what follows an answer in the connection's input and reads it as the answer to the next request, which http_client had queued inside libevent, so that it was sent before anybody could look.

Change: a connection is used again only if nothing can be read from it, the gate's check, which moves to net/send.c. The relay drops such an idle connection; the client keeps its own queue of calls and replaces the connection before the next one is sent. Each call has its own timeout now.

--- a/Makefile
+++ b/Makefile
@@ -62,10 +62,10 @@
 $(BUILD)/sapphireshiftd: $(call obj,$(DAEMON_SRC) $(NET_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/sapphireshiftctl: $(call obj,$(CTL_SRC) src/net/http.c src/net/addr.c) $(LIB)
+$(BUILD)/sapphireshiftctl: $(call obj,$(CTL_SRC) src/net/http.c src/net/addr.c src/net/send.c) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
-$(BUILD)/standin: $(call obj,$(STANDIN_SRC) src/net/http.c src/net/addr.c) $(LIB)
+$(BUILD)/standin: $(call obj,$(STANDIN_SRC) src/net/http.c src/net/addr.c src/net/send.c) $(LIB)
 	$(CC) $(LDFLAGS) $^ -o $@ $(LDLIBS)
 
 # The fleet's leader between played peers: of the network's files only those
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -3,8 +3,10 @@
 
 #include "../base/timeval.h"
 #include "http.h"
+#include "send.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 
 struct http_client {
 	struct event_base *base;
@@ -12,16 +14,50 @@
 	uint16_t port;
 	struct evhttp_connection *conn;
 	struct http_answer_watch watch;
+	GQueue calls; /* struct call; the first one has been sent */
 	bool freeing;
 };
 
 struct call {
 	struct http_client *client;
-	char *response_header;
+	struct evhttp_request *req;
+	char *method, *path, *response_header;
+	GString *body;
+	int64_t timeout_ms;
 	void (*done)(void *arg, const struct http_client_response *a);
 	void *arg;
 };
 
+static void connection_open(struct http_client *client)
+{
+	client->conn = evhttp_connection_base_new(client->base, NULL,
+						  client->ip, client->port);
+	http_watch_answers(&client->watch, client->conn, HTTP_ANSWER_MAX);
+}
+
+/* Replaces a connection with input that belongs to no request. */
+static void connection_renew(struct http_client *client)
+{
+	http_unwatch_answers(&client->watch);
+	http_free_later(client->base, client->conn);
+	connection_open(client);
+}
+
+static void send_first(struct http_client *client)
+{
+	struct bufferevent *bev =
+		evhttp_connection_get_bufferevent(client->conn);
+	struct call *c = g_queue_peek_head(&client->calls);
+	struct timeval tv = timeval_from_ms(c->timeout_ms);
+
+	if (bufferevent_getfd(bev) >= 0 && !has_no_input(bev))
+		connection_renew(client);
+	http_watch_next(&client->watch);
+	evhttp_connection_set_timeout_tv(client->conn, &tv);
+	http_send(client->conn, c->req, client->addr, c->method, c->path,
+		  ss_str_gs(c->body));
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	const struct call *c = arg;
@@ -30,9 +66,19 @@
 	return http_check_head(&c->client->watch, req, &final);
 }
 
+static void call_free(struct call *c)
+{
+	g_free(c->method);
+	g_free(c->path);
+	g_free(c->response_header);
+	g_string_free(c->body, TRUE);
+	g_free(c);
+}
+
 static void on_response(struct evhttp_request *req, void *arg)
 {
 	struct call *c = arg;
+	struct http_client *client = c->client;
 	struct http_client_response a = {
 		.status = req ? evhttp_request_get_response_code(req) : 0
 	};
@@ -44,11 +90,13 @@
 			a.header = evhttp_find_header(a.headers,
 						      c->response_header);
 	}
-	http_watch_next(&c->client->watch);
-	if (!c->client->freeing)
+	if (!client->freeing) {
+		g_queue_pop_head(&client->calls);
+		if (client->calls.head)
+			send_first(client);
 		c->done(c->arg, &a);
-	g_free(c->response_header);
-	g_free(c);
+		call_free(c);
+	}
 }
 
 struct http_client *http_client_new(struct event_base *base, const char *addr)
@@ -59,19 +107,26 @@
 	client->addr = g_strdup(addr);
 	if (!http_split_addr(addr, &client->ip, &client->port))
 		client->ip = g_strdup("");
-	client->conn = evhttp_connection_base_new(base, NULL, client->ip,
-						  client->port);
-	http_watch_answers(&client->watch, client->conn, HTTP_ANSWER_MAX);
+	g_queue_init(&client->calls);
+	connection_open(client);
 	return client;
 }
 
 void http_client_free(struct http_client *client)
 {
+	struct call *c;
+
 	if (!client)
 		return;
 	client->freeing = true;
 	http_unwatch_answers(&client->watch);
 	evhttp_connection_free(client->conn);
+	/* The first request went with its connection. */
+	for (int i = 0; (c = g_queue_pop_head(&client->calls)); i++) {
+		if (i > 0)
+			evhttp_request_free(c->req);
+		call_free(c);
+	}
 	g_free(client->addr);
 	g_free(client->ip);
 	g_free(client);
@@ -81,17 +136,21 @@
 		      const struct http_client_call *o)
 {
 	struct call *c = g_new0(struct call, 1);
-	struct evhttp_request *req = evhttp_request_new(on_response, c);
-	struct timeval tv = timeval_from_ms(o->timeout_ms);
 
 	c->client = client;
+	c->req = evhttp_request_new(on_response, c);
+	c->method = g_strdup(o->method);
+	c->path = g_strdup(o->path);
 	c->response_header = g_strdup(o->response_header);
+	c->body = g_string_new_len(o->body.p, (gssize)o->body.n);
+	c->timeout_ms = o->timeout_ms;
 	c->done = o->done;
 	c->arg = o->arg;
-	evhttp_connection_set_timeout_tv(client->conn, &tv);
-	evhttp_request_set_header_cb(req, on_head);
+	evhttp_request_set_header_cb(c->req, on_head);
 	if (o->header)
-		evhttp_add_header(evhttp_request_get_output_headers(req),
+		evhttp_add_header(evhttp_request_get_output_headers(c->req),
 				  o->header, o->value);
-	http_send(client->conn, req, client->addr, o->method, o->path, o->body);
+	g_queue_push_tail(&client->calls, c);
+	if (client->calls.length == 1)
+		send_first(client);
 }
--- a/src/net/relay.c
+++ b/src/net/relay.c
@@ -2,6 +2,7 @@
 #include "relay.h"
 
 #include "http.h"
+#include "send.h"
 
 #include <event2/buffer.h>
 #include <event2/http_struct.h>
@@ -229,17 +230,28 @@
 	call_free(c);
 }
 
-static struct relay_conn *connection(struct relay *r, bool once)
+/* Takes an idle connection; NULL: none can be used again. */
+static struct relay_conn *take_idle(struct relay *r)
 {
-	struct relay_conn *conn = NULL;
+	struct relay_conn *conn;
+
+	while ((conn = g_queue_pop_head(&r->idle))) {
+		if (has_no_input(evhttp_connection_get_bufferevent(conn->http)))
+			break;
+		conn_free(conn);
+	}
+	return conn;
+}
 
+static struct relay_conn *connection(struct relay *r, bool once)
+{
 	/*
 	 * The endpoint may close an idle connection while a call is being
 	 * written to it; whether the call ran is then unknown. A call that must
 	 * not be repeated gets a new connection.
 	 */
-	if (!once)
-		conn = g_queue_pop_head(&r->idle);
+	struct relay_conn *conn = once ? NULL : take_idle(r);
+
 	if (!conn)
 		return conn_new(r);
 	http_watch_next(&conn->watch);
--- a/src/net/send.c
+++ b/src/net/send.c
@@ -1,6 +1,7 @@
-/* Writes to a socket without waiting for the event loop. */
+/* Calls on a socket that do not wait for the event loop. */
 #include "send.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <sys/socket.h>
 
@@ -16,3 +17,14 @@
 	if ((size_t)n < bytes.n)
 		evbuffer_add(out, bytes.p + n, bytes.n - (size_t)n);
 }
+
+bool has_no_input(struct bufferevent *bev)
+{
+	char c;
+
+	if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+		return false;
+	return recv(bufferevent_getfd(bev), &c, 1, MSG_PEEK | MSG_DONTWAIT) <
+		       0 &&
+	       (errno == EAGAIN || errno == EWOULDBLOCK);
+}
--- a/src/net/send.h
+++ b/src/net/send.h
@@ -1,4 +1,4 @@
-/* Writes to a socket without waiting for the event loop. */
+/* Calls on a socket that do not wait for the event loop. */
 #ifndef SS_SEND_H
 #define SS_SEND_H
 
@@ -13,4 +13,12 @@
  */
 void send_now(struct bufferevent *bev, struct ss_str bytes);
 
+/*
+ * Returns true if nothing can be read from a connected bufferevent, not even
+ * its end. Before a request is sent on a connection that was used before: input
+ * would be taken for its answer, and after a close it would be unknown whether
+ * the request arrived.
+ */
+bool has_no_input(struct bufferevent *bev);
+
 #endif
--- a/src/proxy/upstream.c
+++ b/src/proxy/upstream.c
@@ -5,7 +5,6 @@
 #include "../net/addr.h"
 #include "../net/send.h"
 
-#include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/util.h>
 #include <netinet/in.h>
@@ -317,21 +316,6 @@
 	return l;
 }
 
-/*
- * Returns true if the socket has no pending input and wasn't closed. Input that
- * the event loop hasn't read yet would be taken for the next response. After a
- * close that the event loop hasn't seen yet, it would be unknown whether the
- * request arrived.
- */
-static bool has_no_input(const struct upstream_conn *l)
-{
-	char c;
-
-	return recv(bufferevent_getfd(l->bev), &c, 1, MSG_PEEK | MSG_DONTWAIT) <
-		       0 &&
-	       (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 /* Takes the connection that was idle for the shortest time, as it is the least
  * likely to be dead; NULL: none can be reused. */
 static struct upstream_conn *
@@ -352,7 +336,7 @@
 		if (now >= l->close_at_ms ||
 		    now - l->idle_since_ms > idle_max_ms)
 			break;
-		if (has_no_input(l))
+		if (has_no_input(l->bev))
 			found = l;
 		else
 			conn_close(l);
--- a/test/test_gate_broken_head.c
+++ b/test/test_gate_broken_head.c
@@ -268,6 +268,20 @@
 	assert_int_equal(failed, 0);
 }
 
+/* Guards against bytes behind an answer that are taken for the next one. */
+static void agents_drop_surplus_answers(void **state)
+{
+	static const struct head_case surplus = {
+		"surplus answer",
+		TEXT(OK_TEXT "HTTP/1.1 200 OK\r\n" LENGTH "\r\nstale")
+	};
+	int failed = 0;
+
+	(void)state;
+	failed += agent_failures(&surplus, true);
+	assert_int_equal(failed, 0);
+}
+
 /* Guards against a request whose header line is read differently by its
  * endpoint. */
 static void requests_with_bad_names_are_refused(void **state)
@@ -345,6 +359,7 @@
 		cmocka_unit_test(agents_refuse_bad_status),
 		cmocka_unit_test(gate_refuses_bad_names),
 		cmocka_unit_test(agents_refuse_bad_names),
+		cmocka_unit_test(agents_drop_surplus_answers),
 		cmocka_unit_test(requests_with_bad_names_are_refused),
 		cmocka_unit_test(valid_heads_are_read),
 	};
