Agents' relay: what it keeps of an answer is bounded

Callers saw, on other systems: a faulty server sent bytes without end, in a head or a body; the machine that had called it kept them all, ran out of memory, and the requests of other clients there ended with it. Here: by an agent's relay of calls, yes. Interim answers, the size of a chunk, its extension and a chunk itself had no bound in bytes, and a body had none either.

Cause: only the relay had no bound at all: libevent bounds neither interim answers nor what it keeps until it is complete, and its limit for bodies is off by default.

Test: relay_bounds_what_it_reads. The listener of test_endless was wrong: it began to send pieces as soon as a connection was open (libevent reports a new socket as drained), so that no case's start was ever sent and each was the case "no line". It now waits for the request; clients_bound_what_they_read and gate_bounds_what_it_reads pass as they are then, too, with a new case (a chunk).

Change: the watch on agents' connections ends an answer with more than 64 KB of heads, more than 8 MB that libevent keeps, or more than its body may have: 8 MB where it is read as a whole, 64 MB where it is passed on, the gate's own bound.

Measured: test_endless before: the relay without end in 6 of 12 cases; now 3 of 3 tests pass. The gate and the other clients of agents were bounded.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -15,6 +15,8 @@
 
 /* Size limit of request headers, in bytes, as in common servers. */
 #define HEADERS_MAX 16384
+/* Maximum size of all heads of an answer, interim ones among them, in bytes. */
+#define HEADS_MAX (4 * HEADERS_MAX)
 /* An idle client is disconnected after this time; scrapers send a request every
  * 5 to 15 s. */
 #define SERVER_TIMEOUT_S 20
@@ -366,6 +368,17 @@
 	}
 }
 
+/* Returns true if the answer has more bytes than one may have. libevent bounds
+ * neither interim answers nor what it keeps until it is complete, such as a
+ * chunk or its size. */
+static bool is_too_large(const struct http_answer_watch *w,
+			 const struct evbuffer *in)
+{
+	return (w->head.state < HTTP_HEAD_COMPLETE && w->bytes > HEADS_MAX) ||
+	       evbuffer_get_length(in) > HTTP_ANSWER_MAX + HEADERS_MAX ||
+	       w->bytes > w->max_bytes + HEADS_MAX;
+}
+
 static void on_input(struct evbuffer *in, const struct evbuffer_cb_info *info,
 		     void *arg)
 {
@@ -374,8 +387,7 @@
 
 	w->bytes += info->n_added;
 	watch_heads(w, in, info->n_added);
-	if ((w->max_bytes && w->bytes > w->max_bytes) ||
-	    w->head.state == HTTP_HEAD_INVALID)
+	if (is_too_large(w, in) || w->head.state == HTTP_HEAD_INVALID)
 		shutdown(bufferevent_getfd(bev), SHUT_RDWR);
 }
 
@@ -385,11 +397,9 @@
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
 
 	evhttp_connection_set_max_headers_size(conn, HEADERS_MAX);
-	if (max_bytes)
-		evhttp_connection_set_max_body_size(conn,
-						    (ev_ssize_t)max_bytes);
+	evhttp_connection_set_max_body_size(conn, (ev_ssize_t)max_bytes);
 	w->conn = conn;
-	w->max_bytes = max_bytes ? max_bytes + HEADERS_MAX : 0;
+	w->max_bytes = max_bytes;
 	w->entry = evbuffer_add_cb(bufferevent_get_input(bev), on_input, w);
 	http_watch_next(w);
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -82,7 +82,7 @@
 	struct http_head head; /* of the answer to the last request */
 	size_t bytes, max_bytes;
 };
-/* max_bytes: of an answer; 0: unlimited. */
+/* max_bytes: of an answer's body. */
 void http_watch_answers(struct http_answer_watch *w,
 			struct evhttp_connection *conn, size_t max_bytes);
 /* The next bytes belong to the answer to another request. */
@@ -92,6 +92,8 @@
 /* Maximum size of an answer that is read as a whole, in bytes: a page of the
  * list of thousands of endpoints, or a routing. */
 #define HTTP_ANSWER_MAX (8 << 20)
+/* The same of one that is passed on in pieces. */
+#define HTTP_PASSED_MAX (64 << 20)
 
 /* Checks the head of an answer; is the result of the request's header callback.
  * final: set to false for an interim (1xx) answer, which is skipped. */
--- a/src/net/relay.c
+++ b/src/net/relay.c
@@ -77,7 +77,7 @@
 
 	conn->http = evhttp_connection_base_new(r->base, NULL, r->ip, r->port);
 	evhttp_connection_set_timeout_tv(conn->http, &tv);
-	http_watch_answers(&conn->watch, conn->http, 0);
+	http_watch_answers(&conn->watch, conn->http, HTTP_PASSED_MAX);
 	return conn;
 }
 
--- a/test/test_endless.c
+++ b/test/test_endless.c
@@ -7,17 +7,22 @@
 
 #include "../src/net/http.h"
 #include "../src/net/http_client.h"
+#include "../src/net/relay.h"
 
 /* More than any bound that applies before a body, in bytes. */
 #define HEAD_BYTES_MAX (1 << 20)
 /* More than any bound on an answer's body, in bytes. */
 #define BODY_BYTES_MAX (160 << 20)
 
+/* More than the bytes in flight and those that an agent's relay keeps. */
+#define KEPT_BYTES_MAX (24 << 20)
+
 struct endless_case {
 	const char *label;
 	const char *start, *piece; /* the piece repeats */
 	size_t max_bytes;
 	const char *want; /* that a gate's caller gets; NULL: a cut answer */
+	bool kept;	  /* by libevent, until it is complete */
 };
 
 #define LINES_OF_X                                                             \
@@ -25,28 +30,30 @@
 #define OK_HEAD "HTTP/1.1 200 OK\r\n" HEAD
 
 static const struct endless_case cases[] = {
-	{ "no line", "", LINES_OF_X, HEAD_BYTES_MAX, "HTTP/1.1 502 " },
+	{ "no line", "", LINES_OF_X, HEAD_BYTES_MAX, "HTTP/1.1 502 ", false },
 	{ "status line", "HTTP/1.1 200 ", LINES_OF_X, HEAD_BYTES_MAX,
-	  "HTTP/1.1 502 " },
+	  "HTTP/1.1 502 ", false },
 	{ "field name", "HTTP/1.1 200 OK\r\n", LINES_OF_X, HEAD_BYTES_MAX,
-	  "HTTP/1.1 502 " },
+	  "HTTP/1.1 502 ", false },
 	{ "field value", "HTTP/1.1 200 OK\r\nX-Long: ", LINES_OF_X,
-	  HEAD_BYTES_MAX, "HTTP/1.1 502 " },
+	  HEAD_BYTES_MAX, "HTTP/1.1 502 ", false },
 	{ "fields", "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n", HEAD_BYTES_MAX,
-	  "HTTP/1.1 502 " },
+	  "HTTP/1.1 502 ", false },
 	{ "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n",
-	  HEAD_BYTES_MAX, "HTTP/1.1 502 " },
+	  HEAD_BYTES_MAX, "HTTP/1.1 502 ", false },
 	{ "size of a chunk", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n",
-	  "0000000000000000", HEAD_BYTES_MAX, "HTTP/1.1 502 " },
+	  "0000000000000000", HEAD_BYTES_MAX, "HTTP/1.1 502 ", false },
 	{ "extension of a chunk",
 	  OK_HEAD "Transfer-Encoding: chunked\r\n\r\n1;", LINES_OF_X,
-	  HEAD_BYTES_MAX, "HTTP/1.1 502 " },
+	  HEAD_BYTES_MAX, "HTTP/1.1 502 ", false },
 	{ "trailers",
 	  OK_HEAD "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
-	  "X-More: 1\r\n", HEAD_BYTES_MAX, "HTTP/1.1 502 " },
-	{ "body", OK_HEAD "\r\n", LINES_OF_X, BODY_BYTES_MAX, NULL },
+	  "X-More: 1\r\n", HEAD_BYTES_MAX, "HTTP/1.1 502 ", false },
+	{ "chunk", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n3900000\r\n",
+	  LINES_OF_X, BODY_BYTES_MAX, NULL, true },
+	{ "body", OK_HEAD "\r\n", LINES_OF_X, BODY_BYTES_MAX, NULL, false },
 	{ "body in chunks", OK_HEAD "Transfer-Encoding: chunked\r\n\r\n",
-	  "10\r\nxxxxxxxxxxxxxxxx\r\n", BODY_BYTES_MAX, NULL },
+	  "10\r\nxxxxxxxxxxxxxxxx\r\n", BODY_BYTES_MAX, NULL, false },
 };
 
 /* A listener whose connections each get a case's bytes without end. */
@@ -56,7 +63,8 @@
 	const struct endless_case *x;
 	GString *block; /* many pieces */
 	GPtrArray *conns;
-	size_t sent;
+	size_t sent; /* behind the start */
+	bool asked;  /* a request has come, and the start has been sent */
 	char addr[32];
 };
 
@@ -74,7 +82,7 @@
 {
 	struct endless *e = arg;
 
-	if (e->sent > BODY_BYTES_MAX)
+	if (!e->asked || e->sent > BODY_BYTES_MAX)
 		return;
 	e->sent += e->block->len;
 	bufferevent_write(bev, e->block->str, e->block->len);
@@ -86,8 +94,9 @@
 	struct evbuffer *in = bufferevent_get_input(bev);
 
 	evbuffer_drain(in, evbuffer_get_length(in));
-	if (e->sent == 0)
+	if (!e->asked)
 		bufferevent_write(bev, e->x->start, strlen(e->x->start));
+	e->asked = true;
 	on_drained(bev, e);
 }
 
@@ -257,10 +266,57 @@
 	}
 }
 
+static void on_piece(void *arg, struct msg_reply *m)
+{
+	struct result *o = arg;
+
+	if (m->end)
+		on_request_done(o, m->code ? 0 : 200, m->data, NULL);
+}
+
+/*
+ * Guards against an agent that grows without end, as it passes on an answer: a
+ * head, a chunk or its size is kept until it is complete.
+ */
+static void relay_bounds_what_it_reads(void **state)
+{
+	struct msg_call m = { .method = SS_LIT("GET"), .path = SS_LIT("/") };
+	int failed = 0;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct event_base *base = event_base_new();
+		struct result o = { 0 };
+		struct relay *relay;
+		size_t max_bytes = KEPT_BYTES_MAX;
+		struct endless e;
+
+		if (!cases[i].kept)
+			max_bytes += cases[i].max_bytes;
+		endless_open(&e, base, &cases[i]);
+		relay = relay_new(base, e.addr);
+		relay_start(relay, &m, on_piece, &o);
+		while (!o.done && e.sent <= MIN(max_bytes, BODY_BYTES_MAX))
+			event_base_loop(base, EVLOOP_ONCE);
+		if (!o.done || o.status) {
+			print_error("relay, %s: %s after %zu bytes\n",
+				    cases[i].label,
+				    o.done ? "an answer" : "no end", e.sent);
+			failed++;
+		}
+		relay_free(relay);
+		event_base_loop(base, EVLOOP_NONBLOCK);
+		endless_close(&e);
+		event_base_free(base);
+	}
+	assert_int_equal(failed, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(clients_bound_what_they_read),
+		cmocka_unit_test(relay_bounds_what_it_reads),
 		cmocka_unit_test(gate_bounds_what_it_reads),
 	};
 
