Resumed streams: an entry without a leader doesn't guess their version

Callers saw, on other systems: during a release one machine was out of step for a few seconds while servers of a new software version joined.

Cause: resume_without_leader(). A lookup that no leader answers for 1.5 s took the only version that this entry knew to be the stream's, if the process was 60 s old. What it knew was the lost leader's list: an entry that is cut off, or has stood still, doesn't see that a version joins. Class: a process acts as if it knew.

Evidence: test_gate_versions/version_isnt_guessed_without_a_leader failed before ("never came: 503": the stream was sent to v1).

Change: only an entry that has read the complete list itself, at most 3 s apart, for as long as a stream may be resumed (60 s) takes a sole version for the stream's. Else the caller gets 503, not run, Retry-After 0.2 s: another entry may reach a leader. It costs callers who resume at another entry in the first minute without a leader in a fleet of one version.

Looked for elsewhere, by reading: the leader's own answer "one version has served" needs its list, which it reads itself, and a majority that confirms it.

Measured: test_gate_versions 11 of 11, test_gate_list 5 of 5.

--- a/src/proxy/gate_endpoints.c
+++ b/src/proxy/gate_endpoints.c
@@ -296,6 +296,27 @@
 		 g_hash_table_size(g->eps), from, gate_now(g) - g->since_ms);
 }
 
+/* A list is read each second; after a longer time endpoints may have joined and
+ * left unseen. */
+#define LIST_GAP_MS 3000
+
+static void note_complete_list(struct gate *g)
+{
+	int64_t now = gate_now(g);
+
+	if (!g->listed_since_ms || now - g->listed_ms > LIST_GAP_MS)
+		g->listed_since_ms = now;
+	g->listed_ms = now;
+}
+
+bool gate_has_followed_list(const struct gate *g, int64_t ms)
+{
+	int64_t now = gate_now(g);
+
+	return g->listed_since_ms && now - g->listed_ms <= LIST_GAP_MS &&
+	       now - g->listed_since_ms >= ms;
+}
+
 void gate_fleet_received(struct gate *g, const struct msg_fleet *m)
 {
 	const struct fleet_endpoint *e = m->endpoints.items;
@@ -306,6 +327,7 @@
 	if (m->fence > g->fence)
 		g->round = 0;
 	g->fence = m->fence;
+	g->listed_since_ms = 0;
 	gate_note_entries(g, m->entries);
 	if (m->full)
 		unlist_all(g);
@@ -407,6 +429,8 @@
 	/* The endpoints of an incomplete list can be called, too. */
 	if (list->complete || list->instances->len)
 		mark_fleet_known(g, "list");
+	if (list->complete)
+		note_complete_list(g);
 	gate_dispatch(g, NULL);
 }
 
--- a/src/proxy/gate_int.h
+++ b/src/proxy/gate_int.h
@@ -274,6 +274,9 @@
 	struct return_slots *refused_slots;
 	uint64_t *n_slots_given, *n_slots_beyond;
 	int64_t since_ms; /* start of this process */
+	/* While no leader is in contact: when this process read a complete list
+	 * last, and since when it has done so without a gap; 0: not yet. */
+	int64_t listed_ms, listed_since_ms;
 	/* Largest reported number of entries, which share the slack of retries.
 	 */
 	uint64_t entries;
@@ -309,6 +312,9 @@
 
 /* gate_endpoints.c */
 struct gate_ep *gate_ep_at(const struct gate *g, const char *addr);
+/* Returns true if this process has read the list itself, without a gap, for
+ * that time until now. */
+bool gate_has_followed_list(const struct gate *g, int64_t ms);
 /* Endpoint that the request was sent to; NULL: that incarnation is over. */
 struct gate_ep *gate_ep_of(const struct forward *f);
 bool gate_ep_has_adapter(const struct gate_ep *ep, const char *model,
--- a/src/proxy/resume.c
+++ b/src/proxy/resume.c
@@ -318,10 +318,11 @@
 }
 
 /*
- * Ends a lookup while no leader is elected or reachable. If only one version
- * has served for as long as a stream may be resumed, that version must have
- * begun the stream. A process that has just started can't conclude this: it
- * hasn't seen which versions served before.
+ * Ends a lookup while no leader is elected or reachable. If this process has
+ * followed the list for as long as a stream may be resumed, and only one
+ * version has served, that version must have begun the stream. What it knew by
+ * a leader that it has lost isn't enough: another version may have joined
+ * before the loss was noticed, and begun the stream.
  */
 static void resume_without_leader(struct forward *f)
 {
@@ -335,7 +336,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &ep))
 		resume_note_version(g, ep);
 	only = stream_log_sole_version(g->streams, f->service->name, now);
-	if (only && now - g->since_ms >= STREAM_LIFETIME_MAX_MS)
+	if (only && gate_has_followed_list(g, STREAM_LIFETIME_MAX_MS))
 		resume_at_version(f, f->service->name, only, "alone");
 	else
 		refuse(f, "nobody can tell which version began it",
--- a/test/test_gate_versions.c
+++ b/test/test_gate_versions.c
@@ -269,6 +269,72 @@
 	fix_close(&f);
 }
 
+/* Opens a gate that has known endpoints of v1 only for as long as a stream may
+ * be resumed, and then loses its leader. */
+static void open_one_and_lose_leader(struct fix *f)
+{
+	fix_open_fresh(f);
+	f->leads = true;
+	for (int k = 0; k < ENDPOINTS; k++)
+		script_answer(f, k, ANSWERS_ID("q2"), false, false);
+	set_default_routing(f);
+	report_fleet(f, "lm", "m");
+	f->clock.fake_ms += STREAM_LIFETIME_MAX_MS;
+	run_loop_once(f);
+	f->leads = false;
+	gate_leader_lost(f->gate);
+}
+
+/* Reads the list of endpoints itself, each second. */
+static void read_list(struct fix *f, int64_t ms)
+{
+	for (int64_t at = 0; at <= ms; at += 1000) {
+		struct fleet_list l;
+
+		fleet_list_init(&l);
+		for (int k = 0; k < ENDPOINTS; k++) {
+			struct fleet_instance x = {
+				.id = g_strdup(f->eps[k].id),
+				.service = g_strdup("lm"),
+				.addr = g_strdup(f->eps[k].addr),
+				.domain = g_strdup("here"),
+				.version = g_strdup("v1"),
+				.slots = 8,
+				.models = g_ptr_array_new_with_free_func(g_free)
+			};
+
+			g_ptr_array_add(x.models, g_strdup("m"));
+			g_array_append_val(l.instances, x);
+		}
+		gate_list_received(f->gate, &l);
+		fleet_list_clear(&l);
+		f->clock.fake_ms += 1000;
+		run_loop_once(f);
+	}
+}
+
+/* Guards against an entry without a leader that takes the one version it knows
+ * for the one which began a stream: another may have joined meanwhile. */
+static void version_isnt_guessed_without_a_leader(void **state)
+{
+	(void)state;
+	for (int64_t ms = 0; ms <= STREAM_LIFETIME_MAX_MS;
+	     ms += STREAM_LIFETIME_MAX_MS) {
+		bool follows = ms == STREAM_LIFETIME_MAX_MS;
+		struct caller *c;
+		struct fix f;
+
+		open_one_and_lose_leader(&f);
+		read_list(&f, ms);
+		c = call(&f, resumed);
+		pass_ms(&f, 2000);
+		UNTIL(&f, has_received(c, follows ? "event3" : "503"));
+		assert_int_equal(f.eps[0].requests + f.eps[1].requests,
+				 follows);
+		fix_close(&f);
+	}
+}
+
 /* Failure: callers that resume streams while a new leader starts are refused,
  * though the leader learns the versions a moment later. */
 static void resume_waits_for_a_leader_that_may_learn(void **state)
@@ -427,6 +493,7 @@
 		cmocka_unit_test(streams_are_reported_before_their_events),
 		cmocka_unit_test(version_that_is_listed_later_is_reported),
 		cmocka_unit_test(resume_without_a_leader_is_refused_soon),
+		cmocka_unit_test(version_isnt_guessed_without_a_leader),
 		cmocka_unit_test(resume_waits_for_a_leader_that_may_learn),
 		cmocka_unit_test(late_resume_is_refused),
 		cmocka_unit_test(resumed_stream_isnt_starved_by_new_ones),
