Raft: who ranks higher asks a candidate that it hasn't heard of yet

Callers saw, in the model: four control VMs lose power and come back one after the other within 1.1 s; a leader is there 1 s after the last one only, where 0.6 s are enough.

Cause: a candidate refuses others that it goes before, and counts on being elected. Its own round of pre-votes went out before the others were up, and it asks again only 0.4 s later at the earliest. Meanwhile the others have let each other go first.

Change: it answers such a request with its own, to that member alone. The other one ranks lower, so it doesn't ask back: at most one message more for each pre-vote.

--- a/src/core/raft_elect.c
+++ b/src/core/raft_elect.c
@@ -59,6 +59,7 @@
 	r->timed_round = 0;
 	r->former = 0;
 	r->transfer_to = 0;
+
 	/*
 	 * Entries of earlier terms are committed only through a later entry of
 	 * this term; without one a read could miss committed entries.
@@ -92,13 +93,23 @@
 		raft_campaign(r, false);
 }
 
+static struct ss_raft_msg vote_request(const struct ss_raft *r, bool pre)
+{
+	uint64_t last = raft_log_last(&r->log);
+
+	return (struct ss_raft_msg){ .kind = pre ? SS_RAFT_PREVOTE :
+						   SS_RAFT_VOTE,
+				     .from = r->o.self,
+				     .term = r->term + 1,
+				     .index = last,
+				     .log_term = raft_log_term(&r->log, last),
+				     .round = (uint64_t)r->now,
+				     .transfer = r->transfer };
+}
+
 void raft_campaign(struct ss_raft *r, bool pre)
 {
-	struct ss_raft_msg m = { .kind = pre ? SS_RAFT_PREVOTE : SS_RAFT_VOTE,
-				 .term = r->term + 1,
-				 .index = raft_log_last(&r->log),
-				 .round = (uint64_t)r->now,
-				 .transfer = r->transfer };
+	struct ss_raft_msg m = vote_request(r, pre);
 
 	if (pre && r->o.ops->round_lost &&
 	    (r->role == SS_RAFT_PRECANDIDATE || r->role == SS_RAFT_CANDIDATE))
@@ -115,7 +126,6 @@
 	r->answered = false;
 	r->leader = 0;
 	r->ack = false;
-	m.log_term = raft_log_term(&r->log, m.index);
 	for (guint i = 0; i < r->peers->len; i++) {
 		struct peer *p = raft_peer_at(r, i);
 
@@ -176,12 +186,20 @@
 	       outranks(self, rank_of(m));
 }
 
-/* Asks again at the next tick if the last round isn't quite new: who asks for a
- * pre-vote has given up the leader, and may have refused that round. */
-static void ask_again(struct ss_raft *r)
+/* Asks the sender of a pre-vote that this member ranks higher than: it has
+ * given up the leader, and may have been down at the last round or have refused
+ * it. The others are asked again at the next tick if that round isn't quite
+ * new. */
+static void ask_again(struct ss_raft *r, const struct ss_raft_msg *m)
 {
-	if (r->role == SS_RAFT_PRECANDIDATE &&
-	    r->now - r->asked_ms >= r->o.election_ms)
+	struct ss_raft_msg ask;
+
+	if (r->role != SS_RAFT_PRECANDIDATE)
+		return;
+	ask = vote_request(r, true);
+	if (outranks(rank_of(&ask), rank_of(m)))
+		raft_send(r, &ask, m->from);
+	if (r->now - r->asked_ms >= r->o.election_ms)
 		r->deadline_ms = r->now;
 }
 
@@ -245,7 +263,7 @@
 	if (reply.ok && pre)
 		yield(r, m);
 	else if (pre && goes_first(r, m))
-		ask_again(r);
+		ask_again(r, m);
 	if (!reply.ok)
 		reply.offset = refusal(r, m, up_to_date);
 	reply.term = reply.ok ? m->term : r->term;
