Raft: a leader that gave up its group and leads again is more patient

Callers saw, in the model: two of three control VMs run 60 of 600 ms.

Cause: the election timeout follows the exchanges that were seen, but a silence that ended the leadership is none: its answer is never awaited. Class: a fixed time decides who is lost.

Change: a leader that gave up, and is elected again with nobody elected in between, doubles the election timeout by which it gave up, up to the same limit; it is forgotten as any long exchange is, or when the member follows another leader. A group whose members are there never notices it.

--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -136,6 +136,7 @@
 	 * replaced; it steps down before it acts on stale state.
 	 */
 	if (!raft_majority_value(r, value_active)) {
+		raft_pace_gave_up(r);
 		raft_become_follower(r, r->term, 0);
 		return;
 	}
--- a/src/core/raft_append.c
+++ b/src/core/raft_append.c
@@ -214,6 +214,7 @@
 	r->leader_contact_ms = r->now;
 	r->contact_term = m->term;
 	r->former = m->from;
+	r->gave_up_ms = 0;
 	raft_reset_deadline(r);
 }
 
--- a/src/core/raft_elect.c
+++ b/src/core/raft_elect.c
@@ -59,6 +59,7 @@
 	r->timed_round = 0;
 	r->former = 0;
 	r->transfer_to = 0;
+	raft_pace_elected(r);
 
 	/*
 	 * Entries of earlier terms are committed only through a later entry of
--- a/src/core/raft_pace.c
+++ b/src/core/raft_pace.c
@@ -18,6 +18,8 @@
 /* The same for the time between two messages of the leader, of which there are
  * more. */
 #define PACE_HOLD_GAPS 2
+/* Factor by which the election timeout grows each time it was too short. */
+#define IMPATIENCE 2
 /* Limit in ms of a pause that is excused: after a longer one others may have
  * taken over. */
 #define PAUSE_MAX_MS 1000
@@ -111,6 +113,23 @@
 	r->heard_ms = r->now;
 }
 
+void raft_pace_gave_up(struct ss_raft *r)
+{
+	r->gave_up_ms = raft_timeout_ms(r);
+}
+
+/* A leader that gave up its group and is elected again, with nobody elected in
+ * between, has been too impatient: members that run a small part of the time
+ * are silent for longer than any exchange that it has seen. */
+void raft_pace_elected(struct ss_raft *r)
+{
+	int64_t ms = IMPATIENCE * r->gave_up_ms / TIMEOUT_EXCHANGES;
+
+	/* One sample alone may be a pause, and counts only at first. */
+	for (int i = 0; r->gave_up_ms && i < 2; i++)
+		raft_pace_add(r, ms);
+}
+
 void raft_pace_round(struct ss_raft *r, uint64_t round)
 {
 	if (!r->timed_round || round < r->timed_round)
--- a/test/prop_elections.cc
+++ b/test/prop_elections.cc
@@ -632,6 +632,21 @@
 
 	ok &= rc::check("the slowest groups elect a leader that stays",
 			[&] { play(true); });
+	ok &= rc::check("members that run a tenth of the time keep a leader", [&] {
+		const Pace kTenth = { 3, 4, kShares[3] };
+		Sim s;
+		int n = *voters;
+		/* An odd seed gives some members a whole processor. */
+		uint32_t seed = *fixed | 1;
+
+		found_group(s, n, kTenth, seed);
+		run_until(s, s.now + kRecoverMs);
+		lose_power(s);
+		end_faults(s);
+		check_accepted(s, kRecoverMs);
+		check_terms(s);
+		check_stays(s);
+	});
 	ok &= rc::check("a fast group serves soon after a loss of power", [&] {
 		const Pace kFast = { 1, (*fixed % 2) ? 1 : 10, kShares[0] };
 		Sim s;
