Agents' HTTP client: the next call is sent outside the callback before it

A connect that fails at once runs callbacks in the same stack, so that a call's owner could free the client while the outer callback still used it.

Change: a timer of the client sends the next call; a client that is freed frees requests that weren't sent.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -14,7 +14,8 @@
 	uint16_t port;
 	struct evhttp_connection *conn;
 	struct http_answer_watch watch;
-	GQueue calls; /* struct call; the first one has been sent */
+	GQueue calls;	    /* struct call; only the first one is sent */
+	struct event *next; /* sends it, outside the callback before it */
 	bool freeing;
 };
 
@@ -24,6 +25,7 @@
 	char *method, *path, *response_header;
 	GString *body;
 	int64_t timeout_ms;
+	bool sent;
 	void (*done)(void *arg, const struct http_client_response *a);
 	void *arg;
 };
@@ -53,11 +55,19 @@
 	if (bufferevent_getfd(bev) >= 0 && !has_no_input(bev))
 		connection_renew(client);
 	http_watch_next(&client->watch);
+	c->sent = true;
 	evhttp_connection_set_timeout_tv(client->conn, &tv);
 	http_send(client->conn, c->req, client->addr, c->method, c->path,
 		  ss_str_gs(c->body));
 }
 
+static void on_next(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	send_first(arg);
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	const struct call *c = arg;
@@ -82,7 +92,10 @@
 	struct http_client_response a = {
 		.status = req ? evhttp_request_get_response_code(req) : 0
 	};
+	struct timeval now = { 0, 0 };
 
+	if (client->freeing)
+		return;
 	if (a.status) {
 		a.body = http_body(req);
 		a.headers = evhttp_request_get_input_headers(req);
@@ -90,13 +103,12 @@
 			a.header = evhttp_find_header(a.headers,
 						      c->response_header);
 	}
-	if (!client->freeing) {
-		g_queue_pop_head(&client->calls);
-		if (client->calls.head)
-			send_first(client);
-		c->done(c->arg, &a);
-		call_free(c);
-	}
+	g_queue_pop_head(&client->calls);
+	if (client->calls.head)
+		event_add(client->next, &now);
+	/* May free the client. */
+	c->done(c->arg, &a);
+	call_free(c);
 }
 
 struct http_client *http_client_new(struct event_base *base, const char *addr)
@@ -108,6 +120,7 @@
 	if (!http_split_addr(addr, &client->ip, &client->port))
 		client->ip = g_strdup("");
 	g_queue_init(&client->calls);
+	client->next = evtimer_new(base, on_next, client);
 	connection_open(client);
 	return client;
 }
@@ -121,12 +134,13 @@
 	client->freeing = true;
 	http_unwatch_answers(&client->watch);
 	evhttp_connection_free(client->conn);
-	/* The first request went with its connection. */
-	for (int i = 0; (c = g_queue_pop_head(&client->calls)); i++) {
-		if (i > 0)
+	while ((c = g_queue_pop_head(&client->calls))) {
+		/* One that was sent belongs to its connection. */
+		if (!c->sent)
 			evhttp_request_free(c->req);
 		call_free(c);
 	}
+	event_free(client->next);
 	g_free(client->addr);
 	g_free(client->ip);
 	g_free(client);
--- a/test/agent_fix.c
+++ b/test/agent_fix.c
@@ -83,9 +83,9 @@
 }
 
 const struct agent_way agent_ways[N_AGENT_WAYS] = {
-	{ "relay", ask_relay, true },
-	{ "client", ask_client, false },
-	{ "request", ask_request, false },
+	[AGENT_WAY_RELAY] = { "relay", ask_relay, true },
+	[AGENT_WAY_CLIENT] = { "client", ask_client, false },
+	[AGENT_WAY_REQUEST] = { "request", ask_request, false },
 };
 
 static void run_once(struct agent_clients *t)
--- a/test/agent_fix.h
+++ b/test/agent_fix.h
@@ -32,7 +32,7 @@
 	bool has_head; /* sends HEAD requests */
 };
 
-#define N_AGENT_WAYS 3
+enum { AGENT_WAY_RELAY, AGENT_WAY_CLIENT, AGENT_WAY_REQUEST, N_AGENT_WAYS };
 extern const struct agent_way agent_ways[N_AGENT_WAYS];
 
 /* Asks once; the endpoint's reply is that one. The caller frees the body. */
--- a/test/test_gate_broken_head.c
+++ b/test/test_gate_broken_head.c
@@ -282,6 +282,36 @@
 	assert_int_equal(failed, 0);
 }
 
+/* Guards against the same where the next call has been queued before. */
+static void queued_calls_get_their_own_answers(void **state)
+{
+	static const struct reply replies[] = {
+		{ .text = OK_TEXT "HTTP/1.1 200 OK\r\n" LENGTH "\r\nstale" },
+		{ .text = "HTTP/1.1 000 OK\r\n" HEAD LENGTH BODY },
+		{ .text = SECOND },
+	};
+	static const char *const want[] = { "hello", "", "another" };
+	struct agent_result got[G_N_ELEMENTS(replies)] = { 0 };
+	struct agent_clients t;
+	struct fix f;
+
+	(void)state;
+	agent_clients_open(&t, &f);
+	f.eps[0].n_replies = G_N_ELEMENTS(replies);
+	memcpy(f.eps[0].replies, replies, sizeof(replies));
+	for (size_t i = 0; i < G_N_ELEMENTS(got); i++) {
+		got[i].body = g_string_new(NULL);
+		agent_ways[AGENT_WAY_CLIENT].ask(&t, "GET", &got[i]);
+	}
+	UNTIL(&f, got[2].done);
+	for (size_t i = 0; i < G_N_ELEMENTS(got); i++) {
+		assert_true(got[i].done);
+		assert_string_equal(got[i].body->str, want[i]);
+		g_string_free(got[i].body, TRUE);
+	}
+	agent_clients_close(&t);
+}
+
 /* Guards against a request whose header line is read differently by its
  * endpoint. */
 static void requests_with_bad_names_are_refused(void **state)
@@ -360,6 +390,7 @@
 		cmocka_unit_test(gate_refuses_bad_names),
 		cmocka_unit_test(agents_refuse_bad_names),
 		cmocka_unit_test(agents_drop_surplus_answers),
+		cmocka_unit_test(queued_calls_get_their_own_answers),
 		cmocka_unit_test(requests_with_bad_names_are_refused),
 		cmocka_unit_test(valid_heads_are_read),
 	};
