Control group: the leadership isn't handed to a voter that ends

Callers saw, in the model: six control VMs of which two are stopped as planned at the same time.

Cause: ss_raft_transfer() takes the voter with the most entries, also one of which its leader knows that it ends.

Change: the owner of the log tells who may lead; control VMs leave out those whose notice of a planned stop is a second old at most. If all others end, nobody is told to campaign, and the next leader is elected as after a loss.

--- a/include/sapphireshift/raft.h
+++ b/include/sapphireshift/raft.h
@@ -161,6 +161,9 @@
 	/* Called for each answer from another member with the time in ms from
 	 * the request to it. May be NULL. */
 	void (*exchanged)(void *arg, uint64_t id, int64_t ms);
+	/* Returns whether the leadership may be transferred to a voter; NULL:
+	 * to any one. */
+	bool (*may_lead)(void *arg, uint64_t id);
 };
 
 struct ss_raft_options {
@@ -233,9 +236,9 @@
 bool ss_raft_compact(struct ss_raft *r, struct ss_str state, GError **error);
 
 /*
- * Transfers leadership to the reachable voter with the most entries, before
- * a planned stop. The leader takes no changes until that voter leads, or an
- * election timeout has passed.
+ * Transfers leadership to the reachable voter with the most entries of those
+ * that may lead, before a planned stop. The leader takes no changes until that
+ * voter leads, or an election timeout has passed.
  */
 void ss_raft_transfer(struct ss_raft *r, int64_t now);
 
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -311,6 +311,11 @@
 	return ok;
 }
 
+static bool may_lead(const struct ss_raft *r, const struct peer *p)
+{
+	return !r->o.ops->may_lead || r->o.ops->may_lead(r->o.arg, p->id);
+}
+
 void ss_raft_transfer(struct ss_raft *r, int64_t now)
 {
 	struct peer *best = NULL;
@@ -322,7 +327,7 @@
 		struct peer *p = raft_peer_at(r, i);
 
 		if (p->voter && p->id != r->o.self && value_active(r, p) &&
-		    (!best || p->match > best->match))
+		    may_lead(r, p) && (!best || p->match > best->match))
 			best = p;
 	}
 	if (!best)
--- a/src/daemon/group.c
+++ b/src/daemon/group.c
@@ -353,6 +353,11 @@
 	group_note_exchange(arg, id, ms);
 }
 
+static bool op_may_lead(void *arg, uint64_t id)
+{
+	return !group_is_leaving(arg, id);
+}
+
 static const struct ss_raft_ops raft_table = {
 	.save_vote = op_save_vote,
 	.append = op_append,
@@ -367,6 +372,7 @@
 	.failed = op_failed,
 	.round_lost = op_round_lost,
 	.exchanged = op_exchanged,
+	.may_lead = op_may_lead,
 };
 
 bool group_start_raft(struct group *g, GError **error)
--- a/src/daemon/group_int.h
+++ b/src/daemon/group_int.h
@@ -100,6 +100,9 @@
 void group_handle_joined(struct group *g, const struct msg_leader *m);
 /* Transfers the leadership, or tells the leader of the planned stop. */
 void group_continue_leaving(struct group *g, int64_t now);
+/* Returns true if the member has sent this leader a notice of a planned stop
+ * within the last second. After that its silence tells, or it is back. */
+bool group_is_leaving(const struct group *g, uint64_t id);
 /* Names the leader to a VM that campaigns and isn't a member. */
 void group_redirect_candidate(struct group *g, struct conn *c,
 			      const struct msg_raft *m);
--- a/src/daemon/group_members.c
+++ b/src/daemon/group_members.c
@@ -77,9 +77,7 @@
 	request_join(g, leader);
 }
 
-/* Returns true if the member has sent a notice of a planned stop within the
- * last second. After that its silence tells, or it is back. */
-static bool is_leaving(const struct group *g, uint64_t id)
+bool group_is_leaving(const struct group *g, uint64_t id)
 {
 	const int64_t *ms = g_hash_table_lookup(g->leaving_members, &id);
 
@@ -89,7 +87,7 @@
 static gboolean has_left(gpointer id, gpointer ms, gpointer group)
 {
 	(void)ms;
-	return !is_leaving(group, *(const uint64_t *)id);
+	return !group_is_leaving(group, *(const uint64_t *)id);
 }
 
 /* Returns the members as this leader sees them; the caller frees them. */
@@ -100,7 +98,7 @@
 
 	repair_members(g->raft, g->loaded.id, m);
 	for (size_t i = 0; i < n; i++)
-		m[i].leaving = is_leaving(g, m[i].id);
+		m[i].leaving = group_is_leaving(g, m[i].id);
 	return m;
 }
 
@@ -111,7 +109,7 @@
 	g_hash_table_foreach_remove(g->leaving_members, has_left, g);
 	if (!group_leads(g) || !ss_raft_member(g->raft, m->id))
 		return;
-	if (!is_leaving(g, m->id))
+	if (!group_is_leaving(g, m->id))
 		log_info("leaving", "name=%.*s id=%" PRIx64, SS_FMT(m->name),
 			 m->id);
 	g_hash_table_replace(g->leaving_members,
--- a/test/prop_members.cc
+++ b/test/prop_members.cc
@@ -71,8 +71,14 @@
 	std::deque<Msg> held;	/* arrived while it was frozen */
 };
 
+struct Sim;
+
+struct SimWorld : World {
+	Sim *sim = nullptr;
+};
+
 struct Sim {
-	World w;
+	SimWorld w;
 	std::vector<std::unique_ptr<Vm>> vms;
 	std::vector<Vm *> core; /* one in each place, successors included */
 	std::multimap<int64_t, std::function<void()>> events;
@@ -102,6 +108,28 @@
 	return nullptr;
 }
 
+/* Whether a VM has told the leader n that it ends. */
+bool may_lead(void *arg, uint64_t id)
+{
+	Node *n = node_of(arg);
+	Sim &s = *static_cast<SimWorld *>(n->world)->sim;
+	const auto &leaving = vm_of(s, n->id)->leaving_ms;
+	auto notice = leaving.find(id);
+
+	return notice == leaving.end() ||
+	       s.w.now - notice->second > REPAIR_SUSPECT_MS;
+}
+
+ss_raft_ops member_ops()
+{
+	ss_raft_ops ops = kOps;
+
+	ops.may_lead = may_lead;
+	return ops;
+}
+
+const ss_raft_ops kMemberOps = member_ops();
+
 bool leads(const Vm *v)
 {
 	return v->running && v->joined && !v->frozen && v->node->raft &&
@@ -648,6 +676,8 @@
 {
 	std::vector<struct ss_raft_member> all;
 
+	s.w.sim = &s;
+	s.w.ops = &kMemberOps;
 	s.w.election_ms = 400;
 	s.w.first_ms = 120;
 	s.w.batch_bytes = 256 << 10;
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -11,6 +11,7 @@
 	uint64_t told_to_campaign; /* member; 0: none */
 	bool full;
 	int64_t now;
+	uint64_t ends; /* a member in a planned stop; 0: none */
 };
 
 static bool save_vote(void *arg, uint64_t term, uint64_t vote, GError **e)
@@ -102,6 +103,11 @@
 	fail_msg("%s", error->message);
 }
 
+static bool may_lead(void *arg, uint64_t id)
+{
+	return id != ((struct fake *)arg)->ends;
+}
+
 static const struct ss_raft_ops ops = {
 	.save_vote = save_vote,
 	.append = append,
@@ -114,6 +120,7 @@
 	.changed = changed,
 	.read_done = read_done,
 	.failed = failed,
+	.may_lead = may_lead,
 };
 
 /* How member 1 of three starts. */
@@ -559,6 +566,23 @@
 	ss_raft_free(f.r);
 }
 
+/* Guards against two planned stops that hand the leadership to and fro, so that
+ * neither vote is handed over. */
+static void leadership_isnt_handed_to_a_voter_that_ends(void **state)
+{
+	struct fake f;
+
+	(void)state;
+	start(&f);
+	elect(&f);
+	step(&f, SS_RAFT_APPEND_REPLY, 2, 4, 3, true);
+	step(&f, SS_RAFT_APPEND_REPLY, 3, 4, 3, true);
+	f.ends = 2;
+	ss_raft_transfer(f.r, f.now);
+	assert_int_equal(f.told_to_campaign, 3);
+	ss_raft_free(f.r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -579,6 +603,7 @@
 		cmocka_unit_test(one_of_two_candidates_goes_first),
 		cmocka_unit_test(slow_group_keeps_its_leader),
 		cmocka_unit_test(one_pause_extends_no_timeout),
+		cmocka_unit_test(leadership_isnt_handed_to_a_voter_that_ends),
 	};
 
 	return cmocka_run_group_tests_name("raft", tests, NULL, NULL);
