Repair: a new leader lets no voter exit beside ones it hasn't heard of

Callers saw, in the model: five control VMs, two replaced as planned while two others lose their disks: no leader for good.

Timeline of that play: seven voters; one exits while it still votes, as it may where the others bear as many losses without it. The leader, in a planned stop itself, hands over. The new one counts everybody's silence from its election, so it takes the voter that is gone for healthy, and lets the former leader exit by the same rule. Five of seven are left, two disks are lost: three of seven.

Cause, class: a process that has just started acts as if it knew.

Change: for the leave to exit, voters that haven't answered a leader since its election count as lost.

--- a/src/core/repair.c
+++ b/src/core/repair.c
@@ -171,13 +171,27 @@
 	return !m->voter && !m->leaving && m->quiet_ms <= REPAIR_READY_MS;
 }
 
+/* Returns the voters that may be gone, though they don't count as lost: a new
+ * leader has heard nothing from them yet, and not of a planned stop either. */
+static size_t count_unheard(const struct repair_member *m, size_t n)
+{
+	size_t unheard = 0;
+
+	for (size_t i = 0; i < n; i++)
+		unheard += m[i].voter && !m[i].self && !m[i].match &&
+			   !m[i].leaving && !is_lost(m, n, i);
+	return unheard;
+}
+
 bool repair_may_end(const struct repair_member *m, size_t n, uint64_t id,
 		    uint64_t last)
 {
 	struct repair_counts c = repair_count(m, n, last);
-	size_t staying = c.voters - c.lost - c.leaving;
+	size_t staying;
 	bool votes = false, successor = false;
 
+	c.lost += count_unheard(m, n);
+	staying = c.voters - c.lost - c.leaving;
 	for (size_t i = 0; i < n; i++) {
 		votes |= m[i].id == id && m[i].voter;
 		successor |= is_successor(&m[i]);
--- a/test/test_repair.c
+++ b/test/test_repair.c
@@ -16,6 +16,10 @@
 		.name = SS_LIT(who), .addr = SS_LIT(who), .voter = true,       \
 		.quiet_ms = (quiet), .match = 100                              \
 	}
+#define UNHEARD(who)                                                           \
+	{                                                                      \
+		.name = SS_LIT(who), .addr = SS_LIT(who), .voter = true        \
+	}
 #define LEAVING(who, quiet)                                                    \
 	{                                                                      \
 		.name = SS_LIT(who), .addr = SS_LIT(who), .voter = true,       \
@@ -333,6 +337,14 @@
 	  4,
 	  2,
 	  false },
+	/* Guards against a voter that exits beside one that has exited before
+	 * the leader was elected. */
+	{ "a voter beside one that the leader hasn't heard",
+	  { VOTER("a", 0), VOTER("b", 0), UNHEARD("c"), VOTER("d", 0),
+	    LEAVING("e", 0) },
+	  5,
+	  4,
+	  false },
 	{ "two voters of three that end",
 	  { VOTER("a", 0), LEAVING("b", 0), LEAVING("c", 0) },
 	  3,
