Raft: a long pause of this process is no long exchange

Callers saw, in the model: a control VM stands still for 2.4 s, as it did some seconds before, and is removed meanwhile.

Cause: the time between two messages of the leader counted up to 1 s of a pause as an exchange, and two of them make a timeout of 3 s, drawn up to 6 s. Class: a process's own pause decides who is lost.

Change: a pause over 1 s, which no slice of a slow processor is, counts nothing.

--- a/src/core/raft_pace.c
+++ b/src/core/raft_pace.c
@@ -60,7 +60,8 @@
 }
 
 /* One pause between two contacts is excused: with all of them a process that
- * runs a tenth of the time would notice a loss ten times as late. */
+ * runs a tenth of the time would notice a loss ten times as late. A long pause
+ * is no exchange that took long. */
 void ss_raft_paused(struct ss_raft *r, int64_t now, int64_t ms)
 {
 	if (r->broken)
@@ -68,8 +69,10 @@
 	r->now = MAX(r->now, now);
 	if (r->role == SS_RAFT_LEADER)
 		raft_heartbeat(r);
-	r->heard_ms += MAX(0, ms - PAUSE_MAX_MS);
-	r->timed_ms += MAX(0, ms - PAUSE_MAX_MS);
+	if (ms > PAUSE_MAX_MS) {
+		r->heard_ms = MIN(r->heard_ms + ms, r->now);
+		r->timed_ms = MIN(r->timed_ms + ms, r->now);
+	}
 	if (r->excused)
 		return;
 	r->excused = true;
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -566,6 +566,29 @@
 	ss_raft_free(f.r);
 }
 
+/* Guards against a member that stood still twice, was removed meanwhile, and
+ * doesn't ask for its way back, as it takes that for a slow group. */
+static void own_pauses_extend_no_timeout(void **state)
+{
+	const int64_t pause_ms = 2400;
+	struct fake f;
+
+	(void)state;
+	start(&f);
+	step(&f, SS_RAFT_APPEND, 2, 4, 2, false);
+	for (int i = 0; i < 2; i++) {
+		f.now += pause_ms;
+		ss_raft_paused(f.r, f.now, pause_ms);
+		step(&f, SS_RAFT_APPEND, 2, 4, 2, false);
+		f.now += 100;
+		step(&f, SS_RAFT_APPEND, 2, 4, 2, false);
+	}
+	f.now += 1200;
+	ss_raft_tick(f.r, f.now);
+	assert_int_equal(ss_raft_role(f.r), SS_RAFT_PRECANDIDATE);
+	ss_raft_free(f.r);
+}
+
 /* Guards against two planned stops that hand the leadership to and fro, so that
  * neither vote is handed over. */
 static void leadership_isnt_handed_to_a_voter_that_ends(void **state)
@@ -603,6 +626,7 @@
 		cmocka_unit_test(one_of_two_candidates_goes_first),
 		cmocka_unit_test(slow_group_keeps_its_leader),
 		cmocka_unit_test(one_pause_extends_no_timeout),
+		cmocka_unit_test(own_pauses_extend_no_timeout),
 		cmocka_unit_test(leadership_isnt_handed_to_a_voter_that_ends),
 	};
 
