--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -16,6 +16,7 @@
 	struct http_answer_watch watch;
 	GQueue calls;	    /* struct call; only the first one is sent */
 	struct event *next; /* sends it, outside the callback before it */
+	int64_t timeout_ms; /* of the call that was queued last; 0: none */
 	bool freeing;
 };
 
@@ -24,16 +25,24 @@
 	struct evhttp_request *req;
 	char *method, *path, *response_header;
 	GString *body;
-	int64_t timeout_ms;
 	bool sent;
 	void (*done)(void *arg, const struct http_client_response *a);
 	void *arg;
 };
 
+static void set_timeout(struct http_client *client)
+{
+	struct timeval tv = timeval_from_ms(client->timeout_ms);
+
+	evhttp_connection_set_timeout_tv(client->conn, &tv);
+}
+
 static void connection_open(struct http_client *client)
 {
 	client->conn = evhttp_connection_base_new(client->base, NULL,
 						  client->ip, client->port);
+	if (client->timeout_ms)
+		set_timeout(client);
 	http_watch_answers(&client->watch, client->conn, HTTP_ANSWER_MAX);
 }
 
@@ -50,13 +59,11 @@
 	struct bufferevent *bev =
 		evhttp_connection_get_bufferevent(client->conn);
 	struct call *c = g_queue_peek_head(&client->calls);
-	struct timeval tv = timeval_from_ms(c->timeout_ms);
 
 	if (bufferevent_getfd(bev) >= 0 && !has_no_input(bev))
 		connection_renew(client);
 	http_watch_next(&client->watch);
 	c->sent = true;
-	evhttp_connection_set_timeout_tv(client->conn, &tv);
 	http_send(client->conn, c->req, client->addr, c->method, c->path,
 		  ss_str_gs(c->body));
 }
@@ -157,13 +164,14 @@
 	c->path = g_strdup(o->path);
 	c->response_header = g_strdup(o->response_header);
 	c->body = g_string_new_len(o->body.p, (gssize)o->body.n);
-	c->timeout_ms = o->timeout_ms;
 	c->done = o->done;
 	c->arg = o->arg;
 	evhttp_request_set_header_cb(c->req, on_head);
 	if (o->header)
 		evhttp_add_header(evhttp_request_get_output_headers(c->req),
 				  o->header, o->value);
+	client->timeout_ms = o->timeout_ms;
+	set_timeout(client);
 	g_queue_push_tail(&client->calls, c);
 	if (client->calls.length == 1)
 		send_first(client);
