Soak: a crashed endpoint's run writes no first event

Trace, from the logs kept: entry-5 sent q341 to engine-4 (v2) at 43:00.127, which was crashed 21 ms later with no byte sent (send_failed why="silent" after=-1); the request was then answered whole by engine-14 (v1) alone, in 103 ms. No caller saw v2. The stand-in waited for its first event by a sleep that a closed connection doesn't end, and then recorded an event that it could write nowhere; recorded between the first and the second event of engine-14 it looks like a stream of two versions.

Change: the wait for the first event ends with the connection, as the waits for all others do. The check of versions is as strict as it was; only events that can be written are recorded.

The failing order of events was not provoked again.

--- a/test/fleet/standin.py
+++ b/test/fleet/standin.py
@@ -539,7 +539,7 @@
                                       lambda: writer.write(written))
             due = time.monotonic() + self.until_first_s()
             run.due_end = due + (total + 1 - first) * self.step
-            await asyncio.sleep(due - time.monotonic())
+            await self.work(reader, due)
             self.send(writer, head)
             for k in range(first, total + 1):
                 self.world.record_event(headers, self, k)
