Comments and names: heads, watches, election timeouts

Change: TIMEOUT_GROWTH, an own comment for each of those functions, the scope of a call's timeout said plainly; enum arrival, valid_heads. No code but a macro's name and names in a test has changed, no assertion either.

--- a/src/core/http_head.h
+++ b/src/core/http_head.h
@@ -10,7 +10,7 @@
 #include <sapphireshift/base.h>
 
 enum http_head_state {
-	HTTP_HEAD_START, /* blank lines before the status line are skipped */
+	HTTP_HEAD_START, /* empty lines before the status line are skipped */
 	HTTP_HEAD_REQUEST_START,
 	HTTP_HEAD_REQUEST_LINE,
 	HTTP_HEAD_STATUS,
@@ -33,9 +33,9 @@
 	int status; /* 100 to 599, once it has been read */
 };
 
-/* Prepares for the head of an answer, or of a request, whose first line isn't
- * checked. */
+/* Prepares for the head of an answer. */
 void http_head_init(struct http_head *h);
+/* Prepares for the head of a request; its first line isn't checked. */
 void http_head_init_request(struct http_head *h);
 
 /* Reads the next bytes up to the end of the head, and returns how many it has
--- a/src/core/raft_int.h
+++ b/src/core/raft_int.h
@@ -72,8 +72,8 @@
 	bool excused;	      /* a pause since the last contact was excused */
 	uint64_t timed_round; /* heartbeat whose answers are timed; 0: none */
 	int64_t timed_ms;     /* time it was sent */
-	/* Election timeout after which this member gave up its group as the
-	 * leader; 0: it has followed another one since. */
+	/* Election timeout by which this member, as the leader, stepped down
+	 * for lack of answers; 0: it has followed another leader since. */
 	int64_t gave_up_ms;
 	/* A majority has answered this candidate or leader in this role. */
 	bool answered;
@@ -143,9 +143,10 @@
 int64_t raft_timeout_max_ms(const struct ss_raft *r);
 /* Notes the leader's next message to a follower. */
 void raft_pace_contact(struct ss_raft *r, const struct ss_raft_msg *m);
-/* Notes that this leader's majority was silent for the election timeout, and
- * that it leads again. */
+/* Notes that this leader steps down, as a majority was silent for the election
+ * timeout. */
 void raft_pace_gave_up(struct ss_raft *r);
+/* Extends the election timeout if this new leader stepped down before. */
 void raft_pace_elected(struct ss_raft *r);
 /* Notes that a majority has answered a heartbeat. */
 void raft_pace_round(struct ss_raft *r, uint64_t round);
--- a/src/core/raft_pace.c
+++ b/src/core/raft_pace.c
@@ -19,7 +19,7 @@
  * more. */
 #define PACE_HOLD_GAPS 2
 /* Factor by which the election timeout grows each time it was too short. */
-#define IMPATIENCE 2
+#define TIMEOUT_GROWTH 2
 /* Limit in ms of a pause that is excused: after a longer one others may have
  * taken over. */
 #define PAUSE_MAX_MS 1000
@@ -60,8 +60,8 @@
 }
 
 /* One pause between two contacts is excused: with all of them a process that
- * runs a tenth of the time would notice a loss ten times as late. A long pause
- * is no exchange that took long. */
+ * runs a tenth of the time would notice a loss ten times as late. A longer
+ * pause isn't counted as a slow exchange at all. */
 void ss_raft_paused(struct ss_raft *r, int64_t now, int64_t ms)
 {
 	if (r->broken)
@@ -121,12 +121,14 @@
 	r->gave_up_ms = raft_timeout_ms(r);
 }
 
-/* A leader that gave up its group and is elected again, with nobody elected in
- * between, has been too impatient: members that run a small part of the time
- * are silent for longer than any exchange that it has seen. */
+/* A leader that stepped down for lack of answers, and is elected again with
+ * nobody elected in between, had too short a timeout: members with a small
+ * share of a processor are silent for longer than any exchange that it has
+ * measured.
+ */
 void raft_pace_elected(struct ss_raft *r)
 {
-	int64_t ms = IMPATIENCE * r->gave_up_ms / TIMEOUT_EXCHANGES;
+	int64_t ms = TIMEOUT_GROWTH * r->gave_up_ms / TIMEOUT_EXCHANGES;
 
 	/* One sample alone may be a pause, and counts only at first. */
 	for (int i = 0; r->gave_up_ms && i < 2; i++)
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -345,7 +345,7 @@
 	evhttp_make_request(conn, req, method_of(method), path);
 }
 
-/* Checks the bytes that were added to the input as its last ones. */
+/* Checks the heads in the bytes most recently added to the input. */
 static void watch_heads(struct http_answer_watch *w, struct evbuffer *in,
 			size_t added)
 {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -80,12 +80,14 @@
 	struct evhttp_connection *conn;
 	struct evbuffer_cb_entry *entry;
 	struct http_head head; /* of the answer to the last request */
-	size_t bytes, max_bytes;
+	size_t bytes;	       /* of that answer, read so far */
+	size_t max_bytes;      /* of its body */
 };
 /* max_bytes: of an answer's body. */
 void http_watch_answers(struct http_answer_watch *w,
 			struct evhttp_connection *conn, size_t max_bytes);
-/* The next bytes belong to the answer to another request. */
+/* To be called before each request: the bytes read from now on belong to its
+ * answer. */
 void http_watch_next(struct http_answer_watch *w);
 void http_unwatch_answers(struct http_answer_watch *w);
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -15,7 +15,7 @@
 	struct evhttp_connection *conn;
 	struct http_answer_watch watch;
 	GQueue calls;	    /* struct call; only the first one is sent */
-	struct event *next; /* sends it, outside the callback before it */
+	struct event *next; /* sends it, outside evhttp's callbacks */
 	int64_t timeout_ms; /* of the call that was queued last; 0: none */
 	bool freeing;
 };
@@ -46,7 +46,7 @@
 	http_watch_answers(&client->watch, client->conn, HTTP_ANSWER_MAX);
 }
 
-/* Replaces a connection with input that belongs to no request. */
+/* Replaces a connection that has input, or has been closed, between calls. */
 static void connection_renew(struct http_client *client)
 {
 	http_unwatch_answers(&client->watch);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -25,9 +25,9 @@
 	const char *header, *value;  /* additional request header; NULL: none */
 	const char *response_header; /* response header to pass to done; NULL:
 					none */
-	/* Limit of silence of the calls that are queued or in progress: the
-	 * one of the call that was queued last holds for all, so that who is
-	 * waiting behind a call that isn't answered waits no longer. */
+	/* Timeout for silence on the connection. The one of the latest call
+	 * applies to the call in progress, too: a call doesn't wait for longer
+	 * than its own timeout behind one that isn't answered. */
 	int64_t timeout_ms;
 	void (*done)(void *arg, const struct http_client_response *a);
 	void *arg;
--- a/src/proxy/http1.c
+++ b/src/proxy/http1.c
@@ -17,7 +17,7 @@
 
 struct http1_reader {
 	struct http1_options o;
-	struct http_head grammar; /* of the head */
+	struct http_head grammar; /* checks the head */
 	http_parser p;
 	GString *text;	/* target, then names and values of headers */
 	GArray *spans;	/* struct header_span */
--- a/test/test_gate_broken_head.c
+++ b/test/test_gate_broken_head.c
@@ -90,7 +90,7 @@
 	  INTERIM("HTTP/1.1 102 Processing\r\nContent-Length : 2") },
 };
 
-static const struct head_case sound[] = {
+static const struct head_case valid_heads[] = {
 	{ "599", START("HTTP/1.1 599 Odd") },
 	{ "299", START("HTTP/1.1 299") },
 	{ "1.0", START("HTTP/1.0 200 OK") },
@@ -113,7 +113,7 @@
 };
 
 /* How the first answer comes to the gate. */
-enum coming { AT_ONCE, SINGLE_BYTES, USED_CONNECTION, N_COMING };
+enum arrival { AT_ONCE, SINGLE_BYTES, USED_CONNECTION, N_ARRIVALS };
 
 static void send_answer(struct fix *f, struct ss_str text, size_t piece)
 {
@@ -149,7 +149,7 @@
 
 /* Returns true if the caller gets that answer and the other endpoint is asked
  * that often. */
-static bool gate_answers(const struct head_case *x, enum coming coming,
+static bool gate_answers(const struct head_case *x, enum arrival arrival,
 			 const char *request, const char *status,
 			 const char *end, int second_runs)
 {
@@ -158,19 +158,19 @@
 	bool ok;
 
 	fix_open(&f, "web", "");
-	if (coming == USED_CONNECTION)
+	if (arrival == USED_CONNECTION)
 		use_connection(&f);
 	script_answer(&f, 0, NULL, false, false);
 	script_answer(&f, 1, SECOND, false, false);
 	c = call(&f, request);
-	send_answer(&f, x->answer, coming == SINGLE_BYTES ? 1 : x->answer.n);
+	send_answer(&f, x->answer, arrival == SINGLE_BYTES ? 1 : x->answer.n);
 	for (int i = 0; i < WAIT_ROUNDS && !got_only(c, status, end); i++)
 		run_loop_once(&f);
 	ok = got_only(c, status, end) && f.eps[1].requests == second_runs;
 	if (!ok)
 		print_error("gate, %s (%d): want %s...%s, got, %d second "
 			    "runs:\n%s\n",
-			    x->label, coming, status, end, f.eps[1].requests,
+			    x->label, arrival, status, end, f.eps[1].requests,
 			    c->got->str);
 	fix_close(&f);
 	return ok;
@@ -180,7 +180,7 @@
 {
 	int failed = 0;
 
-	for (enum coming k = 0; k < N_COMING; k++) {
+	for (enum arrival k = 0; k < N_ARRIVALS; k++) {
 		failed +=
 			!gate_answers(x, k, POST_ONCE, "HTTP/1.1 502 ", "}", 0);
 		failed += !gate_answers(x, k, GET_SAFE, "HTTP/1.1 200 ",
@@ -369,15 +369,15 @@
 	int failed = 0;
 
 	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(sound); i++) {
-		bool odd = strstr(sound[i].label, "99") != NULL;
+	for (size_t i = 0; i < G_N_ELEMENTS(valid_heads); i++) {
+		bool odd = strstr(valid_heads[i].label, "99") != NULL;
 
-		for (enum coming k = 0; k < N_COMING; k++)
-			failed += !gate_answers(&sound[i], k, POST_ONCE,
+		for (enum arrival k = 0; k < N_ARRIVALS; k++)
+			failed += !gate_answers(&valid_heads[i], k, POST_ONCE,
 						odd ? "HTTP/1.1 " :
 						      "HTTP/1.1 200 ",
 						"hello", 0);
-		failed += agent_failures(&sound[i], true);
+		failed += agent_failures(&valid_heads[i], true);
 	}
 	assert_int_equal(failed, 0);
 }
